--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that print the figures quoted in docs/."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Model-checked specification of the claim protocol."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; `python -m tests.run` runs all of them."""
--- /dev/null
+++ b/winchfork/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the model engines and of the application back ends."""
--- /dev/null
+++ b/winchfork/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/winchfork/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""How daemons act together: peer messages, membership, configuration relay, claims."""
--- /dev/null
+++ b/winchfork/cluster/claim_client.py
@@ -0,0 +1,141 @@
+"""Obtains the claim of a request that must not be repeated, over the peer network."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import threading
+import time
+
+from winchfork.cluster.node import PeerNode
+from winchfork.constants import CLAIM_RESEND_PERIOD_S
+from winchfork.core.claims import (
+    Claim,
+    ClaimPhase,
+    OutcomeRecord,
+    VoteReply,
+    panel_of_key,
+    stamp_of_key,
+)
+from winchfork.errors import Failure, FailureKind, RunState
+
+#: Times an outcome or a release is sent; the voters take doubled ones.
+_NOTICE_REPEATS = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimRequest:
+    """What is claimed: a key under its tenant, and whether the caller says it is the first send."""
+
+    tenant: str
+    idempotency_key: str
+    first_send: bool
+    timeout_s: float
+
+    @property
+    def key(self) -> str:
+        """The key as voters see it: no tenant can touch another's."""
+        return f"{len(self.tenant)}:{self.tenant}|{self.idempotency_key}"
+
+
+@dataclasses.dataclass(frozen=True)
+class KeptOutcome:
+    """The answer that an earlier attempt of the key received."""
+
+    outcome: bytes
+
+
+class WonClaim:
+    """The right to dispatch once. Exactly one of :meth:`finish` and :meth:`give_up` ends it."""
+
+    def __init__(self, client: ClaimClient, claim: Claim, first_send: bool) -> None:
+        self._client = client
+        self._claim = claim
+        self._first_send = first_send
+
+    def dispatch(self) -> bool:
+        """Take the right; True once, and never after :meth:`give_up`."""
+        return self._claim.dispatch()
+
+    def finish(self, outcome: bytes) -> None:
+        """Let the voters keep the answer for later retries of the key."""
+        self._client.record_outcome(self._claim, outcome)
+
+    def give_up(self) -> None:
+        """Free the votes of an attempt that was never dispatched."""
+        self._client.release(self._claim, self._first_send)
+
+
+class ClaimClient:
+    """Claims keys for this daemon as ingress. Thread-safe."""
+
+    def __init__(self, node: PeerNode) -> None:
+        self._node = node
+        self._counter = itertools.count(1)
+
+    def obtain(self, request: ClaimRequest) -> WonClaim | KeptOutcome | Failure:
+        """Gather votes until won, answered from a kept outcome, or out of time."""
+        state = self._node.state
+        with state.lock:
+            panel_id = panel_of_key(request.key, sorted(state.panels))
+            panel = state.panels[panel_id] if panel_id is not None else None
+            own = state.membership.own
+        if panel is None:
+            return FailureKind.CLAIM_NO_MAJORITY.because(
+                "no voter panel is known yet",
+                remedy="come back after the given time",
+                ran=RunState.NOT_RUN if request.first_send else RunState.UNKNOWN,
+                retry_after_s=2.0,
+            )
+        attempt = f"{own.member_id}.{own.incarnation}.{next(self._counter)}"
+        claim = Claim(panel, request.key, stamp_of_key(request.idempotency_key), attempt)
+        changed = threading.Condition()
+
+        def hear(reply: VoteReply) -> None:
+            with changed:
+                claim.on_vote_reply(reply)
+                changed.notify_all()
+
+        self._node.listen_for_votes(attempt, hear)
+        try:
+            self._gather(claim, changed, request.timeout_s)
+        finally:
+            self._node.stop_listening(attempt)
+        with changed:
+            if claim.phase is ClaimPhase.WON:
+                return WonClaim(self, claim, request.first_send)
+            kept = claim.kept_outcome
+            failure = self.release(claim, request.first_send)
+        return KeptOutcome(kept) if kept is not None else failure
+
+    def record_outcome(self, claim: Claim, outcome: bytes) -> None:
+        """Send a dispatched attempt's answer to the voters."""
+        record = OutcomeRecord(
+            claim.request.panel_id, claim.request.key, claim.request.attempt, outcome
+        )
+        for _ in range(_NOTICE_REPEATS):
+            for voter in claim.voters:
+                self._node.send_to(voter, record)
+
+    def release(self, claim: Claim, first_send: bool) -> Failure:
+        """Give an undispatched attempt up and free its votes."""
+        given_up = claim.give_up(first_send=first_send)
+        assert given_up is not None, "only undispatched attempts are released"
+        failure, release = given_up
+        for _ in range(_NOTICE_REPEATS):
+            for voter in claim.voters:
+                self._node.send_to(voter, release)
+        return failure
+
+    def _gather(self, claim: Claim, changed: threading.Condition, timeout_s: float) -> None:
+        deadline_s = time.monotonic() + timeout_s
+        while True:
+            for voter in claim.unheard_voters():
+                self._node.send_to(voter, claim.request)
+            left_s = deadline_s - time.monotonic()
+            with changed:
+                settled = changed.wait_for(
+                    lambda: claim.is_settled, min(CLAIM_RESEND_PERIOD_S, max(0.0, left_s))
+                )
+            if settled or left_s <= 0:
+                return
--- /dev/null
+++ b/winchfork/cluster/event_reader.py
@@ -0,0 +1,252 @@
+"""Reads the event streams of the replicas that this daemon is the reader of.
+
+Each replica's stream is read by one daemon, chosen by rendezvous over the live members, so the work
+divides by the number of daemons. The reader learns identity and load, folds the cache events, and
+passes beliefs to the owner of each prefix family.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from winchfork.backends.engine_port import EnginePort, EngineReport
+from winchfork.cluster.messages import BeliefNote, ReplicaNote
+from winchfork.cluster.node import PeerNode
+from winchfork.constants import EVENT_POLL_PERIOD_S
+from winchfork.core.cache_index import CacheEvent, EventKind
+from winchfork.core.configuration import PoolKind
+from winchfork.core.fleet import Replica, ReplicaState
+from winchfork.core.rendezvous import rendezvous_owner
+from winchfork.errors import Failure
+from winchfork.logs import log_event
+
+_WORKERS = 8
+#: Block keys in one belief message.
+NOTE_KEYS = 512
+
+
+class _StreamPosition:
+    """Where the reader is in one replica's stream, and each known block's family.
+
+    A block above the family depth has family 0: its own key names it.
+    """
+
+    def __init__(self, incarnation: int, next_sequence: int = 1) -> None:
+        self.incarnation = incarnation
+        self.next_sequence = next_sequence
+        self._family_of: dict[int, int] = {}
+
+    def note_stored(self, parent: int, keys: tuple[int, ...]) -> None:
+        """Derive the families of a run of blocks from its parent's."""
+        for key in keys:
+            if parent == 0:
+                self._family_of[key] = 0
+            else:
+                self._family_of[key] = self._family_of.get(parent, 0) or key
+            parent = key
+
+    def owner_key(self, key: int) -> int:
+        """Return the key whose owner holds beliefs about this block."""
+        return self._family_of.get(key, 0) or key
+
+    def forget(self, key: int) -> None:
+        """Drop a removed block."""
+        self._family_of.pop(key, None)
+
+
+class EventReader:
+    """Polls this daemon's share of the replicas."""
+
+    def __init__(self, node: PeerNode, engine: EnginePort) -> None:
+        self._node = node
+        self._engine = engine
+        self._stopping = threading.Event()
+        self._pool = ThreadPoolExecutor(_WORKERS, thread_name_prefix="events")
+        self._positions: dict[str, _StreamPosition] = {}
+        self._polls: dict[str, Future[None]] = {}
+        self.events_read = 0
+
+    def run(self) -> None:
+        """Poll until stopped; the body of one thread."""
+        while not self._stopping.wait(EVENT_POLL_PERIOD_S):
+            for replica in self._own_replicas():
+                running = self._polls.get(replica.replica_id)
+                if running is None or running.done():
+                    self._polls[replica.replica_id] = self._pool.submit(self._poll, replica)
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self._stopping.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _own_replicas(self) -> list[Replica]:
+        state = self._node.state
+        with state.lock:
+            pools = state.configuration.current.pools
+            replicas = [
+                replica
+                for replica in state.fleet.replicas()
+                if (pool := pools.get(replica.pool)) is not None and pool.kind is PoolKind.ENGINE
+            ]
+        own: list[Replica] = []
+        for replica in replicas:
+            owner = self._node.owner_of(replica.replica_id)
+            if owner is not None and owner.member_id == state.own_id:
+                own.append(replica)
+            else:
+                self._positions.pop(replica.replica_id, None)
+        return own
+
+    def _poll(self, replica: Replica) -> None:
+        try:
+            self._read(replica)
+        except Exception as error:  # noqa: BLE001 - one replica's surprise must not stop the rest
+            log_event("event_read_failed", "ERROR", replica=replica.replica_id, error=repr(error))
+
+    def _read(self, replica: Replica) -> None:
+        position = self._positions.get(replica.replica_id)
+        after = position.next_sequence - 1 if position else 0
+        measured_at_s = time.time()
+        report = self._engine.report(replica.address, after)
+        if isinstance(report, Failure):
+            self._note_unavailable(replica, measured_at_s)
+            return
+        self._note_report(replica, report, measured_at_s)
+        if not report.accepting:
+            self._note_unavailable(replica, measured_at_s)
+        fresh = position is None or position.incarnation != report.identity.incarnation
+        if fresh or (position is not None and _has_gap(report, position.next_sequence)):
+            self._resync(replica)
+            return
+        assert position is not None
+        self._forward(replica, position, report.events)
+        position.next_sequence = report.next_sequence
+
+    def _note_unavailable(self, replica: Replica, measured_at_s: float) -> None:
+        with self._node.state.lock:
+            changed = replica.state is ReplicaState.ACCEPTING
+            if changed:
+                replica.state = ReplicaState.UNAVAILABLE
+            self._node.state.loads.publish(replica.replica_id, None, 0, measured_at_s)
+        if changed:
+            log_event("replica_unavailable", "WARNING", replica=replica.replica_id)
+
+    def _note_report(self, replica: Replica, report: EngineReport, measured_at_s: float) -> None:
+        state = self._node.state
+        with state.lock:
+            changed = replica.identity != report.identity
+            replica.identity = report.identity
+            replica.note_load(report.load, measured_at_s)
+            state.index.fence(replica.replica_id, report.identity.incarnation)
+            if report.accepting:
+                if replica.state is ReplicaState.UNAVAILABLE:
+                    replica.state = ReplicaState.ACCEPTING
+                state.loads.publish(
+                    replica.replica_id,
+                    report.load.waiting_prefill_tokens,
+                    report.load.running_requests + report.load.waiting_requests,
+                    measured_at_s,
+                )
+        if changed:
+            log_event(
+                "replica_identity",
+                replica=replica.replica_id,
+                incarnation=report.identity.incarnation,
+                weights_version=report.identity.weights_version,
+            )
+            self._tell_peers(replica, report)
+
+    def _tell_peers(self, replica: Replica, report: EngineReport) -> None:
+        note = ReplicaNote(
+            replica.replica_id,
+            report.identity.incarnation,
+            report.identity.weights_version,
+            report.load.prefill_tokens_per_s,
+        )
+        for member in self._node.live_members(include_own=False):
+            self._node.transport.send(member.peer_address, note)
+
+    def _resync(self, replica: Replica) -> None:
+        """Replace what is believed of a replica by a snapshot, after a gap or at first contact."""
+        snapshot = self._engine.snapshot(replica.address)
+        if isinstance(snapshot, Failure):
+            return
+        report = snapshot.report
+        position = _StreamPosition(report.identity.incarnation, report.next_sequence)
+        for key, parent in snapshot.blocks:
+            position.note_stored(parent, (key,))
+        self._positions[replica.replica_id] = position
+        folded = {key: True for key, _ in snapshot.blocks}
+        notes = self._notes_by_owner(replica, position, folded)
+        for member in self._node.live_members():
+            first, *rest = notes.get(member.member_id) or [
+                BeliefNote(replica.replica_id, position.incarnation, (), ())
+            ]
+            self._node.send_to(member.member_id, dataclasses.replace(first, reset=True))
+            for note in rest:
+                self._node.send_to(member.member_id, note)
+        log_event("replica_resynced", replica=replica.replica_id, blocks=len(folded))
+
+    def _forward(
+        self, replica: Replica, position: _StreamPosition, events: tuple[CacheEvent, ...]
+    ) -> None:
+        """Fold events to what holds at their end, and send each family's part to its owner."""
+        self.events_read += len(events)
+        folded: dict[int, bool] = {}
+        for event in events:
+            stored = event.kind is EventKind.STORED
+            if stored:
+                position.note_stored(event.parent_key, event.block_keys)
+            for key in event.block_keys:
+                folded[key] = stored
+        for owner_id, notes in self._notes_by_owner(replica, position, folded).items():
+            for note in notes:
+                self._node.send_to(owner_id, note)
+        for key, stored in folded.items():
+            if not stored:
+                position.forget(key)
+
+    def _notes_by_owner(
+        self, replica: Replica, position: _StreamPosition, folded: dict[int, bool]
+    ) -> dict[str, list[BeliefNote]]:
+        members = [member.member_id for member in self._node.live_members()]
+        owners: dict[int, str | None] = {}
+        keys: dict[str, tuple[list[int], list[int]]] = {}
+        for key, stored in folded.items():
+            family = position.owner_key(key)
+            if family not in owners:
+                owners[family] = rendezvous_owner(family, members)
+            owner_id = owners[family]
+            if owner_id is not None:
+                held, gone = keys.setdefault(owner_id, ([], []))
+                (held if stored else gone).append(key)
+        return {
+            owner_id: _cut_notes(replica.replica_id, position.incarnation, held, gone)
+            for owner_id, (held, gone) in keys.items()
+        }
+
+
+def _cut_notes(
+    replica_id: str, incarnation: int, held: list[int], gone: list[int]
+) -> list[BeliefNote]:
+    return [
+        BeliefNote(
+            replica_id,
+            incarnation,
+            tuple(held[start : start + NOTE_KEYS]),
+            tuple(gone[start : start + NOTE_KEYS]),
+        )
+        for start in range(0, max(len(held), len(gone)), NOTE_KEYS)
+    ]
+
+
+def _has_gap(report: EngineReport, next_sequence: int) -> bool:
+    expected = next_sequence
+    for event in report.events:
+        if event.sequence != expected:
+            return True
+        expected = event.sequence + 1
+    return report.next_sequence > expected
--- /dev/null
+++ b/winchfork/cluster/messages.py
@@ -0,0 +1,128 @@
+"""Every message between daemons, in wire order. New types go at the end."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from winchfork.core.claims import (
+    OutcomeRecord,
+    SealReply,
+    SealRequest,
+    VoteRelease,
+    VoteReply,
+    VoteRequest,
+    VouchReply,
+    VouchRequest,
+)
+from winchfork.core.membership import IndirectProbe, Probe, ProbeReply
+
+
+@dataclasses.dataclass(frozen=True)
+class LookupRequest:
+    """An ingress asks a family's owner which replicas hold these blocks, and until which.
+
+    ``block_keys`` start with the family's own key.
+    """
+
+    nonce: int
+    block_keys: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class LookupReply:
+    """``matched`` maps replica ids to leading blocks believed held."""
+
+    nonce: int
+    matched: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class BeliefNote:
+    """Beliefs about one replica for their owner: from a dispatch, a reply or folded events.
+
+    ``held`` blocks are there, ``gone`` blocks are not, both under ``incarnation``. ``reset`` drops
+    every earlier belief about the replica first.
+    """
+
+    replica_id: str
+    incarnation: int
+    held: tuple[int, ...]
+    gone: tuple[int, ...]
+    reset: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaNote:
+    """A replica's identity as its reader saw it, passed to the region's daemons on change."""
+
+    replica_id: str
+    incarnation: int
+    weights_version: int
+    prefill_tokens_per_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class DocumentNotice:
+    """Tells the sender's document revisions at once when one has changed."""
+
+    revisions: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class DocumentPull:
+    """Asks for a part of a document, at least at ``revision``."""
+
+    name: str
+    revision: int
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True)
+class DocumentPart:
+    """One part of a document's text at one revision."""
+
+    name: str
+    revision: int
+    offset: int
+    total: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class ExplainRequest:
+    """Asks whether the peer knows a request's decisions."""
+
+    nonce: int
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ExplainReply:
+    """``steps`` is the decision log's JSON text, empty when unknown."""
+
+    nonce: int
+    steps: str
+
+
+MESSAGE_TYPES: tuple[type, ...] = (
+    Probe,
+    ProbeReply,
+    IndirectProbe,
+    VoteRequest,
+    VoteReply,
+    VoteRelease,
+    OutcomeRecord,
+    SealRequest,
+    SealReply,
+    VouchRequest,
+    VouchReply,
+    LookupRequest,
+    LookupReply,
+    BeliefNote,
+    ReplicaNote,
+    DocumentNotice,
+    DocumentPull,
+    DocumentPart,
+    ExplainRequest,
+    ExplainReply,
+)
--- /dev/null
+++ b/winchfork/cluster/node.py
@@ -0,0 +1,350 @@
+"""The peer node: takes peer messages to the state they are for and sends what follows."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from winchfork.cluster.messages import (
+    BeliefNote,
+    DocumentNotice,
+    DocumentPart,
+    DocumentPull,
+    ExplainReply,
+    ExplainRequest,
+    LookupReply,
+    LookupRequest,
+    ReplicaNote,
+)
+from winchfork.cluster.state import DaemonState
+from winchfork.cluster.transport import PeerTransport
+from winchfork.constants import HEARTBEAT_PERIOD_S
+from winchfork.core.claims import (
+    OutcomeRecord,
+    SealReply,
+    SealRequest,
+    VoteRelease,
+    VoteReply,
+    VoteRequest,
+    VouchReply,
+    VouchRequest,
+)
+from winchfork.core.documents import Document, DocumentName
+from winchfork.core.fleet import ReplicaIdentity, ReplicaLoad, ReplicaState
+from winchfork.core.load_gossip import hash_replica
+from winchfork.core.membership import (
+    IndirectProbe,
+    Member,
+    MemberStatus,
+    Outgoing,
+    Probe,
+    ProbeReply,
+)
+from winchfork.core.rendezvous import rendezvous_owner, rendezvous_rank
+
+#: Peers told at once when a document changes; with each doing the same, n daemons hear in about
+#: log(n) / log(NOTICE_FANOUT) hops.
+NOTICE_FANOUT = 4
+
+
+class PeerNode:
+    """Drives the cluster duties of one daemon."""
+
+    def __init__(
+        self, state: DaemonState, transport: PeerTransport, generator: random.Random
+    ) -> None:
+        self.state = state
+        self.transport = transport
+        self._generator = generator
+        self._stopping = threading.Event()
+        self._vote_listeners: dict[str, Callable[[VoteReply], None]] = {}
+        self._seal_listeners: dict[str, Callable[[SealReply], None]] = {}
+        self._handlers: dict[type, Callable[[Any, str], None]] = {
+            Probe: self._on_membership,
+            ProbeReply: self._on_membership,
+            IndirectProbe: self._on_membership,
+            DocumentNotice: self._on_document_notice,
+            DocumentPull: self._on_document_pull,
+            DocumentPart: self._on_document_part,
+            LookupRequest: self._on_lookup_request,
+            LookupReply: lambda message, _: self.transport.resolve(message.nonce, message),
+            ExplainRequest: self._on_explain_request,
+            ExplainReply: lambda message, _: self.transport.resolve(message.nonce, message),
+            BeliefNote: self._on_belief_note,
+            ReplicaNote: self._on_replica_note,
+            VoteRequest: self._on_vote_request,
+            VoteReply: self._on_vote_reply,
+            VoteRelease: self._on_vote_release,
+            OutcomeRecord: self._on_outcome,
+            SealRequest: self._on_seal_request,
+            SealReply: self._on_seal_reply,
+            VouchRequest: self._on_vouch_request,
+            VouchReply: self._on_vouch_reply,
+        }
+
+    def run_receiver(self) -> None:
+        """Receive until stopped; the body of one thread."""
+        self.transport.run(self.on_message)
+
+    def run_ticks(self) -> None:
+        """Probe once a period until stopped; the body of one thread."""
+        while not self._stopping.wait(HEARTBEAT_PERIOD_S):
+            with self.state.lock:
+                outgoing = self.state.membership.tick(time.time())
+            self._send_all(outgoing)
+
+    def stop(self) -> None:
+        """Tell the peers that this daemon leaves, then stop."""
+        with self.state.lock:
+            self.state.membership.leave()
+            members = self.live_members(include_own=False)
+            outgoing = self.state.membership.tick(time.time())
+        self._send_all(outgoing)
+        for member in members[:NOTICE_FANOUT]:
+            with self.state.lock:
+                probe = Probe(self.state.membership.own, 0, self.state.documents.revisions())
+            self.transport.send(member.peer_address, probe)
+        self._stopping.set()
+        self.transport.close()
+
+    def on_message(self, message: Any, sender: str) -> None:
+        """Take one message."""
+        self._handlers[type(message)](message, sender)
+
+    # --- members and owners ---
+
+    def live_members(self, *, include_own: bool = True) -> list[Member]:
+        """Return the members that work and stay, by id."""
+        with self.state.lock:
+            members = self.state.membership.members(include_leaving=False)
+            own_id = self.state.own_id
+        return [
+            member
+            for member in members
+            if member.status is MemberStatus.ALIVE and (include_own or member.member_id != own_id)
+        ]
+
+    def owner_of(self, key: int | str) -> Member | None:
+        """Return the member that owns a prefix family or reads a replica."""
+        members = {member.member_id: member for member in self.live_members()}
+        owner = rendezvous_owner(key, members)
+        return members.get(owner) if owner is not None else None
+
+    def is_relay(self, duty: str, relays: int) -> bool:
+        """Tell whether this daemon is one of its zone's ``relays`` for a duty."""
+        own = self.state.membership.own
+        zone_members = [
+            member.member_id for member in self.live_members() if member.zone == own.zone
+        ]
+        return own.member_id in rendezvous_rank(duty, zone_members)[:relays]
+
+    def send_to(self, member_id: str, message: Any) -> None:
+        """Send to a member, or handle at once when it is this daemon."""
+        if member_id == self.state.own_id:
+            self.on_message(message, self.transport.address)
+            return
+        with self.state.lock:
+            member = self.state.membership.get(member_id)
+        if member is not None:
+            self.transport.send(member.peer_address, message)
+
+    def install_document(self, name: DocumentName, document: Document) -> bool:
+        """Put a document in force here and tell a few peers at once."""
+        if not self.state.install_document(name, document):
+            return False
+        with self.state.lock:
+            notice = DocumentNotice(self.state.documents.revisions())
+        members = self.live_members(include_own=False)
+        chosen = self._generator.sample(members, min(NOTICE_FANOUT, len(members)))
+        for member in chosen:
+            self.transport.send(member.peer_address, notice)
+        return True
+
+    # --- votes ---
+
+    def listen_for_votes(self, attempt: str, listener: Callable[[VoteReply], None]) -> None:
+        """Deliver the vote replies of an attempt to ``listener``."""
+        self._vote_listeners[attempt] = listener
+
+    def stop_listening(self, attempt: str) -> None:
+        """Drop later replies of an attempt."""
+        self._vote_listeners.pop(attempt, None)
+
+    def listen_for_seals(self, panel_id: str, listener: Callable[[SealReply], None]) -> None:
+        """Deliver the seal replies of a panel to ``listener``."""
+        self._seal_listeners[panel_id] = listener
+
+    # --- handlers ---
+
+    def _on_membership(self, message: Probe | ProbeReply | IndirectProbe, sender: str) -> None:
+        now_s = time.time()
+        with self.state.lock:
+            if not isinstance(message, IndirectProbe):
+                self._take_loads(message.loads, now_s)
+            outgoing = self.state.membership.receive(message, now_s)
+        self._send_all(outgoing)
+        if not isinstance(message, IndirectProbe):
+            self._pull_newer(message.revisions, sender)
+
+    def _take_loads(self, packed: bytes, now_s: float) -> None:
+        if not packed:
+            return
+        by_hash = {
+            hash_replica(replica.replica_id): replica for replica in self.state.fleet.replicas()
+        }
+        for entry in self.state.loads.unpack(packed):
+            replica = by_hash.get(entry.replica_hash)
+            if replica is None:
+                continue
+            if replica.state is not ReplicaState.LEAVING:
+                replica.state = (
+                    ReplicaState.ACCEPTING if entry.available else ReplicaState.UNAVAILABLE
+                )
+            if entry.available:
+                replica.note_load(
+                    ReplicaLoad(
+                        waiting_prefill_tokens=entry.waiting_prefill_tokens,
+                        running_requests=entry.running,
+                        prefill_tokens_per_s=replica.load.prefill_tokens_per_s,
+                    ),
+                    entry.version / 10,
+                )
+
+    def _pull_newer(self, revisions: tuple[int, ...], sender: str) -> None:
+        with self.state.lock:
+            wanted = self.state.documents.outdated(revisions)
+        for name, revision in wanted:
+            self.transport.send(sender, DocumentPull(name.value, revision, 0))
+
+    def _on_document_notice(self, message: DocumentNotice, sender: str) -> None:
+        self._pull_newer(message.revisions, sender)
+
+    def _on_document_pull(self, message: DocumentPull, sender: str) -> None:
+        with self.state.lock:
+            document, data = self.state.documents.part(DocumentName(message.name), message.offset)
+        if document.revision >= message.revision:
+            part = DocumentPart(
+                message.name, document.revision, message.offset, len(document.text), data
+            )
+            self.transport.send(sender, part)
+
+    def _on_document_part(self, message: DocumentPart, sender: str) -> None:
+        name = DocumentName(message.name)
+        with self.state.lock:
+            result = self.state.documents.add_part(
+                name, message.revision, message.offset, message.total, message.data
+            )
+        if isinstance(result, Document):
+            self.install_document(name, result)
+        elif result is not None:
+            self.transport.send(sender, DocumentPull(message.name, message.revision, result))
+
+    def _on_lookup_request(self, message: LookupRequest, sender: str) -> None:
+        with self.state.lock:
+            matched = self.state.index.match(message.block_keys)
+        self.transport.send(sender, LookupReply(message.nonce, matched))
+
+    def _on_explain_request(self, message: ExplainRequest, sender: str) -> None:
+        steps = self.explain_here(message.request_id)
+        self.transport.send(sender, ExplainReply(message.nonce, steps))
+
+    def explain_here(self, request_id: str) -> str:
+        """Return this daemon's decision log of a request as JSON text; empty when unknown."""
+        with self.state.lock:
+            events = self.state.decisions.explain(request_id)
+        if not events:
+            return ""
+        return json.dumps(
+            [
+                {"at_s": event.at_s, "step": event.step, "reason": event.reason, **event.details}
+                for event in events
+            ]
+        )
+
+    def _on_belief_note(self, message: BeliefNote, sender: str) -> None:
+        with self.state.lock:
+            index = self.state.index
+            if message.reset and index.fence(message.replica_id, message.incarnation):
+                index.forget(message.replica_id)
+            if message.gone:
+                index.correct(message.replica_id, message.incarnation, message.gone, 0)
+            if message.held:
+                index.assume_stored(message.replica_id, message.incarnation, message.held)
+
+    def _on_replica_note(self, message: ReplicaNote, sender: str) -> None:
+        with self.state.lock:
+            replica = self.state.fleet.get(message.replica_id)
+            if replica is None:
+                return
+            known = replica.identity
+            if known is not None and message.incarnation < known.incarnation:
+                return
+            replica.identity = ReplicaIdentity(message.incarnation, message.weights_version)
+            replica.load = dataclasses.replace(
+                replica.load, prefill_tokens_per_s=message.prefill_tokens_per_s
+            )
+            self.state.index.fence(message.replica_id, message.incarnation)
+
+    def _on_vote_request(self, message: VoteRequest, sender: str) -> None:
+        with self.state.lock:
+            voter = self.state.voters.get(message.panel_id)
+            reply = voter.on_vote_request(message, time.time()) if voter else None
+        if reply is not None:
+            self._reply(sender, reply)
+
+    def _reply(self, address: str, message: Any) -> None:
+        if address == self.transport.address:
+            self.on_message(message, address)
+        else:
+            self.transport.send(address, message)
+
+    def _on_vote_reply(self, message: VoteReply, sender: str) -> None:
+        listener = self._vote_listeners.get(message.attempt)
+        if listener is not None:
+            listener(message)
+
+    def _on_vote_release(self, message: VoteRelease, sender: str) -> None:
+        with self.state.lock:
+            voter = self.state.voters.get(message.panel_id)
+            if voter is not None:
+                voter.on_release(message)
+
+    def _on_outcome(self, message: OutcomeRecord, sender: str) -> None:
+        with self.state.lock:
+            voter = self.state.voters.get(message.panel_id)
+            if voter is not None:
+                voter.on_outcome(message)
+
+    def _on_seal_request(self, message: SealRequest, sender: str) -> None:
+        with self.state.lock:
+            voter = self.state.voters.get(message.panel_id)
+            reply = voter.on_seal_request(message) if voter else None
+        if reply is not None:
+            self._reply(sender, reply)
+
+    def _on_seal_reply(self, message: SealReply, sender: str) -> None:
+        listener = self._seal_listeners.get(message.panel_id)
+        if listener is not None:
+            listener(message)
+
+    def _on_vouch_request(self, message: VouchRequest, sender: str) -> None:
+        with self.state.lock:
+            voter = self.state.voters.get(message.panel_id)
+            reply = voter.on_vouch_request(message) if voter else None
+        if reply is not None:
+            self._reply(sender, reply)
+
+    def _on_vouch_reply(self, message: VouchReply, sender: str) -> None:
+        with self.state.lock:
+            voter = self.state.voters.get(message.panel_id)
+            if voter is not None:
+                voter.on_vouch_reply(message)
+
+    def _send_all(self, outgoing: list[Outgoing]) -> None:
+        for item in outgoing:
+            self.transport.send(item.address, item.message)
--- /dev/null
+++ b/winchfork/control/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' RPC service; the schema is proto/winchfork.proto."""
--- /dev/null
+++ b/winchfork/control/configuration_writer.py
@@ -0,0 +1,89 @@
+"""Accepts configurations: "accepted" means that the store has it, even if its answer was lost.
+
+The stored document carries the tokens of its newest writers, so that a writer whose answer was lost
+recognizes its own write, also when another operator has since built on it.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+import uuid
+
+from winchfork.cluster.node import PeerNode
+from winchfork.cluster.platform_sync import CONFIGURATION_KEY
+from winchfork.core.configuration import Configuration
+from winchfork.core.documents import Document, DocumentName
+from winchfork.errors import Failure, FailureKind, RunState
+from winchfork.stores.key_value import Entry, KeyValueStore, swap_until_known
+
+_WRITERS_KEPT = 16
+_RESOLVE_S = 10.0
+_RETRY_PAUSE_S = 0.2
+
+
+class ConfigurationWriter:
+    """Writes configurations on behalf of operators. Thread-safe."""
+
+    def __init__(self, node: PeerNode, store: KeyValueStore) -> None:
+        self._node = node
+        self._store = store
+
+    def apply(self, configuration: Configuration, expected_revision: int) -> int | Failure:
+        """Store and put in force; return the revision."""
+        current = self._store.get(CONFIGURATION_KEY)
+        if isinstance(current, Failure):
+            return current.with_run_state(RunState.NOT_RUN)
+        revision = current.revision if current else 0
+        if revision != expected_revision:
+            return FailureKind.REVISION_CONFLICT.because(
+                f"the configuration is at revision {revision}, not {expected_revision}",
+                remedy="get it, merge your change, and apply with that revision",
+            )
+        return self._write(configuration, current)
+
+    def change_draining(self, replica_id: str, draining: bool) -> int | Failure:
+        """Add or take off one replica, whatever else operators change meanwhile."""
+        while True:
+            current = self._store.get(CONFIGURATION_KEY)
+            if isinstance(current, Failure):
+                return current
+            if current is None:
+                return FailureKind.NOT_FOUND.because("there is no configuration yet")
+            stored = Configuration.model_validate(json.loads(current.value)["configuration"])
+            names = set(stored.draining) - {replica_id} | ({replica_id} if draining else set())
+            changed = stored.model_copy(update={"draining": tuple(sorted(names))})
+            result = self._write(changed, current)
+            conflict = isinstance(result, Failure) and (
+                result.kind is FailureKind.REVISION_CONFLICT
+            )
+            if not conflict:
+                return result
+
+    def _write(self, configuration: Configuration, current: Entry | None) -> int | Failure:
+        token = uuid.uuid4().hex
+        writers: list[str] = json.loads(current.value)["writers"] if current else []
+        text = json.dumps(
+            {
+                "writers": [*writers, token][-_WRITERS_KEPT:],
+                "configuration": configuration.model_dump(mode="json"),
+            }
+        ).encode()
+        deadline_s = time.monotonic() + _RESOLVE_S
+
+        def keep_trying() -> bool:
+            time.sleep(_RETRY_PAUSE_S)
+            return time.monotonic() < deadline_s
+
+        result = swap_until_known(
+            self._store,
+            CONFIGURATION_KEY,
+            text,
+            current.revision if current else 0,
+            lambda value: token in json.loads(value)["writers"],
+            keep_trying,
+        )
+        if isinstance(result, Failure):
+            return result
+        self._node.install_document(DocumentName.CONFIGURATION, Document(result, text))
+        return result
--- /dev/null
+++ b/winchfork/control/leader.py
@@ -0,0 +1,78 @@
+"""A leased, fenced leadership for duties that only one daemon should do at a time.
+
+The lease keeps the store from naming two leaders; the fence protects what a paused leader may still
+do: it is the revision at which the leadership was taken, it only grows, and engines refuse an order
+with a lower one. A leader that cannot renew in time stops by its own clock before the lease ends.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from winchfork.errors import Failure
+from winchfork.logs import log_event
+from winchfork.stores.key_value import Entry, KeyValueStore
+
+LEASE_S = 6
+#: The leader stops this long before its lease can end.
+_SAFETY_S = 2.0
+
+
+class Leadership:
+    """One daemon's try at a leadership; call :meth:`hold` before each step of the duty."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        key: str,
+        own_id: str,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._store = store
+        self._key = key
+        self._own_id = own_id
+        self._clock = clock
+        self._lease_id = 0
+        self._fence = 0
+        self._valid_until_s = 0.0
+
+    def hold(self) -> int:
+        """Take or renew the leadership; return the fence, or 0 when this daemon does not lead."""
+        asked_at_s = self._clock()
+        if self._fence and asked_at_s < self._valid_until_s:
+            renewed = self._store.renew_lease(self._lease_id)
+            if not isinstance(renewed, Failure):
+                # Valid from before the question, so that a slow answer cannot stretch it.
+                self._valid_until_s = asked_at_s + LEASE_S - _SAFETY_S
+            return self._fence if self._clock() < self._valid_until_s else self._lose()
+        self._lose()
+        return self._take()
+
+    def still_valid(self) -> bool:
+        """Tell, without I/O, whether the leadership is surely held; ask before each order."""
+        return self._fence != 0 and self._clock() < self._valid_until_s
+
+    def _lose(self) -> int:
+        if self._fence:
+            log_event("leadership_lost", key=self._key, fence=self._fence)
+        self._fence = 0
+        return 0
+
+    def _take(self) -> int:
+        asked_at_s = self._clock()
+        held = self._store.get(self._key)
+        if isinstance(held, (Failure, Entry)):
+            return 0
+        lease_id = self._store.grant_lease(LEASE_S)
+        if isinstance(lease_id, Failure):
+            return 0
+        taken = self._store.compare_and_swap(self._key, self._own_id.encode(), 0, lease_id)
+        if isinstance(taken, Failure):
+            # If it took effect and the answer was lost, the lease runs out by itself.
+            return 0
+        self._lease_id = lease_id
+        self._fence = taken
+        self._valid_until_s = asked_at_s + LEASE_S - _SAFETY_S
+        log_event("leadership_taken", key=self._key, fence=taken)
+        return taken if self.still_valid() else 0
--- /dev/null
+++ b/winchfork/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decision core: no I/O, no clocks and no randomness; all three are passed in."""
--- /dev/null
+++ b/winchfork/core/admission.py
@@ -0,0 +1,175 @@
+"""Admission: who runs now, who waits, who is refused.
+
+Order among waiting requests: the traffic class of best priority first, where waiting improves a
+class's priority by one step each ``AGING_S`` so that no class starves; inside a class the tenant
+that has received the least service for its weight; inside a tenant first come, first served.
+
+Classes that may wait (overnight work) can hold at most ``BATCH_SHARE`` of the open slots, so an
+urgent request never finds every slot taken by a batch.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections import deque
+
+from winchfork.errors import Failure, FailureKind
+
+AGING_S = 20.0
+BATCH_SHARE = 0.7
+
+
+class Verdict(enum.Enum):
+    """What became of an offered ticket."""
+
+    ADMITTED = "admitted"
+    QUEUED = "queued"
+
+
+@dataclasses.dataclass(frozen=True)
+class AdmissionLimits:
+    """Slots for running requests and places for waiting ones."""
+
+    max_open: int
+    max_waiting: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Ticket:
+    """One request asking to run. ``priority`` 0 is the most urgent; times in seconds."""
+
+    request_id: str
+    tenant: str
+    traffic_class: str
+    priority: int
+    may_wait: bool
+    deadline_at_s: float
+    offered_at_s: float
+    tenant_weight: float = 1.0
+
+
+class AdmissionQueue:
+    """Bounded slots with priorities, tenant fairness and deadline refusals. Not thread-safe."""
+
+    def __init__(self, limits: AdmissionLimits) -> None:
+        self._limits = limits
+        self._open: dict[str, Ticket] = {}
+        self._open_batch = 0
+        self._waiting: dict[str, dict[str, deque[Ticket]]] = {}
+        self._waiting_count = 0
+        self._service: dict[str, float] = {}
+        self._mean_service_s = 1.0
+
+    @property
+    def open_count(self) -> int:
+        """Requests running now."""
+        return len(self._open)
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests waiting now."""
+        return self._waiting_count
+
+    def offer(self, ticket: Ticket, now_s: float) -> Verdict | Failure:
+        """Admit, queue or refuse a ticket; a refusal is immediate and final."""
+        if self._waiting_count == 0 and self._has_slot(ticket):
+            self._admit(ticket)
+            return Verdict.ADMITTED
+        if self._waiting_count >= self._limits.max_waiting:
+            return FailureKind.OVERLOADED.because(
+                f"{self._waiting_count} requests are waiting already",
+                remedy="come back after the given time",
+                retry_after_s=self.expected_wait_s(),
+            )
+        expected_s = self.expected_wait_s()
+        if not ticket.may_wait and now_s + expected_s > ticket.deadline_at_s:
+            return FailureKind.DEADLINE_EXCEEDED.because(
+                f"the expected wait of {expected_s:.1f} s would miss the deadline",
+                remedy="come back after the given time or allow a later deadline",
+                retry_after_s=expected_s,
+            )
+        tenants = self._waiting.setdefault(ticket.traffic_class, {})
+        tenants.setdefault(ticket.tenant, deque()).append(ticket)
+        self._waiting_count += 1
+        admitted = self._admit_waiting(now_s)
+        return Verdict.ADMITTED if ticket in admitted else Verdict.QUEUED
+
+    def expected_wait_s(self) -> float:
+        """Estimate the wait of a ticket queued now, from the mean service time."""
+        return self._mean_service_s * (self._waiting_count + 1) / self._limits.max_open
+
+    def release(self, request_id: str, now_s: float, service_s: float) -> list[Ticket]:
+        """End a running request and return the tickets admitted in its place."""
+        ticket = self._open.pop(request_id, None)
+        if ticket is None:
+            return []
+        if ticket.may_wait:
+            self._open_batch -= 1
+        self._mean_service_s += 0.1 * (service_s - self._mean_service_s)
+        return self._admit_waiting(now_s)
+
+    def withdraw(self, request_id: str) -> bool:
+        """Remove a waiting ticket whose caller left; False when it is not waiting."""
+        for tenants in self._waiting.values():
+            for queue in tenants.values():
+                for ticket in queue:
+                    if ticket.request_id == request_id:
+                        queue.remove(ticket)
+                        self._waiting_count -= 1
+                        return True
+        return False
+
+    def expire(self, now_s: float) -> list[Ticket]:
+        """Remove and return the waiting tickets whose deadline has passed."""
+        late = [
+            ticket
+            for tenants in self._waiting.values()
+            for queue in tenants.values()
+            for ticket in queue
+            if ticket.deadline_at_s <= now_s
+        ]
+        for ticket in late:
+            self.withdraw(ticket.request_id)
+        return late
+
+    def _has_slot(self, ticket: Ticket) -> bool:
+        if len(self._open) >= self._limits.max_open:
+            return False
+        return not ticket.may_wait or self._open_batch < self._batch_slots()
+
+    def _batch_slots(self) -> int:
+        return max(1, int(self._limits.max_open * BATCH_SHARE))
+
+    def _admit(self, ticket: Ticket) -> None:
+        self._open[ticket.request_id] = ticket
+        if ticket.may_wait:
+            self._open_batch += 1
+        floor = min(self._service.values(), default=0.0)
+        served = max(self._service.get(ticket.tenant, floor), floor)
+        self._service[ticket.tenant] = served + 1.0 / ticket.tenant_weight
+
+    def _admit_waiting(self, now_s: float) -> list[Ticket]:
+        admitted: list[Ticket] = []
+        while True:
+            ticket = self._next_ticket(now_s)
+            if ticket is None:
+                return admitted
+            self._waiting[ticket.traffic_class][ticket.tenant].popleft()
+            self._waiting_count -= 1
+            self._admit(ticket)
+            admitted.append(ticket)
+
+    def _next_ticket(self, now_s: float) -> Ticket | None:
+        best: tuple[float, float, float, Ticket] | None = None
+        for tenants in self._waiting.values():
+            for tenant, queue in tenants.items():
+                if not queue or not self._has_slot(queue[0]):
+                    continue
+                head = queue[0]
+                aged = head.priority - (now_s - head.offered_at_s) / AGING_S
+                # Fairness between tenants applies among heads of about the same urgency.
+                order = (float(round(aged)), self._service.get(tenant, 0.0), head.offered_at_s)
+                if best is None or order < best[:3]:
+                    best = (*order, head)
+        return best[3] if best is not None else None
--- /dev/null
+++ b/winchfork/core/claims.py
@@ -0,0 +1,454 @@
+"""Claims: a request that must not be repeated runs at most once.
+
+Before an ingress dispatches such a request it needs votes from a majority of the key's voter
+panel: three daemons, one a zone. A panel is small and has an epoch of its own, so replacing a
+daemon touches one panel and costs the same at any fleet size. A voter keeps its votes in memory
+only, and votes for one attempt of a key. The action names here are those of the checked
+specification in ``spec/claim_spec.py`` and ``spec/panel_spec.py``.
+
+Why a restart is safe: keys carry their issue time. A voter grants a key only if it is stamped at
+or below its own clock plus ``future_s``, so every vote an earlier incarnation can have given is for
+a stamp at or below S + ``future_s`` (+ the clock difference of a machine and its replacement),
+where S is the start of the new incarnation. The new incarnation has authority only for stamps above
+S + ``restart_s``, which covers both, and abstains from the rest (``spec/clock_spec.py``).
+
+Why a panel change is safe: the next epoch takes effect only after the old one is sealed, and its
+voters have authority only for stamps above the activation time plus the margin. A restarted voter
+may have sealed before and forgotten it. It is certified to vote, to vouch and to seal with full
+weight only (a) by a read of the store, made after its start, that shows the epoch and no intent to
+change it (a changer writes the intent before it asks for seals), or (b) by vouches of other
+certified voters, enough that any majority of seals contains one of theirs. A seal reports the
+incarnations its voter has seen, and a seal of an earlier incarnation does not count. An epoch is
+sealed by a majority of certified seals, or by seals of all voters.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import uuid
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+
+from winchfork.constants import (
+    CLAIM_FUTURE_MARGIN_S,
+    CLAIM_RESTART_MARGIN_S,
+    CLAIM_RETENTION_S,
+)
+from winchfork.core.rendezvous import rendezvous_owner
+from winchfork.errors import Failure, FailureKind, RunState
+
+#: Votes kept by one voter before the oldest is dropped (and its key abstained from).
+MAX_VOTES = 50_000
+
+
+class Verdict(enum.Enum):
+    """A voter's answer to a vote request."""
+
+    GRANTED = "granted"
+    HELD = "held"
+    ABSTAINED = "abstained"
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimMargins:
+    """Clock margins in seconds; ``restart_s`` must exceed ``future_s`` plus the clock skew."""
+
+    future_s: float = CLAIM_FUTURE_MARGIN_S
+    restart_s: float = CLAIM_RESTART_MARGIN_S
+    retention_s: float = CLAIM_RETENTION_S
+
+
+@dataclasses.dataclass(frozen=True)
+class VoterPanel:
+    """One epoch of a panel: its voters and the time from which they have authority."""
+
+    panel_id: str
+    epoch: int
+    voters: tuple[str, ...]
+    activated_at_s: float = 0.0
+
+    @property
+    def majority(self) -> int:
+        """Votes, or certified seals, that decide."""
+        return len(self.voters) // 2 + 1
+
+    @property
+    def vouches_needed(self) -> int:
+        """Vouches that leave no majority of seals without a voucher."""
+        return len(self.voters) - self.majority + 1
+
+
+def panel_of_key(key: str, panel_ids: Iterable[str]) -> str | None:
+    """Return the panel that decides ``key``; every daemon has the same fixed panel ids."""
+    return rendezvous_owner(key, panel_ids)
+
+
+@dataclasses.dataclass(frozen=True)
+class VoteRequest:
+    """An ingress asks for a vote for its attempt. ``stamp_s`` is the key's issue time or None."""
+
+    panel_id: str
+    epoch: int
+    key: str
+    stamp_s: float | None
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True)
+class VoteReply:
+    """A voter's answer; ``outcome`` is the kept answer of the attempt that holds the key."""
+
+    panel_id: str
+    epoch: int
+    key: str
+    attempt: str
+    voter: str
+    verdict: Verdict
+    outcome: bytes | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class VoteRelease:
+    """The ingress gave the attempt up before dispatch and will never dispatch it."""
+
+    panel_id: str
+    key: str
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True)
+class OutcomeRecord:
+    """The answer of a dispatched attempt, kept with the vote for later retries of the key."""
+
+    panel_id: str
+    key: str
+    attempt: str
+    outcome: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class SealRequest:
+    """The panel changer asks a voter to stop voting in ``epoch``; sent after the intent."""
+
+    panel_id: str
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True)
+class SealReply:
+    """The voter sealed. ``seen`` maps other voters to the newest incarnations it has seen."""
+
+    panel_id: str
+    epoch: int
+    voter: str
+    incarnation: int
+    certified: bool
+    seen: Mapping[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class VouchRequest:
+    """A restarted voter asks another voter of the panel whether it may vote again."""
+
+    panel_id: str
+    epoch: int
+    voter: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class VouchReply:
+    """``vouches`` is False when the answerer is not certified, sealed, or knows another epoch."""
+
+    panel_id: str
+    epoch: int
+    voter: str
+    incarnation: int
+    subject_incarnation: int
+    vouches: bool
+
+
+@dataclasses.dataclass
+class _Vote:
+    attempt: str
+    outcome: bytes | None = None
+
+
+def stamp_of_key(idempotency_key: str) -> float | None:
+    """Return the issue time in seconds carried by a UUIDv7 key, or None for any other key."""
+    try:
+        parsed = uuid.UUID(idempotency_key)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    return (parsed.int >> 80) / 1000.0
+
+
+class ClaimVoter:
+    """One daemon's votes in one panel. Not thread-safe; time is the daemon's own clock."""
+
+    def __init__(
+        self,
+        voter_id: str,
+        incarnation: int,
+        started_at_s: float,
+        panel: VoterPanel,
+        margins: ClaimMargins | None = None,
+    ) -> None:
+        self.voter_id = voter_id
+        self.incarnation = incarnation
+        self.panel = panel
+        self._margins = margins or ClaimMargins()
+        self._authority_from_s = max(started_at_s, panel.activated_at_s)
+        self._certified = False
+        self._sealed = False
+        self._votes: OrderedDict[str, _Vote] = OrderedDict()
+        self._released: OrderedDict[str, None] = OrderedDict()
+        self._vouchers: set[str] = set()
+        self._seen: dict[str, int] = {}
+
+    @property
+    def may_vote(self) -> bool:
+        """Whether this incarnation votes in the epoch it knows."""
+        return self._certified and not self._sealed
+
+    def install_panel(self, panel: VoterPanel) -> None:
+        """Learn a newer epoch (action ``activate``); it starts without votes or certificate."""
+        if panel.epoch <= self.panel.epoch:
+            return
+        self.panel = panel
+        self._authority_from_s = max(self._authority_from_s, panel.activated_at_s)
+        self._certified = False
+        self._sealed = False
+        self._votes.clear()
+        self._vouchers.clear()
+        self._seen.clear()
+
+    def on_store_read(self, panel: VoterPanel, *, change_intended: bool) -> None:
+        """Take a read that this incarnation made of the store (action ``read_store``)."""
+        self.install_panel(panel)
+        if panel.epoch == self.panel.epoch and not change_intended and not self._sealed:
+            self._certified = True
+
+    def on_vote_request(self, request: VoteRequest, now_s: float) -> VoteReply:
+        """Answer a vote request (specification action ``vote``)."""
+        vote = self._votes.get(request.key)
+        if request.epoch != self.panel.epoch or not self.may_vote:
+            return self._reply(request, Verdict.ABSTAINED, vote)
+        if vote is not None:
+            held = vote.attempt != request.attempt
+            return self._reply(request, Verdict.HELD if held else Verdict.GRANTED, vote)
+        if request.attempt in self._released or not self._has_authority(request.stamp_s, now_s):
+            return self._reply(request, Verdict.ABSTAINED, None)
+        self._votes[request.key] = _Vote(request.attempt)
+        self._bound_votes(now_s)
+        return self._reply(request, Verdict.GRANTED, None)
+
+    def on_release(self, release: VoteRelease) -> None:
+        """Free the vote of an attempt that will never be dispatched (action ``release``)."""
+        self._released[release.attempt] = None
+        while len(self._released) > MAX_VOTES:
+            self._released.popitem(last=False)
+        vote = self._votes.get(release.key)
+        if vote is not None and vote.attempt == release.attempt and vote.outcome is None:
+            del self._votes[release.key]
+
+    def on_outcome(self, record: OutcomeRecord) -> None:
+        """Keep the answer of the attempt that holds the key (action ``record_outcome``)."""
+        vote = self._votes.get(record.key)
+        if vote is not None and vote.attempt == record.attempt:
+            vote.outcome = record.outcome
+
+    def on_seal_request(self, request: SealRequest) -> SealReply | None:
+        """Stop voting in the epoch (action ``seal``); None when another epoch is known here."""
+        if request.epoch != self.panel.epoch:
+            return None
+        self._sealed = True
+        return SealReply(
+            self.panel.panel_id,
+            self.panel.epoch,
+            self.voter_id,
+            self.incarnation,
+            self._certified,
+            dict(self._seen),
+        )
+
+    def on_vouch_request(self, request: VouchRequest) -> VouchReply:
+        """Vouch for a restarted voter (action ``vouch``), if this one is certified to."""
+        vouches = request.epoch == self.panel.epoch and self.may_vote
+        if vouches:
+            self._note_seen(request.voter, request.incarnation)
+        return VouchReply(
+            request.panel_id,
+            request.epoch,
+            self.voter_id,
+            self.incarnation,
+            request.incarnation,
+            vouches,
+        )
+
+    def on_vouch_reply(self, reply: VouchReply) -> None:
+        """Count a vouch (action ``hear_vouch``); enough of them certify this incarnation."""
+        current = reply.epoch == self.panel.epoch and reply.subject_incarnation == self.incarnation
+        if not current or not reply.vouches or reply.voter not in self.panel.voters:
+            return
+        self._note_seen(reply.voter, reply.incarnation)
+        self._vouchers.add(reply.voter)
+        if len(self._vouchers) >= self.panel.vouches_needed and not self._sealed:
+            self._certified = True
+
+    def _note_seen(self, voter: str, incarnation: int) -> None:
+        self._seen[voter] = max(self._seen.get(voter, 0), incarnation)
+
+    def _has_authority(self, stamp_s: float | None, now_s: float) -> bool:
+        if stamp_s is None:
+            return now_s > self._authority_from_s + self._margins.retention_s
+        if now_s > stamp_s + self._margins.retention_s:
+            return False
+        from_future = stamp_s > now_s + self._margins.future_s
+        return not from_future and stamp_s > self._authority_from_s + self._margins.restart_s
+
+    def _bound_votes(self, now_s: float) -> None:
+        """Drop the oldest vote when full, giving up authority over everything as old as it."""
+        if len(self._votes) <= MAX_VOTES:
+            return
+        dropped_key, _ = self._votes.popitem(last=False)
+        stamp_s = stamp_of_key(dropped_key.rpartition("|")[2])
+        newest_possible = now_s if stamp_s is None else stamp_s
+        self._authority_from_s = max(
+            self._authority_from_s, newest_possible - self._margins.restart_s
+        )
+
+    def _reply(self, request: VoteRequest, verdict: Verdict, vote: _Vote | None) -> VoteReply:
+        outcome = vote.outcome if vote is not None else None
+        return VoteReply(
+            request.panel_id,
+            request.epoch,
+            request.key,
+            request.attempt,
+            self.voter_id,
+            verdict,
+            outcome,
+        )
+
+
+class ClaimPhase(enum.Enum):
+    """The life of one attempt. There is no way back from GIVEN_UP or DISPATCHED."""
+
+    GATHERING = "gathering"
+    WON = "won"
+    GIVEN_UP = "given_up"
+    DISPATCHED = "dispatched"
+
+
+class Claim:
+    """One attempt's claim at the ingress. Not thread-safe."""
+
+    def __init__(self, panel: VoterPanel, key: str, stamp_s: float | None, attempt: str) -> None:
+        self.request = VoteRequest(panel.panel_id, panel.epoch, key, stamp_s, attempt)
+        self.voters = panel.voters
+        self.majority = panel.majority
+        self.phase = ClaimPhase.GATHERING
+        self.kept_outcome: bytes | None = None
+        self._verdicts: dict[str, Verdict] = {}
+        self._proved_unclaimed = False
+
+    def on_vote_reply(self, reply: VoteReply) -> None:
+        """Count a reply (action ``hear``); late, crossed and foreign replies change nothing."""
+        wanted = self.request
+        same = (reply.epoch, reply.key, reply.attempt) == (
+            wanted.epoch,
+            wanted.key,
+            wanted.attempt,
+        )
+        if not same or reply.voter not in self.voters:
+            return
+        if reply.outcome is not None and reply.verdict is not Verdict.GRANTED:
+            self.kept_outcome = reply.outcome
+        if self._verdicts.get(reply.voter) is not Verdict.GRANTED:
+            self._verdicts[reply.voter] = reply.verdict
+        if self.phase is ClaimPhase.GATHERING and self._granted() >= self.majority:
+            self.phase = ClaimPhase.WON
+            self._proved_unclaimed = True
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether waiting for further replies is of no use.
+
+        That is so when won, when a kept answer is known, or when so many voters abstain that no
+        majority is left and no voter holds the key for an attempt whose answer may still come.
+        """
+        if self.phase is ClaimPhase.WON or self.kept_outcome is not None:
+            return True
+        verdicts = list(self._verdicts.values())
+        abstained = verdicts.count(Verdict.ABSTAINED)
+        return abstained > len(self.voters) - self.majority and Verdict.HELD not in verdicts
+
+    def unheard_voters(self) -> list[str]:
+        """Return the voters that have not granted yet; they are asked again."""
+        return [voter for voter in self.voters if self._verdicts.get(voter) is not Verdict.GRANTED]
+
+    def dispatch(self) -> bool:
+        """Take the one right to dispatch (action ``dispatch``); True at most once."""
+        if self.phase is not ClaimPhase.WON:
+            return False
+        self.phase = ClaimPhase.DISPATCHED
+        return True
+
+    def give_up(self, *, first_send: bool) -> tuple[Failure, VoteRelease] | None:
+        """Give the attempt up before dispatch (action ``give_up``); None after a dispatch.
+
+        The failure says "not run" only on proof: this attempt held a majority, so no other had one;
+        or the caller declared that this is the first send of the key, so there is no other attempt.
+        """
+        if self.phase is ClaimPhase.DISPATCHED:
+            return None
+        proved = self._proved_unclaimed or first_send
+        self.phase = ClaimPhase.GIVEN_UP
+        return self._give_up_failure(proved), self.release_message()
+
+    def release_message(self) -> VoteRelease:
+        """Return the message that frees this attempt's votes; only for an attempt given up."""
+        return VoteRelease(self.request.panel_id, self.request.key, self.request.attempt)
+
+    def _give_up_failure(self, proved: bool) -> Failure:
+        counts = dict.fromkeys(Verdict, 0)
+        for verdict in self._verdicts.values():
+            counts[verdict] += 1
+        summary = (
+            f"{counts[Verdict.GRANTED]} granted, {counts[Verdict.HELD]} held, "
+            f"{counts[Verdict.ABSTAINED]} abstained of {len(self.voters)} voters"
+        )
+        kind = FailureKind.CLAIM_HELD if counts[Verdict.HELD] else FailureKind.CLAIM_NO_MAJORITY
+        if proved:
+            return kind.because(
+                f"the claim was given up before dispatch ({summary})",
+                remedy="send the command again",
+                retry_after_s=1.0,
+            )
+        return kind.because(
+            f"another attempt of this key may have run ({summary})",
+            remedy="ask again with the same key; do not send the command under a new one",
+            ran=RunState.UNKNOWN,
+            retry_after_s=1.0,
+        )
+
+    def _granted(self) -> int:
+        return sum(1 for verdict in self._verdicts.values() if verdict is Verdict.GRANTED)
+
+
+def epoch_is_sealed(panel: VoterPanel, replies: Mapping[str, SealReply]) -> bool:
+    """Tell whether the seals let the next epoch take effect (action ``activate``).
+
+    A seal counts only if no other seal has seen its voter under a higher incarnation.
+    """
+    counted = [
+        reply
+        for voter, reply in replies.items()
+        if voter in panel.voters
+        and all(reply.incarnation >= other.seen.get(voter, 0) for other in replies.values())
+    ]
+    certified = sum(1 for reply in counted if reply.certified)
+    return certified >= panel.majority or len(counted) == len(panel.voters)
--- /dev/null
+++ b/winchfork/core/fleet.py
@@ -0,0 +1,129 @@
+"""What a placement knows about replicas: identity, fences, reported load and own dispatches."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class ReplicaState(enum.Enum):
+    """Whether a replica may be given new work."""
+
+    ACCEPTING = "accepting"
+    LEAVING = "leaving"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaLoad:
+    """A replica's own load report. Tokens are prompt tokens not yet prefilled; rates per second."""
+
+    waiting_prefill_tokens: int = 0
+    running_requests: int = 0
+    waiting_requests: int = 0
+    prefill_tokens_per_s: float = 8000.0
+    free_cache_blocks: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaIdentity:
+    """The fence a dispatch carries: a crash changes the incarnation, a rollout the weights."""
+
+    incarnation: int
+    weights_version: int
+
+
+@dataclasses.dataclass
+class Replica:
+    """One back end as this daemon sees it; an engine replica or an application.
+
+    ``state`` is what the replica's reader, the machine list and operators say; ``avoided_until_s``
+    is this daemon's own short memory of a failed dispatch.
+
+    ``_dispatches`` holds this daemon's own work that no load report can contain yet; it keeps a
+    burst between two reports from landing on one replica. An entry ends with the first token or
+    with a load measured after it, whichever comes first.
+    """
+
+    replica_id: str
+    pool: str
+    zone: str
+    address: str
+    identity: ReplicaIdentity | None = None
+    load: ReplicaLoad = dataclasses.field(default_factory=ReplicaLoad)
+    load_measured_at_s: float = -1.0
+    state: ReplicaState = ReplicaState.ACCEPTING
+    avoided_until_s: float = 0.0
+    dispatched_tokens: int = 0
+    _dispatches: dict[str, tuple[float, int]] = dataclasses.field(default_factory=dict)
+
+    @property
+    def dispatched_requests(self) -> int:
+        """Requests sent that no load report contains yet."""
+        return len(self._dispatches)
+
+    def expected_wait_s(self) -> float:
+        """Return the seconds of prefill queued ahead of a new request."""
+        tokens = self.load.waiting_prefill_tokens + self.dispatched_tokens
+        return tokens / self.load.prefill_tokens_per_s
+
+    def outstanding_requests(self) -> int:
+        """Return the requests running, waiting, or sent since the last report."""
+        load = self.load
+        return load.running_requests + load.waiting_requests + len(self._dispatches)
+
+    def note_dispatch(self, attempt_id: str, uncached_tokens: int, now_s: float) -> None:
+        """Count work sent now."""
+        self._dispatches[attempt_id] = (now_s, uncached_tokens)
+        self.dispatched_tokens += uncached_tokens
+
+    def note_started(self, attempt_id: str) -> None:
+        """Stop counting a dispatch whose prefill is done or which failed."""
+        _, tokens = self._dispatches.pop(attempt_id, (0.0, 0))
+        self.dispatched_tokens -= tokens
+
+    def note_load(self, load: ReplicaLoad, measured_at_s: float) -> None:
+        """Install a load report, which includes what was dispatched before it was measured."""
+        self.load = load
+        self.load_measured_at_s = measured_at_s
+        for attempt_id, (sent_at_s, _) in list(self._dispatches.items()):
+            if sent_at_s < measured_at_s:
+                self.note_started(attempt_id)
+
+
+class Fleet:
+    """The replicas of one region by pool. Not thread-safe; the daemon holds its state lock."""
+
+    def __init__(self) -> None:
+        self._replicas: dict[str, Replica] = {}
+
+    def replicas(self) -> list[Replica]:
+        """Return every known replica."""
+        return list(self._replicas.values())
+
+    def get(self, replica_id: str) -> Replica | None:
+        """Return one replica, or None."""
+        return self._replicas.get(replica_id)
+
+    def put(self, replica: Replica) -> None:
+        """Add or replace a replica."""
+        self._replicas[replica.replica_id] = replica
+
+    def remove(self, replica_id: str) -> None:
+        """Forget a replica."""
+        self._replicas.pop(replica_id, None)
+
+    def candidates(
+        self, pool: str, now_s: float, excluded: frozenset[str] = frozenset()
+    ) -> list[Replica]:
+        """Return the replicas of ``pool`` that may be given new work, in a stable order."""
+        found = [
+            replica
+            for replica in self._replicas.values()
+            if replica.pool == pool
+            and replica.state is ReplicaState.ACCEPTING
+            and replica.avoided_until_s <= now_s
+            and replica.replica_id not in excluded
+        ]
+        found.sort(key=lambda replica: replica.replica_id)
+        return found
--- /dev/null
+++ b/winchfork/core/load_gossip.py
@@ -0,0 +1,132 @@
+"""Replica loads spread as small packed entries on the membership probes.
+
+Sending every load report to every daemon would cost each daemon messages in proportion to the
+fleet. Instead a reader publishes a load when its quantized level changes, and each daemon passes
+recent changes on with the probes that it sends anyway: cost per daemon is bounded by
+``MAX_ENTRIES`` a message, and a change reaches a region of n daemons in about log2(n) periods.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import struct
+
+import xxhash
+
+MAX_ENTRIES = 64
+SPREAD_ROUNDS = 8
+#: Each level is this factor of waiting work more than the one below it.
+LEVEL_RATIO = 1.25
+#: Waiting prefill tokens at level 1.
+LEVEL_UNIT_TOKENS = 256
+#: A level is published again after this long even if unchanged, so that a lost one heals.
+REFRESH_S = 5.0
+_ENTRY = struct.Struct(">IIBB")
+MAX_RUNNING = 255
+#: The level of a replica that takes no work now.
+UNAVAILABLE_LEVEL = 255
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadEntry:
+    """One replica's quantized load. ``version`` is the reader's clock in tenths of a second."""
+
+    replica_hash: int
+    version: int
+    level: int
+    running: int
+
+    @property
+    def available(self) -> bool:
+        """Whether the replica takes work."""
+        return self.level != UNAVAILABLE_LEVEL
+
+    @property
+    def waiting_prefill_tokens(self) -> int:
+        """The tokens that the level stands for."""
+        return tokens_of_level(self.level)
+
+
+def hash_replica(replica_id: str) -> int:
+    """Return the 32-bit name of a replica in packed entries."""
+    return xxhash.xxh32_intdigest(replica_id.encode())
+
+
+def level_of_tokens(tokens: int) -> int:
+    """Quantize waiting tokens to a level below ``UNAVAILABLE_LEVEL``."""
+    if tokens <= 0:
+        return 0
+    return min(
+        UNAVAILABLE_LEVEL - 1,
+        1 + int(math.log(1 + tokens / LEVEL_UNIT_TOKENS) / math.log(LEVEL_RATIO)),
+    )
+
+
+def tokens_of_level(level: int) -> int:
+    """Return the middle of a level in tokens."""
+    if level == 0:
+        return 0
+    return int(LEVEL_UNIT_TOKENS * (LEVEL_RATIO ** (level - 0.5) - 1))
+
+
+class LoadGossip:
+    """The newest quantized load of each replica, and what is still worth passing on."""
+
+    def __init__(self) -> None:
+        self._entries: dict[int, LoadEntry] = {}
+        self._spread_left: dict[int, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def publish(
+        self, replica_id: str, waiting_tokens: int | None, running: int, now_s: float
+    ) -> LoadEntry | None:
+        """Offer a load that this daemon read itself; None when not worth a message.
+
+        ``waiting_tokens`` None says that the replica takes no work now.
+        """
+        available = waiting_tokens is not None
+        entry = LoadEntry(
+            hash_replica(replica_id),
+            int(now_s * 10) & 0xFFFFFFFF,
+            level_of_tokens(waiting_tokens or 0) if available else UNAVAILABLE_LEVEL,
+            min(running, MAX_RUNNING),
+        )
+        known = self._entries.get(entry.replica_hash)
+        if known is not None:
+            same = (known.level, known.running // 4) == (entry.level, entry.running // 4)
+            if same and entry.version - known.version < REFRESH_S * 10:
+                return None
+        return entry if self._install(entry) else None
+
+    def pack(self) -> bytes:
+        """Return the freshest entries for one message."""
+        chosen = sorted(self._spread_left, key=lambda key: (-self._spread_left[key], key))
+        parts: list[bytes] = []
+        for replica_hash in chosen[:MAX_ENTRIES]:
+            self._spread_left[replica_hash] -= 1
+            if self._spread_left[replica_hash] <= 0:
+                del self._spread_left[replica_hash]
+            entry = self._entries[replica_hash]
+            parts.append(_ENTRY.pack(replica_hash, entry.version, entry.level, entry.running))
+        return b"".join(parts)
+
+    def unpack(self, packed: bytes) -> list[LoadEntry]:
+        """Take in a message's entries and return those that were news."""
+        news: list[LoadEntry] = []
+        usable = len(packed) - len(packed) % _ENTRY.size
+        for fields in _ENTRY.iter_unpack(packed[:usable]):
+            entry = LoadEntry(*fields)
+            if self._install(entry):
+                news.append(entry)
+        return news
+
+    def _install(self, entry: LoadEntry) -> bool:
+        known = self._entries.get(entry.replica_hash)
+        if known is not None and known.version >= entry.version:
+            return False
+        self._entries[entry.replica_hash] = entry
+        self._spread_left[entry.replica_hash] = SPREAD_ROUNDS
+        return True
--- /dev/null
+++ b/winchfork/core/membership.py
@@ -0,0 +1,320 @@
+"""Membership of one region by random probes with piggybacked changes (the SWIM pattern).
+
+One probe a period keeps a daemon's cost the same at any fleet size. A failed probe is repeated
+through other members before the target is suspected, so one bad path does not remove a member. A
+suspected member that lives refutes by raising its incarnation. A restart starts from a higher
+incarnation (its start time in milliseconds), which distinguishes it from a recovery.
+
+The state machine does no I/O: ``tick`` and ``receive`` return the messages to send.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+from collections.abc import Callable, Iterable
+
+from winchfork.constants import DEAD_AFTER_S, HEARTBEAT_PERIOD_S, SUSPECT_AFTER_S
+
+PIGGYBACK_CHANGES = 6
+#: Each change rides on this many messages times log2 of the members, then is dropped.
+SPREAD_FACTOR = 3
+INDIRECT_PROBES = 2
+#: Dead members are remembered this long, so that old gossip cannot bring them back.
+FORGET_DEAD_AFTER_S = 300.0
+
+
+class MemberStatus(enum.IntEnum):
+    """A member's status; at the same incarnation the higher value wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """One daemon: where it listens for peers and callers, and its status."""
+
+    member_id: str
+    zone: str
+    peer_address: str
+    http_address: str
+    incarnation: int
+    status: MemberStatus = MemberStatus.ALIVE
+
+    def supersedes(self, other: Member) -> bool:
+        """Tell whether this record is newer than ``other``."""
+        return (self.incarnation, self.status) > (other.incarnation, other.status)
+
+
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """Are you there? ``on_behalf_of`` is set when a third member asked for the probe."""
+
+    sender: Member
+    nonce: int
+    revisions: tuple[int, ...]
+    changes: tuple[Member, ...] = ()
+    on_behalf_of: str = ""
+    loads: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True)
+class ProbeReply:
+    """I am."""
+
+    sender: Member
+    nonce: int
+    revisions: tuple[int, ...]
+    changes: tuple[Member, ...] = ()
+    loads: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True)
+class IndirectProbe:
+    """Please probe ``target_id`` for me."""
+
+    sender: Member
+    nonce: int
+    target_id: str
+    changes: tuple[Member, ...] = ()
+
+
+MembershipMessage = Probe | ProbeReply | IndirectProbe
+
+
+@dataclasses.dataclass(frozen=True)
+class Outgoing:
+    """A message to send to a peer address."""
+
+    address: str
+    message: MembershipMessage
+
+
+@dataclasses.dataclass
+class _Tracked:
+    member: Member
+    since_s: float
+
+
+@dataclasses.dataclass
+class _PendingProbe:
+    target_id: str
+    sent_at_s: float
+    indirect_sent: bool = False
+
+
+class Membership:
+    """One daemon's view of its region's daemons. Not thread-safe."""
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: Iterable[str],
+        generator: random.Random,
+        pack_loads: Callable[[], bytes] = lambda: b"",
+        revisions: Callable[[], tuple[int, ...]] = lambda: (),
+    ) -> None:
+        self.own = own
+        self._pack_loads = pack_loads
+        self._revisions = revisions
+        self._seeds = [seed for seed in seeds if seed != own.peer_address]
+        self._generator = generator
+        self._tracked: dict[str, _Tracked] = {}
+        self._spread_left: dict[str, int] = {}
+        self._pending: dict[int, _PendingProbe] = {}
+        self._relayed: dict[int, tuple[str, int]] = {}
+        self._probe_order: list[str] = []
+        self._next_nonce = 1
+
+    def members(self, *, include_leaving: bool = True) -> list[Member]:
+        """Return the members that may be working, with this daemon, ordered by id."""
+        lowest_gone = MemberStatus.DEAD if include_leaving else MemberStatus.LEAVING
+        found = [
+            entry.member for entry in self._tracked.values() if entry.member.status < lowest_gone
+        ]
+        if self.own.status < lowest_gone:
+            found.append(self.own)
+        return sorted(found, key=lambda member: member.member_id)
+
+    def get(self, member_id: str) -> Member | None:
+        """Return a member's newest record, or None."""
+        if member_id == self.own.member_id:
+            return self.own
+        entry = self._tracked.get(member_id)
+        return entry.member if entry else None
+
+    def leave(self) -> None:
+        """Announce a planned stop: the record spreads with the next messages."""
+        self.own = dataclasses.replace(self.own, status=MemberStatus.LEAVING)
+        self._spread(self.own)
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Learn peer addresses from the platform's machine list."""
+        for address in addresses:
+            if address != self.own.peer_address and address not in self._seeds:
+                self._seeds.append(address)
+
+    def tick(self, now_s: float) -> list[Outgoing]:
+        """Run one period: expire what is overdue and probe one member."""
+        outgoing = self._expire_probes(now_s)
+        self._expire_suspects(now_s)
+        target = self._next_target()
+        if target is not None:
+            outgoing.append(self._probe(target.member_id, target.peer_address, now_s))
+        known = {entry.member.peer_address for entry in self._tracked.values()}
+        strangers = [seed for seed in self._seeds if seed not in known]
+        if strangers:
+            outgoing.append(self._probe("", self._generator.choice(strangers), now_s))
+        return outgoing
+
+    def receive(self, message: MembershipMessage, now_s: float) -> list[Outgoing]:
+        """Take in a message and return the replies."""
+        self._learn(message.sender, now_s)
+        for change in message.changes:
+            self._learn(change, now_s)
+        if isinstance(message, Probe):
+            reply = ProbeReply(
+                self.own,
+                message.nonce,
+                self._revisions(),
+                self._changes(),
+                self._pack_loads(),
+            )
+            return [Outgoing(message.sender.peer_address, reply)]
+        if isinstance(message, IndirectProbe):
+            return self._relay_probe(message)
+        self._pending.pop(message.nonce, None)
+        relayed = self._relayed.pop(message.nonce, None)
+        if relayed is not None:
+            address, nonce = relayed
+            reply = ProbeReply(message.sender, nonce, message.revisions, self._changes())
+            return [Outgoing(address, reply)]
+        return []
+
+    def _relay_probe(self, message: IndirectProbe) -> list[Outgoing]:
+        target = self._tracked.get(message.target_id)
+        if target is None:
+            return []
+        nonce = self._take_nonce()
+        self._relayed[nonce] = (message.sender.peer_address, message.nonce)
+        while len(self._relayed) > 64:
+            self._relayed.pop(next(iter(self._relayed)))
+        probe = Probe(
+            self.own,
+            nonce,
+            self._revisions(),
+            self._changes(),
+            on_behalf_of=message.sender.member_id,
+        )
+        return [Outgoing(target.member.peer_address, probe)]
+
+    def _probe(self, target_id: str, address: str, now_s: float) -> Outgoing:
+        nonce = self._take_nonce()
+        if target_id:
+            self._pending[nonce] = _PendingProbe(target_id, now_s)
+        probe = Probe(
+            self.own,
+            nonce,
+            self._revisions(),
+            self._changes(),
+            loads=self._pack_loads(),
+        )
+        return Outgoing(address, probe)
+
+    def _take_nonce(self) -> int:
+        self._next_nonce += 1
+        return self._next_nonce
+
+    def _next_target(self) -> Member | None:
+        """Walk the members in a shuffled round, so that each is probed once a round."""
+        while True:
+            if not self._probe_order:
+                self._probe_order = sorted(
+                    member_id
+                    for member_id, entry in self._tracked.items()
+                    if entry.member.status < MemberStatus.DEAD
+                )
+                self._generator.shuffle(self._probe_order)
+                if not self._probe_order:
+                    return None
+            entry = self._tracked.get(self._probe_order.pop())
+            if entry is not None and entry.member.status < MemberStatus.DEAD:
+                return entry.member
+
+    def _expire_probes(self, now_s: float) -> list[Outgoing]:
+        outgoing: list[Outgoing] = []
+        for nonce, pending in list(self._pending.items()):
+            age_s = now_s - pending.sent_at_s
+            if age_s >= SUSPECT_AFTER_S:
+                del self._pending[nonce]
+                self._suspect(pending.target_id, now_s)
+            elif age_s >= HEARTBEAT_PERIOD_S and not pending.indirect_sent:
+                pending.indirect_sent = True
+                outgoing += self._ask_others(nonce, pending.target_id)
+        return outgoing
+
+    def _ask_others(self, nonce: int, target_id: str) -> list[Outgoing]:
+        others = [
+            entry.member
+            for member_id, entry in sorted(self._tracked.items())
+            if member_id != target_id and entry.member.status is MemberStatus.ALIVE
+        ]
+        helpers = self._generator.sample(others, min(INDIRECT_PROBES, len(others)))
+        request = IndirectProbe(self.own, nonce, target_id, self._changes())
+        return [Outgoing(helper.peer_address, request) for helper in helpers]
+
+    def _suspect(self, member_id: str, now_s: float) -> None:
+        entry = self._tracked.get(member_id)
+        if entry is not None and entry.member.status is MemberStatus.ALIVE:
+            suspected = dataclasses.replace(entry.member, status=MemberStatus.SUSPECT)
+            self._install(suspected, now_s)
+
+    def _expire_suspects(self, now_s: float) -> None:
+        limit_s = DEAD_AFTER_S - SUSPECT_AFTER_S
+        for member_id, entry in list(self._tracked.items()):
+            age_s = now_s - entry.since_s
+            status = entry.member.status
+            if status in (MemberStatus.SUSPECT, MemberStatus.LEAVING) and age_s >= limit_s:
+                self._install(dataclasses.replace(entry.member, status=MemberStatus.DEAD), now_s)
+            elif status is MemberStatus.DEAD and age_s >= FORGET_DEAD_AFTER_S:
+                del self._tracked[member_id]
+
+    def _learn(self, record: Member, now_s: float) -> None:
+        if record.member_id == self.own.member_id:
+            self._refute(record)
+            return
+        entry = self._tracked.get(record.member_id)
+        if entry is None or record.supersedes(entry.member):
+            self._install(record, now_s)
+
+    def _refute(self, record: Member) -> None:
+        """Answer gossip that doubts this daemon with a higher incarnation of its own record."""
+        doubted = record.status > self.own.status and record.incarnation >= self.own.incarnation
+        if doubted:
+            self.own = dataclasses.replace(self.own, incarnation=record.incarnation + 1)
+            self._spread(self.own)
+
+    def _install(self, record: Member, now_s: float) -> None:
+        self._tracked[record.member_id] = _Tracked(record, now_s)
+        self._spread(record)
+
+    def _spread(self, record: Member) -> None:
+        rounds = max(1, len(self._tracked)).bit_length()
+        self._spread_left[record.member_id] = SPREAD_FACTOR * rounds
+
+    def _changes(self) -> tuple[Member, ...]:
+        """Take the changes that have been sent the fewest times."""
+        chosen = sorted(self._spread_left, key=lambda key: (-self._spread_left[key], key))
+        changes: list[Member] = []
+        for member_id in chosen[:PIGGYBACK_CHANGES]:
+            self._spread_left[member_id] -= 1
+            if self._spread_left[member_id] <= 0:
+                del self._spread_left[member_id]
+            record = self.get(member_id)
+            if record is not None:
+                changes.append(record)
+        return tuple(changes)
--- /dev/null
+++ b/winchfork/core/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Placement policies, one a file, chosen by name."""
--- /dev/null
+++ b/winchfork/core/prefix.py
@@ -0,0 +1,73 @@
+"""Prompt prefixes as chained block keys.
+
+A key names a block together with everything before it: it chains over the tenant, the model, the
+versions of weights and adapter, the parent key and the block's content. Two prompts share a key
+only if they share all of these, so a belief about one tenant's block, or about older weights,
+cannot match another's. Keys are 64-bit because beliefs only steer: the engine's own report decides
+what was reused, so a collision costs one poor placement and never a wrong answer.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import xxhash
+
+from winchfork.constants import BLOCK_BYTES, BYTES_PER_TOKEN, FAMILY_DEPTH_BLOCKS
+
+BlockKey = int
+_KEY_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class CacheScope:
+    """What a cached block belongs to besides its content; the extra keys of the chain."""
+
+    tenant: str
+    model: str
+    weights_version: int
+    adapter_version: int = 0
+
+    def root_key(self) -> BlockKey:
+        """Return the parent key of the first block in this scope."""
+        return xxhash.xxh3_64_intdigest(self.salt().encode())
+
+    def salt(self) -> str:
+        """Return the unambiguous text form; engines mix it into their own block hashes."""
+        parts = (self.tenant, self.model, str(self.weights_version), str(self.adapter_version))
+        return "".join(f"{len(part)}:{part}" for part in parts)
+
+
+@dataclasses.dataclass(frozen=True)
+class PromptPrefix:
+    """A prompt as the placement sees it: chained keys of its full blocks, and its length."""
+
+    block_keys: tuple[BlockKey, ...]
+    prompt_tokens: int
+
+    @property
+    def family(self) -> BlockKey:
+        """Key that selects the owner daemon; 0 for prompts shorter than one block."""
+        if not self.block_keys:
+            return 0
+        return self.block_keys[min(FAMILY_DEPTH_BLOCKS, len(self.block_keys)) - 1]
+
+
+def count_tokens(data: bytes) -> int:
+    """Estimate the tokens in ``data``; the router has no tokenizer and needs only proportions."""
+    return -(-len(data) // BYTES_PER_TOKEN)
+
+
+def chain_key(parent: BlockKey, block: bytes) -> BlockKey:
+    """Return the key of ``block`` under ``parent``."""
+    return xxhash.xxh3_64_intdigest(parent.to_bytes(_KEY_BYTES, "big") + block)
+
+
+def prompt_prefix(scope: CacheScope, prompt: bytes) -> PromptPrefix:
+    """Cut ``prompt`` into full blocks and chain their keys; the ragged tail has no key."""
+    keys: list[BlockKey] = []
+    parent = scope.root_key()
+    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        parent = chain_key(parent, prompt[start : start + BLOCK_BYTES])
+        keys.append(parent)
+    return PromptPrefix(tuple(keys), count_tokens(prompt))
--- /dev/null
+++ b/winchfork/daemon.py
@@ -0,0 +1,193 @@
+"""One daemon: wires the core, the cluster duties, and the interfaces together."""
+
+from __future__ import annotations
+
+import random
+import socket
+import ssl
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from winchfork.backends.http_client import HttpClient
+from winchfork.backends.openai_engine import OpenAiEngine
+from winchfork.cluster.claim_client import ClaimClient
+from winchfork.cluster.event_reader import EventReader
+from winchfork.cluster.messages import MESSAGE_TYPES
+from winchfork.cluster.node import PeerNode
+from winchfork.cluster.panel_manager import PanelManager
+from winchfork.cluster.placement_lookup import PlacementLookup
+from winchfork.cluster.platform_sync import PlatformSync
+from winchfork.cluster.state import DaemonState
+from winchfork.cluster.transport import PeerTransport
+from winchfork.cluster.wire import PeerCodec
+from winchfork.control.configuration_writer import ConfigurationWriter
+from winchfork.control.rollout import RolloutDesk
+from winchfork.control.rpc_server import OperatorService, RpcServer
+from winchfork.core.membership import Member
+from winchfork.errors import Failure, FailureKind
+from winchfork.gateway.app import GatewayApplication
+from winchfork.gateway.generation import GenerationRouter
+from winchfork.gateway.metrics import GatewayMetrics
+from winchfork.gateway.relay import Relay
+from winchfork.gateway.server import PooledServer
+from winchfork.logs import log_event
+from winchfork.settings import Settings
+from winchfork.stores.etcd_json import EtcdJsonStore
+from winchfork.stores.machine_list import HttpMachineSource
+
+_DUTY_THREADS = 5
+_DRAIN_POLL_S = 0.05
+
+
+class Daemon:
+    """Built by :func:`build_daemon`; :meth:`start`, then :meth:`stop`."""
+
+    def __init__(self, settings: Settings, cluster_key: bytes) -> None:
+        self.settings = settings
+        incarnation = int(time.time() * 1000)
+        # Probe order and fan-out only; a seed of its own keeps daemons from acting in step.
+        generator = random.Random(f"{settings.daemon.id}:{incarnation}")
+        self._client = HttpClient()
+        self._platform_client = HttpClient()
+        engine = OpenAiEngine(self._client)
+        store = EtcdJsonStore(self._platform_client, settings.platform.key_value_endpoints)
+        machines = HttpMachineSource(self._platform_client, settings.platform.machine_list_url)
+        transport = PeerTransport(
+            settings.daemon.peer_address, PeerCodec(cluster_key, MESSAGE_TYPES)
+        )
+        own = Member(
+            settings.daemon.id,
+            settings.daemon.zone,
+            transport.address,
+            settings.daemon.http_address,
+            incarnation,
+        )
+        self.state = DaemonState(settings, own, generator)
+        self.node = PeerNode(self.state, transport, generator)
+        self._sync = PlatformSync(self.node, store, machines)
+        self._reader = EventReader(self.node, engine)
+        self._panels = PanelManager(self.node, store)
+        self._rollouts = RolloutDesk(self.node, store, engine)
+        self.metrics = GatewayMetrics()
+        generations = GenerationRouter(self.state, PlacementLookup(self.node), engine, self.metrics)
+        relay = Relay(self.state, self._client, ClaimClient(self.node), self.metrics)
+        application = GatewayApplication(self.state, generations, relay, self.metrics)
+        self._http = PooledServer(
+            settings.daemon.http_address, application, settings.limits.workers, _tls(settings)
+        )
+        service = OperatorService(self.node, ConfigurationWriter(self.node, store), self._rollouts)
+        self._rpc = RpcServer(settings, service)
+        self._duties = ThreadPoolExecutor(_DUTY_THREADS, thread_name_prefix="duty")
+
+    @property
+    def http_address(self) -> str:
+        """The bound callers' address."""
+        return self._http.address
+
+    @property
+    def rpc_bound(self) -> bool:
+        """Whether the operators' address was free."""
+        return self._rpc.bound
+
+    @property
+    def rpc_address(self) -> str:
+        """The bound operators' address."""
+        return f"{self.settings.daemon.rpc_address.rpartition(':')[0]}:{self._rpc.port}"
+
+    def start(self) -> None:
+        """Serve at once; everything else is learned while serving."""
+        for duty in (
+            self.node.run_receiver,
+            self.node.run_ticks,
+            self._reader.run,
+            self._panels.run,
+            self._rollouts.run,
+        ):
+            self._duties.submit(duty)
+        self._sync.start()
+        self._rpc.start()
+        self._http.start()
+        log_event(
+            "daemon_started",
+            id=self.settings.daemon.id,
+            zone=self.settings.daemon.zone,
+            http=self.http_address,
+            rpc=self.rpc_address,
+            peer=self.node.transport.address,
+        )
+
+    def stop(self) -> None:
+        """Planned stop: no new work, every running request finishes, peers are told."""
+        log_event("daemon_stopping", id=self.settings.daemon.id)
+        self.state.stopping = True
+        self._http.stop(wait=True)
+        self._reader.stop()
+        self._panels.stop()
+        self._rollouts.stop()
+        self._sync.stop()
+        self._rpc.stop()
+        self.node.stop()
+        self._duties.shutdown(wait=False, cancel_futures=True)
+        self._client.close()
+        log_event("daemon_stopped", id=self.settings.daemon.id)
+
+    def stop_at_once(self) -> None:
+        """Unplanned stop, for tests in one process: nothing is finished and nobody is told."""
+        self.state.stopping = True
+        self._reader.stop()
+        self._panels.stop()
+        self._rollouts.stop()
+        self._sync.stop()
+        self._rpc.stop()
+        self.node.transport.close()
+        self._http.stop(wait=False)
+
+    def wait_until_stopped(self, stop_requested: threading.Event) -> None:
+        """Block until a stop is requested, then stop as planned."""
+        stop_requested.wait()
+        self.stop()
+
+
+def build_daemon(settings: Settings) -> Daemon | Failure:
+    """Build a daemon; the failure names what could not be read or bound."""
+    key = settings.cluster_key_bytes()
+    if isinstance(key, Failure):
+        return key
+    for name, kind in (
+        ("http_address", socket.SOCK_STREAM),
+        ("rpc_address", socket.SOCK_STREAM),
+        ("peer_address", socket.SOCK_DGRAM),
+    ):
+        failure = _check_free(name, getattr(settings.daemon, name), kind)
+        if failure is not None:
+            return failure
+    try:
+        return Daemon(settings, key)
+    except (OSError, ssl.SSLError, SystemExit) as error:
+        return FailureKind.INVALID_SETTINGS.because(
+            f"the daemon cannot listen: {error}", remedy="check the addresses and the tls files"
+        )
+
+
+def _check_free(name: str, address: str, kind: socket.SocketKind) -> Failure | None:
+    host, _, port = address.rpartition(":")
+    with socket.socket(socket.AF_INET, kind) as probe:
+        if kind is socket.SOCK_STREAM:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError as error:
+            return FailureKind.INVALID_SETTINGS.because(
+                f"daemon.{name}: {address} cannot be bound: {error.strerror}",
+                remedy="use a free address of this machine",
+            )
+    return None
+
+
+def _tls(settings: Settings) -> ssl.SSLContext | None:
+    if settings.tls is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(settings.tls.certificate_file, settings.tls.key_file)
+    return context
--- /dev/null
+++ b/winchfork/emulator/json_http.py
@@ -0,0 +1,36 @@
+"""Small WSGI helpers shared by the stand-ins' servers."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+Handler = Callable[[Request], Response]
+
+
+def json_response(body: Any, status: int = 200) -> Response:
+    """Return a JSON answer."""
+    return Response(json.dumps(body), status=status, content_type="application/json")
+
+
+def route_requests(
+    routes: dict[tuple[str, str], Handler],
+) -> Callable[[dict[str, Any], Any], Iterable[bytes]]:
+    """Return a WSGI application for exact (method, path) routes."""
+
+    def application(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        request = Request(environ)
+        handler = routes.get((request.method, request.path))
+        if handler is None:
+            response = json_response({"error": "no such path"}, 404)
+        else:
+            try:
+                response = handler(request)
+            except (KeyError, ValueError, TypeError) as error:
+                response = json_response({"error": f"{type(error).__name__}: {error}"}, 400)
+        return response(environ, start_response)
+
+    return application
--- /dev/null
+++ b/winchfork/errors.py
@@ -0,0 +1,83 @@
+"""Typed failures: every failure is a sentinel kind with a reason, never a bare string.
+
+Functions that may fail return ``T | Failure``; the caller tests with ``isinstance``. Exceptions are
+left to programming errors and to the libraries.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class RunState(enum.Enum):
+    """Whether the request that failed was executed by a back end."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class FailureKind(enum.Enum):
+    """Every failure the product can report; the value is the stable wire code."""
+
+    INVALID_REQUEST = "invalid_request"
+    INVALID_SETTINGS = "invalid_settings"
+    INVALID_CONFIGURATION = "invalid_configuration"
+    UNAUTHENTICATED = "unauthenticated"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    SENDER_STALLED = "sender_stalled"
+    OVERLOADED = "overloaded"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    STOPPING = "stopping"
+    NO_REPLICA = "no_replica"
+    BACKEND_UNREACHABLE = "backend_unreachable"
+    BACKEND_BROKE = "backend_broke"
+    BACKEND_REFUSED = "backend_refused"
+    FENCE_MISMATCH = "fence_mismatch"
+    STREAM_BROKEN = "stream_broken"
+    CALLER_LEFT = "caller_left"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
+    CLAIM_HELD = "claim_held"
+    CLAIM_NO_MAJORITY = "claim_no_majority"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_RATE_LIMITED = "store_rate_limited"
+    REVISION_CONFLICT = "revision_conflict"
+    NOT_ACCEPTING_WORK = "not_accepting_work"
+    BAD_DATAGRAM = "bad_datagram"
+
+    def because(
+        self,
+        reason: str,
+        *,
+        remedy: str = "",
+        ran: RunState = RunState.NOT_RUN,
+        retry_after_s: float | None = None,
+    ) -> Failure:
+        """Build a failure of this kind; ``reason`` says what happened, ``remedy`` what to do."""
+        return Failure(self, reason, remedy, ran, retry_after_s)
+
+
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """One failure: its kind, why, what the reader can do, and whether the request ran.
+
+    ``retry_after_s`` is a hint in seconds, or None when a retry will not help by itself.
+    """
+
+    kind: FailureKind
+    reason: str
+    remedy: str = ""
+    ran: RunState = RunState.NOT_RUN
+    retry_after_s: float | None = None
+
+    def with_run_state(self, ran: RunState) -> Failure:
+        """Return the same failure with another run state."""
+        return dataclasses.replace(self, ran=ran)
+
+    def __str__(self) -> str:
+        remedy = f"; {self.remedy}" if self.remedy else ""
+        return f"{self.kind.value}: {self.reason}{remedy}"
--- /dev/null
+++ b/winchfork/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The interface for callers: OpenAI-compatible completions and the application relay."""
--- /dev/null
+++ b/winchfork/gateway/app.py
@@ -0,0 +1,288 @@
+"""The WSGI application for callers: paths, authentication, and one answer for each request."""
+
+from __future__ import annotations
+
+import json
+import time
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+from winchfork.cluster.state import DaemonState
+from winchfork.core.configuration import InstalledConfiguration, Pool, PoolKind, Tenant
+from winchfork.core.prefix import count_tokens
+from winchfork.errors import Failure, FailureKind
+from winchfork.gateway.caller import Caller, EventStream
+from winchfork.gateway.generation import GenerationResult, GenerationRouter
+from winchfork.gateway.metrics import GatewayMetrics
+from winchfork.gateway.relay import Relay, RelayRequest
+from winchfork.gateway.requests import (
+    CallerContext,
+    GenerationRequest,
+    authenticate,
+    parse_generation,
+    read_body,
+    read_context,
+)
+from winchfork.gateway.responses import AnswerFormat, error_response, usage_body
+from winchfork.logs import log_event
+
+_COMPLETIONS = "/v1/completions"
+_CHAT = "/v1/chat/completions"
+_POOLS = "/v1/pools/"
+StartResponse = Callable[..., Any]
+
+
+class GatewayApplication:
+    """Serves callers. Thread-safe."""
+
+    def __init__(
+        self,
+        state: DaemonState,
+        generations: GenerationRouter,
+        relay: Relay,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._state = state
+        self._generations = generations
+        self._relay = relay
+        self._metrics = metrics
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Serve one request; nothing escapes as a traceback."""
+        request = Request(environ)
+        request_id = f"{self._state.own_id}-{uuid.uuid4().hex}"
+        try:
+            response = self._route(request, request_id, start_response)
+        except Exception as error:  # noqa: BLE001 - the caller gets a typed answer, the log the rest
+            log_event("request_crashed", "ERROR", request=request_id, error=repr(error))
+            failure = FailureKind.BACKEND_BROKE.because("an internal error; see the daemon's log")
+            response = error_response(failure, request_id)
+        if response is None:
+            return []
+        return response(environ, start_response)
+
+    def _route(
+        self, request: Request, request_id: str, start_response: StartResponse
+    ) -> Response | None:
+        path = request.path
+        if path == "/healthz":
+            return Response("ok\n")
+        if path == "/readyz":
+            return self._ready()
+        if path == "/metrics":
+            return self._render_metrics()
+        configuration = self._state.configuration.current
+        tenant = authenticate(request, configuration)
+        if isinstance(tenant, Failure):
+            return self._refuse(tenant, request_id)
+        if path == "/v1/models":
+            return self._models(configuration)
+        if path in (_COMPLETIONS, _CHAT):
+            if request.method != "POST":
+                return self._refuse(_wrong_method("POST"), request_id)
+            return self._complete(request, request_id, tenant, configuration, start_response)
+        if path.startswith(_POOLS):
+            return self._relay_request(request, request_id, tenant, configuration)
+        return self._refuse(
+            FailureKind.NOT_FOUND.because(f"there is no path {path}", remedy="see the README"),
+            request_id,
+        )
+
+    # --- generations ---
+
+    def _complete(
+        self,
+        request: Request,
+        request_id: str,
+        tenant: Tenant,
+        configuration: InstalledConfiguration,
+        start_response: StartResponse,
+    ) -> Response | None:
+        body = read_body(request)
+        if isinstance(body, Failure):
+            return self._refuse(body, request_id)
+        parsed = parse_generation(body, is_chat=request.path == _CHAT)
+        if isinstance(parsed, Failure):
+            return self._refuse(parsed, request_id)
+        pool = configuration.pools_by_model.get(parsed.model)
+        if pool is None:
+            known = ", ".join(sorted(configuration.pools_by_model))
+            return self._refuse(
+                FailureKind.NOT_FOUND.because(
+                    f"there is no model {parsed.model!r}", remedy=f"use one of: {known}"
+                ),
+                request_id,
+            )
+        context = self._context(request, tenant, pool, configuration)
+        if isinstance(context, Failure):
+            return self._refuse(context, request_id)
+        caller = _caller(request, context)
+        self._note_arrival(request_id, context, pool)
+        if parsed.stream:
+            return self._stream(request_id, pool, parsed, context, caller, start_response)
+        return self._answer_whole(request_id, pool, parsed, context, caller)
+
+    def _stream(
+        self,
+        request_id: str,
+        pool: Pool,
+        parsed: GenerationRequest,
+        context: CallerContext,
+        caller: Caller,
+        start_response: StartResponse,
+    ) -> Response | None:
+        shape = _format(request_id, parsed)
+        events = EventStream(start_response, request_id)
+        result = self._generations.run(
+            request_id, pool, parsed, context, caller, lambda text: events.send(shape.piece(text))
+        )
+        if isinstance(result, GenerationResult):
+            self._metrics.request_ended("completed")
+            events.send(shape.end(result.end.finish_reason, _usage(parsed, result)))
+            return None
+        if not events.started:
+            return self._refuse(result, request_id)
+        self._metrics.request_ended(result.kind.value)
+        events.send(shape.broken(result, request_id))
+        return None
+
+    def _answer_whole(
+        self,
+        request_id: str,
+        pool: Pool,
+        parsed: GenerationRequest,
+        context: CallerContext,
+        caller: Caller,
+    ) -> Response:
+        parts: list[str] = []
+        result = self._generations.run(request_id, pool, parsed, context, caller, parts.append)
+        if isinstance(result, Failure):
+            return self._refuse(result, request_id)
+        self._metrics.request_ended("completed")
+        body = _format(request_id, parsed).whole(
+            "".join(parts), result.end.finish_reason, _usage(parsed, result)
+        )
+        return _json(body, request_id)
+
+    # --- application relay ---
+
+    def _relay_request(
+        self,
+        request: Request,
+        request_id: str,
+        tenant: Tenant,
+        configuration: InstalledConfiguration,
+    ) -> Response:
+        name, slash, rest = request.path[len(_POOLS) :].partition("/")
+        pool = configuration.pools.get(name)
+        if pool is None or pool.kind is not PoolKind.APPLICATION:
+            return self._refuse(
+                FailureKind.NOT_FOUND.because(f"there is no application pool {name!r}"), request_id
+            )
+        context = self._context(request, tenant, pool, configuration)
+        if isinstance(context, Failure):
+            return self._refuse(context, request_id)
+        body = read_body(request)
+        if isinstance(body, Failure):
+            return self._refuse(body, request_id)
+        query = request.query_string.decode("latin-1")
+        relayed = RelayRequest(
+            request.method,
+            f"/{rest}" + (f"?{query}" if query else ""),
+            body,
+            dict(request.headers.items()),
+        )
+        self._note_arrival(request_id, context, pool)
+        answer = self._relay.run(request_id, pool, relayed, context, _caller(request, context))
+        if isinstance(answer, Failure):
+            return self._refuse(answer, request_id)
+        self._metrics.request_ended("completed")
+        response = Response(answer.body, status=answer.status, content_type=answer.content_type)
+        response.headers["X-Request-Id"] = request_id
+        if answer.replayed:
+            response.headers["X-Winchfork-Replayed"] = "true"
+        return response
+
+    # --- shared ---
+
+    def _context(
+        self,
+        request: Request,
+        tenant: Tenant,
+        pool: Pool,
+        configuration: InstalledConfiguration,
+    ) -> CallerContext | Failure:
+        if self._state.stopping:
+            return FailureKind.STOPPING.because(
+                "this daemon is stopping", remedy="use another daemon", retry_after_s=1.0
+            )
+        return read_context(request, tenant, pool, configuration)
+
+    def _note_arrival(self, request_id: str, context: CallerContext, pool: Pool) -> None:
+        self._state.note_decision(
+            request_id,
+            "arrived",
+            "accepted_for_routing",
+            tenant=context.tenant.name,
+            pool=pool.name,
+            traffic_class=context.traffic_class.name,
+            repeatable=context.repeatable,
+            caller_request_id=context.caller_request_id,
+        )
+
+    def _refuse(self, failure: Failure, request_id: str) -> Response:
+        self._metrics.request_ended(failure.kind.value)
+        log_event("request_refused", "DEBUG", request=request_id, failure=failure)
+        return error_response(failure, request_id)
+
+    def _ready(self) -> Response:
+        configuration = self._state.configuration.current
+        if self._state.stopping or configuration.revision == 0:
+            return Response("not ready\n", status=503)
+        return Response("ready\n")
+
+    def _render_metrics(self) -> Response:
+        with self._state.lock:
+            self._metrics.open_requests.set(self._state.admission.open_count)
+            self._metrics.waiting_requests.set(self._state.admission.waiting_count)
+            self._metrics.index_blocks.set(len(self._state.index))
+        return Response(self._metrics.render(), content_type="text/plain; version=0.0.4")
+
+    def _models(self, configuration: InstalledConfiguration) -> Response:
+        data = [
+            {"id": model, "object": "model", "owned_by": pool.name}
+            for model, pool in sorted(configuration.pools_by_model.items())
+        ]
+        return _json({"object": "list", "data": data}, "")
+
+
+def _caller(request: Request, context: CallerContext) -> Caller:
+    connection = request.environ.get("winchfork.socket")
+    return Caller(connection, time.monotonic() + context.deadline_s)
+
+
+def _format(request_id: str, parsed: GenerationRequest) -> AnswerFormat:
+    return AnswerFormat(
+        request_id, parsed.model, is_chat=parsed.is_chat, created_s=int(time.time())
+    )
+
+
+def _usage(parsed: GenerationRequest, result: GenerationResult) -> dict[str, Any]:
+    prompt_tokens = count_tokens(parsed.prompt.encode())
+    return usage_body(prompt_tokens, result.end.completion_tokens, result.cached_tokens)
+
+
+def _json(body: dict[str, Any], request_id: str) -> Response:
+    response = Response(json.dumps(body), content_type="application/json")
+    if request_id:
+        response.headers["X-Request-Id"] = request_id
+    return response
+
+
+def _wrong_method(expected: str) -> Failure:
+    return FailureKind.METHOD_NOT_ALLOWED.because(
+        f"this path takes {expected} only", remedy=f"use {expected}"
+    )
--- /dev/null
+++ b/winchfork/gateway/server.py
@@ -0,0 +1,134 @@
+"""A werkzeug server on a bounded pool of worker threads.
+
+One connection takes one worker for one request, so the pool bounds the open requests. When every
+worker is taken, a new connection is answered at once with a typed refusal instead of waiting. Reads
+and writes carry a time limit, so a stalled sender or a reader that stopped reading gives its worker
+back.
+"""
+
+from __future__ import annotations
+
+import socket
+import ssl
+import threading
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
+
+from winchfork.constants import CALLER_SOCKET_TIMEOUT_S
+from winchfork.logs import log_event
+
+WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+_BACKLOG = 1024
+_BUSY_BODY = (
+    b'{"error":{"message":"every worker is busy","type":"overloaded","code":"overloaded",'
+    b'"ran":"not_run","remedy":"come back after the given time"}}'
+)
+_BUSY_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n"
+    b"Connection: close\r\nContent-Length: "
+    + str(len(_BUSY_BODY)).encode()
+    + b"\r\n\r\n"
+    + _BUSY_BODY
+)
+
+
+class _Handler(WSGIRequestHandler):
+    """HTTP/1.1 with chunked streams; library messages go to our log."""
+
+    protocol_version = "HTTP/1.1"
+    timeout = CALLER_SOCKET_TIMEOUT_S
+    #: Buffered, so that the library's several writes a chunk leave as one segment at its flush.
+    wbufsize = 64 * 1024
+
+    def setup(self) -> None:
+        """Send each chunk at once."""
+        super().setup()
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def make_environ(self) -> dict[str, Any]:
+        """Let the application watch the caller's connection."""
+        environ = super().make_environ()
+        environ["winchfork.socket"] = self.connection
+        return environ
+
+    def handle(self) -> None:
+        """Serve one request; a broken connection is the caller's affair."""
+        try:
+            super().handle()
+        except (OSError, ssl.SSLError) as error:
+            log_event("caller_connection_ended", "DEBUG", error=repr(error))
+
+    def log(self, type: str, message: str, *args: Any) -> None:  # noqa: A002 - library's name
+        """Keep the library's access and error lines as debug events."""
+        log_event("http_server", "DEBUG", kind=type, message=message % args if args else message)
+
+
+class PooledServer(BaseWSGIServer):
+    """Serves ``application`` on ``host:port`` with at most ``workers`` requests at a time."""
+
+    multithread = True
+    request_queue_size = _BACKLOG
+
+    def __init__(
+        self,
+        address: str,
+        application: WsgiApplication,
+        workers: int,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        super().__init__(host, int(port), application, handler=_Handler)
+        self._tls = tls
+        self._pool = ThreadPoolExecutor(workers, thread_name_prefix="http")
+        self._slots = threading.BoundedSemaphore(workers)
+        self.refused_busy = 0
+
+    @property
+    def address(self) -> str:
+        """The bound address, with the real port."""
+        return f"{self.server_address[0]!s}:{self.server_address[1]}"
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Hand a connection to a worker, or refuse it at once."""
+        if not self._slots.acquire(blocking=False):
+            self._refuse(request)
+            return
+        self._pool.submit(self._serve, request, client_address)
+
+    def start(self) -> None:
+        """Serve on a thread of the server's own until :meth:`stop`."""
+        threading.Thread(target=self.serve_forever, args=(0.1,), daemon=True).start()
+
+    def stop(self, *, wait: bool = True) -> None:
+        """Take no new connection and, if ``wait``, finish the running ones."""
+        self.shutdown()
+        self.socket.close()
+        self._pool.shutdown(wait=wait)
+
+    def _serve(self, request: Any, client_address: Any) -> None:
+        try:
+            if self._tls is not None:
+                request.settimeout(CALLER_SOCKET_TIMEOUT_S)
+                request = self._tls.wrap_socket(request, server_side=True)
+            self.finish_request(request, client_address)
+        except OSError as error:
+            log_event("caller_connection_ended", "DEBUG", error=repr(error))
+        except Exception as error:  # noqa: BLE001 - a worker must survive any request
+            log_event("request_crashed", "ERROR", error=repr(error))
+        finally:
+            self._slots.release()
+            self.shutdown_request(request)
+
+    def _refuse(self, request: Any) -> None:
+        self.refused_busy += 1
+        try:
+            request.settimeout(1.0)
+            request.sendall(_BUSY_ANSWER)
+        except OSError:
+            pass
+        finally:
+            self.shutdown_request(request)
--- /dev/null
+++ b/winchfork/stores/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to what the platform gives, one adapter a file."""
