Specify the claim protocol, check it with mutants, and hold the code to it

Cause: a command that must not be repeated needs a protocol whose safety does not rest on reasoning alone. The starting design releases the votes of any attempt that is given up.

Conclusion: taken as the protocol. With the store down two of three restarted voters leave no majority; one leaves it.

--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,165 @@
+"""Checks the specification and its mutants: `python -m spec.check [--deep]`.
+
+Exit code 0 only if every property holds over the whole reachable space, every situation that must
+be reachable is, and every mutant is found.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from minicheck import Protocol, check_safety
+
+from spec import claim_spec, clock_spec, panel_spec
+
+_MAX_STATES = 6_000_000
+#: A refutation is sound in a partial search; the search goes breadth first, so it is the shortest.
+_MUTANT_STATES = 80_000
+
+
+@dataclasses.dataclass(frozen=True)
+class CheckResult:
+    """One check: what was explored and whether it came out as it must."""
+
+    name: str
+    states: int
+    exhaustive: bool
+    passed: bool
+    detail: str
+    seconds: float
+
+
+def check_holds(name: str, protocol: Protocol) -> list[CheckResult]:
+    """Check that every invariant holds over the whole space."""
+    started = time.perf_counter()
+    report = check_safety(protocol, max_states=_MAX_STATES)
+    seconds = time.perf_counter() - started
+    return [
+        CheckResult(
+            f"{name}: {invariant}",
+            report["reachable_states"],
+            bool(report["exhaustive"]),
+            result["holds"] is True,
+            "holds" if result["holds"] is True else f"fails: {_labels(result)}",
+            seconds,
+        )
+        for invariant, result in report["properties"].items()
+    ]
+
+
+def check_found(name: str, protocol: Protocol) -> CheckResult:
+    """Check that a mutant violates some invariant."""
+    started = time.perf_counter()
+    report = check_safety(protocol, max_states=_MUTANT_STATES)
+    violated = [
+        (len(result["counterexample"]), invariant, result)
+        for invariant, result in report["properties"].items()
+        if result["holds"] is False
+    ]
+    seconds = time.perf_counter() - started
+    states = report["reachable_states"]
+    if not violated:
+        return CheckResult(f"mutant {name}", states, False, False, "NOT FOUND", seconds)
+    _, invariant, result = min(violated, key=lambda item: item[:2])
+    detail = f"violates {invariant} in {len(result['counterexample']) - 1} steps: "
+    return CheckResult(f"mutant {name}", states, False, True, detail + _labels(result), seconds)
+
+
+def check_reachable(
+    prefix: str,
+    protocol: Protocol,
+    situations: dict[str, Callable[[dict[str, Any]], bool]],
+    *,
+    wanted: bool = True,
+) -> list[CheckResult]:
+    """Check that situations can (or cannot) come about, in one sweep."""
+    never = {name: _negate(situation) for name, situation in situations.items()}
+    started = time.perf_counter()
+    report = check_safety(dataclasses.replace(protocol, invariants=never), max_states=_MAX_STATES)
+    seconds = time.perf_counter() - started
+    results: list[CheckResult] = []
+    for name, result in report["properties"].items():
+        reached = result["holds"] is False
+        detail = f"reached: {_labels(result)}" if reached else "unreachable"
+        passed = reached if wanted else result["holds"] is True
+        states, whole = report["reachable_states"], bool(report["exhaustive"])
+        results.append(CheckResult(prefix + name, states, whole, passed, detail, seconds))
+    return results
+
+
+def _negate(situation: Callable[[dict[str, Any]], bool]) -> Callable[[dict[str, Any]], bool]:
+    return lambda state: not situation(state)
+
+
+def _labels(result: dict[str, Any]) -> str:
+    steps = result.get("counterexample") or []
+    labels = [str(step.get("label") or "") for step in steps]
+    return " > ".join(label for label in labels if label and label != "None")
+
+
+def run_checks(*, deep: bool) -> list[CheckResult]:
+    """Run every check; ``deep`` raises the bound on restarts."""
+    results: list[CheckResult] = []
+    horizon = 12 if deep else 6
+    results += check_holds("clock", clock_spec.clock_protocol(clock_spec.ClockRules(horizon)))
+    claim = claim_spec.claim_protocol(claim_spec.ClaimRules())
+    results += check_holds("claim", claim)
+    results += check_reachable("claim can: ", claim, claim_spec.WITNESSES)
+    panel_rules = panel_spec.PanelRules(max_restarts=3 if deep else 2)
+    results += check_holds("panel", panel_spec.panel_protocol(panel_rules))
+    results += _availability()
+    for name, clock_rules in clock_spec.MUTANTS.items():
+        results.append(check_found(name, clock_spec.clock_protocol(clock_rules)))
+    for name, claim_rules in claim_spec.MUTANTS.items():
+        results.append(check_found(name, claim_spec.claim_protocol(claim_rules)))
+    for name, mutant_rules in panel_spec.MUTANTS.items():
+        results.append(check_found(name, panel_spec.panel_protocol(mutant_rules)))
+    return results
+
+
+def _availability() -> list[CheckResult]:
+    """Which restarts leave a majority that can vote, with the store up and down."""
+    results: list[CheckResult] = []
+    for restarted in (1, 2, 3):
+        for store_up in (True, False):
+            rules = panel_spec.PanelRules(
+                max_restarts=0, starts_restarted=restarted, store_up=store_up
+            )
+            store = "up" if store_up else "down"
+            results += check_reachable(
+                f"panel, {restarted} of 3 restarted, store {store}: ",
+                panel_spec.panel_protocol(rules),
+                {"majority_can_vote": _majority_can_vote},
+                wanted=store_up or restarted == 1,
+            )
+    return results
+
+
+def _majority_can_vote(state: dict[str, Any]) -> bool:
+    return panel_spec.able_voters(state) >= panel_spec.MAJORITY
+
+
+def main() -> int:
+    """Print every check and return the exit code."""
+    parser = argparse.ArgumentParser(description="Check the claim protocol's specification.")
+    parser.add_argument("--deep", action="store_true", help="allow more restarts")
+    results = run_checks(deep=parser.parse_args().deep)
+    for result in results:
+        verdict = "ok  " if result.passed else "FAIL"
+        scope = "exhaustive" if result.exhaustive else "until found"
+        print(
+            f"{verdict} {result.name}  [{result.states} states, {scope}, {result.seconds:.1f} s]\n"
+            f"       {result.detail}"
+        )
+    failed = [result for result in results if not result.passed]
+    print(f"{len(results) - len(failed)} checks ok, {len(failed)} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/spec/claim_spec.py
@@ -0,0 +1,252 @@
+"""Specification of the claim protocol for one key in one epoch.
+
+Two attempts: A, the caller's first send, and B, its retry through another daemon after it stopped
+listening to A. Three voters. Messages are modelled by what was sent and never taken back, so that
+loss (never acted on), delay, doubling and reordering are all included: a vote request may be
+processed at any time after its attempt began, also after the attempt was given up.
+
+A restarted voter has no authority for this key (``clock_spec``), so it only abstains. Voters are
+interchangeable; states are kept sorted, which folds their permutations.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import Final
+
+from minicheck import Protocol
+
+A: Final = 0
+B: Final = 1
+NO_VOTE = -1
+
+
+class Phase(enum.IntEnum):
+    """An attempt's life; the names of ``core.claims.ClaimPhase`` where they overlap."""
+
+    IDLE = 0
+    GATHERING = 1
+    WON = 2
+    GIVEN_UP = 3
+    DISPATCHED = 4
+    ANSWERED = 5
+    CRASHED = 6
+    #: The ingress crashed after dispatch: the engine may still execute.
+    CRASHED_DISPATCHED = 7
+    ABANDONED = 8
+    #: The dispatch provably reached no engine.
+    UNSENT = 9
+    REPLAYED = 10
+
+
+class Reply(enum.IntEnum):
+    """A voter's grant to an attempt, on its way."""
+
+    NONE = 0
+    SENT = 1
+    HEARD = 2
+
+
+#: (vote, authority, keeps outcome, released A, released B, reply to A, reply to B)
+Voter = tuple[int, int, int, int, int, int, int]
+#: (phase A, phase B, ran A, ran B, told "not run", voters)
+State = tuple[int, int, int, int, int, tuple[Voter, ...]]
+Steps = list[tuple[str, State]]
+FRESH_VOTER: Voter = (NO_VOTE, 1, 0, 0, 0, 0, 0)
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimRules:
+    """The rules under check; the mutants change one each."""
+
+    voters: int = 3
+    majority: int = 2
+    #: Whether ingresses crash and voters restart; most mutants fail without.
+    failures: bool = True
+    voter_remembers_restart: bool = True
+    voter_keeps_first_vote: bool = True
+    given_up_never_dispatches: bool = True
+    abandon_keeps_votes: bool = True
+    retry_needs_proof: bool = True
+    dispatches_once: bool = True
+
+
+class _Model:
+    """The transition relation."""
+
+    def __init__(self, rules: ClaimRules) -> None:
+        self._rules = rules
+
+    def transitions(self, state: State) -> Steps:
+        steps: Steps = []
+        if state[B] == Phase.IDLE and state[A] != Phase.IDLE and not state[4]:
+            steps.append(("send_again(B)", _phase(state, B, Phase.GATHERING)))
+        for attempt in (A, B):
+            steps += self._ingress_steps(state, attempt)
+        for number, voter in enumerate(state[5]):
+            steps += self._voter_steps(state, number, voter)
+        return steps
+
+    def _ingress_steps(self, state: State, attempt: int) -> Steps:
+        name = "AB"[attempt]
+        phase = _phase_of(state, attempt)
+        steps: Steps = []
+        if phase is Phase.GATHERING:
+            steps.append((f"give_up({name})", self._give_up(state, attempt)))
+        if self._rules.failures and phase in (Phase.GATHERING, Phase.WON):
+            steps.append((f"crash({name})", _phase(state, attempt, Phase.CRASHED)))
+        late = not self._rules.given_up_never_dispatches and phase is Phase.GIVEN_UP
+        if phase is Phase.WON or (late and _heard(state, attempt) >= self._rules.majority):
+            steps.append((f"dispatch({name})", _phase(state, attempt, Phase.DISPATCHED)))
+        if phase is Phase.WON:
+            steps.append((f"abandon({name})", self._abandon(state, attempt)))
+        if phase in (Phase.DISPATCHED, Phase.CRASHED_DISPATCHED):
+            if not state[2 + attempt]:
+                steps.append((f"run({name})", _run(state, attempt)))
+            elif not self._rules.dispatches_once:
+                steps.append((f"resend_run({name})", _run(state, attempt)))
+        if phase is Phase.DISPATCHED:
+            if self._rules.failures:
+                crashed = _phase(state, attempt, Phase.CRASHED_DISPATCHED)
+                steps.append((f"crash({name})", crashed))
+            if state[2 + attempt]:
+                steps.append((f"answer({name})", _phase(state, attempt, Phase.ANSWERED)))
+            else:
+                unsent = _tell(_phase(state, attempt, Phase.UNSENT), attempt)
+                steps.append((f"unsent({name})", unsent))
+        return steps
+
+    def _give_up(self, state: State, attempt: int) -> State:
+        given_up = _phase(state, attempt, Phase.GIVEN_UP)
+        # The first send is declared as such by the caller; a retry proves nothing by giving up.
+        if attempt == A or not self._rules.retry_needs_proof:
+            return _tell(given_up, attempt)
+        return given_up
+
+    def _abandon(self, state: State, attempt: int) -> State:
+        phase = Phase.ABANDONED if self._rules.abandon_keeps_votes else Phase.GIVEN_UP
+        return _tell(_phase(state, attempt, phase), attempt)
+
+    def _voter_steps(self, state: State, number: int, voter: Voter) -> Steps:
+        steps: Steps = []
+        vote, authority, outcome = voter[:3]
+        if self._rules.failures and voter != (NO_VOTE, 0, 0, 0, 0, voter[5], voter[6]):
+            kept = 0 if self._rules.voter_remembers_restart else authority
+            restarted: Voter = (NO_VOTE, kept, 0, 0, 0, voter[5], voter[6])
+            steps.append((f"restart(v{number})", _voter(state, number, restarted)))
+        for attempt in (A, B):
+            name = "AB"[attempt]
+            phase = _phase_of(state, attempt)
+            if phase is Phase.IDLE:
+                continue
+            free = vote == NO_VOTE and authority and not voter[3 + attempt]
+            overwrite = not self._rules.voter_keeps_first_vote and authority
+            if (free or overwrite or vote == attempt) and voter[5 + attempt] == Reply.NONE:
+                granted = _put(_put(voter, 0, attempt), 5 + attempt, Reply.SENT)
+                steps.append((f"vote(v{number},{name})", _voter(state, number, granted)))
+            if vote not in (NO_VOTE, attempt) and outcome and phase is Phase.GATHERING:
+                steps.append((f"replay(v{number},{name})", _phase(state, attempt, Phase.REPLAYED)))
+            if voter[5 + attempt] == Reply.SENT:
+                heard = _voter(state, number, _put(voter, 5 + attempt, Reply.HEARD))
+                won = phase is Phase.GATHERING and _heard(heard, attempt) >= self._rules.majority
+                after = _phase(heard, attempt, Phase.WON) if won else heard
+                steps.append((f"hear(v{number},{name})", after))
+            if phase is Phase.GIVEN_UP and not voter[3 + attempt]:
+                released = _put(voter, 3 + attempt, 1)
+                if vote == attempt:
+                    released = _put(_put(released, 0, NO_VOTE), 2, 0)
+                steps.append((f"release(v{number},{name})", _voter(state, number, released)))
+            if phase is Phase.ANSWERED and vote == attempt and not outcome:
+                kept_voter = _put(voter, 2, 1)
+                steps.append(
+                    (f"record_outcome(v{number},{name})", _voter(state, number, kept_voter))
+                )
+        return steps
+
+
+def _put(voter: Voter, index: int, value: int) -> Voter:
+    changed = list(voter)
+    changed[index] = int(value)
+    return (changed[0], changed[1], changed[2], changed[3], changed[4], changed[5], changed[6])
+
+
+def _phase_of(state: State, attempt: int) -> Phase:
+    return Phase(state[A] if attempt == A else state[B])
+
+
+def _phase(state: State, attempt: int, phase: Phase) -> State:
+    phases = [state[A], state[B]]
+    phases[attempt] = int(phase)
+    return (phases[A], phases[B], state[2], state[3], state[4], state[5])
+
+
+def _run(state: State, attempt: int) -> State:
+    ran = [state[2], state[3]]
+    ran[attempt] += 1
+    return (state[0], state[1], ran[A], ran[B], state[4], state[5])
+
+
+def _tell(state: State, attempt: int) -> State:
+    """The caller hears "not run" only from the attempt it listens to."""
+    listening = attempt == B or state[B] == Phase.IDLE
+    told = 1 if listening else state[4]
+    return (state[0], state[1], state[2], state[3], told, state[5])
+
+
+def _voter(state: State, number: int, voter: Voter) -> State:
+    voters = list(state[5])
+    voters[number] = voter
+    return (state[0], state[1], state[2], state[3], state[4], tuple(sorted(voters)))
+
+
+def _heard(state: State, attempt: int) -> int:
+    return sum(1 for voter in state[5] if voter[5 + attempt] == Reply.HEARD)
+
+
+def claim_protocol(rules: ClaimRules) -> Protocol:
+    """Build the protocol for minicheck."""
+    return Protocol(
+        name="claim",
+        candidate=False,
+        fields=("phase_a", "phase_b", "ran_a", "ran_b", "told_not_run", "voters"),
+        initial=(Phase.GATHERING, Phase.IDLE, 0, 0, 0, (FRESH_VOTER,) * rules.voters),
+        transitions=_Model(rules).transitions,
+        invariants={
+            "runs_at_most_once": lambda state: state["ran_a"] + state["ran_b"] <= 1,
+            "not_run_is_true_and_stays_true": lambda state: (
+                not state["told_not_run"] or state["ran_a"] + state["ran_b"] == 0
+            ),
+            "replayed_answer_exists": lambda state: (
+                state["phase_b"] != Phase.REPLAYED or state["ran_a"] == 1
+            ),
+        },
+    )
+
+
+#: Situations that must be reachable: a protocol that never runs anything would be safe too.
+WITNESSES = {
+    "first_send_runs": lambda state: state["ran_a"] == 1,
+    "retry_runs_after_first_gave_up": lambda state: (
+        state["phase_a"] == Phase.GIVEN_UP and state["ran_b"] == 1
+    ),
+    "retry_wins_after_split_vote": lambda state: (
+        state["phase_a"] == Phase.GIVEN_UP
+        and state["ran_b"] == 1
+        and any(voter[3] and voter[5] == Reply.HEARD for voter in state["voters"])
+    ),
+    "retry_replays_kept_answer": lambda state: state["phase_b"] == Phase.REPLAYED,
+    "runs_with_one_voter_restarted": lambda state: (
+        state["ran_a"] == 1 and any(not voter[1] and not voter[5] for voter in state["voters"])
+    ),
+}
+
+MUTANTS = {
+    "voter_forgets_that_it_restarted": ClaimRules(voter_remembers_restart=False),
+    "one_vote_is_enough": ClaimRules(majority=1, failures=False),
+    "voter_changes_its_vote": ClaimRules(voter_keeps_first_vote=False, failures=False),
+    "given_up_attempt_dispatches": ClaimRules(given_up_never_dispatches=False, failures=False),
+    "abandon_releases_votes": ClaimRules(abandon_keeps_votes=False, failures=False),
+    "retry_says_not_run_unproved": ClaimRules(retry_needs_proof=False, failures=False),
+    "command_sent_twice": ClaimRules(dispatches_once=False, failures=False),
+}
--- a/winchfork/cluster/claim_client.py
+++ b/winchfork/cluster/claim_client.py
@@ -46,24 +46,24 @@
 
 
 class WonClaim:
-    """The right to dispatch once. Exactly one of :meth:`finish` and :meth:`give_up` ends it."""
+    """The right to dispatch once, or to abandon it instead."""
 
-    def __init__(self, client: ClaimClient, claim: Claim, first_send: bool) -> None:
+    def __init__(self, client: ClaimClient, claim: Claim) -> None:
         self._client = client
         self._claim = claim
-        self._first_send = first_send
 
     def dispatch(self) -> bool:
-        """Take the right; True once, and never after :meth:`give_up`."""
+        """Take the right; True once, and never after :meth:`abandon`."""
         return self._claim.dispatch()
 
     def finish(self, outcome: bytes) -> None:
         """Let the voters keep the answer for later retries of the key."""
         self._client.record_outcome(self._claim, outcome)
 
-    def give_up(self) -> None:
-        """Free the votes of an attempt that was never dispatched."""
-        self._client.release(self._claim, self._first_send)
+    def abandon(self, refusal: bytes) -> None:
+        """Never dispatch; the voters keep ``refusal`` as the key's answer."""
+        if self._claim.abandon():
+            self._client.record_outcome(self._claim, refusal)
 
 
 class ClaimClient:
@@ -103,13 +103,13 @@
             self._node.stop_listening(attempt)
         with changed:
             if claim.phase is ClaimPhase.WON:
-                return WonClaim(self, claim, request.first_send)
+                return WonClaim(self, claim)
             kept = claim.kept_outcome
-            failure = self.release(claim, request.first_send)
+            failure = self._release(claim, request.first_send)
         return KeptOutcome(kept) if kept is not None else failure
 
     def record_outcome(self, claim: Claim, outcome: bytes) -> None:
-        """Send a dispatched attempt's answer to the voters."""
+        """Send the answer of a dispatched or abandoned attempt to the voters."""
         record = OutcomeRecord(
             claim.request.panel_id, claim.request.key, claim.request.attempt, outcome
         )
@@ -117,11 +117,8 @@
             for voter in claim.voters:
                 self._node.send_to(voter, record)
 
-    def release(self, claim: Claim, first_send: bool) -> Failure:
-        """Give an undispatched attempt up and free its votes."""
-        given_up = claim.give_up(first_send=first_send)
-        assert given_up is not None, "only undispatched attempts are released"
-        failure, release = given_up
+    def _release(self, claim: Claim, first_send: bool) -> Failure:
+        failure, release = claim.give_up(first_send=first_send)
         for _ in range(_NOTICE_REPEATS):
             for voter in claim.voters:
                 self._node.send_to(voter, release)
--- a/winchfork/cluster/panel_manager.py
+++ b/winchfork/cluster/panel_manager.py
@@ -124,7 +124,9 @@
         replies = self._seals.setdefault(panel.panel_id, {})
 
         def hear(reply: SealReply) -> None:
-            if reply.epoch == panel.epoch:
+            known = replies.get(reply.voter)
+            newer = known is None or reply.incarnation >= known.incarnation
+            if reply.epoch == panel.epoch and newer:
                 replies[reply.voter] = reply
 
         self._node.listen_for_seals(panel.panel_id, hear)
--- a/winchfork/core/claims.py
+++ b/winchfork/core/claims.py
@@ -353,7 +353,6 @@
         self.phase = ClaimPhase.GATHERING
         self.kept_outcome: bytes | None = None
         self._verdicts: dict[str, Verdict] = {}
-        self._proved_unclaimed = False
 
     def on_vote_reply(self, reply: VoteReply) -> None:
         """Count a reply (action ``hear``); late, crossed and foreign replies change nothing."""
@@ -371,7 +370,6 @@
             self._verdicts[reply.voter] = reply.verdict
         if self.phase is ClaimPhase.GATHERING and self._granted() >= self.majority:
             self.phase = ClaimPhase.WON
-            self._proved_unclaimed = True
 
     @property
     def is_settled(self) -> bool:
@@ -397,23 +395,29 @@
         self.phase = ClaimPhase.DISPATCHED
         return True
 
-    def give_up(self, *, first_send: bool) -> tuple[Failure, VoteRelease] | None:
-        """Give the attempt up before dispatch (action ``give_up``); None after a dispatch.
+    def abandon(self) -> bool:
+        """Give up a won claim before dispatch (action ``abandon``); False in any other phase.
 
-        The failure says "not run" only on proof: this attempt held a majority, so no other had one;
-        or the caller declared that this is the first send of the key, so there is no other attempt.
+        The votes stay with this attempt for good: were they released, an earlier attempt that is
+        still gathering could win them and run after the caller was told "not run".
         """
-        if self.phase is ClaimPhase.DISPATCHED:
-            return None
-        proved = self._proved_unclaimed or first_send
+        if self.phase is not ClaimPhase.WON:
+            return False
         self.phase = ClaimPhase.GIVEN_UP
-        return self._give_up_failure(proved), self.release_message()
+        return True
 
-    def release_message(self) -> VoteRelease:
-        """Return the message that frees this attempt's votes; only for an attempt given up."""
-        return VoteRelease(self.request.panel_id, self.request.key, self.request.attempt)
+    def give_up(self, *, first_send: bool) -> tuple[Failure, VoteRelease]:
+        """Give up while gathering (action ``give_up``); the release lets a later attempt win.
+
+        Nothing is proved about other attempts of the key, so the failure says "not run" only if the
+        caller declared this its first and only send; otherwise the outcome is unknown.
+        """
+        assert self.phase is ClaimPhase.GATHERING, "a won claim is dispatched or abandoned"
+        self.phase = ClaimPhase.GIVEN_UP
+        release = VoteRelease(self.request.panel_id, self.request.key, self.request.attempt)
+        return self._give_up_failure(first_send), release
 
-    def _give_up_failure(self, proved: bool) -> Failure:
+    def _give_up_failure(self, only_send: bool) -> Failure:
         counts = dict.fromkeys(Verdict, 0)
         for verdict in self._verdicts.values():
             counts[verdict] += 1
@@ -422,10 +426,10 @@
             f"{counts[Verdict.ABSTAINED]} abstained of {len(self.voters)} voters"
         )
         kind = FailureKind.CLAIM_HELD if counts[Verdict.HELD] else FailureKind.CLAIM_NO_MAJORITY
-        if proved:
+        if only_send:
             return kind.because(
-                f"the claim was given up before dispatch ({summary})",
-                remedy="send the command again",
+                f"no majority of voters granted the claim ({summary})",
+                remedy="send the command again under a new key",
                 retry_after_s=1.0,
             )
         return kind.because(
--- a/winchfork/emulator/dev.py
+++ b/winchfork/emulator/dev.py
@@ -27,6 +27,9 @@
 def free_address(kind: socket.SocketKind = socket.SOCK_STREAM, preferred_port: int = 0) -> str:
     """Return a loopback address whose port is free now."""
     with socket.socket(socket.AF_INET, kind) as probe:
+        if kind is socket.SOCK_STREAM:
+            # As the servers do, so that a port left by an earlier run counts as free.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             probe.bind(("127.0.0.1", preferred_port))
         except OSError:
--- a/winchfork/emulator/engine_model.py
+++ b/winchfork/emulator/engine_model.py
@@ -22,10 +22,10 @@
 class EngineSettings:
     """Speeds and sizes. Times in seconds, cache in blocks of ``BLOCK_TOKENS``."""
 
-    prefill_tokens_per_s: float = 12_000.0
+    prefill_tokens_per_s: float = 16_000.0
     step_base_s: float = 0.010
     step_per_sequence_s: float = 0.0002
-    step_prefill_tokens: int = 2048
+    step_prefill_tokens: int = 512
     max_running: int = 48
     cache_blocks: int = 400
 
@@ -214,11 +214,13 @@
 
     def events_after(self, sequence: int, published_before_s: float) -> tuple[CacheEvent, ...]:
         """Return the kept events after ``sequence`` that are old enough to be visible."""
-        return tuple(
-            event
-            for at_s, event in self._events
-            if event.sequence > sequence and at_s <= published_before_s
-        )
+        found: list[CacheEvent] = []
+        for at_s, event in reversed(self._events):
+            if event.sequence <= sequence:
+                break
+            if at_s <= published_before_s:
+                found.append(event)
+        return tuple(reversed(found))
 
     def plan_step(self, now_s: float, max_decode_tokens: int = 1) -> StepPlan | None:
         """Compose the next batch; None when there is nothing to do."""
--- a/winchfork/gateway/relay.py
+++ b/winchfork/gateway/relay.py
@@ -170,8 +170,9 @@
     ) -> RelayAnswer | Failure:
         left = caller.check()
         if left is not None:
-            claim.give_up()
-            return left.with_run_state(RunState.NOT_RUN)
+            refusal = left.with_run_state(RunState.NOT_RUN)
+            claim.abandon(_encode_refusal(refusal))
+            return refusal
         if not claim.dispatch():
             return FailureKind.CLAIM_HELD.because("the claim was already used")
         answer = self._run_once(request_id, pool, request, caller)
