--- a/winchfork/emulator/engine_model.py
+++ b/winchfork/emulator/engine_model.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from winchfork.constants import BLOCK_TOKENS
 from winchfork.core.cache_index import CacheEvent, EventKind
@@ -144,8 +144,14 @@
 class EngineModel:
     """One replica. Not thread-safe."""
 
-    def __init__(self, settings: EngineSettings, identity: ReplicaIdentity) -> None:
+    def __init__(
+        self,
+        settings: EngineSettings,
+        identity: ReplicaIdentity,
+        on_stored: Callable[[tuple[BlockKey, ...]], None] = lambda keys: None,
+    ) -> None:
         self.settings = settings
+        self._on_stored = on_stored
         self.identity = identity
         self.cache = BlockCache(settings.cache_blocks)
         self.waiting: list[Sequence] = []
@@ -325,6 +331,7 @@
             self._publish(EventKind.REMOVED, tuple(evicted), now_s)
         if stored:
             parent = keys[first_stored - 1] if first_stored else 0
+            self._on_stored(tuple(stored))
             self._publish(EventKind.STORED, tuple(stored), now_s, parent)
 
     def _unpin(self, sequence: Sequence) -> None:
--- /dev/null
+++ b/winchfork/emulator/sim_engine.py
@@ -0,0 +1,118 @@
+"""An engine in virtual time: the engine model driven by a simpy process."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Callable
+from typing import Any
+
+import simpy
+
+from winchfork.core.fleet import ReplicaIdentity
+from winchfork.core.prefix import BlockKey
+from winchfork.emulator.engine_model import EngineModel, EngineSettings, Sequence
+
+#: Decode steps taken as one event while nothing waits; bounds the error on a new arrival's start.
+_DECODE_STRIDE = 3
+
+
+class StreamSignal(enum.Enum):
+    """What a stream's listener is told."""
+
+    FIRST_TOKEN = "first_token"
+    DONE = "done"
+    BROKEN = "broken"
+    REFUSED = "refused"
+
+
+Listener = Callable[[StreamSignal, Sequence], None]
+
+
+@dataclasses.dataclass
+class _Running:
+    sequence: Sequence
+    listener: Listener
+    from_offset: int
+
+
+class SimEngine:
+    """One replica in virtual time."""
+
+    def __init__(
+        self,
+        env: Any,
+        replica_id: str,
+        zone: str,
+        settings: EngineSettings,
+        on_stored: Callable[[tuple[BlockKey, ...]], None],
+    ) -> None:
+        self.replica_id = replica_id
+        self.zone = zone
+        self.accepting = True
+        self.model = EngineModel(settings, ReplicaIdentity(1, 1), on_stored)
+        self._env = env
+        self._streams: dict[str, _Running] = {}
+        self._wake = env.event()
+        self._generation = 0
+        env.process(self._run())
+
+    def submit(
+        self, sequence: Sequence, expected: ReplicaIdentity, listener: Listener
+    ) -> StreamSignal | None:
+        """Start a generation; REFUSED when it does not accept work or the fence is stale."""
+        if not self.accepting or expected != self.model.identity:
+            return StreamSignal.REFUSED
+        self._streams[sequence.sequence_id] = _Running(sequence, listener, sequence.generated)
+        self.model.submit(sequence)
+        if not self._wake.triggered:
+            self._wake.succeed()
+        return None
+
+    def cancel(self, sequence_id: str) -> None:
+        """Drop a generation."""
+        self.model.cancel(sequence_id)
+        self._streams.pop(sequence_id, None)
+
+    def crash(self) -> None:
+        """Come back empty; every stream breaks."""
+        self._generation += 1
+        self.model.crash()
+        self._break_all()
+
+    def load_weights(self, version: int) -> None:
+        """Switch weights; every stream breaks."""
+        self._generation += 1
+        self.model.load_weights(version, self._env.now)
+        self._break_all()
+
+    def _break_all(self) -> None:
+        streams, self._streams = self._streams, {}
+        for running in streams.values():
+            running.listener(StreamSignal.BROKEN, running.sequence)
+
+    def _run(self) -> Any:
+        while True:
+            plan = self.model.plan_step(self._env.now, _DECODE_STRIDE)
+            if plan is None:
+                self._wake = self._env.event()
+                yield self._wake
+                continue
+            generation = self._generation
+            yield self._env.timeout(plan.duration_s)
+            if generation != self._generation:
+                continue
+            for output in self.model.finish_step(plan, self._env.now):
+                running = self._streams.get(output.sequence.sequence_id)
+                if running is None:
+                    continue
+                if output.first_offset == running.from_offset:
+                    running.listener(StreamSignal.FIRST_TOKEN, output.sequence)
+                if output.sequence.finished:
+                    del self._streams[output.sequence.sequence_id]
+                    running.listener(StreamSignal.DONE, output.sequence)
+
+
+def make_environment() -> Any:
+    """Return a simpy environment."""
+    return simpy.Environment()
