Weigh an urgent request's wait by urgent work only

The policy charged an urgent request for every token waiting on the holder of its prefix, while the engine starts it before all waiting overnight pages; so it left the holder for a cold replica and recomputed the prefix.

Change: load reports, gossip entries and own dispatches keep the urgent part of waiting prefill apart; an urgent request waits for that part only. One byte more in each gossip entry.

--- a/winchfork/backends/openai_engine.py
+++ b/winchfork/backends/openai_engine.py
@@ -237,6 +237,7 @@
         _identity(body),
         ReplicaLoad(
             waiting_prefill_tokens=load["waiting_prefill_tokens"],
+            urgent_prefill_tokens=load.get("urgent_prefill_tokens", load["waiting_prefill_tokens"]),
             running_requests=load["running_requests"],
             waiting_requests=load["waiting_requests"],
             prefill_tokens_per_s=load["prefill_tokens_per_s"],
--- a/winchfork/cluster/event_reader.py
+++ b/winchfork/cluster/event_reader.py
@@ -130,7 +130,7 @@
             changed = replica.state is ReplicaState.ACCEPTING
             if changed:
                 replica.state = ReplicaState.UNAVAILABLE
-            self._node.state.loads.publish(replica.replica_id, None, 0, measured_at_s)
+            self._node.state.loads.publish(replica.replica_id, None, measured_at_s)
         if changed:
             log_event("replica_unavailable", "WARNING", replica=replica.replica_id)
 
@@ -144,12 +144,7 @@
             if report.accepting:
                 if replica.state is ReplicaState.UNAVAILABLE:
                     replica.state = ReplicaState.ACCEPTING
-                state.loads.publish(
-                    replica.replica_id,
-                    report.load.waiting_prefill_tokens,
-                    report.load.running_requests + report.load.waiting_requests,
-                    measured_at_s,
-                )
+                state.loads.publish(replica.replica_id, report.load, measured_at_s)
         if changed:
             log_event(
                 "replica_identity",
--- a/winchfork/cluster/node.py
+++ b/winchfork/cluster/node.py
@@ -35,7 +35,7 @@
     VouchRequest,
 )
 from winchfork.core.documents import Document, DocumentName
-from winchfork.core.fleet import ReplicaIdentity, ReplicaLoad, ReplicaState
+from winchfork.core.fleet import ReplicaIdentity, ReplicaState
 from winchfork.core.load_gossip import hash_replica
 from winchfork.core.membership import (
     IndirectProbe,
@@ -206,14 +206,7 @@
                     ReplicaState.ACCEPTING if entry.available else ReplicaState.UNAVAILABLE
                 )
             if entry.available:
-                replica.note_load(
-                    ReplicaLoad(
-                        waiting_prefill_tokens=entry.waiting_prefill_tokens,
-                        running_requests=entry.running,
-                        prefill_tokens_per_s=replica.load.prefill_tokens_per_s,
-                    ),
-                    entry.version / 10,
-                )
+                replica.note_load(entry.load(replica.load.prefill_tokens_per_s), entry.version / 10)
 
     def _pull_newer(self, revisions: tuple[int, ...], sender: str) -> None:
         with self.state.lock:
--- a/winchfork/core/fleet.py
+++ b/winchfork/core/fleet.py
@@ -5,6 +5,14 @@
 import dataclasses
 import enum
 
+#: Priorities below this are urgent: engines start them before everything else that waits.
+URGENT_BELOW_PRIORITY = 5
+
+
+def is_urgent(priority: int) -> bool:
+    """Tell whether work of this priority overtakes work that may wait."""
+    return priority < URGENT_BELOW_PRIORITY
+
 
 class ReplicaState(enum.Enum):
     """Whether a replica may be given new work."""
@@ -16,9 +24,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReplicaLoad:
-    """A replica's own load report. Tokens are prompt tokens not yet prefilled; rates per second."""
+    """A replica's own load report. Tokens are prompt tokens not yet prefilled; rates per second.
+
+    ``urgent_prefill_tokens`` is the part of ``waiting_prefill_tokens`` that urgent work waits for.
+    """
 
     waiting_prefill_tokens: int = 0
+    urgent_prefill_tokens: int = 0
     running_requests: int = 0
     waiting_requests: int = 0
     prefill_tokens_per_s: float = 8000.0
@@ -33,6 +45,13 @@
     weights_version: int
 
 
+@dataclasses.dataclass(frozen=True)
+class _OwnDispatch:
+    sent_at_s: float
+    tokens: int
+    urgent: bool
+
+
 @dataclasses.dataclass
 class Replica:
     """One back end as this daemon sees it; an engine replica or an application.
@@ -55,16 +74,20 @@
     state: ReplicaState = ReplicaState.ACCEPTING
     avoided_until_s: float = 0.0
     dispatched_tokens: int = 0
-    _dispatches: dict[str, tuple[float, int]] = dataclasses.field(default_factory=dict)
+    dispatched_urgent_tokens: int = 0
+    _dispatches: dict[str, _OwnDispatch] = dataclasses.field(default_factory=dict)
 
     @property
     def dispatched_requests(self) -> int:
         """Requests sent that no load report contains yet."""
         return len(self._dispatches)
 
-    def expected_wait_s(self) -> float:
+    def expected_wait_s(self, *, urgent: bool = False) -> float:
         """Return the seconds of prefill queued ahead of a new request."""
-        tokens = self.load.waiting_prefill_tokens + self.dispatched_tokens
+        if urgent:
+            tokens = self.load.urgent_prefill_tokens + self.dispatched_urgent_tokens
+        else:
+            tokens = self.load.waiting_prefill_tokens + self.dispatched_tokens
         return tokens / self.load.prefill_tokens_per_s
 
     def outstanding_requests(self) -> int:
@@ -72,22 +95,30 @@
         load = self.load
         return load.running_requests + load.waiting_requests + len(self._dispatches)
 
-    def note_dispatch(self, attempt_id: str, uncached_tokens: int, now_s: float) -> None:
+    def note_dispatch(
+        self, attempt_id: str, uncached_tokens: int, now_s: float, *, urgent: bool = False
+    ) -> None:
         """Count work sent now."""
-        self._dispatches[attempt_id] = (now_s, uncached_tokens)
+        self._dispatches[attempt_id] = _OwnDispatch(now_s, uncached_tokens, urgent)
         self.dispatched_tokens += uncached_tokens
+        if urgent:
+            self.dispatched_urgent_tokens += uncached_tokens
 
     def note_started(self, attempt_id: str) -> None:
         """Stop counting a dispatch whose prefill is done or which failed."""
-        _, tokens = self._dispatches.pop(attempt_id, (0.0, 0))
-        self.dispatched_tokens -= tokens
+        own = self._dispatches.pop(attempt_id, None)
+        if own is None:
+            return
+        self.dispatched_tokens -= own.tokens
+        if own.urgent:
+            self.dispatched_urgent_tokens -= own.tokens
 
     def note_load(self, load: ReplicaLoad, measured_at_s: float) -> None:
         """Install a load report, which includes what was dispatched before it was measured."""
         self.load = load
         self.load_measured_at_s = measured_at_s
-        for attempt_id, (sent_at_s, _) in list(self._dispatches.items()):
-            if sent_at_s < measured_at_s:
+        for attempt_id, own in list(self._dispatches.items()):
+            if own.sent_at_s < measured_at_s:
                 self.note_started(attempt_id)
 
 
--- a/winchfork/core/load_gossip.py
+++ b/winchfork/core/load_gossip.py
@@ -14,6 +14,8 @@
 
 import xxhash
 
+from winchfork.core.fleet import ReplicaLoad
+
 MAX_ENTRIES = 64
 SPREAD_ROUNDS = 8
 #: Each level is this factor of waiting work more than the one below it.
@@ -22,7 +24,7 @@
 LEVEL_UNIT_TOKENS = 256
 #: A level is published again after this long even if unchanged, so that a lost one heals.
 REFRESH_S = 5.0
-_ENTRY = struct.Struct(">IIBB")
+_ENTRY = struct.Struct(">IIBBB")
 MAX_RUNNING = 255
 #: The level of a replica that takes no work now.
 UNAVAILABLE_LEVEL = 255
@@ -35,6 +37,7 @@
     replica_hash: int
     version: int
     level: int
+    urgent_level: int
     running: int
 
     @property
@@ -42,10 +45,14 @@
         """Whether the replica takes work."""
         return self.level != UNAVAILABLE_LEVEL
 
-    @property
-    def waiting_prefill_tokens(self) -> int:
-        """The tokens that the level stands for."""
-        return tokens_of_level(self.level)
+    def load(self, prefill_tokens_per_s: float) -> ReplicaLoad:
+        """Return the load that the levels stand for."""
+        return ReplicaLoad(
+            waiting_prefill_tokens=tokens_of_level(self.level),
+            urgent_prefill_tokens=tokens_of_level(self.urgent_level),
+            running_requests=self.running,
+            prefill_tokens_per_s=prefill_tokens_per_s,
+        )
 
 
 def hash_replica(replica_id: str) -> int:
@@ -70,6 +77,20 @@
     return int(LEVEL_UNIT_TOKENS * (LEVEL_RATIO ** (level - 0.5) - 1))
 
 
+def quantize(replica_hash: int, load: ReplicaLoad | None, now_s: float) -> LoadEntry:
+    """Return the entry of a load measured now; None is a replica that takes no work."""
+    version = int(now_s * 10) & 0xFFFFFFFF
+    if load is None:
+        return LoadEntry(replica_hash, version, UNAVAILABLE_LEVEL, UNAVAILABLE_LEVEL, 0)
+    return LoadEntry(
+        replica_hash,
+        version,
+        level_of_tokens(load.waiting_prefill_tokens),
+        level_of_tokens(load.urgent_prefill_tokens),
+        min(load.running_requests + load.waiting_requests, MAX_RUNNING),
+    )
+
+
 class LoadGossip:
     """The newest quantized load of each replica, and what is still worth passing on."""
 
@@ -80,23 +101,19 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def publish(
-        self, replica_id: str, waiting_tokens: int | None, running: int, now_s: float
-    ) -> LoadEntry | None:
+    def publish(self, replica_id: str, load: ReplicaLoad | None, now_s: float) -> LoadEntry | None:
         """Offer a load that this daemon read itself; None when not worth a message.
 
-        ``waiting_tokens`` None says that the replica takes no work now.
+        ``load`` None says that the replica takes no work now.
         """
-        available = waiting_tokens is not None
-        entry = LoadEntry(
-            hash_replica(replica_id),
-            int(now_s * 10) & 0xFFFFFFFF,
-            level_of_tokens(waiting_tokens or 0) if available else UNAVAILABLE_LEVEL,
-            min(running, MAX_RUNNING),
-        )
+        entry = quantize(hash_replica(replica_id), load, now_s)
         known = self._entries.get(entry.replica_hash)
         if known is not None:
-            same = (known.level, known.running // 4) == (entry.level, entry.running // 4)
+            same = (known.level, known.urgent_level, known.running // 4) == (
+                entry.level,
+                entry.urgent_level,
+                entry.running // 4,
+            )
             if same and entry.version - known.version < REFRESH_S * 10:
                 return None
         return entry if self._install(entry) else None
@@ -110,7 +127,11 @@
             if self._spread_left[replica_hash] <= 0:
                 del self._spread_left[replica_hash]
             entry = self._entries[replica_hash]
-            parts.append(_ENTRY.pack(replica_hash, entry.version, entry.level, entry.running))
+            parts.append(
+                _ENTRY.pack(
+                    replica_hash, entry.version, entry.level, entry.urgent_level, entry.running
+                )
+            )
         return b"".join(parts)
 
     def unpack(self, packed: bytes) -> list[LoadEntry]:
--- a/winchfork/core/placement.py
+++ b/winchfork/core/placement.py
@@ -52,6 +52,7 @@
     prefix: PromptPrefix
     weights: ClassWeights = ClassWeights()
     zone: str = ""
+    urgent: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,7 +105,8 @@
 ) -> PlacementDecision:
     """Build a decision with its predictions filled in."""
     tokens = uncached_tokens(request.prefix, cached_blocks)
-    first_token_s = replica.expected_wait_s() + tokens / replica.load.prefill_tokens_per_s
+    wait_s = replica.expected_wait_s(urgent=request.urgent)
+    first_token_s = wait_s + tokens / replica.load.prefill_tokens_per_s
     return PlacementDecision(
         replica.replica_id, reason, cached_blocks, tokens, first_token_s, candidates
     )
--- a/winchfork/core/policies/expected_time.py
+++ b/winchfork/core/policies/expected_time.py
@@ -63,7 +63,7 @@
     rate = replica.load.prefill_tokens_per_s
     prefill_s = uncached_tokens(prefix, cached_blocks) / rate
     running = replica.load.running_requests + replica.dispatched_requests
-    wait_s = replica.expected_wait_s() + running * RUNNING_REQUEST_COST_S
+    wait_s = replica.expected_wait_s(urgent=request.urgent) + running * RUNNING_REQUEST_COST_S
     order = 1.0 - rendezvous_score(prefix.family, replica.replica_id) / _SCORE_RANGE
     cost = (
         request.weights.first_token * (wait_s + prefill_s)
--- a/winchfork/emulator/capacity.py
+++ b/winchfork/emulator/capacity.py
@@ -381,7 +381,7 @@
             "zone",
             "",
             ReplicaIdentity(1, 1),
-            ReplicaLoad(generator.randrange(20_000), generator.randrange(30)),
+            ReplicaLoad(generator.randrange(20_000), 0, generator.randrange(30)),
         )
         for number in range(replicas)
     ]
--- a/winchfork/emulator/engine_model.py
+++ b/winchfork/emulator/engine_model.py
@@ -12,7 +12,7 @@
 
 from winchfork.constants import BLOCK_TOKENS
 from winchfork.core.cache_index import CacheEvent, EventKind
-from winchfork.core.fleet import ReplicaIdentity, ReplicaLoad
+from winchfork.core.fleet import ReplicaIdentity, ReplicaLoad, is_urgent
 from winchfork.core.prefix import BlockKey
 
 _EVENTS_KEPT = 20_000
@@ -200,13 +200,18 @@
 
     def load(self) -> ReplicaLoad:
         """Return the load as the engine reports it."""
-        waiting_tokens = sum(
-            sequence.prompt_tokens - self.cache.match(sequence.block_keys) * BLOCK_TOKENS
-            for sequence in self.waiting[:64]
-        )
-        running_tokens = sum(sequence.prefill_left for sequence in self.running)
+        total = urgent = 0
+        for sequence in self.waiting:
+            cached = self.cache.match(sequence.block_keys) * BLOCK_TOKENS
+            tokens = max(0, sequence.prompt_tokens - cached)
+            total += tokens
+            urgent += tokens if is_urgent(sequence.priority) else 0
+        for sequence in self.running:
+            total += sequence.prefill_left
+            urgent += sequence.prefill_left if is_urgent(sequence.priority) else 0
         return ReplicaLoad(
-            waiting_prefill_tokens=max(0, waiting_tokens) + running_tokens,
+            waiting_prefill_tokens=total,
+            urgent_prefill_tokens=urgent,
             running_requests=len(self.running),
             waiting_requests=len(self.waiting),
             prefill_tokens_per_s=self.settings.prefill_tokens_per_s,
--- a/winchfork/emulator/engine_server.py
+++ b/winchfork/emulator/engine_server.py
@@ -286,6 +286,7 @@
             ],
             "load": {
                 "waiting_prefill_tokens": load.waiting_prefill_tokens,
+                "urgent_prefill_tokens": load.urgent_prefill_tokens,
                 "running_requests": load.running_requests,
                 "waiting_requests": load.waiting_requests,
                 "prefill_tokens_per_s": load.prefill_tokens_per_s,
--- a/winchfork/emulator/hollow.py
+++ b/winchfork/emulator/hollow.py
@@ -24,6 +24,7 @@
 from winchfork.cluster.wire import PeerCodec
 from winchfork.constants import HEARTBEAT_PERIOD_S
 from winchfork.core.documents import Document, DocumentName, DocumentSet
+from winchfork.core.fleet import ReplicaLoad
 from winchfork.core.load_gossip import LoadGossip
 from winchfork.core.membership import IndirectProbe, Member, Membership, MemberStatus, Outgoing
 from winchfork.errors import Failure
@@ -136,7 +137,8 @@
         for replica in own_share:
             if daemon.generator.random() < load_changes_per_s * HEARTBEAT_PERIOD_S:
                 tokens = int(daemon.generator.expovariate(1 / 4000))
-                daemon.loads.publish(replica, tokens, daemon.generator.randrange(40), self.now_s)
+                load = ReplicaLoad(tokens, tokens // 3, daemon.generator.randrange(40))
+                daemon.loads.publish(replica, load, self.now_s)
         outgoing = daemon.membership.tick(self.now_s)
         encoded = self._encode(daemon, outgoing)
         daemon.traffic.processor_s += time.perf_counter() - started
--- a/winchfork/emulator/sim_fleet.py
+++ b/winchfork/emulator/sim_fleet.py
@@ -24,8 +24,8 @@
 from winchfork.core.admission import AdmissionLimits, AdmissionQueue, Ticket, Verdict
 from winchfork.core.cache_index import CacheEvent, CacheIndex, EventKind
 from winchfork.core.configuration import TrafficClass
-from winchfork.core.fleet import Fleet, Replica, ReplicaIdentity, ReplicaLoad
-from winchfork.core.load_gossip import level_of_tokens, tokens_of_level
+from winchfork.core.fleet import Fleet, Replica, ReplicaIdentity, is_urgent
+from winchfork.core.load_gossip import quantize
 from winchfork.core.placement import PlacementDecision, PlacementPolicy, PlacementRequest
 from winchfork.core.prefix import CacheScope, PromptPrefix
 from winchfork.core.rendezvous import rendezvous_owner
@@ -212,16 +212,8 @@
                     newer = replica.load_measured_at_s >= at_s
                     if newer or not self.reachable(daemon.zone, replica.zone):
                         continue
-                    quantized = tokens_of_level(level_of_tokens(load.waiting_prefill_tokens))
-                    replica.note_load(
-                        ReplicaLoad(
-                            quantized,
-                            load.running_requests + load.waiting_requests,
-                            0,
-                            load.prefill_tokens_per_s,
-                        ),
-                        at_s,
-                    )
+                    heard = quantize(0, load, at_s).load(load.prefill_tokens_per_s)
+                    replica.note_load(heard, at_s)
 
     # --- requests ---
 
@@ -277,7 +269,12 @@
             placements += 1
             engine = self.engines[decision.replica_id]
             sequence = self._sequence(item, prefix, traffic_class, generated)
-            replica.note_dispatch(sequence.sequence_id, decision.uncached_tokens, self.env.now)
+            replica.note_dispatch(
+                sequence.sequence_id,
+                decision.uncached_tokens,
+                self.env.now,
+                urgent=is_urgent(traffic_class.priority),
+            )
             yield self.env.timeout(self._delay_s(daemon.zone, engine.zone))
             signals: list[Any] = [self.env.event(), self.env.event()]
             refusal = self._submit(engine, daemon, sequence, identity, signals)
@@ -358,7 +355,11 @@
         if not replicas:
             return None
         request = PlacementRequest(
-            f"r{item.number}", prefix, traffic_class.placement_weights(), daemon.zone
+            f"r{item.number}",
+            prefix,
+            traffic_class.placement_weights(),
+            daemon.zone,
+            is_urgent(traffic_class.priority),
         )
         decision: PlacementDecision = daemon.policy.choose(request, replicas, matched)
         replica = next(item for item in replicas if item.replica_id == decision.replica_id)
--- a/winchfork/gateway/generation.py
+++ b/winchfork/gateway/generation.py
@@ -32,7 +32,7 @@
 )
 from winchfork.core.admission import Ticket, Verdict
 from winchfork.core.configuration import Pool
-from winchfork.core.fleet import Replica, ReplicaIdentity
+from winchfork.core.fleet import Replica, ReplicaIdentity, is_urgent
 from winchfork.core.placement import PlacementDecision, PlacementRequest
 from winchfork.core.prefix import CacheScope, PromptPrefix, prompt_prefix
 from winchfork.errors import Failure, FailureKind, RunState
@@ -281,18 +281,20 @@
         scope = CacheScope(context.tenant.name, request.model, version)
         prefix = prompt_prefix(scope, request.prompt.encode())
         found = self._lookup.find(prefix)
+        urgent = is_urgent(context.traffic_class.priority)
         placement = PlacementRequest(
             request_id,
             prefix,
             context.traffic_class.placement_weights(),
             self._state.settings.daemon.zone,
+            urgent,
         )
         attempt_id = f"{request_id}.{next(self._attempts)}"
         with self._state.lock:
             decision = self._state.policy.choose(placement, replicas, found.matched)
             replica = next(item for item in replicas if item.replica_id == decision.replica_id)
             identity = replica.identity
-            replica.note_dispatch(attempt_id, decision.uncached_tokens, time.time())
+            replica.note_dispatch(attempt_id, decision.uncached_tokens, time.time(), urgent=urgent)
         assert identity is not None
         if identity.weights_version != version:
             scope = CacheScope(context.tenant.name, request.model, identity.weights_version)
