Rejoin members after a cut: probe the dead and tell them so

Cause: found by the capacity measurement (region_cut whole_again_after_s = inf): after a cut of a minute each side held the other for dead, probed only members it held for living, and never merged.

Change: each second period one member held for dead is probed, and the probe carries that record, so that a living one refutes it with a higher incarnation.

Also: the policy may copy a prefix from another replica (KV import) instead of computing it, when that is quicker; so far in virtual time only.

--- a/winchfork/core/fleet.py
+++ b/winchfork/core/fleet.py
@@ -27,6 +27,8 @@
     """A replica's own load report. Tokens are prompt tokens not yet prefilled; rates per second.
 
     ``urgent_prefill_tokens`` is the part of ``waiting_prefill_tokens`` that urgent work waits for.
+    ``import_tokens_per_s`` is how fast kept blocks are copied from another replica; 0 stands for an
+    engine that cannot.
     """
 
     waiting_prefill_tokens: int = 0
@@ -35,6 +37,7 @@
     waiting_requests: int = 0
     prefill_tokens_per_s: float = 8000.0
     free_cache_blocks: int = 0
+    import_tokens_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -21,6 +21,8 @@
 #: Each change rides on this many messages times log2 of the members, then is dropped.
 SPREAD_FACTOR = 3
 INDIRECT_PROBES = 2
+#: One dead member is probed each this many periods: after a cut, each side holds the other for dead.
+RECONNECT_PERIODS = 2
 #: Dead members are remembered this long, so that old gossip cannot bring them back.
 FORGET_DEAD_AFTER_S = 300.0
 
@@ -129,6 +131,7 @@
         self._relayed: dict[int, tuple[str, int]] = {}
         self._probe_order: list[str] = []
         self._next_nonce = 1
+        self._periods = 0
 
     def members(self, *, include_leaving: bool = True) -> list[Member]:
         """Return the members that may be working, with this daemon, ordered by id."""
@@ -166,6 +169,9 @@
         if target is not None:
             outgoing.append(self._probe(target.member_id, target.peer_address, now_s))
         known = {entry.member.peer_address for entry in self._tracked.values()}
+        self._periods += 1
+        if self._periods % RECONNECT_PERIODS == 0:
+            outgoing += self._probe_dead(now_s)
         strangers = [seed for seed in self._seeds if seed not in known]
         if strangers:
             outgoing.append(self._probe("", self._generator.choice(strangers), now_s))
@@ -212,7 +218,21 @@
         )
         return [Outgoing(target.member.peer_address, probe)]
 
-    def _probe(self, target_id: str, address: str, now_s: float) -> Outgoing:
+    def _probe_dead(self, now_s: float) -> list[Outgoing]:
+        """Probe a member held for dead, telling it so: if it lives, it refutes."""
+        dead = sorted(
+            member_id
+            for member_id, entry in self._tracked.items()
+            if entry.member.status is MemberStatus.DEAD
+        )
+        if not dead:
+            return []
+        record = self._tracked[self._generator.choice(dead)].member
+        return [self._probe("", record.peer_address, now_s, (record,))]
+
+    def _probe(
+        self, target_id: str, address: str, now_s: float, told: tuple[Member, ...] = ()
+    ) -> Outgoing:
         nonce = self._take_nonce()
         if target_id:
             self._pending[nonce] = _PendingProbe(target_id, now_s)
@@ -220,7 +240,7 @@
             self.own,
             nonce,
             self._revisions(),
-            self._changes(),
+            (*told, *self._changes()),
             loads=self._pack_loads(),
         )
         return Outgoing(address, probe)
--- a/winchfork/core/placement.py
+++ b/winchfork/core/placement.py
@@ -30,6 +30,7 @@
     CHEAPEST_WITH_PREFIX = "cheapest_with_prefix"
     CHEAPEST_COLD = "cheapest_cold"
     HOT_PREFIX_WIDENED = "hot_prefix_widened"
+    HOT_PREFIX_COPIED = "hot_prefix_copied"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,18 +58,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class Candidate:
-    """One replica that was weighed: predicted cached blocks, wait and cost in seconds."""
+    """One replica that was weighed: predicted cached blocks, wait and cost in seconds.
+
+    ``imported_blocks`` is how many leading blocks it would hold after copying from another.
+    """
 
     replica_id: str
     cached_blocks: int
     wait_s: float
     prefill_s: float
     cost: float
+    imported_blocks: int = 0
+    import_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
 class PlacementDecision:
-    """The chosen replica with the reason and the best of the candidates that were weighed."""
+    """The chosen replica with the reason and the best of the candidates that were weighed.
+
+    With ``import_from`` set, the replica first copies the prompt's leading ``import_blocks`` from
+    that replica.
+    """
 
     replica_id: str
     reason: PlacementReason
@@ -76,6 +86,8 @@
     uncached_tokens: int
     expected_first_token_s: float
     candidates: tuple[Candidate, ...] = ()
+    import_from: str = ""
+    import_blocks: int = 0
 
 
 class PlacementPolicy(Protocol):
--- a/winchfork/core/policies/expected_time.py
+++ b/winchfork/core/policies/expected_time.py
@@ -1,17 +1,21 @@
 """winchfork's policy: the least expected cost in seconds, weighed for the traffic class.
 
-cost = first_token * (queued prefill + own prefill) + recompute * own prefill + displacement
+cost = first_token * (queued prefill + import + own prefill)
+     + recompute * (own prefill + displacement)
 
-where the own prefill leaves out the blocks believed cached. Queued prefill on the holder of a hot
-prefix raises its cost until another replica is cheaper even with the prefix to recompute: that is
-how a family widens. The spill goes to the replicas next in the family's rendezvous order, so that
-every daemon widens to the same ones, and the family narrows by itself when the queue is gone.
+where the own prefill leaves out the blocks believed cached, and those that are copied from another
+replica when copying is quicker than computing. Queued prefill on the holder of a hot prefix raises
+its cost until another replica is cheaper: that is how a family widens. The spill goes to the
+replicas next in the family's rendezvous order, so that every daemon widens to the same ones, and
+the family narrows by itself when the queue is gone.
 """
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Mapping, Sequence
 
+from winchfork.constants import BLOCK_TOKENS
 from winchfork.core.fleet import Replica
 from winchfork.core.placement import (
     Candidate,
@@ -23,18 +27,28 @@
 )
 from winchfork.core.rendezvous import rendezvous_score
 
-#: Share of a cold copy's prefill time charged for the blocks that it pushes out of the cache.
+#: Share of newly stored blocks' prefill time charged for the blocks that they push out.
 DISPLACEMENT_WEIGHT = 0.5
 #: Seconds of waiting charged for each request already decoding on the replica (batch slowdown).
 RUNNING_REQUEST_COST_S = 0.004
 #: Seconds charged across a family's rendezvous order, first choice to last; breaks ties the same
 #: way on every daemon without outweighing real queues.
 ORDER_COST_S = 0.05
+#: Seconds to set up a copy, whatever its size.
+IMPORT_SETUP_S = 0.02
 #: Candidates kept for the explanation.
 EXPLAINED_CANDIDATES = 4
 _SCORE_RANGE = float(1 << 64)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Source:
+    """The replica that holds the most of the prompt."""
+
+    replica_id: str
+    blocks: int
+
+
 class ExpectedTime:
     """Chooses the candidate of least expected cost."""
 
@@ -42,40 +56,67 @@
         self, request: PlacementRequest, replicas: Sequence[Replica], matched: Mapping[str, int]
     ) -> PlacementDecision:
         """Return the cheapest replica with the best alternatives."""
+        source = _deepest(matched)
         weighed = [
-            _weigh(request, replica, matched.get(replica.replica_id, 0)) for replica in replicas
+            _weigh(request, replica, matched.get(replica.replica_id, 0), source)
+            for replica in replicas
         ]
         ranked = sorted(weighed, key=lambda item: (item.cost, item.replica_id))
         best = ranked[0]
         chosen = next(item for item in replicas if item.replica_id == best.replica_id)
-        deepest = max(matched.values(), default=0)
-        return decide(
+        held = max(best.cached_blocks, best.imported_blocks)
+        decision = decide(
             request,
             chosen,
-            _reason(best.cached_blocks, deepest),
-            best.cached_blocks,
+            _reason(best, source),
+            held,
             tuple(ranked[:EXPLAINED_CANDIDATES]),
         )
+        if not best.imported_blocks:
+            return decision
+        return dataclasses.replace(
+            decision,
+            expected_first_token_s=decision.expected_first_token_s + best.import_s,
+            import_from=source.replica_id,
+            import_blocks=best.imported_blocks,
+        )
+
+
+def _deepest(matched: Mapping[str, int]) -> _Source:
+    replica_id = max(matched, key=lambda name: (matched[name], name), default="")
+    return _Source(replica_id, matched.get(replica_id, 0))
 
 
-def _weigh(request: PlacementRequest, replica: Replica, cached_blocks: int) -> Candidate:
+def _weigh(
+    request: PlacementRequest, replica: Replica, cached_blocks: int, source: _Source
+) -> Candidate:
     prefix = request.prefix
-    rate = replica.load.prefill_tokens_per_s
-    prefill_s = uncached_tokens(prefix, cached_blocks) / rate
-    running = replica.load.running_requests + replica.dispatched_requests
+    load = replica.load
+    rate = load.prefill_tokens_per_s
+    all_prefill_s = uncached_tokens(prefix, cached_blocks) / rate
+    prefill_s, import_s, imported = all_prefill_s, 0.0, 0
+    if source.blocks > cached_blocks and load.import_tokens_per_s > 0:
+        copied_tokens = (source.blocks - cached_blocks) * BLOCK_TOKENS
+        copy_s = IMPORT_SETUP_S + copied_tokens / load.import_tokens_per_s
+        rest_s = uncached_tokens(prefix, source.blocks) / rate
+        if copy_s + rest_s < all_prefill_s:
+            prefill_s, import_s, imported = rest_s, copy_s, source.blocks
+    running = load.running_requests + replica.dispatched_requests
     wait_s = replica.expected_wait_s(urgent=request.urgent) + running * RUNNING_REQUEST_COST_S
     order = 1.0 - rendezvous_score(prefix.family, replica.replica_id) / _SCORE_RANGE
     cost = (
-        request.weights.first_token * (wait_s + prefill_s)
-        + request.weights.recompute * prefill_s * (1.0 + DISPLACEMENT_WEIGHT)
+        request.weights.first_token * (wait_s + import_s + prefill_s)
+        + request.weights.recompute * (prefill_s + DISPLACEMENT_WEIGHT * all_prefill_s)
         + ORDER_COST_S * order
     )
-    return Candidate(replica.replica_id, cached_blocks, wait_s, prefill_s, cost)
+    return Candidate(replica.replica_id, cached_blocks, wait_s, prefill_s, cost, imported, import_s)
 
 
-def _reason(cached_blocks: int, deepest: int) -> PlacementReason:
-    if cached_blocks == 0 and deepest == 0:
+def _reason(best: Candidate, source: _Source) -> PlacementReason:
+    if best.imported_blocks:
+        return PlacementReason.HOT_PREFIX_COPIED
+    if source.blocks == 0:
         return PlacementReason.CHEAPEST_COLD
-    if cached_blocks < deepest:
+    if best.cached_blocks < source.blocks:
         return PlacementReason.HOT_PREFIX_WIDENED
     return PlacementReason.CHEAPEST_WITH_PREFIX
--- a/winchfork/emulator/capacity.py
+++ b/winchfork/emulator/capacity.py
@@ -178,11 +178,12 @@
     region.run(_WARM_UP_S)
     region.reset_traffic()
     zone = [daemon for daemon in region.daemons if daemon.membership.own.zone == "zone-0"]
-    region.cut = {daemon.address for daemon in zone}
+    cut = {daemon.address for daemon in zone}
+    region.cut_between(cut)
     region.run(60.0, load_changes_per_s=0.0)
-    during = [daemon.traffic for daemon in region.daemons if daemon.address not in region.cut]
+    during = [daemon.traffic for daemon in region.daemons if daemon.address not in cut]
     cut_bytes = sum(item.sent_bytes + item.received_bytes for item in during) / len(during) / 60
-    region.cut = set()
+    region.cut_between(set())
     healed_s = _run_until(
         region,
         lambda: all(len(daemon.membership.members()) == daemons for daemon in region.daemons),
--- a/winchfork/emulator/comparison.py
+++ b/winchfork/emulator/comparison.py
@@ -40,6 +40,7 @@
     measures = {
         "hit_rate": report["hit_rate"],
         "wasted_share": report["wasted_share"],
+        "imported_blocks": report["imported_blocks_per_request"],
         "lost": float(report["lost"]),
         "dispatches_per_request": report["dispatches"] / max(1, report["requests"]),
     }
--- a/winchfork/emulator/engine_model.py
+++ b/winchfork/emulator/engine_model.py
@@ -28,6 +28,8 @@
     step_prefill_tokens: int = 512
     max_running: int = 48
     cache_blocks: int = 400
+    import_tokens_per_s: float = 80_000.0
+    import_setup_s: float = 0.02
 
 
 @dataclasses.dataclass
@@ -157,6 +159,7 @@
         self.waiting: list[Sequence] = []
         self.running: list[Sequence] = []
         self.computed_prefill_tokens = 0
+        self.imported_blocks = 0
         self._events: deque[tuple[float, CacheEvent]] = deque(maxlen=_EVENTS_KEPT)
         self._next_sequence = 1
 
@@ -186,6 +189,33 @@
         self._events.clear()
         self._next_sequence = 1
 
+    def import_blocks(self, keys: tuple[BlockKey, ...], now_s: float) -> int:
+        """Store copied leading blocks of a chain, unpinned; return how many are now held."""
+        stored: list[BlockKey] = []
+        evicted: list[BlockKey] = []
+        held = self.cache.match(keys)
+        pinned = keys[:held]
+        for key in pinned:
+            self.cache.acquire(key)
+        for position in range(held, len(keys)):
+            if keys[position] in self.cache:
+                self.cache.acquire(keys[position])
+            else:
+                victims = self.cache.store(keys[position], keys[position - 1] if position else 0)
+                if victims is None:
+                    break
+                evicted += victims
+                stored.append(keys[position])
+            pinned = keys[: position + 1]
+        for key in pinned:
+            self.cache.release(key)
+        if evicted:
+            self._publish(EventKind.REMOVED, tuple(evicted), now_s)
+        if stored:
+            self._publish(EventKind.STORED, tuple(stored), now_s, keys[held - 1] if held else 0)
+        self.imported_blocks += len(stored)
+        return len(pinned)
+
     def load_weights(self, version: int, now_s: float) -> list[Sequence]:
         """Switch weights: cached blocks belong to the old ones and go; return what was aborted."""
         aborted = [*self.waiting, *self.running]
@@ -216,6 +246,7 @@
             waiting_requests=len(self.waiting),
             prefill_tokens_per_s=self.settings.prefill_tokens_per_s,
             free_cache_blocks=self.cache.free_blocks,
+            import_tokens_per_s=self.settings.import_tokens_per_s,
         )
 
     @property
--- a/winchfork/emulator/experiment.py
+++ b/winchfork/emulator/experiment.py
@@ -146,6 +146,8 @@
     env.run(until=options.duration_s + _DRAIN_S)
     fault_at_s = options.faults[0].at_s if options.faults else None
     report = metrics.report(fault_at_s)
+    imported = sum(engine.model.imported_blocks for engine in engines)
+    report["imported_blocks_per_request"] = imported / max(1, metrics.arrived)
     report["unfinished"] = (
         metrics.arrived - len(metrics.records) - metrics.lost - sum(metrics.refused.values())
     )
--- a/winchfork/emulator/hollow.py
+++ b/winchfork/emulator/hollow.py
@@ -80,7 +80,7 @@
             (self._random.random() * HEARTBEAT_PERIOD_S, number) for number in range(daemons)
         ]
         heapq.heapify(self._ticks)
-        self.cut: set[str] = set()
+        self._cut: set[str] = set()
 
     def run(self, seconds: float, *, load_changes_per_s: float = 1.0) -> None:
         """Run for a span of virtual time; each replica's load changes at the given rate."""
@@ -122,6 +122,10 @@
         daemon.installed_at_s[revision] = self.now_s
         self._notify(daemon)
 
+    def cut_between(self, addresses: set[str]) -> None:
+        """Cut these daemons off from the rest; they still reach each other."""
+        self._cut = addresses
+
     def statuses_of(self, member_id: str) -> list[MemberStatus | None]:
         """Return how each living daemon sees a member."""
         found: list[MemberStatus | None] = []
@@ -156,7 +160,7 @@
         for address, datagram in encoded:
             daemon.traffic.sent += 1
             daemon.traffic.sent_bytes += len(datagram)
-            if daemon.address in self.cut or address in self.cut:
+            if (daemon.address in self._cut) != (address in self._cut):
                 continue
             entry = (self.now_s + _DELAY_S, next(self._order), daemon.address, address, datagram)
             heapq.heappush(self._queue, entry)
--- a/winchfork/emulator/sim_engine.py
+++ b/winchfork/emulator/sim_engine.py
@@ -9,6 +9,7 @@
 
 import simpy
 
+from winchfork.constants import BLOCK_TOKENS
 from winchfork.core.fleet import ReplicaIdentity
 from winchfork.core.prefix import BlockKey
 from winchfork.emulator.engine_model import EngineModel, EngineSettings, Sequence
@@ -55,19 +56,52 @@
         self._streams: dict[str, _Running] = {}
         self._wake = env.event()
         self._generation = 0
+        self._link_free_s = 0.0
         env.process(self._run())
 
     def submit(
-        self, sequence: Sequence, expected: ReplicaIdentity, listener: Listener
+        self,
+        sequence: Sequence,
+        expected: ReplicaIdentity,
+        listener: Listener,
+        source: SimEngine | None = None,
+        import_blocks: int = 0,
     ) -> StreamSignal | None:
-        """Start a generation; REFUSED when it does not accept work or the fence is stale."""
+        """Start a generation; REFUSED when it does not accept work or the fence is stale.
+
+        With a ``source``, the prompt's leading ``import_blocks`` are copied from it first.
+        """
         if not self.accepting or expected != self.model.identity:
             return StreamSignal.REFUSED
         self._streams[sequence.sequence_id] = _Running(sequence, listener, sequence.generated)
+        if source is None:
+            self._enqueue(sequence)
+        else:
+            keys = sequence.block_keys[:import_blocks]
+            self._env.process(self._import(sequence, keys, source))
+        return None
+
+    def _enqueue(self, sequence: Sequence) -> None:
         self.model.submit(sequence)
         if not self._wake.triggered:
             self._wake.succeed()
-        return None
+
+    def _import(self, sequence: Sequence, keys: tuple[BlockKey, ...], source: SimEngine) -> Any:
+        """Copy blocks over a link that serves one copy at a time, then queue the generation."""
+        held = source.model.cache.match(keys)
+        missing = held - self.model.cache.match(keys)
+        if missing > 0:
+            settings = self.model.settings
+            seconds = missing * BLOCK_TOKENS / settings.import_tokens_per_s
+            seconds += settings.import_setup_s
+            self._link_free_s = max(self._link_free_s, self._env.now) + seconds
+            generation = self._generation
+            yield self._env.timeout(self._link_free_s - self._env.now)
+            if generation != self._generation:
+                return
+            self.model.import_blocks(keys[:held], self._env.now)
+        if sequence.sequence_id in self._streams:
+            self._enqueue(sequence)
 
     def cancel(self, sequence_id: str) -> None:
         """Drop a generation."""
--- a/winchfork/emulator/sim_fleet.py
+++ b/winchfork/emulator/sim_fleet.py
@@ -277,7 +277,7 @@
             )
             yield self.env.timeout(self._delay_s(daemon.zone, engine.zone))
             signals: list[Any] = [self.env.event(), self.env.event()]
-            refusal = self._submit(engine, daemon, sequence, identity, signals)
+            refusal = self._submit(engine, daemon, sequence, identity, signals, decision)
             if refusal is None:
                 first = yield signals[0]
                 replica.note_started(sequence.sequence_id)
@@ -309,6 +309,7 @@
         sequence: EngineSequence,
         identity: ReplicaIdentity,
         signals: list[Any],
+        decision: PlacementDecision,
     ) -> StreamSignal | None:
         if not self.reachable(daemon.zone, engine.zone):
             return StreamSignal.REFUSED
@@ -321,7 +322,10 @@
                     if signal is StreamSignal.FIRST_TOKEN:
                         return
 
-        return engine.submit(sequence, identity, hear)
+        source = self.engines.get(decision.import_from)
+        if source is not None and not self.reachable(source.zone, engine.zone):
+            source = None
+        return engine.submit(sequence, identity, hear, source, decision.import_blocks)
 
     def _learn_from_refusal(self, engine: SimEngine, daemon: SimDaemon, replica: Replica) -> None:
         if self.reachable(daemon.zone, engine.zone) and engine.accepting:
