--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,26 @@
+"""A failure says "not run" only where nothing can have run."""
+
+from __future__ import annotations
+
+import unittest
+
+from winchfork.errors import FailureKind, RunState
+
+
+class RunStateTest(unittest.TestCase):
+    def test_kinds_that_arise_during_execution_never_default_to_not_run(self) -> None:
+        for kind in (
+            FailureKind.INTERNAL,
+            FailureKind.BACKEND_BROKE,
+            FailureKind.STREAM_BROKEN,
+            FailureKind.DEADLINE_EXCEEDED,
+            FailureKind.CALLER_LEFT,
+            FailureKind.OUTCOME_UNKNOWN,
+            FailureKind.CLAIM_HELD,
+            FailureKind.CLAIM_NO_MAJORITY,
+        ):
+            self.assertIs(kind.because("x").ran, RunState.UNKNOWN, kind)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/winchfork/backends/http_client.py
+++ b/winchfork/backends/http_client.py
@@ -15,6 +15,7 @@
 
 import pycurl
 
+from winchfork.backends.stream_pump import StreamPump
 from winchfork.constants import CONNECT_TIMEOUT_S
 from winchfork.errors import Failure, FailureKind, RunState
 
@@ -69,19 +70,26 @@
 
     def __init__(self, *, verify_file: str | None = None) -> None:
         self._verify_file = verify_file
+        self._pump = StreamPump()
         self._idle: dict[str, collections.deque[pycurl.Curl]] = collections.defaultdict(
             collections.deque
         )
         self._lock = threading.Lock()
 
     def exchange(self, request: HttpRequest) -> HttpAnswer | Failure:
-        """Perform a request and return the whole answer."""
+        """Perform a request on the calling thread and return the whole answer."""
         parts: list[bytes] = []
-        result = self.stream(request, lambda status, headers: None, parts.append)
-        if isinstance(result, Failure):
-            return result
-        status, headers = result
-        return HttpAnswer(status, headers, b"".join(parts))
+        exchange = _Exchange()
+        handle, origin = self._open(request)
+        _prepare(handle, request, exchange, lambda status, headers: None, parts.append)
+        try:
+            handle.perform()
+        except pycurl.error as error:
+            message = handle.errstr()
+            handle.close()
+            return _describe(int(error.args[0]), message, exchange.status, origin)
+        self._close_or_keep(request, origin, handle)
+        return HttpAnswer(exchange.status, exchange.headers, b"".join(parts))
 
     def stream(
         self,
@@ -90,27 +98,23 @@
         on_data: Callable[[bytes], Failure | None],
         should_stop: Callable[[], Failure | None] = lambda: None,
     ) -> tuple[int, Mapping[str, str]] | Failure:
-        """Perform a request, handing over body data as it arrives.
+        """Perform a request, handing over body data as it arrives; blocks until the end.
 
-        Each callback may return a Failure to abort the exchange; that failure is the result.
+        The callbacks run on the pump's thread and must not block. Each may return a Failure to
+        abort the exchange; that failure is the result.
         """
-        origin = urlsplit(request.url).netloc
-        handle = pycurl.Curl() if request.single_use else self._borrow(origin)
         exchange = _Exchange()
-        self._prepare(handle, request, exchange, on_start, on_data, should_stop)
-        try:
-            handle.perform()
-        except pycurl.error as error:
-            handle_message = handle.errstr()
+        handle, origin = self._open(request)
+        _prepare(handle, request, exchange, on_start, on_data)
+        end = self._pump.run(handle, should_stop).result()
+        if end.code != 0:
             handle.close()
             if exchange.aborted is not None:
                 return exchange.aborted
-            code, message = int(error.args[0]), handle_message
-            return _describe(code, message, exchange.status, origin)
-        if request.single_use:
-            handle.close()
-        else:
-            self._give_back(origin, handle)
+            if end.stopped is not None:
+                return end.stopped
+            return _describe(end.code, end.message, exchange.status, origin)
+        self._close_or_keep(request, origin, handle)
         return exchange.status, exchange.headers
 
     def close(self) -> None:
@@ -120,6 +124,20 @@
                 for handle in handles:
                     handle.close()
             self._idle.clear()
+        self._pump.close()
+
+    def _open(self, request: HttpRequest) -> tuple[pycurl.Curl, str]:
+        origin = urlsplit(request.url).netloc
+        handle = pycurl.Curl() if request.single_use else self._borrow(origin)
+        if self._verify_file:
+            handle.setopt(pycurl.CAINFO, self._verify_file)
+        return handle, origin
+
+    def _close_or_keep(self, request: HttpRequest, origin: str, handle: pycurl.Curl) -> None:
+        if request.single_use:
+            handle.close()
+        else:
+            self._give_back(origin, handle)
 
     def _borrow(self, origin: str) -> pycurl.Curl:
         with self._lock:
@@ -137,59 +155,49 @@
                 return
         handle.close()
 
-    def _prepare(
-        self,
-        handle: pycurl.Curl,
-        request: HttpRequest,
-        exchange: _Exchange,
-        on_start: Callable[[int, Mapping[str, str]], Failure | None],
-        on_data: Callable[[bytes], Failure | None],
-        should_stop: Callable[[], Failure | None],
-    ) -> None:
-        def receive_header(line: bytes) -> None:
-            text = line.decode("latin-1").strip()
-            if text.startswith("HTTP/"):
-                exchange.status = int(text.split(" ", 2)[1])
-                exchange.headers = {}
-            elif ":" in text:
-                name, _, value = text.partition(":")
-                exchange.headers[name.strip().lower()] = value.strip()
-            elif not text and exchange.status >= 200:
-                exchange.aborted = on_start(exchange.status, exchange.headers)
-
-        def receive_body(data: bytes) -> int:
-            if exchange.aborted is None:
-                exchange.aborted = on_data(data)
-            return -1 if exchange.aborted is not None else len(data)
-
-        def check_progress(*_counts: float) -> int:
-            if exchange.aborted is None:
-                exchange.aborted = should_stop()
-            return 1 if exchange.aborted is not None else 0
-
-        handle.setopt(pycurl.URL, request.url)
-        handle.setopt(pycurl.CUSTOMREQUEST, request.method)
-        handle.setopt(pycurl.NOSIGNAL, 1)
-        handle.setopt(pycurl.NOPROXY, "*")
-        handle.setopt(pycurl.TCP_NODELAY, 1)
-        handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT_S * 1000))
-        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(request.timeout_s * 1000)))
-        if request.silence_s:
-            handle.setopt(pycurl.LOW_SPEED_LIMIT, 1)
-            handle.setopt(pycurl.LOW_SPEED_TIME, max(1, int(request.silence_s)))
-        if request.single_use:
-            handle.setopt(pycurl.FRESH_CONNECT, 1)
-            handle.setopt(pycurl.FORBID_REUSE, 1)
-        if self._verify_file:
-            handle.setopt(pycurl.CAINFO, self._verify_file)
-        headers = [f"{name}: {value}" for name, value in request.headers.items()]
-        handle.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
-        if request.body or request.method in ("POST", "PUT"):
-            handle.setopt(pycurl.POSTFIELDS, request.body)
-        handle.setopt(pycurl.HEADERFUNCTION, receive_header)
-        handle.setopt(pycurl.WRITEFUNCTION, receive_body)
-        handle.setopt(pycurl.NOPROGRESS, 0)
-        handle.setopt(pycurl.XFERINFOFUNCTION, check_progress)
+
+def _prepare(
+    handle: pycurl.Curl,
+    request: HttpRequest,
+    exchange: _Exchange,
+    on_start: Callable[[int, Mapping[str, str]], Failure | None],
+    on_data: Callable[[bytes], Failure | None],
+) -> None:
+    def receive_header(line: bytes) -> None:
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            exchange.status = int(text.split(" ", 2)[1])
+            exchange.headers = {}
+        elif ":" in text:
+            name, _, value = text.partition(":")
+            exchange.headers[name.strip().lower()] = value.strip()
+        elif not text and exchange.status >= 200:
+            exchange.aborted = on_start(exchange.status, exchange.headers)
+
+    def receive_body(data: bytes) -> int:
+        if exchange.aborted is None:
+            exchange.aborted = on_data(data)
+        return -1 if exchange.aborted is not None else len(data)
+
+    handle.setopt(pycurl.URL, request.url)
+    handle.setopt(pycurl.CUSTOMREQUEST, request.method)
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.NOPROXY, "*")
+    handle.setopt(pycurl.TCP_NODELAY, 1)
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT_S * 1000))
+    handle.setopt(pycurl.TIMEOUT_MS, max(1, int(request.timeout_s * 1000)))
+    if request.silence_s:
+        handle.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+        handle.setopt(pycurl.LOW_SPEED_TIME, max(1, int(request.silence_s)))
+    if request.single_use:
+        handle.setopt(pycurl.FRESH_CONNECT, 1)
+        handle.setopt(pycurl.FORBID_REUSE, 1)
+    headers = [f"{name}: {value}" for name, value in request.headers.items()]
+    handle.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
+    if request.body or request.method in ("POST", "PUT"):
+        handle.setopt(pycurl.POSTFIELDS, request.body)
+    handle.setopt(pycurl.HEADERFUNCTION, receive_header)
+    handle.setopt(pycurl.WRITEFUNCTION, receive_body)
 
 
 def _describe(code: int, message: str, status: int, origin: str) -> Failure:
--- /dev/null
+++ b/winchfork/backends/stream_pump.py
@@ -0,0 +1,161 @@
+"""One thread that moves every streaming exchange of an HTTP client.
+
+A thread for each stream would contend for the interpreter with every chunk of every other stream;
+with one thread a chunk costs its own work only. Callbacks run on the pump's thread and must not
+block; a caller that reads slowly is the receiving side's affair (``gateway.direct_stream``).
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import selectors
+import socket
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+
+import pycurl
+
+from winchfork.errors import Failure
+
+#: How often each running exchange is asked whether it should stop.
+_STOP_CHECK_PERIOD_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class TransferEnd:
+    """How a transfer ended: curl's code (0 for success) and message, or what stopped it."""
+
+    code: int
+    message: str
+    stopped: Failure | None = None
+
+
+@dataclasses.dataclass
+class _Transfer:
+    handle: pycurl.Curl
+    should_stop: Callable[[], Failure | None]
+    future: Future[TransferEnd]
+
+
+class StreamPump:
+    """Runs prepared curl handles. Thread-safe; the thread starts with the first transfer."""
+
+    def __init__(self) -> None:
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
+        self._selector = selectors.DefaultSelector()
+        self._waker, self._woken = socket.socketpair()
+        self._woken.setblocking(False)
+        self._selector.register(self._woken, selectors.EVENT_READ)
+        self._inbox: collections.deque[_Transfer] = collections.deque()
+        self._running: dict[pycurl.Curl, _Transfer] = {}
+        self._timer_at_s: float | None = None
+        self._lock = threading.Lock()
+        self._thread: threading.Thread | None = None
+        self._closing = False
+        self._ended = False
+
+    def run(
+        self, handle: pycurl.Curl, should_stop: Callable[[], Failure | None]
+    ) -> Future[TransferEnd]:
+        """Start a transfer; the handle belongs to the pump until the future is done."""
+        transfer = _Transfer(handle, should_stop, Future())
+        with self._lock:
+            if self._thread is None:
+                self._thread = threading.Thread(target=self._loop, daemon=True, name="pump")
+                self._thread.start()
+        self._inbox.append(transfer)
+        self._waker.send(b"w")
+        return transfer.future
+
+    def close(self) -> None:
+        """Stop the thread; running transfers end as stopped."""
+        self._closing = True
+        self._waker.send(b"w")
+
+    def _loop(self) -> None:
+        next_check_s = time.monotonic() + _STOP_CHECK_PERIOD_S
+        while not self._closing:
+            now_s = time.monotonic()
+            wake_s = next_check_s if self._timer_at_s is None else self._timer_at_s
+            for key, mask in self._selector.select(max(0.0, min(wake_s, next_check_s) - now_s)):
+                if key.fileobj is self._woken:
+                    self._take_inbox()
+                else:
+                    self._act(key.fd, mask)
+            now_s = time.monotonic()
+            if self._timer_at_s is not None and self._timer_at_s <= now_s:
+                self._timer_at_s = None
+                self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+                self._ended = True
+            if now_s >= next_check_s:
+                next_check_s = now_s + _STOP_CHECK_PERIOD_S
+                self._check_stops()
+            if self._ended:
+                self._ended = False
+                self._collect()
+        for transfer in list(self._running.values()):
+            self._finish(transfer, TransferEnd(pycurl.E_ABORTED_BY_CALLBACK, "client closed"))
+
+    def _take_inbox(self) -> None:
+        try:
+            self._woken.recv(4096)
+        except BlockingIOError:
+            return
+        while self._inbox:
+            transfer = self._inbox.popleft()
+            self._running[transfer.handle] = transfer
+            self._multi.add_handle(transfer.handle)
+        # Kicks the added handles off.
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._ended = True
+
+    def _act(self, descriptor: int, mask: int) -> None:
+        flags = pycurl.CSELECT_IN if mask & selectors.EVENT_READ else 0
+        if mask & selectors.EVENT_WRITE:
+            flags |= pycurl.CSELECT_OUT
+        _, active = self._multi.socket_action(descriptor, flags)
+        self._ended = self._ended or active < len(self._running)
+
+    def _on_socket(self, event: int, descriptor: int, _multi: object, _data: object) -> None:
+        known = descriptor in self._selector.get_map()
+        if event == pycurl.POLL_REMOVE:
+            if known:
+                self._selector.unregister(descriptor)
+            return
+        mask = selectors.EVENT_READ if event & pycurl.POLL_IN else 0
+        if event & pycurl.POLL_OUT:
+            mask |= selectors.EVENT_WRITE
+        if known:
+            self._selector.modify(descriptor, mask)
+        else:
+            self._selector.register(descriptor, mask)
+
+    def _on_timer(self, timeout_ms: int) -> None:
+        self._timer_at_s = None if timeout_ms < 0 else time.monotonic() + timeout_ms / 1000
+
+    def _check_stops(self) -> None:
+        for transfer in list(self._running.values()):
+            stopped = transfer.should_stop()
+            if stopped is not None:
+                end = TransferEnd(pycurl.E_ABORTED_BY_CALLBACK, "stopped", stopped)
+                self._finish(transfer, end)
+
+    def _collect(self) -> None:
+        while True:
+            left, succeeded, failed = self._multi.info_read()
+            for handle in succeeded:
+                self._finish(self._running[handle], TransferEnd(0, ""))
+            for handle, code, message in failed:
+                self._finish(self._running[handle], TransferEnd(code, message))
+            if not left:
+                return
+
+    def _finish(self, transfer: _Transfer, end: TransferEnd) -> None:
+        del self._running[transfer.handle]
+        self._multi.remove_handle(transfer.handle)
+        transfer.future.set_result(end)
--- a/winchfork/cli/serve_command.py
+++ b/winchfork/cli/serve_command.py
@@ -15,7 +15,7 @@
 from winchfork.settings import load_settings
 
 
-def add_parser(commands: Any) -> None:
+def add_parsers(commands: Any) -> None:
     """Add the subcommand."""
     parser = commands.add_parser(
         "serve",
--- a/winchfork/cluster/node.py
+++ b/winchfork/cluster/node.py
@@ -93,6 +93,9 @@
 
     def run_ticks(self) -> None:
         """Probe once a period until stopped; the body of one thread."""
+        with self.state.lock:
+            joining = self.state.membership.join(time.time())
+        self._send_all(joining)
         while not self._stopping.wait(HEARTBEAT_PERIOD_S):
             with self.state.lock:
                 outgoing = self.state.membership.tick(time.time())
--- a/winchfork/cluster/transport.py
+++ b/winchfork/cluster/transport.py
@@ -32,6 +32,9 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BUFFER_BYTES)
         self._socket.bind(split_address(address))
         self._socket.settimeout(_POLL_S)
+        host, port = self._socket.getsockname()[:2]
+        #: The bound address, with the real port.
+        self.address = f"{host}:{port}"
         self._codec = codec
         self._nonces = itertools.count(1)
         self._waiting: dict[int, Future[Any]] = {}
@@ -42,12 +45,6 @@
         self.received_messages = 0
         self.received_bytes = 0
 
-    @property
-    def address(self) -> str:
-        """The bound address, with the real port."""
-        host, port = self._socket.getsockname()[:2]
-        return f"{host}:{port}"
-
     def send(self, address: str, message: Any) -> None:
         """Send one datagram; loss is the receiver's to notice."""
         datagram = self._codec.encode(message)
--- a/winchfork/core/admission.py
+++ b/winchfork/core/admission.py
@@ -14,7 +14,7 @@
 import enum
 from collections import deque
 
-from winchfork.errors import Failure, FailureKind
+from winchfork.errors import Failure, FailureKind, RunState
 
 AGING_S = 20.0
 BATCH_SHARE = 0.7
@@ -87,6 +87,7 @@
             return FailureKind.DEADLINE_EXCEEDED.because(
                 f"the expected wait of {expected_s:.1f} s would miss the deadline",
                 remedy="come back after the given time or allow a later deadline",
+                ran=RunState.NOT_RUN,
                 retry_after_s=expected_s,
             )
         tenants = self._waiting.setdefault(ticket.traffic_class, {})
--- a/winchfork/core/claims.py
+++ b/winchfork/core/claims.py
@@ -430,6 +430,7 @@
             return kind.because(
                 f"no majority of voters granted the claim ({summary})",
                 remedy="send the command again under a new key",
+                ran=RunState.NOT_RUN,
                 retry_after_s=1.0,
             )
         return kind.because(
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -161,6 +161,10 @@
             if address != self.own.peer_address and address not in self._seeds:
                 self._seeds.append(address)
 
+    def join(self, now_s: float) -> list[Outgoing]:
+        """Probe every seed at once, at the start: the replies bring members and documents."""
+        return [self._probe("", seed, now_s) for seed in self._seeds]
+
     def tick(self, now_s: float) -> list[Outgoing]:
         """Run one period: expire what is overdue and probe one member."""
         outgoing = self._expire_probes(now_s)
--- a/winchfork/emulator/application_server.py
+++ b/winchfork/emulator/application_server.py
@@ -47,6 +47,11 @@
         with self._lock:
             return dict(self._executions)
 
+    def lose_answers(self, count: int) -> None:
+        """Lose the answers of the next ``count`` requests after executing them."""
+        with self._lock:
+            self._lose_answers = count
+
     def _application(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         request = Request(environ)
         if request.path == "/application/executions":
--- a/winchfork/emulator/engine_server.py
+++ b/winchfork/emulator/engine_server.py
@@ -8,12 +8,10 @@
 from __future__ import annotations
 
 import json
-import queue
 import random
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Iterator
 from typing import Any
 
 import xxhash
@@ -28,7 +26,8 @@
 from winchfork.emulator.engine_model import EngineModel, EngineSettings, Sequence, TokensOut
 from winchfork.emulator.json_http import json_response, route_requests
 from winchfork.errors import Failure
-from winchfork.gateway.server import PooledServer
+from winchfork.gateway.direct_stream import DirectStream
+from winchfork.gateway.server import PooledServer, WsgiApplication
 
 _WORKERS = 256
 _IDLE_WAIT_S = 0.5
@@ -37,19 +36,48 @@
 _EXECUTIONS_KEPT = 100_000
 
 
-class _Ending:
-    """Marks the end of a stream that cannot be completed."""
-
-
 class _Stream:
-    """What the batch loop hands to the handler that serves one generation."""
+    """One generation's stream: the batch thread writes, the handler's thread waits for the end."""
 
-    def __init__(self, prompt: str, first_offset: int) -> None:
+    def __init__(self, attempt_id: str, prompt: str, first_offset: int, total: int) -> None:
+        self.attempt_id = attempt_id
         self.digest = answer_digest(prompt)
-        self.first_offset = first_offset
         self.produced = first_offset
-        self.queue: queue.SimpleQueue[int | _Ending] = queue.SimpleQueue()
+        self.total = total
         self.detached_at_s: float | None = None
+        self._sink: DirectStream | None = None
+        self._ended: threading.Event | None = None
+
+    def attach(self, sink: DirectStream, from_offset: int) -> threading.Event:
+        """Write to ``sink`` from now on, with what was produced since; return the end's event."""
+        self.detach(None)
+        self._sink, self._ended = sink, threading.Event()
+        self.detached_at_s = None
+        ended = self._ended
+        if self.produced > from_offset:
+            self.write_tokens(from_offset, self.produced - from_offset)
+        return ended
+
+    def detach(self, now_s: float | None) -> None:
+        """Stop writing; the handler returns and the connection closes."""
+        self._sink = None
+        self.detached_at_s = now_s
+        if self._ended is not None:
+            self._ended.set()
+
+    def write(self, event: bytes) -> None:
+        """Write one event; a reader that is gone detaches the stream."""
+        if self._sink is not None and self._sink.send(event) is not None:
+            self.detach(time.monotonic())
+
+    def write_tokens(self, offset: int, count: int) -> None:
+        """Write the tokens from ``offset``; the last ones end the stream."""
+        text = "".join(answer_token(self.digest, index) for index in range(offset, offset + count))
+        last = offset + count >= self.total
+        self.write(_piece_event(self.attempt_id, offset, count, text, last))
+        if last:
+            self.write(b"data: [DONE]\n\n")
+            self.detach(None)
 
 
 class EngineServer:
@@ -61,6 +89,7 @@
         self._model = EngineModel(settings, ReplicaIdentity(1, weights_version))
         self._condition = threading.Condition()
         self._streams: dict[str, _Stream] = {}
+        self._announced: dict[str, bool] = {}
         self._executions: OrderedDict[str, int] = OrderedDict()
         self._random = random.Random(seed)
         self._event_loss = 0.0
@@ -126,44 +155,72 @@
                 self._drop_detached(time.monotonic())
 
     def _deliver(self, output: TokensOut) -> None:
-        stream = self._streams.get(output.sequence.sequence_id)
-        if stream is not None:
-            stream.produced += output.count
-            stream.queue.put(output.count)
+        sequence = output.sequence
+        stream = self._streams.get(sequence.sequence_id)
+        if stream is None:
+            return
+        if not self._announced.get(sequence.sequence_id):
+            self._announced[sequence.sequence_id] = True
+            stream.write(self._start_event(sequence.sequence_id, sequence.cached_blocks))
+        stream.produced += output.count
+        stream.write_tokens(output.first_offset, output.count)
+        if sequence.finished and stream.detached_at_s is None:
+            self._forget(sequence.sequence_id)
+
+    def _forget(self, sequence_id: str) -> None:
+        self._streams.pop(sequence_id, None)
+        self._announced.pop(sequence_id, None)
 
     def _drop_detached(self, now_s: float) -> None:
         for sequence_id, stream in list(self._streams.items()):
             detached = stream.detached_at_s
             if detached is not None and now_s - detached > _DETACHED_GRACE_S:
                 self._model.cancel(sequence_id)
-                del self._streams[sequence_id]
+                self._forget(sequence_id)
 
-    def _complete(self, request: Request) -> Response:
+    def _complete(self, request: Request) -> WsgiApplication:
         body = request.get_json()
+        resume = body.get("resume_offset")
         with self._condition:
             refusal = self._refusal(body.get("expect"))
             if refusal is not None:
                 return refusal
-            if body.get("resume_offset") is not None:
-                stream = self._resume(body)
-                if stream is None:
+            if resume is not None:
+                stream = self._streams.get(body["id"])
+                if stream is None or int(resume) > stream.produced:
                     return json_response({"code": "unknown_sequence"}, 409)
-                first = int(body["resume_offset"])
-                sequence = None
-            else:
-                sequence = self._sequence(body)
-                first = sequence.generated
-                stream = _Stream(body["prompt"], first)
-                self._streams[sequence.sequence_id] = stream
-                self._note_execution(body["prompt"])
-        if sequence is not None:
-            self._import_blocks(body.get("import") or {}, sequence)
+                return self._stream_answer(stream, int(resume), None)
+            sequence = self._sequence(body)
+            stream = _Stream(
+                sequence.sequence_id, body["prompt"], sequence.generated, sequence.output_tokens
+            )
+            self._streams[sequence.sequence_id] = stream
+            self._note_execution(body["prompt"])
+        self._import_blocks(body.get("import") or {}, sequence)
+        return self._stream_answer(stream, sequence.generated, sequence)
+
+    def _stream_answer(
+        self, stream: _Stream, from_offset: int, sequence: Sequence | None
+    ) -> WsgiApplication:
+        """Return the answer that streams; ``sequence`` is started with it unless resumed."""
+
+        def answer(environ: dict[str, Any], start_response: Any) -> list[bytes]:
+            headers = [("Content-Type", "text/event-stream")]
+            start_response("200 OK", headers)(b"")
+            sink = DirectStream(environ["winchfork.socket"])
             with self._condition:
-                if sequence.sequence_id in self._streams:
+                ended = stream.attach(sink, from_offset)
+                if sequence is not None and stream.attempt_id in self._streams:
                     self._model.submit(sequence)
                     self._condition.notify_all()
-        events = self._stream_events(body, stream, sequence, first)
-        return Response(events, content_type="text/event-stream")
+            ended.wait()
+            sink.wait_drained()
+            with self._condition:
+                if stream.produced >= stream.total:
+                    self._forget(stream.attempt_id)
+            return []
+
+        return answer
 
     def _import_blocks(self, wanted: dict[str, Any], sequence: Sequence) -> None:
         """Copy leading blocks from another engine; what it does not hold is computed instead.
@@ -232,49 +289,6 @@
             generated=int(emitted["tokens"]),
         )
 
-    def _resume(self, body: dict[str, Any]) -> _Stream | None:
-        stream = self._streams.get(body["id"])
-        if stream is None or int(body["resume_offset"]) > stream.produced:
-            return None
-        abandoned = stream.queue
-        stream.queue = queue.SimpleQueue()
-        abandoned.put(_Ending())
-        stream.detached_at_s = None
-        backlog = stream.produced - int(body["resume_offset"])
-        if backlog:
-            stream.queue.put(backlog)
-        return stream
-
-    def _stream_events(
-        self, body: dict[str, Any], stream: _Stream, sequence: Sequence | None, first: int
-    ) -> Iterator[bytes]:
-        attempt_id, total = body["id"], max(1, int(body["max_tokens"]))
-        source = stream.queue
-        offset = first
-        announced = False
-        try:
-            while offset < total:
-                item = source.get()
-                if isinstance(item, _Ending):
-                    return
-                if not announced:
-                    cached = 0 if sequence is None else sequence.cached_blocks
-                    yield self._start_event(attempt_id, cached)
-                    announced = True
-                text = "".join(
-                    answer_token(stream.digest, index) for index in range(offset, offset + item)
-                )
-                yield _piece_event(attempt_id, offset, item, text, offset + item >= total)
-                offset += item
-            yield b"data: [DONE]\n\n"
-        finally:
-            with self._condition:
-                if stream.queue is source:
-                    if offset >= total:
-                        self._streams.pop(attempt_id, None)
-                    else:
-                        stream.detached_at_s = time.monotonic()
-
     def _start_event(self, attempt_id: str, cached_blocks: int) -> bytes:
         engine = {
             **_identity_body(self._model.identity),
@@ -293,9 +307,10 @@
         sequence_id = request.get_json()["id"]
         with self._condition:
             found = self._model.cancel(sequence_id)
-            stream = self._streams.pop(sequence_id, None)
+            stream = self._streams.get(sequence_id)
             if stream is not None:
-                stream.queue.put(_Ending())
+                stream.detach(None)
+            self._forget(sequence_id)
         return json_response({"cancelled": found})
 
     def _events(self, request: Request) -> Response:
@@ -355,9 +370,10 @@
             time.sleep(self._weights_load_s)
             with self._condition:
                 for sequence in self._model.load_weights(int(body["version"]), time.monotonic()):
-                    stream = self._streams.pop(sequence.sequence_id, None)
+                    stream = self._streams.get(sequence.sequence_id)
                     if stream is not None:
-                        stream.queue.put(_Ending())
+                        stream.detach(None)
+                    self._forget(sequence.sequence_id)
         return json_response(_identity_body(self._model.identity))
 
     def _inject(self, request: Request) -> Response:
@@ -379,16 +395,14 @@
         self._model.crash()
         self._lost_events.clear()
         for stream in self._streams.values():
-            stream.queue.put(_Ending())
+            stream.detach(None)
         self._streams.clear()
+        self._announced.clear()
 
     def _break_streams(self) -> None:
         """Cut the connections but keep generating, so that streams can be resumed."""
         for stream in self._streams.values():
-            abandoned = stream.queue
-            stream.queue = queue.SimpleQueue()
-            stream.detached_at_s = time.monotonic()
-            abandoned.put(_Ending())
+            stream.detach(time.monotonic())
 
     def _list_executions(self, request: Request) -> Response:
         with self._condition:
--- a/winchfork/emulator/json_http.py
+++ b/winchfork/emulator/json_http.py
@@ -8,7 +8,9 @@
 
 from werkzeug.wrappers import Request, Response
 
-Handler = Callable[[Request], Response]
+from winchfork.gateway.server import WsgiApplication
+
+Handler = Callable[[Request], WsgiApplication]
 
 
 def json_response(body: Any, status: int = 200) -> Response:
@@ -25,7 +27,7 @@
         request = Request(environ)
         handler = routes.get((request.method, request.path))
         if handler is None:
-            response = json_response({"error": "no such path"}, 404)
+            response: WsgiApplication = json_response({"error": "no such path"}, 404)
         else:
             try:
                 response = handler(request)
--- a/winchfork/errors.py
+++ b/winchfork/errors.py
@@ -48,19 +48,47 @@
     REVISION_CONFLICT = "revision_conflict"
     NOT_ACCEPTING_WORK = "not_accepting_work"
     BAD_DATAGRAM = "bad_datagram"
+    INTERNAL = "internal"
 
     def because(
         self,
         reason: str,
         *,
         remedy: str = "",
-        ran: RunState = RunState.NOT_RUN,
+        ran: RunState | None = None,
         retry_after_s: float | None = None,
     ) -> Failure:
-        """Build a failure of this kind; ``reason`` says what happened, ``remedy`` what to do."""
+        """Build a failure of this kind; ``reason`` says what happened, ``remedy`` what to do.
+
+        Without ``ran``, a kind that arises before execution says "not run" and every other kind
+        says "unknown": "not run" is a promise and must never be a default by omission.
+        """
+        if ran is None:
+            ran = RunState.NOT_RUN if self in _BEFORE_EXECUTION else RunState.UNKNOWN
         return Failure(self, reason, remedy, ran, retry_after_s)
 
 
+#: Kinds that can only arise before a request is executed.
+_BEFORE_EXECUTION = frozenset(
+    {
+        FailureKind.INVALID_REQUEST,
+        FailureKind.INVALID_SETTINGS,
+        FailureKind.INVALID_CONFIGURATION,
+        FailureKind.UNAUTHENTICATED,
+        FailureKind.NOT_FOUND,
+        FailureKind.METHOD_NOT_ALLOWED,
+        FailureKind.BODY_TOO_LARGE,
+        FailureKind.SENDER_STALLED,
+        FailureKind.OVERLOADED,
+        FailureKind.STOPPING,
+        FailureKind.NO_REPLICA,
+        FailureKind.BACKEND_UNREACHABLE,
+        FailureKind.FENCE_MISMATCH,
+        FailureKind.NOT_ACCEPTING_WORK,
+    }
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Failure:
     """One failure: its kind, why, what the reader can do, and whether the request ran.
@@ -71,7 +99,7 @@
     kind: FailureKind
     reason: str
     remedy: str = ""
-    ran: RunState = RunState.NOT_RUN
+    ran: RunState = RunState.UNKNOWN
     retry_after_s: float | None = None
 
     def with_run_state(self, ran: RunState) -> Failure:
--- a/winchfork/gateway/app.py
+++ b/winchfork/gateway/app.py
@@ -58,7 +58,10 @@
             response = self._route(request, request_id, start_response)
         except Exception as error:  # noqa: BLE001 - the caller gets a typed answer, the log the rest
             log_event("request_crashed", "ERROR", request=request_id, error=repr(error))
-            failure = FailureKind.BACKEND_BROKE.because("an internal error; see the daemon's log")
+            # Nothing is known of how far the request came: it may have run.
+            failure = FailureKind.INTERNAL.because(
+                "an internal error", remedy="see the daemon's log under this request id"
+            )
             response = error_response(failure, request_id)
         if response is None:
             return []
@@ -75,6 +78,8 @@
         if path == "/metrics":
             return self._render_metrics()
         configuration = self._state.configuration.current
+        if configuration.revision == 0:
+            return self._refuse(_not_configured(), request_id)
         tenant = authenticate(request, configuration)
         if isinstance(tenant, Failure):
             return self._refuse(tenant, request_id)
@@ -135,18 +140,20 @@
         start_response: StartResponse,
     ) -> Response | None:
         shape = _format(request_id, parsed)
-        events = EventStream(start_response, request_id)
+        events = EventStream(start_response, request_id, caller.connection)
         result = self._generations.run(
             request_id, pool, parsed, context, caller, lambda text: events.send(shape.piece(text))
         )
         if isinstance(result, GenerationResult):
             self._metrics.request_ended("completed")
             events.send(shape.end(result.end.finish_reason, _usage(parsed, result)))
+            events.finish()
             return None
         if not events.started:
             return self._refuse(result, request_id)
         self._metrics.request_ended(result.kind.value)
         events.send(shape.broken(result, request_id))
+        events.finish()
         return None
 
     def _answer_whole(
@@ -260,8 +267,7 @@
 
 
 def _caller(request: Request, context: CallerContext) -> Caller:
-    connection = request.environ.get("winchfork.socket")
-    return Caller(connection, time.monotonic() + context.deadline_s)
+    return Caller(request.environ["winchfork.socket"], time.monotonic() + context.deadline_s)
 
 
 def _format(request_id: str, parsed: GenerationRequest) -> AnswerFormat:
@@ -282,6 +288,14 @@
     return response
 
 
+def _not_configured() -> Failure:
+    return FailureKind.NOT_ACCEPTING_WORK.because(
+        "this daemon has just started and knows no configuration yet",
+        remedy="come back after the given time, or use another daemon",
+        retry_after_s=1.0,
+    )
+
+
 def _wrong_method(expected: str) -> Failure:
     return FailureKind.METHOD_NOT_ALLOWED.because(
         f"this path takes {expected} only", remedy=f"use {expected}"
--- a/winchfork/gateway/caller.py
+++ b/winchfork/gateway/caller.py
@@ -9,18 +9,21 @@
 from typing import Any
 
 from winchfork.errors import Failure, FailureKind, RunState
+from winchfork.gateway.direct_stream import DirectStream
 
-_PEEK_PERIOD_S = 0.05
+_PEEK_PERIOD_S = 0.2
 
 
 class Caller:
     """Tells whether anyone still waits for the answer."""
 
-    def __init__(self, connection: socket.socket | None, deadline_at_s: float) -> None:
-        self._connection = connection
+    def __init__(self, connection: socket.socket, deadline_at_s: float) -> None:
+        self.connection = connection
         self.deadline_at_s = deadline_at_s
         self._next_peek_s = 0.0
         self._left = False
+        self._poll = select.poll()
+        self._poll.register(connection, select.POLLIN)
 
     def check(self) -> Failure | None:
         """Return why work for this caller should stop, or None."""
@@ -41,14 +44,11 @@
         return self.deadline_at_s - time.monotonic()
 
     def _has_left(self) -> bool:
-        if self._connection is None:
-            return False
         try:
-            readable, _, _ = select.select([self._connection], [], [], 0)
+            if not self._poll.poll(0):
+                return False
             # The plain socket's method, since a TLS socket cannot peek; closing shows either way.
-            return bool(readable) and not socket.socket.recv(
-                self._connection, 1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-            )
+            return not socket.socket.recv(self.connection, 1, socket.MSG_PEEK)
         except (BlockingIOError, InterruptedError):
             return False
         except (OSError, ValueError):
@@ -56,32 +56,47 @@
 
 
 class EventStream:
-    """Writes server-sent events through the WSGI write callable; starts at the first event."""
+    """Writes server-sent events; the answer starts with the first one."""
 
-    def __init__(self, start_response: Callable[..., Any], request_id: str) -> None:
+    def __init__(
+        self, start_response: Callable[..., Any], request_id: str, connection: socket.socket
+    ) -> None:
         self._start_response = start_response
         self._request_id = request_id
-        self._write: Callable[[bytes], Any] | None = None
+        self._connection = connection
+        self._body: DirectStream | None = None
 
     @property
     def started(self) -> bool:
         """Whether the status line has gone out."""
-        return self._write is not None
+        return self._body is not None
 
     def send(self, event: bytes) -> Failure | None:
-        """Send one event; a failure means that the caller is gone or stopped reading."""
+        """Send one event without blocking; a failure means that the caller is gone."""
+        if self._body is None:
+            failure = self._start()
+            if failure is not None:
+                return failure
+        assert self._body is not None
+        return self._body.send(event)
+
+    def finish(self) -> None:
+        """Block until everything sent has been written, or the caller is gone."""
+        if self._body is not None:
+            self._body.wait_drained()
+
+    def _start(self) -> Failure | None:
+        headers = [
+            ("Content-Type", "text/event-stream; charset=utf-8"),
+            ("Cache-Control", "no-store"),
+            ("X-Request-Id", self._request_id),
+        ]
         try:
-            if self._write is None:
-                headers = [
-                    ("Content-Type", "text/event-stream; charset=utf-8"),
-                    ("Cache-Control", "no-store"),
-                    ("X-Request-Id", self._request_id),
-                ]
-                self._write = self._start_response("200 OK", headers)
-            assert self._write is not None
-            self._write(event)
+            # The library writes the status and headers; the chunks go to the connection directly.
+            self._start_response("200 OK", headers)(b"")
         except OSError as error:
             return FailureKind.CALLER_LEFT.because(
                 f"the caller stopped reading: {type(error).__name__}"
             )
+        self._body = DirectStream(self._connection)
         return None
