Keep waiting work in the store; bring about crashes, outages, lost answers and races on a fleet

Cause: a request that may wait lived only in the daemon that accepted it, so a crash dropped it; and the guarantees on configuration, fences and restarts had no test that brings about their failure.

Change: Prefer: respond-async stores a request before it is accepted (one write for all requests of 0.1 s, shared prompt heads once by hash); the accepting daemon owns the batch under its lease and another takes it over when that lapses; answers are recorded by compare-and-swap, the first stays. tests/test_failures.py: stored request survives its daemon's crash, store down refuses instead of losing, restart with the store down, lost answer of a configuration write, racing operators, lower fence refused, paused leader, weights changed in mid-queue, crashed engine, full pool outage.

Found and fixed: stop_at_once left the probe thread running. Ruled out as a product fault: a restart in one process can find its port taken by one of its own outgoing connections; the test waits.

Volatile copies in other zones, for acceptance during a store outage, are not built.

--- a/winchfork/backends/stream_pump.py
+++ b/winchfork/backends/stream_pump.py
@@ -75,7 +75,8 @@
     def close(self) -> None:
         """Stop the thread; running transfers end as stopped."""
         self._closing = True
-        self._waker.send(b"w")
+        if self._thread is not None:
+            self._waker.send(b"w")
 
     def _loop(self) -> None:
         next_check_s = time.monotonic() + _STOP_CHECK_PERIOD_S
@@ -100,6 +101,9 @@
                 self._collect()
         for transfer in list(self._running.values()):
             self._finish(transfer, TransferEnd(pycurl.E_ABORTED_BY_CALLBACK, "client closed"))
+        self._selector.close()
+        self._waker.close()
+        self._woken.close()
 
     def _take_inbox(self) -> None:
         try:
--- a/winchfork/cluster/node.py
+++ b/winchfork/cluster/node.py
@@ -115,6 +115,11 @@
         self._stopping.set()
         self.transport.close()
 
+    def stop_at_once(self) -> None:
+        """Stop without telling anyone, as a crash would."""
+        self._stopping.set()
+        self.transport.close()
+
     def on_message(self, message: Any, sender: str) -> None:
         """Take one message."""
         self._handlers[type(message)](message, sender)
--- /dev/null
+++ b/winchfork/cluster/waiting_store.py
@@ -0,0 +1,116 @@
+"""Waiting work in the key-value service: batches, shared prompt heads, answers, owners."""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable
+
+from winchfork.core.waiting import AnswerSheet, WaitingAnswer, WaitingBatch
+from winchfork.errors import Failure, FailureKind
+from winchfork.stores.key_value import Entry, KeyValueStore, swap_until_known
+
+_HEADS_REMEMBERED = 2_000
+
+
+class WaitingStore:
+    """Reads and writes one region's waiting work. Thread-safe."""
+
+    def __init__(self, store: KeyValueStore, region: str, keep_trying: Callable[[], bool]) -> None:
+        self._store = store
+        self._prefix = f"/winchfork/waiting/{region}/"
+        self._keep_trying = keep_trying
+        self._known_heads: OrderedDict[str, None] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def put_head(self, digest: str, head: str) -> Failure | None:
+        """Store a prompt head once; heads are named by their content."""
+        with self._lock:
+            if digest in self._known_heads:
+                return None
+        written = self._store.compare_and_swap(self._key("heads", digest), head.encode(), 0)
+        conflict = isinstance(written, Failure) and written.kind is FailureKind.REVISION_CONFLICT
+        if isinstance(written, Failure) and not conflict:
+            return written
+        with self._lock:
+            self._known_heads[digest] = None
+            while len(self._known_heads) > _HEADS_REMEMBERED:
+                self._known_heads.popitem(last=False)
+        return None
+
+    def get_head(self, digest: str) -> str | Failure:
+        """Read a prompt head."""
+        entry = self._store.get(self._key("heads", digest))
+        if isinstance(entry, Failure):
+            return entry
+        if entry is None:
+            return FailureKind.NOT_FOUND.because(f"the prompt head {digest} is not stored")
+        return entry.value.decode()
+
+    def put_batch(self, batch: WaitingBatch) -> Failure | None:
+        """Write a batch; None only when it is surely stored."""
+        text = batch.to_text()
+        key = self._key("batches", batch.batch_id)
+        result = swap_until_known(
+            self._store, key, text, 0, lambda value: value == text, self._keep_trying
+        )
+        return result if isinstance(result, Failure) else None
+
+    def list_batches(self) -> list[WaitingBatch] | Failure:
+        """Read every batch that is not finished."""
+        entries = self._store.list(self._prefix + "batches/")
+        if isinstance(entries, Failure):
+            return entries
+        return [WaitingBatch.from_text(entry.value) for entry in entries]
+
+    def get_batch(self, batch_id: str) -> WaitingBatch | None | Failure:
+        """Read one unfinished batch; None when it is finished or never was."""
+        entry = self._store.get(self._key("batches", batch_id))
+        return WaitingBatch.from_text(entry.value) if isinstance(entry, Entry) else entry
+
+    def remove_batch(self, batch_id: str) -> Failure | None:
+        """Remove a finished batch; its answers stay."""
+        entry = self._store.get(self._key("batches", batch_id))
+        if isinstance(entry, Entry):
+            return self._store.delete(entry.key, entry.revision)
+        return entry
+
+    def get_answers(self, batch_id: str) -> AnswerSheet | Failure:
+        """Read a batch's recorded answers."""
+        entry = self._store.get(self._key("answers", batch_id))
+        if isinstance(entry, Failure):
+            return entry
+        return AnswerSheet() if entry is None else AnswerSheet.from_text(entry.value)
+
+    def record_answers(
+        self, batch_id: str, answers: dict[int, WaitingAnswer]
+    ) -> AnswerSheet | Failure:
+        """Add answers to those recorded; an answer that is there already stays."""
+        key = self._key("answers", batch_id)
+        while True:
+            entry = self._store.get(key)
+            if isinstance(entry, Failure):
+                return entry
+            sheet = AnswerSheet() if entry is None else AnswerSheet.from_text(entry.value)
+            fresh = [number for number, answer in answers.items() if sheet.record(number, answer)]
+            if not fresh:
+                return sheet
+            text = sheet.to_text()
+            written = self._store.compare_and_swap(key, text, entry.revision if entry else 0)
+            if not isinstance(written, Failure):
+                return sheet
+            if written.kind is not FailureKind.REVISION_CONFLICT:
+                return written
+
+    def take_ownership(self, batch_id: str, owner_id: str, lease_id: int) -> bool:
+        """Become a batch's owner for as long as the lease lasts; False when it has one."""
+        key = self._key("owners", batch_id)
+        written = self._store.compare_and_swap(key, owner_id.encode(), 0, lease_id)
+        return not isinstance(written, Failure)
+
+    def has_owner(self, batch_id: str) -> bool:
+        """Tell whether a batch has an owner; when the store does not say, it counts as owned."""
+        return self._store.get(self._key("owners", batch_id)) is not None
+
+    def _key(self, kind: str, name: str) -> str:
+        return f"{self._prefix}{kind}/{name}"
--- a/winchfork/daemon.py
+++ b/winchfork/daemon.py
@@ -20,6 +20,7 @@
 from winchfork.cluster.platform_sync import PlatformSync
 from winchfork.cluster.state import DaemonState
 from winchfork.cluster.transport import PeerTransport
+from winchfork.cluster.waiting_work import WaitingWork
 from winchfork.cluster.wire import PeerCodec
 from winchfork.control.configuration_writer import ConfigurationWriter
 from winchfork.control.rollout import RolloutDesk
@@ -31,12 +32,13 @@
 from winchfork.gateway.metrics import GatewayMetrics
 from winchfork.gateway.relay import Relay
 from winchfork.gateway.server import PooledServer
+from winchfork.gateway.stored_runs import StoredRunner
 from winchfork.logs import log_event
 from winchfork.settings import Settings
 from winchfork.stores.etcd_json import EtcdJsonStore
 from winchfork.stores.machine_list import HttpMachineSource
 
-_DUTY_THREADS = 5
+_DUTY_THREADS = 6
 _DRAIN_POLL_S = 0.05
 
 
@@ -72,7 +74,11 @@
         self.metrics = GatewayMetrics()
         generations = GenerationRouter(self.state, PlacementLookup(self.node), engine, self.metrics)
         relay = Relay(self.state, self._client, ClaimClient(self.node), self.metrics)
-        application = GatewayApplication(self.state, generations, relay, self.metrics)
+        stored = StoredRunner(self.state, generations)
+        self._waiting = WaitingWork(self.node, store, stored.run)
+        application = GatewayApplication(
+            self.state, generations, relay, self.metrics, self._waiting
+        )
         self._http = PooledServer(
             settings.daemon.http_address, application, settings.limits.workers, _tls(settings)
         )
@@ -103,6 +109,7 @@
             self._reader.run,
             self._panels.run,
             self._rollouts.run,
+            self._waiting.run,
         ):
             self._duties.submit(duty)
         self._sync.start()
@@ -125,11 +132,13 @@
         self._reader.stop()
         self._panels.stop()
         self._rollouts.stop()
+        self._waiting.stop()
         self._sync.stop()
         self._rpc.stop()
         self.node.stop()
         self._duties.shutdown(wait=False, cancel_futures=True)
         self._client.close()
+        self._platform_client.close()
         log_event("daemon_stopped", id=self.settings.daemon.id)
 
     def stop_at_once(self) -> None:
@@ -138,10 +147,14 @@
         self._reader.stop()
         self._panels.stop()
         self._rollouts.stop()
+        self._waiting.stop()
         self._sync.stop()
         self._rpc.stop()
-        self.node.transport.close()
+        self.node.stop_at_once()
+        self._duties.shutdown(wait=False, cancel_futures=True)
         self._http.stop(wait=False)
+        self._client.close()
+        self._platform_client.close()
 
     def wait_until_stopped(self, stop_requested: threading.Event) -> None:
         """Block until a stop is requested, then stop as planned."""
--- a/winchfork/gateway/app.py
+++ b/winchfork/gateway/app.py
@@ -11,8 +11,10 @@
 from werkzeug.wrappers import Request, Response
 
 from winchfork.cluster.state import DaemonState
+from winchfork.cluster.waiting_work import WaitingWork
 from winchfork.core.configuration import InstalledConfiguration, Pool, PoolKind, Tenant
 from winchfork.core.prefix import count_tokens
+from winchfork.core.waiting import WaitingRequest
 from winchfork.errors import Failure, FailureKind
 from winchfork.gateway.caller import Caller, EventStream
 from winchfork.gateway.generation import GenerationResult, GenerationRouter
@@ -32,6 +34,7 @@
 _COMPLETIONS = "/v1/completions"
 _CHAT = "/v1/chat/completions"
 _POOLS = "/v1/pools/"
+_REQUESTS = "/v1/requests/"
 StartResponse = Callable[..., Any]
 
 
@@ -44,8 +47,10 @@
         generations: GenerationRouter,
         relay: Relay,
         metrics: GatewayMetrics,
+        waiting: WaitingWork,
     ) -> None:
         self._state = state
+        self._waiting = waiting
         self._generations = generations
         self._relay = relay
         self._metrics = metrics
@@ -89,6 +94,8 @@
             if request.method != "POST":
                 return self._refuse(_wrong_method("POST"), request_id)
             return self._complete(request, request_id, tenant, configuration, start_response)
+        if path.startswith(_REQUESTS):
+            return self._fetch(path[len(_REQUESTS) :], request_id, tenant)
         if path.startswith(_POOLS):
             return self._relay_request(request, request_id, tenant, configuration)
         return self._refuse(
@@ -126,6 +133,8 @@
             return self._refuse(context, request_id)
         caller = _caller(request, context)
         self._note_arrival(request_id, context, pool)
+        if "respond-async" in request.headers.get("Prefer", ""):
+            return self._accept(request_id, pool, parsed, context)
         if parsed.stream:
             return self._stream(request_id, pool, parsed, context, caller, start_response)
         return self._answer_whole(request_id, pool, parsed, context, caller)
@@ -174,6 +183,55 @@
         )
         return _json(body, request_id)
 
+    # --- work that may wait ---
+
+    def _accept(
+        self, request_id: str, pool: Pool, parsed: GenerationRequest, context: CallerContext
+    ) -> Response:
+        if not context.may_wait:
+            return self._refuse(
+                FailureKind.INVALID_REQUEST.because(
+                    f"class {context.traffic_class.name} may not wait",
+                    remedy="use a class or rule with may_wait, or drop Prefer: respond-async",
+                ),
+                request_id,
+            )
+        waiting = WaitingRequest(
+            context.tenant.name,
+            context.traffic_class.name,
+            pool.name,
+            parsed.model,
+            "",
+            "",
+            parsed.max_tokens,
+            parsed.is_chat,
+        )
+        accepted = self._waiting.accept(waiting, parsed.prompt)
+        if isinstance(accepted, Failure):
+            return self._refuse(accepted, request_id)
+        self._state.note_decision(request_id, "accepted", "stored", waiting_id=accepted)
+        body = {"id": accepted, "object": "winchfork.waiting_request", "status": "waiting"}
+        response = _json(body, request_id)
+        response.status_code = 202
+        response.headers["Location"] = f"{_REQUESTS}{accepted}"
+        return response
+
+    def _fetch(self, waiting_id: str, request_id: str, tenant: Tenant) -> Response:
+        found = self._waiting.find(waiting_id, tenant.name)
+        if isinstance(found, Failure):
+            return self._refuse(found, request_id)
+        body: dict[str, Any] = {"id": waiting_id, "object": "winchfork.waiting_request"}
+        if found is None:
+            return _json({**body, "status": "waiting"}, request_id)
+        body |= {
+            "status": "done",
+            "text": found.text,
+            "finish_reason": found.finish_reason,
+            "completion_tokens": found.completion_tokens,
+            "cached_tokens": found.cached_tokens,
+        }
+        return _json(body, request_id)
+
     # --- application relay ---
 
     def _relay_request(
--- a/winchfork/gateway/caller.py
+++ b/winchfork/gateway/caller.py
@@ -6,7 +6,7 @@
 import socket
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.gateway.direct_stream import DirectStream
@@ -14,6 +14,37 @@
 _PEEK_PERIOD_S = 0.2
 
 
+class Waiter(Protocol):
+    """Whoever waits for a generation: a caller on a connection, or stored work that has none."""
+
+    deadline_at_s: float
+
+    def check(self) -> Failure | None:
+        """Return why work for this waiter should stop, or None."""
+        ...
+
+    def remaining_s(self) -> float:
+        """Return the seconds left until the deadline."""
+        ...
+
+
+class StoredWaiter:
+    """Waits on behalf of stored work; only its deadline ends it."""
+
+    def __init__(self, deadline_at_s: float) -> None:
+        self.deadline_at_s = deadline_at_s
+
+    def check(self) -> Failure | None:
+        """Return a failure once the deadline has passed."""
+        if self.remaining_s() > 0:
+            return None
+        return FailureKind.DEADLINE_EXCEEDED.because("this run of the stored request took too long")
+
+    def remaining_s(self) -> float:
+        """Return the seconds left until the deadline."""
+        return self.deadline_at_s - time.monotonic()
+
+
 class Caller:
     """Tells whether anyone still waits for the answer."""
 
--- a/winchfork/gateway/generation.py
+++ b/winchfork/gateway/generation.py
@@ -36,7 +36,7 @@
 from winchfork.core.placement import PlacementDecision, PlacementRequest
 from winchfork.core.prefix import CacheScope, PromptPrefix, prompt_prefix
 from winchfork.errors import Failure, FailureKind, RunState
-from winchfork.gateway.caller import Caller
+from winchfork.gateway.caller import Waiter
 from winchfork.gateway.metrics import GatewayMetrics
 from winchfork.gateway.requests import CallerContext, GenerationRequest
 
@@ -124,7 +124,7 @@
         pool: Pool,
         request: GenerationRequest,
         context: CallerContext,
-        caller: Caller,
+        caller: Waiter,
         deliver: Callable[[str], Failure | None],
     ) -> GenerationResult | Failure:
         """Run a generation to its end, passing text to ``deliver`` as it comes."""
@@ -142,7 +142,7 @@
 
     # --- admission ---
 
-    def _admit(self, request_id: str, context: CallerContext, caller: Caller) -> Failure | None:
+    def _admit(self, request_id: str, context: CallerContext, caller: Waiter) -> Failure | None:
         now_s = time.monotonic()
         ticket = Ticket(
             request_id,
@@ -167,7 +167,7 @@
         return None
 
     def _await_turn(
-        self, request_id: str, caller: Caller, admitted: Future[None]
+        self, request_id: str, caller: Waiter, admitted: Future[None]
     ) -> Failure | None:
         self._state.note_decision(request_id, "queued", "no_free_slot")
         while True:
@@ -203,7 +203,7 @@
         pool: Pool,
         request: GenerationRequest,
         context: CallerContext,
-        caller: Caller,
+        caller: Waiter,
         deliver: Callable[[str], Failure | None],
     ) -> GenerationResult | Failure:
         progress = _Progress(deliver)
@@ -364,7 +364,7 @@
         attempt: _Attempt,
         request: GenerationRequest,
         context: CallerContext,
-        caller: Caller,
+        caller: Waiter,
         progress: _Progress,
     ) -> StreamEnd | Failure:
         sent_at_s = time.monotonic()
