--- a/winchfork/emulator/sim_fleet.py
+++ b/winchfork/emulator/sim_fleet.py
@@ -61,10 +61,12 @@
         self.admission = AdmissionQueue(_LIMITS)
         self.retry_budget = RetryBudget()
         self.turns: dict[str, Any] = {}
+        self.generation = 0
         self.forget(engines)
 
     def forget(self, engines: Sequence[SimEngine]) -> None:
         """Lose everything that a restart loses."""
+        self.generation += 1
         self.index = CacheIndex()
         self.fleet = Fleet()
         for engine in engines:
@@ -127,7 +129,7 @@
         reader_id = rendezvous_owner(engine.replica_id, self._by_id)
         assert reader_id is not None
         reader = self._by_id[reader_id]
-        incarnation, position = 0, 0
+        incarnation, position, generation = 0, 0, reader.generation
         families: dict[int, int] = {}
         yield self.env.timeout(self._random.random() * EVENT_POLL_PERIOD_S)
         while True:
@@ -141,6 +143,12 @@
                 families.clear()
                 for daemon in self.daemons:
                     self._note_identity(daemon, engine)
+            if reader.generation != generation:
+                # As at a real reader's first contact: a snapshot replaces what it lost.
+                generation = reader.generation
+                self._resync(reader, engine, families)
+                position = engine.model.next_sequence - 1
+                continue
             visible_before_s = self.env.now - self.event_faults.delay_s
             events = engine.model.events_after(position, visible_before_s)
             kept = [event for event in events if self._random.random() >= self.event_faults.loss]
