--- a/tests/fuzz_machines.py
+++ b/tests/fuzz_machines.py
@@ -397,6 +397,10 @@
         engine = self.engines[name]
         engine.crash()
         self.index.fence(name, engine.identity.incarnation)
+        for tenant in ("t1", "t2"):
+            for version in range(1, engine.identity.weights_version + 1):
+                keys = prompt_prefix(CacheScope(tenant, "m", version), self.PROMPT).block_keys
+                assert name not in self.index.match(keys)
 
     @rule(name=st.sampled_from(ENGINES))
     def new_weights(self, name: str) -> None:
@@ -493,6 +497,14 @@
         self.stored = Document(revision, bytes([revision % 251]) * size)
         self.sets[at].install(DocumentName.CONFIGURATION, self.stored)
 
+    @rule(at=st.integers(0, 2), older=st.integers(1, 5))
+    def hear_an_older_one(self, at: int, older: int) -> None:
+        COUNTS["step"] += 1
+        COUNTS["older revision"] += 1
+        revision = self.sets[at].get(DocumentName.CONFIGURATION).revision - older
+        document = Document(revision, bytes([revision % 251]))
+        assert not self.sets[at].install(DocumentName.CONFIGURATION, document)
+
     @rule(source=st.integers(0, 2), receiver=st.integers(0, 2), offset=st.integers(0, 50_000))
     def ask(self, source: int, receiver: int, offset: int) -> None:
         COUNTS["step"] += 1
