--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -58,6 +58,20 @@
         found: dict[str, str] = json.loads(answer.body)
         return found
 
+    def test_planned_stop_cuts_no_stream(self) -> None:
+        prompts = [f"a stream during a stop {number}" for number in range(6)]
+        with ThreadPoolExecutor(6) as pool:
+            pending = [pool.submit(self.fleet.complete, prompt, 80, 0) for prompt in prompts]
+            daemon = self.fleet.fleet.daemons[0]
+            assert daemon is not None
+            wait_for(lambda: daemon.state.admission.open_count == 6, "all six are running")
+            daemon.stop()
+            self.fleet.fleet.daemons[0] = None
+            answers = [future.result() for future in pending]
+        for prompt, answer in zip(prompts, answers, strict=True):
+            text = json.loads(answer.body)["choices"][0]["text"]
+            self.assertEqual(text, answer_text(prompt, 80))
+
     def test_restarted_daemon_serves_with_the_store_down(self) -> None:
         self.fleet.emulated.platform.inject({"down": True})
         self._crash(1)
--- a/winchfork/core/configuration.py
+++ b/winchfork/core/configuration.py
@@ -25,7 +25,7 @@
     """A customer. ``api_key_sha256`` holds hashes only; ``weight`` is its fair share."""
 
     name: Name
-    api_key_sha256: tuple[_HexSha256, ...]
+    api_key_sha256: tuple[_HexSha256, ...] = ()
     weight: Annotated[float, pydantic.Field(gt=0, le=1000)] = 1.0
     max_open_requests: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 1000
 
--- a/winchfork/emulator/comparison.py
+++ b/winchfork/emulator/comparison.py
@@ -116,6 +116,9 @@
         widths = [summary[policy][name].half_width for policy in policies]
         axis.barh(policies, means, xerr=widths)
         axis.set_title(name)
+        if name.endswith("_s"):
+            # Tails differ by orders of magnitude between policies.
+            axis.set_xscale("log")
         axis.invert_yaxis()
     figure.suptitle(title)
     figure.tight_layout()
