Let one piece of code decide prefix families and chain prompts

Cause: the reader, the lookup, the simulated fleet and the capacity measurement each had their own copy of the family rules, and the stand-in engine its own copy of the prompt chain, so the experiments did not drive quite the code that the daemon drives.

Change: core/families.py (FamilyMap, keys_from_family, add_blocks_above) and prefix.chain_prompt serve all of them. Behaviour unchanged.

--- a/winchfork/cluster/event_reader.py
+++ b/winchfork/cluster/event_reader.py
@@ -16,8 +16,9 @@
 from winchfork.cluster.messages import BeliefNote, ReplicaNote
 from winchfork.cluster.node import PeerNode
 from winchfork.constants import EVENT_POLL_PERIOD_S
-from winchfork.core.cache_index import CacheEvent, EventKind
+from winchfork.core.cache_index import CacheEvent
 from winchfork.core.configuration import PoolKind
+from winchfork.core.families import FamilyMap
 from winchfork.core.fleet import Replica, ReplicaState
 from winchfork.core.rendezvous import rendezvous_owner
 from winchfork.errors import Failure
@@ -29,32 +30,12 @@
 
 
 class _StreamPosition:
-    """Where the reader is in one replica's stream, and each known block's family.
-
-    A block above the family depth has family 0: its own key names it.
-    """
+    """Where the reader is in one replica's stream."""
 
     def __init__(self, incarnation: int, next_sequence: int = 1) -> None:
         self.incarnation = incarnation
         self.next_sequence = next_sequence
-        self._family_of: dict[int, int] = {}
-
-    def note_stored(self, parent: int, keys: tuple[int, ...]) -> None:
-        """Derive the families of a run of blocks from its parent's."""
-        for key in keys:
-            if parent == 0:
-                self._family_of[key] = 0
-            else:
-                self._family_of[key] = self._family_of.get(parent, 0) or key
-            parent = key
-
-    def owner_key(self, key: int) -> int:
-        """Return the key whose owner holds beliefs about this block."""
-        return self._family_of.get(key, 0) or key
-
-    def forget(self, key: int) -> None:
-        """Drop a removed block."""
-        self._family_of.pop(key, None)
+        self.families = FamilyMap()
 
 
 class EventReader:
@@ -173,7 +154,7 @@
         report = snapshot.report
         position = _StreamPosition(report.identity.incarnation, report.next_sequence)
         for key, parent in snapshot.blocks:
-            position.note_stored(parent, (key,))
+            position.families.note_stored(parent, (key,))
         self._positions[replica.replica_id] = position
         folded = {key: True for key, _ in snapshot.blocks}
         notes = self._notes_by_owner(replica, position, folded)
@@ -191,19 +172,13 @@
     ) -> None:
         """Fold events to what holds at their end, and send each family's part to its owner."""
         self.events_read += len(events)
-        folded: dict[int, bool] = {}
-        for event in events:
-            stored = event.kind is EventKind.STORED
-            if stored:
-                position.note_stored(event.parent_key, event.block_keys)
-            for key in event.block_keys:
-                folded[key] = stored
+        folded = position.families.fold(events)
         for owner_id, notes in self._notes_by_owner(replica, position, folded).items():
             for note in notes:
                 self._node.send_to(owner_id, note)
         for key, stored in folded.items():
             if not stored:
-                position.forget(key)
+                position.families.forget(key)
 
     def _notes_by_owner(
         self, replica: Replica, position: _StreamPosition, folded: dict[int, bool]
@@ -212,7 +187,7 @@
         owners: dict[int, str | None] = {}
         keys: dict[str, tuple[list[int], list[int]]] = {}
         for key, stored in folded.items():
-            family = position.owner_key(key)
+            family = position.families.owner_key(key)
             if family not in owners:
                 owners[family] = rendezvous_owner(family, members)
             owner_id = owners[family]
--- a/winchfork/cluster/placement_lookup.py
+++ b/winchfork/cluster/placement_lookup.py
@@ -8,13 +8,13 @@
 
 import dataclasses
 import enum
-from collections.abc import Sequence
 
 from winchfork.cluster.messages import BeliefNote, LookupReply, LookupRequest
 from winchfork.cluster.node import PeerNode
-from winchfork.constants import FAMILY_DEPTH_BLOCKS, LOOKUP_TIMEOUT_S
+from winchfork.constants import LOOKUP_TIMEOUT_S
+from winchfork.core.families import add_blocks_above, keys_from_family
 from winchfork.core.fleet import ReplicaIdentity
-from winchfork.core.prefix import BlockKey, PromptPrefix
+from winchfork.core.prefix import PromptPrefix
 
 
 class LookupSource(enum.Enum):
@@ -35,12 +35,6 @@
     owner: str
 
 
-def _from_family(prefix: PromptPrefix) -> tuple[int, Sequence[BlockKey]]:
-    """Return how many leading blocks stand above the family's key, and the keys from it on."""
-    above = min(FAMILY_DEPTH_BLOCKS, len(prefix.block_keys)) - 1
-    return above, prefix.block_keys[above:]
-
-
 class PlacementLookup:
     """Asks owners and tells them of dispatches. Thread-safe."""
 
@@ -51,7 +45,7 @@
         """Return which replicas hold how much of the prompt."""
         if not prefix.block_keys:
             return LookupResult({}, LookupSource.NO_FULL_BLOCK, "")
-        above, keys = _from_family(prefix)
+        above, keys = keys_from_family(prefix)
         owner = self._node.owner_of(prefix.family)
         state = self._node.state
         if owner is not None and owner.member_id != state.own_id:
@@ -61,12 +55,16 @@
                 LOOKUP_TIMEOUT_S,
             )
             if isinstance(reply, LookupReply):
-                return LookupResult(_add(reply.matched, above), LookupSource.OWNER, owner.member_id)
+                return LookupResult(
+                    add_blocks_above(reply.matched, above), LookupSource.OWNER, owner.member_id
+                )
         with state.lock:
             matched = state.index.match(keys)
         own = owner is not None and owner.member_id == state.own_id
         source = LookupSource.OWN if own else LookupSource.FALL_BACK
-        return LookupResult(_add(matched, above), source, owner.member_id if owner else "")
+        return LookupResult(
+            add_blocks_above(matched, above), source, owner.member_id if owner else ""
+        )
 
     def note_dispatch(
         self, prefix: PromptPrefix, replica_id: str, identity: ReplicaIdentity
@@ -74,7 +72,7 @@
         """Tell the owner that a replica is about to hold the prompt's blocks."""
         if not prefix.block_keys:
             return
-        _, keys = _from_family(prefix)
+        _, keys = keys_from_family(prefix)
         note = BeliefNote(replica_id, identity.incarnation, tuple(keys), ())
         state = self._node.state
         with state.lock:
@@ -82,7 +80,3 @@
         owner = self._node.owner_of(prefix.family)
         if owner is not None and owner.member_id != state.own_id:
             self._node.transport.send(owner.peer_address, note)
-
-
-def _add(matched: dict[str, int], above: int) -> dict[str, int]:
-    return {replica_id: depth + above for replica_id, depth in matched.items()}
--- a/winchfork/core/prefix.py
+++ b/winchfork/core/prefix.py
@@ -30,7 +30,7 @@
 
     def root_key(self) -> BlockKey:
         """Return the parent key of the first block in this scope."""
-        return xxhash.xxh3_64_intdigest(self.salt().encode())
+        return root_key_of(self.salt())
 
     def salt(self) -> str:
         """Return the unambiguous text form; engines mix it into their own block hashes."""
@@ -38,6 +38,11 @@
         return "".join(f"{len(part)}:{part}" for part in parts)
 
 
+def root_key_of(salt: str) -> BlockKey:
+    """Return the parent key of the first block under a scope's salt."""
+    return xxhash.xxh3_64_intdigest(salt.encode())
+
+
 @dataclasses.dataclass(frozen=True)
 class PromptPrefix:
     """A prompt as the placement sees it: chained keys of its full blocks, and its length."""
@@ -63,11 +68,16 @@
     return xxhash.xxh3_64_intdigest(parent.to_bytes(_KEY_BYTES, "big") + block)
 
 
-def prompt_prefix(scope: CacheScope, prompt: bytes) -> PromptPrefix:
-    """Cut ``prompt`` into full blocks and chain their keys; the ragged tail has no key."""
+def chain_prompt(root: BlockKey, prompt: bytes) -> tuple[BlockKey, ...]:
+    """Return the chained keys of the full blocks of ``prompt``; the ragged tail has no key."""
     keys: list[BlockKey] = []
-    parent = scope.root_key()
+    parent = root
     for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
         parent = chain_key(parent, prompt[start : start + BLOCK_BYTES])
         keys.append(parent)
-    return PromptPrefix(tuple(keys), count_tokens(prompt))
+    return tuple(keys)
+
+
+def prompt_prefix(scope: CacheScope, prompt: bytes) -> PromptPrefix:
+    """Cut ``prompt`` into full blocks and chain their keys under ``scope``."""
+    return PromptPrefix(chain_prompt(scope.root_key(), prompt), count_tokens(prompt))
--- a/winchfork/emulator/capacity.py
+++ b/winchfork/emulator/capacity.py
@@ -12,12 +12,12 @@
 
 import cbor2
 
-from winchfork.cluster.event_reader import _StreamPosition
 from winchfork.cluster.messages import MESSAGE_TYPES, BeliefNote, LookupReply, LookupRequest
 from winchfork.cluster.wire import PeerCodec
 from winchfork.core.cache_index import CacheEvent, CacheIndex, EventKind
 from winchfork.core.claims import Claim, ClaimVoter, VoterPanel
 from winchfork.core.decisions import DecisionEvent, DecisionLog
+from winchfork.core.families import FamilyMap
 from winchfork.core.fleet import Replica, ReplicaIdentity, ReplicaLoad
 from winchfork.core.membership import MemberStatus
 from winchfork.core.placement import PlacementRequest
@@ -252,9 +252,9 @@
     generator = random.Random(6)
     chains = _chains(blocks, generator)
     tracemalloc.start()
-    position = _StreamPosition(1)
+    families = FamilyMap()
     for chain in chains:
-        position.note_stored(0, chain)
+        families.note_stored(0, chain)
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     count = sum(len(chain) for chain in chains)
@@ -308,21 +308,16 @@
         plain.apply("replica-0", event)
     plain_s = (time.process_time() - started) / len(events)
     started = time.process_time()
-    position = _StreamPosition(1)
+    families = FamilyMap()
     notes = 0
     note_bytes = 0
     for start in range(0, len(events), 58):
         # One poll: the events of 0.2 s at 286 a second, folded and cut into one note an owner.
         batch = events[start : start + 58]
-        folded: dict[int, bool] = {}
-        for event in batch:
-            if event.kind is EventKind.STORED:
-                position.note_stored(event.parent_key, event.block_keys)
-            for key in event.block_keys:
-                folded[key] = event.kind is EventKind.STORED
+        folded = families.fold(batch)
         by_owner: dict[int, tuple[list[int], list[int]]] = {}
         for key, stored in folded.items():
-            held, gone = by_owner.setdefault(position.owner_key(key) % 8, ([], []))
+            held, gone = by_owner.setdefault(families.owner_key(key) % 8, ([], []))
             (held if stored else gone).append(key)
         for held, gone in by_owner.values():
             datagram = _CODEC.encode(BeliefNote("replica-0", 1, tuple(held), tuple(gone)))
--- a/winchfork/emulator/engine_server.py
+++ b/winchfork/emulator/engine_server.py
@@ -14,14 +14,13 @@
 from collections import OrderedDict
 from typing import Any
 
-import xxhash
 from werkzeug.wrappers import Request, Response
 
 from winchfork.backends.http_client import HttpClient, HttpRequest
-from winchfork.constants import BLOCK_BYTES, BLOCK_TOKENS
+from winchfork.constants import BLOCK_TOKENS
 from winchfork.core.cache_index import CacheEvent
 from winchfork.core.fleet import ReplicaIdentity
-from winchfork.core.prefix import chain_key, count_tokens
+from winchfork.core.prefix import chain_prompt, count_tokens, root_key_of
 from winchfork.emulator.answers import answer_digest, answer_token
 from winchfork.emulator.engine_model import EngineModel, EngineSettings, Sequence, TokensOut
 from winchfork.emulator.json_http import json_response, route_requests
@@ -273,15 +272,10 @@
     def _sequence(self, body: dict[str, Any]) -> Sequence:
         prompt = body["prompt"].encode()
         emitted = body.get("continue_from") or {"tokens": 0}
-        salt = body.get("cache_salt", "")
-        parent = _salt_key(salt)
-        keys = []
-        for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
-            parent = chain_key(parent, prompt[start : start + BLOCK_BYTES])
-            keys.append(parent)
+        keys = chain_prompt(root_key_of(body.get("cache_salt", "")), prompt)
         return Sequence(
             body["id"],
-            tuple(keys),
+            keys,
             max(1, count_tokens(prompt)) + int(emitted["tokens"]),
             max(1, int(body["max_tokens"])),
             int(body.get("priority", 5)),
@@ -413,10 +407,6 @@
     return {"incarnation": identity.incarnation, "weights_version": identity.weights_version}
 
 
-def _salt_key(salt: str) -> int:
-    return xxhash.xxh3_64_intdigest(salt.encode())
-
-
 def _piece_event(attempt_id: str, offset: int, count: int, text: str, last: bool) -> bytes:
     body: dict[str, Any] = {
         "id": attempt_id,
--- a/winchfork/emulator/sim_fleet.py
+++ b/winchfork/emulator/sim_fleet.py
@@ -16,14 +16,14 @@
     AVOID_AFTER_FAILURE_S,
     BLOCK_TOKENS,
     EVENT_POLL_PERIOD_S,
-    FAMILY_DEPTH_BLOCKS,
     HEARTBEAT_PERIOD_S,
     LOOKUP_TIMEOUT_S,
     MAX_PLACEMENTS_PER_REQUEST,
 )
 from winchfork.core.admission import AdmissionLimits, AdmissionQueue, Ticket, Verdict
-from winchfork.core.cache_index import CacheEvent, CacheIndex, EventKind
+from winchfork.core.cache_index import CacheEvent, CacheIndex
 from winchfork.core.configuration import TrafficClass
+from winchfork.core.families import FamilyMap, add_blocks_above, keys_from_family
 from winchfork.core.fleet import Fleet, Replica, ReplicaIdentity, is_urgent
 from winchfork.core.load_gossip import quantize
 from winchfork.core.placement import PlacementDecision, PlacementPolicy, PlacementRequest
@@ -130,7 +130,7 @@
         assert reader_id is not None
         reader = self._by_id[reader_id]
         incarnation, position, generation = 0, 0, reader.generation
-        families: dict[int, int] = {}
+        families = FamilyMap()
         yield self.env.timeout(self._random.random() * EVENT_POLL_PERIOD_S)
         while True:
             yield self.env.timeout(EVENT_POLL_PERIOD_S)
@@ -140,20 +140,20 @@
             self._note_report(reader, engine)
             if identity.incarnation != incarnation:
                 incarnation, position = identity.incarnation, 0
-                families.clear()
+                families = FamilyMap()
                 for daemon in self.daemons:
                     self._note_identity(daemon, engine)
             if reader.generation != generation:
                 # As at a real reader's first contact: a snapshot replaces what it lost.
                 generation = reader.generation
-                self._resync(reader, engine, families)
+                families = self._resync(reader, engine)
                 position = engine.model.next_sequence - 1
                 continue
             visible_before_s = self.env.now - self.event_faults.delay_s
             events = engine.model.events_after(position, visible_before_s)
             kept = [event for event in events if self._random.random() >= self.event_faults.loss]
             if len(kept) < len(events):
-                self._resync(reader, engine, families)
+                families = self._resync(reader, engine)
                 position = engine.model.next_sequence - 1
             elif kept:
                 self._fold(reader, engine, families, kept)
@@ -176,35 +176,30 @@
         self,
         reader: SimDaemon,
         engine: SimEngine,
-        families: dict[int, int],
+        families: FamilyMap,
         events: list[CacheEvent],
     ) -> None:
-        folded: dict[int, bool] = {}
-        for event in events:
-            stored = event.kind is EventKind.STORED
-            if stored:
-                _note_families(families, event.parent_key, event.block_keys)
-            for key in event.block_keys:
-                folded[key] = stored
+        folded = families.fold(events)
         incarnation = engine.model.identity.incarnation
         for key, stored in folded.items():
-            owner = self._owner(families.get(key, 0) or key, reader)
+            owner = self._owner(families.owner_key(key), reader)
             if stored:
                 owner.index.assume_stored(engine.replica_id, incarnation, (key,))
             else:
                 owner.index.correct(engine.replica_id, incarnation, (key,), 0)
-                families.pop(key, None)
+                families.forget(key)
 
-    def _resync(self, reader: SimDaemon, engine: SimEngine, families: dict[int, int]) -> None:
-        families.clear()
+    def _resync(self, reader: SimDaemon, engine: SimEngine) -> FamilyMap:
+        families = FamilyMap()
         for daemon in self.daemons:
             if self.reachable(reader.zone, daemon.zone):
                 daemon.index.forget(engine.replica_id)
         incarnation = engine.model.identity.incarnation
         for key, parent in engine.model.cache.keys_with_parents():
-            _note_families(families, parent, (key,))
-            owner = self._owner(families[key] or key, reader)
+            families.note_stored(parent, (key,))
+            owner = self._owner(families.owner_key(key), reader)
             owner.index.assume_stored(engine.replica_id, incarnation, (key,))
+        return families
 
     def _spread_loads(self) -> Any:
         """Loads reach the other daemons quantized and about two probe periods late."""
@@ -401,15 +396,13 @@
             owner = daemon
         elif owner is not daemon:
             yield self.env.timeout(2 * self._delay_s(daemon.zone, owner.zone))
-        above = min(FAMILY_DEPTH_BLOCKS, len(prefix.block_keys)) - 1
-        found = owner.index.match(prefix.block_keys[above:])
-        return {replica_id: depth + above for replica_id, depth in found.items()}
+        above, keys = keys_from_family(prefix)
+        return add_blocks_above(owner.index.match(keys), above)
 
     def _note_dispatch(self, daemon: SimDaemon, replica: Replica, prefix: PromptPrefix) -> None:
-        above = min(FAMILY_DEPTH_BLOCKS, len(prefix.block_keys)) - 1
-        if above < 0 or replica.identity is None:
+        _, keys = keys_from_family(prefix)
+        if not keys or replica.identity is None:
             return
-        keys = prefix.block_keys[above:]
         owner = self._owner(prefix.family, daemon)
         for holder in {id(daemon): daemon, id(owner): owner}.values():
             holder.index.assume_stored(replica.replica_id, replica.identity.incarnation, keys)
@@ -466,9 +459,3 @@
                 placements,
             )
         )
-
-
-def _note_families(families: dict[int, int], parent: int, keys: tuple[int, ...]) -> None:
-    for key in keys:
-        families[key] = 0 if parent == 0 else families.get(parent, 0) or key
-        parent = key
