Answer what is not HTTP in the shape of every other refusal

Cause: twelve kinds of bad input over a raw socket: ten got a typed refusal, but what the library's parser refused (garbage, an overlong line, too many headers) got an HTML page.

Change: the handler's own errors are JSON with code, run state and remedy; an unknown pool names a remedy.

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import json
+import socket
 import unittest
 
 from tests.support import LoopbackFleet, wait_for
@@ -122,6 +123,24 @@
         self.assertEqual(len(self.fleet.emulated.engines[0]._executions), before)
         operator.set_draining("engine-0", False)
 
+    def test_what_is_not_http_gets_a_typed_refusal(self) -> None:
+        host, _, port = self.fleet.fleet.settings[0].daemon.http_address.rpartition(":")
+        too_many = b"".join(b"X-%d: 1\r\n" % number for number in range(300))
+        for sent in (
+            b"\x00\x01\x02 nonsense\r\n\r\n",
+            b"GET / HTTP/9.9\r\n\r\n",
+            b"GET /" + b"a" * 70_000 + b" HTTP/1.1\r\n\r\n",
+            b"GET / HTTP/1.1\r\nX-Long: " + b"a" * 70_000 + b"\r\n\r\n",
+            b"GET / HTTP/1.1\r\n" + too_many + b"\r\n",
+        ):
+            with self.subTest(sent=sent[:30]), socket.create_connection((host, int(port))) as raw:
+                raw.sendall(sent)
+                answer = b"".join(iter(lambda raw=raw: raw.recv(65_536), b""))  # type: ignore[misc]
+                head, _, body = answer.partition(b"\r\n\r\n")
+                self.assertTrue(head.startswith((b"HTTP/1.1 4", b"HTTP/1.1 505")))
+                error = json.loads(body)["error"]
+                self.assertEqual((error["code"], error["ran"]), ("invalid_request", "not_run"))
+
     def test_bad_requests_get_typed_refusals(self) -> None:
         good = {"model": _SMALL.model, "prompt": "x"}
         cases: list[tuple[bytes, dict[str, str], int, str]] = [
--- a/winchfork/gateway/app.py
+++ b/winchfork/gateway/app.py
@@ -245,7 +245,11 @@
         pool = configuration.pools.get(name)
         if pool is None or pool.kind is not PoolKind.APPLICATION:
             return self._refuse(
-                FailureKind.NOT_FOUND.because(f"there is no application pool {name!r}"), request_id
+                FailureKind.NOT_FOUND.because(
+                    f"there is no application pool {name!r}",
+                    remedy="winchfork config get lists the pools",
+                ),
+                request_id,
             )
         context = self._context(request, tenant, pool, configuration)
         if isinstance(context, Failure):
--- a/winchfork/gateway/server.py
+++ b/winchfork/gateway/server.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import json
 import socket
 import ssl
 import threading
@@ -18,6 +19,7 @@
 from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
 
 from winchfork.constants import CALLER_SOCKET_TIMEOUT_S
+from winchfork.errors import FailureKind
 from winchfork.logs import log_event
 
 WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -62,6 +64,33 @@
         except (OSError, ssl.SSLError) as error:
             log_event("caller_connection_ended", "DEBUG", error=repr(error))
 
+    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
+        """Refuse what is not HTTP in the shape of every other refusal."""
+        failure = FailureKind.INVALID_REQUEST.because(
+            message or "the request cannot be read", remedy="send an HTTP/1.1 request"
+        )
+        body = json.dumps(
+            {
+                "error": {
+                    "message": failure.reason,
+                    "type": failure.kind.value,
+                    "code": failure.kind.value,
+                    "ran": failure.ran.value,
+                    "remedy": failure.remedy,
+                }
+            }
+        ).encode()
+        if self.request_version == "HTTP/0.9":
+            # Not even a version was sent; answer as HTTP/1.1 all the same.
+            self.request_version = "HTTP/1.1"
+        self.send_response(code)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.send_header("Connection", "close")
+        self.end_headers()
+        self.wfile.write(body)
+        self.close_connection = True
+
     def log(self, type: str, message: str, *args: Any) -> None:  # noqa: A002 - library's name
         """Keep the library's access and error lines as debug events."""
         log_event("http_server", "DEBUG", kind=type, message=message % args if args else message)
