--- a/winchfork/constants.py
+++ b/winchfork/constants.py
@@ -34,7 +34,6 @@
 CONFIGURATION_PULL_PERIOD_S: Final = 1.0
 MACHINE_LIST_PERIOD_S: Final = 1.0
 EVENT_POLL_PERIOD_S: Final = 0.5
-LOAD_REPORT_FRESH_S: Final = 2.0
 
 # Claims of requests that must not be repeated.
 CLAIM_VOTERS: Final = 3
--- a/winchfork/control/rpc_server.py
+++ b/winchfork/control/rpc_server.py
@@ -259,11 +259,6 @@
             credentials = grpc.ssl_server_credentials([(key, certificate)])
             self.port = self._server.add_secure_port(settings.daemon.rpc_address, credentials)
 
-    @property
-    def bound(self) -> bool:
-        """Whether the address was free."""
-        return self.port != 0
-
     def start(self) -> None:
         """Serve on threads of its own."""
         self._server.start()
--- a/winchfork/core/configuration.py
+++ b/winchfork/core/configuration.py
@@ -5,7 +5,6 @@
 import dataclasses
 import enum
 import hashlib
-import json
 from typing import Annotated, Any
 
 import pydantic
@@ -130,10 +129,6 @@
             raise ValueError("two tenants share an API key hash")
         return self
 
-    def canonical_json(self) -> str:
-        """Return the stored form: sorted keys, so that equal configurations are equal text."""
-        return json.dumps(self.model_dump(mode="json"), sort_keys=True, separators=(",", ":"))
-
 
 DEFAULT_CLASS = TrafficClass(name="default")
 
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -155,12 +155,6 @@
         self.own = dataclasses.replace(self.own, status=MemberStatus.LEAVING)
         self._spread(self.own)
 
-    def add_seeds(self, addresses: Iterable[str]) -> None:
-        """Learn peer addresses from the platform's machine list."""
-        for address in addresses:
-            if address != self.own.peer_address and address not in self._seeds:
-                self._seeds.append(address)
-
     def join(self, now_s: float) -> list[Outgoing]:
         """Probe every seed at once, at the start: the replies bring members and documents."""
         return [self._probe("", seed, now_s) for seed in self._seeds]
--- a/winchfork/daemon.py
+++ b/winchfork/daemon.py
@@ -39,7 +39,6 @@
 from winchfork.stores.machine_list import HttpMachineSource
 
 _DUTY_THREADS = 6
-_DRAIN_POLL_S = 0.05
 
 
 class Daemon:
@@ -91,11 +90,6 @@
         """The bound callers' address."""
         return self._http.address
 
-    @property
-    def rpc_bound(self) -> bool:
-        """Whether the operators' address was free."""
-        return self._rpc.bound
-
     @property
     def rpc_address(self) -> str:
         """The bound operators' address."""
--- a/winchfork/errors.py
+++ b/winchfork/errors.py
@@ -39,7 +39,6 @@
     FENCE_MISMATCH = "fence_mismatch"
     STREAM_BROKEN = "stream_broken"
     CALLER_LEFT = "caller_left"
-    RETRY_BUDGET_SPENT = "retry_budget_spent"
     CLAIM_HELD = "claim_held"
     CLAIM_NO_MAJORITY = "claim_no_majority"
     OUTCOME_UNKNOWN = "outcome_unknown"
--- a/winchfork/gateway/relay.py
+++ b/winchfork/gateway/relay.py
@@ -27,7 +27,6 @@
 #: The largest answer body kept with a claim.
 KEPT_BODY_BYTES = 8_192
 _PASSED_HEADERS = ("content-type", "accept", "accept-language", "traceparent")
-_ANSWER_HEADERS = ("content-type", "content-language")
 _MAX_ATTEMPTS = 3
 
 
