--- /dev/null
+++ b/winchfork/core/relay_fleet.py
@@ -0,0 +1,155 @@
+"""Replicas as a relaying daemon sees them: what the platform lists, and what answers showed.
+
+What the platform lists is installed by :meth:`RelayFleet.install`; everything else on a replica is
+this daemon's own evidence: work in flight, latency, failures, the weights version of its last
+answer. A replica's id names one incarnation, so evidence never passes to its successor.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from winchfork.core.rendezvous import member_hash
+
+#: Share of a new sample in the moving averages.
+_SAMPLE_WEIGHT = 0.25
+#: Failures in a row after which a replica is left alone for a while.
+FAILURES_TO_EJECT = 3
+#: First time of leaving a failing replica alone; doubled with each ejection in a row.
+EJECTION_S = 1.0
+MAX_EJECTION_S = 8.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaListing:
+    """What the platform's list says of one replica.
+
+    ``versions`` maps each model to the version of its weights; ``sequence`` counts heartbeats or
+    orders and decides nothing here.
+    """
+
+    replica_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    accepting: bool
+    versions: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class RelayReplica:
+    """One replica with this daemon's evidence. Times are monotonic seconds."""
+
+    listing: ReplicaListing
+    versions: dict[str, int]
+    order_hash: int
+    in_flight: int = 0
+    unread_tokens: int = 0
+    peer_in_flight: int = 0
+    peer_unread_tokens: int = 0
+    latency_s: float = 0.0
+    latency_at_s: float = 0.0
+    failures_in_row: int = 0
+    ejections_in_row: int = 0
+    avoided_until_s: float = 0.0
+    loading_until_s: float = 0.0
+
+    @property
+    def replica_id(self) -> str:
+        """The id of this incarnation."""
+        return self.listing.replica_id
+
+    def available(self, now_s: float) -> bool:
+        """Whether new work may be sent now: accepting, not loading weights, not left alone."""
+        return (
+            self.listing.accepting
+            and now_s >= self.loading_until_s
+            and now_s >= self.avoided_until_s
+        )
+
+    def note_sent(self, unread_tokens: int) -> None:
+        """Count a request sent to this replica."""
+        self.in_flight += 1
+        self.unread_tokens += unread_tokens
+
+    def note_started(self, unread_tokens: int) -> None:
+        """The prompt has been read: its first token has arrived, or the request has ended."""
+        self.unread_tokens -= unread_tokens
+
+    def note_done(self) -> None:
+        """Count a request that has ended, however it ended."""
+        self.in_flight -= 1
+
+    def note_success(self, latency_s: float, now_s: float) -> None:
+        """Record a good answer and how long it took."""
+        self.failures_in_row = 0
+        self.ejections_in_row = 0
+        if self.latency_at_s:
+            self.latency_s += _SAMPLE_WEIGHT * (latency_s - self.latency_s)
+        else:
+            self.latency_s = latency_s
+        self.latency_at_s = now_s
+
+    def note_failure(self, now_s: float, *, certain: bool = False) -> bool:
+        """Record a failure; True when the replica is now left alone for a while.
+
+        ``certain`` failures (a refused or silent connection) need no repetition.
+        """
+        self.failures_in_row += 1
+        if not certain and self.failures_in_row < FAILURES_TO_EJECT:
+            return False
+        duration_s = min(MAX_EJECTION_S, EJECTION_S * 2.0**self.ejections_in_row)
+        self.ejections_in_row += 1
+        self.avoided_until_s = now_s + duration_s
+        return True
+
+
+class RelayFleet:
+    """All replicas by id. Not thread-safe."""
+
+    def __init__(self) -> None:
+        self._replicas: dict[str, RelayReplica] = {}
+        self._by_service: dict[str, list[RelayReplica]] = {}
+
+    def install(self, listing: ReplicaListing) -> RelayReplica:
+        """Add a replica or replace what the list says of it, keeping own evidence."""
+        known = self._replicas.get(listing.replica_id)
+        if known is None:
+            known = RelayReplica(listing, dict(listing.versions), member_hash(listing.replica_id))
+            self._replicas[listing.replica_id] = known
+        else:
+            known.listing = listing
+            for model, version in listing.versions.items():
+                known.versions[model] = max(version, known.versions.get(model, 0))
+        self._index()
+        return known
+
+    def remove(self, replica_id: str) -> RelayReplica | None:
+        """Forget a replica; None when it was not known."""
+        removed = self._replicas.pop(replica_id, None)
+        self._index()
+        return removed
+
+    def get(self, replica_id: str) -> RelayReplica | None:
+        """Return a replica by id."""
+        return self._replicas.get(replica_id)
+
+    def of_service(self, service: str) -> list[RelayReplica]:
+        """Return the service's replicas, ordered by id."""
+        return self._by_service.get(service, [])
+
+    def replicas(self) -> Iterable[RelayReplica]:
+        """Return every replica."""
+        return self._replicas.values()
+
+    def __len__(self) -> int:
+        return len(self._replicas)
+
+    def _index(self) -> None:
+        by_service: dict[str, list[RelayReplica]] = {}
+        for replica_id in sorted(self._replicas):
+            replica = self._replicas[replica_id]
+            by_service.setdefault(replica.listing.service, []).append(replica)
+        self._by_service = by_service
--- /dev/null
+++ b/winchfork/core/sliding_budget.py
@@ -0,0 +1,65 @@
+"""One daemon's share of a retry budget that all daemons spend together.
+
+In every sliding window a service may receive ``ratio`` times its requests plus ``slack`` repeats.
+Each daemon spends the ratio of its own requests and an equal part of the slack, so that the sum
+holds without a message between daemons. A daemon that has just started may have spent its slack in
+the life before, so it has none until one window has passed.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import deque
+
+#: Part of the allowance that is spent: counting windows of daemons and back ends never align.
+SAFETY_SHARE = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryAllowance:
+    """The bound on repeats: ``ratio`` of requests plus ``slack`` in each ``window_s`` seconds."""
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+class SlidingRetryBudget:
+    """Counts requests and repeats of each service in the last window. Not thread-safe."""
+
+    def __init__(self, allowance: RetryAllowance, started_at_s: float) -> None:
+        self._allowance = allowance
+        self._started_at_s = started_at_s
+        self._requests: dict[str, deque[float]] = {}
+        self._repeats: dict[str, deque[float]] = {}
+
+    def note_request(self, service: str, now_s: float) -> None:
+        """Count a caller's request."""
+        self._trimmed(self._requests, service, now_s).append(now_s)
+
+    def note_repeat(self, service: str, now_s: float) -> None:
+        """Count a repeat that was sent whatever the budget said."""
+        self._trimmed(self._repeats, service, now_s).append(now_s)
+
+    def remaining(self, service: str, daemons: int, now_s: float) -> float:
+        """Return how many repeats this daemon may still send to ``service`` now."""
+        requests = len(self._trimmed(self._requests, service, now_s))
+        repeats = len(self._trimmed(self._repeats, service, now_s))
+        allowed = self._allowance.ratio * requests
+        if now_s - self._started_at_s >= self._allowance.window_s:
+            allowed += self._allowance.slack / max(1, daemons)
+        return SAFETY_SHARE * allowed - repeats
+
+    def take(self, service: str, daemons: int, now_s: float) -> bool:
+        """Spend one repeat; False when the share is used up."""
+        if self.remaining(service, daemons, now_s) < 1.0:
+            return False
+        self.note_repeat(service, now_s)
+        return True
+
+    def _trimmed(self, counts: dict[str, deque[float]], service: str, now_s: float) -> deque[float]:
+        entries = counts.setdefault(service, deque())
+        horizon_s = now_s - self._allowance.window_s
+        while entries and entries[0] <= horizon_s:
+            entries.popleft()
+        return entries
--- a/winchfork/errors.py
+++ b/winchfork/errors.py
@@ -47,6 +47,11 @@
     REVISION_CONFLICT = "revision_conflict"
     NOT_ACCEPTING_WORK = "not_accepting_work"
     BAD_DATAGRAM = "bad_datagram"
+    CONFIGURATION_UNKNOWN = "configuration_unknown"
+    CONFIGURATION_STALE = "configuration_stale"
+    HEADER_TOO_LARGE = "header_too_large"
+    HISTORY_LOST = "history_lost"
+    BAD_DOCUMENT = "bad_document"
     INTERNAL = "internal"
 
     def because(
@@ -84,6 +89,9 @@
         FailureKind.BACKEND_UNREACHABLE,
         FailureKind.FENCE_MISMATCH,
         FailureKind.NOT_ACCEPTING_WORK,
+        FailureKind.CONFIGURATION_UNKNOWN,
+        FailureKind.CONFIGURATION_STALE,
+        FailureKind.HEADER_TOO_LARGE,
     }
 )
 
--- a/winchfork/logs.py
+++ b/winchfork/logs.py
@@ -9,6 +9,7 @@
 import json
 import re
 import sys
+from collections.abc import Callable
 from typing import Any, TextIO
 
 from loguru import logger
@@ -36,8 +37,11 @@
     return " ".join(pairs)
 
 
-def configure_logs(level: str, stream: TextIO | None = None) -> None:
-    """Send events at ``level`` and above to ``stream`` (standard error by default)."""
+def configure_logs(level: str, stream: TextIO | Callable[[str], None] | None = None) -> None:
+    """Send events at ``level`` and above to ``stream`` (standard error by default).
+
+    A callable takes each line itself, and must not wait for a reader.
+    """
     logger.remove()
     logger.add(
         stream or sys.stderr,
--- /dev/null
+++ b/winchfork/platform/documents.py
@@ -0,0 +1,221 @@
+"""The operator's documents and the replicas' entries to the router's own types."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.routing import (
+    CacheStore,
+    CallerLimits,
+    EngineProfile,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    ServiceShare,
+    TenantPolicy,
+)
+from winchfork.errors import Failure, FailureKind
+from winchfork.platform import names
+from winchfork.router.documents import Document, ReplicaGone, WeightsTarget
+from winchfork.stores.async_key_value import StoreItem
+
+_Shape = TypeVar("_Shape")
+_READY = "ready"
+
+
+class _PascalStruct(msgspec.Struct, rename="pascal"):
+    """Field names in the platform's spelling."""
+
+
+class _Split(_PascalStruct):
+    service: str
+    weight: float
+
+
+class _Route(_PascalStruct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_ms: float
+    max_attempts: int = 1
+    target_latency_ms: float = 0.0
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[_Split] = msgspec.field(default_factory=list)
+    allow_anonymous: bool = False
+    sticky_sessions: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _NamedModel(_PascalStruct):
+    name: str
+
+
+class _Engine(_PascalStruct):
+    slots: int = 0
+    kv_capacity_tokens: int = 0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    max_in_flight: int = 0
+    models: list[_NamedModel] = msgspec.field(default_factory=list)
+
+
+class _Service(_PascalStruct):
+    name: str
+    max_connections: int = 64
+    engine: _Engine | None = None
+    kv_store_address: str = ""
+    zone: str = ""
+    kv_capacity_tokens: int = 0
+
+
+class _Limits(_PascalStruct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 5_000.0
+    idle_timeout_ms: float = 30_000.0
+
+
+class _Tenant(_PascalStruct):
+    name: str
+    api_keys: list[str] = msgspec.field(default_factory=list)
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _Configuration(_PascalStruct):
+    version: int
+    routes: list[_Route] = msgspec.field(default_factory=list)
+    services: list[_Service] = msgspec.field(default_factory=list)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = msgspec.field(default_factory=list)
+
+
+class _ModelVersion(_PascalStruct):
+    name: str
+    version: int
+
+
+class _ReplicaEntry(_PascalStruct):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = _READY
+    models: list[_ModelVersion] = msgspec.field(default_factory=list)
+
+
+class _NamedVersion(_PascalStruct):
+    model: str
+    version: int
+
+
+class PlatformDocuments:
+    """Implements :class:`winchfork.router.documents.DocumentReader`."""
+
+    def read(self, item: StoreItem) -> Document | Failure | None:
+        """Return the document of an entry; None for entries that are none of the router's."""
+        if item.key.startswith(names.REPLICA_PREFIX):
+            return _replica(item)
+        if item.value is None:
+            return None
+        if item.key == names.CONFIGURATION_KEY:
+            return _table(item.value)
+        if item.key.startswith(names.VERSION_PREFIX):
+            named = _decode(item, _NamedVersion)
+            if isinstance(named, Failure):
+                return named
+            return WeightsTarget(named.model, named.version)
+        return None
+
+
+def _replica(item: StoreItem) -> Document | Failure:
+    replica_id = item.key.removeprefix(names.REPLICA_PREFIX)
+    if item.value is None:
+        return ReplicaGone(replica_id)
+    entry = _decode(item, _ReplicaEntry)
+    if isinstance(entry, Failure):
+        return entry
+    return ReplicaListing(
+        replica_id=replica_id,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        accepting=entry.state == _READY,
+        versions={model.name: model.version for model in entry.models},
+    )
+
+
+def _table(value: bytes) -> RoutingTable | Failure:
+    document = _decode(StoreItem(names.CONFIGURATION_KEY, value, 0), _Configuration)
+    if isinstance(document, Failure):
+        return document
+    limits = document.limits
+    return RoutingTable(
+        document.version,
+        [_route(route) for route in document.routes],
+        [_service(service) for service in document.services],
+        [
+            TenantPolicy(item.name, tuple(item.api_keys), item.priority, item.isolated)
+            for item in document.tenants
+        ],
+        CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000.0,
+            limits.idle_timeout_ms / 1000.0,
+        ),
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = tuple(ServiceShare(part.service, part.weight) for part in route.traffic_split)
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=route.kind,
+        timeout_s=route.timeout_ms / 1000.0,
+        target_latency_s=route.target_latency_ms / 1000.0,
+        priority=route.priority,
+        shares=shares or (ServiceShare(route.service, 1.0),),
+        max_attempts=max(1, route.max_attempts),
+        anonymous=route.allow_anonymous,
+        session_affinity=route.sticky_sessions,
+        resumable=route.resumable,
+        gap_target_s=route.gap_target_ms / 1000.0,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    profile = None
+    if engine is not None:
+        profile = EngineProfile(
+            slots=engine.slots,
+            cache_tokens=engine.kv_capacity_tokens,
+            token_bytes=int(engine.kv_token_bytes),
+            link_mbps=engine.link_mbps,
+            models=tuple(model.name for model in engine.models),
+            event_readers=engine.max_in_flight,
+        )
+    store = None
+    if service.kv_store_address:
+        store = CacheStore(service.kv_store_address, service.zone, service.kv_capacity_tokens)
+    return Service(service.name, service.max_connections, profile, store)
+
+
+def _decode(item: StoreItem, shape: type[_Shape]) -> _Shape | Failure:
+    try:
+        return msgspec.json.decode(item.value or b"", type=shape)
+    except msgspec.DecodeError as error:
+        return FailureKind.BAD_DOCUMENT.because(
+            f"{item.key}: {error}", remedy="the operators' document does not fit the router's"
+        )
--- /dev/null
+++ b/winchfork/platform/headers.py
@@ -0,0 +1,104 @@
+"""Header names of the platform to the router's fields, and back."""
+
+from __future__ import annotations
+
+from winchfork.core.prompt_parts import Prompt, PromptPart
+from winchfork.errors import Failure, FailureKind
+from winchfork.platform import names
+from winchfork.router.dialect import AnswerFields, DispatchFields, RequestFields
+from winchfork.router.http_types import AnswerHead, Headers, end_to_end
+
+_LENGTH = b"content-length"
+
+
+class PlatformDialect:
+    """The platform's header names; implements :class:`winchfork.router.dialect.Dialect`."""
+
+    def read_request(self, headers: Headers) -> RequestFields | Failure:
+        """Read a caller's headers."""
+        found = _by_name(headers)
+        request_id = found.get(names.REQUEST_ID.lower(), "")
+        if not request_id:
+            return _bad(names.REQUEST_ID, "is missing", "send an id of its own for each attempt")
+        deadline = found.get(names.DEADLINE_MS.lower())
+        deadline_s = _milliseconds(deadline) if deadline is not None else None
+        if deadline is not None and deadline_s is None:
+            return _bad(names.DEADLINE_MS, "is no number", "send whole milliseconds")
+        prompt = _prompt(found)
+        if isinstance(prompt, Failure):
+            return prompt
+        resume_after = found.get(names.LAST_EVENT_ID.lower())
+        return RequestFields(
+            request_id=request_id,
+            deadline_s=deadline_s,
+            api_key=found.get(names.API_KEY.lower()),
+            prompt=prompt,
+            resume_after=int(resume_after) if resume_after and resume_after.isdigit() else None,
+        )
+
+    def dispatch_headers(self, headers: Headers, fields: DispatchFields) -> Headers:
+        """Return a replica's headers: the caller's own and what the router sets."""
+        kept = [
+            (name, value)
+            for name, value in end_to_end(headers)
+            if name.lower() not in names.OWN_HEADERS and name.lower() != _LENGTH
+        ]
+        added: list[tuple[bytes, object]] = [
+            (names.DEADLINE_MS, max(1, int(fields.deadline_s * 1000))),
+            (names.EXPECTED_INSTANCE, fields.replica_id),
+            (names.TENANT, fields.tenant),
+            (names.REQUEST_PRIORITY, fields.priority),
+            (names.CACHE_SALT, fields.namespace),
+            (names.EXPECTED_VERSION, fields.weights_version),
+            (names.LAST_EVENT_ID, fields.resume_after),
+            (names.KV_FETCH, fields.copy_from),
+            (names.KV_SAVE, fields.save_to),
+        ]
+        kept += [(name, str(value).encode("latin-1")) for name, value in added if value is not None]
+        return kept
+
+    def read_answer(self, head: AnswerHead) -> AnswerFields:
+        """Read a replica's headers."""
+        found = _by_name(head.headers)
+        version = found.get(names.WEIGHT_VERSIONS.lower(), "")
+        return AnswerFields(
+            request_id=found.get(names.REQUEST_ID.lower()),
+            authentic=names.SIGNATURE.lower() in found,
+            not_run=names.NOT_EXECUTED.lower() in found,
+            other_replica=head.status == names.STATUS_MISDIRECTED,
+            weights_version=int(version) if version.isdigit() else None,
+        )
+
+
+def _by_name(headers: Headers) -> dict[bytes, str]:
+    return {name.lower(): value.decode("latin-1").strip() for name, value in headers}
+
+
+def _milliseconds(text: str) -> float | None:
+    try:
+        return max(0.0, float(text) / 1000.0)
+    except ValueError:
+        return None
+
+
+def _prompt(found: dict[bytes, str]) -> Prompt | Failure | None:
+    model = found.get(names.MODEL.lower())
+    if not model:
+        return None
+    parts: list[PromptPart] = []
+    for entry in filter(None, found.get(names.PREFIX_HASH.lower(), "").split(",")):
+        part_id, _, tokens = entry.strip().partition(":")
+        if not tokens.isdigit():
+            return _bad(names.PREFIX_HASH, f"holds {entry[:40]!r}", "send ID:TOKENS, by commas")
+        parts.append(PromptPart(part_id, int(tokens)))
+    usage = found.get(names.TOKEN_USAGE.lower(), "")
+    prompt_text, _, output_text = usage.partition(",")
+    if usage and not prompt_text.strip().isdigit():
+        return _bad(names.TOKEN_USAGE, f"holds {usage[:40]!r}", "send IN,OUT in whole tokens")
+    prompt_tokens = int(prompt_text) if usage else sum(part.tokens for part in parts)
+    output_tokens = int(output_text) if output_text.strip().isdigit() else 0
+    return Prompt(model, tuple(parts), prompt_tokens, output_tokens)
+
+
+def _bad(name: bytes, problem: str, remedy: str) -> Failure:
+    return FailureKind.INVALID_REQUEST.because(f"{name.decode()} {problem}", remedy=remedy)
--- /dev/null
+++ b/winchfork/router/attempt.py
@@ -0,0 +1,187 @@
+"""One attempt of a request at one replica, from the connection to its typed outcome."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.routing import RouteKind
+from winchfork.router.caller_answer import CallerAnswer, StreamReader
+from winchfork.router.dialect import AnswerFields, Dialect
+from winchfork.router.http_types import (
+    AnswerBroken,
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    CallerLeft,
+    TimeLimit,
+)
+from winchfork.router.inbox import Inbox
+from winchfork.router.outcomes import (
+    BufferedAnswer,
+    Delivered,
+    MayHaveRun,
+    NotRun,
+    Outcome,
+    StopCause,
+    Stopped,
+)
+from winchfork.router.replica_connection import Exchange, ReplicaConnection
+
+#: A whole answer larger than this is not held back for a retry.
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptPlan:
+    """What is sent where. ``unread_tokens`` is what the replica has to read of the prompt."""
+
+    replica: RelayReplica
+    message: bytes
+    request_id: str
+    kind: RouteKind
+    unread_tokens: int
+    model: str
+    weights_version: int | None
+    no_body: bool
+
+
+class Attempt:
+    """Runs one exchange. After :meth:`run` the connection is free or closed."""
+
+    def __init__(
+        self,
+        plan: AttemptPlan,
+        connection: ReplicaConnection,
+        inbox: Inbox,
+        answer: CallerAnswer,
+        dialect: Dialect,
+    ) -> None:
+        self._plan = plan
+        self._connection = connection
+        self._inbox = inbox
+        self._answer = answer
+        self._dialect = dialect
+        self._head: AnswerHead | None = None
+        self._fields: AnswerFields | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._stream: StreamReader | None = None
+        self._unread_counted = plan.unread_tokens
+        self.first_event_at_s: float | None = None
+
+    async def run(self) -> Outcome:
+        """Send the request and follow its answer to the end."""
+        plan = self._plan
+        plan.replica.note_sent(plan.unread_tokens)
+        exchange = Exchange(self._inbox.put, self._is_own, plan.no_body)
+        try:
+            self._connection.start(plan.message, exchange)
+            while True:
+                outcome = self._step(await self._inbox.get())
+                if outcome is not None:
+                    return outcome
+        finally:
+            self._note_read()
+            plan.replica.note_done()
+
+    def pause(self, behind: bool) -> None:
+        """Stop reading from the replica while the caller is behind."""
+        if behind:
+            self._connection.pause()
+        else:
+            self._connection.resume()
+
+    def _step(self, item: object) -> Outcome | None:
+        if isinstance(item, AnswerHead):
+            return self._take_head(item)
+        if isinstance(item, AnswerData):
+            return self._take_data(item.data)
+        if isinstance(item, AnswerEnd):
+            return self._take_end()
+        if isinstance(item, AnswerBroken):
+            return self._take_break(item.reason)
+        if isinstance(item, CallerLeft):
+            return self._stop(StopCause.CALLER_LEFT)
+        if isinstance(item, TimeLimit):
+            return self._stop(StopCause.DEADLINE)
+        return None
+
+    def _is_own(self, head: AnswerHead) -> bool:
+        fields = self._dialect.read_answer(head)
+        # A refusal that proves "not run" may come without an id; nothing else may.
+        if fields.request_id is None:
+            return fields.not_run or fields.other_replica
+        return fields.request_id == self._plan.request_id
+
+    def _take_head(self, head: AnswerHead) -> Outcome | None:
+        self._head = head
+        self._fields = self._dialect.read_answer(head)
+        version = self._fields.weights_version
+        if version is not None and self._plan.model:
+            versions = self._plan.replica.versions
+            versions[self._plan.model] = max(version, versions.get(self._plan.model, 0))
+        streaming = self._plan.kind is RouteKind.STREAMING
+        if streaming and 200 <= head.status < 300 and self._fields.authentic:
+            self._stream = StreamReader(self._answer, head)
+        return None
+
+    def _take_data(self, data: bytes) -> Outcome | None:
+        if self._stream is not None:
+            if self._stream.feed(data):
+                self._note_read()
+            return None
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_BUFFERED_BYTES:
+            self._abandon()
+            return MayHaveRun("the answer is too large")
+        return None
+
+    def _take_end(self) -> Outcome:
+        assert self._head is not None and self._fields is not None
+        if self._stream is not None:
+            return self._end_stream()
+        answer = BufferedAnswer(self._head, b"".join(self._body))
+        status = self._head.status
+        if self._fields.not_run or self._fields.other_replica:
+            return NotRun(f"replica answered {status}", True, self._wrong_version())
+        if self._answer.started:
+            return MayHaveRun(f"replica answered {status} to a resumed stream")
+        if 200 <= status < 300:
+            if not self._fields.authentic or self._plan.kind is RouteKind.STREAMING:
+                return MayHaveRun(f"replica answered {status} without proof of origin")
+            self._answer.give_whole(answer)
+            return Delivered(status)
+        return MayHaveRun(f"replica answered {status}", answer)
+
+    def _wrong_version(self) -> bool:
+        """Whether a refusal is explained by a weights version that this daemon had not heard of."""
+        expected = self._plan.weights_version
+        if expected is None or self._fields is None or not self._fields.other_replica:
+            return False
+        return self._plan.replica.versions.get(self._plan.model, 0) > expected
+
+    def _end_stream(self) -> Outcome:
+        assert self._stream is not None
+        if self._stream.torn:
+            return MayHaveRun("the stream ended inside an event")
+        self._answer.finish()
+        return Delivered(200)
+
+    def _take_break(self, reason: str) -> Outcome:
+        if self._head is not None and self._fields is not None and self._fields.not_run:
+            return NotRun("the replica's refusal broke off", True)
+        return MayHaveRun(f"connection {reason}")
+
+    def _stop(self, cause: StopCause) -> Outcome:
+        self._abandon()
+        return Stopped(cause)
+
+    def _abandon(self) -> None:
+        self._connection.abandon()
+        self._inbox.drop_answers()
+
+    def _note_read(self) -> None:
+        self._plan.replica.note_started(self._unread_counted)
+        self._unread_counted = 0
--- /dev/null
+++ b/winchfork/router/caller_answer.py
@@ -0,0 +1,82 @@
+"""What the caller has been given of its answer so far."""
+
+from __future__ import annotations
+
+from winchfork.router.caller_connection import CallerConnection
+from winchfork.router.event_stream import EventSplitter, StreamEvent
+from winchfork.router.http_types import AnswerHead, end_to_end
+from winchfork.router.outcomes import BufferedAnswer
+
+_LENGTH = b"content-length"
+
+
+class CallerAnswer:
+    """Passes answers on unchanged. A stream keeps the head of its first replica."""
+
+    def __init__(self, connection: CallerConnection) -> None:
+        self._connection = connection
+        self._head: AnswerHead | None = None
+        self.started = False
+        self.ended = False
+        self.last_event_id: int | None = None
+        self.events = 0
+
+    def give_whole(self, answer: BufferedAnswer) -> None:
+        """Pass a whole answer on."""
+        head = answer.head
+        headers = [pair for pair in end_to_end(head.headers) if pair[0].lower() != _LENGTH]
+        # An answer to HEAD keeps the length that it announces, without a body.
+        length = len(answer.body) if answer.body or head.length is None else head.length
+        self.started = self.ended = True
+        self._connection.start_answer(head.status, head.reason, headers, length)
+        if answer.body:
+            self._connection.write_body(answer.body)
+        self._connection.finish_answer()
+
+    def give_event(self, head: AnswerHead, event: StreamEvent) -> bool:
+        """Pass a whole event on; False for one that the caller already has."""
+        known = self.last_event_id
+        if event.event_id is not None and known is not None and event.event_id <= known:
+            return False
+        if not self.started:
+            self.started = True
+            headers = [pair for pair in end_to_end(head.headers) if pair[0].lower() != _LENGTH]
+            self._connection.start_answer(head.status, head.reason, headers, None)
+        if event.event_id is not None:
+            self.last_event_id = event.event_id
+        self.events += 1
+        self._connection.write_body(event.raw)
+        return True
+
+    def finish(self) -> None:
+        """End a stream as whole."""
+        self.ended = True
+        self._connection.finish_answer()
+
+    def tear(self) -> None:
+        """End an answer that is not whole."""
+        self.ended = True
+        self._connection.tear_answer()
+
+
+class StreamReader:
+    """Takes the bytes of one replica's stream and gives whole events to the caller."""
+
+    def __init__(self, answer: CallerAnswer, head: AnswerHead) -> None:
+        self._answer = answer
+        self._head = head
+        self._splitter = EventSplitter()
+        self.events = 0
+
+    def feed(self, data: bytes) -> int:
+        """Pass on the events that are now whole; return how many."""
+        events = self._splitter.feed(data)
+        for event in events:
+            self._answer.give_event(self._head, event)
+        self.events += len(events)
+        return len(events)
+
+    @property
+    def torn(self) -> bool:
+        """Whether the stream stopped inside an event, or before its first."""
+        return bool(self._splitter.torn.strip()) or self.events == 0
--- /dev/null
+++ b/winchfork/router/caller_connection.py
@@ -0,0 +1,329 @@
+"""A caller's connection: requests read whole and served one at a time, answers written as given.
+
+A request is handed on only when its last byte is in, so that it can be sent again. What a caller
+may send, and how long it may take, comes from the operators' limits. An answer that cannot be
+finished ends with its connection, so that it never looks complete.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Protocol
+
+import httptools
+
+from winchfork.core.routing import CallerLimits
+from winchfork.errors import Failure, FailureKind
+from winchfork.router.http_types import (
+    REASONS,
+    Headers,
+    IncomingRequest,
+    find_header,
+    render_headers,
+)
+from winchfork.router.replica_connection import set_socket_limits
+
+#: Requests read ahead on one connection before reading stops.
+MAX_PIPELINED = 4
+#: Bytes waiting for a slow caller above which the answer's source is paused.
+HIGH_WATER_BYTES = 256 * 1024
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class CallerHandler(Protocol):
+    """What serves callers' requests."""
+
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        ...
+
+    def begin(self, connection: CallerConnection, request: IncomingRequest) -> ActiveRequest:
+        """Start serving a request that has been read whole."""
+        ...
+
+    def refuse_malformed(self, connection: CallerConnection, failure: Failure) -> None:
+        """Answer what could not be read as a request."""
+        ...
+
+    def opened(self, connection: CallerConnection) -> None:
+        """A caller has connected."""
+        ...
+
+    def closed(self, connection: CallerConnection) -> None:
+        """A caller's connection is gone."""
+        ...
+
+
+class ActiveRequest(Protocol):
+    """A request being served, as its connection sees it."""
+
+    def caller_left(self) -> None:
+        """The caller is gone; nobody waits for an answer."""
+        ...
+
+    def caller_behind(self, behind: bool) -> None:
+        """The caller reads slower than the answer arrives, or has caught up."""
+        ...
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection from a caller."""
+
+    def __init__(self, handler: CallerHandler) -> None:
+        self._handler = handler
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._begun_s = 0.0
+        self._reading_head = False
+        self._reading_body = False
+        self._refused = False
+        self._waiting: deque[IncomingRequest] = deque()
+        self._active: ActiveRequest | None = None
+        self._request: IncomingRequest | None = None
+        self._chunked = False
+        self._last_use_s = self._loop.time()
+        self.close_after_answer = False
+
+    # State, for the sweeper and for a planned stop.
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being served, waits, or is being read."""
+        return bool(self._active or self._waiting or self._reading_head or self._reading_body)
+
+    def check_times(self, now_s: float) -> None:
+        """End a connection whose caller has taken or rested too long."""
+        limits = self._handler.limits()
+        if self._active is not None or self._waiting:
+            return
+        if self._reading_head or self._reading_body:
+            limit_s = limits.header_timeout_s if self._reading_head else limits.idle_timeout_s
+            since_s = self._begun_s if self._reading_head else self._last_use_s
+            if now_s - since_s > limit_s:
+                self._refuse(FailureKind.SENDER_STALLED.because("the request took too long"))
+        elif now_s - self._last_use_s > limits.idle_timeout_s:
+            self.close()
+
+    def close_when_idle(self) -> None:
+        """End the connection after its answer; now if there is none to give."""
+        self.close_after_answer = True
+        if not self.busy:
+            self.close()
+
+    def close(self) -> None:
+        """End the connection once what is written has gone out."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.close()
+
+    # Answers.
+
+    def start_answer(
+        self, status: int, reason: bytes, headers: Headers, length: int | None
+    ) -> None:
+        """Write an answer's head. With no ``length``, the body is framed by this connection."""
+        request = self._request
+        bodyless = status in (204, 304) or (request is not None and request.method == b"HEAD")
+        http_10 = request is not None and request.http_10
+        lines = list(headers)
+        self._chunked = False
+        if length is not None:
+            lines.append((b"Content-Length", str(length).encode()))
+        elif not bodyless and not http_10:
+            self._chunked = True
+            lines.append((b"Transfer-Encoding", b"chunked"))
+        elif not bodyless:
+            self.close_after_answer = True
+        if request is not None and not request.keep_alive:
+            self.close_after_answer = True
+        if self.close_after_answer:
+            lines.append((b"Connection", b"close"))
+        start_line = b"HTTP/1.1 %d %s" % (status, reason or REASONS.get(status, b"Unknown"))
+        self._write(render_headers(start_line, lines))
+
+    def write_body(self, data: bytes) -> None:
+        """Write a piece of the body."""
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._write(data)
+
+    def finish_answer(self) -> None:
+        """End the answer as whole; the next request, if any, is served."""
+        if self._chunked:
+            self._write(b"0\r\n\r\n")
+        self._answered()
+
+    def tear_answer(self) -> None:
+        """End an answer that is not whole: the connection closes without its end."""
+        self._active = None
+        self._waiting.clear()
+        self.close()
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer."""
+        self.start_answer(status, b"", headers, len(body))
+        if body and not (self._request is not None and self._request.method == b"HEAD"):
+            self._write(body)
+        self._answered()
+
+    def _answered(self) -> None:
+        self._active = None
+        self._request = None
+        self._last_use_s = self._loop.time()
+        if self.close_after_answer:
+            self._waiting.clear()
+            self.close()
+        elif self._waiting:
+            self._loop.call_soon(self._serve_next)
+        elif self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        set_socket_limits(transport)
+        transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+        self._handler.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has come."""
+        if self._refused:
+            return
+        self._last_use_s = self._loop.time()
+        if self._reading_head:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.close_after_answer = True
+        except httptools.HttpParserCallbackError:
+            pass  # a callback has refused the request
+        except httptools.HttpParserError as error:
+            self._refuse(FailureKind.INVALID_REQUEST.because(f"not HTTP: {type(error).__name__}"))
+        if self._reading_head and self._header_bytes > self._handler.limits().header_bytes:
+            self._refuse(FailureKind.HEADER_TOO_LARGE.because("the header is too large"))
+        if len(self._waiting) >= MAX_PIPELINED and self._transport is not None:
+            self._transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """The caller has closed."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The caller is gone."""
+        active, self._active = self._active, None
+        self._waiting.clear()
+        if active is not None:
+            active.caller_left()
+        self._handler.closed(self)
+
+    def pause_writing(self) -> None:
+        """The caller is behind."""
+        if self._active is not None:
+            self._active.caller_behind(True)
+
+    def resume_writing(self) -> None:
+        """The caller has caught up."""
+        if self._active is not None:
+            self._active.caller_behind(False)
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """A request line begins."""
+        self._target = b""
+        self._headers = []
+        self._header_bytes = 0
+        self._body = []
+        self._body_bytes = 0
+        self._begun_s = self._loop.time()
+        self._reading_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head's size and whether the caller waits to be told to go on."""
+        self._reading_head = False
+        self._reading_body = True
+        limits = self._handler.limits()
+        size = len(self._target) + sum(len(key) + len(value) + 4 for key, value in self._headers)
+        if size > limits.header_bytes:
+            self._refuse(FailureKind.HEADER_TOO_LARGE.because("the header is too large"))
+            return
+        length = find_header(self._headers, b"content-length")
+        if length is not None and length.isdigit() and int(length) > limits.body_bytes:
+            self._refuse(FailureKind.BODY_TOO_LARGE.because("the body is too large"))
+            return
+        expect = find_header(self._headers, b"expect")
+        if expect is not None and expect.lower() == b"100-continue":
+            self._write(_CONTINUE)
+
+    def on_body(self, data: bytes) -> None:
+        """Collect the body."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self._handler.limits().body_bytes:
+            self._refuse(FailureKind.BODY_TOO_LARGE.because("the body is too large"))
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        self._reading_body = False
+        if self._refused:
+            return
+        request = IncomingRequest(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=self._headers,
+            body=b"".join(self._body),
+            http_10=self._parser.get_http_version() == "1.0",
+            keep_alive=self._parser.should_keep_alive(),
+            received_s=self._begun_s,
+        )
+        self._body = []
+        self._waiting.append(request)
+        if self._active is None:
+            self._serve_next()
+
+    # Internals
+
+    def _serve_next(self) -> None:
+        if self._active is not None or not self._waiting:
+            return
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._request = self._waiting.popleft()
+        active = self._handler.begin(self, self._request)
+        if self._request is not None:
+            self._active = active
+
+    def _refuse(self, failure: Failure) -> None:
+        if self._refused:
+            return
+        self._refused = True
+        self._reading_head = False
+        self._reading_body = False
+        self.close_after_answer = True
+        if self._active is None:
+            self._handler.refuse_malformed(self, failure)
+        else:
+            self.close()
--- /dev/null
+++ b/winchfork/router/connection_pool.py
@@ -0,0 +1,124 @@
+"""Connections to replicas, kept and reused; the total to one address is bounded.
+
+A service's replicas take a limited number of connections from all daemons together, so each daemon
+keeps to its part. The connection used last is used first, and the rest go idle and are closed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from winchfork.errors import Failure, FailureKind
+from winchfork.router.replica_connection import ReplicaConnection
+
+#: Seconds for a connection to come up.
+CONNECT_TIMEOUT_S = 1.0
+#: Idle connections are closed after this long.
+IDLE_CLOSE_S = 12.0
+
+
+@dataclasses.dataclass(slots=True)
+class PoolCounters:
+    """Connections opened and failed to open since the start."""
+
+    opened: int = 0
+    failed: int = 0
+
+
+class ConnectionPool:
+    """Idle and busy connections by address."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._idle: dict[str, list[ReplicaConnection]] = {}
+        self._open: dict[str, int] = {}
+        self.counters = PoolCounters()
+
+    async def acquire(self, address: str, limit: int) -> ReplicaConnection | Failure:
+        """Return a connection that no exchange uses; nothing has been sent on a failure."""
+        kept = self._take_idle(address)
+        if kept is not None:
+            return kept
+        if self._open.get(address, 0) >= limit:
+            return FailureKind.OVERLOADED.because(
+                f"all {limit} connections to {address} are in use"
+            )
+        return await self._connect(address)
+
+    def give_back(self, address: str, connection: ReplicaConnection) -> None:
+        """Return a connection on which nothing was sent."""
+        connection.idle_since_s = self._loop.time()
+        self._idle.setdefault(address, []).append(connection)
+
+    def _take_idle(self, address: str) -> ReplicaConnection | None:
+        idle = self._idle.get(address, [])
+        now_s = self._loop.time()
+        while idle:
+            connection = idle.pop()
+            if connection.usable(now_s):
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self, address: str) -> ReplicaConnection | Failure:
+        host, _, port = address.rpartition(":")
+        self._open[address] = self._open.get(address, 0) + 1
+        lost = False
+
+        def on_idle(connection: ReplicaConnection) -> None:
+            nonlocal lost
+            if not connection.closed:
+                self._idle.setdefault(address, []).append(connection)
+            elif not lost:
+                lost = True
+                self._forget(address)
+
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await self._loop.create_connection(
+                    lambda: ReplicaConnection(on_idle), host, int(port)
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            self._forget(address)
+            self.counters.failed += 1
+            return FailureKind.BACKEND_UNREACHABLE.because(
+                f"{address}: {type(error).__name__}", remedy="another replica may answer"
+            )
+        except asyncio.CancelledError:
+            self._forget(address)
+            raise
+        self.counters.opened += 1
+        return connection
+
+    def _forget(self, address: str) -> None:
+        left = self._open.get(address, 1) - 1
+        if left > 0:
+            self._open[address] = left
+        else:
+            self._open.pop(address, None)
+
+    def sweep(self, now_s: float) -> None:
+        """Close connections that have been idle for long or are at their announced end."""
+        for address in list(self._idle):
+            kept: list[ReplicaConnection] = []
+            for connection in self._idle[address]:
+                fresh = now_s - connection.idle_since_s < IDLE_CLOSE_S
+                if fresh and connection.usable(now_s):
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an address whose replica has left."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for address in list(self._idle):
+            self.close_idle(address)
--- /dev/null
+++ b/winchfork/router/dialect.py
@@ -0,0 +1,66 @@
+"""The port to a deployment's header names: what a request says, what a dispatch carries.
+
+The router knows these fields; a translation package knows what they are called on the wire.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol
+
+from winchfork.core.prompt_parts import Prompt
+from winchfork.errors import Failure
+from winchfork.router.http_types import AnswerHead, Headers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFields:
+    """What a caller's headers say. ``deadline_s`` is how long the caller waits from now."""
+
+    request_id: str
+    deadline_s: float | None
+    api_key: str | None
+    prompt: Prompt | None
+    resume_after: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchFields:
+    """What the router adds to a request it passes on; None leaves a field out."""
+
+    deadline_s: float
+    replica_id: str
+    tenant: str | None = None
+    priority: int | None = None
+    namespace: str | None = None
+    weights_version: int | None = None
+    resume_after: int | None = None
+    copy_from: str | None = None
+    save_to: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerFields:
+    """What a replica's headers say. ``not_run`` is its proof that it did not run the request."""
+
+    request_id: str | None
+    authentic: bool
+    not_run: bool
+    other_replica: bool
+    weights_version: int | None
+
+
+class Dialect(Protocol):
+    """Translates between header names and fields."""
+
+    def read_request(self, headers: Headers) -> RequestFields | Failure:
+        """Read a caller's headers; the failure names the header and what it should hold."""
+        ...
+
+    def dispatch_headers(self, headers: Headers, fields: DispatchFields) -> Headers:
+        """Return the headers for a replica: the caller's end-to-end ones and ``fields``."""
+        ...
+
+    def read_answer(self, head: AnswerHead) -> AnswerFields:
+        """Read a replica's headers."""
+        ...
--- /dev/null
+++ b/winchfork/router/documents.py
@@ -0,0 +1,37 @@
+"""The port to the operators' documents: what an entry of the store means to the router."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol
+
+from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.routing import RoutingTable
+from winchfork.errors import Failure
+from winchfork.stores.async_key_value import StoreItem
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightsTarget:
+    """The newest version of a model's weights that operators have named."""
+
+    model: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaGone:
+    """A replica is no longer listed."""
+
+    replica_id: str
+
+
+Document = RoutingTable | WeightsTarget | ReplicaListing | ReplicaGone
+
+
+class DocumentReader(Protocol):
+    """Turns store entries into documents."""
+
+    def read(self, item: StoreItem) -> Document | Failure | None:
+        """Return the document of an entry; None for an entry that is none of the router's."""
+        ...
--- /dev/null
+++ b/winchfork/router/event_stream.py
@@ -0,0 +1,54 @@
+"""Cuts an event stream into whole events, and reads their ids (WHATWG server-sent events)."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One whole event with its closing empty line; ``event_id`` is None without a numeric id."""
+
+    raw: bytes
+    event_id: int | None
+
+
+class EventSplitter:
+    """Collects bytes and gives back whole events; the torn rest stays inside."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Take bytes and return the events that are now whole."""
+        self._rest += data
+        events: list[StreamEvent] = []
+        while True:
+            end = _event_end(self._rest)
+            if end < 0:
+                return events
+            raw, self._rest = self._rest[:end], self._rest[end:]
+            events.append(StreamEvent(raw, _event_id(raw)))
+
+    @property
+    def torn(self) -> bytes:
+        """Bytes of an event that has not ended."""
+        return self._rest
+
+
+def _event_end(data: bytes) -> int:
+    ends = [
+        position + len(mark)
+        for mark in (b"\n\n", b"\r\n\r\n")
+        if (position := data.find(mark)) >= 0
+    ]
+    return min(ends, default=-1)
+
+
+def _event_id(raw: bytes) -> int | None:
+    for line in raw.splitlines():
+        name, _, value = line.partition(b":")
+        if name == b"id":
+            text = value.strip()
+            return int(text) if text.isdigit() else None
+    return None
--- /dev/null
+++ b/winchfork/router/http_call.py
@@ -0,0 +1,87 @@
+"""Small whole calls over pooled connections: to the store, to replicas' own interface, to peers."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections import Counter
+
+from winchfork.errors import Failure, FailureKind
+from winchfork.router.connection_pool import ConnectionPool
+from winchfork.router.http_types import (
+    AnswerBroken,
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    Headers,
+    render_headers,
+)
+from winchfork.router.inbox import Inbox
+from winchfork.router.replica_connection import Exchange
+
+#: Connections that one caller of this module may hold to an address.
+_MOST_CONNECTIONS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallReply:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpCaller:
+    """Makes calls with a time limit each and counts them by label."""
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self._pool = pool
+        self.calls: Counter[str] = Counter()
+
+    async def call(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        body: bytes | None,
+        timeout_s: float,
+        *,
+        label: str,
+        headers: Headers | None = None,
+    ) -> CallReply | Failure:
+        """Return the answer; a failure whose ``ran`` is "not run" was never sent."""
+        connection = await self._pool.acquire(address, _MOST_CONNECTIONS)
+        if isinstance(connection, Failure):
+            return connection
+        self.calls[label] += 1
+        inbox = Inbox()
+        lines: Headers = [(b"Host", address.encode()), *(headers or [])]
+        if body is not None:
+            lines.append((b"Content-Type", b"application/json"))
+            lines.append((b"Content-Length", str(len(body)).encode()))
+        message = render_headers(b"%b %b HTTP/1.1" % (method, target), lines) + (body or b"")
+        connection.start(message, Exchange(inbox.put, lambda head: True))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await _collect(inbox)
+        except TimeoutError:
+            connection.abandon()
+            return FailureKind.BACKEND_BROKE.because(f"no answer within {timeout_s:.2f} s")
+        except asyncio.CancelledError:
+            connection.abandon()
+            raise
+
+
+async def _collect(inbox: Inbox) -> CallReply | Failure:
+    status = 0
+    pieces: list[bytes] = []
+    while True:
+        item = await inbox.get()
+        if isinstance(item, AnswerHead):
+            status = item.status
+        elif isinstance(item, AnswerData):
+            pieces.append(item.data)
+        elif isinstance(item, AnswerEnd):
+            return CallReply(status, b"".join(pieces))
+        elif isinstance(item, AnswerBroken):
+            return FailureKind.BACKEND_BROKE.because(f"connection {item.reason}")
--- /dev/null
+++ b/winchfork/router/http_types.py
@@ -0,0 +1,135 @@
+"""HTTP/1.1 messages as the router handles them: raw header pairs, whole bodies, typed progress."""
+
+from __future__ import annotations
+
+import dataclasses
+
+Header = tuple[bytes, bytes]
+Headers = list[Header]
+
+#: Headers that concern one connection only (RFC 9110, section 7.6.1, and RFC 9112).
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of ``name`` (lower case), or None."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that travel on: neither hop-by-hop nor named by Connection."""
+    named = set(HOP_BY_HOP)
+    for key, value in headers:
+        if key.lower() == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    return [(key, value) for key, value in headers if key.lower() not in named]
+
+
+def render_headers(start_line: bytes, headers: Headers) -> bytes:
+    """Return a message head, with its empty line."""
+    lines = [start_line]
+    lines += [key + b": " + value for key, value in headers]
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
+
+
+@dataclasses.dataclass(slots=True)
+class IncomingRequest:
+    """A caller's request, read whole. ``received_s`` is when its first byte was seen."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    http_10: bool
+    keep_alive: bool
+    received_s: float
+
+    @property
+    def path(self) -> str:
+        """The target without its query, as text."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+    @property
+    def host(self) -> str:
+        """The Host header as text."""
+        return (find_header(self.headers, b"host") or b"").decode("latin-1").strip()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """A replica's status and headers. ``length`` is None where no Content-Length was given."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+    length: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerData:
+    """A piece of an answer's body, unframed."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer is whole."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerBroken:
+    """The connection ended or spoke nonsense before the answer was whole.
+
+    ``sent`` is False only when no byte of the request can have left this machine.
+    """
+
+    reason: str
+    sent: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller closed its connection."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeLimit:
+    """A timer of the request went off; ``name`` says which."""
+
+    name: str
+
+
+Progress = AnswerHead | AnswerData | AnswerEnd | AnswerBroken | CallerLeft | TimeLimit
--- /dev/null
+++ b/winchfork/router/process.py
@@ -0,0 +1,192 @@
+"""One router process: wires the parts, listens, follows the store, and stops as planned.
+
+A planned stop: not ready at once; requests are taken on while the entry still sends them; every
+answer ends its connection; the process ends when nothing is being served, or at the end of the
+grace time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import gc
+import random
+import signal
+import time
+from collections.abc import Callable
+
+from winchfork import __version__
+from winchfork.errors import Failure
+from winchfork.logs import configure_logs, log_event
+from winchfork.router.caller_connection import CallerConnection
+from winchfork.router.connection_pool import ConnectionPool
+from winchfork.router.dialect import Dialect
+from winchfork.router.documents import DocumentReader
+from winchfork.router.http_call import HttpCaller
+from winchfork.router.log_output import LogOutput
+from winchfork.router.metrics_text import render_metrics
+from winchfork.router.service import RouterService
+from winchfork.router.settings import RouterSettings
+from winchfork.router.state import RouterState
+from winchfork.router.store_sync import StoreSync
+from winchfork.router.text_server import TextConnection
+from winchfork.stores.async_key_value import AsyncKeyValueStore
+
+SWEEP_PERIOD_S = 0.5
+LOG_PERIOD_S = 0.1
+#: After a stop is asked for, callers still arrive until the entry has noticed twice.
+ENTRY_NOTICE_S = 2.6
+#: Grace time that is left unused, for the way out.
+STOP_MARGIN_S = 0.5
+_BACKLOG = 1024
+_JSON_FREE_TEXT = b"text/plain; charset=utf-8"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterParts:
+    """What a deployment supplies: its header names, its documents, its store."""
+
+    dialect: Dialect
+    documents: DocumentReader
+    make_store: Callable[[HttpCaller, str], AsyncKeyValueStore]
+
+
+ReadSettings = Callable[[], RouterSettings | Failure]
+
+
+class RouterProcess:
+    """The running parts."""
+
+    def __init__(
+        self, settings: RouterSettings, parts: RouterParts, read_settings: ReadSettings
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        # Back-off, jitter and waits told to callers; daemons must not act in step.
+        generator = random.Random(f"{settings.node_id}:{time.monotonic_ns()}")
+        self._loop = loop
+        self._settings = settings
+        self._read_settings = read_settings
+        self.state = RouterState(settings, loop.time, generator)
+        self._pool = ConnectionPool()
+        self._calls = HttpCaller(ConnectionPool())
+        self.service = RouterService(self.state, self._pool, parts.dialect)
+        store = parts.make_store(self._calls, settings.store_address)
+        self._sync = StoreSync(self.state, store, parts.documents, generator)
+        self._servers: list[asyncio.Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stop_asked = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a stop is asked for, then stop as planned."""
+        self._loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
+        self._loop.add_signal_handler(signal.SIGINT, self._stop_asked.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._tasks.append(self._loop.create_task(self._sync.run()))
+        self._tasks.append(self._loop.create_task(self._sweep()))
+        await self._listen()
+        log_event(
+            "router_started",
+            version=__version__,
+            node=self._settings.node_id,
+            zone=self._settings.zone,
+            callers=self._settings.caller_address,
+            store=self._settings.store_address,
+        )
+        await self._stop_asked.wait()
+        await self._stop()
+
+    async def _listen(self) -> None:
+        settings = self._settings
+        await self._serve_on(settings.caller_address, lambda: CallerConnection(self.service))
+        await self._serve_on(settings.readiness_address, lambda: TextConnection(self._readiness))
+        if settings.metrics_address:
+            await self._serve_on(
+                settings.metrics_address, lambda: TextConnection(self._metrics_page)
+            )
+
+    async def _serve_on(self, address: str, factory: Callable[[], asyncio.Protocol]) -> None:
+        host, _, port = address.rpartition(":")
+        server = await self._loop.create_server(factory, host, int(port), backlog=_BACKLOG)
+        self._servers.append(server)
+
+    # Pages
+
+    def _readiness(self, path: str) -> tuple[int, bytes, bytes]:
+        ready = self.state.ready
+        return (200, _JSON_FREE_TEXT, b"ready\n") if ready else (503, _JSON_FREE_TEXT, b"no\n")
+
+    def _metrics_page(self, path: str) -> tuple[int, bytes, bytes]:
+        return 200, _JSON_FREE_TEXT, render_metrics(self.state, self._pool, self._calls)
+
+    # Duties
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            now_s = self._loop.time()
+            self.service.sweep(now_s)
+            self._sync.expire_vanished(now_s)
+
+    def _reload(self) -> None:
+        settings = self._read_settings()
+        if isinstance(settings, Failure):
+            log_event("settings_refused", "WARNING", reason=str(settings))
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(RouterSettings)
+            if getattr(settings, field.name) != getattr(self._settings, field.name)
+        ]
+        self.state.settings = settings
+        log_event("settings_reloaded", changed=",".join(changed) or "nothing")
+
+    async def _stop(self) -> None:
+        asked_s = self._loop.time()
+        self.state.stopping = True
+        log_event("router_stopping", active=self.service.active_requests)
+        last_s = asked_s + self._settings.bounds.grace_s - STOP_MARGIN_S
+        notice_s = min(ENTRY_NOTICE_S, self._settings.bounds.grace_s / 2)
+        await asyncio.sleep(notice_s)
+        self.service.close_idle_callers()
+        while self.service.busy_connections and self._loop.time() < last_s:
+            await asyncio.sleep(0.02)
+        for server in self._servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+        self._pool.close()
+        log_event(
+            "router_stopped",
+            took_s=self._loop.time() - asked_s,
+            cut=self.service.active_requests,
+        )
+
+
+def run_router(settings: RouterSettings, parts: RouterParts, read_settings: ReadSettings) -> int:
+    """Run one router process to its end."""
+    output = LogOutput()
+    configure_logs("info", output.write)
+
+    async def flush_logs() -> None:
+        while True:
+            await asyncio.sleep(LOG_PERIOD_S)
+            output.flush()
+
+    async def main() -> None:
+        flushing = asyncio.get_running_loop().create_task(flush_logs())
+        try:
+            await RouterProcess(settings, parts, read_settings).run()
+        finally:
+            flushing.cancel()
+
+    # What the imports made stays for the life of the process: keep the collector off it.
+    gc.collect()
+    gc.freeze()
+    try:
+        asyncio.run(main())
+    except OSError as error:
+        log_event("router_failed", "ERROR", reason=repr(error))
+        return 1
+    finally:
+        output.flush()
+    return 0
--- /dev/null
+++ b/winchfork/router/refusals.py
@@ -0,0 +1,62 @@
+"""The router's own answers: status, when to come back, and a body that says why."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+
+from winchfork.errors import Failure, FailureKind, RunState
+from winchfork.router.http_types import Headers
+
+_STATUS = {
+    FailureKind.INVALID_REQUEST: 400,
+    FailureKind.UNAUTHENTICATED: 401,
+    FailureKind.NOT_FOUND: 404,
+    FailureKind.SENDER_STALLED: 408,
+    FailureKind.BODY_TOO_LARGE: 413,
+    FailureKind.HEADER_TOO_LARGE: 431,
+}
+#: Wait told to a refused caller, with as much again at random so that returns do not coincide.
+DEFAULT_RETRY_AFTER_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalAnswer:
+    """A whole answer of the router's own."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def refusal_answer(
+    failure: Failure, request_id: str | None, generator: random.Random
+) -> RefusalAnswer:
+    """Return the answer for ``failure``: 503 promises "not run", 502 and 504 promise nothing."""
+    status = _status(failure)
+    body = json.dumps(
+        {
+            "code": failure.kind.value,
+            "reason": failure.reason,
+            "remedy": failure.remedy,
+            "ran": failure.ran.value,
+        }
+    ).encode()
+    headers: Headers = [(b"Content-Type", b"application/json")]
+    if request_id:
+        headers.append((b"X-Request-Id", request_id.encode("latin-1")))
+    if status == 503:
+        wait_s = failure.retry_after_s or DEFAULT_RETRY_AFTER_S
+        wait_s += generator.random() * DEFAULT_RETRY_AFTER_S
+        headers.append((b"Retry-After", f"{wait_s:.2f}".encode()))
+    return RefusalAnswer(status, headers, body)
+
+
+def _status(failure: Failure) -> int:
+    known = _STATUS.get(failure.kind)
+    if known is not None:
+        return known
+    if failure.ran is RunState.NOT_RUN:
+        return 503
+    return 504 if failure.kind is FailureKind.DEADLINE_EXCEEDED else 502
--- /dev/null
+++ b/winchfork/router/relayed_request.py
@@ -0,0 +1,357 @@
+"""One caller's request, from admission to its one final answer.
+
+The final answer promises "not run" only when no attempt may have run. An attempt whose outcome is
+unknown is followed by another only where the route's requests are repeatable. Every repeat draws on
+the retry budget, and no request is sent to more replicas than its route allows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from winchfork.core.prompt_parts import CacheScope, Prompt
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_placement import (
+    PromptPlacement,
+    RelayDecision,
+    place_prompt,
+    place_task,
+)
+from winchfork.errors import Failure, FailureKind, RunState
+from winchfork.logs import log_event
+from winchfork.router.attempt import Attempt, AttemptPlan
+from winchfork.router.caller_answer import CallerAnswer
+from winchfork.router.dialect import DispatchFields
+from winchfork.router.http_types import (
+    CallerLeft,
+    IncomingRequest,
+    TimeLimit,
+    render_headers,
+)
+from winchfork.router.inbox import Inbox
+from winchfork.router.outcomes import Delivered, MayHaveRun, NotRun, Outcome, StopCause, Stopped
+from winchfork.router.refusals import refusal_answer
+from winchfork.router.state import AdmittedRequest
+
+if TYPE_CHECKING:
+    from winchfork.router.caller_connection import CallerConnection
+    from winchfork.router.service import RouterService
+
+#: Pause between looks for a replica while none is available.
+_LOOK_AGAIN_S = 0.03
+#: Longest wait for a replica, as a share of the route's target latency: past it, the caller is told
+#: when to come back.
+_PATIENCE_SHARE = 0.22
+_DEFAULT_PATIENCE_S = 0.15
+#: A repeat needs this much time to be worth sending.
+_LEAST_TIME_LEFT_S = 0.03
+#: Tries at one replica that only refused the weights version.
+_MAX_VERSION_TRIES = 2
+_LOOK_AGAIN = "look_again"
+_DEADLINE = "deadline"
+
+
+class RelayedRequest:
+    """Serves one admitted request."""
+
+    def __init__(
+        self,
+        service: RouterService,
+        connection: CallerConnection,
+        request: IncomingRequest,
+        admitted: AdmittedRequest,
+    ) -> None:
+        self._service = service
+        self._state = service.state
+        self._loop = asyncio.get_running_loop()
+        self._request = request
+        self._admitted = admitted
+        self._route = admitted.route
+        self._inbox = Inbox()
+        self._answer = CallerAnswer(connection)
+        self._connection = connection
+        self._attempt: Attempt | None = None
+        self._backend = self._state.choose_service(admitted.route)
+        self._ends_at_s = request.received_s + self._time_allowed_s()
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._version_tries = 0
+        self._may_have_run = False
+        self._outcome = "?"
+
+    # ActiveRequest
+
+    def caller_left(self) -> None:
+        """The caller is gone."""
+        self._inbox.put(CallerLeft())
+
+    def caller_behind(self, behind: bool) -> None:
+        """Slow the replica down to the caller's pace."""
+        if self._attempt is not None:
+            self._attempt.pause(behind)
+
+    # Lifecycle
+
+    async def run(self) -> None:
+        """Serve the request; never raises."""
+        timer = self._loop.call_at(self._ends_at_s, self._inbox.put, TimeLimit(_DEADLINE))
+        self._state.budget.note_request(self._backend, self._loop.time())
+        try:
+            await self._serve()
+        except Exception as error:  # noqa: BLE001 - one request's surprise must not end the others
+            log_event("request_error", "ERROR", id=self._id, error=repr(error))
+            self._give_up(FailureKind.INTERNAL.because(repr(error), ran=self._ran()))
+        finally:
+            timer.cancel()
+            self._log_done()
+
+    @property
+    def _id(self) -> str:
+        return self._admitted.fields.request_id
+
+    def _time_allowed_s(self) -> float:
+        deadline_s = self._admitted.fields.deadline_s
+        timeout_s = self._route.timeout_s
+        return timeout_s if deadline_s is None else min(deadline_s, timeout_s)
+
+    def _time_left_s(self) -> float:
+        return self._ends_at_s - self._loop.time()
+
+    async def _serve(self) -> None:
+        while True:
+            decision = await self._find_replica()
+            if isinstance(decision, Stopped):
+                self._stop(decision.cause)
+                return
+            if isinstance(decision, Failure):
+                self._give_up(decision)
+                return
+            outcome = await self._try(decision)
+            if not self._goes_on(decision.replica, outcome):
+                return
+
+    async def _find_replica(self) -> RelayDecision | Failure | Stopped:
+        """Choose a replica, waiting a little while none is available."""
+        patience_s = self._route.target_latency_s * _PATIENCE_SHARE or _DEFAULT_PATIENCE_S
+        wait_until_s = min(self._loop.time() + patience_s, self._ends_at_s)
+        while True:
+            decision = self._place()
+            if decision is not None:
+                return decision
+            if self._loop.time() >= wait_until_s:
+                return FailureKind.NO_REPLICA.because(
+                    f"no replica of {self._backend} takes work", ran=self._ran()
+                )
+            self._loop.call_later(_LOOK_AGAIN_S, self._inbox.put, TimeLimit(_LOOK_AGAIN))
+            item = await self._inbox.get()
+            if isinstance(item, CallerLeft):
+                return Stopped(StopCause.CALLER_LEFT)
+            if isinstance(item, TimeLimit) and item.name == _DEADLINE:
+                return Stopped(StopCause.DEADLINE)
+
+    def _place(self) -> RelayDecision | None:
+        candidates = self._state.available(self._backend, self._tried)
+        prompt = self._admitted.fields.prompt
+        zone = self._state.settings.zone
+        if prompt is None:
+            return place_task(zone, candidates, self._loop.time())
+        request = PromptPlacement(prompt, self._scope(prompt), zone)
+        return place_prompt(request, candidates, self._state.parts)
+
+    def _scope(self, prompt: Prompt) -> CacheScope:
+        tenant = self._admitted.tenant
+        isolated = tenant is not None and tenant.isolated
+        return CacheScope.of(tenant.name if tenant else "", isolated, prompt.model)
+
+    # One attempt
+
+    async def _try(self, decision: RelayDecision) -> Outcome:
+        replica = decision.replica
+        address = replica.listing.address
+        limit = self._state.connection_limit(replica.listing.service)
+        connection = await self._service.pool.acquire(address, limit)
+        if isinstance(connection, Failure):
+            return self._unreached(replica, connection)
+        if self._time_left_s() <= 0 or not self._still_wanted(replica):
+            self._service.pool.give_back(address, connection)
+            return NotRun("the replica is leaving or the time is up", sent=False)
+        plan = self._plan(decision)
+        self._attempt = Attempt(plan, connection, self._inbox, self._answer, self._service.dialect)
+        self._sends += 1
+        sent_s = self._loop.time()
+        self._log_sent(decision, plan)
+        outcome = await self._attempt.run()
+        self._attempt = None
+        self._note_evidence(plan, outcome, sent_s)
+        return outcome
+
+    def _still_wanted(self, replica: RelayReplica) -> bool:
+        current = self._state.fleet.get(replica.replica_id)
+        return current is not None and current.listing.accepting
+
+    def _unreached(self, replica: RelayReplica, failure: Failure) -> NotRun:
+        if failure.kind is FailureKind.BACKEND_UNREACHABLE:
+            self._state.note_failure(replica, failure.reason, certain=True)
+        return NotRun(failure.reason, sent=False)
+
+    def _plan(self, decision: RelayDecision) -> AttemptPlan:
+        replica = decision.replica
+        prompt = self._admitted.fields.prompt
+        version = replica.versions.get(prompt.model) if prompt else None
+        tenant = self._admitted.tenant
+        fields = DispatchFields(
+            deadline_s=self._time_left_s(),
+            replica_id=replica.replica_id,
+            tenant=tenant.name if tenant else None,
+            priority=min(9, self._admitted.priority) if prompt else None,
+            namespace=self._scope(prompt).namespace(version or 0) if prompt else None,
+            weights_version=version,
+            resume_after=self._resume_after(),
+        )
+        headers = self._service.dialect.dispatch_headers(self._request.headers, fields)
+        if self._request.body or self._request.method not in (b"GET", b"HEAD"):
+            headers.append((b"Content-Length", str(len(self._request.body)).encode()))
+        start_line = b"%b %b HTTP/1.1" % (self._request.method, self._request.target)
+        return AttemptPlan(
+            replica=replica,
+            message=render_headers(start_line, headers) + self._request.body,
+            request_id=self._id,
+            kind=self._route.kind,
+            unread_tokens=decision.unread_tokens,
+            model=prompt.model if prompt else "",
+            weights_version=version,
+            no_body=self._request.method == b"HEAD",
+        )
+
+    def _resume_after(self) -> int | None:
+        """Return the id of the last event that the caller has."""
+        if self._answer.last_event_id is not None:
+            return self._answer.last_event_id
+        return self._admitted.fields.resume_after
+
+    def _note_evidence(self, plan: AttemptPlan, outcome: Outcome, sent_s: float) -> None:
+        replica = plan.replica
+        now_s = self._loop.time()
+        if isinstance(outcome, Delivered):
+            replica.note_success(now_s - sent_s, now_s)
+            self._note_kept(plan)
+        elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
+            self._state.note_failure(replica, outcome.reason)
+
+    def _note_kept(self, plan: AttemptPlan) -> None:
+        prompt = self._admitted.fields.prompt
+        if prompt is None or plan.weights_version is None:
+            return
+        namespace = self._scope(prompt).namespace(plan.weights_version)
+        self._state.parts.note_held(
+            namespace, prompt.parts, plan.replica.replica_id, self._loop.time()
+        )
+
+    # What follows an attempt
+
+    def _goes_on(self, replica: RelayReplica, outcome: Outcome) -> bool:
+        """Give the final answer, or return True for another attempt."""
+        if isinstance(outcome, Delivered):
+            self._outcome = f"delivered_{outcome.status}"
+            return False
+        if isinstance(outcome, Stopped):
+            self._may_have_run = self._may_have_run or self._sends > 0
+            self._stop(outcome.cause)
+            return False
+        if isinstance(outcome, NotRun):
+            return self._after_refusal(replica, outcome)
+        return self._after_unknown(replica, outcome)
+
+    def _after_refusal(self, replica: RelayReplica, outcome: NotRun) -> bool:
+        if outcome.same_replica and self._version_tries < _MAX_VERSION_TRIES:
+            self._version_tries += 1
+            if self._may_repeat(self._route.max_attempts + 1):
+                return True
+        self._tried.add(replica.replica_id)
+        if not outcome.sent or self._may_repeat(self._route.max_attempts):
+            return True
+        self._give_up(FailureKind.OVERLOADED.because(outcome.reason, ran=self._ran()))
+        return False
+
+    def _after_unknown(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
+        self._may_have_run = True
+        self._tried.add(replica.replica_id)
+        failed_by_replica = outcome.answer is not None and outcome.answer.head.status < 500
+        worth_it = self._route.repeatable and not failed_by_replica and self._others_left()
+        if worth_it and self._may_repeat(self._route.max_attempts):
+            return True
+        if outcome.answer is not None and not self._answer.started:
+            self._outcome = f"passed_on_{outcome.answer.head.status}"
+            self._answer.give_whole(outcome.answer)
+        else:
+            self._give_up(FailureKind.OUTCOME_UNKNOWN.because(outcome.reason, ran=RunState.UNKNOWN))
+        return False
+
+    def _others_left(self) -> bool:
+        return bool(self._state.available(self._backend, self._tried))
+
+    def _may_repeat(self, most_sends: int) -> bool:
+        if self._sends >= most_sends or self._time_left_s() < _LEAST_TIME_LEFT_S:
+            return False
+        return self._state.budget.take(self._backend, self._state.daemons, self._loop.time())
+
+    def _ran(self) -> RunState:
+        return RunState.UNKNOWN if self._may_have_run else RunState.NOT_RUN
+
+    def _stop(self, cause: StopCause) -> None:
+        if cause is StopCause.CALLER_LEFT:
+            self._outcome = cause.value
+            return
+        reason = "the time allowed is up"
+        self._give_up(FailureKind.DEADLINE_EXCEEDED.because(reason, ran=self._ran()))
+
+    def _give_up(self, failure: Failure) -> None:
+        """Give the final answer of a request that no replica answered."""
+        self._outcome = failure.kind.value
+        self._reason = failure.reason
+        if self._answer.ended:
+            return
+        if self._answer.started:
+            self._answer.tear()
+            return
+        refusal = refusal_answer(failure, self._id, self._state.generator)
+        self._answer.ended = True
+        self._connection.answer(refusal.status, refusal.headers, refusal.body)
+
+    # Logs
+
+    _reason = ""
+
+    def _log_sent(self, decision: RelayDecision, plan: AttemptPlan) -> None:
+        log_event(
+            "request_sent",
+            id=self._id,
+            route=self._route.name,
+            replica=decision.replica.replica_id,
+            attempt=self._sends,
+            cost_s=decision.cost_s,
+            weighed=decision.weighed,
+            kept=decision.kept_tokens,
+            unread=decision.unread_tokens,
+            weights=plan.weights_version,
+            in_flight=decision.replica.in_flight,
+            left_s=self._time_left_s(),
+            known_s=self._state.freshness.age_s(self._loop.time()),
+            configuration=self._state.table.version if self._state.table else 0,
+        )
+
+    def _log_done(self) -> None:
+        took_s = self._loop.time() - self._request.received_s
+        self._state.metrics.count("requests", self._outcome)
+        self._state.metrics.observe("request_seconds", self._route.kind.value, took_s)
+        log_event(
+            "request_done",
+            id=self._id,
+            outcome=self._outcome,
+            reason=self._reason or None,
+            took_s=took_s,
+            sends=self._sends,
+            events=self._answer.events or None,
+            ran=self._ran().value,
+        )
--- /dev/null
+++ b/winchfork/router/replica_connection.py
@@ -0,0 +1,244 @@
+"""A client connection to a replica, a peer or the store: one exchange at a time, all bytes seen.
+
+Answers are matched by id where the exchange names one: an answer with another id is read and
+dropped, since a surplus answer may arrive in the place of the next. Bytes that belong to no
+exchange close the connection. An answer without framing is whole only when its connection ends in
+order; a reset tears it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import socket
+from collections.abc import Callable
+
+import httptools
+
+from winchfork.router.http_types import (
+    AnswerBroken,
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    Headers,
+    Progress,
+    find_header,
+)
+
+#: Milliseconds that sent bytes may stay unacknowledged before the connection is given up.
+USER_TIMEOUT_MS = 1_500
+#: Seconds of silence before keep-alive probes, and between them; probes without an answer.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+#: Idle connections are not used again this close to the end that the server announced.
+KEEPALIVE_MARGIN_S = 0.5
+
+
+def set_socket_limits(transport: asyncio.BaseTransport) -> None:
+    """Make the system end a connection whose other side has gone silent."""
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One request on a connection: where its progress goes and which answers are its own."""
+
+    deliver: Callable[[Progress], None]
+    is_own: Callable[[AnswerHead], bool]
+    no_body: bool = False
+
+
+class ReplicaConnection(asyncio.Protocol):
+    """One connection. :meth:`start` begins an exchange; ``on_idle`` tells that it is over."""
+
+    def __init__(self, on_idle: Callable[[ReplicaConnection], None]) -> None:
+        self._on_idle = on_idle
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._exchange: Exchange | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._headers: Headers = []
+        self._reason = b""
+        self._own = False
+        self._interim = False
+        self._until_close = False
+        self._reusable = True
+        self._in_answer = False
+        self.closed = False
+        self.idle_since_s = 0.0
+        self.idle_until_s = float("inf")
+        self.exchanges = 0
+
+    # Use of the connection.
+
+    def start(self, message: bytes, exchange: Exchange) -> None:
+        """Send a request; its progress goes to the exchange until an end or a break."""
+        assert self._transport is not None and self._exchange is None
+        self._exchange = exchange
+        self.exchanges += 1
+        if self._parser is None:
+            self._parser = httptools.HttpResponseParser(self)
+        self._transport.write(message)
+
+    def abandon(self) -> None:
+        """End the exchange without waiting for its answer: the connection closes."""
+        self._exchange = None
+        self.close()
+
+    def close(self) -> None:
+        """Close at once; what is unsent is dropped."""
+        self.closed = True
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.abort()
+
+    def usable(self, now_s: float) -> bool:
+        """Whether another exchange may start on this idle connection."""
+        return (
+            not self.closed
+            and self._exchange is None
+            and now_s < self.idle_until_s
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    def pause(self) -> None:
+        """Stop reading: the reader of the answer is behind."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        set_socket_limits(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse; bytes outside an exchange belong to nobody."""
+        if self._exchange is None or self._parser is None:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._break("the answer switches protocols")
+        except httptools.HttpParserError as error:
+            # Whatever a callback has already taken as whole stays whole; the rest is surplus.
+            self._break(f"not HTTP: {type(error).__name__}")
+
+    def eof_received(self) -> bool:
+        """An orderly end completes an answer without framing and tears every other."""
+        if self._exchange is not None and self._in_answer and self._own and self._until_close:
+            self._complete(reusable=False)
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The connection is gone."""
+        self.closed = True
+        self._break("reset" if error else "closed")
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """A status line begins."""
+        self._headers = []
+        self._reason = b""
+        self._in_answer = True
+        if self._exchange is None:
+            self.close()
+
+    def on_status(self, reason: bytes) -> None:
+        """Collect the reason phrase, which may come in pieces."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Hand the head over if the answer is this exchange's."""
+        if self._exchange is None or self._parser is None:
+            return
+        status = self._parser.get_status_code()
+        self._interim = status < 200
+        if self._interim:
+            return
+        head = AnswerHead(status, self._reason, self._headers, _content_length(self._headers))
+        chunked = b"chunked" in (find_header(self._headers, b"transfer-encoding") or b"").lower()
+        bodyless = status in (204, 304) or self._exchange.no_body
+        self._until_close = head.length is None and not chunked and not bodyless
+        self._note_persistence(head)
+        self._own = self._exchange.is_own(head)
+        if not self._own:
+            if self._until_close:
+                self._break("an answer to another request, without framing")
+            return
+        self._exchange.deliver(head)
+        if self._exchange.no_body:
+            self._complete(reusable=False)
+
+    def on_body(self, data: bytes) -> None:
+        """Hand body bytes over."""
+        if self._own and self._exchange is not None and not self._interim:
+            self._exchange.deliver(AnswerData(data))
+
+    def on_message_complete(self) -> None:
+        """The message is whole by its framing."""
+        self._in_answer = False
+        if self._interim or not self._own or self._exchange is None:
+            return
+        self._complete(reusable=self._reusable)
+
+    # Internals
+
+    def _note_persistence(self, head: AnswerHead) -> None:
+        connection = (find_header(head.headers, b"connection") or b"").lower()
+        self._reusable = b"close" not in connection and not self._until_close
+        announced = find_header(head.headers, b"keep-alive")
+        if announced is not None:
+            self._note_keep_alive(announced)
+
+    def _note_keep_alive(self, announced: bytes) -> None:
+        for pair in announced.split(b","):
+            name, _, value = pair.strip().partition(b"=")
+            if name.strip().lower() == b"timeout" and value.strip().isdigit():
+                rest_s = max(0.0, int(value) - KEEPALIVE_MARGIN_S)
+                self.idle_until_s = self._loop.time() + rest_s
+
+    def _complete(self, *, reusable: bool) -> None:
+        exchange, self._exchange = self._exchange, None
+        self._own = False
+        self.idle_since_s = self._loop.time()
+        unsent = self._transport is None or self._transport.get_write_buffer_size() > 0
+        if not reusable or unsent:
+            self.close()
+        if exchange is not None:
+            exchange.deliver(AnswerEnd())
+        self._on_idle(self)
+
+    def _break(self, reason: str) -> None:
+        exchange, self._exchange = self._exchange, None
+        self.close()
+        if exchange is not None:
+            exchange.deliver(AnswerBroken(reason))
+        self._on_idle(self)
+
+
+def _content_length(headers: Headers) -> int | None:
+    value = find_header(headers, b"content-length")
+    return int(value) if value is not None and value.isdigit() else None
--- /dev/null
+++ b/winchfork/router/service.py
@@ -0,0 +1,112 @@
+"""The callers' side of a router process: admits requests and tracks connections."""
+
+from __future__ import annotations
+
+import asyncio
+
+from winchfork.core.routing import CallerLimits
+from winchfork.errors import Failure
+from winchfork.logs import log_event
+from winchfork.router.caller_connection import ActiveRequest, CallerConnection
+from winchfork.router.connection_pool import ConnectionPool
+from winchfork.router.dialect import Dialect
+from winchfork.router.http_types import IncomingRequest
+from winchfork.router.refusals import refusal_answer
+from winchfork.router.relayed_request import RelayedRequest
+from winchfork.router.state import RouterState
+
+_DEFAULT_LIMITS = CallerLimits()
+
+
+class Refused:
+    """A request that has been answered without an attempt."""
+
+    def caller_left(self) -> None:
+        """Nothing to stop."""
+
+    def caller_behind(self, behind: bool) -> None:
+        """Nothing to slow down."""
+
+
+class RouterService:
+    """Serves callers with the state of this process."""
+
+    def __init__(self, state: RouterState, pool: ConnectionPool, dialect: Dialect) -> None:
+        self.state = state
+        self.pool = pool
+        self.dialect = dialect
+        self._connections: set[CallerConnection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # CallerHandler
+
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        return self.state.table.limits if self.state.table else _DEFAULT_LIMITS
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Track a connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Forget a connection."""
+        self._connections.discard(connection)
+
+    def begin(self, connection: CallerConnection, request: IncomingRequest) -> ActiveRequest:
+        """Admit and start a request, or refuse it at once."""
+        if self.state.stopping:
+            connection.close_after_answer = True
+        fields = self.dialect.read_request(request.headers)
+        if isinstance(fields, Failure):
+            return self._refuse(connection, fields, None)
+        admitted = self.state.admit(request, fields)
+        if isinstance(admitted, Failure):
+            return self._refuse(connection, admitted, fields.request_id)
+        active = RelayedRequest(self, connection, request, admitted)
+        task = asyncio.get_running_loop().create_task(active.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return active
+
+    def refuse_malformed(self, connection: CallerConnection, failure: Failure) -> None:
+        """Answer what is not a request, and end the connection."""
+        self._refuse(connection, failure, None)
+
+    def _refuse(
+        self, connection: CallerConnection, failure: Failure, request_id: str | None
+    ) -> Refused:
+        self.state.metrics.count("requests", failure.kind.value)
+        log_event(
+            "request_refused",
+            id=request_id,
+            code=failure.kind.value,
+            reason=failure.reason,
+            known_s=self.state.freshness.age_s(self.state.clock()),
+            configuration=self.state.table.version if self.state.table else 0,
+        )
+        answer = refusal_answer(failure, request_id, self.state.generator)
+        connection.answer(answer.status, answer.headers, answer.body)
+        return Refused()
+
+    # Duties
+
+    @property
+    def active_requests(self) -> int:
+        """Requests being served."""
+        return len(self._tasks)
+
+    @property
+    def busy_connections(self) -> int:
+        """Callers' connections with a request on them."""
+        return sum(1 for connection in self._connections if connection.busy)
+
+    def sweep(self, now_s: float) -> None:
+        """End connections that take too long; close idle ones to replicas."""
+        for connection in list(self._connections):
+            connection.check_times(now_s)
+        self.pool.sweep(now_s)
+
+    def close_idle_callers(self) -> None:
+        """End every caller's connection after its answer, idle ones now."""
+        for connection in list(self._connections):
+            connection.close_when_idle()
--- /dev/null
+++ b/winchfork/router/settings.py
@@ -0,0 +1,45 @@
+"""What a router process is started with. Times in seconds, addresses as ``IP:PORT``."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterBounds:
+    """The deployment's promises in figures."""
+
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    revoke_s: float = 5.0
+    fail_closed: bool = True
+    configuration_s: float = 2.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 50.0
+    lease_s: float = 3.0
+    rollout_s: float = 8.0
+    reread_s: float = 10.0
+    heartbeat_s: float = 1.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterSettings:
+    """Who this router is, where it listens, and where the store is."""
+
+    node_id: str
+    zone: str
+    region: str
+    machine_ip: str
+    caller_address: str
+    readiness_address: str
+    store_address: str
+    metrics_address: str = ""
+    metrics_path: str = "/metrics"
+    peer_ports: tuple[int, int] = (0, 0)
+    zones: tuple[str, ...] = ()
+    store_min_lease_s: float = 1.0
+    store_value_bytes: int = 1_048_576
+    memory_mb: int = 0
+    descriptors: int = 0
+    bounds: RouterBounds = RouterBounds()
--- /dev/null
+++ b/winchfork/router/state.py
@@ -0,0 +1,177 @@
+"""What one router process believes, and the decisions that read it. Not thread-safe: one loop."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from winchfork.core.freshness import Freshness
+from winchfork.core.part_index import PartIndex
+from winchfork.core.relay_fleet import RelayFleet, RelayReplica
+from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
+from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
+from winchfork.errors import Failure, FailureKind
+from winchfork.logs import log_event
+from winchfork.router.dialect import RequestFields
+from winchfork.router.http_types import IncomingRequest
+from winchfork.router.metrics import RouterMetrics
+from winchfork.router.settings import RouterSettings
+
+#: Part of the revocation bound that is kept for a store whose watches lag and for slow clocks.
+REVOCATION_MARGIN_S = 1.3
+#: With proofs older than this, an unknown route or key may just be new: not now, not "no".
+CERTAIN_AGE_S = 1.9
+#: Wait told to callers while the configuration is unknown or stale.
+STALE_RETRY_AFTER_S = 0.7
+#: Daemons assumed to share budgets and connections until more are known.
+ASSUMED_DAEMONS = 10
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmittedRequest:
+    """A request that may run: its route, its tenant and what its headers say."""
+
+    route: Route
+    tenant: TenantPolicy | None
+    fields: RequestFields
+
+    @property
+    def priority(self) -> int:
+        """The priority in force: the tenant's before the route's."""
+        if self.tenant is not None and self.tenant.priority is not None:
+            return self.tenant.priority
+        return self.route.priority
+
+
+class RouterState:
+    """Beliefs of one process: configuration, replicas, kept parts, budgets."""
+
+    def __init__(
+        self, settings: RouterSettings, clock: Callable[[], float], generator: random.Random
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.generator = generator
+        self.table: RoutingTable | None = None
+        self.table_revision = 0
+        #: Newest named weights version of each model, and when this daemon heard of it.
+        self.targets: dict[str, int] = {}
+        self.target_seen_s: dict[str, float] = {}
+        #: Replicas missing from the list since an outage, with the time until which they are kept.
+        self.vanished: dict[str, float] = {}
+        self.fleet = RelayFleet()
+        self.parts = PartIndex()
+        self.freshness = Freshness()
+        self.splits = SplitChooser()
+        self.metrics = RouterMetrics()
+        self.stopping = False
+        bounds = settings.bounds
+        self.budget = SlidingRetryBudget(
+            RetryAllowance(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s), clock()
+        )
+        self.daemons = ASSUMED_DAEMONS
+
+    def install_table(self, table: RoutingTable, revision: int) -> bool:
+        """Put a newer configuration in force; False when it is not newer."""
+        current = self.table.version if self.table else -1
+        if table.version <= current or revision <= self.table_revision:
+            return False
+        self.table = table
+        self.table_revision = revision
+        self.splits.forget_except(table.routes)
+        return True
+
+    @property
+    def keys_fresh(self) -> bool:
+        """Whether a key that the table holds cannot have been revoked too long ago."""
+        bounds = self.settings.bounds
+        if not bounds.fail_closed:
+            return True
+        age_s = self.freshness.age_s(self.clock())
+        return age_s <= max(0.5, bounds.revoke_s - REVOCATION_MARGIN_S)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this process wants callers."""
+        return not self.stopping and self.table is not None and self.keys_fresh
+
+    def admit(self, request: IncomingRequest, fields: RequestFields) -> AdmittedRequest | Failure:
+        """Find the route and the tenant of a request, or say why it may not run."""
+        table = self.table
+        if table is None:
+            return FailureKind.CONFIGURATION_UNKNOWN.because(
+                "no configuration is known yet", retry_after_s=STALE_RETRY_AFTER_S
+            )
+        certain = self.freshness.age_s(self.clock()) <= CERTAIN_AGE_S
+        route = table.match(request.host, request.path)
+        if route is None:
+            if not certain:
+                return self._stale("the route is not known")
+            return FailureKind.NOT_FOUND.because(
+                "no route matches this host and path", remedy="check the host and the path"
+            )
+        tenant = table.tenant_of(fields.api_key) if fields.api_key else None
+        if not table.tenants or route.anonymous:
+            return AdmittedRequest(route, tenant, fields)
+        if tenant is None:
+            if not certain:
+                return self._stale("the key is not known")
+            return FailureKind.UNAUTHENTICATED.because(
+                "the key is missing or unknown", remedy="send a key that the operators hold"
+            )
+        if not self.keys_fresh:
+            return self._stale("the key cannot be checked")
+        return AdmittedRequest(route, tenant, fields)
+
+    def _stale(self, reason: str) -> Failure:
+        age_s = self.freshness.age_s(self.clock())
+        return FailureKind.CONFIGURATION_STALE.because(
+            f"{reason}; the configuration was last proven current {age_s:.1f} s ago",
+            retry_after_s=STALE_RETRY_AFTER_S,
+        )
+
+    def choose_service(self, route: Route) -> str:
+        """Return the service whose turn it is, or another part when it has no replica."""
+        chosen = self.splits.choose(route)
+        if self.fleet.of_service(chosen):
+            return chosen
+        for share in route.shares:
+            if share.weight > 0 and self.fleet.of_service(share.service):
+                return share.service
+        return chosen
+
+    def available(self, service: str, tried: set[str]) -> list[RelayReplica]:
+        """Return replicas that may be sent work now, without those already tried.
+
+        When every one is left alone for failures, that is ignored: a doubtful replica is better
+        than none.
+        """
+        now_s = self.clock()
+        candidates = [
+            replica
+            for replica in self.fleet.of_service(service)
+            if replica.listing.accepting
+            and replica.replica_id not in tried
+            and now_s >= replica.loading_until_s
+        ]
+        sound = [replica for replica in candidates if now_s >= replica.avoided_until_s]
+        return sound or candidates
+
+    def note_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> None:
+        """Record a replica's failure; log when it is now left alone for a while."""
+        now_s = self.clock()
+        if replica.note_failure(now_s, certain=certain):
+            log_event(
+                "replica_ejected",
+                replica=replica.replica_id,
+                reason=reason,
+                failures=replica.failures_in_row,
+                for_s=replica.avoided_until_s - now_s,
+            )
+
+    def connection_limit(self, service: str) -> int:
+        """Return this daemon's part of the connections that one replica takes."""
+        known = self.table.services.get(service) if self.table else None
+        total = known.max_connections if known else 64
+        return max(2, total // self.daemons)
--- /dev/null
+++ b/winchfork/router/store_sync.py
@@ -0,0 +1,187 @@
+"""Keeps the router's beliefs in step with the store: list once, then watch.
+
+One watch covers every document, so one call proves all of them current. An empty batch proves that
+nothing had changed when the wait was over; the proof is dated by the moment that the wait must have
+ended, never by when the answer came. Revisions never go down within a life.
+
+While the store cannot be reached its silence is no evidence. A replica that has vanished from the
+first list after an outage is kept for a heartbeat and a half: it may only not have been written
+again yet.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.routing import RoutingTable
+from winchfork.errors import Failure, FailureKind
+from winchfork.logs import log_event
+from winchfork.router.documents import DocumentReader, ReplicaGone, WeightsTarget
+from winchfork.router.state import RouterState
+from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreItem, StoreSnapshot
+
+#: Longest wait of one watch. A cut that heals is noticed within this and the store's time limit.
+WATCH_WAIT_S = 1.6
+#: First and longest pause after a failed call; each pause is jittered by half of itself.
+BACK_OFF_S = 0.1
+MAX_BACK_OFF_S = 0.8
+#: Heartbeats for which a replica that vanished during an outage is kept.
+KEEP_HEARTBEATS = 1.5
+_EVERYTHING = ""
+
+
+class StoreSync:
+    """The task that follows the store."""
+
+    def __init__(
+        self,
+        state: RouterState,
+        store: AsyncKeyValueStore,
+        reader: DocumentReader,
+        generator: random.Random,
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._reader = reader
+        self._generator = generator
+        self._revision = 0
+        self._lost_since_s: float | None = None
+        self._listed = False
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        failures = 0
+        while True:
+            failure = await (self._watch_once() if self._listed else self._list_once())
+            if failure is None:
+                failures = 0
+                continue
+            failures += 1
+            self._note_lost(failure)
+            if failure.kind is FailureKind.HISTORY_LOST:
+                self._listed = False
+            pause_s = min(MAX_BACK_OFF_S, BACK_OFF_S * 2.0 ** (failures - 1))
+            await asyncio.sleep(pause_s * (0.5 + self._generator.random()))
+
+    async def _list_once(self) -> Failure | None:
+        asked_s = self._state.clock()
+        snapshot = await self._store.list(_EVERYTHING)
+        if isinstance(snapshot, Failure):
+            return snapshot
+        after_outage = self._lost_since_s is not None
+        self._note_regained(asked_s)
+        self._state.freshness.prove(asked_s)
+        for item in snapshot.items:
+            self._install(item)
+        self._remove_missing(snapshot, after_outage)
+        self._revision = max(self._revision, snapshot.at_revision)
+        self._listed = True
+        return None
+
+    async def _watch_once(self) -> Failure | None:
+        asked_s = self._state.clock()
+        batch = await self._store.watch(_EVERYTHING, self._revision, WATCH_WAIT_S)
+        if isinstance(batch, Failure):
+            return batch
+        self._note_regained(asked_s)
+        for item in batch.items:
+            self._install(item)
+        self._revision = max(self._revision, batch.at_revision)
+        waited = not batch.items and self._state.clock() - asked_s >= WATCH_WAIT_S
+        self._state.freshness.prove(asked_s + WATCH_WAIT_S if waited else asked_s)
+        return None
+
+    # Documents
+
+    def _install(self, item: StoreItem) -> None:
+        document = self._reader.read(item)
+        if document is None:
+            return
+        if isinstance(document, Failure):
+            log_event("document_refused", "WARNING", key=item.key, reason=document.reason)
+        elif isinstance(document, RoutingTable):
+            self._install_table(document, item.revision)
+        elif isinstance(document, WeightsTarget):
+            self._install_target(document, item.revision)
+        elif isinstance(document, ReplicaListing):
+            self._install_replica(document, item.revision)
+        elif isinstance(document, ReplicaGone):
+            self._remove_replica(document.replica_id, item.revision)
+
+    def _install_table(self, table: RoutingTable, revision: int) -> None:
+        if self._state.install_table(table, revision):
+            log_event(
+                "configuration_installed",
+                version=table.version,
+                revision=revision,
+                routes=len(table.routes),
+                services=len(table.services),
+                tenants=len(table.tenants),
+            )
+
+    def _install_target(self, target: WeightsTarget, revision: int) -> None:
+        if target.version > self._state.targets.get(target.model, 0):
+            self._state.targets[target.model] = target.version
+            self._state.target_seen_s[target.model] = self._state.clock()
+            log_event(
+                "weights_named", model=target.model, version=target.version, revision=revision
+            )
+
+    def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
+        known = self._state.fleet.get(listing.replica_id)
+        changed = known is None or known.listing != listing
+        self._state.fleet.install(listing)
+        self._state.vanished.pop(listing.replica_id, None)
+        if changed:
+            log_event(
+                "replica_listed",
+                replica=listing.replica_id,
+                service=listing.service,
+                zone=listing.zone,
+                accepting=listing.accepting,
+                versions=",".join(str(version) for version in listing.versions.values()) or None,
+                revision=revision,
+            )
+
+    def _remove_replica(self, replica_id: str, revision: int) -> None:
+        removed = self._state.fleet.remove(replica_id)
+        if removed is not None:
+            self._state.parts.drop_replica(replica_id)
+            log_event("replica_gone", replica=replica_id, revision=revision)
+
+    def _remove_missing(self, snapshot: StoreSnapshot, after_outage: bool) -> None:
+        listed = {
+            document.replica_id
+            for item in snapshot.items
+            if isinstance(document := self._reader.read(item), ReplicaListing)
+        }
+        now_s = self._state.clock()
+        for replica in list(self._state.fleet.replicas()):
+            if replica.replica_id in listed:
+                continue
+            if after_outage and replica.listing.accepting:
+                keep_s = self._state.settings.bounds.heartbeat_s * KEEP_HEARTBEATS
+                self._state.vanished.setdefault(replica.replica_id, now_s + keep_s)
+            else:
+                self._remove_replica(replica.replica_id, snapshot.at_revision)
+
+    def expire_vanished(self, now_s: float) -> None:
+        """Remove replicas that have not been listed again in time."""
+        for replica_id, until_s in list(self._state.vanished.items()):
+            if now_s >= until_s:
+                del self._state.vanished[replica_id]
+                self._remove_replica(replica_id, self._revision)
+
+    # The store as a dependency
+
+    def _note_lost(self, failure: Failure) -> None:
+        if self._lost_since_s is None and failure.kind is not FailureKind.HISTORY_LOST:
+            self._lost_since_s = self._state.clock()
+            log_event("store_lost", "WARNING", reason=str(failure), revision=self._revision)
+
+    def _note_regained(self, now_s: float) -> None:
+        if self._lost_since_s is not None:
+            log_event("store_regained", after_s=now_s - self._lost_since_s)
+            self._lost_since_s = None
--- /dev/null
+++ b/winchfork/stores/async_key_value.py
@@ -0,0 +1,86 @@
+"""The port to the platform's key-value service for a single-loop process.
+
+Revisions come from one counter that every change raises. A failed write may still have taken
+effect, now or seconds later: ``STORE_UNAVAILABLE`` from a write says nothing about it, while
+``STORE_RATE_LIMITED`` and ``REVISION_CONFLICT`` say that nothing was done.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Sequence
+from typing import Protocol
+
+from winchfork.errors import Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreItem:
+    """One entry as it was written; ``value`` is None where the entry was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSnapshot:
+    """Entries under a prefix; changes after ``at_revision`` are still to be watched."""
+
+    items: tuple[StoreItem, ...]
+    at_revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchBatch:
+    """Changes in order; the next watch goes on after ``at_revision``."""
+
+    items: tuple[StoreItem, ...]
+    at_revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpectedRevision:
+    """A condition on one entry; revision 0 stands for "absent"."""
+
+    key: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PutItem:
+    """One entry to write; it ends with its lease when one is given."""
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+class AsyncKeyValueStore(Protocol):
+    """The service as the router uses it."""
+
+    async def list(self, prefix: str) -> StoreSnapshot | Failure:
+        """Read every entry under a prefix."""
+        ...
+
+    async def watch(self, prefix: str, after_revision: int, wait_s: float) -> WatchBatch | Failure:
+        """Wait for changes; an empty batch after ``wait_s``. ``HISTORY_LOST``: list again."""
+        ...
+
+    async def transact(
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
+    ) -> int | Failure:
+        """Write all if every condition holds; return the revision."""
+        ...
+
+    async def grant_lease(self, ttl_s: float) -> int | Failure:
+        """Open a lease and return its id."""
+        ...
+
+    async def renew_lease(self, lease_id: int) -> bool | Failure:
+        """Renew a lease; False when it is over."""
+        ...
+
+    async def end_lease(self, lease_id: int) -> Failure | None:
+        """End a lease; its entries go."""
+        ...
