Bring replicas to named weights by a leased, fenced leader

Change: a leader by lease whose revision is the fence; it acts only within 0.9 s of its last renewal by its own monotonic clock, a successor waits out the lease bound; orders carry the sequence they expect and the replica's id; rollouts begin as late as the bound allows, so replaced versions are not loaded. Peers (datagrams, the existing membership) hear which replicas to leave alone, loads and kept parts.

--- /dev/null
+++ b/winchfork/backends/replica_control.py
@@ -0,0 +1,65 @@
+"""The port to a replica's own interface: its report, and fenced orders for weights."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from winchfork.errors import Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaReport:
+    """What a replica says of itself, as of some hundred milliseconds ago."""
+
+    sequence: int
+    busy: bool
+    running: int
+    waiting: int
+    versions: Mapping[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightsOrder:
+    """Load ``version`` of ``model`` once running requests have ended.
+
+    ``expected_sequence`` keeps an order that was lost and is carried out late from undoing a newer
+    one; ``replica_id`` keeps it from the successor at the same address.
+    """
+
+    replica_id: str
+    model: str
+    version: int
+    holder: str
+    fence: int
+    expected_sequence: int
+
+
+class OrderOutcome(enum.Enum):
+    """What a replica said to an order."""
+
+    TAKEN = "taken"
+    ALREADY_SO = "already_so"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    OTHER_REPLICA = "other_replica"
+    REFUSED = "refused"
+
+
+class ReplicaControl(Protocol):
+    """Calls to one replica."""
+
+    async def report(self, address: str) -> ReplicaReport | Failure:
+        """Ask for the report."""
+        ...
+
+    async def order(
+        self, address: str, order: WeightsOrder, allowed: Callable[[], bool]
+    ) -> OrderOutcome | Failure:
+        """Give an order, if ``allowed`` still holds as its first byte leaves.
+
+        A failure with run state "not run" was not sent; after any other it may be carried out late.
+        """
+        ...
--- a/winchfork/core/part_index.py
+++ b/winchfork/core/part_index.py
@@ -1,32 +1,38 @@
 """Beliefs of which replica keeps which part of a prompt, under which namespace.
 
 Beliefs only steer placement: the namespace carried by each request decides what may be reused. The
-index is bounded; the part used longest ago is forgotten first.
+index is bounded; the part used longest ago is forgotten first. Parts and replicas are named by
+64-bit hashes, so that peers can tell each other in a few bytes.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+
+import xxhash
 
 from winchfork.core.prompt_parts import PromptPart
 
 DEFAULT_CAPACITY = 20_000
 
 
+def part_key(namespace: str, part: PromptPart) -> int:
+    """Return the hash that names a part within its namespace."""
+    return xxhash.xxh3_64_intdigest(f"{namespace}|{part.part_id}".encode())
+
+
 class PartIndex:
-    """Maps (namespace, part) to the replicas that keep it, with the time of last use."""
+    """Maps part keys to the replicas (by hash) that keep them, with the time of last use."""
 
     def __init__(self, capacity: int = DEFAULT_CAPACITY) -> None:
         self._capacity = capacity
-        self._holders: OrderedDict[tuple[str, str], dict[str, float]] = OrderedDict()
-
-    def note_held(
-        self, namespace: str, parts: Sequence[PromptPart], replica_id: str, now_s: float
-    ) -> None:
-        """Record that ``replica_id`` has read ``parts``."""
-        for part in parts:
-            key = (namespace, part.part_id)
+        self._holders: OrderedDict[int, dict[int, float]] = OrderedDict()
+
+    def note_held(self, keys: Iterable[int], replica_hash: int, now_s: float) -> list[int]:
+        """Record that a replica keeps parts; return those that were news."""
+        news: list[int] = []
+        for key in keys:
             holders = self._holders.get(key)
             if holders is None:
                 holders = self._holders[key] = {}
@@ -34,34 +40,34 @@
                     self._holders.popitem(last=False)
             else:
                 self._holders.move_to_end(key)
-            holders[replica_id] = now_s
+            if replica_hash not in holders:
+                news.append(key)
+            holders[replica_hash] = now_s
+        return news
 
-    def note_dropped(self, namespace: str, part_id: str, replica_id: str) -> None:
+    def note_dropped(self, key: int, replica_hash: int) -> None:
         """Record that a replica no longer keeps a part."""
-        holders = self._holders.get((namespace, part_id))
+        holders = self._holders.get(key)
         if holders is not None:
-            holders.pop(replica_id, None)
+            holders.pop(replica_hash, None)
             if not holders:
-                del self._holders[(namespace, part_id)]
+                del self._holders[key]
 
-    def drop_replica(self, replica_id: str) -> None:
+    def drop_replica(self, replica_hash: int) -> None:
         """Forget everything about a replica that has emptied its cache or ended."""
-        for key in [key for key, holders in self._holders.items() if replica_id in holders]:
-            self.note_dropped(key[0], key[1], replica_id)
-
-    def kept_tokens(self, namespace: str, parts: Sequence[PromptPart], replica_id: str) -> int:
-        """Return the tokens of the longest leading run of parts that the replica keeps."""
-        tokens = 0
-        for part in parts:
-            if replica_id not in self._holders.get((namespace, part.part_id), ()):
-                break
-            tokens += part.tokens
-        return tokens
-
-    def last_used_s(self, namespace: str, part_id: str) -> float:
-        """Return the last use of a part on any replica; minus infinity when unknown."""
-        holders = self._holders.get((namespace, part_id))
-        return max(holders.values()) if holders else float("-inf")
+        for key in [key for key, holders in self._holders.items() if replica_hash in holders]:
+            self.note_dropped(key, replica_hash)
+
+    def kept_parts(self, keys: Sequence[int], replica_hash: int) -> int:
+        """Return how many leading parts the replica keeps."""
+        for number, key in enumerate(keys):
+            if replica_hash not in self._holders.get(key, ()):
+                return number
+        return len(keys)
+
+    def holders(self, key: int) -> dict[int, float]:
+        """Return the replicas that keep a part, with the time of last use."""
+        return self._holders.get(key, {})
 
     def __len__(self) -> int:
         return len(self._holders)
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -13,7 +13,7 @@
 import math
 from collections.abc import Sequence
 
-from winchfork.core.part_index import PartIndex
+from winchfork.core.part_index import PartIndex, part_key
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.rendezvous import member_hash, mixed_order
@@ -43,6 +43,7 @@
     unread_tokens: int
     cost_s: float
     weighed: int
+    copy_from: RelayReplica | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,8 +63,7 @@
     prompt = request.prompt
     ranks = _family_ranks(prompt.family, candidates)
     for replica, rank in zip(candidates, ranks, strict=True):
-        namespace = request.scope.namespace(replica.versions.get(prompt.model, 0))
-        kept = index.kept_tokens(namespace, prompt.shared, replica.replica_id)
+        kept = _kept_tokens(request, replica, index)
         unread = max(1, prompt.prompt_tokens - kept)
         cost_s = _prompt_cost_s(request, replica, rank, kept, unread)
         if best is None or cost_s < best.cost_s:
@@ -71,6 +71,18 @@
     return best
 
 
+def _kept_tokens(request: PromptPlacement, replica: RelayReplica, index: PartIndex) -> int:
+    keys = shared_keys(request, replica)
+    kept = index.kept_parts(keys, replica.order_hash)
+    return sum(part.tokens for part in request.prompt.shared[:kept])
+
+
+def shared_keys(request: PromptPlacement, replica: RelayReplica) -> list[int]:
+    """Return the keys of the prompt's shared parts under the replica's weights."""
+    namespace = request.scope.namespace(replica.versions.get(request.prompt.model, 0))
+    return [part_key(namespace, part) for part in request.prompt.shared]
+
+
 def _family_ranks(family: str, candidates: Sequence[RelayReplica]) -> list[int]:
     family_hash = member_hash(family)
     order = sorted(
--- /dev/null
+++ b/winchfork/core/weight_rollout.py
@@ -0,0 +1,106 @@
+"""When to load newly named weights, onto which replicas, and how many at once. Pure decisions.
+
+A load empties a replica's cache and costs capacity, and a newer version may be named at any time.
+So a rollout begins as late as its bound allows, and every replica is brought to the newest version
+named by then: versions that were replaced meanwhile are never loaded.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Iterable, Sequence
+
+#: Replicas loading at once: at least this many, and at least this share of them.
+LEAST_AT_ONCE = 2
+SHARE_AT_ONCE = 1 / 3
+#: Seconds assumed for a replica to finish its requests and load.
+TURN_S = 1.5
+#: Part of the bound kept for a slow last turn and for a leader that fails.
+MARGIN_S = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutReplica:
+    """A replica as the rollout sees it; ``due_s`` is when its version ceases to be allowed."""
+
+    replica_id: str
+    version: int
+    accepting: bool
+    in_flight: int
+    under_order: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedVersion:
+    """A version of one model's weights and when this daemon heard that it was named."""
+
+    version: int
+    heard_s: float
+
+
+class VersionHistory:
+    """Versions of one model in the order in which they were named."""
+
+    def __init__(self) -> None:
+        self._named: list[NamedVersion] = []
+
+    def note(self, version: int, heard_s: float) -> bool:
+        """Record a named version; False when it is not newer."""
+        if self._named and version <= self._named[-1].version:
+            return False
+        self._named.append(NamedVersion(version, heard_s))
+        return True
+
+    @property
+    def newest(self) -> int:
+        """The newest version, or 0."""
+        return self._named[-1].version if self._named else 0
+
+    def due_s(self, version: int, bound_s: float) -> float:
+        """Return when ``version`` ceases to be allowed: ``bound_s`` after the next was named."""
+        for named in self._named:
+            if named.version > version:
+                return named.heard_s + bound_s
+        return math.inf
+
+    def required(self, now_s: float, bound_s: float) -> int:
+        """Return the lowest version on which a request may begin at ``now_s``."""
+        return max(
+            (named.version for named in self._named if now_s >= named.heard_s + bound_s),
+            default=0,
+        )
+
+    def trim(self, held: Iterable[int]) -> None:
+        """Forget versions that every replica has passed."""
+        lowest = min(held, default=0)
+        self._named = [named for named in self._named if named.version > lowest] or self._named[-1:]
+
+
+def at_once(replicas: int) -> int:
+    """Return how many replicas may load at the same time."""
+    return max(LEAST_AT_ONCE, math.ceil(replicas * SHARE_AT_ONCE))
+
+
+def starts_s(due_s: float, replicas: int) -> float:
+    """Return when a rollout over ``replicas`` must begin to be done by ``due_s``."""
+    turns = math.ceil(replicas / at_once(replicas)) if replicas else 0
+    return due_s - MARGIN_S - turns * TURN_S
+
+
+def choose_next(replicas: Sequence[RolloutReplica], newest: int, total: int) -> list[str]:
+    """Return the replicas to order now: the oldest version first, the least busy first.
+
+    ``total`` counts the service's replicas; those leaving are not ordered.
+    """
+    ordered = sum(1 for replica in replicas if replica.under_order)
+    free = at_once(total) - ordered
+    if free <= 0:
+        return []
+    behind = [
+        replica
+        for replica in replicas
+        if replica.accepting and not replica.under_order and replica.version < newest
+    ]
+    behind.sort(key=lambda replica: (replica.version, replica.in_flight, replica.replica_id))
+    return [replica.replica_id for replica in behind[:free]]
--- a/winchfork/platform/__main__.py
+++ b/winchfork/platform/__main__.py
@@ -7,6 +7,7 @@
 from winchfork.errors import Failure
 from winchfork.platform.documents import PlatformDocuments
 from winchfork.platform.headers import PlatformDialect
+from winchfork.platform.replicas import PlatformReplicaControl
 from winchfork.platform.settings import read_settings
 from winchfork.platform.store import PlatformStore
 from winchfork.router.process import RouterParts, run_router
@@ -22,6 +23,7 @@
         dialect=PlatformDialect(),
         documents=PlatformDocuments(),
         make_store=PlatformStore,
+        make_control=PlatformReplicaControl,
     )
     return run_router(settings, parts, read_settings)
 
--- /dev/null
+++ b/winchfork/platform/replicas.py
@@ -0,0 +1,86 @@
+"""Calls to a replica's own interface: its report and its orders."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from winchfork.backends.replica_control import OrderOutcome, ReplicaReport, WeightsOrder
+from winchfork.errors import Failure, FailureKind
+from winchfork.platform import names
+from winchfork.router.http_call import HttpCaller
+
+#: Time limits of the calls, in seconds.
+REPORT_TIMEOUT_S = 0.6
+ORDER_TIMEOUT_S = 1.0
+_OUTCOMES = {
+    200: OrderOutcome.ALREADY_SO,
+    202: OrderOutcome.TAKEN,
+    409: OrderOutcome.CONFLICT,
+    412: OrderOutcome.FENCED,
+    names.STATUS_MISDIRECTED: OrderOutcome.OTHER_REPLICA,
+}
+
+
+class _Model(msgspec.Struct, rename="pascal"):
+    name: str
+    version: int
+
+
+class _Report(msgspec.Struct, rename="pascal"):
+    sequence: int = 0
+    busy: bool = False
+    waiting: int = 0
+    running: int = 0
+    models: list[_Model] = msgspec.field(default_factory=list)
+
+
+class PlatformReplicaControl:
+    """Implements :class:`winchfork.backends.replica_control.ReplicaControl`."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+
+    async def report(self, address: str) -> ReplicaReport | Failure:
+        """Ask for the report."""
+        reply = await self._caller.call(
+            address, b"GET", b"/report", None, REPORT_TIMEOUT_S, label="report"
+        )
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status != 200:
+            return FailureKind.BACKEND_REFUSED.because(f"report answered {reply.status}")
+        try:
+            report = msgspec.json.decode(reply.body, type=_Report)
+        except msgspec.DecodeError as error:
+            return FailureKind.BACKEND_BROKE.because(f"unreadable report: {error}")
+        versions = {model.name: model.version for model in report.models}
+        return ReplicaReport(report.sequence, report.busy, report.running, report.waiting, versions)
+
+    async def order(
+        self, address: str, order: WeightsOrder, allowed: Callable[[], bool]
+    ) -> OrderOutcome | Failure:
+        """Give an order to load weights."""
+        body = {
+            "Operation": "Version",
+            "Model": order.model,
+            "Version": order.version,
+            "Method": "wait",
+            "Holder": order.holder,
+            "FencingToken": order.fence,
+            "Expected": order.expected_sequence,
+        }
+        reply = await self._caller.call(
+            address,
+            b"POST",
+            b"/order",
+            msgspec.json.encode(body),
+            ORDER_TIMEOUT_S,
+            label="order",
+            headers=[(names.EXPECTED_INSTANCE, order.replica_id.encode())],
+            allowed=allowed,
+        )
+        if isinstance(reply, Failure):
+            return reply
+        return _OUTCOMES.get(reply.status, OrderOutcome.REFUSED)
--- a/winchfork/platform/settings.py
+++ b/winchfork/platform/settings.py
@@ -55,6 +55,7 @@
         metrics_address=f"{machine_ip}:{_METRICS_PORT}",
         peer_ports=fields.ports("InternalPorts"),
         zones=fields.names_under("Zones."),
+        seeds=tuple(filter(None, fields.text("Seeds", "").split(","))),
         store_min_lease_s=fields.seconds("Platform.ttl_min_ms", 1_000),
         store_value_bytes=int(fields.number("Platform.value_bytes", 1_048_576)),
         memory_mb=int(fields.number("Limits.MemoryMb", 0)),
--- a/winchfork/router/http_call.py
+++ b/winchfork/router/http_call.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 from collections import Counter
+from collections.abc import Callable
 
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.connection_pool import ConnectionPool
@@ -48,11 +49,18 @@
         *,
         label: str,
         headers: Headers | None = None,
+        allowed: Callable[[], bool] | None = None,
     ) -> CallReply | Failure:
-        """Return the answer; a failure whose ``ran`` is "not run" was never sent."""
+        """Return the answer; a failure whose ``ran`` is "not run" was never sent.
+
+        ``allowed`` is asked as the last thing before the first byte leaves.
+        """
         connection = await self._pool.acquire(address, _MOST_CONNECTIONS)
         if isinstance(connection, Failure):
             return connection
+        if allowed is not None and not allowed():
+            self._pool.give_back(address, connection)
+            return FailureKind.NOT_ACCEPTING_WORK.because("no longer allowed")
         self.calls[label] += 1
         inbox = Inbox()
         lines: Headers = [(b"Host", address.encode()), *(headers or [])]
--- /dev/null
+++ b/winchfork/router/leadership.py
@@ -0,0 +1,115 @@
+"""A leased, fenced leadership held by at most one router process at a time.
+
+The store keeps one entry under a lease; its revision is the fence, which rises with every change of
+holder. A holder acts only within ``ACT_S`` of the start of its last renewal, by its own monotonic
+clock, and the lease outlives that. A new holder waits until orders of the one before it are at
+least the deployment's lease bound old: the time that the lease outlived the other's last possible
+order already counts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from winchfork.errors import Failure
+from winchfork.logs import log_event
+from winchfork.stores.async_key_value import AsyncKeyValueStore, ExpectedRevision, PutItem
+
+LEADER_KEY = "winchfork/leader"
+#: The lease, and how long after the start of a renewal its holder may act.
+LEASE_S = 2.0
+ACT_S = 0.9
+RENEW_PERIOD_S = 0.4
+#: Random wait before a try, so that not every daemon writes when a leader is lost.
+MAX_TRY_DELAY_S = 0.5
+#: Added to the wait of a new holder, for clocks that run apart and messages on their way.
+TURN_MARGIN_S = 0.25
+
+
+class Leadership:
+    """This process's part in the election."""
+
+    def __init__(
+        self,
+        store: AsyncKeyValueStore,
+        own_id: str,
+        lease_bound_s: float,
+        clock: Callable[[], float],
+        generator: random.Random,
+        min_lease_s: float,
+    ) -> None:
+        self._store = store
+        self._own_id = own_id
+        self._lease_s = max(LEASE_S, min_lease_s)
+        self._turn_wait_s = lease_bound_s - (self._lease_s - ACT_S) + TURN_MARGIN_S
+        self._clock = clock
+        self._generator = generator
+        self._vacant = asyncio.Event()
+        self._lease_id = 0
+        self._valid_until_s = 0.0
+        self._acts_from_s = 0.0
+        self.fence = 0
+
+    def note_entry(self, present: bool) -> None:
+        """Take what the store's watch says of the leader's entry."""
+        if present:
+            self._vacant.clear()
+        else:
+            self._vacant.set()
+
+    def may_act(self) -> bool:
+        """Tell, without I/O, whether an order may leave now."""
+        now_s = self._clock()
+        return self.fence != 0 and self._acts_from_s <= now_s < self._valid_until_s
+
+    async def run(self) -> None:
+        """Campaign whenever there is no leader; renew while leading."""
+        while True:
+            await self._vacant.wait()
+            await asyncio.sleep(self._generator.random() * MAX_TRY_DELAY_S)
+            if self._vacant.is_set() and await self._take():
+                await self._keep()
+
+    async def resign(self) -> None:
+        """End the lease at a planned stop, so that another may lead at once."""
+        fence, self.fence = self.fence, 0
+        if fence:
+            log_event("leadership_resigned", fence=fence)
+            await self._store.end_lease(self._lease_id)
+
+    async def _take(self) -> bool:
+        asked_s = self._clock()
+        lease_id = await self._store.grant_lease(self._lease_s)
+        if isinstance(lease_id, Failure):
+            await asyncio.sleep(self._generator.random())
+            return False
+        taken = await self._store.transact(
+            [ExpectedRevision(LEADER_KEY, 0)],
+            [PutItem(LEADER_KEY, self._own_id.encode(), lease_id)],
+        )
+        if isinstance(taken, Failure):
+            # If it took effect unheard, nobody renews the lease and it runs out by itself.
+            log_event("leadership_not_taken", reason=str(taken))
+            await asyncio.sleep(self._generator.random())
+            return False
+        self._vacant.clear()
+        self._lease_id = lease_id
+        self._valid_until_s = asked_s + ACT_S
+        self._acts_from_s = self._clock() + max(0.0, self._turn_wait_s)
+        self.fence = taken
+        log_event("leadership_taken", fence=taken, acts_in_s=self._turn_wait_s)
+        return True
+
+    async def _keep(self) -> None:
+        while self.fence:
+            await asyncio.sleep(RENEW_PERIOD_S)
+            asked_s = self._clock()
+            renewed = await self._store.renew_lease(self._lease_id)
+            if renewed is True and self.fence:
+                # Valid from before the question: a slow answer cannot stretch it.
+                self._valid_until_s = asked_s + ACT_S
+            elif renewed is False:
+                log_event("leadership_lost", fence=self.fence)
+                self.fence = 0
--- /dev/null
+++ b/winchfork/router/peer_messages.py
@@ -0,0 +1,56 @@
+"""What router processes tell each other, as frozen dataclasses; the order of types is the wire."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from winchfork.core.membership import IndirectProbe, Probe, ProbeReply
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaLoadNote:
+    """The sender's own work on one replica, which is named by the hash of its id."""
+
+    replica_hash: int
+    in_flight: int
+    unread_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class KeptNote:
+    """A replica has read these parts, each named by the hash of its namespace and id."""
+
+    replica_hash: int
+    parts: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Activity:
+    """What the sender has done lately. ``number`` rises by one with each message of a life."""
+
+    sender_id: str
+    number: int
+    loads: tuple[ReplicaLoadNote, ...]
+    kept: tuple[KeptNote, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class WeightsNote:
+    """A replica's weights version, and for how long it must be given no work (0: it may)."""
+
+    replica_id: str
+    model: str
+    version: int
+    held_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutProgress:
+    """The rollout leader's notes, under its fence."""
+
+    sender_id: str
+    fence: int
+    notes: tuple[WeightsNote, ...]
+
+
+PEER_MESSAGE_TYPES = (Probe, ProbeReply, IndirectProbe, Activity, RolloutProgress)
--- /dev/null
+++ b/winchfork/router/peers.py
@@ -0,0 +1,217 @@
+"""Datagrams between router processes: membership, load, kept parts, rollout progress.
+
+Everything said here is advice with an age: a lost datagram costs efficiency, never a promise. Work
+is told to a bounded number of peers each period, so that a daemon's cost does not grow with the
+fleet; the leader's rollout notes go to every member, since they are rare.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Any
+
+from winchfork.cluster.wire import PeerCodec
+from winchfork.constants import HEARTBEAT_PERIOD_S
+from winchfork.core.membership import (
+    IndirectProbe,
+    Member,
+    Membership,
+    Outgoing,
+    Probe,
+    ProbeReply,
+)
+from winchfork.errors import Failure
+from winchfork.logs import log_event
+from winchfork.router.peer_messages import (
+    PEER_MESSAGE_TYPES,
+    Activity,
+    KeptNote,
+    ReplicaLoadNote,
+    RolloutProgress,
+    WeightsNote,
+)
+from winchfork.router.state import RouterState
+
+#: Seconds between messages about work, and for how long such a message counts.
+ACTIVITY_PERIOD_S = 0.2
+ACTIVITY_MEMORY_S = 1.5
+#: Peers told of work in one period.
+FAN_OUT = 12
+#: Parts told in one message.
+_MOST_KEPT = 200
+#: Daemons that budgets are shared among beyond those seen, for machines that are coming back.
+_SPARE_DAEMONS = 3
+#: Keeps other systems' datagrams out; it is no secret, the network is the platform's.
+_CLUSTER_KEY = b"winchfork-router-peers"
+
+WorkByReplica = dict[int, tuple[int, int]]
+
+
+class PeerGroup(asyncio.DatagramProtocol):
+    """This process among its peers."""
+
+    def __init__(self, state: RouterState, generator: random.Random) -> None:
+        settings = state.settings
+        self._state = state
+        self._generator = generator
+        self._loop = asyncio.get_running_loop()
+        self._port = settings.peer_ports[0]
+        self._codec = PeerCodec(_CLUSTER_KEY, PEER_MESSAGE_TYPES)
+        own_address = f"{settings.machine_ip}:{self._port}"
+        # Only orders this daemon's own lives; a clock that stepped back is corrected by refuting.
+        incarnation = int(time.time() * 1000)
+        own = Member(settings.node_id, settings.zone, own_address, "", incarnation)
+        seeds = [f"{seed.rpartition(':')[0]}:{self._port}" for seed in settings.seeds]
+        self._membership = Membership(own, seeds, generator)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._number = 0
+        self._last_loads: tuple[ReplicaLoadNote, ...] = ()
+        self._heard: dict[str, tuple[float, int, tuple[ReplicaLoadNote, ...]]] = {}
+        self.sent_bytes = 0
+
+    async def open(self) -> None:
+        """Bind the socket and greet the seeds; without ports there are no peers."""
+        if not self._port:
+            return
+        await self._loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._state.settings.machine_ip, self._port)
+        )
+        self._send_all(self._membership.join(self._loop.time()))
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        next_probe_s = self._loop.time()
+        while True:
+            await asyncio.sleep(ACTIVITY_PERIOD_S)
+            now_s = self._loop.time()
+            if now_s >= next_probe_s:
+                next_probe_s = now_s + HEARTBEAT_PERIOD_S
+                self._send_all(self._membership.tick(now_s))
+                self._state.daemons = self.members() + _SPARE_DAEMONS
+            self._tell_work(now_s)
+            self._sum_loads(now_s)
+
+    def leave(self) -> None:
+        """Tell some members of a planned stop."""
+        self._membership.leave()
+        self._send_all(self._membership.tick(self._loop.time()))
+
+    def members(self) -> int:
+        """Return how many daemons are believed to work, this one included."""
+        return len(self._membership.members())
+
+    def tell_rollout(self, fence: int, notes: tuple[WeightsNote, ...]) -> None:
+        """Tell every member of the replicas under order; apply it here as well."""
+        message = RolloutProgress(self._state.settings.node_id, fence, notes)
+        self._take_rollout(message)
+        for member in self._membership.members():
+            if member.member_id != self._state.settings.node_id:
+                self._send(member.peer_address, message)
+
+    # asyncio.DatagramProtocol
+
+    def connection_made(self, transport: Any) -> None:
+        """Take the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, sender: Any) -> None:
+        """Take a datagram in; what was not made by a peer is counted and dropped."""
+        message = self._codec.decode(data)
+        if isinstance(message, Failure):
+            self._state.metrics.count("bad_datagrams")
+        elif isinstance(message, (Probe, ProbeReply, IndirectProbe)):
+            self._send_all(self._membership.receive(message, self._loop.time()))
+        elif isinstance(message, Activity):
+            self._take_activity(message)
+        elif isinstance(message, RolloutProgress):
+            self._take_rollout(message)
+
+    def error_received(self, error: Exception) -> None:
+        """A peer's machine refused a datagram; membership finds out by itself."""
+        self._state.metrics.count("datagrams_refused")
+
+    # Sending
+
+    def _send_all(self, outgoing: list[Outgoing]) -> None:
+        for item in outgoing:
+            self._send(item.address, item.message)
+
+    def _send(self, address: str, message: Any) -> None:
+        data = self._codec.encode(message)
+        if isinstance(data, Failure) or self._transport is None:
+            return
+        host, _, port = address.rpartition(":")
+        self.sent_bytes += len(data)
+        self._transport.sendto(data, (host, int(port)))
+
+    def _tell_work(self, now_s: float) -> None:
+        loads = tuple(
+            ReplicaLoadNote(replica.order_hash, replica.in_flight, replica.unread_tokens)
+            for replica in self._state.fleet.replicas()
+            if replica.in_flight
+        )
+        kept = tuple(
+            KeptNote(replica_hash, parts)
+            for replica_hash, parts in self._state.take_kept_news(_MOST_KEPT)
+        )
+        if loads == self._last_loads and not kept:
+            return
+        self._last_loads = loads
+        self._number += 1
+        message = Activity(self._state.settings.node_id, self._number, loads, kept)
+        for address in self._listeners():
+            self._send(address, message)
+
+    def _listeners(self) -> list[str]:
+        others = [
+            member.peer_address
+            for member in self._membership.members()
+            if member.member_id != self._state.settings.node_id
+        ]
+        return others if len(others) <= FAN_OUT else self._generator.sample(others, FAN_OUT)
+
+    # Receiving
+
+    def _take_activity(self, message: Activity) -> None:
+        now_s = self._loop.time()
+        self._heard[message.sender_id] = (now_s, message.number, message.loads)
+        for note in message.kept:
+            self._state.note_peer_kept(note.replica_hash, note.parts)
+        self._sum_loads(now_s)
+
+    def _sum_loads(self, now_s: float) -> None:
+        totals: WorkByReplica = {}
+        for peer, (heard_s, _, loads) in list(self._heard.items()):
+            if now_s - heard_s > ACTIVITY_MEMORY_S:
+                del self._heard[peer]
+                continue
+            for note in loads:
+                running, unread = totals.get(note.replica_hash, (0, 0))
+                totals[note.replica_hash] = (running + note.in_flight, unread + note.unread_tokens)
+        for replica in self._state.fleet.replicas():
+            replica.peer_in_flight, replica.peer_unread_tokens = totals.get(
+                replica.order_hash, (0, 0)
+            )
+
+    def _take_rollout(self, message: RolloutProgress) -> None:
+        if message.fence < self._state.rollout_fence:
+            return
+        self._state.rollout_fence = message.fence
+        now_s = self._loop.time()
+        for note in message.notes:
+            replica = self._state.fleet.get(note.replica_id)
+            if replica is None:
+                continue
+            replica.loading_until_s = now_s + note.held_ms / 1000.0
+            self._state.note_version(replica, note.model, note.version)
+            log_event(
+                "replica_weights",
+                replica=note.replica_id,
+                model=note.model,
+                version=note.version,
+                held_ms=note.held_ms,
+                fence=message.fence,
+                told_by=message.sender_id,
+            )
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -13,9 +13,10 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from winchfork import __version__
+from winchfork.backends.replica_control import ReplicaControl
 from winchfork.errors import Failure
 from winchfork.logs import configure_logs, log_event
 from winchfork.router.caller_connection import CallerConnection
@@ -23,8 +24,11 @@
 from winchfork.router.dialect import Dialect
 from winchfork.router.documents import DocumentReader
 from winchfork.router.http_call import HttpCaller
+from winchfork.router.leadership import Leadership
 from winchfork.router.log_output import LogOutput
 from winchfork.router.metrics_text import render_metrics
+from winchfork.router.peers import PeerGroup
+from winchfork.router.rollout import Rollout
 from winchfork.router.service import RouterService
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
@@ -34,6 +38,8 @@
 
 SWEEP_PERIOD_S = 0.5
 LOG_PERIOD_S = 0.1
+#: Pause before a duty that has ended by surprise begins again.
+DUTY_PAUSE_S = 0.2
 #: After a stop is asked for, callers still arrive until the entry has noticed twice.
 ENTRY_NOTICE_S = 2.6
 #: Grace time that is left unused, for the way out.
@@ -49,6 +55,7 @@
     dialect: Dialect
     documents: DocumentReader
     make_store: Callable[[HttpCaller, str], AsyncKeyValueStore]
+    make_control: Callable[[HttpCaller], ReplicaControl]
 
 
 ReadSettings = Callable[[], RouterSettings | Failure]
@@ -71,7 +78,18 @@
         self._calls = HttpCaller(ConnectionPool())
         self.service = RouterService(self.state, self._pool, parts.dialect)
         store = parts.make_store(self._calls, settings.store_address)
-        self._sync = StoreSync(self.state, store, parts.documents, generator)
+        self._peers = PeerGroup(self.state, generator)
+        self._leadership = Leadership(
+            store,
+            settings.node_id,
+            settings.bounds.lease_s,
+            loop.time,
+            generator,
+            settings.store_min_lease_s,
+        )
+        self._sync = StoreSync(self.state, store, parts.documents, self._leadership, generator)
+        control = parts.make_control(self._calls)
+        self._rollout = Rollout(self.state, self._leadership, control, self._peers)
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_asked = asyncio.Event()
@@ -81,9 +99,16 @@
         self._loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
         self._loop.add_signal_handler(signal.SIGINT, self._stop_asked.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._tasks.append(self._loop.create_task(self._sync.run()))
-        self._tasks.append(self._loop.create_task(self._sweep()))
         await self._listen()
+        await self._peers.open()
+        for duty in (
+            self._sync.run,
+            self._sweep,
+            self._peers.run,
+            self._leadership.run,
+            self._rollout.run,
+        ):
+            self._tasks.append(self._loop.create_task(self._supervise(duty)))
         log_event(
             "router_started",
             version=__version__,
@@ -95,6 +120,15 @@
         await self._stop_asked.wait()
         await self._stop()
 
+    async def _supervise(self, duty: Callable[[], Awaitable[None]]) -> None:
+        """Run a duty again when a surprise ends it; one fault must not end the process."""
+        while True:
+            try:
+                await duty()
+            except Exception as error:  # noqa: BLE001 - whatever it is, the duty goes on
+                log_event("duty_failed", "ERROR", duty=duty.__qualname__, error=repr(error))
+            await asyncio.sleep(DUTY_PAUSE_S)
+
     async def _listen(self) -> None:
         settings = self._settings
         await self._serve_on(settings.caller_address, lambda: CallerConnection(self.service))
@@ -144,6 +178,9 @@
         asked_s = self._loop.time()
         self.state.stopping = True
         log_event("router_stopping", active=self.service.active_requests)
+        self._peers.leave()
+        self._rollout.stop()
+        await self._leadership.resign()
         last_s = asked_s + self._settings.bounds.grace_s - STOP_MARGIN_S
         notice_s = min(ENTRY_NOTICE_S, self._settings.bounds.grace_s / 2)
         await asyncio.sleep(notice_s)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -10,6 +10,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from winchfork.core.part_index import part_key
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.relay_placement import (
@@ -151,8 +152,9 @@
                 return Stopped(StopCause.DEADLINE)
 
     def _place(self) -> RelayDecision | None:
-        candidates = self._state.available(self._backend, self._tried)
         prompt = self._admitted.fields.prompt
+        model = prompt.model if prompt else ""
+        candidates = self._state.available(self._backend, self._tried, model)
         zone = self._state.settings.zone
         if prompt is None:
             return place_task(zone, candidates, self._loop.time())
@@ -244,9 +246,8 @@
         if prompt is None or plan.weights_version is None:
             return
         namespace = self._scope(prompt).namespace(plan.weights_version)
-        self._state.parts.note_held(
-            namespace, prompt.parts, plan.replica.replica_id, self._loop.time()
-        )
+        keys = [part_key(namespace, part) for part in prompt.shared]
+        self._state.note_kept(plan.replica, keys)
 
     # What follows an attempt
 
--- /dev/null
+++ b/winchfork/router/rollout.py
@@ -0,0 +1,163 @@
+"""The leader brings replicas to the newest weights that operators have named.
+
+Each replica under order has one task: peers are told to send it nothing, its report gives the
+sequence that the order expects, the order is given under the leader's fence, and the report is
+asked again until the replica has the version. An order without an answer may still be carried out,
+so it is never assumed undone: the report decides, and the next order expects the next sequence.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from winchfork.backends.replica_control import (
+    OrderOutcome,
+    ReplicaControl,
+    ReplicaReport,
+    WeightsOrder,
+)
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.weight_rollout import RolloutReplica, choose_next, starts_s
+from winchfork.errors import Failure
+from winchfork.logs import log_event
+from winchfork.router.leadership import Leadership
+from winchfork.router.peer_messages import WeightsNote
+from winchfork.router.peers import PeerGroup
+from winchfork.router.state import RouterState
+
+PASS_PERIOD_S = 0.1
+#: Pause between reports while a replica finishes its requests and loads.
+REPORT_PERIOD_S = 0.2
+#: Peers are told to send a replica nothing for this long at a time; renewed while under order.
+HOLD_S = 1.5
+#: Time for peers to hear of a hold before the order is given.
+HOLD_NOTICE_S = 0.02
+#: An order that shows no effect for this long is given again.
+ORDER_PATIENCE_S = 4.0
+
+
+class Rollout:
+    """The duty of the leader; idle on every other daemon."""
+
+    def __init__(
+        self,
+        state: RouterState,
+        leadership: Leadership,
+        control: ReplicaControl,
+        peers: PeerGroup,
+    ) -> None:
+        self._state = state
+        self._leadership = leadership
+        self._control = control
+        self._peers = peers
+        self._under_order: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Look for work until cancelled."""
+        while True:
+            await asyncio.sleep(PASS_PERIOD_S)
+            if self._leadership.may_act():
+                for model in list(self._state.versions):
+                    self._pass(model)
+
+    def stop(self) -> None:
+        """End every task; orders already given are carried out by the replicas."""
+        for task in self._under_order.values():
+            task.cancel()
+
+    def _pass(self, model: str) -> None:
+        history = self._state.versions[model]
+        replicas = [
+            replica for replica in self._state.fleet.replicas() if model in replica.versions
+        ]
+        behind = [replica for replica in replicas if replica.versions[model] < history.newest]
+        if not behind:
+            return
+        bound_s = self._state.settings.bounds.rollout_s
+        due_s = min(history.due_s(replica.versions[model], bound_s) for replica in behind)
+        begun = bool(self._under_order)
+        if not begun and self._state.clock() < starts_s(due_s, len(behind)):
+            return
+        views = [self._view(replica, model) for replica in replicas]
+        for replica_id in choose_next(views, history.newest, len(replicas)):
+            self._begin(replica_id, model, history.newest)
+
+    def _view(self, replica: RelayReplica, model: str) -> RolloutReplica:
+        return RolloutReplica(
+            replica.replica_id,
+            replica.versions[model],
+            replica.listing.accepting,
+            replica.in_flight + replica.peer_in_flight,
+            replica.replica_id in self._under_order,
+        )
+
+    def _begin(self, replica_id: str, model: str, version: int) -> None:
+        replica = self._state.fleet.get(replica_id)
+        if replica is None:
+            return
+        task = asyncio.get_running_loop().create_task(self._bring(replica, model, version))
+        self._under_order[replica_id] = task
+        task.add_done_callback(lambda _: self._under_order.pop(replica_id, None))
+
+    async def _bring(self, replica: RelayReplica, model: str, version: int) -> None:
+        """Bring one replica to ``version``, or give up until the next pass."""
+        self._hold(replica, model)
+        await asyncio.sleep(HOLD_NOTICE_S)
+        deadline_s = self._state.clock() + ORDER_PATIENCE_S
+        ordered = False
+        while self._leadership.may_act() and self._state.clock() < deadline_s:
+            if self._state.fleet.get(replica.replica_id) is None:
+                return
+            report = await self._control.report(replica.listing.address)
+            if isinstance(report, ReplicaReport):
+                held = report.versions.get(model, 0)
+                if held >= version and not report.busy:
+                    self._finish(replica, model, held)
+                    return
+                if not ordered and not report.busy:
+                    ordered = await self._order(replica, model, version, report)
+            self._hold(replica, model)
+            await asyncio.sleep(REPORT_PERIOD_S)
+        log_event("rollout_postponed", "WARNING", replica=replica.replica_id, version=version)
+        self._tell(replica, model, 0.0)
+
+    async def _order(
+        self, replica: RelayReplica, model: str, version: int, report: ReplicaReport
+    ) -> bool:
+        """Give the order; True when it need not be given again soon."""
+        order = WeightsOrder(
+            replica.replica_id,
+            model,
+            version,
+            self._state.settings.node_id,
+            self._leadership.fence,
+            report.sequence,
+        )
+        outcome = await self._control.order(
+            replica.listing.address, order, self._leadership.may_act
+        )
+        log_event(
+            "weights_ordered",
+            replica=replica.replica_id,
+            model=model,
+            version=version,
+            fence=order.fence,
+            expected=order.expected_sequence,
+            running=report.running,
+            outcome=outcome.kind.value if isinstance(outcome, Failure) else outcome.value,
+        )
+        if isinstance(outcome, Failure):
+            return False
+        return outcome in (OrderOutcome.TAKEN, OrderOutcome.ALREADY_SO)
+
+    def _hold(self, replica: RelayReplica, model: str) -> None:
+        self._tell(replica, model, HOLD_S)
+
+    def _finish(self, replica: RelayReplica, model: str, version: int) -> None:
+        self._state.note_version(replica, model, version)
+        self._tell(replica, model, 0.0)
+
+    def _tell(self, replica: RelayReplica, model: str, held_s: float) -> None:
+        version = replica.versions.get(model, 0)
+        note = WeightsNote(replica.replica_id, model, version, int(held_s * 1000))
+        self._peers.tell_rollout(self._leadership.fence, (note,))
--- a/winchfork/router/settings.py
+++ b/winchfork/router/settings.py
@@ -38,6 +38,7 @@
     metrics_path: str = "/metrics"
     peer_ports: tuple[int, int] = (0, 0)
     zones: tuple[str, ...] = ()
+    seeds: tuple[str, ...] = ()
     store_min_lease_s: float = 1.0
     store_value_bytes: int = 1_048_576
     memory_mb: int = 0
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -11,6 +11,7 @@
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
+from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.dialect import RequestFields
@@ -24,6 +25,8 @@
 CERTAIN_AGE_S = 1.9
 #: Wait told to callers while the configuration is unknown or stale.
 STALE_RETRY_AFTER_S = 0.7
+#: A request may wait this long in a replica before it begins; old weights end so much earlier.
+BEGIN_MARGIN_S = 0.7
 #: Daemons assumed to share budgets and connections until more are known.
 ASSUMED_DAEMONS = 10
 
@@ -55,13 +58,16 @@
         self.generator = generator
         self.table: RoutingTable | None = None
         self.table_revision = 0
-        #: Newest named weights version of each model, and when this daemon heard of it.
-        self.targets: dict[str, int] = {}
-        self.target_seen_s: dict[str, float] = {}
+        #: Versions of each model's weights that operators have named.
+        self.versions: dict[str, VersionHistory] = {}
         #: Replicas missing from the list since an outage, with the time until which they are kept.
         self.vanished: dict[str, float] = {}
         self.fleet = RelayFleet()
         self.parts = PartIndex()
+        #: What this daemon has learned of kept parts and has not told its peers yet.
+        self._kept_news: dict[int, list[int]] = {}
+        #: Highest fence under which a rollout leader has spoken.
+        self.rollout_fence = 0
         self.freshness = Freshness()
         self.splits = SplitChooser()
         self.metrics = RouterMetrics()
@@ -141,23 +147,59 @@
                 return share.service
         return chosen
 
-    def available(self, service: str, tried: set[str]) -> list[RelayReplica]:
+    def available(self, service: str, tried: set[str], model: str = "") -> list[RelayReplica]:
         """Return replicas that may be sent work now, without those already tried.
 
-        When every one is left alone for failures, that is ignored: a doubtful replica is better
-        than none.
+        For a prompt, weights that are no longer allowed rule a replica out. When every one is left
+        alone for failures, that is ignored: a doubtful replica is better than none.
         """
         now_s = self.clock()
+        required = self.required_version(model, now_s) if model else 0
         candidates = [
             replica
             for replica in self.fleet.of_service(service)
             if replica.listing.accepting
             and replica.replica_id not in tried
             and now_s >= replica.loading_until_s
+            and (not required or replica.versions.get(model, 0) >= required)
         ]
         sound = [replica for replica in candidates if now_s >= replica.avoided_until_s]
         return sound or candidates
 
+    def required_version(self, model: str, now_s: float) -> int:
+        """Return the lowest weights version on which a request sent now may still begin."""
+        history = self.versions.get(model)
+        if history is None:
+            return 0
+        bound_s = self.settings.bounds.rollout_s - BEGIN_MARGIN_S
+        return history.required(now_s, bound_s)
+
+    def note_kept(self, replica: RelayReplica, keys: list[int]) -> None:
+        """Record parts that a replica has read for this daemon."""
+        news = self.parts.note_held(keys, replica.order_hash, self.clock())
+        if news:
+            self._kept_news.setdefault(replica.order_hash, []).extend(news)
+
+    def note_peer_kept(self, replica_hash: int, keys: tuple[int, ...]) -> None:
+        """Record parts that a replica has read for another daemon."""
+        self.parts.note_held(keys, replica_hash, self.clock())
+
+    def take_kept_news(self, most: int) -> list[tuple[int, tuple[int, ...]]]:
+        """Return up to ``most`` parts by replica that peers have not been told of."""
+        taken: list[tuple[int, tuple[int, ...]]] = []
+        for replica_hash in list(self._kept_news):
+            keys = self._kept_news.pop(replica_hash)
+            taken.append((replica_hash, tuple(keys[:most])))
+            most -= len(keys)
+            if most <= 0:
+                break
+        return taken
+
+    def note_version(self, replica: RelayReplica, model: str, version: int) -> None:
+        """Record a replica's weights version; newer weights have emptied its cache."""
+        if version > replica.versions.get(model, 0):
+            replica.versions[model] = version
+
     def note_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> None:
         """Record a replica's failure; log when it is now left alone for a while."""
         now_s = self.clock()
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -16,9 +16,11 @@
 
 from winchfork.core.relay_fleet import ReplicaListing
 from winchfork.core.routing import RoutingTable
+from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.documents import DocumentReader, ReplicaGone, WeightsTarget
+from winchfork.router.leadership import LEADER_KEY, Leadership
 from winchfork.router.state import RouterState
 from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreItem, StoreSnapshot
 
@@ -40,11 +42,13 @@
         state: RouterState,
         store: AsyncKeyValueStore,
         reader: DocumentReader,
+        leadership: Leadership,
         generator: random.Random,
     ) -> None:
         self._state = state
         self._store = store
         self._reader = reader
+        self._leadership = leadership
         self._generator = generator
         self._revision = 0
         self._lost_since_s: float | None = None
@@ -75,6 +79,8 @@
         self._state.freshness.prove(asked_s)
         for item in snapshot.items:
             self._install(item)
+        led = any(item.key == LEADER_KEY for item in snapshot.items)
+        self._leadership.note_entry(led)
         self._remove_missing(snapshot, after_outage)
         self._revision = max(self._revision, snapshot.at_revision)
         self._listed = True
@@ -96,6 +102,9 @@
     # Documents
 
     def _install(self, item: StoreItem) -> None:
+        if item.key == LEADER_KEY:
+            self._leadership.note_entry(item.value is not None)
+            return
         document = self._reader.read(item)
         if document is None:
             return
@@ -122,9 +131,8 @@
             )
 
     def _install_target(self, target: WeightsTarget, revision: int) -> None:
-        if target.version > self._state.targets.get(target.model, 0):
-            self._state.targets[target.model] = target.version
-            self._state.target_seen_s[target.model] = self._state.clock()
+        history = self._state.versions.setdefault(target.model, VersionHistory())
+        if history.note(target.version, self._state.clock()):
             log_event(
                 "weights_named", model=target.model, version=target.version, revision=revision
             )
@@ -148,7 +156,7 @@
     def _remove_replica(self, replica_id: str, revision: int) -> None:
         removed = self._state.fleet.remove(replica_id)
         if removed is not None:
-            self._state.parts.drop_replica(replica_id)
+            self._state.parts.drop_replica(removed.order_hash)
             log_event("replica_gone", replica=replica_id, revision=revision)
 
     def _remove_missing(self, snapshot: StoreSnapshot, after_outage: bool) -> None:
