Copy shared parts from where they are kept, and keep them in the cache store

Change: a decision names the source that keeps the longest run beyond the replica's own; new parts are saved to the cache store, which is named as the source where no replica is better.

--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -22,10 +22,17 @@
 DEFAULT_READ_TOKENS_PER_S = 40_000.0
 #: Charge for each request running on a replica: every token of a larger batch comes slower.
 RUNNING_COST_S = 0.001
-#: Charge for a family away from its home, as a share of the time to read its shared parts there.
+#: Charge for keeping copied parts twice, as a share of the time to read them: they push others out.
+SECOND_COPY_SHARE = 0.25
+#: Charge for a family away from its home while nobody is known to keep it, as a share of the time
+#: to read its shared parts: the home may hold it unheard.
 AWAY_SHARE = 0.9
+#: Seconds to set up a copy.
+COPY_SETUP_S = 0.004
 #: Charge that keeps ties in the family's order on every daemon.
 ORDER_COST_S = 0.004
+#: A copy of fewer tokens is not worth its set-up.
+LEAST_COPIED_TOKENS = 64
 #: Charge for a replica in another zone: latency there and back, and the price of the bytes.
 OTHER_ZONE_COST_S = 0.012
 #: A latency measured longer ago than this is no longer held against a replica.
@@ -44,37 +51,117 @@
     cost_s: float
     weighed: int
     copy_from: RelayReplica | None = None
+    save: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPlacement:
-    """A prompt to place, for a daemon in ``zone``."""
+    """A prompt to place, for a daemon in ``zone``.
+
+    ``copy_tokens_per_s`` is how fast replicas copy kept parts from each other; 0: they cannot.
+    ``store`` keeps parts outside the replicas.
+    """
 
     prompt: Prompt
     scope: CacheScope
     zone: str
+    copy_tokens_per_s: float = 0.0
+    store: RelayReplica | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reading:
+    """How a replica would come by a prompt: tokens kept there, copied to it, read by it."""
+
+    kept: int
+    copied: int
+    unread: int
+    source: RelayReplica | None
 
 
 def place_prompt(
-    request: PromptPlacement, candidates: Sequence[RelayReplica], index: PartIndex
+    request: PromptPlacement,
+    candidates: Sequence[RelayReplica],
+    sources: Sequence[RelayReplica],
+    index: PartIndex,
 ) -> RelayDecision | None:
-    """Return the cheapest candidate for a prompt, or None without candidates."""
+    """Return the cheapest candidate for a prompt, or None without candidates.
+
+    ``sources`` are the replicas that parts may be copied from, whether or not they take work.
+    """
     best: RelayDecision | None = None
-    prompt = request.prompt
-    ranks = _family_ranks(prompt.family, candidates)
+    ranks = _family_ranks(request.prompt.family, candidates)
     for replica, rank in zip(candidates, ranks, strict=True):
-        kept = _kept_tokens(request, replica, index)
-        unread = max(1, prompt.prompt_tokens - kept)
-        cost_s = _prompt_cost_s(request, replica, rank, kept, unread)
+        reading = _reading(request, replica, sources, index)
+        cost_s = _prompt_cost_s(request, replica, rank, reading)
         if best is None or cost_s < best.cost_s:
-            best = RelayDecision(replica, kept, unread, cost_s, len(candidates))
-    return best
-
-
-def _kept_tokens(request: PromptPlacement, replica: RelayReplica, index: PartIndex) -> int:
+            best = RelayDecision(
+                replica, reading.kept, reading.unread, cost_s, len(candidates), reading.source
+            )
+    return _with_store(request, best, index) if best is not None else None
+
+
+def _with_store(
+    request: PromptPlacement, decision: RelayDecision, index: PartIndex
+) -> RelayDecision:
+    """Save what the store does not keep; name it as the source where no replica is better.
+
+    A replica may have dropped what it is believed to keep. A source that is not needed costs
+    nothing: the replica copies only what goes beyond its own.
+    """
+    store = request.store
+    if store is None or not request.copy_tokens_per_s:
+        return decision
+    if request.prompt.shared_tokens < LEAST_COPIED_TOKENS:
+        return decision
+    keys = shared_keys(request, decision.replica)
+    stored = index.kept_parts(keys, store.order_hash) == len(keys)
+    source = decision.copy_from or (store if stored else None)
+    return dataclasses.replace(decision, copy_from=source, save=not stored)
+
+
+def _reading(
+    request: PromptPlacement,
+    replica: RelayReplica,
+    sources: Sequence[RelayReplica],
+    index: PartIndex,
+) -> _Reading:
     keys = shared_keys(request, replica)
-    kept = index.kept_parts(keys, replica.order_hash)
-    return sum(part.tokens for part in request.prompt.shared[:kept])
+    shared = request.prompt.shared
+    kept_parts = index.kept_parts(keys, replica.order_hash)
+    source, source_parts = _deepest_source(keys, kept_parts, replica, sources, index)
+    kept = sum(part.tokens for part in shared[:kept_parts])
+    copied = sum(part.tokens for part in shared[kept_parts:source_parts])
+    if not request.copy_tokens_per_s or copied < LEAST_COPIED_TOKENS:
+        source, copied = None, 0
+    unread = max(1, request.prompt.prompt_tokens - kept - copied)
+    return _Reading(kept, copied, unread, source)
+
+
+def _deepest_source(
+    keys: Sequence[int],
+    kept_parts: int,
+    replica: RelayReplica,
+    sources: Sequence[RelayReplica],
+    index: PartIndex,
+) -> tuple[RelayReplica | None, int]:
+    """Return who keeps the longest run beyond the replica's own: near, then most recently used."""
+    best: RelayReplica | None = None
+    best_parts = kept_parts
+    best_order: tuple[int, bool, float] = (kept_parts, False, 0.0)
+    if kept_parts == len(keys):
+        return None, kept_parts
+    for source in sources:
+        if source.order_hash == replica.order_hash:
+            continue
+        parts = index.kept_parts(keys, source.order_hash)
+        if parts <= kept_parts:
+            continue
+        near = source.listing.zone == replica.listing.zone
+        used_s = index.holders(keys[parts - 1]).get(source.order_hash, 0.0)
+        if (parts, near, used_s) > best_order:
+            best, best_parts, best_order = source, parts, (parts, near, used_s)
+    return best, best_parts
 
 
 def shared_keys(request: PromptPlacement, replica: RelayReplica) -> list[int]:
@@ -96,13 +183,16 @@
 
 
 def _prompt_cost_s(
-    request: PromptPlacement, replica: RelayReplica, rank: int, kept: int, unread: int
+    request: PromptPlacement, replica: RelayReplica, rank: int, reading: _Reading
 ) -> float:
     queued = replica.unread_tokens + replica.peer_unread_tokens
     running = replica.in_flight + replica.peer_in_flight
-    cost_s = (queued + unread) / DEFAULT_READ_TOKENS_PER_S
+    cost_s = (queued + reading.unread) / DEFAULT_READ_TOKENS_PER_S
     cost_s += running * RUNNING_COST_S + rank * ORDER_COST_S
-    if rank and not kept:
+    if reading.copied:
+        cost_s += COPY_SETUP_S + reading.copied / request.copy_tokens_per_s
+        cost_s += SECOND_COPY_SHARE * reading.copied / DEFAULT_READ_TOKENS_PER_S
+    elif rank and not reading.kept:
         cost_s += AWAY_SHARE * request.prompt.shared_tokens / DEFAULT_READ_TOKENS_PER_S
     if replica.listing.zone != request.zone:
         cost_s += OTHER_ZONE_COST_S
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Callable
 
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.routing import RouteKind
@@ -44,6 +45,7 @@
     model: str
     weights_version: int | None
     no_body: bool
+    on_read: Callable[[], None] = lambda: None
 
 
 class Attempt:
@@ -68,7 +70,7 @@
         self._body_bytes = 0
         self._stream: StreamReader | None = None
         self._unread_counted = plan.unread_tokens
-        self.first_event_at_s: float | None = None
+        self._read = False
 
     async def run(self) -> Outcome:
         """Send the request and follow its answer to the end."""
@@ -128,8 +130,10 @@
 
     def _take_data(self, data: bytes) -> Outcome | None:
         if self._stream is not None:
-            if self._stream.feed(data):
+            if self._stream.feed(data) and not self._read:
+                self._read = True
                 self._note_read()
+                self._plan.on_read()
             return None
         self._body.append(data)
         self._body_bytes += len(data)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -158,8 +158,11 @@
         zone = self._state.settings.zone
         if prompt is None:
             return place_task(zone, candidates, self._loop.time())
-        request = PromptPlacement(prompt, self._scope(prompt), zone)
-        return place_prompt(request, candidates, self._state.parts)
+        rate = self._state.copy_tokens_per_s(self._backend)
+        store = self._state.cache_store
+        request = PromptPlacement(prompt, self._scope(prompt), zone, rate, store)
+        sources = [*self._state.fleet.of_service(self._backend), *([store] if store else [])]
+        return place_prompt(request, candidates, sources, self._state.parts)
 
     def _scope(self, prompt: Prompt) -> CacheScope:
         tenant = self._admitted.tenant
@@ -202,6 +205,7 @@
         prompt = self._admitted.fields.prompt
         version = replica.versions.get(prompt.model) if prompt else None
         tenant = self._admitted.tenant
+        store = self._state.cache_store
         fields = DispatchFields(
             deadline_s=self._time_left_s(),
             replica_id=replica.replica_id,
@@ -210,6 +214,8 @@
             namespace=self._scope(prompt).namespace(version or 0) if prompt else None,
             weights_version=version,
             resume_after=self._resume_after(),
+            copy_from=decision.copy_from.listing.address if decision.copy_from else None,
+            save_to=store.listing.address if store and decision.save else None,
         )
         headers = self._service.dialect.dispatch_headers(self._request.headers, fields)
         if self._request.body or self._request.method not in (b"GET", b"HEAD"):
@@ -224,6 +230,7 @@
             model=prompt.model if prompt else "",
             weights_version=version,
             no_body=self._request.method == b"HEAD",
+            on_read=lambda: self._note_kept(replica, version, decision.save),
         )
 
     def _resume_after(self) -> int | None:
@@ -237,17 +244,20 @@
         now_s = self._loop.time()
         if isinstance(outcome, Delivered):
             replica.note_success(now_s - sent_s, now_s)
-            self._note_kept(plan)
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
             self._state.note_failure(replica, outcome.reason)
 
-    def _note_kept(self, plan: AttemptPlan) -> None:
+    def _note_kept(self, replica: RelayReplica, version: int | None, saved: bool) -> None:
+        """The prompt has been read: its shared parts are kept there, and in the store if saved."""
         prompt = self._admitted.fields.prompt
-        if prompt is None or plan.weights_version is None:
+        if prompt is None or version is None:
             return
-        namespace = self._scope(prompt).namespace(plan.weights_version)
+        namespace = self._scope(prompt).namespace(version)
         keys = [part_key(namespace, part) for part in prompt.shared]
-        self._state.note_kept(plan.replica, keys)
+        self._state.note_kept(replica, keys)
+        store = self._state.cache_store
+        if saved and store is not None:
+            self._state.note_kept(store, keys)
 
     # What follows an attempt
 
@@ -335,6 +345,8 @@
             weighed=decision.weighed,
             kept=decision.kept_tokens,
             unread=decision.unread_tokens,
+            copy_from=decision.copy_from.replica_id if decision.copy_from else None,
+            save=decision.save or None,
             weights=plan.weights_version,
             in_flight=decision.replica.in_flight,
             left_s=self._time_left_s(),
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -8,7 +8,8 @@
 
 from winchfork.core.freshness import Freshness
 from winchfork.core.part_index import PartIndex
-from winchfork.core.relay_fleet import RelayFleet, RelayReplica
+from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing
+from winchfork.core.rendezvous import member_hash
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.weight_rollout import VersionHistory
@@ -26,7 +27,8 @@
 #: Wait told to callers while the configuration is unknown or stale.
 STALE_RETRY_AFTER_S = 0.7
 #: A request may wait this long in a replica before it begins; old weights end so much earlier.
-BEGIN_MARGIN_S = 0.7
+BEGIN_MARGIN_S = 1.5
+BYTES_PER_S_PER_MBPS = 125_000.0
 #: Daemons assumed to share budgets and connections until more are known.
 ASSUMED_DAEMONS = 10
 
@@ -63,6 +65,8 @@
         #: Replicas missing from the list since an outage, with the time until which they are kept.
         self.vanished: dict[str, float] = {}
         self.fleet = RelayFleet()
+        #: The store of kept cache, as one more source of copies; never sent a request.
+        self.cache_store: RelayReplica | None = None
         self.parts = PartIndex()
         #: What this daemon has learned of kept parts and has not told its peers yet.
         self._kept_news: dict[int, list[int]] = {}
@@ -85,9 +89,18 @@
             return False
         self.table = table
         self.table_revision = revision
+        self._install_cache_store(table)
         self.splits.forget_except(table.routes)
         return True
 
+    def _install_cache_store(self, table: RoutingTable) -> None:
+        store = table.cache_store()
+        if store is None:
+            self.cache_store = None
+        elif self.cache_store is None or self.cache_store.listing.address != store.address:
+            listing = ReplicaListing(store.address, "", store.address, store.zone, 0, False)
+            self.cache_store = RelayReplica(listing, {}, member_hash(store.address))
+
     @property
     def keys_fresh(self) -> bool:
         """Whether a key that the table holds cannot have been revoked too long ago."""
@@ -212,6 +225,14 @@
                 for_s=replica.avoided_until_s - now_s,
             )
 
+    def copy_tokens_per_s(self, service: str) -> float:
+        """Return how fast the service's replicas copy kept parts; 0 where they cannot."""
+        known = self.table.services.get(service) if self.table else None
+        engine = known.engine if known else None
+        if engine is None or not engine.token_bytes:
+            return 0.0
+        return engine.link_mbps * BYTES_PER_S_PER_MBPS / engine.token_bytes
+
     def connection_limit(self, service: str) -> int:
         """Return this daemon's part of the connections that one replica takes."""
         known = self.table.services.get(service) if self.table else None
