Hand the rollout leadership over with the age of its last order

Change: a stopping leader finishes the replicas under order, ends its lease and tells the age of its last order; daemons already restarted campaign first. Newcomers are told the ages of versions; what the first list holds counts as named long ago but for three seconds.

--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -52,6 +52,17 @@
         self._named.append(NamedVersion(version, heard_s))
         return True
 
+    def note_age(self, version: int, heard_s: float) -> None:
+        """Take a peer's word that a version was named by ``heard_s``: the earlier time counts."""
+        for number, named in enumerate(self._named):
+            if named.version == version and heard_s < named.heard_s:
+                self._named[number] = NamedVersion(version, heard_s)
+
+    @property
+    def named(self) -> tuple[NamedVersion, ...]:
+        """The versions remembered, oldest first."""
+        return tuple(self._named)
+
     @property
     def newest(self) -> int:
         """The newest version, or 0."""
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -10,11 +10,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
 from winchfork.errors import Failure
 from winchfork.logs import log_event
+from winchfork.router.peer_messages import Resignation
 from winchfork.stores.async_key_value import AsyncKeyValueStore, ExpectedRevision, PutItem
 
 LEADER_KEY = "winchfork/leader"
@@ -24,6 +26,9 @@
 RENEW_PERIOD_S = 0.4
 #: Random wait before a try, so that not every daemon writes when a leader is lost.
 MAX_TRY_DELAY_S = 0.5
+#: The same for those that a rolling restart has already passed.
+HURRY_DELAY_S = 0.05
+_LONG_AGO_S = 3600.0
 #: Added to the wait of a new holder, for clocks that run apart and messages on their way.
 TURN_MARGIN_S = 0.25
 
@@ -43,21 +48,45 @@
         self._store = store
         self._own_id = own_id
         self._lease_s = max(LEASE_S, min_lease_s)
-        self._turn_wait_s = lease_bound_s - (self._lease_s - ACT_S) + TURN_MARGIN_S
+        self._lease_bound_s = lease_bound_s
         self._clock = clock
         self._generator = generator
         self._vacant = asyncio.Event()
         self._lease_id = 0
         self._valid_until_s = 0.0
         self._acts_from_s = 0.0
+        self._started_s = clock()
+        self._last_order_s = -math.inf
+        self._holder_fence = 0
+        self._resigned_order_s: float | None = None
+        self._hurry = False
         self.fence = 0
 
-    def note_entry(self, present: bool) -> None:
-        """Take what the store's watch says of the leader's entry."""
-        if present:
-            self._vacant.clear()
-        else:
+    def note_entry(self, revision: int | None) -> None:
+        """Take what the store's watch says of the leader's entry; None: there is none."""
+        if revision is None:
             self._vacant.set()
+            return
+        self._vacant.clear()
+        if revision != self._holder_fence:
+            self._holder_fence = revision
+            self._resigned_order_s = None
+            self._hurry = False
+
+    def note_order(self) -> None:
+        """Record that an order leaves now."""
+        self._last_order_s = self._clock()
+
+    def note_resignation(self, message: Resignation) -> None:
+        """Take a holder's word that it gives no more orders, and how old its last one is.
+
+        In a rolling restart those that have been restarted stay: they campaign without delay.
+        """
+        if message.fence != self._holder_fence:
+            return
+        now_s = self._clock()
+        self._resigned_order_s = now_s - message.last_order_ms / 1000.0
+        self._hurry = now_s - self._started_s < message.uptime_ms / 1000.0
 
     def may_act(self) -> bool:
         """Tell, without I/O, whether an order may leave now."""
@@ -68,16 +97,32 @@
         """Campaign whenever there is no leader; renew while leading."""
         while True:
             await self._vacant.wait()
-            await asyncio.sleep(self._generator.random() * MAX_TRY_DELAY_S)
+            await asyncio.sleep(self._try_delay_s())
             if self._vacant.is_set() and await self._take():
                 await self._keep()
 
-    async def resign(self) -> None:
+    async def resign(self) -> Resignation | None:
         """End the lease at a planned stop, so that another may lead at once."""
         fence, self.fence = self.fence, 0
-        if fence:
-            log_event("leadership_resigned", fence=fence)
-            await self._store.end_lease(self._lease_id)
+        if not fence:
+            return None
+        now_s = self._clock()
+        age_s = min(_LONG_AGO_S, now_s - self._last_order_s)
+        log_event("leadership_resigned", fence=fence, last_order_s=age_s)
+        await self._store.end_lease(self._lease_id)
+        return Resignation(fence, int(age_s * 1000), int((now_s - self._started_s) * 1000))
+
+    def _try_delay_s(self) -> float:
+        if self._hurry:
+            return self._generator.random() * HURRY_DELAY_S
+        return HURRY_DELAY_S + self._generator.random() * MAX_TRY_DELAY_S
+
+    def _turn_wait_s(self) -> float:
+        """Return how long orders of the holder before may still be too fresh."""
+        if self._resigned_order_s is not None:
+            age_s = self._clock() - self._resigned_order_s
+            return max(0.0, self._lease_bound_s + TURN_MARGIN_S - age_s)
+        return max(0.0, self._lease_bound_s - (self._lease_s - ACT_S) + TURN_MARGIN_S)
 
     async def _take(self) -> bool:
         asked_s = self._clock()
@@ -97,9 +142,11 @@
         self._vacant.clear()
         self._lease_id = lease_id
         self._valid_until_s = asked_s + ACT_S
-        self._acts_from_s = self._clock() + max(0.0, self._turn_wait_s)
-        self.fence = taken
-        log_event("leadership_taken", fence=taken, acts_in_s=self._turn_wait_s)
+        wait_s = self._turn_wait_s()
+        self._acts_from_s = self._clock() + wait_s
+        self._holder_fence = self.fence = taken
+        self._resigned_order_s = None
+        log_event("leadership_taken", fence=taken, acts_in_s=wait_s)
         return True
 
     async def _keep(self) -> None:
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -53,4 +53,40 @@
     notes: tuple[WeightsNote, ...]
 
 
-PEER_MESSAGE_TYPES = (Probe, ProbeReply, IndirectProbe, Activity, RolloutProgress)
+@dataclasses.dataclass(frozen=True)
+class NamedNote:
+    """The sender heard this long ago that operators named a version."""
+
+    model: str
+    version: int
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class NamedVersions:
+    """What a daemon that has just started cannot learn from the store: the ages of versions."""
+
+    notes: tuple[NamedNote, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Resignation:
+    """The leader under ``fence`` stops as planned and gives no more orders.
+
+    ``last_order_ms`` is the age of its last order, ``uptime_ms`` how long it has run.
+    """
+
+    fence: int
+    last_order_ms: int
+    uptime_ms: int
+
+
+PEER_MESSAGE_TYPES = (
+    Probe,
+    ProbeReply,
+    IndirectProbe,
+    Activity,
+    RolloutProgress,
+    NamedVersions,
+    Resignation,
+)
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 from winchfork.cluster.wire import PeerCodec
@@ -28,7 +29,10 @@
     PEER_MESSAGE_TYPES,
     Activity,
     KeptNote,
+    NamedNote,
+    NamedVersions,
     ReplicaLoadNote,
+    Resignation,
     RolloutProgress,
     WeightsNote,
 )
@@ -69,6 +73,8 @@
         self._number = 0
         self._last_loads: tuple[ReplicaLoadNote, ...] = ()
         self._heard: dict[str, tuple[float, int, tuple[ReplicaLoadNote, ...]]] = {}
+        self._known_members: set[tuple[str, int]] = set()
+        self.on_resignation: Callable[[Resignation], None] = lambda message: None
         self.sent_bytes = 0
 
     async def open(self) -> None:
@@ -90,6 +96,7 @@
                 next_probe_s = now_s + HEARTBEAT_PERIOD_S
                 self._send_all(self._membership.tick(now_s))
                 self._state.daemons = self.members() + _SPARE_DAEMONS
+            self._greet_newcomers(now_s)
             self._tell_work(now_s)
             self._sum_loads(now_s)
 
@@ -106,9 +113,11 @@
         """Tell every member of the replicas under order; apply it here as well."""
         message = RolloutProgress(self._state.settings.node_id, fence, notes)
         self._take_rollout(message)
-        for member in self._membership.members():
-            if member.member_id != self._state.settings.node_id:
-                self._send(member.peer_address, message)
+        self._tell_everyone(message)
+
+    def tell_resignation(self, message: Resignation) -> None:
+        """Tell every member that this leader gives no more orders."""
+        self._tell_everyone(message)
 
     # asyncio.DatagramProtocol
 
@@ -127,6 +136,10 @@
             self._take_activity(message)
         elif isinstance(message, RolloutProgress):
             self._take_rollout(message)
+        elif isinstance(message, NamedVersions):
+            self._take_named(message)
+        elif isinstance(message, Resignation):
+            self.on_resignation(message)
 
     def error_received(self, error: Exception) -> None:
         """A peer's machine refused a datagram; membership finds out by itself."""
@@ -146,6 +159,36 @@
         self.sent_bytes += len(data)
         self._transport.sendto(data, (host, int(port)))
 
+    def _tell_everyone(self, message: Any) -> None:
+        for member in self._others():
+            self._send(member.peer_address, message)
+
+    def _others(self) -> list[Member]:
+        own_id = self._state.settings.node_id
+        return [member for member in self._membership.members() if member.member_id != own_id]
+
+    def _greet_newcomers(self, now_s: float) -> None:
+        """Tell members seen for the first time how long ago each version was named."""
+        members = {(member.member_id, member.incarnation): member for member in self._others()}
+        newcomers = [members[key] for key in members.keys() - self._known_members]
+        self._known_members = set(members)
+        notes = tuple(
+            NamedNote(model, named.version, int((now_s - named.heard_s) * 1000))
+            for model, history in self._state.versions.items()
+            for named in history.named
+        )
+        if not notes:
+            return
+        for member in newcomers:
+            self._send(member.peer_address, NamedVersions(notes))
+
+    def _take_named(self, message: NamedVersions) -> None:
+        now_s = self._loop.time()
+        for note in message.notes:
+            history = self._state.versions.get(note.model)
+            if history is not None:
+                history.note_age(note.version, now_s - note.age_ms / 1000.0)
+
     def _tell_work(self, now_s: float) -> None:
         loads = tuple(
             ReplicaLoadNote(replica.order_hash, replica.in_flight, replica.unread_tokens)
@@ -165,11 +208,7 @@
             self._send(address, message)
 
     def _listeners(self) -> list[str]:
-        others = [
-            member.peer_address
-            for member in self._membership.members()
-            if member.member_id != self._state.settings.node_id
-        ]
+        others = [member.peer_address for member in self._others()]
         return others if len(others) <= FAN_OUT else self._generator.sample(others, FAN_OUT)
 
     # Receiving
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -87,6 +87,7 @@
             generator,
             settings.store_min_lease_s,
         )
+        self._peers.on_resignation = self._leadership.note_resignation
         self._sync = StoreSync(self.state, store, parts.documents, self._leadership, generator)
         control = parts.make_control(self._calls)
         self._rollout = Rollout(self.state, self._leadership, control, self._peers)
@@ -178,15 +179,15 @@
         asked_s = self._loop.time()
         self.state.stopping = True
         log_event("router_stopping", active=self.service.active_requests)
-        self._peers.leave()
-        self._rollout.stop()
-        await self._leadership.resign()
+        handing_over = self._loop.create_task(self._rollout.stop())
         last_s = asked_s + self._settings.bounds.grace_s - STOP_MARGIN_S
         notice_s = min(ENTRY_NOTICE_S, self._settings.bounds.grace_s / 2)
         await asyncio.sleep(notice_s)
         self.service.close_idle_callers()
         while self.service.busy_connections and self._loop.time() < last_s:
             await asyncio.sleep(0.02)
+        await asyncio.wait([handing_over], timeout=max(0.0, last_s - self._loop.time()))
+        self._peers.leave()
         for server in self._servers:
             server.close()
         for task in self._tasks:
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -36,6 +36,10 @@
 ORDER_PATIENCE_S = 4.0
 
 
+#: At a planned stop, replicas under order are waited for this long.
+STOP_PATIENCE_S = 2.0
+
+
 class Rollout:
     """The duty of the leader; idle on every other daemon."""
 
@@ -51,19 +55,26 @@
         self._control = control
         self._peers = peers
         self._under_order: dict[str, asyncio.Task[None]] = {}
+        self._stopping = False
 
     async def run(self) -> None:
         """Look for work until cancelled."""
-        while True:
+        while not self._stopping:
             await asyncio.sleep(PASS_PERIOD_S)
             if self._leadership.may_act():
                 for model in list(self._state.versions):
                     self._pass(model)
 
-    def stop(self) -> None:
-        """End every task; orders already given are carried out by the replicas."""
+    async def stop(self) -> None:
+        """Begin nothing new; wait for the replicas under order, then hand the leadership over."""
+        self._stopping = True
+        if self._under_order:
+            await asyncio.wait(list(self._under_order.values()), timeout=STOP_PATIENCE_S)
         for task in self._under_order.values():
             task.cancel()
+        resignation = await self._leadership.resign()
+        if resignation is not None:
+            self._peers.tell_resignation(resignation)
 
     def _pass(self, model: str) -> None:
         history = self._state.versions[model]
@@ -133,6 +144,7 @@
             self._leadership.fence,
             report.sequence,
         )
+        self._leadership.note_order()
         outcome = await self._control.order(
             replica.listing.address, order, self._leadership.may_act
         )
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -31,6 +31,8 @@
 MAX_BACK_OFF_S = 0.8
 #: Heartbeats for which a replica that vanished during an outage is kept.
 KEEP_HEARTBEATS = 1.5
+#: A daemon that has just started is held to the bound on versions after this long.
+START_GRACE_S = 3.0
 _EVERYTHING = ""
 
 
@@ -53,6 +55,7 @@
         self._revision = 0
         self._lost_since_s: float | None = None
         self._listed = False
+        self._ever_listed = False
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -79,11 +82,11 @@
         self._state.freshness.prove(asked_s)
         for item in snapshot.items:
             self._install(item)
-        led = any(item.key == LEADER_KEY for item in snapshot.items)
-        self._leadership.note_entry(led)
+        if all(item.key != LEADER_KEY for item in snapshot.items):
+            self._leadership.note_entry(None)
         self._remove_missing(snapshot, after_outage)
         self._revision = max(self._revision, snapshot.at_revision)
-        self._listed = True
+        self._listed = self._ever_listed = True
         return None
 
     async def _watch_once(self) -> Failure | None:
@@ -103,7 +106,7 @@
 
     def _install(self, item: StoreItem) -> None:
         if item.key == LEADER_KEY:
-            self._leadership.note_entry(item.value is not None)
+            self._leadership.note_entry(None if item.value is None else item.revision)
             return
         document = self._reader.read(item)
         if document is None:
@@ -132,11 +135,22 @@
 
     def _install_target(self, target: WeightsTarget, revision: int) -> None:
         history = self._state.versions.setdefault(target.model, VersionHistory())
-        if history.note(target.version, self._state.clock()):
+        if history.note(target.version, self._heard_s()):
             log_event(
                 "weights_named", model=target.model, version=target.version, revision=revision
             )
 
+    def _heard_s(self) -> float:
+        """Return when a version that is read now counts as named.
+
+        What the first list holds may have been named long ago, and peers may not be there to tell.
+        A daemon that has just started is granted the rest of a bound that began before it did.
+        """
+        now_s = self._state.clock()
+        if self._ever_listed:
+            return now_s
+        return now_s - max(0.0, self._state.settings.bounds.rollout_s - START_GRACE_S)
+
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
         known = self._state.fleet.get(listing.replica_id)
         changed = known is None or known.listing != listing
