Begin rollouts by measured turns, quieten a replica before its order, stop taking requests in time

Change: the listener closes when the entry must have noticed, later requests are refused as not run; turns are measured; a replica is left to read what it was sent before it is ordered; old weights end by the queue of their replica.

--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -61,13 +61,10 @@
         """The id of this incarnation."""
         return self.listing.replica_id
 
-    def available(self, now_s: float) -> bool:
-        """Whether new work may be sent now: accepting, not loading weights, not left alone."""
-        return (
-            self.listing.accepting
-            and now_s >= self.loading_until_s
-            and now_s >= self.avoided_until_s
-        )
+    @property
+    def queued_tokens(self) -> int:
+        """Prompt tokens sent to it, by all daemons as far as known, that it has not read yet."""
+        return self.unread_tokens + self.peer_unread_tokens
 
     def note_sent(self, unread_tokens: int) -> None:
         """Count a request sent to this replica."""
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -185,9 +185,8 @@
 def _prompt_cost_s(
     request: PromptPlacement, replica: RelayReplica, rank: int, reading: _Reading
 ) -> float:
-    queued = replica.unread_tokens + replica.peer_unread_tokens
     running = replica.in_flight + replica.peer_in_flight
-    cost_s = (queued + reading.unread) / DEFAULT_READ_TOKENS_PER_S
+    cost_s = (replica.queued_tokens + reading.unread) / DEFAULT_READ_TOKENS_PER_S
     cost_s += running * RUNNING_COST_S + rank * ORDER_COST_S
     if reading.copied:
         cost_s += COPY_SETUP_S + reading.copied / request.copy_tokens_per_s
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -9,20 +9,44 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 #: Replicas loading at once: at least this many, and at least this share of them.
 LEAST_AT_ONCE = 2
 SHARE_AT_ONCE = 1 / 3
-#: Seconds assumed for a replica to finish its requests and load.
-TURN_S = 1.5
+#: Seconds assumed for a replica to finish its requests and load, until turns have been measured.
+FIRST_TURN_S = 1.8
 #: Part of the bound kept for a slow last turn and for a leader that fails.
 MARGIN_S = 1.5
+#: Share of a new turn in the moving average.
+_TURN_WEIGHT = 0.3
+
+
+def at_once(replicas: int) -> int:
+    """Return how many replicas may load at the same time."""
+    return max(LEAST_AT_ONCE, math.ceil(replicas * SHARE_AT_ONCE))
+
+
+class TurnClock:
+    """How long a turn takes here: from the first notice until the replica has the version."""
+
+    def __init__(self) -> None:
+        self.turn_s = FIRST_TURN_S
+
+    def note(self, seconds: float) -> None:
+        """Take a measured turn in; a slower one counts at once, a faster one by and by."""
+        weight = 1.0 if seconds > self.turn_s else _TURN_WEIGHT
+        self.turn_s += weight * (seconds - self.turn_s)
+
+    def starts_s(self, due_s: float, replicas: int) -> float:
+        """Return when a rollout over ``replicas`` must begin to be done by ``due_s``."""
+        turns = math.ceil(replicas / at_once(replicas)) if replicas else 0
+        return due_s - MARGIN_S - turns * self.turn_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutReplica:
-    """A replica as the rollout sees it; ``due_s`` is when its version ceases to be allowed."""
+    """A replica as the rollout sees it."""
 
     replica_id: str
     version: int
@@ -75,37 +99,16 @@
                 return named.heard_s + bound_s
         return math.inf
 
-    def required(self, now_s: float, bound_s: float) -> int:
-        """Return the lowest version on which a request may begin at ``now_s``."""
-        return max(
-            (named.version for named in self._named if now_s >= named.heard_s + bound_s),
-            default=0,
-        )
-
-    def trim(self, held: Iterable[int]) -> None:
+    def trim(self, lowest_held: int) -> None:
         """Forget versions that every replica has passed."""
-        lowest = min(held, default=0)
-        self._named = [named for named in self._named if named.version > lowest] or self._named[-1:]
-
-
-def at_once(replicas: int) -> int:
-    """Return how many replicas may load at the same time."""
-    return max(LEAST_AT_ONCE, math.ceil(replicas * SHARE_AT_ONCE))
-
-
-def starts_s(due_s: float, replicas: int) -> float:
-    """Return when a rollout over ``replicas`` must begin to be done by ``due_s``."""
-    turns = math.ceil(replicas / at_once(replicas)) if replicas else 0
-    return due_s - MARGIN_S - turns * TURN_S
-
+        kept = [named for named in self._named if named.version > lowest_held]
+        self._named = kept or self._named[-1:]
 
-def choose_next(replicas: Sequence[RolloutReplica], newest: int, total: int) -> list[str]:
-    """Return the replicas to order now: the oldest version first, the least busy first.
 
-    ``total`` counts the service's replicas; those leaving are not ordered.
-    """
+def choose_next(replicas: Sequence[RolloutReplica], newest: int) -> list[str]:
+    """Return the replicas to order now: the oldest version first, the least busy first."""
     ordered = sum(1 for replica in replicas if replica.under_order)
-    free = at_once(total) - ordered
+    free = at_once(len(replicas)) - ordered
     if free <= 0:
         return []
     behind = [
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -1,8 +1,8 @@
 """One router process: wires the parts, listens, follows the store, and stops as planned.
 
-A planned stop: not ready at once; requests are taken on while the entry still sends them; every
-answer ends its connection; the process ends when nothing is being served, or at the end of the
-grace time.
+A planned stop: not ready at once; requests are taken while the entry may not have noticed; every
+answer ends its connection. Then no connection and no request is taken any more, and the process
+ends when nothing is being served, or at the end of the grace time.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 #: Pause before a duty that has ended by surprise begins again.
 DUTY_PAUSE_S = 0.2
 #: After a stop is asked for, callers still arrive until the entry has noticed twice.
-ENTRY_NOTICE_S = 2.6
+ENTRY_NOTICE_S = 2.3
 #: Grace time that is left unused, for the way out.
 STOP_MARGIN_S = 0.5
 _BACKLOG = 1024
@@ -183,13 +183,15 @@
         last_s = asked_s + self._settings.bounds.grace_s - STOP_MARGIN_S
         notice_s = min(ENTRY_NOTICE_S, self._settings.bounds.grace_s / 2)
         await asyncio.sleep(notice_s)
+        # What came until now can be finished within the grace time; what comes later may not.
+        self.service.closing = True
+        for server in self._servers:
+            server.close()
         self.service.close_idle_callers()
         while self.service.busy_connections and self._loop.time() < last_s:
             await asyncio.sleep(0.02)
         await asyncio.wait([handing_over], timeout=max(0.0, last_s - self._loop.time()))
         self._peers.leave()
-        for server in self._servers:
-            server.close()
         for task in self._tasks:
             task.cancel()
         self._pool.close()
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -17,7 +17,7 @@
     WeightsOrder,
 )
 from winchfork.core.relay_fleet import RelayReplica
-from winchfork.core.weight_rollout import RolloutReplica, choose_next, starts_s
+from winchfork.core.weight_rollout import RolloutReplica, TurnClock, choose_next
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.router.leadership import Leadership
@@ -27,11 +27,13 @@
 
 PASS_PERIOD_S = 0.1
 #: Pause between reports while a replica finishes its requests and loads.
-REPORT_PERIOD_S = 0.2
+REPORT_PERIOD_S = 0.1
 #: Peers are told to send a replica nothing for this long at a time; renewed while under order.
 HOLD_S = 1.5
-#: Time for peers to hear of a hold before the order is given.
-HOLD_NOTICE_S = 0.02
+#: Time for peers to hear of a hold, and the longest wait for prompts already sent to be read:
+#: a replica refuses what has not begun when it takes the order.
+HOLD_NOTICE_S = 0.03
+READ_PATIENCE_S = 0.6
 #: An order that shows no effect for this long is given again.
 ORDER_PATIENCE_S = 4.0
 
@@ -56,6 +58,7 @@
         self._peers = peers
         self._under_order: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
+        self._turns = TurnClock()
 
     async def run(self) -> None:
         """Look for work until cancelled."""
@@ -81,16 +84,17 @@
         replicas = [
             replica for replica in self._state.fleet.replicas() if model in replica.versions
         ]
+        history.trim(min((replica.versions[model] for replica in replicas), default=0))
         behind = [replica for replica in replicas if replica.versions[model] < history.newest]
         if not behind:
             return
         bound_s = self._state.settings.bounds.rollout_s
         due_s = min(history.due_s(replica.versions[model], bound_s) for replica in behind)
         begun = bool(self._under_order)
-        if not begun and self._state.clock() < starts_s(due_s, len(behind)):
+        if not begun and self._state.clock() < self._turns.starts_s(due_s, len(behind)):
             return
         views = [self._view(replica, model) for replica in replicas]
-        for replica_id in choose_next(views, history.newest, len(replicas)):
+        for replica_id in choose_next(views, history.newest):
             self._begin(replica_id, model, history.newest)
 
     def _view(self, replica: RelayReplica, model: str) -> RolloutReplica:
@@ -112,9 +116,9 @@
 
     async def _bring(self, replica: RelayReplica, model: str, version: int) -> None:
         """Bring one replica to ``version``, or give up until the next pass."""
-        self._hold(replica, model)
-        await asyncio.sleep(HOLD_NOTICE_S)
-        deadline_s = self._state.clock() + ORDER_PATIENCE_S
+        begun_s = self._state.clock()
+        deadline_s = begun_s + ORDER_PATIENCE_S
+        await self._quieten(replica, model)
         ordered = False
         while self._leadership.may_act() and self._state.clock() < deadline_s:
             if self._state.fleet.get(replica.replica_id) is None:
@@ -124,6 +128,7 @@
                 held = report.versions.get(model, 0)
                 if held >= version and not report.busy:
                     self._finish(replica, model, held)
+                    self._turns.note(self._state.clock() - begun_s)
                     return
                 if not ordered and not report.busy:
                     ordered = await self._order(replica, model, version, report)
@@ -132,6 +137,14 @@
         log_event("rollout_postponed", "WARNING", replica=replica.replica_id, version=version)
         self._tell(replica, model, 0.0)
 
+    async def _quieten(self, replica: RelayReplica, model: str) -> None:
+        """Keep new requests away, and let those that were sent begin."""
+        self._hold(replica, model)
+        await asyncio.sleep(HOLD_NOTICE_S)
+        until_s = self._state.clock() + READ_PATIENCE_S
+        while replica.queued_tokens and self._state.clock() < until_s:
+            await asyncio.sleep(HOLD_NOTICE_S)
+
     async def _order(
         self, replica: RelayReplica, model: str, version: int, report: ReplicaReport
     ) -> bool:
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from winchfork.core.routing import CallerLimits
-from winchfork.errors import Failure
+from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.caller_connection import ActiveRequest, CallerConnection
 from winchfork.router.connection_pool import ConnectionPool
@@ -35,6 +35,8 @@
         self.state = state
         self.pool = pool
         self.dialect = dialect
+        #: Set late in a planned stop: requests that come now are refused as not run.
+        self.closing = False
         self._connections: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -56,6 +58,9 @@
         """Admit and start a request, or refuse it at once."""
         if self.state.stopping:
             connection.close_after_answer = True
+        if self.closing:
+            stopping = FailureKind.STOPPING.because("this daemon stops", retry_after_s=0.05)
+            return self._refuse(connection, stopping, None)
         fields = self.dialect.read_request(request.headers)
         if isinstance(fields, Failure):
             return self._refuse(connection, fields, None)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -9,6 +9,7 @@
 from winchfork.core.freshness import Freshness
 from winchfork.core.part_index import PartIndex
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing
+from winchfork.core.relay_placement import DEFAULT_READ_TOKENS_PER_S
 from winchfork.core.rendezvous import member_hash
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
@@ -26,8 +27,10 @@
 CERTAIN_AGE_S = 1.9
 #: Wait told to callers while the configuration is unknown or stale.
 STALE_RETRY_AFTER_S = 0.7
-#: A request may wait this long in a replica before it begins; old weights end so much earlier.
-BEGIN_MARGIN_S = 1.5
+#: A request may wait in a replica before it begins: old weights end this much before their bound,
+#: and by twice the time that the replica needs to read what is queued.
+BEGIN_MARGIN_S = 0.6
+MAX_BEGIN_MARGIN_S = 2.0
 BYTES_PER_S_PER_MBPS = 125_000.0
 #: Daemons assumed to share budgets and connections until more are known.
 ASSUMED_DAEMONS = 10
@@ -167,25 +170,26 @@
         alone for failures, that is ignored: a doubtful replica is better than none.
         """
         now_s = self.clock()
-        required = self.required_version(model, now_s) if model else 0
         candidates = [
             replica
             for replica in self.fleet.of_service(service)
             if replica.listing.accepting
             and replica.replica_id not in tried
             and now_s >= replica.loading_until_s
-            and (not required or replica.versions.get(model, 0) >= required)
+            and (not model or self._weights_allowed(replica, model, now_s))
         ]
         sound = [replica for replica in candidates if now_s >= replica.avoided_until_s]
         return sound or candidates
 
-    def required_version(self, model: str, now_s: float) -> int:
-        """Return the lowest weights version on which a request sent now may still begin."""
+    def _weights_allowed(self, replica: RelayReplica, model: str, now_s: float) -> bool:
+        """Whether a request sent now will begin before the replica's weights are too old."""
         history = self.versions.get(model)
         if history is None:
-            return 0
-        bound_s = self.settings.bounds.rollout_s - BEGIN_MARGIN_S
-        return history.required(now_s, bound_s)
+            return True
+        queue_s = replica.queued_tokens / DEFAULT_READ_TOKENS_PER_S
+        margin_s = min(MAX_BEGIN_MARGIN_S, BEGIN_MARGIN_S + 2.0 * queue_s)
+        bound_s = self.settings.bounds.rollout_s
+        return now_s + margin_s < history.due_s(replica.versions.get(model, 0), bound_s)
 
     def note_kept(self, replica: RelayReplica, keys: list[int]) -> None:
         """Record parts that a replica has read for this daemon."""
