Gather long answers away from large prompts; prepare replicas that load next

A replica reads a prompt in pieces between the tokens of other requests, and an event holds several tokens: a prompt of 16 thousand tokens pauses every answer there for longer than the route's 500 ms. And loads wait for answers of up to five seconds.

Change: each reading is charged for the answers it delays; answers that take much longer than their prompt gather on the first replicas of each zone. Replicas that load next are given no long answers.

--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -55,6 +55,10 @@
     ejections_in_row: int = 0
     avoided_until_s: float = 0.0
     loading_until_s: float = 0.0
+    #: Until then a rollout is about to order it: long requests had better go elsewhere.
+    next_until_s: float = 0.0
+    peer_busy_until_s: float = 0.0
+    _ends_s: dict[int, float] = dataclasses.field(default_factory=dict)
 
     @property
     def replica_id(self) -> str:
@@ -66,18 +70,30 @@
         """Prompt tokens sent to it, by all daemons as far as known, that it has not read yet."""
         return self.unread_tokens + self.peer_unread_tokens
 
-    def note_sent(self, unread_tokens: int) -> None:
-        """Count a request sent to this replica."""
+    def note_sent(self, request_key: int, unread_tokens: int, ends_s: float) -> None:
+        """Count a request sent to this replica, which is expected to end at ``ends_s``."""
         self.in_flight += 1
         self.unread_tokens += unread_tokens
+        self._ends_s[request_key] = ends_s
 
     def note_started(self, unread_tokens: int) -> None:
         """The prompt has been read: its first token has arrived, or the request has ended."""
         self.unread_tokens -= unread_tokens
 
-    def note_done(self) -> None:
+    def note_done(self, request_key: int) -> None:
         """Count a request that has ended, however it ended."""
         self.in_flight -= 1
+        self._ends_s.pop(request_key, None)
+
+    @property
+    def own_busy_until_s(self) -> float:
+        """When the last of this daemon's requests is expected to end; 0 with none."""
+        return max(self._ends_s.values(), default=0.0)
+
+    @property
+    def busy_until_s(self) -> float:
+        """When the last request of any daemon is expected to end."""
+        return max(self.own_busy_until_s, self.peer_busy_until_s)
 
     def note_success(self, latency_s: float, now_s: float) -> None:
         """Record a good answer and how long it took."""
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -35,6 +35,17 @@
 LEAST_COPIED_TOKENS = 64
 #: Charge for a replica in another zone: latency there and back, and the price of the bytes.
 OTHER_ZONE_COST_S = 0.012
+#: Charge for a long answer on a replica that is to load weights next, as a share of its length: the
+#: load waits for it.
+NEXT_SHARE = 0.5
+#: Charge for reading a prompt where answers are running: each of them waits meanwhile. A share of
+#: the reading time for each running request.
+INTERFERENCE_SHARE = 0.1
+#: A request whose answer takes this many times as long as its prompt is a long answer.
+LONG_ANSWER_RATIO = 4.0
+#: Long answers gather on the same few replicas of a zone, away from large prompts: charge for each
+#: place in the order, so that the next replica is used when this one has some ten more running.
+GATHER_COST_S = 0.01
 #: A latency measured longer ago than this is no longer held against a replica.
 LATENCY_MEMORY_S = 3.0
 #: Latency assumed of a replica that has not been measured lately.
@@ -58,6 +69,7 @@
 class PromptPlacement:
     """A prompt to place, for a daemon in ``zone``.
 
+    ``run_s`` is how long its answer is expected to take after the first token.
     ``copy_tokens_per_s`` is how fast replicas copy kept parts from each other; 0: they cannot.
     ``store`` keeps parts outside the replicas.
     """
@@ -65,9 +77,17 @@
     prompt: Prompt
     scope: CacheScope
     zone: str
+    now_s: float = 0.0
+    run_s: float = 0.0
     copy_tokens_per_s: float = 0.0
     store: RelayReplica | None = None
 
+    @property
+    def long_answer(self) -> bool:
+        """Whether the answer takes much longer than the prompt."""
+        read_s = self.prompt.prompt_tokens / DEFAULT_READ_TOKENS_PER_S
+        return self.run_s > LONG_ANSWER_RATIO * read_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reading:
@@ -90,8 +110,7 @@
     ``sources`` are the replicas that parts may be copied from, whether or not they take work.
     """
     best: RelayDecision | None = None
-    ranks = _family_ranks(request.prompt.family, candidates)
-    for replica, rank in zip(candidates, ranks, strict=True):
+    for replica, rank in zip(candidates, _ranks(request, candidates), strict=True):
         reading = _reading(request, replica, sources, index)
         cost_s = _prompt_cost_s(request, replica, rank, reading)
         if best is None or cost_s < best.cost_s:
@@ -170,8 +189,11 @@
     return [part_key(namespace, part) for part in request.prompt.shared]
 
 
-def _family_ranks(family: str, candidates: Sequence[RelayReplica]) -> list[int]:
-    family_hash = member_hash(family)
+def _ranks(request: PromptPlacement, candidates: Sequence[RelayReplica]) -> list[int]:
+    """Return each candidate's place in the order that every daemon has for this request."""
+    if request.long_answer:
+        return _ranks_in_zone(candidates)
+    family_hash = member_hash(request.prompt.family)
     order = sorted(
         range(len(candidates)),
         key=lambda number: mixed_order(family_hash, candidates[number].order_hash),
@@ -182,19 +204,33 @@
     return ranks
 
 
+def _ranks_in_zone(candidates: Sequence[RelayReplica]) -> list[int]:
+    ranks = [0] * len(candidates)
+    seen: dict[str, int] = {}
+    for number in sorted(range(len(candidates)), key=lambda number: candidates[number].order_hash):
+        zone = candidates[number].listing.zone
+        ranks[number] = seen.get(zone, 0)
+        seen[zone] = ranks[number] + 1
+    return ranks
+
+
 def _prompt_cost_s(
     request: PromptPlacement, replica: RelayReplica, rank: int, reading: _Reading
 ) -> float:
     running = replica.in_flight + replica.peer_in_flight
-    cost_s = (replica.queued_tokens + reading.unread) / DEFAULT_READ_TOKENS_PER_S
-    cost_s += running * RUNNING_COST_S + rank * ORDER_COST_S
+    read_s = reading.unread / DEFAULT_READ_TOKENS_PER_S
+    cost_s = replica.queued_tokens / DEFAULT_READ_TOKENS_PER_S + read_s
+    cost_s += running * (RUNNING_COST_S + INTERFERENCE_SHARE * read_s)
+    cost_s += rank * (GATHER_COST_S if request.long_answer else ORDER_COST_S)
     if reading.copied:
         cost_s += COPY_SETUP_S + reading.copied / request.copy_tokens_per_s
         cost_s += SECOND_COPY_SHARE * reading.copied / DEFAULT_READ_TOKENS_PER_S
-    elif rank and not reading.kept:
+    elif rank and not reading.kept and not request.long_answer:
         cost_s += AWAY_SHARE * request.prompt.shared_tokens / DEFAULT_READ_TOKENS_PER_S
     if replica.listing.zone != request.zone:
         cost_s += OTHER_ZONE_COST_S
+    if request.now_s < replica.next_until_s:
+        cost_s += NEXT_SHARE * request.run_s
     return cost_s
 
 
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -18,6 +18,8 @@
 FIRST_TURN_S = 1.8
 #: Part of the bound kept for a slow last turn and for a leader that fails.
 MARGIN_S = 1.5
+#: Turns of replicas that are prepared ahead.
+PREPARED_TURNS = 1
 #: Share of a new turn in the moving average.
 _TURN_WEIGHT = 0.3
 
@@ -46,13 +48,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutReplica:
-    """A replica as the rollout sees it."""
+    """A replica as the rollout sees it; its last request is expected to end ``busy_s`` from now.
+
+    ``due_s`` is when its version ceases to be allowed.
+    """
 
     replica_id: str
     version: int
     accepting: bool
-    in_flight: int
+    busy_s: float
     under_order: bool
+    due_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutStep:
+    """Replicas to order now, and those that come next and should be given nothing long."""
+
+    order: tuple[str, ...]
+    prepare: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,16 +119,26 @@
         self._named = kept or self._named[-1:]
 
 
-def choose_next(replicas: Sequence[RolloutReplica], newest: int) -> list[str]:
-    """Return the replicas to order now: the oldest version first, the least busy first."""
-    ordered = sum(1 for replica in replicas if replica.under_order)
-    free = at_once(len(replicas)) - ordered
-    if free <= 0:
-        return []
+def next_step(
+    replicas: Sequence[RolloutReplica], newest: int, turns: TurnClock, now_s: float
+) -> RolloutStep:
+    """Return what to do now: the oldest versions first, those soon idle before the busy.
+
+    Replicas are prepared from the moment that a version is named, since a load waits for the
+    longest answer, and ordered when time begins to be short for all that are behind.
+    """
     behind = [
         replica
         for replica in replicas
         if replica.accepting and not replica.under_order and replica.version < newest
     ]
-    behind.sort(key=lambda replica: (replica.version, replica.in_flight, replica.replica_id))
-    return [replica.replica_id for replica in behind[:free]]
+    if not behind:
+        return RolloutStep((), ())
+    behind.sort(key=lambda replica: (replica.version, replica.busy_s, replica.replica_id))
+    slots = at_once(len(replicas))
+    ordered = sum(1 for replica in replicas if replica.under_order)
+    due_s = min(replica.due_s for replica in behind)
+    begun = ordered > 0 or now_s >= turns.starts_s(due_s, len(behind))
+    free = max(0, slots - ordered) if begun else 0
+    names = [replica.replica_id for replica in behind]
+    return RolloutStep(tuple(names[:free]), tuple(names[free : free + slots * PREPARED_TURNS]))
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -35,7 +35,11 @@
 
 @dataclasses.dataclass(slots=True)
 class AttemptPlan:
-    """What is sent where. ``unread_tokens`` is what the replica has to read of the prompt."""
+    """What is sent where.
+
+    ``unread_tokens`` is what the replica has to read of the prompt; ``ends_s`` when the run is
+    expected to end.
+    """
 
     replica: RelayReplica
     message: bytes
@@ -45,6 +49,7 @@
     model: str
     weights_version: int | None
     no_body: bool
+    ends_s: float
     on_read: Callable[[], None] = lambda: None
 
 
@@ -75,7 +80,7 @@
     async def run(self) -> Outcome:
         """Send the request and follow its answer to the end."""
         plan = self._plan
-        plan.replica.note_sent(plan.unread_tokens)
+        plan.replica.note_sent(id(self), plan.unread_tokens, plan.ends_s)
         exchange = Exchange(self._inbox.put, self._is_own, plan.no_body)
         try:
             self._connection.start(plan.message, exchange)
@@ -85,7 +90,7 @@
                     return outcome
         finally:
             self._note_read()
-            plan.replica.note_done()
+            plan.replica.note_done(id(self))
 
     def pause(self, behind: bool) -> None:
         """Stop reading from the replica while the caller is behind."""
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -9,11 +9,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReplicaLoadNote:
-    """The sender's own work on one replica, which is named by the hash of its id."""
+    """The sender's own work on one replica, which is named by the hash of its id.
+
+    ``busy_steps`` is when the last of it is expected to end, from now, in steps of 50 ms.
+    """
 
     replica_hash: int
     in_flight: int
     unread_tokens: int
+    busy_steps: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,12 +40,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class WeightsNote:
-    """A replica's weights version, and for how long it must be given no work (0: it may)."""
+    """A replica's weights version, and what the rollout asks for it.
+
+    It must be given no work for ``held_ms``, and had better be given no long work for ``next_ms``.
+    """
 
     replica_id: str
     model: str
     version: int
     held_ms: int
+    next_ms: int
 
 
 @dataclasses.dataclass(frozen=True)
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 import time
 from collections.abc import Callable
@@ -50,7 +51,20 @@
 #: Keeps other systems' datagrams out; it is no secret, the network is the platform's.
 _CLUSTER_KEY = b"winchfork-router-peers"
 
-WorkByReplica = dict[int, tuple[int, int]]
+#: Milliseconds to which expected ends are rounded, so that they fit in a byte or two.
+_BUSY_STEP_MS = 50
+
+
+@dataclasses.dataclass(slots=True)
+class _PeerWork:
+    """All peers' work on one replica."""
+
+    in_flight: int = 0
+    unread_tokens: int = 0
+    busy_until_s: float = 0.0
+
+
+_NO_WORK = _PeerWork()
 
 
 class PeerGroup(asyncio.DatagramProtocol):
@@ -191,7 +205,12 @@
 
     def _tell_work(self, now_s: float) -> None:
         loads = tuple(
-            ReplicaLoadNote(replica.order_hash, replica.in_flight, replica.unread_tokens)
+            ReplicaLoadNote(
+                replica.order_hash,
+                replica.in_flight,
+                replica.unread_tokens,
+                int(max(0.0, replica.own_busy_until_s - now_s) * 1000) // _BUSY_STEP_MS,
+            )
             for replica in self._state.fleet.replicas()
             if replica.in_flight
         )
@@ -221,18 +240,22 @@
         self._sum_loads(now_s)
 
     def _sum_loads(self, now_s: float) -> None:
-        totals: WorkByReplica = {}
+        totals: dict[int, _PeerWork] = {}
         for peer, (heard_s, _, loads) in list(self._heard.items()):
             if now_s - heard_s > ACTIVITY_MEMORY_S:
                 del self._heard[peer]
                 continue
             for note in loads:
-                running, unread = totals.get(note.replica_hash, (0, 0))
-                totals[note.replica_hash] = (running + note.in_flight, unread + note.unread_tokens)
+                work = totals.setdefault(note.replica_hash, _PeerWork())
+                work.in_flight += note.in_flight
+                work.unread_tokens += note.unread_tokens
+                busy_s = heard_s + note.busy_steps * _BUSY_STEP_MS / 1000.0
+                work.busy_until_s = max(work.busy_until_s, busy_s)
         for replica in self._state.fleet.replicas():
-            replica.peer_in_flight, replica.peer_unread_tokens = totals.get(
-                replica.order_hash, (0, 0)
-            )
+            work = totals.get(replica.order_hash, _NO_WORK)
+            replica.peer_in_flight = work.in_flight
+            replica.peer_unread_tokens = work.unread_tokens
+            replica.peer_busy_until_s = work.busy_until_s
 
     def _take_rollout(self, message: RolloutProgress) -> None:
         if message.fence < self._state.rollout_fence:
@@ -244,6 +267,7 @@
             if replica is None:
                 continue
             replica.loading_until_s = now_s + note.held_ms / 1000.0
+            replica.next_until_s = now_s + note.next_ms / 1000.0
             self._state.note_version(replica, note.model, note.version)
             log_event(
                 "replica_weights",
@@ -251,6 +275,7 @@
                 model=note.model,
                 version=note.version,
                 held_ms=note.held_ms,
+                next_ms=note.next_ms,
                 fence=message.fence,
                 told_by=message.sender_id,
             )
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -160,7 +160,9 @@
             return place_task(zone, candidates, self._loop.time())
         rate = self._state.copy_tokens_per_s(self._backend)
         store = self._state.cache_store
-        request = PromptPlacement(prompt, self._scope(prompt), zone, rate, store)
+        run_s = prompt.output_tokens * self._state.token_s
+        now_s = self._loop.time()
+        request = PromptPlacement(prompt, self._scope(prompt), zone, now_s, run_s, rate, store)
         sources = [*self._state.fleet.of_service(self._backend), *([store] if store else [])]
         return place_prompt(request, candidates, sources, self._state.parts)
 
@@ -230,9 +232,16 @@
             model=prompt.model if prompt else "",
             weights_version=version,
             no_body=self._request.method == b"HEAD",
+            ends_s=self._loop.time() + self._expected_run_s(decision),
             on_read=lambda: self._note_kept(replica, version, decision.save),
         )
 
+    def _expected_run_s(self, decision: RelayDecision) -> float:
+        prompt = self._admitted.fields.prompt
+        if prompt is None:
+            return decision.cost_s
+        return decision.cost_s + prompt.output_tokens * self._state.token_s
+
     def _resume_after(self) -> int | None:
         """Return the id of the last event that the caller has."""
         if self._answer.last_event_id is not None:
@@ -244,6 +253,8 @@
         now_s = self._loop.time()
         if isinstance(outcome, Delivered):
             replica.note_success(now_s - sent_s, now_s)
+            if self._admitted.fields.prompt is not None:
+                self._state.note_run(self._admitted.fields.prompt.output_tokens, now_s - sent_s)
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
             self._state.note_failure(replica, outcome.reason)
 
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -17,7 +17,7 @@
     WeightsOrder,
 )
 from winchfork.core.relay_fleet import RelayReplica
-from winchfork.core.weight_rollout import RolloutReplica, TurnClock, choose_next
+from winchfork.core.weight_rollout import RolloutReplica, TurnClock, VersionHistory, next_step
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.router.leadership import Leadership
@@ -30,6 +30,8 @@
 REPORT_PERIOD_S = 0.1
 #: Peers are told to send a replica nothing for this long at a time; renewed while under order.
 HOLD_S = 1.5
+#: Peers are asked for no long work on the replicas that come next for this long at a time.
+NEXT_S = 1.0
 #: Time for peers to hear of a hold, and the longest wait for prompts already sent to be read:
 #: a replica refuses what has not begun when it takes the order.
 HOLD_NOTICE_S = 0.03
@@ -85,27 +87,33 @@
             replica for replica in self._state.fleet.replicas() if model in replica.versions
         ]
         history.trim(min((replica.versions[model] for replica in replicas), default=0))
-        behind = [replica for replica in replicas if replica.versions[model] < history.newest]
-        if not behind:
-            return
-        bound_s = self._state.settings.bounds.rollout_s
-        due_s = min(history.due_s(replica.versions[model], bound_s) for replica in behind)
-        begun = bool(self._under_order)
-        if not begun and self._state.clock() < self._turns.starts_s(due_s, len(behind)):
-            return
-        views = [self._view(replica, model) for replica in replicas]
-        for replica_id in choose_next(views, history.newest):
+        now_s = self._state.clock()
+        views = [self._view(replica, history, model, now_s) for replica in replicas]
+        step = next_step(views, history.newest, self._turns, now_s)
+        for replica_id in step.prepare:
+            self._prepare(replica_id, model, now_s)
+        for replica_id in step.order:
             self._begin(replica_id, model, history.newest)
 
-    def _view(self, replica: RelayReplica, model: str) -> RolloutReplica:
+    def _view(
+        self, replica: RelayReplica, history: VersionHistory, model: str, now_s: float
+    ) -> RolloutReplica:
+        version = replica.versions[model]
         return RolloutReplica(
             replica.replica_id,
-            replica.versions[model],
+            version,
             replica.listing.accepting,
-            replica.in_flight + replica.peer_in_flight,
+            max(0.0, replica.busy_until_s - now_s),
             replica.replica_id in self._under_order,
+            history.due_s(version, self._state.settings.bounds.rollout_s),
         )
 
+    def _prepare(self, replica_id: str, model: str, now_s: float) -> None:
+        """Ask for no long work on a replica that comes next."""
+        replica = self._state.fleet.get(replica_id)
+        if replica is not None and replica.next_until_s - now_s < NEXT_S / 2:
+            self._tell(replica, model, 0.0, NEXT_S)
+
     def _begin(self, replica_id: str, model: str, version: int) -> None:
         replica = self._state.fleet.get(replica_id)
         if replica is None:
@@ -182,7 +190,9 @@
         self._state.note_version(replica, model, version)
         self._tell(replica, model, 0.0)
 
-    def _tell(self, replica: RelayReplica, model: str, held_s: float) -> None:
+    def _tell(self, replica: RelayReplica, model: str, held_s: float, next_s: float = 0.0) -> None:
         version = replica.versions.get(model, 0)
-        note = WeightsNote(replica.replica_id, model, version, int(held_s * 1000))
+        note = WeightsNote(
+            replica.replica_id, model, version, int(held_s * 1000), int(next_s * 1000)
+        )
         self._peers.tell_rollout(self._leadership.fence, (note,))
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -31,6 +31,9 @@
 #: and by twice the time that the replica needs to read what is queued.
 BEGIN_MARGIN_S = 0.6
 MAX_BEGIN_MARGIN_S = 2.0
+#: Seconds for each token out until measured, and the share of a new run in the moving average.
+FIRST_TOKEN_S = 0.008
+RUN_WEIGHT = 0.05
 BYTES_PER_S_PER_MBPS = 125_000.0
 #: Daemons assumed to share budgets and connections until more are known.
 ASSUMED_DAEMONS = 10
@@ -84,6 +87,8 @@
             RetryAllowance(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s), clock()
         )
         self.daemons = ASSUMED_DAEMONS
+        #: Seconds of a run for each token that its caller allows out, as measured lately.
+        self.token_s = FIRST_TOKEN_S
 
     def install_table(self, table: RoutingTable, revision: int) -> bool:
         """Put a newer configuration in force; False when it is not newer."""
@@ -212,6 +217,11 @@
                 break
         return taken
 
+    def note_run(self, output_tokens: int, run_s: float) -> None:
+        """Learn how long runs take by the tokens that they may put out."""
+        if output_tokens > 0:
+            self.token_s += RUN_WEIGHT * (run_s / output_tokens - self.token_s)
+
     def note_version(self, replica: RelayReplica, model: str, version: int) -> None:
         """Record a replica's weights version; newer weights have emptied its cache."""
         if version > replica.versions.get(model, 0):
