--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -37,7 +37,7 @@
 OTHER_ZONE_COST_S = 0.012
 #: Charge for a long answer on a replica that is to load weights next, as a share of its length: the
 #: load waits for it.
-NEXT_SHARE = 0.5
+NEXT_SHARE = 0.1
 #: Charge for reading a prompt where answers are running: each of them waits meanwhile. A share of
 #: the reading time for each running request.
 INTERFERENCE_SHARE = 0.1
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -11,13 +11,12 @@
 import math
 from collections.abc import Sequence
 
-#: Replicas loading at once: at least this many, and at least this share of them.
-LEAST_AT_ONCE = 2
+#: Share of the working replicas that may be out of service for a load at the same time.
 SHARE_AT_ONCE = 1 / 3
 #: Seconds assumed for a replica to finish its requests and load, until turns have been measured.
 FIRST_TURN_S = 1.8
 #: Part of the bound kept for a slow last turn and for a leader that fails.
-MARGIN_S = 1.5
+MARGIN_S = 3.0
 #: Turns of replicas that are prepared ahead.
 PREPARED_TURNS = 1
 #: Share of a new turn in the moving average.
@@ -25,8 +24,8 @@
 
 
 def at_once(replicas: int) -> int:
-    """Return how many replicas may load at the same time."""
-    return max(LEAST_AT_ONCE, math.ceil(replicas * SHARE_AT_ONCE))
+    """Return how many of the working replicas may load at the same time."""
+    return max(1, math.floor(replicas * SHARE_AT_ONCE + 1e-9))
 
 
 class TurnClock:
@@ -40,10 +39,9 @@
         weight = 1.0 if seconds > self.turn_s else _TURN_WEIGHT
         self.turn_s += weight * (seconds - self.turn_s)
 
-    def starts_s(self, due_s: float, replicas: int) -> float:
-        """Return when a rollout over ``replicas`` must begin to be done by ``due_s``."""
-        turns = math.ceil(replicas / at_once(replicas)) if replicas else 0
-        return due_s - MARGIN_S - turns * self.turn_s
+    def starts_s(self, due_s: float, behind: int, slots: int) -> float:
+        """Return when loads of ``behind`` replicas, ``slots`` at a time, must begin."""
+        return due_s - MARGIN_S - math.ceil(behind / slots) * self.turn_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,10 +133,10 @@
     if not behind:
         return RolloutStep((), ())
     behind.sort(key=lambda replica: (replica.version, replica.busy_s, replica.replica_id))
-    slots = at_once(len(replicas))
+    slots = at_once(sum(1 for replica in replicas if replica.accepting))
     ordered = sum(1 for replica in replicas if replica.under_order)
     due_s = min(replica.due_s for replica in behind)
-    begun = ordered > 0 or now_s >= turns.starts_s(due_s, len(behind))
+    begun = ordered > 0 or now_s >= turns.starts_s(due_s, len(behind), slots)
     free = max(0, slots - ordered) if begun else 0
     names = [replica.replica_id for replica in behind]
     return RolloutStep(tuple(names[:free]), tuple(names[free : free + slots * PREPARED_TURNS]))
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -102,7 +102,7 @@
         return RolloutReplica(
             replica.replica_id,
             version,
-            replica.listing.accepting,
+            replica.listing.accepting and now_s >= replica.avoided_until_s,
             max(0.0, replica.busy_until_s - now_s),
             replica.replica_id in self._under_order,
             history.due_s(version, self._state.settings.bounds.rollout_s),
