--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -2,7 +2,8 @@
 
 One watch covers every document, so one call proves all of them current. An empty batch proves that
 nothing had changed when the wait was over; the proof is dated by the moment that the wait must have
-ended, never by when the answer came, and by the question when the answer is late. Revisions never go down within a life.
+ended, never by when the answer came, and by the question when the answer is late. Revisions never
+go down within a life.
 
 While the store cannot be reached its silence is no evidence. A replica that has vanished from the
 first list after an outage is kept for a heartbeat and a half: it may only not have been written
