Keep a replica held while it carries out an order; pass proofs of freshness between peers

The log gave two reasons: replicas refused requests because the leader, without its lease, told peers that a replica with an order under way was free; and keys were refused 2.1 to 3.7 s after the last own proof although another daemon had a younger one. Ruled out: retry budget.

Change: observing goes on without the lease, only ordering needs it; a replica that refuses is left for 0.3 s; proofs travel with probe replies, dated from the question; bounds that ran while the store was lost begin anew; a stale refusal tells 1.5 s to come back.

--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,199 @@
+"""Peers tell each other of freshness, work and rollouts; late datagrams promise nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from tests.virtual_loop import run_virtually
+from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.weight_rollout import VersionHistory
+from winchfork.router.peer_messages import Resignation, WeightsNote
+from winchfork.router.peers import PeerGroup
+from winchfork.router.settings import RouterSettings
+from winchfork.router.state import RouterState
+
+
+class Network:
+    """Delivers datagrams between groups after a delay; ``drop`` loses them."""
+
+    def __init__(self) -> None:
+        self.groups: dict[str, PeerGroup] = {}
+        self.delay_s = 0.002
+        self.drop: Callable[[str, str], bool] = lambda sender, receiver: False
+
+    def transport(self, sender: str) -> Any:
+        network = self
+
+        class Transport:
+            def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+                if network.drop(sender, address[0]) or address[0] not in network.groups:
+                    return
+                group = network.groups[address[0]]
+                loop = asyncio.get_running_loop()
+                loop.call_later(network.delay_s, group.datagram_received, data, (sender, 7000))
+
+        return Transport()
+
+
+class Daemon:
+    """One member of the network."""
+
+    def __init__(self, network: Network, number: int) -> None:
+        self.ip = f"10.0.0.{number}"
+        settings = RouterSettings(
+            f"n{number}",
+            "z1",
+            "g",
+            self.ip,
+            "",
+            "",
+            "",
+            peer_ports=(7000, 7010),
+            seeds=("10.0.0.1:99",),
+        )
+        loop = asyncio.get_running_loop()
+        self.state = RouterState(settings, loop.time, random.Random(number))
+        self.peers = PeerGroup(self.state, random.Random(number))
+        self.peers.connection_made(network.transport(self.ip))
+        network.groups[self.ip] = self.peers
+        for replica in ("i-1", "i-2"):
+            listing = ReplicaListing(replica, "s", "a:1", "z1", 8, True, {"m": 1})
+            self.state.fleet.install(listing)
+        self.task = asyncio.create_task(self.peers.run())
+
+    def age_s(self) -> float:
+        return self.state.freshness.age_s(self.state.clock())
+
+
+def among(count: int, scenario: Callable[[Network, list[Daemon]], Any]) -> None:
+    async def main() -> None:
+        network = Network()
+        daemons = [Daemon(network, number) for number in range(1, count + 1)]
+        await asyncio.sleep(4.0)
+        await scenario(network, daemons)
+
+    run_virtually(main())
+
+
+class PeersTest(unittest.TestCase):
+    def test_everybody_is_found_through_one_seed(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            self.assertEqual([daemon.peers.members() for daemon in daemons], [5] * 5)
+
+        among(5, scenario)
+
+    def test_a_proof_passes_to_a_daemon_that_is_cut_from_the_store(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            first, second = daemons
+            first.state.store_revision = second.state.store_revision = 8
+            for _ in range(40):
+                first.state.freshness.prove(first.state.clock())
+                await asyncio.sleep(0.1)
+            self.assertLess(second.age_s(), 1.5)
+            self.assertGreaterEqual(second.age_s(), 0.0)
+
+        among(2, scenario)
+
+    def test_a_proof_of_documents_not_known_here_proves_nothing(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            first, second = daemons
+            first.state.store_revision, second.state.store_revision = 9, 8
+            for _ in range(40):
+                first.state.freshness.prove(first.state.clock())
+                await asyncio.sleep(0.1)
+            self.assertGreater(second.age_s(), 1000.0)
+
+        among(2, scenario)
+
+    def test_a_late_answer_ages_by_the_whole_time_since_the_question(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            first, second = daemons
+            first.state.store_revision = second.state.store_revision = 8
+            network.delay_s = 0.9
+            proven_s = first.state.clock()
+            first.state.freshness.prove(proven_s)
+            for _ in range(30):
+                await asyncio.sleep(0.1)
+                adopted_s = second.state.clock() - second.age_s()
+                self.assertLessEqual(adopted_s, proven_s)
+
+        among(2, scenario)
+
+    def test_work_is_told_and_forgotten(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            first, second = daemons
+            replica = first.state.fleet.get("i-1")
+            seen = second.state.fleet.get("i-1")
+            assert replica is not None and seen is not None
+            replica.note_sent(1, 5000, first.state.clock() + 2.0)
+            await asyncio.sleep(0.5)
+            self.assertEqual((seen.peer_in_flight, seen.peer_unread_tokens), (1, 5000))
+            self.assertGreater(seen.busy_until_s, second.state.clock())
+            network.drop = lambda sender, receiver: True
+            await asyncio.sleep(3.0)
+            self.assertEqual((seen.peer_in_flight, seen.peer_unread_tokens), (0, 0))
+
+        among(2, scenario)
+
+    def test_kept_parts_are_told_once(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            first, second = daemons
+            replica = first.state.fleet.get("i-2")
+            assert replica is not None
+            first.state.note_kept(replica, [11, 12])
+            await asyncio.sleep(0.5)
+            self.assertEqual(second.state.parts.kept_parts([11, 12], replica.order_hash), 2)
+            sent = first.peers.sent_bytes
+            first.state.note_kept(replica, [11, 12])
+            self.assertEqual(first.state.take_kept_news(10), [])
+            self.assertGreater(sent, 0)
+
+        among(2, scenario)
+
+    def test_a_leader_with_a_lower_fence_is_not_heard(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            first, second, third = daemons
+            held = WeightsNote("i-1", "m", 2, 1500, 0)
+            free = WeightsNote("i-1", "m", 2, 0, 0)
+            first.peers.tell_rollout(7, (held,))
+            await asyncio.sleep(0.1)
+            second.peers.tell_rollout(5, (free,))
+            await asyncio.sleep(0.1)
+            replica = third.state.fleet.get("i-1")
+            assert replica is not None
+            self.assertGreater(replica.loading_until_s, third.state.clock())
+            self.assertEqual(replica.versions["m"], 2)
+
+        among(3, scenario)
+
+    def test_a_newcomer_hears_how_old_versions_are(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            first = daemons[0]
+            first.state.versions["m"] = VersionHistory()
+            first.state.versions["m"].note(2, first.state.clock() - 5.0)
+            newcomer = Daemon(network, 9)
+            newcomer.state.versions["m"] = VersionHistory()
+            newcomer.state.versions["m"].note(2, newcomer.state.clock())
+            await asyncio.sleep(3.0)
+            due_s = newcomer.state.versions["m"].due_s(1, 8.0) - newcomer.state.clock()
+            self.assertLess(due_s, 0.1)
+
+        among(2, scenario)
+
+    def test_nonsense_is_counted_and_dropped(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            group, generator = daemons[0].peers, random.Random(4)
+            for _ in range(200):
+                group.datagram_received(generator.randbytes(generator.randrange(80)), None)
+            self.assertEqual(daemons[0].state.metrics.counters[("bad_datagrams", "")], 200)
+            heard: list[Resignation] = []
+            daemons[1].peers.on_resignation = heard.append
+            group.tell_resignation(Resignation(3, 10, 20))
+            await asyncio.sleep(0.1)
+            self.assertEqual(heard, [Resignation(3, 10, 20)])
+
+        among(2, scenario)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -97,7 +97,8 @@
         settings = RouterSettings("n1", "z1", "g", "", "", "", "")
         self.state = RouterState(settings, loop.time, random.Random(1))
         self.control = FakeControl(replicas)
-        self.leadership = Leadership(MemoryStore(), "n1", 3.0, loop.time, random.Random(2), 1.0)
+        self.store = MemoryStore()
+        self.leadership = Leadership(self.store, "n1", 3.0, loop.time, random.Random(2), 1.0)
         self.leadership.note_entry(None)
         peers = PeerGroup(self.state, random.Random(3))
         self.rollout = Rollout(self.state, self.leadership, self.control, peers)
@@ -208,3 +209,22 @@
             self.assertFalse(fleet.state.available("s", set(), MODEL))
 
         run_virtually(scenario())
+
+    def test_a_replica_that_has_taken_an_order_stays_held_when_the_store_is_lost(self) -> None:
+        async def scenario() -> None:
+            replicas = [FakeReplica(f"i-{number}") for number in range(3)]
+            fleet = Fleet(replicas)
+            await asyncio.sleep(4.0)
+            fleet.name(2)
+            while all(replica.next_version == 1 for replica in replicas):
+                await asyncio.sleep(0.01)
+            ordered = next(replica for replica in replicas if replica.next_version == 2)
+            ordered.loading_until_s += 5.0
+            fleet.store.down = True
+            for _ in range(400):
+                await asyncio.sleep(0.01)
+                available = {item.replica_id for item in fleet.state.available("s", set(), MODEL)}
+                self.assertNotIn(ordered.replica_id, available)
+            self.assertFalse(fleet.leadership.may_act())
+
+        run_virtually(scenario())
--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -50,6 +50,14 @@
         history.note_age(2, 95.0)
         self.assertEqual(history.due_s(1, 8.0), 103.0)
 
+    def test_a_bound_that_ran_while_the_store_was_lost_begins_anew(self) -> None:
+        history = VersionHistory()
+        history.note(2, 100.0)
+        history.note(3, 106.0)
+        history.restart_bounds(lost_s=110.0, regained_s=115.0, bound_s=8.0)
+        self.assertEqual(history.due_s(1, 8.0), 108.0)
+        self.assertEqual(history.due_s(2, 8.0), 123.0)
+
     def test_trimming_keeps_what_is_still_owed(self) -> None:
         history = VersionHistory()
         for version, heard_s in ((2, 1.0), (3, 2.0), (4, 3.0)):
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -119,10 +119,13 @@
         generator: random.Random,
         pack_loads: Callable[[], bytes] = lambda: b"",
         revisions: Callable[[], tuple[int, ...]] = lambda: (),
+        on_reply: Callable[[tuple[int, ...], float], None] = lambda revisions, asked_s: None,
     ) -> None:
         self.own = own
         self._pack_loads = pack_loads
         self._revisions = revisions
+        #: Told of each reply: the other's revisions, and when it was asked for them.
+        self._on_reply = on_reply
         self._seeds = [seed for seed in seeds if seed != own.peer_address]
         self._generator = generator
         self._tracked: dict[str, _Tracked] = {}
@@ -191,7 +194,9 @@
             return [Outgoing(message.sender.peer_address, reply)]
         if isinstance(message, IndirectProbe):
             return self._relay_probe(message)
-        self._pending.pop(message.nonce, None)
+        pending = self._pending.pop(message.nonce, None)
+        if pending is not None:
+            self._on_reply(message.revisions, pending.sent_at_s)
         relayed = self._relayed.pop(message.nonce, None)
         if relayed is not None:
             address, nonce = relayed
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -94,6 +94,13 @@
             if named.version == version and heard_s < named.heard_s:
                 self._named[number] = NamedVersion(version, heard_s)
 
+    def restart_bounds(self, lost_s: float, regained_s: float, bound_s: float) -> None:
+        """Begin bounds anew that were running when the store was lost: nobody could act on them."""
+        self._named = [
+            NamedVersion(named.version, regained_s) if named.heard_s + bound_s > lost_s else named
+            for named in self._named
+        ]
+
     @property
     def named(self) -> tuple[NamedVersion, ...]:
         """The versions remembered, oldest first."""
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -65,6 +65,8 @@
 
 
 _NO_WORK = _PeerWork()
+#: Age told by a daemon that has no proof.
+_NO_PROOF_S = 3600.0
 
 
 class PeerGroup(asyncio.DatagramProtocol):
@@ -82,7 +84,13 @@
         incarnation = int(time.time() * 1000)
         own = Member(settings.node_id, settings.zone, own_address, "", incarnation)
         seeds = [f"{seed.rpartition(':')[0]}:{self._port}" for seed in settings.seeds]
-        self._membership = Membership(own, seeds, generator)
+        self._membership = Membership(
+            own,
+            seeds,
+            generator,
+            revisions=self._own_proof,
+            on_reply=self._take_proof,
+        )
         self._transport: asyncio.DatagramTransport | None = None
         self._number = 0
         self._last_loads: tuple[ReplicaLoadNote, ...] = ()
@@ -230,6 +238,22 @@
         others = [member.peer_address for member in self._others()]
         return others if len(others) <= FAN_OUT else self._generator.sample(others, FAN_OUT)
 
+    # Proofs that the operators' documents are current
+
+    def _own_proof(self) -> tuple[int, ...]:
+        """Return the store's revision held here and the age of its proof in milliseconds."""
+        age_s = self._state.freshness.age_s(self._loop.time())
+        return (self._state.store_revision, int(min(age_s, _NO_PROOF_S) * 1000) + 1)
+
+    def _take_proof(self, revisions: tuple[int, ...], asked_s: float) -> None:
+        """Adopt a peer's proof, dated from the question: however late the answer is read.
+
+        It counts only here if everything up to the peer's revision is known here as well.
+        """
+        if len(revisions) != 2 or revisions[0] > self._state.store_revision:
+            return
+        self._state.freshness.prove(asked_s - revisions[1] / 1000.0)
+
     # Receiving
 
     def _take_activity(self, message: Activity) -> None:
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -47,6 +47,8 @@
 _DEFAULT_PATIENCE_S = 0.15
 #: A repeat needs this much time to be worth sending.
 _LEAST_TIME_LEFT_S = 0.03
+#: A replica that has refused a request is left alone for this long: it is full or loads weights.
+REFUSED_HOLD_S = 0.3
 #: Tries at one replica that only refused the weights version.
 _MAX_VERSION_TRIES = 2
 _LOOK_AGAIN = "look_again"
@@ -255,6 +257,8 @@
             replica.note_success(now_s - sent_s, now_s)
             if self._admitted.fields.prompt is not None:
                 self._state.note_run(self._admitted.fields.prompt.output_tokens, now_s - sent_s)
+        elif isinstance(outcome, NotRun) and outcome.sent and not outcome.same_replica:
+            replica.loading_until_s = max(replica.loading_until_s, now_s + REFUSED_HOLD_S)
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
             self._state.note_failure(replica, outcome.reason)
 
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -18,7 +18,7 @@
 )
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.weight_rollout import RolloutReplica, TurnClock, VersionHistory, next_step
-from winchfork.errors import Failure
+from winchfork.errors import Failure, RunState
 from winchfork.logs import log_event
 from winchfork.router.leadership import Leadership
 from winchfork.router.peer_messages import WeightsNote
@@ -36,8 +36,12 @@
 #: a replica refuses what has not begun when it takes the order.
 HOLD_NOTICE_S = 0.03
 READ_PATIENCE_S = 0.6
-#: An order that shows no effect for this long is given again.
+#: A replica that has taken no order for this long is left until the next pass; one that has taken
+#: an order is waited for longer: its longest answer ends first.
 ORDER_PATIENCE_S = 4.0
+LOAD_PATIENCE_S = 12.0
+#: Reports lag behind by some hundred milliseconds.
+REPORT_LAG_S = 0.35
 
 
 #: At a planned stop, replicas under order are waited for this long.
@@ -112,7 +116,7 @@
         """Ask for no long work on a replica that comes next."""
         replica = self._state.fleet.get(replica_id)
         if replica is not None and replica.next_until_s - now_s < NEXT_S / 2:
-            self._tell(replica, model, 0.0, NEXT_S)
+            self._tell(replica, model, self._leadership.fence, 0.0, NEXT_S)
 
     def _begin(self, replica_id: str, model: str, version: int) -> None:
         replica = self._state.fleet.get(replica_id)
@@ -125,29 +129,41 @@
     async def _bring(self, replica: RelayReplica, model: str, version: int) -> None:
         """Bring one replica to ``version``, or give up until the next pass."""
         begun_s = self._state.clock()
-        deadline_s = begun_s + ORDER_PATIENCE_S
-        await self._quieten(replica, model)
+        fence = self._leadership.fence
+        await self._quieten(replica, model, fence)
         ordered = False
-        while self._leadership.may_act() and self._state.clock() < deadline_s:
-            if self._state.fleet.get(replica.replica_id) is None:
-                return
+        while self._goes_on(replica, begun_s, ordered):
             report = await self._control.report(replica.listing.address)
             if isinstance(report, ReplicaReport):
                 held = report.versions.get(model, 0)
                 if held >= version and not report.busy:
-                    self._finish(replica, model, held)
+                    self._state.note_version(replica, model, held)
                     self._turns.note(self._state.clock() - begun_s)
-                    return
+                    break
                 if not ordered and not report.busy:
                     ordered = await self._order(replica, model, version, report)
-            self._hold(replica, model)
+            self._tell(replica, model, fence, HOLD_S)
             await asyncio.sleep(REPORT_PERIOD_S)
-        log_event("rollout_postponed", "WARNING", replica=replica.replica_id, version=version)
-        self._tell(replica, model, 0.0)
+        else:
+            log_event("rollout_postponed", "WARNING", replica=replica.replica_id, version=version)
+        self._tell(replica, model, fence, 0.0)
 
-    async def _quieten(self, replica: RelayReplica, model: str) -> None:
+    def _goes_on(self, replica: RelayReplica, begun_s: float, ordered: bool) -> bool:
+        """Whether to look again: after an order that may be carried out, also without the lease.
+
+        Only giving orders needs the leadership. A replica that has taken one refuses requests until
+        it is done, so peers must go on being told.
+        """
+        if self._state.fleet.get(replica.replica_id) is None:
+            return False
+        waited_s = self._state.clock() - begun_s
+        if ordered:
+            return waited_s < LOAD_PATIENCE_S
+        return waited_s < ORDER_PATIENCE_S and self._leadership.may_act()
+
+    async def _quieten(self, replica: RelayReplica, model: str, fence: int) -> None:
         """Keep new requests away, and let those that were sent begin."""
-        self._hold(replica, model)
+        self._tell(replica, model, fence, HOLD_S)
         await asyncio.sleep(HOLD_NOTICE_S)
         until_s = self._state.clock() + READ_PATIENCE_S
         while replica.queued_tokens and self._state.clock() < until_s:
@@ -180,19 +196,25 @@
             outcome=outcome.kind.value if isinstance(outcome, Failure) else outcome.value,
         )
         if isinstance(outcome, Failure):
-            return False
+            return outcome.ran is not RunState.NOT_RUN and await self._was_taken(replica, report)
         return outcome in (OrderOutcome.TAKEN, OrderOutcome.ALREADY_SO)
 
-    def _hold(self, replica: RelayReplica, model: str) -> None:
-        self._tell(replica, model, HOLD_S)
+    async def _was_taken(self, replica: RelayReplica, before: ReplicaReport) -> bool:
+        """Ask whether an order without an answer has been taken; it may still come later."""
+        await asyncio.sleep(REPORT_LAG_S)
+        report = await self._control.report(replica.listing.address)
+        return isinstance(report, ReplicaReport) and report.sequence > before.sequence
 
-    def _finish(self, replica: RelayReplica, model: str, version: int) -> None:
-        self._state.note_version(replica, model, version)
-        self._tell(replica, model, 0.0)
-
-    def _tell(self, replica: RelayReplica, model: str, held_s: float, next_s: float = 0.0) -> None:
+    def _tell(
+        self,
+        replica: RelayReplica,
+        model: str,
+        fence: int,
+        held_s: float,
+        next_s: float = 0.0,
+    ) -> None:
         version = replica.versions.get(model, 0)
         note = WeightsNote(
             replica.replica_id, model, version, int(held_s * 1000), int(next_s * 1000)
         )
-        self._peers.tell_rollout(self._leadership.fence, (note,))
+        self._peers.tell_rollout(fence, (note,))
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -22,11 +22,11 @@
 from winchfork.router.settings import RouterSettings
 
 #: Part of the revocation bound that is kept for a store whose watches lag and for slow clocks.
-REVOCATION_MARGIN_S = 1.3
+REVOCATION_MARGIN_S = 1.15
 #: With proofs older than this, an unknown route or key may just be new: not now, not "no".
 CERTAIN_AGE_S = 1.9
 #: Wait told to callers while the configuration is unknown or stale.
-STALE_RETRY_AFTER_S = 0.7
+STALE_RETRY_AFTER_S = 1.5
 #: A request may wait in a replica before it begins: old weights end this much before their bound,
 #: and by twice the time that the replica needs to read what is queued.
 BEGIN_MARGIN_S = 0.6
@@ -66,6 +66,8 @@
         self.generator = generator
         self.table: RoutingTable | None = None
         self.table_revision = 0
+        #: Everything in the store up to this revision is known here.
+        self.store_revision = 0
         #: Versions of each model's weights that operators have named.
         self.versions: dict[str, VersionHistory] = {}
         #: Replicas missing from the list since an outage, with the time until which they are kept.
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -55,7 +55,6 @@
         self._reader = reader
         self._leadership = leadership
         self._generator = generator
-        self._revision = 0
         self._lost_since_s: float | None = None
         self._listed = False
         self._ever_listed = False
@@ -88,7 +87,7 @@
         if all(item.key != LEADER_KEY for item in snapshot.items):
             self._leadership.note_entry(None)
         self._remove_missing(snapshot, after_outage)
-        self._revision = max(self._revision, snapshot.at_revision)
+        self._state.store_revision = max(self._state.store_revision, snapshot.at_revision)
         self._listed = self._ever_listed = True
         return None
 
@@ -96,13 +95,13 @@
         asked_s = self._state.clock()
         # After an outage the first proof is wanted at once, not after a wait.
         wait_s = WATCH_WAIT_S if self._lost_since_s is None else 0.0
-        batch = await self._store.watch(_EVERYTHING, self._revision, wait_s)
+        batch = await self._store.watch(_EVERYTHING, self._state.store_revision, wait_s)
         if isinstance(batch, Failure):
             return batch
         self._note_regained(asked_s)
         for item in batch.items:
             self._install(item)
-        self._revision = max(self._revision, batch.at_revision)
+        self._state.store_revision = max(self._state.store_revision, batch.at_revision)
         elapsed_s = self._state.clock() - asked_s
         in_time = wait_s <= elapsed_s <= wait_s + LATE_ANSWER_S
         self._state.freshness.prove(asked_s + wait_s if in_time and not batch.items else asked_s)
@@ -200,16 +199,22 @@
         for replica_id, until_s in list(self._state.vanished.items()):
             if now_s >= until_s:
                 del self._state.vanished[replica_id]
-                self._remove_replica(replica_id, self._revision)
+                self._remove_replica(replica_id, self._state.store_revision)
 
     # The store as a dependency
 
     def _note_lost(self, failure: Failure) -> None:
         if self._lost_since_s is None and failure.kind is not FailureKind.HISTORY_LOST:
             self._lost_since_s = self._state.clock()
-            log_event("store_lost", "WARNING", reason=str(failure), revision=self._revision)
+            log_event(
+                "store_lost", "WARNING", reason=str(failure), revision=self._state.store_revision
+            )
 
     def _note_regained(self, now_s: float) -> None:
-        if self._lost_since_s is not None:
-            log_event("store_regained", after_s=now_s - self._lost_since_s)
-            self._lost_since_s = None
+        lost_s, self._lost_since_s = self._lost_since_s, None
+        if lost_s is None:
+            return
+        log_event("store_regained", after_s=now_s - lost_s)
+        bound_s = self._state.settings.bounds.rollout_s
+        for history in self._state.versions.values():
+            history.restart_bounds(lost_s, now_s, bound_s)
