Remember named versions; count a request's own prompt before old weights end

Ruled out: lost notes between peers, late watches.

Change: versions are remembered, 64 at most; the margin counts the request's own prompt.

--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -10,6 +10,7 @@
 from tests.memory_store import MemoryStore
 from tests.virtual_loop import run_virtually
 from winchfork.backends.replica_control import OrderOutcome, ReplicaReport, WeightsOrder
+from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_fleet import ReplicaListing
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
@@ -21,6 +22,7 @@
 
 LOAD_S = 0.6
 MODEL = "m"
+PROMPT = Prompt(MODEL, (), 400)
 
 
 class FakeReplica:
@@ -170,7 +172,7 @@
             fleet.name(2)
             for _ in range(800):
                 await asyncio.sleep(0.01)
-                available = {item.replica_id for item in fleet.state.available("s", set(), MODEL)}
+                available = {item.replica_id for item in fleet.state.available("s", set(), PROMPT)}
                 loading = {
                     item.replica_id for item in replicas if item.next_version != item.version
                 }
@@ -199,14 +201,16 @@
             named_s = fleet.state.clock()
             replica = fleet.state.fleet.get("i-1")
             assert replica is not None
-            self.assertTrue(fleet.state.available("s", set(), MODEL))
+            self.assertTrue(fleet.state.available("s", set(), PROMPT))
             replica.unread_tokens = 30_000
             await asyncio.sleep(named_s + 6.5 - fleet.state.clock())
-            self.assertFalse(fleet.state.available("s", set(), MODEL))
+            self.assertFalse(fleet.state.available("s", set(), PROMPT))
             replica.unread_tokens = 0
-            self.assertTrue(fleet.state.available("s", set(), MODEL))
+            long = Prompt(MODEL, (), 40_000)
+            self.assertFalse(fleet.state.available("s", set(), long))
+            self.assertTrue(fleet.state.available("s", set(), PROMPT))
             await asyncio.sleep(1.0)
-            self.assertFalse(fleet.state.available("s", set(), MODEL))
+            self.assertFalse(fleet.state.available("s", set(), PROMPT))
 
         run_virtually(scenario())
 
@@ -223,8 +227,28 @@
             fleet.store.down = True
             for _ in range(400):
                 await asyncio.sleep(0.01)
-                available = {item.replica_id for item in fleet.state.available("s", set(), MODEL)}
+                available = {item.replica_id for item in fleet.state.available("s", set(), PROMPT)}
                 self.assertNotIn(ordered.replica_id, available)
             self.assertFalse(fleet.leadership.may_act())
 
         run_virtually(scenario())
+
+    def test_a_replica_that_returns_with_weights_long_replaced_gets_no_request(self) -> None:
+        async def scenario() -> None:
+            replicas = [FakeReplica(f"i-{number}") for number in range(3)]
+            fleet = Fleet(replicas)
+            await asyncio.sleep(4.0)
+            fleet.name(2)
+            await asyncio.sleep(9.0)
+            fleet.name(3)
+            await asyncio.sleep(1.0)
+            back = ReplicaListing("i-9", "s", "i-9", "z1", 8, True, {MODEL: 1})
+            fleet.control.replicas["i-9"] = FakeReplica("i-9")
+            fleet.state.fleet.install(back)
+            available = {item.replica_id for item in fleet.state.available("s", set(), PROMPT)}
+            self.assertNotIn("i-9", available)
+            await asyncio.sleep(6.0)
+            available = {item.replica_id for item in fleet.state.available("s", set(), PROMPT)}
+            self.assertIn("i-9", available)
+
+        run_virtually(scenario())
--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -7,6 +7,7 @@
 
 from winchfork.core.weight_rollout import (
     MARGIN_S,
+    MOST_REMEMBERED,
     RolloutReplica,
     TurnClock,
     VersionHistory,
@@ -58,14 +59,13 @@
         self.assertEqual(history.due_s(1, 8.0), 108.0)
         self.assertEqual(history.due_s(2, 8.0), 123.0)
 
-    def test_trimming_keeps_what_is_still_owed(self) -> None:
+    def test_a_replica_that_comes_back_with_an_old_version_is_still_due(self) -> None:
         history = VersionHistory()
-        for version, heard_s in ((2, 1.0), (3, 2.0), (4, 3.0)):
-            history.note(version, heard_s)
-        history.trim(2)
-        self.assertEqual([named.version for named in history.named], [3, 4])
-        history.trim(9)
-        self.assertEqual(history.newest, 4)
+        for version in range(2, 200):
+            history.note(version, 100.0 + version)
+        self.assertEqual(len(history.named), MOST_REMEMBERED)
+        self.assertEqual(history.due_s(197, 8.0), 306.0)
+        self.assertLess(history.due_s(1, 8.0), 300.0)
 
 
 class NextStepTest(unittest.TestCase):
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -17,6 +17,8 @@
 FIRST_TURN_S = 1.8
 #: Part of the bound kept for a slow last turn and for a leader that fails.
 MARGIN_S = 3.0
+#: Versions remembered of each model.
+MOST_REMEMBERED = 64
 #: Turns of replicas that are prepared ahead.
 PREPARED_TURNS = 1
 #: Share of a new turn in the moving average.
@@ -76,7 +78,11 @@
 
 
 class VersionHistory:
-    """Versions of one model in the order in which they were named."""
+    """Versions of one model in the order in which they were named.
+
+    None is forgotten because every replica has passed it: a replica that restarts has the version
+    that it had before.
+    """
 
     def __init__(self) -> None:
         self._named: list[NamedVersion] = []
@@ -86,6 +92,7 @@
         if self._named and version <= self._named[-1].version:
             return False
         self._named.append(NamedVersion(version, heard_s))
+        del self._named[:-MOST_REMEMBERED]
         return True
 
     def note_age(self, version: int, heard_s: float) -> None:
@@ -118,11 +125,6 @@
                 return named.heard_s + bound_s
         return math.inf
 
-    def trim(self, lowest_held: int) -> None:
-        """Forget versions that every replica has passed."""
-        kept = [named for named in self._named if named.version > lowest_held]
-        self._named = kept or self._named[-1:]
-
 
 def next_step(
     replicas: Sequence[RolloutReplica], newest: int, turns: TurnClock, now_s: float
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -155,8 +155,7 @@
 
     def _place(self) -> RelayDecision | None:
         prompt = self._admitted.fields.prompt
-        model = prompt.model if prompt else ""
-        candidates = self._state.available(self._backend, self._tried, model)
+        candidates = self._state.available(self._backend, self._tried, prompt)
         zone = self._state.settings.zone
         if prompt is None:
             return place_task(zone, candidates, self._loop.time())
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -90,7 +90,6 @@
         replicas = [
             replica for replica in self._state.fleet.replicas() if model in replica.versions
         ]
-        history.trim(min((replica.versions[model] for replica in replicas), default=0))
         now_s = self._state.clock()
         views = [self._view(replica, history, model, now_s) for replica in replicas]
         step = next_step(views, history.newest, self._turns, now_s)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -8,6 +8,7 @@
 
 from winchfork.core.freshness import Freshness
 from winchfork.core.part_index import PartIndex
+from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing
 from winchfork.core.relay_placement import DEFAULT_READ_TOKENS_PER_S
 from winchfork.core.rendezvous import member_hash
@@ -27,10 +28,12 @@
 CERTAIN_AGE_S = 1.9
 #: Wait told to callers while the configuration is unknown or stale.
 STALE_RETRY_AFTER_S = 1.5
-#: A request may wait in a replica before it begins: old weights end this much before their bound,
-#: and by twice the time that the replica needs to read what is queued.
+#: A request begins with its first token. Old weights take none that may begin after their bound:
+#: a fixed margin, twice the time to read what is queued, and half as much again as its own prompt.
 BEGIN_MARGIN_S = 0.6
-MAX_BEGIN_MARGIN_S = 2.0
+QUEUE_MARGIN = 2.0
+OWN_PROMPT_MARGIN = 1.5
+MAX_BEGIN_MARGIN_S = 4.0
 #: Seconds for each token out until measured, and the share of a new run in the moving average.
 FIRST_TOKEN_S = 0.008
 RUN_WEIGHT = 0.05
@@ -170,10 +173,12 @@
                 return share.service
         return chosen
 
-    def available(self, service: str, tried: set[str], model: str = "") -> list[RelayReplica]:
+    def available(
+        self, service: str, tried: set[str], prompt: Prompt | None = None
+    ) -> list[RelayReplica]:
         """Return replicas that may be sent work now, without those already tried.
 
-        For a prompt, weights that are no longer allowed rule a replica out. When every one is left
+        For a prompt, weights that are no longer allowed when it begins rule a replica out. When every one is left
         alone for failures, that is ignored: a doubtful replica is better than none.
         """
         now_s = self.clock()
@@ -183,20 +188,21 @@
             if replica.listing.accepting
             and replica.replica_id not in tried
             and now_s >= replica.loading_until_s
-            and (not model or self._weights_allowed(replica, model, now_s))
+            and (prompt is None or self._weights_allowed(replica, prompt, now_s))
         ]
         sound = [replica for replica in candidates if now_s >= replica.avoided_until_s]
         return sound or candidates
 
-    def _weights_allowed(self, replica: RelayReplica, model: str, now_s: float) -> bool:
+    def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
         """Whether a request sent now will begin before the replica's weights are too old."""
-        history = self.versions.get(model)
+        history = self.versions.get(prompt.model)
         if history is None:
             return True
-        queue_s = replica.queued_tokens / DEFAULT_READ_TOKENS_PER_S
-        margin_s = min(MAX_BEGIN_MARGIN_S, BEGIN_MARGIN_S + 2.0 * queue_s)
+        tokens = QUEUE_MARGIN * replica.queued_tokens + OWN_PROMPT_MARGIN * prompt.prompt_tokens
+        margin_s = BEGIN_MARGIN_S + tokens / DEFAULT_READ_TOKENS_PER_S
         bound_s = self.settings.bounds.rollout_s
-        return now_s + margin_s < history.due_s(replica.versions.get(model, 0), bound_s)
+        due_s = history.due_s(replica.versions.get(prompt.model, 0), bound_s)
+        return now_s + min(MAX_BEGIN_MARGIN_S, margin_s) < due_s
 
     def note_kept(self, replica: RelayReplica, keys: list[int]) -> None:
         """Record parts that a replica has read for this daemon."""
