--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -178,8 +178,9 @@
     ) -> list[RelayReplica]:
         """Return replicas that may be sent work now, without those already tried.
 
-        For a prompt, weights that are no longer allowed when it begins rule a replica out. When every one is left
-        alone for failures, that is ignored: a doubtful replica is better than none.
+        For a prompt, weights that are no longer allowed when it begins rule a replica out. When
+        every one is left alone for failures, that is ignored: a doubtful replica is better than
+        none.
         """
         now_s = self.clock()
         candidates = [
