A stopping daemon does not campaign; a newcomer believes its peers on the ages of versions

Its log: a daemon that had been told to stop took the leadership and never used it, from second 11 to 20; and daemons that had just started held versions for older than they were, since peers could only make them older, and ruled four of six replicas out.

Change: stop begins with withdrawing from the election; times of the first list are marked as assumed, and a peer's word replaces them.

The tests fail without the changes.

--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -146,3 +146,19 @@
             self.assertLess(waited_s, 2.0)
 
         run_virtually(scenario())
+
+    def test_a_daemon_that_stops_does_not_campaign(self) -> None:
+        async def scenario() -> None:
+            store = MemoryStore()
+            candidates = [Candidate(store, f"n{number}") for number in range(2)]
+            await _settle(6.0)
+            leader = _acting(candidates)[0]
+            other = next(candidate for candidate in candidates if candidate is not leader)
+            other.leadership.withdraw()
+            await leader.leadership.resign()
+            leader.leadership.withdraw()
+            await _settle(8.0)
+            self.assertEqual(other.leadership.fence, 0)
+            self.assertNotIn(LEADER_KEY, store.items)
+
+        run_virtually(scenario())
--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -51,6 +51,14 @@
         history.note_age(2, 95.0)
         self.assertEqual(history.due_s(1, 8.0), 103.0)
 
+    def test_a_peers_word_goes_before_a_guess(self) -> None:
+        history = VersionHistory()
+        history.note(2, 95.0, assumed=True)
+        history.note_age(2, 99.0)
+        self.assertEqual(history.due_s(1, 8.0), 107.0)
+        history.note_age(2, 99.5)
+        self.assertEqual(history.due_s(1, 8.0), 107.0)
+
     def test_a_bound_that_ran_while_the_store_was_lost_begins_anew(self) -> None:
         history = VersionHistory()
         history.note(2, 100.0)
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -71,10 +71,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NamedVersion:
-    """A version of one model's weights and when this daemon heard that it was named."""
+    """A version of one model's weights and when this daemon heard that it was named.
+
+    ``assumed`` times are a cautious guess of a daemon that has just started.
+    """
 
     version: int
     heard_s: float
+    assumed: bool = False
 
 
 class VersionHistory:
@@ -87,18 +91,18 @@
     def __init__(self) -> None:
         self._named: list[NamedVersion] = []
 
-    def note(self, version: int, heard_s: float) -> bool:
+    def note(self, version: int, heard_s: float, *, assumed: bool = False) -> bool:
         """Record a named version; False when it is not newer."""
         if self._named and version <= self._named[-1].version:
             return False
-        self._named.append(NamedVersion(version, heard_s))
+        self._named.append(NamedVersion(version, heard_s, assumed))
         del self._named[:-MOST_REMEMBERED]
         return True
 
     def note_age(self, version: int, heard_s: float) -> None:
-        """Take a peer's word that a version was named by ``heard_s``: the earlier time counts."""
+        """Take a peer's word on when a version was named: before a guess, else the earlier time."""
         for number, named in enumerate(self._named):
-            if named.version == version and heard_s < named.heard_s:
+            if named.version == version and (named.assumed or heard_s < named.heard_s):
                 self._named[number] = NamedVersion(version, heard_s)
 
     def restart_bounds(self, lost_s: float, regained_s: float, bound_s: float) -> None:
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -60,6 +60,7 @@
         self._holder_fence = 0
         self._resigned_order_s: float | None = None
         self._hurry = False
+        self._withdrawn = False
         self.fence = 0
 
     def note_entry(self, revision: int | None) -> None:
@@ -98,9 +99,13 @@
         while True:
             await self._vacant.wait()
             await asyncio.sleep(self._try_delay_s())
-            if self._vacant.is_set() and await self._take():
+            if self._vacant.is_set() and not self._withdrawn and await self._take():
                 await self._keep()
 
+    def withdraw(self) -> None:
+        """Campaign no more: this daemon is about to stop."""
+        self._withdrawn = True
+
     async def resign(self) -> Resignation | None:
         """End the lease at a planned stop, so that another may lead at once."""
         fence, self.fence = self.fence, 0
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -198,6 +198,7 @@
             NamedNote(model, named.version, int((now_s - named.heard_s) * 1000))
             for model, history in self._state.versions.items()
             for named in history.named
+            if not named.assumed
         )
         if not notes:
             return
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -77,6 +77,7 @@
     async def stop(self) -> None:
         """Begin nothing new; wait for the replicas under order, then hand the leadership over."""
         self._stopping = True
+        self._leadership.withdraw()
         if self._under_order:
             await asyncio.wait(list(self._under_order.values()), timeout=STOP_PATIENCE_S)
         for task in self._under_order.values():
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -140,21 +140,20 @@
 
     def _install_target(self, target: WeightsTarget, revision: int) -> None:
         history = self._state.versions.setdefault(target.model, VersionHistory())
-        if history.note(target.version, self._heard_s()):
+        now_s = self._state.clock()
+        heard_s = now_s if self._ever_listed else now_s - self._assumed_age_s()
+        if history.note(target.version, heard_s, assumed=not self._ever_listed):
             log_event(
                 "weights_named", model=target.model, version=target.version, revision=revision
             )
 
-    def _heard_s(self) -> float:
-        """Return when a version that is read now counts as named.
+    def _assumed_age_s(self) -> float:
+        """Return how long ago a version counts as named that the first list holds.
 
-        What the first list holds may have been named long ago, and peers may not be there to tell.
-        A daemon that has just started is granted the rest of a bound that began before it did.
+        It may have been named long ago, and until a peer tells, a daemon that has just started is
+        granted the rest of a bound that began before it did.
         """
-        now_s = self._state.clock()
-        if self._ever_listed:
-            return now_s
-        return now_s - max(0.0, self._state.settings.bounds.rollout_s - START_GRACE_S)
+        return max(0.0, self._state.settings.bounds.rollout_s - START_GRACE_S)
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
         known = self._state.fleet.get(listing.replica_id)
