--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -123,10 +123,10 @@
 def _with_store(
     request: PromptPlacement, decision: RelayDecision, index: PartIndex
 ) -> RelayDecision:
-    """Save what the store does not keep; name it as the source where no replica is better.
+    """Save what the store does not keep; name it as the source of what it keeps.
 
-    A replica may have dropped what it is believed to keep. A source that is not needed costs
-    nothing: the replica copies only what goes beyond its own.
+    A replica may have dropped what it is believed to keep, the store drops nothing for long. A
+    source that is not needed costs nothing: the replica copies only what goes beyond its own.
     """
     store = request.store
     if store is None or not request.copy_tokens_per_s:
@@ -135,7 +135,7 @@
         return decision
     keys = shared_keys(request, decision.replica)
     stored = index.kept_parts(keys, store.order_hash) == len(keys)
-    source = decision.copy_from or (store if stored else None)
+    source = store if stored else decision.copy_from
     return dataclasses.replace(decision, copy_from=source, save=not stored)
 
 
