Count versions from the store's return for a daemon that started while it was away

They read version 2 when it returned, took it for long named and ruled every replica out for four seconds. A bound counts only while the store has been sound for its contact time.

Change: such a daemon counts from the store's return and its settling time; so do bounds that were running when the store was lost.

The test fails without the change.

--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -179,3 +179,18 @@
             self.assertGreater(history.due_s(2, 8.0) - followed.state.clock(), 7.0)
 
         run_virtually(main())
+
+    def test_versions_read_when_the_store_returns_begin_their_bound_then(self) -> None:
+        async def main() -> None:
+            store = MemoryStore()
+            named = json.dumps({"Model": "daka510000", "Version": 2}).encode()
+            store.put("op/version/daka510000", named)
+            store.down = True
+            followed = Followed(store)
+            await asyncio.sleep(3.0)
+            store.down = False
+            await asyncio.sleep(1.0)
+            history = followed.state.versions["daka510000"]
+            self.assertGreater(history.due_s(1, 8.0) - followed.state.clock(), 6.9)
+
+        run_virtually(main())
--- a/winchfork/platform/settings.py
+++ b/winchfork/platform/settings.py
@@ -30,6 +30,7 @@
     """Read settings; keys that are not known are skipped."""
     fields = _Fields(text)
     bounds = RouterBounds(
+        contact_s=fields.seconds("Bounds.ContactMs", 3_000),
         drain_s=fields.seconds("Bounds.DrainMs", 2_000),
         grace_s=fields.number("Bounds.GraceS", 8),
         revoke_s=fields.seconds("Bounds.RevokeMs", 5_000),
--- a/winchfork/router/settings.py
+++ b/winchfork/router/settings.py
@@ -7,8 +7,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouterBounds:
-    """The deployment's promises in figures."""
+    """The deployment's promises in figures.
 
+    ``contact_s`` is how long the store must have been sound to count as stable.
+    """
+
+    contact_s: float = 3.0
     drain_s: float = 2.0
     grace_s: float = 8.0
     revoke_s: float = 5.0
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -36,6 +36,8 @@
 KEEP_HEARTBEATS = 1.5
 #: A daemon that has just started is held to the bound on versions after this long.
 START_GRACE_S = 3.0
+#: Part of the time to become stable that is not relied on.
+SETTLING_MARGIN_S = 0.5
 _EVERYTHING = ""
 
 
@@ -58,6 +60,7 @@
         self._lost_since_s: float | None = None
         self._listed = False
         self._ever_listed = False
+        self._begun_in_outage = False
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -80,6 +83,7 @@
         if isinstance(snapshot, Failure):
             return snapshot
         after_outage = self._lost_since_s is not None
+        self._begun_in_outage = after_outage and not self._ever_listed
         self._note_regained(asked_s)
         self._state.freshness.prove(asked_s)
         for item in snapshot.items:
@@ -151,8 +155,11 @@
         """Return how long ago a version counts as named that the first list holds.
 
         It may have been named long ago, and until a peer tells, a daemon that has just started is
-        granted the rest of a bound that began before it did.
+        granted the rest of a bound that began before it did. A daemon that started while the store
+        was away counts from its return: until then nobody could act on the version.
         """
+        if self._begun_in_outage:
+            return -self._settling_s()
         return max(0.0, self._state.settings.bounds.rollout_s - START_GRACE_S)
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
@@ -216,4 +223,8 @@
         log_event("store_regained", after_s=now_s - lost_s)
         bound_s = self._state.settings.bounds.rollout_s
         for history in self._state.versions.values():
-            history.restart_bounds(lost_s, now_s, bound_s)
+            history.restart_bounds(lost_s, now_s + self._settling_s(), bound_s)
+
+    def _settling_s(self) -> float:
+        """Return how long a store that has come back is not yet counted as stable."""
+        return max(0.0, self._state.settings.bounds.contact_s - SETTLING_MARGIN_S)
