Tell a refused weights version from a refused replica

Change: a 421 of the expected replica means other weights; the request is tried once more there with the newest named version, within the budget. The old test sent a 421 that the platform does not send; it is replaced by the observed one, and a second test covers another replica at the address.

--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -95,7 +95,7 @@
     def test_answers(self) -> None:
         def read(status: int, headers: Headers) -> tuple[bool, bool, bool, int | None]:
             fields = self.dialect.read_answer(AnswerHead(status, b"", headers, 0))
-            return fields.authentic, fields.not_run, fields.other_replica, fields.weights_version
+            return fields.authentic, fields.not_run, fields.misdirected, fields.weights_version
 
         self.assertEqual(
             read(200, [(b"X-Server-Signature", b"s"), (b"X-Weight-Versions", b"3")]),
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -22,6 +22,7 @@
     stream_head,
 )
 from winchfork.core.routing import RouteKind
+from winchfork.core.weight_rollout import VersionHistory
 
 ENGINE = "X-Model: m\r\nX-Token-Usage: 100,20\r\nX-Prefix-Hash: aa:60,bb:40\r\n"
 
@@ -260,18 +261,37 @@
 
     async def test_a_refused_version_is_tried_again_at_the_same_replica(self) -> None:
         def other_version(request: SeenRequest) -> bytes:
-            return b"HTTP/1.1 421 Misdirected\r\nX-Weight-Versions: 2\r\nContent-Length: 0\r\n\r\n"
+            return (
+                b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nX-Instance-Id: i-0\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
 
         def stream(request: SeenRequest) -> bytes:
             return stream_head(request) + chunk(event(1)) + b"0\r\n\r\n"
 
         replica = ScriptedReplica(answering(other_version), answering(stream))
         relay = await self.relay(replica, kind=RouteKind.STREAMING, max_attempts=1)
+        relay.state.versions["m"] = VersionHistory()
+        relay.state.versions["m"].note(2, relay.state.clock())
         answer = await relay.ask(method="POST", extra=ENGINE)
         self.assertEqual((answer.status, answer.body), (200, event(1)))
         self.assertEqual(replica.seen[1].headers["x-expected-version"], "2")
         self.assertEqual(replica.seen[1].headers["x-cache-salt"], "-/m/2")
 
+    async def test_another_replica_at_the_address_is_not_asked_again(self) -> None:
+        def misdirected(request: SeenRequest) -> bytes:
+            return (
+                b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nX-Instance-Id: i-other\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+        replica = ScriptedReplica(answering(misdirected))
+        relay = await self.relay(replica, kind=RouteKind.STREAMING, max_attempts=2)
+        relay.state.versions["m"] = VersionHistory()
+        relay.state.versions["m"].note(2, relay.state.clock())
+        self.assert_not_run(await relay.ask(method="POST", extra=ENGINE))
+        self.assertEqual(len(replica.seen), 1)
+
 
 class LeavingTest(RelayTestCase):
     async def test_a_caller_that_leaves_is_carried_to_the_replica(self) -> None:
--- a/winchfork/platform/headers.py
+++ b/winchfork/platform/headers.py
@@ -65,8 +65,9 @@
             request_id=found.get(names.REQUEST_ID.lower()),
             authentic=names.SIGNATURE.lower() in found,
             not_run=names.NOT_EXECUTED.lower() in found,
-            other_replica=head.status == names.STATUS_MISDIRECTED,
+            misdirected=head.status == names.STATUS_MISDIRECTED,
             weights_version=int(version) if version.isdigit() else None,
+            replica_id=found.get(names.INSTANCE_ID.lower()),
         )
 
 
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -118,7 +118,7 @@
         fields = self._dialect.read_answer(head)
         # A refusal that proves "not run" may come without an id; nothing else may.
         if fields.request_id is None:
-            return fields.not_run or fields.other_replica
+            return fields.not_run or fields.misdirected
         return fields.request_id == self._plan.request_id
 
     def _take_head(self, head: AnswerHead) -> Outcome | None:
@@ -153,7 +153,7 @@
             return self._end_stream()
         answer = BufferedAnswer(self._head, b"".join(self._body))
         status = self._head.status
-        if self._fields.not_run or self._fields.other_replica:
+        if self._fields.not_run or self._fields.misdirected:
             return NotRun(f"replica answered {status}", True, self._wrong_version())
         if self._answer.started:
             return MayHaveRun(f"replica answered {status} to a resumed stream")
@@ -165,11 +165,11 @@
         return MayHaveRun(f"replica answered {status}", answer)
 
     def _wrong_version(self) -> bool:
-        """Whether a refusal is explained by a weights version that this daemon had not heard of."""
-        expected = self._plan.weights_version
-        if expected is None or self._fields is None or not self._fields.other_replica:
+        """Whether the right replica refused, for weights that it no longer has."""
+        if self._plan.weights_version is None or self._fields is None:
             return False
-        return self._plan.replica.versions.get(self._plan.model, 0) > expected
+        own = self._fields.replica_id == self._plan.replica.replica_id
+        return self._fields.misdirected and own
 
     def _end_stream(self) -> Outcome:
         assert self._stream is not None
--- a/winchfork/router/dialect.py
+++ b/winchfork/router/dialect.py
@@ -41,13 +41,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerFields:
-    """What a replica's headers say. ``not_run`` is its proof that it did not run the request."""
+    """What a replica's headers say. ``not_run`` is its proof that it did not run the request.
+
+    ``misdirected`` says the same: the request expected another replica, or other weights of the
+    replica that ``replica_id`` names.
+    """
 
     request_id: str | None
     authentic: bool
     not_run: bool
-    other_replica: bool
+    misdirected: bool
     weights_version: int | None
+    replica_id: str | None
 
 
 class Dialect(Protocol):
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -50,7 +50,7 @@
 #: A replica that has refused a request is left alone for this long: it is full or loads weights.
 REFUSED_HOLD_S = 0.3
 #: Tries at one replica that only refused the weights version.
-_MAX_VERSION_TRIES = 2
+_MAX_VERSION_TRIES = 1
 _LOOK_AGAIN = "look_again"
 _DEADLINE = "deadline"
 
@@ -289,9 +289,9 @@
         return self._after_unknown(replica, outcome)
 
     def _after_refusal(self, replica: RelayReplica, outcome: NotRun) -> bool:
-        if outcome.same_replica and self._version_tries < _MAX_VERSION_TRIES:
+        if outcome.same_replica and self._believes_newer(replica):
             self._version_tries += 1
-            if self._may_repeat(self._route.max_attempts + 1):
+            if self._may_repeat(self._route.max_attempts + self._version_tries):
                 return True
         self._tried.add(replica.replica_id)
         if not outcome.sent or self._may_repeat(self._route.max_attempts):
@@ -299,6 +299,18 @@
         self._give_up(FailureKind.OVERLOADED.because(outcome.reason, ran=self._ran()))
         return False
 
+    def _believes_newer(self, replica: RelayReplica) -> bool:
+        """Take a replica that refused its weights' version to have the newest that was named."""
+        prompt = self._admitted.fields.prompt
+        if prompt is None or self._version_tries >= _MAX_VERSION_TRIES:
+            return False
+        history = self._state.versions.get(prompt.model)
+        newest = history.newest if history else 0
+        if newest <= replica.versions.get(prompt.model, 0):
+            return False
+        self._state.note_version(replica, prompt.model, newest)
+        return True
+
     def _after_unknown(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
         self._may_have_run = True
         self._tried.add(replica.replica_id)
