Learn from peers of versions that the store no longer holds

A daemon restarted by the roll read version 4 from the store, heard its age from peers, and took version 2 to be allowed until version 4's bound: it had never heard of version 3, whose bound had passed at 14.4 s. Peers did tell it, but only versions that it knew were taken in.

Change: what peers tell is inserted. The test fails without it.

--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -59,6 +59,16 @@
         history.note_age(2, 99.5)
         self.assertEqual(history.due_s(1, 8.0), 107.0)
 
+    def test_versions_that_the_store_no_longer_holds_are_learned_from_peers(self) -> None:
+        """hunt-add4-31: a restarted daemon knew version 4 only, and gave version 2 its bound."""
+        history = VersionHistory()
+        history.note(4, 95.0, assumed=True)
+        history.note_age(4, 98.0)
+        history.note_age(3, 93.0)
+        self.assertEqual(history.due_s(2, 8.0), 101.0)
+        self.assertEqual(history.due_s(3, 8.0), 106.0)
+        self.assertEqual(history.newest, 4)
+
     def test_a_bound_that_ran_while_the_store_was_lost_begins_anew(self) -> None:
         history = VersionHistory()
         history.note(2, 100.0)
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -100,10 +100,18 @@
         return True
 
     def note_age(self, version: int, heard_s: float) -> None:
-        """Take a peer's word on when a version was named: before a guess, else the earlier time."""
+        """Take a peer's word on when a version was named: before a guess, else the earlier time.
+
+        The store holds only the newest version; those before it are heard of from peers alone, and
+        what is older than they are is due by them.
+        """
         for number, named in enumerate(self._named):
-            if named.version == version and (named.assumed or heard_s < named.heard_s):
-                self._named[number] = NamedVersion(version, heard_s)
+            if named.version == version:
+                if named.assumed or heard_s < named.heard_s:
+                    self._named[number] = NamedVersion(version, heard_s)
+                return
+        self._named.append(NamedVersion(version, heard_s))
+        self._named.sort(key=lambda named: named.version)
 
     def restart_bounds(self, lost_s: float, regained_s: float, bound_s: float) -> None:
         """Begin bounds anew that were running when the store was lost: nobody could act on them."""
