--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PIP_FLAGS := --disable-pip-version-check --no-compile --quiet
 DURATION ?= 300
 
-.PHONY: run test check format spec fuzz proto clean
+.PHONY: run run-platform test check format spec fuzz proto clean
 
 $(VENV)/.runtime: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,9 @@
 run: $(VENV)/.runtime
 	$(BIN)/python -m winchfork dev
 
+run-platform: $(VENV)/.runtime
+	$(BIN)/python -m standins
+
 test: $(VENV)/.dev
 	$(BIN)/python -m tests.run
 
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,152 @@
+"""A whole deployment in one process on loopback: store, replicas, and real router processes' code.
+
+The routers are built from the same parts as ``python3 -m winchfork.platform`` and read a settings
+text in the platform's form; each has a loopback address of its own, since peers share one port.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import socket
+
+from standins.replica_server import ReplicaServer
+from standins.store_server import StoreServer
+from winchfork.errors import Failure
+from winchfork.platform.parts import platform_parts
+from winchfork.platform.settings import parse_settings
+from winchfork.router.process import RouterProcess
+from winchfork.router.settings import RouterSettings
+
+MODEL = "himal-70b"
+KEY = "school-key-1"
+ZONES = ("thamel", "patan", "bhaktapur")
+_CONFIGURATION = {
+    "Version": 1,
+    "Routes": [
+        {
+            "Name": "review",
+            "Host": "proofs.example",
+            "PathPrefix": "/review/",
+            "Kind": "streaming",
+            "TimeoutMs": 6000,
+            "TargetLatencyMs": 800,
+            "Priority": 1,
+            "Service": "models",
+            "MaxAttempts": 2,
+            "Resumable": True,
+            "StickySessions": True,
+            "GapTargetMs": 500,
+        },
+        {
+            "Name": "roster",
+            "Host": "proofs.example",
+            "PathPrefix": "/roster/",
+            "Kind": "unsafe",
+            "TimeoutMs": 2000,
+            "TargetLatencyMs": 300,
+            "Priority": 2,
+            "Service": "editing",
+            "MaxAttempts": 1,
+        },
+    ],
+    "Services": [
+        {
+            "Name": "models",
+            "MaxConnections": 200,
+            "Engine": {
+                "Slots": 16,
+                "KvCapacityTokens": 100_000,
+                "KvTokenBytes": 163_840,
+                "LinkMbps": 1_000_000.0,
+                "Models": [{"Name": MODEL}],
+            },
+        },
+        {"Name": "editing", "MaxConnections": 100},
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 4194304,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
+    },
+    "Tenants": [{"Name": "school", "ApiKeys": [KEY]}],
+}
+
+
+class LoopbackDeployment:
+    """Three routers, four model replicas, two application replicas and the store."""
+
+    def __init__(self) -> None:
+        self.store = StoreServer()
+        self.models = [
+            ReplicaServer(self.store, f"i-model-{number}", "models", ZONES[number % 3], MODEL)
+            for number in range(4)
+        ]
+        self.applications = [
+            ReplicaServer(self.store, f"i-app-{number}", "editing", ZONES[number])
+            for number in range(2)
+        ]
+        self._peer_port = _free_port("127.0.0.1", socket.SOCK_DGRAM)
+        self.settings: list[RouterSettings] = []
+        self.routers: list[RouterProcess] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start everything; the routers learn the rest from the store."""
+        await self.store.start()
+        self.store.put("op/config", _CONFIGURATION)
+        self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": 1})
+        for replica in (*self.models, *self.applications):
+            await replica.start()
+        for number, zone in enumerate(ZONES, start=1):
+            self._add_router(number, zone)
+
+    def _add_router(self, number: int, zone: str) -> None:
+        settings = parse_settings(self._settings_text(number, zone))
+        if isinstance(settings, Failure):
+            raise ValueError(str(settings))
+        settings = dataclasses.replace(settings, metrics_address=f"{settings.machine_ip}:0")
+        router = RouterProcess(settings, platform_parts(), lambda: settings)
+        self.settings.append(settings)
+        self.routers.append(router)
+        self.tasks.append(asyncio.create_task(router.run()))
+
+    def _settings_text(self, number: int, zone: str) -> str:
+        ip = f"127.0.0.{number}"
+        lines = [
+            f"Node=front-{zone}",
+            f"Ip={ip}",
+            f"Zone={zone}",
+            f"ListenAddresses.Front={ip}:{_free_port(ip)}",
+            f"ListenAddresses.Readiness={ip}:{_free_port(ip)}",
+            f"InternalPorts={self._peer_port},{self._peer_port}",
+            "Seeds=127.0.0.1:1",
+            f"Platform.Address={self.store.address}",
+        ]
+        return "\n".join(lines)
+
+    async def wait_until_ready(self) -> None:
+        """Return once every router wants callers."""
+        while not all(router.state.ready and len(router.state.fleet) for router in self.routers):
+            await asyncio.sleep(0.02)
+
+    def name_weights(self, version: int) -> None:
+        """Name new weights, as operators do."""
+        self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": version})
+
+    async def stop(self) -> None:
+        """Stop everything, the routers as planned."""
+        for router in self.routers:
+            router.ask_to_stop()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for replica in (*self.models, *self.applications):
+            await replica.stop()
+        await self.store.stop()
+
+
+def _free_port(ip: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((ip, 0))
+        port: int = probe.getsockname()[1]
+        return port
--- /dev/null
+++ b/standins/http_server.py
@@ -0,0 +1,81 @@
+"""A minimal HTTP/1.1 server for the stand-ins: one handler, one request at a time a connection."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+from urllib.parse import parse_qsl, urlsplit
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request, read whole. Header names are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+#: Writes its whole answer; returns False when the connection must close.
+Handler = Callable[[Request, asyncio.StreamWriter], Awaitable[bool]]
+
+
+def write_answer(
+    writer: asyncio.StreamWriter,
+    status: int,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> None:
+    """Write an answer with a length."""
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    lines += [f"Content-Length: {len(body)}", "", ""]
+    writer.write("\r\n".join(lines).encode("latin-1") + body)
+
+
+class HttpServer:
+    """Listens on loopback; ``address`` is known once started."""
+
+    def __init__(self, handler: Handler, ip: str = "127.0.0.1") -> None:
+        self._handler = handler
+        self._ip = ip
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, self._ip, 0)
+        self.address = f"{self._ip}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Stop listening and end every connection at once, as a crash does."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while await self._handler(await _read_request(reader), writer):
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Request:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rest = head.split("\r\n")
+    pairs = (text.partition(":") for text in rest if text)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    method, target, _ = line.split(" ", 2)
+    parts = urlsplit(target)
+    return Request(method, parts.path, dict(parse_qsl(parts.query)), headers, body)
--- /dev/null
+++ b/standins/replica_server.py
@@ -0,0 +1,153 @@
+"""A model replica: streams with ids, weights orders under a fence, reports; and an application."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from standins.http_server import HttpServer, Request, write_answer
+from standins.store_server import StoreServer
+
+
+class ReplicaServer:
+    """Keeps its own entry in the store. ``model`` empty makes it an application's replica."""
+
+    def __init__(
+        self, store: StoreServer, replica_id: str, service: str, zone: str, model: str = ""
+    ) -> None:
+        self._store = store
+        self.replica_id = replica_id
+        self._service = service
+        self._zone = zone
+        self._model = model
+        self.version = 1
+        self.sequence = 0
+        self.fence = 0
+        self.loading = False
+        self.running = 0
+        self.read_tokens_per_s = 40_000.0
+        self.token_s = 0.004
+        self.load_s = 0.1
+        #: Ids of the requests that ran here, in order.
+        self.ran: list[str] = []
+        #: Breaks the next stream off inside this event; 0: none.
+        self.tear_at_event = 0
+        self._http = HttpServer(self._handle)
+
+    async def start(self) -> None:
+        """Listen, and be listed."""
+        await self._http.start()
+        self.announce("ready")
+
+    async def stop(self) -> None:
+        """Crash: connections end, the entry goes."""
+        await self._http.stop()
+        self._store.remove(f"servers/{self.replica_id}")
+
+    def announce(self, state: str) -> None:
+        """Write the entry."""
+        models = [{"Name": self._model, "Version": self.version}] if self._model else []
+        entry = {
+            "Service": self._service,
+            "Address": self._http.address,
+            "Zone": self._zone,
+            "Slots": 16,
+            "State": state,
+            "Models": models,
+            "Sequence": 1,
+        }
+        self._store.put(f"servers/{self.replica_id}", entry)
+
+    async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        if request.path == "/report":
+            write_answer(writer, 200, json.dumps(self._report()).encode())
+            return True
+        if request.path == "/order":
+            write_answer(writer, self._order(json.loads(request.body)))
+            return True
+        refusal = self._refusal(request)
+        if refusal:
+            headers = {"X-Not-Executed": "1", "X-Instance-Id": self.replica_id}
+            write_answer(writer, refusal, headers=headers)
+            return True
+        return await self._run(request, writer)
+
+    def _report(self) -> dict[str, Any]:
+        models = [{"Name": self._model, "Version": self.version, "Adapters": []}]
+        return {
+            "Stage": "both",
+            "Models": models if self._model else [],
+            "Busy": self.loading,
+            "Sequence": self.sequence,
+            "Waiting": 0,
+            "Running": self.running,
+        }
+
+    def _order(self, order: dict[str, Any]) -> int:
+        if order["FencingToken"] < self.fence:
+            return 412
+        if self.loading or order.get("Expected", self.sequence) != self.sequence:
+            return 409
+        self.fence = order["FencingToken"]
+        if order["Version"] == self.version:
+            return 200
+        self.sequence += 1
+        self.loading = True
+        self._loading = asyncio.create_task(self._load(order["Version"]))
+        return 202
+
+    async def _load(self, version: int) -> None:
+        while self.running:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(self.load_s)
+        self.version = version
+        self.loading = False
+        self.announce("ready")
+
+    def _refusal(self, request: Request) -> int:
+        if request.headers.get("x-expected-instance", self.replica_id) != self.replica_id:
+            return 421
+        expected = request.headers.get("x-expected-version")
+        if expected is not None and int(expected) != self.version:
+            return 421
+        return 503 if self.loading else 0
+
+    async def _run(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        self.running += 1
+        self.ran.append(request.headers["x-request-id"])
+        try:
+            if self._model:
+                return await self._stream(request, writer)
+            headers = self._proof(request)
+            write_answer(writer, 200, b"done by " + self.replica_id.encode(), headers)
+            return True
+        finally:
+            self.running -= 1
+
+    def _proof(self, request: Request) -> dict[str, str]:
+        return {
+            "X-Request-Id": request.headers["x-request-id"],
+            "X-Server-Signature": f"signed.{self.replica_id}",
+        }
+
+    async def _stream(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        tokens_in, _, tokens_out = request.headers["x-token-usage"].partition(",")
+        await asyncio.sleep(int(tokens_in) / self.read_tokens_per_s)
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        lines += [f"{name}: {value}" for name, value in self._proof(request).items()]
+        lines += [f"X-Weight-Versions: {self.version}", "Transfer-Encoding: chunked", "", ""]
+        writer.write("\r\n".join(lines).encode())
+        tear_at, self.tear_at_event = self.tear_at_event, 0
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, int(tokens_out) + 1):
+            await asyncio.sleep(self.token_s)
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if number == tear_at:
+                writer.write(b"%x\r\n%b" % (len(event), event[:7]))
+                await writer.drain()
+                return False
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
--- /dev/null
+++ b/standins/store_server.py
@@ -0,0 +1,157 @@
+"""The platform's store: items, leases, history and watches, as its pages describe them."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any
+
+from standins.http_server import HttpServer, Request, write_answer
+
+#: Pause between looks for changes while a watch waits.
+_LOOK_S = 0.01
+_PAGE_ITEMS = 500
+
+
+class StoreServer:
+    """Linearizable; ``down`` refuses every call as the platform does when it is busy."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.down = False
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._http = HttpServer(self._handle)
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return self._http.address
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._http.start()
+
+    async def stop(self) -> None:
+        """Stop."""
+        await self._http.stop()
+
+    def put(self, key: str, value: object, lease: int = 0) -> int:
+        """Write a JSON value (bytes are written as they are); return the revision."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = {
+            "PrivateKey": key,
+            "Value": base64.b64encode(data).decode(),
+            "Revision": self.revision,
+            "made": self._items.get(key, {}).get("made", self.revision),
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._history.append(item)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            gone = {"PrivateKey": key, "Revision": self.revision, "gone": True}
+            self._history.append(gone)
+
+    def holder(self, key: str) -> str | None:
+        """Return an item's value as text."""
+        item = self._items.get(key)
+        return base64.b64decode(item["Value"]).decode() if item else None
+
+    async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        self._expire()
+        if self.down:
+            write_answer(writer, 503)
+            return True
+        status, answer = await self._answer(request)
+        headers = {"Content-Type": "application/json"}
+        write_answer(writer, status, json.dumps(answer).encode(), headers)
+        return True
+
+    async def _answer(self, request: Request) -> tuple[int, dict[str, Any]]:
+        call, _, argument = request.path[1:].partition("/")
+        if call == "kv-range":
+            return 200, self._range(request.query)
+        if call == "kv-watch":
+            return await self._watch(request.query)
+        if call == "kv-txn":
+            return self._transact(json.loads(request.body))
+        if call == "kv-lease":
+            return 200, self._grant(json.loads(request.body))
+        if call == "kv-keep":
+            return self._renew(int(argument))
+        if call == "kv-lease-end":
+            self._end(int(argument))
+            return 200, {}
+        return 404, {}
+
+    def _range(self, query: dict[str, str]) -> dict[str, Any]:
+        prefix, after = query.get("PathPrefix", ""), query.get("after", "")
+        found = [
+            item
+            for key, item in sorted(self._items.items())
+            if key.startswith(prefix) and key > after
+        ]
+        more = len(found) > _PAGE_ITEMS
+        return {"items": found[:_PAGE_ITEMS], "more": more, "at": self.revision}
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + int(query.get("WaitMs", "0")) / 1000.0
+        prefix, after = query.get("PathPrefix", ""), int(query.get("after", "0"))
+        while True:
+            self._expire()
+            events = [
+                item
+                for item in self._history
+                if item["Revision"] > after and item["PrivateKey"].startswith(prefix)
+            ]
+            if events or loop.time() >= until_s:
+                return 200, {"Events": events, "at": self.revision}
+            await asyncio.sleep(_LOOK_S)
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for condition in body.get("Expected", ()):
+            current = self._items.get(condition["PrivateKey"])
+            if (current["Revision"] if current else 0) != condition["Revision"]:
+                return 412, {"items": [current] if current else []}
+        for put in body.get("put", ()):
+            lease = put.get("lease", 0)
+            if lease and lease not in self._leases:
+                return 404, {}
+            self.put(put["PrivateKey"], base64.b64decode(put["Value"]), lease)
+        for key in body.get("Remove", ()):
+            self.remove(key)
+        return 200, {"Revision": self.revision}
+
+    def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
+        lease = 1 + max(self._leases, default=77_000)
+        ttl_s = body["ttl_ms"] / 1000.0
+        self._leases[lease] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
+        return {"lease": lease, "ttl_ms": body["ttl_ms"]}
+
+    def _renew(self, lease: int) -> tuple[int, dict[str, Any]]:
+        if lease not in self._leases:
+            return 404, {}
+        ttl_s = self._leases[lease][1]
+        self._leases[lease] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
+        return 200, {"ttl_ms": ttl_s * 1000.0}
+
+    def _expire(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for lease, (until_s, _) in list(self._leases.items()):
+            if now_s >= until_s:
+                self._end(lease)
+
+    def _end(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for key, item in list(self._items.items()):
+            if item["lease"] == lease:
+                self.remove(key)
--- /dev/null
+++ b/tests/test_platform_whole.py
@@ -0,0 +1,118 @@
+"""Whole router processes before the platform's stand-ins, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from standins.fleet import KEY, MODEL, LoopbackDeployment
+from tests.relay_support import CallerAnswer, read_answer
+from winchfork.router.settings import RouterSettings
+
+_PATIENCE_S = 25.0
+_HEAD = (
+    "POST {path} HTTP/1.1\r\nHost: proofs.example\r\nX-Request-Id: {request_id}\r\n"
+    "X-Key: {key}\r\nX-Deadline-Ms: 6000\r\n{extra}Content-Length: 4\r\n\r\nbody"
+)
+
+
+def _request(request_id: str, tokens_out: int = 0) -> bytes:
+    if not tokens_out:
+        return _HEAD.format(path="/roster/x", request_id=request_id, key=KEY, extra="").encode()
+    extra = (
+        f"X-Model: {MODEL}\r\nX-Token-Usage: 1460,{tokens_out}\r\n"
+        "X-Prefix-Hash: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
+    )
+    text = _HEAD.format(path="/review/x", request_id=request_id, key=KEY, extra=extra)
+    return text.encode()
+
+
+async def _ask(settings: RouterSettings, message: bytes) -> CallerAnswer:
+    host, _, port = settings.caller_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(message)
+    answer = await asyncio.wait_for(read_answer(reader), _PATIENCE_S)
+    writer.close()
+    return answer
+
+
+def _numbers(answer: CallerAnswer) -> list[int]:
+    lines = answer.body.decode().splitlines()
+    return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+class WholePathTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.deployment = LoopbackDeployment()
+        await self.deployment.start()
+        await asyncio.wait_for(self.deployment.wait_until_ready(), _PATIENCE_S)
+
+    async def asyncTearDown(self) -> None:
+        await self.deployment.stop()
+
+    async def test_streams_and_commands_pass_through_every_router(self) -> None:
+        for number, settings in enumerate(self.deployment.settings):
+            stream = await _ask(settings, _request(f"stream-{number}", tokens_out=12))
+            self.assertTrue(stream.whole)
+            self.assertEqual(_numbers(stream), list(range(1, 13)))
+            command = await _ask(settings, _request(f"command-{number}"))
+            self.assertEqual(command.status, 200)
+        ran = [name for replica in self.deployment.applications for name in replica.ran]
+        self.assertEqual(sorted(ran), ["command-0", "command-1", "command-2"])
+
+    async def test_a_torn_stream_goes_on_at_another_replica(self) -> None:
+        for replica in self.deployment.models:
+            replica.tear_at_event = 5
+        answer = await _ask(self.deployment.settings[0], _request("torn", tokens_out=9))
+        # Two replicas may be asked, and both tear: the answer must then look torn.
+        self.assertFalse(answer.whole)
+        self.assertEqual(_numbers(answer), [1, 2, 3, 4])
+        for replica in self.deployment.models[1:]:
+            replica.tear_at_event = 0
+        self.deployment.models[0].tear_at_event = 5
+        answers = [
+            await _ask(self.deployment.settings[0], _request(f"whole-{number}", tokens_out=9))
+            for number in range(3)
+        ]
+        for answer in answers:
+            self.assertTrue(answer.whole)
+            self.assertEqual(_numbers(answer), list(range(1, 10)))
+
+    async def test_weights_are_rolled_out_while_streams_pass(self) -> None:
+        settings = self.deployment.settings
+        self.deployment.name_weights(2)
+        number = 0
+        while any(replica.version != 2 for replica in self.deployment.models):
+            self.assertLess(number, 2000)
+            answer = await _ask(settings[number % 3], _request(f"during-{number}", tokens_out=3))
+            self.assertIn(answer.status, (200, 503))
+            self.assertTrue(answer.whole)
+            number += 1
+        fences = {replica.fence for replica in self.deployment.models}
+        self.assertEqual(len(fences), 1)
+
+    async def test_a_planned_stop_finishes_its_streams(self) -> None:
+        router, settings = self.deployment.routers[0], self.deployment.settings[0]
+        asking = asyncio.create_task(_ask(settings, _request("stopping", tokens_out=300)))
+        while not router.service.active_requests:
+            await asyncio.sleep(0.01)
+        router.ask_to_stop()
+        answer = await asking
+        self.assertTrue(answer.whole)
+        self.assertEqual(_numbers(answer), list(range(1, 301)))
+        await asyncio.wait_for(self.deployment.tasks[0], _PATIENCE_S)
+        with self.assertRaises(OSError):
+            await _ask(settings, _request("late", tokens_out=3))
+
+    async def test_a_lost_store_fails_closed_and_heals(self) -> None:
+        settings, router = self.deployment.settings[0], self.deployment.routers[0]
+        self.deployment.store.down = True
+        while router.state.keys_fresh:
+            await asyncio.sleep(0.05)
+        refused = await _ask(settings, _request("stale"))
+        self.assertEqual(refused.status, 503)
+        self.assertIn(b"configuration_stale", refused.body)
+        self.deployment.store.down = False
+        while not router.state.keys_fresh:
+            await asyncio.sleep(0.05)
+        self.assertEqual((await _ask(settings, _request("fresh"))).status, 200)
--- a/winchfork/platform/__main__.py
+++ b/winchfork/platform/__main__.py
@@ -5,12 +5,9 @@
 import sys
 
 from winchfork.errors import Failure
-from winchfork.platform.documents import PlatformDocuments
-from winchfork.platform.headers import PlatformDialect
-from winchfork.platform.replicas import PlatformReplicaControl
+from winchfork.platform.parts import platform_parts
 from winchfork.platform.settings import read_settings
-from winchfork.platform.store import PlatformStore
-from winchfork.router.process import RouterParts, run_router
+from winchfork.router.process import run_router
 
 
 def main() -> int:
@@ -19,13 +16,7 @@
     if isinstance(settings, Failure):
         print(f"winchfork: {settings}", file=sys.stderr)
         return 2
-    parts = RouterParts(
-        dialect=PlatformDialect(),
-        documents=PlatformDocuments(),
-        make_store=PlatformStore,
-        make_control=PlatformReplicaControl,
-    )
-    return run_router(settings, parts, read_settings)
+    return run_router(settings, platform_parts(), read_settings)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/winchfork/platform/parts.py
@@ -0,0 +1,19 @@
+"""The platform's translations, bundled for a router process."""
+
+from __future__ import annotations
+
+from winchfork.platform.documents import PlatformDocuments
+from winchfork.platform.headers import PlatformDialect
+from winchfork.platform.replicas import PlatformReplicaControl
+from winchfork.platform.store import PlatformStore
+from winchfork.router.process import RouterParts
+
+
+def platform_parts() -> RouterParts:
+    """Return what a router needs to run on the platform."""
+    return RouterParts(
+        dialect=PlatformDialect(),
+        documents=PlatformDocuments(),
+        make_store=PlatformStore,
+        make_control=PlatformReplicaControl,
+    )
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -127,6 +127,11 @@
         self._membership.leave()
         self._send_all(self._membership.tick(self._loop.time()))
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
     def members(self) -> int:
         """Return how many daemons are believed to work, this one included."""
         return len(self._membership.members())
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -75,7 +75,8 @@
         self._read_settings = read_settings
         self.state = RouterState(settings, loop.time, generator)
         self._pool = ConnectionPool()
-        self._calls = HttpCaller(ConnectionPool())
+        self._call_pool = ConnectionPool()
+        self._calls = HttpCaller(self._call_pool)
         self.service = RouterService(self.state, self._pool, parts.dialect)
         store = parts.make_store(self._calls, settings.store_address)
         self._peers = PeerGroup(self.state, generator)
@@ -95,11 +96,18 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_asked = asyncio.Event()
 
+    def take_signals(self) -> None:
+        """Stop as planned on SIGTERM and SIGINT, read the settings again on SIGHUP."""
+        self._loop.add_signal_handler(signal.SIGTERM, self.ask_to_stop)
+        self._loop.add_signal_handler(signal.SIGINT, self.ask_to_stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def ask_to_stop(self) -> None:
+        """Begin a planned stop; :meth:`run` returns when it is done."""
+        self._stop_asked.set()
+
     async def run(self) -> None:
         """Serve until a stop is asked for, then stop as planned."""
-        self._loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
-        self._loop.add_signal_handler(signal.SIGINT, self._stop_asked.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._listen()
         await self._peers.open()
         for duty in (
@@ -160,6 +168,7 @@
             await asyncio.sleep(SWEEP_PERIOD_S)
             now_s = self._loop.time()
             self.service.sweep(now_s)
+            self._call_pool.sweep(now_s)
             self._sync.expire_vanished(now_s)
 
     def _reload(self) -> None:
@@ -194,7 +203,9 @@
         self._peers.leave()
         for task in self._tasks:
             task.cancel()
+        self._peers.close()
         self._pool.close()
+        self._call_pool.close()
         log_event(
             "router_stopped",
             took_s=self._loop.time() - asked_s,
@@ -215,7 +226,9 @@
     async def main() -> None:
         flushing = asyncio.get_running_loop().create_task(flush_logs())
         try:
-            await RouterProcess(settings, parts, read_settings).run()
+            process = RouterProcess(settings, parts, read_settings)
+            process.take_signals()
+            await process.run()
         finally:
             flushing.cancel()
 
