Notice a silent replica after 0.8 s and leave it alone at once

Change: unacknowledged bytes end a connection after 0.8 s, a connection must come up within 0.6 s, and such silence counts as certain.

--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -107,7 +107,7 @@
         if isinstance(item, AnswerEnd):
             return self._take_end()
         if isinstance(item, AnswerBroken):
-            return self._take_break(item.reason)
+            return self._take_break(item)
         if isinstance(item, CallerLeft):
             return self._stop(StopCause.CALLER_LEFT)
         if isinstance(item, TimeLimit):
@@ -178,10 +178,10 @@
         self._answer.finish()
         return Delivered(200)
 
-    def _take_break(self, reason: str) -> Outcome:
+    def _take_break(self, item: AnswerBroken) -> Outcome:
         if self._head is not None and self._fields is not None and self._fields.not_run:
             return NotRun("the replica's refusal broke off", True)
-        return MayHaveRun(f"connection {reason}")
+        return MayHaveRun(f"connection {item.reason}", silent=item.silent)
 
     def _stop(self, cause: StopCause) -> Outcome:
         self._abandon()
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -13,7 +13,7 @@
 from winchfork.router.replica_connection import ReplicaConnection
 
 #: Seconds for a connection to come up.
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.6
 #: Idle connections are closed after this long.
 IDLE_CLOSE_S = 12.0
 
--- a/winchfork/router/http_types.py
+++ b/winchfork/router/http_types.py
@@ -113,11 +113,11 @@
 class AnswerBroken:
     """The connection ended or spoke nonsense before the answer was whole.
 
-    ``sent`` is False only when no byte of the request can have left this machine.
+    ``silent``: nothing that was sent has been acknowledged for a while.
     """
 
     reason: str
-    sent: bool = True
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -44,10 +44,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MayHaveRun:
-    """The request may have run. ``answer`` is the replica's failure, where it gave a whole one."""
+    """The request may have run. ``answer`` is the replica's failure, where it gave a whole one.
+
+    ``silent``: the replica, or the way to it, does not even acknowledge what is sent.
+    """
 
     reason: str
     answer: BufferedAnswer | None = None
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -259,7 +259,7 @@
         elif isinstance(outcome, NotRun) and outcome.sent and not outcome.same_replica:
             replica.loading_until_s = max(replica.loading_until_s, now_s + REFUSED_HOLD_S)
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
-            self._state.note_failure(replica, outcome.reason)
+            self._state.note_failure(replica, outcome.reason, certain=outcome.silent)
 
     def _note_kept(self, replica: RelayReplica, version: int | None, saved: bool) -> None:
         """The prompt has been read: its shared parts are kept there, and in the store if saved."""
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -26,7 +26,7 @@
 )
 
 #: Milliseconds that sent bytes may stay unacknowledged before the connection is given up.
-USER_TIMEOUT_MS = 1_500
+USER_TIMEOUT_MS = 800
 #: Seconds of silence before keep-alive probes, and between them; probes without an answer.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -150,7 +150,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """The connection is gone."""
         self.closed = True
-        self._break("reset" if error else "closed")
+        self._break(_end_of(error), silent=isinstance(error, TimeoutError))
 
     # httptools callbacks
 
@@ -231,14 +231,20 @@
             exchange.deliver(AnswerEnd())
         self._on_idle(self)
 
-    def _break(self, reason: str) -> None:
+    def _break(self, reason: str, *, silent: bool = False) -> None:
         exchange, self._exchange = self._exchange, None
         self.close()
         if exchange is not None:
-            exchange.deliver(AnswerBroken(reason))
+            exchange.deliver(AnswerBroken(reason, silent))
         self._on_idle(self)
 
 
+def _end_of(error: Exception | None) -> str:
+    if error is None:
+        return "closed"
+    return "silent" if isinstance(error, TimeoutError) else "reset"
+
+
 def _content_length(headers: Headers) -> int | None:
     value = find_header(headers, b"content-length")
     return int(value) if value is not None and value.isdigit() else None
