Guarantees on the platform, each taken out once; two tests that were missing

Cause: 29 mechanisms were removed one by one on a scratch copy; two removals went unnoticed: a stream whose framing is whole but which ends inside an event, and a draining replica that gets a request.

Change: a test for each, seen to fail without its mechanism.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -217,6 +217,18 @@
         seen = replica.seen[0].headers
         self.assertEqual((seen["x-expected-version"], seen["x-cache-salt"]), ("1", "-/m/1"))
 
+    async def test_a_stream_that_ends_inside_an_event_is_torn_whatever_its_framing(self) -> None:
+        def cut_short(request: SeenRequest) -> bytes:
+            pieces = chunk(event(1)) + chunk(b"id: 2\ndata: pie")
+            return stream_head(request) + pieces + b"0\r\n\r\n"
+
+        relay = await self.relay(
+            ScriptedReplica(answering(cut_short)), kind=RouteKind.STREAMING, max_attempts=1
+        )
+        answer = await relay.ask(method="POST", extra=ENGINE)
+        self.assertFalse(answer.whole)
+        self.assertEqual(answer.body, event(1))
+
     async def test_a_torn_stream_that_cannot_be_resumed_looks_torn(self) -> None:
         def torn(request: SeenRequest) -> bytes:
             return stream_head(request) + chunk(event(1)) + chunk(b"id: 2\ndata: pie")
@@ -293,6 +305,20 @@
         self.assertEqual(len(replica.seen), 1)
 
 
+class DrainingTest(RelayTestCase):
+    async def test_a_draining_replica_gets_nothing_new(self) -> None:
+        draining, ready = (ScriptedReplica(answering(lambda r: signed(r, b"ok"))) for _ in range(2))
+        relay = await self.relay(draining, ready)
+        self.assertEqual((await relay.ask("id-1")).status, 200)
+        self.assertEqual(len(draining.seen), 1)
+        relay.add(draining, "i-0", accepting=False)
+        for number in range(4):
+            self.assertEqual((await relay.ask(f"id-1{number}")).status, 200)
+        self.assertEqual((len(draining.seen), len(ready.seen)), (1, 4))
+        relay.add(ready, "i-1", accepting=False)
+        self.assert_not_run(await relay.ask("id-9"))
+
+
 class LeavingTest(RelayTestCase):
     async def test_a_caller_that_leaves_is_carried_to_the_replica(self) -> None:
         replica = ScriptedReplica(never_answering)
