A fault soak of our own: router processes, faults from outside, promises judged by callers

Change: standins/soak.py starts router processes behind proxies, injects signals, cuts, resets, delays, crashes and a store that refuses, and judges commands, streams and orders. A metrics port that is taken no longer ends a router (found when two soaks ran at once).

The first tries failed in the harness itself (a proxy without a target, a socket closed twice).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PIP_FLAGS := --disable-pip-version-check --no-compile --quiet
 DURATION ?= 300
 
-.PHONY: run run-platform test check format spec fuzz proto clean
+.PHONY: run run-platform soak test check format spec fuzz proto clean
 
 $(VENV)/.runtime: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,9 @@
 run-platform: $(VENV)/.runtime
 	$(BIN)/python -m standins
 
+soak: $(VENV)/.runtime
+	$(BIN)/python -m standins.soak --seconds $(DURATION)
+
 test: $(VENV)/.dev
 	$(BIN)/python -m tests.run
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -74,8 +74,8 @@
 }
 
 
-class LoopbackDeployment:
-    """Three routers, four model replicas, two application replicas and the store."""
+class Surroundings:
+    """What routers run among: the store, four model replicas and two application replicas."""
 
     def __init__(self) -> None:
         self.store = StoreServer()
@@ -87,65 +87,82 @@
             ReplicaServer(self.store, f"i-app-{number}", "editing", ZONES[number])
             for number in range(2)
         ]
-        self._peer_port = _free_port("127.0.0.1", socket.SOCK_DGRAM)
-        self.settings: list[RouterSettings] = []
-        self.routers: list[RouterProcess] = []
-        self.tasks: list[asyncio.Task[None]] = []
+        self._peer_port = free_port("127.0.0.1", socket.SOCK_DGRAM)
 
     async def start(self) -> None:
-        """Start everything; the routers learn the rest from the store."""
+        """Start the store with a configuration, and the replicas."""
         await self.store.start()
         self.store.put("op/config", _CONFIGURATION)
-        self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": 1})
+        self.name_weights(1)
         for replica in (*self.models, *self.applications):
             await replica.start()
-        for number, zone in enumerate(ZONES, start=1):
-            self._add_router(number, zone)
 
-    def _add_router(self, number: int, zone: str) -> None:
-        settings = parse_settings(self._settings_text(number, zone))
-        if isinstance(settings, Failure):
-            raise ValueError(str(settings))
-        settings = dataclasses.replace(settings, metrics_address=f"{settings.machine_ip}:0")
-        router = RouterProcess(settings, platform_parts(), lambda: settings)
-        self.settings.append(settings)
-        self.routers.append(router)
-        self.tasks.append(asyncio.create_task(router.run()))
+    async def stop(self) -> None:
+        """Stop everything."""
+        for replica in (*self.models, *self.applications):
+            await replica.stop()
+        await self.store.stop()
+
+    def name_weights(self, version: int) -> None:
+        """Name new weights, as operators do."""
+        self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": version})
 
-    def _settings_text(self, number: int, zone: str) -> str:
+    def settings_text(self, number: int, zone: str, store_address: str = "") -> str:
+        """Return the settings file of router ``number``, in the platform's form."""
         ip = f"127.0.0.{number}"
         lines = [
             f"Node=front-{zone}",
             f"Ip={ip}",
             f"Zone={zone}",
-            f"ListenAddresses.Front={ip}:{_free_port(ip)}",
-            f"ListenAddresses.Readiness={ip}:{_free_port(ip)}",
+            f"ListenAddresses.Front={ip}:{free_port(ip)}",
+            f"ListenAddresses.Readiness={ip}:{free_port(ip)}",
             f"InternalPorts={self._peer_port},{self._peer_port}",
             "Seeds=127.0.0.1:1",
-            f"Platform.Address={self.store.address}",
+            f"Platform.Address={store_address or self.store.address}",
         ]
         return "\n".join(lines)
 
+
+class LoopbackDeployment(Surroundings):
+    """Three routers in this process among the stand-ins."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.settings: list[RouterSettings] = []
+        self.routers: list[RouterProcess] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start everything; the routers learn the rest from the store."""
+        await super().start()
+        for number, zone in enumerate(ZONES, start=1):
+            self._add_router(number, zone)
+
+    def _add_router(self, number: int, zone: str) -> None:
+        settings = parse_settings(self.settings_text(number, zone))
+        if isinstance(settings, Failure):
+            raise ValueError(str(settings))
+        settings = dataclasses.replace(settings, metrics_address=f"{settings.machine_ip}:0")
+        router = RouterProcess(settings, platform_parts(), lambda: settings)
+        self.settings.append(settings)
+        self.routers.append(router)
+        self.tasks.append(asyncio.create_task(router.run()))
+
     async def wait_until_ready(self) -> None:
         """Return once every router wants callers."""
         while not all(router.state.ready and len(router.state.fleet) for router in self.routers):
             await asyncio.sleep(0.02)
 
-    def name_weights(self, version: int) -> None:
-        """Name new weights, as operators do."""
-        self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": version})
-
     async def stop(self) -> None:
         """Stop everything, the routers as planned."""
         for router in self.routers:
             router.ask_to_stop()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        for replica in (*self.models, *self.applications):
-            await replica.stop()
-        await self.store.stop()
+        await super().stop()
 
 
-def _free_port(ip: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+def free_port(ip: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """Return a port of ``ip`` that is free now."""
     with socket.socket(socket.AF_INET, kind) as probe:
         probe.bind((ip, 0))
         port: int = probe.getsockname()[1]
--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -31,6 +31,8 @@
         self.load_s = 0.1
         #: Ids of the requests that ran here, in order.
         self.ran: list[str] = []
+        #: Orders as they came: time of the loop's clock, holder and fence.
+        self.orders: list[tuple[float, str, int]] = []
         #: Breaks the next stream off inside this event; 0: none.
         self.tear_at_event = 0
         self._http = HttpServer(self._handle)
@@ -85,6 +87,8 @@
         }
 
     def _order(self, order: dict[str, Any]) -> int:
+        now_s = asyncio.get_running_loop().time()
+        self.orders.append((now_s, order["Holder"], order["FencingToken"]))
         if order["FencingToken"] < self.fence:
             return 412
         if self.loading or order.get("Expected", self.sequence) != self.sequence:
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -143,9 +143,14 @@
         await self._serve_on(settings.caller_address, lambda: CallerConnection(self.service))
         await self._serve_on(settings.readiness_address, lambda: TextConnection(self._readiness))
         if settings.metrics_address:
-            await self._serve_on(
-                settings.metrics_address, lambda: TextConnection(self._metrics_page)
-            )
+            await self._serve_metrics(settings.metrics_address)
+
+    async def _serve_metrics(self, address: str) -> None:
+        """Serve the metrics page; a port that is taken costs the page, not the router."""
+        try:
+            await self._serve_on(address, lambda: TextConnection(self._metrics_page))
+        except OSError as error:
+            log_event("metrics_unavailable", "WARNING", address=address, reason=repr(error))
 
     async def _serve_on(self, address: str, factory: Callable[[], asyncio.Protocol]) -> None:
         host, _, port = address.rpartition(":")
