--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -25,8 +25,7 @@
 class ReplicaListing:
     """What the platform's list says of one replica.
 
-    ``versions`` maps each model to the version of its weights; ``sequence`` counts heartbeats or
-    orders and decides nothing here.
+    ``versions`` maps each model to the version of its weights.
     """
 
     replica_id: str
--- a/winchfork/platform/names.py
+++ b/winchfork/platform/names.py
@@ -50,5 +50,4 @@
 CONFIGURATION_KEY: Final = "op/config"
 VERSION_PREFIX: Final = "op/version/"
 REPLICA_PREFIX: Final = "servers/"
-OWN_PREFIX: Final = "winchfork/"
 STATUS_MISDIRECTED: Final = 421
--- /dev/null
+++ b/winchfork/router/dispatch.py
@@ -0,0 +1,132 @@
+"""What of one request is sent where: the choice of a replica, and the message for it."""
+
+from __future__ import annotations
+
+from winchfork.core.part_index import part_key
+from winchfork.core.prompt_parts import CacheScope, Prompt
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_placement import (
+    PromptPlacement,
+    RelayDecision,
+    place_prompt,
+    place_task,
+)
+from winchfork.router.attempt import AttemptPlan
+from winchfork.router.dialect import Dialect, DispatchFields
+from winchfork.router.http_types import IncomingRequest, render_headers
+from winchfork.router.state import AdmittedRequest, RouterState
+
+#: The least urgent priority that replicas know.
+_LEAST_URGENT = 9
+
+
+class Dispatch:
+    """One admitted request as its attempts see it."""
+
+    def __init__(
+        self,
+        state: RouterState,
+        dialect: Dialect,
+        request: IncomingRequest,
+        admitted: AdmittedRequest,
+        service: str,
+    ) -> None:
+        self._state = state
+        self._dialect = dialect
+        self._request = request
+        self._admitted = admitted
+        self._service = service
+        self._prompt = admitted.fields.prompt
+
+    def place(self, tried: set[str]) -> RelayDecision | None:
+        """Return the best replica that was not tried yet, or None when none takes work."""
+        candidates = self._state.available(self._service, tried, self._prompt)
+        now_s = self._state.clock()
+        zone = self._state.settings.zone
+        if self._prompt is None:
+            return place_task(zone, candidates, now_s)
+        store = self._state.cache_store
+        request = PromptPlacement(
+            prompt=self._prompt,
+            scope=self._scope(self._prompt),
+            zone=zone,
+            now_s=now_s,
+            run_s=self._prompt.output_tokens * self._state.token_s,
+            copy_tokens_per_s=self._state.copy_tokens_per_s(self._service),
+            store=store,
+        )
+        sources = [*self._state.fleet.of_service(self._service), *([store] if store else [])]
+        return place_prompt(request, candidates, sources, self._state.parts)
+
+    def plan(
+        self, decision: RelayDecision, time_left_s: float, resume_after: int | None
+    ) -> AttemptPlan:
+        """Return the attempt at the chosen replica."""
+        replica = decision.replica
+        prompt = self._prompt
+        version = replica.versions.get(prompt.model) if prompt else None
+        fields = self._fields(decision, version, time_left_s, resume_after)
+        return AttemptPlan(
+            replica=replica,
+            message=self._message(fields),
+            request_id=self._admitted.fields.request_id,
+            kind=self._admitted.route.kind,
+            unread_tokens=decision.unread_tokens,
+            model=prompt.model if prompt else "",
+            weights_version=version,
+            no_body=self._request.method == b"HEAD",
+            ends_s=self._state.clock() + self._expected_run_s(decision),
+            on_read=lambda: self._note_kept(replica, version, decision.save),
+        )
+
+    def _fields(
+        self,
+        decision: RelayDecision,
+        version: int | None,
+        time_left_s: float,
+        resume_after: int | None,
+    ) -> DispatchFields:
+        prompt = self._prompt
+        tenant = self._admitted.tenant
+        store = self._state.cache_store
+        return DispatchFields(
+            deadline_s=time_left_s,
+            replica_id=decision.replica.replica_id,
+            tenant=tenant.name if tenant else None,
+            priority=min(_LEAST_URGENT, self._admitted.priority) if prompt else None,
+            namespace=self._scope(prompt).namespace(version or 0) if prompt else None,
+            weights_version=version,
+            resume_after=resume_after,
+            copy_from=decision.copy_from.listing.address if decision.copy_from else None,
+            save_to=store.listing.address if store and decision.save else None,
+        )
+
+    def _message(self, fields: DispatchFields) -> bytes:
+        request = self._request
+        headers = self._dialect.dispatch_headers(request.headers, fields)
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            headers.append((b"Content-Length", str(len(request.body)).encode()))
+        start_line = b"%b %b HTTP/1.1" % (request.method, request.target)
+        return render_headers(start_line, headers) + request.body
+
+    def _scope(self, prompt: Prompt) -> CacheScope:
+        tenant = self._admitted.tenant
+        isolated = tenant is not None and tenant.isolated
+        return CacheScope.of(tenant.name if tenant else "", isolated, prompt.model)
+
+    def _expected_run_s(self, decision: RelayDecision) -> float:
+        if self._prompt is None:
+            return decision.cost_s
+        return decision.cost_s + self._prompt.output_tokens * self._state.token_s
+
+    def _note_kept(self, replica: RelayReplica, version: int | None, saved: bool) -> None:
+        """The prompt has been read: its shared parts are kept there, and in the store if saved."""
+        prompt = self._prompt
+        if prompt is None or version is None:
+            return
+        namespace = self._scope(prompt).namespace(version)
+        keys = [part_key(namespace, part) for part in prompt.shared]
+        self._state.note_kept(replica, keys)
+        store = self._state.cache_store
+        if saved and store is not None:
+            self._state.note_kept(store, keys)
--- a/winchfork/router/inbox.py
+++ b/winchfork/router/inbox.py
@@ -37,10 +37,6 @@
                 self._waiter = None
         return self._items.popleft()
 
-    def take_nowait(self) -> Progress | None:
-        """Return the next item if there is one."""
-        return self._items.popleft() if self._items else None
-
     def drop_answers(self) -> None:
         """Drop what an abandoned exchange has left behind."""
         kept = [item for item in self._items if isinstance(item, (CallerLeft, TimeLimit))]
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -10,25 +10,17 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from winchfork.core.part_index import part_key
-from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
-from winchfork.core.relay_placement import (
-    PromptPlacement,
-    RelayDecision,
-    place_prompt,
-    place_task,
-)
+from winchfork.core.relay_placement import RelayDecision
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
 from winchfork.router.attempt import Attempt, AttemptPlan
 from winchfork.router.caller_answer import CallerAnswer
-from winchfork.router.dialect import DispatchFields
+from winchfork.router.dispatch import Dispatch
 from winchfork.router.http_types import (
     CallerLeft,
     IncomingRequest,
     TimeLimit,
-    render_headers,
 )
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import Delivered, MayHaveRun, NotRun, Outcome, StopCause, Stopped
@@ -76,12 +68,14 @@
         self._connection = connection
         self._attempt: Attempt | None = None
         self._backend = self._state.choose_service(admitted.route)
+        self._dispatch = Dispatch(service.state, service.dialect, request, admitted, self._backend)
         self._ends_at_s = request.received_s + self._time_allowed_s()
         self._tried: set[str] = set()
         self._sends = 0
         self._version_tries = 0
         self._may_have_run = False
         self._outcome = "?"
+        self._reason = ""
 
     # ActiveRequest
 
@@ -139,7 +133,7 @@
         patience_s = self._route.target_latency_s * _PATIENCE_SHARE or _DEFAULT_PATIENCE_S
         wait_until_s = min(self._loop.time() + patience_s, self._ends_at_s)
         while True:
-            decision = self._place()
+            decision = self._dispatch.place(self._tried)
             if decision is not None:
                 return decision
             if self._loop.time() >= wait_until_s:
@@ -153,25 +147,6 @@
             if isinstance(item, TimeLimit) and item.name == _DEADLINE:
                 return Stopped(StopCause.DEADLINE)
 
-    def _place(self) -> RelayDecision | None:
-        prompt = self._admitted.fields.prompt
-        candidates = self._state.available(self._backend, self._tried, prompt)
-        zone = self._state.settings.zone
-        if prompt is None:
-            return place_task(zone, candidates, self._loop.time())
-        rate = self._state.copy_tokens_per_s(self._backend)
-        store = self._state.cache_store
-        run_s = prompt.output_tokens * self._state.token_s
-        now_s = self._loop.time()
-        request = PromptPlacement(prompt, self._scope(prompt), zone, now_s, run_s, rate, store)
-        sources = [*self._state.fleet.of_service(self._backend), *([store] if store else [])]
-        return place_prompt(request, candidates, sources, self._state.parts)
-
-    def _scope(self, prompt: Prompt) -> CacheScope:
-        tenant = self._admitted.tenant
-        isolated = tenant is not None and tenant.isolated
-        return CacheScope.of(tenant.name if tenant else "", isolated, prompt.model)
-
     # One attempt
 
     async def _try(self, decision: RelayDecision) -> Outcome:
@@ -184,7 +159,7 @@
         if self._time_left_s() <= 0 or not self._still_wanted(replica):
             self._service.pool.give_back(address, connection)
             return NotRun("the replica is leaving or the time is up", sent=False)
-        plan = self._plan(decision)
+        plan = self._dispatch.plan(decision, self._time_left_s(), self._resume_after())
         self._attempt = Attempt(plan, connection, self._inbox, self._answer, self._service.dialect)
         self._sends += 1
         sent_s = self._loop.time()
@@ -203,46 +178,6 @@
             self._state.note_failure(replica, failure.reason, certain=True)
         return NotRun(failure.reason, sent=False)
 
-    def _plan(self, decision: RelayDecision) -> AttemptPlan:
-        replica = decision.replica
-        prompt = self._admitted.fields.prompt
-        version = replica.versions.get(prompt.model) if prompt else None
-        tenant = self._admitted.tenant
-        store = self._state.cache_store
-        fields = DispatchFields(
-            deadline_s=self._time_left_s(),
-            replica_id=replica.replica_id,
-            tenant=tenant.name if tenant else None,
-            priority=min(9, self._admitted.priority) if prompt else None,
-            namespace=self._scope(prompt).namespace(version or 0) if prompt else None,
-            weights_version=version,
-            resume_after=self._resume_after(),
-            copy_from=decision.copy_from.listing.address if decision.copy_from else None,
-            save_to=store.listing.address if store and decision.save else None,
-        )
-        headers = self._service.dialect.dispatch_headers(self._request.headers, fields)
-        if self._request.body or self._request.method not in (b"GET", b"HEAD"):
-            headers.append((b"Content-Length", str(len(self._request.body)).encode()))
-        start_line = b"%b %b HTTP/1.1" % (self._request.method, self._request.target)
-        return AttemptPlan(
-            replica=replica,
-            message=render_headers(start_line, headers) + self._request.body,
-            request_id=self._id,
-            kind=self._route.kind,
-            unread_tokens=decision.unread_tokens,
-            model=prompt.model if prompt else "",
-            weights_version=version,
-            no_body=self._request.method == b"HEAD",
-            ends_s=self._loop.time() + self._expected_run_s(decision),
-            on_read=lambda: self._note_kept(replica, version, decision.save),
-        )
-
-    def _expected_run_s(self, decision: RelayDecision) -> float:
-        prompt = self._admitted.fields.prompt
-        if prompt is None:
-            return decision.cost_s
-        return decision.cost_s + prompt.output_tokens * self._state.token_s
-
     def _resume_after(self) -> int | None:
         """Return the id of the last event that the caller has."""
         if self._answer.last_event_id is not None:
@@ -261,18 +196,6 @@
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
             self._state.note_failure(replica, outcome.reason, certain=outcome.silent)
 
-    def _note_kept(self, replica: RelayReplica, version: int | None, saved: bool) -> None:
-        """The prompt has been read: its shared parts are kept there, and in the store if saved."""
-        prompt = self._admitted.fields.prompt
-        if prompt is None or version is None:
-            return
-        namespace = self._scope(prompt).namespace(version)
-        keys = [part_key(namespace, part) for part in prompt.shared]
-        self._state.note_kept(replica, keys)
-        store = self._state.cache_store
-        if saved and store is not None:
-            self._state.note_kept(store, keys)
-
     # What follows an attempt
 
     def _goes_on(self, replica: RelayReplica, outcome: Outcome) -> bool:
@@ -358,8 +281,6 @@
 
     # Logs
 
-    _reason = ""
-
     def _log_sent(self, decision: RelayDecision, plan: AttemptPlan) -> None:
         log_event(
             "request_sent",
--- a/winchfork/router/settings.py
+++ b/winchfork/router/settings.py
@@ -39,7 +39,6 @@
     readiness_address: str
     store_address: str
     metrics_address: str = ""
-    metrics_path: str = "/metrics"
     peer_ports: tuple[int, int] = (0, 0)
     zones: tuple[str, ...] = ()
     seeds: tuple[str, ...] = ()
