Spend no turn and no request on an incarnation that has ended

Change: a new listing at an address, or a 421 that names another id, ends the old incarnation here at once; three reports without an answer give the turn to another replica.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -303,6 +303,8 @@
         relay.state.versions["m"].note(2, relay.state.clock())
         self.assert_not_run(await relay.ask(method="POST", extra=ENGINE))
         self.assertEqual(len(replica.seen), 1)
+        self.assert_not_run(await relay.ask("id-2", method="POST", extra=ENGINE))
+        self.assertEqual(len(replica.seen), 1)
 
 
 class DrainingTest(RelayTestCase):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -37,6 +37,7 @@
         self.next_version = 1
         self.lose_next = 0
         self.late_s = 0.0
+        self.superseded = False
         self.loads: list[int] = []
 
     def settle(self, now_s: float) -> None:
@@ -46,6 +47,8 @@
 
     def take(self, order: WeightsOrder, now_s: float) -> OrderOutcome:
         self.settle(now_s)
+        if self.superseded:
+            return OrderOutcome.OTHER_REPLICA
         if order.fence < self.fence:
             return OrderOutcome.FENCED
         if order.expected_sequence != self.sequence or self.next_version != self.version:
@@ -252,3 +255,26 @@
             self.assertIn("i-9", available)
 
         run_virtually(scenario())
+
+    def test_a_turn_is_not_spent_on_a_replica_that_has_ended(self) -> None:
+        """scale-2 (hyt-kathmandu): orders to incarnations that had crashed held a slot for 4 s."""
+
+        async def scenario() -> None:
+            replicas = [FakeReplica(f"i-{number}") for number in range(3)]
+            fleet = Fleet(replicas)
+            replicas[0].superseded = replicas[1].superseded = True
+            await asyncio.sleep(4.0)
+            fleet.name(2)
+            await asyncio.sleep(4.0)
+            self.assertEqual(replicas[2].version, 2)
+
+        run_virtually(scenario())
+
+    def test_a_new_incarnation_at_an_address_ends_the_old_one(self) -> None:
+        async def scenario() -> None:
+            fleet = Fleet([FakeReplica("i-0")])
+            fleet.state.fleet.install(ReplicaListing("i-1", "s", "i-0", "z1", 8, True, {MODEL: 1}))
+            available = [item.replica_id for item in fleet.state.available("s", set(), PROMPT)]
+            self.assertEqual(available, ["i-1"])
+
+        run_virtually(scenario())
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -54,6 +54,8 @@
     ejections_in_row: int = 0
     avoided_until_s: float = 0.0
     loading_until_s: float = 0.0
+    #: Another incarnation answers at its address: this one has ended, whatever the list says.
+    superseded: bool = False
     #: Until then a rollout is about to order it: long requests had better go elsewhere.
     next_until_s: float = 0.0
     peer_busy_until_s: float = 0.0
@@ -64,6 +66,11 @@
         """The id of this incarnation."""
         return self.listing.replica_id
 
+    @property
+    def accepting(self) -> bool:
+        """Whether it may be given work at all."""
+        return self.listing.accepting and not self.superseded
+
     @property
     def queued_tokens(self) -> int:
         """Prompt tokens sent to it, by all daemons as far as known, that it has not read yet."""
@@ -130,6 +137,7 @@
         known = self._replicas.get(listing.replica_id)
         if known is None:
             known = RelayReplica(listing, dict(listing.versions), member_hash(listing.replica_id))
+            self._supersede(listing.address)
             self._replicas[listing.replica_id] = known
         else:
             known.listing = listing
@@ -138,6 +146,12 @@
         self._index()
         return known
 
+    def _supersede(self, address: str) -> None:
+        """A new incarnation at an address ends those that were listed there before."""
+        for replica in self._replicas.values():
+            if replica.listing.address == address:
+                replica.superseded = True
+
     def remove(self, replica_id: str) -> RelayReplica | None:
         """Forget a replica; None when it was not known."""
         removed = self._replicas.pop(replica_id, None)
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -154,7 +154,12 @@
         answer = BufferedAnswer(self._head, b"".join(self._body))
         status = self._head.status
         if self._fields.not_run or self._fields.misdirected:
-            return NotRun(f"replica answered {status}", True, self._wrong_version())
+            return NotRun(
+                f"replica answered {status}",
+                sent=True,
+                same_replica=self._wrong_version(),
+                superseded=self._other_incarnation(),
+            )
         if self._answer.started:
             return MayHaveRun(f"replica answered {status} to a resumed stream")
         if 200 <= status < 300:
@@ -171,6 +176,13 @@
         own = self._fields.replica_id == self._plan.replica.replica_id
         return self._fields.misdirected and own
 
+    def _other_incarnation(self) -> bool:
+        """Whether the refusal came from another replica than the one that is listed there."""
+        fields = self._fields
+        if fields is None or not fields.misdirected or fields.replica_id is None:
+            return False
+        return fields.replica_id != self._plan.replica.replica_id
+
     def _end_stream(self) -> Outcome:
         assert self._stream is not None
         if self._stream.torn:
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -35,11 +35,13 @@
     """The replica did not run the request and never will.
 
     ``same_replica`` asks for another try at the same replica: only its weights version was wrong.
+    ``superseded``: another incarnation answers at its address.
     """
 
     reason: str
     sent: bool
     same_replica: bool = False
+    superseded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -171,7 +171,7 @@
 
     def _still_wanted(self, replica: RelayReplica) -> bool:
         current = self._state.fleet.get(replica.replica_id)
-        return current is not None and current.listing.accepting
+        return current is not None and current.accepting
 
     def _unreached(self, replica: RelayReplica, failure: Failure) -> NotRun:
         if failure.kind is FailureKind.BACKEND_UNREACHABLE:
@@ -191,6 +191,8 @@
             replica.note_success(now_s - sent_s, now_s)
             if self._admitted.fields.prompt is not None:
                 self._state.note_run(self._admitted.fields.prompt.output_tokens, now_s - sent_s)
+        elif isinstance(outcome, NotRun) and outcome.superseded:
+            self._state.note_superseded(replica)
         elif isinstance(outcome, NotRun) and outcome.sent and not outcome.same_replica:
             replica.loading_until_s = max(replica.loading_until_s, now_s + REFUSED_HOLD_S)
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -40,6 +40,8 @@
 #: an order is waited for longer: its longest answer ends first.
 ORDER_PATIENCE_S = 4.0
 LOAD_PATIENCE_S = 12.0
+#: After this many reports in a row without an answer the replica's turn goes to another.
+MOST_UNHEARD = 3
 #: Reports lag behind by some hundred milliseconds.
 REPORT_LAG_S = 0.35
 
@@ -106,7 +108,7 @@
         return RolloutReplica(
             replica.replica_id,
             version,
-            replica.listing.accepting and now_s >= replica.avoided_until_s,
+            replica.accepting and now_s >= replica.avoided_until_s,
             max(0.0, replica.busy_until_s - now_s),
             replica.replica_id in self._under_order,
             history.due_s(version, self._state.settings.bounds.rollout_s),
@@ -132,9 +134,16 @@
         fence = self._leadership.fence
         await self._quieten(replica, model, fence)
         ordered = False
+        unheard = 0
         while self._goes_on(replica, begun_s, ordered):
             report = await self._control.report(replica.listing.address)
-            if isinstance(report, ReplicaReport):
+            if isinstance(report, Failure):
+                unheard += 1
+                if unheard >= MOST_UNHEARD:
+                    self._state.note_failure(replica, report.reason, certain=True)
+                    break
+            else:
+                unheard = 0
                 held = report.versions.get(model, 0)
                 if held >= version and not report.busy:
                     self._state.note_version(replica, model, held)
@@ -154,7 +163,7 @@
         Only giving orders needs the leadership. A replica that has taken one refuses requests until
         it is done, so peers must go on being told.
         """
-        if self._state.fleet.get(replica.replica_id) is None:
+        if self._state.fleet.get(replica.replica_id) is None or replica.superseded:
             return False
         waited_s = self._state.clock() - begun_s
         if ordered:
@@ -195,6 +204,8 @@
             running=report.running,
             outcome=outcome.kind.value if isinstance(outcome, Failure) else outcome.value,
         )
+        if outcome is OrderOutcome.OTHER_REPLICA:
+            self._state.note_superseded(replica)
         if isinstance(outcome, Failure):
             return outcome.ran is not RunState.NOT_RUN and await self._was_taken(replica, report)
         return outcome in (OrderOutcome.TAKEN, OrderOutcome.ALREADY_SO)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -186,7 +186,7 @@
         candidates = [
             replica
             for replica in self.fleet.of_service(service)
-            if replica.listing.accepting
+            if replica.accepting
             and replica.replica_id not in tried
             and now_s >= replica.loading_until_s
             and (prompt is None or self._weights_allowed(replica, prompt, now_s))
@@ -236,6 +236,16 @@
         if version > replica.versions.get(model, 0):
             replica.versions[model] = version
 
+    def note_superseded(self, replica: RelayReplica) -> None:
+        """Record that another incarnation answers at a replica's address."""
+        if not replica.superseded:
+            replica.superseded = True
+            log_event(
+                "replica_superseded",
+                replica=replica.replica_id,
+                address=replica.listing.address,
+            )
+
     def note_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> None:
         """Record a replica's failure; log when it is now left alone for a while."""
         now_s = self.clock()
