Bar large prompts from old weights earlier

The margin took every replica to read 40 tokens a ms and half as much again for the prompt; replicas there differ by 1.3 in speed, long prompts are read slower towards their end, and others are read between.

Change: twice the time of the own prompt, 0.8 s beside it, 5 s at most. The test fails with the old figures.

--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -217,6 +217,20 @@
 
         run_virtually(scenario())
 
+    def test_a_large_prompt_is_not_sent_two_seconds_before_old_weights_end(self) -> None:
+        """scale-2 --seed 1094670478528 (amse-vigie): sent 1.84 s before, it began 1.85 s later."""
+
+        async def scenario() -> None:
+            fleet = Fleet([FakeReplica("i-1")])
+            for task in fleet.tasks:
+                task.cancel()
+            fleet.name(2)
+            await asyncio.sleep(8.0 - 1.84)
+            self.assertFalse(fleet.state.available("s", set(), Prompt(MODEL, (), 28_000)))
+            self.assertTrue(fleet.state.available("s", set(), PROMPT))
+
+        run_virtually(scenario())
+
     def test_a_replica_that_has_taken_an_order_stays_held_when_the_store_is_lost(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(3)]
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -29,11 +29,12 @@
 #: Wait told to callers while the configuration is unknown or stale.
 STALE_RETRY_AFTER_S = 1.5
 #: A request begins with its first token. Old weights take none that may begin after their bound:
-#: a fixed margin, twice the time to read what is queued, and half as much again as its own prompt.
-BEGIN_MARGIN_S = 0.6
+#: a fixed margin, and twice the time to read what is queued and its own prompt: replicas differ in
+#: speed, and long prompts are read slower towards their end.
+BEGIN_MARGIN_S = 0.8
 QUEUE_MARGIN = 2.0
-OWN_PROMPT_MARGIN = 1.5
-MAX_BEGIN_MARGIN_S = 4.0
+OWN_PROMPT_MARGIN = 2.0
+MAX_BEGIN_MARGIN_S = 5.0
 #: Seconds for each token out until measured, and the share of a new run in the moving average.
 FIRST_TOKEN_S = 0.008
 RUN_WEIGHT = 0.05
