Eject a replica once for one event; say that an answered request ran; worked examples

And request_done said ran=not_run of delivered answers.

Change: failures while a replica is left alone extend nothing; the log tells ran=ran. Tests of placement and of the index.

--- /dev/null
+++ b/tests/test_relay_placement.py
@@ -0,0 +1,180 @@
+"""Evidence on replicas, and which of them a request is placed on."""
+
+from __future__ import annotations
+
+import unittest
+
+from winchfork.core.part_index import PartIndex, part_key
+from winchfork.core.prompt_parts import CacheScope, Prompt, PromptPart
+from winchfork.core.relay_fleet import (
+    EJECTION_S,
+    FAILURES_TO_EJECT,
+    RelayFleet,
+    RelayReplica,
+    ReplicaListing,
+)
+from winchfork.core.relay_placement import PromptPlacement, place_prompt, place_task
+
+SCOPE = CacheScope.of("t", False, "m")
+COPY_RATE = 800_000.0
+
+
+def fleet_of(count: int, zones: tuple[str, ...] = ("z1",)) -> list[RelayReplica]:
+    fleet = RelayFleet()
+    for number in range(count):
+        zone = zones[number % len(zones)]
+        fleet.install(ReplicaListing(f"i-{number}", "s", f"a:{number}", zone, 16, True, {"m": 1}))
+    return fleet.of_service("s")
+
+
+def prompt(family: str, own_tokens: int = 400, output_tokens: int = 10) -> Prompt:
+    parts = (PromptPart("house", 2500), PromptPart(family, 3800), PromptPart("own", own_tokens))
+    return Prompt("m", parts, 6300 + own_tokens, output_tokens)
+
+
+def placed(
+    request: Prompt, replicas: list[RelayReplica], index: PartIndex, **changes: object
+) -> RelayReplica:
+    fields: dict[str, object] = {"zone": "z1", "copy_tokens_per_s": COPY_RATE}
+    fields.update(changes)
+    placement = PromptPlacement(request, SCOPE, **fields)  # type: ignore[arg-type]
+    decision = place_prompt(placement, replicas, replicas, index)
+    assert decision is not None
+    return decision.replica
+
+
+class EvidenceTest(unittest.TestCase):
+    def test_one_event_that_breaks_many_requests_ejects_once(self) -> None:
+        """Twenty streams cut by one reset left a sound replica alone for eight seconds."""
+        replica = fleet_of(1)[0]
+        for _ in range(20):
+            replica.note_failure(100.0)
+        self.assertEqual(replica.avoided_until_s, 100.0 + EJECTION_S)
+
+    def test_ejections_in_a_row_grow_until_a_success(self) -> None:
+        replica = fleet_of(1)[0]
+        for _ in range(FAILURES_TO_EJECT):
+            replica.note_failure(0.0)
+        replica.note_failure(10.0)
+        self.assertEqual(replica.avoided_until_s, 10.0 + 2 * EJECTION_S)
+        replica.note_success(0.1, 20.0)
+        self.assertFalse(replica.note_failure(21.0))
+
+    def test_a_certain_failure_needs_no_repetition(self) -> None:
+        replica = fleet_of(1)[0]
+        self.assertTrue(replica.note_failure(5.0, certain=True))
+
+    def test_a_heartbeat_keeps_evidence_and_never_lowers_a_version(self) -> None:
+        fleet = RelayFleet()
+        listing = ReplicaListing("i", "s", "a:1", "z", 4, True, {"m": 1})
+        replica = fleet.install(listing)
+        replica.versions["m"] = 3
+        replica.in_flight = 2
+        self.assertIs(fleet.install(listing), replica)
+        self.assertEqual((replica.versions["m"], replica.in_flight), (3, 2))
+
+
+class PromptPlacementTest(unittest.TestCase):
+    def test_every_daemon_sends_an_unknown_family_to_the_same_replica(self) -> None:
+        for family in ("f1", "f2", "f3"):
+            homes = {placed(prompt(family), fleet_of(6), PartIndex()).replica_id for _ in range(3)}
+            self.assertEqual(len(homes), 1)
+
+    def test_families_spread_over_the_replicas(self) -> None:
+        homes = {placed(prompt(f"f{n}"), fleet_of(6), PartIndex()).replica_id for n in range(60)}
+        self.assertEqual(len(homes), 6)
+
+    def test_a_queue_at_home_sends_a_family_on_with_a_copy(self) -> None:
+        replicas, index = fleet_of(3), PartIndex()
+        request = prompt("f")
+        home = placed(request, replicas, index)
+        keys = [part_key(SCOPE.namespace(1), part) for part in request.shared]
+        index.note_held(keys, home.order_hash, 1.0)
+        self.assertIs(placed(request, replicas, index), home)
+        home.unread_tokens = 20_000
+        placement = PromptPlacement(request, SCOPE, "z1", copy_tokens_per_s=COPY_RATE)
+        decision = place_prompt(placement, replicas, replicas, index)
+        assert decision is not None
+        self.assertIsNot(decision.replica, home)
+        self.assertIs(decision.copy_from, home)
+        self.assertEqual(decision.unread_tokens, 400)
+
+    def test_beliefs_under_other_weights_count_for_nothing(self) -> None:
+        replicas, index = fleet_of(3), PartIndex()
+        request = prompt("f")
+        keys = [part_key(SCOPE.namespace(1), part) for part in request.shared]
+        for replica in replicas:
+            index.note_held(keys, replica.order_hash, 1.0)
+            replica.versions["m"] = 2
+        placement = PromptPlacement(request, SCOPE, "z1", copy_tokens_per_s=COPY_RATE)
+        decision = place_prompt(placement, replicas, replicas, index)
+        assert decision is not None
+        self.assertEqual((decision.kept_tokens, decision.copy_from), (0, None))
+
+    def test_new_parts_are_saved_and_kept_ones_are_named_from_the_store(self) -> None:
+        replicas, index = fleet_of(3), PartIndex()
+        store = fleet_of(9)[8]
+        request = prompt("f")
+        placement = PromptPlacement(request, SCOPE, "z1", copy_tokens_per_s=COPY_RATE, store=store)
+        first = place_prompt(placement, replicas, [*replicas, store], index)
+        assert first is not None
+        self.assertTrue(first.save)
+        keys = [part_key(SCOPE.namespace(1), part) for part in request.shared]
+        index.note_held(keys, store.order_hash, 1.0)
+        second = place_prompt(placement, replicas, [*replicas, store], index)
+        assert second is not None
+        self.assertFalse(second.save)
+        self.assertIs(second.copy_from, store)
+
+    def test_long_answers_gather_and_large_prompts_stay_away_from_them(self) -> None:
+        replicas, index = fleet_of(4), PartIndex()
+        long_answer = Prompt("m", (PromptPart("a", 100), PromptPart("b", 100)), 200, 300)
+        chosen = [placed(long_answer, replicas, index, run_s=2.0) for _ in range(3)]
+        self.assertEqual(len({replica.replica_id for replica in chosen}), 1)
+        chosen[0].in_flight = 8
+        for number in range(20):
+            large = prompt(f"f{number}", own_tokens=20_000)
+            self.assertIsNot(placed(large, replicas, index, run_s=0.1), chosen[0])
+
+    def test_nothing_is_placed_without_candidates(self) -> None:
+        placement = PromptPlacement(prompt("f"), SCOPE, "z1")
+        self.assertIsNone(place_prompt(placement, [], [], PartIndex()))
+        self.assertIsNone(place_task("z1", [], 0.0))
+
+
+class TaskPlacementTest(unittest.TestCase):
+    def test_near_first_and_the_busy_and_the_slow_are_avoided(self) -> None:
+        replicas = fleet_of(3, ("z1", "z2", "z3"))
+        near = place_task("z1", replicas, 100.0)
+        assert near is not None
+        self.assertEqual(near.replica.listing.zone, "z1")
+        near.replica.in_flight = 16
+        busy = place_task("z1", replicas, 100.0)
+        assert busy is not None
+        self.assertNotEqual(busy.replica.listing.zone, "z1")
+        near.replica.in_flight = 0
+        near.replica.note_success(0.8, 100.0)
+        slow = place_task("z1", replicas, 100.5)
+        assert slow is not None
+        self.assertNotEqual(slow.replica.listing.zone, "z1")
+        again = place_task("z1", replicas, 110.0)
+        assert again is not None
+        self.assertEqual(again.replica.listing.zone, "z1")
+
+
+class PartIndexTest(unittest.TestCase):
+    def test_the_oldest_parts_are_forgotten_first(self) -> None:
+        index = PartIndex(capacity=3)
+        for key in (1, 2, 3):
+            index.note_held([key], 7, 1.0)
+        index.note_held([1], 7, 2.0)
+        index.note_held([4], 7, 3.0)
+        self.assertEqual([index.kept_parts([key], 7) for key in (1, 2, 3, 4)], [1, 0, 1, 1])
+
+    def test_a_replica_that_has_ended_keeps_nothing(self) -> None:
+        index = PartIndex()
+        index.note_held([1, 2], 7, 1.0)
+        index.note_held([2], 8, 1.0)
+        index.drop_replica(7)
+        self.assertEqual((index.kept_parts([1], 7), index.kept_parts([2], 8)), (0, 1))
+        self.assertEqual(len(index), 1)
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -114,9 +114,12 @@
     def note_failure(self, now_s: float, *, certain: bool = False) -> bool:
         """Record a failure; True when the replica is now left alone for a while.
 
-        ``certain`` failures (a refused or silent connection) need no repetition.
+        ``certain`` failures (a refused or silent connection) need no repetition. Many requests may
+        fail of one event: while the replica is left alone, further failures say nothing new.
         """
         self.failures_in_row += 1
+        if now_s < self.avoided_until_s:
+            return False
         if not certain and self.failures_in_row < FAILURES_TO_EJECT:
             return False
         duration_s = min(MAX_EJECTION_S, EJECTION_S * 2.0**self.ejections_in_row)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -76,6 +76,7 @@
         self._may_have_run = False
         self._outcome = "?"
         self._reason = ""
+        self._answered_by_replica = False
 
     # ActiveRequest
 
@@ -204,6 +205,7 @@
         """Give the final answer, or return True for another attempt."""
         if isinstance(outcome, Delivered):
             self._outcome = f"delivered_{outcome.status}"
+            self._answered_by_replica = True
             return False
         if isinstance(outcome, Stopped):
             self._may_have_run = self._may_have_run or self._sends > 0
@@ -245,6 +247,7 @@
             return True
         if outcome.answer is not None and not self._answer.started:
             self._outcome = f"passed_on_{outcome.answer.head.status}"
+            self._answered_by_replica = True
             self._answer.give_whole(outcome.answer)
         else:
             self._give_up(FailureKind.OUTCOME_UNKNOWN.because(outcome.reason, ran=RunState.UNKNOWN))
@@ -259,6 +262,8 @@
         return self._state.budget.take(self._backend, self._state.daemons, self._loop.time())
 
     def _ran(self) -> RunState:
+        if self._answered_by_replica:
+            return RunState.RAN
         return RunState.UNKNOWN if self._may_have_run else RunState.NOT_RUN
 
     def _stop(self, cause: StopCause) -> None:
