Name listeners' ports below the range of outgoing connections; end what a test or soak has begun

Three routers that a soak's own failure had left behind were dialling on loopback at the time; they were ended by id. A set-up that fails left threads, so the run did not end.

Change: ports are drawn below 32,768 and checked; a failed set-up stops what it has started; the soak ends its processes whatever happens. No check is eased.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -12,6 +12,7 @@
 
 from standins.replica_server import ReplicaServer
 from standins.store_server import StoreServer
+from winchfork.emulator.free_ports import free_port
 from winchfork.errors import Failure
 from winchfork.platform.parts import platform_parts
 from winchfork.platform.settings import parse_settings
@@ -159,11 +160,3 @@
             router.ask_to_stop()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await super().stop()
-
-
-def free_port(ip: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """Return a port of ``ip`` that is free now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((ip, 0))
-        port: int = probe.getsockname()[1]
-        return port
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -86,6 +86,11 @@
             self._process.send_signal(number)
         return await self._process.wait()
 
+    def kill(self) -> None:
+        """End the process if it still runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.kill()
+
     def pause(self, paused: bool) -> None:
         """Freeze or thaw the process."""
         assert self._process is not None
@@ -112,7 +117,14 @@
         self.broken: list[str] = []
 
     async def run(self) -> None:
-        """Run callers and faults together, heal, and judge."""
+        """Run callers and faults together, heal, and judge; no process outlives the soak."""
+        try:
+            await self._run()
+        finally:
+            for router in self._routers:
+                router.kill()
+
+    async def _run(self) -> None:
         await self._surroundings.start()
         for router in self._routers:
             await router.prepare()
--- a/tests/support.py
+++ b/tests/support.py
@@ -36,6 +36,9 @@
         self.fleet = DevFleet(self.emulated)
         failure = self.fleet.start()
         if failure is not None:
+            # What has started would keep the test run from ending.
+            self.fleet.stop()
+            self.emulated.stop()
             raise AssertionError(str(failure))
         self.client = HttpClient()
 
--- a/winchfork/emulator/dev.py
+++ b/winchfork/emulator/dev.py
@@ -12,6 +12,7 @@
 from winchfork.emulator.application_server import ApplicationServer
 from winchfork.emulator.engine_model import EngineSettings
 from winchfork.emulator.engine_server import EngineServer
+from winchfork.emulator.free_ports import free_port
 from winchfork.emulator.platform_server import PlatformServer
 from winchfork.emulator.workload import Deployment
 from winchfork.errors import Failure, FailureKind
@@ -26,6 +27,8 @@
 
 def free_address(kind: socket.SocketKind = socket.SOCK_STREAM, preferred_port: int = 0) -> str:
     """Return a loopback address whose port is free now."""
+    if not preferred_port:
+        return f"127.0.0.1:{free_port(kind=kind)}"
     with socket.socket(socket.AF_INET, kind) as probe:
         if kind is socket.SOCK_STREAM:
             # As the servers do, so that a port left by an earlier run counts as free.
@@ -33,8 +36,8 @@
         try:
             probe.bind(("127.0.0.1", preferred_port))
         except OSError:
-            probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+            return f"127.0.0.1:{free_port(kind=kind)}"
+        return f"127.0.0.1:{preferred_port}"
 
 
 class EmulatedPlatform:
