--- a/winchfork/emulator/free_ports.py
+++ b/winchfork/emulator/free_ports.py
@@ -1,7 +1,7 @@
 """Ports for listeners that are named before they are bound.
 
-A port that the system hands out for port 0 may be taken by an outgoing connection between being named
-and being bound. Ports below the range of outgoing connections are only taken by listeners.
+A port that the system hands out for port 0 may be taken by an outgoing connection between being
+named and being bound. Ports below the range of outgoing connections are only taken by listeners.
 """
 
 from __future__ import annotations
