From the last read: one rule for shared parts' keys, one decoding of the first list, no dead fields

Cause: found on reading the whole change. Keys of a prompt's shared parts were built in two places (placement and dispatch); the first list decoded every entry twice, at start-up; messages of work carried a number that nobody read, kept in a bare tuple; three settings were read and never used.

Change: part_index.shared_keys serves both; StoreSync uses what it has decoded; the number and the settings are gone, the tuple is a type. Behaviour is unchanged and no test was touched.

--- a/winchfork/core/part_index.py
+++ b/winchfork/core/part_index.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from winchfork.core.prompt_parts import PromptPart
+from winchfork.core.prompt_parts import CacheScope, Prompt, PromptPart
 
 DEFAULT_CAPACITY = 20_000
 
@@ -22,6 +22,12 @@
     return xxhash.xxh3_64_intdigest(f"{namespace}|{part.part_id}".encode())
 
 
+def shared_keys(scope: CacheScope, prompt: Prompt, weights_version: int) -> list[int]:
+    """Return the keys of a prompt's shared parts, in order, under one version of the weights."""
+    namespace = scope.namespace(weights_version)
+    return [part_key(namespace, part) for part in prompt.shared]
+
+
 class PartIndex:
     """Maps part keys to the replicas (by hash) that keep them, with the time of last use."""
 
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -13,7 +13,7 @@
 import math
 from collections.abc import Sequence
 
-from winchfork.core.part_index import PartIndex, part_key
+from winchfork.core.part_index import PartIndex, shared_keys
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.rendezvous import member_hash, mixed_order
@@ -133,7 +133,7 @@
         return decision
     if request.prompt.shared_tokens < LEAST_COPIED_TOKENS:
         return decision
-    keys = shared_keys(request, decision.replica)
+    keys = _keys_at(request, decision.replica)
     stored = index.kept_parts(keys, store.order_hash) == len(keys)
     source = store if stored else decision.copy_from
     return dataclasses.replace(decision, copy_from=source, save=not stored)
@@ -145,7 +145,7 @@
     sources: Sequence[RelayReplica],
     index: PartIndex,
 ) -> _Reading:
-    keys = shared_keys(request, replica)
+    keys = _keys_at(request, replica)
     shared = request.prompt.shared
     kept_parts = index.kept_parts(keys, replica.order_hash)
     source, source_parts = _deepest_source(keys, kept_parts, replica, sources, index)
@@ -183,10 +183,10 @@
     return best, best_parts
 
 
-def shared_keys(request: PromptPlacement, replica: RelayReplica) -> list[int]:
+def _keys_at(request: PromptPlacement, replica: RelayReplica) -> list[int]:
     """Return the keys of the prompt's shared parts under the replica's weights."""
-    namespace = request.scope.namespace(replica.versions.get(request.prompt.model, 0))
-    return [part_key(namespace, part) for part in request.prompt.shared]
+    version = replica.versions.get(request.prompt.model, 0)
+    return shared_keys(request.scope, request.prompt, version)
 
 
 def _ranks(request: PromptPlacement, candidates: Sequence[RelayReplica]) -> list[int]:
--- a/winchfork/platform/settings.py
+++ b/winchfork/platform/settings.py
@@ -58,9 +58,6 @@
         zones=fields.names_under("Zones."),
         seeds=tuple(filter(None, fields.text("Seeds", "").split(","))),
         store_min_lease_s=fields.seconds("Platform.ttl_min_ms", 1_000),
-        store_value_bytes=int(fields.number("Platform.value_bytes", 1_048_576)),
-        memory_mb=int(fields.number("Limits.MemoryMb", 0)),
-        descriptors=int(fields.number("Limits.FileDescriptors", 0)),
         bounds=bounds,
     )
     return fields.problem or settings
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from winchfork.core.part_index import part_key
+from winchfork.core.part_index import shared_keys
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.relay_placement import (
@@ -124,8 +124,7 @@
         prompt = self._prompt
         if prompt is None or version is None:
             return
-        namespace = self._scope(prompt).namespace(version)
-        keys = [part_key(namespace, part) for part in prompt.shared]
+        keys = shared_keys(self._scope(prompt), prompt, version)
         self._state.note_kept(replica, keys)
         store = self._state.cache_store
         if saved and store is not None:
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -30,10 +30,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class Activity:
-    """What the sender has done lately. ``number`` rises by one with each message of a life."""
+    """What the sender has done lately."""
 
     sender_id: str
-    number: int
     loads: tuple[ReplicaLoadNote, ...]
     kept: tuple[KeptNote, ...]
 
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -55,6 +55,14 @@
 _BUSY_STEP_MS = 50
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _HeardLoads:
+    """The newest loads told by one peer, and when."""
+
+    at_s: float
+    loads: tuple[ReplicaLoadNote, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class _PeerWork:
     """All peers' work on one replica."""
@@ -92,9 +100,8 @@
             on_reply=self._take_proof,
         )
         self._transport: asyncio.DatagramTransport | None = None
-        self._number = 0
         self._last_loads: tuple[ReplicaLoadNote, ...] = ()
-        self._heard: dict[str, tuple[float, int, tuple[ReplicaLoadNote, ...]]] = {}
+        self._heard: dict[str, _HeardLoads] = {}
         self._known_members: set[tuple[str, int]] = set()
         self.on_resignation: Callable[[Resignation], None] = lambda message: None
         self.sent_bytes = 0
@@ -235,8 +242,7 @@
         if loads == self._last_loads and not kept:
             return
         self._last_loads = loads
-        self._number += 1
-        message = Activity(self._state.settings.node_id, self._number, loads, kept)
+        message = Activity(self._state.settings.node_id, loads, kept)
         for address in self._listeners():
             self._send(address, message)
 
@@ -264,22 +270,22 @@
 
     def _take_activity(self, message: Activity) -> None:
         now_s = self._loop.time()
-        self._heard[message.sender_id] = (now_s, message.number, message.loads)
+        self._heard[message.sender_id] = _HeardLoads(now_s, message.loads)
         for note in message.kept:
             self._state.note_peer_kept(note.replica_hash, note.parts)
         self._sum_loads(now_s)
 
     def _sum_loads(self, now_s: float) -> None:
         totals: dict[int, _PeerWork] = {}
-        for peer, (heard_s, _, loads) in list(self._heard.items()):
-            if now_s - heard_s > ACTIVITY_MEMORY_S:
+        for peer, heard in list(self._heard.items()):
+            if now_s - heard.at_s > ACTIVITY_MEMORY_S:
                 del self._heard[peer]
                 continue
-            for note in loads:
+            for note in heard.loads:
                 work = totals.setdefault(note.replica_hash, _PeerWork())
                 work.in_flight += note.in_flight
                 work.unread_tokens += note.unread_tokens
-                busy_s = heard_s + note.busy_steps * _BUSY_STEP_MS / 1000.0
+                busy_s = heard.at_s + note.busy_steps * _BUSY_STEP_MS / 1000.0
                 work.busy_until_s = max(work.busy_until_s, busy_s)
         for replica in self._state.fleet.replicas():
             work = totals.get(replica.order_hash, _NO_WORK)
--- a/winchfork/router/settings.py
+++ b/winchfork/router/settings.py
@@ -43,7 +43,4 @@
     zones: tuple[str, ...] = ()
     seeds: tuple[str, ...] = ()
     store_min_lease_s: float = 1.0
-    store_value_bytes: int = 1_048_576
-    memory_mb: int = 0
-    descriptors: int = 0
     bounds: RouterBounds = RouterBounds()
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -20,10 +20,10 @@
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
-from winchfork.router.documents import DocumentReader, ReplicaGone, WeightsTarget
+from winchfork.router.documents import Document, DocumentReader, ReplicaGone, WeightsTarget
 from winchfork.router.leadership import LEADER_KEY, Leadership
 from winchfork.router.state import RouterState
-from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreItem, StoreSnapshot
+from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreItem
 
 #: Longest wait of one watch. A cut that heals is noticed within this and the store's time limit.
 WATCH_WAIT_S = 1.6
@@ -86,11 +86,11 @@
         self._begun_in_outage = after_outage and not self._ever_listed
         self._note_regained(asked_s)
         self._state.freshness.prove(asked_s)
-        for item in snapshot.items:
-            self._install(item)
+        documents = [self._install(item) for item in snapshot.items]
         if all(item.key != LEADER_KEY for item in snapshot.items):
             self._leadership.note_entry(None)
-        self._remove_missing(snapshot, after_outage)
+        listed = {item.replica_id for item in documents if isinstance(item, ReplicaListing)}
+        self._remove_missing(listed, snapshot.at_revision, after_outage)
         self._state.store_revision = max(self._state.store_revision, snapshot.at_revision)
         self._listed = self._ever_listed = True
         return None
@@ -113,13 +113,12 @@
 
     # Documents
 
-    def _install(self, item: StoreItem) -> None:
+    def _install(self, item: StoreItem) -> Document | Failure | None:
+        """Take an entry in; return the document that it holds."""
         if item.key == LEADER_KEY:
             self._leadership.note_entry(None if item.value is None else item.revision)
-            return
+            return None
         document = self._reader.read(item)
-        if document is None:
-            return
         if isinstance(document, Failure):
             log_event("document_refused", "WARNING", key=item.key, reason=document.reason)
         elif isinstance(document, RoutingTable):
@@ -130,6 +129,7 @@
             self._install_replica(document, item.revision)
         elif isinstance(document, ReplicaGone):
             self._remove_replica(document.replica_id, item.revision)
+        return document
 
     def _install_table(self, table: RoutingTable, revision: int) -> None:
         if self._state.install_table(table, revision):
@@ -184,12 +184,7 @@
             self._state.parts.drop_replica(removed.order_hash)
             log_event("replica_gone", replica=replica_id, revision=revision)
 
-    def _remove_missing(self, snapshot: StoreSnapshot, after_outage: bool) -> None:
-        listed = {
-            document.replica_id
-            for item in snapshot.items
-            if isinstance(document := self._reader.read(item), ReplicaListing)
-        }
+    def _remove_missing(self, listed: set[str], at_revision: int, after_outage: bool) -> None:
         now_s = self._state.clock()
         for replica in list(self._state.fleet.replicas()):
             if replica.replica_id in listed:
@@ -198,7 +193,7 @@
                 keep_s = self._state.settings.bounds.heartbeat_s * KEEP_HEARTBEATS
                 self._state.vanished.setdefault(replica.replica_id, now_s + keep_s)
             else:
-                self._remove_replica(replica.replica_id, snapshot.at_revision)
+                self._remove_replica(replica.replica_id, at_revision)
 
     def expire_vanished(self, now_s: float) -> None:
         """Remove replicas that have not been listed again in time."""
