Collect the rollout leader's notes into few messages

Cause: on the grown deployment (79 daemons, 45 replicas) the leader told every member of every replica under order at every report: 510 messages for one rollout of 45 replicas in the test, each to 78 members. Ruled out: fewer replicas at once would only spread the same messages. Change: notes that arise together share a message, and a hold is renewed when half of it has passed.

--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -15,6 +15,7 @@
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.leadership import Leadership
+from winchfork.router.peer_messages import WeightsNote
 from winchfork.router.peers import PeerGroup
 from winchfork.router.rollout import Rollout
 from winchfork.router.settings import RouterSettings
@@ -105,8 +106,8 @@
         self.store = MemoryStore()
         self.leadership = Leadership(self.store, "n1", 3.0, loop.time, random.Random(2), 1.0)
         self.leadership.note_entry(None)
-        peers = PeerGroup(self.state, random.Random(3))
-        self.rollout = Rollout(self.state, self.leadership, self.control, peers)
+        self.peers = PeerGroup(self.state, random.Random(3))
+        self.rollout = Rollout(self.state, self.leadership, self.control, self.peers)
         for replica in replicas:
             self.state.fleet.install(
                 ReplicaListing(
@@ -136,6 +137,29 @@
 
         run_virtually(scenario())
 
+    def test_a_rollout_of_many_replicas_tells_peers_in_few_messages(self) -> None:
+        """Each message goes to every member: one a replica and report is a flood at 79 members."""
+
+        async def scenario() -> None:
+            replicas = [FakeReplica(f"i-{number}") for number in range(45)]
+            fleet = Fleet(replicas)
+            told: list[tuple[WeightsNote, ...]] = []
+            tell = fleet.peers.tell_rollout
+
+            def count(fence: int, notes: tuple[WeightsNote, ...]) -> None:
+                told.append(notes)
+                tell(fence, notes)
+
+            fleet.peers.tell_rollout = count  # type: ignore[method-assign]
+            await asyncio.sleep(4.0)
+            fleet.name(2)
+            await asyncio.sleep(8.0)
+            self.assertEqual({replica.version for replica in replicas}, {2})
+            self.assertLess(len(told), 60)
+            self.assertLess(sum(len(notes) for notes in told), 45 * 6)
+
+        run_virtually(scenario())
+
     def test_a_newer_version_replaces_the_older_in_mid_rollout(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(9)]
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -21,17 +21,13 @@
 from winchfork.errors import Failure, RunState
 from winchfork.logs import log_event
 from winchfork.router.leadership import Leadership
-from winchfork.router.peer_messages import WeightsNote
 from winchfork.router.peers import PeerGroup
+from winchfork.router.rollout_notes import RolloutNotes
 from winchfork.router.state import RouterState
 
 PASS_PERIOD_S = 0.1
 #: Pause between reports while a replica finishes its requests and loads.
 REPORT_PERIOD_S = 0.1
-#: Peers are told to send a replica nothing for this long at a time; renewed while under order.
-HOLD_S = 1.5
-#: Peers are asked for no long work on the replicas that come next for this long at a time.
-NEXT_S = 1.0
 #: Time for peers to hear of a hold, and the longest wait for prompts already sent to be read:
 #: a replica refuses what has not begun when it takes the order.
 HOLD_NOTICE_S = 0.03
@@ -44,8 +40,6 @@
 MOST_UNHEARD = 3
 #: Reports lag behind by some hundred milliseconds.
 REPORT_LAG_S = 0.35
-
-
 #: At a planned stop, replicas under order are waited for this long.
 STOP_PATIENCE_S = 2.0
 
@@ -67,6 +61,9 @@
         self._under_order: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
         self._turns = TurnClock()
+        self._notes = RolloutNotes(
+            lambda fence, notes: peers.tell_rollout(fence, notes), state.clock
+        )
 
     async def run(self) -> None:
         """Look for work until cancelled."""
@@ -84,6 +81,7 @@
             await asyncio.wait(list(self._under_order.values()), timeout=STOP_PATIENCE_S)
         for task in self._under_order.values():
             task.cancel()
+        self._notes.flush()
         resignation = await self._leadership.resign()
         if resignation is not None:
             self._peers.tell_resignation(resignation)
@@ -97,7 +95,7 @@
         views = [self._view(replica, history, model, now_s) for replica in replicas]
         step = next_step(views, history.newest, self._turns, now_s)
         for replica_id in step.prepare:
-            self._prepare(replica_id, model, now_s)
+            self._prepare(replica_id, model)
         for replica_id in step.order:
             self._begin(replica_id, model, history.newest)
 
@@ -114,11 +112,10 @@
             history.due_s(version, self._state.settings.bounds.rollout_s),
         )
 
-    def _prepare(self, replica_id: str, model: str, now_s: float) -> None:
-        """Ask for no long work on a replica that comes next."""
+    def _prepare(self, replica_id: str, model: str) -> None:
         replica = self._state.fleet.get(replica_id)
-        if replica is not None and replica.next_until_s - now_s < NEXT_S / 2:
-            self._tell(replica, model, self._leadership.fence, 0.0, NEXT_S)
+        if replica is not None:
+            self._notes.prepare(replica, model, self._leadership.fence)
 
     def _begin(self, replica_id: str, model: str, version: int) -> None:
         replica = self._state.fleet.get(replica_id)
@@ -151,11 +148,11 @@
                     break
                 if not ordered and not report.busy:
                     ordered = await self._order(replica, model, version, report)
-            self._tell(replica, model, fence, HOLD_S)
+            self._notes.hold(replica, model, fence)
             await asyncio.sleep(REPORT_PERIOD_S)
         else:
             log_event("rollout_postponed", "WARNING", replica=replica.replica_id, version=version)
-        self._tell(replica, model, fence, 0.0)
+        self._notes.release(replica, model, fence)
 
     def _goes_on(self, replica: RelayReplica, begun_s: float, ordered: bool) -> bool:
         """Whether to look again: after an order that may be carried out, also without the lease.
@@ -172,7 +169,7 @@
 
     async def _quieten(self, replica: RelayReplica, model: str, fence: int) -> None:
         """Keep new requests away, and let those that were sent begin."""
-        self._tell(replica, model, fence, HOLD_S)
+        self._notes.hold(replica, model, fence)
         await asyncio.sleep(HOLD_NOTICE_S)
         until_s = self._state.clock() + READ_PATIENCE_S
         while replica.queued_tokens and self._state.clock() < until_s:
@@ -215,17 +212,3 @@
         await asyncio.sleep(REPORT_LAG_S)
         report = await self._control.report(replica.listing.address)
         return isinstance(report, ReplicaReport) and report.sequence > before.sequence
-
-    def _tell(
-        self,
-        replica: RelayReplica,
-        model: str,
-        fence: int,
-        held_s: float,
-        next_s: float = 0.0,
-    ) -> None:
-        version = replica.versions.get(model, 0)
-        note = WeightsNote(
-            replica.replica_id, model, version, int(held_s * 1000), int(next_s * 1000)
-        )
-        self._peers.tell_rollout(fence, (note,))
--- /dev/null
+++ b/winchfork/router/rollout_notes.py
@@ -0,0 +1,95 @@
+"""The rollout leader's notes to its peers, collected into few messages.
+
+Every message goes to every member, so its number must grow neither with the replicas under order
+nor with the reports that are asked for: notes that arise together share a message, and a hold is
+renewed only when half of it has passed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.router.peer_messages import WeightsNote
+
+#: Peers are told to send a replica nothing for this long at a time; renewed while under order.
+HOLD_S = 1.5
+#: Peers are asked for no long work on the replicas that come next for this long at a time.
+NEXT_S = 1.0
+#: Notes that arise within this time share a message.
+COLLECT_S = 0.005
+#: The same for renewals, which are in no hurry.
+RENEWAL_COLLECT_S = 0.25
+
+#: Tells every member: the leader's fence and the notes.
+TellRollout = Callable[[int, tuple[WeightsNote, ...]], None]
+
+
+class RolloutNotes:
+    """What has been told of each replica, and what is about to be."""
+
+    def __init__(self, tell: TellRollout, clock: Callable[[], float]) -> None:
+        self._tell = tell
+        self._clock = clock
+        self._pending: dict[str, WeightsNote] = {}
+        self._fence = 0
+        self._flush_at_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._held_until_s: dict[str, float] = {}
+
+    def hold(self, replica: RelayReplica, model: str, fence: int) -> None:
+        """Keep new work away from a replica; tells nothing while a hold has long to run."""
+        now_s = self._clock()
+        left_s = self._held_until_s.get(replica.replica_id, 0.0) - now_s
+        if left_s > HOLD_S / 2:
+            return
+        self._held_until_s[replica.replica_id] = now_s + HOLD_S
+        renewal = left_s > RENEWAL_COLLECT_S
+        self._add(replica, model, fence, HOLD_S, 0.0, RENEWAL_COLLECT_S if renewal else COLLECT_S)
+
+    def release(self, replica: RelayReplica, model: str, fence: int) -> None:
+        """End a hold and tell the replica's version."""
+        self._held_until_s.pop(replica.replica_id, None)
+        self._add(replica, model, fence, 0.0, 0.0, COLLECT_S)
+
+    def prepare(self, replica: RelayReplica, model: str, fence: int) -> None:
+        """Ask for no long work on a replica that comes next."""
+        if replica.next_until_s - self._clock() < NEXT_S / 2:
+            self._add(replica, model, fence, 0.0, NEXT_S, COLLECT_S)
+
+    def flush(self) -> None:
+        """Tell what has been collected."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._pending:
+            notes = tuple(self._pending.values())
+            self._pending = {}
+            self._tell(self._fence, notes)
+
+    def _add(
+        self,
+        replica: RelayReplica,
+        model: str,
+        fence: int,
+        held_s: float,
+        next_s: float,
+        within_s: float,
+    ) -> None:
+        if fence != self._fence:
+            self.flush()
+            self._fence = fence
+        self._pending[replica.replica_id] = WeightsNote(
+            replica.replica_id,
+            model,
+            replica.versions.get(model, 0),
+            int(held_s * 1000),
+            int(next_s * 1000),
+        )
+        at_s = self._clock() + within_s
+        if self._timer is None or at_s < self._flush_at_s:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._flush_at_s = at_s
+            self._timer = asyncio.get_running_loop().call_later(within_s, self.flush)
