--- /dev/null
+++ b/tests/peer_support.py
@@ -0,0 +1,145 @@
+"""Router processes' peer sides on a virtual network, before one store in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from tests.memory_store import MemoryStore
+from tests.virtual_loop import run_virtually
+from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.errors import Failure, FailureKind
+from winchfork.platform.documents import PlatformDocuments
+from winchfork.router.leadership import Leadership
+from winchfork.router.peer_wiring import connect_peers
+from winchfork.router.peers import PeerGroup
+from winchfork.router.settings import RouterSettings
+from winchfork.router.state import RouterState
+from winchfork.router.store_sync import StoreSync
+from winchfork.stores.async_key_value import (
+    ExpectedRevision,
+    PutItem,
+    StoreSnapshot,
+    WatchBatch,
+)
+
+
+class StoreAccess:
+    """One daemon's way to the store; ``cut`` makes it fail for this daemon alone."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.store = store
+        self.cut = False
+        self.reads = 0
+
+    def _failure(self) -> Failure | None:
+        return FailureKind.STORE_UNAVAILABLE.because("cut") if self.cut else None
+
+    async def list(self, prefix: str) -> StoreSnapshot | Failure:
+        self.reads += 1
+        return self._failure() or await self.store.list(prefix)
+
+    async def watch(self, prefix: str, after_revision: int, wait_s: float) -> WatchBatch | Failure:
+        self.reads += 1
+        failure = self._failure()
+        batch = failure or await self.store.watch(prefix, after_revision, wait_s)
+        return FailureKind.STORE_UNAVAILABLE.because("cut") if self.cut else batch
+
+    async def transact(
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
+    ) -> int | Failure:
+        return self._failure() or await self.store.transact(expected, puts)
+
+    async def grant_lease(self, ttl_s: float) -> int | Failure:
+        return self._failure() or await self.store.grant_lease(ttl_s)
+
+    async def renew_lease(self, lease_id: int) -> bool | Failure:
+        return self._failure() or await self.store.renew_lease(lease_id)
+
+    async def end_lease(self, lease_id: int) -> Failure | None:
+        return self._failure() or await self.store.end_lease(lease_id)
+
+
+class Network:
+    """Delivers datagrams between groups after a delay; ``drop`` loses them."""
+
+    def __init__(self) -> None:
+        self.groups: dict[str, PeerGroup] = {}
+        self.delay_s = 0.002
+        self.drop: Callable[[str, str], bool] = lambda sender, receiver: False
+
+    def transport(self, sender: str) -> Any:
+        network = self
+
+        class Transport:
+            def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+                if network.drop(sender, address[0]) or address[0] not in network.groups:
+                    return
+                group = network.groups[address[0]]
+                loop = asyncio.get_running_loop()
+                loop.call_later(network.delay_s, group.datagram_received, data, (sender, 7000))
+
+        return Transport()
+
+
+class Daemon:
+    """One member of the network."""
+
+    def __init__(
+        self, network: Network, number: int, zone: str = "z1", store: MemoryStore | None = None
+    ) -> None:
+        self.ip = f"10.0.0.{number}"
+        settings = RouterSettings(
+            f"n{number}",
+            zone,
+            "g",
+            self.ip,
+            "",
+            "",
+            "",
+            peer_ports=(7000, 7010),
+            seeds=("10.0.0.1:99",),
+        )
+        loop = asyncio.get_running_loop()
+        self.state = RouterState(settings, loop.time, random.Random(number))
+        self.peers = PeerGroup(self.state, random.Random(number))
+        self.peers.connection_made(network.transport(self.ip))
+        self.store = StoreAccess(store or MemoryStore())
+        self.leadership = Leadership(
+            self.store, settings.node_id, 3.0, loop.time, random.Random(number), 1.0
+        )
+        self.sync = StoreSync(
+            self.state, self.store, PlatformDocuments(), self.leadership, random.Random(number)
+        )
+        self.news = connect_peers(self.state, self.peers, self.sync, self.leadership)
+        network.groups[self.ip] = self.peers
+        for replica in ("i-1", "i-2"):
+            listing = ReplicaListing(replica, "s", "a:1", "z1", 8, True, {"m": 1})
+            self.state.fleet.install(listing)
+        self.tasks = [asyncio.create_task(self.peers.run())]
+
+    def follow(self) -> None:
+        """Follow the store, and take part in the election."""
+        self.tasks.append(asyncio.create_task(self.sync.run()))
+        self.tasks.append(asyncio.create_task(self.leadership.run()))
+
+    def kill(self, network: Network) -> None:
+        """End without a word."""
+        del network.groups[self.ip]
+        for task in self.tasks:
+            task.cancel()
+
+    def age_s(self) -> float:
+        return self.state.freshness.age_s(self.state.clock())
+
+
+def among(count: int, scenario: Callable[[Network, list[Daemon]], Any]) -> None:
+    async def main() -> None:
+        network = Network()
+        daemons = [Daemon(network, number) for number in range(1, count + 1)]
+        await asyncio.sleep(4.0)
+        await scenario(network, daemons)
+
+    run_virtually(main())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,78 +5,10 @@
 import asyncio
 import random
 import unittest
-from collections.abc import Callable
-from typing import Any
 
-from tests.virtual_loop import run_virtually
-from winchfork.core.relay_fleet import ReplicaListing
+from tests.peer_support import Daemon, Network, among
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.router.peer_messages import Resignation, WeightsNote
-from winchfork.router.peers import PeerGroup
-from winchfork.router.settings import RouterSettings
-from winchfork.router.state import RouterState
-
-
-class Network:
-    """Delivers datagrams between groups after a delay; ``drop`` loses them."""
-
-    def __init__(self) -> None:
-        self.groups: dict[str, PeerGroup] = {}
-        self.delay_s = 0.002
-        self.drop: Callable[[str, str], bool] = lambda sender, receiver: False
-
-    def transport(self, sender: str) -> Any:
-        network = self
-
-        class Transport:
-            def sendto(self, data: bytes, address: tuple[str, int]) -> None:
-                if network.drop(sender, address[0]) or address[0] not in network.groups:
-                    return
-                group = network.groups[address[0]]
-                loop = asyncio.get_running_loop()
-                loop.call_later(network.delay_s, group.datagram_received, data, (sender, 7000))
-
-        return Transport()
-
-
-class Daemon:
-    """One member of the network."""
-
-    def __init__(self, network: Network, number: int) -> None:
-        self.ip = f"10.0.0.{number}"
-        settings = RouterSettings(
-            f"n{number}",
-            "z1",
-            "g",
-            self.ip,
-            "",
-            "",
-            "",
-            peer_ports=(7000, 7010),
-            seeds=("10.0.0.1:99",),
-        )
-        loop = asyncio.get_running_loop()
-        self.state = RouterState(settings, loop.time, random.Random(number))
-        self.peers = PeerGroup(self.state, random.Random(number))
-        self.peers.connection_made(network.transport(self.ip))
-        network.groups[self.ip] = self.peers
-        for replica in ("i-1", "i-2"):
-            listing = ReplicaListing(replica, "s", "a:1", "z1", 8, True, {"m": 1})
-            self.state.fleet.install(listing)
-        self.task = asyncio.create_task(self.peers.run())
-
-    def age_s(self) -> float:
-        return self.state.freshness.age_s(self.state.clock())
-
-
-def among(count: int, scenario: Callable[[Network, list[Daemon]], Any]) -> None:
-    async def main() -> None:
-        network = Network()
-        daemons = [Daemon(network, number) for number in range(1, count + 1)]
-        await asyncio.sleep(4.0)
-        await scenario(network, daemons)
-
-    run_virtually(main())
 
 
 class PeersTest(unittest.TestCase):
@@ -159,9 +91,9 @@
             first, second, third = daemons
             held = WeightsNote("i-1", "m", 2, 1500, 0)
             free = WeightsNote("i-1", "m", 2, 0, 0)
-            first.peers.tell_rollout(7, (held,))
+            first.news.tell_rollout(7, (held,))
             await asyncio.sleep(0.1)
-            second.peers.tell_rollout(5, (free,))
+            second.news.tell_rollout(5, (free,))
             await asyncio.sleep(0.1)
             replica = third.state.fleet.get("i-1")
             assert replica is not None
@@ -191,7 +123,7 @@
                 group.datagram_received(generator.randbytes(generator.randrange(80)), None)
             self.assertEqual(daemons[0].state.metrics.counters[("bad_datagrams", "")], 200)
             heard: list[Resignation] = []
-            daemons[1].peers.on_resignation = heard.append
+            daemons[1].peers.handle(Resignation, heard.append)
             group.tell_resignation(Resignation(3, 10, 20))
             await asyncio.sleep(0.1)
             self.assertEqual(heard, [Resignation(3, 10, 20)])
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -20,6 +20,7 @@
 from winchfork.router.rollout import Rollout
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
+from winchfork.router.version_news import VersionNews
 
 LOAD_S = 0.6
 MODEL = "m"
@@ -107,7 +108,8 @@
         self.leadership = Leadership(self.store, "n1", 3.0, loop.time, random.Random(2), 1.0)
         self.leadership.note_entry(None)
         self.peers = PeerGroup(self.state, random.Random(3))
-        self.rollout = Rollout(self.state, self.leadership, self.control, self.peers)
+        self.news = VersionNews(self.state, self.peers)
+        self.rollout = Rollout(self.state, self.leadership, self.control, self.peers, self.news)
         for replica in replicas:
             self.state.fleet.install(
                 ReplicaListing(
@@ -144,13 +146,13 @@
             replicas = [FakeReplica(f"i-{number}") for number in range(45)]
             fleet = Fleet(replicas)
             told: list[tuple[WeightsNote, ...]] = []
-            tell = fleet.peers.tell_rollout
+            tell = fleet.news.tell_rollout
 
             def count(fence: int, notes: tuple[WeightsNote, ...]) -> None:
                 told.append(notes)
                 tell(fence, notes)
 
-            fleet.peers.tell_rollout = count  # type: ignore[method-assign]
+            fleet.news.tell_rollout = count  # type: ignore[method-assign]
             await asyncio.sleep(4.0)
             fleet.name(2)
             await asyncio.sleep(8.0)
--- /dev/null
+++ b/tests/test_zone_hubs.py
@@ -0,0 +1,294 @@
+"""A large fleet through its hubs: few messages, few calls, and everybody informed. Virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+
+from tests.memory_store import MemoryStore
+from tests.peer_support import Daemon, Network
+from tests.test_platform_documents import CONFIGURATION, REPLICA
+from tests.virtual_loop import run_virtually
+from winchfork.core.document_table import MOST_GONE, DocumentTable, TableItem, TableUpdate
+from winchfork.core.membership import Member, MemberStatus
+from winchfork.core.zone_hubs import FleetView
+from winchfork.errors import Failure
+from winchfork.router.document_parts import PART_BYTES, PartCollector, split_update
+from winchfork.router.peer_messages import WeightsNote
+
+ZONES = ("z1", "z2", "z3")
+DAEMONS = 36
+SETTLED_S = 12.0
+
+
+class LargeFleet:
+    """Daemons in three zones before one store."""
+
+    def __init__(self) -> None:
+        self.network = Network()
+        self.store = MemoryStore()
+        self.put_configuration(3)
+        self.put_replica("i-1")
+        self.put_replica("i-2")
+        self.daemons = [
+            Daemon(self.network, number, ZONES[number % 3], self.store)
+            for number in range(1, DAEMONS + 1)
+        ]
+        for daemon in self.daemons:
+            daemon.follow()
+
+    def put_configuration(self, version: int) -> None:
+        document = {**CONFIGURATION, "Version": version}
+        self.store.put("op/config", json.dumps(document).encode())
+
+    def put_replica(self, replica_id: str, **changes: object) -> None:
+        self.store.put(f"servers/{replica_id}", json.dumps({**REPLICA, **changes}).encode())
+
+    def hubs(self) -> list[Daemon]:
+        return [daemon for daemon in self.daemons if daemon.peers.view.is_hub]
+
+    def followers(self) -> list[Daemon]:
+        return [daemon for daemon in self.daemons if not daemon.peers.view.is_hub]
+
+    def versions(self, daemons: list[Daemon]) -> set[int]:
+        return {daemon.state.table.version if daemon.state.table else 0 for daemon in daemons}
+
+    def kill(self, daemon: Daemon) -> None:
+        daemon.kill(self.network)
+        self.daemons.remove(daemon)
+
+
+def in_large_fleet(scenario: Callable[[LargeFleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        fleet = LargeFleet()
+        await asyncio.sleep(SETTLED_S)
+        await scenario(fleet)
+
+    run_virtually(main())
+
+
+class HubsTest(unittest.TestCase):
+    def test_everybody_sees_the_same_two_hubs_of_each_zone(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            views = [daemon.peers.view for daemon in fleet.daemons]
+            self.assertEqual({len(view.members) for view in views}, {DAEMONS})
+            chosen = {
+                tuple(hub.member_id for hub in view.hubs[zone]) for view in views for zone in ZONES
+            }
+            self.assertEqual(len(chosen), len(ZONES))
+            self.assertEqual(len(fleet.hubs()), 2 * len(ZONES))
+
+        in_large_fleet(scenario)
+
+    def test_a_member_in_doubt_is_no_hub_while_another_answers(self) -> None:
+        members = [Member(f"n{number}", "z", "", "", 1) for number in range(5)]
+        first = FleetView.of(members[0], members).own_hubs[0]
+        doubted = [
+            Member(item.member_id, "z", "", "", 1, MemberStatus.SUSPECT) if item is first else item
+            for item in members
+        ]
+        hubs = FleetView.of(doubted[0], doubted).own_hubs
+        self.assertNotIn(first.member_id, [hub.member_id for hub in hubs])
+
+    def test_only_hubs_ask_the_store(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            before = {daemon.ip: daemon.store.reads for daemon in fleet.daemons}
+            for version in range(10, 20):
+                fleet.put_configuration(version)
+                await asyncio.sleep(1.0)
+                self.assertEqual(fleet.versions(fleet.daemons), {version})
+            asked = [daemon.store.reads - before[daemon.ip] for daemon in fleet.followers()]
+            self.assertLessEqual(sum(asked), 3)
+            ages_s = [daemon.age_s() for daemon in fleet.daemons]
+            self.assertLess(max(ages_s), 1.9)
+
+        in_large_fleet(scenario)
+
+    def test_lost_updates_are_asked_for_again(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            turn = iter(range(1_000_000))
+            fleet.network.drop = lambda sender, receiver: next(turn) % 3 == 0
+            for version in range(10, 16):
+                fleet.put_configuration(version)
+                fleet.put_replica(f"i-{version}")
+                fleet.store.remove(f"servers/i-{version - 1}")
+                await asyncio.sleep(1.5)
+                self.assertEqual(fleet.versions(fleet.daemons), {version})
+            for daemon in fleet.daemons:
+                known = {replica.replica_id for replica in daemon.state.fleet.replicas()}
+                self.assertEqual(known, {"i-1", "i-2", "i-15"})
+
+        in_large_fleet(scenario)
+
+    def test_a_zone_that_loses_both_hubs_stays_informed(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            for hub in fleet.hubs():
+                if hub.state.settings.zone == "z2":
+                    fleet.kill(hub)
+            oldest_s = 0.0
+            for version in range(10, 20):
+                fleet.put_configuration(version)
+                for _ in range(10):
+                    await asyncio.sleep(0.1)
+                    oldest_s = max(oldest_s, *(daemon.age_s() for daemon in fleet.daemons))
+            await asyncio.sleep(1.0)
+            self.assertEqual(fleet.versions(fleet.daemons), {19})
+            self.assertLess(oldest_s, 1.9)
+
+        in_large_fleet(scenario)
+
+    def test_hubs_cut_from_the_store_learn_from_other_zones(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            for daemon in fleet.daemons:
+                daemon.store.cut = daemon.state.settings.zone == "z3"
+            await asyncio.sleep(4.0)
+            fleet.put_configuration(30)
+            await asyncio.sleep(2.5)
+            self.assertEqual(fleet.versions(fleet.daemons), {30})
+            for _ in range(30):
+                await asyncio.sleep(0.1)
+                self.assertTrue(all(daemon.state.ready for daemon in fleet.daemons))
+
+        in_large_fleet(scenario)
+
+    def test_work_and_kept_parts_reach_everybody_in_few_messages(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            sent = {daemon.ip: daemon.peers.sent_messages for daemon in fleet.daemons}
+            for number, daemon in enumerate(fleet.daemons):
+                replica = daemon.state.fleet.get("i-1")
+                assert replica is not None
+                replica.note_sent(number, 100, daemon.state.clock() + 9.0)
+                daemon.state.note_kept(replica, [1000 + number])
+            await asyncio.sleep(2.0)
+            for daemon in fleet.daemons:
+                replica = daemon.state.fleet.get("i-1")
+                assert replica is not None
+                self.assertEqual(replica.peer_in_flight, DAEMONS - 1)
+                self.assertEqual(replica.peer_unread_tokens, 100 * (DAEMONS - 1))
+                for number in range(DAEMONS):
+                    self.assertIn(replica.order_hash, daemon.state.parts.holders(1000 + number))
+            for daemon in fleet.followers():
+                self.assertLess(daemon.peers.sent_messages - sent[daemon.ip], 2.0 * 20)
+
+        in_large_fleet(scenario)
+
+    def test_the_second_hub_speaks_when_the_first_is_gone(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            first_id = fleet.daemons[0].peers.view.hubs["z1"][0].member_id
+            first = next(item for item in fleet.daemons if item.state.settings.node_id == first_id)
+            fleet.kill(first)
+            busy = next(item for item in fleet.followers() if item.state.settings.zone == "z1")
+            replica = busy.state.fleet.get("i-2")
+            assert replica is not None
+            replica.note_sent(1, 100, busy.state.clock() + 9.0)
+            await asyncio.sleep(1.5)
+            for daemon in fleet.daemons:
+                seen = daemon.state.fleet.get("i-2")
+                assert seen is not None
+                expected = 0 if daemon is busy else 1
+                self.assertEqual(seen.peer_in_flight, expected, daemon.state.settings.node_id)
+
+        in_large_fleet(scenario)
+
+    def test_rollout_notes_reach_everybody_through_the_hubs(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            leader = fleet.followers()[0]
+            sent = leader.peers.sent_messages
+            leader.news.tell_rollout(1 << 40, (WeightsNote("i-1", "m", 7, 1500, 0),))
+            self.assertLessEqual(leader.peers.sent_messages - sent, 2 * len(ZONES))
+            await asyncio.sleep(0.05)
+            for daemon in fleet.daemons:
+                replica = daemon.state.fleet.get("i-1")
+                assert replica is not None
+                self.assertEqual(replica.versions["m"], 7)
+                self.assertGreater(replica.loading_until_s, daemon.state.clock())
+
+        in_large_fleet(scenario)
+
+    def test_one_leader_among_the_hubs(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            fences = [daemon.leadership.fence for daemon in fleet.daemons]
+            self.assertEqual(sum(1 for fence in fences if fence), 1)
+            leader = next(daemon for daemon in fleet.daemons if daemon.leadership.fence)
+            fleet.kill(leader)
+            await asyncio.sleep(6.0)
+            fences = [daemon.leadership.fence for daemon in fleet.daemons]
+            self.assertEqual(sum(1 for fence in fences if fence), 1)
+
+        in_large_fleet(scenario)
+
+
+class CutDaemonTest(unittest.TestCase):
+    def test_a_daemon_cut_from_the_store_learns_documents_from_peers(self) -> None:
+        async def main() -> None:
+            network, store = Network(), MemoryStore()
+            store.put("op/config", json.dumps({**CONFIGURATION, "Version": 3}).encode())
+            daemons = [Daemon(network, number, "z1", store) for number in range(1, 5)]
+            for daemon in daemons:
+                daemon.follow()
+            await asyncio.sleep(4.0)
+            cut = daemons[2]
+            cut.store.cut = True
+            await asyncio.sleep(3.0)
+            store.put("op/config", json.dumps({**CONFIGURATION, "Version": 4}).encode())
+            await asyncio.sleep(1.5)
+            assert cut.state.table is not None
+            self.assertEqual(cut.state.table.version, 4)
+            self.assertTrue(cut.state.ready)
+
+        run_virtually(main())
+
+    def test_a_daemon_that_starts_cut_from_the_store_serves(self) -> None:
+        async def main() -> None:
+            network, store = Network(), MemoryStore()
+            store.put("op/config", json.dumps({**CONFIGURATION, "Version": 3}).encode())
+            first = Daemon(network, 1, "z1", store)
+            first.follow()
+            await asyncio.sleep(2.0)
+            late = Daemon(network, 2, "z1", store)
+            late.store.cut = True
+            late.follow()
+            await asyncio.sleep(3.0)
+            self.assertTrue(late.state.ready)
+
+        run_virtually(main())
+
+
+class DocumentTableTest(unittest.TestCase):
+    def test_an_older_entry_is_not_taken(self) -> None:
+        table = DocumentTable()
+        self.assertTrue(table.note(TableItem("a", 5, b"new")))
+        self.assertFalse(table.note(TableItem("a", 4, b"old")))
+        self.assertTrue(table.note(TableItem("a", 6, None)))
+        self.assertFalse(table.note(TableItem("a", 5, b"new")))
+        self.assertEqual(table.update_after(0, 6).items, (TableItem("a", 6, None),))
+
+    def test_a_peer_behind_what_is_forgotten_gets_everything(self) -> None:
+        table = DocumentTable()
+        table.note(TableItem("kept", 1, b"x"))
+        for number in range(MOST_GONE + 1):
+            table.note(TableItem(f"k{number}", 2 + number, None))
+        update = table.update_after(1, 3_000)
+        self.assertTrue(update.complete)
+        self.assertEqual([item.key for item in update.items], ["kept"])
+        self.assertFalse(table.update_after(2, 3_000).complete)
+
+    def test_a_large_update_comes_in_parts_and_a_lost_part_costs_all(self) -> None:
+        values = [
+            bytes((number * 31 + index * 17) % 251 for index in range(997)) for number in range(40)
+        ]
+        items = tuple(TableItem(f"k{number}", number, value) for number, value in enumerate(values))
+        update = TableUpdate(0, 50, False, False, items)
+        parts = split_update("n1", update)
+        collector = PartCollector()
+        got = [collector.add(part) for part in parts]
+        self.assertEqual(got[-1], update)
+        self.assertTrue(all(len(part.data) <= PART_BYTES for part in parts))
+
+    def test_nonsense_is_refused(self) -> None:
+        update = TableUpdate(0, 9, False, False, (TableItem("a", 1, b"x"),))
+        part = split_update("n1", update)[0]
+        broken = type(part)("n1", 0, 9, False, False, 0, 3, b"abc")
+        self.assertIsInstance(PartCollector().add(broken), Failure)
--- /dev/null
+++ b/winchfork/core/document_table.py
@@ -0,0 +1,88 @@
+"""The store's entries as one daemon holds them, so that it can pass them on to its peers.
+
+Each entry is kept as it was written, with its revision; an entry that has gone is remembered for a
+while by its key alone. A revision never goes down for a key, whoever it was heard from.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import OrderedDict
+from collections.abc import Iterable
+
+#: Entries that have gone and are remembered; a peer that is further behind gets everything.
+MOST_GONE = 2_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableItem:
+    """One entry; ``value`` is None where it has gone.
+
+    ``vanished`` entries were missing after an outage of the store, whose silence is no evidence.
+    """
+
+    key: str
+    revision: int
+    value: bytes | None
+    vanished: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableUpdate:
+    """What has changed after ``base_revision`` up to ``at_revision``.
+
+    A ``complete`` update holds every entry: what it does not hold is not there. ``after_outage`` of
+    the store, it may only not have been written again yet.
+    """
+
+    base_revision: int
+    at_revision: int
+    complete: bool
+    after_outage: bool
+    items: tuple[TableItem, ...]
+
+
+class DocumentTable:
+    """The newest entries by key. Not thread-safe."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, TableItem] = {}
+        self._gone: OrderedDict[str, TableItem] = OrderedDict()
+        #: Entries that went at or before this revision may have been forgotten.
+        self._gone_known_after = 0
+        self._listed_after_outage = False
+
+    def note(self, item: TableItem) -> bool:
+        """Take an entry in; False when a newer one is held."""
+        known = self._items.get(item.key) or self._gone.get(item.key)
+        if known is not None and known.revision >= item.revision:
+            return False
+        self._items.pop(item.key, None)
+        self._gone.pop(item.key, None)
+        if item.value is not None:
+            self._items[item.key] = item
+            return True
+        self._gone[item.key] = item
+        if len(self._gone) > MOST_GONE:
+            _, forgotten = self._gone.popitem(last=False)
+            self._gone_known_after = max(self._gone_known_after, forgotten.revision)
+        return True
+
+    def note_list(self, at_revision: int, *, after_outage: bool) -> None:
+        """Everything before this revision was learned from a list: what had gone is not known."""
+        self._listed_after_outage = after_outage
+        self._gone_known_after = max(self._gone_known_after, at_revision)
+
+    def missing_from(self, listed: Iterable[str]) -> list[str]:
+        """Return the keys held here that a complete list does not hold."""
+        return sorted(self._items.keys() - set(listed))
+
+    def update_after(self, revision: int, at_revision: int) -> TableUpdate:
+        """Return what a peer that knows everything up to ``revision`` lacks."""
+        complete = revision < self._gone_known_after
+        after = -1 if complete else revision
+        gone = () if complete else self._gone.values()
+        items = [item for item in (*self._items.values(), *gone) if item.revision > after]
+        items.sort(key=lambda item: item.revision)
+        after_outage = complete and self._listed_after_outage
+        return TableUpdate(revision, at_revision, complete, after_outage, tuple(items))
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -109,6 +109,10 @@
     indirect_sent: bool = False
 
 
+#: Told of each reply: who answered, its revisions, and when it was asked for them.
+OnReply = Callable[[Member, tuple[int, ...], float], None]
+
+
 class Membership:
     """One daemon's view of its region's daemons. Not thread-safe."""
 
@@ -119,12 +123,11 @@
         generator: random.Random,
         pack_loads: Callable[[], bytes] = lambda: b"",
         revisions: Callable[[], tuple[int, ...]] = lambda: (),
-        on_reply: Callable[[tuple[int, ...], float], None] = lambda revisions, asked_s: None,
+        on_reply: OnReply = lambda sender, revisions, asked_s: None,
     ) -> None:
         self.own = own
         self._pack_loads = pack_loads
         self._revisions = revisions
-        #: Told of each reply: the other's revisions, and when it was asked for them.
         self._on_reply = on_reply
         self._seeds = [seed for seed in seeds if seed != own.peer_address]
         self._generator = generator
@@ -178,6 +181,10 @@
             outgoing.append(self._probe("", self._generator.choice(strangers), now_s))
         return outgoing
 
+    def probe(self, member: Member, now_s: float) -> Outgoing:
+        """Probe one member besides the period's own."""
+        return self._probe(member.member_id, member.peer_address, now_s)
+
     def receive(self, message: MembershipMessage, now_s: float) -> list[Outgoing]:
         """Take in a message and return the replies."""
         self._learn(message.sender, now_s)
@@ -196,7 +203,7 @@
             return self._relay_probe(message)
         pending = self._pending.pop(message.nonce, None)
         if pending is not None:
-            self._on_reply(message.revisions, pending.sent_at_s)
+            self._on_reply(message.sender, message.revisions, pending.sent_at_s)
         relayed = self._relayed.pop(message.nonce, None)
         if relayed is not None:
             address, nonce = relayed
--- /dev/null
+++ b/winchfork/core/zone_hubs.py
@@ -0,0 +1,81 @@
+"""Hubs: the few daemons of a zone through which the others are told things. Pure decisions.
+
+In a small fleet every daemon tells every other. In a larger one that would cost each daemon
+messages in proportion to the fleet, so two hubs a zone, the same on every daemon that sees the same
+members, collect what their zone has to say, tell it to the hubs of other zones, and pass on what
+those say. A wrong view of who is a hub costs messages or a moment's ignorance, never a promise.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Sequence
+
+from winchfork.core.membership import Member, MemberStatus
+from winchfork.core.rendezvous import rendezvous_score
+
+#: Two, so that the loss of one leaves the zone informed.
+HUBS_PER_ZONE = 2
+#: Up to this many daemons, each tells every other.
+MOST_DIRECT_MEMBERS = 13
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetView:
+    """The daemons as one of them sees them, itself among them, and the hubs of each zone."""
+
+    own: Member
+    members: tuple[Member, ...]
+    hubs: dict[str, tuple[Member, ...]]
+
+    @classmethod
+    def of(cls, own: Member, members: Sequence[Member]) -> FleetView:
+        """Choose each zone's hubs: members that answer first, then by rendezvous hashing."""
+        by_zone: dict[str, list[Member]] = {}
+        for member in members:
+            by_zone.setdefault(member.zone, []).append(member)
+        hubs = {
+            zone: tuple(sorted(zone_members, key=_hub_order)[:HUBS_PER_ZONE])
+            for zone, zone_members in by_zone.items()
+        }
+        return cls(own, tuple(members), hubs)
+
+    @property
+    def direct(self) -> bool:
+        """Whether the fleet is small enough for every daemon to tell every other."""
+        return len(self.members) <= MOST_DIRECT_MEMBERS
+
+    @property
+    def own_hubs(self) -> tuple[Member, ...]:
+        """The hubs of this daemon's zone, this daemon perhaps among them."""
+        return self.hubs.get(self.own.zone, ())
+
+    @property
+    def is_hub(self) -> bool:
+        """Whether this daemon is a hub of its zone."""
+        return any(hub.member_id == self.own.member_id for hub in self.own_hubs)
+
+    @property
+    def others(self) -> list[Member]:
+        """Every other daemon."""
+        return [member for member in self.members if member.member_id != self.own.member_id]
+
+    @property
+    def zone_others(self) -> list[Member]:
+        """The other daemons of this daemon's zone."""
+        return [member for member in self.others if member.zone == self.own.zone]
+
+    @property
+    def other_own_hubs(self) -> list[Member]:
+        """The hubs of this daemon's zone without this daemon."""
+        return [hub for hub in self.own_hubs if hub.member_id != self.own.member_id]
+
+    @property
+    def far_hubs(self) -> list[Member]:
+        """The hubs of every other zone."""
+        return [hub for zone, hubs in self.hubs.items() if zone != self.own.zone for hub in hubs]
+
+
+def _hub_order(member: Member) -> tuple[bool, int, str]:
+    doubted = member.status is not MemberStatus.ALIVE
+    return doubted, -rendezvous_score(member.zone, member.member_id), member.member_id
--- /dev/null
+++ b/winchfork/router/document_relay.py
@@ -0,0 +1,114 @@
+"""The store's entries passed on between daemons.
+
+In a large fleet only the hubs watch the store and tell their zone what changes; in every fleet a
+daemon that sees that a peer knows more asks it, so that one that is cut from the store alone still
+learns of configurations, revoked keys and leaving replicas. An entry's revision never goes down,
+and what is passed on says nothing about how current it is: that is proven apart, by answers dated
+from their question.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Protocol
+
+from winchfork.core.document_table import DocumentTable, TableUpdate
+from winchfork.errors import Failure
+from winchfork.logs import log_event
+from winchfork.router.document_parts import PartCollector, split_update
+from winchfork.router.peer_messages import DocumentPart, DocumentPull
+from winchfork.router.peer_port import PeerPort
+from winchfork.router.state import RouterState
+
+#: A peer's answer that names a higher revision may have overtaken its own update: wait for that.
+PULL_DELAY_S = 0.05
+#: Seconds between two questions, and the age of the own proof up to which a daemon is informed.
+PULL_PERIOD_S = 0.3
+INFORMED_AGE_S = 1.8
+
+
+class RelayedDocuments(Protocol):
+    """The daemon's own copy of the store, as the relay uses it."""
+
+    table: DocumentTable
+
+    def take_update(self, update: TableUpdate) -> bool:
+        """Install what is newer; False when something before it is missing."""
+        ...
+
+
+class DocumentRelay:
+    """Passes updates on, and asks for those that are missing."""
+
+    def __init__(
+        self,
+        state: RouterState,
+        peers: PeerPort,
+        documents: RelayedDocuments,
+        call_later: Callable[[float, Callable[[], None]], object],
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._documents = documents
+        self._call_later = call_later
+        self._collector = PartCollector()
+        self._asked_at_s = -math.inf
+
+    @property
+    def watches(self) -> bool:
+        """Whether this daemon is one of those that watch the store for the others."""
+        view = self._peers.view
+        return view.direct or view.is_hub
+
+    @property
+    def feeds_others(self) -> bool:
+        """Whether daemons of this zone rely on this one."""
+        return not self._peers.view.direct and self._peers.view.is_hub
+
+    @property
+    def informed(self) -> bool:
+        """Whether hubs keep this daemon informed, so that it need not ask the store itself."""
+        if self.watches:
+            return False
+        return self._state.freshness.age_s(self._state.clock()) <= INFORMED_AGE_S
+
+    def push(self, update: TableUpdate) -> None:
+        """Tell the daemons of this zone what has changed in the store; hubs alone do."""
+        if not self.feeds_others or not update.items:
+            return
+        for part in split_update(self._state.settings.node_id, update):
+            self._peers.send_each(self._peers.view.zone_others, part)
+
+    def note_revision(self, address: str, revision: int) -> None:
+        """A peer knows the store up to ``revision``: ask it if that is news a moment later."""
+        if revision > self._state.store_revision:
+            self._call_later(PULL_DELAY_S, lambda: self._pull(address, revision))
+
+    def take_pull(self, message: DocumentPull) -> None:
+        """Answer a peer that lacks something."""
+        own_revision = self._state.store_revision
+        if message.after_revision >= own_revision:
+            return
+        update = self._documents.table.update_after(message.after_revision, own_revision)
+        for part in split_update(self._state.settings.node_id, update):
+            self._peers.send(message.sender_address, part)
+
+    def take_part(self, part: DocumentPart) -> None:
+        """Collect an update, and install it when it is whole."""
+        update = self._collector.add(part)
+        if isinstance(update, Failure):
+            self._state.metrics.count("bad_datagrams")
+        elif update is not None and update.at_revision > self._state.store_revision:
+            whole = self._documents.take_update(update)
+            self._state.metrics.count("updates_relayed", "whole" if whole else "with_a_gap")
+
+    def _pull(self, address: str, revision: int) -> None:
+        now_s = self._state.clock()
+        known = self._state.store_revision
+        if revision <= known or now_s - self._asked_at_s < PULL_PERIOD_S:
+            return
+        self._asked_at_s = now_s
+        log_event("update_asked_for", peer=address, known=known, revision=revision)
+        own = self._peers.view.own
+        self._peers.send(address, DocumentPull(own.member_id, own.peer_address, known))
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -62,6 +62,8 @@
         self._hurry = False
         self._withdrawn = False
         self.fence = 0
+        #: Whether this daemon follows the store closely enough to lead; others need not campaign.
+        self.eligible: Callable[[], bool] = lambda: True
 
     def note_entry(self, revision: int | None) -> None:
         """Take what the store's watch says of the leader's entry; None: there is none."""
@@ -99,7 +101,9 @@
         while True:
             await self._vacant.wait()
             await asyncio.sleep(self._try_delay_s())
-            if self._vacant.is_set() and not self._withdrawn and await self._take():
+            if not self.eligible():
+                await asyncio.sleep(MAX_TRY_DELAY_S)
+            elif self._vacant.is_set() and not self._withdrawn and await self._take():
                 await self._keep()
 
     def withdraw(self) -> None:
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -88,6 +88,55 @@
     uptime_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class ZoneWork:
+    """What a zone's daemons do together, from a hub of that zone to the hubs of others."""
+
+    sender_id: str
+    zone: str
+    loads: tuple[ReplicaLoadNote, ...]
+    kept: tuple[KeptNote, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetWork:
+    """What all daemons do together, the receiver included, from a hub to its own zone."""
+
+    sender_id: str
+    loads: tuple[ReplicaLoadNote, ...]
+    kept: tuple[KeptNote, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Forward:
+    """A datagram that a hub is to take in and to pass on to the daemons of its zone."""
+
+    datagram: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class DocumentPull:
+    """The sender knows the store's entries up to a revision and asks for what came after it."""
+
+    sender_id: str
+    sender_address: str
+    after_revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class DocumentPart:
+    """A part, from ``offset``, of a packed update of the store's entries; ``total`` in bytes."""
+
+    sender_id: str
+    base_revision: int
+    at_revision: int
+    complete: bool
+    after_outage: bool
+    offset: int
+    total: int
+    data: bytes
+
+
 PEER_MESSAGE_TYPES = (
     Probe,
     ProbeReply,
@@ -96,4 +145,9 @@
     RolloutProgress,
     NamedVersions,
     Resignation,
+    ZoneWork,
+    FleetWork,
+    Forward,
+    DocumentPull,
+    DocumentPart,
 )
--- /dev/null
+++ b/winchfork/router/peer_wiring.py
@@ -0,0 +1,45 @@
+"""Gives each kind of message from peers to the part that takes it in."""
+
+from __future__ import annotations
+
+import asyncio
+
+from winchfork.router.document_relay import DocumentRelay
+from winchfork.router.leadership import Leadership
+from winchfork.router.peer_messages import (
+    Activity,
+    DocumentPart,
+    DocumentPull,
+    FleetWork,
+    NamedVersions,
+    Resignation,
+    RolloutProgress,
+    ZoneWork,
+)
+from winchfork.router.peers import PeerGroup
+from winchfork.router.state import RouterState
+from winchfork.router.store_sync import StoreSync
+from winchfork.router.version_news import VersionNews
+from winchfork.router.work_exchange import WorkExchange
+
+
+def connect_peers(
+    state: RouterState, peers: PeerGroup, sync: StoreSync, leadership: Leadership
+) -> VersionNews:
+    """Connect a process's parts to its peers; return what tells them of weights."""
+    work = WorkExchange(state, peers)
+    news = VersionNews(state, peers)
+    relay = DocumentRelay(state, peers, sync, asyncio.get_running_loop().call_later)
+    peers.handle(Activity, work.take_activity)
+    peers.handle(ZoneWork, work.take_zone)
+    peers.handle(FleetWork, work.take_fleet)
+    peers.handle(RolloutProgress, news.take_rollout)
+    peers.handle(NamedVersions, news.take_named)
+    peers.handle(Resignation, leadership.note_resignation)
+    peers.handle(DocumentPull, relay.take_pull)
+    peers.handle(DocumentPart, relay.take_part)
+    peers.on_tick += [news.greet_newcomers, work.tick]
+    peers.on_revision = relay.note_revision
+    sync.relay_through(relay)
+    leadership.eligible = lambda: not relay.informed
+    return news
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -1,18 +1,17 @@
-"""Datagrams between router processes: membership, load, kept parts, rollout progress.
+"""Datagrams between router processes: the socket, membership, and what goes to whom.
 
-Everything said here is advice with an age: a lost datagram costs efficiency, never a promise. Work
-is told to a bounded number of peers each period, so that a daemon's cost does not grow with the
-fleet; the leader's rollout notes go to every member, since they are rare.
+Everything said here is advice with an age: a lost datagram costs efficiency, never a promise. What
+concerns everybody goes to every member of a small fleet, and through the hubs of a large one, so
+that a daemon's cost does not grow with the fleet.
 """
 
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import random
 import time
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 from winchfork.cluster.wire import PeerCodec
 from winchfork.constants import HEARTBEAT_PERIOD_S
@@ -20,65 +19,36 @@
     IndirectProbe,
     Member,
     Membership,
+    MembershipMessage,
     Outgoing,
     Probe,
     ProbeReply,
 )
+from winchfork.core.zone_hubs import FleetView
 from winchfork.errors import Failure
-from winchfork.logs import log_event
 from winchfork.router.peer_messages import (
     PEER_MESSAGE_TYPES,
-    Activity,
-    KeptNote,
-    NamedNote,
-    NamedVersions,
-    ReplicaLoadNote,
+    Forward,
     Resignation,
-    RolloutProgress,
-    WeightsNote,
 )
 from winchfork.router.state import RouterState
 
-#: Seconds between messages about work, and for how long such a message counts.
-ACTIVITY_PERIOD_S = 0.2
-ACTIVITY_MEMORY_S = 1.5
-#: Peers told of work in one period.
-FAN_OUT = 12
-#: Parts told in one message.
-_MOST_KEPT = 200
+#: Seconds between two looks at what is to be told.
+TICK_PERIOD_S = 0.2
+#: Seconds between two questions to a hub, a little less than two ticks.
+HUB_PROBE_PERIOD_S = 0.35
 #: Daemons that budgets are shared among beyond those seen, for machines that are coming back.
 _SPARE_DAEMONS = 3
 #: Keeps other systems' datagrams out; it is no secret, the network is the platform's.
 _CLUSTER_KEY = b"winchfork-router-peers"
-
-#: Milliseconds to which expected ends are rounded, so that they fit in a byte or two.
-_BUSY_STEP_MS = 50
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _HeardLoads:
-    """The newest loads told by one peer, and when."""
-
-    at_s: float
-    loads: tuple[ReplicaLoadNote, ...]
-
-
-@dataclasses.dataclass(slots=True)
-class _PeerWork:
-    """All peers' work on one replica."""
-
-    in_flight: int = 0
-    unread_tokens: int = 0
-    busy_until_s: float = 0.0
-
-
-_NO_WORK = _PeerWork()
 #: Age told by a daemon that has no proof.
 _NO_PROOF_S = 3600.0
 
+_Message = TypeVar("_Message")
+
 
 class PeerGroup(asyncio.DatagramProtocol):
-    """This process among its peers."""
+    """This process among its peers; implements :class:`winchfork.router.peer_port.PeerPort`."""
 
     def __init__(self, state: RouterState, generator: random.Random) -> None:
         settings = state.settings
@@ -100,11 +70,18 @@
             on_reply=self._take_proof,
         )
         self._transport: asyncio.DatagramTransport | None = None
-        self._last_loads: tuple[ReplicaLoadNote, ...] = ()
-        self._heard: dict[str, _HeardLoads] = {}
-        self._known_members: set[tuple[str, int]] = set()
-        self.on_resignation: Callable[[Resignation], None] = lambda message: None
+        self._handlers: dict[type, Callable[[Any], None]] = {}
+        self._view = FleetView.of(own, [own])
+        #: Told of each tick: the monotonic time.
+        self.on_tick: list[Callable[[float], None]] = []
+        #: Told of the address and the store's revision of each peer that answers.
+        self.on_revision: Callable[[str, int], None] = lambda address, revision: None
         self.sent_bytes = 0
+        self.sent_messages = 0
+        self.handle(Probe, self._take_membership)
+        self.handle(ProbeReply, self._take_membership)
+        self.handle(IndirectProbe, self._take_membership)
+        self.handle(Forward, self._take_forward)
 
     async def open(self) -> None:
         """Bind the socket and greet the seeds; without ports there are no peers."""
@@ -117,17 +94,23 @@
 
     async def run(self) -> None:
         """Tick until cancelled."""
-        next_probe_s = self._loop.time()
+        next_probe_s = next_hub_probe_s = self._loop.time()
         while True:
-            await asyncio.sleep(ACTIVITY_PERIOD_S)
+            await asyncio.sleep(TICK_PERIOD_S)
             now_s = self._loop.time()
             if now_s >= next_probe_s:
                 next_probe_s = now_s + HEARTBEAT_PERIOD_S
                 self._send_all(self._membership.tick(now_s))
-                self._state.daemons = self.members() + _SPARE_DAEMONS
-            self._greet_newcomers(now_s)
-            self._tell_work(now_s)
-            self._sum_loads(now_s)
+            if now_s >= next_hub_probe_s:
+                next_hub_probe_s = now_s + HUB_PROBE_PERIOD_S
+                self._probe_hub(now_s)
+            self._look_around()
+            for listener in self.on_tick:
+                listener(now_s)
+
+    def handle(self, message_type: type[_Message], handler: Callable[[_Message], None]) -> None:
+        """Give messages of one type to ``handler``."""
+        self._handlers[message_type] = handler
 
     def leave(self) -> None:
         """Tell some members of a planned stop."""
@@ -143,15 +126,45 @@
         """Return how many daemons are believed to work, this one included."""
         return len(self._membership.members())
 
-    def tell_rollout(self, fence: int, notes: tuple[WeightsNote, ...]) -> None:
-        """Tell every member of the replicas under order; apply it here as well."""
-        message = RolloutProgress(self._state.settings.node_id, fence, notes)
-        self._take_rollout(message)
-        self._tell_everyone(message)
-
     def tell_resignation(self, message: Resignation) -> None:
         """Tell every member that this leader gives no more orders."""
-        self._tell_everyone(message)
+        self.tell_everyone(message)
+
+    # PeerPort
+
+    @property
+    def view(self) -> FleetView:
+        """The daemons and the hubs, as of the last tick."""
+        return self._view
+
+    def send(self, address: str, message: Any) -> None:
+        """Send one message; one that cannot be encoded is dropped."""
+        data = self._codec.encode(message)
+        if not isinstance(data, Failure):
+            self._send_datagram(address, data)
+
+    def send_each(self, receivers: Iterable[Member], message: Any) -> None:
+        """Send one message to several peers, encoded once."""
+        data = self._codec.encode(message)
+        if isinstance(data, Failure):
+            return
+        for receiver in receivers:
+            self._send_datagram(receiver.peer_address, data)
+
+    def tell_everyone(self, message: Any) -> None:
+        """Send one message to every other daemon."""
+        view = self._view
+        if view.direct:
+            self.send_each(view.others, message)
+            return
+        data = self._codec.encode(message)
+        if isinstance(data, Failure):
+            return
+        self.send_each(view.far_hubs, Forward(data))
+        if view.is_hub:
+            self.send_each(view.zone_others, message)
+        else:
+            self.send_each(view.own_hubs, Forward(data))
 
     # asyncio.DatagramProtocol
 
@@ -162,93 +175,60 @@
     def datagram_received(self, data: bytes, sender: Any) -> None:
         """Take a datagram in; what was not made by a peer is counted and dropped."""
         message = self._codec.decode(data)
-        if isinstance(message, Failure):
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+        else:
             self._state.metrics.count("bad_datagrams")
-        elif isinstance(message, (Probe, ProbeReply, IndirectProbe)):
-            self._send_all(self._membership.receive(message, self._loop.time()))
-        elif isinstance(message, Activity):
-            self._take_activity(message)
-        elif isinstance(message, RolloutProgress):
-            self._take_rollout(message)
-        elif isinstance(message, NamedVersions):
-            self._take_named(message)
-        elif isinstance(message, Resignation):
-            self.on_resignation(message)
 
     def error_received(self, error: Exception) -> None:
         """A peer's machine refused a datagram; membership finds out by itself."""
         self._state.metrics.count("datagrams_refused")
 
-    # Sending
+    # Internals
 
     def _send_all(self, outgoing: list[Outgoing]) -> None:
         for item in outgoing:
-            self._send(item.address, item.message)
+            self.send(item.address, item.message)
 
-    def _send(self, address: str, message: Any) -> None:
-        data = self._codec.encode(message)
-        if isinstance(data, Failure) or self._transport is None:
+    def _send_datagram(self, address: str, data: bytes) -> None:
+        if self._transport is None:
             return
         host, _, port = address.rpartition(":")
         self.sent_bytes += len(data)
+        self.sent_messages += 1
         self._transport.sendto(data, (host, int(port)))
 
-    def _tell_everyone(self, message: Any) -> None:
-        for member in self._others():
-            self._send(member.peer_address, message)
-
-    def _others(self) -> list[Member]:
-        own_id = self._state.settings.node_id
-        return [member for member in self._membership.members() if member.member_id != own_id]
-
-    def _greet_newcomers(self, now_s: float) -> None:
-        """Tell members seen for the first time how long ago each version was named."""
-        members = {(member.member_id, member.incarnation): member for member in self._others()}
-        newcomers = [members[key] for key in members.keys() - self._known_members]
-        self._known_members = set(members)
-        notes = tuple(
-            NamedNote(model, named.version, int((now_s - named.heard_s) * 1000))
-            for model, history in self._state.versions.items()
-            for named in history.named
-            if not named.assumed
-        )
-        if not notes:
+    def _look_around(self) -> None:
+        """Renew the view of the fleet."""
+        members = self._membership.members()
+        self._view = FleetView.of(self._membership.own, members)
+        self._state.daemons = len(members) + _SPARE_DAEMONS
+
+    def _probe_hub(self, now_s: float) -> None:
+        """Ask a hub how current it is: one of the own zone, or, for a hub, one of another zone."""
+        view = self._view
+        if view.direct:
             return
-        for member in newcomers:
-            self._send(member.peer_address, NamedVersions(notes))
-
-    def _take_named(self, message: NamedVersions) -> None:
-        now_s = self._loop.time()
-        for note in message.notes:
-            history = self._state.versions.get(note.model)
-            if history is not None:
-                history.note_age(note.version, now_s - note.age_ms / 1000.0)
-
-    def _tell_work(self, now_s: float) -> None:
-        loads = tuple(
-            ReplicaLoadNote(
-                replica.order_hash,
-                replica.in_flight,
-                replica.unread_tokens,
-                int(max(0.0, replica.own_busy_until_s - now_s) * 1000) // _BUSY_STEP_MS,
-            )
-            for replica in self._state.fleet.replicas()
-            if replica.in_flight
-        )
-        kept = tuple(
-            KeptNote(replica_hash, parts)
-            for replica_hash, parts in self._state.take_kept_news(_MOST_KEPT)
-        )
-        if loads == self._last_loads and not kept:
+        hubs = view.far_hubs if view.is_hub else view.other_own_hubs
+        if hubs:
+            hub = self._generator.choice(hubs)
+            self._send_all([self._membership.probe(hub, now_s)])
+
+    def _take_membership(self, message: MembershipMessage) -> None:
+        self._send_all(self._membership.receive(message, self._loop.time()))
+
+    def _take_forward(self, message: Forward) -> None:
+        """Take in what another daemon has to say to everybody, and pass it on in this zone."""
+        inner = self._codec.decode(message.datagram)
+        if isinstance(inner, (Failure, Forward)):
+            self._state.metrics.count("bad_datagrams")
             return
-        self._last_loads = loads
-        message = Activity(self._state.settings.node_id, loads, kept)
-        for address in self._listeners():
-            self._send(address, message)
-
-    def _listeners(self) -> list[str]:
-        others = [member.peer_address for member in self._others()]
-        return others if len(others) <= FAN_OUT else self._generator.sample(others, FAN_OUT)
+        for member in self._view.zone_others:
+            self._send_datagram(member.peer_address, message.datagram)
+        handler = self._handlers.get(type(inner))
+        if handler is not None:
+            handler(inner)
 
     # Proofs that the operators' documents are current
 
@@ -257,61 +237,14 @@
         age_s = self._state.freshness.age_s(self._loop.time())
         return (self._state.store_revision, int(min(age_s, _NO_PROOF_S) * 1000) + 1)
 
-    def _take_proof(self, revisions: tuple[int, ...], asked_s: float) -> None:
+    def _take_proof(self, sender: Member, revisions: tuple[int, ...], asked_s: float) -> None:
         """Adopt a peer's proof, dated from the question: however late the answer is read.
 
         It counts only here if everything up to the peer's revision is known here as well.
         """
-        if len(revisions) != 2 or revisions[0] > self._state.store_revision:
+        if len(revisions) != 2:
             return
-        self._state.freshness.prove(asked_s - revisions[1] / 1000.0)
-
-    # Receiving
-
-    def _take_activity(self, message: Activity) -> None:
-        now_s = self._loop.time()
-        self._heard[message.sender_id] = _HeardLoads(now_s, message.loads)
-        for note in message.kept:
-            self._state.note_peer_kept(note.replica_hash, note.parts)
-        self._sum_loads(now_s)
-
-    def _sum_loads(self, now_s: float) -> None:
-        totals: dict[int, _PeerWork] = {}
-        for peer, heard in list(self._heard.items()):
-            if now_s - heard.at_s > ACTIVITY_MEMORY_S:
-                del self._heard[peer]
-                continue
-            for note in heard.loads:
-                work = totals.setdefault(note.replica_hash, _PeerWork())
-                work.in_flight += note.in_flight
-                work.unread_tokens += note.unread_tokens
-                busy_s = heard.at_s + note.busy_steps * _BUSY_STEP_MS / 1000.0
-                work.busy_until_s = max(work.busy_until_s, busy_s)
-        for replica in self._state.fleet.replicas():
-            work = totals.get(replica.order_hash, _NO_WORK)
-            replica.peer_in_flight = work.in_flight
-            replica.peer_unread_tokens = work.unread_tokens
-            replica.peer_busy_until_s = work.busy_until_s
-
-    def _take_rollout(self, message: RolloutProgress) -> None:
-        if message.fence < self._state.rollout_fence:
+        if revisions[0] > self._state.store_revision:
+            self.on_revision(sender.peer_address, revisions[0])
             return
-        self._state.rollout_fence = message.fence
-        now_s = self._loop.time()
-        for note in message.notes:
-            replica = self._state.fleet.get(note.replica_id)
-            if replica is None:
-                continue
-            replica.loading_until_s = now_s + note.held_ms / 1000.0
-            replica.next_until_s = now_s + note.next_ms / 1000.0
-            self._state.note_version(replica, note.model, note.version)
-            log_event(
-                "replica_weights",
-                replica=note.replica_id,
-                model=note.model,
-                version=note.version,
-                held_ms=note.held_ms,
-                next_ms=note.next_ms,
-                fence=message.fence,
-                told_by=message.sender_id,
-            )
+        self._state.freshness.prove(asked_s - revisions[1] / 1000.0)
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -27,6 +27,7 @@
 from winchfork.router.leadership import Leadership
 from winchfork.router.log_output import LogOutput
 from winchfork.router.metrics_text import render_metrics
+from winchfork.router.peer_wiring import connect_peers
 from winchfork.router.peers import PeerGroup
 from winchfork.router.rollout import Rollout
 from winchfork.router.service import RouterService
@@ -88,10 +89,10 @@
             generator,
             settings.store_min_lease_s,
         )
-        self._peers.on_resignation = self._leadership.note_resignation
         self._sync = StoreSync(self.state, store, parts.documents, self._leadership, generator)
         control = parts.make_control(self._calls)
-        self._rollout = Rollout(self.state, self._leadership, control, self._peers)
+        news = connect_peers(self.state, self._peers, self._sync, self._leadership)
+        self._rollout = Rollout(self.state, self._leadership, control, self._peers, news)
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_asked = asyncio.Event()
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -24,6 +24,7 @@
 from winchfork.router.peers import PeerGroup
 from winchfork.router.rollout_notes import RolloutNotes
 from winchfork.router.state import RouterState
+from winchfork.router.version_news import VersionNews
 
 PASS_PERIOD_S = 0.1
 #: Pause between reports while a replica finishes its requests and loads.
@@ -53,6 +54,7 @@
         leadership: Leadership,
         control: ReplicaControl,
         peers: PeerGroup,
+        news: VersionNews,
     ) -> None:
         self._state = state
         self._leadership = leadership
@@ -62,7 +64,7 @@
         self._stopping = False
         self._turns = TurnClock()
         self._notes = RolloutNotes(
-            lambda fence, notes: peers.tell_rollout(fence, notes), state.clock
+            lambda fence, notes: news.tell_rollout(fence, notes), state.clock
         )
 
     async def run(self) -> None:
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -3,7 +3,8 @@
 One watch covers every document, so one call proves all of them current. An empty batch proves that
 nothing had changed when the wait was over; the proof is dated by the moment that the wait must have
 ended, never by when the answer came, and by the question when the answer is late. Revisions never
-go down within a life.
+go down within a life. In a large fleet only the hubs watch; a daemon that they keep informed takes
+their updates, and asks the store itself only when its proof grows old.
 
 While the store cannot be reached its silence is no evidence. A replica that has vanished from the
 first list after an outage is kept for a heartbeat and a half: it may only not have been written
@@ -14,24 +15,33 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 
+from winchfork.core.document_table import DocumentTable, TableItem, TableUpdate
 from winchfork.core.relay_fleet import ReplicaListing
 from winchfork.core.routing import RoutingTable
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
-from winchfork.router.documents import Document, DocumentReader, ReplicaGone, WeightsTarget
+from winchfork.router.document_relay import DocumentRelay
+from winchfork.router.documents import DocumentReader, ReplicaGone, WeightsTarget
 from winchfork.router.leadership import LEADER_KEY, Leadership
 from winchfork.router.state import RouterState
 from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreItem
 
 #: Longest wait of one watch. A cut that heals is noticed within this and the store's time limit.
 WATCH_WAIT_S = 1.6
+#: The same for a hub, whose zone is as current as its last answer.
+HUB_WATCH_WAIT_S = 0.5
+#: Pause between looks of a daemon that hubs keep informed.
+INFORMED_PAUSE_S = 0.1
 #: An empty answer that is later than this after its wait proves nothing about the wait.
 LATE_ANSWER_S = 0.5
 #: First and longest pause after a failed call; each pause is jittered by half of itself.
 BACK_OFF_S = 0.1
 MAX_BACK_OFF_S = 0.5
+#: The same for a daemon that is no hub: there are many, and hubs will tell it.
+MAX_FOLLOWER_BACK_OFF_S = 1.5
 #: Heartbeats for which a replica that vanished during an outage is kept.
 KEEP_HEARTBEATS = 1.5
 #: A daemon that has just started is held to the bound on versions after this long.
@@ -57,15 +67,27 @@
         self._reader = reader
         self._leadership = leadership
         self._generator = generator
+        #: The entries as they were written, to be passed on to peers.
+        self.table = DocumentTable()
+        self._relay: DocumentRelay | None = None
         self._lost_since_s: float | None = None
         self._listed = False
         self._ever_listed = False
         self._begun_in_outage = False
 
+    def relay_through(self, relay: DocumentRelay) -> None:
+        """Pass changes on to peers, and rely on theirs where hubs keep this daemon informed."""
+        self._relay = relay
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         failures = 0
         while True:
+            if self._listed and self._relay is not None and self._relay.informed:
+                self._note_regained(self._state.clock())
+                failures = 0
+                await asyncio.sleep(INFORMED_PAUSE_S)
+                continue
             failure = await (self._watch_once() if self._listed else self._list_once())
             if failure is None:
                 failures = 0
@@ -74,8 +96,17 @@
             self._note_lost(failure)
             if failure.kind is FailureKind.HISTORY_LOST:
                 self._listed = False
-            pause_s = min(MAX_BACK_OFF_S, BACK_OFF_S * 2.0 ** (failures - 1))
-            await asyncio.sleep(pause_s * (0.5 + self._generator.random()))
+            await asyncio.sleep(self._back_off_s(failures))
+
+    def _back_off_s(self, failures: int) -> float:
+        longest_s = MAX_BACK_OFF_S if self._watches else MAX_FOLLOWER_BACK_OFF_S
+        pause_s = min(longest_s, BACK_OFF_S * 2.0 ** (failures - 1))
+        return pause_s * (0.5 + self._generator.random())
+
+    @property
+    def _watches(self) -> bool:
+        """Whether this daemon is one of those that watch the store."""
+        return self._relay is None or self._relay.watches
 
     async def _list_once(self) -> Failure | None:
         asked_s = self._state.clock()
@@ -86,39 +117,73 @@
         self._begun_in_outage = after_outage and not self._ever_listed
         self._note_regained(asked_s)
         self._state.freshness.prove(asked_s)
-        documents = [self._install(item) for item in snapshot.items]
-        if all(item.key != LEADER_KEY for item in snapshot.items):
+        items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
+        self._take_complete(items, snapshot.at_revision, after_outage)
+        return None
+
+    def _take_complete(
+        self, items: tuple[TableItem, ...], at_revision: int, after_outage: bool
+    ) -> None:
+        """Take a complete list in, and note what it no longer holds."""
+        self._apply(items)
+        missing = self.table.missing_from(item.key for item in items)
+        gone = [TableItem(key, at_revision, None, after_outage) for key in missing]
+        self.table.note_list(at_revision, after_outage=after_outage)
+        self._apply(gone)
+        if LEADER_KEY not in {item.key for item in items}:
             self._leadership.note_entry(None)
-        listed = {item.replica_id for item in documents if isinstance(item, ReplicaListing)}
-        self._remove_missing(listed, snapshot.at_revision, after_outage)
-        self._state.store_revision = max(self._state.store_revision, snapshot.at_revision)
+        self._state.store_revision = max(self._state.store_revision, at_revision)
         self._listed = self._ever_listed = True
-        return None
 
     async def _watch_once(self) -> Failure | None:
         asked_s = self._state.clock()
-        # After an outage the first proof is wanted at once, not after a wait.
-        wait_s = WATCH_WAIT_S if self._lost_since_s is None else 0.0
-        batch = await self._store.watch(_EVERYTHING, self._state.store_revision, wait_s)
+        wait_s = self._watch_wait_s()
+        base_revision = self._state.store_revision
+        batch = await self._store.watch(_EVERYTHING, base_revision, wait_s)
         if isinstance(batch, Failure):
             return batch
         self._note_regained(asked_s)
-        for item in batch.items:
-            self._install(item)
+        items = tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
+        self._apply(items)
         self._state.store_revision = max(self._state.store_revision, batch.at_revision)
+        if self._relay is not None:
+            self._relay.push(TableUpdate(base_revision, batch.at_revision, False, False, items))
         elapsed_s = self._state.clock() - asked_s
         in_time = wait_s <= elapsed_s <= wait_s + LATE_ANSWER_S
         self._state.freshness.prove(asked_s + wait_s if in_time and not batch.items else asked_s)
         return None
 
+    def _watch_wait_s(self) -> float:
+        """Return how long a watch may wait; not at all when a proof is wanted at once."""
+        if self._lost_since_s is not None or not self._watches:
+            return 0.0
+        hub = self._relay is not None and self._relay.feeds_others
+        return HUB_WATCH_WAIT_S if hub else WATCH_WAIT_S
+
+    def take_update(self, update: TableUpdate) -> bool:
+        """Install what a peer passed on; False when something before it is missing here."""
+        if update.complete:
+            self._take_complete(update.items, update.at_revision, update.after_outage)
+            return True
+        self._apply(update.items)
+        if not self._listed or update.base_revision > self._state.store_revision:
+            return False
+        self._state.store_revision = max(self._state.store_revision, update.at_revision)
+        return True
+
     # Documents
 
-    def _install(self, item: StoreItem) -> Document | Failure | None:
-        """Take an entry in; return the document that it holds."""
+    def _apply(self, items: Iterable[TableItem]) -> None:
+        """Install the entries that are newer than what is held."""
+        for item in items:
+            if self.table.note(item):
+                self._install(item)
+
+    def _install(self, item: TableItem) -> None:
         if item.key == LEADER_KEY:
             self._leadership.note_entry(None if item.value is None else item.revision)
-            return None
-        document = self._reader.read(item)
+            return
+        document = self._reader.read(StoreItem(item.key, item.value, item.revision))
         if isinstance(document, Failure):
             log_event("document_refused", "WARNING", key=item.key, reason=document.reason)
         elif isinstance(document, RoutingTable):
@@ -128,8 +193,16 @@
         elif isinstance(document, ReplicaListing):
             self._install_replica(document, item.revision)
         elif isinstance(document, ReplicaGone):
-            self._remove_replica(document.replica_id, item.revision)
-        return document
+            self._note_gone(document.replica_id, item)
+
+    def _note_gone(self, replica_id: str, item: TableItem) -> None:
+        """Remove a replica; one that only vanished during an outage is kept for a while."""
+        replica = self._state.fleet.get(replica_id)
+        if item.vanished and replica is not None and replica.listing.accepting:
+            keep_s = self._state.settings.bounds.heartbeat_s * KEEP_HEARTBEATS
+            self._state.vanished.setdefault(replica_id, self._state.clock() + keep_s)
+        else:
+            self._remove_replica(replica_id, item.revision)
 
     def _install_table(self, table: RoutingTable, revision: int) -> None:
         if self._state.install_table(table, revision):
@@ -184,17 +257,6 @@
             self._state.parts.drop_replica(removed.order_hash)
             log_event("replica_gone", replica=replica_id, revision=revision)
 
-    def _remove_missing(self, listed: set[str], at_revision: int, after_outage: bool) -> None:
-        now_s = self._state.clock()
-        for replica in list(self._state.fleet.replicas()):
-            if replica.replica_id in listed:
-                continue
-            if after_outage and replica.listing.accepting:
-                keep_s = self._state.settings.bounds.heartbeat_s * KEEP_HEARTBEATS
-                self._state.vanished.setdefault(replica.replica_id, now_s + keep_s)
-            else:
-                self._remove_replica(replica.replica_id, at_revision)
-
     def expire_vanished(self, now_s: float) -> None:
         """Remove replicas that have not been listed again in time."""
         for replica_id, until_s in list(self._state.vanished.items()):
--- /dev/null
+++ b/winchfork/router/version_news.py
@@ -0,0 +1,88 @@
+"""What daemons tell each other of weights: rollout notes, and how long ago versions were named."""
+
+from __future__ import annotations
+
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.logs import log_event
+from winchfork.router.peer_messages import (
+    NamedNote,
+    NamedVersions,
+    RolloutProgress,
+    WeightsNote,
+)
+from winchfork.router.peer_port import PeerPort
+from winchfork.router.state import RouterState
+
+
+class VersionNews:
+    """Takes the rollout leader's notes in, and greets daemons that have just started."""
+
+    def __init__(self, state: RouterState, peers: PeerPort) -> None:
+        self._state = state
+        self._peers = peers
+        self._known_members: set[tuple[str, int]] = set()
+
+    def tell_rollout(self, fence: int, notes: tuple[WeightsNote, ...]) -> None:
+        """Tell every member of the replicas under order; apply it here as well."""
+        message = RolloutProgress(self._state.settings.node_id, fence, notes)
+        self.take_rollout(message)
+        self._peers.tell_everyone(message)
+
+    def take_rollout(self, message: RolloutProgress) -> None:
+        """Apply the notes of the newest leader."""
+        if message.fence < self._state.rollout_fence:
+            return
+        self._state.rollout_fence = message.fence
+        for note in message.notes:
+            replica = self._state.fleet.get(note.replica_id)
+            if replica is not None:
+                self._apply(replica, note, message)
+
+    def _apply(self, replica: RelayReplica, note: WeightsNote, message: RolloutProgress) -> None:
+        now_s = self._state.clock()
+        was_held = now_s < replica.loading_until_s
+        known = replica.versions.get(note.model, 0)
+        replica.loading_until_s = now_s + note.held_ms / 1000.0
+        replica.next_until_s = now_s + note.next_ms / 1000.0
+        self._state.note_version(replica, note.model, note.version)
+        if was_held == (note.held_ms > 0) and note.version <= known:
+            return
+        log_event(
+            "replica_weights",
+            replica=note.replica_id,
+            model=note.model,
+            version=note.version,
+            held_ms=note.held_ms,
+            next_ms=note.next_ms,
+            fence=message.fence,
+            told_by=message.sender_id,
+        )
+
+    def greet_newcomers(self, now_s: float) -> None:
+        """Tell members seen for the first time how long ago each version was named.
+
+        In a large fleet the hubs greet their own zone and each other.
+        """
+        view = self._peers.view
+        greeted = view.others if view.direct else []
+        if not view.direct and view.is_hub:
+            greeted = [*view.zone_others, *view.far_hubs]
+        members = {(member.member_id, member.incarnation): member for member in greeted}
+        newcomers = [members[key] for key in members.keys() - self._known_members]
+        self._known_members = set(members)
+        notes = tuple(
+            NamedNote(model, named.version, int((now_s - named.heard_s) * 1000))
+            for model, history in self._state.versions.items()
+            for named in history.named
+            if not named.assumed
+        )
+        if notes:
+            self._peers.send_each(newcomers, NamedVersions(notes))
+
+    def take_named(self, message: NamedVersions) -> None:
+        """Take a peer's word on when versions were named."""
+        now_s = self._state.clock()
+        for note in message.notes:
+            history = self._state.versions.get(note.model)
+            if history is not None:
+                history.note_age(note.version, now_s - note.age_ms / 1000.0)
--- /dev/null
+++ b/winchfork/router/work_exchange.py
@@ -0,0 +1,247 @@
+"""Daemons tell each other of the work they have given replicas and of the parts kept there.
+
+Everything said here is advice with an age: a lost message costs efficiency, never a promise. In a
+small fleet every daemon tells every other; in a larger one the hubs add up their zone's work, tell
+it to the hubs of other zones, and tell their zone the sum over all, so that a daemon's cost does
+not grow with the number of daemons.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from winchfork.core.membership import Member
+from winchfork.core.zone_hubs import FleetView
+from winchfork.router.peer_messages import (
+    Activity,
+    FleetWork,
+    KeptNote,
+    ReplicaLoadNote,
+    ZoneWork,
+)
+from winchfork.router.peer_port import PeerPort
+from winchfork.router.state import RouterState
+
+#: Seconds between messages about work, and for how long such a message counts.
+ACTIVITY_PERIOD_S = 0.2
+ACTIVITY_MEMORY_S = 1.5
+#: A hub that is not the first of its zone speaks when the first has been silent for this long.
+HUB_SILENCE_S = 0.7
+#: Parts told in one message by a daemon, and by a hub for its zone.
+MOST_KEPT = 200
+MOST_KEPT_OF_ZONE = 1_000
+#: Expected ends are rounded to this many milliseconds, so that they fit in a byte or two.
+BUSY_STEP_MS = 50
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _HeardLoads:
+    """The newest loads told by one sender, and when."""
+
+    at_s: float
+    loads: tuple[ReplicaLoadNote, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    """Work on one replica, added up."""
+
+    in_flight: int = 0
+    unread_tokens: int = 0
+    busy_until_s: float = 0.0
+
+    def add(self, note: ReplicaLoadNote, heard_s: float) -> None:
+        """Add what was heard at a moment."""
+        self.in_flight += note.in_flight
+        self.unread_tokens += note.unread_tokens
+        busy_s = heard_s + note.busy_steps * BUSY_STEP_MS / 1000.0
+        self.busy_until_s = max(self.busy_until_s, busy_s)
+
+
+_NO_WORK = _Work()
+
+
+class WorkExchange:
+    """This daemon's part in the exchange."""
+
+    def __init__(self, state: RouterState, peers: PeerPort) -> None:
+        self._state = state
+        self._peers = peers
+        self._own_id = state.settings.node_id
+        self._told: tuple[ReplicaLoadNote, ...] = ()
+        self._spoken: tuple[ReplicaLoadNote, ...] = ()
+        self._activities: dict[str, _HeardLoads] = {}
+        self._zones: dict[str, _HeardLoads] = {}
+        self._fleet: _HeardLoads | None = None
+        self._hub_heard_s = 0.0
+        #: Parts to pass on, by replica: those of this zone, and those heard from other zones.
+        self._zone_kept: dict[int, dict[int, None]] = {}
+        self._far_kept: dict[int, dict[int, None]] = {}
+
+    def tick(self, now_s: float) -> None:
+        """Tell what is news, and add up what was heard."""
+        view = self._peers.view
+        loads = self._own_loads(now_s)
+        kept = tuple(KeptNote(replica, keys) for replica, keys in self._take_kept())
+        if loads != self._told or kept:
+            self._told = loads
+            receivers = view.others if view.direct else view.other_own_hubs
+            self._send(receivers, Activity(self._own_id, loads, kept))
+        if not view.direct and view.is_hub:
+            _collect(self._zone_kept, kept)
+            if self._speaks(view, now_s):
+                self._speak(view, now_s)
+        self._add_up(now_s)
+
+    # Telling
+
+    def _own_loads(self, now_s: float) -> tuple[ReplicaLoadNote, ...]:
+        return tuple(
+            ReplicaLoadNote(
+                replica.order_hash,
+                replica.in_flight,
+                replica.unread_tokens,
+                int(max(0.0, replica.own_busy_until_s - now_s) * 1000) // BUSY_STEP_MS,
+            )
+            for replica in self._state.fleet.replicas()
+            if replica.in_flight
+        )
+
+    def _take_kept(self) -> list[tuple[int, tuple[int, ...]]]:
+        return self._state.take_kept_news(MOST_KEPT)
+
+    def _speaks(self, view: FleetView, now_s: float) -> bool:
+        """Whether this hub speaks for its zone: the first does, unless it has fallen silent."""
+        first = view.own_hubs[0].member_id == self._own_id
+        return first or now_s - self._hub_heard_s > HUB_SILENCE_S
+
+    def _speak(self, view: FleetView, now_s: float) -> None:
+        """Tell other zones of this one, and this zone of all."""
+        zone = _sum([_HeardLoads(now_s, self._told), *self._fresh(self._activities, now_s)])
+        fleet = _sum([_HeardLoads(now_s, _notes(zone, now_s)), *self._fresh(self._zones, now_s)])
+        zone_kept = _take_notes(self._zone_kept)
+        far_kept = _take_notes(self._far_kept)
+        loads = _notes(fleet, now_s)
+        message = FleetWork(self._own_id, loads, (*zone_kept, *far_kept))
+        if loads == self._spoken and not message.kept:
+            # Nothing is news; the other hub still hears that this one lives.
+            self._send(view.other_own_hubs, message)
+            return
+        self._spoken = loads
+        own_zone = self._state.settings.zone
+        self._send(view.far_hubs, ZoneWork(self._own_id, own_zone, _notes(zone, now_s), zone_kept))
+        self._send(view.zone_others, message)
+
+    def _send(self, receivers: Iterable[Member], message: Activity | ZoneWork | FleetWork) -> None:
+        self._peers.send_each(receivers, message)
+
+    # Hearing
+
+    def take_activity(self, message: Activity) -> None:
+        """Take in what one daemon does."""
+        now_s = self._state.clock()
+        self._activities[message.sender_id] = _HeardLoads(now_s, message.loads)
+        self._note_kept(message.kept)
+        if self._peers.view.is_hub:
+            _collect(self._zone_kept, message.kept)
+        self._add_up(now_s)
+
+    def take_zone(self, message: ZoneWork) -> None:
+        """Take in what another zone does."""
+        self._zones[message.zone] = _HeardLoads(self._state.clock(), message.loads)
+        self._note_kept(message.kept)
+        _collect(self._far_kept, message.kept)
+
+    def take_fleet(self, message: FleetWork) -> None:
+        """Take in what all daemons do; what the speaking hub has told, another need not."""
+        now_s = self._state.clock()
+        self._hub_heard_s = now_s
+        self._fleet = _HeardLoads(now_s, message.loads)
+        self._note_kept(message.kept)
+        for pending in (self._zone_kept, self._far_kept):
+            _discard(pending, message.kept)
+        self._add_up(now_s)
+
+    def _note_kept(self, notes: Iterable[KeptNote]) -> None:
+        for note in notes:
+            self._state.note_peer_kept(note.replica_hash, note.parts)
+
+    def _fresh(self, heard: dict[str, _HeardLoads], now_s: float) -> list[_HeardLoads]:
+        for sender in [key for key, item in heard.items() if _is_old(item, now_s)]:
+            del heard[sender]
+        return list(heard.values())
+
+    def _add_up(self, now_s: float) -> None:
+        """Set what peers have given each replica: everything heard, less this daemon's own."""
+        view = self._peers.view
+        own: dict[int, ReplicaLoadNote] = {}
+        if view.direct or view.is_hub:
+            heard = self._fresh(self._activities, now_s)
+            if not view.direct:
+                heard += self._fresh(self._zones, now_s)
+        else:
+            heard = [self._fleet] if self._fleet and not _is_old(self._fleet, now_s) else []
+            own = {note.replica_hash: note for note in self._told} if heard else {}
+        totals = _sum(heard)
+        for replica in self._state.fleet.replicas():
+            work = totals.get(replica.order_hash, _NO_WORK)
+            told = own.get(replica.order_hash)
+            in_flight = work.in_flight - (told.in_flight if told else 0)
+            unread = work.unread_tokens - (told.unread_tokens if told else 0)
+            replica.peer_in_flight = max(0, in_flight)
+            replica.peer_unread_tokens = max(0, unread)
+            replica.peer_busy_until_s = work.busy_until_s
+
+
+def _is_old(heard: _HeardLoads, now_s: float) -> bool:
+    return now_s - heard.at_s > ACTIVITY_MEMORY_S
+
+
+def _sum(heard: Iterable[_HeardLoads]) -> dict[int, _Work]:
+    totals: dict[int, _Work] = {}
+    for item in heard:
+        for note in item.loads:
+            totals.setdefault(note.replica_hash, _Work()).add(note, item.at_s)
+    return totals
+
+
+def _notes(totals: dict[int, _Work], now_s: float) -> tuple[ReplicaLoadNote, ...]:
+    return tuple(
+        ReplicaLoadNote(
+            replica_hash,
+            work.in_flight,
+            work.unread_tokens,
+            int(max(0.0, work.busy_until_s - now_s) * 1000) // BUSY_STEP_MS,
+        )
+        for replica_hash, work in totals.items()
+    )
+
+
+def _collect(pending: dict[int, dict[int, None]], notes: Iterable[KeptNote]) -> None:
+    for note in notes:
+        pending.setdefault(note.replica_hash, {}).update(dict.fromkeys(note.parts))
+
+
+def _discard(pending: dict[int, dict[int, None]], notes: Iterable[KeptNote]) -> None:
+    for note in notes:
+        keys = pending.get(note.replica_hash, {})
+        for key in note.parts:
+            keys.pop(key, None)
+        if not keys:
+            pending.pop(note.replica_hash, None)
+
+
+def _take_notes(pending: dict[int, dict[int, None]]) -> tuple[KeptNote, ...]:
+    """Take up to ``MOST_KEPT_OF_ZONE`` parts out; the rest waits for the next message."""
+    taken: list[KeptNote] = []
+    left = MOST_KEPT_OF_ZONE
+    for replica_hash in list(pending):
+        if left <= 0:
+            break
+        keys = list(pending.pop(replica_hash))
+        taken.append(KeptNote(replica_hash, tuple(keys[:left])))
+        if keys[left:]:
+            pending[replica_hash] = dict.fromkeys(keys[left:])
+        left -= len(keys)
+    return tuple(taken)
