--- a/winchfork/core/part_index.py
+++ b/winchfork/core/part_index.py
@@ -71,6 +71,17 @@
                 return number
         return len(keys)
 
+    def kept_depths(self, keys: Sequence[int]) -> dict[int, int]:
+        """Return for each replica that keeps the first part how many leading parts it keeps."""
+        depths: dict[int, int] = {}
+        for number, key in enumerate(keys):
+            holders = self._holders.get(key, {})
+            reached = [replica for replica in holders if depths.get(replica, 0) == number]
+            if not reached:
+                break
+            depths.update(dict.fromkeys(reached, number + 1))
+        return depths
+
     def holders(self, key: int) -> dict[int, float]:
         """Return the replicas that keep a part, with the time of last use."""
         return self._holders.get(key, {})
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -11,7 +11,7 @@
 
 import dataclasses
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from winchfork.core.part_index import PartIndex, shared_keys
 from winchfork.core.prompt_parts import CacheScope, Prompt
@@ -110,18 +110,19 @@
     ``sources`` are the replicas that parts may be copied from, whether or not they take work.
     """
     best: RelayDecision | None = None
+    prefixes = _KeptPrefixes(request, sources, index)
     for replica, rank in zip(candidates, _ranks(request, candidates), strict=True):
-        reading = _reading(request, replica, sources, index)
+        reading = prefixes.reading(replica)
         cost_s = _prompt_cost_s(request, replica, rank, reading)
         if best is None or cost_s < best.cost_s:
             best = RelayDecision(
                 replica, reading.kept, reading.unread, cost_s, len(candidates), reading.source
             )
-    return _with_store(request, best, index) if best is not None else None
+    return _with_store(request, best, prefixes) if best is not None else None
 
 
 def _with_store(
-    request: PromptPlacement, decision: RelayDecision, index: PartIndex
+    request: PromptPlacement, decision: RelayDecision, prefixes: _KeptPrefixes
 ) -> RelayDecision:
     """Save what the store does not keep; name it as the source of what it keeps.
 
@@ -133,60 +134,70 @@
         return decision
     if request.prompt.shared_tokens < LEAST_COPIED_TOKENS:
         return decision
-    keys = _keys_at(request, decision.replica)
-    stored = index.kept_parts(keys, store.order_hash) == len(keys)
+    kept = prefixes.at(decision.replica)
+    stored = kept.depths.get(store.order_hash, 0) == len(kept.keys)
     source = store if stored else decision.copy_from
     return dataclasses.replace(decision, copy_from=source, save=not stored)
 
 
-def _reading(
-    request: PromptPlacement,
-    replica: RelayReplica,
-    sources: Sequence[RelayReplica],
-    index: PartIndex,
-) -> _Reading:
-    keys = _keys_at(request, replica)
-    shared = request.prompt.shared
-    kept_parts = index.kept_parts(keys, replica.order_hash)
-    source, source_parts = _deepest_source(keys, kept_parts, replica, sources, index)
-    kept = sum(part.tokens for part in shared[:kept_parts])
-    copied = sum(part.tokens for part in shared[kept_parts:source_parts])
-    if not request.copy_tokens_per_s or copied < LEAST_COPIED_TOKENS:
-        source, copied = None, 0
-    unread = max(1, request.prompt.prompt_tokens - kept - copied)
-    return _Reading(kept, copied, unread, source)
-
-
-def _deepest_source(
-    keys: Sequence[int],
-    kept_parts: int,
-    replica: RelayReplica,
-    sources: Sequence[RelayReplica],
-    index: PartIndex,
-) -> tuple[RelayReplica | None, int]:
-    """Return who keeps the longest run beyond the replica's own: near, then most recently used."""
-    best: RelayReplica | None = None
-    best_parts = kept_parts
-    best_order: tuple[int, bool, float] = (kept_parts, False, 0.0)
-    if kept_parts == len(keys):
-        return None, kept_parts
-    for source in sources:
-        if source.order_hash == replica.order_hash:
-            continue
-        parts = index.kept_parts(keys, source.order_hash)
-        if parts <= kept_parts:
-            continue
-        near = source.listing.zone == replica.listing.zone
-        used_s = index.holders(keys[parts - 1]).get(source.order_hash, 0.0)
-        if (parts, near, used_s) > best_order:
-            best, best_parts, best_order = source, parts, (parts, near, used_s)
-    return best, best_parts
-
-
-def _keys_at(request: PromptPlacement, replica: RelayReplica) -> list[int]:
-    """Return the keys of the prompt's shared parts under the replica's weights."""
-    version = replica.versions.get(request.prompt.model, 0)
-    return shared_keys(request.scope, request.prompt, version)
+class _KeptPrefixes:
+    """Who keeps how much of a prompt's shared parts, looked up once for each weights version."""
+
+    def __init__(
+        self, request: PromptPlacement, sources: Sequence[RelayReplica], index: PartIndex
+    ) -> None:
+        self._request = request
+        self._sources = {source.order_hash: source for source in sources}
+        self._index = index
+        self._by_version: dict[int, _KeptUnderVersion] = {}
+
+    def at(self, replica: RelayReplica) -> _KeptUnderVersion:
+        """Return what is kept under the weights that a replica has."""
+        version = replica.versions.get(self._request.prompt.model, 0)
+        known = self._by_version.get(version)
+        if known is None:
+            keys = shared_keys(self._request.scope, self._request.prompt, version)
+            known = _KeptUnderVersion(keys, self._index.kept_depths(keys))
+            self._by_version[version] = known
+        return known
+
+    def reading(self, replica: RelayReplica) -> _Reading:
+        """Return how a replica would come by the prompt."""
+        request = self._request
+        shared = request.prompt.shared
+        kept_parts = self.at(replica).depths.get(replica.order_hash, 0)
+        source, source_parts = self._deepest_source(replica, kept_parts)
+        kept = sum(part.tokens for part in shared[:kept_parts])
+        copied = sum(part.tokens for part in shared[kept_parts:source_parts])
+        if not request.copy_tokens_per_s or copied < LEAST_COPIED_TOKENS:
+            source, copied = None, 0
+        unread = max(1, request.prompt.prompt_tokens - kept - copied)
+        return _Reading(kept, copied, unread, source)
+
+    def _deepest_source(
+        self, replica: RelayReplica, kept_parts: int
+    ) -> tuple[RelayReplica | None, int]:
+        """Return who keeps the longest run beyond the replica's own: near, then used last."""
+        prefixes = self.at(replica)
+        best: RelayReplica | None = None
+        best_order: tuple[int, bool, float] = (kept_parts, False, 0.0)
+        for source_hash, parts in prefixes.depths.items():
+            source = self._sources.get(source_hash)
+            if source is None or parts <= kept_parts or source_hash == replica.order_hash:
+                continue
+            near = source.listing.zone == replica.listing.zone
+            used_s = self._index.holders(prefixes.keys[parts - 1]).get(source_hash, 0.0)
+            if (parts, near, used_s) > best_order:
+                best, best_order = source, (parts, near, used_s)
+        return best, best_order[0]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _KeptUnderVersion:
+    """Keys of the shared parts under one version, and the leading parts kept, by replica."""
+
+    keys: Sequence[int]
+    depths: Mapping[int, int]
 
 
 def _ranks(request: PromptPlacement, candidates: Sequence[RelayReplica]) -> list[int]:
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -51,6 +51,7 @@
     no_body: bool
     ends_s: float
     on_read: Callable[[], None] = lambda: None
+    on_first_event: Callable[[], None] = lambda: None
 
 
 class Attempt:
@@ -139,6 +140,7 @@
                 self._read = True
                 self._note_read()
                 self._plan.on_read()
+                self._plan.on_first_event()
             return None
         self._body.append(data)
         self._body_bytes += len(data)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -77,6 +77,7 @@
         self._outcome = "?"
         self._reason = ""
         self._answered_by_replica = False
+        self._first_event_s: float | None = None
 
     # ActiveRequest
 
@@ -161,6 +162,7 @@
             self._service.pool.give_back(address, connection)
             return NotRun("the replica is leaving or the time is up", sent=False)
         plan = self._dispatch.plan(decision, self._time_left_s(), self._resume_after())
+        plan.on_first_event = self._note_first_event
         self._attempt = Attempt(plan, connection, self._inbox, self._answer, self._service.dialect)
         self._sends += 1
         sent_s = self._loop.time()
@@ -170,6 +172,10 @@
         self._note_evidence(plan, outcome, sent_s)
         return outcome
 
+    def _note_first_event(self) -> None:
+        if self._first_event_s is None:
+            self._first_event_s = self._loop.time() - self._request.received_s
+
     def _still_wanted(self, replica: RelayReplica) -> bool:
         current = self._state.fleet.get(replica.replica_id)
         return current is not None and current.accepting
@@ -318,6 +324,7 @@
             outcome=self._outcome,
             reason=self._reason or None,
             took_s=took_s,
+            first_event_s=self._first_event_s,
             sends=self._sends,
             events=self._answer.events or None,
             ran=self._ran().value,
