Count slots and memory in the cost of a replica

Cause: a prompt's cost knew neither a replica's slots nor its memory. Change: daemons tell the memory that their requests may take; a replica whose slots or memory are taken costs the share of a mean run until others have left; the charge for running requests is a share of the slots (at 64 slots as before).

--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -99,6 +99,26 @@
         self.assertIs(decision.copy_from, home)
         self.assertEqual(decision.unread_tokens, 400)
 
+    def test_long_answers_gather_only_as_far_as_there_are_slots(self) -> None:
+        """Grown hyt-kathmandu: on replicas of 16 slots, runs of 0.3 s took 1.2 s in the median."""
+        replicas, index = fleet_of(12, ("z1", "z2", "z3")), PartIndex()
+        hint = Prompt(
+            "m", (PromptPart("a", 100), PromptPart("b", 80), PromptPart("c", 600)), 780, 50
+        )
+        for _ in range(48):
+            chosen = placed(hint, replicas, index, run_s=0.4, mean_run_s=0.5)
+            chosen.in_flight += 1
+        self.assertLessEqual(max(replica.in_flight for replica in replicas), 8)
+
+    def test_a_prompt_avoids_a_replica_whose_memory_is_taken(self) -> None:
+        replicas, index = fleet_of(6), PartIndex()
+        request = prompt("f", own_tokens=2900)
+        home = placed(request, replicas, index)
+        home.peer_memory_tokens = 84_000
+        chosen = placed(request, replicas, index, cache_tokens=86_298, mean_run_s=4.0)
+        self.assertIsNot(chosen, home)
+        self.assertIs(placed(request, replicas, index, cache_tokens=110_556, mean_run_s=4.0), home)
+
     def test_beliefs_under_other_weights_count_for_nothing(self) -> None:
         replicas, index = fleet_of(3), PartIndex()
         request = prompt("f")
--- a/winchfork/core/prompt_parts.py
+++ b/winchfork/core/prompt_parts.py
@@ -40,6 +40,11 @@
             return self.parts[-2].part_id
         return self.parts[-1].part_id if self.parts else ""
 
+    @property
+    def memory_tokens(self) -> int:
+        """Tokens of a replica's memory that the run may come to take."""
+        return self.prompt_tokens + self.output_tokens
+
     @property
     def shared_tokens(self) -> int:
         """Tokens of the shared parts."""
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -46,8 +46,11 @@
     order_hash: int
     in_flight: int = 0
     unread_tokens: int = 0
+    #: Tokens that the memory of requests in flight may grow to: prompts and answers.
+    memory_tokens: int = 0
     peer_in_flight: int = 0
     peer_unread_tokens: int = 0
+    peer_memory_tokens: int = 0
     latency_s: float = 0.0
     latency_at_s: float = 0.0
     failures_in_row: int = 0
@@ -76,19 +79,33 @@
         """Prompt tokens sent to it, by all daemons as far as known, that it has not read yet."""
         return self.unread_tokens + self.peer_unread_tokens
 
-    def note_sent(self, request_key: int, unread_tokens: int, ends_s: float) -> None:
+    @property
+    def running(self) -> int:
+        """Requests sent to it, by all daemons as far as known, that have not ended."""
+        return self.in_flight + self.peer_in_flight
+
+    @property
+    def used_tokens(self) -> int:
+        """Memory that these requests may come to take."""
+        return self.memory_tokens + self.peer_memory_tokens
+
+    def note_sent(
+        self, request_key: int, unread_tokens: int, ends_s: float, memory_tokens: int = 0
+    ) -> None:
         """Count a request sent to this replica, which is expected to end at ``ends_s``."""
         self.in_flight += 1
         self.unread_tokens += unread_tokens
+        self.memory_tokens += memory_tokens
         self._ends_s[request_key] = ends_s
 
     def note_started(self, unread_tokens: int) -> None:
         """The prompt has been read: its first token has arrived, or the request has ended."""
         self.unread_tokens -= unread_tokens
 
-    def note_done(self, request_key: int) -> None:
+    def note_done(self, request_key: int, memory_tokens: int = 0) -> None:
         """Count a request that has ended, however it ended."""
         self.in_flight -= 1
+        self.memory_tokens -= memory_tokens
         self._ends_s.pop(request_key, None)
 
     @property
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -20,8 +20,9 @@
 
 #: Prompt tokens an engine reads a second until measured otherwise.
 DEFAULT_READ_TOKENS_PER_S = 40_000.0
-#: Charge for each request running on a replica: every token of a larger batch comes slower.
-RUNNING_COST_S = 0.001
+#: Charge for a replica all of whose slots are taken, less for fewer: every token of a larger batch
+#: comes slower, and long answers gather only as far as there are slots.
+FULL_COST_S = 0.064
 #: Charge for keeping copied parts twice, as a share of the time to read them: they push others out.
 SECOND_COPY_SHARE = 0.25
 #: Charge for a family away from its home while nobody is known to keep it, as a share of the time
@@ -71,7 +72,8 @@
 
     ``run_s`` is how long its answer is expected to take after the first token.
     ``copy_tokens_per_s`` is how fast replicas copy kept parts from each other; 0: they cannot.
-    ``store`` keeps parts outside the replicas.
+    ``cache_tokens`` is its memory, 0 if not known. ``mean_run_s`` is how long runs have taken
+    lately. ``store`` keeps parts outside the replicas.
     """
 
     prompt: Prompt
@@ -80,6 +82,8 @@
     now_s: float = 0.0
     run_s: float = 0.0
     copy_tokens_per_s: float = 0.0
+    cache_tokens: int = 0
+    mean_run_s: float = 0.0
     store: RelayReplica | None = None
 
     @property
@@ -228,10 +232,11 @@
 def _prompt_cost_s(
     request: PromptPlacement, replica: RelayReplica, rank: int, reading: _Reading
 ) -> float:
-    running = replica.in_flight + replica.peer_in_flight
+    running = replica.running
     read_s = reading.unread / DEFAULT_READ_TOKENS_PER_S
     cost_s = replica.queued_tokens / DEFAULT_READ_TOKENS_PER_S + read_s
-    cost_s += running * (RUNNING_COST_S + INTERFERENCE_SHARE * read_s)
+    cost_s += running * (FULL_COST_S / max(1, replica.listing.slots) + INTERFERENCE_SHARE * read_s)
+    cost_s += _wait_for_place_s(request, replica)
     cost_s += rank * (GATHER_COST_S if request.long_answer else ORDER_COST_S)
     if reading.copied:
         cost_s += COPY_SETUP_S + reading.copied / request.copy_tokens_per_s
@@ -245,6 +250,20 @@
     return cost_s
 
 
+def _wait_for_place_s(request: PromptPlacement, replica: RelayReplica) -> float:
+    """Return how long a prompt is expected to wait until others have left it slot and memory.
+
+    Runs end one after another, so of a full replica's runs a share of ``1 / slots`` ends in each
+    such share of the mean run; memory is given back in the same way.
+    """
+    slots = max(1, replica.listing.slots)
+    lacking = max(0.0, replica.running + 1 - slots) / slots
+    if request.cache_tokens:
+        tokens = replica.used_tokens + request.prompt.memory_tokens - request.cache_tokens
+        lacking = max(lacking, tokens / request.cache_tokens)
+    return lacking * request.mean_run_s
+
+
 def place_task(zone: str, candidates: Sequence[RelayReplica], now_s: float) -> RelayDecision | None:
     """Return the candidate expected to answer first, or None without candidates."""
     best: RelayDecision | None = None
@@ -258,7 +277,7 @@
 def _task_cost_s(zone: str, replica: RelayReplica, now_s: float) -> float:
     measured = now_s - replica.latency_at_s < LATENCY_MEMORY_S and replica.latency_s > 0
     latency_s = replica.latency_s if measured else DEFAULT_LATENCY_S
-    work = replica.in_flight + replica.peer_in_flight
+    work = replica.running
     slots = max(1, replica.listing.slots)
     cost_s = latency_s * (1.0 + work / slots + max(0.0, math.ceil((work + 1 - slots) / slots)))
     if replica.listing.zone != zone:
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -37,8 +37,8 @@
 class AttemptPlan:
     """What is sent where.
 
-    ``unread_tokens`` is what the replica has to read of the prompt; ``ends_s`` when the run is
-    expected to end.
+    ``unread_tokens`` is what the replica has to read of the prompt, ``memory_tokens`` what the run
+    may come to take of its memory; ``ends_s`` when it is expected to end.
     """
 
     replica: RelayReplica
@@ -46,6 +46,7 @@
     request_id: str
     kind: RouteKind
     unread_tokens: int
+    memory_tokens: int
     model: str
     weights_version: int | None
     no_body: bool
@@ -81,7 +82,7 @@
     async def run(self) -> Outcome:
         """Send the request and follow its answer to the end."""
         plan = self._plan
-        plan.replica.note_sent(id(self), plan.unread_tokens, plan.ends_s)
+        plan.replica.note_sent(id(self), plan.unread_tokens, plan.ends_s, plan.memory_tokens)
         exchange = Exchange(self._inbox.put, self._is_own, plan.no_body)
         try:
             self._connection.start(plan.message, exchange)
@@ -91,7 +92,7 @@
                     return outcome
         finally:
             self._note_read()
-            plan.replica.note_done(id(self))
+            plan.replica.note_done(id(self), plan.memory_tokens)
 
     def pause(self, behind: bool) -> None:
         """Stop reading from the replica while the caller is behind."""
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -53,6 +53,8 @@
             now_s=now_s,
             run_s=self._prompt.output_tokens * self._state.token_s,
             copy_tokens_per_s=self._state.copy_tokens_per_s(self._service),
+            cache_tokens=self._state.cache_tokens(self._service),
+            mean_run_s=self._state.mean_run_s,
             store=store,
         )
         sources = [*self._state.fleet.of_service(self._service), *([store] if store else [])]
@@ -72,6 +74,7 @@
             request_id=self._admitted.fields.request_id,
             kind=self._admitted.route.kind,
             unread_tokens=decision.unread_tokens,
+            memory_tokens=prompt.memory_tokens if prompt else 0,
             model=prompt.model if prompt else "",
             weights_version=version,
             no_body=self._request.method == b"HEAD",
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -11,12 +11,14 @@
 class ReplicaLoadNote:
     """The sender's own work on one replica, which is named by the hash of its id.
 
-    ``busy_steps`` is when the last of it is expected to end, from now, in steps of 50 ms.
+    ``memory_tokens`` is what this work may come to take of its memory; ``busy_steps`` is when the
+    last of it is expected to end, from now, in steps of 50 ms.
     """
 
     replica_hash: int
     in_flight: int
     unread_tokens: int
+    memory_tokens: int
     busy_steps: int
 
 
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -37,6 +37,7 @@
 MAX_BEGIN_MARGIN_S = 5.0
 #: Seconds for each token out until measured, and the share of a new run in the moving average.
 FIRST_TOKEN_S = 0.008
+FIRST_RUN_S = 0.5
 RUN_WEIGHT = 0.05
 BYTES_PER_S_PER_MBPS = 125_000.0
 #: Daemons assumed to share budgets and connections until more are known.
@@ -95,6 +96,8 @@
         self.daemons = ASSUMED_DAEMONS
         #: Seconds of a run for each token that its caller allows out, as measured lately.
         self.token_s = FIRST_TOKEN_S
+        #: Seconds of a run, as measured lately.
+        self.mean_run_s = FIRST_RUN_S
 
     def install_table(self, table: RoutingTable, revision: int) -> bool:
         """Put a newer configuration in force; False when it is not newer."""
@@ -229,6 +232,7 @@
 
     def note_run(self, output_tokens: int, run_s: float) -> None:
         """Learn how long runs take by the tokens that they may put out."""
+        self.mean_run_s += RUN_WEIGHT * (run_s - self.mean_run_s)
         if output_tokens > 0:
             self.token_s += RUN_WEIGHT * (run_s / output_tokens - self.token_s)
 
@@ -267,6 +271,11 @@
             return 0.0
         return engine.link_mbps * BYTES_PER_S_PER_MBPS / engine.token_bytes
 
+    def cache_tokens(self, service: str) -> int:
+        """Return the tokens that each of the service's replicas has memory for; 0 if not known."""
+        known = self.table.services.get(service) if self.table else None
+        return known.engine.cache_tokens if known and known.engine else 0
+
     def connection_limit(self, service: str) -> int:
         """Return this daemon's part of the connections that one replica takes."""
         known = self.table.services.get(service) if self.table else None
--- a/winchfork/router/work_exchange.py
+++ b/winchfork/router/work_exchange.py
@@ -49,12 +49,14 @@
 
     in_flight: int = 0
     unread_tokens: int = 0
+    memory_tokens: int = 0
     busy_until_s: float = 0.0
 
     def add(self, note: ReplicaLoadNote, heard_s: float) -> None:
         """Add what was heard at a moment."""
         self.in_flight += note.in_flight
         self.unread_tokens += note.unread_tokens
+        self.memory_tokens += note.memory_tokens
         busy_s = heard_s + note.busy_steps * BUSY_STEP_MS / 1000.0
         self.busy_until_s = max(self.busy_until_s, busy_s)
 
@@ -102,6 +104,7 @@
                 replica.order_hash,
                 replica.in_flight,
                 replica.unread_tokens,
+                replica.memory_tokens,
                 int(max(0.0, replica.own_busy_until_s - now_s) * 1000) // BUSY_STEP_MS,
             )
             for replica in self._state.fleet.replicas()
@@ -189,8 +192,10 @@
             told = own.get(replica.order_hash)
             in_flight = work.in_flight - (told.in_flight if told else 0)
             unread = work.unread_tokens - (told.unread_tokens if told else 0)
+            memory = work.memory_tokens - (told.memory_tokens if told else 0)
             replica.peer_in_flight = max(0, in_flight)
             replica.peer_unread_tokens = max(0, unread)
+            replica.peer_memory_tokens = max(0, memory)
             replica.peer_busy_until_s = work.busy_until_s
 
 
@@ -212,6 +217,7 @@
             replica_hash,
             work.in_flight,
             work.unread_tokens,
+            work.memory_tokens,
             int(max(0.0, work.busy_until_s - now_s) * 1000) // BUSY_STEP_MS,
         )
         for replica_hash, work in totals.items()
