Prefer current weights once replaced ones are worth less

A family was also charged for leaving a home whose weights could not serve the replica's version. Change: versions replaced long enough ago cost 0.15 s, and each version has homes of its own. Test: test_replaced_weights_are_used_only_where_newer_ones_are_busy (failed without).

--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -110,6 +110,18 @@
             chosen.in_flight += 1
         self.assertLessEqual(max(replica.in_flight for replica in replicas), 8)
 
+    def test_replaced_weights_are_used_only_where_newer_ones_are_busy(self) -> None:
+        replicas, index = fleet_of(6), PartIndex()
+        request = prompt("f")
+        for replica in replicas[:2]:
+            replica.versions["m"] = 2
+        old = frozenset({1})
+        chosen = [placed(prompt(f"f{n}"), replicas, index, old_versions=old) for n in range(20)]
+        self.assertEqual({replica.versions["m"] for replica in chosen}, {2})
+        for replica in replicas[:2]:
+            replica.unread_tokens = 20_000
+        self.assertEqual(placed(request, replicas, index, old_versions=old).versions["m"], 1)
+
     def test_a_prompt_avoids_a_replica_whose_memory_is_taken(self) -> None:
         replicas, index = fleet_of(6), PartIndex()
         request = prompt("f", own_tokens=2900)
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -36,6 +36,9 @@
 LEAST_COPIED_TOKENS = 64
 #: Charge for a replica in another zone: latency there and back, and the price of the bytes.
 OTHER_ZONE_COST_S = 0.012
+#: Charge for weights that a newer version has replaced a while ago: their answers are worth less,
+#: though not by as much as late ones.
+OLD_WEIGHTS_COST_S = 0.15
 #: Charge for a long answer on a replica that is to load weights next, as a share of its length: the
 #: load waits for it.
 NEXT_SHARE = 0.1
@@ -73,7 +76,7 @@
     ``run_s`` is how long its answer is expected to take after the first token.
     ``copy_tokens_per_s`` is how fast replicas copy kept parts from each other; 0: they cannot.
     ``cache_tokens`` is its memory, 0 if not known. ``mean_run_s`` is how long runs have taken
-    lately. ``store`` keeps parts outside the replicas.
+    lately. ``store`` keeps parts outside the replicas. Answers of ``old_versions`` are worth less.
     """
 
     prompt: Prompt
@@ -84,6 +87,7 @@
     copy_tokens_per_s: float = 0.0
     cache_tokens: int = 0
     mean_run_s: float = 0.0
+    old_versions: frozenset[int] = frozenset()
     store: RelayReplica | None = None
 
     @property
@@ -115,9 +119,12 @@
     """
     best: RelayDecision | None = None
     prefixes = _KeptPrefixes(request, sources, index)
-    for replica, rank in zip(candidates, _ranks(request, candidates), strict=True):
+    ranks = _ranks(request, candidates)
+    homes = _homes(request, candidates, ranks)
+    for replica, rank in zip(candidates, ranks, strict=True):
         reading = prefixes.reading(replica)
-        cost_s = _prompt_cost_s(request, replica, rank, reading)
+        at_home = rank == homes[_version(request, replica)]
+        cost_s = _prompt_cost_s(request, replica, rank, at_home, reading)
         if best is None or cost_s < best.cost_s:
             best = RelayDecision(
                 replica, reading.kept, reading.unread, cost_s, len(candidates), reading.source
@@ -157,7 +164,7 @@
 
     def at(self, replica: RelayReplica) -> _KeptUnderVersion:
         """Return what is kept under the weights that a replica has."""
-        version = replica.versions.get(self._request.prompt.model, 0)
+        version = _version(self._request, replica)
         known = self._by_version.get(version)
         if known is None:
             keys = shared_keys(self._request.scope, self._request.prompt, version)
@@ -219,6 +226,24 @@
     return ranks
 
 
+def _homes(
+    request: PromptPlacement, candidates: Sequence[RelayReplica], ranks: Sequence[int]
+) -> dict[int, int]:
+    """Return the rank of the first choice under each weights version.
+
+    What is kept under one version is of no use under another, so each has a home of its own.
+    """
+    homes: dict[int, int] = {}
+    for replica, rank in zip(candidates, ranks, strict=True):
+        version = _version(request, replica)
+        homes[version] = min(rank, homes.get(version, rank))
+    return homes
+
+
+def _version(request: PromptPlacement, replica: RelayReplica) -> int:
+    return replica.versions.get(request.prompt.model, 0)
+
+
 def _ranks_in_zone(candidates: Sequence[RelayReplica]) -> list[int]:
     ranks = [0] * len(candidates)
     seen: dict[str, int] = {}
@@ -230,7 +255,7 @@
 
 
 def _prompt_cost_s(
-    request: PromptPlacement, replica: RelayReplica, rank: int, reading: _Reading
+    request: PromptPlacement, replica: RelayReplica, rank: int, at_home: bool, reading: _Reading
 ) -> float:
     running = replica.running
     read_s = reading.unread / DEFAULT_READ_TOKENS_PER_S
@@ -241,10 +266,12 @@
     if reading.copied:
         cost_s += COPY_SETUP_S + reading.copied / request.copy_tokens_per_s
         cost_s += SECOND_COPY_SHARE * reading.copied / DEFAULT_READ_TOKENS_PER_S
-    elif rank and not reading.kept and not request.long_answer:
+    elif not at_home and not reading.kept and not request.long_answer:
         cost_s += AWAY_SHARE * request.prompt.shared_tokens / DEFAULT_READ_TOKENS_PER_S
     if replica.listing.zone != request.zone:
         cost_s += OTHER_ZONE_COST_S
+    if _version(request, replica) in request.old_versions:
+        cost_s += OLD_WEIGHTS_COST_S
     if request.now_s < replica.next_until_s:
         cost_s += NEXT_SHARE * request.run_s
     return cost_s
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from winchfork.core.part_index import shared_keys
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
@@ -18,6 +20,10 @@
 
 #: The least urgent priority that replicas know.
 _LEAST_URGENT = 9
+#: Seconds after a newer version is named for which older weights are worth as much, and how long
+#: after its decision a request begins.
+FULL_WORTH_S = 1.5
+EXPECTED_BEGIN_S = 0.2
 
 
 class Dispatch:
@@ -55,11 +61,23 @@
             copy_tokens_per_s=self._state.copy_tokens_per_s(self._service),
             cache_tokens=self._state.cache_tokens(self._service),
             mean_run_s=self._state.mean_run_s,
+            old_versions=self._old_versions(self._prompt.model, candidates),
             store=store,
         )
         sources = [*self._state.fleet.of_service(self._service), *([store] if store else [])]
         return place_prompt(request, candidates, sources, self._state.parts)
 
+    def _old_versions(self, model: str, candidates: Sequence[RelayReplica]) -> frozenset[int]:
+        """Return the candidates' versions that were replaced long enough ago to be worth less."""
+        history = self._state.versions.get(model)
+        if history is None:
+            return frozenset()
+        now_s = self._state.clock() + EXPECTED_BEGIN_S
+        versions = {replica.versions.get(model, 0) for replica in candidates}
+        return frozenset(
+            version for version in versions if history.due_s(version, FULL_WORTH_S) <= now_s
+        )
+
     def plan(
         self, decision: RelayDecision, time_left_s: float, resume_after: int | None
     ) -> AttemptPlan:
