Let a hub pause after a change, so that changes that come together cost one call

Change: a hub waits 0.1 s after an answer with changes; a daemon that hubs keep informed asks itself after 1.6 s instead of 1.8. What is known to the proof's moment bounds what can be missed, so a change is known within 1.6 s and one call also where its update and the questions after it were lost.

--- a/winchfork/router/document_relay.py
+++ b/winchfork/router/document_relay.py
@@ -25,7 +25,7 @@
 PULL_DELAY_S = 0.05
 #: Seconds between two questions, and the age of the own proof up to which a daemon is informed.
 PULL_PERIOD_S = 0.3
-INFORMED_AGE_S = 1.8
+INFORMED_AGE_S = 1.6
 
 
 class RelayedDocuments(Protocol):
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -33,6 +33,8 @@
 WATCH_WAIT_S = 1.6
 #: The same for a hub, whose zone is as current as its last answer.
 HUB_WATCH_WAIT_S = 0.5
+#: Pause of a hub after a change, so that changes that come together cost one call.
+GATHER_CHANGES_S = 0.1
 #: Pause between looks of a daemon that hubs keep informed.
 INFORMED_PAUSE_S = 0.1
 #: An empty answer that is later than this after its wait proves nothing about the wait.
@@ -88,9 +90,12 @@
                 failures = 0
                 await asyncio.sleep(INFORMED_PAUSE_S)
                 continue
+            revision = self._state.store_revision
             failure = await (self._watch_once() if self._listed else self._list_once())
             if failure is None:
                 failures = 0
+                if self._feeds_others and self._state.store_revision > revision:
+                    await asyncio.sleep(GATHER_CHANGES_S)
                 continue
             failures += 1
             self._note_lost(failure)
@@ -108,6 +113,10 @@
         """Whether this daemon is one of those that watch the store."""
         return self._relay is None or self._relay.watches
 
+    @property
+    def _feeds_others(self) -> bool:
+        return self._relay is not None and self._relay.feeds_others
+
     async def _list_once(self) -> Failure | None:
         asked_s = self._state.clock()
         snapshot = await self._store.list(_EVERYTHING)
@@ -157,8 +166,7 @@
         """Return how long a watch may wait; not at all when a proof is wanted at once."""
         if self._lost_since_s is not None or not self._watches:
             return 0.0
-        hub = self._relay is not None and self._relay.feeds_others
-        return HUB_WATCH_WAIT_S if hub else WATCH_WAIT_S
+        return HUB_WATCH_WAIT_S if self._feeds_others else WATCH_WAIT_S
 
     def take_update(self, update: TableUpdate) -> bool:
         """Install what a peer passed on; False when something before it is missing here."""
