Spread what daemons place before they have heard of each other

Change: each request has charges of its own for each replica, by its id, up to 0.1 s at 79 daemons and none up to 10; through hubs work is told each 0.1 s instead of 0.2, and only when it has changed or is half a second old.

--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
 
 from winchfork.core.part_index import PartIndex, part_key
 from winchfork.core.prompt_parts import CacheScope, Prompt, PromptPart
@@ -13,7 +14,13 @@
     RelayReplica,
     ReplicaListing,
 )
-from winchfork.core.relay_placement import PromptPlacement, place_prompt, place_task
+from winchfork.core.relay_placement import (
+    PromptPlacement,
+    place_prompt,
+    place_task,
+    spread_cost_s,
+)
+from winchfork.core.rendezvous import member_hash
 
 SCOPE = CacheScope.of("t", False, "m")
 COPY_RATE = 800_000.0
@@ -122,6 +129,28 @@
             replica.unread_tokens = 20_000
         self.assertEqual(placed(request, replicas, index, old_versions=old).versions["m"], 1)
 
+    def test_daemons_that_have_not_heard_of_each_other_spread_long_answers(self) -> None:
+        """Grown hyt-kathmandu: up to 34 requests ran on a replica of 16 slots, 3.4 in the mean."""
+        replicas, index = fleet_of(12, ("z1", "z2", "z3")), PartIndex()
+        hint = Prompt(
+            "m", (PromptPart("a", 100), PromptPart("b", 80), PromptPart("c", 600)), 780, 50
+        )
+        chosen = Counter(
+            placed(
+                hint,
+                replicas,
+                index,
+                run_s=0.4,
+                zone=("z1", "z2", "z3")[number % 3],
+                spread_s=spread_cost_s(79),
+                spread_key=member_hash(f"request {number}"),
+            ).replica_id
+            for number in range(36)
+        )
+        self.assertLessEqual(max(chosen.values()), 10)
+        self.assertGreaterEqual(len(chosen), 6)
+        self.assertEqual(spread_cost_s(10), 0.0)
+
     def test_a_prompt_avoids_a_replica_whose_memory_is_taken(self) -> None:
         replicas, index = fleet_of(6), PartIndex()
         request = prompt("f", own_tokens=2900)
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -17,6 +17,7 @@
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.rendezvous import member_hash, mixed_order
+from winchfork.core.zone_hubs import MOST_DIRECT_MEMBERS
 
 #: Prompt tokens an engine reads a second until measured otherwise.
 DEFAULT_READ_TOKENS_PER_S = 40_000.0
@@ -28,6 +29,11 @@
 #: Charge for a family away from its home while nobody is known to keep it, as a share of the time
 #: to read its shared parts: the home may hold it unheard.
 AWAY_SHARE = 0.9
+#: What daemons hear of each other's work is some tenths of a second old, and until then all of them
+#: would send to the same replica. So each request has charges of its own, drawn up to this much for
+#: each daemon beyond those that hear of each other directly, and up to this much in all.
+SPREAD_COST_S = 0.0015
+MOST_SPREAD_COST_S = 0.1
 #: Seconds to set up a copy.
 COPY_SETUP_S = 0.004
 #: Charge that keeps ties in the family's order on every daemon.
@@ -77,6 +83,7 @@
     ``copy_tokens_per_s`` is how fast replicas copy kept parts from each other; 0: they cannot.
     ``cache_tokens`` is its memory, 0 if not known. ``mean_run_s`` is how long runs have taken
     lately. ``store`` keeps parts outside the replicas. Answers of ``old_versions`` are worth less.
+    ``spread_s`` is the most that a charge drawn by ``spread_key`` may be.
     """
 
     prompt: Prompt
@@ -88,6 +95,8 @@
     cache_tokens: int = 0
     mean_run_s: float = 0.0
     old_versions: frozenset[int] = frozenset()
+    spread_s: float = 0.0
+    spread_key: int = 0
     store: RelayReplica | None = None
 
     @property
@@ -262,6 +271,8 @@
     cost_s = replica.queued_tokens / DEFAULT_READ_TOKENS_PER_S + read_s
     cost_s += running * (FULL_COST_S / max(1, replica.listing.slots) + INTERFERENCE_SHARE * read_s)
     cost_s += _wait_for_place_s(request, replica)
+    if request.spread_s:
+        cost_s += request.spread_s * mixed_order(request.spread_key, replica.order_hash)
     cost_s += rank * (GATHER_COST_S if request.long_answer else ORDER_COST_S)
     if reading.copied:
         cost_s += COPY_SETUP_S + reading.copied / request.copy_tokens_per_s
@@ -277,6 +288,11 @@
     return cost_s
 
 
+def spread_cost_s(daemons: int) -> float:
+    """Return how far the charges of single requests may lie apart in a fleet of this size."""
+    return min(MOST_SPREAD_COST_S, SPREAD_COST_S * max(0, daemons - MOST_DIRECT_MEMBERS))
+
+
 def _wait_for_place_s(request: PromptPlacement, replica: RelayReplica) -> float:
     """Return how long a prompt is expected to wait until others have left it slot and memory.
 
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -12,7 +12,9 @@
     RelayDecision,
     place_prompt,
     place_task,
+    spread_cost_s,
 )
+from winchfork.core.rendezvous import member_hash
 from winchfork.router.attempt import AttemptPlan
 from winchfork.router.dialect import Dialect, DispatchFields
 from winchfork.router.http_types import IncomingRequest, render_headers
@@ -61,6 +63,8 @@
             copy_tokens_per_s=self._state.copy_tokens_per_s(self._service),
             cache_tokens=self._state.cache_tokens(self._service),
             mean_run_s=self._state.mean_run_s,
+            spread_s=spread_cost_s(self._state.daemons),
+            spread_key=member_hash(self._admitted.fields.request_id),
             old_versions=self._old_versions(self._prompt.model, candidates),
             store=store,
         )
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -33,9 +33,10 @@
 )
 from winchfork.router.state import RouterState
 
-#: Seconds between two looks at what is to be told.
+#: Seconds between two looks at what is to be told; what goes through hubs takes up to three.
 TICK_PERIOD_S = 0.2
-#: Seconds between two questions to a hub, a little less than two ticks.
+HUB_TICK_PERIOD_S = 0.1
+#: Seconds between two questions to a hub, a little less than four ticks.
 HUB_PROBE_PERIOD_S = 0.35
 #: Daemons that budgets are shared among beyond those seen, for machines that are coming back.
 _SPARE_DAEMONS = 3
@@ -96,7 +97,7 @@
         """Tick until cancelled."""
         next_probe_s = next_hub_probe_s = self._loop.time()
         while True:
-            await asyncio.sleep(TICK_PERIOD_S)
+            await asyncio.sleep(TICK_PERIOD_S if self._view.direct else HUB_TICK_PERIOD_S)
             now_s = self._loop.time()
             if now_s >= next_probe_s:
                 next_probe_s = now_s + HEARTBEAT_PERIOD_S
--- a/winchfork/router/work_exchange.py
+++ b/winchfork/router/work_exchange.py
@@ -23,9 +23,10 @@
 from winchfork.router.peer_port import PeerPort
 from winchfork.router.state import RouterState
 
-#: Seconds between messages about work, and for how long such a message counts.
-ACTIVITY_PERIOD_S = 0.2
+#: Seconds for which a message about work counts.
 ACTIVITY_MEMORY_S = 1.5
+#: Work that goes on unchanged is told again after this long: expected ends move on.
+RETELL_S = 0.5
 #: A hub that is not the first of its zone speaks when the first has been silent for this long.
 HUB_SILENCE_S = 0.7
 #: Parts told in one message by a daemon, and by a hub for its zone.
@@ -72,6 +73,7 @@
         self._peers = peers
         self._own_id = state.settings.node_id
         self._told: tuple[ReplicaLoadNote, ...] = ()
+        self._told_at_s = 0.0
         self._spoken: tuple[ReplicaLoadNote, ...] = ()
         self._activities: dict[str, _HeardLoads] = {}
         self._zones: dict[str, _HeardLoads] = {}
@@ -86,8 +88,10 @@
         view = self._peers.view
         loads = self._own_loads(now_s)
         kept = tuple(KeptNote(replica, keys) for replica, keys in self._take_kept())
-        if loads != self._told or kept:
+        is_old = bool(loads) and now_s - self._told_at_s > RETELL_S
+        if kept or is_old or _work_of(loads) != _work_of(self._told):
             self._told = loads
+            self._told_at_s = now_s
             receivers = view.others if view.direct else view.other_own_hubs
             self._send(receivers, Activity(self._own_id, loads, kept))
         if not view.direct and view.is_hub:
@@ -199,6 +203,11 @@
             replica.peer_busy_until_s = work.busy_until_s
 
 
+def _work_of(loads: tuple[ReplicaLoadNote, ...]) -> list[tuple[int, int, int]]:
+    """Return what makes loads news: not the expected ends, which move on by themselves."""
+    return [(note.replica_hash, note.in_flight, note.unread_tokens) for note in loads]
+
+
 def _is_old(heard: _HeardLoads, now_s: float) -> bool:
     return now_s - heard.at_s > ACTIVITY_MEMORY_S
 
