Metrics by prometheus_client

The house takes libraries for all plumbing; counters and histograms of the router were written by hand. Change: a registry of its own for each process; the page tells the time to the first event, the messages to peers and the log lines dropped as well.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -121,7 +121,8 @@
             group, generator = daemons[0].peers, random.Random(4)
             for _ in range(200):
                 group.datagram_received(generator.randbytes(generator.randrange(80)), None)
-            self.assertEqual(daemons[0].state.metrics.counters[("bad_datagrams", "")], 200)
+            page = daemons[0].state.metrics.render().decode()
+            self.assertIn("winchfork_bad_datagrams_total 200.0", page)
             heard: list[Resignation] = []
             daemons[1].peers.handle(Resignation, heard.append)
             group.tell_resignation(Resignation(3, 10, 20))
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -42,7 +42,8 @@
         self.addAsyncCleanup(server.stop)
         self.pool = ConnectionPool()
         self.addCleanup(self.pool.close)
-        self.calls = HttpCaller(self.pool)
+        self.made: list[str] = []
+        self.calls = HttpCaller(self.pool, self.made.append)
         return server
 
     async def store(self, *answers: bytes) -> tuple[PlatformStore, ScriptedReplica]:
@@ -132,7 +133,7 @@
         self.assertIs(await store.renew_lease(77120), False)
         self.assertIsNone(await store.end_lease(77120))
         self.assertEqual(server.seen[3].line, "DELETE /kv-lease-end/77120 HTTP/1.1")
-        self.assertEqual(self.calls.calls["kv-keep"], 2)
+        self.assertEqual(self.made.count("kv-keep"), 2)
 
 
 class ReplicaCallsTest(CallsTestCase):
--- a/winchfork/router/document_relay.py
+++ b/winchfork/router/document_relay.py
@@ -98,10 +98,11 @@
         """Collect an update, and install it when it is whole."""
         update = self._collector.add(part)
         if isinstance(update, Failure):
-            self._state.metrics.count("bad_datagrams")
+            self._state.metrics.bad_datagrams.inc()
         elif update is not None and update.at_revision > self._state.store_revision:
             whole = self._documents.take_update(update)
-            self._state.metrics.count("updates_relayed", "whole" if whole else "with_a_gap")
+            outcome = "whole" if whole else "with_a_gap"
+            self._state.metrics.updates_relayed.labels(outcome).inc()
 
     def _pull(self, address: str, revision: int) -> None:
         now_s = self._state.clock()
--- a/winchfork/router/http_call.py
+++ b/winchfork/router/http_call.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-from collections import Counter
 from collections.abc import Callable
 
 from winchfork.errors import Failure, FailureKind
@@ -33,11 +32,13 @@
 
 
 class HttpCaller:
-    """Makes calls with a time limit each and counts them by label."""
+    """Makes calls with a time limit each; ``on_call`` is told the label of each."""
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(
+        self, pool: ConnectionPool, on_call: Callable[[str], None] = lambda label: None
+    ) -> None:
         self._pool = pool
-        self.calls: Counter[str] = Counter()
+        self._on_call = on_call
 
     async def call(
         self,
@@ -61,7 +62,7 @@
         if allowed is not None and not allowed():
             self._pool.give_back(address, connection)
             return FailureKind.NOT_ACCEPTING_WORK.because("no longer allowed")
-        self.calls[label] += 1
+        self._on_call(label)
         inbox = Inbox()
         lines: Headers = [(b"Host", address.encode()), *(headers or [])]
         if body is not None:
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -1,44 +1,57 @@
-"""Counters and latency histograms, rendered in the text exposition format."""
+"""Counters and latency histograms of one router process, and the page that shows them."""
 
 from __future__ import annotations
 
-from bisect import bisect_left
-from collections import Counter
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 #: Upper bounds of the latency buckets, in seconds.
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 
 
-class Histogram:
-    """Counts of latencies by bucket."""
-
-    __slots__ = ("counts", "total_s")
-
-    def __init__(self) -> None:
-        self.counts = [0] * (len(BUCKETS_S) + 1)
-        self.total_s = 0.0
-
-    def observe(self, seconds: float) -> None:
-        """Count one latency."""
-        self.counts[bisect_left(BUCKETS_S, seconds)] += 1
-        self.total_s += seconds
-
-
 class RouterMetrics:
-    """All figures of one process. Labels are the values of one dimension."""
+    """All figures of one process, in a registry of its own."""
 
     def __init__(self) -> None:
-        self.counters: Counter[tuple[str, str]] = Counter()
-        self.gauges: dict[str, float] = {}
-        self.histograms: dict[tuple[str, str], Histogram] = {}
-
-    def count(self, name: str, label: str = "", amount: int = 1) -> None:
-        """Add to a counter."""
-        self.counters[(name, label)] += amount
-
-    def observe(self, name: str, label: str, seconds: float) -> None:
-        """Add a latency to a histogram."""
-        histogram = self.histograms.get((name, label))
-        if histogram is None:
-            histogram = self.histograms[(name, label)] = Histogram()
-        histogram.observe(seconds)
+        registry = self._registry = CollectorRegistry()
+        self.requests = Counter(
+            "winchfork_requests", "Requests ended, by outcome.", ["outcome"], registry=registry
+        )
+        self.request_seconds = Histogram(
+            "winchfork_request_seconds",
+            "From the first byte of a request to the end of its answer, by kind of route.",
+            ["kind"],
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
+        self.first_event_seconds = Histogram(
+            "winchfork_first_event_seconds",
+            "From the first byte of a request to the first event of its stream.",
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
+        self.calls = Counter(
+            "winchfork_calls", "Calls to the store and to replicas.", ["call"], registry=registry
+        )
+        self.bad_datagrams = Counter(
+            "winchfork_bad_datagrams", "Datagrams that no peer has made.", registry=registry
+        )
+        self.datagrams_refused = Counter(
+            "winchfork_datagrams_refused", "Datagrams that a machine refused.", registry=registry
+        )
+        self.updates_relayed = Counter(
+            "winchfork_updates_relayed",
+            "Updates of the store's entries taken from peers.",
+            ["outcome"],
+            registry=registry,
+        )
+
+    def show(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Show a figure that is read when the page is asked for."""
+        gauge = Gauge(f"winchfork_{name}", description, registry=self._registry)
+        gauge.set_function(read)
+
+    def render(self) -> bytes:
+        """Return the page in the text exposition format."""
+        return generate_latest(self._registry)
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -180,11 +180,11 @@
         if handler is not None:
             handler(message)
         else:
-            self._state.metrics.count("bad_datagrams")
+            self._state.metrics.bad_datagrams.inc()
 
     def error_received(self, error: Exception) -> None:
         """A peer's machine refused a datagram; membership finds out by itself."""
-        self._state.metrics.count("datagrams_refused")
+        self._state.metrics.datagrams_refused.inc()
 
     # Internals
 
@@ -223,7 +223,7 @@
         """Take in what another daemon has to say to everybody, and pass it on in this zone."""
         inner = self._codec.decode(message.datagram)
         if isinstance(inner, (Failure, Forward)):
-            self._state.metrics.count("bad_datagrams")
+            self._state.metrics.bad_datagrams.inc()
             return
         for member in self._view.zone_others:
             self._send_datagram(member.peer_address, message.datagram)
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -26,7 +26,6 @@
 from winchfork.router.http_call import HttpCaller
 from winchfork.router.leadership import Leadership
 from winchfork.router.log_output import LogOutput
-from winchfork.router.metrics_text import render_metrics
 from winchfork.router.peer_wiring import connect_peers
 from winchfork.router.peers import PeerGroup
 from winchfork.router.rollout import Rollout
@@ -66,7 +65,11 @@
     """The running parts."""
 
     def __init__(
-        self, settings: RouterSettings, parts: RouterParts, read_settings: ReadSettings
+        self,
+        settings: RouterSettings,
+        parts: RouterParts,
+        read_settings: ReadSettings,
+        log_lines_dropped: Callable[[], int] = lambda: 0,
     ) -> None:
         loop = asyncio.get_running_loop()
         # Back-off, jitter and waits told to callers; daemons must not act in step.
@@ -74,10 +77,13 @@
         self._loop = loop
         self._settings = settings
         self._read_settings = read_settings
+        self._log_lines_dropped = log_lines_dropped
         self.state = RouterState(settings, loop.time, generator)
         self._pool = ConnectionPool()
         self._call_pool = ConnectionPool()
-        self._calls = HttpCaller(self._call_pool)
+        self._calls = HttpCaller(
+            self._call_pool, lambda label: self.state.metrics.calls.labels(label).inc()
+        )
         self.service = RouterService(self.state, self._pool, parts.dialect)
         store = parts.make_store(self._calls, settings.store_address)
         self._peers = PeerGroup(self.state, generator)
@@ -96,6 +102,7 @@
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_asked = asyncio.Event()
+        self._show_figures()
 
     def take_signals(self) -> None:
         """Stop as planned on SIGTERM and SIGINT, read the settings again on SIGHUP."""
@@ -165,7 +172,32 @@
         return (200, _JSON_FREE_TEXT, b"ready\n") if ready else (503, _JSON_FREE_TEXT, b"no\n")
 
     def _metrics_page(self, path: str) -> tuple[int, bytes, bytes]:
-        return 200, _JSON_FREE_TEXT, render_metrics(self.state, self._pool, self._calls)
+        return 200, _JSON_FREE_TEXT, self.state.metrics.render()
+
+    def _show_figures(self) -> None:
+        state = self.state
+        show = state.metrics.show
+        show("ready", "Whether callers are wanted.", lambda: state.ready)
+        show("replicas", "Replicas listed.", lambda: len(state.fleet))
+        show("parts_believed", "Parts believed to be kept.", lambda: len(state.parts))
+        show("daemons", "Daemons that budgets are shared among.", lambda: state.daemons)
+        show("store_revision", "Everything before it is known.", lambda: state.store_revision)
+        show(
+            "configuration_version",
+            "The configuration in force; 0 with none.",
+            lambda: state.table.version if state.table else 0,
+        )
+        show(
+            "configuration_age_seconds",
+            "Since it was last proven current.",
+            lambda: state.freshness.age_s(state.clock()),
+        )
+        counters = self._pool.counters
+        show("connections_opened", "Connections to replicas.", lambda: counters.opened)
+        show("connections_failed", "Connections that did not come up.", lambda: counters.failed)
+        show("peer_bytes_sent", "Bytes sent to peers.", lambda: self._peers.sent_bytes)
+        show("peer_messages_sent", "Messages to peers.", lambda: self._peers.sent_messages)
+        show("log_lines_dropped", "Lines that no reader took.", lambda: self._log_lines_dropped())
 
     # Duties
 
@@ -232,7 +264,7 @@
     async def main() -> None:
         flushing = asyncio.get_running_loop().create_task(flush_logs())
         try:
-            process = RouterProcess(settings, parts, read_settings)
+            process = RouterProcess(settings, parts, read_settings, lambda: output.dropped)
             process.take_signals()
             await process.run()
         finally:
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -316,8 +316,11 @@
 
     def _log_done(self) -> None:
         took_s = self._loop.time() - self._request.received_s
-        self._state.metrics.count("requests", self._outcome)
-        self._state.metrics.observe("request_seconds", self._route.kind.value, took_s)
+        metrics = self._state.metrics
+        metrics.requests.labels(self._outcome).inc()
+        metrics.request_seconds.labels(self._route.kind.value).observe(took_s)
+        if self._first_event_s is not None:
+            metrics.first_event_seconds.observe(self._first_event_s)
         log_event(
             "request_done",
             id=self._id,
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -80,7 +80,7 @@
     def _refuse(
         self, connection: CallerConnection, failure: Failure, request_id: str | None
     ) -> Refused:
-        self.state.metrics.count("requests", failure.kind.value)
+        self.state.metrics.requests.labels(failure.kind.value).inc()
         log_event(
             "request_refused",
             id=request_id,
