Spread large prompts by the time that they take to read

Change: in a fleet of many daemons a request's charges lie up to 0.03 s and the time to read its prompt apart.

--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -30,10 +30,11 @@
 #: to read its shared parts: the home may hold it unheard.
 AWAY_SHARE = 0.9
 #: What daemons hear of each other's work is some tenths of a second old, and until then all of them
-#: would send to the same replica. So each request has charges of its own, drawn up to this much for
-#: each daemon beyond those that hear of each other directly, and up to this much in all.
-SPREAD_COST_S = 0.0015
-MOST_SPREAD_COST_S = 0.1
+#: would send to the same replica. So in a fleet of many daemons each request has charges of its
+#: own, drawn up to what others like it may add unheard: this much and the time to read its prompt.
+SPREAD_COST_S = 0.03
+#: Daemons beyond those that hear of each other directly at which these charges are full.
+SPREAD_DAEMONS = 50
 #: Seconds to set up a copy.
 COPY_SETUP_S = 0.004
 #: Charge that keeps ties in the family's order on every daemon.
@@ -288,9 +289,10 @@
     return cost_s
 
 
-def spread_cost_s(daemons: int) -> float:
-    """Return how far the charges of single requests may lie apart in a fleet of this size."""
-    return min(MOST_SPREAD_COST_S, SPREAD_COST_S * max(0, daemons - MOST_DIRECT_MEMBERS))
+def spread_cost_s(prompt: Prompt, daemons: int) -> float:
+    """Return how far the charges of a request may lie apart in a fleet of this size."""
+    share = max(0.0, min(1.0, (daemons - MOST_DIRECT_MEMBERS) / SPREAD_DAEMONS))
+    return share * (SPREAD_COST_S + prompt.prompt_tokens / DEFAULT_READ_TOKENS_PER_S)
 
 
 def _wait_for_place_s(request: PromptPlacement, replica: RelayReplica) -> float:
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -63,7 +63,7 @@
             copy_tokens_per_s=self._state.copy_tokens_per_s(self._service),
             cache_tokens=self._state.cache_tokens(self._service),
             mean_run_s=self._state.mean_run_s,
-            spread_s=spread_cost_s(self._state.daemons),
+            spread_s=spread_cost_s(self._prompt, self._state.daemons),
             spread_key=member_hash(self._admitted.fields.request_id),
             old_versions=self._old_versions(self._prompt.model, candidates),
             store=store,
