Believe two peers that have ejected a replica

Change: a daemon tells the others what it has ejected on its own evidence; where two have within two seconds, the others leave the replica alone for a second too. One accuser is not believed: it may be cut off itself. Tests: a replica that two peers have ejected is left alone (failed without), one daemon convicts none.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -71,6 +71,35 @@
 
         among(2, scenario)
 
+    def test_a_replica_that_two_peers_have_ejected_is_left_alone(self) -> None:
+        """Each of 79 daemons waited 0.8 s for a silent replica to find out by itself."""
+
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replicas = [daemon.state.fleet.get("i-1") for daemon in daemons]
+            first, second, third, fourth = [item for item in replicas if item is not None]
+            daemons[0].state.note_failure(first, "silent", certain=True)
+            await asyncio.sleep(0.1)
+            self.assertEqual((third.avoided_until_s, fourth.avoided_until_s), (0.0, 0.0))
+            daemons[1].state.note_failure(second, "silent", certain=True)
+            await asyncio.sleep(0.1)
+            for replica, daemon in ((third, daemons[2]), (fourth, daemons[3])):
+                self.assertGreater(replica.avoided_until_s, daemon.state.clock())
+            await asyncio.sleep(1.5)
+            self.assertLess(third.avoided_until_s, daemons[2].state.clock())
+
+        among(4, scenario)
+
+    def test_one_daemon_that_is_cut_off_convicts_no_replica(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            for _ in range(5):
+                for replica in daemons[0].state.fleet.replicas():
+                    daemons[0].state.note_failure(replica, "silent", certain=True)
+                await asyncio.sleep(1.0)
+            for replica in daemons[1].state.fleet.replicas():
+                self.assertEqual(replica.avoided_until_s, 0.0)
+
+        among(3, scenario)
+
     def test_kept_parts_are_told_once(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             first, second = daemons
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -19,6 +19,10 @@
 #: First time of leaving a failing replica alone; doubled with each ejection in a row.
 EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
+#: Peers that must have ejected a replica, and within how long, for their word to count here: one
+#: alone may be cut off itself.
+ACCUSERS_TO_EJECT = 2
+ACCUSATION_MEMORY_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +67,7 @@
     next_until_s: float = 0.0
     peer_busy_until_s: float = 0.0
     _ends_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    _accused_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def replica_id(self) -> str:
@@ -144,6 +149,21 @@
         self.avoided_until_s = now_s + duration_s
         return True
 
+    def note_accusation(self, accuser: str, now_s: float) -> bool:
+        """Record that a peer has ejected it; True when it is now left alone here as well."""
+        self._accused_s[accuser] = now_s
+        for peer in [key for key, at_s in self._accused_s.items() if _forgotten(at_s, now_s)]:
+            del self._accused_s[peer]
+        if now_s < self.avoided_until_s or len(self._accused_s) < ACCUSERS_TO_EJECT:
+            return False
+        self._accused_s.clear()
+        self.avoided_until_s = now_s + EJECTION_S
+        return True
+
+
+def _forgotten(at_s: float, now_s: float) -> bool:
+    return now_s - at_s > ACCUSATION_MEMORY_S
+
 
 class RelayFleet:
     """All replicas by id. Not thread-safe."""
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -90,6 +90,14 @@
     uptime_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Accusation:
+    """The sender has ejected a replica for failures that it has seen itself."""
+
+    sender_id: str
+    replica_hash: int
+
+
 @dataclasses.dataclass(frozen=True)
 class ZoneWork:
     """What a zone's daemons do together, from a hub of that zone to the hubs of others."""
@@ -152,4 +160,5 @@
     Forward,
     DocumentPull,
     DocumentPart,
+    Accusation,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -7,6 +7,7 @@
 from winchfork.router.document_relay import DocumentRelay
 from winchfork.router.leadership import Leadership
 from winchfork.router.peer_messages import (
+    Accusation,
     Activity,
     DocumentPart,
     DocumentPull,
@@ -36,6 +37,12 @@
     peers.handle(RolloutProgress, news.take_rollout)
     peers.handle(NamedVersions, news.take_named)
     peers.handle(Resignation, leadership.note_resignation)
+    peers.handle(
+        Accusation, lambda message: state.note_accusation(message.replica_hash, message.sender_id)
+    )
+    state.on_ejected = lambda replica: peers.tell_everyone(
+        Accusation(state.settings.node_id, replica.order_hash)
+    )
     peers.handle(DocumentPull, relay.take_pull)
     peers.handle(DocumentPart, relay.take_part)
     peers.on_tick += [news.greet_newcomers, work.tick]
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -89,6 +89,8 @@
         self.splits = SplitChooser()
         self.metrics = RouterMetrics()
         self.stopping = False
+        #: Told of each replica that this daemon ejects on its own evidence.
+        self.on_ejected: Callable[[RelayReplica], None] = lambda replica: None
         bounds = settings.bounds
         self.budget = SlidingRetryBudget(
             RetryAllowance(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s), clock()
@@ -262,6 +264,20 @@
                 failures=replica.failures_in_row,
                 for_s=replica.avoided_until_s - now_s,
             )
+            self.on_ejected(replica)
+
+    def note_accusation(self, replica_hash: int, accuser: str) -> None:
+        """Record that a peer has ejected a replica; log when it is now left alone here as well."""
+        now_s = self.clock()
+        for replica in self.fleet.replicas():
+            if replica.order_hash == replica_hash and replica.note_accusation(accuser, now_s):
+                log_event(
+                    "replica_ejected",
+                    replica=replica.replica_id,
+                    reason="peers have ejected it",
+                    told_by=accuser,
+                    for_s=replica.avoided_until_s - now_s,
+                )
 
     def copy_tokens_per_s(self, service: str) -> float:
         """Return how fast the service's replicas copy kept parts; 0 where they cannot."""
