One backlog of kept parts for daemons and hubs

Parts beyond the most that fit into a message were dropped by a daemon and kept by a hub: two pieces of code for one job. core/kept_backlog.py does it for both; the test of what waits for the next message fails on the old one.

--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import Counter
 
+from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.part_index import PartIndex, part_key
 from winchfork.core.prompt_parts import CacheScope, Prompt, PromptPart
 from winchfork.core.relay_fleet import (
@@ -81,6 +82,18 @@
         self.assertEqual((replica.versions["m"], replica.in_flight), (3, 2))
 
 
+class KeptBacklogTest(unittest.TestCase):
+    def test_what_is_too_much_for_one_message_waits_for_the_next(self) -> None:
+        """Parts beyond the most that fit were dropped."""
+        backlog = KeptBacklog()
+        backlog.add(7, range(5))
+        backlog.add(8, (9, 9))
+        backlog.discard(7, (0,))
+        self.assertEqual(backlog.take(3), [(7, (1, 2, 3))])
+        self.assertEqual(sorted(backlog.take(3)), [(7, (4,)), (8, (9,))])
+        self.assertEqual(backlog.take(3), [])
+
+
 class PromptPlacementTest(unittest.TestCase):
     def test_every_daemon_sends_an_unknown_family_to_the_same_replica(self) -> None:
         for family in ("f1", "f2", "f3"):
--- /dev/null
+++ b/winchfork/core/kept_backlog.py
@@ -0,0 +1,37 @@
+"""Parts that replicas have been found to keep and that are still to be told to others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+
+class KeptBacklog:
+    """Part keys by the hash of the replica that keeps them, each once, oldest first."""
+
+    def __init__(self) -> None:
+        self._keys: dict[int, dict[int, None]] = {}
+
+    def add(self, replica_hash: int, keys: Iterable[int]) -> None:
+        """Add parts of one replica."""
+        self._keys.setdefault(replica_hash, {}).update(dict.fromkeys(keys))
+
+    def discard(self, replica_hash: int, keys: Iterable[int]) -> None:
+        """Drop parts that somebody else has told."""
+        pending = self._keys.get(replica_hash, {})
+        for key in keys:
+            pending.pop(key, None)
+        if not pending:
+            self._keys.pop(replica_hash, None)
+
+    def take(self, most: int) -> list[tuple[int, tuple[int, ...]]]:
+        """Take up to ``most`` parts out, by replica; the rest waits for the next time."""
+        taken: list[tuple[int, tuple[int, ...]]] = []
+        for replica_hash in list(self._keys):
+            if most <= 0:
+                break
+            keys = list(self._keys.pop(replica_hash))
+            taken.append((replica_hash, tuple(keys[:most])))
+            if keys[most:]:
+                self.add(replica_hash, keys[most:])
+            most -= len(keys)
+        return taken
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from winchfork.core.freshness import Freshness
+from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.part_index import PartIndex
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing
@@ -82,7 +83,7 @@
         self.cache_store: RelayReplica | None = None
         self.parts = PartIndex()
         #: What this daemon has learned of kept parts and has not told its peers yet.
-        self._kept_news: dict[int, list[int]] = {}
+        self.kept_news = KeptBacklog()
         #: Highest fence under which a rollout leader has spoken.
         self.rollout_fence = 0
         self.freshness = Freshness()
@@ -217,23 +218,12 @@
         """Record parts that a replica has read for this daemon."""
         news = self.parts.note_held(keys, replica.order_hash, self.clock())
         if news:
-            self._kept_news.setdefault(replica.order_hash, []).extend(news)
+            self.kept_news.add(replica.order_hash, news)
 
     def note_peer_kept(self, replica_hash: int, keys: tuple[int, ...]) -> None:
         """Record parts that a replica has read for another daemon."""
         self.parts.note_held(keys, replica_hash, self.clock())
 
-    def take_kept_news(self, most: int) -> list[tuple[int, tuple[int, ...]]]:
-        """Return up to ``most`` parts by replica that peers have not been told of."""
-        taken: list[tuple[int, tuple[int, ...]]] = []
-        for replica_hash in list(self._kept_news):
-            keys = self._kept_news.pop(replica_hash)
-            taken.append((replica_hash, tuple(keys[:most])))
-            most -= len(keys)
-            if most <= 0:
-                break
-        return taken
-
     def note_run(self, output_tokens: int, run_s: float) -> None:
         """Learn how long runs take by the tokens that they may put out."""
         self.mean_run_s += RUN_WEIGHT * (run_s - self.mean_run_s)
--- a/winchfork/router/work_exchange.py
+++ b/winchfork/router/work_exchange.py
@@ -11,6 +11,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
+from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.membership import Member
 from winchfork.core.zone_hubs import FleetView
 from winchfork.router.peer_messages import (
@@ -94,14 +95,14 @@
         self._fleet: dict[int, _HeardLoads] = {}
         self._hub_heard_s = 0.0
         #: Parts to pass on, by replica: those of this zone, and those heard from other zones.
-        self._zone_kept: dict[int, dict[int, None]] = {}
-        self._far_kept: dict[int, dict[int, None]] = {}
+        self._zone_kept = KeptBacklog()
+        self._far_kept = KeptBacklog()
 
     def tick(self, now_s: float) -> None:
         """Tell what is news, and add up what was heard."""
         view = self._peers.view
         loads = self._own_loads(now_s)
-        kept = tuple(KeptNote(replica, keys) for replica, keys in self._take_kept())
+        kept = _take(self._state.kept_news, MOST_KEPT)
         self._told_soon = False
         is_old = bool(loads) and now_s - self._told_at_s > RETELL_S
         if kept or is_old or _work_of(loads) != _work_of(self._told):
@@ -110,7 +111,7 @@
             receivers = view.others if view.direct else view.other_own_hubs
             self._send(receivers, Activity(self._own_id, loads, kept))
         if not view.direct and view.is_hub:
-            _collect(self._zone_kept, kept)
+            _add(self._zone_kept, kept)
             if self._speaks(view, now_s):
                 self._speak(view, now_s)
         self._add_up(now_s)
@@ -136,9 +137,6 @@
             if replica.in_flight
         )
 
-    def _take_kept(self) -> list[tuple[int, tuple[int, ...]]]:
-        return self._state.take_kept_news(MOST_KEPT)
-
     def _speaks(self, view: FleetView, now_s: float) -> bool:
         """Whether this hub speaks for its zone: the first does, unless it has fallen silent."""
         first = view.own_hubs[0].member_id == self._own_id
@@ -148,8 +146,8 @@
         """Tell other zones of this one, and this zone of all."""
         zone = _sum([_HeardLoads(now_s, self._told), *self._fresh(self._activities, now_s)])
         fleet = _sum([_HeardLoads(now_s, _notes(zone, now_s)), *self._fresh(self._zones, now_s)])
-        zone_kept = _take_notes(self._zone_kept)
-        far_kept = _take_notes(self._far_kept)
+        zone_kept = _take(self._zone_kept, MOST_KEPT_OF_ZONE)
+        far_kept = _take(self._far_kept, MOST_KEPT_OF_ZONE)
         complete = now_s - self._spoken_all_s > COMPLETE_PERIOD_S
         loads = self._news(_notes(fleet, now_s), complete)
         message = FleetWork(self._own_id, complete, loads, (*zone_kept, *far_kept))
@@ -191,14 +189,14 @@
         self._activities[message.sender_id] = _HeardLoads(now_s, message.loads)
         self._note_kept(message.kept)
         if self._peers.view.is_hub:
-            _collect(self._zone_kept, message.kept)
+            _add(self._zone_kept, message.kept)
         self._add_up(now_s)
 
     def take_zone(self, message: ZoneWork) -> None:
         """Take in what another zone does."""
         self._zones[message.zone] = _HeardLoads(self._state.clock(), message.loads)
         self._note_kept(message.kept)
-        _collect(self._far_kept, message.kept)
+        _add(self._far_kept, message.kept)
 
     def take_fleet(self, message: FleetWork) -> None:
         """Take in what all daemons do; what the speaking hub has told, another need not."""
@@ -209,8 +207,9 @@
         for note in message.loads:
             self._fleet[note.replica_hash] = _HeardLoads(now_s, (note,))
         self._note_kept(message.kept)
-        for pending in (self._zone_kept, self._far_kept):
-            _discard(pending, message.kept)
+        for told in message.kept:
+            self._zone_kept.discard(told.replica_hash, told.parts)
+            self._far_kept.discard(told.replica_hash, told.parts)
         self._add_up(now_s)
 
     def _note_kept(self, notes: Iterable[KeptNote]) -> None:
@@ -276,30 +275,10 @@
     )
 
 
-def _collect(pending: dict[int, dict[int, None]], notes: Iterable[KeptNote]) -> None:
+def _add(backlog: KeptBacklog, notes: Iterable[KeptNote]) -> None:
     for note in notes:
-        pending.setdefault(note.replica_hash, {}).update(dict.fromkeys(note.parts))
+        backlog.add(note.replica_hash, note.parts)
 
 
-def _discard(pending: dict[int, dict[int, None]], notes: Iterable[KeptNote]) -> None:
-    for note in notes:
-        keys = pending.get(note.replica_hash, {})
-        for key in note.parts:
-            keys.pop(key, None)
-        if not keys:
-            pending.pop(note.replica_hash, None)
-
-
-def _take_notes(pending: dict[int, dict[int, None]]) -> tuple[KeptNote, ...]:
-    """Take up to ``MOST_KEPT_OF_ZONE`` parts out; the rest waits for the next message."""
-    taken: list[KeptNote] = []
-    left = MOST_KEPT_OF_ZONE
-    for replica_hash in list(pending):
-        if left <= 0:
-            break
-        keys = list(pending.pop(replica_hash))
-        taken.append(KeptNote(replica_hash, tuple(keys[:left])))
-        if keys[left:]:
-            pending[replica_hash] = dict.fromkeys(keys[left:])
-        left -= len(keys)
-    return tuple(taken)
+def _take(backlog: KeptBacklog, most: int) -> tuple[KeptNote, ...]:
+    return tuple(KeptNote(replica_hash, keys) for replica_hash, keys in backlog.take(most))
