Give each family one home among the cache stores

Cause: a deployment may have several stores of kept cache (the grown ones have three, one a zone), and the router used the first alone. Change: rendezvous by family among all stores, the same on every daemon. Test: test_each_family_has_one_home_among_the_stores_on_every_daemon.

--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -113,7 +113,7 @@
         engine = table.services["huvo11a"].engine
         assert engine is not None
         self.assertEqual((engine.slots, engine.token_bytes), (64, 163840))
-        store = table.cache_store()
+        store = next(iter(table.cache_stores()), None)
         assert store is not None
         self.assertEqual(store.address, "172.20.0.2:8781")
         tenant = table.tenant_of("k2")
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from collections import Counter
 
 from winchfork.core.prompt_parts import CacheScope, Prompt, PromptPart
 from winchfork.core.routing import (
+    CacheStore,
     Route,
     RouteKind,
     RoutingTable,
@@ -15,6 +17,8 @@
     SplitChooser,
     TenantPolicy,
 )
+from winchfork.router.settings import RouterSettings
+from winchfork.router.state import RouterState
 
 
 def route(name: str, host: str, prefix: str, **changes: object) -> Route:
@@ -95,3 +99,26 @@
         prompt = Prompt("m", parts, 35)
         self.assertEqual((prompt.family, prompt.shared_tokens), ("s", 30))
         self.assertEqual(Prompt("m", (), 35).family, "")
+
+
+class CacheStoresTest(unittest.TestCase):
+    def test_each_family_has_one_home_among_the_stores_on_every_daemon(self) -> None:
+        """Grown deployments have three stores; one took every family, and its link was full."""
+        services = [
+            Service(f"store{number}", store=CacheStore(f"10.0.0.{number}:1", f"z{number}", 1000))
+            for number in range(3)
+        ]
+        homes = []
+        for daemon in ("n1", "n2"):
+            settings = RouterSettings(daemon, "z1", "g", "", "", "", "")
+            state = RouterState(settings, lambda: 0.0, random.Random(daemon))
+            state.install_table(RoutingTable(1, [], services), 1)
+            families = [
+                Prompt("m", (PromptPart(f"f{number}", 9), PromptPart("own", 9)), 18)
+                for number in range(90)
+            ]
+            stores = [state.cache_store_of(family) for family in families]
+            homes.append([store.listing.address if store else "" for store in stores])
+        self.assertEqual(homes[0], homes[1])
+        self.assertEqual(len(set(homes[0])), 3)
+        self.assertLess(max(Counter(homes[0]).values()), 45)
--- a/winchfork/core/routing.py
+++ b/winchfork/core/routing.py
@@ -135,9 +135,9 @@
         """Return the tenant that holds ``api_key``."""
         return self._tenant_by_key.get(api_key)
 
-    def cache_store(self) -> CacheStore | None:
-        """Return the first cache store, or None."""
-        return next((item.store for item in self.services.values() if item.store), None)
+    def cache_stores(self) -> list[CacheStore]:
+        """Return the stores of kept cache."""
+        return [item.store for item in self.services.values() if item.store]
 
 
 class SplitChooser:
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -45,6 +45,7 @@
         self._admitted = admitted
         self._service = service
         self._prompt = admitted.fields.prompt
+        self._store = state.cache_store_of(self._prompt) if self._prompt else None
 
     def place(self, tried: set[str]) -> RelayDecision | None:
         """Return the best replica that was not tried yet, or None when none takes work."""
@@ -53,7 +54,7 @@
         zone = self._state.settings.zone
         if self._prompt is None:
             return place_task(zone, candidates, now_s)
-        store = self._state.cache_store
+        store = self._store
         request = PromptPlacement(
             prompt=self._prompt,
             scope=self._scope(self._prompt),
@@ -113,7 +114,7 @@
     ) -> DispatchFields:
         prompt = self._prompt
         tenant = self._admitted.tenant
-        store = self._state.cache_store
+        store = self._store
         return DispatchFields(
             deadline_s=time_left_s,
             replica_id=decision.replica.replica_id,
@@ -151,6 +152,6 @@
             return
         keys = shared_keys(self._scope(prompt), prompt, version)
         self._state.note_kept(replica, keys)
-        store = self._state.cache_store
+        store = self._store
         if saved and store is not None:
             self._state.note_kept(store, keys)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -12,7 +12,7 @@
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing
 from winchfork.core.relay_placement import DEFAULT_READ_TOKENS_PER_S
-from winchfork.core.rendezvous import member_hash
+from winchfork.core.rendezvous import member_hash, mixed_order
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.weight_rollout import VersionHistory
@@ -79,8 +79,8 @@
         #: Replicas missing from the list since an outage, with the time until which they are kept.
         self.vanished: dict[str, float] = {}
         self.fleet = RelayFleet()
-        #: The store of kept cache, as one more source of copies; never sent a request.
-        self.cache_store: RelayReplica | None = None
+        #: The stores of kept cache by address, as further sources of copies; never sent a request.
+        self._cache_stores: dict[str, RelayReplica] = {}
         self.parts = PartIndex()
         #: What this daemon has learned of kept parts and has not told its peers yet.
         self.kept_news = KeptBacklog()
@@ -111,17 +111,32 @@
             return False
         self.table = table
         self.table_revision = revision
-        self._install_cache_store(table)
+        self._install_cache_stores(table)
         self.splits.forget_except(table.routes)
         return True
 
-    def _install_cache_store(self, table: RoutingTable) -> None:
-        store = table.cache_store()
-        if store is None:
-            self.cache_store = None
-        elif self.cache_store is None or self.cache_store.listing.address != store.address:
+    def _install_cache_stores(self, table: RoutingTable) -> None:
+        known = self._cache_stores
+        self._cache_stores = {}
+        for store in table.cache_stores():
             listing = ReplicaListing(store.address, "", store.address, store.zone, 0, False)
-            self.cache_store = RelayReplica(listing, {}, member_hash(store.address))
+            kept = known.get(store.address)
+            self._cache_stores[store.address] = kept or RelayReplica(
+                listing, {}, member_hash(store.address)
+            )
+
+    def cache_store_of(self, prompt: Prompt) -> RelayReplica | None:
+        """Return the store that keeps a prompt's family; None where there are no stores.
+
+        Each family has one home among the stores, the same on every daemon, and the stores' memory
+        and links add up.
+        """
+        family_hash = member_hash(prompt.family)
+        return min(
+            self._cache_stores.values(),
+            key=lambda store: mixed_order(family_hash, store.order_hash),
+            default=None,
+        )
 
     @property
     def keys_fresh(self) -> bool:
