Take a replica that refuses its version for one number newer, not for the newest

A leader cut off right after a load could not tell that it had ended; peers believed version 1, the replica refused it (it had 2), and they took it for the newest named, 4. Beliefs only rise, so every later request was refused by it, and the next leader thought it done. Early rollouts make this common: loads are under way whenever a leader is lost. Ruled out: lost orders (all were taken), the list (it said 2 at 11.35 s, below the belief). Change: a refused version proves only the next number; the belief never passes the truth.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -290,6 +290,32 @@
         self.assertEqual(replica.seen[1].headers["x-expected-version"], "2")
         self.assertEqual(replica.seen[1].headers["x-cache-salt"], "-/m/2")
 
+    async def test_a_refused_version_is_never_taken_for_newer_than_it_is(self) -> None:
+        """trouble-1 (amse-vigie, fe761723): a replica of version 2 was taken for one of version 4.
+
+        Its load had ended unheard while the store was lost; nothing lowers a believed version, so
+        it refused every request, and the next leader never loaded it.
+        """
+
+        def by_version(request: SeenRequest) -> bytes:
+            if request.headers["x-expected-version"] == "3":
+                return stream_head(request) + chunk(event(1)) + b"0\r\n\r\n"
+            return (
+                b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nX-Instance-Id: i-0\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+        replica = ScriptedReplica(*[answering(by_version)] * 4)
+        relay = await self.relay(replica, kind=RouteKind.STREAMING, max_attempts=1)
+        relay.state.versions["m"] = VersionHistory()
+        for version in (2, 3, 4, 5):
+            relay.state.versions["m"].note(version, relay.state.clock())
+        self.assert_not_run(await relay.ask(method="POST", extra=ENGINE))
+        answer = await relay.ask("id-2", method="POST", extra=ENGINE)
+        self.assertEqual((answer.status, answer.body), (200, event(1)))
+        versions = [replica.versions["m"] for replica in relay.state.fleet.replicas()]
+        self.assertEqual(versions, [3])
+
     async def test_another_replica_at_the_address_is_not_asked_again(self) -> None:
         def misdirected(request: SeenRequest) -> bytes:
             return (
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -73,6 +73,7 @@
         self._tried: set[str] = set()
         self._sends = 0
         self._version_tries = 0
+        self._newer_weights = False
         self._may_have_run = False
         self._outcome = "?"
         self._reason = ""
@@ -202,7 +203,10 @@
                 self._state.note_run(self._admitted.fields.prompt.output_tokens, now_s - sent_s)
         elif isinstance(outcome, NotRun) and outcome.superseded:
             self._state.note_superseded(replica)
-        elif isinstance(outcome, NotRun) and outcome.sent and not outcome.same_replica:
+        elif isinstance(outcome, NotRun) and outcome.same_replica:
+            refused = plan.weights_version or 0
+            self._newer_weights = self._state.note_refused_version(replica, plan.model, refused)
+        elif isinstance(outcome, NotRun) and outcome.sent:
             replica.loading_until_s = max(replica.loading_until_s, now_s + REFUSED_HOLD_S)
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
             self._state.note_failure(replica, outcome.reason, certain=outcome.silent)
@@ -224,7 +228,8 @@
         return self._after_unknown(replica, outcome)
 
     def _after_refusal(self, replica: RelayReplica, outcome: NotRun) -> bool:
-        if outcome.same_replica and self._believes_newer(replica):
+        newer = outcome.same_replica and self._newer_weights
+        if newer and self._version_tries < _MAX_VERSION_TRIES:
             self._version_tries += 1
             if self._may_repeat(self._route.max_attempts + self._version_tries):
                 return True
@@ -234,18 +239,6 @@
         self._give_up(FailureKind.OVERLOADED.because(outcome.reason, ran=self._ran()))
         return False
 
-    def _believes_newer(self, replica: RelayReplica) -> bool:
-        """Take a replica that refused its weights' version to have the newest that was named."""
-        prompt = self._admitted.fields.prompt
-        if prompt is None or self._version_tries >= _MAX_VERSION_TRIES:
-            return False
-        history = self._state.versions.get(prompt.model)
-        newest = history.newest if history else 0
-        if newest <= replica.versions.get(prompt.model, 0):
-            return False
-        self._state.note_version(replica, prompt.model, newest)
-        return True
-
     def _after_unknown(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
         self._may_have_run = True
         self._tried.add(replica.replica_id)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -250,6 +250,18 @@
         if version > replica.versions.get(model, 0):
             replica.versions[model] = version
 
+    def note_refused_version(self, replica: RelayReplica, model: str, refused: int) -> bool:
+        """Record that a replica refused a request for one version; True when it may be asked again.
+
+        Versions only rise, so it has at least the next number. Nothing lowers a believed version,
+        and a replica believed to be newer than it is would refuse everything and never be loaded.
+        """
+        history = self.versions.get(model)
+        if history is None or refused >= history.newest:
+            return False
+        replica.versions[model] = max(refused + 1, replica.versions.get(model, 0))
+        return True
+
     def note_superseded(self, replica: RelayReplica) -> None:
         """Record that another incarnation answers at a replica's address."""
         if not replica.superseded:
