--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -96,6 +96,18 @@
         return outcome
 
 
+class CountingNews(VersionNews):
+    """Keeps what has been told."""
+
+    def __init__(self, state: RouterState, peers: PeerGroup) -> None:
+        super().__init__(state, peers)
+        self.told: list[tuple[WeightsNote, ...]] = []
+
+    def tell_rollout(self, fence: int, notes: tuple[WeightsNote, ...]) -> None:
+        self.told.append(notes)
+        super().tell_rollout(fence, notes)
+
+
 class Fleet:
     """A leading daemon before fake replicas."""
 
@@ -108,7 +120,7 @@
         self.leadership = Leadership(self.store, "n1", 3.0, loop.time, random.Random(2), 1.0)
         self.leadership.note_entry(None)
         self.peers = PeerGroup(self.state, random.Random(3))
-        self.news = VersionNews(self.state, self.peers)
+        self.news = CountingNews(self.state, self.peers)
         self.rollout = Rollout(self.state, self.leadership, self.control, self.peers, self.news)
         for replica in replicas:
             self.state.fleet.install(
@@ -145,20 +157,12 @@
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(45)]
             fleet = Fleet(replicas)
-            told: list[tuple[WeightsNote, ...]] = []
-            tell = fleet.news.tell_rollout
-
-            def count(fence: int, notes: tuple[WeightsNote, ...]) -> None:
-                told.append(notes)
-                tell(fence, notes)
-
-            fleet.news.tell_rollout = count  # type: ignore[method-assign]
             await asyncio.sleep(4.0)
             fleet.name(2)
             await asyncio.sleep(8.0)
             self.assertEqual({replica.version for replica in replicas}, {2})
-            self.assertLess(len(told), 60)
-            self.assertLess(sum(len(notes) for notes in told), 45 * 6)
+            self.assertLess(len(fleet.news.told), 60)
+            self.assertLess(sum(len(notes) for notes in fleet.news.told), 45 * 6)
 
         run_virtually(scenario())
 
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -62,9 +62,7 @@
         self._peers = peers
         self._under_order: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
-        self._notes = RolloutNotes(
-            lambda fence, notes: news.tell_rollout(fence, notes), state.clock
-        )
+        self._notes = RolloutNotes(news.tell_rollout, state.clock)
 
     async def run(self) -> None:
         """Look for work until cancelled."""
