A resignation speaks for the holder before, and waits where it may not be heard

Second cause, found by the test: a successor that does not hear the resignation takes the lease to have run out, 1.1 s after the last possible order, though it was ended at once. Change: the age in a resignation covers the holder before as well, and a lease is ended no sooner than 1.1 s after the last order under it.

--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -147,6 +147,39 @@
 
         run_virtually(scenario())
 
+    def test_a_resignation_before_any_order_still_speaks_for_the_holder_before(self) -> None:
+        """inc-fec5 (amse-vigie): the third holder could act 3.09 s after the first one's order.
+
+        The second had resigned before its own turn came, saying that it had given no order.
+        """
+
+        async def scenario() -> None:
+            store = MemoryStore()
+            loop = asyncio.get_running_loop()
+            first = Candidate(store, "n1")
+            await _settle(6.0)
+            self.assertTrue(first.leadership.may_act())
+            second, third = Candidate(store, "n2"), Candidate(store, "n3")
+            first.leadership.note_order()
+            ordered_s = loop.time()
+            told = await first.leadership.resign()
+            first.kill()
+            assert told is not None
+            second.leadership.note_resignation(told)
+            third.leadership.note_resignation(told)
+            while not (second.leadership.fence or third.leadership.fence):
+                await _settle(0.01)
+            holder, last = (second, third) if second.leadership.fence else (third, second)
+            told = await holder.leadership.resign()
+            holder.kill()
+            assert told is not None
+            last.leadership.note_resignation(told)
+            while not last.leadership.may_act():
+                await _settle(0.01)
+            self.assertGreaterEqual(loop.time() - ordered_s, LEASE_BOUND_S)
+
+        run_virtually(scenario())
+
     def test_a_daemon_that_stops_does_not_campaign(self) -> None:
         async def scenario() -> None:
             store = MemoryStore()
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -115,8 +115,14 @@
         fence, self.fence = self.fence, 0
         if not fence:
             return None
+        # Before its own first order, a holder speaks for the one before it as well.
+        holder_before_s = self._acts_from_s - self._lease_bound_s - TURN_MARGIN_S
+        last_s = max(self._last_order_s, holder_before_s)
+        # A successor that does not hear of this takes the lease to have run out by itself.
+        outlived_s = self._lease_s - ACT_S
+        await asyncio.sleep(max(0.0, outlived_s - (self._clock() - last_s)))
         now_s = self._clock()
-        age_s = min(_LONG_AGO_S, now_s - self._last_order_s)
+        age_s = min(_LONG_AGO_S, now_s - last_s)
         log_event("leadership_resigned", fence=fence, last_order_s=age_s)
         await self._store.end_lease(self._lease_id)
         return Resignation(fence, int(age_s * 1000), int((now_s - self._started_s) * 1000))
