Move resumable streams away from a replica that loads weights next

Change: when a daemon hears that a replica is held for a load, each of its streams there that may be resumed goes on at another replica, where its rest takes longer than a second reading, and half of the retry budget is left to failures. The request's line now names its family and the tokens copied. Ruled out: method truncate (resets the streams that cannot be resumed as well), retain (what is made after it earns nothing).

--- /dev/null
+++ b/tests/test_stream_moves.py
@@ -0,0 +1,129 @@
+"""Streams that can be resumed leave a replica that loads weights next, and nothing else does."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.relay_support import (
+    CallerAnswer,
+    RelayUnderTest,
+    ScriptedReplica,
+    SeenRequest,
+    answering,
+    chunk,
+    event,
+    stream_head,
+)
+from tests.test_relay_path import RelayTestCase
+from winchfork.core.prompt_parts import Prompt
+from winchfork.core.relay_placement import worth_moving
+from winchfork.core.routing import RouteKind
+from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
+
+#: A prompt of 100 tokens whose answer may have a thousand.
+LONG_ANSWER = "X-Model: m\r\nX-Token-Usage: 100,1000\r\nX-Prefix-Hash: aa:60,bb:40\r\n"
+
+
+class SlowStream:
+    """A replica's stream that stops after two events until it is let go on or is left."""
+
+    def __init__(self) -> None:
+        self.begun = asyncio.Event()
+        self.go_on = asyncio.Event()
+
+    async def __call__(
+        self, request: SeenRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(stream_head(request) + chunk(event(1) + event(2)) + chunk(b"id: 3\nda"))
+        await writer.drain()
+        self.begun.set()
+        await self.go_on.wait()
+        writer.write(chunk(b"ta: piece-3\n\n") + chunk(event(4)) + b"0\r\n\r\n")
+        return True
+
+
+def rest(request: SeenRequest) -> bytes:
+    """Return the stream from behind the last event that the caller has."""
+    after = int(request.headers.get("last-event-id", "0"))
+    pieces = b"".join(chunk(event(number)) for number in range(after + 1, 5))
+    return stream_head(request) + pieces + b"0\r\n\r\n"
+
+
+class StreamMoveTest(RelayTestCase):
+    async def begin(
+        self, replicas: list[ScriptedReplica], stream: SlowStream, **route: object
+    ) -> tuple[RelayUnderTest, asyncio.Task[CallerAnswer]]:
+        relay = await self.relay(*replicas, kind=RouteKind.STREAMING, **route)
+        asked = asyncio.create_task(relay.ask(method="POST", extra=LONG_ANSWER))
+        await stream.begun.wait()
+        await asyncio.sleep(0.05)
+        return relay, asked
+
+    def hold(self, relay: RelayUnderTest, replica_id: str) -> None:
+        replica = relay.state.fleet.get(replica_id)
+        assert replica is not None
+        replica.loading_until_s = relay.state.clock() + 1.5
+        relay.state.on_held(replica)
+
+    def assert_whole(self, answer: CallerAnswer) -> None:
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body, b"".join(event(number) for number in range(1, 5)))
+
+    async def test_a_resumable_stream_goes_on_elsewhere_within_its_one_answer(self) -> None:
+        stream = SlowStream()
+        replicas = [ScriptedReplica(stream), ScriptedReplica(answering(rest))]
+        relay, asked = await self.begin(replicas, stream, resumable=True)
+        self.hold(relay, "i-0")
+        self.assert_whole(await asked)
+        self.assertEqual(replicas[1].seen[0].headers["last-event-id"], "2")
+        left = relay.state.fleet.get("i-0")
+        assert left is not None
+        self.assertEqual((left.in_flight, left.failures_in_row), (0, 0))
+
+    async def test_a_stream_that_cannot_be_resumed_ends_where_it_is(self) -> None:
+        stream = SlowStream()
+        replicas = [ScriptedReplica(stream), ScriptedReplica(answering(rest))]
+        relay, asked = await self.begin(replicas, stream, resumable=False)
+        self.hold(relay, "i-0")
+        stream.go_on.set()
+        self.assert_whole(await asked)
+        self.assertEqual(replicas[1].seen, [])
+
+    async def test_with_no_other_replica_it_ends_where_it_is(self) -> None:
+        stream = SlowStream()
+        relay, asked = await self.begin([ScriptedReplica(stream)], stream, resumable=True)
+        self.hold(relay, "i-0")
+        stream.go_on.set()
+        self.assert_whole(await asked)
+
+    async def test_the_budget_that_failures_need_is_left(self) -> None:
+        stream = SlowStream()
+        replicas = [ScriptedReplica(stream), ScriptedReplica(answering(rest))]
+        relay, asked = await self.begin(replicas, stream, resumable=True)
+        now_s = relay.state.clock()
+        while relay.state.budget.take("s", relay.state.daemons, now_s, 0.5):
+            pass
+        self.assertTrue(relay.state.budget.remaining("s", relay.state.daemons, now_s) >= 1.0)
+        self.hold(relay, "i-0")
+        stream.go_on.set()
+        self.assert_whole(await asked)
+        self.assertEqual(replicas[1].seen, [])
+
+
+class WorthMovingTest(unittest.TestCase):
+    PROMPT = Prompt("m", (), 4000, 1000)
+
+    def test_a_run_that_is_nearly_over_stays(self) -> None:
+        self.assertFalse(worth_moving(2.0, 1.95, self.PROMPT))
+
+    def test_a_run_with_more_left_than_a_second_reading_takes_goes(self) -> None:
+        self.assertTrue(worth_moving(2.0, 1.0, self.PROMPT))
+
+
+class ReserveTest(unittest.TestCase):
+    def test_a_reserve_is_a_share_of_the_whole_allowance(self) -> None:
+        budget = SlidingRetryBudget(RetryAllowance(0.0, 50.0, 10.0), started_at_s=-20.0)
+        taken = sum(budget.take("app", 1, 1.0, reserve=0.5) for _ in range(50))
+        self.assertEqual(taken, 20)
+        self.assertTrue(budget.take("app", 1, 1.0))
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -57,6 +57,8 @@
 #: Long answers gather on the same few replicas of a zone, away from large prompts: charge for each
 #: place in the order, so that the next replica is used when this one has some ten more running.
 GATHER_COST_S = 0.01
+#: Time in which a stream that is moved makes nothing, beside the reading of its prompt.
+MOVE_SETUP_S = 0.05
 #: A latency measured longer ago than this is no longer held against a replica.
 LATENCY_MEMORY_S = 3.0
 #: Latency assumed of a replica that has not been measured lately.
@@ -72,6 +74,7 @@
     unread_tokens: int
     cost_s: float
     weighed: int
+    copied_tokens: int = 0
     copy_from: RelayReplica | None = None
     save: bool = False
 
@@ -137,7 +140,13 @@
         cost_s = _prompt_cost_s(request, replica, rank, at_home, reading)
         if best is None or cost_s < best.cost_s:
             best = RelayDecision(
-                replica, reading.kept, reading.unread, cost_s, len(candidates), reading.source
+                replica,
+                reading.kept,
+                reading.unread,
+                cost_s,
+                len(candidates),
+                reading.copied,
+                reading.source,
             )
     return _with_store(request, best, prefixes) if best is not None else None
 
@@ -295,6 +304,15 @@
     return share * (SPREAD_COST_S + prompt.prompt_tokens / DEFAULT_READ_TOKENS_PER_S)
 
 
+def worth_moving(expected_s: float, elapsed_s: float, prompt: Prompt) -> bool:
+    """Whether a run that has taken ``elapsed_s`` of an expected time should go on elsewhere.
+
+    A run that has outlasted its expectation is taken to need as much again as it is over.
+    """
+    left_s = abs(expected_s - elapsed_s)
+    return left_s > MOVE_SETUP_S + prompt.prompt_tokens / DEFAULT_READ_TOKENS_PER_S
+
+
 def _wait_for_place_s(request: PromptPlacement, replica: RelayReplica) -> float:
     """Return how long a prompt is expected to wait until others have left it slot and memory.
 
--- a/winchfork/core/sliding_budget.py
+++ b/winchfork/core/sliding_budget.py
@@ -50,9 +50,11 @@
             allowed += self._allowance.slack / max(1, daemons)
         return SAFETY_SHARE * allowed - repeats
 
-    def take(self, service: str, daemons: int, now_s: float) -> bool:
-        """Spend one repeat; False when the share is used up."""
-        if self.remaining(service, daemons, now_s) < 1.0:
+    def take(self, service: str, daemons: int, now_s: float, reserve: float = 0.0) -> bool:
+        """Spend one repeat; False when the share, less ``reserve`` of it, is used up."""
+        repeats = len(self._trimmed(self._repeats, service, now_s))
+        remaining = self.remaining(service, daemons, now_s)
+        if remaining - reserve * (remaining + repeats) < 1.0:
             return False
         self.note_repeat(service, now_s)
         return True
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -15,6 +15,7 @@
     AnswerEnd,
     AnswerHead,
     CallerLeft,
+    MoveAway,
     TimeLimit,
 )
 from winchfork.router.inbox import Inbox
@@ -22,6 +23,7 @@
     BufferedAnswer,
     Delivered,
     MayHaveRun,
+    Moved,
     NotRun,
     Outcome,
     StopCause,
@@ -94,6 +96,11 @@
             self._note_read()
             plan.replica.note_done(id(self), plan.memory_tokens)
 
+    @property
+    def replica(self) -> RelayReplica:
+        """The replica at which this attempt is."""
+        return self._plan.replica
+
     def pause(self, behind: bool) -> None:
         """Stop reading from the replica while the caller is behind."""
         if behind:
@@ -114,6 +121,9 @@
             return self._stop(StopCause.CALLER_LEFT)
         if isinstance(item, TimeLimit):
             return self._stop(StopCause.DEADLINE)
+        if isinstance(item, MoveAway) and item.replica_id == self._plan.replica.replica_id:
+            self._abandon()
+            return Moved()
         return None
 
     def _is_own(self, head: AnswerHead) -> bool:
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -13,6 +13,7 @@
     place_prompt,
     place_task,
     spread_cost_s,
+    worth_moving,
 )
 from winchfork.core.rendezvous import member_hash
 from winchfork.router.attempt import AttemptPlan
@@ -72,6 +73,21 @@
         sources = [*self._state.fleet.of_service(self._service), *([store] if store else [])]
         return place_prompt(request, candidates, sources, self._state.parts)
 
+    def family_key(self, version: int | None) -> str | None:
+        """Return the name of the prompt's last shared part under a version, as peers tell it."""
+        prompt = self._prompt
+        if prompt is None or version is None or not prompt.shared:
+            return None
+        return f"{shared_keys(self._scope(prompt), prompt, version)[-1]:016x}"
+
+    def worth_moving(self, elapsed_s: float, tried: set[str]) -> bool:
+        """Whether a run's rest elsewhere saves more waiting than a second reading costs."""
+        prompt = self._prompt
+        if prompt is None or not self._state.available(self._service, tried, prompt):
+            return False
+        expected_s = prompt.output_tokens * self._state.token_s
+        return worth_moving(expected_s, elapsed_s, prompt)
+
     def _old_versions(self, model: str, candidates: Sequence[RelayReplica]) -> frozenset[int]:
         """Return the candidates' versions that were replaced long enough ago to be worth less."""
         history = self._state.versions.get(model)
--- a/winchfork/router/http_types.py
+++ b/winchfork/router/http_types.py
@@ -132,4 +132,11 @@
     name: str
 
 
-Progress = AnswerHead | AnswerData | AnswerEnd | AnswerBroken | CallerLeft | TimeLimit
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveAway:
+    """The replica named is about to load weights: a stream that can be resumed had better move."""
+
+    replica_id: str
+
+
+Progress = AnswerHead | AnswerData | AnswerEnd | AnswerBroken | CallerLeft | TimeLimit | MoveAway
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -63,4 +63,9 @@
     cause: StopCause
 
 
-Outcome = Delivered | NotRun | MayHaveRun | Stopped
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moved:
+    """The exchange was ended here so that the stream goes on at another replica."""
+
+
+Outcome = Delivered | NotRun | MayHaveRun | Stopped | Moved
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -20,10 +20,19 @@
 from winchfork.router.http_types import (
     CallerLeft,
     IncomingRequest,
+    MoveAway,
     TimeLimit,
 )
 from winchfork.router.inbox import Inbox
-from winchfork.router.outcomes import Delivered, MayHaveRun, NotRun, Outcome, StopCause, Stopped
+from winchfork.router.outcomes import (
+    Delivered,
+    MayHaveRun,
+    Moved,
+    NotRun,
+    Outcome,
+    StopCause,
+    Stopped,
+)
 from winchfork.router.refusals import refusal_answer
 from winchfork.router.state import AdmittedRequest
 
@@ -43,6 +52,8 @@
 REFUSED_HOLD_S = 0.3
 #: Tries at one replica that only refused the weights version.
 _MAX_VERSION_TRIES = 1
+#: Part of the retry budget that streams which move away from a load leave to failures.
+_FAILURE_RESERVE = 0.5
 _LOOK_AGAIN = "look_again"
 _DEADLINE = "deadline"
 
@@ -72,6 +83,7 @@
         self._ends_at_s = request.received_s + self._time_allowed_s()
         self._tried: set[str] = set()
         self._sends = 0
+        self._sent_s = 0.0
         self._version_tries = 0
         self._newer_weights = False
         self._may_have_run = False
@@ -91,6 +103,26 @@
         if self._attempt is not None:
             self._attempt.pause(behind)
 
+    def replica_held(self, replica: RelayReplica) -> None:
+        """Move a stream away from a replica that loads weights next, if that is worth it.
+
+        A load waits for the runs that are under way. A move reads the prompt once more and draws on
+        the retry budget, of which a part is left to failures.
+        """
+        attempt = self._attempt
+        if attempt is None or attempt.replica is not replica or not self._route.resumable:
+            return
+        if self._sends >= self._route.max_attempts or self._time_left_s() < _LEAST_TIME_LEFT_S:
+            return
+        now_s = self._loop.time()
+        if not self._dispatch.worth_moving(
+            now_s - self._sent_s, self._tried | {replica.replica_id}
+        ):
+            return
+        if self._state.budget.take(self._backend, self._state.daemons, now_s, _FAILURE_RESERVE):
+            log_event("stream_moves", id=self._id, replica=replica.replica_id)
+            self._inbox.put(MoveAway(replica.replica_id))
+
     # Lifecycle
 
     async def run(self) -> None:
@@ -166,13 +198,13 @@
         plan.on_first_event = self._note_first_event
         self._attempt = Attempt(plan, connection, self._inbox, self._answer, self._service.dialect)
         self._sends += 1
-        sent_s = self._loop.time()
+        self._sent_s = self._loop.time()
         self._log_sent(decision, plan)
         if plan.unread_tokens:
             self._state.on_work_sent()
         outcome = await self._attempt.run()
         self._attempt = None
-        self._note_evidence(plan, outcome, sent_s)
+        self._note_evidence(plan, outcome, self._sent_s)
         return outcome
 
     def _note_first_event(self) -> None:
@@ -223,6 +255,10 @@
             self._may_have_run = self._may_have_run or self._sends > 0
             self._stop(outcome.cause)
             return False
+        if isinstance(outcome, Moved):
+            self._may_have_run = True
+            self._tried.add(replica.replica_id)
+            return True
         if isinstance(outcome, NotRun):
             return self._after_refusal(replica, outcome)
         return self._after_unknown(replica, outcome)
@@ -299,7 +335,9 @@
             cost_s=decision.cost_s,
             weighed=decision.weighed,
             kept=decision.kept_tokens,
+            copied=decision.copied_tokens,
             unread=decision.unread_tokens,
+            family=self._dispatch.family_key(plan.weights_version),
             copy_from=decision.copy_from.replica_id if decision.copy_from else None,
             save=decision.save or None,
             weights=plan.weights_version,
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
@@ -38,7 +39,8 @@
         #: Set late in a planned stop: requests that come now are refused as not run.
         self.closing = False
         self._connections: set[CallerConnection] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
+        state.on_held = self._replica_held
 
     # CallerHandler
 
@@ -69,8 +71,8 @@
             return self._refuse(connection, admitted, fields.request_id)
         active = RelayedRequest(self, connection, request, admitted)
         task = asyncio.get_running_loop().create_task(active.run())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = active
+        task.add_done_callback(self._tasks.pop)
         return active
 
     def refuse_malformed(self, connection: CallerConnection, failure: Failure) -> None:
@@ -93,6 +95,10 @@
         connection.answer(answer.status, answer.headers, answer.body)
         return Refused()
 
+    def _replica_held(self, replica: RelayReplica) -> None:
+        for request in list(self._tasks.values()):
+            request.replica_held(replica)
+
     # Duties
 
     @property
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -92,6 +92,8 @@
         self.stopping = False
         #: Told when this daemon has given a replica a prompt.
         self.on_work_sent: Callable[[], None] = lambda: None
+        #: Told of each replica that is to be given nothing new, since it loads weights next.
+        self.on_held: Callable[[RelayReplica], None] = lambda replica: None
         #: Told of each replica that this daemon ejects on its own evidence.
         self.on_ejected: Callable[[RelayReplica], None] = lambda replica: None
         bounds = settings.bounds
--- a/winchfork/router/version_news.py
+++ b/winchfork/router/version_news.py
@@ -45,6 +45,8 @@
         replica.loading_until_s = now_s + note.held_ms / 1000.0
         replica.next_until_s = now_s + note.next_ms / 1000.0
         self._state.note_version(replica, note.model, note.version)
+        if note.held_ms > 0 and not was_held:
+            self._state.on_held(replica)
         if was_held == (note.held_ms > 0) and note.version <= known:
             return
         log_event(
