Send short prompts as more urgent than long ones

Cause: a tenant's priority replaces the route's, so all prompts of a tenant were equal at a replica. Change: the level sent is the priority in force, set back by one for each doubling of the reading time beyond 5 % of the route's target latency (five at most). Where nothing waits it changes nothing.

--- /dev/null
+++ b/tests/test_urgency.py
@@ -0,0 +1,42 @@
+"""Short prompts go before long ones at a replica, whatever tenant they come from."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.relay_support import ScriptedReplica, SeenRequest, answering, chunk, event, stream_head
+from tests.test_relay_path import RelayTestCase
+from winchfork.core.routing import RouteKind
+from winchfork.core.urgency import LEAST_URGENT, MOST_SET_BACK, urgency_level
+
+
+class UrgencyLevelTest(unittest.TestCase):
+    def test_short_reading_has_the_operators_priority(self) -> None:
+        self.assertEqual([urgency_level(rank, 0.01, 0.5) for rank in (0, 1, 3)], [0, 1, 3])
+
+    def test_each_doubling_is_one_level(self) -> None:
+        levels = [urgency_level(0, read_s, 0.5) for read_s in (0.03, 0.06, 0.12, 0.24)]
+        self.assertEqual(levels, [1, 2, 3, 4])
+
+    def test_the_longest_are_set_back_so_far_and_no_further(self) -> None:
+        self.assertEqual(urgency_level(1, 100.0, 0.5), 1 + MOST_SET_BACK)
+        self.assertEqual(urgency_level(8, 100.0, 0.5), LEAST_URGENT)
+
+    def test_a_route_without_an_aim_keeps_the_operators_priority(self) -> None:
+        self.assertEqual(urgency_level(2, 1.0, 0.0), 2)
+
+
+class SentUrgencyTest(RelayTestCase):
+    async def test_of_one_tenant_a_short_prompt_is_sent_as_the_more_urgent(self) -> None:
+        """Tenants' priorities made all their prompts equal: in overload all kinds were late."""
+
+        def stream(request: SeenRequest) -> bytes:
+            return stream_head(request) + chunk(event(1)) + b"0\r\n\r\n"
+
+        replica = ScriptedReplica(answering(stream))
+        relay = await self.relay(replica, kind=RouteKind.STREAMING)
+        for request_id, tokens in (("id-1", 500), ("id-2", 9000)):
+            usage = f"X-Model: m\r\nX-Token-Usage: {tokens},9\r\nX-Prefix-Hash: {request_id}:9\r\n"
+            await relay.ask(request_id, method="POST", extra=usage)
+        short, long = (int(seen.headers["x-request-priority"]) for seen in replica.seen)
+        self.assertLess(short, long)
--- /dev/null
+++ b/winchfork/core/urgency.py
@@ -0,0 +1,30 @@
+"""How urgent a prompt is at its replica: short reading before long, then the operators' priority.
+
+A replica reads the prompts that wait one after another, the more urgent first. A short prompt holds
+a long one up by little, and a long one a short one by much, so that serving short ones first keeps
+more answers in time when more is asked than can be read. (The separation of short from long work by
+its type is that of "When Idling is Ideal", SOSP 2021, there by reserved cores.)
+"""
+
+from __future__ import annotations
+
+import math
+
+#: The least urgent level that replicas know; 0 is the most urgent.
+LEAST_URGENT = 9
+#: Reading that takes this share of the target latency or less has the operators' own priority; each
+#: doubling beyond it is one level less urgent.
+SHORT_SHARE = 0.05
+#: Levels that the longest reading is set back.
+MOST_SET_BACK = 5
+
+
+def urgency_level(priority: int, read_s: float, target_s: float) -> int:
+    """Return the level of a prompt that takes ``read_s`` to read, for an aim of ``target_s``."""
+    return max(0, min(LEAST_URGENT, priority + _set_back(read_s, target_s)))
+
+
+def _set_back(read_s: float, target_s: float) -> int:
+    if target_s <= 0.0 or read_s <= SHORT_SHARE * target_s:
+        return 0
+    return min(MOST_SET_BACK, math.ceil(math.log2(read_s / (SHORT_SHARE * target_s))))
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -8,6 +8,7 @@
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.relay_placement import (
+    DEFAULT_READ_TOKENS_PER_S,
     PromptPlacement,
     RelayDecision,
     place_prompt,
@@ -16,13 +17,12 @@
     worth_moving,
 )
 from winchfork.core.rendezvous import member_hash
+from winchfork.core.urgency import urgency_level
 from winchfork.router.attempt import AttemptPlan
 from winchfork.router.dialect import Dialect, DispatchFields
 from winchfork.router.http_types import IncomingRequest, render_headers
 from winchfork.router.state import AdmittedRequest, RouterState
 
-#: The least urgent priority that replicas know.
-_LEAST_URGENT = 9
 #: Seconds after a newer version is named for which older weights are worth as much, and how long
 #: after its decision a request begins.
 FULL_WORTH_S = 1.5
@@ -135,7 +135,7 @@
             deadline_s=time_left_s,
             replica_id=decision.replica.replica_id,
             tenant=tenant.name if tenant else None,
-            priority=min(_LEAST_URGENT, self._admitted.priority) if prompt else None,
+            priority=self._urgency(decision) if prompt else None,
             namespace=self._scope(prompt).namespace(version or 0) if prompt else None,
             weights_version=version,
             resume_after=resume_after,
@@ -143,6 +143,11 @@
             save_to=store.listing.address if store and decision.save else None,
         )
 
+    def _urgency(self, decision: RelayDecision) -> int:
+        read_s = decision.unread_tokens / DEFAULT_READ_TOKENS_PER_S
+        target_s = self._admitted.route.target_latency_s
+        return urgency_level(self._admitted.priority, read_s, target_s)
+
     def _message(self, fields: DispatchFields) -> bytes:
         request = self._request
         headers = self._dialect.dispatch_headers(request.headers, fields)
