Ask the cache store for parts not known to be there; count copies at the pace of its link

Sums of unread tokens agree with the replicas' own within 1 %, so eviction is not the cause. Change: a source that is not believed to keep more is replaced by the store, from 500 shared tokens on (a miss costs a millisecond). Ruled out: asking kv-list after a start (holds the replica up), telling newcomers the whole index (bytes between zones).

--- /dev/null
+++ b/tests/test_cache_store_copies.py
@@ -0,0 +1,76 @@
+"""What is copied from the store of kept cache: what it may keep unheard, and at which pace."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from tests.test_relay_placement import COPY_RATE, SCOPE, fleet_of, prompt
+from winchfork.core.part_index import PartIndex, shared_keys
+from winchfork.core.prompt_parts import Prompt, PromptPart
+from winchfork.core.relay_placement import PromptPlacement, place_prompt
+from winchfork.core.routing import CacheStore, EngineProfile, RoutingTable, Service
+from winchfork.router.settings import RouterSettings
+from winchfork.router.state import RouterState
+
+
+class UnheardPartsTest(unittest.TestCase):
+    def test_a_daemon_that_knows_nothing_asks_the_store(self) -> None:
+        """A daemon that had restarted had every family read again that the store kept."""
+        replicas, store = fleet_of(3), fleet_of(9)[8]
+        placement = PromptPlacement(
+            prompt("f"), SCOPE, "z1", copy_tokens_per_s=COPY_RATE, store=store
+        )
+        decision = place_prompt(placement, replicas, [*replicas, store], PartIndex())
+        assert decision is not None
+        self.assertIs(decision.copy_from, store)
+        self.assertTrue(decision.save)
+
+    def test_parts_that_are_read_as_fast_as_asked_for_are_not_asked_for(self) -> None:
+        replicas, store = fleet_of(3), fleet_of(9)[8]
+        short = Prompt("m", (PromptPart("f", 100), PromptPart("own", 400)), 500)
+        placement = PromptPlacement(short, SCOPE, "z1", copy_tokens_per_s=COPY_RATE, store=store)
+        decision = place_prompt(placement, replicas, [*replicas, store], PartIndex())
+        assert decision is not None
+        self.assertIsNone(decision.copy_from)
+
+
+class StoreLinkTest(unittest.TestCase):
+    def place(self, store_tokens_per_s: float) -> bool:
+        """Return whether a prompt waits 50 ms for its keeper; the store keeps it as well."""
+        replicas, index, store = fleet_of(2), PartIndex(), fleet_of(9)[8]
+        request = prompt("f")
+        keys = shared_keys(SCOPE, request, 1)
+        keeper = replicas[0]
+        index.note_held(keys, keeper.order_hash, 1.0)
+        index.note_held(keys, store.order_hash, 1.0)
+        keeper.unread_tokens = 2000
+        placement = PromptPlacement(
+            request,
+            SCOPE,
+            "z1",
+            copy_tokens_per_s=1.0,
+            store=store,
+            store_tokens_per_s=store_tokens_per_s,
+        )
+        decision = place_prompt(placement, replicas, [store], index)
+        assert decision is not None
+        return decision.replica is keeper
+
+    def test_a_copy_over_a_slow_link_is_not_taken_for_one_between_engines(self) -> None:
+        self.assertTrue(self.place(store_tokens_per_s=50_000.0))
+        self.assertFalse(self.place(store_tokens_per_s=5_000_000.0))
+
+    def test_the_rate_is_that_of_the_slower_link(self) -> None:
+        engine = EngineProfile(64, 100_000, 20_000, 500_000.0, ("m",))
+        services = [
+            Service("s", engine=engine),
+            Service("k", store=CacheStore("10.0.0.1:1", "z1", 1000, 25_000.0)),
+        ]
+        state = RouterState(
+            RouterSettings("n", "z1", "g", "", "", "", ""), lambda: 0.0, random.Random(1)
+        )
+        state.install_table(RoutingTable(1, [], services), 1)
+        store = state.cache_store_of(prompt("f"))
+        self.assertEqual(state.copy_tokens_per_s("s"), 3_125_000.0)
+        self.assertEqual(state.copy_tokens_per_s("s", store), 156_250.0)
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -39,6 +39,11 @@
 COPY_SETUP_S = 0.004
 #: Charge that keeps ties in the family's order on every daemon.
 ORDER_COST_S = 0.004
+#: Cache moves between zones take this many times as long.
+OTHER_ZONE_COPY_RATIO = 2.0
+#: A store that is not known to keep a prompt's shared parts is asked for this many or more: they
+#: take several times as long to read as an answer in vain.
+LEAST_ASKED_TOKENS = 500
 #: A copy of fewer tokens is not worth its set-up.
 LEAST_COPIED_TOKENS = 64
 #: Charge for a replica in another zone: latency there and back, and the price of the bytes.
@@ -84,7 +89,8 @@
     """A prompt to place, for a daemon in ``zone``.
 
     ``run_s`` is how long its answer is expected to take after the first token.
-    ``copy_tokens_per_s`` is how fast replicas copy kept parts from each other; 0: they cannot.
+    ``copy_tokens_per_s`` is how fast replicas copy kept parts from each other within a zone, and
+    ``store_tokens_per_s`` how fast from the store; 0: they cannot.
     ``cache_tokens`` is its memory, 0 if not known. ``mean_run_s`` is how long runs have taken
     lately. ``store`` keeps parts outside the replicas. Answers of ``old_versions`` are worth less.
     ``spread_s`` is the most that a charge drawn by ``spread_key`` may be.
@@ -102,6 +108,7 @@
     spread_s: float = 0.0
     spread_key: int = 0
     store: RelayReplica | None = None
+    store_tokens_per_s: float = 0.0
 
     @property
     def long_answer(self) -> bool:
@@ -154,10 +161,12 @@
 def _with_store(
     request: PromptPlacement, decision: RelayDecision, prefixes: _KeptPrefixes
 ) -> RelayDecision:
-    """Save what the store does not keep; name it as the source of what it keeps.
+    """Save what the store does not keep; name it as the source of what it keeps, or may keep.
 
     A replica may have dropped what it is believed to keep, the store drops nothing for long. A
-    source that is not needed costs nothing: the replica copies only what goes beyond its own.
+    source that is not needed costs nothing: the replica copies only what goes beyond its own. What
+    other daemons had saved may never have been heard of here, above all after a restart, and asking
+    in vain takes a millisecond.
     """
     store = request.store
     if store is None or not request.copy_tokens_per_s:
@@ -166,7 +175,9 @@
         return decision
     kept = prefixes.at(decision.replica)
     stored = kept.depths.get(store.order_hash, 0) == len(kept.keys)
-    source = store if stored else decision.copy_from
+    worth_asking = request.prompt.shared_tokens >= LEAST_ASKED_TOKENS
+    unheard = decision.copy_from is None and worth_asking
+    source = store if stored or unheard else decision.copy_from
     return dataclasses.replace(decision, copy_from=source, save=not stored)
 
 
@@ -285,7 +296,7 @@
         cost_s += request.spread_s * mixed_order(request.spread_key, replica.order_hash)
     cost_s += rank * (GATHER_COST_S if request.long_answer else ORDER_COST_S)
     if reading.copied:
-        cost_s += COPY_SETUP_S + reading.copied / request.copy_tokens_per_s
+        cost_s += COPY_SETUP_S + reading.copied / _copy_rate(request, replica, reading.source)
         cost_s += SECOND_COPY_SHARE * reading.copied / DEFAULT_READ_TOKENS_PER_S
     elif not at_home and not reading.kept and not request.long_answer:
         cost_s += AWAY_SHARE * request.prompt.shared_tokens / DEFAULT_READ_TOKENS_PER_S
@@ -304,6 +315,16 @@
     return share * (SPREAD_COST_S + prompt.prompt_tokens / DEFAULT_READ_TOKENS_PER_S)
 
 
+def _copy_rate(
+    request: PromptPlacement, replica: RelayReplica, source: RelayReplica | None
+) -> float:
+    """Return the tokens a second that a replica copies from a source."""
+    from_store = source is not None and source is request.store
+    rate = request.store_tokens_per_s if from_store else request.copy_tokens_per_s
+    far = source is not None and source.listing.zone != replica.listing.zone
+    return max(1.0, rate / OTHER_ZONE_COPY_RATIO if far else rate)
+
+
 def worth_moving(expected_s: float, elapsed_s: float, prompt: Prompt) -> bool:
     """Whether a run that has taken ``elapsed_s`` of an expected time should go on elsewhere.
 
--- a/winchfork/core/routing.py
+++ b/winchfork/core/routing.py
@@ -65,11 +65,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheStore:
-    """A store of kept cache outside the engines; ``address`` is ``IP:PORT``."""
+    """A store of kept cache outside the engines; ``address`` is ``IP:PORT``.
+
+    ``link_mbps`` 0: not known, as fast as the engines' own links.
+    """
 
     address: str
     zone: str
     cache_tokens: int
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/winchfork/platform/documents.py
+++ b/winchfork/platform/documents.py
@@ -73,6 +73,7 @@
     kv_store_address: str = ""
     zone: str = ""
     kv_capacity_tokens: int = 0
+    link_mbps: float = 0.0
 
 
 class _Limits(_PascalStruct):
@@ -208,7 +209,9 @@
         )
     store = None
     if service.kv_store_address:
-        store = CacheStore(service.kv_store_address, service.zone, service.kv_capacity_tokens)
+        store = CacheStore(
+            service.kv_store_address, service.zone, service.kv_capacity_tokens, service.link_mbps
+        )
     return Service(service.name, service.max_connections, profile, store)
 
 
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -69,6 +69,7 @@
             spread_key=member_hash(self._admitted.fields.request_id),
             old_versions=self._old_versions(self._prompt.model, candidates),
             store=store,
+            store_tokens_per_s=self._state.copy_tokens_per_s(self._service, store),
         )
         sources = [*self._state.fleet.of_service(self._service), *([store] if store else [])]
         return place_prompt(request, candidates, sources, self._state.parts)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -81,6 +81,7 @@
         self.fleet = RelayFleet()
         #: The stores of kept cache by address, as further sources of copies; never sent a request.
         self._cache_stores: dict[str, RelayReplica] = {}
+        self._store_link_mbps: dict[str, float] = {}
         self.parts = PartIndex()
         #: What this daemon has learned of kept parts and has not told its peers yet.
         self.kept_news = KeptBacklog()
@@ -120,6 +121,7 @@
     def _install_cache_stores(self, table: RoutingTable) -> None:
         known = self._cache_stores
         self._cache_stores = {}
+        self._store_link_mbps = {store.address: store.link_mbps for store in table.cache_stores()}
         for store in table.cache_stores():
             listing = ReplicaListing(store.address, "", store.address, store.zone, 0, False)
             kept = known.get(store.address)
@@ -300,13 +302,19 @@
                     for_s=replica.avoided_until_s - now_s,
                 )
 
-    def copy_tokens_per_s(self, service: str) -> float:
-        """Return how fast the service's replicas copy kept parts; 0 where they cannot."""
+    def copy_tokens_per_s(self, service: str, store: RelayReplica | None = None) -> float:
+        """Return how fast a service's replicas copy kept parts in their zone; 0 where they cannot.
+
+        They copy from each other, or from a store whose link may be slower.
+        """
         known = self.table.services.get(service) if self.table else None
         engine = known.engine if known else None
         if engine is None or not engine.token_bytes:
             return 0.0
-        return engine.link_mbps * BYTES_PER_S_PER_MBPS / engine.token_bytes
+        link_mbps = engine.link_mbps
+        if store is not None:
+            link_mbps = min(link_mbps, self._store_link_mbps[store.listing.address] or link_mbps)
+        return link_mbps * BYTES_PER_S_PER_MBPS / engine.token_bytes
 
     def cache_tokens(self, service: str) -> int:
         """Return the tokens that each of the service's replicas has memory for; 0 if not known."""
