Learn how fast engines read prompts from first tokens

Cause: every cost was counted at 40,000 tokens a second, of which the comment said 'until measured'; nothing measured it. These engines read 57 a ms, others 38 and 51, and on engines of half the speed queues were taken for half as long as they are. Change: core/engine_speed.py learns fixed time and rate of a service from prompts before which nothing waited; the margin before a version's end uses the slower of the learned and the assumed rate. The assumed rate is the prior only.

--- /dev/null
+++ b/tests/test_engine_speed.py
@@ -0,0 +1,47 @@
+"""The speed of engines is learned from first tokens, within bounds."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.relay_support import ScriptedReplica, SeenRequest, answering, chunk, event, stream_head
+from tests.test_relay_path import RelayTestCase
+from winchfork.core.engine_speed import MOST_TIMES_PRIOR, PRIOR_READ_TOKENS_PER_S, EngineSpeed
+from winchfork.core.routing import RouteKind
+
+
+def learned(rate: float, first_token_s: float, samples: int = 60) -> float:
+    speed = EngineSpeed()
+    for number in range(samples):
+        tokens = 100 if number % 2 else 3_000 + 100 * number
+        speed.note_first_token(tokens, first_token_s + tokens / rate)
+    return speed.read_tokens_per_s
+
+
+class EngineSpeedTest(unittest.TestCase):
+    def test_fast_and_slow_engines_are_told_from_the_prior(self) -> None:
+        """Engines of a third of the assumed rate lost their calm day: queues seemed short."""
+        for rate in (13_000.0, 57_000.0, 120_000.0):
+            self.assertAlmostEqual(learned(rate, 0.03) / rate, 1.0, delta=0.15)
+
+    def test_prompts_of_middle_length_say_nothing(self) -> None:
+        speed = EngineSpeed()
+        speed.note_first_token(1_000, 5.0)
+        self.assertEqual(speed.read_tokens_per_s, PRIOR_READ_TOKENS_PER_S)
+
+    def test_absurd_times_lead_no_further_than_the_bounds(self) -> None:
+        self.assertGreaterEqual(learned(1.0, 0.0), PRIOR_READ_TOKENS_PER_S / MOST_TIMES_PRIOR)
+        self.assertLessEqual(learned(1e12, 0.0), PRIOR_READ_TOKENS_PER_S * MOST_TIMES_PRIOR)
+
+
+class LearnedOnThePathTest(RelayTestCase):
+    async def test_a_prompt_read_alone_is_learned_from(self) -> None:
+        def stream(request: SeenRequest) -> bytes:
+            return stream_head(request) + chunk(event(1)) + b"0\r\n\r\n"
+
+        relay = await self.relay(ScriptedReplica(answering(stream)), kind=RouteKind.STREAMING)
+        usage = "X-Model: m\r\nX-Token-Usage: 9000,9\r\nX-Prefix-Hash: aa:9000\r\n"
+        await relay.ask(method="POST", extra=usage)
+        self.assertNotEqual(
+            relay.state.engine_speed("s").read_tokens_per_s, PRIOR_READ_TOKENS_PER_S
+        )
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -25,6 +25,7 @@
 
 SCOPE = CacheScope.of("t", False, "m")
 COPY_RATE = 800_000.0
+READ_RATE = 40_000.0
 
 
 def fleet_of(count: int, zones: tuple[str, ...] = ("z1",)) -> list[RelayReplica]:
@@ -155,14 +156,14 @@
                 index,
                 run_s=0.4,
                 zone=("z1", "z2", "z3")[number % 3],
-                spread_s=spread_cost_s(hint, 79),
+                spread_s=spread_cost_s(hint, 79, READ_RATE),
                 spread_key=member_hash(f"request {number}"),
             ).replica_id
             for number in range(36)
         )
         self.assertLessEqual(max(chosen.values()), 11)
         self.assertGreaterEqual(len(chosen), 6)
-        self.assertEqual(spread_cost_s(hint, 10), 0.0)
+        self.assertEqual(spread_cost_s(hint, 10, READ_RATE), 0.0)
 
     def test_daemons_spread_large_prompts_over_replicas_that_have_just_come_back(self) -> None:
         """Lines of 04d5f11d: 43 thousand tokens queued unheard half a second after a load."""
@@ -172,7 +173,7 @@
         chosen: Counter[str] = Counter()
         for number in range(48):
             request = prompt(f"f{number}", own_tokens=2900)
-            key, spread_s = member_hash(f"request {number}"), spread_cost_s(request, 79)
+            key, spread_s = member_hash(f"request {number}"), spread_cost_s(request, 79, READ_RATE)
             replica = placed(request, replicas, index, spread_key=key, spread_s=spread_s)
             chosen[replica.replica_id] += 1
         self.assertLessEqual(max(chosen.values()), 14)
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -16,7 +16,6 @@
     stream_head,
 )
 from tests.test_relay_path import RelayTestCase
-from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_placement import worth_moving
 from winchfork.core.routing import RouteKind
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
@@ -112,13 +111,11 @@
 
 
 class WorthMovingTest(unittest.TestCase):
-    PROMPT = Prompt("m", (), 4000, 1000)
-
     def test_a_run_that_is_nearly_over_stays(self) -> None:
-        self.assertFalse(worth_moving(2.0, 1.95, self.PROMPT))
+        self.assertFalse(worth_moving(2.0, 1.95, 0.1))
 
     def test_a_run_with_more_left_than_a_second_reading_takes_goes(self) -> None:
-        self.assertTrue(worth_moving(2.0, 1.0, self.PROMPT))
+        self.assertTrue(worth_moving(2.0, 1.0, 0.1))
 
 
 class ReserveTest(unittest.TestCase):
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -13,14 +13,13 @@
 import math
 from collections.abc import Mapping, Sequence
 
+from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S
 from winchfork.core.part_index import PartIndex, shared_keys
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.rendezvous import member_hash, mixed_order
 from winchfork.core.zone_hubs import MOST_DIRECT_MEMBERS
 
-#: Prompt tokens an engine reads a second until measured otherwise.
-DEFAULT_READ_TOKENS_PER_S = 40_000.0
 #: Charge for a replica all of whose slots are taken, less for fewer: every token of a larger batch
 #: comes slower, and long answers gather only as far as there are slots.
 FULL_COST_S = 0.064
@@ -90,10 +89,10 @@
 
     ``run_s`` is how long its answer is expected to take after the first token.
     ``copy_tokens_per_s`` is how fast replicas copy kept parts from each other within a zone, and
-    ``store_tokens_per_s`` how fast from the store; 0: they cannot.
-    ``cache_tokens`` is its memory, 0 if not known. ``mean_run_s`` is how long runs have taken
-    lately. ``store`` keeps parts outside the replicas. Answers of ``old_versions`` are worth less.
-    ``spread_s`` is the most that a charge drawn by ``spread_key`` may be.
+    ``store_tokens_per_s`` how fast from the store; 0: they cannot. ``read_tokens_per_s`` is how
+    fast they read. ``cache_tokens`` is their memory, 0 if not known. ``mean_run_s`` is how long
+    runs have taken lately. ``store`` keeps parts outside the replicas. Answers of ``old_versions``
+    are worth less. ``spread_s`` is the most that a charge drawn by ``spread_key`` may be.
     """
 
     prompt: Prompt
@@ -109,11 +108,12 @@
     spread_key: int = 0
     store: RelayReplica | None = None
     store_tokens_per_s: float = 0.0
+    read_tokens_per_s: float = PRIOR_READ_TOKENS_PER_S
 
     @property
     def long_answer(self) -> bool:
         """Whether the answer takes much longer than the prompt."""
-        read_s = self.prompt.prompt_tokens / DEFAULT_READ_TOKENS_PER_S
+        read_s = self.prompt.prompt_tokens / self.read_tokens_per_s
         return self.run_s > LONG_ANSWER_RATIO * read_s
 
 
@@ -288,8 +288,8 @@
     request: PromptPlacement, replica: RelayReplica, rank: int, at_home: bool, reading: _Reading
 ) -> float:
     running = replica.running
-    read_s = reading.unread / DEFAULT_READ_TOKENS_PER_S
-    cost_s = replica.queued_tokens / DEFAULT_READ_TOKENS_PER_S + read_s
+    read_s = reading.unread / request.read_tokens_per_s
+    cost_s = replica.queued_tokens / request.read_tokens_per_s + read_s
     cost_s += running * (FULL_COST_S / max(1, replica.listing.slots) + INTERFERENCE_SHARE * read_s)
     cost_s += _wait_for_place_s(request, replica)
     if request.spread_s:
@@ -297,9 +297,9 @@
     cost_s += rank * (GATHER_COST_S if request.long_answer else ORDER_COST_S)
     if reading.copied:
         cost_s += COPY_SETUP_S + reading.copied / _copy_rate(request, replica, reading.source)
-        cost_s += SECOND_COPY_SHARE * reading.copied / DEFAULT_READ_TOKENS_PER_S
+        cost_s += SECOND_COPY_SHARE * reading.copied / request.read_tokens_per_s
     elif not at_home and not reading.kept and not request.long_answer:
-        cost_s += AWAY_SHARE * request.prompt.shared_tokens / DEFAULT_READ_TOKENS_PER_S
+        cost_s += AWAY_SHARE * request.prompt.shared_tokens / request.read_tokens_per_s
     if replica.listing.zone != request.zone:
         cost_s += OTHER_ZONE_COST_S
     if _version(request, replica) in request.old_versions:
@@ -309,10 +309,10 @@
     return cost_s
 
 
-def spread_cost_s(prompt: Prompt, daemons: int) -> float:
+def spread_cost_s(prompt: Prompt, daemons: int, read_tokens_per_s: float) -> float:
     """Return how far the charges of a request may lie apart in a fleet of this size."""
     share = max(0.0, min(1.0, (daemons - MOST_DIRECT_MEMBERS) / SPREAD_DAEMONS))
-    return share * (SPREAD_COST_S + prompt.prompt_tokens / DEFAULT_READ_TOKENS_PER_S)
+    return share * (SPREAD_COST_S + prompt.prompt_tokens / read_tokens_per_s)
 
 
 def _copy_rate(
@@ -325,13 +325,14 @@
     return max(1.0, rate / OTHER_ZONE_COPY_RATIO if far else rate)
 
 
-def worth_moving(expected_s: float, elapsed_s: float, prompt: Prompt) -> bool:
+def worth_moving(expected_s: float, elapsed_s: float, read_s: float) -> bool:
     """Whether a run that has taken ``elapsed_s`` of an expected time should go on elsewhere.
 
+    ``read_s`` is the time to read its prompt once more.
     A run that has outlasted its expectation is taken to need as much again as it is over.
     """
     left_s = abs(expected_s - elapsed_s)
-    return left_s > MOVE_SETUP_S + prompt.prompt_tokens / DEFAULT_READ_TOKENS_PER_S
+    return left_s > MOVE_SETUP_S + read_s
 
 
 def _wait_for_place_s(request: PromptPlacement, replica: RelayReplica) -> float:
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
+from winchfork.core.engine_speed import EngineSpeed
 from winchfork.core.part_index import shared_keys
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.relay_placement import (
-    DEFAULT_READ_TOKENS_PER_S,
     PromptPlacement,
     RelayDecision,
     place_prompt,
@@ -48,6 +48,10 @@
         self._prompt = admitted.fields.prompt
         self._store = state.cache_store_of(self._prompt) if self._prompt else None
 
+    @property
+    def _speed(self) -> EngineSpeed:
+        return self._state.engine_speed(self._service)
+
     def place(self, tried: set[str]) -> RelayDecision | None:
         """Return the best replica that was not tried yet, or None when none takes work."""
         candidates = self._state.available(self._service, tried, self._prompt)
@@ -56,6 +60,7 @@
         if self._prompt is None:
             return place_task(zone, candidates, now_s)
         store = self._store
+        read_tokens_per_s = self._speed.read_tokens_per_s
         request = PromptPlacement(
             prompt=self._prompt,
             scope=self._scope(self._prompt),
@@ -65,10 +70,11 @@
             copy_tokens_per_s=self._state.copy_tokens_per_s(self._service),
             cache_tokens=self._state.cache_tokens(self._service),
             mean_run_s=self._state.mean_run_s,
-            spread_s=spread_cost_s(self._prompt, self._state.daemons),
+            spread_s=spread_cost_s(self._prompt, self._state.daemons, read_tokens_per_s),
             spread_key=member_hash(self._admitted.fields.request_id),
             old_versions=self._old_versions(self._prompt.model, candidates),
             store=store,
+            read_tokens_per_s=read_tokens_per_s,
             store_tokens_per_s=self._state.copy_tokens_per_s(self._service, store),
         )
         sources = [*self._state.fleet.of_service(self._service), *([store] if store else [])]
@@ -87,7 +93,8 @@
         if prompt is None or not self._state.available(self._service, tried, prompt):
             return False
         expected_s = prompt.output_tokens * self._state.token_s
-        return worth_moving(expected_s, elapsed_s, prompt)
+        read_s = prompt.prompt_tokens / self._speed.read_tokens_per_s
+        return worth_moving(expected_s, elapsed_s, read_s)
 
     def _old_versions(self, model: str, candidates: Sequence[RelayReplica]) -> frozenset[int]:
         """Return the candidates' versions that were replaced long enough ago to be worth less."""
@@ -119,7 +126,7 @@
             weights_version=version,
             no_body=self._request.method == b"HEAD",
             ends_s=self._state.clock() + self._expected_run_s(decision),
-            on_read=lambda: self._note_kept(replica, version, decision.save),
+            on_read=self._on_read(decision, version),
         )
 
     def _fields(
@@ -145,7 +152,7 @@
         )
 
     def _urgency(self, decision: RelayDecision) -> int:
-        read_s = decision.unread_tokens / DEFAULT_READ_TOKENS_PER_S
+        read_s = decision.unread_tokens / self._speed.read_tokens_per_s
         target_s = self._admitted.route.target_latency_s
         return urgency_level(self._admitted.priority, read_s, target_s)
 
@@ -167,6 +174,27 @@
             return decision.cost_s
         return decision.cost_s + self._prompt.output_tokens * self._state.token_s
 
+    def _on_read(self, decision: RelayDecision, version: int | None) -> Callable[[], None]:
+        """Return what is learned when the first token shows that the prompt has been read."""
+        replica = decision.replica
+        sent_s = self._state.clock()
+        alone = not replica.queued_tokens and self._is_read_whole(decision)
+
+        def note() -> None:
+            self._note_kept(replica, version, decision.save)
+            if alone:
+                took_s = self._state.clock() - sent_s
+                self._speed.note_first_token(decision.unread_tokens, took_s)
+
+        return note
+
+    def _is_read_whole(self, decision: RelayDecision) -> bool:
+        """Whether the replica reads all that it does not keep, and copies nothing."""
+        if decision.copied_tokens:
+            return False
+        shared_tokens = self._prompt.shared_tokens if self._prompt else 0
+        return decision.copy_from is None or decision.kept_tokens == shared_tokens
+
     def _note_kept(self, replica: RelayReplica, version: int | None, saved: bool) -> None:
         """The prompt has been read: its shared parts are kept there, and in the store if saved."""
         prompt = self._prompt
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -6,12 +6,12 @@
 import random
 from collections.abc import Callable
 
+from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S, EngineSpeed
 from winchfork.core.freshness import Freshness
 from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.part_index import PartIndex
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing
-from winchfork.core.relay_placement import DEFAULT_READ_TOKENS_PER_S
 from winchfork.core.rendezvous import member_hash, mixed_order
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
@@ -102,6 +102,7 @@
             RetryAllowance(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s), clock()
         )
         self.daemons = ASSUMED_DAEMONS
+        self._engine_speeds: dict[str, EngineSpeed] = {}
         #: Seconds of a run for each token that its caller allows out, as measured lately.
         self.token_s = FIRST_TOKEN_S
         #: Seconds of a run, as measured lately.
@@ -228,7 +229,8 @@
         if history is None:
             return True
         tokens = QUEUE_MARGIN * replica.queued_tokens + OWN_PROMPT_MARGIN * prompt.prompt_tokens
-        margin_s = BEGIN_MARGIN_S + tokens / DEFAULT_READ_TOKENS_PER_S
+        known_rate = self.engine_speed(replica.listing.service).read_tokens_per_s
+        margin_s = BEGIN_MARGIN_S + tokens / min(PRIOR_READ_TOKENS_PER_S, known_rate)
         bound_s = self.settings.bounds.rollout_s
         due_s = history.due_s(replica.versions.get(prompt.model, 0), bound_s)
         return now_s + min(MAX_BEGIN_MARGIN_S, margin_s) < due_s
@@ -302,6 +304,10 @@
                     for_s=replica.avoided_until_s - now_s,
                 )
 
+    def engine_speed(self, service: str) -> EngineSpeed:
+        """Return what is known of the speed of a service's engines."""
+        return self._engine_speeds.setdefault(service, EngineSpeed())
+
     def copy_tokens_per_s(self, service: str, store: RelayReplica | None = None) -> float:
         """Return how fast a service's replicas copy kept parts in their zone; 0 where they cannot.
 
