--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -41,6 +41,17 @@
     def put_replica(self, replica_id: str, **changes: object) -> None:
         self.store.put(f"servers/{replica_id}", json.dumps({**REPLICA, **changes}).encode())
 
+    async def lose_in_an_outage(self, replica_id: str) -> None:
+        """Have an entry lapse while the store is away, and wait until that is noticed."""
+        self.store.down = True
+        await asyncio.sleep(3.0)
+        self.store.remove(f"servers/{replica_id}")
+        self.store.forget_history()
+        self.store.down = False
+        returned_s = self.state.clock()
+        while self.state.clock() - returned_s < 60.0 and not self.state.vanished:
+            await asyncio.sleep(0.01)
+
     def known(self) -> list[str]:
         return sorted(replica.replica_id for replica in self.state.fleet.replicas())
 
@@ -139,13 +150,7 @@
 
     def test_an_entry_that_vanished_in_an_outage_is_kept_for_a_while(self) -> None:
         async def scenario(followed: Followed) -> None:
-            followed.store.down = True
-            await asyncio.sleep(3.0)
-            followed.store.remove("servers/i-1")
-            followed.store.forget_history()
-            followed.store.down = False
-            while followed.state.clock() - 1000.0 < 60.0 and not followed.state.vanished:
-                await asyncio.sleep(0.01)
+            await followed.lose_in_an_outage("i-1")
             self.assertIn("i-1", followed.known())
             followed.put_replica("i-1")
             await asyncio.sleep(4.0)
@@ -158,13 +163,7 @@
         """The operators' bound; it was kept for one and a half heartbeats, whatever those were."""
 
         async def scenario(followed: Followed) -> None:
-            followed.store.down = True
-            await asyncio.sleep(3.0)
-            followed.store.remove("servers/i-1")
-            followed.store.forget_history()
-            followed.store.down = False
-            while not followed.state.vanished:
-                await asyncio.sleep(0.01)
+            await followed.lose_in_an_outage("i-1")
             await asyncio.sleep(RETURN_S - 0.1)
             followed.sync.expire_vanished(followed.state.clock())
             self.assertIn("i-1", followed.known())
