Place a request whose cache store has left the configuration; hash its family once

Cause: a request keeps its cache store over its attempts, and copy_tokens_per_s looked the store's link up in the newest configuration: one that drops the store in between made the next attempt raise KeyError, which ended the request as an internal failure. The test raises it without the fix. Beside it, without a change of behaviour: the family in the request's line hashes the last shared part alone instead of all, and an engine speed is made once a service instead of at each look. make check clean.

--- a/tests/test_cache_store_copies.py
+++ b/tests/test_cache_store_copies.py
@@ -13,6 +13,8 @@
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
 
+ENGINE = EngineProfile(64, 100_000, 20_000, 500_000.0, ("m",))
+
 
 class UnheardPartsTest(unittest.TestCase):
     def test_a_daemon_that_knows_nothing_asks_the_store(self) -> None:
@@ -61,16 +63,25 @@
         self.assertTrue(self.place(store_tokens_per_s=50_000.0))
         self.assertFalse(self.place(store_tokens_per_s=5_000_000.0))
 
-    def test_the_rate_is_that_of_the_slower_link(self) -> None:
-        engine = EngineProfile(64, 100_000, 20_000, 500_000.0, ("m",))
-        services = [
-            Service("s", engine=engine),
-            Service("k", store=CacheStore("10.0.0.1:1", "z1", 1000, 25_000.0)),
-        ]
+    def configured(self) -> RouterState:
+        """Return a state with a service and a cache store behind a slower link."""
+        store = CacheStore("10.0.0.1:1", "z1", 1000, 25_000.0)
+        services = [Service("s", engine=ENGINE), Service("k", store=store)]
         state = RouterState(
             RouterSettings("n", "z1", "g", "", "", "", ""), lambda: 0.0, random.Random(1)
         )
         state.install_table(RoutingTable(1, [], services), 1)
+        return state
+
+    def test_the_rate_is_that_of_the_slower_link(self) -> None:
+        state = self.configured()
         store = state.cache_store_of(prompt("f"))
         self.assertEqual(state.copy_tokens_per_s("s"), 3_125_000.0)
         self.assertEqual(state.copy_tokens_per_s("s", store), 156_250.0)
+
+    def test_a_store_that_a_new_configuration_drops_fails_no_request_that_knows_it(self) -> None:
+        """A request keeps its store over its attempts, and places itself anew for each."""
+        state = self.configured()
+        store = state.cache_store_of(prompt("f"))
+        state.install_table(RoutingTable(2, [], [Service("s", engine=ENGINE)]), 2)
+        self.assertEqual(state.copy_tokens_per_s("s", store), 3_125_000.0)
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from winchfork.core.engine_speed import EngineSpeed
-from winchfork.core.part_index import shared_keys
+from winchfork.core.part_index import part_key, shared_keys
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.relay_placement import (
@@ -85,7 +85,8 @@
         prompt = self._prompt
         if prompt is None or version is None or not prompt.shared:
             return None
-        return f"{shared_keys(self._scope(prompt), prompt, version)[-1]:016x}"
+        namespace = self._scope(prompt).namespace(version)
+        return f"{part_key(namespace, prompt.shared[-1]):016x}"
 
     def worth_moving(self, elapsed_s: float, tried: set[str]) -> bool:
         """Whether a run's rest elsewhere saves more waiting than a second reading costs."""
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+from collections import defaultdict
 from collections.abc import Callable
 
 from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S, EngineSpeed
@@ -102,7 +103,7 @@
             RetryAllowance(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s), clock()
         )
         self.daemons = ASSUMED_DAEMONS
-        self._engine_speeds: dict[str, EngineSpeed] = {}
+        self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
         #: Seconds of a run for each token that its caller allows out, as measured lately.
         self.token_s = FIRST_TOKEN_S
         #: Seconds of a run, as measured lately.
@@ -306,7 +307,7 @@
 
     def engine_speed(self, service: str) -> EngineSpeed:
         """Return what is known of the speed of a service's engines."""
-        return self._engine_speeds.setdefault(service, EngineSpeed())
+        return self._engine_speeds[service]
 
     def copy_tokens_per_s(self, service: str, store: RelayReplica | None = None) -> float:
         """Return how fast a service's replicas copy kept parts in their zone; 0 where they cannot.
@@ -319,7 +320,9 @@
             return 0.0
         link_mbps = engine.link_mbps
         if store is not None:
-            link_mbps = min(link_mbps, self._store_link_mbps[store.listing.address] or link_mbps)
+            link_mbps = min(
+                link_mbps, self._store_link_mbps.get(store.listing.address, 0.0) or link_mbps
+            )
         return link_mbps * BYTES_PER_S_PER_MBPS / engine.token_bytes
 
     def cache_tokens(self, service: str) -> int:
