Close the pump of streams under a lock, so that no wake-up meets closed sockets

Cause: close() sets its flag and then wakes the thread; the thread looks at the flag on its own period too, and when it is first it has closed the sockets by the time of the wake-up. A transfer begun after the end, or still in the inbox at it, never ended. Ruled out: load as the cause (the test brings the order about by itself, without any). Change: flag and wake-up are one step under the lock, which the thread takes to close the sockets; a second close is nothing; late transfers end as stopped.

--- a/winchfork/backends/stream_pump.py
+++ b/winchfork/backends/stream_pump.py
@@ -33,6 +33,10 @@
     stopped: Failure | None = None
 
 
+#: The end of transfers that the pump's own end stops.
+_CLOSED = TransferEnd(pycurl.E_ABORTED_BY_CALLBACK, "client closed")
+
+
 @dataclasses.dataclass
 class _Transfer:
     handle: pycurl.Curl
@@ -65,18 +69,24 @@
         """Start a transfer; the handle belongs to the pump until the future is done."""
         transfer = _Transfer(handle, should_stop, Future())
         with self._lock:
+            if self._closing:
+                transfer.future.set_result(_CLOSED)
+                return transfer.future
             if self._thread is None:
                 self._thread = threading.Thread(target=self._loop, daemon=True, name="pump")
                 self._thread.start()
-        self._inbox.append(transfer)
-        self._waker.send(b"w")
+            self._inbox.append(transfer)
+            self._waker.send(b"w")
         return transfer.future
 
     def close(self) -> None:
         """Stop the thread; running transfers end as stopped."""
-        self._closing = True
-        if self._thread is not None:
-            self._waker.send(b"w")
+        with self._lock:
+            if self._closing:
+                return
+            self._closing = True
+            if self._thread is not None:
+                self._waker.send(b"w")
 
     def _loop(self) -> None:
         next_check_s = time.monotonic() + _STOP_CHECK_PERIOD_S
@@ -100,10 +110,14 @@
                 self._ended = False
                 self._collect()
         for transfer in list(self._running.values()):
-            self._finish(transfer, TransferEnd(pycurl.E_ABORTED_BY_CALLBACK, "client closed"))
-        self._selector.close()
-        self._waker.close()
-        self._woken.close()
+            self._finish(transfer, _CLOSED)
+        # Whoever wakes this thread holds the lock: the sockets outlive every wake-up.
+        with self._lock:
+            for transfer in self._inbox:
+                transfer.future.set_result(_CLOSED)
+            self._selector.close()
+            self._waker.close()
+            self._woken.close()
 
     def _take_inbox(self) -> None:
         try:
