--- /dev/null
+++ b/benchmarks/what_binds.py
@@ -0,0 +1,198 @@
+"""Where the worth of measured days is lost: parts, prices, unserved and late requests by cause.
+
+Reads the reports that ``fleetbench run --report DAY-SEED.json`` writes, and the output of the same
+plays with ``--log all`` beside them (``DAY-SEED.log``), and prints tables for docs/DECISIONS.md:
+
+    python -m benchmarks.what_binds FOLDER [--base OTHER_FOLDER]
+
+With ``--base``, the change of the worth against plays of the same days and seeds is printed too,
+with the half-width of its 95 % interval.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import dataclasses
+import json
+import math
+import re
+import statistics
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import Any
+
+#: Student's t for a 95 % interval by degrees of freedom; beyond them 2.
+_T95 = {1: 12.7, 2: 4.3, 3: 3.18, 4: 2.78, 5: 2.57, 6: 2.45, 7: 2.36, 8: 2.31, 9: 2.26, 14: 2.14}
+#: Prices below this share of the worth are left out of the table.
+_LEAST_PRICE = 0.004
+#: A first event later than this counts as late here; the routes' own targets are near it.
+_LATE_S = 0.5
+#: Seconds of queue or of own reading that explain a late first event.
+_QUEUE_S = 0.3
+_OWN_READING_S = 0.25
+_READ_TOKENS_PER_S = 40_000.0
+_PAIR = re.compile(r'(\w+)=("[^"]*"|\S+)')
+
+
+@dataclasses.dataclass(frozen=True)
+class Play:
+    """One play: its day, its seed, the bench's report, and why answers were late by our log."""
+
+    day: str
+    seed: str
+    report: Mapping[str, Any]
+    late: Mapping[str, int]
+
+    @property
+    def worth(self) -> float:
+        """The day's worth after prices."""
+        return float(self.report["G"])
+
+    @property
+    def parts(self) -> dict[str, float]:
+        """The parts of the worth, by name."""
+        return {name: value for name, _, value in self.report["parts"]}
+
+    @property
+    def prices(self) -> dict[str, float]:
+        """The prices, as shares of the worth, by name."""
+        return {name: charge for name, _, charge in self.report["prices"]}
+
+
+def read_plays(folder: Path) -> list[Play]:
+    """Read every report of a folder."""
+    plays = []
+    for path in sorted(folder.glob("*.json")):
+        day, _, seed = path.stem.rpartition("-")
+        log = path.with_suffix(".log")
+        lines = log.read_text(errors="replace").splitlines() if log.exists() else []
+        plays.append(Play(day, seed, json.loads(path.read_text()), late_causes(lines)))
+    return plays
+
+
+def late_causes(lines: Iterable[str]) -> dict[str, int]:
+    """Count late first events by what their placement knew, and long gaps."""
+    sent: dict[str, dict[str, str]] = {}
+    causes: collections.Counter[str] = collections.Counter()
+    for line in lines:
+        if "event=request_sent" in line:
+            fields = dict(_PAIR.findall(line))
+            sent.setdefault(fields["id"], fields)
+        elif "event=request_done" in line:
+            fields = dict(_PAIR.findall(line))
+            cause = _late_cause(sent.get(fields["id"]), fields)
+            if cause:
+                causes[cause] += 1
+    return dict(causes)
+
+
+def _late_cause(sent: Mapping[str, str] | None, done: Mapping[str, str]) -> str:
+    if sent is None or "first_event_s" not in done:
+        return ""
+    if float(done["first_event_s"]) <= _LATE_S:
+        return "long gap" if float(done.get("longest_gap_s", 0.0)) > _LATE_S else ""
+    reading_s = int(sent["unread"]) / _READ_TOKENS_PER_S
+    if float(sent["cost_s"]) - reading_s > _QUEUE_S:
+        return "queue, foreseen"
+    return "own prompt" if reading_s > _OWN_READING_S else "not foreseen"
+
+
+def mean_and_half_width(values: list[float]) -> tuple[float, float]:
+    """Return the mean and the half-width of its 95 % interval."""
+    if len(values) < 2:
+        return statistics.fmean(values), math.nan
+    spread = statistics.stdev(values) / math.sqrt(len(values))
+    return statistics.fmean(values), _T95.get(len(values) - 1, 2.0) * spread
+
+
+def by_day(plays: Iterable[Play]) -> dict[str, list[Play]]:
+    """Return the plays of each day."""
+    days: dict[str, list[Play]] = collections.defaultdict(list)
+    for play in plays:
+        days[play.day].append(play)
+    return days
+
+
+def print_worth(days: Mapping[str, list[Play]]) -> None:
+    """Print worth, parts and prices of each day, means over its plays."""
+    print("| day | plays | worth (least) | served | parts | prices |")
+    print("| --- | --- | --- | --- | --- | --- |")
+    for day, plays in days.items():
+        worths = [play.worth for play in plays]
+        served = statistics.fmean(play.report["served"] for play in plays)
+        parts = _means([play.parts for play in plays], 0.0)
+        prices = _means([play.prices for play in plays], _LEAST_PRICE)
+        total = statistics.fmean(sum(play.prices.values()) for play in plays)
+        print(
+            f"| {day} | {len(plays)} | {statistics.fmean(worths):.3f} ({min(worths):.3f}) "
+            f"| {served:.3f} | {_listed(parts)} | {total:.3f}: {_listed(prices)} |"
+        )
+
+
+def _means(tables: list[dict[str, float]], least: float) -> dict[str, float]:
+    names = {name: None for table in tables for name in table}
+    means = {name: statistics.fmean(table.get(name, 0.0) for table in tables) for name in names}
+    ordered = sorted(means.items(), key=lambda pair: -pair[1])
+    return {name: mean for name, mean in ordered if mean >= least}
+
+
+def _listed(values: Mapping[str, float]) -> str:
+    return ", ".join(f"{name} {value:.3f}" for name, value in values.items())
+
+
+def print_causes(days: Mapping[str, list[Play]]) -> None:
+    """Print how many requests a play were not served, or late by our log, by cause."""
+    print("\n| day | unserved a play, by cause | late a play, by cause | rules broken |")
+    print("| --- | --- | --- | --- |")
+    for day, plays in days.items():
+        unserved: collections.Counter[str] = collections.Counter()
+        late: collections.Counter[str] = collections.Counter()
+        for play in plays:
+            unserved.update({cause: count for cause, count, _ in play.report["unserved_by"]})
+            late.update(play.late)
+        broken = sum(1 for play in plays if play.report["breaks"])
+        print(f"| {day} | {_counts(unserved, plays)} | {_counts(late, plays)} | {broken} |")
+
+
+def _counts(counts: collections.Counter[str], plays: list[Play]) -> str:
+    return ", ".join(f"{name} {count / len(plays):.1f}" for name, count in counts.most_common())
+
+
+def print_change(days: Mapping[str, list[Play]], base: Iterable[Play]) -> None:
+    """Print the change of the worth of each day against plays of the same seeds."""
+    before = {(play.day, play.seed): play.worth for play in base}
+    print("\n| day | pairs | change of the worth |\n| --- | --- | --- |")
+    every: list[float] = []
+    for day, plays in days.items():
+        changes = [
+            play.worth - before[play.day, play.seed]
+            for play in plays
+            if (play.day, play.seed) in before
+        ]
+        every += changes
+        if changes:
+            print(
+                "| {} | {} | {:+.3f} ± {:.3f} |".format(
+                    day, len(changes), *mean_and_half_width(changes)
+                )
+            )
+    if every:
+        print("| all | {} | {:+.3f} ± {:.3f} |".format(len(every), *mean_and_half_width(every)))
+
+
+def main() -> None:
+    """Run the command."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else "")
+    parser.add_argument("folder", type=Path)
+    parser.add_argument("--base", type=Path)
+    options = parser.parse_args()
+    days = by_day(read_plays(options.folder))
+    print_worth(days)
+    print_causes(days)
+    if options.base is not None:
+        print_change(days, read_plays(options.base))
+
+
+if __name__ == "__main__":
+    main()
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -54,7 +54,7 @@
     no_body: bool
     ends_s: float
     on_read: Callable[[], None] = lambda: None
-    on_first_event: Callable[[], None] = lambda: None
+    on_events: Callable[[], None] = lambda: None
 
 
 class Attempt:
@@ -147,11 +147,8 @@
 
     def _take_data(self, data: bytes) -> Outcome | None:
         if self._stream is not None:
-            if self._stream.feed(data) and not self._read:
-                self._read = True
-                self._note_read()
-                self._plan.on_read()
-                self._plan.on_first_event()
+            if self._stream.feed(data):
+                self._note_events()
             return None
         self._body.append(data)
         self._body_bytes += len(data)
@@ -160,6 +157,13 @@
             return MayHaveRun("the answer is too large")
         return None
 
+    def _note_events(self) -> None:
+        if not self._read:
+            self._read = True
+            self._note_read()
+            self._plan.on_read()
+        self._plan.on_events()
+
     def _take_end(self) -> Outcome:
         assert self._head is not None and self._fields is not None
         if self._stream is not None:
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -34,6 +34,7 @@
     Stopped,
 )
 from winchfork.router.refusals import refusal_answer
+from winchfork.router.request_record import RequestRecord
 from winchfork.router.state import AdmittedRequest
 
 if TYPE_CHECKING:
@@ -82,15 +83,17 @@
         self._dispatch = Dispatch(service.state, service.dialect, request, admitted, self._backend)
         self._ends_at_s = request.received_s + self._time_allowed_s()
         self._tried: set[str] = set()
-        self._sends = 0
-        self._sent_s = 0.0
         self._version_tries = 0
         self._newer_weights = False
         self._may_have_run = False
-        self._outcome = "?"
-        self._reason = ""
         self._answered_by_replica = False
-        self._first_event_s: float | None = None
+        self._record = RequestRecord(
+            service.state,
+            admitted.fields.request_id,
+            admitted.route,
+            request.received_s,
+            self._loop.time,
+        )
 
     # ActiveRequest
 
@@ -112,11 +115,14 @@
         attempt = self._attempt
         if attempt is None or attempt.replica is not replica or not self._route.resumable:
             return
-        if self._sends >= self._route.max_attempts or self._time_left_s() < _LEAST_TIME_LEFT_S:
+        if (
+            self._record.sends >= self._route.max_attempts
+            or self._time_left_s() < _LEAST_TIME_LEFT_S
+        ):
             return
         now_s = self._loop.time()
         if not self._dispatch.worth_moving(
-            now_s - self._sent_s, self._tried | {replica.replica_id}
+            now_s - self._record.sent_s, self._tried | {replica.replica_id}
         ):
             return
         if self._state.budget.take(self._backend, self._state.daemons, now_s, _FAILURE_RESERVE):
@@ -136,7 +142,7 @@
             self._give_up(FailureKind.INTERNAL.because(repr(error), ran=self._ran()))
         finally:
             timer.cancel()
-            self._log_done()
+            self._record.log_done(self._ran(), self._answer.events)
 
     @property
     def _id(self) -> str:
@@ -195,22 +201,18 @@
             self._service.pool.give_back(address, connection)
             return NotRun("the replica is leaving or the time is up", sent=False)
         plan = self._dispatch.plan(decision, self._time_left_s(), self._resume_after())
-        plan.on_first_event = self._note_first_event
+        plan.on_events = self._record.note_events
         self._attempt = Attempt(plan, connection, self._inbox, self._answer, self._service.dialect)
-        self._sends += 1
-        self._sent_s = self._loop.time()
-        self._log_sent(decision, plan)
+        self._record.note_sent()
+        family = self._dispatch.family_key(plan.weights_version)
+        self._record.log_sent(decision, plan, family, self._time_left_s())
         if plan.unread_tokens:
             self._state.on_work_sent()
         outcome = await self._attempt.run()
         self._attempt = None
-        self._note_evidence(plan, outcome, self._sent_s)
+        self._note_evidence(plan, outcome, self._record.sent_s)
         return outcome
 
-    def _note_first_event(self) -> None:
-        if self._first_event_s is None:
-            self._first_event_s = self._loop.time() - self._request.received_s
-
     def _still_wanted(self, replica: RelayReplica) -> bool:
         current = self._state.fleet.get(replica.replica_id)
         return current is not None and current.accepting
@@ -248,11 +250,11 @@
     def _goes_on(self, replica: RelayReplica, outcome: Outcome) -> bool:
         """Give the final answer, or return True for another attempt."""
         if isinstance(outcome, Delivered):
-            self._outcome = f"delivered_{outcome.status}"
+            self._record.outcome = f"delivered_{outcome.status}"
             self._answered_by_replica = True
             return False
         if isinstance(outcome, Stopped):
-            self._may_have_run = self._may_have_run or self._sends > 0
+            self._may_have_run = self._may_have_run or self._record.sends > 0
             self._stop(outcome.cause)
             return False
         if isinstance(outcome, Moved):
@@ -283,7 +285,7 @@
         if worth_it and self._may_repeat(self._route.max_attempts):
             return True
         if outcome.answer is not None and not self._answer.started:
-            self._outcome = f"passed_on_{outcome.answer.head.status}"
+            self._record.outcome = f"passed_on_{outcome.answer.head.status}"
             self._answered_by_replica = True
             self._answer.give_whole(outcome.answer)
         else:
@@ -294,7 +296,7 @@
         return bool(self._state.available(self._backend, self._tried))
 
     def _may_repeat(self, most_sends: int) -> bool:
-        if self._sends >= most_sends or self._time_left_s() < _LEAST_TIME_LEFT_S:
+        if self._record.sends >= most_sends or self._time_left_s() < _LEAST_TIME_LEFT_S:
             return False
         return self._state.budget.take(self._backend, self._state.daemons, self._loop.time())
 
@@ -305,15 +307,15 @@
 
     def _stop(self, cause: StopCause) -> None:
         if cause is StopCause.CALLER_LEFT:
-            self._outcome = cause.value
+            self._record.outcome = cause.value
             return
         reason = "the time allowed is up"
         self._give_up(FailureKind.DEADLINE_EXCEEDED.because(reason, ran=self._ran()))
 
     def _give_up(self, failure: Failure) -> None:
         """Give the final answer of a request that no replica answered."""
-        self._outcome = failure.kind.value
-        self._reason = failure.reason
+        self._record.outcome = failure.kind.value
+        self._record.reason = failure.reason
         if self._answer.ended:
             return
         if self._answer.started:
@@ -322,46 +324,3 @@
         refusal = refusal_answer(failure, self._id, self._state.generator)
         self._answer.ended = True
         self._connection.answer(refusal.status, refusal.headers, refusal.body)
-
-    # Logs
-
-    def _log_sent(self, decision: RelayDecision, plan: AttemptPlan) -> None:
-        log_event(
-            "request_sent",
-            id=self._id,
-            route=self._route.name,
-            replica=decision.replica.replica_id,
-            attempt=self._sends,
-            cost_s=decision.cost_s,
-            weighed=decision.weighed,
-            kept=decision.kept_tokens,
-            copied=decision.copied_tokens,
-            unread=decision.unread_tokens,
-            family=self._dispatch.family_key(plan.weights_version),
-            copy_from=decision.copy_from.replica_id if decision.copy_from else None,
-            save=decision.save or None,
-            weights=plan.weights_version,
-            in_flight=decision.replica.in_flight,
-            left_s=self._time_left_s(),
-            known_s=self._state.freshness.age_s(self._loop.time()),
-            configuration=self._state.table.version if self._state.table else 0,
-        )
-
-    def _log_done(self) -> None:
-        took_s = self._loop.time() - self._request.received_s
-        metrics = self._state.metrics
-        metrics.requests.labels(self._outcome).inc()
-        metrics.request_seconds.labels(self._route.kind.value).observe(took_s)
-        if self._first_event_s is not None:
-            metrics.first_event_seconds.observe(self._first_event_s)
-        log_event(
-            "request_done",
-            id=self._id,
-            outcome=self._outcome,
-            reason=self._reason or None,
-            took_s=took_s,
-            first_event_s=self._first_event_s,
-            sends=self._sends,
-            events=self._answer.events or None,
-            ran=self._ran().value,
-        )
--- /dev/null
+++ b/winchfork/router/request_record.py
@@ -0,0 +1,91 @@
+"""What is noted of one request on its way, and its lines in the log."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+from winchfork.core.relay_placement import RelayDecision
+from winchfork.core.routing import Route
+from winchfork.errors import RunState
+from winchfork.logs import log_event
+from winchfork.router.attempt import AttemptPlan
+from winchfork.router.state import RouterState
+
+
+@dataclasses.dataclass(slots=True)
+class RequestRecord:
+    """Times and outcome of one request. Times are monotonic seconds."""
+
+    state: RouterState
+    request_id: str
+    route: Route
+    received_s: float
+    clock: Callable[[], float]
+    sends: int = 0
+    sent_s: float = 0.0
+    outcome: str = "?"
+    reason: str = ""
+    first_event_s: float | None = None
+    last_event_s: float = 0.0
+    longest_gap_s: float = 0.0
+
+    def note_sent(self) -> None:
+        """An attempt begins."""
+        self.sends += 1
+        self.sent_s = self.clock()
+
+    def note_events(self) -> None:
+        """One or more events have been passed on to the caller."""
+        now_s = self.clock()
+        if self.first_event_s is None:
+            self.first_event_s = now_s - self.received_s
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self.last_event_s)
+        self.last_event_s = now_s
+
+    def log_sent(
+        self, decision: RelayDecision, plan: AttemptPlan, family: str | None, left_s: float
+    ) -> None:
+        """Write what decided the placement of an attempt."""
+        log_event(
+            "request_sent",
+            id=self.request_id,
+            route=self.route.name,
+            replica=decision.replica.replica_id,
+            attempt=self.sends,
+            cost_s=decision.cost_s,
+            weighed=decision.weighed,
+            kept=decision.kept_tokens,
+            copied=decision.copied_tokens,
+            unread=decision.unread_tokens,
+            family=family,
+            copy_from=decision.copy_from.replica_id if decision.copy_from else None,
+            save=decision.save or None,
+            weights=plan.weights_version,
+            in_flight=decision.replica.in_flight,
+            left_s=left_s,
+            known_s=self.state.freshness.age_s(self.clock()),
+            configuration=self.state.table.version if self.state.table else 0,
+        )
+
+    def log_done(self, ran: RunState, events: int) -> None:
+        """Write and count how the request ended."""
+        took_s = self.clock() - self.received_s
+        metrics = self.state.metrics
+        metrics.requests.labels(self.outcome).inc()
+        metrics.request_seconds.labels(self.route.kind.value).observe(took_s)
+        if self.first_event_s is not None:
+            metrics.first_event_seconds.observe(self.first_event_s)
+        log_event(
+            "request_done",
+            id=self.request_id,
+            outcome=self.outcome,
+            reason=self.reason or None,
+            took_s=took_s,
+            first_event_s=self.first_event_s,
+            longest_gap_s=self.longest_gap_s or None,
+            sends=self.sends,
+            events=events or None,
+            ran=ran.value,
+        )
