Let two hubs watch the store for the whole fleet

How many watchers a fleet needs is no matter of its zones. Change: of the zones' first hubs two watch; they tell the other hubs, which pass on to their zones. A hub whose proof is older than 1.2 s asks the store itself, before the daemons it informs do at 1.6 s; every hub may still lead. Hubs ask watchers five times a second how current they are; watches wait 0.4 s for 0.5, since proofs have one hop more. Ruled out: proofs pushed along with the work notes (a datagram that waited in a frozen daemon would date old proofs as new). New tests: two watchers ask for everybody; watchers in doubt are replaced; both turned away by the store, hubs ask and all stay ready.

--- a/tests/test_zone_hubs.py
+++ b/tests/test_zone_hubs.py
@@ -14,7 +14,7 @@
 from tests.virtual_loop import run_virtually
 from winchfork.core.document_table import MOST_GONE, DocumentTable, TableItem, TableUpdate
 from winchfork.core.membership import Member, MemberStatus
-from winchfork.core.zone_hubs import FleetView
+from winchfork.core.zone_hubs import WATCHERS, FleetView
 from winchfork.errors import Failure
 from winchfork.router.document_parts import PART_BYTES, PartCollector, split_update
 from winchfork.router.peer_messages import WeightsNote
@@ -146,6 +146,62 @@
 
         in_large_fleet(scenario)
 
+    def test_two_watchers_ask_the_store_for_the_whole_fleet(self) -> None:
+        """Ten hubs in five zones watched: 0.30 of the worth of a small fleet went into calls."""
+
+        async def scenario(fleet: LargeFleet) -> None:
+            before = {daemon.ip: daemon.store.reads for daemon in fleet.daemons}
+            oldest_s = 0.0
+            for version in range(10, 20):
+                fleet.put_configuration(version)
+                for _ in range(10):
+                    await asyncio.sleep(0.1)
+                    oldest_s = max(oldest_s, *(daemon.age_s() for daemon in fleet.daemons))
+            asked = {daemon.ip: daemon.store.reads - before[daemon.ip] for daemon in fleet.daemons}
+            watchers = [daemon.ip for daemon in fleet.daemons if daemon.peers.view.is_watcher]
+            self.assertEqual(len(watchers), WATCHERS)
+            self.assertLessEqual(sum(asked[ip] for ip in watchers), 2 * 40)
+            self.assertLessEqual(sum(asked.values()) - sum(asked[ip] for ip in watchers), 6)
+            self.assertLess(oldest_s, 1.9)
+
+        in_large_fleet(scenario)
+
+    def test_watchers_are_of_different_zones_and_not_in_doubt(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            view = fleet.daemons[0].peers.view
+            self.assertEqual(len({watcher.zone for watcher in view.watchers}), WATCHERS)
+            first = next(
+                daemon
+                for daemon in fleet.daemons
+                if daemon.state.settings.node_id == view.watchers[0].member_id
+            )
+            fleet.kill(first)
+            await asyncio.sleep(6.0)
+            for daemon in fleet.daemons:
+                self.assertNotIn(view.watchers[0], daemon.peers.view.watchers)
+
+        in_large_fleet(scenario)
+
+    def test_hubs_ask_the_store_when_both_watchers_are_turned_away(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            for daemon in fleet.daemons:
+                daemon.store.cut = daemon.peers.view.is_watcher
+            before = sum(daemon.store.reads for daemon in fleet.followers())
+            oldest_s = 0.0
+            for version in range(10, 20):
+                fleet.put_configuration(version)
+                for _ in range(10):
+                    await asyncio.sleep(0.1)
+                    oldest_s = max(oldest_s, *(daemon.age_s() for daemon in fleet.daemons))
+                    self.assertTrue(all(daemon.state.ready for daemon in fleet.daemons))
+            await asyncio.sleep(1.5)
+            self.assertEqual(fleet.versions(fleet.daemons), {19})
+            self.assertLess(oldest_s, 2.5)
+            asked = sum(daemon.store.reads for daemon in fleet.followers()) - before
+            self.assertLess(asked, len(fleet.followers()) * 10)
+
+        in_large_fleet(scenario)
+
     def test_lost_updates_are_asked_for_again(self) -> None:
         async def scenario(fleet: LargeFleet) -> None:
             turn = iter(range(1_000_000))
--- a/winchfork/core/zone_hubs.py
+++ b/winchfork/core/zone_hubs.py
@@ -3,7 +3,8 @@
 In a small fleet every daemon tells every other. In a larger one that would cost each daemon
 messages in proportion to the fleet, so two hubs a zone, the same on every daemon that sees the same
 members, collect what their zone has to say, tell it to the hubs of other zones, and pass on what
-those say. A wrong view of who is a hub costs messages or a moment's ignorance, never a promise.
+those say. Two of the hubs watch the platform's store for all. A wrong view of who is a hub costs
+messages or a moment's ignorance, never a promise.
 """
 
 from __future__ import annotations
@@ -17,6 +18,9 @@
 
 #: Two, so that the loss of one leaves the zone informed.
 HUBS_PER_ZONE = 2
+#: Hubs of different zones that watch the platform's store for the whole fleet: two, for the same
+#: reason. Every watcher is woken by every change, and each call has a price, whatever the fleet.
+WATCHERS = 2
 #: Up to this many daemons, each tells every other.
 MOST_DIRECT_MEMBERS = 13
 
@@ -59,6 +63,26 @@
         """Whether this daemon is a hub of its zone."""
         return any(hub.member_id == self.own.member_id for hub in self.own_hubs)
 
+    @functools.cached_property
+    def watchers(self) -> tuple[Member, ...]:
+        """The daemons that watch the store: everybody in a small fleet, else a few hubs."""
+        if self.direct:
+            return self.members
+        first_hubs = sorted((hubs[0] for hubs in self.hubs.values()), key=_watcher_order)
+        second_hubs = [hub for hubs in self.hubs.values() for hub in hubs[1:]]
+        return tuple([*first_hubs, *second_hubs][:WATCHERS])
+
+    @functools.cached_property
+    def is_watcher(self) -> bool:
+        """Whether this daemon watches the store."""
+        return any(watcher.member_id == self.own.member_id for watcher in self.watchers)
+
+    @functools.cached_property
+    def informants(self) -> tuple[Member, ...]:
+        """The daemons whose proofs this one relies on: hubs ask watchers, others their hubs."""
+        nearer = self.watchers if self.is_hub else self.own_hubs
+        return tuple(member for member in nearer if member.member_id != self.own.member_id)
+
     @functools.cached_property
     def others(self) -> tuple[Member, ...]:
         """Every other daemon."""
@@ -82,6 +106,11 @@
         return tuple(hub for zone in zones for hub in self.hubs[zone])
 
 
+def _watcher_order(member: Member) -> tuple[bool, int, str]:
+    doubted = member.status is not MemberStatus.ALIVE
+    return doubted, -rendezvous_score("watcher", member.member_id), member.member_id
+
+
 def _hub_order(member: Member) -> tuple[bool, int, str]:
     doubted = member.status is not MemberStatus.ALIVE
     return doubted, -rendezvous_score(member.zone, member.member_id), member.member_id
--- a/winchfork/router/document_relay.py
+++ b/winchfork/router/document_relay.py
@@ -1,19 +1,20 @@
 """The store's entries passed on between daemons.
 
-In a large fleet only the hubs watch the store and tell their zone what changes; in every fleet a
-daemon that sees that a peer knows more asks it, so that one that is cut from the store alone still
-learns of configurations, revoked keys and leaving replicas. An entry's revision never goes down,
-and what is passed on says nothing about how current it is: that is proven apart, by answers dated
-from their question.
+In a large fleet two hubs watch the store and tell the other hubs what changes, and each hub tells
+its zone; in every fleet a daemon that sees that a peer knows more asks it, so that one that is cut
+from the store alone still learns of configurations, revoked keys and leaving replicas. An entry's
+revision never goes down, and what is passed on says nothing about how current it is: that is proven
+apart, by answers dated from their question.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from winchfork.core.document_table import DocumentTable, TableUpdate
+from winchfork.core.membership import Member
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.router.document_parts import PartCollector, split_update
@@ -23,9 +24,13 @@
 
 #: A peer's answer that names a higher revision may have overtaken its own update: wait for that.
 PULL_DELAY_S = 0.05
-#: Seconds between two questions, and the age of the own proof up to which a daemon is informed.
+#: Seconds between two questions.
 PULL_PERIOD_S = 0.3
+#: Age of the own proof up to which a daemon relies on others for it, below the age at which unknown
+#: keys are no longer refused for certain (1.9 s). Hubs lose patience first: when the watchers fail,
+#: ten daemons ask the store and not all of them.
 INFORMED_AGE_S = 1.6
+INFORMED_HUB_AGE_S = 1.2
 
 
 class RelayedDocuments(Protocol):
@@ -58,8 +63,7 @@
     @property
     def watches(self) -> bool:
         """Whether this daemon is one of those that watch the store for the others."""
-        view = self._peers.view
-        return view.direct or view.is_hub
+        return self._peers.view.is_watcher
 
     @property
     def feeds_others(self) -> bool:
@@ -69,16 +73,32 @@
     @property
     def informed(self) -> bool:
         """Whether hubs keep this daemon informed, so that it need not ask the store itself."""
-        if self.watches:
+        view = self._peers.view
+        if view.is_watcher:
             return False
-        return self._state.freshness.age_s(self._state.clock()) <= INFORMED_AGE_S
+        bound_s = INFORMED_HUB_AGE_S if view.is_hub else INFORMED_AGE_S
+        return self._state.freshness.age_s(self._state.clock()) <= bound_s
+
+    @property
+    def may_lead(self) -> bool:
+        """Whether this daemon is near enough to the store to campaign: a hub, or on its own."""
+        view = self._peers.view
+        return view.direct or view.is_hub or not self.informed
 
     def push(self, update: TableUpdate) -> None:
-        """Tell the daemons of this zone what has changed in the store; hubs alone do."""
-        if not self.feeds_others or not update.items:
-            return
+        """Tell other hubs and the daemons of this zone what the store has said; hubs alone do."""
+        if self.feeds_others and update.items:
+            view = self._peers.view
+            self._send(update, (*view.far_hubs, *view.zone_others))
+
+    def _pass_on(self, update: TableUpdate) -> None:
+        """Tell the daemons of this zone what another hub has told."""
+        if self.feeds_others and update.items:
+            self._send(update, self._peers.view.zone_others)
+
+    def _send(self, update: TableUpdate, receivers: Sequence[Member]) -> None:
         for part in split_update(self._state.settings.node_id, update):
-            self._peers.send_each(self._peers.view.zone_others, part)
+            self._peers.send_each(receivers, part)
 
     def note_revision(self, address: str, revision: int) -> None:
         """A peer knows the store up to ``revision``: ask it if that is news a moment later."""
@@ -103,6 +123,7 @@
             whole = self._documents.take_update(update)
             outcome = "whole" if whole else "with_a_gap"
             self._state.metrics.updates_relayed.labels(outcome).inc()
+            self._pass_on(update)
 
     def _pull(self, address: str, revision: int) -> None:
         now_s = self._state.clock()
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -50,5 +50,5 @@
     peers.on_tick += [news.greet_newcomers, work.tick]
     peers.on_revision = relay.note_revision
     sync.relay_through(relay)
-    leadership.eligible = lambda: not relay.informed
+    leadership.eligible = lambda: relay.may_lead
     return news
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -36,8 +36,10 @@
 #: Seconds between two looks at what is to be told, and between those of a hub.
 TICK_PERIOD_S = 0.2
 HUB_TICK_PERIOD_S = 0.05
-#: Seconds between two questions to a hub, a little less than two ticks.
+#: Seconds between two questions to a hub, a little less than two ticks; a hub asks a watcher more
+#: often, since its whole zone is no more current than the answer.
 HUB_PROBE_PERIOD_S = 0.35
+WATCHER_PROBE_PERIOD_S = 0.2
 #: Daemons that budgets are shared among beyond those seen, for machines that are coming back.
 _SPARE_DAEMONS = 3
 #: Keeps other systems' datagrams out; it is no secret, the network is the platform's.
@@ -113,8 +115,8 @@
                 next_probe_s = now_s + HEARTBEAT_PERIOD_S
                 self._send_all(self._membership.tick(now_s))
             if now_s >= next_hub_probe_s:
-                next_hub_probe_s = now_s + HUB_PROBE_PERIOD_S
-                self._probe_hub(now_s)
+                next_hub_probe_s = now_s + self._informant_period_s
+                self._probe_informant(now_s)
             self._look_around()
             for listener in self.on_tick:
                 listener(now_s)
@@ -209,6 +211,10 @@
     def _tick_period_s(self) -> float:
         return HUB_TICK_PERIOD_S if self._view.is_hub and not self._view.direct else TICK_PERIOD_S
 
+    @property
+    def _informant_period_s(self) -> float:
+        return WATCHER_PROBE_PERIOD_S if self._view.is_hub else HUB_PROBE_PERIOD_S
+
     def _look_around(self) -> None:
         """Renew the view of the fleet when a member has changed."""
         if self._view_changes == self._membership.changes:
@@ -218,15 +224,12 @@
         self._view = FleetView.of(self._membership.own, members)
         self._state.daemons = len(members) + _SPARE_DAEMONS
 
-    def _probe_hub(self, now_s: float) -> None:
-        """Ask a hub how current it is: one of the own zone, or, for a hub, one of another zone."""
+    def _probe_informant(self, now_s: float) -> None:
+        """Ask how current one of those is that keep this daemon informed."""
         view = self._view
-        if view.direct:
-            return
-        hubs = view.far_hubs if view.is_hub else view.other_own_hubs
-        if hubs:
-            hub = self._generator.choice(hubs)
-            self._send_all([self._membership.probe(hub, now_s)])
+        if not view.direct and view.informants:
+            informant = self._generator.choice(view.informants)
+            self._send_all([self._membership.probe(informant, now_s)])
 
     def _take_membership(self, message: MembershipMessage) -> None:
         self._send_all(self._membership.receive(message, self._loop.time()))
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -3,7 +3,7 @@
 One watch covers every document, so one call proves all of them current. An empty batch proves that
 nothing had changed when the wait was over; the proof is dated by the moment that the wait must have
 ended, never by when the answer came, and by the question when the answer is late. Revisions never
-go down within a life. In a large fleet only the hubs watch; a daemon that they keep informed takes
+go down within a life. In a large fleet two hubs watch; a daemon that peers keep informed takes
 their updates, and asks the store itself only when its proof grows old.
 
 While the store cannot be reached its silence is no evidence. A replica that has vanished from the
@@ -31,8 +31,8 @@
 
 #: Longest wait of one watch. A cut that heals is noticed within this and the store's time limit.
 WATCH_WAIT_S = 1.6
-#: The same for a hub, whose zone is as current as its last answer.
-HUB_WATCH_WAIT_S = 0.5
+#: The same for a watcher of a large fleet, which is as current as its last answer.
+FLEET_WATCH_WAIT_S = 0.4
 #: Pause of a hub after a change, so that changes that come together cost one call.
 GATHER_CHANGES_S = 0.1
 #: Pause between looks of a daemon that hubs keep informed.
@@ -167,7 +167,7 @@
         """Return how long a watch may wait; not at all when a proof is wanted at once."""
         if self._lost_since_s is not None or not self._watches:
             return 0.0
-        return HUB_WATCH_WAIT_S if self._feeds_others else WATCH_WAIT_S
+        return FLEET_WATCH_WAIT_S if self._feeds_others else WATCH_WAIT_S
 
     def take_update(self, update: TableUpdate) -> bool:
         """Install what a peer passed on; False when something before it is missing here."""
