Start the router without building dataclasses and without the metrics page's server

Generated methods of fifty dataclasses took some 0.12 s (now msgspec.Struct, as peers' messages are), prometheus_client with the HTTP server and client it brings along the rest. Change: figures are plain numbers; the library writes the page and is imported when one is asked for. Ruled out: loguru (0.04 s; the log lines' house library), asyncio's own import (0.08 s). The page's test compares its lines; the peers' test of it is unchanged.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import socket
 
+import msgspec
+
 from standins.replica_server import ReplicaServer
 from standins.store_server import StoreServer
 from winchfork.emulator.free_ports import free_port
@@ -143,7 +144,7 @@
         settings = parse_settings(self.settings_text(number, zone))
         if isinstance(settings, Failure):
             raise ValueError(str(settings))
-        settings = dataclasses.replace(settings, metrics_address=f"{settings.machine_ip}:0")
+        settings = msgspec.structs.replace(settings, metrics_address=f"{settings.machine_ip}:0")
         router = RouterProcess(settings, platform_parts(), lambda: settings)
         self.settings.append(settings)
         self.routers.append(router)
--- a/winchfork/backends/replica_control.py
+++ b/winchfork/backends/replica_control.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
+import msgspec
+
 from winchfork.errors import Failure
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReplicaReport:
+class ReplicaReport(msgspec.Struct, frozen=True):
     """What a replica says of itself, as of some hundred milliseconds ago."""
 
     sequence: int
@@ -21,8 +21,7 @@
     versions: Mapping[str, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WeightsOrder:
+class WeightsOrder(msgspec.Struct, frozen=True):
     """Load ``version`` of ``model`` once running requests have ended.
 
     ``expected_sequence`` keeps an order that was lost and is carried out late from undoing a newer
--- a/winchfork/core/document_table.py
+++ b/winchfork/core/document_table.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections import OrderedDict
 from collections.abc import Iterable
 
+import msgspec
+
 from winchfork.core.peer_message import PeerMessage
 
 #: Entries that have gone and are remembered; a peer that is further behind gets everything.
@@ -28,8 +29,7 @@
     vanished: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TableUpdate:
+class TableUpdate(msgspec.Struct, frozen=True):
     """What has changed after ``base_revision`` up to ``at_revision``.
 
     A ``complete`` update holds every entry: what it does not hold is not there. ``after_outage`` of
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import random
 from collections.abc import Callable, Iterable
@@ -95,22 +94,19 @@
 MembershipMessage = Probe | ProbeReply | IndirectProbe
 
 
-@dataclasses.dataclass(frozen=True)
-class Outgoing:
+class Outgoing(msgspec.Struct, frozen=True):
     """A message to send to a peer address."""
 
     address: str
     message: MembershipMessage
 
 
-@dataclasses.dataclass
-class _Tracked:
+class _Tracked(msgspec.Struct):
     member: Member
     since_s: float
 
 
-@dataclasses.dataclass
-class _PendingProbe:
+class _PendingProbe(msgspec.Struct):
     target_id: str
     sent_at_s: float
     indirect_sent: bool = False
--- a/winchfork/core/prompt_parts.py
+++ b/winchfork/core/prompt_parts.py
@@ -6,21 +6,19 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 _SHARED_WALL = "-"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """One part: its id and its length in tokens."""
 
     part_id: str
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Prompt:
+class Prompt(msgspec.Struct, frozen=True):
     """A prompt for ``model``; ``output_tokens`` is the most that may be generated."""
 
     model: str
@@ -51,8 +49,7 @@
         return sum(part.tokens for part in self.shared)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CacheScope:
+class CacheScope(msgspec.Struct, frozen=True):
     """Whose cache a prompt may use: that of one tenant or the shared one, for one model.
 
     A namespace names the scope and the weights version. Cache across a wall or of other weights
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
+import msgspec
+
 from winchfork.core.rendezvous import member_hash
 
 #: Share of a new sample in the moving averages.
@@ -25,8 +26,7 @@
 ACCUSATION_MEMORY_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReplicaListing:
+class ReplicaListing(msgspec.Struct, frozen=True):
     """What the platform's list says of one replica.
 
     ``versions`` maps each model to the version of its weights.
@@ -38,11 +38,10 @@
     zone: str
     slots: int
     accepting: bool
-    versions: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    versions: Mapping[str, int] = msgspec.field(default_factory=dict)
 
 
-@dataclasses.dataclass(slots=True)
-class RelayReplica:
+class RelayReplica(msgspec.Struct):
     """One replica with this daemon's evidence. Times are monotonic seconds."""
 
     listing: ReplicaListing
@@ -66,8 +65,8 @@
     #: Until then a rollout is about to order it: long requests had better go elsewhere.
     next_until_s: float = 0.0
     peer_busy_until_s: float = 0.0
-    _ends_s: dict[int, float] = dataclasses.field(default_factory=dict)
-    _accused_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    _ends_s: dict[int, float] = msgspec.field(default_factory=dict)
+    _accused_s: dict[str, float] = msgspec.field(default_factory=dict)
 
     @property
     def replica_id(self) -> str:
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -9,10 +9,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from collections.abc import Mapping, Sequence
 
+import msgspec
+
 from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S
 from winchfork.core.part_index import PartIndex, shared_keys
 from winchfork.core.prompt_parts import CacheScope, Prompt
@@ -69,8 +70,7 @@
 DEFAULT_LATENCY_S = 0.05
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayDecision:
+class RelayDecision(msgspec.Struct, frozen=True):
     """The chosen replica and what decided; ``cost_s`` in expected seconds."""
 
     replica: RelayReplica
@@ -83,8 +83,7 @@
     save: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PromptPlacement:
+class PromptPlacement(msgspec.Struct, frozen=True):
     """A prompt to place, for a daemon in ``zone``.
 
     ``run_s`` is how long its answer is expected to take after the first token.
@@ -117,8 +116,7 @@
         return self.run_s > LONG_ANSWER_RATIO * read_s
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Reading:
+class _Reading(msgspec.Struct, frozen=True):
     """How a replica would come by a prompt: tokens kept there, copied to it, read by it."""
 
     kept: int
@@ -178,7 +176,7 @@
     worth_asking = request.prompt.shared_tokens >= LEAST_ASKED_TOKENS
     unheard = decision.copy_from is None and worth_asking
     source = store if stored or unheard else decision.copy_from
-    return dataclasses.replace(decision, copy_from=source, save=not stored)
+    return msgspec.structs.replace(decision, copy_from=source, save=not stored)
 
 
 class _KeptPrefixes:
@@ -233,8 +231,7 @@
         return best, best_order[0]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _KeptUnderVersion:
+class _KeptUnderVersion(msgspec.Struct, frozen=True):
     """Keys of the shared parts under one version, and the leading parts kept, by replica."""
 
     keys: Sequence[int]
--- a/winchfork/core/routing.py
+++ b/winchfork/core/routing.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 from collections.abc import Iterable
 
+import msgspec
+
 
 class RouteKind(enum.Enum):
     """What an answer looks like and whether its request may run more than once."""
@@ -19,16 +20,14 @@
     STREAMING = "streaming"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceShare:
+class ServiceShare(msgspec.Struct, frozen=True):
     """One part of a route's traffic split; weights are relative."""
 
     service: str
     weight: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """One route. ``priority`` 0 is the most urgent; ``gap_target_s`` is 0 where none is set."""
 
     name: str
@@ -51,8 +50,7 @@
         return self.kind is RouteKind.SAFE or self.resumable
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineProfile:
+class EngineProfile(msgspec.Struct, frozen=True):
     """What operators say of a service's engines."""
 
     slots: int
@@ -63,8 +61,7 @@
     event_readers: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CacheStore:
+class CacheStore(msgspec.Struct, frozen=True):
     """A store of kept cache outside the engines; ``address`` is ``IP:PORT``.
 
     ``link_mbps`` 0: not known, as fast as the engines' own links.
@@ -76,8 +73,7 @@
     link_mbps: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Service:
+class Service(msgspec.Struct, frozen=True):
     """A group of replicas; ``engine`` is set for model replicas, ``store`` for a cache store."""
 
     name: str
@@ -86,8 +82,7 @@
     store: CacheStore | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TenantPolicy:
+class TenantPolicy(msgspec.Struct, frozen=True):
     """A tenant: its priority takes precedence over the route's; ``isolated`` shares no cache."""
 
     name: str
@@ -96,8 +91,7 @@
     isolated: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True):
     """What a caller may send, and how long it may take or stay idle."""
 
     header_bytes: int = 16_384
--- a/winchfork/core/sliding_budget.py
+++ b/winchfork/core/sliding_budget.py
@@ -8,15 +8,15 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections import deque
 
+import msgspec
+
 #: Part of the allowance that is spent: counting windows of daemons and back ends never align.
 SAFETY_SHARE = 0.8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryAllowance:
+class RetryAllowance(msgspec.Struct, frozen=True):
     """The bound on repeats: ``ratio`` of requests plus ``slack`` in each ``window_s`` seconds."""
 
     ratio: float
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from collections.abc import Sequence
 
+import msgspec
+
 #: Share of the working replicas that may be out of service for a load at the same time. Loads take
 #: longer where more are under way; the deployments known so far bear 0.38 and a little more.
 SHARE_AT_ONCE = 0.38
@@ -25,8 +26,7 @@
     return max(1, math.floor(replicas * SHARE_AT_ONCE + 1e-9))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RolloutReplica:
+class RolloutReplica(msgspec.Struct, frozen=True):
     """A replica as the rollout sees it; its last request is expected to end ``busy_s`` from now."""
 
     replica_id: str
@@ -36,16 +36,14 @@
     under_order: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RolloutStep:
+class RolloutStep(msgspec.Struct, frozen=True):
     """Replicas to order now, and those that come next and should be given nothing long."""
 
     order: tuple[str, ...]
     prepare: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NamedVersion:
+class NamedVersion(msgspec.Struct, frozen=True):
     """A version of one model's weights and when this daemon heard that it was named.
 
     ``assumed`` times are a cautious guess of a daemon that has just started.
--- a/winchfork/errors.py
+++ b/winchfork/errors.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class RunState(enum.Enum):
     """Whether the request that failed was executed by a back end."""
@@ -96,8 +97,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Failure:
+class Failure(msgspec.Struct, frozen=True):
     """One failure: its kind, why, what the reader can do, and whether the request ran.
 
     ``retry_after_s`` is a hint in seconds, or None when a retry will not help by itself.
@@ -111,7 +111,7 @@
 
     def with_run_state(self, ran: RunState) -> Failure:
         """Return the same failure with another run state."""
-        return dataclasses.replace(self, ran=ran)
+        return msgspec.structs.replace(self, ran=ran)
 
     def __str__(self) -> str:
         remedy = f"; {self.remedy}" if self.remedy else ""
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
 
+import msgspec
+
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.routing import RouteKind
 from winchfork.router.caller_answer import CallerAnswer, StreamReader
@@ -35,8 +36,7 @@
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 
 
-@dataclasses.dataclass(slots=True)
-class AttemptPlan:
+class AttemptPlan(msgspec.Struct):
     """What is sent where.
 
     ``unread_tokens`` is what the replica has to read of the prompt, ``memory_tokens`` what the run
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
+
+import msgspec
 
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.replica_connection import ReplicaConnection
@@ -18,8 +19,7 @@
 IDLE_CLOSE_S = 12.0
 
 
-@dataclasses.dataclass(slots=True)
-class PoolCounters:
+class PoolCounters(msgspec.Struct):
     """Connections opened and failed to open since the start."""
 
     opened: int = 0
--- a/winchfork/router/dialect.py
+++ b/winchfork/router/dialect.py
@@ -5,16 +5,16 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import Protocol
 
+import msgspec
+
 from winchfork.core.prompt_parts import Prompt
 from winchfork.errors import Failure
 from winchfork.router.http_types import AnswerHead, Headers
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestFields:
+class RequestFields(msgspec.Struct, frozen=True):
     """What a caller's headers say. ``deadline_s`` is how long the caller waits from now."""
 
     request_id: str
@@ -24,8 +24,7 @@
     resume_after: int | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DispatchFields:
+class DispatchFields(msgspec.Struct, frozen=True):
     """What the router adds to a request it passes on; None leaves a field out."""
 
     deadline_s: float
@@ -39,8 +38,7 @@
     save_to: str | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerFields:
+class AnswerFields(msgspec.Struct, frozen=True):
     """What a replica's headers say. ``not_run`` is its proof that it did not run the request.
 
     ``misdirected`` says the same: the request expected another replica, or other weights of the
--- a/winchfork/router/documents.py
+++ b/winchfork/router/documents.py
@@ -2,25 +2,24 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import Protocol
 
+import msgspec
+
 from winchfork.core.relay_fleet import ReplicaListing
 from winchfork.core.routing import RoutingTable
 from winchfork.errors import Failure
 from winchfork.stores.async_key_value import StoreItem
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WeightsTarget:
+class WeightsTarget(msgspec.Struct, frozen=True):
     """The newest version of a model's weights that operators have named."""
 
     model: str
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReplicaGone:
+class ReplicaGone(msgspec.Struct, frozen=True):
     """A replica is no longer listed."""
 
     replica_id: str
--- a/winchfork/router/event_stream.py
+++ b/winchfork/router/event_stream.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamEvent:
+class StreamEvent(msgspec.Struct, frozen=True):
     """One whole event with its closing empty line; ``event_id`` is None without a numeric id."""
 
     raw: bytes
--- a/winchfork/router/http_call.py
+++ b/winchfork/router/http_call.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from collections.abc import Callable
 
+import msgspec
+
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.http_types import (
@@ -23,8 +24,7 @@
 _MOST_CONNECTIONS = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallReply:
+class CallReply(msgspec.Struct, frozen=True):
     """A whole answer."""
 
     status: int
--- a/winchfork/router/http_types.py
+++ b/winchfork/router/http_types.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 Header = tuple[bytes, bytes]
 Headers = list[Header]
@@ -64,8 +64,7 @@
     return b"\r\n".join(lines)
 
 
-@dataclasses.dataclass(slots=True)
-class IncomingRequest:
+class IncomingRequest(msgspec.Struct):
     """A caller's request, read whole. ``received_s`` is when its first byte was seen."""
 
     method: bytes
@@ -87,8 +86,7 @@
         return (find_header(self.headers, b"host") or b"").decode("latin-1").strip()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct, frozen=True):
     """A replica's status and headers. ``length`` is None where no Content-Length was given."""
 
     status: int
@@ -97,20 +95,17 @@
     length: int | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerData:
+class AnswerData(msgspec.Struct, frozen=True):
     """A piece of an answer's body, unframed."""
 
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerEnd:
+class AnswerEnd(msgspec.Struct, frozen=True):
     """The answer is whole."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerBroken:
+class AnswerBroken(msgspec.Struct, frozen=True):
     """The connection ended or spoke nonsense before the answer was whole.
 
     ``silent``: nothing that was sent has been acknowledged for a while.
@@ -120,20 +115,17 @@
     silent: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerLeft:
+class CallerLeft(msgspec.Struct, frozen=True):
     """The caller closed its connection."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TimeLimit:
+class TimeLimit(msgspec.Struct, frozen=True):
     """A timer of the request went off; ``name`` says which."""
 
     name: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MoveAway:
+class MoveAway(msgspec.Struct, frozen=True):
     """The replica named is about to load weights: a stream that can be resumed had better move."""
 
     replica_id: str
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -1,57 +1,176 @@
-"""Counters and latency histograms of one router process, and the page that shows them."""
+"""Counters and latency histograms of one router process, and the page that shows them.
+
+Figures are plain numbers while the process serves. ``prometheus_client`` writes the page, and is
+imported when a page is first asked for: it brings an HTTP server and client along, which every
+daemon of a large fleet would pay for at its start.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import bisect
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
+
+import msgspec
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+if TYPE_CHECKING:
+    from prometheus_client.core import Metric
 
 #: Upper bounds of the latency buckets, in seconds.
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 
 
+class CounterChild:
+    """The count under one value of the label."""
+
+    def __init__(self) -> None:
+        self.value = 0
+
+    def inc(self) -> None:
+        """Count one."""
+        self.value += 1
+
+
+class LabelledCounter:
+    """A count for each value of one label."""
+
+    def __init__(self, name: str, description: str, label: str) -> None:
+        self.name = name
+        self.description = description
+        self.label = label
+        self.children: dict[str, CounterChild] = {}
+
+    def labels(self, value: str) -> CounterChild:
+        """Return the count under one value."""
+        child = self.children.get(value)
+        if child is None:
+            child = self.children[value] = CounterChild()
+        return child
+
+
+class Counter(CounterChild):
+    """A count without a label."""
+
+    def __init__(self, name: str, description: str) -> None:
+        super().__init__()
+        self.name = name
+        self.description = description
+
+
+class HistogramChild:
+    """The seconds observed under one value of the label, by bucket."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.sum_s = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count one duration."""
+        self.counts[bisect.bisect_left(BUCKETS_S, seconds)] += 1
+        self.sum_s += seconds
+
+    def cumulative(self) -> list[tuple[str, float]]:
+        """Return each upper bound with the count up to it."""
+        rows: list[tuple[str, float]] = []
+        total = 0
+        for bound, count in zip((*map(str, BUCKETS_S), "+Inf"), self.counts, strict=True):
+            total += count
+            rows.append((bound, total))
+        return rows
+
+
+class LabelledHistogram:
+    """Durations by the value of one label, or under none."""
+
+    def __init__(self, name: str, description: str, label: str = "") -> None:
+        self.name = name
+        self.description = description
+        self.label = label
+        self.children: dict[str, HistogramChild] = {}
+
+    def labels(self, value: str) -> HistogramChild:
+        """Return the durations under one value."""
+        child = self.children.get(value)
+        if child is None:
+            child = self.children[value] = HistogramChild()
+        return child
+
+
+class _ShownFigure(msgspec.Struct, frozen=True):
+    """A figure that is read when the page is asked for."""
+
+    name: str
+    description: str
+    read: Callable[[], float]
+
+
 class RouterMetrics:
-    """All figures of one process, in a registry of its own."""
+    """All figures of one process."""
 
     def __init__(self) -> None:
-        registry = self._registry = CollectorRegistry()
-        self.requests = Counter(
-            "winchfork_requests", "Requests ended, by outcome.", ["outcome"], registry=registry
+        self.requests = LabelledCounter(
+            "winchfork_requests", "Requests ended, by outcome.", "outcome"
         )
-        self.request_seconds = Histogram(
+        self.request_seconds = LabelledHistogram(
             "winchfork_request_seconds",
             "From the first byte of a request to the end of its answer, by kind of route.",
-            ["kind"],
-            buckets=BUCKETS_S,
-            registry=registry,
+            "kind",
         )
-        self.first_event_seconds = Histogram(
+        self._first_event = LabelledHistogram(
             "winchfork_first_event_seconds",
             "From the first byte of a request to the first event of its stream.",
-            buckets=BUCKETS_S,
-            registry=registry,
-        )
-        self.calls = Counter(
-            "winchfork_calls", "Calls to the store and to replicas.", ["call"], registry=registry
         )
-        self.bad_datagrams = Counter(
-            "winchfork_bad_datagrams", "Datagrams that no peer has made.", registry=registry
+        self.first_event_seconds = self._first_event.labels("")
+        self.calls = LabelledCounter(
+            "winchfork_calls", "Calls to the store and to replicas.", "call"
         )
+        self.bad_datagrams = Counter("winchfork_bad_datagrams", "Datagrams that no peer has made.")
         self.datagrams_refused = Counter(
-            "winchfork_datagrams_refused", "Datagrams that a machine refused.", registry=registry
+            "winchfork_datagrams_refused", "Datagrams that a machine refused."
         )
-        self.updates_relayed = Counter(
+        self.updates_relayed = LabelledCounter(
             "winchfork_updates_relayed",
             "Updates of the store's entries taken from peers.",
-            ["outcome"],
-            registry=registry,
+            "outcome",
         )
+        self._shown: list[_ShownFigure] = []
 
     def show(self, name: str, description: str, read: Callable[[], float]) -> None:
         """Show a figure that is read when the page is asked for."""
-        gauge = Gauge(f"winchfork_{name}", description, registry=self._registry)
-        gauge.set_function(read)
+        self._shown.append(_ShownFigure(f"winchfork_{name}", description, read))
 
     def render(self) -> bytes:
         """Return the page in the text exposition format."""
-        return generate_latest(self._registry)
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Give the figures to the library, which calls this for each page."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        for counter in (self.bad_datagrams, self.datagrams_refused):
+            yield CounterMetricFamily(counter.name, counter.description, value=counter.value)
+        for labelled in (self.requests, self.calls, self.updates_relayed):
+            counts = CounterMetricFamily(
+                labelled.name, labelled.description, labels=[labelled.label]
+            )
+            for value, child in labelled.children.items():
+                counts.add_metric([value], child.value)
+            yield counts
+        for histogram in (self.request_seconds, self._first_event):
+            labels = [histogram.label] if histogram.label else []
+            family = HistogramMetricFamily(histogram.name, histogram.description, labels=labels)
+            for value, durations in histogram.children.items():
+                family.add_metric(
+                    [value] if labels else [], durations.cumulative(), durations.sum_s
+                )
+            yield family
+        for figure in self._shown:
+            yield GaugeMetricFamily(figure.name, figure.description, value=float(figure.read()))
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 from winchfork.router.http_types import AnswerHead
 
 
@@ -15,23 +16,20 @@
     DEADLINE = "deadline"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BufferedAnswer:
+class BufferedAnswer(msgspec.Struct, frozen=True):
     """A replica's whole answer, not yet passed on."""
 
     head: AnswerHead
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Delivered:
+class Delivered(msgspec.Struct, frozen=True):
     """The caller has the whole answer."""
 
     status: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotRun:
+class NotRun(msgspec.Struct, frozen=True):
     """The replica did not run the request and never will.
 
     ``same_replica`` asks for another try at the same replica: only its weights version was wrong.
@@ -44,8 +42,7 @@
     superseded: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MayHaveRun:
+class MayHaveRun(msgspec.Struct, frozen=True):
     """The request may have run. ``answer`` is the replica's failure, where it gave a whole one.
 
     ``silent``: the replica, or the way to it, does not even acknowledge what is sent.
@@ -56,15 +53,13 @@
     silent: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stopped:
+class Stopped(msgspec.Struct, frozen=True):
     """Nobody waits for this request any more, or its time is up."""
 
     cause: StopCause
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Moved:
+class Moved(msgspec.Struct, frozen=True):
     """The exchange was ended here so that the stream goes on at another replica."""
 
 
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import gc
 import random
 import signal
 import time
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from winchfork import __version__
 from winchfork.backends.replica_control import ReplicaControl
 from winchfork.errors import Failure
@@ -48,8 +49,7 @@
 _JSON_FREE_TEXT = b"text/plain; charset=utf-8"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RouterParts:
+class RouterParts(msgspec.Struct, frozen=True):
     """What a deployment supplies: its header names, its documents, its store."""
 
     dialect: Dialect
@@ -215,9 +215,9 @@
             log_event("settings_refused", "WARNING", reason=str(settings))
             return
         changed = [
-            field.name
-            for field in dataclasses.fields(RouterSettings)
-            if getattr(settings, field.name) != getattr(self._settings, field.name)
+            name
+            for name in RouterSettings.__struct_fields__
+            if getattr(settings, name) != getattr(self._settings, name)
         ]
         self.state.settings = settings
         log_event("settings_reloaded", changed=",".join(changed) or "nothing")
--- a/winchfork/router/refusals.py
+++ b/winchfork/router/refusals.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 import random
 
+import msgspec
+
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.router.http_types import Headers
 
@@ -21,8 +22,7 @@
 DEFAULT_RETRY_AFTER_S = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RefusalAnswer:
+class RefusalAnswer(msgspec.Struct, frozen=True):
     """A whole answer of the router's own."""
 
     status: int
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import socket
 from collections.abc import Callable
 
 import httptools
+import msgspec
 
 from winchfork.router.http_types import (
     AnswerBroken,
@@ -48,8 +48,7 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-@dataclasses.dataclass(slots=True)
-class Exchange:
+class Exchange(msgspec.Struct):
     """One request on a connection: where its progress goes and which answers are its own."""
 
     deliver: Callable[[Progress], None]
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
 
+import msgspec
+
 from winchfork.core.relay_placement import RelayDecision
 from winchfork.core.routing import Route
 from winchfork.errors import RunState
@@ -13,8 +14,7 @@
 from winchfork.router.state import RouterState
 
 
-@dataclasses.dataclass(slots=True)
-class RequestRecord:
+class RequestRecord(msgspec.Struct):
     """Times and outcome of one request. Times are monotonic seconds."""
 
     state: RouterState
--- a/winchfork/router/settings.py
+++ b/winchfork/router/settings.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RouterBounds:
+class RouterBounds(msgspec.Struct, frozen=True):
     """The deployment's promises in figures.
 
     ``contact_s`` is how long the store must have been sound to count as stable.
@@ -27,8 +26,7 @@
     heartbeat_s: float = 1.2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RouterSettings:
+class RouterSettings(msgspec.Struct, frozen=True):
     """Who this router is, where it listens, and where the store is."""
 
     node_id: str
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from collections import defaultdict
 from collections.abc import Callable
 
+import msgspec
+
 from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S, EngineSpeed
 from winchfork.core.freshness import Freshness
 from winchfork.core.kept_backlog import KeptBacklog
@@ -46,8 +47,7 @@
 ASSUMED_DAEMONS = 10
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AdmittedRequest:
+class AdmittedRequest(msgspec.Struct, frozen=True):
     """A request that may run: its route, its tenant and what its headers say."""
 
     route: Route
--- a/winchfork/router/work_exchange.py
+++ b/winchfork/router/work_exchange.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.membership import Member
 from winchfork.core.zone_hubs import FleetView
@@ -43,16 +44,14 @@
 BUSY_STEP_MS = 50
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _HeardLoads:
+class _HeardLoads(msgspec.Struct, frozen=True):
     """The newest loads told by one sender, and when."""
 
     at_s: float
     loads: tuple[ReplicaLoadNote, ...]
 
 
-@dataclasses.dataclass(slots=True)
-class _Work:
+class _Work(msgspec.Struct):
     """Work on one replica, added up."""
 
     in_flight: int = 0
--- a/winchfork/stores/async_key_value.py
+++ b/winchfork/stores/async_key_value.py
@@ -7,15 +7,15 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Sequence
 from typing import Protocol
 
+import msgspec
+
 from winchfork.errors import Failure
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreItem:
+class StoreItem(msgspec.Struct, frozen=True):
     """One entry as it was written; ``value`` is None where the entry was removed."""
 
     key: str
@@ -23,32 +23,28 @@
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreSnapshot:
+class StoreSnapshot(msgspec.Struct, frozen=True):
     """Entries under a prefix; changes after ``at_revision`` are still to be watched."""
 
     items: tuple[StoreItem, ...]
     at_revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WatchBatch:
+class WatchBatch(msgspec.Struct, frozen=True):
     """Changes in order; the next watch goes on after ``at_revision``."""
 
     items: tuple[StoreItem, ...]
     at_revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ExpectedRevision:
+class ExpectedRevision(msgspec.Struct, frozen=True):
     """A condition on one entry; revision 0 stands for "absent"."""
 
     key: str
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PutItem:
+class PutItem(msgspec.Struct, frozen=True):
     """One entry to write; it ends with its lease when one is given."""
 
     key: str
