Pace rollouts by the bound on versions and by how long loads take

Change: as many replicas load at once as all of them need to be through in 0.6 of the bound, by the time that loads were seen to take; SHARE_AT_ONCE is the most, as before. On 59 replicas 13 at first, on 6 and 9 what it was or one less. Tests: the cap is asserted as before, with a pace that asks for more.

--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -7,12 +7,15 @@
 
 from winchfork.core.weight_rollout import (
     MOST_REMEMBERED,
+    RolloutPace,
     RolloutReplica,
     VersionHistory,
-    at_once,
     next_step,
 )
 
+#: The bound of the first deployments, with loads as long as assumed.
+PACE = RolloutPace(8.0)
+
 
 def replica(name: str, version: int, **changes: object) -> RolloutReplica:
     fields: dict[str, object] = {
@@ -86,14 +89,27 @@
 class NextStepTest(unittest.TestCase):
     def test_no_more_load_at_once_than_the_deployments_bear(self) -> None:
         borne = {1: 1, 2: 1, 4: 1, 6: 2, 9: 3, 45: 17, 600: 228}
-        self.assertEqual({count: at_once(count) for count in borne}, borne)
+        hurried = RolloutPace(8.0, load_s=60.0)
+        self.assertEqual({count: hurried.at_once(count) for count in borne}, borne)
+
+    def test_a_large_fleet_takes_no_more_out_of_service_than_the_bound_needs(self) -> None:
+        """22 of 59 replicas loaded at once, all the time that versions came every four seconds."""
+        pace = RolloutPace(10.0)
+        self.assertEqual(pace.at_once(59), 13)
+        for _ in range(100):
+            pace.note_load(2.6)
+        self.assertEqual(pace.at_once(59), 22)
+        for _ in range(100):
+            pace.note_load(0.7)
+        self.assertEqual(pace.at_once(59), 7)
+        self.assertEqual(pace.at_once(2), 1)
 
     def test_a_rollout_begins_as_soon_as_a_version_is_named(self) -> None:
         """Answers of replaced weights are worth less from 1.5 s on; it used to wait for 1.8 s."""
         views = [replica(f"r{number}", 1) for number in range(6)]
-        step = next_step(views, 2)
+        step = next_step(views, 2, PACE)
         self.assertEqual((len(step.order), len(step.prepare)), (2, 2))
-        self.assertEqual(next_step(views, 1), next_step([], 2))
+        self.assertEqual(next_step(views, 1, PACE), next_step([], 2, PACE))
 
     def test_the_oldest_and_least_busy_go_first(self) -> None:
         views = [
@@ -105,16 +121,16 @@
             replica("done", 4),
             replica("done too", 4),
         ]
-        step = next_step(views, 4)
+        step = next_step(views, 4, PACE)
         self.assertEqual(step.order, ("oldest", "idle"))
         self.assertEqual(step.prepare, ("busy", "new"))
 
     def test_replicas_under_order_take_slots(self) -> None:
         views = [replica(f"r{number}", 1, under_order=number < 2) for number in range(6)]
-        self.assertEqual(next_step(views, 2).order, ())
+        self.assertEqual(next_step(views, 2, PACE).order, ())
 
     def test_a_replica_that_is_leaving_takes_no_slot_and_counts_for_none(self) -> None:
         views = [replica(f"r{number}", 1, accepting=number < 6) for number in range(12)]
-        step = next_step(views, 2)
-        self.assertEqual(len(step.order), at_once(6))
+        step = next_step(views, 2, PACE)
+        self.assertEqual(len(step.order), PACE.at_once(6))
         self.assertLessEqual({*step.order, *step.prepare}, {f"r{number}" for number in range(6)})
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -15,15 +15,36 @@
 #: Share of the working replicas that may be out of service for a load at the same time. Loads take
 #: longer where more are under way; the deployments known so far bear 0.38 and a little more.
 SHARE_AT_ONCE = 0.38
+#: Share of the bound on versions within which every replica is to have had its turn: what is left
+#: is for a leader that is lost and for replicas that are slow to finish. Fewer at a time than that
+#: needs would miss the bound, more would take capacity that nobody asks back so soon.
+PACE_SHARE = 0.6
+#: Seconds that a load takes a replica out of service, its last answers included, until measured:
+#: as seen on calm days of the deployments known so far (0.9 to 1.5 s).
+PRIOR_LOAD_S = 1.3
+#: Share of a new sample in the moving average of that time.
+LOAD_SAMPLE_WEIGHT = 0.1
 #: Versions remembered of each model.
 MOST_REMEMBERED = 64
 #: Turns of replicas that are prepared ahead.
 PREPARED_TURNS = 1
 
 
-def at_once(replicas: int) -> int:
-    """Return how many of the working replicas may load at the same time."""
-    return max(1, math.floor(replicas * SHARE_AT_ONCE + 1e-9))
+class RolloutPace(msgspec.Struct):
+    """How long loads take and how long a rollout may take, in seconds."""
+
+    bound_s: float
+    load_s: float = PRIOR_LOAD_S
+
+    def note_load(self, took_s: float) -> None:
+        """Learn from a load that has ended."""
+        self.load_s += LOAD_SAMPLE_WEIGHT * (took_s - self.load_s)
+
+    def at_once(self, replicas: int) -> int:
+        """Return how many of the working replicas are to load at the same time."""
+        most = math.floor(replicas * SHARE_AT_ONCE + 1e-9)
+        needed = math.ceil(replicas * self.load_s / (PACE_SHARE * self.bound_s))
+        return max(1, min(most, needed))
 
 
 class RolloutReplica(msgspec.Struct, frozen=True):
@@ -111,7 +132,7 @@
         return math.inf
 
 
-def next_step(replicas: Sequence[RolloutReplica], newest: int) -> RolloutStep:
+def next_step(replicas: Sequence[RolloutReplica], newest: int, pace: RolloutPace) -> RolloutStep:
     """Return what to do now: the oldest versions first, those soon idle before the busy.
 
     Replicas whose turn comes next are prepared, since a load waits for the longest answer.
@@ -122,7 +143,7 @@
         if replica.accepting and not replica.under_order and replica.version < newest
     ]
     behind.sort(key=lambda replica: (replica.version, replica.busy_s, replica.replica_id))
-    slots = at_once(sum(1 for replica in replicas if replica.accepting))
+    slots = pace.at_once(sum(1 for replica in replicas if replica.accepting))
     free = max(0, slots - sum(1 for replica in replicas if replica.under_order))
     names = [replica.replica_id for replica in behind]
     return RolloutStep(tuple(names[:free]), tuple(names[free : free + slots * PREPARED_TURNS]))
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/rollout.py
@@ -17,7 +17,7 @@
     WeightsOrder,
 )
 from winchfork.core.relay_fleet import RelayReplica
-from winchfork.core.weight_rollout import RolloutReplica, next_step
+from winchfork.core.weight_rollout import RolloutPace, RolloutReplica, next_step
 from winchfork.errors import Failure, RunState
 from winchfork.logs import log_event
 from winchfork.router.leadership import Leadership
@@ -62,6 +62,7 @@
         self._peers = peers
         self._under_order: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
+        self._pace = RolloutPace(state.settings.bounds.rollout_s)
         self._notes = RolloutNotes(news.tell_rollout, state.clock)
 
     async def run(self) -> None:
@@ -93,7 +94,7 @@
         ]
         now_s = self._state.clock()
         views = [self._view(replica, model, now_s) for replica in replicas]
-        step = next_step(views, history.newest)
+        step = next_step(views, history.newest, self._pace)
         for replica_id in step.prepare:
             self._prepare(replica_id, model)
         for replica_id in step.order:
@@ -140,6 +141,8 @@
                 held = report.versions.get(model, 0)
                 if held >= version and not report.busy:
                     self._state.note_version(replica, model, held)
+                    if ordered:
+                        self._pace.note_load(self._state.clock() - begun_s)
                     break
                 if not ordered and not report.busy:
                     ordered = await self._order(replica, model, version, report)
