--- a/tests/test_zone_hubs.py
+++ b/tests/test_zone_hubs.py
@@ -71,6 +71,10 @@
     run_virtually(main())
 
 
+def watcher_ip(daemon: Daemon) -> str:
+    return daemon.peers.view.watchers[0].peer_address.partition(":")[0]
+
+
 class HubsTest(unittest.TestCase):
     def test_everybody_sees_the_same_two_hubs_of_each_zone(self) -> None:
         async def scenario(fleet: LargeFleet) -> None:
@@ -166,6 +170,17 @@
 
         in_large_fleet(scenario)
 
+    def test_a_change_reaches_every_daemon_through_the_hubs_without_being_asked_for(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            asked = {daemon.ip: daemon.store.reads for daemon in fleet.followers()}
+            fleet.put_configuration(10)
+            await asyncio.sleep(0.1)
+            self.assertEqual(fleet.versions(fleet.daemons), {10})
+            for daemon in fleet.followers():
+                self.assertEqual(daemon.store.reads, asked[daemon.ip])
+
+        in_large_fleet(scenario)
+
     def test_watchers_are_of_different_zones_and_not_in_doubt(self) -> None:
         async def scenario(fleet: LargeFleet) -> None:
             view = fleet.daemons[0].peers.view
@@ -202,6 +217,56 @@
 
         in_large_fleet(scenario)
 
+    def test_both_watchers_frozen_leave_the_rest_informed(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            frozen = [daemon for daemon in fleet.daemons if daemon.peers.view.is_watcher]
+            silent = {daemon.ip for daemon in frozen}
+            fleet.network.drop = lambda sender, receiver: bool(silent & {sender, receiver})
+            for daemon in frozen:
+                daemon.store.cut = True
+            rest = [daemon for daemon in fleet.daemons if daemon not in frozen]
+            oldest_s = 0.0
+            for version in range(10, 16):
+                fleet.put_configuration(version)
+                for _ in range(10):
+                    await asyncio.sleep(0.1)
+                    oldest_s = max(oldest_s, *(daemon.age_s() for daemon in rest))
+            await asyncio.sleep(1.5)
+            self.assertEqual(fleet.versions(rest), {15})
+            self.assertLess(oldest_s, 2.5)
+            self.assertFalse(silent & {watcher_ip(daemon) for daemon in rest})
+            self.assertEqual(sum(1 for daemon in rest if daemon.leadership.fence), 1)
+
+        in_large_fleet(scenario)
+
+    def test_a_third_of_the_daemons_cut_off_leaves_the_rest_informed_and_heals(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            away = fleet.daemons[::3]
+            away_ips = {daemon.ip for daemon in away}
+            fleet.network.drop = lambda sender, receiver: (
+                (sender in away_ips) != (receiver in away_ips)
+            )
+            for daemon in away:
+                daemon.store.cut = True
+            rest = [daemon for daemon in fleet.daemons if daemon.ip not in away_ips]
+            for version in range(10, 20):
+                fleet.put_configuration(version)
+                await asyncio.sleep(1.0)
+                self.assertTrue(all(daemon.state.ready for daemon in rest))
+            self.assertEqual(fleet.versions(rest), {19})
+            self.assertFalse(any(daemon.state.ready for daemon in away))
+            fleet.network.drop = lambda sender, receiver: False
+            for daemon in away:
+                daemon.store.cut = False
+            await asyncio.sleep(2.5)
+            self.assertEqual(fleet.versions(fleet.daemons), {19})
+            self.assertTrue(all(daemon.state.ready for daemon in fleet.daemons))
+            await asyncio.sleep(6.0)
+            views = {len(daemon.peers.view.members) for daemon in fleet.daemons}
+            self.assertEqual(views, {DAEMONS})
+
+        in_large_fleet(scenario)
+
     def test_lost_updates_are_asked_for_again(self) -> None:
         async def scenario(fleet: LargeFleet) -> None:
             turn = iter(range(1_000_000))
