--- a/tests/test_zone_hubs.py
+++ b/tests/test_zone_hubs.py
@@ -57,6 +57,16 @@
     def versions(self, daemons: list[Daemon]) -> set[int]:
         return {daemon.state.table.version if daemon.state.table else 0 for daemon in daemons}
 
+    async def oldest_proof_s(self, versions: range, daemons: list[Daemon]) -> float:
+        """Put a configuration a second; return the greatest age of a proof that was seen."""
+        oldest_s = 0.0
+        for version in versions:
+            self.put_configuration(version)
+            for _ in range(10):
+                await asyncio.sleep(0.1)
+                oldest_s = max(oldest_s, *(daemon.age_s() for daemon in daemons))
+        return oldest_s
+
     def kill(self, daemon: Daemon) -> None:
         daemon.kill(self.network)
         self.daemons.remove(daemon)
@@ -155,12 +165,7 @@
 
         async def scenario(fleet: LargeFleet) -> None:
             before = {daemon.ip: daemon.store.reads for daemon in fleet.daemons}
-            oldest_s = 0.0
-            for version in range(10, 20):
-                fleet.put_configuration(version)
-                for _ in range(10):
-                    await asyncio.sleep(0.1)
-                    oldest_s = max(oldest_s, *(daemon.age_s() for daemon in fleet.daemons))
+            oldest_s = await fleet.oldest_proof_s(range(10, 20), fleet.daemons)
             asked = {daemon.ip: daemon.store.reads - before[daemon.ip] for daemon in fleet.daemons}
             watchers = [daemon.ip for daemon in fleet.daemons if daemon.peers.view.is_watcher]
             self.assertEqual(len(watchers), WATCHERS)
@@ -225,12 +230,7 @@
             for daemon in frozen:
                 daemon.store.cut = True
             rest = [daemon for daemon in fleet.daemons if daemon not in frozen]
-            oldest_s = 0.0
-            for version in range(10, 16):
-                fleet.put_configuration(version)
-                for _ in range(10):
-                    await asyncio.sleep(0.1)
-                    oldest_s = max(oldest_s, *(daemon.age_s() for daemon in rest))
+            oldest_s = await fleet.oldest_proof_s(range(10, 16), rest)
             await asyncio.sleep(1.5)
             self.assertEqual(fleet.versions(rest), {15})
             self.assertLess(oldest_s, 2.5)
@@ -288,12 +288,7 @@
             for hub in fleet.hubs():
                 if hub.state.settings.zone == "z2":
                     fleet.kill(hub)
-            oldest_s = 0.0
-            for version in range(10, 20):
-                fleet.put_configuration(version)
-                for _ in range(10):
-                    await asyncio.sleep(0.1)
-                    oldest_s = max(oldest_s, *(daemon.age_s() for daemon in fleet.daemons))
+            oldest_s = await fleet.oldest_proof_s(range(10, 20), fleet.daemons)
             await asyncio.sleep(1.0)
             self.assertEqual(fleet.versions(fleet.daemons), {19})
             self.assertLess(oldest_s, 1.9)
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -138,8 +138,6 @@
         self._to_spread = GossipQueue()
         #: Members whose status is not ALIVE: the only ones that time alone can change.
         self._not_alive: set[str] = set()
-        #: How many of them are held for dead.
-        self._dead = 0
         self._strangers: list[str] = []
         self._strangers_changes = -1
         self._pending: dict[int, _PendingProbe] = {}
@@ -231,7 +229,14 @@
     @property
     def _working(self) -> int:
         """How many other members are known and not held for dead."""
-        return len(self._tracked) - self._dead
+        return len(self._tracked) - len(self._held_for_dead())
+
+    def _held_for_dead(self) -> list[str]:
+        return [
+            member_id
+            for member_id in sorted(self._not_alive)
+            if self._tracked[member_id].member.status is MemberStatus.DEAD
+        ]
 
     def _records_for(self, probe: Probe) -> list[Member]:
         """Draw records for a daemon that knows fewer members than this one."""
@@ -264,11 +269,7 @@
 
     def _probe_dead(self, now_s: float) -> list[Outgoing]:
         """Probe a member held for dead, telling it so: if it lives, it refutes."""
-        dead = [
-            member_id
-            for member_id in sorted(self._not_alive)
-            if self._tracked[member_id].member.status is MemberStatus.DEAD
-        ]
+        dead = self._held_for_dead()
         if not dead:
             return []
         record = self._tracked[self._generator.choice(dead)].member
@@ -351,7 +352,6 @@
             elif status is MemberStatus.DEAD and age_s >= FORGET_DEAD_AFTER_S:
                 self._not_alive.discard(member_id)
                 self.changes += 1
-                self._count_dead(member_id, -1)
                 del self._tracked[member_id]
 
     def _learn(self, record: Member, now_s: float) -> None:
@@ -375,20 +375,13 @@
 
     def _install(self, record: Member, now_s: float) -> None:
         self.changes += 1
-        self._count_dead(record.member_id, -1)
         self._tracked[record.member_id] = _Tracked(record, now_s)
-        self._count_dead(record.member_id, 1)
         if record.status is MemberStatus.ALIVE:
             self._not_alive.discard(record.member_id)
         else:
             self._not_alive.add(record.member_id)
         self._spread(record)
 
-    def _count_dead(self, member_id: str, change: int) -> None:
-        entry = self._tracked.get(member_id)
-        if entry is not None and entry.member.status is MemberStatus.DEAD:
-            self._dead += change
-
     def _spread(self, record: Member) -> None:
         rounds = max(1, len(self._tracked)).bit_length()
         self._to_spread.put(record.member_id, SPREAD_FACTOR * rounds)
--- a/winchfork/router/document_relay.py
+++ b/winchfork/router/document_relay.py
@@ -87,16 +87,16 @@
 
     def push(self, update: TableUpdate) -> None:
         """Tell other hubs and the daemons of this zone what the store has said; hubs alone do."""
-        if self.feeds_others and update.items:
-            view = self._peers.view
-            self._send(update, (*view.far_hubs, *view.zone_others))
+        view = self._peers.view
+        self._send(update, (*view.far_hubs, *view.zone_others))
 
     def _pass_on(self, update: TableUpdate) -> None:
         """Tell the daemons of this zone what another hub has told."""
-        if self.feeds_others and update.items:
-            self._send(update, self._peers.view.zone_others)
+        self._send(update, self._peers.view.zone_others)
 
     def _send(self, update: TableUpdate, receivers: Sequence[Member]) -> None:
+        if not self.feeds_others or not update.items:
+            return
         for part in split_update(self._state.settings.node_id, update):
             self._peers.send_each(receivers, part)
 
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import bisect
+from collections import defaultdict
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 import msgspec
 
@@ -31,23 +32,6 @@
         self.value += 1
 
 
-class LabelledCounter:
-    """A count for each value of one label."""
-
-    def __init__(self, name: str, description: str, label: str) -> None:
-        self.name = name
-        self.description = description
-        self.label = label
-        self.children: dict[str, CounterChild] = {}
-
-    def labels(self, value: str) -> CounterChild:
-        """Return the count under one value."""
-        child = self.children.get(value)
-        if child is None:
-            child = self.children[value] = CounterChild()
-        return child
-
-
 class Counter(CounterChild):
     """A count without a label."""
 
@@ -79,21 +63,23 @@
         return rows
 
 
-class LabelledHistogram:
-    """Durations by the value of one label, or under none."""
+_Child = TypeVar("_Child", CounterChild, HistogramChild)
+
+
+class Labelled(Generic[_Child]):
+    """A figure for each value of one label, or under none where ``label`` is empty."""
 
-    def __init__(self, name: str, description: str, label: str = "") -> None:
+    def __init__(
+        self, child_type: type[_Child], name: str, description: str, label: str = ""
+    ) -> None:
         self.name = name
         self.description = description
         self.label = label
-        self.children: dict[str, HistogramChild] = {}
+        self.children: defaultdict[str, _Child] = defaultdict(child_type)
 
-    def labels(self, value: str) -> HistogramChild:
-        """Return the durations under one value."""
-        child = self.children.get(value)
-        if child is None:
-            child = self.children[value] = HistogramChild()
-        return child
+    def labels(self, value: str) -> _Child:
+        """Return the figure under one value."""
+        return self.children[value]
 
 
 class _ShownFigure(msgspec.Struct, frozen=True):
@@ -108,27 +94,30 @@
     """All figures of one process."""
 
     def __init__(self) -> None:
-        self.requests = LabelledCounter(
-            "winchfork_requests", "Requests ended, by outcome.", "outcome"
+        self.requests = Labelled(
+            CounterChild, "winchfork_requests", "Requests ended, by outcome.", "outcome"
         )
-        self.request_seconds = LabelledHistogram(
+        self.request_seconds = Labelled(
+            HistogramChild,
             "winchfork_request_seconds",
             "From the first byte of a request to the end of its answer, by kind of route.",
             "kind",
         )
-        self._first_event = LabelledHistogram(
+        self._first_event = Labelled(
+            HistogramChild,
             "winchfork_first_event_seconds",
             "From the first byte of a request to the first event of its stream.",
         )
         self.first_event_seconds = self._first_event.labels("")
-        self.calls = LabelledCounter(
-            "winchfork_calls", "Calls to the store and to replicas.", "call"
+        self.calls = Labelled(
+            CounterChild, "winchfork_calls", "Calls to the store and to replicas.", "call"
         )
         self.bad_datagrams = Counter("winchfork_bad_datagrams", "Datagrams that no peer has made.")
         self.datagrams_refused = Counter(
             "winchfork_datagrams_refused", "Datagrams that a machine refused."
         )
-        self.updates_relayed = LabelledCounter(
+        self.updates_relayed = Labelled(
+            CounterChild,
             "winchfork_updates_relayed",
             "Updates of the store's entries taken from peers.",
             "outcome",
