Decide by one table of the wire's names which of a caller's headers go on

Cause: the set of headers that only the router may set lacked Kv-From.

Change: every name of the wire has an owner in one table; only what callers own goes on. A name that the table does not list passes only outside the namespaces of those that the router or a replica sets. A caller can no longer take a header of the wire out by naming it in Connection.

Ruled out: an allow-list of all headers.

--- a/winchfork/platform/headers.py
+++ b/winchfork/platform/headers.py
@@ -5,10 +5,9 @@
 from winchfork.core.prompt_parts import Prompt, PromptPart
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
+from winchfork.platform.forwarded_headers import forwarded_headers
 from winchfork.router.dialect import AnswerFields, DispatchFields, RequestFields
-from winchfork.router.http_types import AnswerHead, Headers, end_to_end
-
-_LENGTH = b"content-length"
+from winchfork.router.http_types import AnswerHead, Headers
 
 
 class PlatformDialect:
@@ -38,11 +37,7 @@
 
     def dispatch_headers(self, headers: Headers, fields: DispatchFields) -> Headers:
         """Return a replica's headers: the caller's own and what the router sets."""
-        kept = [
-            (name, value)
-            for name, value in end_to_end(headers)
-            if name.lower() not in names.OWN_HEADERS and name.lower() != _LENGTH
-        ]
+        kept = forwarded_headers(headers)
         added: list[tuple[bytes, object]] = [
             (names.DEADLINE_MS, max(1, int(fields.deadline_s * 1000))),
             (names.EXPECTED_INSTANCE, fields.replica_id),
--- a/winchfork/platform/names.py
+++ b/winchfork/platform/names.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import Final
 
 REQUEST_ID: Final = b"X-Request-Id"
@@ -26,25 +27,55 @@
 PIN_MS: Final = b"X-Pin-Ms"
 HOLD: Final = b"X-Hold"
 
-#: Headers that only this system may set: whatever a caller sends under them is dropped.
-OWN_HEADERS: Final = frozenset(
-    name.lower()
-    for name in (
-        DEADLINE_MS,
-        API_KEY,
-        TENANT,
-        EXPECTED_INSTANCE,
-        EXPECTED_VERSION,
-        LAST_EVENT_ID,
-        CACHE_SALT,
-        REQUEST_PRIORITY,
-        KV_FETCH,
-        KV_SAVE,
-        KV_BACKUP,
-        PIN_MS,
-        HOLD,
-    )
-)
+KV_FROM: Final = b"Kv-From"
+LENGTH_HINT: Final = b"X-Length-Hint"
+RETRY_AFTER: Final = b"Retry-After"
+WAIT_MS: Final = b"Wait-Ms"
+
+
+class HeaderOwner(enum.Enum):
+    """Who may set a header of the wire, and where it goes."""
+
+    #: The caller sets it, and a replica is given it unchanged.
+    CALLER = "caller"
+    #: The caller sets it for the router alone; a replica never sees it.
+    CALLER_TO_ROUTER = "caller_to_router"
+    #: The router sets it; whatever a caller sends under it is dropped.
+    ROUTER = "router"
+    #: A replica or the router answers with it; in a request it means nothing.
+    ANSWER = "answer"
+    #: Belongs to calls that the router makes itself, never to a caller's request.
+    OTHER_CALL = "other_call"
+
+
+#: Every header that the wire defines, with its owner: the one table that decides what goes on.
+HEADER_OWNERS: Final = {
+    REQUEST_ID: HeaderOwner.CALLER,
+    MODEL: HeaderOwner.CALLER,
+    TOKEN_USAGE: HeaderOwner.CALLER,
+    PREFIX_HASH: HeaderOwner.CALLER,
+    LENGTH_HINT: HeaderOwner.CALLER,
+    API_KEY: HeaderOwner.CALLER_TO_ROUTER,
+    DEADLINE_MS: HeaderOwner.ROUTER,
+    LAST_EVENT_ID: HeaderOwner.ROUTER,
+    TENANT: HeaderOwner.ROUTER,
+    EXPECTED_INSTANCE: HeaderOwner.ROUTER,
+    EXPECTED_VERSION: HeaderOwner.ROUTER,
+    CACHE_SALT: HeaderOwner.ROUTER,
+    REQUEST_PRIORITY: HeaderOwner.ROUTER,
+    KV_FETCH: HeaderOwner.ROUTER,
+    KV_SAVE: HeaderOwner.ROUTER,
+    KV_BACKUP: HeaderOwner.ROUTER,
+    KV_FROM: HeaderOwner.ROUTER,
+    PIN_MS: HeaderOwner.ROUTER,
+    HOLD: HeaderOwner.ROUTER,
+    SIGNATURE: HeaderOwner.ANSWER,
+    NOT_EXECUTED: HeaderOwner.ANSWER,
+    INSTANCE_ID: HeaderOwner.ANSWER,
+    WEIGHT_VERSIONS: HeaderOwner.ANSWER,
+    RETRY_AFTER: HeaderOwner.ANSWER,
+    WAIT_MS: HeaderOwner.OTHER_CALL,
+}
 
 SETTINGS_VARIABLE: Final = "WINCHFORK_BOOT"
 CONFIGURATION_KEY: Final = "op/config"
--- a/winchfork/router/http_types.py
+++ b/winchfork/router/http_types.py
@@ -47,13 +47,17 @@
     return None
 
 
-def end_to_end(headers: Headers) -> Headers:
-    """Return the headers that travel on: neither hop-by-hop nor named by Connection."""
-    named = set(HOP_BY_HOP)
+def end_to_end(headers: Headers, keep: frozenset[bytes] = frozenset()) -> Headers:
+    """Return the headers that travel on: neither hop-by-hop nor named by Connection.
+
+    ``keep`` are names in lower case that Connection cannot remove.
+    """
+    named: set[bytes] = set()
     for key, value in headers:
         if key.lower() == b"connection":
             named.update(token.strip().lower() for token in value.split(b","))
-    return [(key, value) for key, value in headers if key.lower() not in named]
+    removed = HOP_BY_HOP | (named - keep)
+    return [(key, value) for key, value in headers if key.lower() not in removed]
 
 
 def render_headers(start_line: bytes, headers: Headers) -> bytes:
