Hold tenants to their quotas over all daemons, counted by each and corrected by news

Change: core/ keeps a token bucket for each tenant, router/ tells of its use on the messages about work: totals since a daemon's start, so that lost, late and doubled messages do no harm; hubs add up zones and tell their zone what is missing from each bucket. A daemon out of reach counts on half of its equal share, a new one on nothing but what flows in. Beyond the limit: 429 at once, before a replica or place is taken, with the refill as Retry-After.

--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -15,7 +15,7 @@
 from winchfork.router.leadership import Leadership
 from winchfork.router.peer_wiring import connect_peers
 from winchfork.router.peers import PeerGroup
-from winchfork.router.settings import RouterSettings
+from winchfork.router.settings import RouterBounds, RouterSettings
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
 from winchfork.stores.async_key_value import (
@@ -88,9 +88,14 @@
     """One member of the network."""
 
     def __init__(
-        self, network: Network, number: int, zone: str = "z1", store: MemoryStore | None = None
+        self,
+        network: Network,
+        number: int,
+        zone: str = "z1",
+        store: MemoryStore | None = None,
+        bounds: RouterBounds | None = None,
     ) -> None:
-        self.ip = f"10.0.0.{number}"
+        self.ip = f"10.0.{number // 256}.{number % 256}"
         settings = RouterSettings(
             f"n{number}",
             zone,
@@ -101,6 +106,7 @@
             "",
             peer_ports=(7000, 7010),
             seeds=("10.0.0.1:99",),
+            bounds=bounds or RouterBounds(),
         )
         loop = asyncio.get_running_loop()
         self.state = RouterState(settings, loop.time, random.Random(number))
--- /dev/null
+++ b/tests/test_tenant_quota.py
@@ -0,0 +1,213 @@
+"""Tenants' quotas: the bucket, what daemons tell each other, and the answer to a refusal."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from tests.relay_support import KEY
+from winchfork.core.quota_book import QuotaBook, QuotaReport, QuotaTotals, UseReader, tenant_key
+from winchfork.core.routing import TenantPolicy
+from winchfork.core.tenant_quota import (
+    ALLOWED_SHARE,
+    QuotaRefusal,
+    QuotaTolerance,
+    QuotaUnit,
+    Supply,
+    TenantLimit,
+    TenantQuota,
+)
+from winchfork.errors import Failure, FailureKind
+from winchfork.platform.documents import PlatformDocuments
+from winchfork.platform.headers import PlatformDialect
+from winchfork.platform.settings import parse_settings
+from winchfork.router.metrics import RouterMetrics
+from winchfork.router.quota_gate import QuotaCharge, QuotaGate
+from winchfork.router.refusals import refusal_answer
+from winchfork.stores.async_key_value import StoreItem
+
+LIMIT = TenantLimit(1_000.0, 2_000.0, QuotaUnit.TOKENS, 200.0)
+STRICT = QuotaTolerance()
+LONG_S = 1_000.0
+
+
+def full_bucket(tolerance: QuotaTolerance = STRICT) -> TenantQuota:
+    """Return a bucket that has had time to fill."""
+    quota = TenantQuota(LIMIT, tolerance, 0.0)
+    quota.settle(Supply(), LONG_S)
+    return quota
+
+
+def report(life: int, used: int, returned: int = 0, lately: int = 0) -> QuotaReport:
+    """Return a daemon's totals of one tenant."""
+    return QuotaReport(life, (QuotaTotals(7, used, returned, lately),))
+
+
+class BucketTest(unittest.TestCase):
+    def test_a_new_daemon_has_forgotten_what_was_used_and_begins_with_nothing(self) -> None:
+        quota = TenantQuota(LIMIT, STRICT, 0.0)
+        self.assertIsInstance(quota.take(500.0, Supply(), 0.0), QuotaRefusal)
+        quota.settle(Supply(), 0.5)
+        self.assertIsNone(quota.take(500.0, Supply(), 0.5))
+
+    def test_beyond_the_limit_the_wait_is_the_refill(self) -> None:
+        quota = full_bucket()
+        self.assertIsNone(quota.take(1_900.0, Supply(), LONG_S))
+        refusal = quota.take(1_100.0, Supply(), LONG_S)
+        assert refusal is not None
+        self.assertAlmostEqual(refusal.retry_after_s, 1.0)
+        quota.settle(Supply(), LONG_S + refusal.retry_after_s)
+        self.assertIsNone(quota.take(1_100.0, Supply(), LONG_S + refusal.retry_after_s))
+
+    def test_a_request_larger_than_the_burst_is_served_and_owed(self) -> None:
+        quota = full_bucket()
+        self.assertIsNone(quota.take(5_000.0, Supply(), LONG_S))
+        self.assertEqual(quota.left(Supply()), -3_000.0)
+
+    def test_a_part_of_the_tolerance_deepens_the_bucket(self) -> None:
+        tolerance = QuotaTolerance(window_s=8.0, overage=0.1, slack=1_000.0)
+        deeper = ALLOWED_SHARE * (0.1 * (8.0 * 1_000.0 + 2_000.0) + 1_000.0)
+        self.assertAlmostEqual(full_bucket(tolerance).left(Supply()), 2_000.0 + deeper)
+
+    def test_a_lower_limit_keeps_what_was_used(self) -> None:
+        quota = full_bucket()
+        quota.take(1_500.0, Supply(), LONG_S)
+        quota.change(TenantLimit(100.0, 1_000.0, QuotaUnit.TOKENS, 200.0))
+        self.assertEqual(quota.left(Supply()), -500.0)
+
+    def test_one_that_is_alone_uses_its_own_part_and_remembers_the_level(self) -> None:
+        quota = full_bucket()
+        alone = Supply(0.0, 0.05, is_alone=True)
+        quota.settle(alone, LONG_S + 1.0)
+        self.assertIsNone(quota.take(50.0, alone, LONG_S + 1.0))
+        self.assertIsInstance(quota.take(1_000.0, alone, LONG_S + 1.0), QuotaRefusal)
+        self.assertEqual(quota.left(Supply()), 1_950.0)
+
+    def test_what_is_left_of_a_low_bucket_is_not_used_on_an_old_word(self) -> None:
+        quota = full_bucket()
+        quota.take(1_500.0, Supply(), LONG_S)
+        self.assertIsInstance(quota.take(400.0, Supply(0.0, 0.01), LONG_S), QuotaRefusal)
+
+    def test_a_hubs_word_replaces_all_but_the_latest_own_use(self) -> None:
+        quota = full_bucket()
+        quota.take(300.0, Supply(), LONG_S)
+        quota.take(200.0, Supply(), LONG_S + 1.0)
+        quota.replace(700.0, LONG_S + 1.1)
+        self.assertEqual(quota.used, 900.0)
+
+
+class TotalsTest(unittest.TestCase):
+    def test_lost_late_and_doubled_messages_do_no_harm(self) -> None:
+        totals = [0, 100, 250, 400, 900]
+        for seed in range(20):
+            generator = random.Random(seed)
+            reader = UseReader()
+            reader.read("n1", report(1, 0))
+            order = [used for used in totals if generator.random() < 0.7] * 2
+            generator.shuffle(order)
+            counted = sum(reader.read("n1", report(1, used)).get(7, 0.0) for used in order)
+            self.assertEqual(counted + sum(reader.read("n1", report(1, 900)).values()), 900)
+
+    def test_what_is_given_back_counts_against_what_was_used(self) -> None:
+        reader = UseReader()
+        reader.read("n1", report(1, 0))
+        self.assertEqual(reader.read("n1", report(1, 500)), {7: 500})
+        self.assertEqual(reader.read("n1", report(1, 600, 200)), {7: -100})
+
+    def test_a_restart_begins_at_nothing_and_a_late_message_of_the_life_before_is_void(
+        self,
+    ) -> None:
+        reader = UseReader()
+        reader.read("n1", report(1, 5_000))
+        self.assertEqual(reader.read("n1", report(2, 100)), {7: 100})
+        self.assertEqual(reader.read("n1", report(1, 5_300)), {})
+        self.assertEqual(reader.read("n1", report(2, 150)), {7: 50})
+
+    def test_of_a_stranger_only_what_it_used_lately_counts(self) -> None:
+        self.assertEqual(UseReader().read("n1", report(1, 90_000, 0, 300)), {7: 300})
+        news = UseReader().read("n1", report(1, 90_000, 0, 300), stranger_share=0.5)
+        self.assertEqual(news, {7: 150})
+
+    def test_totals_are_told_until_everybody_must_have_heard(self) -> None:
+        book = QuotaBook(STRICT, 1)
+        book.install({"school": LIMIT}, 0.0)
+        book.take("school", 500.0, 10.0)
+        told = book.own.report(10.5)
+        assert told is not None
+        self.assertEqual(told.totals, (QuotaTotals(tenant_key("school"), 500, 0, 500),))
+        self.assertIsNone(book.own.report(12.0))
+
+
+class GateTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_s = 100.0
+        self.book = QuotaBook(STRICT, 1)
+        self.book.install({"school": LIMIT}, 0.0)
+        self.metrics = RouterMetrics()
+        self.gate = QuotaGate(self.book, lambda: self.now_s, self.metrics)
+        self.tenant = TenantPolicy("school", (KEY,), limit=LIMIT)
+
+    def test_a_request_beyond_the_quota_gets_429_and_when_to_come_back(self) -> None:
+        self.assertIsInstance(self.gate.admit(self.tenant, 1_900), QuotaCharge)
+        refused = self.gate.admit(self.tenant, 1_100)
+        assert isinstance(refused, Failure)
+        self.assertIs(refused.kind, FailureKind.QUOTA_EXCEEDED)
+        self.assertTrue(refused.remedy)
+        answer = refusal_answer(refused, "id", random.Random(1))
+        self.assertEqual(answer.status, 429)
+        self.assertGreaterEqual(float(dict(answer.headers)[b"Retry-After"]), 1.0)
+        page = self.metrics.render().decode()
+        self.assertIn('winchfork_quota_used_total{tenant="school"} 1900.0', page)
+        self.assertIn('winchfork_quota_refused_total{tenant="school"} 1100.0', page)
+
+    def test_a_request_that_has_not_run_gives_its_cost_back(self) -> None:
+        charge = self.gate.admit(self.tenant, 2_000)
+        assert isinstance(charge, QuotaCharge)
+        charge.give_back()
+        self.assertIsInstance(self.gate.admit(self.tenant, 2_000), QuotaCharge)
+
+    def test_a_second_run_counts_again(self) -> None:
+        charge = self.gate.admit(self.tenant, 1_000)
+        assert isinstance(charge, QuotaCharge)
+        charge.charge_again()
+        self.assertIsInstance(self.gate.admit(self.tenant, 1_000), Failure)
+
+    def test_one_that_does_not_say_what_it_uses_counts_as_the_operators_say(self) -> None:
+        self.gate.admit(self.tenant, None)
+        self.assertEqual(self.book.left(self.now_s), {"school": 1_800.0})
+
+    def test_a_tenant_without_a_limit_is_never_refused(self) -> None:
+        free = TenantPolicy("free", (KEY,))
+        self.assertIsNone(self.gate.admit(free, 10**9))
+
+
+class WireTest(unittest.TestCase):
+    def test_a_tenants_limit_is_read_from_the_configuration(self) -> None:
+        text = b"""{"Version": 7, "Tenants": [
+            {"Name": "a", "Unit": "tokens", "UncachedTokens": 200, "RatePerS": 297131,
+             "Burst": 1000},
+            {"Name": "b", "RatePerS": 5, "Burst": 2}, {"Name": "c"}, {"Name": "d", "RatePerS": 0}
+        ]}"""
+        table = PlatformDocuments().read(StoreItem("op/config", text, 1))
+        assert table is not None and not isinstance(table, Failure)
+        limits = [tenant.limit for tenant in getattr(table, "tenants", ())]
+        self.assertEqual(limits[0], TenantLimit(297_131.0, 1_000.0, QuotaUnit.TOKENS, 200.0))
+        self.assertEqual(limits[1], TenantLimit(5.0, 2.0, QuotaUnit.REQUESTS, 1.0))
+        self.assertEqual(limits[2:], [None, None])
+
+    def test_the_tolerance_is_read_from_the_settings(self) -> None:
+        text = "Node=n\nZone=z\nIp=10.0.0.1\nListenAddresses.Front=10.0.0.1:1\n"
+        text += "ListenAddresses.Readiness=10.0.0.1:2\nPlatform.Address=10.0.0.2:1\n"
+        text += "Bounds.QuotaWindowS=8\nBounds.QuotaOverage=0.1\nBounds.QuotaSlack=110000\n"
+        settings = parse_settings(text)
+        assert not isinstance(settings, Failure)
+        self.assertEqual(settings.bounds.quota, QuotaTolerance(8.0, 0.1, 110_000.0))
+
+    def test_a_request_declares_tokens_in_and_out(self) -> None:
+        dialect = PlatformDialect()
+        cases = ((b"1460,80", 1_540), (b"1460", 1_460), (None, None))
+        for usage, declared in cases:
+            headers = [(b"X-Request-Id", b"1")] + ([(b"X-Token-Usage", usage)] if usage else [])
+            fields = dialect.read_request(headers)
+            assert not isinstance(fields, Failure)
+            self.assertEqual(fields.declared_tokens, declared)
--- a/winchfork/core/routing.py
+++ b/winchfork/core/routing.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from winchfork.core.tenant_quota import TenantLimit
+
 
 class RouteKind(enum.Enum):
     """What an answer looks like and whether its request may run more than once."""
@@ -83,12 +85,16 @@
 
 
 class TenantPolicy(msgspec.Struct, frozen=True):
-    """A tenant: its priority takes precedence over the route's; ``isolated`` shares no cache."""
+    """A tenant: its priority takes precedence over the route's; ``isolated`` shares no cache.
+
+    ``limit`` is what it may use over all daemons together; None: as much as it likes.
+    """
 
     name: str
     api_keys: tuple[str, ...]
     priority: int | None = None
     isolated: bool = False
+    limit: TenantLimit | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/winchfork/errors.py
+++ b/winchfork/errors.py
@@ -31,6 +31,7 @@
     BODY_TOO_LARGE = "body_too_large"
     SENDER_STALLED = "sender_stalled"
     OVERLOADED = "overloaded"
+    QUOTA_EXCEEDED = "quota_exceeded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     STOPPING = "stopping"
     NO_REPLICA = "no_replica"
@@ -85,6 +86,7 @@
         FailureKind.BODY_TOO_LARGE,
         FailureKind.SENDER_STALLED,
         FailureKind.OVERLOADED,
+        FailureKind.QUOTA_EXCEEDED,
         FailureKind.STOPPING,
         FailureKind.NO_REPLICA,
         FailureKind.BACKEND_UNREACHABLE,
--- a/winchfork/platform/documents.py
+++ b/winchfork/platform/documents.py
@@ -18,6 +18,7 @@
     ServiceShare,
     TenantPolicy,
 )
+from winchfork.core.tenant_quota import QuotaUnit, TenantLimit
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
 from winchfork.router.documents import Document, ReplicaGone, WeightsTarget
@@ -88,6 +89,12 @@
     api_keys: list[str] = msgspec.field(default_factory=list)
     priority: int | None = None
     isolated: bool = False
+    #: What ``rate_per_s`` and ``burst`` count; requests where it is not given.
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    #: Tokens that a request counts as if its headers do not say what it uses.
+    uncached_tokens: float = 0.0
 
 
 class _Configuration(_PascalStruct):
@@ -163,10 +170,7 @@
         document.version,
         [_route(route) for route in document.routes],
         [_service(service) for service in document.services],
-        [
-            TenantPolicy(item.name, tuple(item.api_keys), item.priority, item.isolated)
-            for item in document.tenants
-        ],
+        [_tenant(item) for item in document.tenants],
         CallerLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
@@ -176,6 +180,16 @@
     )
 
 
+def _tenant(tenant: _Tenant) -> TenantPolicy:
+    limit = None
+    if tenant.rate_per_s > 0.0:
+        undeclared = 1.0 if tenant.unit is QuotaUnit.REQUESTS else tenant.uncached_tokens
+        limit = TenantLimit(tenant.rate_per_s, tenant.burst, tenant.unit, undeclared)
+    return TenantPolicy(
+        tenant.name, tuple(tenant.api_keys), tenant.priority, tenant.isolated, limit
+    )
+
+
 def _route(route: _Route) -> Route:
     shares = tuple(ServiceShare(part.service, part.weight) for part in route.traffic_split)
     return Route(
--- a/winchfork/platform/headers.py
+++ b/winchfork/platform/headers.py
@@ -33,6 +33,7 @@
             api_key=found.get(names.API_KEY.lower()),
             prompt=prompt,
             resume_after=int(resume_after) if resume_after and resume_after.isdigit() else None,
+            declared_tokens=_declared_tokens(found.get(names.TOKEN_USAGE.lower(), "")),
         )
 
     def dispatch_headers(self, headers: Headers, fields: DispatchFields) -> Headers:
@@ -70,6 +71,15 @@
     return {name.lower(): value.decode("latin-1").strip() for name, value in headers}
 
 
+def _declared_tokens(usage: str) -> int | None:
+    """Return the tokens in and out added up; None where they are not given."""
+    prompt_text, _, output_text = usage.partition(",")
+    counts = [text.strip() for text in (prompt_text, output_text)]
+    if not counts[0].isdigit():
+        return None
+    return sum(int(count) for count in counts if count.isdigit())
+
+
 def _milliseconds(text: str) -> float | None:
     try:
         return max(0.0, float(text) / 1000.0)
--- a/winchfork/platform/settings.py
+++ b/winchfork/platform/settings.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+from winchfork.core.tenant_quota import QuotaTolerance
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
 from winchfork.router.settings import RouterBounds, RouterSettings
@@ -43,6 +44,11 @@
         rollout_s=fields.seconds("Bounds.VersionMs", 8_000),
         reread_s=fields.number("Bounds.RetryAfterS", 10),
         heartbeat_s=fields.seconds("HeartbeatMs", 1_200),
+        quota=QuotaTolerance(
+            window_s=fields.number("Bounds.QuotaWindowS", 8),
+            overage=fields.number("Bounds.QuotaOverage", 0),
+            slack=fields.number("Bounds.QuotaSlack", 0),
+        ),
     )
     machine_ip = fields.text("Ip")
     settings = RouterSettings(
--- a/winchfork/router/dialect.py
+++ b/winchfork/router/dialect.py
@@ -15,13 +15,17 @@
 
 
 class RequestFields(msgspec.Struct, frozen=True):
-    """What a caller's headers say. ``deadline_s`` is how long the caller waits from now."""
+    """What a caller's headers say. ``deadline_s`` is how long the caller waits from now.
+
+    ``declared_tokens`` is what the request says to use, in and out; None where it does not say.
+    """
 
     request_id: str
     deadline_s: float | None
     api_key: str | None
     prompt: Prompt | None
     resume_after: int | None
+    declared_tokens: int | None = None
 
 
 class DispatchFields(msgspec.Struct, frozen=True):
--- a/winchfork/router/http_types.py
+++ b/winchfork/router/http_types.py
@@ -31,6 +31,7 @@
     405: b"Method Not Allowed",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -9,7 +9,7 @@
 
 import bisect
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 import msgspec
@@ -27,9 +27,9 @@
     def __init__(self) -> None:
         self.value = 0
 
-    def inc(self) -> None:
-        """Count one."""
-        self.value += 1
+    def inc(self, amount: int = 1) -> None:
+        """Count one, or more."""
+        self.value += amount
 
 
 class Counter(CounterChild):
@@ -122,6 +122,14 @@
             "Updates of the store's entries taken from peers.",
             "outcome",
         )
+        self.quota_used = Labelled(
+            CounterChild, "winchfork_quota_used", "Units let through, by tenant.", "tenant"
+        )
+        self.quota_refused = Labelled(
+            CounterChild, "winchfork_quota_refused", "Units refused, by tenant.", "tenant"
+        )
+        #: Units that each tenant may use now, read when the page is asked for.
+        self.quota_left: Callable[[], Mapping[str, float]] = dict
         self._shown: list[_ShownFigure] = []
 
     def show(self, name: str, description: str, read: Callable[[], float]) -> None:
@@ -146,7 +154,8 @@
 
         for counter in (self.bad_datagrams, self.datagrams_refused):
             yield CounterMetricFamily(counter.name, counter.description, value=counter.value)
-        for labelled in (self.requests, self.calls, self.updates_relayed):
+        counters = (self.requests, self.calls, self.updates_relayed)
+        for labelled in (*counters, self.quota_used, self.quota_refused):
             counts = CounterMetricFamily(
                 labelled.name, labelled.description, labels=[labelled.label]
             )
@@ -161,5 +170,11 @@
                     [value] if labels else [], durations.cumulative(), durations.sum_s
                 )
             yield family
+        left = GaugeMetricFamily(
+            "winchfork_quota_left", "Units left, as this daemon believes.", labels=["tenant"]
+        )
+        for tenant, units in self.quota_left().items():
+            left.add_metric([tenant], units)
+        yield left
         for figure in self._shown:
             yield GaugeMetricFamily(figure.name, figure.description, value=float(figure.read()))
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -4,6 +4,7 @@
 
 from winchfork.core.membership import IndirectProbe, Probe, ProbeReply
 from winchfork.core.peer_message import PeerMessage
+from winchfork.core.quota_book import QuotaLevels, QuotaReport
 
 
 class ReplicaLoadNote(PeerMessage, frozen=True):
@@ -28,11 +29,13 @@
 
 
 class Activity(PeerMessage, frozen=True):
-    """What the sender has done lately."""
+    """What the sender has done lately; ``correction`` is for a hub that guesses at the quotas."""
 
     sender_id: str
     loads: tuple[ReplicaLoadNote, ...]
     kept: tuple[KeptNote, ...]
+    quota: QuotaReport | None = None
+    correction: QuotaLevels | None = None
 
 
 class WeightsNote(PeerMessage, frozen=True):
@@ -95,6 +98,8 @@
     zone: str
     loads: tuple[ReplicaLoadNote, ...]
     kept: tuple[KeptNote, ...]
+    quota: QuotaReport | None = None
+    levels: QuotaLevels | None = None
 
 
 class FleetWork(PeerMessage, frozen=True):
@@ -107,6 +112,7 @@
     complete: bool
     loads: tuple[ReplicaLoadNote, ...]
     kept: tuple[KeptNote, ...]
+    levels: QuotaLevels | None = None
 
 
 class Forward(PeerMessage, frozen=True):
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -18,6 +18,7 @@
     ZoneWork,
 )
 from winchfork.router.peers import PeerGroup
+from winchfork.router.quota_exchange import QuotaExchange
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
 from winchfork.router.version_news import VersionNews
@@ -29,7 +30,7 @@
 ) -> VersionNews:
     """Connect a process's parts to its peers; return what tells them of weights."""
     call_later = asyncio.get_running_loop().call_later
-    work = WorkExchange(state, peers, call_later)
+    work = WorkExchange(state, peers, call_later, QuotaExchange(state, peers))
     news = VersionNews(state, peers)
     relay = DocumentRelay(state, peers, sync, call_later)
     peers.handle(Activity, work.take_activity)
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -192,6 +192,12 @@
             "Since it was last proven current.",
             lambda: state.freshness.age_s(state.clock()),
         )
+        show(
+            "quota_coverage",
+            "Share of the quotas counted on.",
+            lambda: state.quotas.supply.coverage,
+        )
+        state.metrics.quota_left = lambda: state.quotas.left(state.clock())
         counters = self._pool.counters
         show("connections_opened", "Connections to replicas.", lambda: counters.opened)
         show("connections_failed", "Connections that did not come up.", lambda: counters.failed)
--- /dev/null
+++ b/winchfork/router/quota_exchange.py
@@ -0,0 +1,243 @@
+"""Daemons tell each other how much of the tenants' quotas they have used.
+
+The news rides on the messages about work. In a small fleet every daemon counts what every other
+tells. In a larger one the hubs count their zone's use and that of other zones, and tell their zone
+how much is missing from each bucket. A daemon that hears no hub, and a hub that does not hear every
+zone, counts on a part of the limits only: see ``coverage``.
+"""
+
+from __future__ import annotations
+
+from winchfork.core.membership import MemberStatus
+from winchfork.core.quota_book import (
+    TOLD_AGAIN_S,
+    QuotaBook,
+    QuotaLevels,
+    QuotaReport,
+    UseReader,
+    UseTotals,
+)
+from winchfork.core.tenant_quota import Supply
+from winchfork.core.zone_hubs import FleetView
+from winchfork.router.peer_port import PeerPort
+from winchfork.router.state import ASSUMED_DAEMONS, RouterState
+
+#: Seconds without a word after which a hub, or another zone, is taken to be out of reach: two of
+#: the complete messages that a hub sends each half second.
+SILENCE_S = 1.0
+#: Seconds of silence after which another hub is listened to as the speaker of its zone: a little
+#: more than that hub waits before it speaks.
+SPEAKER_SILENCE_S = 0.75
+#: Seconds for which a hub's word holds: where a tenant is at its limit there is one in each tick of
+#: a hub, and elsewhere the buckets are full.
+WORD_HOLDS_S = 0.25
+#: The same for what small fleets and hubs hear of each other: between two ticks, and two complete
+#: messages of hubs.
+DEAF_S = 0.55
+#: Seconds after its start for which a daemon that no hub has spoken to counts on its own part only.
+SETTLING_S = 4.0
+#: The same for one that takes itself for a hub: until it knows the fleet, many do.
+HUB_SETTLING_S = 0.6
+#: The same in a small fleet, whose daemons all know each other after a few probes.
+SMALL_SETTLING_S = 1.5
+#: Part of its equal share on which a daemon counts while it is out of reach: others may count on
+#: the whole until they notice.
+ISOLATED_SHARE = 0.5
+#: Seconds for which a daemon that has vanished may go on using quotas unheard, where its keys do
+#: not expire.
+VANISHED_S = 60.0
+
+
+class QuotaExchange:
+    """This daemon's part in the exchange."""
+
+    def __init__(self, state: RouterState, peers: PeerPort) -> None:
+        self._state = state
+        self._peers = peers
+        self._started_s = state.clock()
+        own_ip = state.settings.machine_ip
+        self._has_other_seeds = any(
+            seed.rpartition(":")[0] != own_ip for seed in state.settings.seeds
+        )
+        self._reader = UseReader()
+        self._zone_use = UseTotals(state.life)
+        #: This daemon's last report that its zone's totals lack.
+        self._own_told: QuotaReport | None = None
+        #: When each daemon was last seen to work, by id, and its zone.
+        self._seen: dict[str, tuple[float, str]] = {}
+        self._zone_reader = UseReader()
+        #: The hub that speaks for each other zone, and when it was last heard.
+        self._speakers: dict[str, tuple[str, float]] = {}
+        self._daemon_heard_s: dict[str, float] = {}
+        self._hub_heard_s: float | None = None
+        #: Whether the levels are a guess: true from the start until somebody tells, or for as long
+        #: as a bucket takes to fill.
+        self._is_guessing = True
+        #: Whether a hub of this zone guesses while this daemon knows.
+        self._knows_better = False
+
+    @property
+    def _book(self) -> QuotaBook:
+        return self._state.quotas
+
+    # Telling
+
+    def own_report(self, now_s: float) -> QuotaReport | None:
+        """Return what this daemon has used lately."""
+        report = self._book.own.report(now_s)
+        self._own_told = report or self._own_told
+        return report
+
+    def zone_report(self, now_s: float) -> QuotaReport | None:
+        """Return what this hub's zone has used lately, this hub's own use included."""
+        if self._own_told is not None:
+            self._count_for_zone(self._state.settings.node_id, self._own_told, now_s)
+            self._own_told = None
+        return self._zone_use.report(now_s)
+
+    def levels(self, now_s: float, *, complete: bool) -> QuotaLevels:
+        """Return this daemon's estimates."""
+        coverage_percent = round(self._book.supply.coverage * 100)
+        levels = self._book.levels(now_s, complete=complete)
+        return QuotaLevels(coverage_percent, complete, self._is_guessing, levels)
+
+    def correction(self, now_s: float) -> QuotaLevels | None:
+        """Return what a hub that guesses is to be told; None where there is nothing to correct."""
+        if not self._knows_better:
+            return None
+        self._knows_better = False
+        return self.levels(now_s, complete=True)
+
+    # Hearing
+
+    def take_activity(
+        self, sender_id: str, report: QuotaReport | None, correction: QuotaLevels | None
+    ) -> None:
+        """Count what one daemon has used."""
+        now_s = self._state.clock()
+        if correction is not None:
+            self._take_levels(correction, now_s)
+        self._daemon_heard_s[sender_id] = now_s
+        if report is not None:
+            self._book.add_others(self._count_for_zone(sender_id, report, now_s), now_s)
+
+    def take_zone(
+        self, sender_id: str, zone: str, report: QuotaReport | None, levels: QuotaLevels | None
+    ) -> None:
+        """Count what another zone has used.
+
+        Both hubs of a zone have counted all of it. While the fleet changes both may speak, and only
+        one must be counted: the one that spoke before, until it falls silent.
+        """
+        now_s = self._state.clock()
+        speaker_id, heard_s = self._speakers.get(zone, (sender_id, self._started_s))
+        silent_s = now_s - heard_s
+        if sender_id == speaker_id or silent_s > SPEAKER_SILENCE_S:
+            self._speakers[zone] = (sender_id, now_s)
+            speaker_id = sender_id
+        if report is not None:
+            untold = min(1.0, silent_s / TOLD_AGAIN_S)
+            news = self._zone_reader.read(sender_id, report, untold)
+            self._book.add_others(news if sender_id == speaker_id else {}, now_s)
+        if levels is not None:
+            self._take_levels(levels, now_s)
+
+    def take_fleet(self, levels: QuotaLevels) -> None:
+        """Take the word of this zone's speaking hub; another hub only corrects its own by it."""
+        now_s = self._state.clock()
+        self._hub_heard_s = now_s
+        if self._peers.view.is_hub:
+            self._take_levels(levels, now_s)
+            return
+        self._book.count_on(Supply(levels.coverage_percent / 100.0), now_s)
+        self._knows_better = levels.is_guess and not self._is_guessing
+        if not self._knows_better:
+            self._book.replace(levels, now_s)
+            self._is_guessing = self._is_guessing and levels.is_guess
+
+    def _take_levels(self, levels: QuotaLevels, now_s: float) -> None:
+        """Take another's word in place of a guess.
+
+        One who knows counts on by itself: another's word has use in it that is yet to be heard of
+        here, and would be counted twice.
+        """
+        if self._is_guessing and levels.complete and not levels.is_guess:
+            self._book.replace(levels, now_s)
+            self._is_guessing = False
+
+    def _count_for_zone(
+        self, sender_id: str, report: QuotaReport, now_s: float
+    ) -> dict[int, float]:
+        news = self._reader.read(sender_id, report)
+        for key, cost in news.items():
+            self._zone_use.add(key, cost, now_s)
+        return news
+
+    # Coverage
+
+    def tick(self, now_s: float) -> None:
+        """Find out how much of the limits this daemon may count on."""
+        view = self._peers.view
+        self._look_around(view, now_s)
+        if now_s - self._started_s > SETTLING_S:
+            self._is_guessing = False
+        self._book.count_on(self._supply(view, now_s), now_s)
+
+    def _supply(self, view: FleetView, now_s: float) -> Supply:
+        known = len(self._seen)
+        if known <= 1 and self._has_other_seeds:
+            return Supply(0.0, ISOLATED_SHARE / ASSUMED_DAEMONS, is_alone=True)
+        own_share = 1.0 / max(1, known)
+        alone = Supply(0.0, ISOLATED_SHARE * own_share, is_alone=True)
+        waiting = Supply(0.0, ISOLATED_SHARE * own_share)
+        if self._is_settling(view, now_s):
+            return Supply(own_share)
+        if view.direct or view.is_hub:
+            missing = sum(1 for key in self._seen if not self._is_heard(key, now_s))
+            if missing >= known - 1 > 0:
+                return alone
+            return waiting if self._is_deaf(view, now_s) else Supply(1.0 - missing / known)
+        word_age_s = now_s - (self._hub_heard_s or self._started_s)
+        if word_age_s > SILENCE_S:
+            return alone
+        return self._book.supply if word_age_s <= WORD_HOLDS_S else waiting
+
+    def _is_settling(self, view: FleetView, now_s: float) -> bool:
+        """Whether this daemon is too young to know the fleet, and knows no level from a hub."""
+        age_s = now_s - self._started_s
+        if view.direct and len(view.members) > 1:
+            return age_s <= SMALL_SETTLING_S
+        if self._hub_heard_s is not None or age_s > SETTLING_S:
+            return False
+        return view.direct or not view.is_hub or age_s <= HUB_SETTLING_S
+
+    def _look_around(self, view: FleetView, now_s: float) -> None:
+        for member in view.members:
+            if member.status is MemberStatus.ALIVE:
+                self._seen[member.member_id] = (now_s, member.zone)
+        bounds = self._state.settings.bounds
+        forgotten_s = now_s - (bounds.revoke_s if bounds.fail_closed else VANISHED_S)
+        for member_id in [key for key, (at_s, _) in self._seen.items() if at_s < forgotten_s]:
+            del self._seen[member_id]
+
+    def _is_deaf(self, view: FleetView, now_s: float) -> bool:
+        """Whether no daemon of a small fleet, or no other zone's hub, was heard for some ticks."""
+        if view.direct:
+            heard = list(self._daemon_heard_s.values())
+        else:
+            heard = [heard_s for _, heard_s in self._speakers.values()]
+        return bool(heard) and now_s - max(heard) > DEAF_S
+
+    def _is_heard(self, member_id: str, now_s: float) -> bool:
+        """Whether the use of a daemon is known here."""
+        at_s, zone = self._seen[member_id]
+        if at_s < now_s:
+            return False
+        if member_id == self._state.settings.node_id:
+            return True
+        if self._peers.view.direct:
+            return now_s - self._daemon_heard_s.get(member_id, self._started_s) <= SILENCE_S
+        if zone == self._state.settings.zone:
+            return True
+        heard_s = self._speakers[zone][1] if zone in self._speakers else self._started_s
+        return now_s - heard_s <= SILENCE_S
--- /dev/null
+++ b/winchfork/router/quota_gate.py
@@ -0,0 +1,61 @@
+"""Admits requests by their tenants' quotas, before a replica or a place is taken for them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from winchfork.core.quota_book import QuotaBook
+from winchfork.core.routing import TenantPolicy
+from winchfork.errors import Failure, FailureKind
+from winchfork.router.metrics import RouterMetrics
+
+
+class QuotaCharge:
+    """What one admitted request has used of its tenant's quota."""
+
+    def __init__(
+        self, book: QuotaBook, clock: Callable[[], float], tenant: str, cost: float
+    ) -> None:
+        self._book = book
+        self._clock = clock
+        self._tenant = tenant
+        self._cost = cost
+
+    def charge_again(self) -> None:
+        """Count a request that is sent to another replica though it may have run."""
+        self._book.charge(self._tenant, self._cost, self._clock())
+
+    def give_back(self) -> None:
+        """Give back what a request has not used: it has not run and never will."""
+        self._book.charge(self._tenant, -self._cost, self._clock())
+
+
+class QuotaGate:
+    """Lets requests through, or says when to come back."""
+
+    def __init__(self, book: QuotaBook, clock: Callable[[], float], metrics: RouterMetrics) -> None:
+        self._book = book
+        self._clock = clock
+        self._metrics = metrics
+
+    def admit(
+        self, tenant: TenantPolicy | None, declared_tokens: int | None
+    ) -> QuotaCharge | Failure | None:
+        """Charge a request to its tenant; None where the tenant has no limit."""
+        if tenant is None or tenant.limit is None:
+            return None
+        cost = tenant.limit.cost(declared_tokens)
+        refusal = self._book.take(tenant.name, cost, self._clock())
+        if refusal is None:
+            self._metrics.quota_used.labels(tenant.name).inc(round(cost))
+            return QuotaCharge(self._book, self._clock, tenant.name, cost)
+        self._metrics.quota_refused.labels(tenant.name).inc(round(cost))
+        unit = tenant.limit.unit.value
+        coverage = self._book.supply.coverage
+        return FailureKind.QUOTA_EXCEEDED.because(
+            f"tenant {tenant.name} has {refusal.left:.0f} {unit} left of its quota of "
+            f"{tenant.limit.rate_per_s:.0f} a second, counted over {coverage:.0%} of "
+            f"the fleet; this request counts as {cost:.0f}",
+            remedy="come back after the time told, or ask the operators for a higher limit",
+            retry_after_s=refusal.retry_after_s,
+        )
--- a/winchfork/router/refusals.py
+++ b/winchfork/router/refusals.py
@@ -16,6 +16,7 @@
     FailureKind.NOT_FOUND: 404,
     FailureKind.SENDER_STALLED: 408,
     FailureKind.BODY_TOO_LARGE: 413,
+    FailureKind.QUOTA_EXCEEDED: 429,
     FailureKind.HEADER_TOO_LARGE: 431,
 }
 #: Wait told to a refused caller, with as much again at random so that returns do not coincide.
@@ -46,7 +47,7 @@
     headers: Headers = [(b"Content-Type", b"application/json")]
     if request_id:
         headers.append((b"X-Request-Id", request_id.encode("latin-1")))
-    if status == 503:
+    if status in (429, 503):
         wait_s = failure.retry_after_s or DEFAULT_RETRY_AFTER_S
         wait_s += generator.random() * DEFAULT_RETRY_AFTER_S
         headers.append((b"Retry-After", f"{wait_s:.2f}".encode()))
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -33,6 +33,7 @@
     StopCause,
     Stopped,
 )
+from winchfork.router.quota_gate import QuotaCharge
 from winchfork.router.refusals import refusal_answer
 from winchfork.router.request_record import RequestRecord
 from winchfork.router.state import AdmittedRequest
@@ -68,8 +69,10 @@
         connection: CallerConnection,
         request: IncomingRequest,
         admitted: AdmittedRequest,
+        charge: QuotaCharge | None = None,
     ) -> None:
         self._service = service
+        self._charge = charge
         self._state = service.state
         self._loop = asyncio.get_running_loop()
         self._request = request
@@ -142,6 +145,8 @@
             self._give_up(FailureKind.INTERNAL.because(repr(error), ran=self._ran()))
         finally:
             timer.cancel()
+            if self._charge is not None and self._ran() is RunState.NOT_RUN:
+                self._charge.give_back()
             self._record.log_done(self._ran(), self._answer.events)
 
     @property
@@ -202,6 +207,8 @@
             return NotRun("the replica is leaving or the time is up", sent=False)
         plan = self._dispatch.plan(decision, self._time_left_s(), self._resume_after())
         plan.on_events = self._record.note_events
+        if self._charge is not None and self._may_have_run:
+            self._charge.charge_again()
         self._attempt = Attempt(plan, connection, self._inbox, self._answer, self._service.dialect)
         self._record.note_sent()
         family = self._dispatch.family_key(plan.weights_version)
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -12,6 +12,7 @@
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.dialect import Dialect
 from winchfork.router.http_types import IncomingRequest
+from winchfork.router.quota_gate import QuotaGate
 from winchfork.router.refusals import refusal_answer
 from winchfork.router.relayed_request import RelayedRequest
 from winchfork.router.state import RouterState
@@ -38,6 +39,7 @@
         self.dialect = dialect
         #: Set late in a planned stop: requests that come now are refused as not run.
         self.closing = False
+        self._quota_gate = QuotaGate(state.quotas, state.clock, state.metrics)
         self._connections: set[CallerConnection] = set()
         self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
         state.on_held = self._replica_held
@@ -69,7 +71,10 @@
         admitted = self.state.admit(request, fields)
         if isinstance(admitted, Failure):
             return self._refuse(connection, admitted, fields.request_id)
-        active = RelayedRequest(self, connection, request, admitted)
+        charge = self._quota_gate.admit(admitted.tenant, fields.declared_tokens)
+        if isinstance(charge, Failure):
+            return self._refuse(connection, charge, fields.request_id)
+        active = RelayedRequest(self, connection, request, admitted, charge)
         task = asyncio.get_running_loop().create_task(active.run())
         self._tasks[task] = active
         task.add_done_callback(self._tasks.pop)
--- a/winchfork/router/settings.py
+++ b/winchfork/router/settings.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from winchfork.core.tenant_quota import QuotaTolerance
+
 
 class RouterBounds(msgspec.Struct, frozen=True):
     """The deployment's promises in figures.
@@ -24,6 +26,7 @@
     rollout_s: float = 8.0
     reread_s: float = 10.0
     heartbeat_s: float = 1.2
+    quota: QuotaTolerance = QuotaTolerance()
 
 
 class RouterSettings(msgspec.Struct, frozen=True):
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -13,6 +13,7 @@
 from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.part_index import PartIndex
 from winchfork.core.prompt_parts import Prompt
+from winchfork.core.quota_book import QuotaBook
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing
 from winchfork.core.rendezvous import member_hash, mixed_order
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
@@ -45,6 +46,8 @@
 BYTES_PER_S_PER_MBPS = 125_000.0
 #: Daemons assumed to share budgets and connections until more are known.
 ASSUMED_DAEMONS = 10
+#: Enough that two starts of one daemon never meet in a number.
+LIFE_BITS = 32
 
 
 class AdmittedRequest(msgspec.Struct, frozen=True):
@@ -103,6 +106,9 @@
             RetryAllowance(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s), clock()
         )
         self.daemons = ASSUMED_DAEMONS
+        #: Tells this start of the process from others.
+        self.life = generator.getrandbits(LIFE_BITS)
+        self.quotas = QuotaBook(bounds.quota, self.life)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
         #: Seconds of a run for each token that its caller allows out, as measured lately.
         self.token_s = FIRST_TOKEN_S
@@ -117,6 +123,8 @@
         self.table = table
         self.table_revision = revision
         self._install_cache_stores(table)
+        limits = {item.name: item.limit for item in table.tenants if item.limit is not None}
+        self.quotas.install(limits, self.clock())
         self.splits.forget_except(table.routes)
         return True
 
--- a/winchfork/router/work_exchange.py
+++ b/winchfork/router/work_exchange.py
@@ -23,6 +23,7 @@
     ZoneWork,
 )
 from winchfork.router.peer_port import PeerPort
+from winchfork.router.quota_exchange import QuotaExchange
 from winchfork.router.state import RouterState
 
 #: Seconds for which a message about work counts.
@@ -79,8 +80,10 @@
         state: RouterState,
         peers: PeerPort,
         call_later: Callable[[float, Callable[[], None]], object],
+        quotas: QuotaExchange,
     ) -> None:
         self._state = state
+        self._quotas = quotas
         self._peers = peers
         self._call_later = call_later
         self._told_soon = False
@@ -109,13 +112,18 @@
         loads = self._own_loads(now_s)
         kept = _take(self._state.kept_news, MOST_KEPT)
         self._told_soon = False
+        self._quotas.tick(now_s)
+        quota = self._quotas.own_report(now_s)
+        correction = self._quotas.correction(now_s)
         is_old = bool(loads) and now_s - self._told_at_s > RETELL_S
-        if kept or is_old or _work_of(loads) != _work_of(self._told):
+        is_silent = view.direct and now_s - self._told_at_s > RETELL_S
+        is_asked = bool(quota or correction or is_silent)
+        if kept or is_old or is_asked or _work_of(loads) != _work_of(self._told):
             self._told = loads
             self._told_at_s = now_s
             self._is_news = True
             receivers = view.others if view.direct else view.other_own_hubs
-            self._send(receivers, Activity(self._own_id, loads, kept))
+            self._send(receivers, Activity(self._own_id, loads, kept, quota, correction))
         if not view.direct and view.is_hub:
             _add(self._zone_kept, kept)
             if self._speaks(view, now_s):
@@ -157,13 +165,19 @@
         far_kept = _take(self._far_kept, MOST_KEPT_OF_ZONE)
         complete = now_s - self._spoken_all_s > COMPLETE_PERIOD_S
         loads = self._news(_notes(fleet, now_s), complete)
-        message = FleetWork(self._own_id, complete, loads, (*zone_kept, *far_kept))
+        quota = self._quotas.zone_report(now_s)
+        levels = self._quotas.levels(now_s, complete=complete)
+        message = FleetWork(self._own_id, complete, loads, (*zone_kept, *far_kept), levels)
         if complete:
             self._spoken_all_s = now_s
-        elif not loads and not message.kept:
+        elif not loads and not message.kept and quota is None:
             return
         own_zone = self._state.settings.zone
-        self._send(view.far_hubs, ZoneWork(self._own_id, own_zone, _notes(zone, now_s), zone_kept))
+        told = _notes(zone, now_s)
+        far_levels = levels if complete else None
+        self._send(
+            view.far_hubs, ZoneWork(self._own_id, own_zone, told, zone_kept, quota, far_levels)
+        )
         self._send(view.zone_others, message)
 
     def _news(
@@ -195,6 +209,7 @@
         now_s = self._state.clock()
         self._activities[message.sender_id] = _HeardLoads(now_s, message.loads)
         self._note_kept(message.kept)
+        self._quotas.take_activity(message.sender_id, message.quota, message.correction)
         if self._peers.view.is_hub:
             _add(self._zone_kept, message.kept)
         self._is_news = True
@@ -203,6 +218,7 @@
         """Take in what another zone does."""
         self._zones[message.zone] = _HeardLoads(self._state.clock(), message.loads)
         self._note_kept(message.kept)
+        self._quotas.take_zone(message.sender_id, message.zone, message.quota, message.levels)
         _add(self._far_kept, message.kept)
         self._is_news = True
 
@@ -215,6 +231,8 @@
         for note in message.loads:
             self._fleet[note.replica_hash] = _HeardLoads(now_s, (note,))
         self._note_kept(message.kept)
+        if message.levels is not None:
+            self._quotas.take_fleet(message.levels)
         if self._peers.view.is_hub:
             for told in message.kept:
                 self._zone_kept.discard(told.replica_hash, told.parts)
