Wait for a replica that opens in time, refuse at once what none will serve, say when to come back

Cause: without a replica a request waited for 0.22 of its target and was then refused with a quarter of a second to come back, whatever bound. A window sized by a share of the target serves nobody: what can be served late is refused, what cannot is held.

Change: a request waits for the end of a hold or a load as long as that leaves time for it; without such a replica, or with one that opens too late, it is refused at once, with the time of the opening, or of the next listing, as Retry-After. One that replicas have refused is told the time that the best replica is expected to take. Returns are spread by half of what is told.

Ruled out: refusing by the predicted first event; of prompts predicted at 1.4 s a tenth took 3.9.

Its tests are in tests/test_refusals.py.

--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,71 @@
+"""What waits and what is refused: a replica that opens in time is waited for, and no other."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from tests.relay_support import CallerAnswer, RelayUnderTest, ScriptedReplica, answering, signed
+from winchfork.errors import FailureKind
+from winchfork.router.refusals import LEAST_SPREAD_S, refusal_answer
+
+
+def retry_after_s(answer: CallerAnswer) -> float:
+    """Return the time after which a refused caller is to come back."""
+    return float(answer.headers["retry-after"])
+
+
+class OpeningTest(unittest.IsolatedAsyncioTestCase):
+    async def _relay(self, *replicas: ScriptedReplica) -> RelayUnderTest:
+        relay = RelayUnderTest()
+        relay.configure()
+        for number, replica in enumerate(replicas):
+            await replica.start()
+            relay.add(replica, f"i-{number}")
+            self.addAsyncCleanup(replica.stop)
+        await relay.start()
+        self.addAsyncCleanup(relay.stop)
+        return relay
+
+    async def test_a_replica_that_opens_in_time_is_waited_for(self) -> None:
+        """However long that takes by comparison with the route's target: late is better than no."""
+        replica = ScriptedReplica(answering(lambda r: signed(r, b"late")))
+        relay = await self._relay(replica)
+        held = relay.state.fleet.get("i-0")
+        assert held is not None
+        held.loading_until_s = relay.state.clock() + 1.2 * relay.route.target_latency_s
+        answer = await relay.ask()
+        self.assertEqual((answer.status, answer.body), (200, b"late"))
+
+    async def test_one_that_opens_too_late_is_not_waited_for(self) -> None:
+        replica = ScriptedReplica(answering(lambda r: signed(r, b"never")))
+        relay = await self._relay(replica)
+        held = relay.state.fleet.get("i-0")
+        assert held is not None
+        held.loading_until_s = relay.state.clock() + 30.0
+        begun_s = relay.state.clock()
+        answer = await relay.ask()
+        self.assertLess(relay.state.clock() - begun_s, 1.0)
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(retry_after_s(answer), 29.0)
+        self.assertEqual(replica.seen, [])
+
+    async def test_without_any_replica_the_caller_comes_back_when_one_may_be_listed(self) -> None:
+        relay = await self._relay()
+        answer = await relay.ask()
+        self.assertEqual(answer.status, 503)
+        self.assertGreaterEqual(retry_after_s(answer), relay.state.settings.bounds.heartbeat_s)
+
+
+class RetryAfterTest(unittest.TestCase):
+    def test_returns_are_spread_in_proportion_to_the_wait(self) -> None:
+        generator = random.Random(1)
+        for told_s, least_spread_s in ((0.01, LEAST_SPREAD_S), (4.0, 2.0)):
+            failure = FailureKind.NO_REPLICA.because("none", retry_after_s=told_s)
+            waits = [
+                float(dict(refusal_answer(failure, None, generator).headers)[b"Retry-After"])
+                for _ in range(300)
+            ]
+            self.assertGreaterEqual(min(waits), told_s - 0.01)
+            self.assertGreater(max(waits) - min(waits), 0.8 * least_spread_s)
+            self.assertLessEqual(max(waits), told_s + least_spread_s + 0.01)
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -81,6 +81,11 @@
         sources = [*self._state.fleet.of_service(self._service), *([store] if store else [])]
         return place_prompt(request, candidates, sources, self._state.parts)
 
+    def expected_wait_s(self) -> float | None:
+        """Return how long the best replica of all is expected to take; None without any."""
+        decision = self.place(set())
+        return decision.cost_s if decision is not None else None
+
     def family_key(self, version: int | None) -> str | None:
         """Return the name of the prompt's last shared part under a version, as peers tell it."""
         prompt = self._prompt
--- a/winchfork/router/refusals.py
+++ b/winchfork/router/refusals.py
@@ -19,8 +19,12 @@
     FailureKind.QUOTA_EXCEEDED: 429,
     FailureKind.HEADER_TOO_LARGE: 431,
 }
-#: Wait told to a refused caller, with as much again at random so that returns do not coincide.
+#: Wait told to a refused caller where nothing is known of when it will be served.
 DEFAULT_RETRY_AFTER_S = 0.25
+#: Share of the wait that is added at random, so that returns do not coincide; and at least so many
+#: seconds, which spread the callers of a daemon whose bucket or queue is free at one moment.
+SPREAD_SHARE = 0.5
+LEAST_SPREAD_S = 0.1
 
 
 class RefusalAnswer(msgspec.Struct, frozen=True):
@@ -49,7 +53,7 @@
         headers.append((b"X-Request-Id", request_id.encode("latin-1")))
     if status in (429, 503):
         wait_s = failure.retry_after_s or DEFAULT_RETRY_AFTER_S
-        wait_s += generator.random() * DEFAULT_RETRY_AFTER_S
+        wait_s += generator.random() * max(LEAST_SPREAD_S, SPREAD_SHARE * wait_s)
         headers.append((b"Retry-After", f"{wait_s:.2f}".encode()))
     return RefusalAnswer(status, headers, body)
 
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -44,10 +44,6 @@
 
 #: Pause between looks for a replica while none is available.
 _LOOK_AGAIN_S = 0.03
-#: Longest wait for a replica, as a share of the route's target latency: past it, the caller is told
-#: when to come back.
-_PATIENCE_SHARE = 0.22
-_DEFAULT_PATIENCE_S = 0.15
 #: A repeat needs this much time to be worth sending.
 _LEAST_TIME_LEFT_S = 0.03
 #: A replica that has refused a request is left alone for this long: it is full or loads weights.
@@ -175,16 +171,17 @@
                 return
 
     async def _find_replica(self) -> RelayDecision | Failure | Stopped:
-        """Choose a replica, waiting a little while none is available."""
-        patience_s = self._route.target_latency_s * _PATIENCE_SHARE or _DEFAULT_PATIENCE_S
-        wait_until_s = min(self._loop.time() + patience_s, self._ends_at_s)
+        """Choose a replica; wait for one that will take work in time, and for no other."""
         while True:
             decision = self._dispatch.place(self._tried)
             if decision is not None:
                 return decision
-            if self._loop.time() >= wait_until_s:
+            opening_s = self._state.next_opening_s(self._backend, self._tried)
+            if opening_s is None or opening_s > self._time_left_s() - _LEAST_TIME_LEFT_S:
                 return FailureKind.NO_REPLICA.because(
-                    f"no replica of {self._backend} takes work", ran=self._ran()
+                    f"no replica of {self._backend} takes work in time",
+                    ran=self._ran(),
+                    retry_after_s=opening_s or self._state.settings.bounds.heartbeat_s,
                 )
             self._loop.call_later(_LOOK_AGAIN_S, self._inbox.put, TimeLimit(_LOOK_AGAIN))
             item = await self._inbox.get()
@@ -281,7 +278,10 @@
         self._tried.add(replica.replica_id)
         if not outcome.sent or self._may_repeat(self._route.max_attempts):
             return True
-        self._give_up(FailureKind.OVERLOADED.because(outcome.reason, ran=self._ran()))
+        overloaded = FailureKind.OVERLOADED.because(
+            outcome.reason, ran=self._ran(), retry_after_s=self._dispatch.expected_wait_s()
+        )
+        self._give_up(overloaded)
         return False
 
     def _after_unknown(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -18,7 +18,7 @@
 from winchfork.core.rendezvous import member_hash, mixed_order
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
-from winchfork.core.weight_rollout import VersionHistory
+from winchfork.core.weight_rollout import PRIOR_LOAD_S, VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.dialect import RequestFields
@@ -233,6 +233,19 @@
         sound = [replica for replica in candidates if now_s >= replica.avoided_until_s]
         return sound or candidates
 
+    def next_opening_s(self, service: str, tried: set[str]) -> float | None:
+        """Return in how many seconds a replica will take work that takes none now; None: none will.
+
+        A replica under a hold says when it ends; one whose weights are too old is loaded next.
+        """
+        now_s = self.clock()
+        openings = [
+            replica.loading_until_s - now_s if replica.loading_until_s > now_s else PRIOR_LOAD_S
+            for replica in self.fleet.of_service(service)
+            if replica.accepting and replica.replica_id not in tried
+        ]
+        return min(openings, default=None)
+
     def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
         """Whether a request sent now will begin before the replica's weights are too old."""
         history = self.versions.get(prompt.model)
