Stand-in of the store: never give the id of a lease twice

Cause: soak found nine orders of two holders within the lease bound. The stand-in gave one more than the highest live lease; when the highest was over its id came again, so a leader that had been cut off renewed its successor's lease and went on. Seen in the logs: fences 9 and 11, then 11 and 15, acted at once for six seconds, each renewal answered as good.

Ruled out: the leadership itself (unchanged since; it stops on a renewal that is refused), load. Conclusion: a fault of the stand-in.

--- a/standins/store_server.py
+++ b/standins/store_server.py
@@ -23,6 +23,8 @@
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._leases: dict[int, tuple[float, float]] = {}
+        #: Ids are never given twice: a holder of a lease that is over must not renew another's.
+        self._last_lease = 77_000
         self._http = HttpServer(self._handle)
 
     @property
@@ -132,7 +134,8 @@
         return 200, {"Revision": self.revision}
 
     def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
-        lease = 1 + max(self._leases, default=77_000)
+        self._last_lease += 1
+        lease = self._last_lease
         ttl_s = body["ttl_ms"] / 1000.0
         self._leases[lease] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
         return {"lease": lease, "ttl_ms": body["ttl_ms"]}
