Keep families, copies and saves in their own region

Cause: placement knew its own zone and "another". Families had one home in the whole fleet, so half of all prompts crossed the link between two regions, and copies between regions, which take ten times as long, were predicted at twice.

Change: core/region_map.py knows each zone's region; a family has a home in each region; a source is weighed by the time its copy takes, and one that is slower than reading is none; the store of kept cache is that of the replica's own region; a replica in another region is charged for three observed round trips (prompts) or one (other requests). relay_placement.py is split by duty: request, sources, cost, tasks. Ruled out: that only the ratio counts, since homes in one place still fill the link.

Tests: tests/test_region_placement.py.

What daemons tell each other still crosses the link in full.

--- a/tests/test_cache_store_copies.py
+++ b/tests/test_cache_store_copies.py
@@ -5,10 +5,11 @@
 import random
 import unittest
 
-from tests.test_relay_placement import COPY_RATE, SCOPE, fleet_of, prompt
+from tests.test_relay_placement import COPY_RATE, SCOPE, fleet_of, prompt, store_choices
 from winchfork.core.part_index import PartIndex, shared_keys
+from winchfork.core.placement_request import PromptPlacement
 from winchfork.core.prompt_parts import Prompt, PromptPart
-from winchfork.core.relay_placement import PromptPlacement, place_prompt
+from winchfork.core.relay_placement import place_prompt
 from winchfork.core.routing import CacheStore, EngineProfile, RoutingTable, Service
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
@@ -21,17 +22,19 @@
         """A daemon that had restarted had every family read again that the store kept."""
         replicas, store = fleet_of(3), fleet_of(9)[8]
         placement = PromptPlacement(
-            prompt("f"), SCOPE, "z1", copy_tokens_per_s=COPY_RATE, store=store
+            prompt("f"), SCOPE, "z1", copy_tokens_per_s=COPY_RATE, stores=store_choices(store)
         )
         decision = place_prompt(placement, replicas, [*replicas, store], PartIndex())
         assert decision is not None
         self.assertIs(decision.copy_from, store)
-        self.assertTrue(decision.save)
+        self.assertIs(decision.save_to, store)
 
     def test_parts_that_are_read_as_fast_as_asked_for_are_not_asked_for(self) -> None:
         replicas, store = fleet_of(3), fleet_of(9)[8]
         short = Prompt("m", (PromptPart("f", 100), PromptPart("own", 400)), 500)
-        placement = PromptPlacement(short, SCOPE, "z1", copy_tokens_per_s=COPY_RATE, store=store)
+        placement = PromptPlacement(
+            short, SCOPE, "z1", copy_tokens_per_s=COPY_RATE, stores=store_choices(store)
+        )
         decision = place_prompt(placement, replicas, [*replicas, store], PartIndex())
         assert decision is not None
         self.assertIsNone(decision.copy_from)
@@ -52,8 +55,7 @@
             SCOPE,
             "z1",
             copy_tokens_per_s=1.0,
-            store=store,
-            store_tokens_per_s=store_tokens_per_s,
+            stores=store_choices(store, store_tokens_per_s),
         )
         decision = place_prompt(placement, replicas, [store], index)
         assert decision is not None
@@ -75,13 +77,13 @@
 
     def test_the_rate_is_that_of_the_slower_link(self) -> None:
         state = self.configured()
-        store = state.cache_store_of(prompt("f"))
+        store = state.cache_stores.homes_of(prompt("f"), state.settings.regions)[""]
         self.assertEqual(state.copy_tokens_per_s("s"), 3_125_000.0)
         self.assertEqual(state.copy_tokens_per_s("s", store), 156_250.0)
 
     def test_a_store_that_a_new_configuration_drops_fails_no_request_that_knows_it(self) -> None:
         """A request keeps its store over its attempts, and places itself anew for each."""
         state = self.configured()
-        store = state.cache_store_of(prompt("f"))
+        store = state.cache_stores.homes_of(prompt("f"), state.settings.regions)[""]
         state.install_table(RoutingTable(2, [], [Service("s", engine=ENGINE)]), 2)
         self.assertEqual(state.copy_tokens_per_s("s", store), 3_125_000.0)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -45,7 +45,7 @@
         self.assertEqual(settings.store_address, "10.200.1.7:8784")
         self.assertEqual(settings.peer_ports, (7340, 7355))
         self.assertEqual(settings.seeds, ("10.1.0.30:8783", "10.2.0.22:8783"))
-        self.assertEqual(settings.zones, ("patan-hall", "thamel-hall"))
+        self.assertEqual(settings.regions.zones, ("patan-hall", "thamel-hall"))
         self.assertEqual(settings.bounds.revoke_s, 5.0)
         self.assertEqual(settings.bounds.rollout_s, 8.0)
         self.assertTrue(settings.bounds.fail_closed)
--- /dev/null
+++ b/tests/test_region_placement.py
@@ -0,0 +1,169 @@
+"""Where prompts go, and what is copied, in a fleet of two regions."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from tests.test_relay_placement import SCOPE, fleet_of, prompt
+from winchfork.core.part_index import PartIndex, shared_keys
+from winchfork.core.placement_request import CacheStoreChoice, PromptPlacement, RelayDecision
+from winchfork.core.region_delay import PRIOR_ROUND_TRIP_S, RegionDelay
+from winchfork.core.region_map import Distance, RegionMap
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_placement import place_prompt
+from winchfork.core.routing import CacheStore, EngineProfile, RoutingTable, Service
+from winchfork.core.task_placement import TaskPlacement, place_task
+from winchfork.router.settings import RouterSettings
+from winchfork.router.state import RouterState
+
+REGIONS = RegionMap({"a1": "a", "a2": "a", "b1": "b", "b2": "b"})
+ZONES = ("a1", "a2", "b1", "b2")
+#: A model whose parts are copied twice as fast as read in a zone, and a fifth as fast from afar.
+READ_RATE = 50_000.0
+COPY_RATE = 106_000.0
+CROSSING_S = 0.09
+
+
+def place(
+    replicas: list[RelayReplica],
+    index: PartIndex | None = None,
+    family: str = "f",
+    zone: str = "a1",
+    stores: dict[str, CacheStoreChoice] | None = None,
+) -> RelayDecision:
+    request = PromptPlacement(
+        prompt(family),
+        SCOPE,
+        zone,
+        copy_tokens_per_s=COPY_RATE,
+        read_tokens_per_s=READ_RATE,
+        stores=stores or {},
+        regions=REGIONS,
+        crossing_s=CROSSING_S,
+    )
+    sources = [*replicas, *(choice.store for choice in (stores or {}).values())]
+    decision = place_prompt(request, replicas, sources, index or PartIndex())
+    assert decision is not None
+    return decision
+
+
+class RegionMapTest(unittest.TestCase):
+    def test_distances(self) -> None:
+        self.assertIs(REGIONS.distance("a1", "a1"), Distance.SAME_ZONE)
+        self.assertIs(REGIONS.distance("a1", "a2"), Distance.SAME_REGION)
+        self.assertIs(REGIONS.distance("a1", "b1"), Distance.OTHER_REGION)
+        self.assertEqual(REGIONS.regions_among(("b2", "a1", "b1")), ["a", "b"])
+
+    def test_a_zone_that_the_settings_do_not_name_is_near_everything(self) -> None:
+        self.assertIs(REGIONS.distance("a1", "new"), Distance.SAME_REGION)
+        self.assertFalse(REGIONS.is_far("new", "b1"))
+
+
+class HomesTest(unittest.TestCase):
+    def test_a_family_has_a_home_in_each_region_and_stays_in_its_callers(self) -> None:
+        """With one home in the whole fleet half of all prompts crossed the link."""
+        replicas = fleet_of(12, ZONES)
+        for number in range(20):
+            family = f"f{number}"
+            homes: dict[str, set[str]] = {}
+            for zone in ZONES:
+                chosen = place(replicas, family=family, zone=zone).replica
+                self.assertFalse(REGIONS.is_far(zone, chosen.listing.zone))
+                homes.setdefault(REGIONS.region_of(zone), set()).add(chosen.replica_id)
+            self.assertEqual({region: len(ids) for region, ids in homes.items()}, {"a": 1, "b": 1})
+
+    def test_prompts_cross_when_their_region_is_behind_and_the_other_is_not(self) -> None:
+        replicas = fleet_of(8, ZONES)
+        for replica in replicas:
+            if replica.listing.zone.startswith("a"):
+                replica.peer_unread_tokens = int(0.4 * READ_RATE)
+        self.assertTrue(place(replicas).replica.listing.zone.startswith("b"))
+
+    def test_a_region_without_replicas_is_served_by_the_other(self) -> None:
+        replicas = fleet_of(8, ("b1", "b2"))
+        self.assertEqual(place(replicas, zone="a1").replica, place(replicas, zone="b1").replica)
+
+    def test_a_task_crosses_only_for_more_than_its_round_trip(self) -> None:
+        replicas = fleet_of(2, ("a1", "b1"))
+        replicas[0].in_flight = 8
+        task = TaskPlacement("a1", 0.0, REGIONS, crossing_s=0.03)
+        near = place_task(task, replicas)
+        assert near is not None
+        self.assertEqual(near.replica.listing.zone, "a1")
+        replicas[0].in_flight = 32
+        far = place_task(task, replicas)
+        assert far is not None
+        self.assertEqual(far.replica.listing.zone, "b1")
+
+
+class CopiesTest(unittest.TestCase):
+    def test_nothing_is_copied_from_another_region_where_reading_is_faster(self) -> None:
+        """Copies between regions take ten times as long and were predicted at twice."""
+        replicas, index = fleet_of(4, ZONES), PartIndex()
+        keys = shared_keys(SCOPE, prompt("f"), 1)
+        for replica in replicas:
+            if replica.listing.zone.startswith("b"):
+                index.note_held(keys, replica.order_hash, 1.0)
+        decision = place(replicas, index)
+        self.assertEqual(REGIONS.region_of(decision.replica.listing.zone), "a")
+        self.assertIsNone(decision.copy_from)
+        self.assertEqual(decision.unread_tokens, prompt("f").prompt_tokens)
+
+    def test_the_nearest_of_several_keepers_is_copied_from(self) -> None:
+        replicas, index = fleet_of(8, ZONES), PartIndex()
+        keys = shared_keys(SCOPE, prompt("f"), 1)
+        home = place(replicas).replica
+        for replica in replicas:
+            if replica is not home:
+                index.note_held(keys, replica.order_hash, 1.0)
+                replica.peer_unread_tokens = 100_000
+        decision = place(replicas, index)
+        self.assertIs(decision.replica, home)
+        assert decision.copy_from is not None
+        self.assertEqual(decision.copy_from.listing.zone, home.listing.zone)
+
+    def test_a_store_is_asked_and_saved_to_in_the_replicas_own_region(self) -> None:
+        replicas = fleet_of(8, ZONES)
+        near, far = fleet_of(1, ("a1",))[0], fleet_of(2, ("a1", "b1"))[1]
+        near.order_hash, far.order_hash = 1, 2
+        both = {"a": CacheStoreChoice(near, COPY_RATE), "b": CacheStoreChoice(far, COPY_RATE)}
+        decision = place(replicas, stores=both)
+        self.assertIs(decision.copy_from, near)
+        self.assertIs(decision.save_to, near)
+        alone = place(replicas, stores={"b": CacheStoreChoice(far, COPY_RATE)})
+        self.assertIsNone(alone.copy_from)
+        self.assertIsNone(alone.save_to)
+
+    def test_each_region_has_a_home_for_a_family_among_its_own_stores(self) -> None:
+        zones = {"k1": "a1", "k2": "a2", "k3": "b1"}
+        services = [
+            Service(name, store=CacheStore(f"{name}:1", zone, 1000)) for name, zone in zones.items()
+        ]
+        engine = EngineProfile(12, 90_000, 327_680, 280_000.0, ("m",))
+        settings = RouterSettings("n", "b2", "b", "", "", "", "", regions=REGIONS)
+        state = RouterState(settings, lambda: 0.0, random.Random(1))
+        state.install_table(RoutingTable(1, [], [Service("s", engine=engine), *services]), 1)
+        homes = [state.store_choices("s", prompt(f"f{number}")) for number in range(40)]
+        self.assertEqual({choices["b"].store.listing.address for choices in homes}, {"k3:1"})
+        self.assertEqual(
+            {choices["a"].store.listing.address for choices in homes}, {"k1:1", "k2:1"}
+        )
+
+
+class RegionDelayTest(unittest.TestCase):
+    def test_the_charge_for_crossing_follows_what_replies_take(self) -> None:
+        delay = RegionDelay()
+        for _ in range(100):
+            delay.note_reply(0.2)
+        self.assertAlmostEqual(delay.round_trip_s, 0.2, places=2)
+        self.assertGreater(delay.prompt_crossing_s, 0.5)
+
+    def test_one_late_reply_moves_it_little(self) -> None:
+        delay = RegionDelay()
+        delay.note_reply(30.0)
+        self.assertLess(delay.round_trip_s, 1.5 * PRIOR_ROUND_TRIP_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -7,6 +7,8 @@
 
 from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.part_index import PartIndex, part_key
+from winchfork.core.placement_request import CacheStoreChoice, PromptPlacement
+from winchfork.core.prompt_cost import spread_cost_s
 from winchfork.core.prompt_parts import CacheScope, Prompt, PromptPart
 from winchfork.core.relay_fleet import (
     EJECTION_S,
@@ -15,13 +17,9 @@
     RelayReplica,
     ReplicaListing,
 )
-from winchfork.core.relay_placement import (
-    PromptPlacement,
-    place_prompt,
-    place_task,
-    spread_cost_s,
-)
+from winchfork.core.relay_placement import place_prompt
 from winchfork.core.rendezvous import member_hash
+from winchfork.core.task_placement import TaskPlacement, place_task
 
 SCOPE = CacheScope.of("t", False, "m")
 COPY_RATE = 800_000.0
@@ -52,6 +50,13 @@
     return decision.replica
 
 
+def store_choices(
+    store: RelayReplica, tokens_per_s: float = COPY_RATE
+) -> dict[str, CacheStoreChoice]:
+    """Return the store as the one of the only region."""
+    return {"": CacheStoreChoice(store, tokens_per_s)}
+
+
 class EvidenceTest(unittest.TestCase):
     def test_one_event_that_breaks_many_requests_ejects_once(self) -> None:
         """Twenty streams cut by one reset left a sound replica alone for eight seconds."""
@@ -203,15 +208,17 @@
         replicas, index = fleet_of(3), PartIndex()
         store = fleet_of(9)[8]
         request = prompt("f")
-        placement = PromptPlacement(request, SCOPE, "z1", copy_tokens_per_s=COPY_RATE, store=store)
+        placement = PromptPlacement(
+            request, SCOPE, "z1", copy_tokens_per_s=COPY_RATE, stores=store_choices(store)
+        )
         first = place_prompt(placement, replicas, [*replicas, store], index)
         assert first is not None
-        self.assertTrue(first.save)
+        self.assertIs(first.save_to, store)
         keys = [part_key(SCOPE.namespace(1), part) for part in request.shared]
         index.note_held(keys, store.order_hash, 1.0)
         second = place_prompt(placement, replicas, [*replicas, store], index)
         assert second is not None
-        self.assertFalse(second.save)
+        self.assertIsNone(second.save_to)
         self.assertIs(second.copy_from, store)
 
     def test_long_answers_gather_and_large_prompts_stay_away_from_them(self) -> None:
@@ -238,25 +245,25 @@
     def test_nothing_is_placed_without_candidates(self) -> None:
         placement = PromptPlacement(prompt("f"), SCOPE, "z1")
         self.assertIsNone(place_prompt(placement, [], [], PartIndex()))
-        self.assertIsNone(place_task("z1", [], 0.0))
+        self.assertIsNone(place_task(TaskPlacement("z1", 0.0), []))
 
 
 class TaskPlacementTest(unittest.TestCase):
     def test_near_first_and_the_busy_and_the_slow_are_avoided(self) -> None:
         replicas = fleet_of(3, ("z1", "z2", "z3"))
-        near = place_task("z1", replicas, 100.0)
+        near = place_task(TaskPlacement("z1", 100.0), replicas)
         assert near is not None
         self.assertEqual(near.replica.listing.zone, "z1")
         near.replica.in_flight = 16
-        busy = place_task("z1", replicas, 100.0)
+        busy = place_task(TaskPlacement("z1", 100.0), replicas)
         assert busy is not None
         self.assertNotEqual(busy.replica.listing.zone, "z1")
         near.replica.in_flight = 0
         near.replica.note_success(0.8, 100.0)
-        slow = place_task("z1", replicas, 100.5)
+        slow = place_task(TaskPlacement("z1", 100.5), replicas)
         assert slow is not None
         self.assertNotEqual(slow.replica.listing.zone, "z1")
-        again = place_task("z1", replicas, 110.0)
+        again = place_task(TaskPlacement("z1", 110.0), replicas)
         assert again is not None
         self.assertEqual(again.replica.listing.zone, "z1")
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -117,8 +117,9 @@
                 Prompt("m", (PromptPart(f"f{number}", 9), PromptPart("own", 9)), 18)
                 for number in range(90)
             ]
-            stores = [state.cache_store_of(family) for family in families]
-            homes.append([store.listing.address if store else "" for store in stores])
+            regions = state.settings.regions
+            stores = [state.cache_stores.homes_of(family, regions)[""] for family in families]
+            homes.append([store.listing.address for store in stores])
         self.assertEqual(homes[0], homes[1])
         self.assertEqual(len(set(homes[0])), 3)
         self.assertLess(max(Counter(homes[0]).values()), 45)
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -16,7 +16,7 @@
     stream_head,
 )
 from tests.test_relay_path import RelayTestCase
-from winchfork.core.relay_placement import worth_moving
+from winchfork.core.prompt_cost import worth_moving
 from winchfork.core.routing import RouteKind
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 
--- /dev/null
+++ b/winchfork/core/task_placement.py
@@ -0,0 +1,54 @@
+"""Which replica serves a request that has no prompt: the one expected to answer first."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+import msgspec
+
+from winchfork.core.placement_request import RelayDecision
+from winchfork.core.prompt_cost import OTHER_ZONE_COST_S
+from winchfork.core.region_map import Distance, RegionMap
+from winchfork.core.relay_fleet import RelayReplica
+
+#: A latency measured longer ago than this is no longer held against a replica.
+LATENCY_MEMORY_S = 3.0
+#: Latency assumed of a replica that has not been measured lately.
+DEFAULT_LATENCY_S = 0.05
+
+
+class TaskPlacement(msgspec.Struct, frozen=True):
+    """A request without a prompt, at a daemon in ``zone``.
+
+    ``crossing_s`` is the charge for a replica in another region.
+    """
+
+    zone: str
+    now_s: float
+    regions: RegionMap = RegionMap()
+    crossing_s: float = 0.0
+
+
+def place_task(request: TaskPlacement, candidates: Sequence[RelayReplica]) -> RelayDecision | None:
+    """Return the candidate expected to answer first, or None without candidates."""
+    best: RelayDecision | None = None
+    for replica in candidates:
+        cost_s = _task_cost_s(request, replica)
+        if best is None or cost_s < best.cost_s:
+            best = RelayDecision(replica, 0, 0, cost_s, len(candidates))
+    return best
+
+
+def _task_cost_s(request: TaskPlacement, replica: RelayReplica) -> float:
+    measured = request.now_s - replica.latency_at_s < LATENCY_MEMORY_S and replica.latency_s > 0
+    latency_s = replica.latency_s if measured else DEFAULT_LATENCY_S
+    work = replica.running
+    slots = max(1, replica.listing.slots)
+    cost_s = latency_s * (1.0 + work / slots + max(0.0, math.ceil((work + 1 - slots) / slots)))
+    distance = request.regions.distance(request.zone, replica.listing.zone)
+    if distance is Distance.SAME_REGION:
+        cost_s += OTHER_ZONE_COST_S
+    elif distance is Distance.OTHER_REGION:
+        cost_s += request.crossing_s
+    return cost_s
--- a/winchfork/platform/settings.py
+++ b/winchfork/platform/settings.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+from winchfork.core.region_map import RegionMap
 from winchfork.core.tenant_quota import QuotaTolerance
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
@@ -61,7 +62,7 @@
         store_address=fields.address("Platform.Address"),
         metrics_address=f"{machine_ip}:{_METRICS_PORT}",
         peer_ports=fields.ports("InternalPorts"),
-        zones=fields.names_under("Zones."),
+        regions=RegionMap(fields.table("Zones.")),
         seeds=tuple(filter(None, fields.text("Seeds", "").split(","))),
         link_mbps=int(fields.number("Limits.LinkMbps", 0)),
         store_min_lease_s=fields.seconds("Platform.ttl_min_ms", 1_000),
@@ -122,11 +123,13 @@
             return (0, 0)
         return int(first), int(last)
 
-    def names_under(self, prefix: str) -> tuple[str, ...]:
-        """Return the names of a table's keys, sorted."""
-        return tuple(
-            sorted(key.removeprefix(prefix) for key in self._values if key.startswith(prefix))
-        )
+    def table(self, prefix: str) -> dict[str, str]:
+        """Return a table's values by name."""
+        return {
+            key.removeprefix(prefix): value
+            for key, value in self._values.items()
+            if key.startswith(prefix)
+        }
 
     def _note(self, key: str, problem: str, remedy: str) -> None:
         if self.problem is None:
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -6,17 +6,13 @@
 
 from winchfork.core.engine_speed import EngineSpeed
 from winchfork.core.part_index import part_key, shared_keys
+from winchfork.core.placement_request import PromptPlacement, RelayDecision
+from winchfork.core.prompt_cost import spread_cost_s, worth_moving
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_fleet import RelayReplica
-from winchfork.core.relay_placement import (
-    PromptPlacement,
-    RelayDecision,
-    place_prompt,
-    place_task,
-    spread_cost_s,
-    worth_moving,
-)
+from winchfork.core.relay_placement import place_prompt
 from winchfork.core.rendezvous import member_hash
+from winchfork.core.task_placement import TaskPlacement, place_task
 from winchfork.core.urgency import urgency_level
 from winchfork.router.attempt import AttemptPlan
 from winchfork.router.dialect import Dialect, DispatchFields
@@ -46,7 +42,7 @@
         self._admitted = admitted
         self._service = service
         self._prompt = admitted.fields.prompt
-        self._store = state.cache_store_of(self._prompt) if self._prompt else None
+        self._stores = state.store_choices(service, self._prompt) if self._prompt else {}
 
     @property
     def _speed(self) -> EngineSpeed:
@@ -56,15 +52,16 @@
         """Return the best replica that was not tried yet, or None when none takes work."""
         candidates = self._state.available(self._service, tried, self._prompt)
         now_s = self._state.clock()
-        zone = self._state.settings.zone
+        settings = self._state.settings
+        delay = self._state.region_delay
         if self._prompt is None:
-            return place_task(zone, candidates, now_s)
-        store = self._store
+            task = TaskPlacement(settings.zone, now_s, settings.regions, delay.task_crossing_s)
+            return place_task(task, candidates)
         read_tokens_per_s = self._speed.read_tokens_per_s
         request = PromptPlacement(
             prompt=self._prompt,
             scope=self._scope(self._prompt),
-            zone=zone,
+            zone=settings.zone,
             now_s=now_s,
             run_s=self._prompt.output_tokens * self._state.token_s,
             copy_tokens_per_s=self._state.copy_tokens_per_s(self._service),
@@ -73,12 +70,14 @@
             spread_s=spread_cost_s(self._prompt, self._state.daemons, read_tokens_per_s),
             spread_key=member_hash(self._admitted.fields.request_id),
             old_versions=self._old_versions(self._prompt.model, candidates),
-            store=store,
+            stores=self._stores,
             gap_target_s=self._admitted.route.gap_target_s,
             read_tokens_per_s=read_tokens_per_s,
-            store_tokens_per_s=self._state.copy_tokens_per_s(self._service, store),
+            regions=settings.regions,
+            crossing_s=delay.prompt_crossing_s,
         )
-        sources = [*self._state.fleet.of_service(self._service), *([store] if store else [])]
+        stores = [choice.store for choice in self._stores.values()]
+        sources = [*self._state.fleet.of_service(self._service), *stores]
         return place_prompt(request, candidates, sources, self._state.parts)
 
     def expected_wait_s(self) -> float | None:
@@ -145,7 +144,7 @@
     ) -> DispatchFields:
         prompt = self._prompt
         tenant = self._admitted.tenant
-        store = self._store
+        save_to = decision.save_to
         return DispatchFields(
             deadline_s=time_left_s,
             replica_id=decision.replica.replica_id,
@@ -155,7 +154,7 @@
             weights_version=version,
             resume_after=resume_after,
             copy_from=decision.copy_from.listing.address if decision.copy_from else None,
-            save_to=store.listing.address if store and decision.save else None,
+            save_to=save_to.listing.address if save_to else None,
         )
 
     def _urgency(self, decision: RelayDecision) -> int:
@@ -188,7 +187,7 @@
         alone = not replica.queued_tokens and self._is_read_whole(decision)
 
         def note() -> None:
-            self._note_kept(replica, version, decision.save)
+            self._note_kept(replica, version, decision.save_to)
             if alone:
                 took_s = self._state.clock() - sent_s
                 self._speed.note_first_token(decision.unread_tokens, took_s)
@@ -202,13 +201,14 @@
         shared_tokens = self._prompt.shared_tokens if self._prompt else 0
         return decision.copy_from is None or decision.kept_tokens == shared_tokens
 
-    def _note_kept(self, replica: RelayReplica, version: int | None, saved: bool) -> None:
+    def _note_kept(
+        self, replica: RelayReplica, version: int | None, saved_to: RelayReplica | None
+    ) -> None:
         """The prompt has been read: its shared parts are kept there, and in the store if saved."""
         prompt = self._prompt
         if prompt is None or version is None:
             return
         keys = shared_keys(self._scope(prompt), prompt, version)
         self._state.note_kept(replica, keys)
-        store = self._store
-        if saved and store is not None:
-            self._state.note_kept(store, keys)
+        if saved_to is not None:
+            self._state.note_kept(saved_to, keys)
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -265,6 +265,9 @@
 
         It counts only here if everything up to the peer's revision is known here as well.
         """
+        settings = self._state.settings
+        if settings.regions.is_far(settings.zone, sender.zone):
+            self._state.region_delay.note_reply(self._loop.time() - asked_s)
         if len(revisions) != 2:
             return
         if revisions[0] > self._state.store_revision:
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -10,8 +10,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from winchfork.core.placement_request import RelayDecision
 from winchfork.core.relay_fleet import RelayReplica
-from winchfork.core.relay_placement import RelayDecision
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
 from winchfork.router.attempt import Attempt, AttemptPlan
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from winchfork.core.relay_placement import RelayDecision
+from winchfork.core.placement_request import RelayDecision
 from winchfork.core.routing import Route
 from winchfork.errors import RunState
 from winchfork.logs import log_event
@@ -61,7 +61,7 @@
             unread=decision.unread_tokens,
             family=family,
             copy_from=decision.copy_from.replica_id if decision.copy_from else None,
-            save=decision.save or None,
+            save_to=decision.save_to.replica_id if decision.save_to else None,
             weights=plan.weights_version,
             in_flight=decision.replica.in_flight,
             left_s=left_s,
--- a/winchfork/router/settings.py
+++ b/winchfork/router/settings.py
@@ -4,8 +4,11 @@
 
 import msgspec
 
+from winchfork.core.region_map import RegionMap
 from winchfork.core.tenant_quota import QuotaTolerance
 
+_NO_REGIONS = RegionMap()
+
 
 class RouterBounds(msgspec.Struct, frozen=True):
     """The deployment's promises in figures.
@@ -41,7 +44,8 @@
     store_address: str
     metrics_address: str = ""
     peer_ports: tuple[int, int] = (0, 0)
-    zones: tuple[str, ...] = ()
+    #: The zones of the deployment and the region of each.
+    regions: RegionMap = _NO_REGIONS
     seeds: tuple[str, ...] = ()
     store_min_lease_s: float = 1.0
     #: What the machine's link carries, in megabits a second; 0 where it is not known.
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -12,15 +12,17 @@
 from winchfork.core.freshness import Freshness
 from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.part_index import PartIndex
+from winchfork.core.placement_request import CacheStoreChoice
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.quota_book import QuotaBook
-from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing
-from winchfork.core.rendezvous import member_hash, mixed_order
+from winchfork.core.region_delay import RegionDelay
+from winchfork.core.relay_fleet import RelayFleet, RelayReplica
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.weight_rollout import PRIOR_LOAD_S, VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
+from winchfork.router.cache_stores import CacheStores
 from winchfork.router.dialect import RequestFields
 from winchfork.router.http_types import IncomingRequest
 from winchfork.router.metrics import RouterMetrics
@@ -83,9 +85,8 @@
         #: Replicas missing from the list since an outage, with the time until which they are kept.
         self.vanished: dict[str, float] = {}
         self.fleet = RelayFleet()
-        #: The stores of kept cache by address, as further sources of copies; never sent a request.
-        self._cache_stores: dict[str, RelayReplica] = {}
-        self._store_link_mbps: dict[str, float] = {}
+        self.cache_stores = CacheStores()
+        self.region_delay = RegionDelay()
         self.parts = PartIndex()
         #: What this daemon has learned of kept parts and has not told its peers yet.
         self.kept_news = KeptBacklog()
@@ -122,35 +123,19 @@
             return False
         self.table = table
         self.table_revision = revision
-        self._install_cache_stores(table)
+        self.cache_stores.install(table)
         limits = {item.name: item.limit for item in table.tenants if item.limit is not None}
         self.quotas.install(limits, self.clock())
         self.splits.forget_except(table.routes)
         return True
 
-    def _install_cache_stores(self, table: RoutingTable) -> None:
-        known = self._cache_stores
-        self._cache_stores = {}
-        self._store_link_mbps = {store.address: store.link_mbps for store in table.cache_stores()}
-        for store in table.cache_stores():
-            listing = ReplicaListing(store.address, "", store.address, store.zone, 0, False)
-            kept = known.get(store.address)
-            self._cache_stores[store.address] = kept or RelayReplica(
-                listing, {}, member_hash(store.address)
-            )
-
-    def cache_store_of(self, prompt: Prompt) -> RelayReplica | None:
-        """Return the store that keeps a prompt's family; None where there are no stores.
-
-        Each family has one home among the stores, the same on every daemon, and the stores' memory
-        and links add up.
-        """
-        family_hash = member_hash(prompt.family)
-        return min(
-            self._cache_stores.values(),
-            key=lambda store: mixed_order(family_hash, store.order_hash),
-            default=None,
-        )
+    def store_choices(self, service: str, prompt: Prompt) -> dict[str, CacheStoreChoice]:
+        """Return the store that keeps a prompt's family in each region that has one."""
+        homes = self.cache_stores.homes_of(prompt, self.settings.regions)
+        return {
+            region: CacheStoreChoice(store, self.copy_tokens_per_s(service, store))
+            for region, store in homes.items()
+        }
 
     @property
     def keys_fresh(self) -> bool:
@@ -342,9 +327,7 @@
             return 0.0
         link_mbps = engine.link_mbps
         if store is not None:
-            link_mbps = min(
-                link_mbps, self._store_link_mbps.get(store.listing.address, 0.0) or link_mbps
-            )
+            link_mbps = self.cache_stores.link_mbps(store, link_mbps)
         return link_mbps * BYTES_PER_S_PER_MBPS / engine.token_bytes
 
     def cache_tokens(self, service: str) -> int:
