Let speakers tell what crosses between regions; watch and lead beside the store

The watchers of the store and the leader were picked without knowing where the store stands.

Change: FleetView knows regions; two first hubs of a region are its speakers. They exchange the sum over their regions every 0.2 s, mostly what has changed (router/region_exchange.py, work_totals.py), and pass on what concerns everybody once. Kept parts are told within a region only: they are read again faster than copied across. A daemon announces how long a connection to the store took to come up; watchers are chosen, and leaders campaign, in the region that is clearly nearest. Hubs of another region ask their speakers how current these are. Weighed: zones' messages relayed as they are (three times the bytes), one speaker (news lost for two seconds with it).

--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -9,6 +9,7 @@
 
 from tests.memory_store import MemoryStore
 from tests.virtual_loop import run_virtually
+from winchfork.core.region_map import RegionMap
 from winchfork.core.relay_fleet import ReplicaListing
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform.documents import PlatformDocuments
@@ -69,12 +70,15 @@
         self.groups: dict[str, PeerGroup] = {}
         self.delay_s = 0.002
         self.drop: Callable[[str, str], bool] = lambda sender, receiver: False
+        #: Told of each datagram that is sent: the sender's and the receiver's IP, and its bytes.
+        self.on_sent: Callable[[str, str, bytes], None] = lambda sender, receiver, data: None
 
     def transport(self, sender: str) -> Any:
         network = self
 
         class Transport:
             def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+                network.on_sent(sender, address[0], data)
                 if network.drop(sender, address[0]) or address[0] not in network.groups:
                     return
                 group = network.groups[address[0]]
@@ -94,6 +98,7 @@
         zone: str = "z1",
         store: MemoryStore | None = None,
         bounds: RouterBounds | None = None,
+        regions: RegionMap | None = None,
     ) -> None:
         self.ip = f"10.0.{number // 256}.{number % 256}"
         settings = RouterSettings(
@@ -107,6 +112,7 @@
             peer_ports=(7000, 7010),
             seeds=("10.0.0.1:99",),
             bounds=bounds or RouterBounds(),
+            regions=regions or RegionMap(),
         )
         loop = asyncio.get_running_loop()
         self.state = RouterState(settings, loop.time, random.Random(number))
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -55,6 +55,8 @@
     status: MemberStatus = MemberStatus.ALIVE
     #: Megabits a second; 0 where it is not known.
     link_mbps: int = 0
+    #: Milliseconds for a connection to the platform's store to come up; 0 until one has.
+    store_delay_ms: int = 0
 
     def supersedes(self, other: Member) -> bool:
         """Tell whether this record is newer than ``other``."""
@@ -171,6 +173,13 @@
         """Announce a planned stop: the record spreads with the next messages."""
         self._replace_own(msgspec.structs.replace(self.own, status=MemberStatus.LEAVING))
 
+    def tell_store_delay(self, delay_ms: int) -> None:
+        """Announce how far this daemon is from the platform's store."""
+        incarnation = self.own.incarnation + 1
+        self._replace_own(
+            msgspec.structs.replace(self.own, store_delay_ms=delay_ms, incarnation=incarnation)
+        )
+
     def join(self, now_s: float) -> list[Outgoing]:
         """Probe every seed at once, at the start: the replies bring members and documents."""
         return [self._probe("", seed, now_s) for seed in self._seeds]
--- a/winchfork/core/zone_hubs.py
+++ b/winchfork/core/zone_hubs.py
@@ -6,6 +6,11 @@
 those say. Two of the hubs watch the platform's store for all. A wrong view of who is a hub costs
 messages or a moment's ignorance, never a promise.
 
+Where zones lie in several regions, what a hub tells other zones stays in its region. The region's
+two first hubs, its speakers, exchange with those of other regions what concerns all, and pass on
+what they hear: so each piece of news crosses the link between two regions once or twice, however
+many zones and daemons there are on either side.
+
 A hub sends every message of its zone to each of its daemons, several hundred kilobytes a second
 where there are some eighty daemons. So the daemons with the best links are hubs: through a link of
 5 Mbit/s the news that decides placements comes late, and the hub's own callers wait with it.
@@ -18,6 +23,7 @@
 from collections.abc import Sequence
 
 from winchfork.core.membership import Member, MemberStatus
+from winchfork.core.region_map import RegionMap
 from winchfork.core.rendezvous import rendezvous_score
 
 #: Two, so that the loss of one leaves the zone informed.
@@ -25,6 +31,11 @@
 #: Hubs of different zones that watch the platform's store for the whole fleet: two, for the same
 #: reason. Every watcher is woken by every change, and each call has a price, whatever the fleet.
 WATCHERS = 2
+#: Hubs of a region that speak with other regions: two, for the same reason.
+SPEAKERS_PER_REGION = 2
+#: Delays to the store that differ by less than this, in milliseconds, count as equal: those of the
+#: zones of one region, as against those of another region.
+STORE_DELAY_STEP_MS = 8
 #: Up to this many daemons, each tells every other.
 MOST_DIRECT_MEMBERS = 13
 
@@ -39,9 +50,12 @@
     own: Member
     members: tuple[Member, ...]
     hubs: dict[str, tuple[Member, ...]]
+    regions: RegionMap = RegionMap()
 
     @classmethod
-    def of(cls, own: Member, members: Sequence[Member]) -> FleetView:
+    def of(
+        cls, own: Member, members: Sequence[Member], regions: RegionMap | None = None
+    ) -> FleetView:
         """Choose each zone's hubs: those that answer, the best links first, then by rendezvous."""
         by_zone: dict[str, list[Member]] = {}
         for member in members:
@@ -50,7 +64,7 @@
             zone: tuple(sorted(zone_members, key=_hub_order)[:HUBS_PER_ZONE])
             for zone, zone_members in by_zone.items()
         }
-        return cls(own, tuple(members), hubs)
+        return cls(own, tuple(members), hubs, regions or RegionMap())
 
     @functools.cached_property
     def direct(self) -> bool:
@@ -73,18 +87,51 @@
         if self.direct:
             return self.members
         first_hubs = sorted((hubs[0] for hubs in self.hubs.values()), key=_watcher_order)
-        second_hubs = [hub for hubs in self.hubs.values() for hub in hubs[1:]]
-        return tuple([*first_hubs, *second_hubs][:WATCHERS])
+        second_hubs = sorted(
+            (hub for hubs in self.hubs.values() for hub in hubs[1:]), key=_watcher_order
+        )
+        nearest_first = sorted(
+            [*first_hubs, *second_hubs],
+            key=lambda hub: (hub.status is not MemberStatus.ALIVE, not self._is_near(hub)),
+        )
+        return tuple(nearest_first[:WATCHERS])
 
     @functools.cached_property
     def is_watcher(self) -> bool:
         """Whether this daemon watches the store."""
         return any(watcher.member_id == self.own.member_id for watcher in self.watchers)
 
+    @functools.cached_property
+    def is_near_store(self) -> bool:
+        """Whether no region is clearly nearer to the store than this daemon's."""
+        return self._is_near(self.own)
+
+    def _is_near(self, member: Member) -> bool:
+        return self._store_region in (None, self.regions.region_of(member.zone))
+
+    @functools.cached_property
+    def _store_region(self) -> str | None:
+        """The region that is clearly the nearest to the store; None where none is known to be."""
+        nearest: dict[str, int] = {}
+        for hub in (hub for hubs in self.hubs.values() for hub in hubs):
+            if hub.status is MemberStatus.ALIVE and hub.store_delay_ms:
+                region = self.regions.region_of(hub.zone)
+                nearest[region] = min(hub.store_delay_ms, nearest.get(region, hub.store_delay_ms))
+        order = sorted(nearest, key=lambda region: nearest[region])
+        if len(order) < 2 or nearest[order[1]] - nearest[order[0]] < STORE_DELAY_STEP_MS:
+            return None
+        return order[0]
+
     @functools.cached_property
     def informants(self) -> tuple[Member, ...]:
-        """The daemons whose proofs this one relies on: hubs ask watchers, others their hubs."""
-        nearer = self.watchers if self.is_hub else self.own_hubs
+        """The daemons whose proofs this one relies on: hubs ask watchers, others their hubs.
+
+        Hubs of a region without a watcher ask its speakers, and only those ask across the link.
+        """
+        nearer = self.own_hubs
+        if self.is_hub:
+            watched = any(not self._is_far(watcher) for watcher in self.watchers)
+            nearer = self.watchers if watched or self.is_speaker else self.speakers
         return tuple(member for member in nearer if member.member_id != self.own.member_id)
 
     @functools.cached_property
@@ -105,10 +152,51 @@
 
     @functools.cached_property
     def far_hubs(self) -> tuple[Member, ...]:
-        """The hubs of every other zone."""
+        """The hubs of every other zone, whatever its region."""
         zones = [zone for zone in self.hubs if zone != self.own.zone]
         return tuple(hub for zone in zones for hub in self.hubs[zone])
 
+    @functools.cached_property
+    def near_hubs(self) -> tuple[Member, ...]:
+        """The hubs of the other zones of this daemon's region."""
+        return tuple(hub for hub in self.far_hubs if not self._is_far(hub))
+
+    @functools.cached_property
+    def speakers(self) -> tuple[Member, ...]:
+        """The hubs that speak for this daemon's region, the first before its successor."""
+        return self._speakers_of(self.regions.region_of(self.own.zone))
+
+    @functools.cached_property
+    def is_speaker(self) -> bool:
+        """Whether this daemon is one of its region's speakers."""
+        return any(speaker.member_id == self.own.member_id for speaker in self.speakers)
+
+    @functools.cached_property
+    def far_speakers(self) -> tuple[Member, ...]:
+        """The speakers of every other region."""
+        own_region = self.regions.region_of(self.own.zone)
+        regions = self.regions.regions_among(zone for zone in self.hubs if zone)
+        far = [region for region in regions if region != own_region]
+        return tuple(speaker for region in far for speaker in self._speakers_of(region))
+
+    def is_far_daemon(self, member_id: str) -> bool:
+        """Whether a daemon is known to be of another region."""
+        return any(member.member_id == member_id for member in self._far_members)
+
+    @functools.cached_property
+    def _far_members(self) -> tuple[Member, ...]:
+        return tuple(member for member in self.members if self._is_far(member))
+
+    def _is_far(self, member: Member) -> bool:
+        return self.regions.is_far(self.own.zone, member.zone)
+
+    def _speakers_of(self, region: str) -> tuple[Member, ...]:
+        """Return the first hubs of a region's zones: each speaks for its zone already."""
+        zones = [zone for zone in self.hubs if self.regions.region_of(zone) == region]
+        first = sorted((self.hubs[zone][0] for zone in zones), key=_speaker_order)
+        second = [hub for zone in zones for hub in self.hubs[zone][1:]]
+        return tuple([*first, *second][:SPEAKERS_PER_REGION])
+
 
 _Order = tuple[bool, int, int, str]
 
@@ -121,6 +209,10 @@
     return _order(member, member.zone)
 
 
+def _speaker_order(member: Member) -> _Order:
+    return _order(member, "speaker")
+
+
 def _order(member: Member, duty: str) -> _Order:
     doubted = member.status is not MemberStatus.ALIVE
     score = rendezvous_score(duty, member.member_id)
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -34,6 +34,8 @@
         self._idle: dict[str, list[ReplicaConnection]] = {}
         self._open: dict[str, int] = {}
         self.counters = PoolCounters()
+        #: Seconds in which the quickest connection to each address has come up.
+        self.connect_s: dict[str, float] = {}
 
     async def acquire(self, address: str, limit: int) -> ReplicaConnection | Failure:
         """Return a connection that no exchange uses; nothing has been sent on a failure."""
@@ -65,6 +67,7 @@
         host, _, port = address.rpartition(":")
         self._open[address] = self._open.get(address, 0) + 1
         lost = False
+        asked_s = self._loop.time()
 
         def on_idle(connection: ReplicaConnection) -> None:
             nonlocal lost
@@ -89,6 +92,8 @@
             self._forget(address)
             raise
         self.counters.opened += 1
+        took_s = self._loop.time() - asked_s
+        self.connect_s[address] = min(took_s, self.connect_s.get(address, took_s))
         return connection
 
     def _forget(self, address: str) -> None:
--- a/winchfork/router/document_relay.py
+++ b/winchfork/router/document_relay.py
@@ -15,6 +15,7 @@
 
 from winchfork.core.document_table import DocumentTable, TableUpdate
 from winchfork.core.membership import Member
+from winchfork.core.zone_hubs import SPEAKERS_PER_REGION
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.router.document_parts import PartCollector, split_update
@@ -81,18 +82,31 @@
 
     @property
     def may_lead(self) -> bool:
-        """Whether this daemon is near enough to the store to campaign: a hub, or on its own."""
+        """Whether this daemon is near enough to the store to campaign: a hub, or on its own.
+
+        A leader's renewals, orders and writes are calls to the store, or to replicas beside it.
+        """
         view = self._peers.view
-        return view.direct or view.is_hub or not self.informed
+        return view.direct or (view.is_hub and view.is_near_store) or not self.informed
 
     def push(self, update: TableUpdate) -> None:
-        """Tell other hubs and the daemons of this zone what the store has said; hubs alone do."""
-        view = self._peers.view
-        self._send(update, (*view.far_hubs, *view.zone_others))
+        """Tell other hubs and the daemons of this zone what the store has said; hubs alone do.
 
-    def _pass_on(self, update: TableUpdate) -> None:
-        """Tell the daemons of this zone what another hub has told."""
-        self._send(update, self._peers.view.zone_others)
+        Each watcher tells one of another region's two speakers: that is once for each watcher, and
+        either of them is enough.
+        """
+        view = self._peers.view
+        own_id = view.own.member_id
+        watcher_ids = [watcher.member_id for watcher in view.watchers]
+        turn = watcher_ids.index(own_id) if own_id in watcher_ids else 0
+        told = view.far_speakers[turn % SPEAKERS_PER_REGION :: SPEAKERS_PER_REGION]
+        self._send(update, (*view.near_hubs, *told, *view.zone_others))
+
+    def _pass_on(self, update: TableUpdate, sender_id: str) -> None:
+        """Tell this zone what another hub has told, and this region what another region has."""
+        view = self._peers.view
+        region_hubs = view.near_hubs if view.is_far_daemon(sender_id) else ()
+        self._send(update, (*region_hubs, *view.zone_others))
 
     def _send(self, update: TableUpdate, receivers: Sequence[Member]) -> None:
         if not self.feeds_others or not update.items:
@@ -123,7 +137,7 @@
             whole = self._documents.take_update(update)
             outcome = "whole" if whole else "with_a_gap"
             self._state.metrics.updates_relayed.labels(outcome).inc()
-            self._pass_on(update)
+            self._pass_on(update, part.sender_id)
 
     def _pull(self, address: str, revision: int) -> None:
         now_s = self._state.clock()
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -115,10 +115,37 @@
     levels: QuotaLevels | None = None
 
 
+class ZoneUse(PeerMessage, frozen=True):
+    """What a zone's daemons have used of the tenants' quotas, in the words of one of its hubs."""
+
+    sender_id: str
+    zone: str
+    quota: QuotaReport | None = None
+    levels: QuotaLevels | None = None
+
+
+class RegionWork(PeerMessage, frozen=True):
+    """What a region's daemons do together, from one of its speakers to those of other regions.
+
+    One that is not ``complete`` tells only the replicas whose work has changed. Speakers pass it on
+    to the hubs of their region.
+    """
+
+    sender_id: str
+    region: str
+    complete: bool
+    loads: tuple[ReplicaLoadNote, ...]
+    uses: tuple[ZoneUse, ...] = ()
+
+
 class Forward(PeerMessage, frozen=True):
-    """A datagram that a hub is to take in and to pass on to the daemons of its zone."""
+    """A datagram that a hub is to take in and to pass on to the daemons of its zone.
+
+    One for the ``whole_region`` is passed on to the hubs of the region's other zones as well.
+    """
 
     datagram: bytes
+    whole_region: bool = False
 
 
 class DocumentPull(PeerMessage, frozen=True):
@@ -156,4 +183,5 @@
     DocumentPull,
     DocumentPart,
     Accusation,
+    RegionWork,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -13,12 +13,14 @@
     DocumentPull,
     FleetWork,
     NamedVersions,
+    RegionWork,
     Resignation,
     RolloutProgress,
     ZoneWork,
 )
 from winchfork.router.peers import PeerGroup
 from winchfork.router.quota_exchange import QuotaExchange
+from winchfork.router.region_exchange import RegionExchange
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
 from winchfork.router.version_news import VersionNews
@@ -30,11 +32,14 @@
 ) -> VersionNews:
     """Connect a process's parts to its peers; return what tells them of weights."""
     call_later = asyncio.get_running_loop().call_later
-    work = WorkExchange(state, peers, call_later, QuotaExchange(state, peers))
+    quotas = QuotaExchange(state, peers)
+    regions = RegionExchange(state, peers, quotas)
+    work = WorkExchange(state, peers, call_later, quotas, regions)
     news = VersionNews(state, peers)
     relay = DocumentRelay(state, peers, sync, call_later)
     peers.handle(Activity, work.take_activity)
     peers.handle(ZoneWork, work.take_zone)
+    peers.handle(RegionWork, work.take_region)
     peers.handle(FleetWork, work.take_fleet)
     peers.handle(RolloutProgress, news.take_rollout)
     peers.handle(NamedVersions, news.take_named)
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -14,6 +14,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
+import xxhash
+
 from winchfork.cluster.wire import PeerCodec
 from winchfork.constants import HEARTBEAT_PERIOD_S
 from winchfork.core.membership import (
@@ -50,6 +52,10 @@
 #: Peer addresses kept in parsed form: more than the target size of 420 daemons.
 _KNOWN_ADDRESSES = 1024
 
+#: Seconds in which a datagram that comes again is the copy that another hub has passed on. What is
+#: told anew in the same words, such as an accusation, comes a second or more later.
+_FORWARD_MEMORY_S = 0.5
+
 _Message = TypeVar("_Message")
 
 
@@ -90,12 +96,16 @@
         )
         self._transport: asyncio.DatagramTransport | None = None
         self._handlers: dict[type, Callable[[Any], None]] = {}
-        self._view = FleetView.of(own, [own])
+        self._view = FleetView.of(own, [own], settings.regions)
         self._view_changes = -1
         #: Told of each tick: the monotonic time.
         self.on_tick: list[Callable[[float], None]] = []
         #: Told of the address and the store's revision of each peer that answers.
         self.on_revision: Callable[[str, int], None] = lambda address, revision: None
+        #: Digests of what was lately passed on, and when.
+        self._forwarded: dict[int, float] = {}
+        #: Seconds for a connection to the store to come up; None until one has.
+        self.store_delay_s: Callable[[], float | None] = lambda: None
         self.sent_bytes = 0
         self.sent_messages = 0
         self.handle(Probe, self._take_membership)
@@ -124,6 +134,7 @@
             if now_s >= next_hub_probe_s:
                 next_hub_probe_s = now_s + self._informant_period_s
                 self._probe_informant(now_s)
+            self._tell_store_delay()
             self._look_around()
             for listener in self.on_tick:
                 listener(now_s)
@@ -176,11 +187,12 @@
         data = self._codec.encode(message)
         if isinstance(data, Failure):
             return
-        self.send_each(view.far_hubs, Forward(data))
         if view.is_hub:
             self.send_each(view.zone_others, message)
         else:
             self.send_each(view.own_hubs, Forward(data))
+        self.send_each(view.near_hubs, Forward(data))
+        self.send_each(view.far_speakers, Forward(data, whole_region=True))
 
     # asyncio.DatagramProtocol
 
@@ -228,9 +240,15 @@
             return
         self._view_changes = self._membership.changes
         members = self._membership.members()
-        self._view = FleetView.of(self._membership.own, members)
+        self._view = FleetView.of(self._membership.own, members, self._state.settings.regions)
         self._state.daemons = len(members) + _SPARE_DAEMONS
 
+    def _tell_store_delay(self) -> None:
+        """Announce once how far the store is, so that the daemons near it watch it and lead."""
+        delay_s = self.store_delay_s()
+        if delay_s is not None and not self._membership.own.store_delay_ms:
+            self._membership.tell_store_delay(max(1, round(delay_s * 1000)))
+
     def _probe_informant(self, now_s: float) -> None:
         """Ask how current one of those is that keep this daemon informed."""
         view = self._view
@@ -242,17 +260,36 @@
         self._send_all(self._membership.receive(message, self._loop.time()))
 
     def _take_forward(self, message: Forward) -> None:
-        """Take in what another daemon has to say to everybody, and pass it on in this zone."""
+        """Take in what another daemon has to say to everybody, and pass it on in this zone.
+
+        What another region has to say comes to both speakers of this one; once is enough.
+        """
+        if self._was_forwarded(message.datagram):
+            return
         inner = self._codec.decode(message.datagram)
         if isinstance(inner, (Failure, Forward)):
             self._state.metrics.bad_datagrams.inc()
             return
+        if message.whole_region:
+            self.send_each(
+                (*self._view.near_hubs, *self._view.other_own_hubs), Forward(message.datagram)
+            )
         for member in self._view.zone_others:
             self._send_datagram(member.peer_address, message.datagram)
         handler = self._handlers.get(type(inner))
         if handler is not None:
             handler(inner)
 
+    def _was_forwarded(self, datagram: bytes) -> bool:
+        now_s = self._loop.time()
+        for digest in [key for key, at_s in self._forwarded.items() if _is_past(at_s, now_s)]:
+            del self._forwarded[digest]
+        digest = xxhash.xxh3_64_intdigest(datagram)
+        if digest in self._forwarded:
+            return True
+        self._forwarded[digest] = now_s
+        return False
+
     # Proofs that the operators' documents are current
 
     def _own_proof(self) -> tuple[int, ...]:
@@ -274,3 +311,7 @@
             self.on_revision(sender.peer_address, revisions[0])
             return
         self._state.freshness.prove(asked_s - revisions[1] / 1000.0)
+
+
+def _is_past(at_s: float, now_s: float) -> bool:
+    return now_s - at_s > _FORWARD_MEMORY_S
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -87,6 +87,7 @@
         self.service = RouterService(self.state, self._pool, parts.dialect)
         store = parts.make_store(self._calls, settings.store_address)
         self._peers = PeerGroup(self.state, generator)
+        self._peers.store_delay_s = lambda: self._call_pool.connect_s.get(settings.store_address)
         self._leadership = Leadership(
             store,
             settings.node_id,
--- /dev/null
+++ b/winchfork/router/region_exchange.py
@@ -0,0 +1,107 @@
+"""The speakers of regions tell each other of their regions' work.
+
+The link between two regions is narrow and long, and all callers' requests that cross share it. So
+one speaker tells the speakers of other regions the sum over its region, a few times a second and
+mostly only what has changed, and they pass it on to the hubs of theirs. Which parts of prompts a
+replica keeps is not told: they are read again in less time than they are copied between regions.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from winchfork.core.zone_hubs import FleetView
+from winchfork.router.peer_messages import RegionWork, ReplicaLoadNote, ZoneUse, ZoneWork
+from winchfork.router.peer_port import PeerPort
+from winchfork.router.quota_exchange import QuotaExchange
+from winchfork.router.state import RouterState
+from winchfork.router.work_totals import HeardByReplica, HeardLoads, ToldLoads
+
+#: Seconds between two messages to another region: some round trips, in which news of it would be
+#: no newer.
+TELL_PERIOD_S = 0.2
+#: All of a region's work is told this often, and what has changed in between.
+COMPLETE_PERIOD_S = 0.5
+#: A successor speaks when the first speaker has been silent for this long.
+SPEAKER_SILENCE_S = 0.7
+#: Uses of quotas kept for the next message: more than the zones of a region tell in its time.
+MOST_USES = 64
+
+
+class RegionExchange:
+    """This daemon's part in the exchange between regions; only speakers send anything."""
+
+    def __init__(self, state: RouterState, peers: PeerPort, quotas: QuotaExchange) -> None:
+        self._state = state
+        self._peers = peers
+        self._quotas = quotas
+        self._regions: dict[str, HeardByReplica] = {}
+        self._told = ToldLoads()
+        self._told_s = 0.0
+        self._told_all_s = 0.0
+        self._first_speaker_heard_s = 0.0
+        self._uses: list[ZoneUse] = []
+
+    def loads(self, now_s: float) -> list[HeardLoads]:
+        """Return what other regions are known to do."""
+        return [item for region in self._regions.values() for item in region.fresh(now_s)]
+
+    # Telling
+
+    def note_zone(self, message: ZoneWork) -> None:
+        """Keep what a zone of this region has used of the quotas, and that its hub lives."""
+        view = self._peers.view
+        if view.speakers and message.sender_id == view.speakers[0].member_id:
+            self._first_speaker_heard_s = self._state.clock()
+        if not view.is_speaker or not view.far_speakers:
+            return
+        if message.quota is not None or message.levels is not None:
+            use = ZoneUse(message.sender_id, message.zone, message.quota, message.levels)
+            self._uses = [*self._uses[-MOST_USES + 1 :], use]
+
+    def speak(self, region_loads: Callable[[], tuple[ReplicaLoadNote, ...]], now_s: float) -> None:
+        """Tell other regions of this one, where this daemon is the one to do so and it is time.
+
+        ``region_loads`` adds up the work of the region.
+        """
+        view = self._peers.view
+        if not view.far_speakers or now_s - self._told_s < TELL_PERIOD_S:
+            return
+        if not self._speaks(view, now_s):
+            return
+        complete = now_s - self._told_all_s >= COMPLETE_PERIOD_S
+        loads = self._told.news(region_loads(), complete=complete)
+        uses, self._uses = tuple(self._uses), []
+        self._told_s = now_s
+        if complete:
+            self._told_all_s = now_s
+        elif not loads and not uses:
+            return
+        own_id = self._state.settings.node_id
+        region = view.regions.region_of(view.own.zone)
+        message = RegionWork(own_id, region, complete, loads, uses)
+        self._peers.send_each(view.far_speakers, message)
+
+    def _speaks(self, view: FleetView, now_s: float) -> bool:
+        if not view.is_speaker:
+            return False
+        first = view.speakers[0].member_id == view.own.member_id
+        return first or now_s - self._first_speaker_heard_s > SPEAKER_SILENCE_S
+
+    # Hearing
+
+    def take(self, message: RegionWork) -> None:
+        """Take in what another region does; from there itself, pass it on in this region."""
+        now_s = self._state.clock()
+        view = self._peers.view
+        if message.region == view.regions.region_of(view.own.zone):
+            return
+        if view.is_speaker and view.is_far_daemon(message.sender_id):
+            relayed = RegionWork(
+                view.own.member_id, message.region, message.complete, message.loads, message.uses
+            )
+            self._peers.send_each((*view.near_hubs, *view.other_own_hubs), relayed)
+        known = self._regions.setdefault(message.region, HeardByReplica())
+        known.take(message.loads, now_s, complete=message.complete)
+        for use in message.uses:
+            self._quotas.take_zone(use.sender_id, use.zone, use.quota, use.levels)
