--- a/spec/check.py
+++ b/spec/check.py
@@ -15,7 +15,7 @@
 
 from minicheck import Protocol, check_safety
 
-from spec import claim_spec, clock_spec, panel_spec, quota_spec, relay_spec
+from spec import claim_spec, clock_spec, panel_spec, quota_spec, relay_spec, rollout_spec
 
 _MAX_STATES = 6_000_000
 #: A refutation is sound in a partial search; the search goes breadth first, so it is the shortest.
@@ -115,6 +115,7 @@
     relay_rules = relay_spec.RelayRules(horizon=4 if deep else 3)
     results += check_holds("relay", relay_spec.relay_protocol(relay_rules))
     results += check_holds("quota", quota_spec.quota_protocol(quota_spec.QuotaRules()))
+    results += check_holds("rollout", rollout_spec.rollout_protocol(rollout_spec.RolloutRules()))
     results += _availability()
     for name, clock_rules in clock_spec.MUTANTS.items():
         results.append(check_found(name, clock_spec.clock_protocol(clock_rules)))
@@ -122,6 +123,8 @@
         results.append(check_found(name, relay_spec.relay_protocol(relay_mutant)))
     for name, quota_mutant in quota_spec.MUTANTS.items():
         results.append(check_found(name, quota_spec.quota_protocol(quota_mutant)))
+    for name, rollout_mutant in rollout_spec.MUTANTS.items():
+        results.append(check_found(name, rollout_spec.rollout_protocol(rollout_mutant)))
     for name, claim_rules in claim_spec.MUTANTS.items():
         results.append(check_found(name, claim_spec.claim_protocol(claim_rules)))
     for name, mutant_rules in panel_spec.MUTANTS.items():
--- /dev/null
+++ b/spec/rollout_spec.py
@@ -0,0 +1,221 @@
+"""Specification of a software rollout's record: two leaders, late writes, a daemon that restarts.
+
+One version is tried out and, as it happens, found bad at some moment. Two daemons take themselves
+for the leader, one of them wrongly; a write reaches the store at any later time, once or twice, or
+never. A third daemon gives the version requests by what it knows. Mirrors ``SoftwareState``,
+``SoftwareRollout`` and ``SoftwareVersions``. Writes name the leader's entry besides, which the
+claims do not need.
+
+Claims: a version that was judged bad is never tried, moved to or put in force again, whoever writes
+and however late; and once the bound on rollbacks has passed since the judgement, no daemon gives
+the version its share.
+
+State: the record's revision and phase, whether the version was judged bad, the order's number, what
+was found, what each leader knows, one write under way, what the daemon knows.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from minicheck import Protocol
+
+NONE = -1
+MOST_REVISIONS = 4
+State = tuple[int, ...]
+Steps = list[tuple[str, State]]
+FIELDS = (
+    "revision",
+    "phase",
+    "judged_bad",
+    "orders",
+    "found_bad",
+    "bound_passed",
+    "known_0",
+    "phase_0",
+    "bad_0",
+    "known_1",
+    "phase_1",
+    "bad_1",
+    "write_by",
+    "write_on",
+    "write_phase",
+    "daemon_behind",
+    "daemon_phase",
+    "daemon_stopped",
+    "daemon_proof",
+)
+LEADERS = (0, 1)
+
+
+class Phase(enum.IntEnum):
+    """Phases of the record; a rollback is told apart from the beginning."""
+
+    SETTLED = 0
+    TRIAL = 1
+    MOVED = 2
+    COMPLETED = 3
+    ROLLED_BACK = 4
+
+
+_RUNNING = (Phase.TRIAL, Phase.MOVED)
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutRules:
+    """The rules under check; the mutants change one each."""
+
+    #: A write names the record's revision and changes nothing if that is another.
+    names_revision: bool = True
+    #: A version that was judged bad is remembered, and an order for it is refused.
+    remembers_bad: bool = True
+    #: A share whose proof is older than the bound holds no more.
+    proof_expires: bool = True
+    #: A daemon that has started holds no share until it has a proof of its own.
+    starts_without_proof: bool = True
+
+
+def rollout_protocol(rules: RolloutRules) -> Protocol:
+    """Build the protocol for minicheck."""
+
+    def transitions(state: State) -> Steps:
+        now = dict(zip(FIELDS, state, strict=True))
+        return [
+            *_world_steps(rules, now),
+            *_leader_steps(now),
+            *_write_steps(rules, now),
+            *_daemon_steps(rules, now),
+        ]
+
+    initial = dict.fromkeys(FIELDS, 0) | {
+        "phase": Phase.TRIAL,
+        "revision": 1,
+        "orders": 1,
+        "write_by": NONE,
+        "write_on": NONE,
+        "write_phase": NONE,
+    }
+    return Protocol(
+        name="rollout",
+        candidate=False,
+        fields=FIELDS,
+        initial=tuple(int(initial[field]) for field in FIELDS),
+        transitions=transitions,
+        invariants={
+            "a_bad_version_stays_rolled_back": _stays_rolled_back,
+            "a_bad_version_gets_nothing_after_the_bound": _gets_nothing_late,
+        },
+    )
+
+
+def _stays_rolled_back(state: dict[str, int]) -> bool:
+    return not state["judged_bad"] or state["phase"] == Phase.ROLLED_BACK
+
+
+def _gets_nothing_late(state: dict[str, int]) -> bool:
+    return not (state["judged_bad"] and state["bound_passed"] and _gives_share(state))
+
+
+def _gives_share(state: dict[str, int]) -> bool:
+    """Mirror of ``SoftwareVersions.goes_to_target``."""
+    is_trial = state["daemon_phase"] == Phase.TRIAL
+    return bool(is_trial and state["daemon_proof"] and not state["daemon_stopped"])
+
+
+def _with(now: dict[str, int], **changes: int) -> State:
+    after = {**now, **changes}
+    return tuple(int(after[field]) for field in FIELDS)
+
+
+def _world_steps(rules: RolloutRules, now: dict[str, int]) -> Steps:
+    steps: Steps = []
+    if now["phase"] in _RUNNING and not now["found_bad"]:
+        steps.append(("find_bad", _with(now, found_bad=1)))
+    if now["judged_bad"] and not now["bound_passed"]:
+        lapsed = {"daemon_proof": 0} if now["daemon_behind"] and rules.proof_expires else {}
+        steps.append(("bound_passes", _with(now, bound_passed=1, **lapsed)))
+    again = now["phase"] == Phase.ROLLED_BACK and now["orders"] < 2
+    if again and now["revision"] < MOST_REVISIONS:
+        phase = Phase.ROLLED_BACK if rules.remembers_bad and now["judged_bad"] else Phase.TRIAL
+        more = {"orders": 2, "revision": now["revision"] + 1, "phase": phase, "daemon_behind": 1}
+        ordered = _with(now, **more)
+        steps.append(("order_again", ordered))
+    return steps
+
+
+def _leader_steps(now: dict[str, int]) -> Steps:
+    steps: Steps = []
+    for leader in LEADERS:
+        known = {f"known_{leader}": now["revision"], f"phase_{leader}": now["phase"]}
+        steps.append((f"read({leader})", _with(now, **known)))
+        if now["found_bad"]:
+            steps.append((f"hear_bad({leader})", _with(now, **{f"bad_{leader}": 1})))
+        wanted = _wanted(now, leader)
+        if now["write_by"] == NONE and wanted is not None:
+            write = {"write_by": leader, "write_on": now[f"known_{leader}"], "write_phase": wanted}
+            steps.append((f"write({leader}:{wanted.name})", _with(now, **write)))
+    return steps
+
+
+def _wanted(now: dict[str, int], leader: int) -> Phase | None:
+    """Mirror of ``next_step``: back where the version is known to be bad, else on."""
+    phase = now[f"phase_{leader}"]
+    if phase not in _RUNNING:
+        return None
+    if now[f"bad_{leader}"]:
+        return Phase.ROLLED_BACK
+    return Phase.MOVED if phase == Phase.TRIAL else Phase.COMPLETED
+
+
+def _write_steps(rules: RolloutRules, now: dict[str, int]) -> Steps:
+    if now["write_by"] == NONE:
+        return []
+    gone = {"write_by": NONE, "write_on": NONE, "write_phase": NONE}
+    done = _done(rules, now)
+    return [
+        ("lose", _with(now, **gone)),
+        ("arrive", _with(now, **gone, **done)),
+        ("arrive_and_come_again", _with(now, **done)),
+    ]
+
+
+def _done(rules: RolloutRules, now: dict[str, int]) -> dict[str, int]:
+    """Return what a write changes in the store: nothing if a condition does not hold."""
+    if rules.names_revision and now["write_on"] != now["revision"]:
+        return {}
+    if now["revision"] >= MOST_REVISIONS:
+        return {}
+    changes = {
+        "revision": now["revision"] + 1,
+        "phase": now["write_phase"],
+        "daemon_behind": 1,
+    }
+    if now["write_phase"] == Phase.ROLLED_BACK:
+        changes["judged_bad"] = 1
+    return changes
+
+
+def _daemon_steps(rules: RolloutRules, now: dict[str, int]) -> Steps:
+    learned = {
+        "daemon_behind": 0,
+        "daemon_phase": now["phase"],
+        "daemon_proof": 1,
+    }
+    steps = [("learn", _with(now, **learned))]
+    if now["found_bad"]:
+        steps.append(("hear_stop", _with(now, daemon_stopped=1)))
+    proof = 0 if rules.starts_without_proof else 1
+    restarted = {"daemon_stopped": 0, "daemon_proof": proof}
+    if rules.starts_without_proof:
+        restarted |= {"daemon_phase": 0, "daemon_behind": 1}
+    steps.append(("restart", _with(now, **restarted)))
+    return steps
+
+
+MUTANTS = {
+    "write_without_revision": RolloutRules(names_revision=False),
+    "bad_version_is_forgotten": RolloutRules(remembers_bad=False),
+    "share_without_proof": RolloutRules(proof_expires=False),
+    "start_with_the_old_share": RolloutRules(starts_without_proof=False),
+}
--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -99,6 +99,7 @@
         store: MemoryStore | None = None,
         bounds: RouterBounds | None = None,
         regions: RegionMap | None = None,
+        software_rollouts: bool = False,
     ) -> None:
         self.ip = f"10.0.{number // 256}.{number % 256}"
         settings = RouterSettings(
@@ -113,6 +114,7 @@
             seeds=("10.0.0.1:99",),
             bounds=bounds or RouterBounds(),
             regions=regions or RegionMap(),
+            software_rollouts=software_rollouts,
         )
         loop = asyncio.get_running_loop()
         self.state = RouterState(settings, loop.time, random.Random(number))
@@ -125,7 +127,8 @@
         self.sync = StoreSync(
             self.state, self.store, PlatformDocuments(), self.leadership, random.Random(number)
         )
-        self.news = connect_peers(self.state, self.peers, self.sync, self.leadership)
+        self.parts = connect_peers(self.state, self.peers, self.sync, self.leadership)
+        self.news = self.parts.news
         network.groups[self.ip] = self.peers
         for replica in ("i-1", "i-2"):
             listing = ReplicaListing(replica, "s", "a:1", "z1", 8, True, {"m": 1})
--- /dev/null
+++ b/tests/rollout_fleet.py
@@ -0,0 +1,230 @@
+"""Daemons that move a service to another version of its software, before one store. Virtual time.
+
+The peers, the records, the leader's duty and the choice of versions are the real ones. Requests are
+given to replicas without connections: a replica is a rule that says how it answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from tests.memory_store import MemoryStore
+from tests.peer_support import Daemon, Network
+from tests.test_platform_documents import CONFIGURATION, REPLICA
+from tests.virtual_loop import run_virtually
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.software_plan import ExposureLimits
+from winchfork.core.software_state import SoftwareState
+from winchfork.platform.documents import PlatformDocuments
+from winchfork.router.settings import RouterBounds
+from winchfork.router.software_rollout import SoftwareRollout
+
+SERVICE = "s"
+ROUTES = ("verdict", "read")
+#: Requests a second at each daemon, and seconds between two of them.
+RATE_PER_S = 20.0
+ANSWER_S = 0.05
+LIMITS = ExposureLimits(share=0.1, slack=50.0, rollback_s=5.0)
+DURATION_S = 12.0
+SETTLED_S = 5.0
+
+
+class Request(msgspec.Struct, frozen=True):
+    """One request as a replica sees it; ``at_s`` from the order, ``running`` beside it there."""
+
+    at_s: float
+    route: str
+    software: str
+    replica: str
+    running: int
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """How a replica answers."""
+
+    failed: bool = False
+    took_s: float = ANSWER_S
+
+
+Behaviour = Callable[[Request, random.Random], Answer]
+
+
+def sound(request: Request, generator: random.Random) -> Answer:
+    """Answer as the old version does: a seventh of one route's requests fails at any replica."""
+    return Answer(failed=request.route == "read" and generator.random() < 0.14)
+
+
+class RolloutFleet:
+    """Some daemons, replicas of versions v1 and v2, and callers."""
+
+    def __init__(self, daemons: int = 6, replicas: int = 6) -> None:
+        self.network = Network()
+        self.store = MemoryStore()
+        self.store.put("op/config", json.dumps(CONFIGURATION).encode())
+        self.behaviour: Behaviour = sound
+        self.generator = random.Random(7)
+        self.ordered_s = 0.0
+        self.requests: Counter[str] = Counter()
+        #: Requests since the order, and when the target was last given one.
+        self.since_order: Counter[str] = Counter()
+        self.bad_answers = 0
+        self.last_on: dict[str, float] = {}
+        #: Requests under way at each replica, for all daemons.
+        self.under_way: Counter[str] = Counter()
+        self.replicas = replicas
+        self.daemons: list[Daemon] = []
+        self._tasks: dict[str, list[asyncio.Task[None]]] = {}
+        self.list_replicas("v1")
+        for number in range(1, daemons + 1):
+            self.start(number)
+
+    # Operators and replicas
+
+    def list_replicas(self, software: str, count: int | None = None) -> None:
+        for number in range(self.replicas if count is None else count):
+            entry = {**REPLICA, "Version": software, "Service": SERVICE, "Slots": 8}
+            entry["Address"] = f"{software}.{number}:1"
+            self.store.put(f"servers/{software}-{number}", json.dumps(entry).encode())
+
+    def remove_replicas(self, software: str) -> None:
+        for key in [key for key in self.store.items if key.startswith(f"servers/{software}-")]:
+            self.store.remove(key)
+
+    def order(self, target: str = "v2", duration_s: float = DURATION_S) -> None:
+        document = {"Service": SERVICE, "TargetVersion": target, "DurationS": duration_s}
+        self.store.put(f"op/rollout/{SERVICE}", json.dumps(document).encode())
+        self.ordered_s = self.now_s()
+        self.since_order.clear()
+
+    def status(self) -> tuple[str, str]:
+        item = self.store.items.get(f"status/rollout/{SERVICE}")
+        if item is None or item.value is None:
+            return ("", "")
+        status = json.loads(item.value)
+        return status["State"], status["TargetVersion"]
+
+    def record(self) -> SoftwareState:
+        return self.daemons[0].state.software.state(SERVICE)
+
+    # Daemons
+
+    def start(self, number: int) -> None:
+        bounds = RouterBounds(exposure=LIMITS)
+        daemon = Daemon(
+            self.network, number, "z1", self.store, bounds=bounds, software_rollouts=True
+        )
+        daemon.state.fleet.remove("i-1")
+        daemon.state.fleet.remove("i-2")
+        daemon.follow()
+        duty = SoftwareRollout(
+            daemon.state,
+            daemon.leadership,
+            daemon.store,
+            PlatformDocuments(),
+            daemon.parts.evidence,
+        )
+        daemon.tasks.append(asyncio.create_task(duty.run()))
+        daemon.tasks.append(asyncio.create_task(self._send(daemon)))
+        self.daemons.append(daemon)
+
+    def kill(self, daemon: Daemon) -> None:
+        self.under_way.clear()
+        daemon.kill(self.network)
+        self.daemons.remove(daemon)
+
+    async def restart_all(self, down_s: float = 0.5) -> None:
+        numbers = [int(daemon.state.settings.node_id[1:]) for daemon in self.daemons]
+        for daemon in list(self.daemons):
+            self.kill(daemon)
+        await asyncio.sleep(down_s)
+        for number in numbers:
+            self.start(number)
+
+    def leader(self) -> Daemon:
+        return next(daemon for daemon in self.daemons if daemon.leadership.leads())
+
+    @staticmethod
+    def now_s() -> float:
+        return asyncio.get_running_loop().time()
+
+    # Callers
+
+    async def _send(self, daemon: Daemon) -> None:
+        number = 0
+        await asyncio.sleep(self.generator.random() / RATE_PER_S)
+        while True:
+            await asyncio.sleep(1.0 / RATE_PER_S)
+            number += 1
+            daemon.tasks.append(asyncio.create_task(self._ask(daemon, number)))
+
+    async def _ask(self, daemon: Daemon, number: int) -> None:
+        state = daemon.state
+        family = f"f{self.generator.randrange(200)}"
+        on_target = state.software.goes_to_target(SERVICE, family)
+        candidates = state.available(SERVICE, set(), on_target=on_target)
+        if not candidates:
+            self.requests["refused"] += 1
+            return
+        replica = min(candidates, key=lambda item: (item.running, self.generator.random()))
+        await self._serve(daemon, replica, ROUTES[number % 2], number)
+
+    async def _serve(self, daemon: Daemon, replica: RelayReplica, route: str, number: int) -> None:
+        software = replica.listing.software
+        at_s = self.now_s() - self.ordered_s
+        self.requests[software] += 1
+        self.since_order[software] += 1
+        self.last_on[software] = at_s
+        running = self.under_way[replica.replica_id]
+        self.under_way[replica.replica_id] += 1
+        request = Request(at_s, route, software, replica.replica_id, running)
+        answer = self.behaviour(request, self.generator)
+        replica.note_sent(number, 0, self.now_s() + answer.took_s)
+        await asyncio.sleep(answer.took_s)
+        replica.note_done(number)
+        self.under_way[replica.replica_id] -= 1
+        if software == "v2" and (answer.failed or answer.took_s > 2 * ANSWER_S):
+            self.bad_answers += 1
+        daemon.state.software.note_answer(
+            SERVICE,
+            route,
+            replica,
+            failed=answer.failed,
+            took_s=answer.took_s,
+            expected_s=1.0,
+        )
+
+    # What was spent
+
+    async def until_settled(self, patience_s: float = 2 * DURATION_S) -> float:
+        """Wait until the order is carried out or given up; return how long after it that was."""
+        until_s = self.now_s() + patience_s
+        while self.status()[0] in ("", "running"):
+            if self.now_s() > until_s:
+                raise AssertionError(f"the order stands at {self.status()}, {self.record()}")
+            await asyncio.sleep(0.05)
+        return self.now_s() - self.ordered_s
+
+    async def to_time_limit(self) -> None:
+        await asyncio.sleep(max(0.0, self.ordered_s + DURATION_S - self.now_s()))
+
+    def budget_left(self, target: str = "v2") -> float:
+        """Return how many requests fewer the target has got than a bad version may."""
+        everything = self.since_order.total() - self.since_order["refused"]
+        return LIMITS.share * everything + LIMITS.slack - self.since_order[target]
+
+
+def in_rollout_fleet(
+    scenario: Callable[[RolloutFleet], Awaitable[None]], daemons: int = 6, replicas: int = 6
+) -> None:
+    async def main() -> None:
+        fleet = RolloutFleet(daemons, replicas)
+        await asyncio.sleep(SETTLED_S)
+        await scenario(fleet)
+
+    run_virtually(main())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -120,9 +120,9 @@
             first, second, third = daemons
             held = WeightsNote("i-1", "m", 2, 1500, 0)
             free = WeightsNote("i-1", "m", 2, 0, 0)
-            first.news.tell_rollout(7, (held,))
+            first.news.tell_weights(7, (held,))
             await asyncio.sleep(0.1)
-            second.news.tell_rollout(5, (free,))
+            second.news.tell_weights(5, (free,))
             await asyncio.sleep(0.1)
             replica = third.state.fleet.get("i-1")
             assert replica is not None
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -47,7 +47,7 @@
         self.assertEqual(settings.seeds, ("10.1.0.30:8783", "10.2.0.22:8783"))
         self.assertEqual(settings.regions.zones, ("patan-hall", "thamel-hall"))
         self.assertEqual(settings.bounds.revoke_s, 5.0)
-        self.assertEqual(settings.bounds.rollout_s, 8.0)
+        self.assertEqual(settings.bounds.weights_s, 8.0)
         self.assertTrue(settings.bounds.fail_closed)
 
     def test_each_problem_names_its_key_and_a_remedy(self) -> None:
--- /dev/null
+++ b/tests/test_software_rollout.py
@@ -0,0 +1,420 @@
+"""Rollouts of a service's software: good and bad versions, and failures at every step."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import unittest
+from collections.abc import Callable
+
+from tests.rollout_fleet import (
+    ANSWER_S,
+    DURATION_S,
+    LIMITS,
+    SERVICE,
+    Answer,
+    Behaviour,
+    Request,
+    RolloutFleet,
+    in_rollout_fleet,
+    sound,
+)
+from winchfork.core.software_state import SoftwarePhase
+
+#: What a bad version does to the part of its answers that it spoils.
+Spoil = Callable[[Answer], Answer]
+
+
+def failing(answer: Answer) -> Answer:
+    return Answer(failed=True)
+
+
+def slowed(answer: Answer) -> Answer:
+    return Answer(answer.failed, 5 * ANSWER_S)
+
+
+def bad(
+    spoil: Spoil, when: Callable[[Request], bool] = lambda request: True, share: float = 0.35
+) -> Behaviour:
+    """Return a v2 that spoils a share of its answers whenever ``when`` says so."""
+
+    def behaviour(request: Request, generator: random.Random) -> Answer:
+        answer = sound(request, generator)
+        if request.software == "v2" and when(request) and generator.random() < share:
+            return spoil(answer)
+        return answer
+
+    return behaviour
+
+
+def phase_is(fleet: RolloutFleet, phase: SoftwarePhase) -> bool:
+    return fleet.record().phase is phase
+
+
+async def until(condition: Callable[[], bool], patience_s: float = 2 * DURATION_S) -> None:
+    for _ in range(int(patience_s / 0.05)):
+        if condition():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("it never came about")
+
+
+class GoodVersionTest(unittest.TestCase):
+    def test_it_is_completed_in_time_with_nothing_under_way_at_the_old_replicas(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            took_s = await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+            self.assertLess(took_s, 0.85 * DURATION_S)
+            for daemon in fleet.daemons:
+                old = [
+                    replica
+                    for replica in daemon.state.fleet.of_service(SERVICE)
+                    if replica.listing.software == "v1"
+                ]
+                self.assertEqual([replica.in_flight for replica in old], [0] * len(old))
+            fleet.requests.clear()
+            await asyncio.sleep(1.0)
+            self.assertEqual(set(fleet.requests), {"v2"})
+
+        in_rollout_fleet(scenario)
+
+    def test_replicas_that_are_bad_by_themselves_do_not_decide(self) -> None:
+        """One of six fails four in ten, as one of the old version does; another is slow."""
+
+        def behaviour(request: Request, generator: random.Random) -> Answer:
+            if request.replica in ("v2-0", "v1-0") and generator.random() < 0.4:
+                return Answer(failed=True)
+            return sound(request, generator)
+
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.behaviour = behaviour
+            fleet.list_replicas("v2")
+            fleet.order()
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+
+        in_rollout_fleet(scenario)
+
+    def test_a_time_in_which_everything_is_slow_does_not_decide(self) -> None:
+        def behaviour(request: Request, generator: random.Random) -> Answer:
+            answer = sound(request, generator)
+            return slowed(answer) if 2.0 < request.at_s < 4.0 else answer
+
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.behaviour = behaviour
+            fleet.list_replicas("v2")
+            fleet.order()
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+
+        in_rollout_fleet(scenario)
+
+    def test_a_fleet_with_hubs_completes_it_too(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+
+        in_rollout_fleet(scenario, daemons=16)
+
+
+class BadVersionTest(unittest.TestCase):
+    def spent(self, behaviour: Behaviour, daemons: int = 6) -> float:
+        """Roll a bad version out; return when the target last got a request."""
+        last: list[float] = []
+
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.behaviour = behaviour
+            fleet.list_replicas("v2")
+            fleet.order()
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("rolled_back", "v2"))
+            await fleet.to_time_limit()
+            self.assertGreaterEqual(fleet.budget_left(), 0.0)
+            self.assertLess(fleet.bad_answers, 50)
+            fleet.requests.clear()
+            await asyncio.sleep(1.0)
+            self.assertEqual(set(fleet.requests), {"v1"})
+            last.append(fleet.last_on["v2"])
+
+        in_rollout_fleet(scenario, daemons)
+        return last[0]
+
+    def test_failures_from_the_start(self) -> None:
+        self.assertLess(self.spent(bad(failing)), 0.5 * DURATION_S)
+
+    def test_failures_from_the_start_in_a_fleet_with_hubs(self) -> None:
+        self.assertLess(self.spent(bad(failing), daemons=16), 0.5 * DURATION_S)
+
+    def test_slow_answers_from_the_start(self) -> None:
+        self.assertLess(self.spent(bad(slowed)), 0.5 * DURATION_S)
+
+    def test_failures_on_the_route_where_a_seventh_fails_anyway(self) -> None:
+        self.spent(bad(failing, lambda request: request.route == "read", 0.45))
+
+    def test_failures_that_begin_late_in_the_trial(self) -> None:
+        self.spent(bad(failing, lambda request: request.at_s > 0.4 * DURATION_S))
+
+    def test_failures_that_begin_when_everything_has_moved(self) -> None:
+        self.spent(bad(failing, lambda request: request.at_s > 0.6 * DURATION_S))
+
+    def test_failures_under_load_only(self) -> None:
+        self.spent(bad(failing, lambda request: request.running >= 1, 0.6))
+
+
+class OrdersTest(unittest.TestCase):
+    def test_a_version_that_nobody_ordered_gets_nothing(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2", 2 * fleet.replicas)
+            await asyncio.sleep(2.0)
+            await fleet.restart_all()
+            await asyncio.sleep(5.0)
+            self.assertEqual(set(fleet.requests) - {"refused"}, {"v1"})
+
+        in_rollout_fleet(scenario)
+
+    def test_a_version_found_bad_is_not_tried_again(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.behaviour = bad(failing)
+            fleet.list_replicas("v2")
+            fleet.order()
+            await fleet.until_settled()
+            await fleet.restart_all()
+            await asyncio.sleep(4.0)
+            fleet.requests.clear()
+            fleet.order()
+            await asyncio.sleep(5.0)
+            self.assertEqual(fleet.status(), ("rolled_back", "v2"))
+            self.assertEqual(fleet.requests["v2"], 0)
+
+        in_rollout_fleet(scenario)
+
+    def test_the_old_version_ordered_again_ends_the_move(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: phase_is(fleet, SoftwarePhase.MOVING))
+            fleet.order("v1")
+            await asyncio.sleep(0.5)
+            fleet.requests.clear()
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v1"))
+            self.assertEqual(fleet.requests["v2"], 0)
+
+        in_rollout_fleet(scenario)
+
+    def test_a_newer_target_takes_the_place_of_the_one_under_way(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: phase_is(fleet, SoftwarePhase.TRIAL) and fleet.record().share > 0)
+            fleet.list_replicas("v3")
+            fleet.order("v3")
+            await asyncio.sleep(0.5)
+            fleet.requests.clear()
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v3"))
+            self.assertEqual(fleet.requests["v2"], 0)
+
+        in_rollout_fleet(scenario)
+
+    def test_the_same_order_again_goes_on_where_it_is(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: phase_is(fleet, SoftwarePhase.MOVING))
+            fleet.order()
+            await asyncio.sleep(0.3)
+            self.assertTrue(fleet.record().share >= 0.25)
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+
+        in_rollout_fleet(scenario)
+
+    def test_orders_that_cannot_be_carried_out(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.store.put(f"op/rollout/{SERVICE}", json.dumps({"Service": SERVICE}).encode())
+            await asyncio.sleep(2.0)
+            self.assertEqual(fleet.status(), ("", ""))
+            fleet.order(duration_s=1.0)
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("rolled_back", "v2"))
+            fleet.order("v1")
+            await asyncio.sleep(1.0)
+            self.assertEqual(fleet.status(), ("completed", "v1"))
+            self.assertEqual(fleet.requests["v2"], 0)
+
+        in_rollout_fleet(scenario)
+
+    def test_two_services_move_at_once(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            other = json.dumps({"Service": "t", "TargetVersion": "w2", "DurationS": 5.0}).encode()
+            fleet.store.put("op/rollout/t", other)
+            fleet.order()
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+            status = fleet.store.items.get("status/rollout/t")
+            self.assertIsNone(status)
+
+        in_rollout_fleet(scenario)
+
+
+class FailuresTest(unittest.TestCase):
+    def test_new_replicas_that_never_come(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.order()
+            took_s = await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("rolled_back", "v2"))
+            self.assertLess(took_s, DURATION_S)
+
+        in_rollout_fleet(scenario)
+
+    def test_new_replicas_that_all_leave_in_the_middle(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: phase_is(fleet, SoftwarePhase.MOVING))
+            fleet.remove_replicas("v2")
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("rolled_back", "v2"))
+            fleet.requests.clear()
+            await asyncio.sleep(1.0)
+            self.assertEqual(set(fleet.requests), {"v1"})
+
+        in_rollout_fleet(scenario)
+
+    def after_loss(self, phase: SoftwarePhase, behaviour: Behaviour, outcome: str) -> None:
+        """Kill the leader in a phase; the next one goes on from the record."""
+
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.behaviour = behaviour
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: phase_is(fleet, phase) and fleet.record().share > 0)
+            fleet.kill(fleet.leader())
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), (outcome, "v2"))
+            if outcome == "rolled_back":
+                await fleet.to_time_limit()
+                self.assertGreaterEqual(fleet.budget_left(), 0.0)
+
+        in_rollout_fleet(scenario)
+
+    def test_a_leader_lost_in_the_trial(self) -> None:
+        self.after_loss(SoftwarePhase.TRIAL, sound, "completed")
+
+    def test_a_leader_lost_when_everything_has_moved(self) -> None:
+        self.after_loss(SoftwarePhase.MOVED, sound, "completed")
+
+    def test_a_leader_lost_in_the_trial_of_a_bad_version(self) -> None:
+        late = bad(failing, lambda request: request.at_s > 0.2 * DURATION_S)
+        self.after_loss(SoftwarePhase.TRIAL, late, "rolled_back")
+
+    def test_a_fleet_killed_in_the_middle_spends_no_more_than_the_budget(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.behaviour = bad(failing, share=0.2)
+            fleet.list_replicas("v2")
+            fleet.order()
+            for _ in range(3):
+                await asyncio.sleep(2.2)
+                await fleet.restart_all(0.3)
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("rolled_back", "v2"))
+            await fleet.to_time_limit()
+            self.assertGreaterEqual(fleet.budget_left(), 0.0)
+
+        in_rollout_fleet(scenario)
+
+    def test_a_store_that_is_down_stops_the_trial_and_not_the_service(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: fleet.record().share > 0)
+            fleet.store.down = True
+            await asyncio.sleep(LIMITS.rollback_s + 1.0)
+            fleet.requests.clear()
+            await asyncio.sleep(1.0)
+            self.assertEqual(set(fleet.requests), {"v1"})
+            fleet.store.down = False
+            await fleet.until_settled()
+
+        in_rollout_fleet(scenario)
+
+    def test_a_bad_version_is_stopped_while_the_store_refuses_the_leader(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.behaviour = bad(failing, lambda request: request.at_s > 0.62 * DURATION_S, 0.5)
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: phase_is(fleet, SoftwarePhase.MOVED))
+            fleet.leader().store.cut = True
+            await until(lambda: fleet.bad_answers > 0)
+            began_s = fleet.now_s()
+            await until(lambda: fleet.last_on["v2"] + 1.0 < fleet.now_s() - fleet.ordered_s)
+            self.assertLess(fleet.ordered_s + fleet.last_on["v2"] - began_s, 2.0)
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("rolled_back", "v2"))
+
+        in_rollout_fleet(scenario)
+
+    def test_writes_without_an_answer_change_nothing_that_was_decided(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.store.lose_writes = 3
+            fleet.order()
+            await asyncio.sleep(3.0)
+            fleet.store.lose_writes = 1
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+
+        in_rollout_fleet(scenario)
+
+    def test_a_daemon_cut_off_from_all_gives_the_target_nothing_once_its_proof_is_old(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: fleet.record().share > 0)
+            away = next(item for item in fleet.daemons if not item.leadership.leads())
+            away.store.cut = True
+            fleet.network.drop = lambda sender, receiver: away.ip in (sender, receiver)
+            await asyncio.sleep(LIMITS.rollback_s - 1.0)
+            software = away.state.software
+            chosen = [software.goes_to_target(SERVICE, f"f{number}") for number in range(400)]
+            self.assertFalse(any(chosen))
+
+        in_rollout_fleet(scenario)
+
+    def test_history_that_is_forgotten_loses_no_record(self) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: fleet.record().share > 0)
+            fleet.store.forget_history()
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+
+        in_rollout_fleet(scenario)
+
+
+class BudgetTest(unittest.TestCase):
+    def test_daemons_that_get_few_requests_each_spend_the_share_together(self) -> None:
+        """A credit of 0.1 a second never became a whole request in a trial of six seconds."""
+
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order()
+            await asyncio.sleep(0.45 * DURATION_S)
+            spent = fleet.since_order["v2"] / fleet.since_order.total()
+            self.assertGreater(spent, 0.02)
+            self.assertLess(spent, LIMITS.share)
+
+        in_rollout_fleet(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -7,24 +7,24 @@
 
 from winchfork.core.weight_rollout import (
     MOST_REMEMBERED,
-    RolloutPace,
-    RolloutReplica,
+    LoadingReplica,
+    LoadPace,
     VersionHistory,
     next_step,
 )
 
 #: The bound of the first deployments, with loads as long as assumed.
-PACE = RolloutPace(8.0)
+PACE = LoadPace(8.0)
 
 
-def replica(name: str, version: int, **changes: object) -> RolloutReplica:
+def replica(name: str, version: int, **changes: object) -> LoadingReplica:
     fields: dict[str, object] = {
         "accepting": True,
         "busy_s": 0.0,
         "under_order": False,
     }
     fields.update(changes)
-    return RolloutReplica(name, version, **fields)  # type: ignore[arg-type]
+    return LoadingReplica(name, version, **fields)  # type: ignore[arg-type]
 
 
 class VersionHistoryTest(unittest.TestCase):
@@ -89,12 +89,12 @@
 class NextStepTest(unittest.TestCase):
     def test_no_more_load_at_once_than_the_deployments_bear(self) -> None:
         borne = {1: 1, 2: 1, 4: 1, 6: 2, 9: 3, 45: 17, 600: 228}
-        hurried = RolloutPace(8.0, load_s=60.0)
+        hurried = LoadPace(8.0, load_s=60.0)
         self.assertEqual({count: hurried.at_once(count) for count in borne}, borne)
 
     def test_a_large_fleet_takes_no_more_out_of_service_than_the_bound_needs(self) -> None:
         """22 of 59 replicas loaded at once, all the time that versions came every four seconds."""
-        pace = RolloutPace(10.0)
+        pace = LoadPace(10.0)
         self.assertEqual(pace.at_once(59), 13)
         for _ in range(100):
             pace.note_load(2.6)
--- a/tests/test_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -17,10 +17,10 @@
 from winchfork.router.leadership import Leadership
 from winchfork.router.peer_messages import WeightsNote
 from winchfork.router.peers import PeerGroup
-from winchfork.router.rollout import Rollout
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
 from winchfork.router.version_news import VersionNews
+from winchfork.router.weights_rollout import WeightsRollout
 
 LOAD_S = 0.6
 MODEL = "m"
@@ -103,9 +103,9 @@
         super().__init__(state, peers)
         self.told: list[tuple[WeightsNote, ...]] = []
 
-    def tell_rollout(self, fence: int, notes: tuple[WeightsNote, ...]) -> None:
+    def tell_weights(self, fence: int, notes: tuple[WeightsNote, ...]) -> None:
         self.told.append(notes)
-        super().tell_rollout(fence, notes)
+        super().tell_weights(fence, notes)
 
 
 class Fleet:
@@ -121,7 +121,9 @@
         self.leadership.note_entry(None)
         self.peers = PeerGroup(self.state, random.Random(3))
         self.news = CountingNews(self.state, self.peers)
-        self.rollout = Rollout(self.state, self.leadership, self.control, self.peers, self.news)
+        self.rollout = WeightsRollout(
+            self.state, self.leadership, self.control, self.peers, self.news
+        )
         for replica in replicas:
             self.state.fleet.install(
                 ReplicaListing(
--- a/tests/test_zone_hubs.py
+++ b/tests/test_zone_hubs.py
@@ -387,7 +387,7 @@
         async def scenario(fleet: LargeFleet) -> None:
             leader = fleet.followers()[0]
             sent = leader.peers.sent_messages
-            leader.news.tell_rollout(1 << 40, (WeightsNote("i-1", "m", 7, 1500, 0),))
+            leader.news.tell_weights(1 << 40, (WeightsNote("i-1", "m", 7, 1500, 0),))
             self.assertLessEqual(leader.peers.sent_messages - sent, 2 * len(ZONES))
             await asyncio.sleep(0.05)
             for daemon in fleet.daemons:
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -29,7 +29,8 @@
 class ReplicaListing(msgspec.Struct, frozen=True):
     """What the platform's list says of one replica.
 
-    ``versions`` maps each model to the version of its weights.
+    ``versions`` maps each model to the version of its weights. ``software`` is the version of the
+    replica's own program; empty where the platform does not say.
     """
 
     replica_id: str
@@ -39,6 +40,7 @@
     slots: int
     accepting: bool
     versions: Mapping[str, int] = msgspec.field(default_factory=dict)
+    software: str = ""
 
 
 class RelayReplica(msgspec.Struct):
--- /dev/null
+++ b/winchfork/core/software_plan.py
@@ -0,0 +1,187 @@
+"""The stages of a software rollout: when the next one begins, and how many requests it may take.
+
+Nobody knows beforehand whether a version is bad, nor when it turns bad: at once, late, under load,
+or on one route. So the requests that it may get are a budget for the whole duration. A part of it
+is spent slowly, on a few replicas that bear as much each as all will later, while the evidence is
+thin. The rest of the move comes late and quickly, with the new replicas' capacity seen, so that a
+version which turns bad then has little time left to be used.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from winchfork.core.software_state import SoftwarePhase, SoftwareState
+
+#: Orders that leave less time than this cannot be judged and carried out; seconds.
+LEAST_DURATION_S = 3.0
+#: Part of the exposure budget that the trial may spend; the rest is for the move, in which a bad
+#: version is used fully until it is noticed, for up to a second.
+TRIAL_SPEND = 0.25
+#: Part of the duration after which an approved version moves: late, so that one that turns bad has
+#: been seen to, and early enough that the last answers of the old replicas end in time.
+MOVE_AT_SHARE = 0.5
+#: Most of the requests in a trial, where so few come that the allowance on top of the share counts.
+MOST_TRIAL_SHARE = 0.3
+#: Replicas in a trial at least, so that one which is slow or failing by itself can be told apart.
+LEAST_TRIAL_REPLICAS = 3
+#: Shares of the stages between the trial and the whole, and how long each is watched.
+MOVING_SHARES = (0.25, 0.5)
+STAGE_S = 0.4
+#: Seconds in which every daemon has heard of a stage, and the work that it sent before was told.
+NOTICE_S = 1.0
+#: Seconds before the time limit at which the last word is written.
+LAST_WORD_S = 0.6
+#: Capacity that the target must show before traffic moves, as a share of that of the others.
+CAPACITY_SHARE = 0.9
+#: Answers after which the rate of requests is known well enough to plan by it.
+LEAST_ANSWERS = 50
+#: The record is written again after this part of the duration, so that a fleet that is killed knows
+#: how much of it has passed; and not more often than this many seconds.
+CHECKPOINT_SHARE = 0.125
+LEAST_CHECKPOINT_S = 1.0
+#: A share is corrected when it is off by more than this part of it.
+SHARE_TOLERANCE = 0.2
+
+
+class ExposureLimits(msgspec.Struct, frozen=True):
+    """What a bad version may get at most: ``share`` of the requests and ``slack`` on top.
+
+    ``rollback_s`` is within what time after 50 bad answers it must get nothing more.
+    """
+
+    share: float = 0.1
+    slack: float = 0.0
+    rollback_s: float = 5.0
+
+
+class RolloutView(msgspec.Struct, frozen=True):
+    """What the leader sees of one service. Times in seconds; slots of replicas that take work."""
+
+    elapsed_s: float
+    stage_s: float
+    new_replicas: int
+    new_slots: int
+    old_slots: int
+    old_running: int
+    new_answers: int
+    all_answers: int
+    approved: bool
+    alarmed: bool
+    longest_run_s: float
+
+
+class RolloutStep(msgspec.Struct, frozen=True):
+    """The next record to write, and why."""
+
+    state: SoftwareState
+    reason: str
+
+
+def next_step(
+    state: SoftwareState, view: RolloutView, limits: ExposureLimits
+) -> RolloutStep | None:
+    """Return the next record of a running rollout; None while nothing is to be written."""
+    if state.returning:
+        return _return(state, view)
+    if view.alarmed:
+        return RolloutStep(state.rolled_back(judged_bad=True), "the version is bad")
+    if state.duration_s < LEAST_DURATION_S:
+        return RolloutStep(state.rolled_back(judged_bad=False), "the duration is too short")
+    if state.phase is SoftwarePhase.MOVED:
+        return _finish(state, view)
+    if view.elapsed_s >= latest_move_s(state, view):
+        return RolloutStep(state.rolled_back(judged_bad=False), _what_lacked(state, view))
+    if state.phase is SoftwarePhase.MOVING:
+        return _move_on(state, view)
+    return _begin_move(state, view) or _try_out(state, view, limits)
+
+
+def latest_move_s(state: SoftwareState, view: RolloutView) -> float:
+    """Return how long after the order a move may still go on and end in time."""
+    drain_s = NOTICE_S + min(view.longest_run_s, 0.2 * state.duration_s)
+    stages_s = STAGE_S * len(MOVING_SHARES)
+    floor_s = MOVE_AT_SHARE * state.duration_s + stages_s
+    return max(floor_s, state.duration_s - LAST_WORD_S - drain_s)
+
+
+def _what_lacked(state: SoftwareState, view: RolloutView) -> str:
+    if not view.new_replicas:
+        return "no replica of the version came"
+    if not _has_capacity(view):
+        return "too few replicas of the version came"
+    return "the version was not approved in time" if not view.approved else "the time is up"
+
+
+def _return(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
+    """Stay at the version in force: others get nothing, and stop when they have finished."""
+    if state.phase is not SoftwarePhase.MOVED:
+        moved = state.advanced(SoftwarePhase.MOVED, 0.0, view.elapsed_s)
+        return RolloutStep(moved, "the version in force is ordered")
+    return _finish(state, view)
+
+
+def _finish(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
+    if view.stage_s >= NOTICE_S and not view.old_running:
+        return RolloutStep(state.completed(), "the other versions are idle")
+    if view.elapsed_s < state.duration_s - LAST_WORD_S:
+        return None
+    if state.returning or _has_capacity(view):
+        return RolloutStep(state.completed(), "the time is up")
+    return RolloutStep(state.rolled_back(judged_bad=False), "the new replicas are gone")
+
+
+def _move_on(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
+    if view.stage_s < STAGE_S or not _has_capacity(view):
+        return None
+    for share in MOVING_SHARES:
+        if share > state.share:
+            moving = state.advanced(SoftwarePhase.MOVING, share, view.elapsed_s)
+            return RolloutStep(moving, "no fault was seen")
+    return RolloutStep(state.advanced(SoftwarePhase.MOVED, 1.0, view.elapsed_s), "all moves")
+
+
+def _begin_move(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
+    in_time = view.elapsed_s >= MOVE_AT_SHARE * state.duration_s
+    if not (in_time and view.approved and state.share and _has_capacity(view)):
+        return None
+    moving = state.advanced(SoftwarePhase.MOVING, MOVING_SHARES[0], view.elapsed_s)
+    return RolloutStep(moving, "the version is approved")
+
+
+def _try_out(state: SoftwareState, view: RolloutView, limits: ExposureLimits) -> RolloutStep | None:
+    """Begin the trial, correct its share, or write down how much time has passed."""
+    wanted = min(LEAST_TRIAL_REPLICAS, max(1, view.new_replicas))
+    if view.new_replicas < wanted or not view.new_slots:
+        return None
+    share = trial_share(state, view, limits)
+    replicas = max(wanted, math.ceil(share * view.new_replicas))
+    trial = state.advanced(SoftwarePhase.TRIAL, share, view.elapsed_s, replicas)
+    if not state.share:
+        return RolloutStep(trial, "replicas of the version take work")
+    if view.stage_s < max(LEAST_CHECKPOINT_S, CHECKPOINT_SHARE * state.duration_s):
+        return None
+    if abs(share - state.share) <= SHARE_TOLERANCE * state.share:
+        trial = msgspec.structs.replace(trial, share=state.share)
+    return RolloutStep(trial, "trial")
+
+
+def trial_share(state: SoftwareState, view: RolloutView, limits: ExposureLimits) -> float:
+    """Return the part of the requests that the trial may take from now until the move.
+
+    Planned by the requests seen so far, less what the version has got already.
+    """
+    least = TRIAL_SPEND * limits.share
+    if view.all_answers < LEAST_ANSWERS or view.elapsed_s <= 0.0:
+        return least
+    per_s = view.all_answers / view.elapsed_s
+    budget = TRIAL_SPEND * (limits.share * per_s * state.duration_s + limits.slack)
+    left_s = max(STAGE_S, MOVE_AT_SHARE * state.duration_s - view.elapsed_s)
+    share = max(0.0, budget - view.new_answers) / (per_s * left_s)
+    return min(MOST_TRIAL_SHARE, max(least / 4, share))
+
+
+def _has_capacity(view: RolloutView) -> bool:
+    return view.new_slots > 0 and view.new_slots >= CAPACITY_SHARE * view.old_slots
--- /dev/null
+++ b/winchfork/core/version_evidence.py
@@ -0,0 +1,217 @@
+"""Whether a new version of a service's software is bad: a sequential test against the old one.
+
+An answer counts against a version if it is a failure of the replica's own, or if it took several
+times as long as was to be expected there. Answers of the new version are compared, route by route,
+with those of the old one at the same time, since some routes fail often at any replica. A replica
+that is worse than all others of its version says something about itself and not about the version,
+so the worst replicas are left out.
+
+Two tests use the same counts. The alarm is a cumulative sum of log likelihood ratios that never
+falls below zero, so that a version which turns bad late is noticed as soon as one that was bad from
+the start. The approval needs the ratio over all answers so far to speak clearly for the version.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import math
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+#: A version is bad if the share of its bad answers is this much above that of the old version.
+BAD_EXCESS = 0.15
+#: Alarm threshold, as a log likelihood ratio. A good version then raises a false alarm about once
+#: in exp(10) / 0.1 = 220,000 answers of a route; one with three bad answers in ten is found after
+#: some 6 bad ones where nothing else fails, and some 20 where a seventh fails anyway.
+ALARM = 10.0
+#: Approval threshold: a version that is bad passes it with a chance of 0.02.
+APPROVAL = math.log(0.02)
+#: The old version's share of bad answers before any was seen, and how many answers that is worth.
+PRIOR_SHARE = 0.03
+PRIOR_ANSWERS = 20.0
+#: Shares are kept off 0 and 1, where ratios have no logarithm.
+LEAST_SHARE = 0.01
+MOST_SHARE = 0.95
+#: Looks, of a tenth to a fifth of a second each, over which the old version's latest answers are
+#: compared with besides, and the least of them that tell something: when all of a service turns
+#: slow or fails, that is no fault of its new version.
+LOOKS_COMPARED = 5
+LEAST_LATE_ANSWERS = 5
+#: Part of a version's replicas that is left out of its evidence, the worst first.
+WORST_SHARE = 0.2
+#: Fewer replicas than this are all counted: there is nothing to compare them with.
+LEAST_COMPARED = 3
+
+
+class Fault(enum.Enum):
+    """What an answer may be counted for, apart from each other."""
+
+    FAILED = "failed"
+    SLOW = "slow"
+
+
+class AnswerCounts(msgspec.Struct):
+    """Answers of one route at one replica, or at all replicas of a version."""
+
+    answers: int = 0
+    failed: int = 0
+    slow: int = 0
+
+    def add(self, other: AnswerCounts) -> None:
+        """Count the other's answers too."""
+        self.answers += other.answers
+        self.failed += other.failed
+        self.slow += other.slow
+
+    def since(self, earlier: AnswerCounts) -> AnswerCounts:
+        """Return the answers that have come since an earlier count."""
+        return AnswerCounts(
+            max(0, self.answers - earlier.answers),
+            max(0, self.failed - earlier.failed),
+            max(0, self.slow - earlier.slow),
+        )
+
+    def of(self, fault: Fault) -> int:
+        """Return how many answers have one fault."""
+        return self.failed if fault is Fault.FAILED else self.slow
+
+
+#: Counts by route, each named by a hash.
+CountsByRoute = Mapping[int, AnswerCounts]
+
+
+class Evidence(msgspec.Struct, frozen=True):
+    """All answers since an order was given: ``old`` by route, ``new`` by replica and route."""
+
+    old: CountsByRoute
+    new: Mapping[int, CountsByRoute]
+
+    @property
+    def new_answers(self) -> int:
+        """Answers of the new version."""
+        return sum(counts.answers for routes in self.new.values() for counts in routes.values())
+
+    @property
+    def all_answers(self) -> int:
+        """Answers of both versions."""
+        return self.new_answers + sum(counts.answers for counts in self.old.values())
+
+
+class Alarm(msgspec.Struct, frozen=True):
+    """Why a version counts as bad."""
+
+    route: int
+    fault: Fault
+    answers: int
+    bad: int
+    expected_share: float
+
+
+class VersionTest:
+    """The tests of one order. Fed with counts that only grow, some times a second."""
+
+    def __init__(self) -> None:
+        self._sums: dict[tuple[int, Fault], float] = {}
+        self._seen: dict[tuple[int, Fault], tuple[int, int]] = {}
+        self._old_seen: dict[int, collections.deque[AnswerCounts]] = {}
+
+    def judge(self, evidence: Evidence, *, compares_times: bool = True) -> Alarm | None:
+        """Take in what is new and return the alarm, if there is one.
+
+        Without ``compares_times`` slow answers are not held against the version: the old one gets
+        too few to tell what is slow just now.
+        """
+        faults = tuple(Fault) if compares_times else (Fault.FAILED,)
+        for route, counts in new_by_route(evidence).items():
+            old = evidence.old.get(route, AnswerCounts())
+            lately = self._lately(route, old)
+            for fault in faults:
+                expected = max(
+                    expected_share(old, fault),
+                    *(_late_share(some, fault) for some in lately),
+                )
+                if self._add(route, fault, counts, expected) >= ALARM:
+                    return Alarm(route, fault, counts.answers, counts.of(fault), expected)
+        return None
+
+    def _lately(self, route: int, old: AnswerCounts) -> tuple[AnswerCounts, AnswerCounts]:
+        """Return the old version's answers since the last look, and since some looks before."""
+        seen = self._old_seen.setdefault(route, collections.deque(maxlen=LOOKS_COMPARED))
+        if not seen:
+            seen.append(AnswerCounts())
+        lately = old.since(seen[-1]), old.since(seen[0])
+        seen.append(old.since(AnswerCounts()))
+        return lately
+
+    def _add(self, route: int, fault: Fault, new: AnswerCounts, expected: float) -> float:
+        key = (route, fault)
+        answers, bad = new.answers, new.of(fault)
+        seen_answers, seen_bad = self._seen.get(key, (0, 0))
+        # Another replica may be the worst now, and the counts without it may be lower.
+        self._seen[key] = (max(answers, seen_answers), max(bad, seen_bad))
+        more_bad = max(0, bad - seen_bad)
+        more_good = max(0, answers - seen_answers - more_bad)
+        ratio = log_ratio(more_bad, more_good, expected)
+        self._sums[key] = max(0.0, self._sums.get(key, 0.0) + ratio)
+        return self._sums[key]
+
+
+def approves(evidence: Evidence) -> bool:
+    """Whether the answers so far speak clearly for the new version, and on no route against it."""
+    totals = dict.fromkeys(Fault, 0.0)
+    for route, counts in new_by_route(evidence).items():
+        old = evidence.old.get(route, AnswerCounts())
+        for fault in Fault:
+            bad = counts.of(fault)
+            ratio = log_ratio(bad, counts.answers - bad, expected_share(old, fault))
+            if ratio > 0.0:
+                return False
+            totals[fault] += ratio
+    return all(total <= APPROVAL for total in totals.values())
+
+
+def expected_share(old: AnswerCounts, fault: Fault) -> float:
+    """Return the share of bad answers to expect of a version that is no worse than the old one.
+
+    One standard error above what was seen of the old one: with few answers it may be that high.
+    """
+    answers = old.answers + PRIOR_ANSWERS
+    share = (old.of(fault) + PRIOR_ANSWERS * PRIOR_SHARE) / answers
+    error = math.sqrt(share * (1.0 - share) / answers)
+    return min(MOST_SHARE - BAD_EXCESS, max(LEAST_SHARE, share + error))
+
+
+def _late_share(lately: AnswerCounts, fault: Fault) -> float:
+    if lately.answers < LEAST_LATE_ANSWERS:
+        return 0.0
+    return min(MOST_SHARE - BAD_EXCESS, lately.of(fault) / lately.answers)
+
+
+def log_ratio(bad: int, good: int, expected: float) -> float:
+    """Return how much more likely these answers are from a bad version than from a good one."""
+    worse = min(MOST_SHARE, expected + BAD_EXCESS)
+    return bad * math.log(worse / expected) + good * math.log((1.0 - worse) / (1.0 - expected))
+
+
+def new_by_route(evidence: Evidence) -> dict[int, AnswerCounts]:
+    """Add the new version's counts up by route, without its worst replicas."""
+    totals: dict[int, AnswerCounts] = {}
+    for routes in _without_worst(evidence.new):
+        for route, counts in routes.items():
+            totals.setdefault(route, AnswerCounts()).add(counts)
+    return totals
+
+
+def _without_worst(replicas: Mapping[int, CountsByRoute]) -> Iterable[CountsByRoute]:
+    left_out = math.ceil(WORST_SHARE * len(replicas)) if len(replicas) >= LEAST_COMPARED else 0
+    by_badness = sorted(replicas.items(), key=lambda item: (-_badness(item[1]), item[0]))
+    return [routes for _, routes in by_badness[left_out:]]
+
+
+def _badness(routes: CountsByRoute) -> float:
+    """Return the share of bad answers, as if a few good ones had been seen already."""
+    answers = sum(counts.answers for counts in routes.values())
+    bad = sum(counts.failed + counts.slow for counts in routes.values())
+    return bad / (answers + 5.0)
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -30,7 +30,7 @@
 PREPARED_TURNS = 1
 
 
-class RolloutPace(msgspec.Struct):
+class LoadPace(msgspec.Struct):
     """How long loads take and how long a rollout may take, in seconds."""
 
     bound_s: float
@@ -47,7 +47,7 @@
         return max(1, min(most, needed))
 
 
-class RolloutReplica(msgspec.Struct, frozen=True):
+class LoadingReplica(msgspec.Struct, frozen=True):
     """A replica as the rollout sees it; its last request is expected to end ``busy_s`` from now."""
 
     replica_id: str
@@ -57,7 +57,7 @@
     under_order: bool
 
 
-class RolloutStep(msgspec.Struct, frozen=True):
+class LoadStep(msgspec.Struct, frozen=True):
     """Replicas to order now, and those that come next and should be given nothing long."""
 
     order: tuple[str, ...]
@@ -132,7 +132,7 @@
         return math.inf
 
 
-def next_step(replicas: Sequence[RolloutReplica], newest: int, pace: RolloutPace) -> RolloutStep:
+def next_step(replicas: Sequence[LoadingReplica], newest: int, pace: LoadPace) -> LoadStep:
     """Return what to do now: the oldest versions first, those soon idle before the busy.
 
     Replicas whose turn comes next are prepared, since a load waits for the longest answer.
@@ -146,4 +146,4 @@
     slots = pace.at_once(sum(1 for replica in replicas if replica.accepting))
     free = max(0, slots - sum(1 for replica in replicas if replica.under_order))
     names = [replica.replica_id for replica in behind]
-    return RolloutStep(tuple(names[:free]), tuple(names[free : free + slots * PREPARED_TURNS]))
+    return LoadStep(tuple(names[:free]), tuple(names[free : free + slots * PREPARED_TURNS]))
--- a/winchfork/platform/documents.py
+++ b/winchfork/platform/documents.py
@@ -18,11 +18,12 @@
     ServiceShare,
     TenantPolicy,
 )
+from winchfork.core.software_state import RolloutOutcome, SoftwareOrder
 from winchfork.core.tenant_quota import QuotaUnit, TenantLimit
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
 from winchfork.router.documents import Document, ReplicaGone, WeightsTarget
-from winchfork.stores.async_key_value import StoreItem
+from winchfork.stores.async_key_value import PutItem, StoreItem
 
 _Shape = TypeVar("_Shape")
 _READY = "ready"
@@ -116,6 +117,7 @@
     zone: str = ""
     slots: int = 1
     state: str = _READY
+    version: str = ""
     models: list[_ModelVersion] = msgspec.field(default_factory=list)
 
 
@@ -124,8 +126,19 @@
     version: int
 
 
+class _RolloutOrder(_PascalStruct):
+    service: str
+    target_version: str
+    duration_s: float
+
+
+class _RolloutStatus(_PascalStruct):
+    state: str
+    target_version: str
+
+
 class PlatformDocuments:
-    """Implements :class:`winchfork.router.documents.DocumentReader`."""
+    """Implements :class:`winchfork.router.documents.DocumentReader` and its ``StatusWriter``."""
 
     def read(self, item: StoreItem) -> Document | Failure | None:
         """Return the document of an entry; None for entries that are none of the router's."""
@@ -140,8 +153,35 @@
             if isinstance(named, Failure):
                 return named
             return WeightsTarget(named.model, named.version)
+        if item.key.startswith(names.ROLLOUT_ORDER_PREFIX):
+            return _rollout_order(item)
         return None
 
+    def rollout_status(self, service: str, target: str, outcome: RolloutOutcome) -> PutItem:
+        """Return the entry that tells operators how a rollout of software stands."""
+        status = _RolloutStatus(_ROLLOUT_STATES[outcome], target)
+        key = names.ROLLOUT_STATUS_PREFIX + service
+        return PutItem(key, msgspec.json.encode(status))
+
+
+_ROLLOUT_STATES = {
+    RolloutOutcome.RUNNING: "running",
+    RolloutOutcome.COMPLETED: "completed",
+    RolloutOutcome.ROLLED_BACK: "rolled_back",
+}
+
+
+def _rollout_order(item: StoreItem) -> SoftwareOrder | Failure:
+    order = _decode(item, _RolloutOrder)
+    if isinstance(order, Failure):
+        return order
+    if not order.target_version or not order.service:
+        return FailureKind.BAD_DOCUMENT.because(
+            f"{item.key}: the service or the version is empty",
+            remedy="name the service and the version that it is to be moved to",
+        )
+    return SoftwareOrder(order.service, order.target_version, order.duration_s, item.revision)
+
 
 def _replica(item: StoreItem) -> Document | Failure:
     replica_id = item.key.removeprefix(names.REPLICA_PREFIX)
@@ -158,6 +198,7 @@
         slots=entry.slots,
         accepting=entry.state == _READY,
         versions={model.name: model.version for model in entry.models},
+        software=entry.version,
     )
 
 
--- a/winchfork/platform/names.py
+++ b/winchfork/platform/names.py
@@ -81,4 +81,8 @@
 CONFIGURATION_KEY: Final = "op/config"
 VERSION_PREFIX: Final = "op/version/"
 REPLICA_PREFIX: Final = "servers/"
+ROLLOUT_ORDER_PREFIX: Final = "op/rollout/"
+ROLLOUT_STATUS_PREFIX: Final = "status/rollout/"
+#: The part of the rules under which operators order rollouts of software.
+ROLLOUT_CONTRACT: Final = "rollout"
 STATUS_MISDIRECTED: Final = 421
--- a/winchfork/platform/parts.py
+++ b/winchfork/platform/parts.py
@@ -14,6 +14,7 @@
     return RouterParts(
         dialect=PlatformDialect(),
         documents=PlatformDocuments(),
+        status=PlatformDocuments(),
         make_store=PlatformStore,
         make_control=PlatformReplicaControl,
     )
--- a/winchfork/platform/settings.py
+++ b/winchfork/platform/settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from winchfork.core.region_map import RegionMap
+from winchfork.core.software_plan import ExposureLimits
 from winchfork.core.tenant_quota import QuotaTolerance
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
@@ -42,7 +43,7 @@
         retry_window_s=fields.number("Bounds.BudgetWindowS", 10),
         retry_slack=fields.number("Bounds.BudgetSlack", 0),
         lease_s=fields.seconds("Bounds.LeaseMs", 3_000),
-        rollout_s=fields.seconds("Bounds.VersionMs", 8_000),
+        weights_s=fields.seconds("Bounds.VersionMs", 8_000),
         reread_s=fields.number("Bounds.RetryAfterS", 10),
         heartbeat_s=fields.seconds("HeartbeatMs", 1_200),
         quota=QuotaTolerance(
@@ -50,6 +51,11 @@
             overage=fields.number("Bounds.QuotaOverage", 0),
             slack=fields.number("Bounds.QuotaSlack", 0),
         ),
+        exposure=ExposureLimits(
+            share=fields.number("Bounds.ExposureShare", 0.1),
+            slack=fields.number("Bounds.ExposureSlack", 0),
+            rollback_s=fields.seconds("Bounds.RollbackMs", 5_000),
+        ),
     )
     machine_ip = fields.text("Ip")
     settings = RouterSettings(
@@ -63,9 +69,10 @@
         metrics_address=f"{machine_ip}:{_METRICS_PORT}",
         peer_ports=fields.ports("InternalPorts"),
         regions=RegionMap(fields.table("Zones.")),
-        seeds=tuple(filter(None, fields.text("Seeds", "").split(","))),
+        seeds=fields.items("Seeds"),
         link_mbps=int(fields.number("Limits.LinkMbps", 0)),
         store_min_lease_s=fields.seconds("Platform.ttl_min_ms", 1_000),
+        software_rollouts=names.ROLLOUT_CONTRACT in fields.items("Contracts"),
         bounds=bounds,
     )
     return fields.problem or settings
@@ -123,6 +130,10 @@
             return (0, 0)
         return int(first), int(last)
 
+    def items(self, key: str) -> tuple[str, ...]:
+        """Return the items of a list, none where it is missing."""
+        return tuple(filter(None, self._values.get(key, "").split(",")))
+
     def table(self, prefix: str) -> dict[str, str]:
         """Return a table's values by name."""
         return {
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -40,7 +40,8 @@
     """What is sent where.
 
     ``unread_tokens`` is what the replica has to read of the prompt, ``memory_tokens`` what the run
-    may come to take of its memory; ``ends_s`` when it is expected to end.
+    may come to take of its memory; ``ends_s`` when it is expected to end. ``expected_s`` is how
+    long its first event, or a whole answer without events, is expected to take.
     """
 
     replica: RelayReplica
@@ -53,6 +54,7 @@
     weights_version: int | None
     no_body: bool
     ends_s: float
+    expected_s: float = 1.0
     on_read: Callable[[], None] = lambda: None
     on_events: Callable[[], None] = lambda: None
 
--- /dev/null
+++ b/winchfork/router/attempt_evidence.py
@@ -0,0 +1,74 @@
+"""What the end of an attempt says of its replica: whether it works, its weights, its software."""
+
+from __future__ import annotations
+
+from winchfork.core.routing import RouteKind
+from winchfork.router.attempt import AttemptPlan
+from winchfork.router.outcomes import Delivered, MayHaveRun, NotRun, Outcome
+from winchfork.router.request_record import RequestRecord
+from winchfork.router.state import AdmittedRequest, RouterState
+
+#: A replica that has refused a request is left alone for this long: it is full or loads weights.
+REFUSED_HOLD_S = 0.3
+#: From this status on, an answer says that the replica has failed.
+LEAST_FAILURE_STATUS = 500
+
+
+class AttemptEvidence:
+    """Takes down the outcomes of one request's attempts."""
+
+    def __init__(self, state: RouterState, admitted: AdmittedRequest, service: str) -> None:
+        self._state = state
+        self._admitted = admitted
+        self._route = admitted.route
+        self._service = service
+
+    def note(self, plan: AttemptPlan, outcome: Outcome, record: RequestRecord) -> bool:
+        """Note an outcome; True if the replica turned out to have newer weights than expected."""
+        replica = plan.replica
+        now_s = self._state.clock()
+        took_s = now_s - record.sent_s
+        self._note_software(plan, outcome, record, took_s)
+        if isinstance(outcome, Delivered):
+            replica.note_success(took_s, now_s)
+            if self._admitted.fields.prompt is not None:
+                self._state.note_run(self._admitted.fields.prompt.output_tokens, took_s)
+        elif isinstance(outcome, NotRun) and outcome.superseded:
+            self._state.note_superseded(replica)
+        elif isinstance(outcome, NotRun) and outcome.same_replica:
+            refused = plan.weights_version or 0
+            return self._state.note_refused_version(replica, plan.model, refused)
+        elif isinstance(outcome, NotRun) and outcome.sent:
+            replica.loading_until_s = max(replica.loading_until_s, now_s + REFUSED_HOLD_S)
+        elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
+            self._state.note_failure(replica, outcome.reason, certain=outcome.silent)
+        return False
+
+    def _note_software(
+        self, plan: AttemptPlan, outcome: Outcome, record: RequestRecord, took_s: float
+    ) -> None:
+        """Count a whole answer for or against the version of the replica's software.
+
+        A connection that breaks says that a replica, or the way to it, has failed.
+        """
+        failed = _is_failure(outcome)
+        if not failed and not isinstance(outcome, Delivered):
+            return
+        if self._route.kind is RouteKind.STREAMING and not failed:
+            if record.sends > 1 or record.first_event_s is None:
+                return
+            took_s = record.first_event_s - (record.sent_s - record.received_s)
+        self._state.software.note_answer(
+            self._service,
+            self._route.name,
+            plan.replica,
+            failed=failed,
+            took_s=took_s,
+            expected_s=plan.expected_s,
+        )
+
+
+def _is_failure(outcome: Outcome) -> bool:
+    if not isinstance(outcome, MayHaveRun) or outcome.answer is None:
+        return False
+    return outcome.answer.head.status >= LEAST_FAILURE_STATUS
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Sequence
 
-from winchfork.core.engine_speed import EngineSpeed
+from winchfork.core.engine_speed import PRIOR_FIRST_TOKEN_S, EngineSpeed
 from winchfork.core.part_index import part_key, shared_keys
 from winchfork.core.placement_request import PromptPlacement, RelayDecision
 from winchfork.core.prompt_cost import spread_cost_s, worth_moving
@@ -42,6 +42,8 @@
         self._admitted = admitted
         self._service = service
         self._prompt = admitted.fields.prompt
+        family = self._prompt.family if self._prompt else admitted.fields.request_id
+        self._on_target = state.software.goes_to_target(service, family)
         self._stores = state.store_choices(service, self._prompt) if self._prompt else {}
 
     @property
@@ -50,7 +52,7 @@
 
     def place(self, tried: set[str]) -> RelayDecision | None:
         """Return the best replica that was not tried yet, or None when none takes work."""
-        candidates = self._state.available(self._service, tried, self._prompt)
+        candidates = self._available(tried)
         now_s = self._state.clock()
         settings = self._state.settings
         delay = self._state.region_delay
@@ -80,6 +82,17 @@
         sources = [*self._state.fleet.of_service(self._service), *stores]
         return place_prompt(request, candidates, sources, self._state.parts)
 
+    def _available(self, tried: set[str]) -> list[RelayReplica]:
+        return self._state.available(self._service, tried, self._prompt, on_target=self._on_target)
+
+    def others_left(self, tried: set[str]) -> bool:
+        """Whether a replica that was not tried takes work."""
+        return bool(self._available(tried))
+
+    def next_opening_s(self, tried: set[str]) -> float | None:
+        """Return in how many seconds a replica will take work that takes none now."""
+        return self._state.next_opening_s(self._service, tried, on_target=self._on_target)
+
     def expected_wait_s(self) -> float | None:
         """Return how long the best replica of all is expected to take; None without any."""
         decision = self.place(set())
@@ -96,7 +109,7 @@
     def worth_moving(self, elapsed_s: float, tried: set[str]) -> bool:
         """Whether a run's rest elsewhere saves more waiting than a second reading costs."""
         prompt = self._prompt
-        if prompt is None or not self._state.available(self._service, tried, prompt):
+        if prompt is None or not self._available(tried):
             return False
         expected_s = prompt.output_tokens * self._state.token_s
         read_s = prompt.prompt_tokens / self._speed.read_tokens_per_s
@@ -132,6 +145,7 @@
             weights_version=version,
             no_body=self._request.method == b"HEAD",
             ends_s=self._state.clock() + self._expected_run_s(decision),
+            expected_s=self._expected_first_s(decision),
             on_read=self._on_read(decision, version),
         )
 
@@ -180,6 +194,17 @@
             return decision.cost_s
         return decision.cost_s + self._prompt.output_tokens * self._state.token_s
 
+    def _expected_first_s(self, decision: RelayDecision) -> float:
+        """Return how long a first event is to be expected; 1 s for what has no prompt.
+
+        Answers of two versions are compared by how they relate to this, so for requests of one
+        kind any constant serves.
+        """
+        if self._prompt is None:
+            return 1.0
+        tokens = decision.replica.queued_tokens + decision.unread_tokens
+        return PRIOR_FIRST_TOKEN_S + tokens / self._speed.read_tokens_per_s
+
     def _on_read(self, decision: RelayDecision, version: int | None) -> Callable[[], None]:
         """Return what is learned when the first token shows that the prompt has been read."""
         replica = decision.replica
--- a/winchfork/router/documents.py
+++ b/winchfork/router/documents.py
@@ -8,8 +8,9 @@
 
 from winchfork.core.relay_fleet import ReplicaListing
 from winchfork.core.routing import RoutingTable
+from winchfork.core.software_state import RolloutOutcome, SoftwareOrder
 from winchfork.errors import Failure
-from winchfork.stores.async_key_value import StoreItem
+from winchfork.stores.async_key_value import PutItem, StoreItem
 
 
 class WeightsTarget(msgspec.Struct, frozen=True):
@@ -25,7 +26,7 @@
     replica_id: str
 
 
-Document = RoutingTable | WeightsTarget | ReplicaListing | ReplicaGone
+Document = RoutingTable | WeightsTarget | ReplicaListing | ReplicaGone | SoftwareOrder
 
 
 class DocumentReader(Protocol):
@@ -34,3 +35,11 @@
     def read(self, item: StoreItem) -> Document | Failure | None:
         """Return the document of an entry; None for an entry that is none of the router's."""
         ...
+
+
+class StatusWriter(Protocol):
+    """Writes what operators read."""
+
+    def rollout_status(self, service: str, target: str, outcome: RolloutOutcome) -> PutItem:
+        """Return the entry that tells how a rollout of a service's software stands."""
+        ...
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -96,6 +96,14 @@
         now_s = self._clock()
         return self.fence != 0 and self._acts_from_s <= now_s < self._valid_until_s
 
+    def leads(self) -> bool:
+        """Tell, without I/O, whether this daemon may write what the leader alone writes.
+
+        The writes name the leader's entry as a condition, so they need not wait for the orders of
+        the holder before to grow old.
+        """
+        return self.fence != 0 and self._clock() < self._valid_until_s
+
     async def run(self) -> None:
         """Campaign whenever there is no leader; renew while leading."""
         while True:
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -51,7 +51,7 @@
     next_ms: int
 
 
-class RolloutProgress(PeerMessage, frozen=True):
+class WeightsProgress(PeerMessage, frozen=True):
     """The rollout leader's notes, under its fence."""
 
     sender_id: str
@@ -169,12 +169,47 @@
     data: bytes
 
 
+class EvidenceNote(PeerMessage, frozen=True):
+    """Answers on one route since an order was given, the route named by its hash.
+
+    ``replica`` is the hash of one of the new version; 0: all replicas of the old one.
+    """
+
+    route: int
+    replica: int
+    answers: int
+    failed: int
+    slow: int
+
+
+class VersionEvidence(PeerMessage, frozen=True):
+    """All that one start of a daemon has seen of a software rollout, or that a whole zone has.
+
+    ``zone`` is empty where one daemon speaks for itself.
+    """
+
+    sender_id: str
+    life: int
+    zone: str
+    service: str
+    order_revision: int
+    notes: tuple[EvidenceNote, ...]
+
+
+class VersionStop(PeerMessage, frozen=True):
+    """The target of an order is bad: it gets nothing more."""
+
+    sender_id: str
+    service: str
+    order_revision: int
+
+
 PEER_MESSAGE_TYPES = (
     Probe,
     ProbeReply,
     IndirectProbe,
     Activity,
-    RolloutProgress,
+    WeightsProgress,
     NamedVersions,
     Resignation,
     ZoneWork,
@@ -184,4 +219,6 @@
     DocumentPart,
     Accusation,
     RegionWork,
+    VersionEvidence,
+    VersionStop,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -4,7 +4,10 @@
 
 import asyncio
 
+import msgspec
+
 from winchfork.router.document_relay import DocumentRelay
+from winchfork.router.evidence_exchange import EvidenceExchange
 from winchfork.router.leadership import Leadership
 from winchfork.router.peer_messages import (
     Accusation,
@@ -15,7 +18,9 @@
     NamedVersions,
     RegionWork,
     Resignation,
-    RolloutProgress,
+    VersionEvidence,
+    VersionStop,
+    WeightsProgress,
     ZoneWork,
 )
 from winchfork.router.peers import PeerGroup
@@ -27,11 +32,19 @@
 from winchfork.router.work_exchange import WorkExchange
 
 
+class PeerParts(msgspec.Struct, frozen=True):
+    """What the leader's duties need of what was connected."""
+
+    news: VersionNews
+    evidence: EvidenceExchange
+
+
 def connect_peers(
     state: RouterState, peers: PeerGroup, sync: StoreSync, leadership: Leadership
-) -> VersionNews:
-    """Connect a process's parts to its peers; return what tells them of weights."""
+) -> PeerParts:
+    """Connect a process's parts to its peers."""
     call_later = asyncio.get_running_loop().call_later
+    evidence = EvidenceExchange(state, peers)
     quotas = QuotaExchange(state, peers)
     regions = RegionExchange(state, peers, quotas)
     work = WorkExchange(state, peers, call_later, quotas, regions)
@@ -41,7 +54,7 @@
     peers.handle(ZoneWork, work.take_zone)
     peers.handle(RegionWork, work.take_region)
     peers.handle(FleetWork, work.take_fleet)
-    peers.handle(RolloutProgress, news.take_rollout)
+    peers.handle(WeightsProgress, news.take_weights)
     peers.handle(NamedVersions, news.take_named)
     peers.handle(Resignation, leadership.note_resignation)
     peers.handle(
@@ -51,10 +64,14 @@
         Accusation(state.settings.node_id, replica.order_hash)
     )
     state.on_work_sent = work.tell_soon
+    peers.handle(VersionEvidence, evidence.take)
+    peers.handle(VersionStop, evidence.take_stop)
     peers.handle(DocumentPull, relay.take_pull)
     peers.handle(DocumentPart, relay.take_part)
     peers.on_tick += [news.greet_newcomers, work.tick]
+    if state.settings.software_rollouts:
+        peers.on_tick.append(evidence.tick)
     peers.on_revision = relay.note_revision
     sync.relay_through(relay)
     leadership.eligible = lambda: relay.may_lead
-    return news
+    return PeerParts(news, evidence)
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -23,18 +23,19 @@
 from winchfork.router.caller_connection import CallerConnection
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.dialect import Dialect
-from winchfork.router.documents import DocumentReader
+from winchfork.router.documents import DocumentReader, StatusWriter
 from winchfork.router.http_call import HttpCaller
 from winchfork.router.leadership import Leadership
 from winchfork.router.log_output import LogOutput
 from winchfork.router.peer_wiring import connect_peers
 from winchfork.router.peers import PeerGroup
-from winchfork.router.rollout import Rollout
 from winchfork.router.service import RouterService
 from winchfork.router.settings import RouterSettings
+from winchfork.router.software_rollout import SoftwareRollout
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
 from winchfork.router.text_server import TextConnection
+from winchfork.router.weights_rollout import WeightsRollout
 from winchfork.stores.async_key_value import AsyncKeyValueStore
 
 SWEEP_PERIOD_S = 0.5
@@ -54,6 +55,7 @@
 
     dialect: Dialect
     documents: DocumentReader
+    status: StatusWriter
     make_store: Callable[[HttpCaller, str], AsyncKeyValueStore]
     make_control: Callable[[HttpCaller], ReplicaControl]
 
@@ -98,8 +100,13 @@
         )
         self._sync = StoreSync(self.state, store, parts.documents, self._leadership, generator)
         control = parts.make_control(self._calls)
-        news = connect_peers(self.state, self._peers, self._sync, self._leadership)
-        self._rollout = Rollout(self.state, self._leadership, control, self._peers, news)
+        connected = connect_peers(self.state, self._peers, self._sync, self._leadership)
+        self._weights_rollout = WeightsRollout(
+            self.state, self._leadership, control, self._peers, connected.news
+        )
+        self._software_rollout = SoftwareRollout(
+            self.state, self._leadership, store, parts.status, connected.evidence
+        )
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_asked = asyncio.Event()
@@ -124,7 +131,8 @@
             self._sweep,
             self._peers.run,
             self._leadership.run,
-            self._rollout.run,
+            self._weights_rollout.run,
+            self._software_rollout.run,
         ):
             self._tasks.append(self._loop.create_task(self._supervise(duty)))
         log_event(
@@ -233,7 +241,7 @@
         asked_s = self._loop.time()
         self.state.stopping = True
         log_event("router_stopping", active=self.service.active_requests)
-        handing_over = self._loop.create_task(self._rollout.stop())
+        handing_over = self._loop.create_task(self._weights_rollout.stop())
         last_s = asked_s + self._settings.bounds.grace_s - STOP_MARGIN_S
         notice_s = min(ENTRY_NOTICE_S, self._settings.bounds.grace_s / 2)
         await asyncio.sleep(notice_s)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -14,7 +14,8 @@
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
-from winchfork.router.attempt import Attempt, AttemptPlan
+from winchfork.router.attempt import Attempt
+from winchfork.router.attempt_evidence import AttemptEvidence
 from winchfork.router.caller_answer import CallerAnswer
 from winchfork.router.dispatch import Dispatch
 from winchfork.router.http_types import (
@@ -46,8 +47,6 @@
 _LOOK_AGAIN_S = 0.03
 #: A repeat needs this much time to be worth sending.
 _LEAST_TIME_LEFT_S = 0.03
-#: A replica that has refused a request is left alone for this long: it is full or loads weights.
-REFUSED_HOLD_S = 0.3
 #: Tries at one replica that only refused the weights version.
 _MAX_VERSION_TRIES = 1
 #: Part of the retry budget that streams which move away from a load leave to failures.
@@ -80,6 +79,7 @@
         self._attempt: Attempt | None = None
         self._backend = self._state.choose_service(admitted.route)
         self._dispatch = Dispatch(service.state, service.dialect, request, admitted, self._backend)
+        self._evidence = AttemptEvidence(service.state, admitted, self._backend)
         self._ends_at_s = request.received_s + self._time_allowed_s()
         self._tried: set[str] = set()
         self._version_tries = 0
@@ -176,7 +176,7 @@
             decision = self._dispatch.place(self._tried)
             if decision is not None:
                 return decision
-            opening_s = self._state.next_opening_s(self._backend, self._tried)
+            opening_s = self._dispatch.next_opening_s(self._tried)
             if opening_s is None or opening_s > self._time_left_s() - _LEAST_TIME_LEFT_S:
                 return FailureKind.NO_REPLICA.because(
                     f"no replica of {self._backend} takes work in time",
@@ -214,7 +214,7 @@
             self._state.on_work_sent()
         outcome = await self._attempt.run()
         self._attempt = None
-        self._note_evidence(plan, outcome, self._record.sent_s)
+        self._newer_weights = self._evidence.note(plan, outcome, self._record)
         return outcome
 
     def _still_wanted(self, replica: RelayReplica) -> bool:
@@ -232,23 +232,6 @@
             return self._answer.last_event_id
         return self._admitted.fields.resume_after
 
-    def _note_evidence(self, plan: AttemptPlan, outcome: Outcome, sent_s: float) -> None:
-        replica = plan.replica
-        now_s = self._loop.time()
-        if isinstance(outcome, Delivered):
-            replica.note_success(now_s - sent_s, now_s)
-            if self._admitted.fields.prompt is not None:
-                self._state.note_run(self._admitted.fields.prompt.output_tokens, now_s - sent_s)
-        elif isinstance(outcome, NotRun) and outcome.superseded:
-            self._state.note_superseded(replica)
-        elif isinstance(outcome, NotRun) and outcome.same_replica:
-            refused = plan.weights_version or 0
-            self._newer_weights = self._state.note_refused_version(replica, plan.model, refused)
-        elif isinstance(outcome, NotRun) and outcome.sent:
-            replica.loading_until_s = max(replica.loading_until_s, now_s + REFUSED_HOLD_S)
-        elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
-            self._state.note_failure(replica, outcome.reason, certain=outcome.silent)
-
     # What follows an attempt
 
     def _goes_on(self, replica: RelayReplica, outcome: Outcome) -> bool:
@@ -288,7 +271,8 @@
         self._may_have_run = True
         self._tried.add(replica.replica_id)
         failed_by_replica = outcome.answer is not None and outcome.answer.head.status < 500
-        worth_it = self._route.repeatable and not failed_by_replica and self._others_left()
+        others_left = self._dispatch.others_left(self._tried)
+        worth_it = self._route.repeatable and not failed_by_replica and others_left
         if worth_it and self._may_repeat(self._route.max_attempts):
             return True
         if outcome.answer is not None and not self._answer.started:
@@ -299,9 +283,6 @@
             self._give_up(FailureKind.OUTCOME_UNKNOWN.because(outcome.reason, ran=RunState.UNKNOWN))
         return False
 
-    def _others_left(self) -> bool:
-        return bool(self._state.available(self._backend, self._tried))
-
     def _may_repeat(self, most_sends: int) -> bool:
         if self._record.sends >= most_sends or self._time_left_s() < _LEAST_TIME_LEFT_S:
             return False
--- a/winchfork/router/settings.py
+++ b/winchfork/router/settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from winchfork.core.region_map import RegionMap
+from winchfork.core.software_plan import ExposureLimits
 from winchfork.core.tenant_quota import QuotaTolerance
 
 _NO_REGIONS = RegionMap()
@@ -26,10 +27,11 @@
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     lease_s: float = 3.0
-    rollout_s: float = 8.0
+    weights_s: float = 8.0
     reread_s: float = 10.0
     heartbeat_s: float = 1.2
     quota: QuotaTolerance = QuotaTolerance()
+    exposure: ExposureLimits = ExposureLimits()
 
 
 class RouterSettings(msgspec.Struct, frozen=True):
@@ -50,4 +52,6 @@
     store_min_lease_s: float = 1.0
     #: What the machine's link carries, in megabits a second; 0 where it is not known.
     link_mbps: int = 0
+    #: Whether operators order rollouts of software here; else every version gets requests.
+    software_rollouts: bool = False
     bounds: RouterBounds = RouterBounds()
--- /dev/null
+++ b/winchfork/router/software_rollout.py
@@ -0,0 +1,187 @@
+"""The leader carries out operators' orders to move services to other versions of their software.
+
+Each step is one transaction: the service's record and the status that operators read, written only
+if the record is as it is known here and this daemon is still the leader. So a write that is lost,
+late or comes from a leader of before changes nothing that was decided since. What a step waits for
+is seen, never assumed: replicas that take work, answers, and work that has ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from winchfork.core.software_plan import RolloutStep, RolloutView, next_step
+from winchfork.core.software_state import (
+    SoftwareOrder,
+    SoftwareState,
+)
+from winchfork.core.version_evidence import approves
+from winchfork.errors import Failure
+from winchfork.logs import log_event
+from winchfork.router.documents import StatusWriter
+from winchfork.router.evidence_exchange import EvidenceExchange
+from winchfork.router.leadership import LEADER_KEY, Leadership
+from winchfork.router.software_records import record_key, write_record
+from winchfork.router.state import RouterState
+from winchfork.stores.async_key_value import AsyncKeyValueStore, ExpectedRevision, PutItem
+
+PASS_PERIOD_S = 0.1
+#: Pause after a write, whether or not it was answered: meanwhile the store's watch tells what holds
+#: now. Nothing else does, and a write that is tried again too early changes nothing.
+WRITE_PAUSE_S = 0.3
+#: How long ago an order or a record counts as written that this daemon found at its start.
+FOUND_AGE_S = 3.0
+#: Runs that take longer than this many times the mean are rare enough to be cut at the time limit.
+LONG_RUN_RATIO = 4.0
+
+
+class _Seen(msgspec.Struct, frozen=True):
+    """A record's revision, and since when it is known here."""
+
+    revision: int
+    since_s: float
+
+
+class SoftwareRollout:
+    """The duty of the leader; idle on every other daemon."""
+
+    def __init__(
+        self,
+        state: RouterState,
+        leadership: Leadership,
+        store: AsyncKeyValueStore,
+        status: StatusWriter,
+        evidence: EvidenceExchange,
+    ) -> None:
+        self._state = state
+        self._versions = state.software
+        self._leadership = leadership
+        self._store = store
+        self._status = status
+        self._evidence = evidence
+        self._started_s = state.clock()
+        self._records_seen: dict[str, _Seen] = {}
+        self._orders_seen: dict[str, _Seen] = {}
+        self._look_again_s: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Look for work until cancelled."""
+        while True:
+            await asyncio.sleep(PASS_PERIOD_S)
+            if not self._versions.enabled:
+                continue
+            self._look_around()
+            if self._leadership.leads():
+                for service in self._versions.services():
+                    await self._pass(service)
+
+    def _look_around(self) -> None:
+        """Note since when each order and record is known, on every daemon: any may lead next."""
+        now_s = self._state.clock()
+        for service in self._versions.services():
+            _note_seen(self._records_seen, service, self._versions.revision(service), now_s)
+            order = self._versions.orders.get(service)
+            if order is not None:
+                _note_seen(self._orders_seen, service, order.revision, now_s)
+
+    async def _pass(self, service: str) -> None:
+        now_s = self._state.clock()
+        if now_s < self._look_again_s.get(service, 0.0):
+            return
+        step = self._next(service)
+        if step is not None:
+            await self._write(step)
+
+    def _next(self, service: str) -> RolloutStep | None:
+        record = self._versions.recorded(service)
+        order = self._versions.orders.get(service)
+        if record is None:
+            assumed = self._versions.state(service)
+            if not assumed.in_force:
+                return None
+            return RolloutStep(assumed, "the version in force is recorded")
+        if order is not None and order.revision > record.order_revision:
+            return self._take_order(record, order)
+        if not record.running:
+            return None
+        return next_step(record, self._view(record), self._state.settings.bounds.exposure)
+
+    def _take_order(self, record: SoftwareState, order: SoftwareOrder) -> RolloutStep:
+        aged = msgspec.structs.replace(
+            record.with_order(order), elapsed_s=self._age_s(self._orders_seen[order.service])
+        )
+        if order.target in record.judged_bad and order.target != record.in_force:
+            return RolloutStep(
+                aged.rolled_back(judged_bad=False), "the version was found bad before"
+            )
+        if order.target == record.in_force and not record.running:
+            return RolloutStep(aged.completed(), "the version is in force already")
+        return RolloutStep(aged, "ordered")
+
+    def _age_s(self, seen: _Seen) -> float:
+        """Return how long ago something was written that was first seen at a moment.
+
+        What was there when this daemon started is older than it looks.
+        """
+        found = FOUND_AGE_S if seen.since_s - self._started_s < FOUND_AGE_S else 0.0
+        return self._state.clock() - seen.since_s + found
+
+    def _view(self, record: SoftwareState) -> RolloutView:
+        seen = self._records_seen[record.service]
+        self._state.fleet.refresh()
+        replicas = self._state.fleet.of_service(record.service)
+        now_s = self._state.clock()
+        working = [item for item in replicas if item.accepting and now_s >= item.avoided_until_s]
+        new = [item for item in working if item.listing.software == record.target]
+        old = [item for item in working if item.listing.software == record.in_force]
+        leaving = [item for item in replicas if item.listing.software != record.target]
+        evidence = self._evidence.evidence(record.service)
+        return RolloutView(
+            elapsed_s=record.elapsed_s + self._age_s(seen),
+            stage_s=now_s - seen.since_s,
+            new_replicas=len(new),
+            new_slots=sum(item.listing.slots for item in new),
+            old_slots=sum(item.listing.slots for item in old),
+            old_running=sum(item.running for item in leaving),
+            new_answers=evidence.new_answers,
+            all_answers=evidence.all_answers,
+            approved=approves(evidence),
+            alarmed=self._versions.is_stopped(record),
+            longest_run_s=LONG_RUN_RATIO * self._state.mean_run_s,
+        )
+
+    async def _write(self, step: RolloutStep) -> None:
+        record = step.state
+        service = record.service
+        expected = [
+            ExpectedRevision(LEADER_KEY, self._leadership.fence),
+            ExpectedRevision(record_key(service), self._versions.revision(service)),
+        ]
+        puts = [PutItem(record_key(service), write_record(record))]
+        if record.order_revision:
+            puts.append(self._status.rollout_status(service, record.target, record.outcome))
+        written = await self._store.transact(expected, puts)
+        failed = isinstance(written, Failure)
+        log_event(
+            "software_step",
+            "WARNING" if failed else "INFO",
+            service=service,
+            target=record.target or None,
+            order=record.order_revision or None,
+            phase=record.phase.value,
+            share=record.share,
+            outcome=record.outcome.value,
+            elapsed_s=record.elapsed_s,
+            reason=step.reason,
+            written=str(written) if failed else "yes",
+            fence=self._leadership.fence,
+        )
+        self._look_again_s[service] = self._state.clock() + WRITE_PAUSE_S
+
+
+def _note_seen(seen: dict[str, _Seen], service: str, revision: int, now_s: float) -> None:
+    known = seen.get(service)
+    if known is None or known.revision != revision:
+        seen[service] = _Seen(revision, now_s)
--- /dev/null
+++ b/winchfork/router/software_versions.py
@@ -0,0 +1,240 @@
+"""Which versions of a service's software get requests, as one daemon knows it.
+
+A daemon gives a new version its share only while it knows that the share is still in force: it has
+proof, a moment old, that it has seen all that the store holds. One that has just started, was cut
+off or has slept gives it nothing until it has such a proof again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from winchfork.core.exposure import ExposureCredit, lane_of
+from winchfork.core.relay_fleet import RelayFleet, RelayReplica
+from winchfork.core.rendezvous import member_hash
+from winchfork.core.software_state import (
+    SoftwareOrder,
+    SoftwarePhase,
+    SoftwareState,
+    VersionRule,
+    first_replicas,
+    likely_in_force,
+    rule_of,
+)
+from winchfork.core.version_evidence import AnswerCounts
+from winchfork.logs import log_event
+
+#: Part of the bound on rollbacks that is kept for a store whose watches lag, for slow clocks and
+#: for requests on their way: a share whose proof is older than the rest may have been taken back.
+ROLLBACK_MARGIN_S = 1.15
+#: An answer that takes this many times as long as the old version's usually do is slow.
+SLOW_RATIO = 2.5
+#: Share of a new sample in the moving average of what answers usually take, and how far above the
+#: average a sample counts.
+USUAL_WEIGHT = 0.1
+MOST_TIMES_USUAL = 4.0
+#: Names the version in force where answers are counted by replica.
+OLD_VERSION = 0
+
+
+class ServiceAnswers(msgspec.Struct):
+    """This daemon's counts of one order, by replica (or OLD_VERSION) and route, by hash."""
+
+    order_revision: int
+    counts: dict[tuple[int, int], AnswerCounts] = {}
+    #: Seconds that answers of the old version usually take, for each expected second, by route.
+    usual: dict[int, float] = {}
+
+
+class SoftwareVersions:
+    """The records of all services, the orders, and this daemon's part in carrying them out."""
+
+    def __init__(
+        self,
+        fleet: RelayFleet,
+        proof_age_s: Callable[[], float],
+        draw: Callable[[], float],
+        rollback_s: float,
+        *,
+        enabled: bool,
+    ) -> None:
+        self.enabled = enabled
+        self._share_age_s = max(0.5, rollback_s - ROLLBACK_MARGIN_S)
+        self._draw = draw
+        self._fleet = fleet
+        self._proof_age_s = proof_age_s
+        self._states: dict[str, SoftwareState] = {}
+        self._revisions: dict[str, int] = {}
+        self.orders: dict[str, SoftwareOrder] = {}
+        #: The version taken to be in force where there is no record.
+        self._assumed: dict[str, str] = {}
+        self._credits: dict[str, ExposureCredit] = {}
+        self._stopped: dict[str, int] = {}
+        self.answers: dict[str, ServiceAnswers] = {}
+
+    # What is known
+
+    def install(self, state: SoftwareState, revision: int) -> None:
+        """Take a record from the store; one that is not newer is known already."""
+        if revision <= self._revisions.get(state.service, 0):
+            return
+        known = self._states.get(state.service)
+        self._states[state.service] = state
+        self._revisions[state.service] = revision
+        if known is None or known.order_revision != state.order_revision:
+            self._credits.pop(state.service, None)
+            self.answers[state.service] = ServiceAnswers(state.order_revision)
+        log_event(
+            "software_rollout",
+            service=state.service,
+            phase=state.phase.value,
+            in_force=state.in_force,
+            target=state.target or None,
+            share=state.share,
+            outcome=state.outcome.value,
+            order=state.order_revision or None,
+            revision=revision,
+        )
+
+    def note_order(self, order: SoftwareOrder) -> None:
+        """Take an operator's order from the store."""
+        known = self.orders.get(order.service)
+        if known is not None and known.revision >= order.revision:
+            return
+        self.orders[order.service] = order
+        log_event(
+            "software_ordered",
+            service=order.service,
+            target=order.target,
+            duration_s=order.duration_s,
+            order=order.revision,
+        )
+
+    def revision(self, service: str) -> int:
+        """Return the revision of a service's record; 0 where there is none."""
+        return self._revisions.get(service, 0)
+
+    def recorded(self, service: str) -> SoftwareState | None:
+        """Return a service's record, if it has one."""
+        return self._states.get(service)
+
+    def state(self, service: str) -> SoftwareState:
+        """Return a service's record, or what is to be assumed without one."""
+        return self._states.get(service) or SoftwareState(service, self._assume(service))
+
+    def _assume(self, service: str) -> str:
+        replicas = self._fleet.of_service(service)
+        listed = [replica.listing.software for replica in replicas]
+        order = self.orders.get(service)
+        target = order.target if order else ""
+        known = self._assumed.get(service, "")
+        if known and known in listed and known != target:
+            return known
+        accepting = [replica.listing.software for replica in replicas if replica.accepting]
+        self._assumed[service] = likely_in_force(accepting, listed, target)
+        return self._assumed[service]
+
+    def services(self) -> list[str]:
+        """Return the services that are known to have replicas, an order or a record, sorted."""
+        listed = {replica.listing.service for replica in self._fleet.replicas()}
+        return sorted(listed | self.orders.keys() | self._states.keys())
+
+    # Which replicas a request may go to
+
+    def goes_to_target(self, service: str, family: str) -> bool:
+        """Decide once for a request whether it is one of those that go to the new version."""
+        state = self._states.get(service)
+        if not self.enabled or state is None or not state.running or not state.share:
+            return False
+        if state.phase is SoftwarePhase.MOVED or not self._share_holds(state):
+            return False
+        credit = self._credits.get(service)
+        if credit is None:
+            credit = self._credits[service] = ExposureCredit(self._draw())
+        credit.earn(state.share)
+        return credit.spend(lane_of(family, state.order_revision), state.share)
+
+    def _share_holds(self, state: SoftwareState) -> bool:
+        return not self.is_stopped(state) and self._proof_age_s() <= self._share_age_s
+
+    def allowed(
+        self, service: str, replicas: Sequence[RelayReplica], *, on_target: bool
+    ) -> list[RelayReplica]:
+        """Return the replicas that a request may go to, of those that take work."""
+        if not self.enabled:
+            return list(replicas)
+        state = self.state(service)
+        if not state.in_force:
+            return list(replicas)
+        if self.is_stopped(state) and not state.returning:
+            return _of_version(replicas, state.in_force)
+        rule = rule_of(state, on_target=on_target and self._share_holds(state))
+        first = self._first(service, replicas, rule)
+        return first or _of_version(replicas, rule.otherwise)
+
+    def _first(
+        self, service: str, replicas: Sequence[RelayReplica], rule: VersionRule
+    ) -> list[RelayReplica]:
+        found = _of_version(replicas, rule.first)
+        if not rule.trial_replicas:
+            return found
+        listed = _of_version(self._fleet.of_service(service), rule.first)
+        hashes = [replica.order_hash for replica in listed if replica.accepting]
+        chosen = first_replicas(hashes, rule.trial_replicas)
+        return [replica for replica in found if replica.order_hash in chosen]
+
+    # Stopping
+
+    def is_stopped(self, state: SoftwareState) -> bool:
+        """Whether the target of a running order was found bad."""
+        return state.running and self._stopped.get(state.service) == state.order_revision
+
+    def stop(self, service: str, order_revision: int, *, told_by: str) -> bool:
+        """Send the target nothing more, whatever the record says; True if that is news."""
+        if self._stopped.get(service, 0) >= order_revision:
+            return False
+        self._stopped[service] = order_revision
+        log_event(
+            "software_stopped", "WARNING", service=service, order=order_revision, told_by=told_by
+        )
+        return True
+
+    # Evidence
+
+    def note_answer(
+        self,
+        service: str,
+        route: str,
+        replica: RelayReplica,
+        *,
+        failed: bool,
+        took_s: float,
+        expected_s: float,
+    ) -> None:
+        """Count an answer while a rollout runs; ``expected_s`` is what it was predicted to take."""
+        state = self._states.get(service)
+        if not self.enabled or state is None or not state.running:
+            return
+        answers = self.answers[service]
+        route_hash = member_hash(route)
+        ratio = took_s / max(expected_s, 1e-3)
+        is_new = replica.listing.software == state.target
+        place = replica.order_hash if is_new else OLD_VERSION
+        if not is_new and replica.listing.software != state.in_force:
+            return
+        usual = answers.usual.get(route_hash)
+        slow = not failed and usual is not None and ratio > SLOW_RATIO * usual
+        counts = answers.counts.setdefault((place, route_hash), AnswerCounts())
+        counts.add(AnswerCounts(1, int(failed), int(slow)))
+        if not is_new and not failed:
+            known = usual if usual is not None else ratio
+            sample = min(ratio, MOST_TIMES_USUAL * known)
+            answers.usual[route_hash] = known + USUAL_WEIGHT * (sample - known)
+
+
+def _of_version(replicas: Sequence[RelayReplica], software: str) -> list[RelayReplica]:
+    if not software:
+        return []
+    return [replica for replica in replicas if replica.listing.software == software]
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -27,6 +27,7 @@
 from winchfork.router.http_types import IncomingRequest
 from winchfork.router.metrics import RouterMetrics
 from winchfork.router.settings import RouterSettings
+from winchfork.router.software_versions import SoftwareVersions
 
 #: Part of the revocation bound that is kept for a store whose watches lag and for slow clocks.
 REVOCATION_MARGIN_S = 1.15
@@ -90,9 +91,18 @@
         self.parts = PartIndex()
         #: What this daemon has learned of kept parts and has not told its peers yet.
         self.kept_news = KeptBacklog()
+        #: The daemon that the store names as the leader; empty while there is none.
+        self.leader_id = ""
         #: Highest fence under which a rollout leader has spoken.
-        self.rollout_fence = 0
+        self.weights_fence = 0
         self.freshness = Freshness()
+        self.software = SoftwareVersions(
+            self.fleet,
+            lambda: self.freshness.age_s(self.clock()),
+            generator.random,
+            settings.bounds.exposure.rollback_s,
+            enabled=settings.software_rollouts,
+        )
         self.splits = SplitChooser()
         self.metrics = RouterMetrics()
         self.stopping = False
@@ -197,10 +207,18 @@
         return chosen
 
     def available(
-        self, service: str, tried: set[str], prompt: Prompt | None = None
+        self,
+        service: str,
+        tried: set[str],
+        prompt: Prompt | None = None,
+        *,
+        on_target: bool = False,
     ) -> list[RelayReplica]:
         """Return replicas that may be sent work now, without those already tried.
 
+        ``on_target``: the request goes to the new version of a service whose software is rolled
+        out, as long as that gets requests.
+
         For a prompt, weights that are no longer allowed when it begins rule a replica out. When
         every one is left alone for failures, that is ignored: a doubtful replica is better than
         none.
@@ -215,20 +233,27 @@
             and now_s >= replica.loading_until_s
             and (prompt is None or self._weights_allowed(replica, prompt, now_s))
         ]
+        candidates = self.software.allowed(service, candidates, on_target=on_target)
         sound = [replica for replica in candidates if now_s >= replica.avoided_until_s]
         return sound or candidates
 
-    def next_opening_s(self, service: str, tried: set[str]) -> float | None:
+    def next_opening_s(
+        self, service: str, tried: set[str], *, on_target: bool = False
+    ) -> float | None:
         """Return in how many seconds a replica will take work that takes none now; None: none will.
 
         A replica under a hold says when it ends; one whose weights are too old is loaded next.
         """
         now_s = self.clock()
-        openings = [
-            replica.loading_until_s - now_s if replica.loading_until_s > now_s else PRIOR_LOAD_S
+        left = [
+            replica
             for replica in self.fleet.of_service(service)
             if replica.accepting and replica.replica_id not in tried
         ]
+        openings = [
+            replica.loading_until_s - now_s if replica.loading_until_s > now_s else PRIOR_LOAD_S
+            for replica in self.software.allowed(service, left, on_target=on_target)
+        ]
         return min(openings, default=None)
 
     def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
@@ -239,7 +264,7 @@
         tokens = QUEUE_MARGIN * replica.queued_tokens + OWN_PROMPT_MARGIN * prompt.prompt_tokens
         known_rate = self.engine_speed(replica.listing.service).read_tokens_per_s
         margin_s = BEGIN_MARGIN_S + tokens / min(PRIOR_READ_TOKENS_PER_S, known_rate)
-        bound_s = self.settings.bounds.rollout_s
+        bound_s = self.settings.bounds.weights_s
         due_s = history.due_s(replica.versions.get(prompt.model, 0), bound_s)
         return now_s + min(MAX_BEGIN_MARGIN_S, margin_s) < due_s
 
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -20,12 +20,14 @@
 from winchfork.core.document_table import DocumentTable, TableItem, TableUpdate
 from winchfork.core.relay_fleet import ReplicaListing
 from winchfork.core.routing import RoutingTable
+from winchfork.core.software_state import SoftwareOrder
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.document_relay import DocumentRelay
 from winchfork.router.documents import DocumentReader, ReplicaGone, WeightsTarget
 from winchfork.router.leadership import LEADER_KEY, Leadership
+from winchfork.router.software_records import is_record_key, read_record
 from winchfork.router.state import RouterState
 from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreItem
 
@@ -191,6 +193,10 @@
     def _install(self, item: TableItem) -> None:
         if item.key == LEADER_KEY:
             self._leadership.note_entry(None if item.value is None else item.revision)
+            self._state.leader_id = (item.value or b"").decode()
+            return
+        if is_record_key(item.key):
+            self._install_record(item)
             return
         document = self._reader.read(StoreItem(item.key, item.value, item.revision))
         if isinstance(document, Failure):
@@ -201,9 +207,20 @@
             self._install_target(document, item.revision)
         elif isinstance(document, ReplicaListing):
             self._install_replica(document, item.revision)
+        elif isinstance(document, SoftwareOrder):
+            self._state.software.note_order(document)
         elif isinstance(document, ReplicaGone):
             self._note_gone(document.replica_id, item)
 
+    def _install_record(self, item: TableItem) -> None:
+        if item.value is None:
+            return
+        record = read_record(item.value)
+        if isinstance(record, Failure):
+            log_event("document_refused", "WARNING", key=item.key, reason=record.reason)
+        else:
+            self._state.software.install(record, item.revision)
+
     def _note_gone(self, replica_id: str, item: TableItem) -> None:
         """Remove a replica; one that only vanished during an outage is kept for a while."""
         replica = self._state.fleet.get(replica_id)
@@ -241,7 +258,7 @@
         """
         if self._begun_in_outage:
             return -self._settling_s()
-        return max(0.0, self._state.settings.bounds.rollout_s - START_GRACE_S)
+        return max(0.0, self._state.settings.bounds.weights_s - START_GRACE_S)
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
         known = self._state.fleet.get(listing.replica_id)
@@ -255,6 +272,7 @@
                 service=listing.service,
                 zone=listing.zone,
                 accepting=listing.accepting,
+                software=listing.software or None,
                 versions=",".join(str(version) for version in listing.versions.values()) or None,
                 revision=revision,
             )
@@ -286,7 +304,7 @@
         if lost_s is None:
             return
         log_event("store_regained", after_s=now_s - lost_s)
-        bound_s = self._state.settings.bounds.rollout_s
+        bound_s = self._state.settings.bounds.weights_s
         for history in self._state.versions.values():
             history.restart_bounds(lost_s, now_s + self._settling_s(), bound_s)
 
--- a/winchfork/router/version_news.py
+++ b/winchfork/router/version_news.py
@@ -8,8 +8,8 @@
 from winchfork.router.peer_messages import (
     NamedNote,
     NamedVersions,
-    RolloutProgress,
     WeightsNote,
+    WeightsProgress,
 )
 from winchfork.router.peer_port import PeerPort
 from winchfork.router.state import RouterState
@@ -24,23 +24,23 @@
         self._known_members: set[tuple[str, int]] = set()
         self._greeted_view: FleetView | None = None
 
-    def tell_rollout(self, fence: int, notes: tuple[WeightsNote, ...]) -> None:
+    def tell_weights(self, fence: int, notes: tuple[WeightsNote, ...]) -> None:
         """Tell every member of the replicas under order; apply it here as well."""
-        message = RolloutProgress(self._state.settings.node_id, fence, notes)
-        self.take_rollout(message)
+        message = WeightsProgress(self._state.settings.node_id, fence, notes)
+        self.take_weights(message)
         self._peers.tell_everyone(message)
 
-    def take_rollout(self, message: RolloutProgress) -> None:
+    def take_weights(self, message: WeightsProgress) -> None:
         """Apply the notes of the newest leader."""
-        if message.fence < self._state.rollout_fence:
+        if message.fence < self._state.weights_fence:
             return
-        self._state.rollout_fence = message.fence
+        self._state.weights_fence = message.fence
         for note in message.notes:
             replica = self._state.fleet.get(note.replica_id)
             if replica is not None:
                 self._apply(replica, note, message)
 
-    def _apply(self, replica: RelayReplica, note: WeightsNote, message: RolloutProgress) -> None:
+    def _apply(self, replica: RelayReplica, note: WeightsNote, message: WeightsProgress) -> None:
         now_s = self._state.clock()
         was_held = now_s < replica.loading_until_s
         known = replica.versions.get(note.model, 0)
--- a/winchfork/router/rollout_notes.py
+++ b/winchfork/router/weights_notes.py
@@ -23,13 +23,13 @@
 RENEWAL_COLLECT_S = 0.25
 
 #: Tells every member: the leader's fence and the notes.
-TellRollout = Callable[[int, tuple[WeightsNote, ...]], None]
+TellWeights = Callable[[int, tuple[WeightsNote, ...]], None]
 
 
-class RolloutNotes:
+class WeightsNotes:
     """What has been told of each replica, and what is about to be."""
 
-    def __init__(self, tell: TellRollout, clock: Callable[[], float]) -> None:
+    def __init__(self, tell: TellWeights, clock: Callable[[], float]) -> None:
         self._tell = tell
         self._clock = clock
         self._pending: dict[str, WeightsNote] = {}
--- a/winchfork/router/rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -17,14 +17,14 @@
     WeightsOrder,
 )
 from winchfork.core.relay_fleet import RelayReplica
-from winchfork.core.weight_rollout import RolloutPace, RolloutReplica, next_step
+from winchfork.core.weight_rollout import LoadingReplica, LoadPace, next_step
 from winchfork.errors import Failure, RunState
 from winchfork.logs import log_event
 from winchfork.router.leadership import Leadership
 from winchfork.router.peers import PeerGroup
-from winchfork.router.rollout_notes import RolloutNotes
 from winchfork.router.state import RouterState
 from winchfork.router.version_news import VersionNews
+from winchfork.router.weights_notes import WeightsNotes
 
 PASS_PERIOD_S = 0.1
 #: Pause between reports while a replica finishes its requests and loads.
@@ -45,7 +45,7 @@
 STOP_PATIENCE_S = 2.0
 
 
-class Rollout:
+class WeightsRollout:
     """The duty of the leader; idle on every other daemon."""
 
     def __init__(
@@ -62,8 +62,8 @@
         self._peers = peers
         self._under_order: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
-        self._pace = RolloutPace(state.settings.bounds.rollout_s)
-        self._notes = RolloutNotes(news.tell_rollout, state.clock)
+        self._pace = LoadPace(state.settings.bounds.weights_s)
+        self._notes = WeightsNotes(news.tell_weights, state.clock)
 
     async def run(self) -> None:
         """Look for work until cancelled."""
@@ -100,8 +100,8 @@
         for replica_id in step.order:
             self._begin(replica_id, model, history.newest)
 
-    def _view(self, replica: RelayReplica, model: str, now_s: float) -> RolloutReplica:
-        return RolloutReplica(
+    def _view(self, replica: RelayReplica, model: str, now_s: float) -> LoadingReplica:
+        return LoadingReplica(
             replica.replica_id,
             replica.versions[model],
             replica.accepting and now_s >= replica.avoided_until_s,
