Find out once that a zone is lost, and let it use its part of the quotas

Cause: when a zone was cut off, each daemon found out replica by replica, each by a time-out of 0.8 s and again after each ejection; a stream whose replica lay beyond waited for its connection's end, some seconds; the cut zone's daemons were ready until their keys expired, so that callers met 503 while the entry took some seconds more to send them elsewhere; and they counted on a quarter of their shares of the quotas although they heard each other, and after the return on what others had used in all of the cut (daemons that are alone were meant; a part that hears itself was not thought of).

Quotas: a zone that hears no other counts on its own part; news of longer than a bucket takes to fill counts for what it takes to fill. Ruled out: silence alone (daemons killed), failures alone (a release).

Tests: tests/test_zone_loss.py.

Callers of a tenant that are gathered on the lost side still find its part too small.

--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -48,6 +48,10 @@
         """Cut these daemons off from all others, each from each; an empty list heals."""
         ...
 
+    def part(self, daemons: Sequence[int]) -> None:
+        """Cut these daemons off from all others, not from each other; an empty list heals."""
+        ...
+
     def kill(self, daemons: Sequence[int]) -> None:
         """End daemons without a word."""
         ...
@@ -70,12 +74,16 @@
         self._limits = {f"tenant-{number}": limit for number, limit in enumerate(limits)}
         self._bounds = RouterBounds(quota=TOLERANCE)
         self._cut: set[str] = set()
+        self._apart: set[str] = set()
         self._ended_bytes = 0
         generator = random.Random(seed)
         self._network = Network()
         self._network.delay_s = delay_s
         self._network.drop = lambda sender, receiver: (
-            sender in self._cut or receiver in self._cut or generator.random() < loss
+            sender in self._cut
+            or receiver in self._cut
+            or (sender in self._apart) != (receiver in self._apart)
+            or generator.random() < loss
         )
         self._daemons: list[Daemon | None] = [None] * count
         self.start(range(count))
@@ -96,7 +104,10 @@
                 daemon.state.quotas.install(self._limits, daemon.state.clock())
 
     def cut(self, daemons: Sequence[int]) -> None:
-        self._cut = {f"10.0.{(n + 1) // 256}.{(n + 1) % 256}" for n in daemons}
+        self._cut = _addresses(daemons)
+
+    def part(self, daemons: Sequence[int]) -> None:
+        self._apart = _addresses(daemons)
 
     def kill(self, daemons: Sequence[int]) -> None:
         for number in daemons:
@@ -116,6 +127,10 @@
         return self._ended_bytes + sum(item.peers.sent_bytes for item in self._daemons if item)
 
 
+def _addresses(daemons: Sequence[int]) -> set[str]:
+    return {f"10.0.{(n + 1) // 256}.{(n + 1) % 256}" for n in daemons}
+
+
 @dataclasses.dataclass
 class Verdict:
     """What a scenario came to. ``excess`` is the most units beyond the bound in any window.
@@ -205,6 +220,11 @@
         self._cut_at_s = dict.fromkeys(daemons, self._loop.time())
         self.way.cut(daemons)
 
+    def part(self, daemons: Sequence[int]) -> None:
+        """Cut daemons off together; they go on serving until their keys expire."""
+        self._cut_at_s = dict.fromkeys(daemons, self._loop.time())
+        self.way.part(daemons)
+
     def kill(self, daemons: Sequence[int]) -> None:
         """End daemons; callers go elsewhere."""
         self.down |= set(daemons)
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -26,6 +26,12 @@
     scenario.at(9.0, lambda: scenario.cut([]))
 
 
+def lose_a_zone(scenario: QuotaScenario) -> None:
+    """The daemons of one of three zones hear each other and nobody else for six seconds."""
+    scenario.at(3.0, lambda: scenario.part(range(0, scenario.count, 3)))
+    scenario.at(9.0, lambda: scenario.part([]))
+
+
 def restart_some(scenario: QuotaScenario) -> None:
     """Six in ten are killed and come back."""
     _restart(scenario, scenario.pick(0.6))
@@ -54,7 +60,15 @@
 
 
 Faults = Callable[[QuotaScenario], None]
-FAULTS: tuple[Faults, ...] = (calm, cut_a_third, restart_some, restart_all, gather, lower)
+FAULTS: tuple[Faults, ...] = (
+    calm,
+    cut_a_third,
+    lose_a_zone,
+    restart_some,
+    restart_all,
+    gather,
+    lower,
+)
 
 
 def drawn(seed: int) -> Faults:
@@ -103,6 +117,16 @@
                     verdict = play(count, 3, faults, hot=hot)
                     self.assertLessEqual(verdict.lost_share, MOST_LOST, (count, hot))
 
+    def test_a_zone_that_is_lost_uses_its_part_of_the_quotas(self) -> None:
+        """Its daemons counted on a quarter of their shares, and after their return on nothing.
+
+        They had refused 0.123 in the mean of what was owed on these two days.
+        """
+        verdicts = [play(LARGE, seed, lose_a_zone) for seed in (6, 7)]
+        for verdict in verdicts:
+            self._holds(verdict, "a lost zone")
+        self.assertLessEqual(sum(verdict.lost_share for verdict in verdicts) / 2, 0.06)
+
     def test_hubs_do_not_count_each_others_use_twice(self) -> None:
         """Estimates that were merged by the larger one ran away where news was 40 ms old."""
         verdict = play(LARGE, 4, calm, hot=4.0, delay_s=0.04)
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -207,7 +207,9 @@
             fleet.name(2)
             for _ in range(800):
                 await asyncio.sleep(0.01)
-                available = {item.replica_id for item in fleet.state.available("s", set(), PROMPT)}
+                available = {
+                    item.replica_id for item in fleet.state.choice.available("s", set(), PROMPT)
+                }
                 loading = {
                     item.replica_id for item in replicas if item.next_version != item.version
                 }
@@ -236,16 +238,16 @@
             named_s = fleet.state.clock()
             replica = fleet.state.fleet.get("i-1")
             assert replica is not None
-            self.assertTrue(fleet.state.available("s", set(), PROMPT))
+            self.assertTrue(fleet.state.choice.available("s", set(), PROMPT))
             replica.unread_tokens = 30_000
             await asyncio.sleep(named_s + 6.5 - fleet.state.clock())
-            self.assertFalse(fleet.state.available("s", set(), PROMPT))
+            self.assertFalse(fleet.state.choice.available("s", set(), PROMPT))
             replica.unread_tokens = 0
             long = Prompt(MODEL, (), 40_000)
-            self.assertFalse(fleet.state.available("s", set(), long))
-            self.assertTrue(fleet.state.available("s", set(), PROMPT))
+            self.assertFalse(fleet.state.choice.available("s", set(), long))
+            self.assertTrue(fleet.state.choice.available("s", set(), PROMPT))
             await asyncio.sleep(1.0)
-            self.assertFalse(fleet.state.available("s", set(), PROMPT))
+            self.assertFalse(fleet.state.choice.available("s", set(), PROMPT))
 
         run_virtually(scenario())
 
@@ -258,8 +260,8 @@
                 task.cancel()
             fleet.name(2)
             await asyncio.sleep(8.0 - 1.84)
-            self.assertFalse(fleet.state.available("s", set(), Prompt(MODEL, (), 28_000)))
-            self.assertTrue(fleet.state.available("s", set(), PROMPT))
+            self.assertFalse(fleet.state.choice.available("s", set(), Prompt(MODEL, (), 28_000)))
+            self.assertTrue(fleet.state.choice.available("s", set(), PROMPT))
 
         run_virtually(scenario())
 
@@ -276,7 +278,9 @@
             fleet.store.down = True
             for _ in range(400):
                 await asyncio.sleep(0.01)
-                available = {item.replica_id for item in fleet.state.available("s", set(), PROMPT)}
+                available = {
+                    item.replica_id for item in fleet.state.choice.available("s", set(), PROMPT)
+                }
                 self.assertNotIn(ordered.replica_id, available)
             self.assertFalse(fleet.leadership.may_act())
 
@@ -294,10 +298,14 @@
             back = ReplicaListing("i-9", "s", "i-9", "z1", 8, True, {MODEL: 1})
             fleet.control.replicas["i-9"] = FakeReplica("i-9")
             fleet.state.fleet.install(back)
-            available = {item.replica_id for item in fleet.state.available("s", set(), PROMPT)}
+            available = {
+                item.replica_id for item in fleet.state.choice.available("s", set(), PROMPT)
+            }
             self.assertNotIn("i-9", available)
             await asyncio.sleep(6.0)
-            available = {item.replica_id for item in fleet.state.available("s", set(), PROMPT)}
+            available = {
+                item.replica_id for item in fleet.state.choice.available("s", set(), PROMPT)
+            }
             self.assertIn("i-9", available)
 
         run_virtually(scenario())
@@ -320,7 +328,9 @@
         async def scenario() -> None:
             fleet = Fleet([FakeReplica("i-0")])
             fleet.state.fleet.install(ReplicaListing("i-1", "s", "i-0", "z1", 8, True, {MODEL: 1}))
-            available = [item.replica_id for item in fleet.state.available("s", set(), PROMPT)]
+            available = [
+                item.replica_id for item in fleet.state.choice.available("s", set(), PROMPT)
+            ]
             self.assertEqual(available, ["i-1"])
 
         run_virtually(scenario())
--- /dev/null
+++ b/tests/test_zone_loss.py
@@ -0,0 +1,213 @@
+"""A zone that is cut off while callers still reach it: found out once, by all of its daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+
+from tests.peer_support import Daemon
+from tests.relay_support import (
+    PATIENCE_S,
+    RelayUnderTest,
+    ScriptedReplica,
+    SeenRequest,
+    caller_request,
+    chunk,
+    event,
+    never_answering,
+    read_answer,
+    stream_head,
+)
+from tests.test_zone_hubs import LargeFleet, in_large_fleet
+from winchfork.core.routing import RouteKind
+from winchfork.core.zone_reach import FAILED_REPLICAS, SILENCE_S, WORD_HOLDS_S, ZoneReach
+
+
+class ZoneReachTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reach = ZoneReach("z1")
+        for zone in ("z1", "z2", "z3"):
+            self.reach.note_heard(zone, 10.0)
+
+    def fail(self, zone: str, count: int, now_s: float) -> None:  # type: ignore[override]
+        for number in range(count):
+            self.reach.note_failed(zone, number, now_s)
+
+    def test_silence_and_failures_together_make_a_zone_unreachable(self) -> None:
+        late_s = 10.0 + SILENCE_S + 0.1
+        self.fail("z2", FAILED_REPLICAS, late_s)
+        self.assertEqual(self.reach.found_unreachable(late_s), {"z2"})
+
+    def test_daemons_that_were_killed_leave_their_zones_replicas_in_use(self) -> None:
+        self.assertEqual(self.reach.found_unreachable(60.0), frozenset())
+
+    def test_replicas_that_fail_in_a_zone_that_speaks_say_nothing_of_it(self) -> None:
+        self.fail("z2", 9, 10.1)
+        self.assertEqual(self.reach.found_unreachable(10.2), frozenset())
+
+    def test_one_word_makes_a_zone_reachable_again(self) -> None:
+        self.fail("z2", FAILED_REPLICAS, 12.0)
+        self.assertTrue(self.reach.found_unreachable(12.0))
+        self.reach.note_heard("z2", 12.1)
+        self.assertFalse(self.reach.found_unreachable(14.0))
+
+    def test_a_hubs_word_holds_for_a_while_only(self) -> None:
+        self.assertEqual(self.reach.adopt(("z2",), 10.0, is_isolated=True), {"z2"})
+        self.assertEqual(self.reach.adopt(("z2",), 10.5, is_isolated=True), frozenset())
+        self.assertTrue(self.reach.is_isolated(10.6))
+        self.assertEqual(self.reach.unreachable(10.5 + WORD_HOLDS_S), frozenset())
+        self.assertFalse(self.reach.is_isolated(10.5 + WORD_HOLDS_S))
+
+    def test_a_zone_that_knows_no_other_is_not_cut_off(self) -> None:
+        self.assertFalse(ZoneReach("z1").found_isolated(99.0, 1.0))
+        self.assertTrue(self.reach.found_isolated(99.0, 1.0))
+
+
+def cut_zone(fleet: LargeFleet, zone: str) -> list[Daemon]:
+    """Cut a zone off from the other zones and from the store; return its daemons."""
+    inside = [daemon for daemon in fleet.daemons if daemon.state.settings.zone == zone]
+    ips = {daemon.ip for daemon in inside}
+    fleet.network.drop = lambda sender, receiver: (sender in ips) != (receiver in ips)
+    for daemon in inside:
+        daemon.store.cut = True
+    return inside
+
+
+def heal(fleet: LargeFleet) -> None:
+    fleet.network.drop = lambda sender, receiver: False
+    for daemon in fleet.daemons:
+        daemon.store.cut = False
+
+
+def fail_replicas(daemons: list[Daemon], zone: str) -> None:
+    """Two of the daemons find the zone's replicas silent."""
+    for daemon in daemons[:2]:
+        for replica in daemon.state.fleet.replicas():
+            if replica.listing.zone == zone:
+                daemon.state.note_failure(replica, "silent", certain=True)
+
+
+class ZoneCutTest(unittest.TestCase):
+    def in_fleet(self, scenario: Callable[[LargeFleet], object]) -> None:
+        async def with_replicas(fleet: LargeFleet) -> None:
+            for number in range(6):
+                zone = ("z1", "z2", "z3")[number % 3]
+                fleet.put_replica(
+                    f"r-{number}", Service="s", Zone=zone, Address=f"10.9.0.{number}:1"
+                )
+            await asyncio.sleep(1.0)
+            await scenario(fleet)  # type: ignore[misc]
+
+        in_large_fleet(with_replicas)
+
+    def test_all_daemons_know_it_after_two_failures_and_forget_it_at_its_end(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            inside = cut_zone(fleet, "z2")
+            outside = [daemon for daemon in fleet.daemons if daemon not in inside]
+            await asyncio.sleep(0.8)
+            fail_replicas(inside, "z1")
+            fail_replicas(inside, "z3")
+            fail_replicas(outside, "z2")
+            await asyncio.sleep(0.4)
+            for daemon in inside:
+                zones = {item.listing.zone for item in daemon.state.choice.available("s", set())}
+                self.assertEqual(zones, {"z2"})
+            for daemon in outside:
+                zones = {item.listing.zone for item in daemon.state.choice.available("s", set())}
+                self.assertNotIn("z2", zones)
+            heal(fleet)
+            await asyncio.sleep(1.0)
+            for daemon in fleet.daemons:
+                found = {item.replica_id for item in daemon.state.choice.available("s", set())}
+                self.assertTrue({f"r-{number}" for number in range(6)} <= found)
+
+        self.in_fleet(scenario)
+
+    def test_the_cut_zone_asks_for_no_more_callers_while_it_still_serves(self) -> None:
+        """Entries need some seconds to notice, and keys can be checked for four."""
+
+        async def scenario(fleet: LargeFleet) -> None:
+            inside = cut_zone(fleet, "z2")
+            outside = [daemon for daemon in fleet.daemons if daemon not in inside]
+            await asyncio.sleep(2.3)
+            self.assertFalse(any(daemon.state.ready for daemon in inside))
+            self.assertTrue(all(daemon.state.keys_fresh for daemon in inside))
+            self.assertTrue(all(daemon.state.ready for daemon in outside))
+            heal(fleet)
+            await asyncio.sleep(1.5)
+            self.assertTrue(all(daemon.state.ready for daemon in fleet.daemons))
+
+        self.in_fleet(scenario)
+
+    def test_a_store_that_is_down_for_all_sends_no_callers_away_early(self) -> None:
+        async def scenario(fleet: LargeFleet) -> None:
+            fleet.store.down = True
+            await asyncio.sleep(3.0)
+            self.assertTrue(all(daemon.state.ready for daemon in fleet.daemons))
+
+        self.in_fleet(scenario)
+
+
+class AnswersBeyondTheCutTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.silent = ScriptedReplica(never_answering)
+        self.other = ScriptedReplica(self.stream)
+        await self.silent.start()
+        await self.other.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.silent.stop()
+        await self.other.stop()
+
+    @staticmethod
+    async def stream(
+        request: SeenRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(stream_head(request) + chunk(event(1)) + chunk(b"") + b"")
+        await writer.drain()
+        return True
+
+    async def ask(self, *, resumable: bool) -> tuple[RelayUnderTest, asyncio.StreamReader]:
+        relay = RelayUnderTest(kind=RouteKind.STREAMING, resumable=resumable, max_attempts=2)
+        relay.configure()
+        relay.add(self.silent, "i-far", zone="z2")
+        await relay.start()
+        self.addAsyncCleanup(relay.stop)
+        reader, writer = await relay.connect()
+        self.addCleanup(writer.close)
+        writer.write(caller_request(method="POST", body=b"x"))
+        while not self.silent.seen:
+            await asyncio.sleep(0.01)
+        relay.add(self.other, "i-near", zone="z1")
+        await asyncio.sleep(0.4)
+        return relay, reader
+
+    async def test_a_stream_that_may_be_resumed_goes_on_elsewhere_when_its_zone_is_lost(
+        self,
+    ) -> None:
+        """It waited for the connection's own end, some seconds."""
+        relay, reader = await self.ask(resumable=True)
+        relay.state.take_reach(("z2",), is_isolated=False)
+        answer = await asyncio.wait_for(read_answer(reader), PATIENCE_S)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.other.seen), 1)
+
+    async def test_one_that_may_run_once_only_is_left_where_it_is(self) -> None:
+        relay, _ = await self.ask(resumable=False)
+        relay.state.take_reach(("z2",), is_isolated=False)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.other.seen, [])
+        self.assertFalse(self.silent.closed_by_router.is_set())
+
+    async def test_a_replica_that_falls_silent_loses_its_other_answers_too(self) -> None:
+        relay, reader = await self.ask(resumable=True)
+        replica = relay.state.fleet.get("i-far")
+        assert replica is not None
+        relay.state.note_failure(replica, "silent", certain=True)
+        answer = await asyncio.wait_for(read_answer(reader), PATIENCE_S)
+        self.assertEqual(answer.status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/winchfork/core/quota_book.py
+++ b/winchfork/core/quota_book.py
@@ -227,13 +227,18 @@
 
     # Other daemons
 
-    def add_others(self, news: Mapping[int, float], now_s: float) -> None:
-        """Count what other daemons have used, after what has flowed in before."""
+    def add_others(self, news: Mapping[int, float], now_s: float, unheard_s: float = 0.0) -> None:
+        """Count what other daemons have used in ``unheard_s``, after what has flowed in before.
+
+        Of what was used over a longer time than a bucket takes to fill, the older part has flowed
+        in again: counted at once, the news of a zone that was cut off left tenants nothing for
+        seconds after its return.
+        """
         for key, cost in news.items():
             quota = self._quotas.get(key)
             if quota is not None:
                 self._settle(quota, now_s)
-                quota.add_others(cost)
+                quota.add_others(cost * min(1.0, quota.fill_s / max(unheard_s, 1e-3)))
 
     def replace(self, told: QuotaLevels, now_s: float) -> None:
         """Take a hub's word on the levels."""
--- a/winchfork/core/tenant_quota.py
+++ b/winchfork/core/tenant_quota.py
@@ -109,6 +109,11 @@
         """The limit in force."""
         return self._limit
 
+    @property
+    def fill_s(self) -> float:
+        """Seconds in which an empty bucket is full."""
+        return self._depth / self._limit.rate_per_s
+
     def change(self, limit: TenantLimit) -> None:
         """Put another limit in force; what was used stays used."""
         self._limit = limit
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -82,6 +83,8 @@
         self._stream: StreamReader | None = None
         self._unread_counted = plan.unread_tokens
         self._read = False
+        self._loop = asyncio.get_running_loop()
+        self._heard_s = 0.0
 
     async def run(self) -> Outcome:
         """Send the request and follow its answer to the end."""
@@ -90,8 +93,12 @@
         exchange = Exchange(self._inbox.put, self._is_own, plan.no_body)
         try:
             self._connection.start(plan.message, exchange)
+            self._heard_s = self._loop.time()
             while True:
-                outcome = self._step(await self._inbox.get())
+                item = await self._inbox.get()
+                if isinstance(item, AnswerHead | AnswerData):
+                    self._heard_s = self._loop.time()
+                outcome = self._step(item)
                 if outcome is not None:
                     return outcome
         finally:
@@ -103,6 +110,11 @@
         """The replica at which this attempt is."""
         return self._plan.replica
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the request was sent, or since something was last heard of its answer."""
+        return self._loop.time() - self._heard_s
+
     def pause(self, behind: bool) -> None:
         """Stop reading from the replica while the caller is behind."""
         if behind:
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -83,7 +83,9 @@
         return place_prompt(request, candidates, sources, self._state.parts)
 
     def _available(self, tried: set[str]) -> list[RelayReplica]:
-        return self._state.available(self._service, tried, self._prompt, on_target=self._on_target)
+        return self._state.choice.available(
+            self._service, tried, self._prompt, on_target=self._on_target
+        )
 
     def others_left(self, tried: set[str]) -> bool:
         """Whether a replica that was not tried takes work."""
@@ -91,7 +93,7 @@
 
     def next_opening_s(self, tried: set[str]) -> float | None:
         """Return in how many seconds a replica will take work that takes none now."""
-        return self._state.next_opening_s(self._service, tried, on_target=self._on_target)
+        return self._state.choice.next_opening_s(self._service, tried, on_target=self._on_target)
 
     def expected_wait_s(self) -> float | None:
         """Return how long the best replica of all is expected to take; None without any."""
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -113,6 +113,9 @@
     loads: tuple[ReplicaLoadNote, ...]
     kept: tuple[KeptNote, ...]
     levels: QuotaLevels | None = None
+    #: Zones that cannot be reached from this one, and whether it hears no other.
+    unreachable: tuple[str, ...] = ()
+    is_isolated: bool = False
 
 
 class ZoneUse(PeerMessage, frozen=True):
--- a/winchfork/router/quota_exchange.py
+++ b/winchfork/router/quota_exchange.py
@@ -138,7 +138,7 @@
         if report is not None:
             untold = min(1.0, silent_s / TOLD_AGAIN_S)
             news = self._zone_reader.read(sender_id, report, untold)
-            self._book.add_others(news if sender_id == speaker_id else {}, now_s)
+            self._book.add_others(news if sender_id == speaker_id else {}, now_s, silent_s)
         if levels is not None:
             self._take_levels(levels, now_s)
 
@@ -188,15 +188,20 @@
         if known <= 1 and self._has_other_seeds:
             return Supply(0.0, ISOLATED_SHARE / ASSUMED_DAEMONS, is_alone=True)
         own_share = 1.0 / max(1, known)
+        own_zone = self._state.settings.zone
         alone = Supply(0.0, ISOLATED_SHARE * own_share, is_alone=True)
         waiting = Supply(0.0, ISOLATED_SHARE * own_share)
         if self._is_settling(view, now_s):
             return Supply(own_share)
         if view.direct or view.is_hub:
             missing = sum(1 for key in self._seen if not self._is_heard(key, now_s))
+            if not view.direct and self._is_deaf(view, now_s):
+                missing = sum(1 for _, zone in self._seen.values() if zone != own_zone)
             if missing >= known - 1 > 0:
                 return alone
-            return waiting if self._is_deaf(view, now_s) else Supply(1.0 - missing / known)
+            if view.direct and self._is_deaf(view, now_s):
+                return waiting
+            return Supply(1.0 - missing / known)
         word_age_s = now_s - (self._hub_heard_s or self._started_s)
         if word_age_s > SILENCE_S:
             return alone
@@ -221,7 +226,11 @@
             del self._seen[member_id]
 
     def _is_deaf(self, view: FleetView, now_s: float) -> bool:
-        """Whether no daemon of a small fleet, or no other zone's hub, was heard for some ticks."""
+        """Whether no daemon of a small fleet, or no other zone's hub, was heard for some ticks.
+
+        A zone whose hubs hear no other then counts on its own part of the limits: others count on
+        the whole for half a second longer, which the tolerance of the limits bears.
+        """
         if view.direct:
             heard = list(self._daemon_heard_s.values())
         else:
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -49,6 +49,8 @@
 _LEAST_TIME_LEFT_S = 0.03
 #: Tries at one replica that only refused the weights version.
 _MAX_VERSION_TRIES = 1
+#: A replica that has said something more recently than this is heard, whatever others say of it.
+LEAST_SILENCE_S = 0.3
 #: Part of the retry budget that streams which move away from a load leave to failures.
 _FAILURE_RESERVE = 0.5
 _LOOK_AGAIN = "look_again"
@@ -128,6 +130,22 @@
             log_event("stream_moves", id=self._id, replica=replica.replica_id)
             self._inbox.put(MoveAway(replica.replica_id))
 
+    def replica_unreachable(self, replica: RelayReplica) -> None:
+        """Go on elsewhere at once where that is allowed: this answer will not come.
+
+        Waiting for the connection's own time-out costs a caller some seconds of silence.
+        """
+        attempt = self._attempt
+        if attempt is None or attempt.replica is not replica or not self._route.repeatable:
+            return
+        if attempt.silent_s < LEAST_SILENCE_S or not self._dispatch.others_left(
+            self._tried | {replica.replica_id}
+        ):
+            return
+        if self._may_repeat(self._route.max_attempts):
+            log_event("answer_given_up", id=self._id, replica=replica.replica_id)
+            self._inbox.put(MoveAway(replica.replica_id))
+
     # Lifecycle
 
     async def run(self) -> None:
--- /dev/null
+++ b/winchfork/router/replica_choice.py
@@ -0,0 +1,94 @@
+"""Which replicas may be sent a request now, and when one will be that may not yet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S
+from winchfork.core.prompt_parts import Prompt
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.weight_rollout import PRIOR_LOAD_S
+
+if TYPE_CHECKING:
+    from winchfork.router.state import RouterState
+
+#: A request begins with its first token. Old weights take none that may begin after their bound:
+#: a fixed margin, and twice the time to read what is queued and its own prompt: replicas differ in
+#: speed, and long prompts are read slower towards their end.
+BEGIN_MARGIN_S = 0.8
+QUEUE_MARGIN = 2.0
+OWN_PROMPT_MARGIN = 2.0
+MAX_BEGIN_MARGIN_S = 5.0
+
+
+class ReplicaChoice:
+    """The rules by which a replica is a candidate, on the beliefs of one process."""
+
+    def __init__(self, state: RouterState) -> None:
+        self._state = state
+
+    def available(
+        self,
+        service: str,
+        tried: set[str],
+        prompt: Prompt | None = None,
+        *,
+        on_target: bool = False,
+    ) -> list[RelayReplica]:
+        """Return replicas that may be sent work now, without those already tried.
+
+        ``on_target``: the request goes to the new version of a service whose software is rolled
+        out, as long as that gets requests.
+
+        For a prompt, weights that are no longer allowed when it begins rule a replica out. When
+        every one is left alone for failures, or lies in a zone out of reach, that is ignored: a
+        doubtful replica is better than none.
+        """
+        now_s = self._state.clock()
+        self._state.fleet.refresh()
+        candidates = [
+            replica
+            for replica in self._state.fleet.of_service(service)
+            if replica.accepting
+            and replica.replica_id not in tried
+            and now_s >= replica.loading_until_s
+            and (prompt is None or self._weights_allowed(replica, prompt, now_s))
+        ]
+        candidates = self._state.software.allowed(service, candidates, on_target=on_target)
+        sound = [replica for replica in candidates if now_s >= replica.avoided_until_s]
+        unreachable = self._state.reach.unreachable(now_s)
+        if unreachable:
+            reached = [item for item in sound if item.listing.zone not in unreachable]
+            sound = reached or sound
+        return sound or candidates
+
+    def next_opening_s(
+        self, service: str, tried: set[str], *, on_target: bool = False
+    ) -> float | None:
+        """Return in how many seconds a replica will take work that takes none now; None: none will.
+
+        A replica under a hold says when it ends; one whose weights are too old is loaded next.
+        """
+        now_s = self._state.clock()
+        left = [
+            replica
+            for replica in self._state.fleet.of_service(service)
+            if replica.accepting and replica.replica_id not in tried
+        ]
+        openings = [
+            replica.loading_until_s - now_s if replica.loading_until_s > now_s else PRIOR_LOAD_S
+            for replica in self._state.software.allowed(service, left, on_target=on_target)
+        ]
+        return min(openings, default=None)
+
+    def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
+        """Whether a request sent now will begin before the replica's weights are too old."""
+        history = self._state.versions.get(prompt.model)
+        if history is None:
+            return True
+        tokens = QUEUE_MARGIN * replica.queued_tokens + OWN_PROMPT_MARGIN * prompt.prompt_tokens
+        known_rate = self._state.engine_speed(replica.listing.service).read_tokens_per_s
+        margin_s = BEGIN_MARGIN_S + tokens / min(PRIOR_READ_TOKENS_PER_S, known_rate)
+        bound_s = self._state.settings.bounds.weights_s
+        due_s = history.due_s(replica.versions.get(prompt.model, 0), bound_s)
+        return now_s + min(MAX_BEGIN_MARGIN_S, margin_s) < due_s
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -43,6 +43,8 @@
         self._connections: set[CallerConnection] = set()
         self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
         state.on_held = self._replica_held
+        state.on_silent = self._replica_silent
+        state.on_zone_lost = self._zone_lost
 
     # CallerHandler
 
@@ -104,6 +106,15 @@
         for request in list(self._tasks.values()):
             request.replica_held(replica)
 
+    def _replica_silent(self, replica: RelayReplica) -> None:
+        for request in list(self._tasks.values()):
+            request.replica_unreachable(replica)
+
+    def _zone_lost(self, zone: str) -> None:
+        lost = [item for item in self.state.fleet.replicas() if item.listing.zone == zone]
+        for replica in lost:
+            self._replica_silent(replica)
+
     # Duties
 
     @property
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -4,11 +4,11 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
-from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S, EngineSpeed
+from winchfork.core.engine_speed import EngineSpeed
 from winchfork.core.freshness import Freshness
 from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.part_index import PartIndex
@@ -19,13 +19,15 @@
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
-from winchfork.core.weight_rollout import PRIOR_LOAD_S, VersionHistory
+from winchfork.core.weight_rollout import VersionHistory
+from winchfork.core.zone_reach import ZoneReach
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.cache_stores import CacheStores
 from winchfork.router.dialect import RequestFields
 from winchfork.router.http_types import IncomingRequest
 from winchfork.router.metrics import RouterMetrics
+from winchfork.router.replica_choice import ReplicaChoice
 from winchfork.router.settings import RouterSettings
 from winchfork.router.software_versions import SoftwareVersions
 
@@ -33,15 +35,11 @@
 REVOCATION_MARGIN_S = 1.15
 #: With proofs older than this, an unknown route or key may just be new: not now, not "no".
 CERTAIN_AGE_S = 1.9
+#: A zone that hears no other asks for no more callers when its proof is this old: well above what a
+#: slow store brings about.
+ISOLATED_AGE_S = 1.5
 #: Wait told to callers while the configuration is unknown or stale.
 STALE_RETRY_AFTER_S = 1.5
-#: A request begins with its first token. Old weights take none that may begin after their bound:
-#: a fixed margin, and twice the time to read what is queued and its own prompt: replicas differ in
-#: speed, and long prompts are read slower towards their end.
-BEGIN_MARGIN_S = 0.8
-QUEUE_MARGIN = 2.0
-OWN_PROMPT_MARGIN = 2.0
-MAX_BEGIN_MARGIN_S = 5.0
 #: Seconds for each token out until measured, and the share of a new run in the moving average.
 FIRST_TOKEN_S = 0.008
 FIRST_RUN_S = 0.5
@@ -110,6 +108,10 @@
         self.on_work_sent: Callable[[], None] = lambda: None
         #: Told of each replica that is to be given nothing new, since it loads weights next.
         self.on_held: Callable[[RelayReplica], None] = lambda replica: None
+        #: Told of each replica that does not even acknowledge what it is sent, and of each zone
+        #: that cannot be reached any more.
+        self.on_silent: Callable[[RelayReplica], None] = lambda replica: None
+        self.on_zone_lost: Callable[[str], None] = lambda zone: None
         #: Told of each replica that this daemon ejects on its own evidence.
         self.on_ejected: Callable[[RelayReplica], None] = lambda replica: None
         bounds = settings.bounds
@@ -119,6 +121,8 @@
         self.daemons = ASSUMED_DAEMONS
         #: Tells this start of the process from others.
         self.life = generator.getrandbits(LIFE_BITS)
+        self.reach = ZoneReach(settings.zone)
+        self.choice = ReplicaChoice(self)
         self.quotas = QuotaBook(bounds.quota, self.life)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
         #: Seconds of a run for each token that its caller allows out, as measured lately.
@@ -159,7 +163,22 @@
     @property
     def ready(self) -> bool:
         """Whether this process wants callers."""
-        return not self.stopping and self.table is not None and self.keys_fresh
+        return not self.stopping and self.table is not None and self._serves_on
+
+    @property
+    def _serves_on(self) -> bool:
+        """Whether keys can be checked, and will be when callers that are sent here now arrive.
+
+        A zone that is cut off from all others and from the store cannot check keys for much longer.
+        Its daemons know that at the same time and ask for no more callers while they still serve:
+        the entry needs some seconds to send callers elsewhere. When only the store is away, there
+        is no elsewhere.
+        """
+        if not self.keys_fresh:
+            return False
+        now_s = self.clock()
+        expiring = self.freshness.age_s(now_s) > ISOLATED_AGE_S
+        return not (expiring and self.reach.is_isolated(now_s))
 
     def admit(self, request: IncomingRequest, fields: RequestFields) -> AdmittedRequest | Failure:
         """Find the route and the tenant of a request, or say why it may not run."""
@@ -206,68 +225,6 @@
                 return share.service
         return chosen
 
-    def available(
-        self,
-        service: str,
-        tried: set[str],
-        prompt: Prompt | None = None,
-        *,
-        on_target: bool = False,
-    ) -> list[RelayReplica]:
-        """Return replicas that may be sent work now, without those already tried.
-
-        ``on_target``: the request goes to the new version of a service whose software is rolled
-        out, as long as that gets requests.
-
-        For a prompt, weights that are no longer allowed when it begins rule a replica out. When
-        every one is left alone for failures, that is ignored: a doubtful replica is better than
-        none.
-        """
-        now_s = self.clock()
-        self.fleet.refresh()
-        candidates = [
-            replica
-            for replica in self.fleet.of_service(service)
-            if replica.accepting
-            and replica.replica_id not in tried
-            and now_s >= replica.loading_until_s
-            and (prompt is None or self._weights_allowed(replica, prompt, now_s))
-        ]
-        candidates = self.software.allowed(service, candidates, on_target=on_target)
-        sound = [replica for replica in candidates if now_s >= replica.avoided_until_s]
-        return sound or candidates
-
-    def next_opening_s(
-        self, service: str, tried: set[str], *, on_target: bool = False
-    ) -> float | None:
-        """Return in how many seconds a replica will take work that takes none now; None: none will.
-
-        A replica under a hold says when it ends; one whose weights are too old is loaded next.
-        """
-        now_s = self.clock()
-        left = [
-            replica
-            for replica in self.fleet.of_service(service)
-            if replica.accepting and replica.replica_id not in tried
-        ]
-        openings = [
-            replica.loading_until_s - now_s if replica.loading_until_s > now_s else PRIOR_LOAD_S
-            for replica in self.software.allowed(service, left, on_target=on_target)
-        ]
-        return min(openings, default=None)
-
-    def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
-        """Whether a request sent now will begin before the replica's weights are too old."""
-        history = self.versions.get(prompt.model)
-        if history is None:
-            return True
-        tokens = QUEUE_MARGIN * replica.queued_tokens + OWN_PROMPT_MARGIN * prompt.prompt_tokens
-        known_rate = self.engine_speed(replica.listing.service).read_tokens_per_s
-        margin_s = BEGIN_MARGIN_S + tokens / min(PRIOR_READ_TOKENS_PER_S, known_rate)
-        bound_s = self.settings.bounds.weights_s
-        due_s = history.due_s(replica.versions.get(prompt.model, 0), bound_s)
-        return now_s + min(MAX_BEGIN_MARGIN_S, margin_s) < due_s
-
     def note_kept(self, replica: RelayReplica, keys: list[int]) -> None:
         """Record parts that a replica has read for this daemon."""
         news = self.parts.note_held(keys, replica.order_hash, self.clock())
@@ -314,6 +271,8 @@
     def note_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> None:
         """Record a replica's failure; log when it is now left alone for a while."""
         now_s = self.clock()
+        if certain:
+            self.reach.note_failed(replica.listing.zone, replica.order_hash, now_s)
         if replica.note_failure(now_s, certain=certain):
             log_event(
                 "replica_ejected",
@@ -323,12 +282,36 @@
                 for_s=replica.avoided_until_s - now_s,
             )
             self.on_ejected(replica)
+            if certain:
+                self.on_silent(replica)
+
+    def take_reach(self, zones: Iterable[str], *, is_isolated: bool) -> None:
+        """Take in which zones cannot be reached; those that can be again start afresh."""
+        now_s = self.clock()
+        before = self.reach.unreachable(now_s)
+        lost = self.reach.adopt(zones, now_s, is_isolated=is_isolated)
+        for zone in sorted(lost):
+            log_event("zone_lost", "WARNING", zone=zone)
+            self.on_zone_lost(zone)
+        for zone in sorted(before - self.reach.unreachable(now_s)):
+            log_event("zone_regained", zone=zone)
+            self._forgive(zone, now_s)
+
+    def _forgive(self, zone: str, now_s: float) -> None:
+        """Use the replicas of a zone that is back at once: they failed because of the cut."""
+        for replica in self.fleet.replicas():
+            if replica.listing.zone == zone and replica.avoided_until_s > now_s:
+                replica.avoided_until_s = now_s
+                replica.ejections_in_row = 0
 
     def note_accusation(self, replica_hash: int, accuser: str) -> None:
         """Record that a peer has ejected a replica; log when it is now left alone here as well."""
         now_s = self.clock()
         for replica in self.fleet.replicas():
-            if replica.order_hash == replica_hash and replica.note_accusation(accuser, now_s):
+            if replica.order_hash != replica_hash:
+                continue
+            self.reach.note_failed(replica.listing.zone, replica_hash, now_s)
+            if replica.note_accusation(accuser, now_s):
                 log_event(
                     "replica_ejected",
                     replica=replica.replica_id,
--- a/winchfork/router/work_exchange.py
+++ b/winchfork/router/work_exchange.py
@@ -13,6 +13,7 @@
 from winchfork.core.kept_backlog import KeptBacklog
 from winchfork.core.membership import Member
 from winchfork.core.zone_hubs import FleetView
+from winchfork.core.zone_reach import SILENCE_S
 from winchfork.router.peer_messages import (
     Activity,
     FleetWork,
@@ -45,6 +46,11 @@
 ADD_UP_PERIOD_S = 0.2
 #: A hub that is not the first of its zone speaks when the first has been silent for this long.
 HUB_SILENCE_S = 0.7
+#: Seconds of silence after which a zone may be out of reach in a small fleet, whose daemons say
+#: something every half second and look around five times a second.
+DIRECT_SILENCE_S = 1.2
+#: Seconds without a word from any other zone after which this one takes itself to be cut off.
+ISOLATED_SILENCE_S = 1.2
 #: Parts told in one message by a daemon, and by a hub for its zone.
 MOST_KEPT = 200
 MOST_KEPT_OF_ZONE = 1_000
@@ -73,6 +79,7 @@
         #: What this hub has told its zone, and when it last told everything.
         self._spoken = ToldLoads()
         self._spoken_all_s = 0.0
+        self._spoken_unreachable: tuple[str, ...] = ()
         self._activities: dict[str, HeardLoads] = {}
         self._zones: dict[str, HeardLoads] = {}
         #: What the hubs have told of each replica.
@@ -104,6 +111,7 @@
             self._is_news = True
             receivers = view.others if view.direct else view.other_own_hubs
             self._send(receivers, Activity(self._own_id, loads, kept, quota, correction))
+        self._judge_reach(view, now_s)
         if not view.direct and view.is_hub:
             _add(self._zone_kept, kept)
             if self._speaks(view, now_s):
@@ -133,6 +141,16 @@
             if replica.in_flight
         )
 
+    def _judge_reach(self, view: FleetView, now_s: float) -> None:
+        """Find out which zones are out of reach: hubs for their zone, in a small fleet each."""
+        if view.direct or view.is_hub:
+            silence_s = DIRECT_SILENCE_S if view.direct else SILENCE_S
+            reach = self._state.reach
+            self._state.take_reach(
+                reach.found_unreachable(now_s, silence_s),
+                is_isolated=reach.found_isolated(now_s, ISOLATED_SILENCE_S),
+            )
+
     def _speaks(self, view: FleetView, now_s: float) -> bool:
         """Whether this hub speaks for its zone: the first does, unless it has fallen silent."""
         first = view.own_hubs[0].member_id == self._own_id
@@ -149,11 +167,22 @@
         loads = self._spoken.news(fleet, complete=complete)
         quota = self._quotas.zone_report(now_s)
         levels = self._quotas.levels(now_s, complete=complete)
-        message = FleetWork(self._own_id, complete, loads, (*zone_kept, *far_kept), levels)
+        unreachable = tuple(sorted(self._state.reach.unreachable(now_s)))
+        message = FleetWork(
+            self._own_id,
+            complete,
+            loads,
+            (*zone_kept, *far_kept),
+            levels,
+            unreachable,
+            self._state.reach.is_isolated(now_s),
+        )
+        is_news = bool(loads or message.kept or unreachable != self._spoken_unreachable)
         if complete:
             self._spoken_all_s = now_s
-        elif not loads and not message.kept and quota is None:
+        elif not is_news and quota is None:
             return
+        self._spoken_unreachable = unreachable
         own_zone = self._state.settings.zone
         far_levels = levels if complete else None
         zone_work = ZoneWork(self._own_id, own_zone, told, zone_kept, quota, far_levels)
@@ -177,6 +206,7 @@
     def take_activity(self, message: Activity) -> None:
         """Take in what one daemon does."""
         now_s = self._state.clock()
+        self._note_heard(message.sender_id, now_s)
         self._activities[message.sender_id] = HeardLoads(now_s, message.loads)
         self._note_kept(message.kept)
         self._quotas.take_activity(message.sender_id, message.quota, message.correction)
@@ -186,7 +216,9 @@
 
     def take_zone(self, message: ZoneWork) -> None:
         """Take in what another zone does."""
-        self._zones[message.zone] = HeardLoads(self._state.clock(), message.loads)
+        now_s = self._state.clock()
+        self._zones[message.zone] = HeardLoads(now_s, message.loads)
+        self._state.reach.note_heard(message.zone, now_s)
         self._regions.note_zone(message)
         self._note_kept(message.kept)
         self._quotas.take_zone(message.sender_id, message.zone, message.quota, message.levels)
@@ -196,8 +228,19 @@
     def take_region(self, message: RegionWork) -> None:
         """Take in what another region does."""
         self._regions.take(message)
+        now_s = self._state.clock()
+        for zone in self._peers.view.hubs:
+            if self._state.settings.regions.region_of(zone) == message.region:
+                self._state.reach.note_heard(zone, now_s)
         self._is_news = True
 
+    def _note_heard(self, sender_id: str, now_s: float) -> None:
+        """In a small fleet every daemon hears every other."""
+        if self._peers.view.direct:
+            for member in self._peers.view.members:
+                if member.member_id == sender_id:
+                    self._state.reach.note_heard(member.zone, now_s)
+
     def take_fleet(self, message: FleetWork) -> None:
         """Take in what all daemons do; what the speaking hub has told, another need not."""
         now_s = self._state.clock()
@@ -206,6 +249,8 @@
         self._note_kept(message.kept)
         if message.levels is not None:
             self._quotas.take_fleet(message.levels)
+        if not self._peers.view.is_hub:
+            self._state.take_reach(message.unreachable, is_isolated=message.is_isolated)
         if self._peers.view.is_hub:
             for told in message.kept:
                 self._zone_kept.discard(told.replica_hash, told.parts)
