Judge rollouts of services with few requests; give orders seen live their whole time

Found by the first rollouts through real sockets (tests/test_platform_whole.py: both services of the stand-ins at once, beside new weights, the leader lost in the middle): - An order that was seen live in a daemon's first seconds counted as 3 s old, and so did its record: an order of 9 s right after a start was rolled back at once. Only what the first list holds is of unknown age now. - A service with 17 requests a second never shows the 22 answers of an approval in a trial of some seconds, so that good versions were rolled back. Where nothing speaks against the version and all that is left of the duration fits into the budget, it moves. Ruled out: a lower bar for approval, which large services do not need.

standins/rollout_operator.py is the operators' side: orders, replicas of the next version, and what follows the status. Replicas of the stand-ins have a software version and its faults.

Measured: a good version beside one that fails: completed, rolled back; a slow one beside one that fails late: both rolled back, each within the budget. Tests: those, and one for each finding.

--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -3,19 +3,47 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import json
+import random
 from typing import Any
 
 from standins.http_server import HttpServer, Request, write_answer
 from standins.store_server import StoreServer
 
 
+class ReplicaFault(enum.Enum):
+    """What is wrong with a replica's software."""
+
+    NONE = "none"
+    FAILS = "fails"
+    SLOW = "slow"
+    FAILS_LATE = "fails_late"
+
+
+#: Part of its answers that a fault spoils, how much longer a slow one takes, in seconds, and how
+#: long after it was set a late fault begins.
+SPOILED_SHARE = 0.4
+SLOWED_S = 0.25
+LATE_S = 2.0
+
+
 class ReplicaServer:
     """Keeps its own entry in the store. ``model`` empty makes it an application's replica."""
 
     def __init__(
-        self, store: StoreServer, replica_id: str, service: str, zone: str, model: str = ""
+        self,
+        store: StoreServer,
+        replica_id: str,
+        service: str,
+        zone: str,
+        model: str = "",
+        software: str = "v1",
     ) -> None:
+        self._software = software
+        self._fault = ReplicaFault.NONE
+        self._fault_since_s = 0.0
+        self._generator = random.Random(replica_id)
         self._store = store
         self.replica_id = replica_id
         self._service = service
@@ -54,6 +82,7 @@
             "Service": self._service,
             "Address": self._http.address,
             "Zone": self._zone,
+            "Version": self._software,
             "Slots": 16,
             "State": state,
             "Models": models,
@@ -121,6 +150,11 @@
         self.running += 1
         self.ran.append(request.headers["x-request-id"])
         try:
+            if self._is_spoiled():
+                if self._fault is not ReplicaFault.SLOW:
+                    write_answer(writer, 500, b"spoiled", self._proof(request))
+                    return True
+                await asyncio.sleep(SLOWED_S)
             if self._model:
                 return await self._stream(request, writer)
             headers = self._proof(request)
@@ -129,6 +163,19 @@
         finally:
             self.running -= 1
 
+    def set_fault(self, fault: ReplicaFault) -> None:
+        """Make the software faulty from now on."""
+        self._fault = fault
+        self._fault_since_s = asyncio.get_running_loop().time()
+
+    def _is_spoiled(self) -> bool:
+        if self._fault is ReplicaFault.NONE:
+            return False
+        age_s = asyncio.get_running_loop().time() - self._fault_since_s
+        if self._fault is ReplicaFault.FAILS_LATE and age_s < LATE_S:
+            return False
+        return self._generator.random() < SPOILED_SHARE
+
     def _proof(self, request: Request) -> dict[str, str]:
         return {
             "X-Request-Id": request.headers["x-request-id"],
--- /dev/null
+++ b/standins/rollout_operator.py
@@ -0,0 +1,97 @@
+"""The operators' side of a software rollout: orders, new replicas, and what follows the status."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Callable
+
+from standins.replica_server import ReplicaFault, ReplicaServer
+from standins.store_server import StoreServer
+
+#: Seconds between two looks at the status.
+_LOOK_S = 0.05
+#: Seconds for which replicas of a version that was rolled back serve on.
+_DRAIN_S = 1.0
+
+
+@dataclasses.dataclass
+class RolloutReport:
+    """What came of one order; ``state`` is empty where the status never said."""
+
+    service: str
+    target: str
+    state: str
+    took_s: float
+    #: Requests that ran since the order: at the target's replicas, and at all of the service.
+    on_target: int
+    in_all: int
+
+
+#: Makes a replica of a service by id and version.
+MakeReplica = Callable[[str, str], ReplicaServer]
+
+
+class RolloutOperator:
+    """Moves one service from version to version; holds its replicas in force."""
+
+    def __init__(
+        self, store: StoreServer, service: str, replicas: list[ReplicaServer], make: MakeReplica
+    ) -> None:
+        self._store = store
+        self._service = service
+        self._make = make
+        #: The replicas of the version in force.
+        self.replicas = replicas
+        self._orders = 0
+
+    async def roll(self, fault: ReplicaFault, duration_s: float) -> RolloutReport:
+        """Order the next version, whose replicas have a fault, and do what the status says."""
+        self._orders += 1
+        target = f"v{self._orders + 1}"
+        ids = [f"i-{self._service}-{target}-{number}" for number in range(len(self.replicas))]
+        new = [self._make(replica_id, target) for replica_id in ids]
+        for replica in new:
+            await replica.start()
+        loop = asyncio.get_running_loop()
+        ordered_s = loop.time()
+        for replica in new:
+            replica.set_fault(fault)
+        order = {"Service": self._service, "TargetVersion": target, "DurationS": duration_s}
+        before = _ran(self.replicas)
+        self._store.put(f"op/rollout/{self._service}", order)
+        state = await self._await_outcome(target, ordered_s + duration_s + 2.0)
+        took_s = loop.time() - ordered_s
+        on_target = _ran(new)
+        in_all = on_target + _ran(self.replicas) - before
+        leaving, self.replicas = (
+            (self.replicas, new) if state == "completed" else (new, self.replicas)
+        )
+        await self._stop(leaving, drains=state != "completed")
+        return RolloutReport(self._service, target, state, took_s, on_target, in_all)
+
+    async def _await_outcome(self, target: str, until_s: float) -> str:
+        while asyncio.get_running_loop().time() < until_s:
+            status = self._status()
+            if status.get("TargetVersion") == target and status.get("State") != "running":
+                return str(status["State"])
+            await asyncio.sleep(_LOOK_S)
+        return ""
+
+    def _status(self) -> dict[str, object]:
+        value = self._store.holder(f"status/rollout/{self._service}")
+        return dict(json.loads(value)) if value else {}
+
+    async def _stop(self, replicas: list[ReplicaServer], *, drains: bool) -> None:
+        """Stop replicas at once, or let them leave as announced."""
+        if drains:
+            for replica in replicas:
+                replica.announce("draining")
+            await asyncio.sleep(_DRAIN_S)
+        for replica in replicas:
+            await replica.stop()
+
+
+def _ran(replicas: list[ReplicaServer]) -> int:
+    return sum(len(replica.ran) for replica in replicas)
--- a/tests/test_platform_whole.py
+++ b/tests/test_platform_whole.py
@@ -6,10 +6,13 @@
 import unittest
 
 from standins.fleet import KEY, MODEL, LoopbackDeployment
+from standins.replica_server import ReplicaFault
 from tests.relay_support import CallerAnswer, read_answer
 from winchfork.router.settings import RouterSettings
 
 _PATIENCE_S = 25.0
+#: Seconds that operators give a rollout of software.
+ROLLOUT_S = 9.0
 _HEAD = (
     "POST {path} HTTP/1.1\r\nHost: proofs.example\r\nX-Request-Id: {request_id}\r\n"
     "X-Key: {key}\r\nX-Deadline-Ms: 6000\r\n{extra}Content-Length: 4\r\n\r\nbody"
@@ -46,6 +49,7 @@
         self.deployment = LoopbackDeployment()
         await self.deployment.start()
         await asyncio.wait_for(self.deployment.wait_until_ready(), _PATIENCE_S)
+        self.left_out: RouterSettings | None = None
 
     async def asyncTearDown(self) -> None:
         await self.deployment.stop()
@@ -91,6 +95,51 @@
         fences = {replica.fence for replica in self.deployment.models}
         self.assertEqual(len(fences), 1)
 
+    async def test_a_good_and_a_failing_version_are_told_apart_beside_new_weights(self) -> None:
+        outcomes = await self._roll(ReplicaFault.NONE, ReplicaFault.FAILS)
+        self.assertEqual(outcomes, ("completed", "rolled_back"))
+
+    async def test_a_slow_version_and_one_that_fails_late_are_rolled_back(self) -> None:
+        outcomes = await self._roll(ReplicaFault.SLOW, ReplicaFault.FAILS_LATE)
+        self.assertEqual(outcomes, ("rolled_back", "rolled_back"))
+
+    async def _roll(self, models: ReplicaFault, applications: ReplicaFault) -> tuple[str, str]:
+        """Roll both services' software out under traffic; lose the leader in the middle."""
+        deployment = self.deployment
+        stop = asyncio.Event()
+        callers = [asyncio.create_task(self._call(number, stop)) for number in range(12)]
+        orders = asyncio.gather(
+            deployment.model_rollouts.roll(models, ROLLOUT_S),
+            deployment.application_rollouts.roll(applications, ROLLOUT_S),
+        )
+        await asyncio.sleep(1.0)
+        deployment.name_weights(2)
+        await asyncio.sleep(0.8)
+        self.left_out = deployment.lose_leader()
+        reports = await orders
+        stop.set()
+        await asyncio.gather(*callers)
+        for report, fault in zip(reports, (models, applications), strict=True):
+            self.assertLess(report.took_s, ROLLOUT_S + 0.5)
+            if fault is not ReplicaFault.NONE:
+                self.assertLessEqual(report.on_target, 0.1 * report.in_all + 50, report)
+        return reports[0].state, reports[1].state
+
+    async def _call(self, caller: int, stop: asyncio.Event) -> None:
+        number = 0
+        while not stop.is_set():
+            number += 1
+            settings = self.deployment.settings[(caller + number) % 3]
+            if settings is self.left_out:
+                continue
+            tokens_out = 3 if number % 2 else 0
+            try:
+                await _ask(settings, _request(f"roll-{caller}-{number}", tokens_out))
+            except (OSError, asyncio.IncompleteReadError):
+                # The router that was lost in the middle.
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.02)
+
     async def test_a_planned_stop_finishes_its_streams(self) -> None:
         router, settings = self.deployment.routers[0], self.deployment.settings[0]
         asking = asyncio.create_task(_ask(settings, _request("stopping", tokens_out=300)))
--- a/tests/test_software_rollout.py
+++ b/tests/test_software_rollout.py
@@ -20,6 +20,7 @@
     in_rollout_fleet,
     sound,
 )
+from tests.virtual_loop import run_virtually
 from winchfork.core.software_state import SoftwarePhase
 
 #: What a bad version does to the part of its answers that it spoils.
@@ -266,6 +267,19 @@
 
 
 class FailuresTest(unittest.TestCase):
+    def test_an_order_right_after_the_fleets_start_has_its_whole_time(self) -> None:
+        """Orders and records seen live counted as older by 3 s each in a daemon's first seconds."""
+
+        async def main() -> None:
+            fleet = RolloutFleet()
+            await asyncio.sleep(1.0)
+            fleet.list_replicas("v2")
+            fleet.order(duration_s=9.0)
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+
+        run_virtually(main())
+
     def test_new_replicas_that_never_come(self) -> None:
         async def scenario(fleet: RolloutFleet) -> None:
             fleet.order()
--- a/winchfork/core/software_plan.py
+++ b/winchfork/core/software_plan.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from winchfork.core.software_state import SoftwarePhase, SoftwareState
+from winchfork.core.version_evidence import Opinion
 
 #: Orders that leave less time than this cannot be judged and carried out; seconds.
 LEAST_DURATION_S = 3.0
@@ -68,7 +69,7 @@
     old_running: int
     new_answers: int
     all_answers: int
-    approved: bool
+    opinion: Opinion
     alarmed: bool
     longest_run_s: float
 
@@ -96,7 +97,7 @@
         return RolloutStep(state.rolled_back(judged_bad=False), _what_lacked(state, view))
     if state.phase is SoftwarePhase.MOVING:
         return _move_on(state, view)
-    return _begin_move(state, view) or _try_out(state, view, limits)
+    return _begin_move(state, view, limits) or _try_out(state, view, limits)
 
 
 def latest_move_s(state: SoftwareState, view: RolloutView) -> float:
@@ -112,7 +113,9 @@
         return "no replica of the version came"
     if not _has_capacity(view):
         return "too few replicas of the version came"
-    return "the version was not approved in time" if not view.approved else "the time is up"
+    if view.opinion is not Opinion.GOOD:
+        return "the version was not approved in time"
+    return "the time is up"
 
 
 def _return(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
@@ -143,12 +146,30 @@
     return RolloutStep(state.advanced(SoftwarePhase.MOVED, 1.0, view.elapsed_s), "all moves")
 
 
-def _begin_move(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
+def _begin_move(
+    state: SoftwareState, view: RolloutView, limits: ExposureLimits
+) -> RolloutStep | None:
     in_time = view.elapsed_s >= MOVE_AT_SHARE * state.duration_s
-    if not (in_time and view.approved and state.share and _has_capacity(view)):
+    if not (in_time and state.share and _has_capacity(view)):
         return None
     moving = state.advanced(SoftwarePhase.MOVING, MOVING_SHARES[0], view.elapsed_s)
-    return RolloutStep(moving, "the version is approved")
+    if view.opinion is Opinion.GOOD:
+        return RolloutStep(moving, "the version is approved")
+    if view.opinion is Opinion.OPEN and _can_afford_all(state, view, limits):
+        return RolloutStep(moving, "what is left is within the budget")
+    return None
+
+
+def _can_afford_all(state: SoftwareState, view: RolloutView, limits: ExposureLimits) -> bool:
+    """Whether a bad version might get everything from now on: a service with few requests.
+
+    So few answers come there that no test could approve a version in time.
+    """
+    if not view.new_answers or view.elapsed_s <= 0.0:
+        return False
+    per_s = view.all_answers / view.elapsed_s
+    budget = limits.share * per_s * state.duration_s + limits.slack
+    return view.new_answers + per_s * (state.duration_s - view.elapsed_s) <= budget
 
 
 def _try_out(state: SoftwareState, view: RolloutView, limits: ExposureLimits) -> RolloutStep | None:
--- a/winchfork/core/version_evidence.py
+++ b/winchfork/core/version_evidence.py
@@ -158,8 +158,19 @@
         return self._sums[key]
 
 
-def approves(evidence: Evidence) -> bool:
-    """Whether the answers so far speak clearly for the new version, and on no route against it."""
+class Opinion(enum.Enum):
+    """What all answers so far say of the new version."""
+
+    #: They speak clearly for it, and on no route against it.
+    GOOD = "good"
+    #: They speak against it on no route, but too few have come.
+    OPEN = "open"
+    #: On some route a bad version is the likelier one, if not by much.
+    DOUBTFUL = "doubtful"
+
+
+def opinion_of(evidence: Evidence) -> Opinion:
+    """Weigh everything that was seen since the order."""
     totals = dict.fromkeys(Fault, 0.0)
     for route, counts in new_by_route(evidence).items():
         old = evidence.old.get(route, AnswerCounts())
@@ -167,9 +178,9 @@
             bad = counts.of(fault)
             ratio = log_ratio(bad, counts.answers - bad, expected_share(old, fault))
             if ratio > 0.0:
-                return False
+                return Opinion.DOUBTFUL
             totals[fault] += ratio
-    return all(total <= APPROVAL for total in totals.values())
+    return Opinion.GOOD if max(totals.values()) <= APPROVAL else Opinion.OPEN
 
 
 def expected_share(old: AnswerCounts, fault: Fault) -> float:
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -17,7 +17,7 @@
     SoftwareOrder,
     SoftwareState,
 )
-from winchfork.core.version_evidence import approves
+from winchfork.core.version_evidence import opinion_of
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.router.documents import StatusWriter
@@ -61,7 +61,6 @@
         self._store = store
         self._status = status
         self._evidence = evidence
-        self._started_s = state.clock()
         self._records_seen: dict[str, _Seen] = {}
         self._orders_seen: dict[str, _Seen] = {}
         self._look_again_s: dict[str, float] = {}
@@ -125,8 +124,8 @@
 
         What was there when this daemon started is older than it looks.
         """
-        found = FOUND_AGE_S if seen.since_s - self._started_s < FOUND_AGE_S else 0.0
-        return self._state.clock() - seen.since_s + found
+        found_s = FOUND_AGE_S if self._versions.was_found(seen.revision) else 0.0
+        return self._state.clock() - seen.since_s + found_s
 
     def _view(self, record: SoftwareState) -> RolloutView:
         seen = self._records_seen[record.service]
@@ -147,7 +146,7 @@
             old_running=sum(item.running for item in leaving),
             new_answers=evidence.new_answers,
             all_answers=evidence.all_answers,
-            approved=approves(evidence),
+            opinion=opinion_of(evidence),
             alarmed=self._versions.is_stopped(record),
             longest_run_s=LONG_RUN_RATIO * self._state.mean_run_s,
         )
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -68,6 +68,8 @@
         self._states: dict[str, SoftwareState] = {}
         self._revisions: dict[str, int] = {}
         self.orders: dict[str, SoftwareOrder] = {}
+        #: Revisions of orders and records that were there at the start.
+        self._found: set[int] = set()
         #: The version taken to be in force where there is no record.
         self._assumed: dict[str, str] = {}
         self._credits: dict[str, ExposureCredit] = {}
@@ -76,13 +78,18 @@
 
     # What is known
 
-    def install(self, state: SoftwareState, revision: int) -> None:
-        """Take a record from the store; one that is not newer is known already."""
+    def install(self, state: SoftwareState, revision: int, *, found: bool = False) -> None:
+        """Take a record from the store; one that is not newer is known already.
+
+        ``found``: it was there when this daemon started, nobody knows for how long.
+        """
         if revision <= self._revisions.get(state.service, 0):
             return
         known = self._states.get(state.service)
         self._states[state.service] = state
         self._revisions[state.service] = revision
+        if found:
+            self._found.add(revision)
         if known is None or known.order_revision != state.order_revision:
             self._credits.pop(state.service, None)
             self.answers[state.service] = ServiceAnswers(state.order_revision)
@@ -98,12 +105,14 @@
             revision=revision,
         )
 
-    def note_order(self, order: SoftwareOrder) -> None:
-        """Take an operator's order from the store."""
+    def note_order(self, order: SoftwareOrder, *, found: bool = False) -> None:
+        """Take an operator's order from the store; ``found`` as in :meth:`install`."""
         known = self.orders.get(order.service)
         if known is not None and known.revision >= order.revision:
             return
         self.orders[order.service] = order
+        if found:
+            self._found.add(order.revision)
         log_event(
             "software_ordered",
             service=order.service,
@@ -112,6 +121,10 @@
             order=order.revision,
         )
 
+    def was_found(self, revision: int) -> bool:
+        """Whether an order or a record of this revision was there at this daemon's start."""
+        return revision in self._found
+
     def revision(self, service: str) -> int:
         """Return the revision of a service's record; 0 where there is none."""
         return self._revisions.get(service, 0)
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -208,7 +208,7 @@
         elif isinstance(document, ReplicaListing):
             self._install_replica(document, item.revision)
         elif isinstance(document, SoftwareOrder):
-            self._state.software.note_order(document)
+            self._state.software.note_order(document, found=not self._ever_listed)
         elif isinstance(document, ReplicaGone):
             self._note_gone(document.replica_id, item)
 
@@ -219,7 +219,7 @@
         if isinstance(record, Failure):
             log_event("document_refused", "WARNING", key=item.key, reason=record.reason)
         else:
-            self._state.software.install(record, item.revision)
+            self._state.software.install(record, item.revision, found=not self._ever_listed)
 
     def _note_gone(self, replica_id: str, item: TableItem) -> None:
         """Remove a replica; one that only vanished during an outage is kept for a while."""
