--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -90,7 +90,8 @@
             ReplicaServer(self.store, f"i-app-{number}", "editing", ZONES[number])
             for number in range(2)
         ]
-        #: Every application replica that was ever started.
+        #: Every replica that was ever started.
+        self.all_models = list(self.models)
         self.all_applications = list(self.applications)
         #: The operators of the two services' software.
         self.model_rollouts = RolloutOperator(
@@ -105,6 +106,7 @@
         zone = ZONES[len(replica_id) % len(ZONES)]
         replica = ReplicaServer(self.store, replica_id, "models", zone, MODEL, software)
         replica.version = max(item.version for item in self.model_rollouts.replicas)
+        self.all_models.append(replica)
         return replica
 
     def _new_application_replica(self, replica_id: str, software: str) -> ReplicaServer:
