Show requests by version and region, shares, lost zones and bytes to other regions

Cause: an operator saw rollouts of software, regions and lost zones in logs only. Change: counters winchfork_sent_by_software and winchfork_sent_by_region, gauges winchfork_software_share, winchfork_zones_unreachable, winchfork_region_round_trip_seconds and winchfork_peer_bytes_to_other_regions. Labels are services, versions and regions, which are few. Test: tests/test_router_metrics.py.

--- a/tests/test_router_metrics.py
+++ b/tests/test_router_metrics.py
@@ -20,6 +20,9 @@
         ready = [False]
         figures.show("ready", "Whether callers are wanted.", lambda: ready[0])
         ready[0] = True
+        figures.sent_by_software.labels("models:v2").inc()
+        figures.sent_by_region.labels("perth").inc(3)
+        figures.software_shares = lambda: {"models": 0.25}
         page = figures.render().decode()
         for line in (
             'winchfork_requests_total{outcome="delivered_200"} 2.0',
@@ -32,6 +35,9 @@
             "winchfork_first_event_seconds_count 2.0",
             "winchfork_bad_datagrams_total 0.0",
             "winchfork_ready 1.0",
+            'winchfork_sent_by_software_total{software="models:v2"} 1.0',
+            'winchfork_sent_by_region_total{region="perth"} 3.0',
+            'winchfork_software_share{service="models"} 0.25',
         ):
             self.assertIn(line + "\n", page)
 
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -128,6 +128,20 @@
         self.quota_refused = Labelled(
             CounterChild, "winchfork_quota_refused", "Units refused, by tenant.", "tenant"
         )
+        self.sent_by_software = Labelled(
+            CounterChild,
+            "winchfork_sent_by_software",
+            "Requests sent to replicas, by service and version of its software.",
+            "software",
+        )
+        self.sent_by_region = Labelled(
+            CounterChild,
+            "winchfork_sent_by_region",
+            "Requests sent, by replica's region.",
+            "region",
+        )
+        #: Share of each service's requests that a new version of its software may get now.
+        self.software_shares: Callable[[], Mapping[str, float]] = dict
         #: Units that each tenant may use now, read when the page is asked for.
         self.quota_left: Callable[[], Mapping[str, float]] = dict
         self._shown: list[_ShownFigure] = []
@@ -155,7 +169,8 @@
         for counter in (self.bad_datagrams, self.datagrams_refused):
             yield CounterMetricFamily(counter.name, counter.description, value=counter.value)
         counters = (self.requests, self.calls, self.updates_relayed)
-        for labelled in (*counters, self.quota_used, self.quota_refused):
+        sent = (self.sent_by_software, self.sent_by_region)
+        for labelled in (*counters, *sent, self.quota_used, self.quota_refused):
             counts = CounterMetricFamily(
                 labelled.name, labelled.description, labels=[labelled.label]
             )
@@ -170,11 +185,30 @@
                     [value] if labels else [], durations.cumulative(), durations.sum_s
                 )
             yield family
-        left = GaugeMetricFamily(
-            "winchfork_quota_left", "Units left, as this daemon believes.", labels=["tenant"]
-        )
-        for tenant, units in self.quota_left().items():
-            left.add_metric([tenant], units)
-        yield left
+        yield from self._labelled_gauges()
         for figure in self._shown:
             yield GaugeMetricFamily(figure.name, figure.description, value=float(figure.read()))
+
+    def _labelled_gauges(self) -> Iterator[Metric]:
+        """Give the figures that are read for each value of a label when the page is asked for."""
+        from prometheus_client.core import GaugeMetricFamily
+
+        rows = (
+            (
+                "winchfork_quota_left",
+                "Units left, as this daemon believes.",
+                "tenant",
+                self.quota_left(),
+            ),
+            (
+                "winchfork_software_share",
+                "Share of requests that a new version of a service's software may get.",
+                "service",
+                self.software_shares(),
+            ),
+        )
+        for name, description, label, values in rows:
+            gauge = GaugeMetricFamily(name, description, labels=[label])
+            for labelled, value in values.items():
+                gauge.add_metric([labelled], value)
+            yield gauge
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -108,6 +108,8 @@
         self.store_delay_s: Callable[[], float | None] = lambda: None
         self.sent_bytes = 0
         self.sent_messages = 0
+        #: Of these bytes, those of work, notes and updates to daemons of other regions.
+        self.far_bytes = 0
         self.handle(Probe, self._take_membership)
         self.handle(ProbeReply, self._take_membership)
         self.handle(IndirectProbe, self._take_membership)
@@ -177,6 +179,8 @@
             return
         for receiver in receivers:
             self._send_datagram(receiver.peer_address, data)
+            if self._view.regions.is_far(self._view.own.zone, receiver.zone):
+                self.far_bytes += len(data)
 
     def tell_everyone(self, message: Any) -> None:
         """Send one message to every other daemon."""
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -206,6 +206,22 @@
             "Share of the quotas counted on.",
             lambda: state.quotas.supply.coverage,
         )
+        state.metrics.software_shares = state.software.shares
+        show(
+            "zones_unreachable",
+            "Zones that requests are kept away from.",
+            lambda: len(state.reach.unreachable(state.clock())),
+        )
+        show(
+            "region_round_trip_seconds",
+            "There and back to another region.",
+            lambda: state.region_delay.round_trip_s,
+        )
+        show(
+            "peer_bytes_to_other_regions",
+            "Bytes sent to peers in other regions.",
+            lambda: self._peers.far_bytes,
+        )
         state.metrics.quota_left = lambda: state.quotas.left(state.clock())
         counters = self._pool.counters
         show("connections_opened", "Connections to replicas.", lambda: counters.opened)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -226,6 +226,7 @@
             self._charge.charge_again()
         self._attempt = Attempt(plan, connection, self._inbox, self._answer, self._service.dialect)
         self._record.note_sent()
+        self._count_sent(replica)
         family = self._dispatch.family_key(plan.weights_version)
         self._record.log_sent(decision, plan, family, self._time_left_s())
         if plan.unread_tokens:
@@ -235,6 +236,13 @@
         self._newer_weights = self._evidence.note(plan, outcome, self._record)
         return outcome
 
+    def _count_sent(self, replica: RelayReplica) -> None:
+        listing = replica.listing
+        metrics = self._state.metrics
+        software = f"{listing.service}:{listing.software or 'unknown'}"
+        metrics.sent_by_software.labels(software).inc()
+        metrics.sent_by_region.labels(self._state.settings.regions.region_of(listing.zone)).inc()
+
     def _still_wanted(self, replica: RelayReplica) -> bool:
         current = self._state.fleet.get(replica.replica_id)
         return current is not None and current.accepting
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -121,6 +121,10 @@
             order=order.revision,
         )
 
+    def shares(self) -> dict[str, float]:
+        """Return for each service with a record the share that its target may get."""
+        return {service: state.share for service, state in self._states.items()}
+
     def was_found(self, revision: int) -> bool:
         """Whether an order or a record of this revision was there at this daemon's start."""
         return revision in self._found
