--- a/tests/test_zone_loss.py
+++ b/tests/test_zone_loss.py
@@ -200,6 +200,20 @@
         self.assertEqual(self.other.seen, [])
         self.assertFalse(self.silent.closed_by_router.is_set())
 
+    async def test_an_answer_of_a_replica_that_peers_accuse_is_not_waited_for(self) -> None:
+        """A stream stood still for five seconds at a replica that two peers had ejected."""
+        relay, reader = await self.ask(resumable=True)
+        replica = relay.state.fleet.get("i-far")
+        assert replica is not None
+        relay.service.sweep(relay.state.clock())
+        for accuser in ("n8", "n9"):
+            relay.state.note_accusation(replica.order_hash, accuser)
+        await asyncio.sleep(0.65)
+        relay.service.sweep(relay.state.clock())
+        answer = await asyncio.wait_for(read_answer(reader), PATIENCE_S)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.other.seen), 1)
+
     async def test_a_replica_that_falls_silent_loses_its_other_answers_too(self) -> None:
         relay, reader = await self.ask(resumable=True)
         replica = relay.state.fleet.get("i-far")
