Charge a placement for a connection that has to be opened

Change: a replica to which no connection waits costs 20 ms more, prompts and other requests alike. Test: tests/test_relay_placement.py.

--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -242,6 +242,28 @@
         self.assertIs(placed(request, replicas, index), busy)
         self.assertIs(placed(request, replicas, index, gap_target_s=0.6), calm)
 
+    def test_of_equal_replicas_the_connected_one_is_used(self) -> None:
+        """64 daemons before 48 replicas opened a connection for nearly every second request."""
+        replicas, index = fleet_of(12, ("z1", "z2", "z3")), PartIndex()
+        short = Prompt("m", (PromptPart("a", 100), PromptPart("own", 300)), 400, 50)
+        first = placed(short, replicas, index, run_s=0.4)
+        other = next(item for item in replicas if item.listing.zone == "z1" and item is not first)
+        connected = frozenset({other.order_hash})
+        self.assertIs(placed(short, replicas, index, run_s=0.4, connected=connected), other)
+        other.in_flight = 12
+        self.assertIsNot(placed(short, replicas, index, run_s=0.4, connected=connected), other)
+        task = TaskPlacement("z1", 0.0, connected=frozenset({replicas[3].order_hash}))
+        chosen = place_task(task, replicas[:4])
+        assert chosen is not None
+        self.assertIs(chosen.replica, replicas[3])
+
+    def test_a_family_stays_at_home_though_another_replica_is_connected(self) -> None:
+        replicas, index = fleet_of(6), PartIndex()
+        request = prompt("f", own_tokens=2900)
+        home = placed(request, replicas, index)
+        others = frozenset(item.order_hash for item in replicas if item is not home)
+        self.assertIs(placed(request, replicas, index, connected=others), home)
+
     def test_nothing_is_placed_without_candidates(self) -> None:
         placement = PromptPlacement(prompt("f"), SCOPE, "z1")
         self.assertIsNone(place_prompt(placement, [], [], PartIndex()))
--- a/winchfork/core/placement_request.py
+++ b/winchfork/core/placement_request.py
@@ -13,9 +13,20 @@
 
 #: A request whose answer takes this many times as long as its prompt is a long answer.
 LONG_ANSWER_RATIO = 4.0
+#: Charge for a new connection to a replica: a round trip, and the replica's work and a slot of its
+#: own for a moment. In a fleet of many daemons and replicas each pair meets so rarely that replicas
+#: close what was opened before it is used again.
+CONNECT_COST_S = 0.02
 _NO_REGIONS = RegionMap()
 
 
+def connect_cost_s(connected: frozenset[int] | None, replica: RelayReplica) -> float:
+    """Return the charge for a replica, given those to which a connection waits."""
+    if connected is None or replica.order_hash in connected:
+        return 0.0
+    return CONNECT_COST_S
+
+
 class RelayDecision(msgspec.Struct, frozen=True):
     """The chosen replica and what decided; ``cost_s`` in expected seconds.
 
@@ -53,7 +64,8 @@
     replicas, by region. Answers of ``old_versions`` are worth less. ``spread_s`` is the most that a
     charge drawn by ``spread_key`` may be. ``gap_target_s`` is the longest pause that callers of
     running answers allow; 0 if not known. ``crossing_s`` is the charge for a replica in another
-    region.
+    region. ``connected`` are the replicas, by hash, to which a connection waits; None: connections
+    cost nothing.
     """
 
     prompt: Prompt
@@ -72,6 +84,11 @@
     gap_target_s: float = 0.0
     regions: RegionMap = _NO_REGIONS
     crossing_s: float = 0.0
+    connected: frozenset[int] | None = None
+
+    def connect_cost_s(self, replica: RelayReplica) -> float:
+        """Return the charge for a replica to which a connection has to be opened."""
+        return connect_cost_s(self.connected, replica)
 
     @property
     def long_answer(self) -> bool:
--- a/winchfork/core/prompt_cost.py
+++ b/winchfork/core/prompt_cost.py
@@ -78,6 +78,7 @@
     elif distance is Distance.OTHER_REGION:
         # What is kept there draws nothing over: read once in its own region, a family stays here.
         cost_s += request.crossing_s + reading.kept / request.read_tokens_per_s
+    cost_s += request.connect_cost_s(replica)
     if request.version_at(replica) in request.old_versions:
         cost_s += OLD_WEIGHTS_COST_S
     if request.now_s < replica.next_until_s:
--- a/winchfork/core/task_placement.py
+++ b/winchfork/core/task_placement.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from winchfork.core.placement_request import RelayDecision
+from winchfork.core.placement_request import RelayDecision, connect_cost_s
 from winchfork.core.prompt_cost import OTHER_ZONE_COST_S
 from winchfork.core.region_map import Distance, RegionMap
 from winchfork.core.relay_fleet import RelayReplica
@@ -21,13 +21,15 @@
 class TaskPlacement(msgspec.Struct, frozen=True):
     """A request without a prompt, at a daemon in ``zone``.
 
-    ``crossing_s`` is the charge for a replica in another region.
+    ``crossing_s`` is the charge for a replica in another region. ``connected`` are the replicas, by
+    hash, to which a connection waits; None: connections cost nothing.
     """
 
     zone: str
     now_s: float
     regions: RegionMap = RegionMap()
     crossing_s: float = 0.0
+    connected: frozenset[int] | None = None
 
 
 def place_task(request: TaskPlacement, candidates: Sequence[RelayReplica]) -> RelayDecision | None:
@@ -51,4 +53,4 @@
         cost_s += OTHER_ZONE_COST_S
     elif distance is Distance.OTHER_REGION:
         cost_s += request.crossing_s
-    return cost_s
+    return cost_s + connect_cost_s(request.connected, replica)
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -37,6 +37,11 @@
         #: Seconds in which the quickest connection to each address has come up.
         self.connect_s: dict[str, float] = {}
 
+    def is_connected(self, address: str) -> bool:
+        """Whether a connection to an address waits to be used."""
+        now_s = self._loop.time()
+        return any(connection.usable(now_s) for connection in self._idle.get(address, ()))
+
     async def acquire(self, address: str, limit: int) -> ReplicaConnection | Failure:
         """Return a connection that no exchange uses; nothing has been sent on a failure."""
         kept = self._take_idle(address)
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -56,8 +56,15 @@
         now_s = self._state.clock()
         settings = self._state.settings
         delay = self._state.region_delay
+        connected = frozenset(
+            replica.order_hash
+            for replica in candidates
+            if self._state.is_connected(replica.listing.address)
+        )
         if self._prompt is None:
-            task = TaskPlacement(settings.zone, now_s, settings.regions, delay.task_crossing_s)
+            task = TaskPlacement(
+                settings.zone, now_s, settings.regions, delay.task_crossing_s, connected
+            )
             return place_task(task, candidates)
         read_tokens_per_s = self._speed.read_tokens_per_s
         request = PromptPlacement(
@@ -77,6 +84,7 @@
             read_tokens_per_s=read_tokens_per_s,
             regions=settings.regions,
             crossing_s=delay.prompt_crossing_s,
+            connected=connected,
         )
         stores = [choice.store for choice in self._stores.values()]
         sources = [*self._state.fleet.of_service(self._service), *stores]
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -42,6 +42,7 @@
         self._quota_gate = QuotaGate(state.quotas, state.clock, state.metrics)
         self._connections: set[CallerConnection] = set()
         self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
+        state.is_connected = pool.is_connected
         state.on_held = self._replica_held
         state.on_silent = self._replica_silent
         state.on_zone_lost = self._zone_lost
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -104,6 +104,8 @@
         self.splits = SplitChooser()
         self.metrics = RouterMetrics()
         self.stopping = False
+        #: Whether a connection to a replica's address waits to be used.
+        self.is_connected: Callable[[str], bool] = lambda address: True
         #: Told when this daemon has given a replica a prompt.
         self.on_work_sent: Callable[[], None] = lambda: None
         #: Told of each replica that is to be given nothing new, since it loads weights next.
