Charge a placement for a prompt that does not fit into a replica's memory

Placement charged only the wait until others had left, a tenth of a run for a prompt that did not fit at all. Change: what overflows is charged once more as reading. Load pattern: nine of twelve replicas left, prompts until nine tenths of the memory are taken; without the charge a replica is given 101,310 of 93,049 tokens while others have room (tests/test_relay_placement.py).

--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -192,6 +192,24 @@
         self.assertIsNot(chosen, home)
         self.assertIs(placed(request, replicas, index, cache_tokens=110_556, mean_run_s=4.0), home)
 
+    def test_with_a_quarter_of_the_replicas_gone_no_memory_overflows_while_there_is_room(
+        self,
+    ) -> None:
+        """898 of 5,500 large prompts were put back and read anew on such a day.
+
+        The load of that day on twelve replicas, nine of them left: prompts of 9,200 tokens come
+        faster than they end, until nine tenths of the memory are taken.
+        """
+        replicas, index = fleet_of(12, ("z1", "z2", "z3"))[:9], PartIndex()
+        cache_tokens = 93_049
+        prompts = int(0.9 * len(replicas) * cache_tokens / 9_200)
+        for number in range(prompts):
+            request = prompt(f"f{number % 20}", own_tokens=2_900)
+            chosen = placed(request, replicas, index, cache_tokens=cache_tokens, mean_run_s=0.5)
+            chosen.peer_memory_tokens += request.memory_tokens
+            chosen.peer_in_flight += 1
+        self.assertLessEqual(max(item.used_tokens for item in replicas), cache_tokens)
+
     def test_beliefs_under_other_weights_count_for_nothing(self) -> None:
         replicas, index = fleet_of(3), PartIndex()
         request = prompt("f")
--- a/winchfork/core/prompt_cost.py
+++ b/winchfork/core/prompt_cost.py
@@ -63,7 +63,7 @@
     cost_s = replica.queued_tokens / request.read_tokens_per_s + read_s
     cost_s += running * (FULL_COST_S / max(1, replica.listing.slots) + INTERFERENCE_SHARE * read_s)
     cost_s += running * _pause_cost_s(request, replica, read_s)
-    cost_s += _wait_for_place_s(request, replica)
+    cost_s += _wait_for_place_s(request, replica) + _overflow_cost_s(request, replica)
     if request.spread_s:
         cost_s += request.spread_s * mixed_order(request.spread_key, replica.order_hash)
     cost_s += rank * (GATHER_COST_S if request.long_answer else ORDER_COST_S)
@@ -120,6 +120,19 @@
     return left_s > MOVE_SETUP_S + LONG_ANSWER_RATIO * read_s
 
 
+def _overflow_cost_s(request: PromptPlacement, replica: RelayReplica) -> float:
+    """Return the charge for a prompt that does not fit into a replica's memory.
+
+    A replica that runs out of memory puts back what it began last, and reads it anew: for each
+    token that does not fit, about one is read twice.
+    """
+    if not request.cache_tokens:
+        return 0.0
+    needed = request.prompt.memory_tokens
+    overflow = min(needed, replica.used_tokens + needed - request.cache_tokens)
+    return max(0, overflow) / request.read_tokens_per_s
+
+
 def _wait_for_place_s(request: PromptPlacement, replica: RelayReplica) -> float:
     """Return how long a prompt is expected to wait until others have left it slot and memory.
 
