Move members' records and the watch of zones into modules of their own

Change: core/member.py has the records that daemons exchange, router/zone_watch.py what is done when zones are lost or this one is; no behaviour changes.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from winchfork.core.membership import Member, Membership, MemberStatus, Probe
+from winchfork.core.member import Member, MemberStatus, Probe
+from winchfork.core.membership import Membership
 from winchfork.emulator.hollow import HollowRegion
 
 
--- a/tests/test_region_fleet.py
+++ b/tests/test_region_fleet.py
@@ -12,7 +12,7 @@
 from tests.peer_support import Daemon, Network
 from tests.test_platform_documents import CONFIGURATION
 from tests.virtual_loop import run_virtually
-from winchfork.core.membership import Member
+from winchfork.core.member import Member
 from winchfork.core.region_map import RegionMap
 from winchfork.core.zone_hubs import SPEAKERS_PER_REGION, FleetView
 from winchfork.router.peer_messages import Accusation
--- a/tests/test_zone_hubs.py
+++ b/tests/test_zone_hubs.py
@@ -13,7 +13,7 @@
 from tests.test_platform_documents import CONFIGURATION, REPLICA
 from tests.virtual_loop import run_virtually
 from winchfork.core.document_table import MOST_GONE, DocumentTable, TableItem, TableUpdate
-from winchfork.core.membership import Member, MemberStatus
+from winchfork.core.member import Member, MemberStatus
 from winchfork.core.zone_hubs import WATCHERS, FleetView
 from winchfork.errors import Failure
 from winchfork.router.document_parts import PART_BYTES, PartCollector, split_update
--- a/winchfork/cluster/messages.py
+++ b/winchfork/cluster/messages.py
@@ -12,7 +12,7 @@
     VouchReply,
     VouchRequest,
 )
-from winchfork.core.membership import IndirectProbe, Probe, ProbeReply
+from winchfork.core.member import IndirectProbe, Probe, ProbeReply
 from winchfork.core.peer_message import PeerMessage
 
 
--- a/winchfork/cluster/node.py
+++ b/winchfork/cluster/node.py
@@ -37,14 +37,7 @@
 from winchfork.core.documents import Document, DocumentName
 from winchfork.core.fleet import ReplicaIdentity, ReplicaState
 from winchfork.core.load_gossip import hash_replica
-from winchfork.core.membership import (
-    IndirectProbe,
-    Member,
-    MemberStatus,
-    Outgoing,
-    Probe,
-    ProbeReply,
-)
+from winchfork.core.member import IndirectProbe, Member, MemberStatus, Outgoing, Probe, ProbeReply
 from winchfork.core.rendezvous import rendezvous_owner, rendezvous_rank
 
 #: Peers told at once when a document changes; with each doing the same, n daemons hear in about
--- a/winchfork/cluster/panel_manager.py
+++ b/winchfork/cluster/panel_manager.py
@@ -15,7 +15,7 @@
 from winchfork.cluster.panel_store import panel_key, panel_prefix, panel_to_json, read_panels
 from winchfork.core.claims import SealReply, SealRequest, VoterPanel, epoch_is_sealed
 from winchfork.core.documents import RELAYS_PER_ZONE, Document, DocumentName
-from winchfork.core.membership import Member
+from winchfork.core.member import Member
 from winchfork.core.rendezvous import rendezvous_rank
 from winchfork.errors import Failure
 from winchfork.logs import log_event
--- a/winchfork/cluster/state.py
+++ b/winchfork/cluster/state.py
@@ -21,7 +21,8 @@
 from winchfork.core.documents import Document, DocumentName, DocumentSet
 from winchfork.core.fleet import Fleet, Replica, ReplicaState
 from winchfork.core.load_gossip import LoadGossip
-from winchfork.core.membership import Member, Membership
+from winchfork.core.member import Member
+from winchfork.core.membership import Membership
 from winchfork.core.placement import PlacementPolicy
 from winchfork.core.policies.registry import make_policy
 from winchfork.core.retry_budget import RetryBudget
--- a/winchfork/core/zone_hubs.py
+++ b/winchfork/core/zone_hubs.py
@@ -22,7 +22,7 @@
 import functools
 from collections.abc import Sequence
 
-from winchfork.core.membership import Member, MemberStatus
+from winchfork.core.member import Member, MemberStatus
 from winchfork.core.region_map import RegionMap
 from winchfork.core.rendezvous import rendezvous_score
 
--- a/winchfork/daemon.py
+++ b/winchfork/daemon.py
@@ -25,7 +25,7 @@
 from winchfork.control.configuration_writer import ConfigurationWriter
 from winchfork.control.rollout import RolloutDesk
 from winchfork.control.rpc_server import OperatorService, RpcServer
-from winchfork.core.membership import Member
+from winchfork.core.member import Member
 from winchfork.errors import Failure, FailureKind
 from winchfork.gateway.app import GatewayApplication
 from winchfork.gateway.generation import GenerationRouter
--- a/winchfork/emulator/capacity.py
+++ b/winchfork/emulator/capacity.py
@@ -19,7 +19,7 @@
 from winchfork.core.decisions import DecisionEvent, DecisionLog
 from winchfork.core.families import FamilyMap
 from winchfork.core.fleet import Replica, ReplicaIdentity, ReplicaLoad
-from winchfork.core.membership import MemberStatus
+from winchfork.core.member import MemberStatus
 from winchfork.core.placement import PlacementRequest
 from winchfork.core.policies.expected_time import ExpectedTime
 from winchfork.core.prefix import PromptPrefix
--- a/winchfork/emulator/hollow.py
+++ b/winchfork/emulator/hollow.py
@@ -28,7 +28,8 @@
 from winchfork.core.documents import Document, DocumentName, DocumentSet
 from winchfork.core.fleet import ReplicaLoad
 from winchfork.core.load_gossip import LoadGossip
-from winchfork.core.membership import IndirectProbe, Member, Membership, MemberStatus, Outgoing
+from winchfork.core.member import IndirectProbe, Member, MemberStatus, Outgoing
+from winchfork.core.membership import Membership
 from winchfork.errors import Failure
 
 _DELAY_S = 0.0015
--- a/winchfork/router/document_relay.py
+++ b/winchfork/router/document_relay.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from winchfork.core.document_table import DocumentTable, TableUpdate
-from winchfork.core.membership import Member
+from winchfork.core.member import Member
 from winchfork.core.zone_hubs import SPEAKERS_PER_REGION
 from winchfork.errors import Failure
 from winchfork.logs import log_event
--- a/winchfork/router/evidence_exchange.py
+++ b/winchfork/router/evidence_exchange.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from winchfork.core.membership import Member
+from winchfork.core.member import Member
 from winchfork.core.software_state import SoftwarePhase, SoftwareState
 from winchfork.core.version_evidence import AnswerCounts, Evidence, Opinion, VersionTest
 from winchfork.logs import log_event
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from winchfork.core.membership import IndirectProbe, Probe, ProbeReply
+from winchfork.core.member import IndirectProbe, Probe, ProbeReply
 from winchfork.core.peer_message import PeerMessage
 from winchfork.core.quota_book import QuotaLevels, QuotaReport
 
--- a/winchfork/router/peer_port.py
+++ b/winchfork/router/peer_port.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Any, Protocol
 
-from winchfork.core.membership import Member
+from winchfork.core.member import Member
 from winchfork.core.zone_hubs import FleetView
 
 
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -18,15 +18,15 @@
 
 from winchfork.cluster.wire import PeerCodec
 from winchfork.constants import HEARTBEAT_PERIOD_S
-from winchfork.core.membership import (
+from winchfork.core.member import (
     IndirectProbe,
     Member,
-    Membership,
     MembershipMessage,
     Outgoing,
     Probe,
     ProbeReply,
 )
+from winchfork.core.membership import Membership
 from winchfork.core.zone_hubs import FleetView
 from winchfork.errors import Failure
 from winchfork.router.peer_messages import (
--- a/winchfork/router/quota_exchange.py
+++ b/winchfork/router/quota_exchange.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from winchfork.core.membership import MemberStatus
+from winchfork.core.member import MemberStatus
 from winchfork.core.quota_book import (
     TOLD_AGAIN_S,
     QuotaBook,
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
@@ -30,14 +30,12 @@
 from winchfork.router.replica_choice import ReplicaChoice
 from winchfork.router.settings import RouterSettings
 from winchfork.router.software_versions import SoftwareVersions
+from winchfork.router.zone_watch import ZoneWatch
 
 #: Part of the revocation bound that is kept for a store whose watches lag and for slow clocks.
 REVOCATION_MARGIN_S = 1.15
 #: With proofs older than this, an unknown route or key may just be new: not now, not "no".
 CERTAIN_AGE_S = 1.9
-#: A zone that hears no other asks for no more callers when its proof is this old: well above what a
-#: slow store brings about.
-ISOLATED_AGE_S = 1.5
 #: Wait told to callers while the configuration is unknown or stale.
 STALE_RETRY_AFTER_S = 1.5
 #: Seconds for each token out until measured, and the share of a new run in the moving average.
@@ -124,6 +122,7 @@
         #: Tells this start of the process from others.
         self.life = generator.getrandbits(LIFE_BITS)
         self.reach = ZoneReach(settings.zone)
+        self.zones = ZoneWatch(self)
         self.choice = ReplicaChoice(self)
         self.quotas = QuotaBook(bounds.quota, self.life)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
@@ -165,22 +164,7 @@
     @property
     def ready(self) -> bool:
         """Whether this process wants callers."""
-        return not self.stopping and self.table is not None and self._serves_on
-
-    @property
-    def _serves_on(self) -> bool:
-        """Whether keys can be checked, and will be when callers that are sent here now arrive.
-
-        A zone that is cut off from all others and from the store cannot check keys for much longer.
-        Its daemons know that at the same time and ask for no more callers while they still serve:
-        the entry needs some seconds to send callers elsewhere. When only the store is away, there
-        is no elsewhere.
-        """
-        if not self.keys_fresh:
-            return False
-        now_s = self.clock()
-        expiring = self.freshness.age_s(now_s) > ISOLATED_AGE_S
-        return not (expiring and self.reach.is_isolated(now_s))
+        return not self.stopping and self.table is not None and self.zones.serves_on
 
     def admit(self, request: IncomingRequest, fields: RequestFields) -> AdmittedRequest | Failure:
         """Find the route and the tenant of a request, or say why it may not run."""
@@ -287,25 +271,6 @@
             if certain:
                 self.on_silent(replica)
 
-    def take_reach(self, zones: Iterable[str], *, is_isolated: bool) -> None:
-        """Take in which zones cannot be reached; those that can be again start afresh."""
-        now_s = self.clock()
-        before = self.reach.unreachable(now_s)
-        lost = self.reach.adopt(zones, now_s, is_isolated=is_isolated)
-        for zone in sorted(lost):
-            log_event("zone_lost", "WARNING", zone=zone)
-            self.on_zone_lost(zone)
-        for zone in sorted(before - self.reach.unreachable(now_s)):
-            log_event("zone_regained", zone=zone)
-            self._forgive(zone, now_s)
-
-    def _forgive(self, zone: str, now_s: float) -> None:
-        """Use the replicas of a zone that is back at once: they failed because of the cut."""
-        for replica in self.fleet.replicas():
-            if replica.listing.zone == zone and replica.avoided_until_s > now_s:
-                replica.avoided_until_s = now_s
-                replica.ejections_in_row = 0
-
     def note_accusation(self, replica_hash: int, accuser: str) -> None:
         """Record that a peer has ejected a replica; log when it is now left alone here as well."""
         now_s = self.clock()
--- a/winchfork/router/work_exchange.py
+++ b/winchfork/router/work_exchange.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable
 
 from winchfork.core.kept_backlog import KeptBacklog
-from winchfork.core.membership import Member
+from winchfork.core.member import Member
 from winchfork.core.zone_hubs import FleetView
 from winchfork.core.zone_reach import SILENCE_S
 from winchfork.router.peer_messages import (
@@ -146,7 +146,7 @@
         if view.direct or view.is_hub:
             silence_s = DIRECT_SILENCE_S if view.direct else SILENCE_S
             reach = self._state.reach
-            self._state.take_reach(
+            self._state.zones.take_reach(
                 reach.found_unreachable(now_s, silence_s),
                 is_isolated=reach.found_isolated(now_s, ISOLATED_SILENCE_S),
             )
@@ -250,7 +250,7 @@
         if message.levels is not None:
             self._quotas.take_fleet(message.levels)
         if not self._peers.view.is_hub:
-            self._state.take_reach(message.unreachable, is_isolated=message.is_isolated)
+            self._state.zones.take_reach(message.unreachable, is_isolated=message.is_isolated)
         if self._peers.view.is_hub:
             for told in message.kept:
                 self._zone_kept.discard(told.replica_hash, told.parts)
