Move no answer in a planned stop, and none for silence alone

Change: a daemon that stops moves nothing; check_silence is taken back; only a request that a replica has not acknowledged, or a lost zone, makes answers that may be repeated go on elsewhere, not a connection that does not come up. Ruled out: a longer silence, since a prompt may wait for seconds.

--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -89,6 +89,17 @@
         self.assert_whole(await asked)
         self.assertEqual(replicas[1].seen, [])
 
+    async def test_a_daemon_that_stops_moves_nothing(self) -> None:
+        """A stream was moved in a planned stop, the next replica refused it, and it was cut."""
+        stream = SlowStream()
+        replicas = [ScriptedReplica(stream), ScriptedReplica(answering(rest))]
+        relay, asked = await self.begin(replicas, stream, resumable=True)
+        relay.state.stopping = True
+        self.hold(relay, "i-0")
+        stream.go_on.set()
+        self.assert_whole(await asked)
+        self.assertEqual(replicas[1].seen, [])
+
     async def test_with_no_other_replica_it_ends_where_it_is(self) -> None:
         stream = SlowStream()
         relay, asked = await self.begin([ScriptedReplica(stream)], stream, resumable=True)
--- a/winchfork/router/attempt_evidence.py
+++ b/winchfork/router/attempt_evidence.py
@@ -42,6 +42,8 @@
             replica.loading_until_s = max(replica.loading_until_s, now_s + REFUSED_HOLD_S)
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
             self._state.note_failure(replica, outcome.reason, certain=outcome.silent)
+            if outcome.silent:
+                self._state.on_silent(replica)
         return False
 
     def _note_software(
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -51,9 +51,6 @@
 _MAX_VERSION_TRIES = 1
 #: A replica that has said something more recently than this is heard, whatever others say of it.
 LEAST_SILENCE_S = 0.3
-#: The same for a replica that peers or other failures speak against: twice the pause that most
-#: callers allow between events.
-DOUBTED_SILENCE_S = 1.0
 #: Part of the retry budget that streams which move away from a load leave to failures.
 _FAILURE_RESERVE = 0.5
 _LOOK_AGAIN = "look_again"
@@ -114,11 +111,14 @@
         """Move a stream away from a replica that loads weights next, if that is worth it.
 
         A load waits for the runs that are under way. A move reads the prompt once more and draws on
-        the retry budget, of which a part is left to failures.
+        the retry budget, of which a part is left to failures. A daemon that stops moves nothing:
+        the next replica may refuse, and a planned stop cuts no answer.
         """
         attempt = self._attempt
         if attempt is None or attempt.replica is not replica or not self._route.resumable:
             return
+        if self._state.stopping:
+            return
         if (
             self._record.sends >= self._route.max_attempts
             or self._time_left_s() < _LEAST_TIME_LEFT_S
@@ -133,24 +133,19 @@
             log_event("stream_moves", id=self._id, replica=replica.replica_id)
             self._inbox.put(MoveAway(replica.replica_id))
 
-    def check_silence(self, now_s: float) -> None:
-        """Go on elsewhere when nothing is heard from a replica that is left alone for failures."""
-        attempt = self._attempt
-        if attempt is not None and now_s < attempt.replica.avoided_until_s:
-            self.replica_unreachable(attempt.replica, DOUBTED_SILENCE_S)
-
-    def replica_unreachable(
-        self, replica: RelayReplica, least_silence_s: float = LEAST_SILENCE_S
-    ) -> None:
+    def replica_unreachable(self, replica: RelayReplica) -> None:
         """Go on elsewhere at once where that is allowed: this answer will not come.
 
-        Waiting for the connection's own time-out costs a caller some seconds of silence.
+        Waiting for the connection's own time-out costs a caller some seconds of silence. A daemon
+        that stops moves nothing: what is under way may be finished in the time that it has left.
         """
         attempt = self._attempt
         if attempt is None or attempt.replica is not replica or not self._route.repeatable:
             return
         tried = self._tried | {replica.replica_id}
-        if attempt.silent_s < least_silence_s or not self._dispatch.others_left(tried):
+        if self._state.stopping or attempt.silent_s < LEAST_SILENCE_S:
+            return
+        if not self._dispatch.others_left(tried):
             return
         if self._may_repeat(self._route.max_attempts):
             log_event("answer_given_up", id=self._id, replica=replica.replica_id)
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -132,8 +132,6 @@
         """End connections that take too long; close idle ones to replicas."""
         for connection in list(self._connections):
             connection.check_times(now_s)
-        for request in list(self._tasks.values()):
-            request.check_silence(now_s)
         self.pool.sweep(now_s)
 
     def close_idle_callers(self) -> None:
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -108,8 +108,8 @@
         self.on_work_sent: Callable[[], None] = lambda: None
         #: Told of each replica that is to be given nothing new, since it loads weights next.
         self.on_held: Callable[[RelayReplica], None] = lambda replica: None
-        #: Told of each replica that does not even acknowledge what it is sent, and of each zone
-        #: that cannot be reached any more.
+        #: Told of each replica that has not acknowledged a request on an open connection, and of
+        #: each zone that cannot be reached any more.
         self.on_silent: Callable[[RelayReplica], None] = lambda replica: None
         self.on_zone_lost: Callable[[str], None] = lambda zone: None
         #: Told of each replica that this daemon ejects on its own evidence.
@@ -268,8 +268,6 @@
                 for_s=replica.avoided_until_s - now_s,
             )
             self.on_ejected(replica)
-            if certain:
-                self.on_silent(replica)
 
     def note_accusation(self, replica_hash: int, accuser: str) -> None:
         """Record that a peer has ejected a replica; log when it is now left alone here as well."""
