Keep one copy of the budget, of a relayed message and of a note's counts

Found by reading the change once more: the budget of a rollout was worked out in two functions, a relayed RegionWork was built field by field where its twin in evidence_exchange replaces the sender, and a note was turned into counts in two places. Behaviour stays as it is; no constant, bound or test changes.

--- a/winchfork/core/software_plan.py
+++ b/winchfork/core/software_plan.py
@@ -181,8 +181,8 @@
     if not view.new_answers or view.elapsed_s <= 0.0:
         return False
     per_s = view.all_answers / view.elapsed_s
-    budget = limits.share * per_s * state.duration_s + limits.slack
-    return view.new_answers + per_s * (state.duration_s - view.elapsed_s) <= budget
+    left = per_s * (state.duration_s - view.elapsed_s)
+    return view.new_answers + left <= _budget(state, limits, per_s)
 
 
 def _try_out(state: SoftwareState, view: RolloutView, limits: ExposureLimits) -> RolloutStep | None:
@@ -213,7 +213,7 @@
     if not _knows_rate(view):
         return least
     per_s = view.all_answers / view.elapsed_s
-    budget = limits.share * per_s * state.duration_s + limits.slack
+    budget = _budget(state, limits, per_s)
     move_s = MOVE_AT_SHARE * state.duration_s
     left_s = SPEND_WITHIN * move_s - view.elapsed_s
     spend = TRIAL_SPEND
@@ -224,6 +224,11 @@
     return min(MOST_TRIAL_SHARE, max(least / 4, share))
 
 
+def _budget(state: SoftwareState, limits: ExposureLimits, per_s: float) -> float:
+    """Return the requests that a bad version may get of a service that gets ``per_s`` a second."""
+    return limits.share * per_s * state.duration_s + limits.slack
+
+
 def _knows_rate(view: RolloutView) -> bool:
     """Whether enough was seen, for long enough: the first answers are told some tenths late."""
     return view.all_answers >= LEAST_ANSWERS and view.elapsed_s >= LEAST_SEEN_S
--- a/winchfork/router/evidence_exchange.py
+++ b/winchfork/router/evidence_exchange.py
@@ -103,8 +103,7 @@
         new: dict[int, dict[int, AnswerCounts]] = {}
         for note in notes:
             routes = old if note.replica == OLD_VERSION else new.setdefault(note.replica, {})
-            counts = AnswerCounts(note.answers, note.failed, note.slow)
-            routes.setdefault(note.route, AnswerCounts()).add(counts)
+            routes.setdefault(note.route, AnswerCounts()).add(_counts(note))
         return Evidence(old, new)
 
     def opinion(self, service: str) -> Opinion:
@@ -252,6 +251,10 @@
     return since_s >= (RETELL_PERIOD_S if notes == told else TELL_PERIOD_S)
 
 
+def _counts(note: EvidenceNote) -> AnswerCounts:
+    return AnswerCounts(note.answers, note.failed, note.slow)
+
+
 def _answers(notes: Iterable[EvidenceNote]) -> int:
     return sum(note.answers for note in notes)
 
@@ -260,8 +263,7 @@
     totals: dict[tuple[int, int], AnswerCounts] = {}
     for notes in senders:
         for note in notes:
-            counts = AnswerCounts(note.answers, note.failed, note.slow)
-            totals.setdefault((note.route, note.replica), AnswerCounts()).add(counts)
+            totals.setdefault((note.route, note.replica), AnswerCounts()).add(_counts(note))
     return tuple(
         EvidenceNote(route, replica, counts.answers, counts.failed, counts.slow)
         for (route, replica), counts in totals.items()
--- a/winchfork/router/region_exchange.py
+++ b/winchfork/router/region_exchange.py
@@ -10,6 +10,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from winchfork.core.zone_hubs import FleetView
 from winchfork.router.peer_messages import RegionWork, ReplicaLoadNote, ZoneUse, ZoneWork
 from winchfork.router.peer_port import PeerPort
@@ -97,9 +99,7 @@
         if message.region == view.regions.region_of(view.own.zone):
             return
         if view.is_speaker and view.is_far_daemon(message.sender_id):
-            relayed = RegionWork(
-                view.own.member_id, message.region, message.complete, message.loads, message.uses
-            )
+            relayed = msgspec.structs.replace(message, sender_id=view.own.member_id)
             self._peers.send_each((*view.near_hubs, *view.other_own_hubs), relayed)
         known = self._regions.setdefault(message.region, HeardByReplica())
         known.take(message.loads, now_s, complete=message.complete)
