--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -107,12 +107,19 @@
         self._named.append(NamedVersion(version, heard_s))
         self._named.sort(key=lambda named: named.version)
 
-    def restart_bounds(self, lost_s: float, regained_s: float, bound_s: float) -> None:
-        """Begin bounds anew that were running when the store was lost: nobody could act on them."""
+    def restart_bounds(
+        self, lost_s: float, regained_s: float, bound_s: float
+    ) -> tuple[NamedVersion, ...]:
+        """Begin bounds anew that were running when the store was lost: nobody could act on them.
+
+        Returns the versions concerned, as they were heard before.
+        """
+        running = tuple(named for named in self._named if named.heard_s + bound_s > lost_s)
         self._named = [
-            NamedVersion(named.version, regained_s) if named.heard_s + bound_s > lost_s else named
+            NamedVersion(named.version, regained_s) if named in running else named
             for named in self._named
         ]
+        return running
 
     @property
     def named(self) -> tuple[NamedVersion, ...]:
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -63,12 +64,21 @@
             copy_from=decision.copy_from.replica_id if decision.copy_from else None,
             save_to=decision.save_to.replica_id if decision.save_to else None,
             weights=plan.weights_version,
+            weights_left_s=self._weights_left_s(plan),
             in_flight=decision.replica.in_flight,
             left_s=left_s,
             known_s=self.state.freshness.age_s(self.clock()),
             configuration=self.state.table.version if self.state.table else 0,
         )
 
+    def _weights_left_s(self, plan: AttemptPlan) -> float | None:
+        """Return how much longer requests may begin on the weights; None without a bound."""
+        history = self.state.versions.get(plan.model)
+        if history is None or plan.weights_version is None:
+            return None
+        due_s = history.due_s(plan.weights_version, self.state.settings.bounds.weights_s)
+        return None if math.isinf(due_s) else due_s - self.clock()
+
     def log_done(self, ran: RunState, events: int) -> None:
         """Write and count how the request ended."""
         took_s = self.clock() - self.received_s
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -305,8 +305,17 @@
             return
         log_event("store_regained", after_s=now_s - lost_s)
         bound_s = self._state.settings.bounds.weights_s
-        for history in self._state.versions.values():
-            history.restart_bounds(lost_s, now_s + self._settling_s(), bound_s)
+        for model, history in self._state.versions.items():
+            restarted = history.restart_bounds(lost_s, now_s + self._settling_s(), bound_s)
+            for named in restarted:
+                log_event(
+                    "weights_bound_restarted",
+                    "WARNING",
+                    model=model,
+                    version=named.version,
+                    heard_before_s=now_s - named.heard_s,
+                    begins_in_s=self._settling_s(),
+                )
 
     def _settling_s(self) -> float:
         """Return how long a store that has come back is not yet counted as stable."""
