Test that a daemon's own silence moves no bound on replaced weights; red

Cause: StoreSync begins the bounds anew whenever one of its own calls has failed and the next works.

--- /dev/null
+++ b/tests/test_weights_bounds.py
@@ -0,0 +1,109 @@
+"""Every daemon counts the bound on replaced weights from the same moment. Virtual time.
+
+A leading daemon stood still for three seconds and wrote, on waking, `store_lost reason="... no
+answer within 2.50 s"` and 0.05 s later `store_regained`. The store had answered everybody else all
+the time. The daemon took its own silence for an outage of all and began the bound on replaced
+weights anew (`weights_bound_restarted heard_before_s=4.05 begins_in_s=2.5`): it alone went on
+giving requests to them, and the last began 11.3 s after the newer version had been named, where 8 s
+are allowed. Whatever keeps one daemon from hearing the store moves no bound that others hold; only
+an outage for all does, since then nobody could bring replicas to the newer weights.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+
+from tests.memory_store import MemoryStore
+from tests.peer_support import Daemon, Network
+from tests.virtual_loop import run_virtually
+from winchfork.router.settings import RouterBounds
+
+DAEMONS = 5
+MODEL = "daka510000"
+BOUND_S = 8.0
+BOUNDS = RouterBounds(weights_s=BOUND_S)
+#: Seconds from an outage's end until the store counts as stable, less the margin kept of it.
+SETTLING_S = 2.5
+#: Seconds by which daemons may differ: news on its way, pauses between tries.
+TOLERANCE_S = 0.8
+
+
+class FollowingFleet:
+    """Daemons that follow one store; the first is the one that trouble finds."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.network = Network()
+        self.daemons = [
+            Daemon(self.network, number, store=self.store, bounds=BOUNDS)
+            for number in range(1, DAEMONS + 1)
+        ]
+        for daemon in self.daemons:
+            daemon.follow()
+        self.named_s = 0.0
+
+    def name(self, version: int) -> None:
+        document = json.dumps({"Model": MODEL, "Version": version}).encode()
+        self.store.put(f"op/version/{MODEL}", document)
+        self.named_s = asyncio.get_running_loop().time()
+
+    async def fail_a_call(self, daemon: Daemon) -> None:
+        """Have the watch of one daemon fail, and answer it again at once."""
+        reads = daemon.store.reads
+        daemon.store.cut = True
+        while daemon.store.reads == reads:
+            await asyncio.sleep(0.01)
+        daemon.store.cut = False
+
+    def allowed_s(self, daemon: Daemon) -> float:
+        """Return for how long after the naming the weights before it are allowed there."""
+        return daemon.state.versions[MODEL].due_s(1, BOUND_S) - self.named_s
+
+
+def follow(scenario: Callable[[FollowingFleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        fleet = FollowingFleet()
+        await asyncio.sleep(4.0)
+        fleet.name(2)
+        await asyncio.sleep(1.0)
+        await scenario(fleet)
+
+    run_virtually(main())
+
+
+class BoundsTest(unittest.TestCase):
+    def test_a_call_that_fails_here_alone_moves_no_bound(self) -> None:
+        async def scenario(fleet: FollowingFleet) -> None:
+            await fleet.fail_a_call(fleet.daemons[0])
+            await asyncio.sleep(2.0)
+            for daemon in fleet.daemons:
+                self.assertLess(abs(fleet.allowed_s(daemon) - BOUND_S), TOLERANCE_S)
+
+        follow(scenario)
+
+    def test_a_store_that_turns_one_daemon_away_moves_no_bound(self) -> None:
+        async def scenario(fleet: FollowingFleet) -> None:
+            fleet.daemons[0].store.cut = True
+            await asyncio.sleep(4.5)
+            fleet.daemons[0].store.cut = False
+            await asyncio.sleep(2.0)
+            for daemon in fleet.daemons:
+                self.assertLess(abs(fleet.allowed_s(daemon) - BOUND_S), TOLERANCE_S)
+
+        follow(scenario)
+
+    def test_after_an_outage_for_all_the_bound_begins_anew_for_all(self) -> None:
+        async def scenario(fleet: FollowingFleet) -> None:
+            fleet.store.down = True
+            await asyncio.sleep(4.5)
+            fleet.store.down = False
+            back_s = asyncio.get_running_loop().time() - fleet.named_s
+            await asyncio.sleep(3.0)
+            expected_s = back_s + SETTLING_S + BOUND_S
+            for daemon in fleet.daemons:
+                self.assertLess(abs(fleet.allowed_s(daemon) - expected_s), TOLERANCE_S)
+
+        follow(scenario)
