Begin bounds on replaced weights anew only after an outage of the store for all

Cause: a daemon took each failed call of its own for an outage, so that one that had stood still, whose connection had fallen silent or whom the store had turned away allowed replaced weights for up to 3 + 2.5 s longer than all others. An outage now takes three findings together: no proof of anybody's for longer than any sound watch, a call begun afresh that failed, a peer that was asked and had none either. In a small fleet all are asked while the store is silent; in a large one hubs are asked anyhow.

--- a/tests/test_weights_bounds.py
+++ b/tests/test_weights_bounds.py
@@ -19,6 +19,7 @@
 from tests.memory_store import MemoryStore
 from tests.peer_support import Daemon, Network
 from tests.virtual_loop import run_virtually
+from winchfork.core.store_outage import StoreOutage, StoreOutageWatch
 from winchfork.router.settings import RouterBounds
 
 DAEMONS = 5
@@ -107,3 +108,69 @@
                 self.assertLess(abs(fleet.allowed_s(daemon) - expected_s), TOLERANCE_S)
 
         follow(scenario)
+
+    def test_a_daemon_that_hears_nobody_moves_no_bound(self) -> None:
+        async def scenario(fleet: FollowingFleet) -> None:
+            alone = fleet.daemons[0]
+            fleet.network.drop = lambda sender, receiver: alone.ip in (sender, receiver)
+            alone.store.cut = True
+            await asyncio.sleep(4.5)
+            alone.store.cut = False
+            fleet.network.drop = lambda sender, receiver: False
+            await asyncio.sleep(2.0)
+            self.assertLess(abs(fleet.allowed_s(alone) - BOUND_S), TOLERANCE_S)
+
+        follow(scenario)
+
+
+class OutageWatchTest(unittest.TestCase):
+    """One daemon's findings, with a last proof at 100 s."""
+
+    def setUp(self) -> None:
+        self.watch = StoreOutageWatch(90.0, has_peers=True)
+        self.watch.note_answer(100.0)
+
+    def fail_twice(self, first_s: float) -> None:
+        self.watch.note_failure(first_s - 1.0, first_s)
+        self.watch.note_failure(first_s + 0.1, first_s + 0.2)
+
+    def test_all_three_findings_make_an_outage(self) -> None:
+        self.fail_twice(101.0)
+        self.watch.note_peer(99.5, asked_s=102.6)
+        self.watch.note_answer(104.0)
+        self.assertEqual(self.watch.take_ended(), StoreOutage(100.0, 104.0))
+        self.assertIsNone(self.watch.take_ended())
+
+    def test_a_call_that_spans_a_standstill_is_no_finding(self) -> None:
+        self.watch.note_failure(100.0, 104.0)
+        self.watch.note_peer(99.5, asked_s=104.0)
+        self.watch.note_answer(104.1)
+        self.assertIsNone(self.watch.take_ended())
+
+    def test_a_peer_that_reached_the_store_meanwhile_speaks_against_it(self) -> None:
+        self.fail_twice(101.0)
+        self.watch.note_peer(102.0, asked_s=102.6)
+        self.watch.note_answer(104.0)
+        self.assertIsNone(self.watch.take_ended())
+
+    def test_a_peer_that_may_still_be_watching_says_nothing(self) -> None:
+        self.fail_twice(101.0)
+        self.watch.note_peer(99.5, asked_s=102.0)
+        self.watch.note_answer(104.0)
+        self.assertIsNone(self.watch.take_ended())
+
+    def test_peers_learn_of_the_return_first(self) -> None:
+        self.fail_twice(101.0)
+        self.watch.note_peer(99.5, asked_s=102.6)
+        self.watch.note_peer(103.5, asked_s=103.6)
+        self.watch.note_answer(104.0)
+        self.assertEqual(self.watch.take_ended(), StoreOutage(100.0, 103.5))
+
+    def test_a_daemon_that_starts_in_an_outage_learns_from_peers_since_when(self) -> None:
+        watch = StoreOutageWatch(102.0, has_peers=True)
+        watch.note_peer(99.5, asked_s=102.1)
+        watch.note_failure(102.0, 102.1)
+        watch.note_failure(102.3, 102.4)
+        watch.note_peer(99.5, asked_s=102.5)
+        watch.note_answer(103.0)
+        self.assertEqual(watch.take_ended(), StoreOutage(99.5, 103.0))
--- /dev/null
+++ b/winchfork/core/store_outage.py
@@ -0,0 +1,97 @@
+"""Whether the store was away for every daemon, as far as one daemon can tell. No I/O, no clock.
+
+A call that failed here says nothing about the others: this process may have stood still, its
+connection may have fallen silent, or the store may have turned this machine away alone. Bounds that
+all daemons share begin anew only after an outage for all, so that is asserted on three findings
+together: nobody is known to have reached the store for longer than any sound watch takes, calls
+begun afresh failed here meanwhile, and a peer that was asked had not reached it either.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+#: Seconds after which a daemon without a newer proof has lost the store: its longest wait of one
+#: watch and that call's time limit.
+LONGEST_WATCH_S = 2.5
+
+
+class StoreOutage(msgspec.Struct, frozen=True):
+    """A time in which nobody reached the store, from its last proof to its first one after."""
+
+    lost_s: float
+    regained_s: float
+
+
+class StoreOutageWatch:
+    """Collects one daemon's findings. Times are monotonic seconds of this daemon.
+
+    ``has_peers``: whether there are others to ask; without, its own findings have to do.
+    """
+
+    def __init__(self, started_s: float, *, has_peers: bool) -> None:
+        self._has_peers = has_peers
+        self._started_s = started_s
+        self._proven_s = -math.inf
+        self._first_failure_s: float | None = None
+        #: When the first call begun afresh that failed since the last proof began, and when the
+        #: first peer was asked that had no newer proof either.
+        self._failed_afresh_s = math.inf
+        self._peer_asked_s = math.inf
+        self._ended: StoreOutage | None = None
+
+    @property
+    def is_suspected(self) -> bool:
+        """Whether this daemon's own calls fail, so that its peers had better be asked."""
+        return self._first_failure_s is not None
+
+    def note_failure(self, begun_s: float, failed_s: float) -> None:
+        """Take in that an own call failed.
+
+        The first of a row may have gone over a connection that had fallen silent, or have run out
+        of time while this process stood still; what was begun after it was noticed has not.
+        """
+        if self._first_failure_s is None:
+            self._first_failure_s = failed_s
+        elif begun_s >= self._first_failure_s and failed_s - begun_s <= LONGEST_WATCH_S:
+            self._failed_afresh_s = min(self._failed_afresh_s, begun_s)
+
+    def note_answer(self, at_s: float) -> None:
+        """Take in that the store answered a call of this daemon that began at ``at_s``."""
+        self._first_failure_s = None
+        self._note_proof(at_s)
+
+    def note_peer(self, proven_at_s: float, asked_s: float) -> None:
+        """Take in a peer's reply: when the store last answered it, and when the peer was asked."""
+        if proven_at_s > self._proven_s:
+            self._note_proof(proven_at_s)
+        elif asked_s - self._silent_from_s >= LONGEST_WATCH_S:
+            self._peer_asked_s = min(self._peer_asked_s, asked_s)
+
+    def take_ended(self) -> StoreOutage | None:
+        """Return an outage that has ended, once."""
+        ended, self._ended = self._ended, None
+        return ended
+
+    @property
+    def _silent_from_s(self) -> float:
+        return self._proven_s if math.isfinite(self._proven_s) else self._started_s
+
+    def _note_proof(self, at_s: float) -> None:
+        if at_s <= self._proven_s:
+            return
+        if self._was_away_until(at_s):
+            self._ended = StoreOutage(self._silent_from_s, at_s)
+        self._proven_s = at_s
+        if self._failed_afresh_s <= at_s:
+            self._failed_afresh_s = math.inf
+        if self._peer_asked_s <= at_s:
+            self._peer_asked_s = math.inf
+
+    def _was_away_until(self, at_s: float) -> bool:
+        """Whether everything found since the last proof says that nobody reached the store."""
+        failed_here = self._failed_afresh_s < at_s
+        others_agree = self._peer_asked_s < at_s or not self._has_peers
+        return failed_here and others_agree and at_s - self._silent_from_s >= LONGEST_WATCH_S
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -254,9 +254,16 @@
             self._membership.tell_store_delay(max(1, round(delay_s * 1000)))
 
     def _probe_informant(self, now_s: float) -> None:
-        """Ask how current one of those is that keep this daemon informed."""
+        """Ask how current one of those is that keep this daemon informed.
+
+        In a small fleet nobody does; all are asked when the store does not answer here, to learn
+        whether it answers others.
+        """
         view = self._view
-        if not view.direct and view.informants:
+        if view.direct:
+            if self._state.store_outage.is_suspected:
+                self._send_all([self._membership.probe(peer, now_s) for peer in view.others])
+        elif view.informants:
             informant = self._generator.choice(view.informants)
             self._send_all([self._membership.probe(informant, now_s)])
 
@@ -311,10 +318,12 @@
             self._state.region_delay.note_reply(self._loop.time() - asked_s)
         if len(revisions) != 2:
             return
+        proven_s = asked_s - revisions[1] / 1000.0
+        self._state.store_outage.note_peer(proven_s, asked_s)
         if revisions[0] > self._state.store_revision:
             self.on_revision(sender.peer_address, revisions[0])
             return
-        self._state.freshness.prove(asked_s - revisions[1] / 1000.0)
+        self._state.freshness.prove(proven_s)
 
 
 def _is_past(at_s: float, now_s: float) -> bool:
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -19,6 +19,7 @@
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
+from winchfork.core.store_outage import StoreOutageWatch
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.core.zone_reach import ZoneReach
 from winchfork.errors import Failure, FailureKind
@@ -92,6 +93,7 @@
         #: Highest fence under which a rollout leader has spoken.
         self.weights_fence = 0
         self.freshness = Freshness()
+        self.store_outage = StoreOutageWatch(clock(), has_peers=bool(settings.seeds))
         self.software = SoftwareVersions(
             self.fleet,
             lambda: self.freshness.age_s(self.clock()),
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -90,10 +90,12 @@
         while True:
             if self._listed and self._relay is not None and self._relay.informed:
                 self._note_regained(self._state.clock())
+                self._begin_bounds_anew()
                 failures = 0
                 await asyncio.sleep(INFORMED_PAUSE_S)
                 continue
             revision = self._state.store_revision
+            asked_s = self._state.clock()
             failure = await (self._watch_once() if self._listed else self._list_once())
             if failure is None:
                 failures = 0
@@ -101,9 +103,11 @@
                     await asyncio.sleep(GATHER_CHANGES_S)
                 continue
             failures += 1
-            self._note_lost(failure)
             if failure.kind is FailureKind.HISTORY_LOST:
                 self._listed = False
+            else:
+                self._state.store_outage.note_failure(asked_s, self._state.clock())
+                self._note_lost(failure)
             await asyncio.sleep(self._back_off_s(failures))
 
     def _back_off_s(self, failures: int) -> float:
@@ -126,9 +130,8 @@
         if isinstance(snapshot, Failure):
             return snapshot
         after_outage = self._lost_since_s is not None
-        self._begun_in_outage = after_outage and not self._ever_listed
         self._note_regained(asked_s)
-        self._state.freshness.prove(asked_s)
+        self._note_answer(asked_s)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
         self._take_complete(items, snapshot.at_revision, after_outage)
         return None
@@ -162,9 +165,15 @@
             self._relay.push(TableUpdate(base_revision, batch.at_revision, False, False, items))
         elapsed_s = self._state.clock() - asked_s
         in_time = wait_s <= elapsed_s <= wait_s + LATE_ANSWER_S
-        self._state.freshness.prove(asked_s + wait_s if in_time and not batch.items else asked_s)
+        self._note_answer(asked_s + wait_s if in_time and not batch.items else asked_s)
         return None
 
+    def _note_answer(self, at_s: float) -> None:
+        """The store has shown everything that it held at ``at_s``."""
+        self._state.freshness.prove(at_s)
+        self._state.store_outage.note_answer(at_s)
+        self._begin_bounds_anew()
+
     def _watch_wait_s(self) -> float:
         """Return how long a watch may wait; not at all when a proof is wanted at once."""
         if self._lost_since_s is not None or not self._watches:
@@ -293,7 +302,7 @@
     # The store as a dependency
 
     def _note_lost(self, failure: Failure) -> None:
-        if self._lost_since_s is None and failure.kind is not FailureKind.HISTORY_LOST:
+        if self._lost_since_s is None:
             self._lost_since_s = self._state.clock()
             log_event(
                 "store_lost", "WARNING", reason=str(failure), revision=self._state.store_revision
@@ -304,17 +313,28 @@
         if lost_s is None:
             return
         log_event("store_regained", after_s=now_s - lost_s)
+
+    def _begin_bounds_anew(self) -> None:
+        """Begin bounds on weights anew that were running when the store was lost for all.
+
+        One daemon's failed calls move nothing: the others go on counting and loading.
+        """
+        outage = self._state.store_outage.take_ended()
+        if outage is None:
+            return
+        self._begun_in_outage = not self._ever_listed
+        log_event("store_outage_ended", "WARNING", for_s=outage.regained_s - outage.lost_s)
         bound_s = self._state.settings.bounds.weights_s
+        begins_s = outage.regained_s + self._settling_s()
         for model, history in self._state.versions.items():
-            restarted = history.restart_bounds(lost_s, now_s + self._settling_s(), bound_s)
-            for named in restarted:
+            for named in history.restart_bounds(outage.lost_s, begins_s, bound_s):
                 log_event(
                     "weights_bound_restarted",
                     "WARNING",
                     model=model,
                     version=named.version,
-                    heard_before_s=now_s - named.heard_s,
-                    begins_in_s=self._settling_s(),
+                    heard_before_s=outage.regained_s - named.heard_s,
+                    begins_in_s=begins_s - self._state.clock(),
                 )
 
     def _settling_s(self) -> float:
