Test that what came during a standstill counts, and that silent connections are left; red

Cause: a call's timer is seen before the answer that lies in the socket; a call after one that ran out of time goes over a connection that fell silent with it.

--- /dev/null
+++ b/tests/test_standstill.py
@@ -0,0 +1,95 @@
+"""What comes while this process does not run counts when it runs again.
+
+A daemon that stood still for three seconds wrote on waking `store_lost reason="... no answer within
+2.50 s"`, although the answer lay in its socket: the timer was seen first. What runs out while
+nobody looks says nothing about the other side.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+import time
+import unittest
+
+from tests.relay_support import ScriptedReplica, answering, never_answering
+from winchfork.errors import Failure
+from winchfork.router.connection_pool import ConnectionPool
+from winchfork.router.http_call import CallReply, HttpCaller
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+LIMIT_S = 0.5
+
+
+class AnswerInThread:
+    """A server on a thread of its own: it answers also while the event loop stands still."""
+
+    def __init__(self) -> None:
+        self.asked = threading.Event()
+        self.answered = threading.Event()
+        self._may_answer = threading.Event()
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        self._thread = threading.Thread(target=self._serve)
+        self._thread.start()
+
+    def answer(self) -> None:
+        """Answer, and return when the bytes are on their way."""
+        self._may_answer.set()
+        self.answered.wait()
+
+    def close(self) -> None:
+        self._may_answer.set()
+        self._thread.join()
+        self._socket.close()
+
+    def _serve(self) -> None:
+        connection, _ = self._socket.accept()
+        with connection:
+            connection.recv(4096)
+            self.asked.set()
+            self._may_answer.wait()
+            connection.sendall(ANSWER)
+            self.answered.set()
+
+
+class StandstillTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.server = AnswerInThread()
+        self.addCleanup(self.server.close)
+
+    async def call(self) -> CallReply | Failure:
+        pool = ConnectionPool()
+        self.addCleanup(pool.close)
+        caller = HttpCaller(pool)
+        return await caller.call(self.server.address, b"GET", b"/", None, LIMIT_S, label="test")
+
+    async def test_an_answer_that_came_during_a_standstill_counts(self) -> None:
+        call = asyncio.create_task(self.call())
+        while not self.server.asked.is_set():
+            await asyncio.sleep(0.001)
+        self.server.answer()
+        time.sleep(LIMIT_S)
+        self.assertEqual(await call, CallReply(200, b"ok"))
+
+
+class SilentConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_call_after_a_silent_one_takes_a_new_connection(self) -> None:
+        """Connections fall silent together; each that is tried costs a whole time limit."""
+        kept = answering(lambda request: ANSWER)
+        server = ScriptedReplica(kept, kept, kept, never_answering, kept)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        pool = ConnectionPool()
+        self.addCleanup(pool.close)
+        caller = HttpCaller(pool)
+
+        async def call(limit_s: float) -> CallReply | Failure:
+            return await caller.call(server.address, b"GET", b"/", None, limit_s, label="test")
+
+        await asyncio.gather(call(5.0), call(5.0), call(5.0))
+        self.assertIsInstance(await call(0.05), Failure)
+        self.assertFalse(pool.is_connected(server.address))
+        self.assertIsInstance(await call(5.0), CallReply)
+        self.assertEqual(server.connections, 4)
