Take an answer that came while the process stood still; leave connections that fell silent together

Cause: a timer that ran out during a standstill is seen before the answer that lies in the socket, so a daemon that had stood still lost the store, and replicas' reports, by its own doing. And a call that ran out of time left idle connections to the same address in the pool, each of which costs the next call a whole limit when they fell silent together. Ruled out: raising the limits, which only delays the same.

--- a/winchfork/router/http_call.py
+++ b/winchfork/router/http_call.py
@@ -15,6 +15,7 @@
     AnswerEnd,
     AnswerHead,
     Headers,
+    Progress,
     render_headers,
 )
 from winchfork.router.inbox import Inbox
@@ -70,27 +71,54 @@
             lines.append((b"Content-Length", str(len(body)).encode()))
         message = render_headers(b"%b %b HTTP/1.1" % (method, target), lines) + (body or b"")
         connection.start(message, Exchange(inbox.put, lambda head: True))
+        answer = _CollectedAnswer(inbox)
         try:
             async with asyncio.timeout(timeout_s):
-                return await _collect(inbox)
+                return await answer.wait()
         except TimeoutError:
+            # A process that stood still sees its timer before the answer that came meanwhile.
+            arrived = answer.take_arrived()
+            if arrived is not None:
+                return arrived
             connection.abandon()
+            # Connections fall silent together: the next call had better open one.
+            self._pool.close_idle(address)
             return FailureKind.BACKEND_BROKE.because(f"no answer within {timeout_s:.2f} s")
         except asyncio.CancelledError:
             connection.abandon()
             raise
 
 
-async def _collect(inbox: Inbox) -> CallReply | Failure:
-    status = 0
-    pieces: list[bytes] = []
-    while True:
-        item = await inbox.get()
+class _CollectedAnswer:
+    """An answer as its parts come in."""
+
+    def __init__(self, inbox: Inbox) -> None:
+        self._inbox = inbox
+        self._status = 0
+        self._pieces: list[bytes] = []
+
+    async def wait(self) -> CallReply | Failure:
+        """Return the whole answer when it has come."""
+        while True:
+            answer = self._take(await self._inbox.get())
+            if answer is not None:
+                return answer
+
+    def take_arrived(self) -> CallReply | Failure | None:
+        """Return the answer if all of it is here, without waiting."""
+        while len(self._inbox):
+            answer = self._take(self._inbox.pop())
+            if answer is not None:
+                return answer
+        return None
+
+    def _take(self, item: Progress) -> CallReply | Failure | None:
         if isinstance(item, AnswerHead):
-            status = item.status
+            self._status = item.status
         elif isinstance(item, AnswerData):
-            pieces.append(item.data)
+            self._pieces.append(item.data)
         elif isinstance(item, AnswerEnd):
-            return CallReply(status, b"".join(pieces))
+            return CallReply(self._status, b"".join(self._pieces))
         elif isinstance(item, AnswerBroken):
             return FailureKind.BACKEND_BROKE.because(f"connection {item.reason}")
+        return None
--- a/winchfork/router/inbox.py
+++ b/winchfork/router/inbox.py
@@ -35,6 +35,10 @@
                 await self._waiter
             finally:
                 self._waiter = None
+        return self.pop()
+
+    def pop(self) -> Progress:
+        """Take the next item, of which there has to be one."""
         return self._items.popleft()
 
     def drop_answers(self) -> None:
