--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -23,6 +23,8 @@
 )
 from winchfork.core.routing import RouteKind
 from winchfork.core.weight_rollout import VersionHistory
+from winchfork.errors import Failure
+from winchfork.router.replica_connection import ReplicaConnection
 
 ENGINE = "X-Model: m\r\nX-Token-Usage: 100,20\r\nX-Prefix-Hash: aa:60,bb:40\r\n"
 
@@ -316,6 +318,28 @@
         versions = [replica.versions["m"] for replica in relay.state.fleet.replicas()]
         self.assertEqual(versions, [3])
 
+    async def test_weights_whose_time_ends_during_a_wait_for_a_connection_are_not_used(
+        self,
+    ) -> None:
+        """A placement is a decision on beliefs of its moment; a connection may take longer to come."""
+
+        def stream(request: SeenRequest) -> bytes:
+            return stream_head(request) + chunk(event(1)) + b"0\r\n\r\n"
+
+        replica = ScriptedReplica(answering(stream))
+        relay = await self.relay(replica, kind=RouteKind.STREAMING, max_attempts=1, timeout_s=0.3)
+        history = relay.state.versions["m"] = VersionHistory()
+        acquire = relay.pool.acquire
+
+        async def acquire_late(address: str, limit: int) -> ReplicaConnection | Failure:
+            connection = await acquire(address, limit)
+            history.note(2, relay.state.clock() - relay.state.settings.bounds.weights_s)
+            return connection
+
+        relay.pool.acquire = acquire_late  # type: ignore[method-assign]
+        self.assert_not_run(await relay.ask(method="POST", extra=ENGINE))
+        self.assertEqual(replica.seen, [])
+
     async def test_another_replica_at_the_address_is_not_asked_again(self) -> None:
         def misdirected(request: SeenRequest) -> bytes:
             return (
