Look at the choice of a replica again when its connection has taken time to come

Cause: a choice rests on beliefs of its moment; while a connection comes up the replica's weights may become too old, it may begin to load or to leave, or its software lose its share. Only the leaving was looked at again. Conclusion: kept as the same class, a belief acted on after a wait.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -321,7 +321,7 @@
     async def test_weights_whose_time_ends_during_a_wait_for_a_connection_are_not_used(
         self,
     ) -> None:
-        """A placement is a decision on beliefs of its moment; a connection may take longer to come."""
+        """A placement rests on beliefs of its moment; a connection may take longer to come."""
 
         def stream(request: SeenRequest) -> bytes:
             return stream_head(request) + chunk(event(1)) + b"0\r\n\r\n"
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -95,6 +95,10 @@
             self._service, tried, self._prompt, on_target=self._on_target
         )
 
+    def is_available(self, replica: RelayReplica, tried: set[str]) -> bool:
+        """Whether a replica, and this very incarnation, may be sent the request now."""
+        return any(candidate is replica for candidate in self._available(tried))
+
     def others_left(self, tried: set[str]) -> bool:
         """Whether a replica that was not tried takes work."""
         return bool(self._available(tried))
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -219,12 +219,13 @@
         replica = decision.replica
         address = replica.listing.address
         limit = self._state.connection_limit(replica.listing.service)
+        chosen_s = self._loop.time()
         connection = await self._service.pool.acquire(address, limit)
         if isinstance(connection, Failure):
             return self._unreached(replica, connection)
-        if self._time_left_s() <= 0 or not self._still_wanted(replica):
+        if self._time_left_s() <= 0 or not self._still_chosen(replica, chosen_s):
             self._service.pool.give_back(address, connection)
-            return NotRun("the replica is leaving or the time is up", sent=False)
+            return NotRun("the replica takes it no more or the time is up", sent=False)
         plan = self._dispatch.plan(decision, self._time_left_s(), self._resume_after())
         plan.on_events = self._record.note_events
         if self._charge is not None and self._may_have_run:
@@ -248,9 +249,14 @@
         metrics.sent_by_software.labels(software).inc()
         metrics.sent_by_region.labels(self._state.settings.regions.region_of(listing.zone)).inc()
 
-    def _still_wanted(self, replica: RelayReplica) -> bool:
-        current = self._state.fleet.get(replica.replica_id)
-        return current is not None and current.accepting
+    def _still_chosen(self, replica: RelayReplica, chosen_s: float) -> bool:
+        """Whether what the choice rested on still holds after the wait for a connection.
+
+        Meanwhile the replica may have begun to leave or to load, or its weights' time may be over.
+        """
+        if self._loop.time() == chosen_s:
+            return True
+        return self._dispatch.is_available(replica, self._tried)
 
     def _unreached(self, replica: RelayReplica, failure: Failure) -> NotRun:
         if failure.kind is FailureKind.BACKEND_UNREACHABLE:
