Tests that a late entry takes a living replica out for good, known to fail

Cause shown: RelayFleet.install takes whoever is listed last at an address for the successor of those listed there before, and nothing ever reinstates one. From 11.5 s on neither replica was sent a request (22 before) or an order (2 before). The stand-in replica of the rollout tests now refuses orders for another id, as the real one does.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -356,6 +356,34 @@
         self.assert_not_run(await relay.ask("id-2", method="POST", extra=ENGINE))
         self.assertEqual(len(replica.seen), 1)
 
+    async def test_the_incarnation_that_answers_is_asked_again(self) -> None:
+        """The replica that answered for a late entry at its address was never asked again.
+
+        Replicas had started again at their addresses, and the entries of the incarnations before
+        came into the list once more at 11.15 s. Requests to the old ones were answered with 421 by
+        the new ones; "replica_superseded replica=i-afa882bbf5" was logged on all seven daemons
+        between 11.69 s and 12.17 s. So each knew who answers there, and still sent it nothing
+        more: the new ones had been set aside when the old entries came.
+        """
+
+        def answer_as_living(request: SeenRequest) -> bytes:
+            if request.headers["x-expected-instance"] == "i-living":
+                return signed(request, b"pong")
+            return (
+                b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nX-Instance-Id: i-living\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+        replica = ScriptedReplica(answering(answer_as_living))
+        relay = await self.relay(replica, max_attempts=1)
+        relay.state.fleet.remove("i-0")
+        relay.add(replica, "i-living")
+        relay.add(replica, "i-late")
+        self.assert_not_run(await relay.ask("id-1"))
+        answers = [await relay.ask(f"id-{number}") for number in range(2, 5)]
+        self.assertEqual([answer.status for answer in answers], [200] * 3)
+        self.assertEqual(len(replica.seen), 4)
+
 
 class DrainingTest(RelayTestCase):
     async def test_a_draining_replica_gets_nothing_new(self) -> None:
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -49,7 +49,7 @@
 
     def take(self, order: WeightsOrder, now_s: float) -> OrderOutcome:
         self.settle(now_s)
-        if self.superseded:
+        if self.superseded or order.replica_id != self.replica_id:
             return OrderOutcome.OTHER_REPLICA
         if order.fence < self.fence:
             return OrderOutcome.FENCED
@@ -334,3 +334,25 @@
             self.assertEqual(available, ["i-1"])
 
         run_virtually(scenario())
+
+    def test_an_order_that_another_answered_gives_that_one_its_turn(self) -> None:
+        """A replica behind a late entry at its address was never ordered to newer weights.
+
+        Replicas had started again at their addresses, and the entries of the incarnations before
+        came into the list once more at 11.2 s. The leader's order to the old one was answered by
+        the new one: "weights_ordered replica=i-fb2bd5ab5d version=3 ... outcome=other_replica" at
+        11.6 s. No order went to i-fa04b60938, which answers there, from then on: at the end it had
+        version 2 where 5 was in force.
+        """
+
+        async def scenario() -> None:
+            living = FakeReplica("i-0")
+            fleet = Fleet([living])
+            await asyncio.sleep(4.0)
+            late = ReplicaListing("i-late", "s", "i-0", "z1", 8, True, {MODEL: 1})
+            fleet.state.fleet.install(late)
+            fleet.name(2)
+            await asyncio.sleep(8.0)
+            self.assertEqual(living.version, 2)
+
+        run_virtually(scenario())
