Let answers decide which incarnation at an address is in place

Cause: the order of listing was taken for proof. Change: the order of listing is a doubt, an answer is evidence. A replica has a standing: in place, doubted, or ended. Of those at an address that are not known to have ended and take work, the one listed, or last heard as itself, most recently is in place. A 421 ends the one that was asked and, if it names the one that answers, puts that one in place; an order answered 421 has no id, and the next in line gets its turn; a doubted one is back when the entry that doubted it goes; one that answers as itself, by a success or by refusing a version, lives. An entry that comes back keeps its place in the order, so a daemon that saw the old one before is not misled at all. Only an answer that names it brings back one that has ended, and the next 421 puts a late one right. replica_superseded and replica_reinstated say why (reason, by). Ruled out: ending all others on an answer that names one, since one that was listed after the answer was given would be lost for good where only orders reach it; treating a success as proof against others, for the same reason; letting an entry that says "draining" doubt anyone, since nobody at the address would get work. Conclusion: the wrong belief now ends with the first answer or with the late entry, whichever is first.

--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -4,7 +4,14 @@
 
 import unittest
 
-from winchfork.core.relay_fleet import RelayFleet, ReplicaListing
+from winchfork.core.relay_fleet import (
+    RelayFleet,
+    RelayReplica,
+    ReplicaListing,
+    Standing,
+    StandingCause,
+    StandingChange,
+)
 
 
 def listing(replica_id: str, address: str = "a:1", **changes: object) -> ReplicaListing:
@@ -14,6 +21,21 @@
     return ReplicaListing(replica_id, address=address, **fields)  # type: ignore[arg-type]
 
 
+def fleet_of(*listings: ReplicaListing) -> RelayFleet:
+    """Return a fleet in which replicas were listed in this order."""
+    fleet = RelayFleet()
+    for item in listings:
+        fleet.install(item)
+    return fleet
+
+
+def replica(fleet: RelayFleet, replica_id: str) -> RelayReplica:
+    """Return a replica that is listed."""
+    found = fleet.get(replica_id)
+    assert found is not None
+    return found
+
+
 def accepting(fleet: RelayFleet) -> list[str]:
     """Return the ids of the replicas that may be given work."""
     return sorted(item.replica_id for item in fleet.replicas() if item.accepting)
@@ -39,3 +61,123 @@
         fleet.install(listing("i-old"))
         fleet.remove("i-old")
         self.assertEqual(accepting(fleet), ["i-new"])
+
+    def test_an_entry_that_comes_back_doubts_nobody_listed_since(self) -> None:
+        fleet = fleet_of(listing("i-old"))
+        fleet.remove("i-old")
+        fleet.install(listing("i-new"))
+        fleet.install(listing("i-old"))
+        self.assertEqual(accepting(fleet), ["i-new"])
+
+    def test_one_that_was_only_doubted_is_back_when_the_late_entry_goes(self) -> None:
+        """A daemon that has started since does not know that the late entry is the older one."""
+        fleet = fleet_of(listing("i-living"), listing("i-late"))
+        self.assertEqual(accepting(fleet), ["i-late"])
+        fleet.remove("i-late")
+        self.assertEqual(accepting(fleet), ["i-living"])
+
+    def test_a_late_entry_that_takes_no_work_puts_nobody_out_of_its_place(self) -> None:
+        fleet = fleet_of(listing("i-living"), listing("i-late", accepting=False))
+        self.assertEqual(accepting(fleet), ["i-living"])
+        fleet.install(listing("i-late"))
+        self.assertEqual(accepting(fleet), ["i-late"])
+        fleet.install(listing("i-late", accepting=False))
+        self.assertEqual(accepting(fleet), ["i-living"])
+
+    def test_replicas_at_other_addresses_are_not_concerned(self) -> None:
+        fleet = fleet_of(listing("i-1", "a:1"), listing("i-2", "a:2"))
+        fleet.note_other_answered(replica(fleet, "i-1"))
+        self.assertEqual(accepting(fleet), ["i-2"])
+        fleet.note_other_answered(replica(fleet, "i-2"), "i-1")
+        self.assertEqual(accepting(fleet), [])
+
+    def test_an_address_may_pass_to_another_service(self) -> None:
+        fleet = fleet_of(listing("i-1"), listing("i-2", service="t"))
+        self.assertEqual(accepting(fleet), ["i-2"])
+        fleet.note_other_answered(replica(fleet, "i-2"), "i-1")
+        self.assertEqual(accepting(fleet), ["i-1"])
+
+
+class EvidenceTest(unittest.TestCase):
+    def test_the_one_that_answers_is_in_place_and_the_one_asked_has_ended(self) -> None:
+        fleet = fleet_of(listing("i-1"), listing("i-2"), listing("i-3"))
+        fleet.note_other_answered(replica(fleet, "i-3"), "i-1")
+        standings = [replica(fleet, f"i-{number}").standing for number in (1, 2, 3)]
+        self.assertEqual(standings, [Standing.IN_PLACE, Standing.DOUBTED, Standing.ENDED])
+
+    def test_where_the_id_is_not_known_the_next_gets_its_turn(self) -> None:
+        fleet = fleet_of(listing("i-1"), listing("i-2"), listing("i-3"))
+        fleet.note_other_answered(replica(fleet, "i-3"))
+        self.assertEqual(accepting(fleet), ["i-2"])
+        fleet.note_other_answered(replica(fleet, "i-2"))
+        self.assertEqual(accepting(fleet), ["i-1"])
+
+    def test_one_that_has_ended_gets_no_turn_again(self) -> None:
+        """Neither when the one after it ends, nor when that is gone, nor when it is listed anew."""
+        fleet = fleet_of(listing("i-1"), listing("i-2"))
+        fleet.note_other_answered(replica(fleet, "i-1"), "i-2")
+        fleet.note_other_answered(replica(fleet, "i-2"))
+        self.assertEqual(accepting(fleet), [])
+        fleet.install(listing("i-1", slots=4))
+        self.assertEqual(accepting(fleet), [])
+        fleet.install(listing("i-3"))
+        fleet.remove("i-3")
+        self.assertEqual(accepting(fleet), [])
+
+    def test_an_answer_that_is_read_late_is_put_right_by_the_next(self) -> None:
+        fleet = fleet_of(listing("i-old"), listing("i-new"))
+        fleet.note_other_answered(replica(fleet, "i-new"), "i-old")
+        self.assertEqual(accepting(fleet), ["i-old"])
+        fleet.note_other_answered(replica(fleet, "i-old"), "i-new")
+        self.assertEqual(accepting(fleet), ["i-new"])
+        self.assertEqual(replica(fleet, "i-old").standing, Standing.ENDED)
+
+    def test_one_that_answers_as_itself_lives(self) -> None:
+        fleet = fleet_of(listing("i-living"), listing("i-late"))
+        fleet.note_answered(replica(fleet, "i-living"))
+        self.assertEqual(accepting(fleet), ["i-living"])
+        self.assertEqual(replica(fleet, "i-late").standing, Standing.DOUBTED)
+
+    def test_a_success_that_is_read_late_ends_no_successor(self) -> None:
+        fleet = fleet_of(listing("i-old"), listing("i-new"))
+        fleet.note_answered(replica(fleet, "i-old"))
+        fleet.note_other_answered(replica(fleet, "i-old"))
+        self.assertEqual(accepting(fleet), ["i-new"])
+
+    def test_the_answer_of_one_that_is_not_listed_yet_ends_the_one_that_was_asked(self) -> None:
+        fleet = fleet_of(listing("i-1"))
+        fleet.note_other_answered(replica(fleet, "i-1"), "i-2")
+        self.assertEqual(accepting(fleet), [])
+        fleet.install(listing("i-2"))
+        self.assertEqual(accepting(fleet), ["i-2"])
+
+    def test_a_refusal_to_one_that_has_gone_still_says_who_answers(self) -> None:
+        fleet = fleet_of(listing("i-gone"), listing("i-1"), listing("i-2"))
+        gone = replica(fleet, "i-gone")
+        fleet.remove("i-gone")
+        fleet.note_other_answered(gone, "i-1")
+        self.assertEqual(accepting(fleet), ["i-1"])
+
+    def test_each_change_is_told_once_with_its_cause(self) -> None:
+        told: list[tuple[str, Standing, StandingCause, str]] = []
+
+        def tell(change: StandingChange) -> None:
+            item = change.replica
+            told.append((item.replica_id, item.standing, change.cause, change.by))
+
+        fleet = RelayFleet()
+        fleet.on_standing = tell
+        for replica_id in ("i-1", "i-2", "i-2"):
+            fleet.install(listing(replica_id))
+        fleet.note_other_answered(replica(fleet, "i-2"), "i-1")
+        fleet.note_other_answered(replica(fleet, "i-2"), "i-1")
+        fleet.note_answered(replica(fleet, "i-1"))
+        other = StandingCause.OTHER_ANSWERED
+        self.assertEqual(
+            told,
+            [
+                ("i-1", Standing.DOUBTED, StandingCause.LISTED, "i-2"),
+                ("i-2", Standing.ENDED, other, "i-1"),
+                ("i-1", Standing.IN_PLACE, other, "i-1"),
+            ],
+        )
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -377,13 +377,61 @@
         replica = ScriptedReplica(answering(answer_as_living))
         relay = await self.relay(replica, max_attempts=1)
         relay.state.fleet.remove("i-0")
-        relay.add(replica, "i-living")
-        relay.add(replica, "i-late")
+        for replica_id in ("i-living", "i-between", "i-late"):
+            relay.add(replica, replica_id)
         self.assert_not_run(await relay.ask("id-1"))
         answers = [await relay.ask(f"id-{number}") for number in range(2, 5)]
         self.assertEqual([answer.status for answer in answers], [200] * 3)
         self.assertEqual(len(replica.seen), 4)
 
+    async def test_one_that_answers_a_request_as_itself_is_asked_again(self) -> None:
+        """A replica is set aside by a late entry while it is at work on a request."""
+        late_is_listed = asyncio.Event()
+
+        async def answer_after_the_entry(
+            request: SeenRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> bool:
+            await late_is_listed.wait()
+            writer.write(signed(request, b"pong"))
+            return True
+
+        replica = ScriptedReplica(answer_after_the_entry)
+        relay = await self.relay(replica)
+        running = asyncio.create_task(relay.ask("id-1"))
+        while not replica.seen and not running.done():
+            await asyncio.sleep(0)
+        relay.add(replica, "i-late")
+        late_is_listed.set()
+        self.assertEqual((await running).status, 200)
+        self.assertEqual((await relay.ask("id-2")).status, 200)
+        self.assertEqual(replica.seen[1].headers["x-expected-instance"], "i-0")
+
+    async def test_a_version_refused_as_itself_says_who_answers(self) -> None:
+        late_is_listed = asyncio.Event()
+
+        async def refuse_after_the_entry(
+            request: SeenRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> bool:
+            await late_is_listed.wait()
+            writer.write(
+                b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nX-Instance-Id: i-0\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            return True
+
+        replica = ScriptedReplica(refuse_after_the_entry)
+        relay = await self.relay(replica, kind=RouteKind.STREAMING, max_attempts=1)
+        relay.state.versions["m"] = VersionHistory()
+        relay.state.versions["m"].note(1, relay.state.clock())
+        running = asyncio.create_task(relay.ask(method="POST", extra=ENGINE))
+        while not replica.seen and not running.done():
+            await asyncio.sleep(0)
+        relay.add(replica, "i-late", versions={"m": 1})
+        late_is_listed.set()
+        self.assert_not_run(await running)
+        in_place = [item.replica_id for item in relay.state.fleet.replicas() if item.accepting]
+        self.assertEqual(in_place, ["i-0"])
+
 
 class DrainingTest(RelayTestCase):
     async def test_a_draining_replica_gets_nothing_new(self) -> None:
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -11,6 +11,7 @@
 from tests.memory_store import MemoryStore
 from tests.test_platform_documents import CONFIGURATION, REPLICA
 from tests.virtual_loop import run_virtually
+from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocuments
 from winchfork.router.leadership import Leadership
 from winchfork.router.settings import RouterSettings
@@ -173,6 +174,34 @@
 
         follow(scenario)
 
+    def test_standings_that_entries_change_are_logged(self) -> None:
+        """Nothing said why replicas were left alone after the entry of another had come late."""
+
+        async def scenario(followed: Followed) -> None:
+            lines: list[str] = []
+            configure_logs("info", lines.append)
+            self.addCleanup(configure_logs, "error")
+            followed.put_replica("i-late", Address=REPLICA["Address"])
+            await asyncio.sleep(0.2)
+            followed.store.remove("servers/i-late")
+            await asyncio.sleep(WATCH_WAIT_S)
+            logged = [line.split("event=")[1].strip() for line in lines if "_superseded" in line]
+            self.assertIn(
+                "replica_superseded replica=i-2 address=10.128.0.9:8080 reason=listed"
+                " standing=doubted by=i-late",
+                logged,
+            )
+            logged = [line.split("event=")[1].strip() for line in lines if "_reinstated" in line]
+            self.assertEqual(
+                logged,
+                [
+                    "replica_reinstated replica=i-2 address=10.128.0.9:8080 reason=gone"
+                    " standing=in_place"
+                ],
+            )
+
+        follow(scenario)
+
     def test_a_malformed_document_leaves_the_one_in_force(self) -> None:
         async def scenario(followed: Followed) -> None:
             followed.store.put("op/config", b"{broken")
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -3,10 +3,15 @@
 What the platform lists is installed by :meth:`RelayFleet.install`; everything else on a replica is
 this daemon's own evidence: work in flight, latency, failures, the weights version of its last
 answer. A replica's id names one incarnation, so evidence never passes to its successor.
+
+Several incarnations may be listed at one address, of which one answers. The list's order is a doubt
+only: an entry may be written late, after its replica has ended and another has been listed there.
+An answer from the address is evidence, and decides.
 """
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
@@ -24,6 +29,31 @@
 #: alone may be cut off itself.
 ACCUSERS_TO_EJECT = 2
 ACCUSATION_MEMORY_S = 2.0
+#: Replicas that have gone whose place in the order of listing is remembered.
+MOST_GONE = 256
+
+
+class Standing(enum.Enum):
+    """Whether an incarnation is the one that answers at its address, as far as known."""
+
+    IN_PLACE = "in_place"
+    #: Another is thought to answer there, by the order in which they were listed or last answered.
+    DOUBTED = "doubted"
+    #: An answer has shown that it is another: whatever the list says, this one has ended.
+    ENDED = "ended"
+
+
+class StandingCause(enum.Enum):
+    """What changed a replica's standing."""
+
+    #: The platform's list says something new of a replica at the address.
+    LISTED = "listed"
+    #: A replica at the address has gone from the list.
+    GONE = "gone"
+    #: The replica has answered as itself.
+    ANSWERED = "answered"
+    #: Another incarnation has answered in the place of the one that was asked.
+    OTHER_ANSWERED = "other_answered"
 
 
 class ReplicaListing(msgspec.Struct, frozen=True):
@@ -62,8 +92,9 @@
     ejections_in_row: int = 0
     avoided_until_s: float = 0.0
     loading_until_s: float = 0.0
-    #: Another incarnation answers at its address: this one has ended, whatever the list says.
-    superseded: bool = False
+    standing: Standing = Standing.IN_PLACE
+    #: Rises with each first listing and each answer that says who answers at an address.
+    recency: int = 0
     #: Until then a rollout is about to order it: long requests had better go elsewhere.
     next_until_s: float = 0.0
     peer_busy_until_s: float = 0.0
@@ -75,6 +106,11 @@
         """The id of this incarnation."""
         return self.listing.replica_id
 
+    @property
+    def superseded(self) -> bool:
+        """Whether another incarnation is thought, or was shown, to answer at its address."""
+        return self.standing is not Standing.IN_PLACE
+
     @property
     def accepting(self) -> bool:
         """Whether it may be given work at all."""
@@ -166,12 +202,25 @@
     return now_s - at_s > ACCUSATION_MEMORY_S
 
 
+class StandingChange(msgspec.Struct, frozen=True):
+    """A replica whose standing has changed; ``by`` is the incarnation in place, if one is known."""
+
+    replica: RelayReplica
+    cause: StandingCause
+    by: str
+
+
 class RelayFleet:
     """All replicas by id. Not thread-safe."""
 
     def __init__(self) -> None:
         self._replicas: dict[str, RelayReplica] = {}
         self._by_service: dict[str, list[RelayReplica]] = {}
+        self._last_recency = 0
+        #: The recency of replicas that have gone, the oldest first.
+        self._gone: dict[str, int] = {}
+        #: Told of each change of a replica's standing.
+        self.on_standing: Callable[[StandingChange], None] = lambda change: None
         #: Called before a decision reads the work on replicas: brings what peers told up to date.
         self.refresh: Callable[[], None] = lambda: None
 
@@ -180,27 +229,89 @@
         known = self._replicas.get(listing.replica_id)
         if known is None:
             known = RelayReplica(listing, dict(listing.versions), member_hash(listing.replica_id))
-            self._supersede(listing.address)
+            # An entry that comes back is no newer than what has been listed there since.
+            known.recency = self._gone.pop(listing.replica_id, 0) or self._next_recency()
             self._replicas[listing.replica_id] = known
         else:
             known.listing = listing
             for model, version in listing.versions.items():
                 known.versions[model] = max(version, known.versions.get(model, 0))
         self._index()
+        self._settle(StandingCause.LISTED)
         return known
 
-    def _supersede(self, address: str) -> None:
-        """A new incarnation at an address ends those that were listed there before."""
-        for replica in self._replicas.values():
-            if replica.listing.address == address:
-                replica.superseded = True
-
     def remove(self, replica_id: str) -> RelayReplica | None:
         """Forget a replica; None when it was not known."""
         removed = self._replicas.pop(replica_id, None)
+        if removed is not None:
+            self._remember(removed)
         self._index()
+        self._settle(StandingCause.GONE)
         return removed
 
+    def _remember(self, removed: RelayReplica) -> None:
+        self._gone[removed.replica_id] = removed.recency
+        if len(self._gone) > MOST_GONE:
+            del self._gone[next(iter(self._gone))]
+
+    # Who answers at an address
+
+    def note_answered(self, replica: RelayReplica) -> None:
+        """Record that a replica has answered as itself: others listed at its address are doubted.
+
+        They are not shown to have ended: the answer may have been read late.
+        """
+        listed = self._replicas.get(replica.replica_id)
+        if listed is not None and listed.superseded:
+            self._put_in_place(replica.replica_id, replica.listing.address, StandingCause.ANSWERED)
+
+    def note_other_answered(self, asked: RelayReplica, by: str = "") -> None:
+        """Record that another incarnation answered at an address, ``by`` if its id is known.
+
+        The one that was asked has ended. Where the id is not known, the next of those that were
+        only doubted gets its turn.
+        """
+        listed = self._replicas.get(asked.replica_id)
+        if listed is not None and listed.standing is not Standing.ENDED:
+            self._change(listed, Standing.ENDED, StandingCause.OTHER_ANSWERED, by)
+        self._put_in_place(by, asked.listing.address, StandingCause.OTHER_ANSWERED)
+
+    def _put_in_place(self, replica_id: str, address: str, cause: StandingCause) -> None:
+        replica = self._replicas.get(replica_id)
+        if replica is not None and replica.listing.address == address:
+            replica.recency = self._next_recency()
+            if replica.standing is Standing.ENDED:
+                replica.standing = Standing.DOUBTED
+        self._settle(cause)
+
+    def _settle(self, cause: StandingCause) -> None:
+        """Take the most recent at each address for the one in place, of those not known to end.
+
+        One whose entry says that it takes no work puts no other out of its place.
+        """
+        in_place: dict[str, RelayReplica] = {}
+        ended = Standing.ENDED
+        candidates = [item for item in self._replicas.values() if item.standing is not ended]
+        for replica in candidates:
+            known = in_place.get(replica.listing.address)
+            if replica.listing.accepting and (known is None or replica.recency > known.recency):
+                in_place[replica.listing.address] = replica
+        for replica in candidates:
+            heir = in_place.get(replica.listing.address, replica)
+            standing = Standing.IN_PLACE if heir is replica else Standing.DOUBTED
+            if standing is not replica.standing:
+                self._change(replica, standing, cause, heir.replica_id)
+
+    def _change(
+        self, replica: RelayReplica, standing: Standing, cause: StandingCause, by: str
+    ) -> None:
+        replica.standing = standing
+        self.on_standing(StandingChange(replica, cause, by))
+
+    def _next_recency(self) -> int:
+        self._last_recency += 1
+        return self._last_recency
+
     def get(self, replica_id: str) -> RelayReplica | None:
         """Return a replica by id, with the work on it as of now."""
         self.refresh()
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -189,7 +189,7 @@
                 f"replica answered {status}",
                 sent=True,
                 same_replica=self._wrong_version(),
-                superseded=self._other_incarnation(),
+                other_replica=self._other_incarnation(),
             )
         if self._answer.started:
             return MayHaveRun(f"replica answered {status} to a resumed stream")
@@ -207,12 +207,13 @@
         own = self._fields.replica_id == self._plan.replica.replica_id
         return self._fields.misdirected and own
 
-    def _other_incarnation(self) -> bool:
-        """Whether the refusal came from another replica than the one that is listed there."""
+    def _other_incarnation(self) -> str:
+        """Return the replica that refused, if it is another than was asked, else ""."""
         fields = self._fields
         if fields is None or not fields.misdirected or fields.replica_id is None:
-            return False
-        return fields.replica_id != self._plan.replica.replica_id
+            return ""
+        own = fields.replica_id == self._plan.replica.replica_id
+        return "" if own else fields.replica_id
 
     def _end_stream(self) -> Outcome:
         assert self._stream is not None
--- a/winchfork/router/attempt_evidence.py
+++ b/winchfork/router/attempt_evidence.py
@@ -31,11 +31,13 @@
         self._note_software(plan, outcome, record, took_s)
         if isinstance(outcome, Delivered):
             replica.note_success(took_s, now_s)
+            self._state.fleet.note_answered(replica)
             if self._admitted.fields.prompt is not None:
                 self._state.note_run(self._admitted.fields.prompt.output_tokens, took_s)
-        elif isinstance(outcome, NotRun) and outcome.superseded:
-            self._state.note_superseded(replica)
+        elif isinstance(outcome, NotRun) and outcome.other_replica:
+            self._state.note_superseded(replica, outcome.other_replica)
         elif isinstance(outcome, NotRun) and outcome.same_replica:
+            self._state.fleet.note_answered(replica)
             refused = plan.weights_version or 0
             return self._state.note_refused_version(replica, plan.model, refused)
         elif isinstance(outcome, NotRun) and outcome.sent:
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -33,13 +33,13 @@
     """The replica did not run the request and never will.
 
     ``same_replica`` asks for another try at the same replica: only its weights version was wrong.
-    ``superseded``: another incarnation answers at its address.
+    ``other_replica``: the id of the incarnation that answers at its address in its place.
     """
 
     reason: str
     sent: bool
     same_replica: bool = False
-    superseded: bool = False
+    other_replica: str = ""
 
 
 class MayHaveRun(msgspec.Struct, frozen=True):
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -16,7 +16,7 @@
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.quota_book import QuotaBook
 from winchfork.core.region_delay import RegionDelay
-from winchfork.core.relay_fleet import RelayFleet, RelayReplica
+from winchfork.core.relay_fleet import RelayFleet, RelayReplica, StandingChange
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.store_outage import StoreOutageWatch
@@ -83,6 +83,7 @@
         #: Replicas missing from the list since an outage, with the time until which they are kept.
         self.vanished: dict[str, float] = {}
         self.fleet = RelayFleet()
+        self.fleet.on_standing = _log_standing
         self.cache_stores = CacheStores()
         self.region_delay = RegionDelay()
         self.parts = PartIndex()
@@ -246,15 +247,9 @@
         replica.versions[model] = max(refused + 1, replica.versions.get(model, 0))
         return True
 
-    def note_superseded(self, replica: RelayReplica) -> None:
-        """Record that another incarnation answers at a replica's address."""
-        if not replica.superseded:
-            replica.superseded = True
-            log_event(
-                "replica_superseded",
-                replica=replica.replica_id,
-                address=replica.listing.address,
-            )
+    def note_superseded(self, replica: RelayReplica, by: str = "") -> None:
+        """Record that another incarnation answers at a replica's address, ``by`` if it said so."""
+        self.fleet.note_other_answered(replica, by)
 
     def note_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> None:
         """Record a replica's failure; log when it is now left alone for a while."""
@@ -315,3 +310,15 @@
         known = self.table.services.get(service) if self.table else None
         total = known.max_connections if known else 64
         return max(2, total // self.daemons)
+
+
+def _log_standing(change: StandingChange) -> None:
+    replica = change.replica
+    log_event(
+        "replica_superseded" if replica.superseded else "replica_reinstated",
+        replica=replica.replica_id,
+        address=replica.listing.address,
+        reason=change.cause.value,
+        standing=replica.standing.value,
+        by=(change.by if change.by != replica.replica_id else "") or None,
+    )
