Test that a version named during a standstill counts from its naming; red

Cause: a version counts as named when this daemon hears of it, however long it could not hear. Figures: the weights before it are allowed for 10.7 s in place of 8 s after a standstill of 3 s that began 0.3 s before the naming. The same for a daemon cut off from all passes: its peers greet it anew.

--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -28,12 +28,17 @@
 
 
 class StoreAccess:
-    """One daemon's way to the store; ``cut`` makes it fail for this daemon alone."""
+    """One daemon's way to the store; ``cut`` makes it fail for this daemon alone.
+
+    While ``reading`` is cleared nobody looks at the answers, which come all the same.
+    """
 
     def __init__(self, store: MemoryStore) -> None:
         self.store = store
         self.cut = False
         self.reads = 0
+        self.reading = asyncio.Event()
+        self.reading.set()
 
     def _failure(self) -> Failure | None:
         return FailureKind.STORE_UNAVAILABLE.because("cut") if self.cut else None
@@ -46,6 +51,7 @@
         self.reads += 1
         failure = self._failure()
         batch = failure or await self.store.watch(prefix, after_revision, wait_s)
+        await self.reading.wait()
         return FailureKind.STORE_UNAVAILABLE.because("cut") if self.cut else batch
 
     async def transact(
@@ -133,13 +139,29 @@
         for replica in ("i-1", "i-2"):
             listing = ReplicaListing(replica, "s", "a:1", "z1", 8, True, {"m": 1})
             self.state.fleet.install(listing)
-        self.tasks = [asyncio.create_task(self.peers.run())]
+        self.tasks: list[asyncio.Task[None]] = []
+        self._begin_gossip()
 
     def follow(self) -> None:
         """Follow the store, and take part in the election."""
         self.tasks.append(asyncio.create_task(self.sync.run()))
         self.tasks.append(asyncio.create_task(self.leadership.run()))
 
+    async def stand_still(self, seconds: float, network: Network) -> None:
+        """Do nothing for a while: answers wait to be read, datagrams are lost."""
+        self.tasks.remove(self._gossip)
+        self._gossip.cancel()
+        self.store.reading.clear()
+        network.drop = lambda sender, receiver: self.ip in (sender, receiver)
+        await asyncio.sleep(seconds)
+        network.drop = lambda sender, receiver: False
+        self.store.reading.set()
+        self._begin_gossip()
+
+    def _begin_gossip(self) -> None:
+        self._gossip = asyncio.create_task(self.peers.run())
+        self.tasks.append(self._gossip)
+
     def kill(self, network: Network) -> None:
         """End without a word."""
         del network.groups[self.ip]
--- a/tests/test_weights_bounds.py
+++ b/tests/test_weights_bounds.py
@@ -174,3 +174,39 @@
         watch.note_peer(99.5, asked_s=102.5)
         watch.note_answer(103.0)
         self.assertEqual(watch.take_ended(), StoreOutage(99.5, 103.0))
+
+
+class NamedDuringTroubleTest(unittest.TestCase):
+    """When a version was named may be seconds before it is heard of."""
+
+    def test_a_version_named_while_a_daemon_could_not_hear_is_not_named_later_for_it(self) -> None:
+        async def main() -> None:
+            fleet = FollowingFleet()
+            await asyncio.sleep(4.0)
+            late = fleet.daemons[0]
+            fleet.network.drop = lambda sender, receiver: late.ip in (sender, receiver)
+            late.store.cut = True
+            await asyncio.sleep(2.0)
+            fleet.name(2)
+            await asyncio.sleep(3.0)
+            late.store.cut = False
+            fleet.network.drop = lambda sender, receiver: False
+            await asyncio.sleep(1.5)
+            self.assertLess(fleet.allowed_s(late), BOUND_S + TOLERANCE_S)
+            self.assertGreater(fleet.allowed_s(late), BOUND_S - 2.0 - TOLERANCE_S - 1.6)
+
+        run_virtually(main())
+
+    def test_a_version_named_during_a_standstill_is_not_named_later_for_it(self) -> None:
+        async def main() -> None:
+            fleet = FollowingFleet()
+            await asyncio.sleep(4.0)
+            frozen = fleet.daemons[0]
+            standing = asyncio.create_task(frozen.stand_still(3.0, fleet.network))
+            await asyncio.sleep(0.3)
+            fleet.name(2)
+            await standing
+            await asyncio.sleep(0.5)
+            self.assertLess(fleet.allowed_s(frozen), BOUND_S + TOLERANCE_S)
+
+        run_virtually(main())
