Date a version by the last proof where this daemon could not hear of its naming

Cause: a version counted as named when this daemon heard of it. After a standstill, a failed call or a late answer that is as late as the daemon was deaf. Such news are dated by the last moment at which the store was proven current, here or by a peer; what is heard as usual still counts from now. A daemon that starts beside a first call that failed no longer takes that for an outage, and keeps what peers told it of versions before its first list. The bound is begun anew after what the return brings is installed.

--- a/winchfork/core/freshness.py
+++ b/winchfork/core/freshness.py
@@ -23,6 +23,11 @@
         self._proven_at_s = at_s
         return True
 
+    @property
+    def proven_at_s(self) -> float:
+        """The newest moment that is proven; minus infinity when there is none."""
+        return self._proven_at_s
+
     def age_s(self, now_s: float) -> float:
         """Return the seconds since the newest proof; infinite when there is none."""
         return now_s - self._proven_at_s
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -116,7 +116,7 @@
         """
         running = tuple(named for named in self._named if named.heard_s + bound_s > lost_s)
         self._named = [
-            NamedVersion(named.version, regained_s) if named in running else named
+            msgspec.structs.replace(named, heard_s=regained_s) if named in running else named
             for named in self._named
         ]
         return running
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -26,7 +26,6 @@
 from winchfork.router.peers import PeerGroup
 from winchfork.router.quota_exchange import QuotaExchange
 from winchfork.router.region_exchange import RegionExchange
-from winchfork.router.standstill import StandstillWatch
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
 from winchfork.router.version_news import VersionNews
@@ -69,7 +68,7 @@
     peers.handle(VersionStop, evidence.take_stop)
     peers.handle(DocumentPull, relay.take_pull)
     peers.handle(DocumentPart, relay.take_part)
-    peers.on_tick += [StandstillWatch(state.clock()).tick, news.greet_newcomers, work.tick]
+    peers.on_tick += [state.standstill.tick, news.greet_newcomers, work.tick]
     if state.settings.software_rollouts:
         peers.on_tick.append(evidence.tick)
     peers.on_revision = relay.note_revision
--- a/winchfork/router/standstill.py
+++ b/winchfork/router/standstill.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import math
+
 from winchfork.logs import log_event
 
 #: Seconds between two ticks from which on a process counts as having stood still: several times
@@ -15,12 +17,18 @@
 class StandstillWatch:
     """Compares the times of a tick that comes some times a second. Times are monotonic seconds."""
 
-    def __init__(self, started_s: float) -> None:
-        self._ticked_s = started_s
+    def __init__(self) -> None:
+        self._ticked_s: float | None = None
+        self._woke_s = -math.inf
 
     def tick(self, now_s: float) -> None:
         """Take a tick in, and log a standstill before it."""
-        gap_s = now_s - self._ticked_s
+        if self._ticked_s is not None and now_s - self._ticked_s >= STANDSTILL_S:
+            log_event("process_stood_still", "WARNING", for_s=now_s - self._ticked_s)
+            self._woke_s = now_s
         self._ticked_s = now_s
-        if gap_s >= STANDSTILL_S:
-            log_event("process_stood_still", "WARNING", for_s=gap_s)
+
+    def ran_since(self, at_s: float, now_s: float) -> bool:
+        """Whether the process has run all the time, as far as its ticks tell."""
+        stands_still = self._ticked_s is not None and now_s - self._ticked_s >= STANDSTILL_S
+        return self._woke_s < at_s and not stands_still
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -31,6 +31,7 @@
 from winchfork.router.replica_choice import ReplicaChoice
 from winchfork.router.settings import RouterSettings
 from winchfork.router.software_versions import SoftwareVersions
+from winchfork.router.standstill import StandstillWatch
 from winchfork.router.zone_watch import ZoneWatch
 
 #: Part of the revocation bound that is kept for a store whose watches lag and for slow clocks.
@@ -94,6 +95,7 @@
         #: Highest fence under which a rollout leader has spoken.
         self.weights_fence = 0
         self.freshness = Freshness()
+        self.standstill = StandstillWatch()
         self.store_outage = StoreOutageWatch(clock(), has_peers=bool(settings.seeds))
         self.software = SoftwareVersions(
             self.fleet,
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Iterable
 
@@ -78,7 +79,8 @@
         self._lost_since_s: float | None = None
         self._listed = False
         self._ever_listed = False
-        self._begun_in_outage = False
+        #: When what is being installed may have been written at the earliest.
+        self._news_since_s = -math.inf
 
     def relay_through(self, relay: DocumentRelay) -> None:
         """Pass changes on to peers, and rely on theirs where hubs keep this daemon informed."""
@@ -131,9 +133,10 @@
             return snapshot
         after_outage = self._lost_since_s is not None
         self._note_regained(asked_s)
-        self._note_answer(asked_s)
+        self._date_news(asked_s, in_time=False)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
         self._take_complete(items, snapshot.at_revision, after_outage)
+        self._note_answer(asked_s)
         return None
 
     def _take_complete(
@@ -157,17 +160,26 @@
         batch = await self._store.watch(_EVERYTHING, base_revision, wait_s)
         if isinstance(batch, Failure):
             return batch
+        answered_s = self._state.clock()
+        in_time = answered_s - asked_s <= wait_s + LATE_ANSWER_S
+        self._date_news(asked_s, in_time=in_time and self._lost_since_s is None)
         self._note_regained(asked_s)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
         self._apply(items)
         self._state.store_revision = max(self._state.store_revision, batch.at_revision)
         if self._relay is not None:
             self._relay.push(TableUpdate(base_revision, batch.at_revision, False, False, items))
-        elapsed_s = self._state.clock() - asked_s
-        in_time = wait_s <= elapsed_s <= wait_s + LATE_ANSWER_S
-        self._note_answer(asked_s + wait_s if in_time and not batch.items else asked_s)
+        waited = in_time and not batch.items and answered_s - asked_s >= wait_s
+        self._note_answer(asked_s + wait_s if waited else asked_s)
         return None
 
+    def _date_news(self, asked_s: float, *, in_time: bool) -> None:
+        """Date what an answer brings: now, or as old as it may be if this daemon could not hear."""
+        now_s = self._state.clock()
+        heard = in_time and self._state.standstill.ran_since(asked_s, now_s)
+        oldest_s = max(self._state.freshness.proven_at_s, now_s - self._assumed_age_s())
+        self._news_since_s = now_s if heard else oldest_s
+
     def _note_answer(self, at_s: float) -> None:
         """The store has shown everything that it held at ``at_s``."""
         self._state.freshness.prove(at_s)
@@ -182,6 +194,9 @@
 
     def take_update(self, update: TableUpdate) -> bool:
         """Install what a peer passed on; False when something before it is missing here."""
+        proven_s = self._state.freshness.proven_at_s
+        informed = self._state.clock() - proven_s <= WATCH_WAIT_S + LATE_ANSWER_S
+        self._date_news(proven_s, in_time=informed)
         if update.complete:
             self._take_complete(update.items, update.at_revision, update.after_outage)
             return True
@@ -251,9 +266,7 @@
 
     def _install_target(self, target: WeightsTarget, revision: int) -> None:
         history = self._state.versions.setdefault(target.model, VersionHistory())
-        now_s = self._state.clock()
-        heard_s = now_s if self._ever_listed else now_s - self._assumed_age_s()
-        if history.note(target.version, heard_s, assumed=not self._ever_listed):
+        if history.note(target.version, self._news_since_s, assumed=not self._ever_listed):
             log_event(
                 "weights_named", model=target.model, version=target.version, revision=revision
             )
@@ -262,11 +275,8 @@
         """Return how long ago a version counts as named that the first list holds.
 
         It may have been named long ago, and until a peer tells, a daemon that has just started is
-        granted the rest of a bound that began before it did. A daemon that started while the store
-        was away counts from its return: until then nobody could act on the version.
+        granted the rest of a bound that began before it did.
         """
-        if self._begun_in_outage:
-            return -self._settling_s()
         return max(0.0, self._state.settings.bounds.weights_s - START_GRACE_S)
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
@@ -322,7 +332,6 @@
         outage = self._state.store_outage.take_ended()
         if outage is None:
             return
-        self._begun_in_outage = not self._ever_listed
         log_event("store_outage_ended", "WARNING", for_s=outage.regained_s - outage.lost_s)
         bound_s = self._state.settings.bounds.weights_s
         begins_s = outage.regained_s + self._settling_s()
--- a/winchfork/router/version_news.py
+++ b/winchfork/router/version_news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.weight_rollout import VersionHistory
 from winchfork.core.zone_hubs import FleetView
 from winchfork.logs import log_event
 from winchfork.router.peer_messages import (
@@ -90,6 +91,5 @@
         """Take a peer's word on when versions were named."""
         now_s = self._state.clock()
         for note in message.notes:
-            history = self._state.versions.get(note.model)
-            if history is not None:
-                history.note_age(note.version, now_s - note.age_ms / 1000.0)
+            history = self._state.versions.setdefault(note.model, VersionHistory())
+            history.note_age(note.version, now_s - note.age_ms / 1000.0)
