Test connections that come up during a standstill, and keys after one; red

Cause: the limit on a connection runs out during a standstill, and the failure counts as certain; after a late answer the next watch waits its whole time with a proof that is already old.

--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import threading
 import time
@@ -15,7 +16,7 @@
 
 from tests.relay_support import ScriptedReplica, answering, never_answering
 from winchfork.errors import Failure
-from winchfork.router.connection_pool import ConnectionPool
+from winchfork.router.connection_pool import CONNECT_TIMEOUT_S, ConnectionPool
 from winchfork.router.http_call import CallReply, HttpCaller
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -50,7 +51,8 @@
             connection.recv(4096)
             self.asked.set()
             self._may_answer.wait()
-            connection.sendall(ANSWER)
+            with contextlib.suppress(OSError):
+                connection.sendall(ANSWER)
             self.answered.set()
 
 
@@ -73,6 +75,17 @@
         time.sleep(LIMIT_S)
         self.assertEqual(await call, CallReply(200, b"ok"))
 
+    async def test_a_connection_that_came_up_during_a_standstill_is_no_failure(self) -> None:
+        """It was taken for certain, and peers were told to leave the replica alone."""
+        pool = ConnectionPool()
+        self.addCleanup(pool.close)
+        acquiring = asyncio.create_task(pool.acquire(self.server.address, 4))
+        await asyncio.sleep(0)
+        time.sleep(2 * CONNECT_TIMEOUT_S)
+        connection = await acquiring
+        assert not isinstance(connection, Failure)
+        connection.close()
+
 
 class SilentConnectionsTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_call_after_a_silent_one_takes_a_new_connection(self) -> None:
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -10,7 +10,7 @@
 
 from tests.memory_store import MemoryStore
 from tests.test_platform_documents import CONFIGURATION, REPLICA
-from tests.virtual_loop import run_virtually
+from tests.virtual_loop import run_virtually, stand_still
 from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocuments
 from winchfork.router.leadership import Leadership
@@ -112,6 +112,18 @@
 
         follow(scenario)
 
+    def test_keys_are_fresh_again_soon_after_a_standstill(self) -> None:
+        """A watch that waits its whole time would prove nothing for longer than keys may be old."""
+
+        async def scenario(followed: Followed) -> None:
+            await asyncio.sleep(5.0)
+            stand_still(4.0)
+            self.assertFalse(followed.state.keys_fresh)
+            await asyncio.sleep(0.5)
+            self.assertTrue(followed.state.keys_fresh)
+
+        follow(scenario)
+
     def test_a_proof_is_dated_by_the_question_when_the_answer_is_late(self) -> None:
         async def scenario(followed: Followed) -> None:
             released = asyncio.Semaphore(0)
