Open a connection again whose limit ran out in a standstill; renew an old proof at once

And since late answers count, a watch that is answered late was followed by one that waits 1.6 s with a proof that is 4 s old, and keys were not fresh meanwhile. Ruled out: a longer limit.

--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -15,6 +15,8 @@
 
 #: Seconds for a connection to come up.
 CONNECT_TIMEOUT_S = 0.6
+#: A limit that is noticed this much late ran out while the process stood still.
+LATE_TIMER_S = 0.3
 #: Idle connections are closed after this long.
 IDLE_CLOSE_S = 12.0
 
@@ -69,6 +71,15 @@
         return None
 
     async def _connect(self, address: str) -> ReplicaConnection | Failure:
+        """Open a connection; once more if the limit ran out while this process stood still."""
+        asked_s = self._loop.time()
+        connection = await self._open_one(address)
+        late_s = self._loop.time() - asked_s - CONNECT_TIMEOUT_S
+        if isinstance(connection, Failure) and late_s > LATE_TIMER_S:
+            connection = await self._open_one(address)
+        return connection
+
+    async def _open_one(self, address: str) -> ReplicaConnection | Failure:
         host, _, port = address.rpartition(":")
         self._open[address] = self._open.get(address, 0) + 1
         lost = False
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -187,8 +187,13 @@
         self._begin_bounds_anew()
 
     def _watch_wait_s(self) -> float:
-        """Return how long a watch may wait; not at all when a proof is wanted at once."""
-        if self._lost_since_s is not None or not self._watches:
+        """Return how long a watch may wait; not at all when a proof is wanted at once.
+
+        That is so after a late answer too, which proves no more than its question's time.
+        """
+        age_s = self._state.freshness.age_s(self._state.clock())
+        is_old = age_s > WATCH_WAIT_S + LATE_ANSWER_S
+        if self._lost_since_s is not None or not self._watches or is_old:
             return 0.0
         return FLEET_WATCH_WAIT_S if self._feeds_others else WATCH_WAIT_S
 
