Test that overdue replicas wait for no slot and that orders name the newest version; red

Cause: the share of replicas that may load at once counts those that may serve nothing any more as if they served; and a turn loads the version that was newest when it began.

--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -129,6 +129,19 @@
         views = [replica(f"r{number}", 1, under_order=number < 2) for number in range(6)]
         self.assertEqual(next_step(views, 2, PACE).order, ())
 
+    def test_replicas_that_may_serve_nothing_are_loaded_without_waiting_for_slots(self) -> None:
+        """After a leader was lost, two of six replicas at a time were loaded, each for 3.5 s, and the
+        last ones stood idle on weights whose time was over: 13 s after a version was named two of
+        six were still without it. What takes no request loses nothing by loading.
+        """
+        views = [
+            replica("loading", 1, under_order=True),
+            replica("loading too", 1, under_order=True),
+            *[replica(f"late{number}", 1, overdue=True) for number in range(2)],
+            *[replica(f"in time{number}", 2) for number in range(2)],
+        ]
+        self.assertEqual(next_step(views, 3, PACE).order, ("late0", "late1"))
+
     def test_a_replica_that_is_leaving_takes_no_slot_and_counts_for_none(self) -> None:
         views = [replica(f"r{number}", 1, accepting=number < 6) for number in range(12)]
         step = next_step(views, 2, PACE)
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -310,6 +310,23 @@
 
         run_virtually(scenario())
 
+    def test_an_order_names_the_version_that_is_newest_when_it_leaves(self) -> None:
+        """A version named between the turn's begin and its order was loaded over a moment later."""
+
+        async def scenario() -> None:
+            replica = FakeReplica("r0")
+            fleet = Fleet([replica])
+            await asyncio.sleep(4.0)
+            fleet.state.fleet.replicas()
+            fleet.name(2)
+            while not fleet.news.told:
+                await asyncio.sleep(0.001)
+            fleet.name(3)
+            await asyncio.sleep(5.0)
+            self.assertEqual(replica.loads, [3])
+
+        run_virtually(scenario())
+
     def test_a_turn_is_not_spent_on_a_replica_that_has_ended(self) -> None:
         """scale-2 (hyt-kathmandu): orders to incarnations that had crashed held a slot for 4 s."""
 
