Load overdue replicas without waiting for slots; order the version that is newest by then

Cause: the share of replicas that may load at once counts those whose weights are overdue as if they served, though no request may begin there: after a leader was lost they stood idle behind others, each of whose loads waits for long answers. And a turn loaded the version that was newest when it began, so that one named a moment later was loaded over it (version 4 ordered 0.18 s after 5 was named). Ruled out: a larger share for all, which takes capacity that serves.

--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -130,9 +130,9 @@
         self.assertEqual(next_step(views, 2, PACE).order, ())
 
     def test_replicas_that_may_serve_nothing_are_loaded_without_waiting_for_slots(self) -> None:
-        """After a leader was lost, two of six replicas at a time were loaded, each for 3.5 s, and the
-        last ones stood idle on weights whose time was over: 13 s after a version was named two of
-        six were still without it. What takes no request loses nothing by loading.
+        """After a leader was lost two of six replicas at a time were loaded, for 3.5 s each, and
+        the last stood idle on weights whose time was over: 13 s after a version was named two
+        were still without it. What takes no request loses nothing by loading.
         """
         views = [
             replica("loading", 1, under_order=True),
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -317,7 +317,6 @@
             replica = FakeReplica("r0")
             fleet = Fleet([replica])
             await asyncio.sleep(4.0)
-            fleet.state.fleet.replicas()
             fleet.name(2)
             while not fleet.news.told:
                 await asyncio.sleep(0.001)
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -22,6 +22,7 @@
 from winchfork.logs import log_event
 from winchfork.router.leadership import Leadership
 from winchfork.router.peers import PeerGroup
+from winchfork.router.replica_choice import BEGIN_MARGIN_S
 from winchfork.router.state import RouterState
 from winchfork.router.version_news import VersionNews
 from winchfork.router.weights_notes import WeightsNotes
@@ -98,7 +99,7 @@
         for replica_id in step.prepare:
             self._prepare(replica_id, model)
         for replica_id in step.order:
-            self._begin(replica_id, model, history.newest)
+            self._begin(replica_id, model)
 
     def _view(self, replica: RelayReplica, model: str, now_s: float) -> LoadingReplica:
         return LoadingReplica(
@@ -107,23 +108,29 @@
             replica.accepting and now_s >= replica.avoided_until_s,
             max(0.0, replica.busy_until_s - now_s),
             replica.replica_id in self._under_order,
+            now_s + BEGIN_MARGIN_S >= self._due_s(model, replica.versions[model]),
         )
 
+    def _due_s(self, model: str, version: int) -> float:
+        bound_s = self._state.settings.bounds.weights_s
+        return self._state.versions[model].due_s(version, bound_s)
+
     def _prepare(self, replica_id: str, model: str) -> None:
         replica = self._state.fleet.get(replica_id)
         if replica is not None:
             self._notes.prepare(replica, model, self._leadership.fence)
 
-    def _begin(self, replica_id: str, model: str, version: int) -> None:
+    def _begin(self, replica_id: str, model: str) -> None:
         replica = self._state.fleet.get(replica_id)
         if replica is None:
             return
-        task = asyncio.get_running_loop().create_task(self._bring(replica, model, version))
+        task = asyncio.get_running_loop().create_task(self._bring(replica, model))
         self._under_order[replica_id] = task
         task.add_done_callback(lambda _: self._under_order.pop(replica_id, None))
 
-    async def _bring(self, replica: RelayReplica, model: str, version: int) -> None:
-        """Bring one replica to ``version``, or give up until the next pass."""
+    async def _bring(self, replica: RelayReplica, model: str) -> None:
+        """Bring one replica to the newest version, or give up until the next pass."""
+        version = self._state.versions[model].newest
         begun_s = self._state.clock()
         fence = self._leadership.fence
         await self._quieten(replica, model, fence)
@@ -145,6 +152,8 @@
                         self._pace.note_load(self._state.clock() - begun_s)
                     break
                 if not ordered and not report.busy:
+                    # A newer one may have been named since this turn began.
+                    version = self._state.versions[model].newest
                     ordered = await self._order(replica, model, version, report)
             self._notes.hold(replica, model, fence)
             await asyncio.sleep(REPORT_PERIOD_S)
