--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -326,6 +326,32 @@
 
         run_virtually(scenario())
 
+    def test_a_replica_that_was_only_doubted_while_it_loads_stays_held(self) -> None:
+        """A late entry at its address ended the watch over an order that was taken 1.6 s before
+        (`rollout_postponed`), and peers were told that the replica was free while it loaded.
+        """
+
+        async def scenario() -> None:
+            replica = FakeReplica("r0")
+            fleet = Fleet([replica])
+            await asyncio.sleep(4.0)
+            fleet.name(2)
+            while replica.next_version == 1:
+                await asyncio.sleep(0.01)
+            replica.loading_until_s += 3.0
+            late = ReplicaListing("r-ended", "s", "r0", "z1", 8, True, {MODEL: 1})
+            fleet.state.fleet.install(late)
+            await asyncio.sleep(2.0)
+            fleet.state.fleet.remove("r-ended")
+            self.assertEqual(fleet.state.choice.available("s", set(), PROMPT), [])
+            await asyncio.sleep(2.0)
+            available = fleet.state.choice.available("s", set(), PROMPT)
+            self.assertEqual(
+                [(item.replica_id, item.versions[MODEL]) for item in available], [("r0", 2)]
+            )
+
+        run_virtually(scenario())
+
     def test_a_turn_is_not_spent_on_a_replica_that_has_ended(self) -> None:
         """scale-2 (hyt-kathmandu): orders to incarnations that had crashed held a slot for 4 s."""
 
