Go on watching a replica that has taken an order while it is only doubted

Only proof that another incarnation answers ends the watch; a doubt keeps an order from being given. Ruled out: ordering doubted replicas, of which another may answer at the address. Figures: the known red test passes; the other rollout tests as before.

--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -16,7 +16,7 @@
     ReplicaReport,
     WeightsOrder,
 )
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_fleet import RelayReplica, Standing
 from winchfork.core.weight_rollout import LoadingReplica, LoadPace, next_step
 from winchfork.errors import Failure, RunState
 from winchfork.logs import log_event
@@ -167,12 +167,14 @@
         Only giving orders needs the leadership. A replica that has taken one refuses requests until
         it is done, so peers must go on being told.
         """
-        if self._state.fleet.get(replica.replica_id) is None or replica.superseded:
+        has_gone = self._state.fleet.get(replica.replica_id) is None
+        if has_gone or replica.standing is Standing.ENDED:
             return False
         waited_s = self._state.clock() - begun_s
         if ordered:
             return waited_s < LOAD_PATIENCE_S
-        return waited_s < ORDER_PATIENCE_S and self._leadership.may_act()
+        may_order = not replica.superseded and self._leadership.may_act()
+        return waited_s < ORDER_PATIENCE_S and may_order
 
     async def _quieten(self, replica: RelayReplica, model: str, fence: int) -> None:
         """Keep new requests away, and let those that were sent begin."""
