Hold a replica that has taken an order beyond its leader's next word

Cause: holds ran out after 1.5 s; a leader that stood still or was lost renewed none, while the replica went on loading and refused: routes with one attempt ended with 503 there. A hold is 4 s once an order is taken; the leader's release ends it, or the list's word on the newer version. Ruled out: longer holds from the start, before it is known that an order was taken. Its test fails without the change.

--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -352,6 +352,29 @@
 
         run_virtually(scenario())
 
+    def test_a_replica_that_has_taken_an_order_is_held_beyond_its_leader(self) -> None:
+        """A leader that stood still renewed no holds, and 9 to 67 requests a play went to replicas
+        that refused them while they loaded. The list's word on the new version ends a hold.
+        """
+
+        async def scenario() -> None:
+            replica = FakeReplica("r0")
+            fleet = Fleet([replica])
+            await asyncio.sleep(4.0)
+            fleet.name(2)
+            while replica.next_version == 1:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.3)
+            for task in (*fleet.tasks, *fleet.rollout.orders_under_way()):
+                task.cancel()
+            await asyncio.sleep(2.5)
+            self.assertEqual(fleet.state.choice.available("s", set(), PROMPT), [])
+            loaded = ReplicaListing("r0", "s", "r0", "z1", 8, True, {MODEL: 2})
+            fleet.state.install_listing(loaded)
+            self.assertEqual(len(fleet.state.choice.available("s", set(), PROMPT)), 1)
+
+        run_virtually(scenario())
+
     def test_a_turn_is_not_spent_on_a_replica_that_has_ended(self) -> None:
         """scale-2 (hyt-kathmandu): orders to incarnations that had crashed held a slot for 4 s."""
 
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -16,7 +16,7 @@
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.quota_book import QuotaBook
 from winchfork.core.region_delay import RegionDelay
-from winchfork.core.relay_fleet import RelayFleet, RelayReplica, StandingChange
+from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing, StandingChange
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.store_outage import StoreOutageWatch
@@ -232,6 +232,13 @@
         if output_tokens > 0:
             self.token_s += RUN_WEIGHT * (run_s / output_tokens - self.token_s)
 
+    def install_listing(self, listing: ReplicaListing) -> None:
+        """Take in what the platform's list says of a replica; newer weights end its load."""
+        known = self.fleet.get(listing.replica_id)
+        if known is not None and _has_loaded(known, listing):
+            known.loading_until_s = 0.0
+        self.fleet.install(listing)
+
     def note_version(self, replica: RelayReplica, model: str, version: int) -> None:
         """Record a replica's weights version; newer weights have emptied its cache."""
         if version > replica.versions.get(model, 0):
@@ -314,6 +321,13 @@
         return max(2, total // self.daemons)
 
 
+def _has_loaded(known: RelayReplica, listing: ReplicaListing) -> bool:
+    """Whether the list now shows a newer version of some model than was believed."""
+    return any(
+        version > known.versions.get(model, 0) for model, version in listing.versions.items()
+    )
+
+
 def _log_standing(change: StandingChange) -> None:
     replica = change.replica
     log_event(
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -287,7 +287,7 @@
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
         known = self._state.fleet.get(listing.replica_id)
         changed = known is None or known.listing != listing
-        self._state.fleet.install(listing)
+        self._state.install_listing(listing)
         self._state.vanished.pop(listing.replica_id, None)
         if changed:
             log_event(
--- a/winchfork/router/weights_notes.py
+++ b/winchfork/router/weights_notes.py
@@ -15,6 +15,9 @@
 
 #: Peers are told to send a replica nothing for this long at a time; renewed while under order.
 HOLD_S = 1.5
+#: The same once a replica has taken an order, which it carries out whatever becomes of its leader:
+#: as long as loads take that wait for long answers.
+HOLD_TAKEN_S = 4.0
 #: Peers are asked for no long work on the replicas that come next for this long at a time.
 NEXT_S = 1.0
 #: Notes that arise within this time share a message.
@@ -38,15 +41,18 @@
         self._timer: asyncio.TimerHandle | None = None
         self._held_until_s: dict[str, float] = {}
 
-    def hold(self, replica: RelayReplica, model: str, fence: int) -> None:
+    def hold(
+        self, replica: RelayReplica, model: str, fence: int, *, has_order: bool = False
+    ) -> None:
         """Keep new work away from a replica; tells nothing while a hold has long to run."""
         now_s = self._clock()
+        hold_s = HOLD_TAKEN_S if has_order else HOLD_S
         left_s = self._held_until_s.get(replica.replica_id, 0.0) - now_s
-        if left_s > HOLD_S / 2:
+        if left_s > hold_s / 2:
             return
-        self._held_until_s[replica.replica_id] = now_s + HOLD_S
+        self._held_until_s[replica.replica_id] = now_s + hold_s
         renewal = left_s > RENEWAL_COLLECT_S
-        self._add(replica, model, fence, HOLD_S, 0.0, RENEWAL_COLLECT_S if renewal else COLLECT_S)
+        self._add(replica, model, fence, hold_s, 0.0, RENEWAL_COLLECT_S if renewal else COLLECT_S)
 
     def release(self, replica: RelayReplica, model: str, fence: int) -> None:
         """End a hold and tell the replica's version."""
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -79,14 +79,18 @@
         self._stopping = True
         self._leadership.withdraw()
         if self._under_order:
-            await asyncio.wait(list(self._under_order.values()), timeout=STOP_PATIENCE_S)
-        for task in self._under_order.values():
+            await asyncio.wait(self.orders_under_way(), timeout=STOP_PATIENCE_S)
+        for task in self.orders_under_way():
             task.cancel()
         self._notes.flush()
         resignation = await self._leadership.resign()
         if resignation is not None:
             self._peers.tell_everyone(resignation)
 
+    def orders_under_way(self) -> list[asyncio.Task[None]]:
+        """Return the tasks that bring replicas to a version."""
+        return list(self._under_order.values())
+
     def _pass(self, model: str) -> None:
         history = self._state.versions[model]
         self._state.fleet.refresh()
@@ -155,7 +159,7 @@
                     # A newer one may have been named since this turn began.
                     version = self._state.versions[model].newest
                     ordered = await self._order(replica, model, version, report)
-            self._notes.hold(replica, model, fence)
+            self._notes.hold(replica, model, fence, has_order=ordered)
             await asyncio.sleep(REPORT_PERIOD_S)
         else:
             log_event("rollout_postponed", "WARNING", replica=replica.replica_id, version=version)
