Test that a stream that has not begun when its weights end goes on elsewhere; red

Cause: the margin before the end of a bound is a forecast; beside many daemons that send at the same moment it was 0.4 s too short. The sender had not stood still; its proof was 1.1 s old. The test fails. Conclusion: a cause of its own; listed as known red until the mend.

--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -13,12 +13,15 @@
     answering,
     chunk,
     event,
+    never_answering,
     stream_head,
 )
 from tests.test_relay_path import RelayTestCase
 from winchfork.core.prompt_cost import worth_moving
 from winchfork.core.routing import RouteKind
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
+from winchfork.core.weight_rollout import VersionHistory
+from winchfork.router.replica_choice import BEGIN_MARGIN_S
 
 #: A prompt of 100 tokens whose answer may have a thousand.
 LONG_ANSWER = "X-Model: m\r\nX-Token-Usage: 100,1000\r\nX-Prefix-Hash: aa:60,bb:40\r\n"
@@ -49,6 +52,37 @@
     return stream_head(request) + pieces + b"0\r\n\r\n"
 
 
+class UnbegunTest(RelayTestCase):
+    """A prompt of 17,739 tokens was expected to begin 1.6 s after it was sent to a replica whose
+    weights were allowed for 2.4 s more; it began 2.75 s later, behind prompts that other daemons
+    had sent at the same time (`weights_left_s=2.38 cost_s=1.62 first_event_s=2.81`). However long a
+    margin is, what has not begun when the weights' time ends has to go on elsewhere.
+    """
+
+    async def ask(self, **route: object) -> tuple[CallerAnswer, ScriptedReplica]:
+        late = ScriptedReplica(never_answering)
+        sound = ScriptedReplica(answering(rest))
+        relay = await self.relay(late, sound, kind=RouteKind.STREAMING, **route)
+        history = relay.state.versions["m"] = VersionHistory()
+        bound_s = relay.state.settings.bounds.weights_s
+        history.note(2, relay.state.clock() - bound_s + BEGIN_MARGIN_S + 0.3)
+        for replica in relay.state.fleet.replicas():
+            if replica.listing.address == sound.address:
+                replica.versions["m"] = 2
+                replica.loading_until_s = relay.state.clock() + 0.2
+        answer = await relay.ask(method="POST", extra=LONG_ANSWER)
+        self.assertEqual(len(late.seen), 1)
+        return answer, sound
+
+    async def test_a_stream_that_has_not_begun_when_its_weights_end_goes_on_elsewhere(self) -> None:
+        answer, sound = await self.ask(resumable=True, timeout_s=2.0)
+        self.assertEqual((answer.status, len(sound.seen)), (200, 1))
+
+    async def test_one_that_may_not_be_repeated_waits(self) -> None:
+        answer, sound = await self.ask(resumable=False, timeout_s=2.0)
+        self.assertEqual((answer.status, len(sound.seen)), (504, 0))
+
+
 class StreamMoveTest(RelayTestCase):
     async def begin(
         self, replicas: list[ScriptedReplica], stream: SlowStream, **route: object
