Stand-ins: late entries, one address over restarts, silent connections, refusals of some

A replica that restarted got another port, and its entry went with its crash, so no entry of an ended replica could name the address of a living one. The stand-in took orders that were meant for another incarnation, so a wrongly addressed rollout looked done, and a crash let a load under way go on in the next incarnation. The ways to the store could be slow or silent, not refused, and no connection fell silent alone. Nobody kept when a version was acknowledged or on which one a request began. Change: replicas come back at their address, with an entry that lapses or is written late when told to; orders for another incarnation get 421 and do not count as orders; a crash ends its load. Replicas record generations, the weights' operator its acknowledgements. Orders are typed. Spoiled answers moved to a module of their own. Ruled out: a proxy before each replica for silent connections: the replica itself can lose what comes and goes.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 import socket
 import struct
@@ -18,15 +19,24 @@
     DELAY = "delay"
     SILENCE = "silence"
     CUT_ANSWERS = "cut_answers"
+    REFUSE = "refuse"
+    TURN_AWAY = "turn_away"
+
+
+_BUSY = b"HTTP/1.1 503 Status\r\nContent-Length: 0\r\n\r\n"
 
 
 class FaultProxy:
-    """Forwards to one address. Silenced bytes go on when the fault ends, as on a healed link."""
+    """Forwards to one address. Silenced bytes go on when the fault ends, as on a healed link.
+
+    REFUSE resets what connects, TURN_AWAY answers 503 in the target's place.
+    """
 
     def __init__(self, target: str) -> None:
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
         self.fault = Fault.NONE
         self.delay_s = 0.2
         self.address = ""
@@ -45,12 +55,16 @@
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in list(self._writers):
-            raw = writer.get_extra_info("socket")
-            if raw is not None and raw.fileno() >= 0:
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
+            _reset(writer)
+
+    def silence_open(self) -> None:
+        """Lose whatever comes and goes on the connections open now; new ones work."""
+        self._silent |= self._writers
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.fault is Fault.REFUSE:
+            _reset(writer)
+            return
         host, _, port = self._target.rpartition(":")
         self._writers.add(writer)
         try:
@@ -60,29 +74,48 @@
             return
         self._writers.add(far_writer)
         tasks = [
-            asyncio.create_task(self._pump(reader, far_writer, answers=False)),
-            asyncio.create_task(self._pump(far_reader, writer, answers=True)),
+            asyncio.create_task(self._pump(reader, far_writer, back=writer)),
+            asyncio.create_task(self._pump(far_reader, writer)),
         ]
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        # Cancelled when the loop ends: what is open ends with it.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         for task in tasks:
             task.cancel()
         for each in (writer, far_writer):
             self._writers.discard(each)
+            self._silent.discard(each)
             each.transport.abort()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, answers: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        back: asyncio.StreamWriter | None = None,
     ) -> None:
+        """Pass bytes on; ``back`` is where answers to them go, None for answers themselves."""
         try:
             while data := await reader.read(_PIECE_BYTES):
-                await self._hold(answers)
+                await self._hold(answers=back is None)
+                if writer in self._silent:
+                    continue
+                if back is not None and self.fault is Fault.TURN_AWAY:
+                    back.write(_BUSY)
+                    continue
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             return
 
-    async def _hold(self, answers: bool) -> None:
+    async def _hold(self, *, answers: bool) -> None:
         if self.fault is Fault.DELAY:
             await asyncio.sleep(self.delay_s)
         while self.fault is Fault.SILENCE or (answers and self.fault is Fault.CUT_ANSWERS):
             await asyncio.sleep(_LOOK_S)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    raw = writer.get_extra_info("socket")
+    if raw is not None and raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import socket
 
 import msgspec
@@ -14,6 +15,7 @@
 from standins.replica_server import ReplicaServer
 from standins.rollout_operator import RolloutOperator
 from standins.store_server import StoreServer
+from standins.weights_operator import WeightsOperator
 from winchfork.emulator.free_ports import free_port
 from winchfork.errors import Failure
 from winchfork.platform.parts import platform_parts
@@ -77,11 +79,26 @@
 }
 
 
+def node_id(zone: str) -> str:
+    """Return the name of a zone's router."""
+    return f"front-{zone}"
+
+
+@dataclasses.dataclass(frozen=True)
+class WeightsTiming:
+    """The bound on replaced weights that routers are told, and how long a load takes."""
+
+    bound_s: float = 8.0
+    load_s: float = 0.1
+
+
 class Surroundings:
     """What routers run among: the store, four model replicas and two application replicas."""
 
-    def __init__(self) -> None:
+    def __init__(self, weights_timing: WeightsTiming | None = None) -> None:
+        self.weights_timing = weights_timing or WeightsTiming()
         self.store = StoreServer()
+        self.weights = WeightsOperator(self.store, MODEL)
         self.models = [
             ReplicaServer(self.store, f"i-model-{number}", "models", ZONES[number % 3], MODEL)
             for number in range(4)
@@ -90,6 +107,8 @@
             ReplicaServer(self.store, f"i-app-{number}", "editing", ZONES[number])
             for number in range(2)
         ]
+        for replica in self.models:
+            replica.load_s = self.weights_timing.load_s
         #: Every replica that was ever started.
         self.all_models = list(self.models)
         self.all_applications = list(self.applications)
@@ -106,6 +125,7 @@
         zone = ZONES[len(replica_id) % len(ZONES)]
         replica = ReplicaServer(self.store, replica_id, "models", zone, MODEL, software)
         replica.version = max(item.version for item in self.model_rollouts.replicas)
+        replica.load_s = self.weights_timing.load_s
         self.all_models.append(replica)
         return replica
 
@@ -130,13 +150,13 @@
 
     def name_weights(self, version: int) -> None:
         """Name new weights, as operators do."""
-        self.store.put(f"op/version/{MODEL}", {"Model": MODEL, "Version": version})
+        self.weights.name(version)
 
     def settings_text(self, number: int, zone: str, store_address: str = "") -> str:
         """Return the settings file of router ``number``, in the platform's form."""
         ip = f"127.0.0.{number}"
         lines = [
-            f"Node=front-{zone}",
+            f"Node={node_id(zone)}",
             f"Ip={ip}",
             f"Zone={zone}",
             f"ListenAddresses.Front={ip}:{free_port(ip)}",
@@ -146,6 +166,7 @@
             "Contracts=base,rollout",
             "Bounds.ExposureShare=0.1",
             "Bounds.ExposureSlack=50",
+            f"Bounds.VersionMs={self.weights_timing.bound_s * 1000:.0f}",
             f"Platform.Address={store_address or self.store.address}",
         ]
         return "\n".join(lines)
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -7,6 +7,12 @@
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qsl, urlsplit
 
+from winchfork.emulator.free_ports import free_port
+
+#: Another listener may take a port between its being named and its being bound.
+_BIND_TRIES = 20
+_BIND_PAUSE_S = 0.05
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
@@ -44,12 +50,29 @@
         self._ip = ip
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
         self.address = ""
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, self._ip, 0)
-        self.address = f"{self._ip}:{self._server.sockets[0].getsockname()[1]}"
+        """Listen on a free port, or where it listened before."""
+        for _ in range(_BIND_TRIES):
+            port = int(self.address.rpartition(":")[2]) if self.address else free_port(self._ip)
+            try:
+                self._server = await asyncio.start_server(self._serve, self._ip, port)
+            except OSError:
+                await asyncio.sleep(_BIND_PAUSE_S)
+                continue
+            self.address = f"{self._ip}:{port}"
+            return
+        raise OSError(f"{self.address or self._ip} cannot be bound")
+
+    def silence_open(self) -> None:
+        """Lose whatever comes and goes on the connections open now; new ones work."""
+        self._silent |= self._writers
+
+    def is_silent(self, writer: asyncio.StreamWriter) -> bool:
+        """Tell whether answers on a connection are lost."""
+        return writer in self._silent
 
     async def stop(self) -> None:
         """Stop listening and end every connection at once, as a crash does."""
@@ -61,12 +84,18 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
-            while await self._handler(await _read_request(reader), writer):
+            while True:
+                request = await _read_request(reader)
+                if writer in self._silent:
+                    continue
+                if not await self._handler(request, writer):
+                    break
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
+            self._silent.discard(writer)
             writer.close()
 
 
--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -3,29 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-import enum
+import dataclasses
 import json
-import random
 from typing import Any
 
+from standins.answer_faults import SLOWED_S, AnswerSpoiler, ReplicaFault
 from standins.http_server import HttpServer, Request, write_answer
+from standins.stale_entries import StaleEntry
 from standins.store_server import StoreServer
 
 
-class ReplicaFault(enum.Enum):
-    """What is wrong with a replica's software."""
+@dataclasses.dataclass(frozen=True)
+class ReceivedOrder:
+    """An order of weights as it came; time of the loop's clock."""
 
-    NONE = "none"
-    FAILS = "fails"
-    SLOW = "slow"
-    FAILS_LATE = "fails_late"
+    at_s: float
+    holder: str
+    fence: int
 
 
-#: Part of its answers that a fault spoils, how much longer a slow one takes, in seconds, and how
-#: long after it was set a late fault begins.
-SPOILED_SHARE = 0.4
-SLOWED_S = 0.25
-LATE_S = 2.0
+@dataclasses.dataclass(frozen=True)
+class Generation:
+    """A request whose first token was made, and on which weights; times of the loop's clock."""
+
+    request_id: str
+    replica_id: str
+    version: int
+    arrived_s: float
+    began_s: float
 
 
 class ReplicaServer:
@@ -41,9 +46,7 @@
         software: str = "v1",
     ) -> None:
         self._software = software
-        self._fault = ReplicaFault.NONE
-        self._fault_since_s = 0.0
-        self._generator = random.Random(replica_id)
+        self.spoiler = AnswerSpoiler(replica_id)
         self._store = store
         self.replica_id = replica_id
         self._service = service
@@ -59,21 +62,46 @@
         self.load_s = 0.1
         #: Ids of the requests that ran here, in order.
         self.ran: list[str] = []
-        #: Orders as they came: time of the loop's clock, holder and fence.
-        self.orders: list[tuple[float, str, int]] = []
+        #: Orders as they came, and generations as they began.
+        self.orders: list[ReceivedOrder] = []
+        self.generations: list[Generation] = []
         #: Breaks the next stream off inside this event; 0: none.
         self.tear_at_event = 0
         self._http = HttpServer(self._handle)
+        self._loading_task: asyncio.Task[None] | None = None
+        self._ended = False
 
     async def start(self) -> None:
-        """Listen, and be listed."""
+        """Listen, and be listed; a start after a crash has the same address."""
         await self._http.start()
         self.announce("ready")
 
     async def stop(self) -> None:
-        """Crash: connections end, the entry goes."""
+        """End for good: connections end, the entry goes."""
+        self._ended = True
+        (await self.crash()).lapse()
+
+    async def crash(self) -> StaleEntry:
+        """End without a word; the entry stays until it lapses."""
         await self._http.stop()
-        self._store.remove(f"servers/{self.replica_id}")
+        if self._loading_task is not None:
+            self._loading_task.cancel()
+        self.loading = False
+        key = f"servers/{self.replica_id}"
+        return StaleEntry(self._store, key, (self._store.holder(key) or "").encode())
+
+    async def restart(self) -> None:
+        """Begin a new incarnation after a crash, unless the replica was ended meanwhile."""
+        if self._ended:
+            return
+        self.replica_id += "'"
+        self.sequence = 0
+        self.fence = 0
+        await self.start()
+
+    def silence_open_connections(self) -> None:
+        """Lose whatever comes and goes on the connections open now, for good."""
+        self._http.silence_open()
 
     def announce(self, state: str) -> None:
         """Write the entry."""
@@ -95,7 +123,7 @@
             write_answer(writer, 200, json.dumps(self._report()).encode())
             return True
         if request.path == "/order":
-            write_answer(writer, self._order(json.loads(request.body)))
+            write_answer(writer, self._order(request))
             return True
         refusal = self._refusal(request)
         if refusal:
@@ -115,9 +143,12 @@
             "Running": self.running,
         }
 
-    def _order(self, order: dict[str, Any]) -> int:
+    def _order(self, request: Request) -> int:
+        if self._is_for_another(request):
+            return 421
+        order = json.loads(request.body)
         now_s = asyncio.get_running_loop().time()
-        self.orders.append((now_s, order["Holder"], order["FencingToken"]))
+        self.orders.append(ReceivedOrder(now_s, order["Holder"], order["FencingToken"]))
         if order["FencingToken"] < self.fence:
             return 412
         if self.loading or order.get("Expected", self.sequence) != self.sequence:
@@ -127,7 +158,7 @@
             return 200
         self.sequence += 1
         self.loading = True
-        self._loading = asyncio.create_task(self._load(order["Version"]))
+        self._loading_task = asyncio.create_task(self._load(order["Version"]))
         return 202
 
     async def _load(self, version: int) -> None:
@@ -138,8 +169,11 @@
         self.loading = False
         self.announce("ready")
 
+    def _is_for_another(self, request: Request) -> bool:
+        return request.headers.get("x-expected-instance", self.replica_id) != self.replica_id
+
     def _refusal(self, request: Request) -> int:
-        if request.headers.get("x-expected-instance", self.replica_id) != self.replica_id:
+        if self._is_for_another(request):
             return 421
         expected = request.headers.get("x-expected-version")
         if expected is not None and int(expected) != self.version:
@@ -150,10 +184,11 @@
         self.running += 1
         self.ran.append(request.headers["x-request-id"])
         try:
-            if self._is_spoiled():
-                if self._fault is not ReplicaFault.SLOW:
-                    write_answer(writer, 500, b"spoiled", self._proof(request))
-                    return True
+            spoiled = self.spoiler.draw()
+            if spoiled is ReplicaFault.FAILS:
+                write_answer(writer, 500, b"spoiled", self._proof(request))
+                return True
+            if spoiled is ReplicaFault.SLOW:
                 await asyncio.sleep(SLOWED_S)
             if self._model:
                 return await self._stream(request, writer)
@@ -163,19 +198,6 @@
         finally:
             self.running -= 1
 
-    def set_fault(self, fault: ReplicaFault) -> None:
-        """Make the software faulty from now on."""
-        self._fault = fault
-        self._fault_since_s = asyncio.get_running_loop().time()
-
-    def _is_spoiled(self) -> bool:
-        if self._fault is ReplicaFault.NONE:
-            return False
-        age_s = asyncio.get_running_loop().time() - self._fault_since_s
-        if self._fault is ReplicaFault.FAILS_LATE and age_s < LATE_S:
-            return False
-        return self._generator.random() < SPOILED_SHARE
-
     def _proof(self, request: Request) -> dict[str, str]:
         return {
             "X-Request-Id": request.headers["x-request-id"],
@@ -183,8 +205,15 @@
         }
 
     async def _stream(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        loop = asyncio.get_running_loop()
+        arrived_s = loop.time()
         tokens_in, _, tokens_out = request.headers["x-token-usage"].partition(",")
         await asyncio.sleep(int(tokens_in) / self.read_tokens_per_s)
+        if writer.is_closing():
+            return False
+        name = request.headers["x-request-id"]
+        begun = Generation(name, self.replica_id, self.version, arrived_s, loop.time())
+        self.generations.append(begun)
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in self._proof(request).items()]
         lines += [f"X-Weight-Versions: {self.version}", "Transfer-Encoding: chunked", "", ""]
@@ -198,7 +227,9 @@
                 writer.write(b"%x\r\n%b" % (len(event), event[:7]))
                 await writer.drain()
                 return False
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            if not self._http.is_silent(writer):
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if not self._http.is_silent(writer):
+            writer.write(b"0\r\n\r\n")
         return True
--- a/standins/rollout_operator.py
+++ b/standins/rollout_operator.py
@@ -7,7 +7,8 @@
 import json
 from collections.abc import Callable
 
-from standins.replica_server import ReplicaFault, ReplicaServer
+from standins.answer_faults import ReplicaFault
+from standins.replica_server import ReplicaServer
 from standins.store_server import StoreServer
 
 #: Seconds beyond the duration in which the status must be final, whatever fails meanwhile.
@@ -29,6 +30,8 @@
     #: Requests that ran since the order: at the target's replicas, and at all of the service.
     on_target: int
     in_all: int
+    #: Answers of the target's replicas that its fault spoiled.
+    spoiled: int
 
 
 #: Makes a replica of a service by id and version.
@@ -59,7 +62,7 @@
         loop = asyncio.get_running_loop()
         ordered_s = loop.time()
         for replica in new:
-            replica.set_fault(fault)
+            replica.spoiler.set(fault)
         order = {"Service": self._service, "TargetVersion": target, "DurationS": duration_s}
         before = _ran(self.replicas)
         self._store.put(f"op/rollout/{self._service}", order)
@@ -71,7 +74,8 @@
             (self.replicas, new) if state == "completed" else (new, self.replicas)
         )
         await self._stop(leaving, drains=state != "completed")
-        return RolloutReport(self._service, target, state, took_s, on_target, in_all)
+        spoiled = sum(replica.spoiler.spoiled for replica in new)
+        return RolloutReport(self._service, target, state, took_s, on_target, in_all, spoiled)
 
     async def _await_outcome(self, target: str, until_s: float) -> str:
         while asyncio.get_running_loop().time() < until_s:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -21,9 +21,10 @@
 from collections import Counter
 from pathlib import Path
 
+from standins.answer_faults import ReplicaFault
 from standins.fault_proxy import Fault, FaultProxy
 from standins.fleet import KEY, MODEL, ZONES, Surroundings
-from standins.replica_server import ReplicaFault
+from standins.replica_server import ReceivedOrder
 from standins.rollout_operator import RolloutOperator, RolloutReport
 
 LEASE_BOUND_S = 3.0
@@ -259,12 +260,9 @@
         surroundings = self._surroundings
         operators = (surroundings.model_rollouts, surroundings.application_rollouts)
         replica = self._random.choice([item for one in operators for item in one.replicas])
-        await replica.stop()
+        (await replica.crash()).lapse()
         await asyncio.sleep(self._random.random() * 2.0)
-        replica.sequence = 0
-        replica.fence = 0
-        replica.replica_id += "'"
-        await replica.start()
+        await replica.restart()
 
     async def _torn_streams(self) -> None:
         for replica in self._surroundings.model_rollouts.replicas:
@@ -331,13 +329,15 @@
     def _judge_orders(self) -> None:
         for replica in self._surroundings.all_models:
             holders: dict[int, str] = {}
-            last = (-1e9, "", 0)
-            for at_s, holder, fence in replica.orders:
-                if holders.setdefault(fence, holder) != holder:
-                    self.broken.append(f"fence {fence} has two holders")
-                if holder != last[1] and at_s - last[0] < LEASE_BOUND_S:
-                    self.broken.append(f"{last[1]} and {holder} took turns within the lease bound")
-                last = (at_s, holder, fence)
+            last = ReceivedOrder(-1e9, "", 0)
+            for order in replica.orders:
+                if holders.setdefault(order.fence, order.holder) != order.holder:
+                    self.broken.append(f"fence {order.fence} has two holders")
+                if order.holder != last.holder and order.at_s - last.at_s < LEASE_BOUND_S:
+                    self.broken.append(
+                        f"{last.holder} and {order.holder} took turns within the lease bound"
+                    )
+                last = order
 
 
 async def _ask(address: str, path: str, request_id: str, extra: str) -> Reply:
--- /dev/null
+++ b/tests/test_fault_standins.py
@@ -0,0 +1,180 @@
+"""Faults of the stand-ins: ways, connections and replicas, as the soak strikes them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from standins.fault_proxy import Fault, FaultProxy
+from standins.http_server import HttpServer, Request, write_answer
+from standins.replica_server import ReplicaServer
+from standins.store_server import StoreServer
+from standins.weights_operator import WeightsOperator
+from tests.relay_support import CallerAnswer, read_answer
+
+#: Bytes that are lost never come: looked for this long.
+_SILENCE_S = 0.2
+_MODEL = "model"
+
+
+class Connection:
+    """One connection to a stand-in."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: str) -> Connection:
+        host, _, port = address.rpartition(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    async def ask(self, path: str, headers: str = "", body: bytes = b"") -> CallerAnswer:
+        """Send a request and wait for its answer."""
+        head = f"POST {path} HTTP/1.1\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
+        self._writer.write(head.encode() + body)
+        return await read_answer(self._reader)
+
+    def close(self) -> None:
+        """End it."""
+        self._writer.transport.abort()
+
+
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.asked: list[str] = []
+        server = HttpServer(self._answer)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        self.proxy = FaultProxy(server.address)
+        await self.proxy.start()
+        self.addAsyncCleanup(self.proxy.stop)
+
+    async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        self.asked.append(request.path)
+        write_answer(writer, 200)
+        return True
+
+    async def _open(self) -> Connection:
+        connection = await Connection.open(self.proxy.address)
+        self.addCleanup(connection.close)
+        return connection
+
+    async def test_refused_connections_are_reset_until_the_fault_ends(self) -> None:
+        self.proxy.fault = Fault.REFUSE
+        with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
+            await (await self._open()).ask("/refused")
+        self.proxy.fault = Fault.NONE
+        self.assertEqual((await (await self._open()).ask("/served")).status, 200)
+        self.assertEqual(self.asked, ["/served"])
+
+    async def test_those_turned_away_get_503_and_the_target_is_not_asked(self) -> None:
+        connection = await self._open()
+        self.proxy.fault = Fault.TURN_AWAY
+        self.assertEqual((await connection.ask("/turned-away")).status, 503)
+        self.proxy.fault = Fault.NONE
+        self.assertEqual((await connection.ask("/served")).status, 200)
+        self.assertEqual(self.asked, ["/served"])
+
+    async def test_silent_connections_stay_silent_while_new_ones_work(self) -> None:
+        connection = await self._open()
+        self.assertEqual((await connection.ask("/before")).status, 200)
+        self.proxy.silence_open()
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(connection.ask("/lost"), _SILENCE_S)
+        self.assertEqual((await (await self._open()).ask("/new")).status, 200)
+        self.assertEqual(self.asked, ["/before", "/new"])
+
+
+class ReplicaTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = StoreServer()
+        self.replica = ReplicaServer(self.store, "i-1", "models", "zone", _MODEL)
+        await self.replica.start()
+        self.addAsyncCleanup(self.replica.stop)
+
+    def _entry(self, replica_id: str) -> dict[str, object] | None:
+        value = self.store.holder(f"servers/{replica_id}")
+        return json.loads(value) if value else None
+
+    def _address(self, replica_id: str) -> str:
+        entry = self._entry(replica_id)
+        assert entry is not None
+        return str(entry["Address"])
+
+    async def _order(self, replica_id: str, address: str, version: int) -> int:
+        order = {"Holder": "node", "FencingToken": 1, "Version": version, "Expected": 0}
+        headers = f"X-Expected-Instance: {replica_id}\r\n"
+        connection = await Connection.open(address)
+        self.addCleanup(connection.close)
+        return (await connection.ask("/order", headers, json.dumps(order).encode())).status
+
+    async def test_an_entry_that_is_written_late_names_the_address_of_the_living(self) -> None:
+        address = self._address("i-1")
+        entry = await self.replica.crash()
+        entry.lapse()
+        await self.replica.restart()
+        self.assertEqual(self._address("i-1'"), address)
+        self.assertIsNone(self._entry("i-1"))
+        entry.write_late()
+        self.assertEqual(self._address("i-1"), address)
+        entry.lapse()
+        self.assertIsNone(self._entry("i-1"))
+        self.assertEqual(self._address("i-1'"), address)
+
+    async def test_an_order_to_an_incarnation_that_has_ended_is_not_taken(self) -> None:
+        address = self._address("i-1")
+        (await self.replica.crash()).lapse()
+        await self.replica.restart()
+        self.assertEqual(await self._order("i-1", address, 2), 421)
+        self.assertEqual(self.replica.orders, [])
+        self.assertEqual(await self._order("i-1'", address, 2), 202)
+
+    async def test_a_crash_ends_a_load_and_the_version_stays(self) -> None:
+        self.replica.load_s = 0.05
+        self.assertEqual(await self._order("i-1", self._address("i-1"), 2), 202)
+        (await self.replica.crash()).lapse()
+        await asyncio.sleep(2 * self.replica.load_s)
+        self.assertIsNone(self._entry("i-1"))
+        await self.replica.restart()
+        self.assertEqual(self.replica.version, 1)
+
+    async def test_a_replica_that_was_ended_does_not_return(self) -> None:
+        entry = await self.replica.crash()
+        await self.replica.stop()
+        await self.replica.restart()
+        self.assertIsNone(self._entry("i-1'"))
+        entry.lapse()
+
+    async def test_a_generation_is_recorded_with_the_weights_that_it_began_on(self) -> None:
+        headers = "X-Request-Id: r-1\r\nX-Token-Usage: 40,2\r\n"
+        connection = await Connection.open(self._address("i-1"))
+        self.addCleanup(connection.close)
+        self.assertEqual((await connection.ask("/any", headers)).status, 200)
+        (begun,) = self.replica.generations
+        self.assertEqual((begun.request_id, begun.replica_id, begun.version), ("r-1", "i-1", 1))
+        self.assertLess(begun.arrived_s, begun.began_s)
+
+    async def test_what_comes_on_a_silent_connection_is_not_run(self) -> None:
+        headers = "X-Request-Id: r-1\r\nX-Token-Usage: 40,2\r\n"
+        connection = await Connection.open(self._address("i-1"))
+        self.addCleanup(connection.close)
+        self.assertEqual((await connection.ask("/report")).status, 200)
+        self.replica.silence_open_connections()
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(connection.ask("/any", headers), _SILENCE_S)
+        self.assertEqual(self.replica.ran, [])
+
+
+class WeightsOperatorTest(unittest.IsolatedAsyncioTestCase):
+    async def test_it_keeps_when_each_version_was_acknowledged(self) -> None:
+        store = StoreServer()
+        operator = WeightsOperator(store, _MODEL)
+        self.assertEqual(operator.newest, 0)
+        operator.name(1)
+        operator.name(2)
+        self.assertEqual([item.version for item in operator.named], [1, 2])
+        self.assertLessEqual(operator.named[0].acknowledged_s, operator.named[1].acknowledged_s)
+        value = store.holder(f"op/version/{_MODEL}")
+        self.assertEqual(json.loads(value or "{}"), {"Model": _MODEL, "Version": 2})
--- a/tests/test_platform_whole.py
+++ b/tests/test_platform_whole.py
@@ -5,8 +5,8 @@
 import asyncio
 import unittest
 
+from standins.answer_faults import ReplicaFault
 from standins.fleet import KEY, MODEL, LoopbackDeployment
-from standins.replica_server import ReplicaFault
 from tests.relay_support import CallerAnswer, read_answer
 from winchfork.router.settings import RouterSettings
 
