Soak: by duty, with faults that overlap, a check of versions and one of the end

Cause: the soak named weights without ever looking on which ones a request began, or whether a replica got them: of weights it judged the orders only. It injected one fault at a time, waited for its end and paused, so a leader's successor was never struck while replaced weights were about; any of three routers stood still, mostly not the leader; the bound of 8 s was longer than most of its disturbances were apart. All callers took any router, so those that stood still held all of them up. A router that restarts forgets what it took replicas for, and nothing looked at the end. Lanes overlap; each task draws from a source of its own. New: series of standstills of whoever gave the last order, 2 to 4 s; a store that turns some routers away (resets or 503); connections that fall silent for good; late entries of ended replicas, and one as the last fault, which no restart follows. Weights are named every 2 to 6 s under a bound of 4 s. VERSION: a generation on weights replaced for longer than the bound is broken, counted within one stretch with a sound store and sound links, from the contact time after their last fault; a fault of one router excuses what this router sends until the contact time after it. At the end a version named once all is healed must be at every living replica within 6 s. Faults stand in soak.log beside the routers' logs, with the same clock.

--- /dev/null
+++ b/standins/soak/__main__.py
@@ -0,0 +1,34 @@
+"""``python -m standins.soak``: one run; 0 when no promise was broken. Logs stay in a folder."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+from standins.soak.run import Soak
+
+
+def main() -> int:
+    """Run one soak and print what came of it."""
+    parser = argparse.ArgumentParser(prog="standins.soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1_000_000))
+    parser.add_argument("--seconds", type=float, default=120.0)
+    arguments = parser.parse_args()
+    folder = Path(tempfile.mkdtemp(prefix="winchfork-soak-"))
+    soak = Soak(arguments.seed, arguments.seconds, folder)
+    asyncio.run(soak.run())
+    print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, logs in {folder}")
+    print("faults: " + ", ".join(f"{name} {count}" for name, count in sorted(soak.faults.items())))
+    print("answers: " + ", ".join(f"{name}: {n}" for name, n in sorted(soak.outcomes.items())))
+    for line in soak.broken:
+        print(f"BROKEN {line}")
+    print(f"{len(soak.broken)} promises broken")
+    return 1 if soak.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/soak/callers.py
@@ -0,0 +1,136 @@
+"""The callers: commands and streams to every router, and what came back."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from collections import Counter
+from collections.abc import Sequence
+
+from standins.fleet import KEY, MODEL
+from standins.soak.routers import RouterUnderSoak
+
+#: Every router has callers of its own: one that stands still holds up nobody else's.
+_CALLERS_EACH = 3
+_ANSWER_S = 9.0
+_PAUSE_S = 0.05
+_MOST_TOKENS = 60
+_FAMILIES = 8
+
+
+@dataclasses.dataclass
+class Reply:
+    """What a caller saw; status 0: no answer."""
+
+    status: int
+    body: bytes
+    whole: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamReply:
+    """A stream's answer and the events it should have had."""
+
+    request_id: str
+    tokens: int
+    reply: Reply
+
+
+class Callers:
+    """Asks the routers until stopped, and keeps the answers."""
+
+    def __init__(self, routers: Sequence[RouterUnderSoak], seed: str) -> None:
+        self._routers = routers
+        self._seed = seed
+        self._asked = 0
+        self._stop = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self.commands: dict[str, Reply] = {}
+        self.streams: list[StreamReply] = []
+        #: The number of the router that each request was sent to.
+        self.senders: dict[str, int] = {}
+        self.outcomes: Counter[str] = Counter()
+
+    def start(self) -> None:
+        """Begin to ask."""
+        for router in self._routers:
+            for caller in range(_CALLERS_EACH):
+                generator = random.Random(f"{self._seed}/caller/{router.number}/{caller}")
+                self._tasks.append(asyncio.create_task(self._call(router, generator)))
+
+    async def stop(self) -> None:
+        """Ask no more; return once the last answers have come."""
+        self._stop.set()
+        await asyncio.gather(*self._tasks)
+
+    async def _call(self, router: RouterUnderSoak, generator: random.Random) -> None:
+        while not self._stop.is_set():
+            if generator.random() < 0.5:
+                await self.command(router)
+            else:
+                await self.stream(router, generator)
+            await asyncio.sleep(generator.random() * _PAUSE_S)
+
+    async def command(self, router: RouterUnderSoak) -> Reply:
+        """Ask for something that may run at most once."""
+        request_id = self._next_id("command", router)
+        reply = await _ask(router.address, "/roster/x", request_id, "")
+        self.commands[request_id] = reply
+        self.outcomes[f"command {reply.status}"] += 1
+        return reply
+
+    async def stream(self, router: RouterUnderSoak, generator: random.Random) -> Reply:
+        """Ask for a stream."""
+        request_id = self._next_id("stream", router)
+        tokens = generator.randrange(1, _MOST_TOKENS)
+        family = generator.randrange(_FAMILIES)
+        extra = (
+            f"X-Model: {MODEL}\r\nX-Token-Usage: 900,{tokens}\r\n"
+            f"X-Prefix-Hash: 5c1e07a2:300,{family:08x}:410,{self._asked:08x}:190\r\n"
+        )
+        reply = await _ask(router.address, "/review/x", request_id, extra)
+        self.outcomes[f"stream {reply.status}{'' if reply.whole else ' torn'}"] += 1
+        self.streams.append(StreamReply(request_id, tokens, reply))
+        return reply
+
+    def _next_id(self, kind: str, router: RouterUnderSoak) -> str:
+        self._asked += 1
+        request_id = f"{kind}-{self._asked}"
+        self.senders[request_id] = router.number
+        return request_id
+
+
+async def _ask(address: str, path: str, request_id: str, extra: str) -> Reply:
+    host, _, port = address.rpartition(":")
+    message = (
+        f"POST {path} HTTP/1.1\r\nHost: proofs.example\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Key: {KEY}\r\nX-Deadline-Ms: 6000\r\n{extra}Content-Length: 4\r\n"
+        "Connection: close\r\n\r\nbody"
+    )
+    try:
+        async with asyncio.timeout(_ANSWER_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(message.encode())
+                return await _read_reply(reader)
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return Reply(0, b"", False)
+
+
+async def _read_reply(reader: asyncio.StreamReader) -> Reply:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+    status = int(head.split(" ", 2)[1])
+    body = b""
+    try:
+        if "transfer-encoding: chunked" in head:
+            while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+        else:
+            length = head.partition("content-length:")[2].split("\r\n")[0].strip()
+            body = await reader.readexactly(int(length or 0))
+    except (OSError, asyncio.IncompleteReadError, ValueError):
+        return Reply(status, body, False)
+    return Reply(status, body, True)
--- /dev/null
+++ b/standins/soak/disruptions.py
@@ -0,0 +1,80 @@
+"""What was disturbed when: the times within which a promise with a time bound is not held against.
+
+The store and the links are everybody's: while one of them is disturbed, and for the contact time
+after it, no bound runs. A router's own disturbance excuses the requests that this router sent, no
+others.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import math
+from collections.abc import Callable, Iterator
+
+#: Stands for the store or a link in place of a router's number.
+EVERYBODY = 0
+
+
+@dataclasses.dataclass
+class Disruption:
+    """One disturbance; ``ended_s`` is infinite while it lasts. Times of the loop's clock."""
+
+    what: str
+    router: int
+    began_s: float
+    ended_s: float = math.inf
+
+
+class DisruptionLog:
+    """Keeps every disturbance of a run."""
+
+    def __init__(
+        self, contact_s: float, clock: Callable[[], float], tell: Callable[[str], None]
+    ) -> None:
+        self._contact_s = contact_s
+        self._clock = clock
+        self._tell = tell
+        self._all: list[Disruption] = []
+
+    @contextlib.contextmanager
+    def during(self, what: str, router: int = EVERYBODY) -> Iterator[None]:
+        """Note a disturbance that lasts as long as the block."""
+        disruption = Disruption(what, router, self._clock())
+        self._all.append(disruption)
+        self._tell(f"{what} begins" + self._whose(router))
+        try:
+            yield
+        finally:
+            disruption.ended_s = self._clock()
+            self._tell(f"{what} ends" + self._whose(router))
+
+    def note(self, what: str, router: int) -> None:
+        """Note a disturbance of a router that lasts no time, such as a reset."""
+        now_s = self._clock()
+        self._all.append(Disruption(what, router, now_s, now_s))
+        self._tell(what + self._whose(router))
+
+    def stretch_start_s(self, at_s: float) -> float | None:
+        """Return since when the store and all links have been sound; None: they are not."""
+        start_s = -math.inf
+        for disruption in self._all:
+            if disruption.router != EVERYBODY or disruption.began_s > at_s:
+                continue
+            sound_s = disruption.ended_s + self._contact_s
+            if sound_s > at_s:
+                return None
+            start_s = max(start_s, sound_s)
+        return start_s
+
+    def excuses(self, router: int, at_s: float) -> bool:
+        """Tell whether a router was disturbed itself at a moment, or shortly before."""
+        return any(
+            disruption.router == router
+            and disruption.began_s <= at_s < disruption.ended_s + self._contact_s
+            for disruption in self._all
+        )
+
+    @staticmethod
+    def _whose(router: int) -> str:
+        return "" if router == EVERYBODY else f" at router {router}"
--- /dev/null
+++ b/standins/soak/faults/process_faults.py
@@ -0,0 +1,103 @@
+"""Faults of router processes: killed, stopped as planned, standing still."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+
+from standins.replica_server import ReceivedOrder
+from standins.soak.faults.scene import Scene
+from standins.soak.routers import RouterUnderSoak
+
+#: Standstills of leaders: how many in a row and how long, in seconds.
+LEAST_IN_SERIES, MOST_IN_SERIES = 2, 4
+LEAST_STANDSTILL_S, MOST_STANDSTILL_S = 2.0, 4.0
+#: How long a series waits for a router to give orders.
+SUCCESSOR_S = 8.0
+_LOOK_S = 0.01
+
+
+class ProcessFaults:
+    """Strikes one router process at a time, or one leader after the other."""
+
+    def __init__(self, scene: Scene, generator: random.Random, broken: list[str]) -> None:
+        self._scene = scene
+        self._random = generator
+        self._broken = broken
+
+    async def kill(self) -> None:
+        """SIGKILL, and a start within a second."""
+        router = self._free()
+        if router is None:
+            return
+        async with router.process_fault:
+            with self._scene.disruptions.during("kill", router.number):
+                await router.end(signal.SIGKILL)
+                await asyncio.sleep(self._random.random())
+                await router.start()
+
+    async def planned_stop(self) -> None:
+        """SIGTERM, and a start once the process has ended."""
+        router = self._free()
+        if router is None:
+            return
+        async with router.process_fault:
+            with self._scene.disruptions.during("planned stop", router.number):
+                code = await router.end(signal.SIGTERM)
+                if code != 0:
+                    self._broken.append(f"a planned stop ended with {code}")
+                await router.start()
+
+    async def standstill(self) -> None:
+        """Any router stands still."""
+        router = self._free()
+        if router is not None:
+            await self._stand(router, 0.5 + 4.0 * self._random.random())
+
+    async def leader_standstills(self) -> None:
+        """Whoever gave the last order stands still, then its successor, and so on."""
+        standing = []
+        since = self._last_order()
+        for _ in range(self._random.randint(LEAST_IN_SERIES, MOST_IN_SERIES)):
+            since = await self._next_order(since)
+            leader = self._holder(since)
+            if leader is None or leader.process_fault.locked():
+                break
+            for_s = self._random.uniform(LEAST_STANDSTILL_S, MOST_STANDSTILL_S)
+            standing.append(asyncio.create_task(self._stand(leader, for_s)))
+            # The task must hold the leader's lock before the next look.
+            await asyncio.sleep(0)
+        await asyncio.gather(*standing)
+
+    async def _stand(self, router: RouterUnderSoak, for_s: float) -> None:
+        async with router.process_fault:
+            with self._scene.disruptions.during("standstill", router.number):
+                router.pause(True)
+                await asyncio.sleep(for_s)
+                router.pause(False)
+
+    async def _next_order(self, since: ReceivedOrder | None) -> ReceivedOrder | None:
+        """Return an order that came after ``since``, by another holder if it had one struck."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + SUCCESSOR_S
+        while loop.time() < until_s:
+            last = self._last_order()
+            holder = self._holder(last)
+            if last != since and holder is not None and not holder.process_fault.locked():
+                return last
+            await asyncio.sleep(_LOOK_S)
+        return None
+
+    def _last_order(self) -> ReceivedOrder | None:
+        last = [item.orders[-1] for item in self._scene.surroundings.all_models if item.orders]
+        return max(last, key=lambda order: order.at_s, default=None)
+
+    def _holder(self, order: ReceivedOrder | None) -> RouterUnderSoak | None:
+        if order is None:
+            return None
+        return next((item for item in self._scene.routers if item.node_id == order.holder), None)
+
+    def _free(self) -> RouterUnderSoak | None:
+        free = [item for item in self._scene.routers if not item.process_fault.locked()]
+        return self._random.choice(free) if free else None
--- /dev/null
+++ b/standins/soak/faults/replica_faults.py
@@ -0,0 +1,74 @@
+"""Faults of replicas: crashes with entries that lapse late or come back, and torn streams."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from standins.fleet import Surroundings
+from standins.replica_server import ReplicaServer
+from standins.rollout_operator import RolloutOperator
+from standins.stale_entries import StaleEntry
+
+#: How long a crashed replica is away, and how long an entry outlives its replica (up to three
+#: heartbeats), at most; seconds.
+MOST_AWAY_S = 2.0
+MOST_LAPSE_S = 3.6
+#: How long after the return the old entry is written once more, and how long it then stays.
+LEAST_LATE_S, MOST_LATE_S = 0.3, 2.5
+LEAST_KEPT_S, MOST_KEPT_S = 1.0, 4.0
+
+
+class ReplicaFaults:
+    """Strikes replicas of the versions in force."""
+
+    def __init__(
+        self, surroundings: Surroundings, generator: random.Random, tell: Callable[[str], None]
+    ) -> None:
+        self._surroundings = surroundings
+        self._random = generator
+        self._tell = tell
+
+    async def crash(self) -> None:
+        """A replica crashes and returns at its address; its old entry lapses before or after."""
+        replica, entry = await self._crash(self._any_operator())
+        lapsing = asyncio.create_task(self._lapse(entry, self._random.uniform(0.0, MOST_LAPSE_S)))
+        await asyncio.sleep(self._random.uniform(0.0, MOST_AWAY_S))
+        await self._return(replica)
+        await lapsing
+
+    async def crash_with_late_entry(self, operator: RolloutOperator | None = None) -> None:
+        """The old entry has lapsed, the new incarnation is listed; then the old one comes back."""
+        replica, entry = await self._crash(operator or self._any_operator())
+        await self._lapse(entry, self._random.uniform(0.0, MOST_AWAY_S))
+        await self._return(replica)
+        await asyncio.sleep(self._random.uniform(LEAST_LATE_S, MOST_LATE_S))
+        self._tell(f"{entry.key} is written late")
+        entry.write_late()
+        await self._lapse(entry, self._random.uniform(LEAST_KEPT_S, MOST_KEPT_S))
+
+    async def torn_streams(self) -> None:
+        """The next stream of each replica breaks off inside an event."""
+        for replica in self._surroundings.model_rollouts.replicas:
+            replica.tear_at_event = self._random.randrange(0, 6)
+
+    def _any_operator(self) -> RolloutOperator:
+        """Return the operator of either service, drawn by the number of its replicas."""
+        surroundings = self._surroundings
+        operators = (surroundings.model_rollouts, surroundings.application_rollouts)
+        return self._random.choice([one for one in operators for _ in one.replicas])
+
+    async def _crash(self, operator: RolloutOperator) -> tuple[ReplicaServer, StaleEntry]:
+        replica = self._random.choice(operator.replicas)
+        self._tell(f"{replica.replica_id} crashes")
+        return replica, await replica.crash()
+
+    async def _return(self, replica: ReplicaServer) -> None:
+        await replica.restart()
+        self._tell(f"{replica.replica_id} has returned on version {replica.version}")
+
+    async def _lapse(self, entry: StaleEntry, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        entry.lapse()
+        self._tell(f"{entry.key} has lapsed")
--- /dev/null
+++ b/standins/soak/promises.py
@@ -0,0 +1,79 @@
+"""Promises of answers, orders and rollouts; each function returns a line for each broken one."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from standins.answer_faults import ReplicaFault
+from standins.replica_server import ReceivedOrder, ReplicaServer
+from standins.rollout_operator import RolloutReport
+from standins.soak.callers import Reply, StreamReply
+
+LEASE_BOUND_S = 3.0
+#: What a bad version may get, as the stand-ins' settings say.
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+_NOT_RUN = (408, 421, 429, 503)
+
+
+def judge_stream(stream: StreamReply) -> list[str]:
+    """A whole stream has every event once and in order, a torn one is a prefix."""
+    name, reply = stream.request_id, stream.reply
+    if reply.status != 200:
+        return []
+    lines = reply.body.decode("latin-1").split("\n\n")[: None if reply.whole else -1]
+    ids = [int(line[4:].split("\n")[0]) for line in lines if line.startswith("id: ")]
+    expected = list(range(1, stream.tokens + 1))
+    broken = []
+    if reply.whole and ids != expected:
+        broken.append(f"{name}: a whole stream has {ids} in place of 1 to {stream.tokens}")
+    if ids != expected[: len(ids)]:
+        broken.append(f"{name}: a torn stream has {ids}")
+    return broken
+
+
+def judge_commands(
+    commands: Mapping[str, Reply], applications: Iterable[ReplicaServer]
+) -> list[str]:
+    """A command runs at most once, and never after an answer that promises "not run"."""
+    runs = Counter(name for item in applications for name in item.ran)
+    broken = []
+    for name, reply in commands.items():
+        if runs[name] > 1:
+            broken.append(f"{name} ran {runs[name]} times")
+        if reply.status in _NOT_RUN and runs[name]:
+            broken.append(f"{name} got {reply.status} and ran")
+        if reply.status == 200 and runs[name] != 1:
+            broken.append(f"{name} got 200 and ran {runs[name]} times")
+    return broken
+
+
+def judge_orders(models: Iterable[ReplicaServer]) -> list[str]:
+    """One holder a fence, and holders do not take turns within the lease bound."""
+    broken = []
+    for replica in models:
+        holders: dict[int, str] = {}
+        last = ReceivedOrder(-1e9, "", 0)
+        for order in replica.orders:
+            if holders.setdefault(order.fence, order.holder) != order.holder:
+                broken.append(f"fence {order.fence} has two holders")
+            if order.holder != last.holder and order.at_s - last.at_s < LEASE_BOUND_S:
+                broken.append(f"{last.holder} and {order.holder} took turns within the lease bound")
+            last = order
+    return broken
+
+
+def judge_rollout(report: RolloutReport, fault: ReplicaFault) -> list[str]:
+    """A version that fails is never put in force and gets no more than its budget."""
+    name = f"{report.service} {report.target}"
+    broken = []
+    if not report.state:
+        broken.append(f"{name}: the status was never final")
+    if fault is not ReplicaFault.FAILS:
+        return broken
+    if report.state == "completed":
+        broken.append(f"{name} fails and was put in force")
+    if report.on_target > EXPOSURE_SHARE * report.in_all + EXPOSURE_SLACK:
+        broken.append(f"{name} got {report.on_target} of {report.in_all}")
+    return broken
--- /dev/null
+++ b/standins/soak/routers.py
@@ -0,0 +1,75 @@
+"""A router process under soak, and its way to the store."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from standins.fault_proxy import FaultProxy
+from standins.fleet import Surroundings, node_id
+
+_ROOT = Path(__file__).resolve().parent.parent.parent
+
+
+class RouterUnderSoak:
+    """One router process and its proxy. Faults that would meet at one of them take turns."""
+
+    def __init__(self, surroundings: Surroundings, number: int, zone: str, folder: Path) -> None:
+        self._surroundings = surroundings
+        self.number = number
+        self._zone = zone
+        self._file = folder / f"router-{number}.conf"
+        self._log = folder / f"router-{number}.log"
+        self._process: asyncio.subprocess.Process | None = None
+        self.address = ""
+        self.node_id = node_id(zone)
+        #: Held by the fault that the process, or its way to the store, suffers now.
+        self.process_fault = asyncio.Lock()
+        self.link_fault = asyncio.Lock()
+
+    async def prepare(self) -> None:
+        """Start the proxy and write the settings, which stay the same over restarts."""
+        self.proxy = FaultProxy(self._surroundings.store.address)
+        await self.proxy.start()
+        text = self._surroundings.settings_text(self.number, self._zone, self.proxy.address)
+        self._file.write_text(text)
+        lines = dict(line.split("=", 1) for line in text.splitlines())
+        self.address = lines["ListenAddresses.Front"]
+
+    async def start(self) -> None:
+        """Start the process."""
+        environment = {**os.environ, "WINCHFORK_BOOT": str(self._file)}
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "winchfork.platform",
+                cwd=_ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def end(self, number: signal.Signals) -> int:
+        """Send a signal that ends the process; return its exit code.
+
+        A process that has ended by itself is a broken promise: its code is not 0.
+        """
+        assert self._process is not None
+        if self._process.returncode is None:
+            self._process.send_signal(number)
+        return await self._process.wait()
+
+    def kill(self) -> None:
+        """End the process if it still runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.kill()
+
+    def pause(self, paused: bool) -> None:
+        """Freeze or thaw the process, if it runs."""
+        assert self._process is not None
+        if self._process.returncode is None:
+            self._process.send_signal(signal.SIGSTOP if paused else signal.SIGCONT)
--- /dev/null
+++ b/standins/soak/run.py
@@ -0,0 +1,182 @@
+"""One run of the soak with one seed: surroundings, routers, callers, lanes of faults, verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections import Counter
+from datetime import UTC, datetime
+from pathlib import Path
+
+from standins.fleet import ZONES, Surroundings, WeightsTiming
+from standins.soak.callers import Callers
+from standins.soak.disruptions import DisruptionLog
+from standins.soak.faults.process_faults import ProcessFaults
+from standins.soak.faults.replica_faults import ReplicaFaults
+from standins.soak.faults.scene import Scene
+from standins.soak.faults.store_faults import StoreFaults
+from standins.soak.lanes import Lane
+from standins.soak.operators import Operators
+from standins.soak.promises import judge_commands, judge_orders, judge_stream
+from standins.soak.routers import RouterUnderSoak
+from standins.soak.weights_promises import (
+    END_SHARE,
+    describe_late,
+    late_generations,
+    stragglers,
+)
+
+RECOVERY_S = 20.0
+#: As routers take it where their settings say nothing.
+CONTACT_S = 3.0
+#: Short, so that a run of a minute holds many; a load takes a noticeable part of it.
+WEIGHTS_TIMING = WeightsTiming(bound_s=4.0, load_s=0.4)
+#: Longest pauses between the faults of a lane, in seconds.
+PROCESS_PAUSE_S = 2.0
+LEADER_PAUSE_S = 6.0
+REPLICA_PAUSE_S = 3.0
+CONNECTION_PAUSE_S = 12.0
+STORE_PAUSE_S = 12.0
+#: Faults of the store and of links stop every bound, so they begin up to this part of a run late.
+STORE_DELAY_SHARE = 0.7
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+        self._seed = str(seed)
+        self._seconds = seconds
+        self._folder = folder
+        self._surroundings = Surroundings(WEIGHTS_TIMING)
+        self._routers = [
+            RouterUnderSoak(self._surroundings, number, zone, folder)
+            for number, zone in enumerate(ZONES, start=1)
+        ]
+        self._callers = Callers(self._routers, self._seed)
+        self.faults: Counter[str] = Counter()
+        self.broken: list[str] = []
+
+    @property
+    def outcomes(self) -> Counter[str]:
+        """Answers and rollouts by what came of them."""
+        return self._callers.outcomes
+
+    async def run(self) -> None:
+        """Run callers and faults together, heal, and judge; no process outlives the soak."""
+        try:
+            await self._run()
+        finally:
+            for router in self._routers:
+                router.kill()
+
+    async def _run(self) -> None:
+        await self._surroundings.start()
+        for router in self._routers:
+            await router.prepare()
+            await router.start()
+        await self._expect_service("at the start")
+        self._callers.start()
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self._seconds
+        disruptions = DisruptionLog(CONTACT_S, loop.time, self._tell)
+        operators = Operators(self._surroundings, self._seed, until_s, self._tell)
+        replicas = ReplicaFaults(self._surroundings, self._generator("replicas struck"), self._tell)
+        lanes = self._lanes(disruptions, replicas)
+        await asyncio.gather(
+            operators.run(),
+            *(lane.run(self._generator(lane.name), until_s, self.faults) for lane in lanes),
+        )
+        # Routers forget at a restart what they took a replica for: none comes after this fault.
+        await replicas.crash_with_late_entry(self._surroundings.model_rollouts)
+        self._tell("healed")
+        await self._expect_newest_weights(operators)
+        await self._callers.stop()
+        await self._expect_service("after the last fault")
+        self.outcomes.update(operators.outcomes)
+        self.broken += operators.broken
+        self._judge(disruptions)
+        for router in self._routers:
+            code = await router.end(signal.SIGTERM)
+            if code != 0:
+                self.broken.append(f"a planned stop ended with {code}")
+            await router.proxy.stop()
+        await self._surroundings.stop()
+
+    def _lanes(self, disruptions: DisruptionLog, replicas: ReplicaFaults) -> list[Lane]:
+        scene = Scene(self._routers, self._surroundings, disruptions)
+        leaders = ProcessFaults(scene, self._generator("leaders struck"), self.broken)
+        processes = ProcessFaults(scene, self._generator("processes struck"), self.broken)
+        connections = StoreFaults(scene, self._generator("connections struck"))
+        store = StoreFaults(scene, self._generator("store struck"))
+        delay_s = self._seconds * STORE_DELAY_SHARE
+        return [
+            Lane("leaders", [leaders.leader_standstills], LEADER_PAUSE_S),
+            Lane(
+                "processes",
+                [processes.kill, processes.planned_stop, processes.standstill],
+                PROCESS_PAUSE_S,
+            ),
+            Lane(
+                "replicas",
+                [replicas.crash, replicas.crash_with_late_entry, replicas.torn_streams],
+                REPLICA_PAUSE_S,
+            ),
+            Lane(
+                "connections",
+                [
+                    connections.turned_away,
+                    connections.turned_away,
+                    connections.resets,
+                    connections.silent_connections,
+                ],
+                CONNECTION_PAUSE_S,
+            ),
+            Lane("store", [store.store_down, store.link_cut], STORE_PAUSE_S, delay_s),
+        ]
+
+    def _generator(self, name: str) -> random.Random:
+        """Return a source of draws of its own, so that tasks do not take each other's."""
+        return random.Random(f"{self._seed}/{name}")
+
+    def _tell(self, what: str) -> None:
+        """Write a line beside the routers' logs, whose times it can be compared with."""
+        time = datetime.now(UTC).isoformat(timespec="milliseconds")
+        with (self._folder / "soak.log").open("a") as log:
+            log.write(f"time={time} {what}\n")
+
+    async def _expect_service(self, when: str) -> None:
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + RECOVERY_S
+        generator = self._generator(when)
+        for router in self._routers:
+            while (await self._callers.stream(router, generator)).status != 200:
+                if loop.time() > deadline_s:
+                    self.broken.append(f"{router.address} does not serve {when}")
+                    return
+                await asyncio.sleep(0.2)
+
+    async def _expect_newest_weights(self, operators: Operators) -> None:
+        """Once healed, one more version must reach every living replica."""
+        await asyncio.sleep(CONTACT_S)
+        version = await operators.name_next()
+        within_s = END_SHARE * WEIGHTS_TIMING.bound_s
+        in_force = self._surroundings.model_rollouts
+        for replica in await stragglers(lambda: in_force.replicas, version, within_s):
+            self.broken.append(
+                f"VERSION: {replica.replica_id} holds version {replica.version} {within_s:.0f} s "
+                f"after version {version}, once healed"
+            )
+
+    def _judge(self, disruptions: DisruptionLog) -> None:
+        surroundings, callers = self._surroundings, self._callers
+        for stream in callers.streams:
+            self.broken += judge_stream(stream)
+        self.broken += judge_commands(callers.commands, surroundings.all_applications)
+        self.broken += judge_orders(surroundings.all_models)
+        generations = [begun for item in surroundings.all_models for begun in item.generations]
+        bound_s = WEIGHTS_TIMING.bound_s
+        named = surroundings.weights.named
+        late = late_generations(generations, named, callers.senders, disruptions, bound_s)
+        self.broken += describe_late(late)
--- /dev/null
+++ b/tests/test_soak_faults.py
@@ -0,0 +1,122 @@
+"""The soak's faults on a virtual clock: whom a series of standstills strikes, and lanes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from pathlib import Path
+
+from standins.fleet import ZONES, Surroundings
+from standins.replica_server import ReceivedOrder
+from standins.soak.disruptions import DisruptionLog
+from standins.soak.faults import process_faults
+from standins.soak.faults.process_faults import ProcessFaults
+from standins.soak.faults.scene import Scene
+from standins.soak.lanes import Lane
+from standins.soak.routers import RouterUnderSoak
+from tests.virtual_loop import run_virtually
+
+#: Seconds between two orders of a leader, and until a successor gives its first.
+ORDER_PERIOD_S = 0.5
+SUCCESSOR_S = 4.5
+WATCH_S = 60.0
+
+
+class FrozenRouter(RouterUnderSoak):
+    """A router without a process; notes when it stands still."""
+
+    def __init__(self, surroundings: Surroundings, number: int, zone: str) -> None:
+        super().__init__(surroundings, number, zone, Path())
+        self.standstills: list[tuple[float, float]] = []
+        self._since_s = 0.0
+
+    @property
+    def stands(self) -> bool:
+        """Whether it stands still now."""
+        return self.process_fault.locked()
+
+    def pause(self, paused: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if paused:
+            self._since_s = now_s
+        else:
+            self.standstills.append((self._since_s, now_s))
+
+
+class LeaderStandstillsTest(unittest.TestCase):
+    def test_a_series_strikes_whoever_gave_the_last_order(self) -> None:
+        struck, orders = run_virtually(self._series(leaders=True))
+        self.assertGreaterEqual(len(struck), process_faults.LEAST_IN_SERIES)
+        self.assertLessEqual(len(struck), process_faults.MOST_IN_SERIES)
+        for (from_s, until_s), holder in struck:
+            last = max((order for order in orders if order.at_s <= from_s), key=lambda o: o.at_s)
+            self.assertEqual(last.holder, holder)
+            self.assertLess(from_s - last.at_s, ORDER_PERIOD_S)
+            self.assertGreaterEqual(until_s - from_s, process_faults.LEAST_STANDSTILL_S)
+            self.assertLessEqual(until_s - from_s, process_faults.MOST_STANDSTILL_S + 1e-6)
+        holders = [holder for _, holder in struck]
+        self.assertTrue(all(one != other for one, other in zip(holders, holders[1:], strict=False)))
+
+    def test_without_orders_the_series_ends(self) -> None:
+        struck, _ = run_virtually(self._series(leaders=False))
+        self.assertEqual(struck, [])
+
+    async def _series(
+        self, *, leaders: bool
+    ) -> tuple[list[tuple[tuple[float, float], str]], list[ReceivedOrder]]:
+        surroundings = Surroundings()
+        routers = [FrozenRouter(surroundings, n, zone) for n, zone in enumerate(ZONES, start=1)]
+        loop = asyncio.get_running_loop()
+        log = DisruptionLog(3.0, loop.time, lambda line: None)
+        faults = ProcessFaults(Scene(routers, surroundings, log), random.Random(7), [])
+        orders = surroundings.models[0].orders
+        leading = asyncio.create_task(self._lead(routers, orders)) if leaders else None
+        began_s = loop.time()
+        await faults.leader_standstills()
+        self.assertLess(loop.time() - began_s, WATCH_S)
+        if leading is not None:
+            leading.cancel()
+        struck = [(times, item.node_id) for item in routers for times in item.standstills]
+        return sorted(struck), orders
+
+    async def _lead(self, routers: list[FrozenRouter], orders: list[ReceivedOrder]) -> None:
+        """Give orders; another router takes over when the leader stands still."""
+        leader = routers[0]
+        fence = 1
+        while True:
+            if leader.stands:
+                await asyncio.sleep(SUCCESSOR_S)
+                leader = next(item for item in routers if item is not leader and not item.stands)
+                fence += 1
+            at_s = asyncio.get_running_loop().time()
+            orders.append(ReceivedOrder(at_s, leader.node_id, fence))
+            await asyncio.sleep(ORDER_PERIOD_S)
+
+
+class LaneTest(unittest.TestCase):
+    def test_faults_of_a_lane_take_turns_until_its_time_is_up(self) -> None:
+        run_virtually(self._run_lane())
+
+    async def _run_lane(self) -> None:
+        loop = asyncio.get_running_loop()
+        spans: list[tuple[float, float]] = []
+
+        async def fault() -> None:
+            began_s = loop.time()
+            await asyncio.sleep(2.0)
+            spans.append((began_s, loop.time()))
+
+        until_s = loop.time() + 20.0
+        counts: Counter[str] = Counter()
+        await Lane("lane", [fault], most_pause_s=1.0).run(random.Random(3), until_s, counts)
+        self.assertEqual(counts["fault"], len(spans))
+        self.assertGreaterEqual(len(spans), 7)
+        for (_, ended_s), (began_s, _) in zip(spans, spans[1:], strict=False):
+            self.assertLessEqual(ended_s, began_s)
+        self.assertLess(spans[-1][0], until_s)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_soak_promises.py
@@ -0,0 +1,180 @@
+"""The soak's judgements: what counts as broken, and what a disturbance excuses."""
+
+from __future__ import annotations
+
+import unittest
+
+from standins.answer_faults import ReplicaFault
+from standins.replica_server import Generation, ReceivedOrder, ReplicaServer
+from standins.rollout_operator import RolloutReport
+from standins.soak.callers import Reply, StreamReply
+from standins.soak.disruptions import EVERYBODY, DisruptionLog
+from standins.soak.promises import judge_commands, judge_orders, judge_rollout, judge_stream
+from standins.soak.weights_promises import (
+    LateGeneration,
+    describe_late,
+    late_generations,
+    stragglers,
+)
+from standins.store_server import StoreServer
+from standins.weights_operator import NamedWeights
+
+BOUND_S = 4.0
+CONTACT_S = 3.0
+#: The router that sends every request here, and another one.
+SENDER = 1
+OTHER = 2
+NAMED = (NamedWeights(1, 0.0), NamedWeights(2, 100.0), NamedWeights(3, 101.0))
+
+
+class HandClock:
+    """A clock that is set by hand."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+class VersionCheckTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = HandClock()
+        self.log = DisruptionLog(CONTACT_S, self.clock, lambda line: None)
+
+    def disturb(self, router: int, from_s: float, until_s: float) -> None:
+        self.clock.now_s = from_s
+        with self.log.during("fault", router):
+            self.clock.now_s = until_s
+
+    def late(self, version: int, began_s: float, arrived_s: float | None = None) -> list[float]:
+        """Return by how much a generation is late, if it is."""
+        sent_s = began_s - 0.02 if arrived_s is None else arrived_s
+        begun = Generation("r", "i-1", version, sent_s, began_s)
+        found = late_generations([begun], NAMED, {"r": SENDER}, self.log, BOUND_S)
+        return [round(item.late_s, 3) for item in found]
+
+    def test_a_version_may_be_begun_until_a_bound_after_its_successor(self) -> None:
+        self.assertEqual(self.late(1, 103.99), [])
+        self.assertEqual(self.late(1, 104.01), [4.01])
+        self.assertEqual(self.late(2, 104.99), [])
+        self.assertEqual(self.late(2, 105.01), [4.01])
+        self.assertEqual(self.late(3, 200.0), [])
+
+    def test_the_time_counts_in_one_stretch_with_a_sound_store_and_sound_links(self) -> None:
+        self.disturb(EVERYBODY, 102.0, 103.0)
+        self.assertEqual(self.late(1, 109.99), [])
+        self.assertEqual(self.late(1, 110.01), [4.01])
+
+    def test_a_disturbance_before_the_naming_gives_nothing(self) -> None:
+        self.disturb(EVERYBODY, 80.0, 90.0)
+        self.assertEqual(self.late(1, 104.01), [4.01])
+
+    def test_nothing_counts_while_the_store_is_disturbed_and_shortly_after(self) -> None:
+        self.disturb(EVERYBODY, 110.0, 111.0)
+        self.assertEqual(self.late(1, 109.9), [9.9])
+        self.assertEqual(self.late(1, 110.5), [])
+        self.assertEqual(self.late(1, 113.9), [])
+
+    def test_a_disturbance_that_lasts_excuses_everybody(self) -> None:
+        self.clock.now_s = 102.0
+        with self.log.during("store down"):
+            self.assertEqual(self.late(1, 120.0), [])
+
+    def test_a_request_that_was_sent_while_the_store_was_disturbed_does_not_count(self) -> None:
+        self.disturb(EVERYBODY, 90.0, 102.0)
+        self.assertEqual(self.late(1, 109.1, arrived_s=104.9), [])
+        self.assertEqual(self.late(1, 109.1, arrived_s=105.1), [4.1])
+
+    def test_a_standstill_excuses_what_its_router_sends_shortly_after(self) -> None:
+        self.disturb(SENDER, 102.0, 105.0)
+        self.assertEqual(self.late(1, 107.9), [])
+        self.assertEqual(self.late(1, 108.1), [8.1])
+
+    def test_a_standstill_excuses_no_other_router(self) -> None:
+        self.disturb(OTHER, 102.0, 110.0)
+        self.assertEqual(self.late(1, 104.5), [4.5])
+
+    def test_a_reset_excuses_its_router_for_the_contact_time(self) -> None:
+        self.clock.now_s = 104.0
+        self.log.note("reset", SENDER)
+        self.assertEqual(self.late(1, 106.9), [])
+        self.assertEqual(self.late(1, 107.1), [7.1])
+
+    def test_late_ones_are_told_by_router_replica_and_version(self) -> None:
+        begun = [Generation(f"r-{at_s}", "i-1", 1, at_s, at_s) for at_s in (106.0, 105.0)]
+        late = [LateGeneration(item, SENDER, 2, item.began_s - 100.0) for item in begun]
+        (line,) = describe_late(late)
+        self.assertIn("2 requests of router 1 began on version 1 at i-1, 6.00 s after", line)
+        self.assertTrue(line.endswith("the first r-105.0"))
+
+
+class EndCheckTest(unittest.IsolatedAsyncioTestCase):
+    async def test_replicas_that_do_not_get_the_version_in_time_are_named(self) -> None:
+        store = StoreServer()
+        replicas = [ReplicaServer(store, f"i-{number}", "models", "zone", "m") for number in (1, 2)]
+        replicas[0].version = 2
+        self.assertEqual(await stragglers(lambda: replicas, 2, 0.0), [replicas[1]])
+        replicas[1].version = 2
+        self.assertEqual(await stragglers(lambda: replicas, 2, 0.0), [])
+
+
+class AnswerPromisesTest(unittest.TestCase):
+    def test_a_stream_has_each_event_once_and_in_order(self) -> None:
+        def broken(body: bytes, *, whole: bool) -> int:
+            return len(judge_stream(StreamReply("s", 2, Reply(200, body, whole))))
+
+        whole = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+        self.assertEqual(broken(whole, whole=True), 0)
+        self.assertEqual(broken(whole[:20], whole=False), 0)
+        self.assertEqual(broken(b"id: 1\ndata: a\n\n", whole=True), 1)
+        self.assertEqual(broken(b"id: 2\ndata: b\n\n", whole=False), 1)
+        self.assertEqual(broken(whole + whole, whole=True), 2)
+
+    def test_a_command_runs_at_most_once_and_never_after_a_promise(self) -> None:
+        store = StoreServer()
+        replica = ReplicaServer(store, "i-1", "editing", "zone")
+
+        def broken(status: int, runs: int) -> int:
+            replica.ran = ["c"] * runs
+            return len(judge_commands({"c": Reply(status, b"", True)}, [replica]))
+
+        self.assertEqual([broken(200, 1), broken(503, 0), broken(504, 1), broken(0, 1)], [0] * 4)
+        self.assertEqual([broken(200, 0), broken(503, 1), broken(504, 2)], [1] * 3)
+        self.assertEqual(broken(503, 2), 2)
+
+    def test_holders_take_no_turns_within_the_lease_bound(self) -> None:
+        replica = ReplicaServer(StoreServer(), "i-1", "models", "zone", "m")
+
+        def broken(*orders: ReceivedOrder) -> int:
+            replica.orders = list(orders)
+            return len(judge_orders([replica]))
+
+        first = ReceivedOrder(10.0, "a", 5)
+        self.assertEqual(broken(first, ReceivedOrder(10.5, "a", 5)), 0)
+        self.assertEqual(broken(first, ReceivedOrder(13.1, "b", 6)), 0)
+        self.assertEqual(broken(first, ReceivedOrder(12.9, "b", 6)), 1)
+        self.assertEqual(broken(first, ReceivedOrder(13.1, "b", 5)), 1)
+
+
+class RolloutPromisesTest(unittest.TestCase):
+    def broken(self, fault: ReplicaFault, state: str, on_target: int = 10) -> int:
+        report = RolloutReport("models", "v2", state, 8.0, on_target, 100, on_target // 2)
+        return len(judge_rollout(report, fault))
+
+    def test_a_bad_version_is_not_put_in_force_and_stays_within_its_budget(self) -> None:
+        fails = ReplicaFault.FAILS
+        self.assertEqual(self.broken(fails, "rolled_back"), 0)
+        self.assertEqual(self.broken(fails, "rolled_back", on_target=60), 0)
+        self.assertEqual(self.broken(fails, "rolled_back", on_target=61), 1)
+        self.assertEqual(self.broken(fails, "completed"), 1)
+        self.assertEqual(self.broken(fails, "completed", on_target=61), 2)
+
+    def test_a_sound_version_may_go_either_way_but_has_a_final_status(self) -> None:
+        self.assertEqual(self.broken(ReplicaFault.NONE, "completed", on_target=90), 0)
+        self.assertEqual(self.broken(ReplicaFault.NONE, "rolled_back"), 0)
+        self.assertEqual(self.broken(ReplicaFault.NONE, ""), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
