Soak: judge slow versions of software as failing ones are judged

Change: a slow version must not be completed and has the same budget as one that fails. The line says how many of its answers were spoiled. Ruled out: nothing about the router; it is not touched.

--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -15,6 +15,8 @@
 EXPOSURE_SHARE = 0.1
 EXPOSURE_SLACK = 50
 _NOT_RUN = (408, 421, 429, 503)
+#: Faults that a version shows from the start: it must be told from a sound one.
+_BAD_FROM_THE_START = (ReplicaFault.FAILS, ReplicaFault.SLOW)
 
 
 def judge_stream(stream: StreamReply) -> list[str]:
@@ -65,15 +67,16 @@
 
 
 def judge_rollout(report: RolloutReport, fault: ReplicaFault) -> list[str]:
-    """A version that fails is never put in force and gets no more than its budget."""
+    """A bad version is never put in force and gets no more than its budget."""
     name = f"{report.service} {report.target}"
     broken = []
     if not report.state:
         broken.append(f"{name}: the status was never final")
-    if fault is not ReplicaFault.FAILS:
+    if fault not in _BAD_FROM_THE_START:
         return broken
+    spoiled = f"({fault.value}: {report.spoiled} of {report.on_target} answers spoiled)"
     if report.state == "completed":
-        broken.append(f"{name} fails and was put in force")
+        broken.append(f"{name} is bad and was put in force {spoiled}")
     if report.on_target > EXPOSURE_SHARE * report.in_all + EXPOSURE_SLACK:
-        broken.append(f"{name} got {report.on_target} of {report.in_all}")
+        broken.append(f"{name} got {report.on_target} of {report.in_all} {spoiled}")
     return broken
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -163,12 +163,12 @@
         return len(judge_rollout(report, fault))
 
     def test_a_bad_version_is_not_put_in_force_and_stays_within_its_budget(self) -> None:
-        fails = ReplicaFault.FAILS
-        self.assertEqual(self.broken(fails, "rolled_back"), 0)
-        self.assertEqual(self.broken(fails, "rolled_back", on_target=60), 0)
-        self.assertEqual(self.broken(fails, "rolled_back", on_target=61), 1)
-        self.assertEqual(self.broken(fails, "completed"), 1)
-        self.assertEqual(self.broken(fails, "completed", on_target=61), 2)
+        for fault in (ReplicaFault.FAILS, ReplicaFault.SLOW):
+            self.assertEqual(self.broken(fault, "rolled_back"), 0)
+            self.assertEqual(self.broken(fault, "rolled_back", on_target=60), 0)
+            self.assertEqual(self.broken(fault, "rolled_back", on_target=61), 1)
+            self.assertEqual(self.broken(fault, "completed"), 1)
+            self.assertEqual(self.broken(fault, "completed", on_target=61), 2)
 
     def test_a_sound_version_may_go_either_way_but_has_a_final_status(self) -> None:
         self.assertEqual(self.broken(ReplicaFault.NONE, "completed", on_target=90), 0)
