Stand-ins: count a request's arrival before a slow replica's rest

Cause: a generation's arrival was read after the rest of a slow answer, 0.25 s late. A request that its router had sent up to 0.25 s before the end of the contact time after a fault of its own was held against it.

--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -181,6 +181,7 @@
         return 503 if self.loading else 0
 
     async def _run(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        arrived_s = asyncio.get_running_loop().time()
         self.running += 1
         self.ran.append(request.headers["x-request-id"])
         try:
@@ -191,7 +192,7 @@
             if spoiled is ReplicaFault.SLOW:
                 await asyncio.sleep(SLOWED_S)
             if self._model:
-                return await self._stream(request, writer)
+                return await self._stream(request, writer, arrived_s)
             headers = self._proof(request)
             write_answer(writer, 200, b"done by " + self.replica_id.encode(), headers)
             return True
@@ -204,15 +205,16 @@
             "X-Server-Signature": f"signed.{self.replica_id}",
         }
 
-    async def _stream(self, request: Request, writer: asyncio.StreamWriter) -> bool:
-        loop = asyncio.get_running_loop()
-        arrived_s = loop.time()
+    async def _stream(
+        self, request: Request, writer: asyncio.StreamWriter, arrived_s: float
+    ) -> bool:
         tokens_in, _, tokens_out = request.headers["x-token-usage"].partition(",")
         await asyncio.sleep(int(tokens_in) / self.read_tokens_per_s)
         if writer.is_closing():
             return False
         name = request.headers["x-request-id"]
-        begun = Generation(name, self.replica_id, self.version, arrived_s, loop.time())
+        began_s = asyncio.get_running_loop().time()
+        begun = Generation(name, self.replica_id, self.version, arrived_s, began_s)
         self.generations.append(begun)
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in self._proof(request).items()]
--- a/tests/test_fault_standins.py
+++ b/tests/test_fault_standins.py
@@ -6,6 +6,7 @@
 import json
 import unittest
 
+from standins.answer_faults import SLOWED_S, ReplicaFault
 from standins.fault_proxy import Fault, FaultProxy
 from standins.http_server import HttpServer, Request, write_answer
 from standins.replica_server import ReplicaServer
@@ -156,6 +157,16 @@
         self.assertEqual((begun.request_id, begun.replica_id, begun.version), ("r-1", "i-1", 1))
         self.assertLess(begun.arrived_s, begun.began_s)
 
+    async def test_a_request_arrives_before_a_slow_replica_rests(self) -> None:
+        self.replica.spoiler.set(ReplicaFault.SLOW)
+        connection = await Connection.open(self._address("i-1"))
+        self.addCleanup(connection.close)
+        while not self.replica.spoiler.spoiled:
+            headers = "X-Request-Id: r-1\r\nX-Token-Usage: 40,2\r\n"
+            self.assertEqual((await connection.ask("/any", headers)).status, 200)
+        begun = self.replica.generations[-1]
+        self.assertGreater(begun.began_s - begun.arrived_s, SLOWED_S)
+
     async def test_what_comes_on_a_silent_connection_is_not_run(self) -> None:
         headers = "X-Request-Id: r-1\r\nX-Token-Usage: 40,2\r\n"
         connection = await Connection.open(self._address("i-1"))
