--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -133,7 +133,7 @@
             return snapshot
         after_outage = self._lost_since_s is not None
         self._note_regained(asked_s)
-        self._date_news(asked_s, in_time=False)
+        self._date_news(in_time=False)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
         self._take_complete(items, snapshot.at_revision, after_outage)
         self._note_answer(asked_s)
@@ -162,7 +162,7 @@
             return batch
         answered_s = self._state.clock()
         in_time = answered_s - asked_s <= wait_s + LATE_ANSWER_S
-        self._date_news(asked_s, in_time=in_time and self._lost_since_s is None)
+        self._date_news(in_time=in_time and self._lost_since_s is None)
         self._note_regained(asked_s)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
         self._apply(items)
@@ -173,12 +173,12 @@
         self._note_answer(asked_s + wait_s if waited else asked_s)
         return None
 
-    def _date_news(self, asked_s: float, *, in_time: bool) -> None:
+    def _date_news(self, *, in_time: bool) -> None:
         """Date what an answer brings: now, or as old as it may be if this daemon could not hear."""
         now_s = self._state.clock()
-        heard = in_time and self._state.standstill.ran_since(asked_s, now_s)
-        oldest_s = max(self._state.freshness.proven_at_s, now_s - self._assumed_age_s())
-        self._news_since_s = now_s if heard else oldest_s
+        proven_s = self._state.freshness.proven_at_s
+        heard = in_time and self._state.standstill.ran_since(proven_s, now_s)
+        self._news_since_s = now_s if heard else max(proven_s, now_s - self._assumed_age_s())
 
     def _note_answer(self, at_s: float) -> None:
         """The store has shown everything that it held at ``at_s``."""
@@ -199,9 +199,8 @@
 
     def take_update(self, update: TableUpdate) -> bool:
         """Install what a peer passed on; False when something before it is missing here."""
-        proven_s = self._state.freshness.proven_at_s
-        informed = self._state.clock() - proven_s <= WATCH_WAIT_S + LATE_ANSWER_S
-        self._date_news(proven_s, in_time=informed)
+        age_s = self._state.freshness.age_s(self._state.clock())
+        self._date_news(in_time=age_s <= WATCH_WAIT_S + LATE_ANSWER_S)
         if update.complete:
             self._take_complete(update.items, update.at_revision, update.after_outage)
             return True
