End in order when a stop is asked for before the process takes signals

A handler is set before the imports. Ruled out: ignoring SIGTERM until then, which would lose the request to stop. What is left is the interpreter's own start, before any code of ours runs.

--- a/winchfork/platform/__main__.py
+++ b/winchfork/platform/__main__.py
@@ -4,6 +4,7 @@
 
 import sys
 
+import winchfork.early_stop  # noqa: F401 - before the slow imports
 from winchfork.errors import Failure
 from winchfork.platform.parts import platform_parts
 from winchfork.platform.settings import read_settings
