Withdraw a stream that has not begun when its weights' time ends

Cause: how long a prompt waits at its replica is a forecast, which prompts that other daemons send at the same moment make too short. A stream that may be resumed is withdrawn 0.3 s before the end of the bound if its first event has not come, and goes on elsewhere on the retry budget. The end of the bound is asked in one place now. Ruled out: a longer margin for all, which takes capacity from every replica at the end of its weights. Streams that may not be repeated still rely on the margin.

--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -110,6 +110,11 @@
         """The replica at which this attempt is."""
         return self._plan.replica
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the replica has begun to answer: its first event has come."""
+        return self._read
+
     @property
     def silent_s(self) -> float:
         """Seconds since the request was sent, or since something was last heard of its answer."""
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -14,7 +14,7 @@
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
-from winchfork.router.attempt import Attempt
+from winchfork.router.attempt import Attempt, AttemptPlan
 from winchfork.router.attempt_evidence import AttemptEvidence
 from winchfork.router.caller_answer import CallerAnswer
 from winchfork.router.dispatch import Dispatch
@@ -51,6 +51,9 @@
 _MAX_VERSION_TRIES = 1
 #: A replica that has said something more recently than this is heard, whatever others say of it.
 LEAST_SILENCE_S = 0.3
+#: Seconds before the end of a bound at which what has not begun is withdrawn: for the withdrawal's
+#: way, and for what a daemon heard of the newer version after it was named.
+WITHDRAWAL_S = 0.3
 #: Part of the retry budget that streams which move away from a load leave to failures.
 _FAILURE_RESERVE = 0.5
 _LOOK_AGAIN = "look_again"
@@ -237,11 +240,35 @@
         self._record.log_sent(decision, plan, family, self._time_left_s())
         if plan.unread_tokens:
             self._state.on_work_sent()
+        withdrawal = self._withdraw_at(plan)
         outcome = await self._attempt.run()
+        if withdrawal is not None:
+            withdrawal.cancel()
         self._attempt = None
         self._newer_weights = self._evidence.note(plan, outcome, self._record)
         return outcome
 
+    def _withdraw_at(self, plan: AttemptPlan) -> asyncio.TimerHandle | None:
+        """Arrange for a stream to be withdrawn that has not begun when its weights' time ends.
+
+        How long it waits at its replica is a forecast, which prompts that other daemons send at the
+        same moment make too short.
+        """
+        due_s = self._state.choice.weights_due_s(plan.model, plan.weights_version)
+        if not self._route.resumable or due_s >= self._ends_at_s:
+            return None
+        return self._loop.call_at(due_s - WITHDRAWAL_S, self._withdraw, plan.replica)
+
+    def _withdraw(self, replica: RelayReplica) -> None:
+        attempt = self._attempt
+        if attempt is None or attempt.replica is not replica or attempt.has_begun:
+            return
+        if self._state.stopping or not self._dispatch.others_left(self._tried):
+            return
+        if self._may_repeat(self._route.max_attempts):
+            log_event("stream_withdrawn", id=self._id, replica=replica.replica_id)
+            self._inbox.put(MoveAway(replica.replica_id))
+
     def _count_sent(self, replica: RelayReplica) -> None:
         listing = replica.listing
         metrics = self._state.metrics
--- a/winchfork/router/replica_choice.py
+++ b/winchfork/router/replica_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S
@@ -81,14 +82,17 @@
         ]
         return min(openings, default=None)
 
+    def weights_due_s(self, model: str, version: int | None) -> float:
+        """Return when no request may begin on a version any more; infinite without a newer one."""
+        history = self._state.versions.get(model)
+        if history is None or version is None:
+            return math.inf
+        return history.due_s(version, self._state.settings.bounds.weights_s)
+
     def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
         """Whether a request sent now will begin before the replica's weights are too old."""
-        history = self._state.versions.get(prompt.model)
-        if history is None:
-            return True
         tokens = QUEUE_MARGIN * replica.queued_tokens + OWN_PROMPT_MARGIN * prompt.prompt_tokens
         known_rate = self._state.engine_speed(replica.listing.service).read_tokens_per_s
         margin_s = BEGIN_MARGIN_S + tokens / min(PRIOR_READ_TOKENS_PER_S, known_rate)
-        bound_s = self._state.settings.bounds.weights_s
-        due_s = history.due_s(replica.versions.get(prompt.model, 0), bound_s)
+        due_s = self.weights_due_s(prompt.model, replica.versions.get(prompt.model, 0))
         return now_s + min(MAX_BEGIN_MARGIN_S, margin_s) < due_s
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -73,10 +73,7 @@
 
     def _weights_left_s(self, plan: AttemptPlan) -> float | None:
         """Return how much longer requests may begin on the weights; None without a bound."""
-        history = self.state.versions.get(plan.model)
-        if history is None or plan.weights_version is None:
-            return None
-        due_s = history.due_s(plan.weights_version, self.state.settings.bounds.weights_s)
+        due_s = self.state.choice.weights_due_s(plan.model, plan.weights_version)
         return None if math.isinf(due_s) else due_s - self.clock()
 
     def log_done(self, ran: RunState, events: int) -> None:
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -106,19 +106,16 @@
             self._begin(replica_id, model)
 
     def _view(self, replica: RelayReplica, model: str, now_s: float) -> LoadingReplica:
+        due_s = self._state.choice.weights_due_s(model, replica.versions[model])
         return LoadingReplica(
             replica.replica_id,
             replica.versions[model],
             replica.accepting and now_s >= replica.avoided_until_s,
             max(0.0, replica.busy_until_s - now_s),
             replica.replica_id in self._under_order,
-            now_s + BEGIN_MARGIN_S >= self._due_s(model, replica.versions[model]),
+            now_s + BEGIN_MARGIN_S >= due_s,
         )
 
-    def _due_s(self, model: str, version: int) -> float:
-        bound_s = self._state.settings.bounds.weights_s
-        return self._state.versions[model].due_s(version, bound_s)
-
     def _prepare(self, replica_id: str, model: str) -> None:
         replica = self._state.fleet.get(replica_id)
         if replica is not None:
