Test that an old list vacates a leadership that a peer told of; red

Cause shown: the list was answered at revision 1, without the leader's entry; a peer's word of it, at revision 2, came before the answer. StoreSync._take_complete tells the leadership that there is no entry whatever the list's revision. The test fails on this code: 25 calls of grant_lease in 20 s where none is due, since the place stays vacant here until the leader changes. Ruled out: that the watch puts it right. It shows the entry at revision 2, which the table holds already, so nothing is installed again; the daemon's own leader_id was n2 the whole time.

--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -11,12 +11,15 @@
 from tests.memory_store import MemoryStore
 from tests.test_platform_documents import CONFIGURATION, REPLICA
 from tests.virtual_loop import run_virtually, stand_still
+from winchfork.core.document_table import TableItem, TableUpdate
+from winchfork.errors import Failure
 from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocuments
-from winchfork.router.leadership import Leadership
+from winchfork.router.leadership import LEADER_KEY, Leadership
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import RETURN_S, WATCH_WAIT_S, StoreSync
+from winchfork.stores.async_key_value import StoreSnapshot
 
 
 class Followed:
@@ -28,8 +31,8 @@
         settings = RouterSettings("n1", "z1", "g", "", "", "", "")
         self.store = store
         self.state = RouterState(settings, loop.time, generator)
-        leadership = Leadership(store, "n1", 3.0, loop.time, generator, 1.0)
-        self.sync = StoreSync(self.state, store, PlatformDocuments(), leadership, generator)
+        self.leadership = Leadership(store, "n1", 3.0, loop.time, generator, 1.0)
+        self.sync = StoreSync(self.state, store, PlatformDocuments(), self.leadership, generator)
         self.task = asyncio.create_task(self.sync.run())
 
     def age_s(self) -> float:
@@ -214,6 +217,40 @@
 
         follow(scenario)
 
+    def test_a_list_that_is_older_than_a_peers_word_vacates_no_leadership(self) -> None:
+        """A list was asked for without a leader; a peer told of one before the answer came.
+
+        The answer has no leader and is the older of the two, but was heard last: the daemon took
+        the place for vacant, and no watch told it otherwise, since the entry was known by then. It
+        asked for a lease and for the leader's entry 25 times in 20 s, in vain, and would have gone
+        on until the leader changed.
+        """
+
+        async def main() -> None:
+            store = MemoryStore()
+            store.put("op/config", json.dumps(CONFIGURATION).encode())
+            followed = Followed(store)
+            real = store.list
+
+            async def told_meanwhile(prefix: str) -> StoreSnapshot | Failure:
+                snapshot = await real(prefix)
+                assert not isinstance(snapshot, Failure)
+                revision = store.put(LEADER_KEY, b"n2")
+                entry = TableItem(LEADER_KEY, revision, b"n2")
+                update = TableUpdate(snapshot.at_revision, revision, False, False, (entry,))
+                followed.sync.take_update(update)
+                return snapshot
+
+            store.list = told_meanwhile  # type: ignore[method-assign]
+            campaigning = asyncio.create_task(followed.leadership.run())
+            await asyncio.sleep(20.0)
+            campaigning.cancel()
+            self.assertEqual(followed.state.leader_id, "n2")
+            self.assertEqual(store.calls.count("grant_lease"), 0)
+            self.assertEqual(store.calls.count("transact"), 0)
+
+        run_virtually(main())
+
     def test_a_malformed_document_leaves_the_one_in_force(self) -> None:
         async def scenario(followed: Followed) -> None:
             followed.store.put("op/config", b"{broken")
