Let the newest word on the leader's entry hold, not the last that was heard

Cause: Leadership.note_entry(None) had no revision, so "there is none", from a list that was asked for earlier, overrode a peer's word of an entry written later. Change: what is heard of the entry comes with its revision, whether it is there (note_entry) or not (note_no_entry, with the list's revision), and what is older than the newest that was heard is ignored. Ruled out: asking the table whether it holds the entry, which mends this schedule; an entry that was told late, after a list that had shown it gone, would still have filled the place. Tests that spoke for a watch name revisions now, and check what they did. Conclusion: which of two words is newer is read from them, not from when they came.

--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -35,7 +35,7 @@
 
     async def _watch(self) -> None:
         revision = 0
-        self.leadership.note_entry(None)
+        self.leadership.note_no_entry(0)
         while True:
             batch = await self.store.watch(LEADER_KEY, revision, 1.0)
             if not isinstance(batch, WatchBatch) or self.cut:
@@ -43,7 +43,10 @@
                 continue
             revision = batch.at_revision
             for item in batch.items:
-                self.leadership.note_entry(None if item.value is None else item.revision)
+                if item.value is None:
+                    self.leadership.note_no_entry(item.revision)
+                else:
+                    self.leadership.note_entry(item.revision)
 
     def kill(self) -> None:
         for task in self.tasks:
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -118,7 +118,7 @@
         self.control = FakeControl(replicas)
         self.store = MemoryStore()
         self.leadership = Leadership(self.store, "n1", 3.0, loop.time, random.Random(2), 1.0)
-        self.leadership.note_entry(None)
+        self.leadership.note_no_entry(0)
         self.peers = PeerGroup(self.state, random.Random(3))
         self.news = CountingNews(self.state, self.peers)
         self.rollout = WeightsRollout(
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -58,6 +58,7 @@
         self._started_s = clock()
         self._last_order_s = -math.inf
         self._holder_fence = 0
+        self._heard_revision = 0
         self._resigned_order_s: float | None = None
         self._hurry = False
         self._withdrawn = False
@@ -65,17 +66,26 @@
         #: Whether this daemon follows the store closely enough to lead; others need not campaign.
         self.eligible: Callable[[], bool] = lambda: True
 
-    def note_entry(self, revision: int | None) -> None:
-        """Take what the store's watch says of the leader's entry; None: there is none."""
-        if revision is None:
-            self._vacant.set()
+    def note_entry(self, revision: int) -> None:
+        """Take what the store or a peer says of the leader's entry: it was written at a revision.
+
+        The newest of what was heard holds, not the last: a list may be older than a peer's word.
+        """
+        if revision < self._heard_revision:
             return
+        self._heard_revision = revision
         self._vacant.clear()
         if revision != self._holder_fence:
             self._holder_fence = revision
             self._resigned_order_s = None
             self._hurry = False
 
+    def note_no_entry(self, at_revision: int) -> None:
+        """Take what the store or a peer says: at a revision there was no leader's entry."""
+        if at_revision >= self._heard_revision:
+            self._heard_revision = at_revision
+            self._vacant.set()
+
     def note_order(self) -> None:
         """Record that an order leaves now."""
         self._last_order_s = self._clock()
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -149,7 +149,7 @@
         self.table.note_list(at_revision, after_outage=after_outage)
         self._apply(gone)
         if LEADER_KEY not in {item.key for item in items}:
-            self._leadership.note_entry(None)
+            self._leadership.note_no_entry(at_revision)
         self._state.store_revision = max(self._state.store_revision, at_revision)
         self._listed = self._ever_listed = True
 
@@ -220,7 +220,10 @@
 
     def _install(self, item: TableItem) -> None:
         if item.key == LEADER_KEY:
-            self._leadership.note_entry(None if item.value is None else item.revision)
+            if item.value is None:
+                self._leadership.note_no_entry(item.revision)
+            else:
+                self._leadership.note_entry(item.revision)
             self._state.leader_id = (item.value or b"").decode()
             return
         if is_record_key(item.key):
