Test that a late answer does not fill the leader's place again; red

Cause shown: Leadership._take clears the vacancy and takes its own entry for the newest, whatever was heard while the answer was under way. A lone daemon whose first write was answered 4 s late has no leadership 26 s later (fence 0), since nothing tells it again that the place is vacant; beside a holder that came meanwhile it ignores that one's resignation and acts 2.55 s after it, for orders that are 6.87 s old. Ruled out: that the late answer lets it act. The time to act counts from before the question, so that had ended; the fence was dropped at the first renewal.

--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -5,13 +5,16 @@
 import asyncio
 import random
 import unittest
+from collections.abc import Sequence
 
 from tests.memory_store import MemoryStore
 from tests.virtual_loop import run_virtually
+from winchfork.errors import Failure
 from winchfork.router.leadership import ACT_S, LEADER_KEY, Leadership
-from winchfork.stores.async_key_value import WatchBatch
+from winchfork.stores.async_key_value import ExpectedRevision, PutItem, WatchBatch
 
 LEASE_BOUND_S = 3.0
+LATE_ANSWER_S = 4.0
 
 
 class Candidate:
@@ -54,6 +57,21 @@
         self.leadership.fence = 0
 
 
+def answer_the_first_write_late(store: MemoryStore) -> None:
+    """Carry the first write out at once, and say so when the lease of 2 s has run out."""
+    real = store.transact
+
+    async def answered_late(
+        expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
+    ) -> int | Failure:
+        store.transact = real  # type: ignore[method-assign]
+        answer = await real(expected, puts)
+        await asyncio.sleep(LATE_ANSWER_S)
+        return answer
+
+    store.transact = answered_late  # type: ignore[method-assign]
+
+
 async def _settle(seconds: float) -> None:
     await asyncio.sleep(seconds)
 
@@ -126,6 +144,53 @@
 
         run_virtually(scenario())
 
+    def test_an_entry_that_lapsed_before_its_answer_came_leaves_the_place_vacant(self) -> None:
+        """The store took a lone daemon for the leader, and its answer came 4 s late.
+
+        By then the lease of 2 s had run out, and the watch had told that the entry was gone. The
+        answer, which is older, was taken to say that the place is filled: the daemon found that its
+        lease had ended, and never campaigned again. 26 s later there was no leader.
+        """
+
+        async def scenario() -> None:
+            store = MemoryStore()
+            answer_the_first_write_late(store)
+            candidate = Candidate(store, "n1")
+            await _settle(30.0)
+            self.assertGreater(candidate.leadership.fence, 1)
+            self.assertTrue(candidate.leadership.may_act())
+
+        run_virtually(scenario())
+
+    def test_a_late_answer_does_not_hide_the_holder_that_came_meanwhile(self) -> None:
+        """The same where another daemon had become the leader before the late answer came.
+
+        The late one took itself for the newest holder, so it did not hear the resignation of the
+        real one: it acted only 2.55 s later, for the sake of orders that were 6.87 s old already.
+        """
+
+        async def scenario() -> None:
+            loop = asyncio.get_running_loop()
+            store = MemoryStore()
+            answer_the_first_write_late(store)
+            late = Candidate(store, "n1")
+            while LEADER_KEY not in store.items:
+                await _settle(0.01)
+            holder = Candidate(store, "n2")
+            await _settle(8.0)
+            self.assertTrue(holder.leadership.may_act())
+            self.assertEqual(late.leadership.fence, 0)
+            holder.leadership.withdraw()
+            told = await holder.leadership.resign()
+            assert told is not None
+            late.leadership.note_resignation(told)
+            resigned_s = loop.time()
+            while not late.leadership.may_act():
+                await _settle(0.01)
+            self.assertLess(loop.time() - resigned_s, 1.0)
+
+        run_virtually(scenario())
+
     def test_a_resignation_carries_the_age_of_the_last_order(self) -> None:
         async def scenario() -> None:
             store = MemoryStore()
