Do not take a late answer for the newest word on the leader's entry

Cause: Leadership._take held what its own answer said against what had been heard while it was under way. Change: an answer whose entry is older than the newest word on the leader's entry is no leadership: the vacancy, the holder and its resignation stay as they were heard. Ruled out: bounding the answer by the time to act. The entry may be there still, and then its lease has to be renewed or the place is held by nobody for 2 s. Conclusion: the same rule as for lists now holds for the daemon's own writes.

--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -172,6 +172,11 @@
             log_event("leadership_not_taken", reason=str(taken))
             await asyncio.sleep(self._generator.random())
             return False
+        if taken < self._heard_revision:
+            # Heard while the answer was under way: the entry has gone, or another came after it.
+            log_event("leadership_not_taken", reason="what was written has lapsed already")
+            return False
+        self._heard_revision = taken
         self._vacant.clear()
         self._lease_id = lease_id
         self._valid_until_s = asked_s + ACT_S
