Test that an order is not older than it is when a leader resigns; red

Cause shown: WeightsRollout._order dates the order before it asks for a connection. With a connection that takes 0.5 s to come up, a resignation 2.0 s after the order told an age of 2.506 s where 2.008 s had passed; the margin that a successor leaves is 0.25 s. The stand-in for replicas can delay connections now. Ruled out: that the wait at the end of a resignation covers it. That wait lets the last order grow only as old as a lease outlives its holder, 1.1 s, which it was.

--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -70,6 +70,8 @@
     def __init__(self, replicas: list[FakeReplica]) -> None:
         self.replicas = {replica.replica_id: replica for replica in replicas}
         self.most_loading = 0
+        #: How long a connection takes to come up for an order.
+        self.connect_s = 0.0
 
     async def report(self, address: str) -> ReplicaReport | Failure:
         await asyncio.sleep(0.003)
@@ -81,7 +83,7 @@
     async def order(
         self, address: str, order: WeightsOrder, allowed: Callable[[], bool]
     ) -> OrderOutcome | Failure:
-        await asyncio.sleep(0.003)
+        await asyncio.sleep(0.003 + self.connect_s)
         if not allowed():
             return FailureKind.NOT_ACCEPTING_WORK.because("no longer allowed")
         loop = asyncio.get_running_loop()
@@ -229,6 +231,30 @@
 
         run_virtually(scenario())
 
+    def test_a_resignation_does_not_tell_an_order_to_be_older_than_it_is(self) -> None:
+        """The connection for an order took 0.5 s to come up, and the order left after that.
+
+        The leader had dated it before it asked for the connection. Its resignation, 2.0 s after the
+        order, told an age of 2.5 s. A successor allows for 0.25 s only, so its first order could
+        have come before the last one of its predecessor was a lease bound old.
+        """
+
+        async def scenario() -> None:
+            replica = FakeReplica("i-1")
+            fleet = Fleet([replica])
+            fleet.control.connect_s = 0.5
+            await asyncio.sleep(4.0)
+            fleet.name(2)
+            while replica.next_version == 1:
+                await asyncio.sleep(0.01)
+            left_s = replica.loading_until_s - LOAD_S
+            await asyncio.sleep(2.0)
+            told = await fleet.leadership.resign()
+            assert told is not None
+            self.assertLessEqual(told.last_order_ms / 1000.0, fleet.state.clock() - left_s)
+
+        run_virtually(scenario())
+
     def test_old_weights_take_no_request_that_would_begin_too_late(self) -> None:
         async def scenario() -> None:
             fleet = Fleet([FakeReplica("i-1")])
