Date an order by the moment its first byte leaves

Cause: the order was dated before its connection was there, so a resignation told a last order older than the one that had left. Change: Leadership.may_order says whether an order may leave and records it; the call asks it as the last thing before the first byte. An order that may not leave is no longer recorded. Ruled out: a wider margin for the successor. A connection may take longer than any margin, and each tenth of a second would be paid at every hand-over. Conclusion: what a successor is told is never older than the truth by the way to a replica.

--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -106,6 +106,17 @@
         now_s = self._clock()
         return self.fence != 0 and self._acts_from_s <= now_s < self._valid_until_s
 
+    def may_order(self) -> bool:
+        """Tell whether an order may leave now, and record that it does.
+
+        Asked as its first byte leaves: dated before its connection is there, the order would be
+        told to be older than it is.
+        """
+        may_act = self.may_act()
+        if may_act:
+            self.note_order()
+        return may_act
+
     def leads(self) -> bool:
         """Tell, without I/O, whether this daemon may write what the leader alone writes.
 
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -197,9 +197,8 @@
             self._leadership.fence,
             report.sequence,
         )
-        self._leadership.note_order()
         outcome = await self._control.order(
-            replica.listing.address, order, self._leadership.may_act
+            replica.listing.address, order, self._leadership.may_order
         )
         log_event(
             "weights_ordered",
