Test that silence of peers is not taken for idle replicas; red

Cause shown: RolloutView.old_running is what peers were last heard to have under way, and what is heard is forgotten after 1.5 s. With the leader cut off from its peers, or the one daemon cut off whose answer was under way at an old replica, the record was completed 18.65 s after the order in both cases; where the answer is heard of the leader waits until the time limit of 30 s. Operators stop the old replicas on it. Ruled out: that the leader loses its lease by such a cut. It renews it with the store, which it reaches.

--- a/tests/test_software_rollout.py
+++ b/tests/test_software_rollout.py
@@ -23,6 +23,10 @@
 from tests.virtual_loop import run_virtually
 from winchfork.core.software_state import SoftwarePhase
 
+#: A duration whose second half is longer than silent daemons are remembered, and the key of an
+#: answer that does not end in it.
+LONG_DURATION_S = 30.0
+LONG_ANSWER = 1_000_000
 #: What a bad version does to the part of its answers that it spoils.
 Spoil = Callable[[Answer], Answer]
 
@@ -450,6 +454,56 @@
 
         in_rollout_fleet(scenario)
 
+    def completed_beside_unheard_work(self, *, cut_leader: bool) -> float:
+        """Return when a move was completed, a daemon cut off that has work on the old version.
+
+        The cut is between daemons only, and begins when everything has moved.
+        """
+        took: list[float] = []
+
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.list_replicas("v2")
+            fleet.order(duration_s=LONG_DURATION_S)
+            await until(lambda: phase_is(fleet, SoftwarePhase.MOVED), LONG_DURATION_S)
+            leader = fleet.leader()
+            other = next(daemon for daemon in fleet.daemons if daemon is not leader)
+            old = next(
+                replica
+                for replica in other.state.fleet.of_service(SERVICE)
+                if replica.listing.software == "v1"
+            )
+            old.note_sent(LONG_ANSWER, 0, fleet.now_s() + LONG_DURATION_S)
+            await asyncio.sleep(0.5)
+            cut = leader if cut_leader else other
+            fleet.network.drop = lambda sender, receiver: cut.ip in (sender, receiver)
+            took.append(await fleet.until_settled(LONG_DURATION_S))
+            self.assertEqual(fleet.status(), ("completed", "v2"))
+
+        in_rollout_fleet(scenario, daemons=3)
+        return took[0]
+
+    def test_a_leader_that_hears_nobody_does_not_take_the_old_replicas_for_idle(self) -> None:
+        """The leader was cut off from its peers and not from the store, after everything had moved.
+
+        Work that peers have told of is forgotten after 1.5 s of silence. The leader took the old
+        version's replicas for idle and wrote that the move was completed, 18.6 s after the order,
+        though another daemon had an answer under way at one of them. Operators stop the replicas
+        then. Now it waits for the time limit, 30 s, as for answers that it does hear of.
+        """
+        took_s = self.completed_beside_unheard_work(cut_leader=True)
+        self.assertGreater(took_s, LONG_DURATION_S - 1.0)
+        self.assertLess(took_s, LONG_DURATION_S)
+
+    def test_work_of_a_daemon_that_fell_silent_does_not_count_as_ended(self) -> None:
+        """The same where the leader hears others, and only the one with the answer is cut off.
+
+        A daemon that has been silent for 5 s is no longer counted as part of the fleet: hearing of
+        everybody else then is not hearing of everybody.
+        """
+        took_s = self.completed_beside_unheard_work(cut_leader=False)
+        self.assertGreater(took_s, LONG_DURATION_S - 1.0)
+        self.assertLess(took_s, LONG_DURATION_S)
+
     def test_history_that_is_forgotten_loses_no_record(self) -> None:
         async def scenario(fleet: RolloutFleet) -> None:
             fleet.list_replicas("v2")
