Count a rollout's time limit from its order, not from record to record

Cause: each record's time was added to from the sight of it, up to 0.1 s after the decision; ten records lost 1.0 s, and the last word has 0.6 s. Change: the time limit counts from when the order was seen, once, where this daemon knows the order; the stages go on by the records' time. Ruled out: dating each own record by its decision. Figures: an order of 30 s with an answer under way on the old version until the end is completed 29.45 s after it (30.45 before). Conclusion: operators have the outcome within the time that they ordered.

--- a/tests/test_software_rollout.py
+++ b/tests/test_software_rollout.py
@@ -514,7 +514,7 @@
 
         That was 30.45 s after the order, and 30 s had been ordered. Each record says how much time
         has passed, and was dated by when the leader saw it again after writing it, up to 0.1 s
-        later: it lost as much with each of them. Its own records it now dates by its decision.
+        later: it lost as much with each of them. The time limit counts from the order.
         """
 
         async def scenario(fleet: RolloutFleet) -> None:
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 from collections.abc import Callable
+from typing import Any
 
 from winchfork.core.exposure import ExposureCredit, lane_of
 from winchfork.core.software_plan import (
@@ -112,10 +113,12 @@
 
 class PlanTest(unittest.TestCase):
     LIMITS = ExposureLimits(0.1, 50.0, 5.0)
+    DURATION_S = 12.0
 
-    def view(self, **changes: object) -> RolloutView:
-        fields: dict[str, object] = {
-            "elapsed_s": 1.0,
+    def view(self, **changes: Any) -> RolloutView:
+        elapsed_s = changes.setdefault("elapsed_s", 1.0)
+        fields: dict[str, Any] = {
+            "left_s": self.DURATION_S - elapsed_s,
             "stage_s": 2.0,
             "new_replicas": 45,
             "new_slots": 1080,
@@ -127,10 +130,10 @@
             "alarmed": False,
             "longest_run_s": 1.0,
         }
-        return RolloutView(**(fields | changes))  # type: ignore[arg-type]
+        return RolloutView(**(fields | changes))
 
     def running(self, phase: SoftwarePhase, share: float) -> SoftwareState:
-        order = SoftwareOrder("s", "v2", 12.0, 7)
+        order = SoftwareOrder("s", "v2", self.DURATION_S, 7)
         return SoftwareState("s", "v1").with_order(order).advanced(phase, share, 0.5)
 
     def test_the_trial_spends_a_part_of_the_budget_by_the_requests_seen(self) -> None:
--- a/winchfork/core/software_plan.py
+++ b/winchfork/core/software_plan.py
@@ -67,9 +67,14 @@
 
 
 class RolloutView(msgspec.Struct, frozen=True):
-    """What the leader sees of one service. Times in seconds; slots of replicas that take work."""
+    """What the leader sees of one service. Times in seconds; slots of replicas that take work.
+
+    ``elapsed_s`` is how much of the plan has passed, by the records; ``left_s`` is until the time
+    limit, by the order.
+    """
 
     elapsed_s: float
+    left_s: float
     stage_s: float
     new_replicas: int
     new_slots: int
@@ -140,7 +145,7 @@
 def _finish(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
     if view.stage_s >= NOTICE_S and not view.old_running:
         return RolloutStep(state.completed(), "the other versions are idle")
-    if view.elapsed_s < state.duration_s - LAST_WORD_S:
+    if view.left_s > LAST_WORD_S:
         return None
     if state.returning or _has_capacity(view):
         return RolloutStep(state.completed(), "the time is up")
@@ -148,7 +153,7 @@
 
 
 def _move_on(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
-    if view.elapsed_s >= state.duration_s - LAST_WORD_S:
+    if view.left_s <= LAST_WORD_S:
         return RolloutStep(state.rolled_back(judged_bad=False), _what_lacked(state, view))
     if view.stage_s < STAGE_S or not _has_capacity(view):
         return None
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -126,6 +126,17 @@
         found_s = FOUND_AGE_S if self._versions.was_found(seen.revision) else 0.0
         return self._state.clock() - seen.since_s + found_s
 
+    def _left_s(self, record: SoftwareState, elapsed_s: float) -> float:
+        """Return how long it is until the time limit of an order.
+
+        A record is dated by the sight of it, so each loses the time since its decision: many lost
+        more than is kept for the last word. The order is seen once.
+        """
+        seen = self._orders_seen.get(record.service)
+        if seen is not None and seen.revision == record.order_revision:
+            elapsed_s = max(elapsed_s, self._age_s(seen))
+        return record.duration_s - elapsed_s
+
     def _view(self, record: SoftwareState) -> RolloutView:
         seen = self._records_seen[record.service]
         self._state.fleet.refresh()
@@ -136,8 +147,10 @@
         old = [item for item in working if item.listing.software == record.in_force]
         leaving = [item for item in replicas if item.listing.software != record.target]
         evidence = self._evidence.evidence(record.service)
+        elapsed_s = record.elapsed_s + self._age_s(seen)
         return RolloutView(
-            elapsed_s=record.elapsed_s + self._age_s(seen),
+            elapsed_s=elapsed_s,
+            left_s=self._left_s(record, elapsed_s),
             stage_s=now_s - seen.since_s,
             new_replicas=len(new),
             new_slots=sum(item.listing.slots for item in new),
