Do not take the silence of peers for idle replicas when a rollout ends

Cause: old_running counts what was heard, and 1.5 s of silence makes it 0; idleness was then written as the end of the move. Change: a move ends by idleness only if every daemon is heard (the coverage that quotas go by) and none has been silent since the order for as long as it takes to be forgotten; the time limit ends it otherwise, as before. Ruled out: the coverage alone. Members of the gossip alone: those of the other side of a cut are dead there. The specification is as it was: there a leader may take each step at any time, which allows for any stricter wait; its docstring says so now. Not mended: a daemon that crashed during a move makes it end at the time limit, as a silent one does. Conclusion: operators are not told to stop replicas that may be answering.

--- a/spec/rollout_spec.py
+++ b/spec/rollout_spec.py
@@ -4,7 +4,8 @@
 for the leader, one of them wrongly; a write reaches the store at any later time, once or twice, or
 never. A third daemon gives the version requests by what it knows. Mirrors ``SoftwareState``,
 ``SoftwareRollout`` and ``SoftwareVersions``. Writes name the leader's entry besides, which the
-claims do not need.
+claims do not need. Nor do they need what a step waits for, as long as it is not a fault: idle
+replicas, capacity, everybody heard. A leader here may take each step at any time.
 
 Claims: a version that was judged bad is never tried, moved to or put in force again, whoever writes
 and however late; and once the bound on rollbacks has passed since the judgement, no daemon gives
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -124,6 +124,7 @@
             "new_slots": 1080,
             "old_slots": 1080,
             "old_running": 3,
+            "everyone_heard": True,
             "new_answers": 0,
             "all_answers": 200,
             "opinion": Opinion.OPEN,
@@ -177,6 +178,8 @@
         late = next_step(state, self.view(elapsed_s=11.5), self.LIMITS)
         gone = next_step(state, self.view(elapsed_s=11.5, new_slots=0), self.LIMITS)
         assert idle is not None and late is not None and gone is not None
+        unheard = self.view(elapsed_s=8.0, old_running=0, everyone_heard=False)
+        self.assertIsNone(next_step(state, unheard, self.LIMITS))
         self.assertIs(idle.state.outcome, RolloutOutcome.COMPLETED)
         self.assertEqual(idle.state.in_force, "v2")
         self.assertIs(late.state.outcome, RolloutOutcome.COMPLETED)
--- a/winchfork/core/software_plan.py
+++ b/winchfork/core/software_plan.py
@@ -70,7 +70,8 @@
     """What the leader sees of one service. Times in seconds; slots of replicas that take work.
 
     ``elapsed_s`` is how much of the plan has passed, by the records; ``left_s`` is until the time
-    limit, by the order.
+    limit, by the order. ``old_running`` is all that is under way at the old replicas if
+    ``everyone_heard``: work that a silent daemon has there is not known.
     """
 
     elapsed_s: float
@@ -80,6 +81,7 @@
     new_slots: int
     old_slots: int
     old_running: int
+    everyone_heard: bool
     new_answers: int
     all_answers: int
     opinion: Opinion
@@ -143,7 +145,9 @@
 
 
 def _finish(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
-    if view.stage_s >= NOTICE_S and not view.old_running:
+    # Silence is not idleness: operators stop the old replicas on this word.
+    idle = view.everyone_heard and not view.old_running
+    if view.stage_s >= NOTICE_S and idle:
         return RolloutStep(state.completed(), "the other versions are idle")
     if view.left_s > LAST_WORD_S:
         return None
--- a/winchfork/router/quota_exchange.py
+++ b/winchfork/router/quota_exchange.py
@@ -20,6 +20,7 @@
 from winchfork.core.tenant_quota import Supply
 from winchfork.core.zone_hubs import FleetView
 from winchfork.router.peer_port import PeerPort
+from winchfork.router.settings import RouterBounds
 from winchfork.router.state import ASSUMED_DAEMONS, RouterState
 
 #: Seconds without a word after which a hub, or another zone, is taken to be out of reach: two of
@@ -48,6 +49,11 @@
 VANISHED_S = 60.0
 
 
+def remembered_s(bounds: RouterBounds) -> float:
+    """Return for how long a daemon that has vanished still counts as part of the fleet."""
+    return bounds.revoke_s if bounds.fail_closed else VANISHED_S
+
+
 class QuotaExchange:
     """This daemon's part in the exchange."""
 
@@ -220,8 +226,7 @@
         for member in view.members:
             if member.status is MemberStatus.ALIVE:
                 self._seen[member.member_id] = (now_s, member.zone)
-        bounds = self._state.settings.bounds
-        forgotten_s = now_s - (bounds.revoke_s if bounds.fail_closed else VANISHED_S)
+        forgotten_s = now_s - remembered_s(self._state.settings.bounds)
         for member_id in [key for key, (at_s, _) in self._seen.items() if at_s < forgotten_s]:
             del self._seen[member_id]
 
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import msgspec
 
@@ -22,6 +23,7 @@
 from winchfork.router.documents import StatusWriter
 from winchfork.router.evidence_exchange import EvidenceExchange
 from winchfork.router.leadership import LEADER_KEY, Leadership
+from winchfork.router.quota_exchange import SILENCE_S, remembered_s
 from winchfork.router.software_records import record_key, write_record
 from winchfork.router.state import RouterState
 from winchfork.stores.async_key_value import AsyncKeyValueStore, ExpectedRevision, PutItem
@@ -34,6 +36,8 @@
 FOUND_AGE_S = 3.0
 #: Runs that take longer than this many times the mean are rare enough to be cut at the time limit.
 LONG_RUN_RATIO = 4.0
+#: Coverage of a daemon that hears of the work of every other.
+WHOLE_FLEET = 1.0
 
 
 class _Seen(msgspec.Struct, frozen=True):
@@ -63,6 +67,9 @@
         self._records_seen: dict[str, _Seen] = {}
         self._orders_seen: dict[str, _Seen] = {}
         self._look_again_s: dict[str, float] = {}
+        #: Since when some daemon has not been heard of, and when one may last have been forgotten.
+        self._unheard_since_s: float | None = None
+        self._lost_sight_s = -math.inf
 
     async def run(self) -> None:
         """Look for work until cancelled."""
@@ -78,12 +85,33 @@
     def _look_around(self) -> None:
         """Note since when each order and record is known, on every daemon: any may lead next."""
         now_s = self._state.clock()
+        self._listen_around(now_s)
         for service in self._versions.services():
             _note_seen(self._records_seen, service, self._versions.revision(service), now_s)
             order = self._versions.orders.get(service)
             if order is not None:
                 _note_seen(self._orders_seen, service, order.revision, now_s)
 
+    def _listen_around(self, now_s: float) -> None:
+        """Note whether every daemon is heard; one that is silent for long is no longer missed."""
+        if self._state.quotas.supply.coverage >= WHOLE_FLEET:
+            self._unheard_since_s = None
+            return
+        if self._unheard_since_s is None:
+            self._unheard_since_s = now_s
+        missed_s = remembered_s(self._state.settings.bounds) - SILENCE_S
+        if now_s - self._unheard_since_s >= missed_s:
+            self._lost_sight_s = now_s
+
+    def _hears_everyone(self, service: str) -> bool:
+        """Whether all is heard of that has been under way since a service's order.
+
+        A daemon that fell silent since, and was forgotten, may have answers under way unheard.
+        """
+        order = self._orders_seen.get(service)
+        kept_sight = order is not None and self._lost_sight_s < order.since_s
+        return kept_sight and self._unheard_since_s is None
+
     async def _pass(self, service: str) -> None:
         now_s = self._state.clock()
         if now_s < self._look_again_s.get(service, 0.0):
@@ -156,6 +184,7 @@
             new_slots=sum(item.listing.slots for item in new),
             old_slots=sum(item.listing.slots for item in old),
             old_running=sum(item.running for item in leaving),
+            everyone_heard=self._hears_everyone(record.service),
             new_answers=evidence.new_answers,
             all_answers=evidence.all_answers,
             opinion=self._evidence.opinion(record.service),
