Test that a late report of an earlier start neither silences nor doubles; red

Cause shown: UseReader takes the start that was heard last for the newest, and remembers one before it. With start 2 heard first and a late report of start 1, the following 20, 500 and 9,000 units of start 2 bring nothing, for good. With starts 1, 2, 3 heard and start 1 again, its 5,000 units are counted a second time. Ruled out: telling starts apart by their numbers; they are drawn at random.

--- a/tests/test_tenant_quota.py
+++ b/tests/test_tenant_quota.py
@@ -123,6 +123,29 @@
         self.assertEqual(reader.read("n1", report(1, 5_300)), {})
         self.assertEqual(reader.read("n1", report(2, 150)), {7: 50})
 
+    def test_a_late_report_of_a_start_never_heard_does_not_silence_the_one_that_runs(self) -> None:
+        """A daemon was first heard after its restart, and a report from before came late.
+
+        Its running start was then taken for the one before, whose reports bring nothing: of 20, 500
+        and 9,000 units told of later none was counted, until the daemon started again.
+        """
+        reader = UseReader()
+        reader.read("n1", report(2, 0))
+        reader.read("n1", report(1, 5_000))
+        news = [reader.read("n1", report(2, used)) for used in (20, 500, 9_000)]
+        self.assertEqual(news, [{7: 20}, {7: 480}, {7: 8_500}])
+
+    def test_a_report_of_a_start_that_is_long_over_is_not_counted_again(self) -> None:
+        """After two restarts a late report of the first start was taken for a third one.
+
+        Its 5,000 units were counted twice, and the running start no longer at all.
+        """
+        reader = UseReader()
+        for life, used in ((1, 5_000), (2, 100), (3, 10)):
+            reader.read("n1", report(life, used))
+        self.assertEqual(reader.read("n1", report(1, 5_000)), {})
+        self.assertEqual(reader.read("n1", report(3, 60)), {7: 50})
+
     def test_of_a_stranger_only_what_it_used_lately_counts(self) -> None:
         self.assertEqual(UseReader().read("n1", report(1, 90_000, 0, 300)), {7: 300})
         news = UseReader().read("n1", report(1, 90_000, 0, 300), stranger_share=0.5)
