Count each start of a daemon by itself, whichever was heard last

Cause: UseReader knew one running start and one before it, by the order in which they were heard. Change: what was heard is kept by sender and start, the four heard last; a start's totals count what they add to its own. Ruled out: letting a start be heard twice before it counts as the running one. It keeps late messages void, and delays what is counted after each restart. One test is replaced by a stricter one: it held that a late message of the start before, with 300 units more than were known, brings nothing. Those units were used and nobody had counted them; now they count once, and the same and lower totals bring nothing. Left: a late report of a start that was never heard counts in full, once. The specification of quotas still says that a message of the start before brings nothing.

--- a/tests/test_tenant_quota.py
+++ b/tests/test_tenant_quota.py
@@ -114,15 +114,24 @@
         self.assertEqual(reader.read("n1", report(1, 500)), {7: 500})
         self.assertEqual(reader.read("n1", report(1, 600, 200)), {7: -100})
 
-    def test_a_restart_begins_at_nothing_and_a_late_message_of_the_life_before_is_void(
+    def test_a_restart_begins_at_nothing_and_a_late_message_of_the_life_before_counts_apart(
         self,
     ) -> None:
         reader = UseReader()
         reader.read("n1", report(1, 5_000))
         self.assertEqual(reader.read("n1", report(2, 100)), {7: 100})
-        self.assertEqual(reader.read("n1", report(1, 5_300)), {})
+        self.assertEqual(reader.read("n1", report(1, 5_000)), {})
+        self.assertEqual(reader.read("n1", report(1, 5_300)), {7: 300})
+        self.assertEqual(reader.read("n1", report(1, 4_900)), {})
         self.assertEqual(reader.read("n1", report(2, 150)), {7: 50})
 
+    def test_daemons_that_start_again_and_again_fill_no_memory(self) -> None:
+        reader = UseReader()
+        for life in range(1, 20):
+            reader.read("n1", report(life, 10))
+        self.assertEqual(reader.read("n1", report(16, 10)), {})
+        self.assertEqual(reader.read("n1", report(1, 10)), {7: 10})
+
     def test_a_late_report_of_a_start_never_heard_does_not_silence_the_one_that_runs(self) -> None:
         """A daemon was first heard after its restart, and a report from before came late.
 
--- a/winchfork/core/quota_book.py
+++ b/winchfork/core/quota_book.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Mapping
 
 import msgspec
@@ -24,6 +25,8 @@
 TOLD_AGAIN_S = 1.0
 #: Totals that have not changed since they were told are told again after this long.
 RETELL_S = 0.3
+#: Starts of a daemon that are remembered; a message outlives no more of them.
+MOST_STARTS = 4
 #: Bits dropped of a name's hash: 32 tell tenants apart in half of the bytes.
 _KEY_SHIFT = 32
 
@@ -134,9 +137,7 @@
 class _Heard(msgspec.Struct):
     """What was heard of one start of a daemon; ``from_start`` if all that it has used was."""
 
-    life: int
     from_start: bool
-    life_before: int | None
     totals: dict[int, QuotaTotals]
 
 
@@ -144,23 +145,24 @@
     """Turns other daemons' totals into what is news since their last message."""
 
     def __init__(self) -> None:
-        self._heard: dict[str, _Heard] = {}
+        #: By sender and its start. Which start is the newest is not known: a message may be late.
+        self._heard: dict[str, OrderedDict[int, _Heard]] = {}
 
     def read(
         self, sender_id: str, report: QuotaReport, stranger_share: float = 1.0
     ) -> dict[int, float]:
-        """Return the units that are news, by tenant key; an earlier start's message brings none.
+        """Return the units that are news, by tenant key; each start of a sender counts by itself.
 
         ``stranger_share`` is how much counts of what a sender that was not known has used lately:
         others may have told of the rest.
         """
-        heard = self._heard.get(sender_id)
+        starts = self._heard.setdefault(sender_id, OrderedDict())
+        heard = starts.get(report.life)
         if heard is None:
-            heard = self._heard[sender_id] = _Heard(report.life, False, None, {})
-        elif report.life == heard.life_before:
-            return {}
-        elif report.life != heard.life:
-            heard = self._heard[sender_id] = _Heard(report.life, True, heard.life, {})
+            heard = starts[report.life] = _Heard(bool(starts), {})
+        starts.move_to_end(report.life)
+        if len(starts) > MOST_STARTS:
+            starts.popitem(last=False)
         news = {told.key: _news(heard, told, stranger_share) for told in report.totals}
         return {key: cost for key, cost in news.items() if cost}
 
