Test that a cache store is in the zone that is configured last; red

Cause shown: CacheStores.install keeps a store whose address it knows as it was known first. Configured in a zone of another region it stays the store of the first one ("west" where "east" is due). Ruled out: that its link keeps an old figure too. Links are read anew from each configuration. That a store which stays keeps its identity is what requests in flight rely on; a test of it passes and stays.

--- a/tests/test_cache_store_copies.py
+++ b/tests/test_cache_store_copies.py
@@ -9,6 +9,8 @@
 from winchfork.core.part_index import PartIndex, shared_keys
 from winchfork.core.placement_request import PromptPlacement
 from winchfork.core.prompt_parts import Prompt, PromptPart
+from winchfork.core.region_map import RegionMap
+from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.relay_placement import place_prompt
 from winchfork.core.routing import CacheStore, EngineProfile, RoutingTable, Service
 from winchfork.router.settings import RouterSettings
@@ -81,6 +83,34 @@
         self.assertEqual(state.copy_tokens_per_s("s"), 3_125_000.0)
         self.assertEqual(state.copy_tokens_per_s("s", store), 156_250.0)
 
+    def test_a_store_whose_zone_is_configured_anew_is_in_that_zone(self) -> None:
+        """A store kept its address and was configured in another zone, in another region.
+
+        It was known by its address and kept as it was known first: until the next start it went on
+        as the store of the region that it had left, and the other one had none.
+        """
+        settings = RouterSettings(
+            "n", "z1", "g", "", "", "", "", regions=RegionMap({"z1": "west", "z2": "east"})
+        )
+        state = RouterState(settings, lambda: 0.0, random.Random(1))
+        homes: list[dict[str, RelayReplica]] = []
+        for version, zone in ((1, "z1"), (2, "z2")):
+            store = CacheStore("10.0.0.1:1", zone, 1000, 25_000.0)
+            services = [Service("s", engine=ENGINE), Service("k", store=store)]
+            state.install_table(RoutingTable(version, [], services), version)
+            homes.append(state.cache_stores.homes_of(prompt("f"), settings.regions))
+        self.assertEqual([list(found) for found in homes], [["west"], ["east"]])
+        self.assertEqual(homes[1]["east"].listing.zone, "z2")
+
+    def test_a_store_that_stays_keeps_its_identity(self) -> None:
+        state = self.configured()
+        before = state.cache_stores.homes_of(prompt("f"), state.settings.regions)[""]
+        store = CacheStore("10.0.0.1:1", "z2", 1000, 25_000.0)
+        services = [Service("s", engine=ENGINE), Service("k", store=store)]
+        state.install_table(RoutingTable(2, [], services), 2)
+        after = state.cache_stores.homes_of(prompt("f"), state.settings.regions)[""]
+        self.assertIs(before, after)
+
     def test_a_store_that_a_new_configuration_drops_fails_no_request_that_knows_it(self) -> None:
         """A request keeps its store over its attempts, and places itself anew for each."""
         state = self.configured()
