Put a cache store where it is configured now

Cause: a store that was known by its address was kept with the zone of the configuration that named it first. Change: its listing is that of the newest configuration; the object, which requests hold, stays. Ruled out: a new object for a store whose zone changes. Requests that are being placed would hold one that has no more evidence and that no later placement knows. Conclusion: what the operators named last holds, without a restart.

--- a/winchfork/router/cache_stores.py
+++ b/winchfork/router/cache_stores.py
@@ -22,9 +22,12 @@
         self._link_mbps = {store.address: store.link_mbps for store in table.cache_stores()}
         for store in table.cache_stores():
             listing = ReplicaListing(store.address, "", store.address, store.zone, 0, False)
-            self._stores[store.address] = known.get(store.address) or RelayReplica(
-                listing, {}, member_hash(store.address)
-            )
+            kept = known.get(store.address)
+            if kept is None:
+                kept = RelayReplica(listing, {}, member_hash(store.address))
+            # Its address is all that a store keeps: its zone may be configured anew.
+            kept.listing = listing
+            self._stores[store.address] = kept
 
     def homes_of(self, prompt: Prompt, regions: RegionMap) -> dict[str, RelayReplica]:
         """Return for each region the store that keeps a prompt's family, the same on every daemon.
