Test that a bucket does not fill over an own standstill before its news; red

Cause shown: QuotaBook settles the whole time since it last looked with the coverage of then. A daemon that stood still for 3 s beside one that used all that flowed in (10 a second, burst 20) admits 20 requests before it has read the other's use; and since a bucket is full at its depth, the news that comes next leaves it 11 units lower than the other's (-26 against -15). Ruled out: that the gossip settles it first. The tick and the requests that lay in the sockets come in the same turn of the loop as the first datagram.

--- a/tests/test_tenant_quota.py
+++ b/tests/test_tenant_quota.py
@@ -170,6 +170,67 @@
         self.assertIsNone(book.own.report(12.0))
 
 
+class StandstillTest(unittest.TestCase):
+    """What flows in while a daemon stands still is its only with the news of the same time."""
+
+    RATE_PER_S = 10.0
+    BURST = 20.0
+    TICK_S = 0.2
+    FROM_S, UNTIL_S = 97.0, 100.0
+    #: What flows in within half a second: a tick and what it may be late by.
+    MOST_BEFORE_NEWS = 5
+
+    def played(self) -> tuple[QuotaBook, QuotaBook, int]:
+        """Have one daemon use all that flows in, the other hear of it, and stand still for 3 s.
+
+        Return both, and how many requests the second admits before it reads any news.
+        """
+        limit = TenantLimit(self.RATE_PER_S, self.BURST)
+        running, still = QuotaBook(STRICT, 1), QuotaBook(STRICT, 2)
+        unread: list[float] = []
+        for book in (running, still):
+            book.install({"school": limit}, 0.0)
+        for step in range(int(self.UNTIL_S / self.TICK_S) + 1):
+            now_s = step * self.TICK_S
+            running.count_on(Supply(), now_s)
+            stands_still = self.FROM_S < now_s < self.UNTIL_S
+            if not stands_still:
+                still.count_on(Supply(), now_s)
+            while now_s > 90.0 and running.take("school", 1.0, now_s) is None:
+                if now_s > self.FROM_S:
+                    unread.append(1.0)
+                else:
+                    still.add_others({tenant_key("school"): 1.0}, now_s)
+        admitted = 0
+        while still.take("school", 1.0, self.UNTIL_S) is None:
+            admitted += 1
+        still.add_others({tenant_key("school"): sum(unread)}, self.UNTIL_S)
+        running.add_others({tenant_key("school"): float(admitted)}, self.UNTIL_S)
+        return running, still, admitted
+
+    def test_a_bucket_does_not_fill_over_a_standstill_before_the_news_of_it_is_read(self) -> None:
+        """A tenant used all that it may at one daemon; another one had stood still for 3 s.
+
+        When that one went on, what had flowed in over the 3 s counted at once, and the other's use
+        in that time lay unread beside the requests: it admitted 20 of them, a whole bucket, beside
+        all that the tenant had got at the first. Now that flows in when the news must be there.
+        """
+        _, _, admitted = self.played()
+        self.assertLessEqual(admitted, self.MOST_BEFORE_NEWS)
+
+    def test_nothing_that_flows_in_over_a_standstill_is_lost(self) -> None:
+        """Of what flowed in at once all beyond a full bucket was lost, and the news came on top.
+
+        The daemon that had stood still took 11 units for missing that were there.
+        """
+        running, still, _ = self.played()
+        for ticks in range(1, 3):
+            running.count_on(Supply(), self.UNTIL_S + ticks * self.TICK_S)
+            still.count_on(Supply(), self.UNTIL_S + ticks * self.TICK_S)
+        now_s = self.UNTIL_S + 2 * self.TICK_S
+        self.assertAlmostEqual(still.left(now_s)["school"], running.left(now_s)["school"], 6)
+
+
 class GateTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now_s = 100.0
