Let what flowed in over an own standstill wait for the news of that time

Cause: a bucket was settled with the coverage of the last look, however long ago that was. Change: a look at the coverage holds for 0.5 s; what flows in later may be used from the second look after a standstill on (0.05 or 0.2 s), when the news in the sockets has been read. A hub's word has the inflow up to now in it. Ruled out: settling the rest with the share of an isolated daemon, as first thought. The inflow would be lost for good, and the news of its use counted: a daemon that had stood still would refuse a tenant at its limit for as long as the tenant stays there. A third test shows the hub's word: without its line it fails. Conclusion: a standstill moves no daemon's estimate away from the others'.

--- a/tests/test_tenant_quota.py
+++ b/tests/test_tenant_quota.py
@@ -6,7 +6,15 @@
 import unittest
 
 from tests.relay_support import KEY
-from winchfork.core.quota_book import QuotaBook, QuotaReport, QuotaTotals, UseReader, tenant_key
+from winchfork.core.quota_book import (
+    QuotaBook,
+    QuotaLevel,
+    QuotaLevels,
+    QuotaReport,
+    QuotaTotals,
+    UseReader,
+    tenant_key,
+)
 from winchfork.core.routing import TenantPolicy
 from winchfork.core.tenant_quota import (
     ALLOWED_SHARE,
@@ -230,6 +238,15 @@
         now_s = self.UNTIL_S + 2 * self.TICK_S
         self.assertAlmostEqual(still.left(now_s)["school"], running.left(now_s)["school"], 6)
 
+    def test_what_a_hub_tells_after_a_standstill_has_the_inflow_of_it(self) -> None:
+        _, still, _ = self.played()
+        empty = QuotaLevels(100, True, False, (QuotaLevel(tenant_key("school"), 20),))
+        still.replace(empty, self.UNTIL_S)
+        for ticks in range(1, 3):
+            still.count_on(Supply(), self.UNTIL_S + ticks * self.TICK_S)
+        now_s = self.UNTIL_S + 2 * self.TICK_S
+        self.assertLessEqual(still.left(now_s)["school"], 2 * self.TICK_S * self.RATE_PER_S)
+
 
 class GateTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/winchfork/core/quota_book.py
+++ b/winchfork/core/quota_book.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Mapping
 
@@ -25,6 +26,8 @@
 TOLD_AGAIN_S = 1.0
 #: Totals that have not changed since they were told are told again after this long.
 RETELL_S = 0.3
+#: Seconds for which a daemon's look at its coverage holds; it looks each 0.05 or 0.2 s.
+COVERAGE_HOLDS_S = 0.5
 #: Starts of a daemon that are remembered; a message outlives no more of them.
 MOST_STARTS = 4
 #: Bits dropped of a name's hash: 32 tell tenants apart in half of the bytes.
@@ -189,6 +192,9 @@
         self._names: dict[int, str] = {}
         #: What this daemon counts on.
         self.supply = Supply()
+        #: Until when that holds, and whether the last look came later: after an own standstill.
+        self._holds_until_s = math.inf
+        self._looked_late = False
         #: This daemon's own use, to be told to peers.
         self.own = UseTotals(life)
 
@@ -267,11 +273,19 @@
         return {self._names[key]: quota.left(self.supply) for key, quota in self._quotas.items()}
 
     def count_on(self, supply: Supply, now_s: float) -> None:
-        """Count on a supply from now on."""
+        """Count on a supply from now on.
+
+        After an own standstill the news of that time is yet to be read, so what flowed in
+        meanwhile may be used from the next look on.
+        """
         if supply != self.supply:
             for quota in self._quotas.values():
                 self._settle(quota, now_s)
             self.supply = supply
+        self._looked_late = now_s > self._holds_until_s and not self._looked_late
+        if not self._looked_late:
+            self._holds_until_s = now_s + COVERAGE_HOLDS_S
 
     def _settle(self, quota: TenantQuota, now_s: float) -> None:
-        quota.settle(self.supply, now_s)
+        """Let flow in what is certain; beyond the time for which the coverage holds, it waits."""
+        quota.settle(self.supply, min(now_s, self._holds_until_s))
--- a/winchfork/core/tenant_quota.py
+++ b/winchfork/core/tenant_quota.py
@@ -168,6 +168,8 @@
     def replace(self, used: float, now_s: float) -> None:
         """Take a hub's word in place of the own estimate, and add what it cannot know yet."""
         self._forget_told(now_s)
+        # The word is of now: what has not been settled until then is in it.
+        self._at_s = max(self._at_s, now_s)
         self.used = used + sum(cost for _, cost in self._own)
 
     def _forget_told(self, now_s: float) -> None:
