Look again only after a wait, and choose again without giving the replica up

Figures: its test gives 200 in place of 503; a kept connection is taken without a second look. Ruled out: looking only at what changed since the choice.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -340,6 +340,23 @@
         self.assert_not_run(await relay.ask(method="POST", extra=ENGINE))
         self.assertEqual(replica.seen, [])
 
+    async def test_a_hold_that_begins_during_a_wait_for_a_connection_is_waited_for(self) -> None:
+        """The only replica was given up for good for a hold of 0.2 s."""
+        replica = ScriptedReplica(answering(lambda request: signed(request, b"pong")))
+        relay = await self.relay(replica, max_attempts=3)
+        acquire = relay.pool.acquire
+        holds = [0.2]
+
+        async def acquire_late(address: str, limit: int) -> ReplicaConnection | Failure:
+            connection = await acquire(address, limit)
+            for known in relay.state.fleet.replicas():
+                known.loading_until_s = relay.state.clock() + holds.pop() if holds else 0.0
+            return connection
+
+        relay.pool.acquire = acquire_late  # type: ignore[method-assign]
+        self.assertEqual((await relay.ask()).status, 200)
+        self.assertEqual(len(replica.seen), 1)
+
     async def test_another_replica_at_the_address_is_not_asked_again(self) -> None:
         def misdirected(request: SeenRequest) -> bytes:
             return (
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -46,7 +46,7 @@
 
     async def acquire(self, address: str, limit: int) -> ReplicaConnection | Failure:
         """Return a connection that no exchange uses; nothing has been sent on a failure."""
-        kept = self._take_idle(address)
+        kept = self.take_idle(address)
         if kept is not None:
             return kept
         if self._open.get(address, 0) >= limit:
@@ -60,7 +60,8 @@
         connection.idle_since_s = self._loop.time()
         self._idle.setdefault(address, []).append(connection)
 
-    def _take_idle(self, address: str) -> ReplicaConnection | None:
+    def take_idle(self, address: str) -> ReplicaConnection | None:
+        """Return a connection that waits to be used; None: one has to be opened."""
         idle = self._idle.get(address, [])
         now_s = self._loop.time()
         while idle:
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -63,4 +63,8 @@
     """The exchange was ended here so that the stream goes on at another replica."""
 
 
-Outcome = Delivered | NotRun | MayHaveRun | Stopped | Moved
+class ChoiceLapsed(msgspec.Struct, frozen=True):
+    """While a connection came up the choice ceased to hold: nothing was sent, choose again."""
+
+
+Outcome = Delivered | NotRun | MayHaveRun | Stopped | Moved | ChoiceLapsed
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -26,6 +26,7 @@
 )
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import (
+    ChoiceLapsed,
     Delivered,
     MayHaveRun,
     Moved,
@@ -36,6 +37,7 @@
 )
 from winchfork.router.quota_gate import QuotaCharge
 from winchfork.router.refusals import refusal_answer
+from winchfork.router.replica_connection import ReplicaConnection
 from winchfork.router.request_record import RequestRecord
 from winchfork.router.state import AdmittedRequest
 
@@ -220,15 +222,12 @@
 
     async def _try(self, decision: RelayDecision) -> Outcome:
         replica = decision.replica
-        address = replica.listing.address
-        limit = self._state.connection_limit(replica.listing.service)
-        chosen_s = self._loop.time()
-        connection = await self._service.pool.acquire(address, limit)
-        if isinstance(connection, Failure):
-            return self._unreached(replica, connection)
-        if self._time_left_s() <= 0 or not self._still_chosen(replica, chosen_s):
-            self._service.pool.give_back(address, connection)
-            return NotRun("the replica takes it no more or the time is up", sent=False)
+        connection = await self._connect(replica)
+        if not isinstance(connection, ReplicaConnection):
+            return connection
+        if self._time_left_s() <= 0:
+            self._service.pool.give_back(replica.listing.address, connection)
+            return NotRun("the time is up", sent=False)
         plan = self._dispatch.plan(decision, self._time_left_s(), self._resume_after())
         plan.on_events = self._record.note_events
         if self._charge is not None and self._may_have_run:
@@ -248,6 +247,23 @@
         self._newer_weights = self._evidence.note(plan, outcome, self._record)
         return outcome
 
+    async def _connect(self, replica: RelayReplica) -> ReplicaConnection | NotRun | ChoiceLapsed:
+        """Return a connection to a replica that may still be sent the request."""
+        pool = self._service.pool
+        address = replica.listing.address
+        kept = pool.take_idle(address)
+        if kept is not None:
+            return kept
+        limit = self._state.connection_limit(replica.listing.service)
+        connection = await pool.acquire(address, limit)
+        if isinstance(connection, Failure):
+            return self._unreached(replica, connection)
+        # Meanwhile it may have begun to leave or to load, or its weights' time be over.
+        if self._dispatch.is_available(replica, self._tried):
+            return connection
+        pool.give_back(address, connection)
+        return ChoiceLapsed()
+
     def _withdraw_at(self, plan: AttemptPlan) -> asyncio.TimerHandle | None:
         """Arrange for a stream to be withdrawn that has not begun when its weights' time ends.
 
@@ -276,15 +292,6 @@
         metrics.sent_by_software.labels(software).inc()
         metrics.sent_by_region.labels(self._state.settings.regions.region_of(listing.zone)).inc()
 
-    def _still_chosen(self, replica: RelayReplica, chosen_s: float) -> bool:
-        """Whether what the choice rested on still holds after the wait for a connection.
-
-        Meanwhile the replica may have begun to leave or to load, or its weights' time may be over.
-        """
-        if self._loop.time() == chosen_s:
-            return True
-        return self._dispatch.is_available(replica, self._tried)
-
     def _unreached(self, replica: RelayReplica, failure: Failure) -> NotRun:
         if failure.kind is FailureKind.BACKEND_UNREACHABLE:
             self._state.note_failure(replica, failure.reason, certain=True)
@@ -312,6 +319,8 @@
             self._may_have_run = True
             self._tried.add(replica.replica_id)
             return True
+        if isinstance(outcome, ChoiceLapsed):
+            return True
         if isinstance(outcome, NotRun):
             return self._after_refusal(replica, outcome)
         return self._after_unknown(replica, outcome)
