Let no proof of a sound fleet grow older than one wait; keep cautious dates to their daemon

The next watch now waits for what is left of one wait. And a daemon that had been deaf told its cautious date of a version as exact, so that all barred the weights 4.3 s early; such dates are marked as assumed, which a peer's word replaces and nobody is told. A failure that a peer's newer proof answers is forgotten. Ruled out: a longer limit for outages, which leaves more real ones unseen. Daemons that stood still in an outage still bar weights some seconds earlier than others.

--- a/tests/test_weights_bounds.py
+++ b/tests/test_weights_bounds.py
@@ -19,8 +19,11 @@
 from tests.memory_store import MemoryStore
 from tests.peer_support import Daemon, Network
 from tests.virtual_loop import run_virtually
-from winchfork.core.store_outage import StoreOutage, StoreOutageWatch
+from winchfork.core.document_table import TableItem, TableUpdate
+from winchfork.core.member import Probe
+from winchfork.core.store_outage import LONGEST_WATCH_S, StoreOutage, StoreOutageWatch
 from winchfork.router.settings import RouterBounds
+from winchfork.router.store_sync import LATE_ANSWER_S
 
 DAEMONS = 5
 MODEL = "daka510000"
@@ -96,6 +99,34 @@
 
         follow(scenario)
 
+    def test_a_change_that_wakes_all_watches_makes_no_outage_of_one_daemons_failures(self) -> None:
+        """Proofs of a sound fleet grew 3.15 s old together, and one daemon allowed 14.9 s."""
+
+        async def scenario(fleet: FollowingFleet) -> None:
+            await asyncio.sleep(2.05)
+            fleet.daemons[0].store.cut = True
+            await asyncio.sleep(0.1)
+            fleet.store.put("op/other", b"x")
+            await asyncio.sleep(1.2)
+            fleet.daemons[0].store.cut = False
+            await asyncio.sleep(3.0)
+            for daemon in fleet.daemons:
+                self.assertLess(abs(fleet.allowed_s(daemon) - BOUND_S), TOLERANCE_S)
+
+        follow(scenario)
+
+    def test_no_proof_of_a_sound_fleet_is_as_old_as_in_an_outage(self) -> None:
+        async def scenario(fleet: FollowingFleet) -> None:
+            oldest_s = 0.0
+            for number in range(400):
+                if number % 63 == 0:
+                    fleet.store.put("op/other", bytes(number))
+                await asyncio.sleep(0.05)
+                oldest_s = max(oldest_s, *(daemon.age_s() for daemon in fleet.daemons))
+            self.assertLess(oldest_s, LONGEST_WATCH_S - LATE_ANSWER_S)
+
+        follow(scenario)
+
     def test_after_an_outage_for_all_the_bound_begins_anew_for_all(self) -> None:
         async def scenario(fleet: FollowingFleet) -> None:
             fleet.store.down = True
@@ -109,6 +140,27 @@
 
         follow(scenario)
 
+    def test_all_of_a_small_fleet_are_asked_while_the_store_is_silent(self) -> None:
+        """A heartbeat asks one of them each half second, which may be the one that knows."""
+
+        async def scenario(fleet: FollowingFleet) -> None:
+            asking = fleet.daemons[0]
+            asked: set[str] = set()
+
+            def note_probe(sender: str, receiver: str, data: bytes) -> None:
+                if sender == asking.ip and isinstance(asking.peers._codec.decode(data), Probe):
+                    asked.add(receiver)
+
+            fleet.network.on_sent = note_probe
+            asking.store.cut = True
+            while not asking.state.store_outage.is_suspected:
+                await asyncio.sleep(0.01)
+            asked.clear()
+            await asyncio.sleep(0.45)
+            self.assertEqual(asked, {daemon.ip for daemon in fleet.daemons[1:]})
+
+        follow(scenario)
+
     def test_a_daemon_that_hears_nobody_moves_no_bound(self) -> None:
         async def scenario(fleet: FollowingFleet) -> None:
             alone = fleet.daemons[0]
@@ -166,6 +218,32 @@
         self.watch.note_answer(104.0)
         self.assertEqual(self.watch.take_ended(), StoreOutage(100.0, 103.5))
 
+    def test_a_short_silence_is_no_outage(self) -> None:
+        """Of a daemon without peers, that is: a peer is heard on it only after a longer one."""
+        for answered_s, is_outage in ((102.4, False), (102.6, True)):
+            alone = StoreOutageWatch(90.0, has_peers=False)
+            alone.note_answer(100.0)
+            alone.note_failure(100.0, 100.5)
+            alone.note_failure(100.6, 100.7)
+            alone.note_answer(answered_s)
+            self.assertIs(alone.take_ended() is not None, is_outage)
+
+    def test_a_second_call_that_spans_a_standstill_is_no_finding(self) -> None:
+        self.watch.note_failure(100.0, 101.0)
+        self.watch.note_failure(101.1, 104.0)
+        self.watch.note_peer(99.5, asked_s=104.0)
+        self.watch.note_answer(104.1)
+        self.assertIsNone(self.watch.take_ended())
+
+    def test_a_failure_before_a_peers_proof_is_forgotten(self) -> None:
+        self.watch.note_failure(99.0, 101.0)
+        self.watch.note_peer(101.5, asked_s=101.6)
+        self.assertFalse(self.watch.is_suspected)
+        self.watch.note_failure(158.0, 160.6)
+        self.watch.note_peer(101.0, asked_s=161.0)
+        self.watch.note_answer(163.0)
+        self.assertIsNone(self.watch.take_ended())
+
     def test_a_daemon_that_starts_in_an_outage_learns_from_peers_since_when(self) -> None:
         watch = StoreOutageWatch(102.0, has_peers=True)
         watch.note_peer(99.5, asked_s=102.1)
@@ -197,6 +275,61 @@
 
         run_virtually(main())
 
+    def test_news_of_a_failed_watch_are_not_of_now(self) -> None:
+        async def main() -> None:
+            fleet = FollowingFleet()
+            await asyncio.sleep(4.0)
+            deaf = fleet.daemons[0]
+            fleet.network.drop = lambda sender, receiver: deaf.ip in (sender, receiver)
+            deaf.store.cut = True
+            await asyncio.sleep(1.8)
+            fleet.name(2)
+            await asyncio.sleep(1.5)
+            deaf.store.cut = False
+            while MODEL not in deaf.state.versions:
+                await asyncio.sleep(0.005)
+            self.assertLess(fleet.allowed_s(deaf), BOUND_S + 0.1)
+
+        run_virtually(main())
+
+    def test_news_that_a_peer_passes_on_are_not_of_now_to_a_daemon_that_was_deaf(self) -> None:
+        async def main() -> None:
+            fleet = FollowingFleet()
+            await asyncio.sleep(4.0)
+            deaf = fleet.daemons[0]
+            fleet.network.drop = lambda sender, receiver: deaf.ip in (sender, receiver)
+            deaf.store.cut = True
+            await asyncio.sleep(3.0)
+            revision = deaf.state.store_revision
+            document = json.dumps({"Model": MODEL, "Version": 2}).encode()
+            named = TableItem(f"op/version/{MODEL}", revision + 1, document)
+            deaf.sync.take_update(TableUpdate(revision, revision + 1, False, False, (named,)))
+            left_s = deaf.state.versions[MODEL].due_s(1, BOUND_S) - deaf.state.clock()
+            self.assertLess(left_s, BOUND_S - deaf.age_s() + 0.1)
+
+        run_virtually(main())
+
+    def test_a_cautious_date_stays_with_the_daemon_that_was_deaf(self) -> None:
+        """It was told to the others as exact, and all barred the weights 4.3 s early."""
+
+        async def main() -> None:
+            fleet = FollowingFleet()
+            await asyncio.sleep(4.0)
+            deaf = fleet.daemons[0]
+            fleet.network.drop = lambda sender, receiver: deaf.ip in (sender, receiver)
+            deaf.store.cut = True
+            await asyncio.sleep(5.8)
+            fleet.name(2)
+            await asyncio.sleep(0.2)
+            deaf.store.cut = False
+            fleet.network.drop = lambda sender, receiver: False
+            await asyncio.sleep(3.0)
+            for daemon in fleet.daemons[1:]:
+                self.assertLess(abs(fleet.allowed_s(daemon) - BOUND_S), TOLERANCE_S)
+            self.assertLess(fleet.allowed_s(deaf), BOUND_S + TOLERANCE_S)
+
+        run_virtually(main())
+
     def test_a_version_named_during_a_standstill_is_not_named_later_for_it(self) -> None:
         """Also where the answer that lay there brought something else, and the next brings it."""
         for other_news in (False, True):
--- a/winchfork/core/store_outage.py
+++ b/winchfork/core/store_outage.py
@@ -85,6 +85,8 @@
         if self._was_away_until(at_s):
             self._ended = StoreOutage(self._silent_from_s, at_s)
         self._proven_s = at_s
+        if self._first_failure_s is not None and self._first_failure_s <= at_s:
+            self._first_failure_s = None
         if self._failed_afresh_s <= at_s:
             self._failed_afresh_s = math.inf
         if self._peer_asked_s <= at_s:
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -18,6 +18,8 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
+
 from winchfork.core.document_table import DocumentTable, TableItem, TableUpdate
 from winchfork.core.relay_fleet import ReplicaListing
 from winchfork.core.routing import RoutingTable
@@ -57,6 +59,13 @@
 _EVERYTHING = ""
 
 
+class NewsDate(msgspec.Struct, frozen=True):
+    """When news was written: as heard, or if ``assumed`` the earliest that it may have been."""
+
+    at_s: float
+    assumed: bool
+
+
 class StoreSync:
     """The task that follows the store."""
 
@@ -79,8 +88,8 @@
         self._lost_since_s: float | None = None
         self._listed = False
         self._ever_listed = False
-        #: When what is being installed may have been written at the earliest.
-        self._news_since_s = -math.inf
+        #: When what is being installed was written.
+        self._news = NewsDate(-math.inf, assumed=True)
 
     def relay_through(self, relay: DocumentRelay) -> None:
         """Pass changes on to peers, and rely on theirs where hubs keep this daemon informed."""
@@ -133,7 +142,7 @@
             return snapshot
         after_outage = self._lost_since_s is not None
         self._note_regained(asked_s)
-        self._date_news(in_time=False)
+        self._news = self._date_news(in_time=False)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
         self._take_complete(items, snapshot.at_revision, after_outage)
         self._note_answer(asked_s)
@@ -162,7 +171,7 @@
             return batch
         answered_s = self._state.clock()
         in_time = answered_s - asked_s <= wait_s + LATE_ANSWER_S
-        self._date_news(in_time=in_time and self._lost_since_s is None)
+        self._news = self._date_news(in_time=in_time and self._lost_since_s is None)
         self._note_regained(asked_s)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
         self._apply(items)
@@ -173,12 +182,13 @@
         self._note_answer(asked_s + wait_s if waited else asked_s)
         return None
 
-    def _date_news(self, *, in_time: bool) -> None:
+    def _date_news(self, *, in_time: bool) -> NewsDate:
         """Date what an answer brings: now, or as old as it may be if this daemon could not hear."""
         now_s = self._state.clock()
         proven_s = self._state.freshness.proven_at_s
-        heard = in_time and self._state.standstill.ran_since(proven_s, now_s)
-        self._news_since_s = now_s if heard else max(proven_s, now_s - self._assumed_age_s())
+        if in_time and self._state.standstill.ran_since(proven_s, now_s):
+            return NewsDate(now_s, assumed=False)
+        return NewsDate(max(proven_s, now_s - self._assumed_age_s()), assumed=True)
 
     def _note_answer(self, at_s: float) -> None:
         """The store has shown everything that it held at ``at_s``."""
@@ -189,18 +199,18 @@
     def _watch_wait_s(self) -> float:
         """Return how long a watch may wait; not at all when a proof is wanted at once.
 
-        That is so after a late answer too, which proves no more than its question's time.
+        An answer that brings something, or comes late, proves no more than its question's time: the
+        next has that much less time, so that no proof of a sound fleet grows older than one wait.
         """
-        age_s = self._state.freshness.age_s(self._state.clock())
-        is_old = age_s > WATCH_WAIT_S + LATE_ANSWER_S
-        if self._lost_since_s is not None or not self._watches or is_old:
+        if self._lost_since_s is not None or not self._watches:
             return 0.0
-        return FLEET_WATCH_WAIT_S if self._feeds_others else WATCH_WAIT_S
+        left_s = WATCH_WAIT_S - self._state.freshness.age_s(self._state.clock())
+        return max(0.0, min(left_s, FLEET_WATCH_WAIT_S if self._feeds_others else WATCH_WAIT_S))
 
     def take_update(self, update: TableUpdate) -> bool:
         """Install what a peer passed on; False when something before it is missing here."""
         age_s = self._state.freshness.age_s(self._state.clock())
-        self._date_news(in_time=age_s <= WATCH_WAIT_S + LATE_ANSWER_S)
+        self._news = self._date_news(in_time=age_s <= WATCH_WAIT_S + LATE_ANSWER_S)
         if update.complete:
             self._take_complete(update.items, update.at_revision, update.after_outage)
             return True
@@ -273,7 +283,7 @@
 
     def _install_target(self, target: WeightsTarget, revision: int) -> None:
         history = self._state.versions.setdefault(target.model, VersionHistory())
-        if history.note(target.version, self._news_since_s, assumed=not self._ever_listed):
+        if history.note(target.version, self._news.at_s, assumed=self._news.assumed):
             log_event(
                 "weights_named", model=target.model, version=target.version, revision=revision
             )
