--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -129,6 +129,11 @@
         views = [replica(f"r{number}", 1, under_order=number < 2) for number in range(6)]
         self.assertEqual(next_step(views, 2, PACE).order, ())
 
+    def test_a_large_fleet_that_is_overdue_does_not_load_all_at_once(self) -> None:
+        views = [replica(f"r{number:03}", 1, overdue=True) for number in range(600)]
+        self.assertEqual(len(next_step(views, 2, PACE).order), 2 * PACE.at_once(600))
+        self.assertLess(2 * PACE.at_once(600), 400)
+
     def test_replicas_that_may_serve_nothing_are_loaded_without_waiting_for_slots(self) -> None:
         """After a leader was lost two of six replicas at a time were loaded, for 3.5 s each, and
         the last stood idle on weights whose time was over: 13 s after a version was named two
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -401,6 +401,21 @@
 
         run_virtually(scenario())
 
+    def test_replicas_are_overdue_by_the_bound_on_their_weights(self) -> None:
+        for named_before_s, at_once in ((0.0, 2), (8.0, 4)):
+            with self.subTest(named_before_s=named_before_s):
+                self.assertEqual(self._most_loading(named_before_s), at_once)
+
+    def _most_loading(self, named_before_s: float) -> int:
+        async def scenario() -> int:
+            fleet = Fleet([FakeReplica(f"i-{number}") for number in range(6)])
+            await asyncio.sleep(4.0)
+            fleet.state.versions[MODEL].note(2, fleet.state.clock() - named_before_s)
+            await asyncio.sleep(5.0)
+            return fleet.control.most_loading
+
+        return run_virtually(scenario())
+
     def test_a_turn_is_not_spent_on_a_replica_that_has_ended(self) -> None:
         """scale-2 (hyt-kathmandu): orders to incarnations that had crashed held a slot for 4 s."""
 
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -15,8 +15,9 @@
 #: Share of the working replicas that may be out of service for a load at the same time. Loads take
 #: longer where more are under way; the deployments known so far bear 0.38 and a little more.
 SHARE_AT_ONCE = 0.38
-#: The same while some of them may serve nothing until they are loaded: those lose nothing by it.
-SHARE_AT_ONCE_OVERDUE = 2 * SHARE_AT_ONCE
+#: How many times as many may load at once where the rest of them may serve nothing until they are
+#: loaded. More would load beside each other for so long that all come back late.
+OVERDUE_FACTOR = 2
 #: Share of the bound on versions within which every replica is to have had its turn: what is left
 #: is for a leader that is lost and for replicas that are slow to finish. Fewer at a time than that
 #: needs would miss the bound, more would take capacity that nobody asks back so soon.
@@ -149,7 +150,7 @@
     """Return what to do now: the oldest versions first, those soon idle before the busy.
 
     Replicas whose turn comes next are prepared, since a load waits for the longest answer. Overdue
-    ones wait for no slot: they stand idle until they are loaded.
+    ones stand idle until they are loaded, so that more of them load at once.
     """
     behind = [
         replica
@@ -157,11 +158,10 @@
         if replica.accepting and not replica.under_order and replica.version < newest
     ]
     behind.sort(key=lambda replica: (replica.version, replica.busy_s, replica.replica_id))
-    working = sum(1 for replica in replicas if replica.accepting)
     under_order = sum(1 for replica in replicas if replica.under_order)
-    slots = pace.at_once(working)
+    slots = pace.at_once(sum(1 for replica in replicas if replica.accepting))
     free = max(0, slots - under_order)
-    free_if_overdue = max(free, math.floor(working * SHARE_AT_ONCE_OVERDUE + 1e-9) - under_order)
+    free_if_overdue = max(0, OVERDUE_FACTOR * slots - under_order)
     first = [replica.replica_id for replica in behind if replica.overdue][:free_if_overdue]
     others = [replica.replica_id for replica in behind if replica.replica_id not in set(first)]
     left = max(0, free - len(first))
