--- a/tests/test_weights_bounds.py
+++ b/tests/test_weights_bounds.py
@@ -62,6 +62,16 @@
             await asyncio.sleep(0.01)
         daemon.store.cut = False
 
+    def cut_off(self, daemon: Daemon) -> None:
+        """Keep one daemon from the store and from all others."""
+        self.network.drop = lambda sender, receiver: daemon.ip in (sender, receiver)
+        daemon.store.cut = True
+
+    def reconnect(self, daemon: Daemon) -> None:
+        """End that."""
+        self.network.drop = lambda sender, receiver: False
+        daemon.store.cut = False
+
     def allowed_s(self, daemon: Daemon) -> float:
         """Return for how long after the naming the weights before it are allowed there."""
         return daemon.state.versions[MODEL].due_s(1, BOUND_S) - self.named_s
@@ -164,11 +174,9 @@
     def test_a_daemon_that_hears_nobody_moves_no_bound(self) -> None:
         async def scenario(fleet: FollowingFleet) -> None:
             alone = fleet.daemons[0]
-            fleet.network.drop = lambda sender, receiver: alone.ip in (sender, receiver)
-            alone.store.cut = True
+            fleet.cut_off(alone)
             await asyncio.sleep(4.5)
-            alone.store.cut = False
-            fleet.network.drop = lambda sender, receiver: False
+            fleet.reconnect(alone)
             await asyncio.sleep(2.0)
             self.assertLess(abs(fleet.allowed_s(alone) - BOUND_S), TOLERANCE_S)
 
@@ -262,13 +270,11 @@
             fleet = FollowingFleet()
             await asyncio.sleep(4.0)
             late = fleet.daemons[0]
-            fleet.network.drop = lambda sender, receiver: late.ip in (sender, receiver)
-            late.store.cut = True
+            fleet.cut_off(late)
             await asyncio.sleep(2.0)
             fleet.name(2)
             await asyncio.sleep(3.0)
-            late.store.cut = False
-            fleet.network.drop = lambda sender, receiver: False
+            fleet.reconnect(late)
             await asyncio.sleep(1.5)
             self.assertLess(fleet.allowed_s(late), BOUND_S + TOLERANCE_S)
             self.assertGreater(fleet.allowed_s(late), BOUND_S - 2.0 - TOLERANCE_S - 1.6)
@@ -280,8 +286,7 @@
             fleet = FollowingFleet()
             await asyncio.sleep(4.0)
             deaf = fleet.daemons[0]
-            fleet.network.drop = lambda sender, receiver: deaf.ip in (sender, receiver)
-            deaf.store.cut = True
+            fleet.cut_off(deaf)
             await asyncio.sleep(1.8)
             fleet.name(2)
             await asyncio.sleep(1.5)
@@ -297,8 +302,7 @@
             fleet = FollowingFleet()
             await asyncio.sleep(4.0)
             deaf = fleet.daemons[0]
-            fleet.network.drop = lambda sender, receiver: deaf.ip in (sender, receiver)
-            deaf.store.cut = True
+            fleet.cut_off(deaf)
             await asyncio.sleep(3.0)
             revision = deaf.state.store_revision
             document = json.dumps({"Model": MODEL, "Version": 2}).encode()
@@ -316,13 +320,11 @@
             fleet = FollowingFleet()
             await asyncio.sleep(4.0)
             deaf = fleet.daemons[0]
-            fleet.network.drop = lambda sender, receiver: deaf.ip in (sender, receiver)
-            deaf.store.cut = True
+            fleet.cut_off(deaf)
             await asyncio.sleep(5.8)
             fleet.name(2)
             await asyncio.sleep(0.2)
-            deaf.store.cut = False
-            fleet.network.drop = lambda sender, receiver: False
+            fleet.reconnect(deaf)
             await asyncio.sleep(3.0)
             for daemon in fleet.daemons[1:]:
                 self.assertLess(abs(fleet.allowed_s(daemon) - BOUND_S), TOLERANCE_S)
