Name each request by caller, path and body in the line of its sending

Purpose: the lines of the incident could not tell whether ten requests with ten ids were one and the same. No decision reads it yet.

--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -96,6 +96,7 @@
         self._record = RequestRecord(
             service.state,
             admitted.fields.request_id,
+            admitted.digest,
             admitted.route,
             request.received_s,
             self._loop.time,
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -20,6 +20,7 @@
 
     state: RouterState
     request_id: str
+    digest: bytes
     route: Route
     received_s: float
     clock: Callable[[], float]
@@ -52,6 +53,7 @@
         log_event(
             "request_sent",
             id=self.request_id,
+            digest=self.digest.hex(),
             route=self.route.name,
             replica=decision.replica.replica_id,
             attempt=self.sends,
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -17,6 +17,7 @@
 from winchfork.core.quota_book import QuotaBook
 from winchfork.core.region_delay import RegionDelay
 from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing, StandingChange
+from winchfork.core.request_digest import request_digest
 from winchfork.core.routing import Route, RoutingTable, SplitChooser, TenantPolicy
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.store_outage import StoreOutageWatch
@@ -57,6 +58,8 @@
     route: Route
     tenant: TenantPolicy | None
     fields: RequestFields
+    #: The same for each try of the same request by the same caller.
+    digest: bytes = b""
 
     @property
     def priority(self) -> int:
@@ -187,8 +190,11 @@
                 "no route matches this host and path", remedy="check the host and the path"
             )
         tenant = table.tenant_of(fields.api_key) if fields.api_key else None
+        caller = tenant.name if tenant is not None else fields.api_key or ""
+        digest = request_digest(caller, request.method, request.host, request.target, request.body)
+        admitted = AdmittedRequest(route, tenant, fields, digest)
         if not table.tenants or route.anonymous:
-            return AdmittedRequest(route, tenant, fields)
+            return admitted
         if tenant is None:
             if not certain:
                 return self._stale("the key is not known")
@@ -197,7 +203,7 @@
             )
         if not self.keys_fresh:
             return self._stale("the key cannot be checked")
-        return AdmittedRequest(route, tenant, fields)
+        return admitted
 
     def _stale(self, reason: str) -> Failure:
         age_s = self.freshness.age_s(self.clock())
