--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -211,9 +211,22 @@
                 return settings
         return None
 
+    async def restart_routers(self) -> None:
+        """Stop every router, and start others in their places that know nothing of before."""
+        await self._stop_routers()
+        self.settings.clear()
+        self.routers.clear()
+        self.tasks.clear()
+        for number, zone in enumerate(ZONES, start=1):
+            self._add_router(number, zone)
+        await self.wait_until_ready()
+
     async def stop(self) -> None:
         """Stop everything, the routers as planned."""
+        await self._stop_routers()
+        await super().stop()
+
+    async def _stop_routers(self) -> None:
         for router in self.routers:
             router.ask_to_stop()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        await super().stop()
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -50,6 +50,7 @@
         self._ip = ip
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._serving: set[asyncio.Task[None]] = set()
         self._silent: set[asyncio.StreamWriter] = set()
         self.address = ""
 
@@ -80,9 +81,15 @@
             self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
+        for task in list(self._serving):
+            task.cancel()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
         try:
             while True:
                 request = await _read_request(reader)
--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import json
+import time
 from typing import Any
 
 from standins.answer_faults import SLOWED_S, AnswerSpoiler, ReplicaFault
@@ -33,6 +34,18 @@
     began_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class FatalRequest:
+    """What ends a replica that runs it, and how the replica comes back; times in seconds."""
+
+    body: bytes
+    ends_after_s: float = 0.08
+    back_after_s: float = 1.5
+    keeps_id: bool = False
+    #: How long the entry of the ended incarnation stays, if another id takes its place.
+    lapses_after_s: float = 1.0
+
+
 class ReplicaServer:
     """Keeps its own entry in the store. ``model`` empty makes it an application's replica."""
 
@@ -67,13 +80,19 @@
         self.generations: list[Generation] = []
         #: Breaks the next stream off inside this event; 0: none.
         self.tear_at_event = 0
+        #: A request that ends this replica, if there is one, and when it began here.
+        self.fatal: FatalRequest | None = None
+        self.fatal_runs_s: list[float] = []
+        self.born_ms = 0
         self._http = HttpServer(self._handle)
+        self._ending: asyncio.Task[None] | None = None
         self._loading_task: asyncio.Task[None] | None = None
         self._ended = False
 
     async def start(self) -> None:
         """Listen, and be listed; a start after a crash has the same address."""
         await self._http.start()
+        self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
         self.announce("ready")
 
     async def stop(self) -> None:
@@ -90,11 +109,12 @@
         key = f"servers/{self.replica_id}"
         return StaleEntry(self._store, key, (self._store.holder(key) or "").encode())
 
-    async def restart(self) -> None:
+    async def restart(self, *, keeps_id: bool = False) -> None:
         """Begin a new incarnation after a crash, unless the replica was ended meanwhile."""
         if self._ended:
             return
-        self.replica_id += "'"
+        if not keeps_id:
+            self.replica_id += "'"
         self.sequence = 0
         self.fence = 0
         await self.start()
@@ -115,6 +135,7 @@
             "State": state,
             "Models": models,
             "Sequence": 1,
+            "born": self.born_ms,
         }
         self._store.put(f"servers/{self.replica_id}", entry)
 
@@ -141,6 +162,7 @@
             "Sequence": self.sequence,
             "Waiting": 0,
             "Running": self.running,
+            "born": self.born_ms,
         }
 
     def _order(self, request: Request) -> int:
@@ -185,6 +207,8 @@
         self.running += 1
         self.ran.append(request.headers["x-request-id"])
         try:
+            if self.fatal is not None and request.body == self.fatal.body:
+                return await self._end_under(self.fatal)
             spoiled = self.spoiler.draw()
             if spoiled is ReplicaFault.FAILS:
                 write_answer(writer, 500, b"spoiled", self._proof(request))
@@ -199,6 +223,23 @@
         finally:
             self.running -= 1
 
+    async def _end_under(self, fatal: FatalRequest) -> bool:
+        """End some time after the request has begun, with all that runs here; come back later."""
+        self.fatal_runs_s.append(asyncio.get_running_loop().time())
+        if self._ending is None or self._ending.done():
+            self._ending = asyncio.create_task(self._end_and_return(fatal))
+        await asyncio.Event().wait()
+        return False
+
+    async def _end_and_return(self, fatal: FatalRequest) -> None:
+        await asyncio.sleep(fatal.ends_after_s)
+        entry = await self.crash()
+        if not fatal.keeps_id:
+            asyncio.get_running_loop().call_later(fatal.lapses_after_s, entry.lapse)
+        await asyncio.sleep(fatal.back_after_s)
+        self._ending = None
+        await self.restart(keeps_id=fatal.keeps_id)
+
     def _proof(self, request: Request) -> dict[str, str]:
         return {
             "X-Request-Id": request.headers["x-request-id"],
