Tell incarnations of a replica by id and start

Cause: an id was taken for an incarnation. A replica that starts again under its id holds nothing of before, but its beliefs (kept parts, load, holds, failures, orders) were carried over, and a late word on the former life counted for the new one. Change: a listing has the start (born); peers name a replica by the hash of both; a later start removes the former life with all that hangs on it, an earlier one changes nothing, none is the life that is known. Notes on weights carry the incarnation; a task that brings a replica to a version ends with its life. Ruled out: keeping beliefs by id and resetting field by field, which forgets the next field.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 import unittest
 
 from tests.peer_support import Daemon, Network, among
+from winchfork.core.rendezvous import member_hash
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.router.peer_messages import Resignation, WeightsNote
 
@@ -118,8 +119,8 @@
     def test_a_leader_with_a_lower_fence_is_not_heard(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             first, second, third = daemons
-            held = WeightsNote("i-1", "m", 2, 1500, 0)
-            free = WeightsNote("i-1", "m", 2, 0, 0)
+            held = WeightsNote("i-1", member_hash("i-1"), "m", 2, 1500, 0)
+            free = WeightsNote("i-1", member_hash("i-1"), "m", 2, 0, 0)
             first.news.tell_weights(7, (held,))
             await asyncio.sleep(0.1)
             second.news.tell_weights(5, (free,))
--- a/tests/test_zone_hubs.py
+++ b/tests/test_zone_hubs.py
@@ -14,6 +14,7 @@
 from tests.virtual_loop import run_virtually
 from winchfork.core.document_table import MOST_GONE, DocumentTable, TableItem, TableUpdate
 from winchfork.core.member import Member, MemberStatus
+from winchfork.core.rendezvous import member_hash
 from winchfork.core.zone_hubs import WATCHERS, FleetView
 from winchfork.errors import Failure
 from winchfork.router.document_parts import PART_BYTES, PartCollector, split_update
@@ -387,7 +388,9 @@
         async def scenario(fleet: LargeFleet) -> None:
             leader = fleet.followers()[0]
             sent = leader.peers.sent_messages
-            leader.news.tell_weights(1 << 40, (WeightsNote("i-1", "m", 7, 1500, 0),))
+            leader.news.tell_weights(
+                1 << 40, (WeightsNote("i-1", member_hash("i-1"), "m", 7, 1500, 0),)
+            )
             self.assertLessEqual(leader.peers.sent_messages - sent, 2 * len(ZONES))
             await asyncio.sleep(0.05)
             for daemon in fleet.daemons:
--- a/winchfork/backends/replica_control.py
+++ b/winchfork/backends/replica_control.py
@@ -12,13 +12,21 @@
 
 
 class ReplicaReport(msgspec.Struct, frozen=True):
-    """What a replica says of itself, as of some hundred milliseconds ago."""
+    """What a replica says of itself, as of some hundred milliseconds ago.
+
+    ``born_ms`` is when it started, by its own clock; 0 where it does not say.
+    """
 
     sequence: int
     busy: bool
     running: int
     waiting: int
     versions: Mapping[str, int]
+    born_ms: int = 0
+
+    def is_of_another_life(self, born_ms: int) -> bool:
+        """Whether an incarnation that started at another time has answered."""
+        return bool(self.born_ms and born_ms and self.born_ms != born_ms)
 
 
 class WeightsOrder(msgspec.Struct, frozen=True):
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -2,7 +2,8 @@
 
 What the platform lists is installed by :meth:`RelayFleet.install`; everything else on a replica is
 this daemon's own evidence: work in flight, latency, failures, the weights version of its last
-answer. A replica's id names one incarnation, so evidence never passes to its successor.
+answer. An id and a start name one incarnation, and evidence never passes to its successor, which
+may have the same id.
 
 Several incarnations may be listed at one address, of which one answers. The list's order is a doubt
 only: an entry may be written late, after its replica has ended and another has been listed there.
@@ -60,7 +61,8 @@
     """What the platform's list says of one replica.
 
     ``versions`` maps each model to the version of its weights. ``software`` is the version of the
-    replica's own program; empty where the platform does not say.
+    replica's own program; empty where the platform does not say. ``born_ms`` is when it started, in
+    milliseconds since 1970 by its own clock; 0 where it does not say.
     """
 
     replica_id: str
@@ -71,6 +73,20 @@
     accepting: bool
     versions: Mapping[str, int] = msgspec.field(default_factory=dict)
     software: str = ""
+    born_ms: int = 0
+
+    @property
+    def incarnation(self) -> int:
+        """The 64-bit hash of the id and the start, by which peers name this incarnation."""
+        return member_hash(f"{self.replica_id}@{self.born_ms}" if self.born_ms else self.replica_id)
+
+    def is_restart_of(self, earlier: ReplicaListing) -> bool:
+        """Whether it is a later incarnation under the same id; one that does not say is none."""
+        return self.born_ms > earlier.born_ms
+
+    def is_former_life_of(self, later: ReplicaListing) -> bool:
+        """Whether it is an earlier incarnation under the same id."""
+        return 0 < self.born_ms < later.born_ms
 
 
 class RelayReplica(msgspec.Struct):
@@ -218,22 +234,30 @@
         self._by_service: dict[str, list[RelayReplica]] = {}
         self._last_recency = 0
         #: The recency of replicas that have gone, the oldest first.
-        self._gone: dict[str, int] = {}
+        self._gone: dict[int, int] = {}
         #: Told of each change of a replica's standing.
         self.on_standing: Callable[[StandingChange], None] = lambda change: None
         #: Called before a decision reads the work on replicas: brings what peers told up to date.
         self.refresh: Callable[[], None] = lambda: None
 
     def install(self, listing: ReplicaListing) -> RelayReplica:
-        """Add a replica or replace what the list says of it, keeping own evidence."""
+        """Add a replica or replace what the list says of it, keeping own evidence.
+
+        An entry of an earlier incarnation changes nothing. A later one has to be preceded by
+        :meth:`remove`, so that whoever holds beliefs of the earlier one drops them.
+        """
         known = self._replicas.get(listing.replica_id)
+        if known is not None and listing.is_former_life_of(known.listing):
+            return known
         if known is None:
-            known = RelayReplica(listing, dict(listing.versions), member_hash(listing.replica_id))
+            known = RelayReplica(listing, dict(listing.versions), listing.incarnation)
             # An entry that comes back is no newer than what has been listed there since.
-            known.recency = self._gone.pop(listing.replica_id, 0) or self._next_recency()
+            known.recency = self._gone.pop(listing.incarnation, 0) or self._next_recency()
             self._replicas[listing.replica_id] = known
         else:
-            known.listing = listing
+            # An entry that does not say when its replica started is still this incarnation's.
+            born_ms = listing.born_ms or known.listing.born_ms
+            known.listing = msgspec.structs.replace(listing, born_ms=born_ms)
             for model, version in listing.versions.items():
                 known.versions[model] = max(version, known.versions.get(model, 0))
         self._index()
@@ -250,7 +274,7 @@
         return removed
 
     def _remember(self, removed: RelayReplica) -> None:
-        self._gone[removed.replica_id] = removed.recency
+        self._gone[removed.order_hash] = removed.recency
         if len(self._gone) > MOST_GONE:
             del self._gone[next(iter(self._gone))]
 
--- a/winchfork/platform/documents.py
+++ b/winchfork/platform/documents.py
@@ -119,6 +119,7 @@
     state: str = _READY
     version: str = ""
     models: list[_ModelVersion] = msgspec.field(default_factory=list)
+    born: int = msgspec.field(name="born", default=0)
 
 
 class _NamedVersion(_PascalStruct):
@@ -199,6 +200,7 @@
         accepting=entry.state == _READY,
         versions={model.name: model.version for model in entry.models},
         software=entry.version,
+        born_ms=max(0, entry.born),
     )
 
 
--- a/winchfork/platform/replicas.py
+++ b/winchfork/platform/replicas.py
@@ -34,6 +34,7 @@
     waiting: int = 0
     running: int = 0
     models: list[_Model] = msgspec.field(default_factory=list)
+    born: int = msgspec.field(name="born", default=0)
 
 
 class PlatformReplicaControl:
@@ -56,7 +57,9 @@
         except msgspec.DecodeError as error:
             return FailureKind.BACKEND_BROKE.because(f"unreadable report: {error}")
         versions = {model.name: model.version for model in report.models}
-        return ReplicaReport(report.sequence, report.busy, report.running, report.waiting, versions)
+        return ReplicaReport(
+            report.sequence, report.busy, report.running, report.waiting, versions, report.born
+        )
 
     async def order(
         self, address: str, order: WeightsOrder, allowed: Callable[[], bool]
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -41,10 +41,12 @@
 class WeightsNote(PeerMessage, frozen=True):
     """A replica's weights version, and what the rollout asks for it.
 
-    It must be given no work for ``held_ms``, and had better be given no long work for ``next_ms``.
+    ``incarnation`` tells the replica from an earlier or a later one under the same id. It must be
+    given no work for ``held_ms``, and had better be given no long work for ``next_ms``.
     """
 
     replica_id: str
+    incarnation: int
     model: str
     version: int
     held_ms: int
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -298,6 +298,18 @@
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
         known = self._state.fleet.get(listing.replica_id)
+        if known is not None and listing.is_former_life_of(known.listing):
+            log_event(
+                "former_life_listed",
+                replica=listing.replica_id,
+                born_ms=listing.born_ms,
+                known_born_ms=known.listing.born_ms,
+                revision=revision,
+            )
+            return
+        if known is not None and listing.is_restart_of(known.listing):
+            self._remove_replica(listing.replica_id, revision)
+            known = None
         changed = known is None or known.listing != listing
         self._state.install_listing(listing)
         self._state.vanished.pop(listing.replica_id, None)
@@ -307,6 +319,7 @@
                 replica=listing.replica_id,
                 service=listing.service,
                 zone=listing.zone,
+                born_ms=listing.born_ms or None,
                 accepting=listing.accepting,
                 software=listing.software or None,
                 versions=",".join(str(version) for version in listing.versions.values()) or None,
--- a/winchfork/router/version_news.py
+++ b/winchfork/router/version_news.py
@@ -38,7 +38,7 @@
         self._state.weights_fence = message.fence
         for note in message.notes:
             replica = self._state.fleet.get(note.replica_id)
-            if replica is not None:
+            if replica is not None and replica.order_hash == note.incarnation:
                 self._apply(replica, note, message)
 
     def _apply(self, replica: RelayReplica, note: WeightsNote, message: WeightsProgress) -> None:
--- a/winchfork/router/weights_notes.py
+++ b/winchfork/router/weights_notes.py
@@ -88,6 +88,7 @@
             self._fence = fence
         self._pending[replica.replica_id] = WeightsNote(
             replica.replica_id,
+            replica.order_hash,
             model,
             replica.versions.get(model, 0),
             int(held_s * 1000),
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -144,6 +144,8 @@
                 if unheard >= MOST_UNHEARD:
                     self._state.note_failure(replica, report.reason, certain=True)
                     break
+            elif report.is_of_another_life(replica.listing.born_ms):
+                break
             else:
                 unheard = 0
                 held = report.versions.get(model, 0)
@@ -168,7 +170,8 @@
         Only giving orders needs the leadership. A replica that has taken one refuses requests until
         it is done, so peers must go on being told.
         """
-        has_gone = self._state.fleet.get(replica.replica_id) is None
+        # A later incarnation under the same id has taken no order of this task.
+        has_gone = self._state.fleet.get(replica.replica_id) is not replica
         if has_gone or replica.standing is Standing.ENDED:
             return False
         waited_s = self._state.clock() - begun_s
