Refuse a request once three replicas have ended under it, on every daemon and after every restart

Cause: nothing knew a request beyond one try, so the same caller, path and body under a new id ended replica after replica. Class: a fault that a request carries along was booked on the replica alone. Change: a run whose connection broke is held until it is settled that its replica ended (closed port, lapsed entry, other incarnation; a cut or a lost answer settles nothing). Each end makes the requests that ran there suspects, by digest and incarnation, told to all daemons three times over. A suspect runs once at a time; from the second end on it shares no replica with another such; one try ends two replicas at most; at the third end it is refused with a final 500, and one daemon writes it into one of 512 places of the store. A run that ends well acquits. Ruled out: counting broken connections (a lost answer or a refused connection would condemn); refusing by family (takes neighbours along); a lease on each entry (the store's longest is ten minutes); one entry with all refusals (rewritten for each); 4xx (the request is a proper one) and 503 (invites it back).

--- /dev/null
+++ b/tests/test_crash_guard.py
@@ -0,0 +1,300 @@
+"""The guard against requests that end replicas: on the path, among peers, and in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+
+from tests.memory_store import MemoryStore
+from tests.peer_support import Daemon, Network
+from tests.relay_support import (
+    ScriptedReplica,
+    SeenRequest,
+    answering,
+    resetting,
+    signed,
+)
+from tests.test_relay_path import RelayTestCase
+from tests.virtual_loop import run_virtually
+from winchfork.core.broken_runs import EndEvidence
+from winchfork.core.crash_ledger import ENDS_TO_REFUSE
+from winchfork.core.relay_fleet import RelayReplica, ReplicaListing
+from winchfork.core.request_digest import request_digest
+from winchfork.core.routing import RouteKind
+from winchfork.core.suspect_runs import SuspectRun
+from winchfork.router.refusal_records import PLACES, is_refusal_key, place_key
+from winchfork.router.refusal_writer import RefusalWriter
+
+#: The digest of what :meth:`RelayUnderTest.ask` sends by default.
+ASKED = request_digest("school", b"GET", "a.example", b"/p/x?q=1", b"")
+
+
+def nothing(request: SeenRequest) -> bytes:
+    """Return an answer of no bytes."""
+    return b""
+
+
+class EndingReplica(ScriptedReplica):
+    """Ends with the first request that it runs: connections end and its port is closed."""
+
+    def __init__(self) -> None:
+        super().__init__(self._end)
+
+    async def _end(
+        self, request: SeenRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        await self.stop()
+        return False
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for something that is bound to happen."""
+    async with asyncio.timeout(5.0):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class PathTest(RelayTestCase):
+    async def test_lost_answers_of_replicas_that_live_bring_no_suspicion(self) -> None:
+        replica = ScriptedReplica(resetting(nothing))
+        relay = await self.relay(replica, kind=RouteKind.UNSAFE, max_attempts=1)
+        for number in range(2 * ENDS_TO_REFUSE):
+            answer = await relay.ask(f"id-{number}", method="GET")
+            self.assertEqual(answer.status, 502)
+            await asyncio.sleep(0.06)
+        self.assertEqual(len(replica.seen), 2 * ENDS_TO_REFUSE)
+        self.assertEqual(relay.state.crashes.ends(ASKED), 0)
+
+    async def test_one_try_offers_a_request_that_ends_replicas_to_two_of_them(self) -> None:
+        replicas = [EndingReplica() for _ in range(4)]
+        relay = await self.relay(*replicas, max_attempts=4)
+        answer = await relay.ask()
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(sum(len(replica.seen) for replica in replicas), 2)
+
+    async def test_the_fourth_replica_never_sees_it_and_its_caller_is_told_at_once(self) -> None:
+        replicas = [EndingReplica() for _ in range(5)]
+        relay = await self.relay(*replicas, kind=RouteKind.UNSAFE, max_attempts=1)
+        for number in range(ENDS_TO_REFUSE):
+            await relay.ask(f"id-{number}")
+            await until(lambda ends=number + 1: relay.state.crashes.ledger.ends(ASKED, 0.0) == ends)  # type: ignore[misc]
+        answer = await relay.ask("id-last")
+        self.assertEqual(answer.status, 500)
+        self.assertIn(b"ends_replicas", answer.body)
+        self.assertNotIn("retry-after", answer.headers)
+        self.assertEqual(sum(len(replica.seen) for replica in replicas), ENDS_TO_REFUSE)
+
+    async def test_a_run_that_ends_well_acquits(self) -> None:
+        sound = ScriptedReplica(answering(lambda request: signed(request, b"ok")))
+        relay = await self.relay(EndingReplica(), sound)
+        self.assertEqual((await relay.ask()).status, 200)
+        await until(lambda: not relay.state.crashes.ends(ASKED))
+        self.assertEqual(relay.state.crashes.ledger.suspected, 0)
+
+    async def test_a_replica_that_leaves_cuts_nobody_into_suspicion(self) -> None:
+        relay = await self.relay(EndingReplica(), kind=RouteKind.UNSAFE, max_attempts=1)
+        listed = relay.state.fleet.get("i-0")
+        assert listed is not None
+        replica = listed.listing
+        asked = asyncio.create_task(relay.ask())
+        relay.state.fleet.install(
+            ReplicaListing("i-0", "s", replica.address, "z1", 8, False, {"m": 1})
+        )
+        # Whether it was sent before the replica said that it leaves, or not at all.
+        self.assertIn((await asked).status, (502, 503))
+        await asyncio.sleep(0.06)
+        self.assertEqual(relay.state.crashes.ledger.suspected, 0)
+
+    async def test_a_suspect_waits_for_its_run_elsewhere_and_shares_no_replica(self) -> None:
+        replicas = [
+            ScriptedReplica(answering(lambda request: signed(request, b"ok"))) for _ in range(2)
+        ]
+        relay = await self.relay(*replicas)
+        crashes = relay.state.crashes
+        first, second = relay.state.fleet.of_service("s")
+        for digest in (ASKED, b"other suspect   "):
+            crashes.take_ended(1, [digest])
+            crashes.take_ended(2, [digest])
+        until_s = relay.state.clock() + 60.0
+        crashes.take_run("n2", ASKED, SuspectRun(second.order_hash, until_s, alone=True))
+        crashes.take_run(
+            "n2", b"other suspect   ", SuspectRun(first.order_hash, until_s, alone=True)
+        )
+        asked = asyncio.create_task(relay.ask())
+        await asyncio.sleep(0.15)
+        self.assertEqual([len(replica.seen) for replica in replicas], [0, 0])
+        crashes.take_run("n2", ASKED, None)
+        self.assertEqual((await asked).status, 200)
+        self.assertEqual([len(replica.seen) for replica in replicas], [0, 1])
+
+
+class Fleet:
+    """Daemons that follow one store, each with the duty that writes refusals."""
+
+    def __init__(self, store: MemoryStore, count: int, first: int = 1) -> None:
+        self.network = Network()
+        self.daemons = [
+            Daemon(self.network, number, store=store) for number in range(first, first + count)
+        ]
+        for daemon in self.daemons:
+            daemon.follow()
+            generator = random.Random(daemon.ip)
+            writer = RefusalWriter(daemon.state, daemon.store, generator)
+            daemon.tasks.append(asyncio.create_task(writer.run()))
+
+    def kill(self) -> None:
+        for daemon in self.daemons:
+            daemon.kill(self.network)
+
+    def refusing(self, digest: bytes) -> int:
+        return sum(daemon.state.crashes.refusal(digest) is not None for daemon in self.daemons)
+
+    def end(self, number: int, incarnation: int, digest: bytes) -> None:
+        """A replica ends under a request that one daemon has sent."""
+        guard = self.daemons[number % len(self.daemons)].state.crashes
+        listing = ReplicaListing("i", "s", "a:1", "z", 8, True, born_ms=incarnation)
+        replica = RelayReplica(listing, {}, listing.incarnation)
+        guard.note_broken(replica, digest, silent=False)
+        guard.note_ended(replica, EndEvidence.PORT_CLOSED)
+
+
+Scenario = Callable[[MemoryStore, Fleet], Awaitable[None]]
+
+
+def among(count: int, scenario: Scenario) -> None:
+    async def main() -> None:
+        store = MemoryStore()
+        fleet = Fleet(store, count)
+        await asyncio.sleep(6.0)
+        await scenario(store, fleet)
+        fleet.kill()
+
+    run_virtually(main())
+
+
+def refusals(store: MemoryStore) -> list[str]:
+    return [key for key in store.items if is_refusal_key(key)]
+
+
+DIGEST = b"0123456789abcdef"
+
+
+class FleetTest(unittest.TestCase):
+    def test_every_daemon_knows_the_third_end_at_once_and_one_writes_it(self) -> None:
+        for count in (3, 30):
+            with self.subTest(daemons=count):
+
+                async def scenario(store: MemoryStore, fleet: Fleet) -> None:
+                    for number in range(ENDS_TO_REFUSE):
+                        fleet.end(number, number + 1, DIGEST)
+                        await asyncio.sleep(0.3)
+                    self.assertEqual(fleet.refusing(DIGEST), len(fleet.daemons))
+                    await asyncio.sleep(2.0)
+                    self.assertEqual(refusals(store), [place_key(DIGEST)])
+                    self.assertEqual(store.items[place_key(DIGEST)].revision, store.revision)
+
+                among(count, scenario)
+
+    def test_lost_datagrams_are_made_up_for_within_the_time_of_contact(self) -> None:
+        async def scenario(store: MemoryStore, fleet: Fleet) -> None:
+            generator = random.Random(5)
+            fleet.network.drop = lambda sender, receiver: generator.random() < 0.3
+            for number in range(ENDS_TO_REFUSE):
+                fleet.end(number, number + 1, DIGEST)
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(2.7)
+            self.assertEqual(fleet.refusing(DIGEST), len(fleet.daemons))
+
+        among(7, scenario)
+
+    def test_a_daemon_without_peers_learns_it_from_the_store(self) -> None:
+        async def scenario(store: MemoryStore, fleet: Fleet) -> None:
+            alone = fleet.daemons[0]
+            fleet.network.drop = lambda sender, receiver: alone.ip in (sender, receiver)
+            for number in range(1, 1 + ENDS_TO_REFUSE):
+                fleet.end(1 + number % 2, number, DIGEST)
+            await asyncio.sleep(2.5)
+            self.assertIsNotNone(alone.state.crashes.refusal(DIGEST))
+
+        among(3, scenario)
+
+    def test_it_outlasts_every_daemon(self) -> None:
+        async def scenario(store: MemoryStore, fleet: Fleet) -> None:
+            for number in range(ENDS_TO_REFUSE):
+                fleet.end(number, number + 1, DIGEST)
+            await asyncio.sleep(1.0)
+            fleet.kill()
+            successors = Fleet(store, 3)
+            await asyncio.sleep(1.0)
+            self.assertEqual(successors.refusing(DIGEST), 3)
+            successors.kill()
+            fleet.network.groups.update({daemon.ip: daemon.peers for daemon in fleet.daemons})
+
+        among(3, scenario)
+
+    def test_what_the_store_could_not_take_is_written_when_it_is_back(self) -> None:
+        async def scenario(store: MemoryStore, fleet: Fleet) -> None:
+            store.down = True
+            for number in range(ENDS_TO_REFUSE):
+                fleet.end(number, number + 1, DIGEST)
+            await asyncio.sleep(5.0)
+            self.assertEqual(fleet.refusing(DIGEST), len(fleet.daemons))
+            store.down = False
+            await asyncio.sleep(3.0)
+            self.assertEqual(refusals(store), [place_key(DIGEST)])
+
+        among(3, scenario)
+
+    def test_the_store_holds_no_more_however_many_bodies_are_sent(self) -> None:
+        async def scenario(store: MemoryStore, fleet: Fleet) -> None:
+            calls = len(store.calls)
+            for number in range(60):
+                digest = request_digest("school", b"POST", "a", b"/x", b"%d" % number)
+                for incarnation in range(ENDS_TO_REFUSE):
+                    fleet.end(incarnation, 10 * number + incarnation + 1, digest)
+                await asyncio.sleep(1.0)
+            written = [name for name in store.calls[calls:] if name == "transact"]
+            self.assertLessEqual(len(refusals(store)), PLACES)
+            # Each refusal costs the fleet about one write, whoever comes first.
+            self.assertLess(len(written), 100)
+
+        among(3, scenario)
+
+    def test_operators_release_a_request_by_removing_its_entry(self) -> None:
+        async def scenario(store: MemoryStore, fleet: Fleet) -> None:
+            for number in range(ENDS_TO_REFUSE):
+                fleet.end(number, number + 1, DIGEST)
+            await asyncio.sleep(2.0)
+            store.remove(place_key(DIGEST))
+            await asyncio.sleep(1.0)
+            self.assertEqual(fleet.refusing(DIGEST), 0)
+            self.assertEqual(fleet.daemons[0].state.crashes.ends(DIGEST), 0)
+
+        among(3, scenario)
+
+    def test_an_acquittal_is_known_everywhere_and_not_undone_by_what_is_repeated(self) -> None:
+        async def scenario(store: MemoryStore, fleet: Fleet) -> None:
+            for number in range(ENDS_TO_REFUSE - 1):
+                fleet.end(number, number + 1, DIGEST)
+            await asyncio.sleep(0.2)
+            fleet.daemons[2].state.crashes.note_outlived(DIGEST)
+            await asyncio.sleep(3.0)
+            ends = [daemon.state.crashes.ends(DIGEST) for daemon in fleet.daemons]
+            self.assertEqual(ends, [0, 0, 0])
+
+        among(3, scenario)
+
+    def test_an_entry_that_nobody_can_read_refuses_nothing(self) -> None:
+        async def scenario(store: MemoryStore, fleet: Fleet) -> None:
+            for number, value in enumerate(
+                (b"\xff\xfe", b"{}", b'{"digest": "QQ==", "refused_ms": 1}')
+            ):
+                store.put(f"winchfork/refused/{number:03x}", value)
+            await asyncio.sleep(1.0)
+            for daemon in fleet.daemons:
+                self.assertEqual(daemon.state.crashes.ledger.refused, 0)
+                self.assertLess(daemon.age_s(), 3.0)
+
+        among(3, scenario)
--- a/winchfork/errors.py
+++ b/winchfork/errors.py
@@ -41,6 +41,8 @@
     FENCE_MISMATCH = "fence_mismatch"
     STREAM_BROKEN = "stream_broken"
     CALLER_LEFT = "caller_left"
+    CONNECTION_REFUSED = "connection_refused"
+    ENDS_REPLICAS = "ends_replicas"
     CLAIM_HELD = "claim_held"
     CLAIM_NO_MAJORITY = "claim_no_majority"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -90,6 +92,7 @@
         FailureKind.STOPPING,
         FailureKind.NO_REPLICA,
         FailureKind.BACKEND_UNREACHABLE,
+        FailureKind.CONNECTION_REFUSED,
         FailureKind.FENCE_MISMATCH,
         FailureKind.NOT_ACCEPTING_WORK,
         FailureKind.CONFIGURATION_UNKNOWN,
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -223,14 +223,15 @@
     def _end_stream(self) -> Outcome:
         assert self._stream is not None
         if self._stream.torn:
-            return MayHaveRun("the stream ended inside an event")
+            # Without framing, a connection that ends in order looks like the end of the answer.
+            return MayHaveRun("the stream ended inside an event", broke=True)
         self._answer.finish()
         return Delivered(200)
 
     def _take_break(self, item: AnswerBroken) -> Outcome:
         if self._head is not None and self._fields is not None and self._fields.not_run:
             return NotRun("the replica's refusal broke off", True)
-        return MayHaveRun(f"connection {item.reason}", silent=item.silent)
+        return MayHaveRun(f"connection {item.reason}", broke=True, silent=item.silent)
 
     def _stop(self, cause: StopCause) -> Outcome:
         self._abandon()
--- a/winchfork/router/attempt_evidence.py
+++ b/winchfork/router/attempt_evidence.py
@@ -29,6 +29,7 @@
         now_s = self._state.clock()
         took_s = now_s - record.sent_s
         self._note_software(plan, outcome, record, took_s)
+        self._note_run(plan, outcome)
         if isinstance(outcome, Delivered):
             replica.note_success(took_s, now_s)
             self._state.fleet.note_answered(replica)
@@ -48,6 +49,22 @@
                 self._state.on_silent(replica)
         return False
 
+    def _note_run(self, plan: AttemptPlan, outcome: Outcome) -> None:
+        """Tell whether the replica outlived the request; one that leaves may cut it as planned."""
+        crashes = self._state.crashes
+        digest = self._admitted.digest
+        replica = plan.replica
+        if isinstance(outcome, Delivered):
+            crashes.note_outlived(digest)
+        if not isinstance(outcome, MayHaveRun):
+            return
+        if outcome.answer is not None:
+            crashes.note_outlived(digest)
+        elif outcome.broke:
+            listed = self._state.fleet.get(replica.replica_id) is replica
+            if listed and replica.listing.accepting:
+                crashes.note_broken(replica, digest, silent=outcome.silent)
+
     def _note_software(
         self, plan: AttemptPlan, outcome: Outcome, record: RequestRecord, took_s: float
     ) -> None:
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -102,7 +102,9 @@
         except (OSError, TimeoutError, ValueError) as error:
             self._forget(address)
             self.counters.failed += 1
-            return FailureKind.BACKEND_UNREACHABLE.because(
+            refused = isinstance(error, ConnectionRefusedError)
+            kind = FailureKind.CONNECTION_REFUSED if refused else FailureKind.BACKEND_UNREACHABLE
+            return kind.because(
                 f"{address}: {type(error).__name__}", remedy="another replica may answer"
             )
         except asyncio.CancelledError:
--- /dev/null
+++ b/winchfork/router/crash_guard.py
@@ -0,0 +1,169 @@
+"""Keeps requests that end replicas away from them, at what it costs requests that were only near.
+
+A run whose connection breaks is remembered until it is settled whether its replica ended. An end
+makes every request that ran there a suspect. A suspect runs once at a time; from the second end on
+it shares no replica with another such suspect; at the third it is refused, on every daemon and
+after every restart. A run that ends well acquits.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from winchfork.core.broken_runs import BrokenRuns, EndEvidence
+from winchfork.core.crash_ledger import ENDS_TO_REFUSE, REFUSAL_S, CrashLedger
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.suspect_runs import SuspectRun, SuspectRuns
+from winchfork.errors import Failure, FailureKind, RunState
+from winchfork.logs import log_event
+from winchfork.router.refusal_records import RefusalRecords
+
+#: Ends from which on a request shares no replica with another such: what ended the second replica
+#: is one of the few that ran on both.
+ENDS_TO_RUN_ALONE = 2
+#: Ends after which one try goes on at no further replica.
+MOST_ENDS_IN_A_TRY = 2
+
+
+class RefusalListener(Protocol):
+    """Told of a request that is refused from now on; ``own``: this daemon sent its last run."""
+
+    def __call__(self, digest: bytes, *, own: bool) -> None:
+        """Take it in."""
+        ...
+
+
+class CrashGuard:
+    """The beliefs of one process about requests that end replicas."""
+
+    def __init__(self, daemon_id: str, clock: Callable[[], float]) -> None:
+        self._daemon_id = daemon_id
+        self._clock = clock
+        self.ledger = CrashLedger()
+        self.records = RefusalRecords(self.ledger, clock)
+        self._broken = BrokenRuns()
+        self._runs = SuspectRuns()
+        #: Told of the first break on a replica that nothing explains yet.
+        self.on_first_break: Callable[[RelayReplica], None] = lambda replica: None
+        #: Told of the requests under which an incarnation ended, for the other daemons.
+        self.on_ended: Callable[[int, tuple[bytes, ...]], None] = lambda incarnation, digests: None
+        #: Told of a suspect that runs alone, and that its run is over (None).
+        self.on_run: Callable[[bytes, SuspectRun | None], None] = lambda digest, run: None
+        #: Told of a suspect that has ended well.
+        self.on_acquitted: Callable[[bytes], None] = lambda digest: None
+        self.on_refused: RefusalListener = _ignore
+
+    # Before a run
+
+    def refusal(self, digest: bytes, ran: RunState = RunState.NOT_RUN) -> Failure | None:
+        """Return why a request is not sent to any replica; None if it may be."""
+        if not self.ledger.is_refused(digest, self._clock()):
+            return None
+        return FailureKind.ENDS_REPLICAS.because(
+            f"{ENDS_TO_REFUSE} replicas ended while they ran this request ({digest.hex()})",
+            remedy="do not send it again; change it, or ask the operators to release it",
+            ran=ran,
+        )
+
+    def ends(self, digest: bytes) -> int:
+        """Return how many replicas have ended under a request, or may have just now."""
+        now_s = self._clock()
+        return self.ledger.ends(digest, now_s) + self._broken.unsettled(digest, now_s)
+
+    def may_run(self, digest: bytes) -> bool:
+        """Whether a request may be sent now; a suspect may not while a run of it is under way."""
+        return not self.ends(digest) or not self._runs.is_running(digest, self._clock())
+
+    def taken_for(self, digest: bytes, replicas: Iterable[RelayReplica]) -> set[str]:
+        """Return the ids of the replicas that a request may not be sent to now."""
+        if self.ends(digest) < ENDS_TO_RUN_ALONE:
+            return set()
+        taken = self._runs.taken(self._clock())
+        return {replica.replica_id for replica in replicas if replica.order_hash in taken}
+
+    # A run
+
+    def begin(self, digest: bytes, replica: RelayReplica, ends_s: float) -> None:
+        """A request is about to be sent; its run is over by ``ends_s``."""
+        ends = self.ends(digest)
+        if not ends:
+            return
+        run = SuspectRun(replica.order_hash, ends_s, ends >= ENDS_TO_RUN_ALONE)
+        self._runs.begin(self._daemon_id, digest, run)
+        if run.alone:
+            self.on_run(digest, run)
+
+    def end(self, digest: bytes) -> None:
+        """The run is over, however it ended."""
+        if self._runs.end(self._daemon_id, digest):
+            self.on_run(digest, None)
+
+    def note_outlived(self, digest: bytes) -> None:
+        """A replica has answered a request whole, and so outlived it."""
+        self._broken.acquit(digest)
+        if self.ledger.acquit(digest):
+            self.on_acquitted(digest)
+
+    def note_broken(self, replica: RelayReplica, digest: bytes, *, silent: bool) -> None:
+        """The connection of a run broke before its answer was whole."""
+        first = self._broken.note(replica.order_hash, digest, self._clock(), silent=silent)
+        if first and not silent:
+            self.on_first_break(replica)
+
+    # What became of replicas
+
+    def note_reached(self, replica: RelayReplica) -> None:
+        """A connection to a replica's address came up after a break."""
+        self._broken.note_reached(replica.order_hash)
+
+    def note_ended(self, replica: RelayReplica, evidence: EndEvidence) -> None:
+        """An incarnation has ended: whatever this daemon had running there is suspected."""
+        incarnation = replica.order_hash
+        digests = self._broken.settle(incarnation, evidence, self._clock())
+        if not digests:
+            return
+        log_event(
+            "replica_ended",
+            "WARNING",
+            replica=replica.replica_id,
+            born_ms=replica.listing.born_ms or None,
+            evidence=evidence.value,
+            requests=len(digests),
+        )
+        self._note_ends(incarnation, digests, own=True)
+        self.on_ended(incarnation, digests)
+
+    # What peers tell
+
+    def take_ended(self, incarnation: int, digests: Iterable[bytes]) -> None:
+        """A peer's runs of these requests were on an incarnation when it ended."""
+        self._note_ends(incarnation, digests, own=False)
+
+    def take_run(self, daemon: str, digest: bytes, run: SuspectRun | None) -> None:
+        """A peer runs a suspect that runs alone, or no longer (None)."""
+        if run is None:
+            self._runs.end(daemon, digest)
+        else:
+            self._runs.begin(daemon, digest, run)
+
+    def take_acquitted(self, digest: bytes) -> None:
+        """A peer's run of a suspect has ended well."""
+        self.ledger.acquit(digest)
+
+    def _note_ends(self, incarnation: int, digests: Iterable[bytes], *, own: bool) -> None:
+        now_s = self._clock()
+        for digest in digests:
+            if not self.ledger.note_end(digest, incarnation, now_s):
+                continue
+            ends = self.ledger.ends(digest, now_s)
+            if ends >= ENDS_TO_RUN_ALONE:
+                log_event("request_suspected", "WARNING", digest=digest.hex(), ends=ends, own=own)
+            if ends >= ENDS_TO_REFUSE and not self.ledger.is_refused(digest, now_s):
+                log_event("digest_refused", "WARNING", digest=digest.hex(), ends=ends)
+                self.ledger.refuse(digest, now_s + REFUSAL_S)
+                self.on_refused(digest, own=own)
+
+
+def _ignore(digest: bytes, *, own: bool) -> None:
+    pass
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -45,11 +45,13 @@
 class MayHaveRun(msgspec.Struct, frozen=True):
     """The request may have run. ``answer`` is the replica's failure, where it gave a whole one.
 
-    ``silent``: the replica, or the way to it, does not even acknowledge what is sent.
+    ``broke``: the connection ended before the answer was whole. ``silent``: the replica, or the way
+    to it, does not even acknowledge what is sent.
     """
 
     reason: str
     answer: BufferedAnswer | None = None
+    broke: bool = False
     silent: bool = False
 
 
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -209,6 +209,28 @@
     order_revision: int
 
 
+class EndedUnder(PeerMessage, frozen=True):
+    """A replica's incarnation has ended while it ran these requests of the sender's."""
+
+    incarnation: int
+    digests: tuple[bytes, ...]
+
+
+class SuspectUnderWay(PeerMessage, frozen=True):
+    """The sender runs a request under which two replicas have ended; 0 ms left: no longer."""
+
+    sender_id: str
+    digest: bytes
+    incarnation: int
+    left_ms: int
+
+
+class AcquittedRequests(PeerMessage, frozen=True):
+    """Runs of these requests, under which replicas had ended, have ended well."""
+
+    digests: tuple[bytes, ...]
+
+
 PEER_MESSAGE_TYPES = (
     Probe,
     ProbeReply,
@@ -226,4 +248,7 @@
     RegionWork,
     VersionEvidence,
     VersionStop,
+    EndedUnder,
+    SuspectUnderWay,
+    AcquittedRequests,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -6,18 +6,22 @@
 
 import msgspec
 
+from winchfork.router.crash_exchange import CrashExchange
 from winchfork.router.document_relay import DocumentRelay
 from winchfork.router.evidence_exchange import EvidenceExchange
 from winchfork.router.leadership import Leadership
 from winchfork.router.peer_messages import (
     Accusation,
+    AcquittedRequests,
     Activity,
     DocumentPart,
     DocumentPull,
+    EndedUnder,
     FleetWork,
     NamedVersions,
     RegionWork,
     Resignation,
+    SuspectUnderWay,
     VersionEvidence,
     VersionStop,
     WeightsProgress,
@@ -66,6 +70,10 @@
     state.on_work_sent = work.tell_soon
     peers.handle(VersionEvidence, evidence.take)
     peers.handle(VersionStop, evidence.take_stop)
+    crashes = CrashExchange(state, peers, call_later)
+    peers.handle(EndedUnder, crashes.take_ended)
+    peers.handle(SuspectUnderWay, crashes.take_run)
+    peers.handle(AcquittedRequests, crashes.take_acquitted)
     peers.handle(DocumentPull, relay.take_pull)
     peers.handle(DocumentPart, relay.take_part)
     peers.on_tick += [state.standstill.tick, news.greet_newcomers, work.tick]
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -29,6 +29,7 @@
 from winchfork.router.log_output import LogOutput
 from winchfork.router.peer_wiring import connect_peers
 from winchfork.router.peers import PeerGroup
+from winchfork.router.refusal_writer import RefusalWriter
 from winchfork.router.service import RouterService
 from winchfork.router.settings import RouterSettings
 from winchfork.router.software_rollout import SoftwareRollout
@@ -104,6 +105,7 @@
         self._weights_rollout = WeightsRollout(
             self.state, self._leadership, control, self._peers, connected.news
         )
+        self._refusals = RefusalWriter(self.state, store, generator)
         self._software_rollout = SoftwareRollout(
             self.state, self._leadership, store, parts.status, connected.evidence
         )
@@ -133,6 +135,7 @@
             self._leadership.run,
             self._weights_rollout.run,
             self._software_rollout.run,
+            self._refusals.run,
         ):
             self._tasks.append(self._loop.create_task(self._supervise(duty)))
         log_event(
@@ -190,6 +193,9 @@
         show("replicas", "Replicas listed.", lambda: len(state.fleet))
         show("parts_believed", "Parts believed to be kept.", lambda: len(state.parts))
         show("daemons", "Daemons that budgets are shared among.", lambda: state.daemons)
+        ledger = state.crashes.ledger
+        show("requests_suspected", "Requests under which replicas ended.", lambda: ledger.suspected)
+        show("requests_barred", "Requests refused as they end replicas.", lambda: ledger.refused)
         show("store_revision", "Everything before it is known.", lambda: state.store_revision)
         show(
             "configuration_version",
--- /dev/null
+++ b/winchfork/router/refusal_records.py
@@ -0,0 +1,103 @@
+"""Refused requests as entries of the store: what is left of them when every daemon has restarted.
+
+Each entry is one of a fixed number of places, which the request's digest picks, so that the store
+holds no more than that whatever callers send; a later request in the same place takes it over.
+Records are without a lease and age by the time of day, which all daemons share within seconds.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from winchfork.core.crash_ledger import REFUSAL_S, CrashLedger
+from winchfork.core.request_digest import DIGEST_BYTES
+from winchfork.errors import Failure, FailureKind
+from winchfork.logs import log_event
+
+_PREFIX = "winchfork/refused/"
+#: Entries that refused requests may take of the store.
+PLACES = 512
+
+
+class RefusalRecord(msgspec.Struct, frozen=True):
+    """A refused request; ``refused_ms`` is when, in milliseconds since 1970."""
+
+    digest: bytes
+    refused_ms: int
+
+
+def place_key(digest: bytes) -> str:
+    """Return the key of a request's place."""
+    return f"{_PREFIX}{int.from_bytes(digest[:4], 'big') % PLACES:03x}"
+
+
+def is_refusal_key(key: str) -> bool:
+    """Whether an entry is such a place."""
+    return key.startswith(_PREFIX)
+
+
+def read_refusal(value: bytes) -> RefusalRecord | Failure:
+    """Read a stored record."""
+    try:
+        record = msgspec.json.decode(value, type=RefusalRecord)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return FailureKind.BAD_DOCUMENT.because(f"record of a refused request: {error}")
+    if len(record.digest) != DIGEST_BYTES:
+        return FailureKind.BAD_DOCUMENT.because("record of a refused request: no digest")
+    return record
+
+
+class RefusalRecords:
+    """The places as this daemon knows them, and what they mean to its ledger."""
+
+    def __init__(
+        self,
+        ledger: CrashLedger,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._ledger = ledger
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._digests: dict[str, bytes] = {}
+        self._revisions: dict[str, int] = {}
+
+    def revision(self, key: str) -> int:
+        """Return the revision of a place; 0 while it is free."""
+        return self._revisions.get(key, 0)
+
+    def holds(self, digest: bytes) -> bool:
+        """Whether the store holds the refusal of a request."""
+        return self._digests.get(place_key(digest)) == digest
+
+    def new_record(self, digest: bytes) -> bytes:
+        """Return what is to be stored of a request that is refused from now on."""
+        return msgspec.json.encode(RefusalRecord(digest, int(self._wall_clock() * 1000)))
+
+    def take(self, key: str, value: bytes | None, revision: int) -> None:
+        """Take in what the store holds in a place; an entry that was removed releases."""
+        if value is None:
+            self._release(key)
+            return
+        self._revisions[key] = revision
+        record = read_refusal(value)
+        if isinstance(record, Failure):
+            log_event("document_refused", "WARNING", key=key, reason=record.reason)
+            return
+        self._digests[key] = record.digest
+        left_s = REFUSAL_S - (self._wall_clock() - record.refused_ms / 1000.0)
+        if left_s > 0.0:
+            now_s = self._clock()
+            if not self._ledger.is_refused(record.digest, now_s):
+                log_event("digest_refused", digest=record.digest.hex(), told_by="store")
+            self._ledger.refuse(record.digest, now_s + min(left_s, REFUSAL_S))
+
+    def _release(self, key: str) -> None:
+        self._revisions.pop(key, None)
+        digest = self._digests.pop(key, None)
+        if digest is not None:
+            self._ledger.release(digest)
+            log_event("digest_released", digest=digest.hex())
--- /dev/null
+++ b/winchfork/router/refusal_writer.py
@@ -0,0 +1,82 @@
+"""Writes refused requests into the store, each once for the whole fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from winchfork.errors import Failure
+from winchfork.logs import log_event
+from winchfork.router.refusal_records import place_key
+from winchfork.router.state import RouterState
+from winchfork.stores.async_key_value import AsyncKeyValueStore, ExpectedRevision, PutItem
+
+#: The daemon whose run was the last to end writes at once. The others leave it this long, and each
+#: of them a while that grows with the fleet: whoever comes first is enough.
+OTHERS_WAIT_S = 0.4
+SPREAD_A_DAEMON_S = 0.02
+#: Pause after a failed write, jittered by half of itself.
+RETRY_S = 0.6
+#: Refusals that wait to be written; more are kept in memory only.
+MOST_WAITING = 64
+
+
+class RefusalWriter:
+    """A duty of every daemon."""
+
+    def __init__(
+        self, state: RouterState, store: AsyncKeyValueStore, generator: random.Random
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._generator = generator
+        self._due_s: dict[bytes, float] = {}
+        self._asked = asyncio.Event()
+        state.crashes.on_refused = self.ask
+
+    def ask(self, digest: bytes, *, own: bool) -> None:
+        """Have a refusal written; ``own``: this daemon sent the run that ended last."""
+        if digest in self._due_s or len(self._due_s) >= MOST_WAITING:
+            return
+        spread_s = self._generator.random() * SPREAD_A_DAEMON_S * self._state.daemons
+        self._due_s[digest] = self._state.clock() + (0.0 if own else OTHERS_WAIT_S + spread_s)
+        self._asked.set()
+
+    async def run(self) -> None:
+        """Write what is due until cancelled."""
+        while True:
+            if not self._due_s:
+                self._asked.clear()
+                await self._asked.wait()
+            digest = min(self._due_s, key=self._due_s.__getitem__)
+            wait_s = self._due_s[digest] - self._state.clock()
+            if wait_s > 0.0:
+                self._asked.clear()
+                await _wait_at_most(self._asked, wait_s)
+                continue
+            await self._write(digest)
+
+    async def _write(self, digest: bytes) -> None:
+        records = self._state.crashes.records
+        if records.holds(digest):
+            del self._due_s[digest]
+            return
+        key = place_key(digest)
+        expected = ExpectedRevision(key, records.revision(key))
+        value = records.new_record(digest)
+        written = await self._store.transact([expected], [PutItem(key, value)])
+        if isinstance(written, Failure):
+            pause_s = RETRY_S * (0.5 + self._generator.random())
+            self._due_s[digest] = self._state.clock() + pause_s
+            log_event("refusal_not_written", "WARNING", digest=digest.hex(), reason=written.reason)
+            return
+        del self._due_s[digest]
+        log_event("refusal_written", digest=digest.hex(), key=key, revision=written)
+
+
+async def _wait_at_most(event: asyncio.Event, seconds: float) -> None:
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -10,6 +10,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from winchfork.core.broken_runs import EndEvidence
 from winchfork.core.placement_request import RelayDecision
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.errors import Failure, FailureKind, RunState
@@ -17,6 +18,7 @@
 from winchfork.router.attempt import Attempt, AttemptPlan
 from winchfork.router.attempt_evidence import AttemptEvidence
 from winchfork.router.caller_answer import CallerAnswer
+from winchfork.router.crash_guard import MOST_ENDS_IN_A_TRY
 from winchfork.router.dispatch import Dispatch
 from winchfork.router.http_types import (
     CallerLeft,
@@ -58,6 +60,8 @@
 WITHDRAWAL_S = 0.3
 #: Part of the retry budget that streams which move away from a load leave to failures.
 _FAILURE_RESERVE = 0.5
+#: Failures that say that a replica could not be reached.
+_UNREACHED = (FailureKind.BACKEND_UNREACHABLE, FailureKind.CONNECTION_REFUSED)
 _LOOK_AGAIN = "look_again"
 _DEADLINE = "deadline"
 
@@ -76,6 +80,7 @@
         self._service = service
         self._charge = charge
         self._state = service.state
+        self._crashes = service.state.crashes
         self._loop = asyncio.get_running_loop()
         self._request = request
         self._admitted = admitted
@@ -202,10 +207,18 @@
     async def _find_replica(self) -> RelayDecision | Failure | Stopped:
         """Choose a replica; wait for one that will take work in time, and for no other."""
         while True:
-            decision = self._dispatch.place(self._tried)
+            refusal = self._crashes.refusal(self._admitted.digest, self._ran())
+            if refusal is not None:
+                return refusal
+            waits = not self._crashes.may_run(self._admitted.digest)
+            barred = self._barred()
+            decision = None if waits else self._dispatch.place(barred)
             if decision is not None:
                 return decision
-            opening_s = self._dispatch.next_opening_s(self._tried)
+            if waits or barred != self._tried:
+                opening_s: float | None = _LOOK_AGAIN_S
+            else:
+                opening_s = self._dispatch.next_opening_s(self._tried)
             if opening_s is None or opening_s > self._time_left_s() - _LEAST_TIME_LEFT_S:
                 return FailureKind.NO_REPLICA.because(
                     f"no replica of {self._backend} takes work in time",
@@ -219,6 +232,11 @@
             if isinstance(item, TimeLimit) and item.name == _DEADLINE:
                 return Stopped(StopCause.DEADLINE)
 
+    def _barred(self) -> set[str]:
+        """Return the replicas that were tried, or that another suspected request has to itself."""
+        replicas = self._state.fleet.of_service(self._backend)
+        return self._tried | self._crashes.taken_for(self._admitted.digest, replicas)
+
     # One attempt
 
     async def _try(self, decision: RelayDecision) -> Outcome:
@@ -241,7 +259,11 @@
         if plan.unread_tokens:
             self._state.on_work_sent()
         withdrawal = self._withdraw_at(plan)
-        outcome = await self._attempt.run()
+        self._crashes.begin(self._admitted.digest, replica, self._ends_at_s)
+        try:
+            outcome = await self._attempt.run()
+        finally:
+            self._crashes.end(self._admitted.digest)
         if withdrawal is not None:
             withdrawal.cancel()
         self._attempt = None
@@ -260,7 +282,7 @@
         if isinstance(connection, Failure):
             return self._unreached(replica, connection)
         # Meanwhile it may have begun to leave or to load, or its weights' time be over.
-        if self._dispatch.is_available(replica, self._tried):
+        if self._dispatch.is_available(replica, self._barred()) and self._may_run():
             return connection
         pool.give_back(address, connection)
         return ChoiceLapsed()
@@ -294,7 +316,9 @@
         metrics.sent_by_region.labels(self._state.settings.regions.region_of(listing.zone)).inc()
 
     def _unreached(self, replica: RelayReplica, failure: Failure) -> NotRun:
-        if failure.kind is FailureKind.BACKEND_UNREACHABLE:
+        if failure.kind is FailureKind.CONNECTION_REFUSED:
+            self._crashes.note_ended(replica, EndEvidence.PORT_CLOSED)
+        if failure.kind in _UNREACHED:
             self._state.note_failure(replica, failure.reason, certain=True)
         return NotRun(failure.reason, sent=False)
 
@@ -304,6 +328,10 @@
             return self._answer.last_event_id
         return self._admitted.fields.resume_after
 
+    def _may_run(self) -> bool:
+        digest = self._admitted.digest
+        return self._crashes.refusal(digest) is None and self._crashes.may_run(digest)
+
     # What follows an attempt
 
     def _goes_on(self, replica: RelayReplica, outcome: Outcome) -> bool:
@@ -346,7 +374,10 @@
         self._tried.add(replica.replica_id)
         failed_by_replica = outcome.answer is not None and outcome.answer.head.status < 500
         others_left = self._dispatch.others_left(self._tried)
-        worth_it = self._route.repeatable and not failed_by_replica and others_left
+        # A request that has ended replicas is not offered to one more by the same try.
+        ends_replicas = self._crashes.ends(self._admitted.digest) >= MOST_ENDS_IN_A_TRY
+        repeatable = self._route.repeatable and not ends_replicas
+        worth_it = repeatable and not failed_by_replica and others_left
         if worth_it and self._may_repeat(self._route.max_attempts):
             return True
         if outcome.answer is not None and not self._answer.started:
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from winchfork.core.broken_runs import EndEvidence
 from winchfork.core.engine_speed import EngineSpeed
 from winchfork.core.freshness import Freshness
 from winchfork.core.kept_backlog import KeptBacklog
@@ -26,6 +27,7 @@
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.cache_stores import CacheStores
+from winchfork.router.crash_guard import CrashGuard
 from winchfork.router.dialect import RequestFields
 from winchfork.router.http_types import IncomingRequest
 from winchfork.router.metrics import RouterMetrics
@@ -132,6 +134,7 @@
         self.reach = ZoneReach(settings.zone)
         self.zones = ZoneWatch(self)
         self.choice = ReplicaChoice(self)
+        self.crashes = CrashGuard(settings.node_id, clock)
         self.quotas = QuotaBook(bounds.quota, self.life)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
         #: Seconds of a run for each token that its caller allows out, as measured lately.
@@ -265,6 +268,7 @@
     def note_superseded(self, replica: RelayReplica, by: str = "") -> None:
         """Record that another incarnation answers at a replica's address, ``by`` if it said so."""
         self.fleet.note_other_answered(replica, by)
+        self.crashes.note_ended(replica, EndEvidence.REPLACED)
 
     def note_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> None:
         """Record a replica's failure; log when it is now left alone for a while."""
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from winchfork.core.broken_runs import EndEvidence
 from winchfork.core.document_table import DocumentTable, TableItem, TableUpdate
 from winchfork.core.relay_fleet import ReplicaListing
 from winchfork.core.routing import RoutingTable
@@ -30,6 +31,7 @@
 from winchfork.router.document_relay import DocumentRelay
 from winchfork.router.documents import DocumentReader, ReplicaGone, WeightsTarget
 from winchfork.router.leadership import LEADER_KEY, Leadership
+from winchfork.router.refusal_records import is_refusal_key
 from winchfork.router.software_records import is_record_key, read_record
 from winchfork.router.state import RouterState
 from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreItem
@@ -236,6 +238,9 @@
                 self._leadership.note_entry(item.revision)
             self._state.leader_id = (item.value or b"").decode()
             return
+        if is_refusal_key(item.key):
+            self._state.crashes.records.take(item.key, item.value, item.revision)
+            return
         if is_record_key(item.key):
             self._install_record(item)
             return
@@ -308,7 +313,7 @@
             )
             return
         if known is not None and listing.is_restart_of(known.listing):
-            self._remove_replica(listing.replica_id, revision)
+            self._remove_replica(listing.replica_id, revision, EndEvidence.REPLACED)
             known = None
         changed = known is None or known.listing != listing
         self._state.install_listing(listing)
@@ -326,9 +331,15 @@
                 revision=revision,
             )
 
-    def _remove_replica(self, replica_id: str, revision: int) -> None:
+    def _remove_replica(
+        self,
+        replica_id: str,
+        revision: int,
+        evidence: EndEvidence = EndEvidence.ENTRY_LAPSED,
+    ) -> None:
         removed = self._state.fleet.remove(replica_id)
         if removed is not None:
+            self._state.crashes.note_ended(removed, evidence)
             self._state.parts.drop_replica(removed.order_hash)
             log_event("replica_gone", replica=replica_id, revision=revision)
 
