Try a refused request once more after ten minutes; look after each break anew

Cost: one more replica for each request that does end them. Second: the look whether a replica still listens was made for the first break on it only, so after one lost answer its end was told by the lapse of its entry, seconds later. Third: a kept connection counted as a sign of life; the look opens a new one.

--- a/winchfork/core/broken_runs.py
+++ b/winchfork/core/broken_runs.py
@@ -41,17 +41,15 @@
     def __init__(self) -> None:
         self._runs: dict[int, dict[bytes, _BrokenRun]] = {}
 
-    def note(self, incarnation: int, digest: bytes, at_s: float, *, silent: bool) -> bool:
-        """Record a break; True if it is the first on this incarnation of which nothing is told."""
+    def note(self, incarnation: int, digest: bytes, at_s: float, *, silent: bool) -> None:
+        """Record that the connection of a run broke."""
         self._forget(at_s)
-        runs = self._runs.setdefault(incarnation, {})
-        runs[digest] = _BrokenRun(at_s, silent)
-        return len(runs) == 1
+        self._runs.setdefault(incarnation, {})[digest] = _BrokenRun(at_s, silent)
 
-    def note_reached(self, incarnation: int) -> None:
-        """Record that a connection to the replica came up after the breaks."""
+    def note_reached(self, incarnation: int, asked_s: float) -> None:
+        """Record that a new connection to the replica came up that was asked for at ``asked_s``."""
         for run in self._runs.get(incarnation, {}).values():
-            run.doubtful = True
+            run.doubtful = run.doubtful or run.at_s <= asked_s
 
     def acquit(self, digest: bytes) -> None:
         """Record that a run of a request has ended well since: its breaks say nothing of it."""
--- a/winchfork/core/crash_ledger.py
+++ b/winchfork/core/crash_ledger.py
@@ -3,7 +3,13 @@
 A request is named by its digest (:mod:`winchfork.core.request_digest`), a replica's incarnation by
 its 64-bit hash. A replica that ends takes every run on it along, so an end under a request is a
 suspicion and no proof. Three different incarnations have to end in a row; a run that ends well in
-between acquits. Both tables are bounded: what was touched longest ago is forgotten first.
+between acquits.
+
+A refused request is tried once more after some minutes: where replicas ended for another reason,
+such as weights that end them under any request, many are refused that did nothing. If that run ends
+well, the request is acquitted; if its replica ends, it is refused for long.
+
+Both tables are bounded: what was touched longest ago is forgotten first.
 
 Times are seconds of one clock, given in.
 """
@@ -18,7 +24,8 @@
 ENDS_TO_REFUSE = 3
 #: A suspicion that nothing has confirmed or cleared for this long is forgotten.
 SUSPICION_S = 3600.0
-#: A refused request is refused for this long.
+#: For how long a request is refused the first time, and each time after that.
+FIRST_REFUSAL_S = 600.0
 REFUSAL_S = 24 * 3600.0
 #: A replica takes some 50 runs along when it ends: the suspicions of 300 such ends, 4 MB.
 MOST_SUSPECTS = 16_384
@@ -33,6 +40,13 @@
     noted_s: float
 
 
+class _Refusal(msgspec.Struct):
+    """How often a request has been refused, and until when it is."""
+
+    times: int
+    until_s: float
+
+
 class CrashLedger:
     """Suspicions and refusals by digest. Not thread-safe."""
 
@@ -42,8 +56,8 @@
         self._most_suspects = most_suspects
         self._most_refused = most_refused
         self._suspicions: OrderedDict[bytes, _Suspicion] = OrderedDict()
-        #: Until when each request is refused.
-        self._refused_until_s: OrderedDict[bytes, float] = OrderedDict()
+        #: Requests that are refused, or have been and were not acquitted since.
+        self._refusals: OrderedDict[bytes, _Refusal] = OrderedDict()
 
     def note_end(self, digest: bytes, incarnation: int, now_s: float) -> bool:
         """Record that an incarnation ended under a request; False if that was known."""
@@ -59,34 +73,41 @@
 
     def ends(self, digest: bytes, now_s: float) -> int:
         """Return how many incarnations have ended under a request since it last ended well."""
+        if digest in self._refusals:
+            return ENDS_TO_REFUSE
         known = self._known(digest, now_s)
         return len(known.incarnations) if known is not None else 0
 
     def acquit(self, digest: bytes) -> bool:
-        """Record that a run of a request has ended well; False if it was not suspected."""
-        return self._suspicions.pop(digest, None) is not None
+        """Forget what a request was suspected of, and refuse it no longer; False if nothing was.
 
-    def refuse(self, digest: bytes, until_s: float) -> None:
-        """Refuse a request until then."""
-        self._refused_until_s[digest] = until_s
-        self._refused_until_s.move_to_end(digest)
-        if len(self._refused_until_s) > self._most_refused:
-            self._refused_until_s.popitem(last=False)
+        For a run of it that ended well, or an operator who releases it.
+        """
+        suspected = self._suspicions.pop(digest, None) is not None
+        refused = self._refusals.pop(digest, None) is not None
+        return suspected or refused
 
-    def release(self, digest: bytes) -> None:
-        """Refuse a request no longer, and forget what it was suspected of."""
-        self._refused_until_s.pop(digest, None)
-        self._suspicions.pop(digest, None)
+    def refuse(self, digest: bytes, times: int, until_s: float) -> None:
+        """Refuse a request, for the ``times``-th time, until then."""
+        self._refusals[digest] = _Refusal(times, until_s)
+        self._refusals.move_to_end(digest)
+        if len(self._refusals) > self._most_refused:
+            self._refusals.popitem(last=False)
 
     def is_refused(self, digest: bytes, now_s: float) -> bool:
         """Whether a request is refused now."""
-        until_s = self._refused_until_s.get(digest)
-        if until_s is None:
-            return False
-        if now_s >= until_s:
-            self.release(digest)
-            return False
-        return True
+        refusal = self._refusals.get(digest)
+        return refusal is not None and now_s < refusal.until_s
+
+    def times_refused(self, digest: bytes) -> int:
+        """Return how often a request has been refused since it last ended well."""
+        refusal = self._refusals.get(digest)
+        return refusal.times if refusal is not None else 0
+
+    @staticmethod
+    def refusal_s(times: int) -> float:
+        """Return for how long a request is refused the ``times``-th time."""
+        return FIRST_REFUSAL_S if times <= 1 else REFUSAL_S
 
     @property
     def suspected(self) -> int:
@@ -95,8 +116,8 @@
 
     @property
     def refused(self) -> int:
-        """Requests that are refused."""
-        return len(self._refused_until_s)
+        """Requests that are refused, or have been and were not acquitted since."""
+        return len(self._refusals)
 
     def _known(self, digest: bytes, now_s: float) -> _Suspicion | None:
         known = self._suspicions.get(digest)
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -49,6 +49,10 @@
         kept = self.take_idle(address)
         if kept is not None:
             return kept
+        return await self.open_another(address, limit)
+
+    async def open_another(self, address: str, limit: int) -> ReplicaConnection | Failure:
+        """Return a new connection, also where one waits to be used."""
         if self._open.get(address, 0) >= limit:
             return FailureKind.OVERLOADED.because(
                 f"all {limit} connections to {address} are in use"
--- a/winchfork/router/crash_guard.py
+++ b/winchfork/router/crash_guard.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from winchfork.core.broken_runs import BrokenRuns, EndEvidence
-from winchfork.core.crash_ledger import ENDS_TO_REFUSE, REFUSAL_S, CrashLedger
+from winchfork.core.crash_ledger import ENDS_TO_REFUSE, CrashLedger
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.suspect_runs import SuspectRun, SuspectRuns
 from winchfork.errors import Failure, FailureKind, RunState
@@ -44,8 +44,8 @@
         self.records = RefusalRecords(self.ledger, clock)
         self._broken = BrokenRuns()
         self._runs = SuspectRuns()
-        #: Told of the first break on a replica that nothing explains yet.
-        self.on_first_break: Callable[[RelayReplica], None] = lambda replica: None
+        #: Told of each break on a replica that nothing explains yet.
+        self.on_break: Callable[[RelayReplica], None] = lambda replica: None
         #: Told of the requests under which an incarnation ended, for the other daemons.
         self.on_ended: Callable[[int, tuple[bytes, ...]], None] = lambda incarnation, digests: None
         #: Told of a suspect that runs alone, and that its run is over (None).
@@ -107,15 +107,15 @@
 
     def note_broken(self, replica: RelayReplica, digest: bytes, *, silent: bool) -> None:
         """The connection of a run broke before its answer was whole."""
-        first = self._broken.note(replica.order_hash, digest, self._clock(), silent=silent)
-        if first and not silent:
-            self.on_first_break(replica)
+        self._broken.note(replica.order_hash, digest, self._clock(), silent=silent)
+        if not silent:
+            self.on_break(replica)
 
     # What became of replicas
 
-    def note_reached(self, replica: RelayReplica) -> None:
-        """A connection to a replica's address came up after a break."""
-        self._broken.note_reached(replica.order_hash)
+    def note_reached(self, replica: RelayReplica, asked_s: float) -> None:
+        """A new connection to a replica's address came up, asked for at that time."""
+        self._broken.note_reached(replica.order_hash, asked_s)
 
     def note_ended(self, replica: RelayReplica, evidence: EndEvidence) -> None:
         """An incarnation has ended: whatever this daemon had running there is suspected."""
@@ -160,9 +160,14 @@
             if ends >= ENDS_TO_RUN_ALONE:
                 log_event("request_suspected", "WARNING", digest=digest.hex(), ends=ends, own=own)
             if ends >= ENDS_TO_REFUSE and not self.ledger.is_refused(digest, now_s):
-                log_event("digest_refused", "WARNING", digest=digest.hex(), ends=ends)
-                self.ledger.refuse(digest, now_s + REFUSAL_S)
-                self.on_refused(digest, own=own)
+                self._refuse(digest, own=own)
+
+    def _refuse(self, digest: bytes, *, own: bool) -> None:
+        times = self.ledger.times_refused(digest) + 1
+        for_s = self.ledger.refusal_s(times)
+        log_event("digest_refused", "WARNING", digest=digest.hex(), times=times, for_s=for_s)
+        self.ledger.refuse(digest, times, self._clock() + for_s)
+        self.on_refused(digest, own=own)
 
 
 def _ignore(digest: bytes, *, own: bool) -> None:
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -23,10 +23,11 @@
 
 
 class RefusalRecord(msgspec.Struct, frozen=True):
-    """A refused request; ``refused_ms`` is when, in milliseconds since 1970."""
+    """A refused request: when, in milliseconds since 1970, and for the how many-th time."""
 
     digest: bytes
     refused_ms: int
+    times: int
 
 
 def place_key(digest: bytes) -> str:
@@ -62,7 +63,7 @@
         self._ledger = ledger
         self._clock = clock
         self._wall_clock = wall_clock
-        self._digests: dict[str, bytes] = {}
+        self._records: dict[str, RefusalRecord] = {}
         self._revisions: dict[str, int] = {}
 
     def revision(self, key: str) -> int:
@@ -71,11 +72,15 @@
 
     def holds(self, digest: bytes) -> bool:
         """Whether the store holds the refusal of a request."""
-        return self._digests.get(place_key(digest)) == digest
+        record = self._records.get(place_key(digest))
+        times = self._ledger.times_refused(digest)
+        return record is not None and record.digest == digest and record.times >= times
 
     def new_record(self, digest: bytes) -> bytes:
         """Return what is to be stored of a request that is refused from now on."""
-        return msgspec.json.encode(RefusalRecord(digest, int(self._wall_clock() * 1000)))
+        now_ms = int(self._wall_clock() * 1000)
+        times = self._ledger.times_refused(digest)
+        return msgspec.json.encode(RefusalRecord(digest, now_ms, times))
 
     def take(self, key: str, value: bytes | None, revision: int) -> None:
         """Take in what the store holds in a place; an entry that was removed releases."""
@@ -87,17 +92,22 @@
         if isinstance(record, Failure):
             log_event("document_refused", "WARNING", key=key, reason=record.reason)
             return
-        self._digests[key] = record.digest
-        left_s = REFUSAL_S - (self._wall_clock() - record.refused_ms / 1000.0)
-        if left_s > 0.0:
-            now_s = self._clock()
-            if not self._ledger.is_refused(record.digest, now_s):
-                log_event("digest_refused", digest=record.digest.hex(), told_by="store")
-            self._ledger.refuse(record.digest, now_s + min(left_s, REFUSAL_S))
+        self._records[key] = record
+        for_s = self._ledger.refusal_s(record.times)
+        age_s = max(0.0, self._wall_clock() - record.refused_ms / 1000.0)
+        if age_s > for_s + REFUSAL_S or record.times < self._ledger.times_refused(record.digest):
+            return
+        now_s = self._clock()
+        if age_s < for_s and not self._ledger.is_refused(record.digest, now_s):
+            log_event(
+                "digest_refused", digest=record.digest.hex(), times=record.times, told_by="store"
+            )
+        # One whose time is over is still tried alone, and refused for long if a replica ends.
+        self._ledger.refuse(record.digest, record.times, now_s + for_s - age_s)
 
     def _release(self, key: str) -> None:
         self._revisions.pop(key, None)
-        digest = self._digests.pop(key, None)
-        if digest is not None:
-            self._ledger.release(digest)
-            log_event("digest_released", digest=digest.hex())
+        record = self._records.pop(key, None)
+        if record is not None:
+            self._ledger.acquit(record.digest)
+            log_event("digest_released", digest=record.digest.hex())
--- /dev/null
+++ b/winchfork/router/replica_looks.py
@@ -0,0 +1,49 @@
+"""Finds out whether a replica on which a run broke still listens."""
+
+from __future__ import annotations
+
+import asyncio
+
+from winchfork.core.broken_runs import EndEvidence
+from winchfork.core.relay_fleet import RelayReplica
+from winchfork.errors import Failure, FailureKind
+from winchfork.router.connection_pool import ConnectionPool
+from winchfork.router.state import RouterState
+
+#: Seconds after a break until the replica's port is tried: the other runs of a replica that ends
+#: break within some milliseconds, and one look serves them all.
+LOOK_AFTER_S = 0.03
+
+
+class ReplicaLooks:
+    """Opens a connection to a replica after a break, and keeps it for use if it comes up."""
+
+    def __init__(self, state: RouterState, pool: ConnectionPool) -> None:
+        self._state = state
+        self._pool = pool
+        #: Incarnations with a look that has not begun yet.
+        self._due: set[int] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def ask(self, replica: RelayReplica) -> None:
+        """Look soon, unless that is due already."""
+        if replica.order_hash in self._due:
+            return
+        self._due.add(replica.order_hash)
+        task = asyncio.get_running_loop().create_task(self._look(replica))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _look(self, replica: RelayReplica) -> None:
+        await asyncio.sleep(LOOK_AFTER_S)
+        self._due.discard(replica.order_hash)
+        asked_s = self._state.clock()
+        address = replica.listing.address
+        limit = self._state.connection_limit(replica.listing.service)
+        # A kept connection says nothing: its end may not have been heard of yet.
+        connection = await self._pool.open_another(address, limit)
+        if not isinstance(connection, Failure):
+            self._pool.give_back(address, connection)
+            self._state.crashes.note_reached(replica, asked_s)
+        elif connection.kind is FailureKind.CONNECTION_REFUSED:
+            self._state.crashes.note_ended(replica, EndEvidence.PORT_CLOSED)
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-from winchfork.core.broken_runs import EndEvidence
 from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
@@ -16,12 +15,10 @@
 from winchfork.router.quota_gate import QuotaGate
 from winchfork.router.refusals import refusal_answer
 from winchfork.router.relayed_request import RelayedRequest
+from winchfork.router.replica_looks import ReplicaLooks
 from winchfork.router.state import RouterState
 
 _DEFAULT_LIMITS = CallerLimits()
-#: Seconds after a break until the replica's port is tried: the other runs of a replica that ends
-#: break within some milliseconds.
-LOOK_AFTER_S = 0.03
 
 
 class Refused:
@@ -50,8 +47,8 @@
         state.on_held = self._replica_held
         state.on_silent = self._replica_silent
         state.on_zone_lost = self._zone_lost
-        state.crashes.on_first_break = self._look_after
-        self._looks: set[asyncio.Task[None]] = set()
+        self._looks = ReplicaLooks(state, pool)
+        state.crashes.on_break = self._looks.ask
 
     # CallerHandler
 
@@ -125,23 +122,6 @@
         for replica in lost:
             self._replica_silent(replica)
 
-    def _look_after(self, replica: RelayReplica) -> None:
-        """Find out whether a replica on which a run broke still listens."""
-        task = asyncio.get_running_loop().create_task(self._look(replica))
-        self._looks.add(task)
-        task.add_done_callback(self._looks.discard)
-
-    async def _look(self, replica: RelayReplica) -> None:
-        await asyncio.sleep(LOOK_AFTER_S)
-        address = replica.listing.address
-        limit = self.state.connection_limit(replica.listing.service)
-        connection = await self.pool.acquire(address, limit)
-        if not isinstance(connection, Failure):
-            self.pool.give_back(address, connection)
-            self.state.crashes.note_reached(replica)
-        elif connection.kind is FailureKind.CONNECTION_REFUSED:
-            self.state.crashes.note_ended(replica, EndEvidence.PORT_CLOSED)
-
     # Duties
 
     @property
