Count suspensions in the one clock of a router process

Cause: an event loop reads CLOCK_MONOTONIC, which stands still while the machine is suspended, so leases, proofs, bounds on weights, keys, quotas, news and refusals would be younger than they are on waking, and the watch for standstills, which compares two readings of the same clock, could not see it. The process now runs on a loop whose time is CLOCK_BOOTTIME; every belief and timer reads that loop, so a suspension looks like any other standstill. Ruled out: a second clock beside the loop's (two ages for one belief); a watch that corrects ages afterwards. Measured: tests for six beliefs, asleep for 1, 5 and 30 s, and one that fails on the code before (the loop of a process). No real machine was suspended: the clock is given in.

--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -20,6 +20,7 @@
 from winchfork.backends.replica_control import ReplicaControl
 from winchfork.errors import Failure
 from winchfork.logs import configure_logs, log_event
+from winchfork.router.boot_clock import BootClockLoop
 from winchfork.router.caller_connection import CallerConnection
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.dialect import Dialect
@@ -311,7 +312,8 @@
     gc.collect()
     gc.freeze()
     try:
-        asyncio.run(main())
+        with asyncio.Runner(loop_factory=BootClockLoop) as runner:
+            runner.run(main())
     except OSError as error:
         log_event("router_failed", "ERROR", reason=repr(error))
         return 1
