Take entries of another writer for what they are: they name no replica, and the others hold

Now one typed door decides: service, address (IP number and port), zone, slots and a named state are needed, other fields are of their types; whatever else removes the replica under that id from use. Counted; at most 20 lines in 10 s. Orders for weights go only to replicas of configured services. Replaced check: a malformed replica entry was a Failure and is an UnreadableReplica that holds it; the test looks at the same failure inside, and at the id besides.

--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -90,7 +90,7 @@
     def list_replicas(self, software: str, count: int | None = None) -> None:
         for number in range(self.replicas if count is None else count):
             entry = {**REPLICA, "Version": software, "Service": SERVICE, "Slots": 8}
-            entry["Address"] = f"{software}.{number}:1"
+            entry["Address"] = f"10.{int(software[1:])}.0.{number}:1"
             self.store.put(f"servers/{software}-{number}", json.dumps(entry).encode())
 
     def remove_replicas(self, software: str) -> None:
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,97 @@
+"""Entries that another writer left in the store: they name no replica, and the others hold.
+
+An entry without a state counted as ready, one with an address of any form was sent requests, one
+that could no longer be read left its replica in use, and a leader's entry that was no text ended
+the task that follows the store, over and over.
+"""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from tests.entry_fuzz import NEEDED_FIELDS, UNREADABLE, fuzz
+from tests.test_platform_documents import REPLICA
+from tests.test_store_sync import Followed, follow
+from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.logs import configure_logs
+from winchfork.platform.documents import PlatformDocuments
+from winchfork.router.documents import UnreadableReplica
+from winchfork.router.leadership import LEADER_KEY
+from winchfork.stores.async_key_value import StoreItem
+
+#: 1026 once showed a replica without a zone as one to use.
+SEEDS = (*range(1, 25), 1026)
+
+
+def read(entry: object) -> object:
+    """Return what an entry of a replica is taken for."""
+    return PlatformDocuments().read(StoreItem("servers/i-1", json.dumps(entry).encode(), 1))
+
+
+class ReplicaEntryTest(unittest.TestCase):
+    def test_a_whole_entry_is_a_replica(self) -> None:
+        self.assertIsInstance(read(REPLICA), ReplicaListing)
+
+    def test_a_field_that_is_missing_or_of_another_type_names_no_replica(self) -> None:
+        for name in NEEDED_FIELDS:
+            without = {field: value for field, value in REPLICA.items() if field != name}
+            self.assertIsInstance(read(without), UnreadableReplica, name)
+            self.assertIsInstance(read({**REPLICA, name: [1]}), UnreadableReplica, name)
+
+    def test_a_start_that_is_no_whole_number_names_no_replica(self) -> None:
+        for born in ("1", 1.5, -1, None, True, 10**30):
+            self.assertIsInstance(read({**REPLICA, "born": born}), UnreadableReplica, born)
+
+    def test_a_state_without_a_name_here_names_no_replica(self) -> None:
+        self.assertIsInstance(read({**REPLICA, "State": "zombie"}), UnreadableReplica)
+
+    def test_only_an_ip_number_and_a_port_are_an_address(self) -> None:
+        for address in ("", "x", "10.0.0.1", "10.0.0.1:0x50", "10.0.0.1:99999", "a.example:80"):
+            self.assertIsInstance(read({**REPLICA, "Address": address}), UnreadableReplica)
+
+
+class FollowedEntryTest(unittest.TestCase):
+    def test_a_replica_whose_entry_cannot_be_read_any_more_is_not_used(self) -> None:
+        async def scenario(followed: Followed) -> None:
+            for value in UNREADABLE:
+                followed.put_replica("i-1")
+                await followed.settle()
+                self.assertEqual(followed.known(), ["i-1", "i-2"])
+                followed.store.put("servers/i-1", value)
+                await followed.settle()
+                self.assertEqual(followed.known(), ["i-2"])
+
+        follow(scenario)
+
+    def test_a_leaders_entry_that_is_no_text_ends_nothing(self) -> None:
+        async def scenario(followed: Followed) -> None:
+            followed.store.put(LEADER_KEY, b"\xff\xfe")
+            followed.put_replica("i-3")
+            await followed.settle()
+            self.assertIn("i-3", followed.known())
+            self.assertFalse(followed.task.done())
+
+        follow(scenario)
+
+    def test_what_is_refused_is_counted_and_logged_a_bounded_number_of_times(self) -> None:
+        async def scenario(followed: Followed) -> None:
+            lines: list[str] = []
+            configure_logs("info", lines.append)
+            self.addCleanup(configure_logs, "error")
+            for _ in range(500):
+                followed.store.put("servers/i-1", b"\xff")
+            await followed.settle()
+            refused = [line for line in lines if "event=document_refused" in line]
+            self.assertEqual(followed.state.metrics.documents_refused.value, 500)
+            self.assertIn("key=servers/i-1", refused[0])
+            self.assertLessEqual(len(refused), 40)
+
+        follow(scenario)
+
+
+class FuzzTest(unittest.TestCase):
+    def test_good_entries_are_seen_and_nothing_else_is(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fuzz(seed)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -9,7 +9,7 @@
 from winchfork.core.routing import RouteKind, RoutingTable
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform.documents import PlatformDocuments
-from winchfork.router.documents import Document, ReplicaGone, WeightsTarget
+from winchfork.router.documents import Document, ReplicaGone, UnreadableReplica, WeightsTarget
 from winchfork.stores.async_key_value import StoreItem
 
 CONFIGURATION = {
@@ -156,6 +156,9 @@
             ("op/version/m", b"\xff"),
         ):
             problem = read(key, value)
+            if isinstance(problem, UnreadableReplica):
+                self.assertEqual(key, f"servers/{problem.replica_id}")
+                problem = problem.failure
             assert isinstance(problem, Failure), key
             self.assertEqual(problem.kind, FailureKind.BAD_DOCUMENT)
             self.assertIn(key, problem.reason)
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -61,6 +61,11 @@
         while self.state.clock() - returned_s < 60.0 and not self.state.vanished:
             await asyncio.sleep(0.01)
 
+    async def settle(self) -> None:
+        """Wait until what was written is known."""
+        while self.state.store_revision < self.store.revision:
+            await asyncio.sleep(0.01)
+
     def known(self) -> list[str]:
         return sorted(replica.replica_id for replica in self.state.fleet.replicas())
 
--- a/winchfork/platform/documents.py
+++ b/winchfork/platform/documents.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+import enum
+import ipaddress
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -22,11 +24,19 @@
 from winchfork.core.tenant_quota import QuotaUnit, TenantLimit
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
-from winchfork.router.documents import Document, ReplicaGone, WeightsTarget
+from winchfork.router.documents import Document, ReplicaGone, UnreadableReplica, WeightsTarget
 from winchfork.stores.async_key_value import PutItem, StoreItem
 
 _Shape = TypeVar("_Shape")
-_READY = "ready"
+#: Whole numbers of entries: what a double holds exactly, and every peer's message.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_MOST_PORT = 65_535
+
+
+class _ReplicaState(enum.Enum):
+    READY = "ready"
+    DRAINING = "draining"
 
 
 class _PascalStruct(msgspec.Struct, rename="pascal"):
@@ -108,23 +118,24 @@
 
 class _ModelVersion(_PascalStruct):
     name: str
-    version: int
+    version: _Count
 
 
 class _ReplicaEntry(_PascalStruct):
-    service: str
+    service: _Name
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = _READY
+    zone: _Name
+    slots: _Count
+    state: _ReplicaState
     version: str = ""
     models: list[_ModelVersion] = msgspec.field(default_factory=list)
-    born: int = msgspec.field(name="born", default=0)
+    sequence: _Count = 0
+    born: _Count = msgspec.field(name="born", default=0)
 
 
 class _NamedVersion(_PascalStruct):
     model: str
-    version: int
+    version: _Count
 
 
 class _RolloutOrder(_PascalStruct):
@@ -190,20 +201,35 @@
         return ReplicaGone(replica_id)
     entry = _decode(item, _ReplicaEntry)
     if isinstance(entry, Failure):
-        return entry
+        return UnreadableReplica(replica_id, entry)
+    if not _is_address(entry.address):
+        failure = FailureKind.BAD_DOCUMENT.because(
+            f"{item.key}: {entry.address} is no address",
+            remedy="write an IP number and a port, as 10.0.0.1:8080",
+        )
+        return UnreadableReplica(replica_id, failure)
     return ReplicaListing(
         replica_id=replica_id,
         service=entry.service,
         address=entry.address,
         zone=entry.zone,
         slots=entry.slots,
-        accepting=entry.state == _READY,
+        accepting=entry.state is _ReplicaState.READY,
         versions={model.name: model.version for model in entry.models},
         software=entry.version,
-        born_ms=max(0, entry.born),
+        born_ms=entry.born,
     )
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) <= _MOST_PORT
+
+
 def _table(value: bytes) -> RoutingTable | Failure:
     document = _decode(StoreItem(names.CONFIGURATION_KEY, value, 0), _Configuration)
     if isinstance(document, Failure):
@@ -275,7 +301,7 @@
 def _decode(item: StoreItem, shape: type[_Shape]) -> _Shape | Failure:
     try:
         return msgspec.json.decode(item.value or b"", type=shape)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return FailureKind.BAD_DOCUMENT.because(
             f"{item.key}: {error}", remedy="the operators' document does not fit the router's"
         )
--- a/winchfork/platform/store.py
+++ b/winchfork/platform/store.py
@@ -172,5 +172,13 @@
 
 
 def _item(entry: _Item) -> StoreItem:
-    value = None if entry.gone or entry.value is None else base64.b64decode(entry.value)
+    value = None if entry.gone or entry.value is None else _bytes_of(entry.value)
     return StoreItem(entry.key, value, entry.revision)
+
+
+def _bytes_of(text: str) -> bytes:
+    """Return an entry's bytes; what is no base64 is nobody's document, and not the call's end."""
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        return b""
--- a/winchfork/router/documents.py
+++ b/winchfork/router/documents.py
@@ -26,7 +26,16 @@
     replica_id: str
 
 
-Document = RoutingTable | WeightsTarget | ReplicaListing | ReplicaGone | SoftwareOrder
+class UnreadableReplica(msgspec.Struct, frozen=True):
+    """An entry in a replica's place that names no replica: another writer's, or a broken one."""
+
+    replica_id: str
+    failure: Failure
+
+
+Document = (
+    RoutingTable | WeightsTarget | ReplicaListing | ReplicaGone | UnreadableReplica | SoftwareOrder
+)
 
 
 class DocumentReader(Protocol):
--- /dev/null
+++ b/winchfork/router/line_limit.py
@@ -0,0 +1,23 @@
+"""Bounds how often an event is logged that others bring about."""
+
+from __future__ import annotations
+
+#: Lines in a row, and seconds until as many are allowed again.
+MOST_LINES = 20
+PERIOD_S = 10.0
+
+
+class LineLimit:
+    """Counts the lines of one event; not thread-safe."""
+
+    def __init__(self) -> None:
+        self._period_ends_s = 0.0
+        self._lines = 0
+
+    def allows(self, now_s: float) -> bool:
+        """Whether one more line may be written now; counts it."""
+        if now_s >= self._period_ends_s:
+            self._period_ends_s = now_s + PERIOD_S
+            self._lines = 0
+        self._lines += 1
+        return self._lines <= MOST_LINES
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -116,6 +116,9 @@
         self.datagrams_refused = Counter(
             "winchfork_datagrams_refused", "Datagrams that a machine refused."
         )
+        self.documents_refused = Counter(
+            "winchfork_documents_refused", "Entries of the store that could not be read."
+        )
         self.updates_relayed = Labelled(
             CounterChild,
             "winchfork_updates_relayed",
@@ -166,7 +169,7 @@
             HistogramMetricFamily,
         )
 
-        for counter in (self.bad_datagrams, self.datagrams_refused):
+        for counter in (self.bad_datagrams, self.datagrams_refused, self.documents_refused):
             yield CounterMetricFamily(counter.name, counter.description, value=counter.value)
         counters = (self.requests, self.calls, self.updates_relayed)
         sent = (self.sent_by_software, self.sent_by_region)
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -44,7 +44,7 @@
     """Read a stored record."""
     try:
         record = msgspec.json.decode(value, type=RefusalRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return FailureKind.BAD_DOCUMENT.because(f"record of a refused request: {error}")
     if len(record.digest) != DIGEST_BYTES:
         return FailureKind.BAD_DOCUMENT.because("record of a refused request: no digest")
--- a/winchfork/router/software_records.py
+++ b/winchfork/router/software_records.py
@@ -29,5 +29,5 @@
     """Read a stored record."""
     try:
         return msgspec.json.decode(value, type=SoftwareState)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return FailureKind.BAD_DOCUMENT.because(f"record of a software rollout: {error}")
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -30,6 +30,7 @@
 from winchfork.router.crash_guard import CrashGuard
 from winchfork.router.dialect import RequestFields
 from winchfork.router.http_types import IncomingRequest
+from winchfork.router.line_limit import LineLimit
 from winchfork.router.metrics import RouterMetrics
 from winchfork.router.replica_choice import ReplicaChoice
 from winchfork.router.settings import RouterSettings
@@ -135,6 +136,7 @@
         self.zones = ZoneWatch(self)
         self.choice = ReplicaChoice(self)
         self.crashes = CrashGuard(settings.node_id, clock)
+        self._refused_documents = LineLimit()
         self.quotas = QuotaBook(bounds.quota, self.life)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
         #: Seconds of a run for each token that its caller allows out, as measured lately.
@@ -265,6 +267,12 @@
         replica.versions[model] = max(refused + 1, replica.versions.get(model, 0))
         return True
 
+    def note_refused_document(self, key: str, failure: Failure) -> None:
+        """Count an entry of the store that cannot be read, and log some: many may be written."""
+        self.metrics.documents_refused.inc()
+        if self._refused_documents.allows(self.clock()):
+            log_event("document_refused", "WARNING", key=key, reason=failure.reason)
+
     def note_superseded(self, replica: RelayReplica, by: str = "") -> None:
         """Record that another incarnation answers at a replica's address, ``by`` if it said so."""
         self.fleet.note_other_answered(replica, by)
@@ -324,6 +332,10 @@
         known = self.table.services.get(service) if self.table else None
         return known.engine.cache_tokens if known and known.engine else 0
 
+    def is_configured(self, service: str) -> bool:
+        """Whether the configuration names a service; without one, nothing is known against it."""
+        return self.table is None or service in self.table.services
+
     def connection_limit(self, service: str) -> int:
         """Return this daemon's part of the connections that one replica takes."""
         known = self.table.services.get(service) if self.table else None
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -29,7 +29,12 @@
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.document_relay import DocumentRelay
-from winchfork.router.documents import DocumentReader, ReplicaGone, WeightsTarget
+from winchfork.router.documents import (
+    DocumentReader,
+    ReplicaGone,
+    UnreadableReplica,
+    WeightsTarget,
+)
 from winchfork.router.leadership import LEADER_KEY, Leadership
 from winchfork.router.refusal_records import is_refusal_key
 from winchfork.router.software_records import is_record_key, read_record
@@ -236,7 +241,7 @@
                 self._leadership.note_no_entry(item.revision)
             else:
                 self._leadership.note_entry(item.revision)
-            self._state.leader_id = (item.value or b"").decode()
+            self._state.leader_id = (item.value or b"").decode(errors="replace")
             return
         if is_refusal_key(item.key):
             self._state.crashes.records.take(item.key, item.value, item.revision)
@@ -246,7 +251,10 @@
             return
         document = self._reader.read(StoreItem(item.key, item.value, item.revision))
         if isinstance(document, Failure):
-            log_event("document_refused", "WARNING", key=item.key, reason=document.reason)
+            self._state.note_refused_document(item.key, document)
+        elif isinstance(document, UnreadableReplica):
+            self._state.note_refused_document(item.key, document.failure)
+            self._remove_replica(document.replica_id, item.revision, None)
         elif isinstance(document, RoutingTable):
             self._install_table(document, item.revision)
         elif isinstance(document, WeightsTarget):
@@ -263,7 +271,7 @@
             return
         record = read_record(item.value)
         if isinstance(record, Failure):
-            log_event("document_refused", "WARNING", key=item.key, reason=record.reason)
+            self._state.note_refused_document(item.key, record)
         else:
             self._state.software.install(record, item.revision, found=not self._ever_listed)
 
@@ -335,11 +343,13 @@
         self,
         replica_id: str,
         revision: int,
-        evidence: EndEvidence = EndEvidence.ENTRY_LAPSED,
+        evidence: EndEvidence | None = EndEvidence.ENTRY_LAPSED,
     ) -> None:
+        """Forget a replica; ``evidence`` is what its going shows of its end, if anything."""
         removed = self._state.fleet.remove(replica_id)
         if removed is not None:
-            self._state.crashes.note_ended(removed, evidence)
+            if evidence is not None:
+                self._state.crashes.note_ended(removed, evidence)
             self._state.parts.drop_replica(removed.order_hash)
             log_event("replica_gone", replica=replica_id, revision=revision)
 
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -95,7 +95,9 @@
         history = self._state.versions[model]
         self._state.fleet.refresh()
         replicas = [
-            replica for replica in self._state.fleet.replicas() if model in replica.versions
+            replica
+            for replica in self._state.fleet.replicas()
+            if model in replica.versions and self._state.is_configured(replica.listing.service)
         ]
         now_s = self._state.clock()
         views = [self._view(replica, model, now_s) for replica in replicas]
