Store that a refused request has ended well; tell peers only of runs that they were told of

Found by reading once more. The end of a run was told to all daemons also where its beginning was not: some fifty datagrams a daemon for each replica that ends. Measured: the test of the acquittal, with daemons that start afterwards, fails without the first.

--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -334,8 +334,11 @@
             fleet.end_refusals(DIGEST)
             fleet.daemons[1].state.crashes.note_outlived(DIGEST)
             await asyncio.sleep(1.0)
-            ends = [daemon.state.crashes.ends(DIGEST) for daemon in fleet.daemons]
-            self.assertEqual(ends, [0, 0, 0])
+            successors = Fleet(store, 2, first=10)
+            await asyncio.sleep(1.0)
+            daemons = [*fleet.daemons, *successors.daemons]
+            self.assertEqual([daemon.state.crashes.ends(DIGEST) for daemon in daemons], [0] * 5)
+            successors.kill()
 
         among(3, scenario)
 
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -119,8 +119,8 @@
         runs.begin("n2", b"e", SuspectRun(8, 5.0, alone=False))
         self.assertTrue(runs.is_running(b"d", 1.0))
         self.assertEqual(runs.taken(1.0), {7})
-        self.assertTrue(runs.end("n1", b"d"))
-        self.assertFalse(runs.end("n1", b"d"))
+        self.assertIsNotNone(runs.end("n1", b"d"))
+        self.assertIsNone(runs.end("n1", b"d"))
         self.assertFalse(runs.is_running(b"d", 1.0))
         self.assertFalse(runs.is_running(b"e", 5.0))
 
--- a/winchfork/core/suspect_runs.py
+++ b/winchfork/core/suspect_runs.py
@@ -31,9 +31,9 @@
         """Record that a daemon has sent a suspect."""
         self._runs[daemon, digest] = run
 
-    def end(self, daemon: str, digest: bytes) -> bool:
-        """Record that a daemon's run is over; False if it was not known."""
-        return self._runs.pop((daemon, digest), None) is not None
+    def end(self, daemon: str, digest: bytes) -> SuspectRun | None:
+        """Record that a daemon's run is over; None if it was not known."""
+        return self._runs.pop((daemon, digest), None)
 
     def is_running(self, digest: bytes, now_s: float) -> bool:
         """Whether a run of a request is under way."""
--- a/winchfork/router/crash_guard.py
+++ b/winchfork/router/crash_guard.py
@@ -17,7 +17,7 @@
 from winchfork.core.suspect_runs import SuspectRun, SuspectRuns
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
-from winchfork.router.refusal_records import RefusalRecords
+from winchfork.router.refusal_records import RefusalRecords, place_key
 
 #: Ends from which on a request shares no replica with another such: what ended the second replica
 #: is one of the few that ran on both.
@@ -26,8 +26,8 @@
 MOST_ENDS_IN_A_TRY = 2
 
 
-class RefusalListener(Protocol):
-    """Told of a request that is refused from now on; ``own``: this daemon sent its last run."""
+class RecordListener(Protocol):
+    """Told of a request that is refused, or no longer; ``own``: this daemon sent its last run."""
 
     def __call__(self, digest: bytes, *, own: bool) -> None:
         """Take it in."""
@@ -52,7 +52,8 @@
         self.on_run: Callable[[bytes, SuspectRun | None], None] = lambda digest, run: None
         #: Told of a suspect that has ended well.
         self.on_acquitted: Callable[[bytes], None] = lambda digest: None
-        self.on_refused: RefusalListener = _ignore
+        #: Told of a request whose record in the store has to change.
+        self.on_record: RecordListener = _ignore
 
     # Before a run
 
@@ -96,7 +97,8 @@
 
     def end(self, digest: bytes) -> None:
         """The run is over, however it ended."""
-        if self._runs.end(self._daemon_id, digest):
+        run = self._runs.end(self._daemon_id, digest)
+        if run is not None and run.alone:
             self.on_run(digest, None)
 
     def note_outlived(self, digest: bytes) -> None:
@@ -104,6 +106,8 @@
         self._broken.acquit(digest)
         if self.ledger.acquit(digest):
             self.on_acquitted(digest)
+            if self.records.revision(place_key(digest)):
+                self.on_record(digest, own=True)
 
     def note_broken(self, replica: RelayReplica, digest: bytes, *, silent: bool) -> None:
         """The connection of a run broke before its answer was whole."""
@@ -167,7 +171,7 @@
         for_s = self.ledger.refusal_s(times)
         log_event("digest_refused", "WARNING", digest=digest.hex(), times=times, for_s=for_s)
         self.ledger.refuse(digest, times, self._clock() + for_s)
-        self.on_refused(digest, own=own)
+        self.on_record(digest, own=own)
 
 
 def _ignore(digest: bytes, *, own: bool) -> None:
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -23,7 +23,10 @@
 
 
 class RefusalRecord(msgspec.Struct, frozen=True):
-    """A refused request: when, in milliseconds since 1970, and for the how many-th time."""
+    """A refused request: when, in milliseconds since 1970, and for the how many-th time.
+
+    0 times: it has ended well since, and is refused no longer.
+    """
 
     digest: bytes
     refused_ms: int
@@ -70,14 +73,14 @@
         """Return the revision of a place; 0 while it is free."""
         return self._revisions.get(key, 0)
 
-    def holds(self, digest: bytes) -> bool:
-        """Whether the store holds the refusal of a request."""
+    def are_current(self, digest: bytes) -> bool:
+        """Whether the store says of a request what the ledger does."""
         record = self._records.get(place_key(digest))
-        times = self._ledger.times_refused(digest)
-        return record is not None and record.digest == digest and record.times >= times
+        stored = record.times if record is not None and record.digest == digest else 0
+        return stored == self._ledger.times_refused(digest)
 
     def new_record(self, digest: bytes) -> bytes:
-        """Return what is to be stored of a request that is refused from now on."""
+        """Return what is to be stored of a request that is refused from now on, or no longer."""
         now_ms = int(self._wall_clock() * 1000)
         times = self._ledger.times_refused(digest)
         return msgspec.json.encode(RefusalRecord(digest, now_ms, times))
@@ -93,6 +96,9 @@
             log_event("document_refused", "WARNING", key=key, reason=record.reason)
             return
         self._records[key] = record
+        if not record.times:
+            self._ledger.acquit(record.digest)
+            return
         for_s = self._ledger.refusal_s(record.times)
         age_s = max(0.0, self._wall_clock() - record.refused_ms / 1000.0)
         if age_s > for_s + REFUSAL_S or record.times < self._ledger.times_refused(record.digest):
--- a/winchfork/router/refusal_writer.py
+++ b/winchfork/router/refusal_writer.py
@@ -1,4 +1,4 @@
-"""Writes refused requests into the store, each once for the whole fleet."""
+"""Writes into the store which requests are refused, or no longer, once for the whole fleet."""
 
 from __future__ import annotations
 
@@ -32,10 +32,10 @@
         self._generator = generator
         self._due_s: dict[bytes, float] = {}
         self._asked = asyncio.Event()
-        state.crashes.on_refused = self.ask
+        state.crashes.on_record = self.ask
 
     def ask(self, digest: bytes, *, own: bool) -> None:
-        """Have a refusal written; ``own``: this daemon sent the run that ended last."""
+        """Have a request's record written; ``own``: this daemon sent the run that ended last."""
         if digest in self._due_s or len(self._due_s) >= MOST_WAITING:
             return
         spread_s = self._generator.random() * SPREAD_A_DAEMON_S * self._state.daemons
@@ -58,7 +58,7 @@
 
     async def _write(self, digest: bytes) -> None:
         records = self._state.crashes.records
-        if records.holds(digest):
+        if records.are_current(digest):
             del self._due_s[digest]
             return
         key = place_key(digest)
