Soak: requests that end replicas, replicas that come back under their id, entries of another writer

Callers send bodies that end each replica that runs them, again and again at any router, earlier ones too; half of the replicas come back under their id. Judged: three ends, and then at most three runs by routers in touch; no innocent request is refused for it, though half of all streams share one body. Another writer's entries come and go. Suspensions are not played: the soak has no clock to give to a process.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -125,6 +125,7 @@
         zone = ZONES[len(replica_id) % len(ZONES)]
         replica = ReplicaServer(self.store, replica_id, "models", zone, MODEL, software)
         replica.version = max(item.version for item in self.model_rollouts.replicas)
+        replica.fatal = self.models[0].fatal
         replica.load_s = self.weights_timing.load_s
         self.all_models.append(replica)
         return replica
--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -36,7 +36,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class FatalRequest:
-    """What ends a replica that runs it, and how the replica comes back; times in seconds."""
+    """What ends a replica that runs it, and how the replica comes back; times in seconds.
+
+    ``body`` is what the body of such a request begins with.
+    """
 
     body: bytes
     ends_after_s: float = 0.08
@@ -46,6 +49,16 @@
     lapses_after_s: float = 1.0
 
 
+@dataclasses.dataclass
+class FatalRun:
+    """A run of a request that ends replicas; ``ended_s`` is None unless it ended its replica."""
+
+    body: bytes
+    request_id: str
+    began_s: float
+    ended_s: float | None = None
+
+
 class ReplicaServer:
     """Keeps its own entry in the store. ``model`` empty makes it an application's replica."""
 
@@ -80,17 +93,19 @@
         self.generations: list[Generation] = []
         #: Breaks the next stream off inside this event; 0: none.
         self.tear_at_event = 0
-        #: A request that ends this replica, if there is one, and when it began here.
+        #: A request that ends this replica, if there is one, and its runs here.
         self.fatal: FatalRequest | None = None
-        self.fatal_runs_s: list[float] = []
+        self.fatal_runs: list[FatalRun] = []
         self.born_ms = 0
         self._http = HttpServer(self._handle)
         self._ending: asyncio.Task[None] | None = None
         self._loading_task: asyncio.Task[None] | None = None
         self._ended = False
+        self._listens = False
 
     async def start(self) -> None:
         """Listen, and be listed; a start after a crash has the same address."""
+        self._listens = True
         await self._http.start()
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
         self.announce("ready")
@@ -102,6 +117,7 @@
 
     async def crash(self) -> StaleEntry:
         """End without a word; the entry stays until it lapses."""
+        self._listens = False
         await self._http.stop()
         if self._loading_task is not None:
             self._loading_task.cancel()
@@ -111,7 +127,7 @@
 
     async def restart(self, *, keeps_id: bool = False) -> None:
         """Begin a new incarnation after a crash, unless the replica was ended meanwhile."""
-        if self._ended:
+        if self._ended or self._listens:
             return
         if not keeps_id:
             self.replica_id += "'"
@@ -207,8 +223,8 @@
         self.running += 1
         self.ran.append(request.headers["x-request-id"])
         try:
-            if self.fatal is not None and request.body == self.fatal.body:
-                return await self._end_under(self.fatal)
+            if self.fatal is not None and request.body.startswith(self.fatal.body):
+                return await self._end_under(self.fatal, request)
             spoiled = self.spoiler.draw()
             if spoiled is ReplicaFault.FAILS:
                 write_answer(writer, 500, b"spoiled", self._proof(request))
@@ -223,16 +239,19 @@
         finally:
             self.running -= 1
 
-    async def _end_under(self, fatal: FatalRequest) -> bool:
+    async def _end_under(self, fatal: FatalRequest, request: Request) -> bool:
         """End some time after the request has begun, with all that runs here; come back later."""
-        self.fatal_runs_s.append(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        run = FatalRun(request.body, request.headers["x-request-id"], now_s)
+        self.fatal_runs.append(run)
         if self._ending is None or self._ending.done():
-            self._ending = asyncio.create_task(self._end_and_return(fatal))
+            self._ending = asyncio.create_task(self._end_and_return(fatal, run))
         await asyncio.Event().wait()
         return False
 
-    async def _end_and_return(self, fatal: FatalRequest) -> None:
+    async def _end_and_return(self, fatal: FatalRequest, run: FatalRun) -> None:
         await asyncio.sleep(fatal.ends_after_s)
+        run.ended_s = asyncio.get_running_loop().time()
         entry = await self.crash()
         if not fatal.keeps_id:
             asyncio.get_running_loop().call_later(fatal.lapses_after_s, entry.lapse)
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -75,7 +75,7 @@
     async def command(self, router: RouterUnderSoak) -> Reply:
         """Ask for something that may run at most once."""
         request_id = self._next_id("command", router)
-        reply = await _ask(router.address, "/roster/x", request_id, "")
+        reply = await ask(router.address, "/roster/x", request_id, "")
         self.commands[request_id] = reply
         self.outcomes[f"command {reply.status}"] += 1
         return reply
@@ -85,11 +85,10 @@
         request_id = self._next_id("stream", router)
         tokens = generator.randrange(1, _MOST_TOKENS)
         family = generator.randrange(_FAMILIES)
-        extra = (
-            f"X-Model: {MODEL}\r\nX-Token-Usage: 900,{tokens}\r\n"
-            f"X-Prefix-Hash: 5c1e07a2:300,{family:08x}:410,{self._asked:08x}:190\r\n"
-        )
-        reply = await _ask(router.address, "/review/x", request_id, extra)
+        extra = stream_headers(tokens, family, self._asked)
+        # Half of the bodies are the same: what many send at once must not be taken for fatal.
+        body = b"body" if self._asked % 2 else request_id.encode()
+        reply = await ask(router.address, "/review/x", request_id, extra, body)
         self.outcomes[f"stream {reply.status}{'' if reply.whole else ' torn'}"] += 1
         self.streams.append(StreamReply(request_id, tokens, reply))
         return reply
@@ -101,18 +100,27 @@
         return request_id
 
 
-async def _ask(address: str, path: str, request_id: str, extra: str) -> Reply:
+def stream_headers(tokens: int, family: int, number: int) -> str:
+    """Return the header lines of a prompt and of the tokens that are wanted."""
+    return (
+        f"X-Model: {MODEL}\r\nX-Token-Usage: 900,{tokens}\r\n"
+        f"X-Prefix-Hash: 5c1e07a2:300,{family:08x}:410,{number:08x}:190\r\n"
+    )
+
+
+async def ask(address: str, path: str, request_id: str, extra: str, body: bytes = b"body") -> Reply:
+    """Send one request on a connection of its own; return what came back, if anything."""
     host, _, port = address.rpartition(":")
     message = (
         f"POST {path} HTTP/1.1\r\nHost: proofs.example\r\nX-Request-Id: {request_id}\r\n"
-        f"X-Key: {KEY}\r\nX-Deadline-Ms: 6000\r\n{extra}Content-Length: 4\r\n"
-        "Connection: close\r\n\r\nbody"
+        f"X-Key: {KEY}\r\nX-Deadline-Ms: 6000\r\n{extra}Content-Length: {len(body)}\r\n"
+        "Connection: close\r\n\r\n"
     )
     try:
         async with asyncio.timeout(_ANSWER_S):
             reader, writer = await asyncio.open_connection(host, int(port))
             try:
-                writer.write(message.encode())
+                writer.write(message.encode() + body)
                 return await _read_reply(reader)
             finally:
                 writer.transport.abort()
--- /dev/null
+++ b/standins/soak/faults/foreign_entries.py
@@ -0,0 +1,41 @@
+"""Entries of another writer in the store, in replicas' places of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from standins.store_server import StoreServer
+
+LEAST_KEPT_S, MOST_KEPT_S = 0.2, 3.0
+_VALUES = (
+    b"",
+    b"\xff\xfe\x00",
+    b"[]",
+    b'{"Service": "models"}',
+    b'{"Service": "models", "Address": "nowhere", "Zone": "patan", "Slots": 9, "State": "ready"}',
+    b'{"Service": "models", "Address": "127.0.0.9:9", "Zone": "patan", "Slots": 9, "State": "on"}',
+    b'{"Service": 7, "Address": "127.0.0.9:9", "Zone": "patan", "Slots": "9", "State": "ready"}',
+)
+
+
+class ForeignEntries:
+    """Writes entries that name no replica."""
+
+    def __init__(
+        self, store: StoreServer, generator: random.Random, tell: Callable[[str], None]
+    ) -> None:
+        self._store = store
+        self._random = generator
+        self._tell = tell
+        self._written = 0
+
+    async def foreign_entry(self) -> None:
+        """Write one, and remove it after a while."""
+        self._written += 1
+        key = f"servers/i-foreign-{self._written}"
+        self._store.put(key, self._random.choice(_VALUES))
+        self._tell(f"{key} is written by another writer")
+        await asyncio.sleep(self._random.uniform(LEAST_KEPT_S, MOST_KEPT_S))
+        self._store.remove(key)
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -35,6 +35,12 @@
     return broken
 
 
+def judge_innocent(replies: Iterable[Reply]) -> list[str]:
+    """Nobody is refused for ends of replicas who has not brought them about."""
+    refused = sum(b"ends_replicas" in reply.body for reply in replies)
+    return [f"{refused} innocent requests were refused as ending replicas"] if refused else []
+
+
 def judge_commands(
     commands: Mapping[str, Reply], applications: Iterable[ReplicaServer]
 ) -> list[str]:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -12,13 +12,15 @@
 from standins.fleet import ZONES, Surroundings, WeightsTiming
 from standins.soak.callers import Callers
 from standins.soak.disruptions import DisruptionLog
+from standins.soak.fatal_requests import FatalCallers, judge_fatal, prepare_replicas
+from standins.soak.faults.foreign_entries import ForeignEntries
 from standins.soak.faults.process_faults import ProcessFaults
 from standins.soak.faults.replica_faults import ReplicaFaults
 from standins.soak.faults.scene import Scene
 from standins.soak.faults.store_faults import StoreFaults
 from standins.soak.lanes import Lane
 from standins.soak.operators import Operators
-from standins.soak.promises import judge_commands, judge_orders, judge_stream
+from standins.soak.promises import judge_commands, judge_innocent, judge_orders, judge_stream
 from standins.soak.routers import RouterUnderSoak
 from standins.soak.weights_promises import (
     END_SHARE,
@@ -38,6 +40,7 @@
 REPLICA_PAUSE_S = 3.0
 CONNECTION_PAUSE_S = 12.0
 STORE_PAUSE_S = 12.0
+ENTRY_PAUSE_S = 4.0
 #: Faults of the store and of links stop every bound, so they begin up to this part of a run late.
 STORE_DELAY_SHARE = 0.7
 
@@ -55,6 +58,9 @@
             for number, zone in enumerate(ZONES, start=1)
         ]
         self._callers = Callers(self._routers, self._seed)
+        self._fatal = FatalCallers(self._routers, self._generator("fatal requests"))
+        generator = self._generator("ends of replicas")
+        prepare_replicas(self._surroundings.models, generator)
         self.faults: Counter[str] = Counter()
         self.broken: list[str] = []
 
@@ -86,6 +92,7 @@
         lanes = self._lanes(disruptions, replicas)
         await asyncio.gather(
             operators.run(),
+            self._fatal.run(until_s),
             *(lane.run(self._generator(lane.name), until_s, self.faults) for lane in lanes),
         )
         # Routers forget at a restart what they took a replica for: none comes after this fault.
@@ -110,6 +117,7 @@
         processes = ProcessFaults(scene, self._generator("processes struck"), self.broken)
         connections = StoreFaults(scene, self._generator("connections struck"))
         store = StoreFaults(scene, self._generator("store struck"))
+        entries = ForeignEntries(self._surroundings.store, self._generator("entries"), self._tell)
         delay_s = self._seconds * STORE_DELAY_SHARE
         return [
             Lane("leaders", [leaders.leader_standstills], LEADER_PAUSE_S),
@@ -133,6 +141,7 @@
                 ],
                 CONNECTION_PAUSE_S,
             ),
+            Lane("entries", [entries.foreign_entry], ENTRY_PAUSE_S),
             Lane("store", [store.store_down, store.link_cut], STORE_PAUSE_S, delay_s),
         ]
 
@@ -175,8 +184,13 @@
             self.broken += judge_stream(stream)
         self.broken += judge_commands(callers.commands, surroundings.all_applications)
         self.broken += judge_orders(surroundings.all_models)
+        replies = [*callers.commands.values(), *(stream.reply for stream in callers.streams)]
+        self.broken += judge_innocent(replies)
+        models = surroundings.all_models
+        self.broken += judge_fatal(models, self._fatal.senders, disruptions, CONTACT_S)
         generations = [begun for item in surroundings.all_models for begun in item.generations]
         bound_s = WEIGHTS_TIMING.bound_s
         named = surroundings.weights.named
-        late = late_generations(generations, named, callers.senders, disruptions, bound_s)
+        senders = callers.senders | self._fatal.senders
+        late = late_generations(generations, named, senders, disruptions, bound_s)
         self.broken += describe_late(late)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -67,7 +67,7 @@
     async def _ends_are_few(self, *, keeps_id: bool) -> None:
         deployment = await self._deploy(keeps_id=keeps_id)
         await self._repeat(deployment, 20)
-        runs = sum(len(replica.fatal_runs_s) for replica in deployment.models)
+        runs = sum(len(replica.fatal_runs) for replica in deployment.models)
         self.assertGreaterEqual(runs, 1)
         self.assertLessEqual(runs, MOST_ENDS + MOST_LATER_RUNS)
         answer = await self._ask(deployment, 0, "innocent", b"other")
@@ -84,7 +84,7 @@
         deployment = await self._deploy(keeps_id=False)
         await self._repeat(deployment, 12)
         await deployment.restart_routers()
-        before = sum(len(replica.fatal_runs_s) for replica in deployment.models)
+        before = sum(len(replica.fatal_runs) for replica in deployment.models)
         await self._repeat(deployment, 8, first=100)
-        after = sum(len(replica.fatal_runs_s) for replica in deployment.models)
+        after = sum(len(replica.fatal_runs) for replica in deployment.models)
         self.assertEqual(after - before, 0)
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -5,11 +5,18 @@
 import unittest
 
 from standins.answer_faults import ReplicaFault
-from standins.replica_server import Generation, ReceivedOrder, ReplicaServer
+from standins.replica_server import FatalRun, Generation, ReceivedOrder, ReplicaServer
 from standins.rollout_operator import RolloutReport
 from standins.soak.callers import Reply, StreamReply
 from standins.soak.disruptions import EVERYBODY, DisruptionLog
-from standins.soak.promises import judge_commands, judge_orders, judge_rollout, judge_stream
+from standins.soak.fatal_requests import judge_fatal
+from standins.soak.promises import (
+    judge_commands,
+    judge_innocent,
+    judge_orders,
+    judge_rollout,
+    judge_stream,
+)
 from standins.soak.weights_promises import (
     LateGeneration,
     describe_late,
@@ -178,3 +185,44 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class FatalRequestCheckTest(unittest.TestCase):
+    """Requests that end replicas: three ends, and then few runs by routers that are in touch."""
+
+    def setUp(self) -> None:
+        self.clock = HandClock()
+        self.log = DisruptionLog(CONTACT_S, self.clock, lambda line: None)
+
+    def judge(self, *runs: FatalRun) -> list[str]:
+        replica = ReplicaServer(StoreServer(), "i-1", "models", "z")
+        replica.fatal_runs = list(runs)
+        senders = {run.request_id: SENDER for run in runs}
+        return judge_fatal([replica], senders, self.log, CONTACT_S)
+
+    def runs(self, *began_s: float) -> list[FatalRun]:
+        return [FatalRun(b"fatal", f"r{at_s}", at_s, at_s + 0.1) for at_s in began_s]
+
+    def test_three_runs_more_are_allowed_and_a_fourth_is_not(self) -> None:
+        first = self.runs(1.0, 2.0, 3.0)
+        self.assertEqual(self.judge(*first, *self.runs(10.0, 11.0, 12.0)), [])
+        self.assertEqual(len(self.judge(*first, *self.runs(10.0, 11.0, 12.0, 13.0))), 1)
+
+    def test_what_comes_before_all_can_know_does_not_count(self) -> None:
+        early = self.runs(3.2, 4.0, 5.0, 6.0)
+        self.assertEqual(self.judge(*self.runs(1.0, 2.0, 3.0), *early), [])
+
+    def test_a_disturbed_sender_and_a_disturbed_store_are_excused(self) -> None:
+        for router in (SENDER, EVERYBODY):
+            with self.subTest(router=router):
+                self.setUp()
+                self.clock.now_s = 9.0
+                with self.log.during("fault", router):
+                    self.clock.now_s = 12.0
+                runs = [*self.runs(1.0, 2.0, 3.0), *self.runs(10.0, 11.0, 12.0, 13.0)]
+                self.assertEqual(self.judge(*runs), [])
+
+    def test_an_innocent_request_that_is_refused_is_told(self) -> None:
+        refused = Reply(500, b'{"code": "ends_replicas"}', True)
+        self.assertEqual(judge_innocent([Reply(500, b"spoiled", True)]), [])
+        self.assertEqual(len(judge_innocent([refused, refused])), 1)
