Key holds of replicas by incarnation

Found by reading what still hangs on an id: a hold told for the former life of a replica kept the leader from telling it for the new one under the same id, for up to half of the hold (2 s); peers, who drop the hold with the former life, would send it requests that it refuses. Measured: the test fails without the change (one hold told of two).

--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -25,6 +25,7 @@
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import WATCH_WAIT_S, StoreSync
 from winchfork.router.version_news import VersionNews
+from winchfork.router.weights_notes import WeightsNotes
 from winchfork.stores.async_key_value import StoreSnapshot
 
 
@@ -359,3 +360,20 @@
             self.assertEqual((living.loading_until_s, living.versions), (0.0, {"daka510000": 1}))
 
         follow(scenario)
+
+    def test_a_hold_is_told_anew_for_a_new_life(self) -> None:
+        """Peers have dropped the former hold with the former life."""
+
+        async def scenario(followed: Followed) -> None:
+            told: list[WeightsNote] = []
+            notes = WeightsNotes(lambda fence, notes: told.extend(notes), followed.state.clock)
+            for born_ms in (1_000, 2_000):
+                followed.put_replica("i-1", born=born_ms)
+                await asyncio.sleep(0.2)
+                living = followed.state.fleet.get("i-1")
+                assert living is not None
+                notes.hold(living, "daka510000", 5)
+                await asyncio.sleep(0.1)
+            self.assertEqual(len({note.incarnation for note in told if note.held_ms}), 2)
+
+        follow(scenario)
--- a/winchfork/router/weights_notes.py
+++ b/winchfork/router/weights_notes.py
@@ -35,11 +35,12 @@
     def __init__(self, tell: TellWeights, clock: Callable[[], float]) -> None:
         self._tell = tell
         self._clock = clock
-        self._pending: dict[str, WeightsNote] = {}
+        self._pending: dict[int, WeightsNote] = {}
         self._fence = 0
         self._flush_at_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
-        self._held_until_s: dict[str, float] = {}
+        #: Until when each incarnation is held, as told.
+        self._held_until_s: dict[int, float] = {}
 
     def hold(
         self, replica: RelayReplica, model: str, fence: int, *, has_order: bool = False
@@ -47,16 +48,16 @@
         """Keep new work away from a replica; tells nothing while a hold has long to run."""
         now_s = self._clock()
         hold_s = HOLD_TAKEN_S if has_order else HOLD_S
-        left_s = self._held_until_s.get(replica.replica_id, 0.0) - now_s
+        left_s = self._held_until_s.get(replica.order_hash, 0.0) - now_s
         if left_s > hold_s / 2:
             return
-        self._held_until_s[replica.replica_id] = now_s + hold_s
+        self._held_until_s[replica.order_hash] = now_s + hold_s
         renewal = left_s > RENEWAL_COLLECT_S
         self._add(replica, model, fence, hold_s, 0.0, RENEWAL_COLLECT_S if renewal else COLLECT_S)
 
     def release(self, replica: RelayReplica, model: str, fence: int) -> None:
         """End a hold and tell the replica's version."""
-        self._held_until_s.pop(replica.replica_id, None)
+        self._held_until_s.pop(replica.order_hash, None)
         self._add(replica, model, fence, 0.0, 0.0, COLLECT_S)
 
     def prepare(self, replica: RelayReplica, model: str, fence: int) -> None:
@@ -86,7 +87,7 @@
         if fence != self._fence:
             self.flush()
             self._fence = fence
-        self._pending[replica.replica_id] = WeightsNote(
+        self._pending[replica.order_hash] = WeightsNote(
             replica.replica_id,
             replica.order_hash,
             model,
