Move a software version on the budget alone only by the requests that come now

Traced: it began to move 0.2 s after its trial, "what is left is within the budget": the store and routers had been away for most of the 4 s since the order, so the mean since the order was far below what came then. The rate of the last two seconds, counted by every daemon since any may lead next, counts now where it is higher; where it is not known yet nothing moves. Ruled out: taking a move back when more come later (a sound version that had been approved was rolled back in test_software_rollout, not kept).

--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from winchfork.core.answer_rate import AnswerRate
 from winchfork.core.exposure import ExposureCredit, lane_of
 from winchfork.core.software_plan import (
     SPEND_WITHIN,
@@ -131,6 +132,7 @@
             "alarmed": False,
             "longest_run_s": 1.0,
         }
+        fields["recent_per_s"] = (fields | changes)["all_answers"] / elapsed_s
         return RolloutView(**(fields | changes))
 
     def running(self, phase: SoftwarePhase, share: float) -> SoftwareState:
@@ -171,6 +173,31 @@
         doubtful = self.view(**(few | {"opinion": Opinion.DOUBTFUL}))
         self.assertIsNone(next_step(state, doubtful, self.LIMITS))
 
+    def test_few_requests_that_faults_kept_away_are_no_reason_to_move(self) -> None:
+        """A slow version got 85 of 156 requests where 66 are allowed, in a soak.
+
+        It began to move 0.2 s after its trial, "what is left is within the budget": the store and
+        routers had been away for most of the 4 s since the order, so few answers had been counted,
+        and 25 a second came from then on.
+        """
+        state = self.running(SoftwarePhase.TRIAL, 0.3)
+        few = {"elapsed_s": 7.0, "stage_s": 0.2, "all_answers": 40, "new_answers": 3}
+        for per_s in (None, 25.0):
+            view = self.view(**few, recent_per_s=per_s)
+            self.assertIsNone(next_step(state, view, self.LIMITS), per_s)
+
+    def test_a_rate_is_known_after_a_while_and_forgets_what_came_before(self) -> None:
+        rate = AnswerRate()
+        for tick in range(8):
+            rate.note(0, 0.1 * tick)
+        self.assertIsNone(rate.per_s)
+        for tick in range(8, 40):
+            rate.note(2 * (tick - 8), 0.1 * tick)
+        assert rate.per_s is not None
+        self.assertAlmostEqual(rate.per_s, 20.0, delta=0.5)
+        rate.note(1, 4.1)
+        self.assertIsNone(rate.per_s)
+
     def test_completed_waits_for_the_old_replicas_and_not_beyond_the_time_limit(self) -> None:
         state = self.running(SoftwarePhase.MOVED, 1.0)
         self.assertIsNone(next_step(state, self.view(elapsed_s=8.0), self.LIMITS))
--- a/winchfork/core/software_plan.py
+++ b/winchfork/core/software_plan.py
@@ -84,6 +84,8 @@
     everyone_heard: bool
     new_answers: int
     all_answers: int
+    #: Answers a second of late, as this leader has counted them; None until it has for a while.
+    recent_per_s: float | None
     opinion: Opinion
     alarmed: bool
     longest_run_s: float
@@ -187,9 +189,10 @@
 
     So few answers come there that no test could approve a version in time.
     """
-    if not view.new_answers or view.elapsed_s <= 0.0:
+    if not view.new_answers or view.elapsed_s <= 0.0 or view.recent_per_s is None:
         return False
-    per_s = view.all_answers / view.elapsed_s
+    # The mean since the order is too low where faults kept requests away or lost their counts.
+    per_s = max(view.all_answers / view.elapsed_s, view.recent_per_s)
     left = per_s * (state.duration_s - view.elapsed_s)
     return view.new_answers + left <= _budget(state, limits, per_s)
 
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -10,9 +10,11 @@
 
 import asyncio
 import math
+from collections import defaultdict
 
 import msgspec
 
+from winchfork.core.answer_rate import AnswerRate
 from winchfork.core.software_plan import RolloutStep, RolloutView, next_step
 from winchfork.core.software_state import (
     SoftwareOrder,
@@ -65,6 +67,8 @@
         self._status = status
         self._evidence = evidence
         self._records_seen: dict[str, _Seen] = {}
+        #: Answers of each service of late, counted on every daemon: any may lead next.
+        self._rates: defaultdict[str, AnswerRate] = defaultdict(AnswerRate)
         self._orders_seen: dict[str, _Seen] = {}
         self._look_again_s: dict[str, float] = {}
         #: Since when some daemon has not been heard of, and when one may last have been forgotten.
@@ -88,6 +92,9 @@
         self._listen_around(now_s)
         for service in self._versions.services():
             _note_seen(self._records_seen, service, self._versions.revision(service), now_s)
+            if self._versions.state(service).running:
+                answers = self._evidence.evidence(service).all_answers
+                self._rates[service].note(answers, now_s)
             order = self._versions.orders.get(service)
             if order is not None:
                 _note_seen(self._orders_seen, service, order.revision, now_s)
@@ -187,6 +194,7 @@
             everyone_heard=self._hears_everyone(record.service),
             new_answers=evidence.new_answers,
             all_answers=evidence.all_answers,
+            recent_per_s=self._rates[record.service].per_s,
             opinion=self._evidence.opinion(record.service),
             alarmed=self._versions.is_stopped(record),
             longest_run_s=LONG_RUN_RATIO * self._state.mean_run_s,
