Stand-ins: a former life's entry does not lapse over the living one's under the same id

Traced: two faults struck one replica; it had come back under its id when the other's stale entry lapsed, which removed the living replica's entry for good, as the stand-in writes its entry once. On the platform a replica writes it with each heartbeat.

--- a/standins/stale_entries.py
+++ b/standins/stale_entries.py
@@ -1,4 +1,8 @@
-"""The entry of a replica that has ended: it lapses later than the replica, and may come back."""
+"""The entry of a replica that has ended: it lapses later than the replica, and may come back.
+
+Where the replica has returned under its id, the entry is the living one's: that writes it again with
+each heartbeat, so what was written late does not last.
+"""
 
 from __future__ import annotations
 
@@ -7,18 +11,31 @@
 from standins.store_server import StoreServer
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class StaleEntry:
     """What a replica had written before it ended."""
 
     store: StoreServer
     key: str
     value: bytes
+    #: What the living replica had written where a late entry took its place.
+    _of_the_living: bytes | None = None
 
     def lapse(self) -> None:
-        """Remove it, as after heartbeats that did not come."""
-        self.store.remove(self.key)
+        """Remove it, as after heartbeats that did not come; a living replica's entry stays."""
+        if self._of_the_living is not None:
+            self.store.put(self.key, self._of_the_living)
+            self._of_the_living = None
+        elif self._current() == self.value:
+            self.store.remove(self.key)
 
     def write_late(self) -> None:
         """Write it once more: a heartbeat that was on its way when the replica ended."""
+        current = self._current()
+        if current is not None and current != self.value:
+            self._of_the_living = current
         self.store.put(self.key, self.value)
+
+    def _current(self) -> bytes | None:
+        held = self.store.holder(self.key)
+        return held.encode() if held is not None else None
--- a/tests/test_fault_standins.py
+++ b/tests/test_fault_standins.py
@@ -124,6 +124,18 @@
         self.assertIsNone(self._entry("i-1"))
         self.assertEqual(self._address("i-1'"), address)
 
+    async def test_a_late_entry_does_not_last_over_one_that_is_back_under_its_id(self) -> None:
+        """The living replica writes its entry with each heartbeat: it is not gone for good."""
+        entry = await self.replica.crash()
+        await self.replica.restart(keeps_id=True)
+        living = self._entry("i-1")
+        entry.lapse()
+        self.assertEqual(self._entry("i-1"), living)
+        entry.write_late()
+        self.assertNotEqual(self._entry("i-1"), living)
+        entry.lapse()
+        self.assertEqual(self._entry("i-1"), living)
+
     async def test_an_order_to_an_incarnation_that_has_ended_is_not_taken(self) -> None:
         address = self._address("i-1")
         (await self.replica.crash()).lapse()
