--- a/standins/stale_entries.py
+++ b/standins/stale_entries.py
@@ -1,7 +1,7 @@
 """The entry of a replica that has ended: it lapses later than the replica, and may come back.
 
-Where the replica has returned under its id, the entry is the living one's: that writes it again with
-each heartbeat, so what was written late does not last.
+Where the replica has returned under its id, the entry is the living one's: that writes it again
+with each heartbeat, so what was written late does not last.
 """
 
 from __future__ import annotations
