--- a/spec/check.py
+++ b/spec/check.py
@@ -15,7 +15,15 @@
 
 from minicheck import Protocol, check_safety
 
-from spec import claim_spec, clock_spec, panel_spec, quota_spec, relay_spec, rollout_spec
+from spec import (
+    claim_spec,
+    clock_spec,
+    panel_spec,
+    quota_spec,
+    relay_spec,
+    rollout_spec,
+    suspension_spec,
+)
 
 _MAX_STATES = 6_000_000
 #: A refutation is sound in a partial search; the search goes breadth first, so it is the shortest.
@@ -107,6 +115,8 @@
     results: list[CheckResult] = []
     horizon = 12 if deep else 6
     results += check_holds("clock", clock_spec.clock_protocol(clock_spec.ClockRules(horizon)))
+    sleeping = suspension_spec.suspension_protocol(suspension_spec.SuspensionRules(horizon))
+    results += check_holds("suspension", sleeping)
     claim = claim_spec.claim_protocol(claim_spec.ClaimRules())
     results += check_holds("claim", claim)
     results += check_reachable("claim can: ", claim, claim_spec.WITNESSES)
@@ -119,6 +129,8 @@
     results += _availability()
     for name, clock_rules in clock_spec.MUTANTS.items():
         results.append(check_found(name, clock_spec.clock_protocol(clock_rules)))
+    for name, sleep_rules in suspension_spec.MUTANTS.items():
+        results.append(check_found(name, suspension_spec.suspension_protocol(sleep_rules)))
     for name, relay_mutant in relay_spec.MUTANTS.items():
         results.append(check_found(name, relay_spec.relay_protocol(relay_mutant)))
     for name, quota_mutant in quota_spec.MUTANTS.items():
--- a/tests/test_claim_spec.py
+++ b/tests/test_claim_spec.py
@@ -30,7 +30,9 @@
         self.assertEqual([result.name for result in results if not result.passed], [])
         self.assertGreaterEqual(sum("mutant" in result.name for result in results), 6)
         holds = [
-            result for result in results if result.name.startswith(("clock:", "claim:", "relay:"))
+            result
+            for result in results
+            if result.name.startswith(("clock:", "claim:", "relay:", "suspension:"))
         ]
         self.assertTrue(all(result.exhaustive for result in holds))
 
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import unittest
 from collections.abc import Awaitable, Callable
@@ -15,16 +16,31 @@
 
 from tests.memory_store import MemoryStore
 from tests.peer_support import Daemon, Network
-from tests.relay_support import RelayUnderTest
+from tests.relay_support import (
+    RelayUnderTest,
+    ScriptedReplica,
+    SeenRequest,
+    answering,
+    caller_request,
+    chunk,
+    event,
+    read_answer,
+    signed,
+    stream_head,
+)
 from tests.virtual_loop import VirtualLoop, run_virtually, stand_still
+from winchfork.core.routing import RouteKind
 from winchfork.core.suspect_runs import SuspectRun
 from winchfork.core.tenant_quota import QuotaUnit, TenantLimit
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.router import process
 from winchfork.router.boot_clock import BootClockLoop
+from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.dialect import RequestFields
+from winchfork.router.http_call import HttpCaller
 from winchfork.router.http_types import IncomingRequest
+from winchfork.router.leadership import ACT_S, Leadership
 from winchfork.router.request_admission import RequestAdmission
 
 #: Seconds of sleep: within every bound, at the edge of them, beyond all.
@@ -192,3 +208,84 @@
             self.assertEqual(loop.time() - before_s, seconds)
 
         asleep(scenario)
+
+
+class UnderWayTest(unittest.IsolatedAsyncioTestCase):
+    """What was under way when the machine fell asleep, over real sockets; the clock is given in."""
+
+    def setUp(self) -> None:
+        self.asleep_s = 0.0
+
+    def sleep(self, seconds: float) -> None:
+        """Let the loop's clock jump, as the one that counts suspensions does."""
+        loop = asyncio.get_running_loop()
+        read = loop.time
+        self.asleep_s = seconds
+        loop.time = lambda: read() + seconds  # type: ignore[method-assign]
+
+    async def test_a_stream_whose_time_was_over_asleep_is_ended_at_once(self) -> None:
+        for seconds in SLEEPS_S:
+            with self.subTest(seconds=seconds):
+                begun = asyncio.Event()
+
+                async def first_event_only(
+                    request: SeenRequest,
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    begun: asyncio.Event = begun,
+                ) -> bool:
+                    writer.write(stream_head(request) + chunk(event(1)))
+                    begun.set()
+                    await reader.read()
+                    return False
+
+                replica = ScriptedReplica(first_event_only)
+                await replica.start()
+                relay = RelayUnderTest(kind=RouteKind.STREAMING, max_attempts=1)
+                relay.configure()
+                relay.add(replica, "i-0", versions={"m": 1})
+                await relay.start()
+                reader, writer = await relay.connect()
+                writer.write(caller_request())
+                # Not bounded by a timer, which would sleep along.
+                asked = asyncio.create_task(read_answer(reader))
+                await begun.wait()
+                await asyncio.sleep(0.05)
+                self.sleep(seconds)
+                over = seconds > 4.0
+                done, _ = await asyncio.wait([asked], timeout=1.0 if over else 0.2)
+                self.assertEqual(bool(done), over)
+                if over:
+                    self.assertFalse(asked.result().whole)
+                asked.cancel()
+                writer.close()
+                await relay.stop()
+                await replica.stop()
+
+    async def test_an_order_is_not_sent_after_a_sleep_beyond_the_turn(self) -> None:
+        """The connection for an order comes up after the sleep: its first byte may not leave."""
+        for seconds in SLEEPS_S:
+            with self.subTest(seconds=seconds):
+                replica = ScriptedReplica(answering(lambda request: signed(request, b"{}")))
+                await replica.start()
+                loop = asyncio.get_running_loop()
+                leader = Leadership(MemoryStore(), "n1", 3.0, loop.time, random.Random(1), 1.0)
+                leader.fence, leader._valid_until_s = 7, loop.time() + ACT_S
+                self.assertTrue(leader.may_act())
+                pool = ConnectionPool()
+                caller = HttpCaller(pool)
+                self.sleep(seconds)
+                leader._clock = loop.time
+                reply = await caller.call(
+                    replica.address,
+                    b"POST",
+                    b"/order",
+                    b"{}",
+                    1.0,
+                    label="order",
+                    allowed=leader.may_order,
+                )
+                self.assertIsInstance(reply, Failure)
+                self.assertEqual(replica.seen, [])
+                pool.close()
+                await replica.stop()
