Date a peer's word on a version by when it may have come, after an own standstill

Told from lines: a router stood still for 2.7 s, in which version 4 was named; it never logged weights_named for it, so it had it from a peer's word, and the router that was late, restarted 0.3 s before the other woke, believed 1.63 s to be left, which is 1.75 s too many: that word had waited in a socket and was dated on reading. Its ages now count from the last tick before a standstill. Ruled out: a bound begun anew (no such line), the guess of a started router (it gives 0.47 s).

--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -30,7 +30,7 @@
 PIGGYBACK_CHANGES = 6
 #: The same while more than that wait and doubts are among them, one and a half kilobytes: after a
 #: cut each side has doubted all of the other. Of 42 daemons in two regions all know each other's
-#: work 0.5 to 3.75 s after it has healed (12 seeds, virtual time), with six 0.25 to 6.75 s (8 seeds).
+#: work 0.5 to 3.75 s after it has healed (12 seeds, virtual time); with six changes up to 6.75 s.
 CROWDED_CHANGES = 16
 #: A probe by a daemon that knows fewer members is answered with records drawn from all, this many
 #: for each member that it lacks and at most so many, 4 KB: when a whole fleet starts, changes that
--- a/winchfork/router/version_news.py
+++ b/winchfork/router/version_news.py
@@ -88,8 +88,11 @@
             self._peers.send_each(newcomers, NamedVersions(notes))
 
     def take_named(self, message: NamedVersions) -> None:
-        """Take a peer's word on when versions were named."""
-        now_s = self._state.clock()
+        """Take a peer's word on when versions were named.
+
+        Its ages are of when it was sent; one that waited for this process to run is older.
+        """
+        now_s = self._state.standstill.earliest_arrival_s(self._state.clock())
         for note in message.notes:
             history = self._state.versions.setdefault(note.model, VersionHistory())
             history.note_age(note.version, now_s - note.age_ms / 1000.0)
