--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -98,7 +98,8 @@
         self.fatal_runs: list[FatalRun] = []
         self.born_ms = 0
         self._http = HttpServer(self._handle)
-        self._ending: asyncio.Task[None] | None = None
+        self._is_ending = False
+        self._endings: set[asyncio.Task[None]] = set()
         self._loading_task: asyncio.Task[None] | None = None
         self._ended = False
         self._listens = False
@@ -244,8 +245,11 @@
         now_s = asyncio.get_running_loop().time()
         run = FatalRun(request.body, request.headers["x-request-id"], now_s)
         self.fatal_runs.append(run)
-        if self._ending is None or self._ending.done():
-            self._ending = asyncio.create_task(self._end_and_return(fatal, run))
+        if not self._is_ending:
+            self._is_ending = True
+            task = asyncio.create_task(self._end_and_return(fatal, run))
+            self._endings.add(task)
+            task.add_done_callback(self._endings.discard)
         await asyncio.Event().wait()
         return False
 
@@ -253,10 +257,11 @@
         await asyncio.sleep(fatal.ends_after_s)
         run.ended_s = asyncio.get_running_loop().time()
         entry = await self.crash()
+        # Somebody else may start it before its time: it can end again from now on.
+        self._is_ending = False
         if not fatal.keeps_id:
             asyncio.get_running_loop().call_later(fatal.lapses_after_s, entry.lapse)
         await asyncio.sleep(fatal.back_after_s)
-        self._ending = None
         await self.restart(keeps_id=fatal.keeps_id)
 
     def _proof(self, request: Request) -> dict[str, str]:
--- a/tests/test_fault_standins.py
+++ b/tests/test_fault_standins.py
@@ -9,7 +9,7 @@
 from standins.answer_faults import SLOWED_S, ReplicaFault
 from standins.fault_proxy import Fault, FaultProxy
 from standins.http_server import HttpServer, Request, write_answer
-from standins.replica_server import ReplicaServer
+from standins.replica_server import FatalRequest, ReplicaServer
 from standins.store_server import StoreServer
 from standins.weights_operator import WeightsOperator
 from tests.relay_support import CallerAnswer, read_answer
@@ -169,6 +169,19 @@
         self.assertEqual((begun.request_id, begun.replica_id, begun.version), ("r-1", "i-1", 1))
         self.assertLess(begun.arrived_s, begun.began_s)
 
+    async def test_a_replica_that_is_started_before_its_time_ends_again(self) -> None:
+        """A run of a request that ends replicas stayed for good, and a load waited for it."""
+        self.replica.fatal = FatalRequest(b"fatal", ends_after_s=0.01, back_after_s=60.0)
+        for number in range(2):
+            connection = await Connection.open(self._address(self.replica.replica_id))
+            self.addCleanup(connection.close)
+            headers = f"X-Request-Id: r{number}\r\nX-Token-Usage: 1,1\r\n"
+            with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+                await connection.ask("/review/x", headers, b"fatal")
+            await self.replica.restart()
+        self.assertEqual(self.replica.running, 0)
+        self.assertEqual([run.ended_s is None for run in self.replica.fatal_runs], [False, False])
+
     async def test_a_request_arrives_before_a_slow_replica_rests(self) -> None:
         self.replica.spoiler.set(ReplicaFault.SLOW)
         connection = await Connection.open(self._address("i-1"))
