Count and bound the lines of unreadable refusals as those of other entries

A foreign entry in a refusal's place was logged without a bound and not counted. Measured: the test of unreadable refusals counts three, and failed without the change (0).

--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -257,6 +257,7 @@
             await asyncio.sleep(1.0)
             for daemon in fleet.daemons:
                 self.assertEqual(daemon.state.crashes.ledger.refused, 0)
+                self.assertEqual(daemon.state.metrics.documents_refused.value, 3)
                 self.assertLess(daemon.age_s(), 3.0)
 
         among(3, scenario)
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -57,7 +57,9 @@
             self._install_leader(item)
             return
         if is_refusal_key(item.key):
-            self._state.crashes.records.take(item.key, item.value, item.revision)
+            unread = self._state.crashes.records.take(item.key, item.value, item.revision)
+            if unread is not None:
+                self._state.note_refused_document(item.key, unread)
             return
         if is_record_key(item.key):
             self._install_record(item)
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -85,20 +85,26 @@
         times = self._ledger.times_refused(digest)
         return msgspec.json.encode(RefusalRecord(digest, now_ms, times))
 
-    def take(self, key: str, value: bytes | None, revision: int) -> None:
-        """Take in what the store holds in a place; an entry that was removed releases."""
+    def take(self, key: str, value: bytes | None, revision: int) -> Failure | None:
+        """Take in what the store holds in a place; an entry that was removed releases.
+
+        Returns why an entry cannot be read; it means nothing, and is overwritten when need be.
+        """
         if value is None:
             self._release(key)
-            return
+            return None
         self._revisions[key] = revision
         record = read_refusal(value)
         if isinstance(record, Failure):
-            log_event("document_refused", "WARNING", key=key, reason=record.reason)
-            return
+            return record
         self._records[key] = record
-        if not record.times:
+        if record.times:
+            self._take_refusal(record)
+        else:
             self._ledger.acquit(record.digest)
-            return
+        return None
+
+    def _take_refusal(self, record: RefusalRecord) -> None:
         for_s = self._ledger.refusal_s(record.times)
         age_s = max(0.0, self._wall_clock() - record.refused_ms / 1000.0)
         if age_s > for_s + REFUSAL_S or record.times < self._ledger.times_refused(record.digest):
