--- a/benchmarks/crashing_requests.py
+++ b/benchmarks/crashing_requests.py
@@ -97,7 +97,7 @@
 
         guard.on_ended = lambda inc, digests: tell(lambda other: other.take_ended(inc, digests))
         guard.on_run = tell_run
-        guard.on_acquitted = lambda digest, ends: tell(lambda other: other.take_acquitted(digest))
+        guard.on_cleared = lambda digest, ends: tell(lambda other: other.take_cleared(digest))
 
     def _start(self, number: int) -> RelayReplica:
         born_ms = int(self._now_s * 1000) + 1
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -171,7 +171,7 @@
 
         among(3, scenario)
 
-    def test_an_acquittal_is_known_everywhere_and_not_undone_by_what_is_repeated(self) -> None:
+    def test_an_clearance_is_known_everywhere_and_not_undone_by_what_is_repeated(self) -> None:
         async def scenario(store: MemoryStore, fleet: Fleet) -> None:
             for number in range(ENDS_TO_REFUSE - 1):
                 fleet.end(number, number + 1, DIGEST)
@@ -224,10 +224,10 @@
 
         among(3, scenario)
 
-    def test_an_acquitted_end_is_not_told_again_beside_a_later_one(self) -> None:
+    def test_a_cleared_end_is_not_told_again_beside_a_later_one(self) -> None:
         """Many send the same request: its runs end well, and break with replicas, in turn.
 
-        Seen in a soak: ends that had been acquitted were repeated while a newer one stood, and
+        Seen in a soak: ends that had been cleared were repeated while a newer one stood, and
         counted with it: "request_suspected ends=2", "ends=3" for a body that half of all sent.
         """
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -85,7 +85,7 @@
         self.assertNotIn("retry-after", answer.headers)
         self.assertEqual(sum(len(replica.seen) for replica in replicas), ENDS_TO_REFUSE)
 
-    async def test_a_run_that_ends_well_acquits(self) -> None:
+    async def test_a_run_that_ends_well_clears_it(self) -> None:
         sound = ScriptedReplica(answering(lambda request: signed(request, b"ok")))
         relay = await self.relay(EndingReplica(), sound)
         self.assertEqual((await relay.ask()).status, 200)
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -38,13 +38,13 @@
         self.assertFalse(ledger.note_end(b"d", 1, 0.1))
         self.assertEqual(ledger.ends(b"d", 0.2), 1)
 
-    def test_a_run_that_ends_well_acquits(self) -> None:
+    def test_a_run_that_ends_well_clears_it(self) -> None:
         ledger = CrashLedger()
         for incarnation in range(ENDS_TO_REFUSE - 1):
             ledger.note_end(b"d", incarnation, 0.0)
-        self.assertTrue(ledger.acquit(b"d"))
+        self.assertTrue(ledger.clear(b"d"))
         self.assertEqual(ledger.ends(b"d", 0.0), 0)
-        self.assertFalse(ledger.acquit(b"d"))
+        self.assertFalse(ledger.clear(b"d"))
 
     def test_a_slow_repeater_is_remembered_and_an_old_suspicion_is_not(self) -> None:
         ledger = CrashLedger()
@@ -57,7 +57,7 @@
         ledger = CrashLedger()
         ledger.refuse(b"d", 1, 10.0)
         ledger.refuse(b"e", 1, 10.0)
-        ledger.acquit(b"e")
+        ledger.clear(b"e")
         self.assertTrue(ledger.is_refused(b"d", 9.9))
         self.assertFalse(ledger.is_refused(b"e", 9.9))
         self.assertFalse(ledger.is_refused(b"d", 10.0))
@@ -99,11 +99,11 @@
         self.assertEqual(broken.settle(1, EndEvidence.ENTRY_LAPSED, 3.0), ())
         self.assertEqual(broken.settle(1, EndEvidence.REPLACED, 4.0), (b"d",))
 
-    def test_a_run_that_ends_well_before_it_is_settled_acquits(self) -> None:
+    def test_a_run_that_ends_well_before_it_is_settled_clears_it(self) -> None:
         broken = BrokenRuns()
         broken.note(1, b"d", 0.0, silent=False)
         broken.note(1, b"e", 0.0, silent=False)
-        broken.acquit(b"d")
+        broken.clear(b"d")
         self.assertEqual(broken.settle(1, EndEvidence.PORT_CLOSED, 0.1), (b"e",))
 
     def test_evidence_that_comes_late_is_of_another_event(self) -> None:
--- a/winchfork/backends/replica_control.py
+++ b/winchfork/backends/replica_control.py
@@ -24,7 +24,7 @@
     versions: Mapping[str, int]
     born_ms: int = 0
 
-    def is_of_another_life(self, born_ms: int) -> bool:
+    def is_of_another_incarnation(self, born_ms: int) -> bool:
         """Whether an incarnation that started at another time has answered."""
         return bool(self.born_ms and born_ms and self.born_ms != born_ms)
 
--- a/winchfork/core/broken_runs.py
+++ b/winchfork/core/broken_runs.py
@@ -51,7 +51,7 @@
         for run in self._runs.get(incarnation, {}).values():
             run.doubtful = run.doubtful or run.at_s <= asked_s
 
-    def acquit(self, digest: bytes) -> None:
+    def clear(self, digest: bytes) -> None:
         """Record that a run of a request has ended well since: its breaks say nothing of it."""
         for runs in self._runs.values():
             runs.pop(digest, None)
--- a/winchfork/core/crash_ledger.py
+++ b/winchfork/core/crash_ledger.py
@@ -3,11 +3,11 @@
 A request is named by its digest (:mod:`winchfork.core.request_digest`), a replica's incarnation by
 its 64-bit hash. A replica that ends takes every run on it along, so an end under a request is a
 suspicion and no proof. Three different incarnations have to end in a row; a run that ends well in
-between acquits.
+between clears it.
 
 A refused request is tried once more after some minutes: where replicas ended for another reason,
 such as weights that end them under any request, many are refused that did nothing. If that run ends
-well, the request is acquitted; if its replica ends, it is refused for long.
+well, the request is cleared; if its replica ends, it is refused for long.
 
 Both tables are bounded: what was touched longest ago is forgotten first.
 
@@ -56,7 +56,7 @@
         self._most_suspects = most_suspects
         self._most_refused = most_refused
         self._suspicions: OrderedDict[bytes, _Suspicion] = OrderedDict()
-        #: Requests that are refused, or have been and were not acquitted since.
+        #: Requests that are refused, or have been and were not cleared since.
         self._refusals: OrderedDict[bytes, _Refusal] = OrderedDict()
 
     def note_end(self, digest: bytes, incarnation: int, now_s: float) -> bool:
@@ -83,7 +83,7 @@
         known = self._known(digest, now_s)
         return known is not None and incarnation in known.incarnations
 
-    def acquit(self, digest: bytes) -> bool:
+    def clear(self, digest: bytes) -> bool:
         """Forget what a request was suspected of, and refuse it no longer; False if nothing was.
 
         For a run of it that ended well, or an operator who releases it.
@@ -121,7 +121,7 @@
 
     @property
     def refused(self) -> int:
-        """Requests that are refused, or have been and were not acquitted since."""
+        """Requests that are refused, or have been and were not cleared since."""
         return len(self._refusals)
 
     def _known(self, digest: bytes, now_s: float) -> _Suspicion | None:
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -84,7 +84,7 @@
         """Whether it is a later incarnation under the same id; one that does not say is none."""
         return self.born_ms > earlier.born_ms
 
-    def is_former_life_of(self, later: ReplicaListing) -> bool:
+    def is_older_incarnation_of(self, later: ReplicaListing) -> bool:
         """Whether it is an earlier incarnation under the same id."""
         return 0 < self.born_ms < later.born_ms
 
@@ -247,7 +247,7 @@
         :meth:`remove`, so that whoever holds beliefs of the earlier one drops them.
         """
         known = self._replicas.get(listing.replica_id)
-        if known is not None and listing.is_former_life_of(known.listing):
+        if known is not None and listing.is_older_incarnation_of(known.listing):
             return known
         if known is None:
             known = RelayReplica(listing, dict(listing.versions), listing.incarnation)
--- a/winchfork/router/crash_exchange.py
+++ b/winchfork/router/crash_exchange.py
@@ -1,7 +1,7 @@
 """What daemons tell each other of requests that end replicas.
 
 Ends are told more than once, since a datagram may be lost and every daemon has to know them; what
-they say again changes nothing. Acquittals are collected: one end may bring fifty.
+they say again changes nothing. Clearances are collected: one end may bring fifty.
 """
 
 from __future__ import annotations
@@ -11,13 +11,13 @@
 
 from winchfork.core.suspect_runs import SuspectRun
 from winchfork.router.crash_guard import ENDS_TO_RUN_ALONE
-from winchfork.router.peer_messages import AcquittedRequests, EndedUnder, SuspectUnderWay
+from winchfork.router.peer_messages import ClearedRequests, EndedUnder, SuspectUnderWay
 from winchfork.router.peer_port import PeerPort
 from winchfork.router.state import RouterState
 
 #: Seconds after which ends are told once more; further apart than hubs remember a datagram.
 REPEATS_S = (0.7, 1.6)
-#: Acquittals that arise within this time share a message.
+#: Clearances that arise within this time share a message.
 COLLECT_S = 0.1
 #: Digests of 16 bytes that fit into a datagram with room to spare.
 MOST_DIGESTS = 48
@@ -36,10 +36,10 @@
         self._guard = state.crashes
         self._peers = peers
         self._call_later = call_later
-        self._acquitted: list[bytes] = []
+        self._cleared: list[bytes] = []
         self._guard.on_ended = self._tell_ended
         self._guard.on_run = self._tell_run
-        self._guard.on_acquitted = self._collect_acquitted
+        self._guard.on_cleared = self._collect_cleared
 
     def take_ended(self, message: EndedUnder) -> None:
         """Take in under which requests of a peer a replica ended."""
@@ -53,10 +53,10 @@
             run = SuspectRun(message.incarnation, until_s, alone=True)
         self._guard.take_run(message.sender_id, message.digest, run)
 
-    def take_acquitted(self, message: AcquittedRequests) -> None:
+    def take_cleared(self, message: ClearedRequests) -> None:
         """Take in which suspects have ended well at a peer."""
         for digest in message.digests:
-            self._guard.take_acquitted(digest)
+            self._guard.take_cleared(digest)
 
     def _tell_ended(self, incarnation: int, digests: tuple[bytes, ...]) -> None:
         for first in range(0, len(digests), MOST_DIGESTS):
@@ -66,7 +66,7 @@
                 self._call_later(after_s, functools.partial(self._tell_again, incarnation, part))
 
     def _tell_again(self, incarnation: int, digests: tuple[bytes, ...]) -> None:
-        """Repeat what still holds: an end that is told after an acquittal would undo it."""
+        """Repeat what still holds: an end that is told after an clearance would undo it."""
         now_s = self._state.clock()
         ledger = self._guard.ledger
         left = tuple(item for item in digests if ledger.holds_end(item, incarnation, now_s))
@@ -81,16 +81,16 @@
         )
         self._peers.tell_everyone(message)
 
-    def _collect_acquitted(self, digest: bytes, ends: int) -> None:
-        self._acquitted.append(digest)
+    def _collect_cleared(self, digest: bytes, ends: int) -> None:
+        self._cleared.append(digest)
         if ends >= ENDS_TO_RUN_ALONE:
             # One more end elsewhere, and it would be refused.
-            self._tell_acquitted()
-        elif len(self._acquitted) == 1:
-            self._call_later(COLLECT_S, self._tell_acquitted)
+            self._tell_cleared()
+        elif len(self._cleared) == 1:
+            self._call_later(COLLECT_S, self._tell_cleared)
 
-    def _tell_acquitted(self) -> None:
-        digests, self._acquitted = self._acquitted, []
+    def _tell_cleared(self) -> None:
+        digests, self._cleared = self._cleared, []
         for first in range(0, len(digests), MOST_DIGESTS):
             part = tuple(digests[first : first + MOST_DIGESTS])
-            self._peers.tell_everyone(AcquittedRequests(part))
+            self._peers.tell_everyone(ClearedRequests(part))
--- a/winchfork/router/crash_guard.py
+++ b/winchfork/router/crash_guard.py
@@ -3,7 +3,7 @@
 A run whose connection breaks is remembered until it is settled whether its replica ended. An end
 makes every request that ran there a suspect. A suspect runs once at a time; from the second end on
 it shares no replica with another such suspect; at the third it is refused, on every daemon and
-after every restart. A run that ends well acquits.
+after every restart. A run that ends well clears it.
 """
 
 from __future__ import annotations
@@ -51,7 +51,7 @@
         #: Told of a suspect that runs alone, and that its run is over (None).
         self.on_run: Callable[[bytes, SuspectRun | None], None] = lambda digest, run: None
         #: Told of a suspect that has ended well, and how many replicas had ended under it.
-        self.on_acquitted: Callable[[bytes, int], None] = lambda digest, ends: None
+        self.on_cleared: Callable[[bytes, int], None] = lambda digest, ends: None
         #: Told of a request whose record in the store has to change.
         self.on_record: RecordListener = _ignore
 
@@ -103,10 +103,10 @@
 
     def note_outlived(self, digest: bytes) -> None:
         """A replica has answered a request whole, and so outlived it."""
-        self._broken.acquit(digest)
+        self._broken.clear(digest)
         ends = self.ledger.ends(digest, self._clock())
-        if self.ledger.acquit(digest):
-            self.on_acquitted(digest, ends)
+        if self.ledger.clear(digest):
+            self.on_cleared(digest, ends)
             if self.records.revision(place_key(digest)):
                 self.on_record(digest, own=True)
 
@@ -152,9 +152,9 @@
         else:
             self._runs.begin(daemon, digest, run)
 
-    def take_acquitted(self, digest: bytes) -> None:
+    def take_cleared(self, digest: bytes) -> None:
         """A peer's run of a suspect has ended well."""
-        self.ledger.acquit(digest)
+        self.ledger.clear(digest)
 
     def _note_ends(self, incarnation: int, digests: Iterable[bytes], *, own: bool) -> None:
         now_s = self._clock()
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -125,9 +125,9 @@
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
         known = self._state.fleet.get(listing.replica_id)
-        if known is not None and listing.is_former_life_of(known.listing):
+        if known is not None and listing.is_older_incarnation_of(known.listing):
             log_event(
-                "former_life_listed",
+                "older_incarnation_listed",
                 replica=listing.replica_id,
                 born_ms=listing.born_ms,
                 known_born_ms=known.listing.born_ms,
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -225,7 +225,7 @@
     left_ms: int
 
 
-class AcquittedRequests(PeerMessage, frozen=True):
+class ClearedRequests(PeerMessage, frozen=True):
     """Runs of these requests, under which replicas had ended, have ended well."""
 
     digests: tuple[bytes, ...]
@@ -250,5 +250,5 @@
     VersionStop,
     EndedUnder,
     SuspectUnderWay,
-    AcquittedRequests,
+    ClearedRequests,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -12,8 +12,8 @@
 from winchfork.router.leadership import Leadership
 from winchfork.router.peer_messages import (
     Accusation,
-    AcquittedRequests,
     Activity,
+    ClearedRequests,
     DocumentPart,
     DocumentPull,
     EndedUnder,
@@ -73,7 +73,7 @@
     crashes = CrashExchange(state, peers, call_later)
     peers.handle(EndedUnder, crashes.take_ended)
     peers.handle(SuspectUnderWay, crashes.take_run)
-    peers.handle(AcquittedRequests, crashes.take_acquitted)
+    peers.handle(ClearedRequests, crashes.take_cleared)
     peers.handle(DocumentPull, relay.take_pull)
     peers.handle(DocumentPart, relay.take_part)
     peers.on_tick += [state.standstill.tick, news.greet_newcomers, work.tick]
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -101,7 +101,7 @@
         if record.times:
             self._take_refusal(record)
         else:
-            self._ledger.acquit(record.digest)
+            self._ledger.clear(record.digest)
         return None
 
     def _take_refusal(self, record: RefusalRecord) -> None:
@@ -121,5 +121,5 @@
         self._revisions.pop(key, None)
         record = self._records.pop(key, None)
         if record is not None:
-            self._ledger.acquit(record.digest)
+            self._ledger.clear(record.digest)
             log_event("digest_released", digest=record.digest.hex())
--- a/winchfork/router/replica_looks.py
+++ b/winchfork/router/replica_probes.py
@@ -1,4 +1,4 @@
-"""Finds out whether a replica on which a run broke still listens."""
+"""Probes whether a replica on which a run broke still listens."""
 
 from __future__ import annotations
 
@@ -11,31 +11,31 @@
 from winchfork.router.state import RouterState
 
 #: Seconds after a break until the replica's port is tried: the other runs of a replica that ends
-#: break within some milliseconds, and one look serves them all.
-LOOK_AFTER_S = 0.03
+#: break within some milliseconds, and one probe serves them all.
+PROBE_AFTER_S = 0.03
 
 
-class ReplicaLooks:
+class ReplicaProbes:
     """Opens a connection to a replica after a break, and keeps it for use if it comes up."""
 
     def __init__(self, state: RouterState, pool: ConnectionPool) -> None:
         self._state = state
         self._pool = pool
-        #: Incarnations with a look that has not begun yet.
+        #: Incarnations with a probe that has not begun yet.
         self._due: set[int] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def ask(self, replica: RelayReplica) -> None:
-        """Look soon, unless that is due already."""
+        """Probe soon, unless that is due already."""
         if replica.order_hash in self._due:
             return
         self._due.add(replica.order_hash)
-        task = asyncio.get_running_loop().create_task(self._look(replica))
+        task = asyncio.get_running_loop().create_task(self._probe(replica))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _look(self, replica: RelayReplica) -> None:
-        await asyncio.sleep(LOOK_AFTER_S)
+    async def _probe(self, replica: RelayReplica) -> None:
+        await asyncio.sleep(PROBE_AFTER_S)
         self._due.discard(replica.order_hash)
         asked_s = self._state.clock()
         address = replica.listing.address
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -15,7 +15,7 @@
 from winchfork.router.quota_gate import QuotaGate
 from winchfork.router.refusals import refusal_answer
 from winchfork.router.relayed_request import RelayedRequest
-from winchfork.router.replica_looks import ReplicaLooks
+from winchfork.router.replica_probes import ReplicaProbes
 from winchfork.router.request_admission import RequestAdmission
 from winchfork.router.state import RouterState
 
@@ -49,8 +49,8 @@
         state.on_held = self._replica_held
         state.on_silent = self._replica_silent
         state.on_zone_lost = self._zone_lost
-        self._looks = ReplicaLooks(state, pool)
-        state.crashes.on_break = self._looks.ask
+        self._probes = ReplicaProbes(state, pool)
+        state.crashes.on_break = self._probes.ask
 
     # CallerHandler
 
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -146,7 +146,7 @@
                 if unheard >= MOST_UNHEARD:
                     self._state.note_failure(replica, report.reason, certain=True)
                     break
-            elif report.is_of_another_life(replica.listing.born_ms):
+            elif report.is_of_another_incarnation(replica.listing.born_ms):
                 break
             else:
                 unheard = 0
