--- a/winchfork/router/crash_exchange.py
+++ b/winchfork/router/crash_exchange.py
@@ -66,7 +66,7 @@
                 self._call_later(after_s, functools.partial(self._tell_again, incarnation, part))
 
     def _tell_again(self, incarnation: int, digests: tuple[bytes, ...]) -> None:
-        """Repeat what still holds: an end that is told after an clearance would undo it."""
+        """Repeat what still holds: an end that is told after its clearance would undo that."""
         now_s = self._state.clock()
         ledger = self._guard.ledger
         left = tuple(item for item in digests if ledger.holds_end(item, incarnation, now_s))
