Do not count an end against a request that ended well a moment before

A request that ends each replica that runs it has not ended well; so an end within 3 s of a good run clears it, on the daemon that knows, which tells the others and takes a refusal back that was stored meanwhile. What it costs: a body that begins to end replicas, as after a change of weights, is not counted for 3 s. Ruled out: runs of it that were not told (all lines agree); a longer time without replicas (0.9 s).

--- a/winchfork/core/crash_ledger.py
+++ b/winchfork/core/crash_ledger.py
@@ -29,6 +29,12 @@
 REFUSAL_S = 24 * 3600.0
 #: A replica takes some 50 runs along when it ends: the suspicions of 300 such ends, 4 MB.
 MOST_SUSPECTS = 16_384
+#: A request that many send may be on every replica of a small service when they end one after the
+#: other, with no time for a run that ends well in between. One that ended well so shortly before is
+#: no request that ends its replica each time.
+ENDED_WELL_S = 3.0
+#: Requests that ended well lately and are remembered: some seconds of a busy daemon.
+MOST_ENDED_WELL = 1_024
 #: Refused requests, each of which has ended three replicas.
 MOST_REFUSED = 4_096
 
@@ -56,6 +62,8 @@
         self._most_suspects = most_suspects
         self._most_refused = most_refused
         self._suspicions: OrderedDict[bytes, _Suspicion] = OrderedDict()
+        #: When each of the last requests that ended well did so.
+        self._ended_well_s: OrderedDict[bytes, float] = OrderedDict()
         #: Requests that are refused, or have been and were not cleared since.
         self._refusals: OrderedDict[bytes, _Refusal] = OrderedDict()
 
@@ -83,6 +91,18 @@
         known = self._known(digest, now_s)
         return known is not None and incarnation in known.incarnations
 
+    def note_ended_well(self, digest: bytes, now_s: float) -> None:
+        """Record that a run of a request has ended well."""
+        self._ended_well_s[digest] = now_s
+        self._ended_well_s.move_to_end(digest)
+        if len(self._ended_well_s) > MOST_ENDED_WELL:
+            self._ended_well_s.popitem(last=False)
+
+    def ended_well_lately(self, digest: bytes, now_s: float) -> bool:
+        """Whether a run of a request ended well here a short time ago."""
+        ended_s = self._ended_well_s.get(digest)
+        return ended_s is not None and now_s - ended_s <= ENDED_WELL_S
+
     def clear(self, digest: bytes) -> bool:
         """Forget what a request was suspected of, and refuse it no longer; False if nothing was.
 
--- a/winchfork/router/crash_guard.py
+++ b/winchfork/router/crash_guard.py
@@ -103,8 +103,10 @@
 
     def note_outlived(self, digest: bytes) -> None:
         """A replica has answered a request whole, and so outlived it."""
+        now_s = self._clock()
+        self.ledger.note_ended_well(digest, now_s)
         self._broken.clear(digest)
-        ends = self.ledger.ends(digest, self._clock())
+        ends = self.ledger.ends(digest, now_s)
         if self.ledger.clear(digest):
             self.on_cleared(digest, ends)
             if self.records.revision(place_key(digest)):
@@ -139,7 +141,21 @@
         self._note_ends(incarnation, digests, own=True)
         self.on_ended(incarnation, digests)
 
-    # What peers tell
+    # What the store and peers tell
+
+    def take_record(self, key: str, value: bytes | None, revision: int) -> Failure | None:
+        """Take in what the store holds of a refused request; a failure if that cannot be read."""
+        unread = self.records.take(key, value, revision)
+        digest = self.records.digest_at(key)
+        now_s = self._clock()
+        if digest is None or not self.ledger.is_refused(digest, now_s):
+            return unread
+        if self.ledger.ended_well_lately(digest, now_s):
+            # Refused by a daemon that had not heard of it yet.
+            self.ledger.clear(digest)
+            self.on_cleared(digest, ENDS_TO_REFUSE)
+            self.on_record(digest, own=True)
+        return unread
 
     def take_ended(self, incarnation: int, digests: Iterable[bytes]) -> None:
         """A peer's runs of these requests were on an incarnation when it ended."""
@@ -162,6 +178,10 @@
             if not self.ledger.note_end(digest, incarnation, now_s):
                 continue
             ends = self.ledger.ends(digest, now_s)
+            if self.ledger.ended_well_lately(digest, now_s):
+                self.ledger.clear(digest)
+                self.on_cleared(digest, ends)
+                continue
             if ends >= ENDS_TO_RUN_ALONE:
                 log_event("request_suspected", "WARNING", digest=digest.hex(), ends=ends, own=own)
             if ends >= ENDS_TO_REFUSE and not self.ledger.is_refused(digest, now_s):
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -57,7 +57,7 @@
             self._install_leader(item)
             return
         if is_refusal_key(item.key):
-            unread = self._state.crashes.records.take(item.key, item.value, item.revision)
+            unread = self._state.crashes.take_record(item.key, item.value, item.revision)
             if unread is not None:
                 self._state.note_refused_document(item.key, unread)
             return
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -73,6 +73,11 @@
         """Return the revision of a place; 0 while it is free."""
         return self._revisions.get(key, 0)
 
+    def digest_at(self, key: str) -> bytes | None:
+        """Return the request whose record is in a place, if there is one."""
+        record = self._records.get(key)
+        return record.digest if record is not None else None
+
     def are_current(self, digest: bytes) -> bool:
         """Whether the store says of a request what the ledger does."""
         record = self._records.get(place_key(digest))
