Settle whether replicas ended before a try is given up for it

Traced: its body is that of the request before, which had lost two answers at replicas that live; until the probes were back, both counted as ends, and the next try was given up after one loss more. A try now waits, up to 0.5 s, for two unsettled breaks to be settled. Ruled out: a fault of the test (its replicas live).

--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -73,6 +73,20 @@
         self.assertEqual(answer.status, 502)
         self.assertEqual(sum(len(replica.seen) for replica in replicas), 2)
 
+    async def test_answers_that_two_living_replicas_lose_stop_no_try(self) -> None:
+        """Also right after another try of the same body has lost two, before that is settled.
+
+        Seen once in the whole suite beside other load: a stream that a third replica would have
+        finished was given up, since two lost answers counted as ends until the probes were back.
+        """
+        losing = [ScriptedReplica(answering(nothing, keep=False)) for _ in range(2)]
+        sound = ScriptedReplica(answering(lambda request: signed(request, b"ok")))
+        relay = await self.relay(*losing, sound, max_attempts=3)
+        # All of the retry budget: eight repeats are wanted at once.
+        relay.state.daemons = 1
+        answers = await asyncio.gather(*(relay.ask(f"id-{number}") for number in range(4)))
+        self.assertEqual([answer.status for answer in answers], [200] * 4)
+
     async def test_the_fourth_replica_never_sees_it_and_its_caller_is_told_at_once(self) -> None:
         replicas = [EndingReplica() for _ in range(5)]
         relay = await self.relay(*replicas, kind=RouteKind.UNSAFE, max_attempts=1)
--- a/winchfork/router/crash_guard.py
+++ b/winchfork/router/crash_guard.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -24,6 +25,10 @@
 ENDS_TO_RUN_ALONE = 2
 #: Ends after which one try goes on at no further replica.
 MOST_ENDS_IN_A_TRY = 2
+#: Seconds that a try waits at most for it to be settled whether two replicas ended under it or only
+#: lost its answers, and between two looks: a probe takes some tens of milliseconds.
+SETTLE_PATIENCE_S = 0.5
+SETTLE_PERIOD_S = 0.01
 
 
 class RecordListener(Protocol):
@@ -72,6 +77,17 @@
         now_s = self._clock()
         return self.ledger.ends(digest, now_s) + self._broken.unsettled(digest, now_s)
 
+    async def settled(self, digest: bytes) -> None:
+        """Wait, where it matters to one try, until it is known whether replicas ended or live."""
+        until_s = self._clock() + SETTLE_PATIENCE_S
+        while self._is_undecided(digest) and self._clock() < until_s:
+            await asyncio.sleep(SETTLE_PERIOD_S)
+
+    def _is_undecided(self, digest: bytes) -> bool:
+        now_s = self._clock()
+        unsettled = self._broken.unsettled(digest, now_s)
+        return bool(unsettled) and self.ledger.ends(digest, now_s) + unsettled >= MOST_ENDS_IN_A_TRY
+
     def may_run(self, digest: bytes) -> bool:
         """Whether a request may be sent now; a suspect may not while a run of it is under way."""
         return not self.ends(digest) or not self._runs.is_running(digest, self._clock())
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -152,6 +152,7 @@
                 self._give_up(decision)
                 return
             outcome = await self._try(decision)
+            await self._crashes.settled(self._admitted.digest)
             if not self._goes_on(decision.replica, outcome):
                 return
 
