A torn stream's test: give the routers their repeats

Cause: the test never saw a repeat. The stand-ins' settings allow none (slack 0), so a torn stream was never sent again; the last three answers were whole only where the replica that tears, i-model-0, was not the one chosen.

--- a/tests/test_platform_whole.py
+++ b/tests/test_platform_whole.py
@@ -7,12 +7,16 @@
 
 from standins.answer_faults import ReplicaFault
 from standins.fleet import KEY, MODEL, LoopbackDeployment
+from standins.replica_server import ReplicaServer
 from tests.relay_support import CallerAnswer, read_answer
+from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.router.settings import RouterSettings
 
 _PATIENCE_S = 25.0
 #: Seconds that operators give a rollout of software.
 ROLLOUT_S = 9.0
+#: Repeats that deployments allow their routers; the stand-ins' settings allow none.
+REPEATS = RetryAllowance(ratio=0.2, slack=56.0, window_s=10.0)
 _HEAD = (
     "POST {path} HTTP/1.1\r\nHost: proofs.example\r\nX-Request-Id: {request_id}\r\n"
     "X-Key: {key}\r\nX-Deadline-Ms: 6000\r\n{extra}Content-Length: 4\r\n\r\nbody"
@@ -65,22 +69,51 @@
         self.assertEqual(sorted(ran), ["command-0", "command-1", "command-2"])
 
     async def test_a_torn_stream_goes_on_at_another_replica(self) -> None:
+        self._give_slack()
         for replica in self.deployment.models:
             replica.tear_at_event = 5
         answer = await _ask(self.deployment.settings[0], _request("torn", tokens_out=9))
-        # Two replicas may be asked, and both tear: the answer must then look torn.
+        # Two replicas are asked, and both tear: the answer must then look torn.
         self.assertFalse(answer.whole)
         self.assertEqual(_numbers(answer), [1, 2, 3, 4])
-        for replica in self.deployment.models[1:]:
-            replica.tear_at_event = 0
-        self.deployment.models[0].tear_at_event = 5
-        answers = [
-            await _ask(self.deployment.settings[0], _request(f"whole-{number}", tokens_out=9))
-            for number in range(3)
-        ]
-        for answer in answers:
+        self.assertEqual(len(self._that_ran("torn")), 2)
+        for number in range(3):
+            first = await self._tear_where_it_runs_next(number)
+            name = f"whole-{number}"
+            answer = await _ask(self.deployment.settings[0], _request(name, tokens_out=9))
             self.assertTrue(answer.whole)
             self.assertEqual(_numbers(answer), list(range(1, 10)))
+            ran = self._that_ran(name)
+            self.assertEqual(len(ran), 2)
+            self.assertIn(first, ran)
+
+    async def test_a_stream_torn_while_no_repeat_is_allowed_looks_torn(self) -> None:
+        for replica in self.deployment.models:
+            replica.tear_at_event = 5
+        answer = await _ask(self.deployment.settings[0], _request("torn", tokens_out=9))
+        self.assertFalse(answer.whole)
+        self.assertEqual(_numbers(answer), [1, 2, 3, 4])
+        self.assertEqual(len(self._that_ran("torn")), 1)
+
+    def _give_slack(self) -> None:
+        """Let the routers repeat requests, as those do that have run for a whole window."""
+        for router in self.deployment.routers:
+            started_s = router.state.clock() - REPEATS.window_s
+            router.state.budget = SlidingRetryBudget(REPEATS, started_s)
+
+    async def _tear_where_it_runs_next(self, number: int) -> ReplicaServer:
+        """Find the replica that a stream is sent to, and have it tear the next one."""
+        name = f"before-{number}"
+        answer = await _ask(self.deployment.settings[0], _request(name, tokens_out=9))
+        self.assertTrue(answer.whole)
+        (replica,) = self._that_ran(name)
+        for other in self.deployment.models:
+            other.tear_at_event = 0
+        replica.tear_at_event = 5
+        return replica
+
+    def _that_ran(self, request_id: str) -> list[ReplicaServer]:
+        return [replica for replica in self.deployment.models if request_id in replica.ran]
 
     async def test_weights_are_rolled_out_while_streams_pass(self) -> None:
         settings = self.deployment.settings
