Settle whether replicas ended only where a repeat is in question, and not past the request's time

Cause: a try waited up to 0.5 s for it to be settled whether replicas had ended, also where it had been delivered, its caller had left or its time was over, so that a caller could get its 504 half a second late.

Ruled out by reading: a delivered answer clears its digest first and so never waited; a move or a refusal takes no part in what is decided by the ends.

--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -4,20 +4,24 @@
 
 import asyncio
 from collections.abc import Callable
+from unittest import mock
 
 from tests.relay_support import (
     ScriptedReplica,
     SeenRequest,
     answering,
+    never_answering,
     resetting,
     signed,
 )
 from tests.test_relay_path import RelayTestCase
+from winchfork.core.broken_runs import SETTLE_S
 from winchfork.core.crash_ledger import ENDS_TO_REFUSE
-from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.relay_fleet import RelayReplica, ReplicaListing
 from winchfork.core.request_digest import request_digest
 from winchfork.core.routing import RouteKind
 from winchfork.core.suspect_runs import SuspectRun
+from winchfork.router import crash_guard
 
 #: The digest of what :meth:`RelayUnderTest.ask` sends by default.
 ASKED = request_digest("school", b"GET", "a.example", b"/p/x?q=1", b"")
@@ -87,6 +91,20 @@
         answers = await asyncio.gather(*(relay.ask(f"id-{number}") for number in range(4)))
         self.assertEqual([answer.status for answer in answers], [200] * 4)
 
+    async def test_nobody_waits_past_its_time_for_what_is_not_settled(self) -> None:
+        """Whether replicas ended decides on a repeat, and there is no time left for one."""
+        breaking = ScriptedReplica(resetting(nothing))
+        for last in (ScriptedReplica(never_answering), breaking):
+            relay = await self.relay(last, timeout_s=0.3)
+            crashes = relay.state.crashes
+            crashes.on_break = lambda replica: None
+            for number in range(2):
+                gone = ReplicaListing(f"i-gone-{number}", "s", "127.0.0.9:9", "z1", 8, False)
+                crashes.note_broken(RelayReplica(gone, {}, gone.incarnation), ASKED, silent=False)
+            with mock.patch.object(crash_guard, "SETTLE_PATIENCE_S", 2 * SETTLE_S):
+                answer = await asyncio.wait_for(relay.ask(), SETTLE_S / 2)
+            self.assertGreaterEqual(answer.status, 500)
+
     async def test_the_fourth_replica_never_sees_it_and_its_caller_is_told_at_once(self) -> None:
         replicas = [EndingReplica() for _ in range(5)]
         relay = await self.relay(*replicas, kind=RouteKind.UNSAFE, max_attempts=1)
--- a/winchfork/core/crash_ledger.py
+++ b/winchfork/core/crash_ledger.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from typing import TypeVar
 
 import msgspec
 
@@ -38,6 +39,8 @@
 #: Refused requests, each of which has ended three replicas.
 MOST_REFUSED = 4_096
 
+_Entry = TypeVar("_Entry")
+
 
 class _Suspicion(msgspec.Struct):
     """The incarnations that have ended under a request, and when the last of them was noted."""
@@ -73,10 +76,8 @@
         if known is not None and incarnation in known.incarnations:
             return False
         before = known.incarnations if known is not None else ()
-        self._suspicions[digest] = _Suspicion((*before, incarnation)[-ENDS_TO_REFUSE:], now_s)
-        self._suspicions.move_to_end(digest)
-        if len(self._suspicions) > self._most_suspects:
-            self._suspicions.popitem(last=False)
+        suspicion = _Suspicion((*before, incarnation)[-ENDS_TO_REFUSE:], now_s)
+        _put_last(self._suspicions, digest, suspicion, self._most_suspects)
         return True
 
     def ends(self, digest: bytes, now_s: float) -> int:
@@ -93,10 +94,7 @@
 
     def note_ended_well(self, digest: bytes, now_s: float) -> None:
         """Record that a run of a request has ended well."""
-        self._ended_well_s[digest] = now_s
-        self._ended_well_s.move_to_end(digest)
-        if len(self._ended_well_s) > MOST_ENDED_WELL:
-            self._ended_well_s.popitem(last=False)
+        _put_last(self._ended_well_s, digest, now_s, MOST_ENDED_WELL)
 
     def ended_well_lately(self, digest: bytes, now_s: float) -> bool:
         """Whether a run of a request ended well here a short time ago."""
@@ -114,10 +112,7 @@
 
     def refuse(self, digest: bytes, times: int, until_s: float) -> None:
         """Refuse a request, for the ``times``-th time, until then."""
-        self._refusals[digest] = _Refusal(times, until_s)
-        self._refusals.move_to_end(digest)
-        if len(self._refusals) > self._most_refused:
-            self._refusals.popitem(last=False)
+        _put_last(self._refusals, digest, _Refusal(times, until_s), self._most_refused)
 
     def is_refused(self, digest: bytes, now_s: float) -> bool:
         """Whether a request is refused now."""
@@ -150,3 +145,11 @@
             del self._suspicions[digest]
             return None
         return known
+
+
+def _put_last(table: OrderedDict[bytes, _Entry], digest: bytes, entry: _Entry, most: int) -> None:
+    """Enter what was touched just now; of more than ``most``, the longest untouched goes."""
+    table[digest] = entry
+    table.move_to_end(digest)
+    if len(table) > most:
+        table.popitem(last=False)
--- a/winchfork/router/crash_guard.py
+++ b/winchfork/router/crash_guard.py
@@ -77,9 +77,12 @@
         now_s = self._clock()
         return self.ledger.ends(digest, now_s) + self._broken.unsettled(digest, now_s)
 
-    async def settled(self, digest: bytes) -> None:
-        """Wait, where it matters to one try, until it is known whether replicas ended or live."""
-        until_s = self._clock() + SETTLE_PATIENCE_S
+    async def settled(self, digest: bytes, ends_at_s: float) -> None:
+        """Wait, where it matters to one try, until it is known whether replicas ended or live.
+
+        The try is over at ``ends_at_s``.
+        """
+        until_s = min(self._clock() + SETTLE_PATIENCE_S, ends_at_s)
         while self._is_undecided(digest) and self._clock() < until_s:
             await asyncio.sleep(SETTLE_PERIOD_S)
 
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -83,7 +83,7 @@
         self._backend = self._state.choose_service(admitted.route)
         self._dispatch = Dispatch(service.state, service.dialect, request, admitted, self._backend)
         self._evidence = AttemptEvidence(service.state, admitted, self._backend)
-        self._ends_at_s = request.received_s + self._time_allowed_s()
+        ends_at_s = request.received_s + self._time_allowed_s()
         self._tried: set[str] = set()
         self._version_tries = 0
         self._newer_weights = False
@@ -98,7 +98,7 @@
             self._loop.time,
         )
         self._repeats = Repeats(
-            service.state, self._backend, admitted.route, self._record, self._ends_at_s
+            service.state, self._backend, admitted.route, self._record, ends_at_s
         )
         #: Moves the request away from the replica that it is at.
         self.moves = StreamMoves(
@@ -120,7 +120,7 @@
 
     async def run(self) -> None:
         """Serve the request; never raises."""
-        timer = self._loop.call_at(self._ends_at_s, self._inbox.put, TimeLimit(_DEADLINE))
+        timer = self._loop.call_at(self._repeats.ends_at_s, self._inbox.put, TimeLimit(_DEADLINE))
         self._state.budget.note_request(self._backend, self._loop.time())
         try:
             await self._serve()
@@ -152,7 +152,8 @@
                 self._give_up(decision)
                 return
             outcome = await self._try(decision)
-            await self._crashes.settled(self._admitted.digest)
+            if isinstance(outcome, MayHaveRun):
+                await self._crashes.settled(self._admitted.digest, self._repeats.ends_at_s)
             if not self._goes_on(decision.replica, outcome):
                 return
 
@@ -210,7 +211,7 @@
         self._record.log_sent(decision, plan, family, self._repeats.time_left_s)
         if plan.unread_tokens:
             self._state.on_work_sent()
-        self._crashes.begin(self._admitted.digest, replica, self._ends_at_s)
+        self._crashes.begin(self._admitted.digest, replica, self._repeats.ends_at_s)
         try:
             outcome = await self.moves.follow(attempt)
         finally:
