Split one replica from the fleet, and open probes from the membership

One replica's listing and evidence are core/relay_replica.py now, probes that wait for an answer core/open_probes.py.

--- a/benchmarks/crashing_requests.py
+++ b/benchmarks/crashing_requests.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from winchfork.core.broken_runs import EndEvidence
-from winchfork.core.relay_fleet import RelayReplica, ReplicaListing
+from winchfork.core.relay_replica import RelayReplica, ReplicaListing
 from winchfork.core.suspect_runs import SuspectRun
 from winchfork.router.crash_guard import CrashGuard
 
--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -10,7 +10,7 @@
 from tests.memory_store import MemoryStore
 from tests.virtual_loop import run_virtually
 from winchfork.core.region_map import RegionMap
-from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.relay_replica import ReplicaListing
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform.documents import PlatformDocuments
 from winchfork.router.leadership import Leadership
--- a/tests/relay_support.py
+++ b/tests/relay_support.py
@@ -9,7 +9,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 
-from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.routing import (
     EngineProfile,
     Route,
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -18,7 +18,7 @@
 from tests.peer_support import Daemon, Network
 from tests.test_platform_documents import CONFIGURATION, REPLICA
 from tests.virtual_loop import run_virtually
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.software_plan import ExposureLimits
 from winchfork.core.software_state import SoftwareState
 from winchfork.platform.documents import PlatformDocuments
--- a/tests/test_cache_store_copies.py
+++ b/tests/test_cache_store_copies.py
@@ -10,8 +10,8 @@
 from winchfork.core.placement_request import PromptPlacement
 from winchfork.core.prompt_parts import Prompt, PromptPart
 from winchfork.core.region_map import RegionMap
-from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.relay_placement import place_prompt
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import CacheStore, EngineProfile, RoutingTable, Service
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
--- a/tests/test_crash_fleet.py
+++ b/tests/test_crash_fleet.py
@@ -12,7 +12,7 @@
 from tests.virtual_loop import run_virtually
 from winchfork.core.broken_runs import EndEvidence
 from winchfork.core.crash_ledger import ENDS_TO_REFUSE
-from winchfork.core.relay_fleet import RelayReplica, ReplicaListing
+from winchfork.core.relay_replica import RelayReplica, ReplicaListing
 from winchfork.core.request_digest import request_digest
 from winchfork.router.refusal_records import PLACES, is_refusal_key, place_key
 from winchfork.router.refusal_writer import RefusalWriter
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -17,7 +17,7 @@
 from tests.test_relay_path import RelayTestCase
 from winchfork.core.broken_runs import SETTLE_S
 from winchfork.core.crash_ledger import ENDS_TO_REFUSE
-from winchfork.core.relay_fleet import RelayReplica, ReplicaListing
+from winchfork.core.relay_replica import RelayReplica, ReplicaListing
 from winchfork.core.request_digest import request_digest
 from winchfork.core.routing import RouteKind
 from winchfork.core.suspect_runs import SuspectRun
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -13,7 +13,7 @@
 from tests.entry_fuzz import NEEDED_FIELDS, UNREADABLE, fuzz
 from tests.test_platform_documents import REPLICA
 from tests.test_store_sync import Followed, follow
-from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.relay_replica import ReplicaListing
 from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocuments
 from winchfork.router.documents import UnreadableReplica
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -5,7 +5,7 @@
 import json
 import unittest
 
-from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.routing import RouteKind, RoutingTable
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform.documents import PlatformDocuments
--- a/tests/test_region_placement.py
+++ b/tests/test_region_placement.py
@@ -10,8 +10,8 @@
 from winchfork.core.placement_request import CacheStoreChoice, PromptPlacement, RelayDecision
 from winchfork.core.region_delay import PRIOR_ROUND_TRIP_S, RegionDelay
 from winchfork.core.region_map import Distance, RegionMap
-from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.relay_placement import place_prompt
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import CacheStore, EngineProfile, RoutingTable, Service
 from winchfork.core.task_placement import TaskPlacement, place_task
 from winchfork.router.settings import RouterSettings
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -4,14 +4,8 @@
 
 import unittest
 
-from winchfork.core.relay_fleet import (
-    RelayFleet,
-    RelayReplica,
-    ReplicaListing,
-    Standing,
-    StandingCause,
-    StandingChange,
-)
+from winchfork.core.relay_fleet import RelayFleet, StandingCause, StandingChange
+from winchfork.core.relay_replica import RelayReplica, ReplicaListing, Standing
 
 
 def listing(replica_id: str, address: str = "a:1", **changes: object) -> ReplicaListing:
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -10,14 +10,9 @@
 from winchfork.core.placement_request import CacheStoreChoice, PromptPlacement
 from winchfork.core.prompt_cost import spread_cost_s
 from winchfork.core.prompt_parts import CacheScope, Prompt, PromptPart
-from winchfork.core.relay_fleet import (
-    EJECTION_S,
-    FAILURES_TO_EJECT,
-    RelayFleet,
-    RelayReplica,
-    ReplicaListing,
-)
+from winchfork.core.relay_fleet import RelayFleet
 from winchfork.core.relay_placement import place_prompt
+from winchfork.core.relay_replica import EJECTION_S, FAILURES_TO_EJECT, RelayReplica, ReplicaListing
 from winchfork.core.rendezvous import member_hash
 from winchfork.core.task_placement import TaskPlacement, place_task
 
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -11,7 +11,7 @@
 from tests.virtual_loop import run_virtually
 from winchfork.backends.replica_control import OrderOutcome, ReplicaReport, WeightsOrder
 from winchfork.core.prompt_parts import Prompt
-from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.leadership import Leadership
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from winchfork.constants import DEAD_AFTER_S, HEARTBEAT_PERIOD_S, SUSPECT_AFTER_S
+from winchfork.constants import DEAD_AFTER_S, SUSPECT_AFTER_S
 from winchfork.core.gossip_queue import GossipQueue
 from winchfork.core.member import (
     IndirectProbe,
@@ -26,6 +26,7 @@
     Probe,
     ProbeReply,
 )
+from winchfork.core.open_probes import OpenProbes
 
 PIGGYBACK_CHANGES = 6
 #: The same while more than that wait and doubts are among them, one and a half kilobytes: after a
@@ -51,12 +52,6 @@
     since_s: float
 
 
-class _PendingProbe(msgspec.Struct):
-    target_id: str
-    sent_at_s: float
-    indirect_sent: bool = False
-
-
 #: Told of each reply: who answered, its revisions, and when it was asked for them.
 OnReply = Callable[[Member, tuple[int, ...], float], None]
 
@@ -87,10 +82,8 @@
         self._doubted: set[str] = set()
         self._strangers: list[str] = []
         self._strangers_changes = -1
-        self._pending: dict[int, _PendingProbe] = {}
-        self._relayed: dict[int, tuple[str, int]] = {}
+        self._probes = OpenProbes()
         self._probe_order: list[str] = []
-        self._next_nonce = 1
         self._periods = 0
         #: Counts changes of any record, so that readers can tell whether a view is still true.
         self.changes = 0
@@ -171,15 +164,17 @@
             return [Outgoing(message.sender.peer_address, reply)]
         if isinstance(message, IndirectProbe):
             return self._relay_probe(message)
-        pending = self._pending.pop(message.nonce, None)
-        if pending is not None:
-            self._on_reply(message.sender, message.revisions, pending.sent_at_s)
-        relayed = self._relayed.pop(message.nonce, None)
-        if relayed is not None:
-            address, nonce = relayed
-            reply = ProbeReply(message.sender, nonce, message.revisions, self._changes())
-            return [Outgoing(address, reply)]
-        return []
+        return self._take_reply(message)
+
+    def _take_reply(self, message: ProbeReply) -> list[Outgoing]:
+        probe = self._probes.take(message.nonce)
+        if probe is not None:
+            self._on_reply(message.sender, message.revisions, probe.sent_at_s)
+        relayed = self._probes.take_relayed(message.nonce)
+        if relayed is None:
+            return []
+        reply = ProbeReply(message.sender, relayed.nonce, message.revisions, self._changes())
+        return [Outgoing(relayed.address, reply)]
 
     @property
     def _working(self) -> int:
@@ -207,23 +202,17 @@
         missing = self._working - probe.known_members
         if missing <= 0:
             return []
-        drawn = self._generator.sample(
-            list(self._tracked.values()),
-            min(MOST_RECORDS, RECORDS_PER_MISSING * missing, len(self._tracked)),
-        )
-        return [entry.member for entry in drawn]
+        entries = list(self._tracked.values())
+        most = min(MOST_RECORDS, RECORDS_PER_MISSING * missing, len(entries))
+        return [entry.member for entry in self._generator.sample(entries, most)]
 
     def _relay_probe(self, message: IndirectProbe) -> list[Outgoing]:
         target = self._tracked.get(message.target_id)
         if target is None:
             return []
-        nonce = self._take_nonce()
-        self._relayed[nonce] = (message.sender.peer_address, message.nonce)
-        while len(self._relayed) > 64:
-            self._relayed.pop(next(iter(self._relayed)))
         probe = Probe(
             self.own,
-            nonce,
+            self._probes.begin_relayed(message.sender.peer_address, message.nonce),
             self._revisions(),
             self._changes(),
             on_behalf_of=message.sender.member_id,
@@ -242,12 +231,9 @@
     def _probe(
         self, target_id: str, address: str, now_s: float, told: tuple[Member, ...] = ()
     ) -> Outgoing:
-        nonce = self._take_nonce()
-        if target_id:
-            self._pending[nonce] = _PendingProbe(target_id, now_s)
         probe = Probe(
             self.own,
-            nonce,
+            self._probes.begin(target_id, now_s),
             self._revisions(),
             (*told, *self._changes()),
             loads=self._pack_loads(),
@@ -255,10 +241,6 @@
         )
         return Outgoing(address, probe)
 
-    def _take_nonce(self) -> int:
-        self._next_nonce += 1
-        return self._next_nonce
-
     def _next_target(self) -> Member | None:
         """Walk the members in a shuffled round, so that each is probed once a round."""
         while True:
@@ -276,18 +258,16 @@
                 return entry.member
 
     def _expire_probes(self, now_s: float) -> list[Outgoing]:
-        outgoing: list[Outgoing] = []
-        for nonce, pending in list(self._pending.items()):
-            age_s = now_s - pending.sent_at_s
-            if age_s >= SUSPECT_AFTER_S:
-                del self._pending[nonce]
-                self._suspect(pending.target_id, now_s)
-            elif age_s >= HEARTBEAT_PERIOD_S and not pending.indirect_sent:
-                pending.indirect_sent = True
-                outgoing += self._ask_others(nonce, pending.target_id)
-        return outgoing
+        overdue = self._probes.take_overdue(now_s)
+        for probe in overdue.lost:
+            self._suspect(probe.target_id, now_s)
+        return [
+            request
+            for probe in overdue.unanswered
+            for request in self._ask_helpers(probe.nonce, probe.target_id)
+        ]
 
-    def _ask_others(self, nonce: int, target_id: str) -> list[Outgoing]:
+    def _ask_helpers(self, nonce: int, target_id: str) -> list[Outgoing]:
         others = [
             entry.member
             for member_id, entry in sorted(self._tracked.items())
--- a/winchfork/core/placement_request.py
+++ b/winchfork/core/placement_request.py
@@ -9,7 +9,7 @@
 from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.region_map import RegionMap
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 
 #: A request whose answer takes this many times as long as its prompt is a long answer.
 LONG_ANSWER_RATIO = 4.0
--- a/winchfork/core/prompt_cost.py
+++ b/winchfork/core/prompt_cost.py
@@ -6,7 +6,7 @@
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.prompt_sources import Reading
 from winchfork.core.region_map import Distance
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import mixed_order
 from winchfork.core.zone_hubs import MOST_DIRECT_MEMBERS
 
--- a/winchfork/core/prompt_sources.py
+++ b/winchfork/core/prompt_sources.py
@@ -13,7 +13,7 @@
 from winchfork.core.part_index import PartIndex, shared_keys
 from winchfork.core.placement_request import PromptPlacement
 from winchfork.core.region_map import Distance
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 
 #: Cache moves take this many times as long as within a zone, by how far apart the two ends are: the
 #: figures that operators give.
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -1,9 +1,4 @@
-"""Replicas as a relaying daemon sees them: what the platform lists, and what answers showed.
-
-What the platform lists is installed by :meth:`RelayFleet.install`; everything else on a replica is
-this daemon's own evidence: work in flight, latency, failures, the weights version of its last
-answer. An id and a start name one incarnation, and evidence never passes to its successor, which
-may have the same id.
+"""All replicas that the platform lists, and which of them answers at each address.
 
 Several incarnations may be listed at one address, of which one answers. The list's order is a doubt
 only: an entry may be written late, after its replica has ended and another has been listed there.
@@ -13,37 +8,16 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 import msgspec
 
-from winchfork.core.rendezvous import member_hash
-
-#: Share of a new sample in the moving averages.
-_SAMPLE_WEIGHT = 0.25
-#: Failures in a row after which a replica is left alone for a while.
-FAILURES_TO_EJECT = 3
-#: First time of leaving a failing replica alone; doubled with each ejection in a row.
-EJECTION_S = 1.0
-MAX_EJECTION_S = 8.0
-#: Peers that must have ejected a replica, and within how long, for their word to count here: one
-#: alone may be cut off itself.
-ACCUSERS_TO_EJECT = 2
-ACCUSATION_MEMORY_S = 2.0
+from winchfork.core.relay_replica import RelayReplica, ReplicaListing, Standing
+
 #: Replicas that have gone whose place in the order of listing is remembered.
 MOST_GONE = 256
 
 
-class Standing(enum.Enum):
-    """Whether an incarnation is the one that answers at its address, as far as known."""
-
-    IN_PLACE = "in_place"
-    #: Another is thought to answer there, by the order in which they were listed or last answered.
-    DOUBTED = "doubted"
-    #: An answer has shown that it is another: whatever the list says, this one has ended.
-    ENDED = "ended"
-
-
 class StandingCause(enum.Enum):
     """What changed a replica's standing."""
 
@@ -57,167 +31,6 @@
     OTHER_ANSWERED = "other_answered"
 
 
-class ReplicaListing(msgspec.Struct, frozen=True):
-    """What the platform's list says of one replica.
-
-    ``versions`` maps each model to the version of its weights. ``software`` is the version of the
-    replica's own program; empty where the platform does not say. ``born_ms`` is when it started, in
-    milliseconds since 1970 by its own clock; 0 where it does not say.
-    """
-
-    replica_id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    accepting: bool
-    versions: Mapping[str, int] = msgspec.field(default_factory=dict)
-    software: str = ""
-    born_ms: int = 0
-
-    @property
-    def incarnation(self) -> int:
-        """The 64-bit hash of the id and the start, by which peers name this incarnation."""
-        return member_hash(f"{self.replica_id}@{self.born_ms}" if self.born_ms else self.replica_id)
-
-    def is_restart_of(self, earlier: ReplicaListing) -> bool:
-        """Whether it is a later incarnation under the same id; one that does not say is none."""
-        return self.born_ms > earlier.born_ms
-
-    def is_older_incarnation_of(self, later: ReplicaListing) -> bool:
-        """Whether it is an earlier incarnation under the same id."""
-        return 0 < self.born_ms < later.born_ms
-
-
-class RelayReplica(msgspec.Struct):
-    """One replica with this daemon's evidence. Times are monotonic seconds."""
-
-    listing: ReplicaListing
-    versions: dict[str, int]
-    order_hash: int
-    in_flight: int = 0
-    unread_tokens: int = 0
-    #: Tokens that the memory of requests in flight may grow to: prompts and answers.
-    memory_tokens: int = 0
-    peer_in_flight: int = 0
-    peer_unread_tokens: int = 0
-    peer_memory_tokens: int = 0
-    latency_s: float = 0.0
-    latency_at_s: float = 0.0
-    failures_in_row: int = 0
-    ejections_in_row: int = 0
-    avoided_until_s: float = 0.0
-    loading_until_s: float = 0.0
-    standing: Standing = Standing.IN_PLACE
-    #: Rises with each first listing and each answer that says who answers at an address.
-    recency: int = 0
-    #: Until then a rollout is about to order it: long requests had better go elsewhere.
-    next_until_s: float = 0.0
-    peer_busy_until_s: float = 0.0
-    _ends_s: dict[int, float] = msgspec.field(default_factory=dict)
-    _accused_s: dict[str, float] = msgspec.field(default_factory=dict)
-
-    @property
-    def replica_id(self) -> str:
-        """The id of this incarnation."""
-        return self.listing.replica_id
-
-    @property
-    def superseded(self) -> bool:
-        """Whether another incarnation is thought, or was shown, to answer at its address."""
-        return self.standing is not Standing.IN_PLACE
-
-    @property
-    def accepting(self) -> bool:
-        """Whether it may be given work at all."""
-        return self.listing.accepting and not self.superseded
-
-    @property
-    def queued_tokens(self) -> int:
-        """Prompt tokens sent to it, by all daemons as far as known, that it has not read yet."""
-        return self.unread_tokens + self.peer_unread_tokens
-
-    @property
-    def running(self) -> int:
-        """Requests sent to it, by all daemons as far as known, that have not ended."""
-        return self.in_flight + self.peer_in_flight
-
-    @property
-    def used_tokens(self) -> int:
-        """Memory that these requests may come to take."""
-        return self.memory_tokens + self.peer_memory_tokens
-
-    def note_sent(
-        self, request_key: int, unread_tokens: int, ends_s: float, memory_tokens: int = 0
-    ) -> None:
-        """Count a request sent to this replica, which is expected to end at ``ends_s``."""
-        self.in_flight += 1
-        self.unread_tokens += unread_tokens
-        self.memory_tokens += memory_tokens
-        self._ends_s[request_key] = ends_s
-
-    def note_started(self, unread_tokens: int) -> None:
-        """The prompt has been read: its first token has arrived, or the request has ended."""
-        self.unread_tokens -= unread_tokens
-
-    def note_done(self, request_key: int, memory_tokens: int = 0) -> None:
-        """Count a request that has ended, however it ended."""
-        self.in_flight -= 1
-        self.memory_tokens -= memory_tokens
-        self._ends_s.pop(request_key, None)
-
-    @property
-    def own_busy_until_s(self) -> float:
-        """When the last of this daemon's requests is expected to end; 0 with none."""
-        return max(self._ends_s.values(), default=0.0)
-
-    @property
-    def busy_until_s(self) -> float:
-        """When the last request of any daemon is expected to end."""
-        return max(self.own_busy_until_s, self.peer_busy_until_s)
-
-    def note_success(self, latency_s: float, now_s: float) -> None:
-        """Record a good answer and how long it took."""
-        self.failures_in_row = 0
-        self.ejections_in_row = 0
-        if self.latency_at_s:
-            self.latency_s += _SAMPLE_WEIGHT * (latency_s - self.latency_s)
-        else:
-            self.latency_s = latency_s
-        self.latency_at_s = now_s
-
-    def note_failure(self, now_s: float, *, certain: bool = False) -> bool:
-        """Record a failure; True when the replica is now left alone for a while.
-
-        ``certain`` failures (a refused or silent connection) need no repetition. Many requests may
-        fail of one event: while the replica is left alone, further failures say nothing new.
-        """
-        self.failures_in_row += 1
-        if now_s < self.avoided_until_s:
-            return False
-        if not certain and self.failures_in_row < FAILURES_TO_EJECT:
-            return False
-        duration_s = min(MAX_EJECTION_S, EJECTION_S * 2.0**self.ejections_in_row)
-        self.ejections_in_row += 1
-        self.avoided_until_s = now_s + duration_s
-        return True
-
-    def note_accusation(self, accuser: str, now_s: float) -> bool:
-        """Record that a peer has ejected it; True when it is now left alone here as well."""
-        self._accused_s[accuser] = now_s
-        for peer in [key for key, at_s in self._accused_s.items() if _forgotten(at_s, now_s)]:
-            del self._accused_s[peer]
-        if now_s < self.avoided_until_s or len(self._accused_s) < ACCUSERS_TO_EJECT:
-            return False
-        self._accused_s.clear()
-        self.avoided_until_s = now_s + EJECTION_S
-        return True
-
-
-def _forgotten(at_s: float, now_s: float) -> bool:
-    return now_s - at_s > ACCUSATION_MEMORY_S
-
-
 class StandingChange(msgspec.Struct, frozen=True):
     """A replica whose standing has changed; ``by`` is the incarnation in place, if one is known."""
 
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -15,7 +15,7 @@
 from winchfork.core.placement_request import PromptPlacement, RelayDecision
 from winchfork.core.prompt_cost import prompt_cost_s
 from winchfork.core.prompt_sources import LEAST_COPIED_TOKENS, PromptSources
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import member_hash, mixed_order
 
 #: A store that is not known to keep a prompt's shared parts is asked for this many or more: they
--- a/winchfork/core/task_placement.py
+++ b/winchfork/core/task_placement.py
@@ -10,7 +10,7 @@
 from winchfork.core.placement_request import RelayDecision, connect_cost_s
 from winchfork.core.prompt_cost import OTHER_ZONE_COST_S
 from winchfork.core.region_map import Distance, RegionMap
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 
 #: A latency measured longer ago than this is no longer held against a replica.
 LATENCY_MEMORY_S = 3.0
--- a/winchfork/platform/documents.py
+++ b/winchfork/platform/documents.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.routing import (
     CacheStore,
     CallerLimits,
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import RouteKind
 from winchfork.router.caller_answer import CallerAnswer, StreamReader
 from winchfork.router.dialect import AnswerFields, Dialect
--- a/winchfork/router/cache_stores.py
+++ b/winchfork/router/cache_stores.py
@@ -4,7 +4,7 @@
 
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.region_map import RegionMap
-from winchfork.core.relay_fleet import RelayReplica, ReplicaListing
+from winchfork.core.relay_replica import RelayReplica, ReplicaListing
 from winchfork.core.rendezvous import member_hash, mixed_order
 from winchfork.core.routing import RoutingTable
 
--- a/winchfork/router/crash_guard.py
+++ b/winchfork/router/crash_guard.py
@@ -14,7 +14,7 @@
 
 from winchfork.core.broken_runs import BrokenRuns, EndEvidence
 from winchfork.core.crash_ledger import ENDS_TO_REFUSE, CrashLedger
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.suspect_runs import SuspectRun, SuspectRuns
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -9,8 +9,8 @@
 from winchfork.core.placement_request import PromptPlacement, RelayDecision
 from winchfork.core.prompt_cost import spread_cost_s, worth_moving
 from winchfork.core.prompt_parts import CacheScope, Prompt
-from winchfork.core.relay_fleet import RelayReplica
 from winchfork.core.relay_placement import place_prompt
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import member_hash
 from winchfork.core.task_placement import TaskPlacement, place_task
 from winchfork.core.urgency import urgency_level
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -11,7 +11,7 @@
 
 from winchfork.core.broken_runs import EndEvidence
 from winchfork.core.document_table import TableItem
-from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.routing import RoutingTable
 from winchfork.core.software_state import SoftwareOrder
 from winchfork.core.weight_rollout import VersionHistory
--- a/winchfork/router/documents.py
+++ b/winchfork/router/documents.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from winchfork.core.relay_fleet import ReplicaListing
+from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.routing import RoutingTable
 from winchfork.core.software_state import RolloutOutcome, SoftwareOrder
 from winchfork.errors import Failure
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -12,7 +12,7 @@
 
 from winchfork.core.broken_runs import EndEvidence
 from winchfork.core.placement_request import RelayDecision
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
 from winchfork.router.attempt import Attempt
--- a/winchfork/router/replica_choice.py
+++ b/winchfork/router/replica_choice.py
@@ -7,7 +7,7 @@
 
 from winchfork.core.engine_speed import PRIOR_READ_TOKENS_PER_S
 from winchfork.core.prompt_parts import Prompt
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.weight_rollout import PRIOR_LOAD_S
 
 if TYPE_CHECKING:
--- a/winchfork/router/replica_probes.py
+++ b/winchfork/router/replica_probes.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from winchfork.core.broken_runs import EndEvidence
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.state import RouterState
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from winchfork.core.exposure import ExposureCredit, lane_of
-from winchfork.core.relay_fleet import RelayFleet, RelayReplica
+from winchfork.core.relay_fleet import RelayFleet
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import member_hash
 from winchfork.core.software_state import (
     SoftwareOrder,
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -15,7 +15,8 @@
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.quota_book import QuotaBook
 from winchfork.core.region_delay import RegionDelay
-from winchfork.core.relay_fleet import RelayFleet, RelayReplica, ReplicaListing, StandingChange
+from winchfork.core.relay_fleet import RelayFleet, StandingChange
+from winchfork.core.relay_replica import RelayReplica, ReplicaListing
 from winchfork.core.routing import Route, RoutingTable, SplitChooser
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.store_outage import StoreOutageWatch
--- a/winchfork/router/stream_moves.py
+++ b/winchfork/router/stream_moves.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.logs import log_event
 from winchfork.router.attempt import Attempt, AttemptPlan
 from winchfork.router.dispatch import Dispatch
--- a/winchfork/router/version_news.py
+++ b/winchfork/router/version_news.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.core.zone_hubs import FleetView
 from winchfork.logs import log_event
--- a/winchfork/router/weights_notes.py
+++ b/winchfork/router/weights_notes.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections.abc import Callable
 
-from winchfork.core.relay_fleet import RelayReplica
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.router.peer_messages import WeightsNote
 
 #: Peers are told to send a replica nothing for this long at a time; renewed while under order.
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -16,7 +16,7 @@
     ReplicaReport,
     WeightsOrder,
 )
-from winchfork.core.relay_fleet import RelayReplica, Standing
+from winchfork.core.relay_replica import RelayReplica, Standing
 from winchfork.core.weight_rollout import LoadingReplica, LoadPace, next_step
 from winchfork.errors import Failure, RunState
 from winchfork.logs import log_event
