--- a/winchfork/backends/stream_pump.py
+++ b/winchfork/backends/stream_pump.py
@@ -12,12 +12,12 @@
 import selectors
 import socket
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import Future
 
 import pycurl
 
+from winchfork.boot_clock import boot_seconds
 from winchfork.errors import Failure
 
 #: How often each running exchange is asked whether it should stop.
@@ -89,16 +89,16 @@
                 self._waker.send(b"w")
 
     def _loop(self) -> None:
-        next_check_s = time.monotonic() + _STOP_CHECK_PERIOD_S
+        next_check_s = boot_seconds() + _STOP_CHECK_PERIOD_S
         while not self._closing:
-            now_s = time.monotonic()
+            now_s = boot_seconds()
             wake_s = next_check_s if self._timer_at_s is None else self._timer_at_s
             for key, mask in self._selector.select(max(0.0, min(wake_s, next_check_s) - now_s)):
                 if key.fileobj is self._woken:
                     self._take_inbox()
                 else:
                     self._act(key.fd, mask)
-            now_s = time.monotonic()
+            now_s = boot_seconds()
             if self._timer_at_s is not None and self._timer_at_s <= now_s:
                 self._timer_at_s = None
                 self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
@@ -154,7 +154,7 @@
             self._selector.register(descriptor, mask)
 
     def _on_timer(self, timeout_ms: int) -> None:
-        self._timer_at_s = None if timeout_ms < 0 else time.monotonic() + timeout_ms / 1000
+        self._timer_at_s = None if timeout_ms < 0 else boot_seconds() + timeout_ms / 1000
 
     def _check_stops(self) -> None:
         for transfer in list(self._running.values()):
--- a/winchfork/cluster/claim_client.py
+++ b/winchfork/cluster/claim_client.py
@@ -5,8 +5,8 @@
 import dataclasses
 import itertools
 import threading
-import time
 
+from winchfork.boot_clock import boot_seconds
 from winchfork.cluster.node import PeerNode
 from winchfork.constants import CLAIM_RESEND_PERIOD_S
 from winchfork.core.claims import (
@@ -125,11 +125,11 @@
         return failure
 
     def _gather(self, claim: Claim, changed: threading.Condition, timeout_s: float) -> None:
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = boot_seconds() + timeout_s
         while True:
             for voter in claim.unheard_voters():
                 self._node.send_to(voter, claim.request)
-            left_s = deadline_s - time.monotonic()
+            left_s = deadline_s - boot_seconds()
             with changed:
                 settled = changed.wait_for(
                     lambda: claim.is_settled, min(CLAIM_RESEND_PERIOD_S, max(0.0, left_s))
--- a/winchfork/cluster/panel_manager.py
+++ b/winchfork/cluster/panel_manager.py
@@ -11,6 +11,7 @@
 import threading
 import time
 
+from winchfork.boot_clock import boot_seconds
 from winchfork.cluster.node import PeerNode
 from winchfork.cluster.panel_store import panel_key, panel_prefix, panel_to_json, read_panels
 from winchfork.core.claims import SealReply, SealRequest, VoterPanel, epoch_is_sealed
@@ -39,7 +40,7 @@
         self._replace_after_s = replace_after_s
         self._region = node.state.settings.daemon.region
         self._stopping = threading.Event()
-        self._started_s = time.monotonic()
+        self._started_s = boot_seconds()
         self._last_seen_s: dict[str, float] = {}
         self._seals: dict[str, dict[str, SealReply]] = {}
 
@@ -57,7 +58,7 @@
         self._stopping.set()
 
     def _pass(self) -> None:
-        now_s = time.monotonic()
+        now_s = boot_seconds()
         members = {member.member_id: member for member in self._node.live_members()}
         for member_id in members:
             self._last_seen_s[member_id] = now_s
--- a/winchfork/cluster/waiting_work.py
+++ b/winchfork/cluster/waiting_work.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 import threading
-import time
 import uuid
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 
+from winchfork.boot_clock import boot_seconds
 from winchfork.cluster.node import PeerNode
 from winchfork.cluster.waiting_store import WaitingStore
 from winchfork.core.documents import RELAYS_PER_ZONE
@@ -147,7 +147,7 @@
         while not self._stopping.wait(GROUP_COMMIT_S):
             try:
                 self._commit_gathered()
-                now_s = time.monotonic()
+                now_s = boot_seconds()
                 if now_s >= next_renewal_s:
                     next_renewal_s = now_s + _RENEW_PERIOD_S
                     is_relay = self._node.is_relay("waiting", RELAYS_PER_ZONE)
@@ -169,7 +169,7 @@
         self._runners.shutdown(wait=False, cancel_futures=True)
 
     def _keep_trying(self) -> bool:
-        return not self._stopping.wait(0.1) and time.monotonic() < self._write_until_s
+        return not self._stopping.wait(0.1) and boot_seconds() < self._write_until_s
 
     def _commit_gathered(self) -> None:
         with self._lock:
@@ -177,7 +177,7 @@
             if not gathered.requests:
                 return
             self._accepting = _Accepting()
-        self._write_until_s = time.monotonic() + _WRITE_PATIENCE_S
+        self._write_until_s = boot_seconds() + _WRITE_PATIENCE_S
         self._commit(gathered)
 
     def _own(self, batch: WaitingBatch) -> None:
@@ -190,10 +190,10 @@
                 self._owned[batch.batch_id] = batch
 
     def _has_lease(self) -> bool:
-        return self._lease_id != 0 and time.monotonic() < self._lease_until_s
+        return self._lease_id != 0 and boot_seconds() < self._lease_until_s
 
     def _renew(self) -> None:
-        asked_at_s = time.monotonic()
+        asked_at_s = boot_seconds()
         if self._lease_id:
             renewed = self._leases.renew_lease(self._lease_id)
             if not isinstance(renewed, Failure):
--- a/winchfork/control/configuration_writer.py
+++ b/winchfork/control/configuration_writer.py
@@ -10,6 +10,7 @@
 import time
 import uuid
 
+from winchfork.boot_clock import boot_seconds
 from winchfork.cluster.node import PeerNode
 from winchfork.cluster.platform_sync import CONFIGURATION_KEY
 from winchfork.core.configuration import Configuration
@@ -69,11 +70,11 @@
                 "configuration": configuration.model_dump(mode="json"),
             }
         ).encode()
-        deadline_s = time.monotonic() + _RESOLVE_S
+        deadline_s = boot_seconds() + _RESOLVE_S
 
         def keep_trying() -> bool:
             time.sleep(_RETRY_PAUSE_S)
-            return time.monotonic() < deadline_s
+            return boot_seconds() < deadline_s
 
         result = swap_until_known(
             self._store,
--- a/winchfork/control/leader.py
+++ b/winchfork/control/leader.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
+from winchfork.boot_clock import boot_seconds
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.stores.key_value import Entry, KeyValueStore
@@ -27,7 +27,7 @@
         store: KeyValueStore,
         key: str,
         own_id: str,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_seconds,
     ) -> None:
         self._store = store
         self._key = key
--- a/winchfork/control/rollout.py
+++ b/winchfork/control/rollout.py
@@ -10,10 +10,10 @@
 import dataclasses
 import json
 import threading
-import time
 from concurrent.futures import Future, ThreadPoolExecutor
 
 from winchfork.backends.engine_port import EngineOrder, EnginePort, OrderKind
+from winchfork.boot_clock import boot_seconds
 from winchfork.cluster.node import PeerNode
 from winchfork.control import winchfork_pb2 as pb
 from winchfork.control.leader import Leadership
@@ -163,8 +163,8 @@
         )
 
     def _wait_until_quiet(self, replica: Replica) -> None:
-        deadline_s = time.monotonic() + _QUIET_WAIT_S
-        while time.monotonic() < deadline_s and not self._stopping.wait(0.1):
+        deadline_s = boot_seconds() + _QUIET_WAIT_S
+        while boot_seconds() < deadline_s and not self._stopping.wait(0.1):
             report = self._engine.report(replica.address, 1 << 60)
             if isinstance(report, Failure):
                 return
--- a/winchfork/gateway/app.py
+++ b/winchfork/gateway/app.py
@@ -10,6 +10,7 @@
 
 from werkzeug.wrappers import Request, Response
 
+from winchfork.boot_clock import boot_seconds
 from winchfork.cluster.state import DaemonState
 from winchfork.cluster.waiting_work import WaitingWork
 from winchfork.core.configuration import InstalledConfiguration, Pool, PoolKind, Tenant
@@ -329,7 +330,7 @@
 
 
 def _caller(request: Request, context: CallerContext) -> Caller:
-    return Caller(request.environ["winchfork.socket"], time.monotonic() + context.deadline_s)
+    return Caller(request.environ["winchfork.socket"], boot_seconds() + context.deadline_s)
 
 
 def _format(request_id: str, parsed: GenerationRequest) -> AnswerFormat:
--- a/winchfork/gateway/caller.py
+++ b/winchfork/gateway/caller.py
@@ -4,10 +4,10 @@
 
 import select
 import socket
-import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from winchfork.boot_clock import boot_seconds
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.gateway.direct_stream import DirectStream
 
@@ -42,7 +42,7 @@
 
     def remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
-        return self.deadline_at_s - time.monotonic()
+        return self.deadline_at_s - boot_seconds()
 
 
 class Caller:
@@ -58,7 +58,7 @@
 
     def check(self) -> Failure | None:
         """Return why work for this caller should stop, or None."""
-        now_s = time.monotonic()
+        now_s = boot_seconds()
         if now_s >= self.deadline_at_s:
             return FailureKind.DEADLINE_EXCEEDED.because(
                 "the deadline passed", remedy="allow a later deadline", ran=RunState.UNKNOWN
@@ -72,7 +72,7 @@
 
     def remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
-        return self.deadline_at_s - time.monotonic()
+        return self.deadline_at_s - boot_seconds()
 
     def _has_left(self) -> bool:
         try:
--- a/winchfork/gateway/generation.py
+++ b/winchfork/gateway/generation.py
@@ -23,6 +23,7 @@
     StreamPiece,
     StreamStart,
 )
+from winchfork.boot_clock import boot_seconds
 from winchfork.cluster.placement_lookup import LookupResult, PlacementLookup
 from winchfork.cluster.state import DaemonState
 from winchfork.constants import (
@@ -130,7 +131,7 @@
         deliver: Callable[[str], Failure | None],
     ) -> GenerationResult | Failure:
         """Run a generation to its end, passing text to ``deliver`` as it comes."""
-        admitted_at_s = time.monotonic()
+        admitted_at_s = boot_seconds()
         refusal = self._admit(request_id, context, caller)
         if refusal is not None:
             self._state.note_decision(
@@ -140,12 +141,12 @@
         try:
             return self._run_attempts(request_id, pool, request, context, caller, deliver)
         finally:
-            self._release(request_id, time.monotonic() - admitted_at_s)
+            self._release(request_id, boot_seconds() - admitted_at_s)
 
     # --- admission ---
 
     def _admit(self, request_id: str, context: CallerContext, caller: Waiter) -> Failure | None:
-        now_s = time.monotonic()
+        now_s = boot_seconds()
         ticket = Ticket(
             request_id,
             context.tenant.name,
@@ -191,7 +192,7 @@
 
     def _release(self, request_id: str, service_s: float) -> None:
         with self._state.lock:
-            admitted = self._state.admission.release(request_id, time.monotonic(), service_s)
+            admitted = self._state.admission.release(request_id, boot_seconds(), service_s)
             futures = [self._tickets.pop(ticket.request_id, None) for ticket in admitted]
         for future in futures:
             if future is not None:
@@ -392,7 +393,7 @@
         caller: Waiter,
         progress: _Progress,
     ) -> StreamEnd | Failure:
-        sent_at_s = time.monotonic()
+        sent_at_s = boot_seconds()
         first_piece = threading.Event()
 
         def on_start(start: StreamStart) -> Failure | None:
@@ -402,13 +403,13 @@
                     ran=RunState.UNKNOWN,
                 )
             progress.cached_tokens = start.cached_tokens
-            self._note_start(request_id, attempt, start, time.monotonic() - sent_at_s)
+            self._note_start(request_id, attempt, start, boot_seconds() - sent_at_s)
             return None
 
         def on_piece(piece: StreamPiece) -> Failure | None:
             if not first_piece.is_set():
                 first_piece.set()
-                self._metrics.first_token(context, time.monotonic() - sent_at_s)
+                self._metrics.first_token(context, boot_seconds() - sent_at_s)
             return progress.take(piece)
 
         dispatch = Dispatch(
--- a/winchfork/gateway/relay.py
+++ b/winchfork/gateway/relay.py
@@ -14,6 +14,7 @@
 import cbor2
 
 from winchfork.backends.http_client import HttpAnswer, HttpClient, HttpRequest
+from winchfork.boot_clock import boot_seconds
 from winchfork.cluster.claim_client import ClaimClient, ClaimRequest, KeptOutcome, WonClaim
 from winchfork.cluster.state import DaemonState
 from winchfork.constants import AVOID_AFTER_FAILURE_S, CLAIM_TIMEOUT_S
@@ -147,9 +148,9 @@
             context.first_send,
             min(CLAIM_TIMEOUT_S, max(0.0, caller.remaining_s())),
         )
-        started_s = time.monotonic()
+        started_s = boot_seconds()
         claim = self._claims.obtain(claim_request)
-        waited_s = round(time.monotonic() - started_s, 5)
+        waited_s = round(boot_seconds() - started_s, 5)
         if isinstance(claim, Failure):
             self._metrics.claim(claim.kind.value)
             self._state.note_decision(
--- a/winchfork/gateway/stored_runs.py
+++ b/winchfork/gateway/stored_runs.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import time
-
+from winchfork.boot_clock import boot_seconds
 from winchfork.cluster.state import DaemonState
 from winchfork.core.configuration import Tenant
 from winchfork.core.waiting import WaitingAnswer, WaitingRequest
@@ -50,7 +49,7 @@
             pool,
             GenerationRequest(stored.model, prompt, stored.max_tokens, False, stored.is_chat),
             context,
-            StoredWaiter(time.monotonic() + RUN_DEADLINE_S),
+            StoredWaiter(boot_seconds() + RUN_DEADLINE_S),
             parts.append,
         )
         if isinstance(result, Failure):
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -77,7 +77,7 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         # Back-off, jitter and waits told to callers; daemons must not act in step.
-        generator = random.Random(f"{settings.node_id}:{time.monotonic_ns()}")
+        generator = random.Random(f"{settings.node_id}:{time.time_ns()}")
         self._loop = loop
         self._settings = settings
         self._read_settings = read_settings
