Bound what a version gets that moved without approval

Cause: where a service gets too few requests to approve a version, it moves if all that is expected until the time limit fits into the budget. Nobody looked at the budget after that: more requests than expected went to the version all the same, and it was put in force as soon as the old replicas were idle.

The record now says that the move was not approved; every judge stops such a version at 85 % of the budget, with or without a leader; the leader rolls it back without calling it bad, and puts it in force only while what is left still fits.

Approved versions are not concerned: also by a leader which knows too little to approve it again (test).

--- a/tests/test_software_rollout.py
+++ b/tests/test_software_rollout.py
@@ -172,6 +172,42 @@
         self.spent(bad(failing, lambda request: request.running >= 1, 0.6))
 
 
+class UnapprovedMoveTest(unittest.TestCase):
+    """Moves of a service with few requests, whose answers could approve no version in time.
+
+    Such a version moved because all that was expected until the time limit fitted into the budget,
+    and nobody looked at the budget again: before real sockets a slow version got 92 of 204 requests
+    where 70 were allowed, after more requests had come than in the two seconds before the move, and
+    with no leader from then on.
+    """
+
+    def play(self, behaviour: Behaviour, *, lose_leader: bool, outcome: str) -> None:
+        async def scenario(fleet: RolloutFleet) -> None:
+            fleet.behaviour = behaviour
+            fleet.list_replicas("v2")
+            fleet.order()
+            await until(lambda: phase_is(fleet, SoftwarePhase.MOVED))
+            fleet.rate_per_s *= 6.0
+            if lose_leader:
+                fleet.kill(fleet.leader())
+            await fleet.to_time_limit()
+            self.assertGreaterEqual(fleet.budget_left(), 0.0)
+            await fleet.until_settled()
+            self.assertEqual(fleet.status(), (outcome, "v2"))
+            self.assertEqual(fleet.record().judged_bad, ())
+
+        in_rollout_fleet(scenario, daemons=3, replicas=4, rate_per_s=2.0)
+
+    def slow_once_moved(self) -> Behaviour:
+        return bad(slowed, lambda request: request.at_s > 0.55 * DURATION_S, 1.0)
+
+    def test_more_requests_after_it_do_not_exceed_the_budget(self) -> None:
+        self.play(self.slow_once_moved(), lose_leader=False, outcome="rolled_back")
+
+    def test_nor_while_nobody_leads(self) -> None:
+        self.play(self.slow_once_moved(), lose_leader=True, outcome="rolled_back")
+
+
 class MarginsTest(unittest.TestCase):
     """The outcomes that leave least room, over other draws of families, faults and callers."""
 
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from winchfork.core.answer_rate import AnswerRate
 from winchfork.core.exposure import ExposureCredit, lane_of
 from winchfork.core.software_plan import (
@@ -21,6 +23,7 @@
     SoftwareOrder,
     SoftwarePhase,
     SoftwareState,
+    StopCause,
     likely_in_force,
     rule_of,
 )
@@ -129,7 +132,7 @@
             "new_answers": 0,
             "all_answers": 200,
             "opinion": Opinion.OPEN,
-            "alarmed": False,
+            "stopped": None,
             "longest_run_s": 1.0,
         }
         fields["recent_per_s"] = (fields | changes)["all_answers"] / elapsed_s
@@ -186,6 +189,30 @@
             view = self.view(**few, recent_per_s=per_s)
             self.assertIsNone(next_step(state, view, self.LIMITS), per_s)
 
+    def test_a_version_that_moved_without_approval_gets_no_more_than_the_budget(self) -> None:
+        state = self.running(SoftwarePhase.TRIAL, 0.3)
+        few = {"elapsed_s": 7.0, "stage_s": 0.2, "all_answers": 60, "new_answers": 14}
+        moving = next_step(state, self.view(**few), self.LIMITS)
+        assert moving is not None
+        spent = self.view(elapsed_s=9.0, stage_s=0.2, all_answers=150, new_answers=60)
+        for phase in (SoftwarePhase.MOVING, SoftwarePhase.MOVED):
+            moved = moving.state.advanced(phase, 1.0, 7.5)
+            step = next_step(moved, spent, self.LIMITS)
+            assert step is not None
+            self.assertIs(step.state.outcome, RolloutOutcome.ROLLED_BACK)
+            self.assertEqual(step.state.judged_bad, ())
+            approved = msgspec.structs.replace(spent, opinion=Opinion.GOOD)
+            self.assertIsNone(next_step(moved, approved, self.LIMITS))
+
+    def test_a_version_that_was_approved_is_not_bound_by_the_budget(self) -> None:
+        """A leader that has just taken over may know too little to approve it once more."""
+        state = self.running(SoftwarePhase.TRIAL, 0.05)
+        ready = self.view(elapsed_s=6.1, opinion=Opinion.GOOD, stage_s=0.2)
+        moving = next_step(state, ready, self.LIMITS)
+        assert moving is not None
+        open_again = self.view(elapsed_s=7.0, stage_s=0.2, all_answers=1400, new_answers=900)
+        self.assertIsNone(next_step(moving.state, open_again, self.LIMITS))
+
     def test_a_rate_is_known_after_a_while_and_forgets_what_came_before(self) -> None:
         rate = AnswerRate()
         for tick in range(8):
@@ -215,7 +242,9 @@
 
     def test_an_alarm_rolls_back_in_every_phase_and_is_remembered(self) -> None:
         for phase in (SoftwarePhase.TRIAL, SoftwarePhase.MOVING, SoftwarePhase.MOVED):
-            step = next_step(self.running(phase, 0.3), self.view(alarmed=True), self.LIMITS)
+            step = next_step(
+                self.running(phase, 0.3), self.view(stopped=StopCause.BAD), self.LIMITS
+            )
             assert step is not None
             self.assertEqual(step.state.judged_bad, ("v2",))
             self.assertEqual(rule_of(step.state, on_target=True).first, "v1")
--- a/winchfork/core/software_plan.py
+++ b/winchfork/core/software_plan.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from winchfork.core.software_state import SoftwarePhase, SoftwareState
+from winchfork.core.software_state import SoftwarePhase, SoftwareState, StopCause
 from winchfork.core.version_evidence import Opinion
 
 #: Orders that leave less time than this cannot be judged and carried out; seconds.
@@ -43,6 +43,10 @@
 LAST_WORD_S = 0.6
 #: Capacity that the target must show before traffic moves, as a share of that of the others.
 CAPACITY_SHARE = 0.9
+#: Part of the budget after which a version that has moved without approval gets nothing more. The
+#: rest is for requests under way and for the tenth of a second until every daemon has heard: 20 a
+#: second of a service so small leave 2 of 50 on top of a tenth.
+MOST_SPENT = 0.85
 #: Answers, and seconds since the order, after which the rate of requests is known well enough to
 #: plan by it.
 LEAST_ANSWERS = 10
@@ -87,7 +91,8 @@
     #: Answers a second of late, as this leader has counted them; None until it has for a while.
     recent_per_s: float | None
     opinion: Opinion
-    alarmed: bool
+    #: Why the target gets nothing more, if that is so.
+    stopped: StopCause | None
     longest_run_s: float
 
 
@@ -103,13 +108,17 @@
 ) -> RolloutStep | None:
     """Return the next record of a running rollout; None while nothing is to be written."""
     if state.returning:
-        return _return(state, view)
-    if view.alarmed:
+        return _return(state, view, limits)
+    if view.stopped is StopCause.BAD:
         return RolloutStep(state.rolled_back(judged_bad=True), "the version is bad")
+    overspent = has_overspent(state, view.opinion, view.new_answers, view.all_answers, limits)
+    if view.stopped is StopCause.SPENT or overspent:
+        reason = "the budget is spent and the version not approved"
+        return RolloutStep(state.rolled_back(judged_bad=False), reason)
     if state.duration_s < LEAST_DURATION_S:
         return RolloutStep(state.rolled_back(judged_bad=False), "the duration is too short")
     if state.phase is SoftwarePhase.MOVED:
-        return _finish(state, view)
+        return _finish(state, view, limits)
     if state.phase is SoftwarePhase.MOVING:
         return _move_on(state, view)
     if view.elapsed_s >= latest_move_s(state, view):
@@ -138,18 +147,21 @@
     return "the time is up"
 
 
-def _return(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
+def _return(state: SoftwareState, view: RolloutView, limits: ExposureLimits) -> RolloutStep | None:
     """Stay at the version in force: others get nothing, and stop when they have finished."""
     if state.phase is not SoftwarePhase.MOVED:
         moved = state.advanced(SoftwarePhase.MOVED, 0.0, view.elapsed_s)
         return RolloutStep(moved, "the version in force is ordered")
-    return _finish(state, view)
+    return _finish(state, view, limits)
 
 
-def _finish(state: SoftwareState, view: RolloutView) -> RolloutStep | None:
+def _finish(state: SoftwareState, view: RolloutView, limits: ExposureLimits) -> RolloutStep | None:
     # Silence is not idleness: operators stop the old replicas on this word.
     idle = view.everyone_heard and not view.old_running
-    if view.stage_s >= NOTICE_S and idle:
+    # Nothing bounds what a version gets once it is in force.
+    bounded = state.unapproved and view.opinion is not Opinion.GOOD
+    final = not bounded or _can_afford_all(state, view, limits)
+    if view.stage_s >= NOTICE_S and idle and final:
         return RolloutStep(state.completed(), "the other versions are idle")
     if view.left_s > LAST_WORD_S:
         return None
@@ -180,7 +192,8 @@
     if view.opinion is Opinion.GOOD:
         return RolloutStep(moving, "the version is approved")
     if view.opinion is Opinion.OPEN and _can_afford_all(state, view, limits):
-        return RolloutStep(moving, "what is left is within the budget")
+        unapproved = msgspec.structs.replace(moving, unapproved=True)
+        return RolloutStep(unapproved, "what is left is within the budget")
     return None
 
 
@@ -197,6 +210,22 @@
     return view.new_answers + left <= _budget(state, limits, per_s)
 
 
+def has_overspent(
+    state: SoftwareState,
+    opinion: Opinion,
+    new_answers: int,
+    all_answers: int,
+    limits: ExposureLimits,
+) -> bool:
+    """Whether a version that moved without approval has got about all that a bad one may.
+
+    More requests may have come since than were expected. Counted in answers so far.
+    """
+    if not state.unapproved or opinion is Opinion.GOOD:
+        return False
+    return new_answers >= MOST_SPENT * (limits.share * all_answers + limits.slack)
+
+
 def _try_out(state: SoftwareState, view: RolloutView, limits: ExposureLimits) -> RolloutStep | None:
     """Begin the trial, correct its share, or write down how much time has passed."""
     wanted = min(LEAST_TRIAL_REPLICAS, max(1, view.new_replicas))
--- a/winchfork/core/software_state.py
+++ b/winchfork/core/software_state.py
@@ -41,6 +41,15 @@
     ROLLED_BACK = "rolled_back"
 
 
+class StopCause(enum.Enum):
+    """Why a target gets nothing more, whatever the record says."""
+
+    #: It was found bad.
+    BAD = "bad"
+    #: It was not approved, and has got what a bad version may get.
+    SPENT = "budget_spent"
+
+
 class SoftwareOrder(msgspec.Struct, frozen=True):
     """An operator's order to move a service to ``target`` within ``duration_s``.
 
@@ -59,6 +68,7 @@
     ``in_force`` is the version that gets what the target does not. ``share`` is the part of the
     service's requests that may go to the target, on its first ``trial_replicas`` replicas while the
     phase is TRIAL. ``elapsed_s`` is how long ago the order was given when this was written.
+    ``unapproved``: the target has moved on since all that was expected fitted into the budget.
     """
 
     service: str
@@ -72,6 +82,7 @@
     elapsed_s: float = 0.0
     outcome: RolloutOutcome = RolloutOutcome.COMPLETED
     judged_bad: tuple[str, ...] = ()
+    unapproved: bool = False
 
     @property
     def running(self) -> bool:
@@ -130,7 +141,12 @@
         if self.running and order.target == self.target:
             return known
         return msgspec.structs.replace(
-            known, target=order.target, phase=SoftwarePhase.TRIAL, share=0.0, trial_replicas=0
+            known,
+            target=order.target,
+            phase=SoftwarePhase.TRIAL,
+            share=0.0,
+            trial_replicas=0,
+            unapproved=False,
         )
 
 
--- a/winchfork/router/evidence_exchange.py
+++ b/winchfork/router/evidence_exchange.py
@@ -13,8 +13,15 @@
 import msgspec
 
 from winchfork.core.member import Member
-from winchfork.core.software_state import SoftwarePhase, SoftwareState
-from winchfork.core.version_evidence import AnswerCounts, Evidence, Opinion, VersionTest
+from winchfork.core.software_plan import has_overspent
+from winchfork.core.software_state import SoftwarePhase, SoftwareState, StopCause
+from winchfork.core.version_evidence import (
+    Alarm,
+    AnswerCounts,
+    Evidence,
+    Opinion,
+    VersionTest,
+)
 from winchfork.logs import log_event
 from winchfork.router.peer_messages import EvidenceNote, VersionEvidence, VersionStop
 from winchfork.router.peer_port import PeerPort
@@ -139,7 +146,9 @@
 
     def take_stop(self, message: VersionStop) -> None:
         """Send a version nothing more that another daemon has found bad."""
-        self._versions.stop(message.service, message.order_revision, told_by=message.sender_id)
+        self._versions.stop(
+            message.service, message.order_revision, message.cause, told_by=message.sender_id
+        )
 
     # Telling
 
@@ -211,17 +220,37 @@
     # Judging
 
     def _judge(self, record: SoftwareState, heard: _Heard, now_s: float) -> None:
-        if self._versions.is_stopped(record):
+        cause = self._versions.stop_cause(record)
+        if cause is not None:
             if now_s - heard.stop_told_s >= RETELL_PERIOD_S:
-                heard.stop_told_s = now_s
-                self._tell_stop(record)
+                self._tell_stop(record, heard, cause, now_s)
             return
         compares_times = record.share <= MOST_COMPARED_SHARE
         evidence = self.evidence(record.service)
         heard.judged_s = now_s
         alarm = heard.test.judge(evidence, compares_times=compares_times)
-        if alarm is None or record.returning or record.phase is SoftwarePhase.SETTLED:
+        if record.returning or record.phase is SoftwarePhase.SETTLED:
             return
+        if alarm is not None:
+            self._log_alarm(record, alarm, evidence)
+            self._stop(record, heard, StopCause.BAD, now_s)
+        elif self._has_overspent(record, heard.test.opinion, evidence):
+            self._stop(record, heard, StopCause.SPENT, now_s)
+
+    def _has_overspent(self, record: SoftwareState, opinion: Opinion, evidence: Evidence) -> bool:
+        """Whether the leader would roll back a version that moved without approval.
+
+        Every judge looks, since there may be no leader just then.
+        """
+        limits = self._state.settings.bounds.exposure
+        return has_overspent(record, opinion, evidence.new_answers, evidence.all_answers, limits)
+
+    def _stop(self, record: SoftwareState, heard: _Heard, cause: StopCause, now_s: float) -> None:
+        own_id = self._state.settings.node_id
+        self._versions.stop(record.service, record.order_revision, cause, told_by=own_id)
+        self._tell_stop(record, heard, cause, now_s)
+
+    def _log_alarm(self, record: SoftwareState, alarm: Alarm, evidence: Evidence) -> None:
         log_event(
             "software_found_bad",
             "WARNING",
@@ -236,15 +265,13 @@
             all_answers=evidence.all_answers,
             new_answers=evidence.new_answers,
         )
-        self._versions.stop(
-            record.service, record.order_revision, told_by=self._state.settings.node_id
-        )
-        heard.stop_told_s = now_s
-        self._tell_stop(record)
 
-    def _tell_stop(self, record: SoftwareState) -> None:
+    def _tell_stop(
+        self, record: SoftwareState, heard: _Heard, cause: StopCause, now_s: float
+    ) -> None:
+        heard.stop_told_s = now_s
         own_id = self._state.settings.node_id
-        self._peers.tell_everyone(VersionStop(own_id, record.service, record.order_revision))
+        self._peers.tell_everyone(VersionStop(own_id, record.service, record.order_revision, cause))
 
 
 def _is_due(notes: _Notes, told: _Notes, since_s: float) -> bool:
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -5,6 +5,7 @@
 from winchfork.core.member import IndirectProbe, Probe, ProbeReply
 from winchfork.core.peer_message import PeerMessage
 from winchfork.core.quota_book import QuotaLevels, QuotaReport
+from winchfork.core.software_state import StopCause
 
 
 class ReplicaLoadNote(PeerMessage, frozen=True):
@@ -202,11 +203,12 @@
 
 
 class VersionStop(PeerMessage, frozen=True):
-    """The target of an order is bad: it gets nothing more."""
+    """The target of an order gets nothing more, and why."""
 
     sender_id: str
     service: str
     order_revision: int
+    cause: StopCause
 
 
 class EndedUnder(PeerMessage, frozen=True):
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -196,7 +196,7 @@
             all_answers=evidence.all_answers,
             recent_per_s=self._rates[record.service].per_s,
             opinion=self._evidence.opinion(record.service),
-            alarmed=self._versions.is_stopped(record),
+            stopped=self._versions.stop_cause(record),
             longest_run_s=LONG_RUN_RATIO * self._state.mean_run_s,
         )
 
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -19,6 +19,7 @@
     SoftwareOrder,
     SoftwarePhase,
     SoftwareState,
+    StopCause,
     VersionRule,
     first_replicas,
     likely_in_force,
@@ -49,6 +50,13 @@
     usual: dict[int, float] = {}
 
 
+class _Stop(msgspec.Struct, frozen=True):
+    """The target of an order gets nothing more."""
+
+    order_revision: int
+    cause: StopCause
+
+
 class SoftwareVersions:
     """The records of all services, the orders, and this daemon's part in carrying them out."""
 
@@ -74,7 +82,7 @@
         #: The version taken to be in force where there is no record.
         self._assumed: dict[str, str] = {}
         self._credits: dict[str, ExposureCredit] = {}
-        self._stopped: dict[str, int] = {}
+        self._stops: dict[str, _Stop] = {}
         self.answers: dict[str, ServiceAnswers] = {}
         #: Told of each bad answer while a rollout runs, of either version: what is told sooner of
         #: one than of the other would count against it.
@@ -209,18 +217,30 @@
     # Stopping
 
     def is_stopped(self, state: SoftwareState) -> bool:
-        """Whether the target of a running order was found bad."""
-        return state.running and self._stopped.get(state.service) == state.order_revision
-
-    def stop(self, service: str, order_revision: int, *, told_by: str) -> bool:
-        """Send the target nothing more, whatever the record says; True if that is news."""
-        if self._stopped.get(service, 0) >= order_revision:
-            return False
-        self._stopped[service] = order_revision
+        """Whether the target of a running order gets nothing more."""
+        return self.stop_cause(state) is not None
+
+    def stop_cause(self, state: SoftwareState) -> StopCause | None:
+        """Return why the target of a running order gets nothing more; None if it may."""
+        stop = self._stops.get(state.service)
+        if stop is None or not state.running or stop.order_revision != state.order_revision:
+            return None
+        return stop.cause
+
+    def stop(self, service: str, order_revision: int, cause: StopCause, *, told_by: str) -> None:
+        """Send the target nothing more, whatever the record says."""
+        known = self._stops.get(service)
+        if known is not None and known.order_revision >= order_revision:
+            return
+        self._stops[service] = _Stop(order_revision, cause)
         log_event(
-            "software_stopped", "WARNING", service=service, order=order_revision, told_by=told_by
+            "software_stopped",
+            "WARNING",
+            service=service,
+            order=order_revision,
+            cause=cause.value,
+            told_by=told_by,
         )
-        return True
 
     # Evidence
 
