--- /dev/null
+++ b/tests/rollout_behaviours.py
@@ -0,0 +1,55 @@
+"""Versions of software that are bad in some way, and waits for the steps of a rollout."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from tests.rollout_fleet import (
+    ANSWER_S,
+    DURATION_S,
+    Answer,
+    Behaviour,
+    Request,
+    RolloutFleet,
+    sound,
+)
+from winchfork.core.software_state import SoftwarePhase
+
+#: What a bad version does to the part of its answers that it spoils.
+Spoil = Callable[[Answer], Answer]
+
+
+def failing(answer: Answer) -> Answer:
+    return Answer(failed=True)
+
+
+def slowed(answer: Answer) -> Answer:
+    return Answer(answer.failed, 5 * ANSWER_S)
+
+
+def bad(
+    spoil: Spoil, when: Callable[[Request], bool] = lambda request: True, share: float = 0.35
+) -> Behaviour:
+    """Return a v2 that spoils a share of its answers whenever ``when`` says so."""
+
+    def behaviour(request: Request, generator: random.Random) -> Answer:
+        answer = sound(request, generator)
+        if request.software == "v2" and when(request) and generator.random() < share:
+            return spoil(answer)
+        return answer
+
+    return behaviour
+
+
+def phase_is(fleet: RolloutFleet, phase: SoftwarePhase) -> bool:
+    return fleet.record().phase is phase
+
+
+async def until(condition: Callable[[], bool], patience_s: float = 2 * DURATION_S) -> None:
+    for _ in range(int(patience_s / 0.05)):
+        if condition():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("it never came about")
--- a/tests/run.py
+++ b/tests/run.py
@@ -26,6 +26,7 @@
     "test_quota_fleet",
     "test_zone_hubs",
     "test_software_rollout",
+    "test_software_failures",
     "test_region_fleet",
 )
 #: Processes for them: with the main one, half of the cores of a small machine.
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from unittest import mock
 
+from tests.relay_case import RelayTestCase
 from tests.relay_support import (
     ScriptedReplica,
     SeenRequest,
@@ -14,7 +15,6 @@
     resetting,
     signed,
 )
-from tests.test_relay_path import RelayTestCase
 from winchfork.core.broken_runs import SETTLE_S
 from winchfork.core.crash_ledger import ENDS_TO_REFUSE
 from winchfork.core.relay_replica import RelayReplica, ReplicaListing
--- a/tests/test_platform_whole.py
+++ b/tests/test_platform_whole.py
@@ -132,7 +132,7 @@
         """How much of its time the sound one needs depends on the machine; that it is sound, not.
 
         That it is completed in time is asserted on the virtual clock, where time is given:
-        ``test_software_rollout``, with the same lost leader and as few requests.
+        ``test_software_failures``, with the same lost leader and as few requests.
         """
         sound, failing = await self._roll(ReplicaFault.NONE, ReplicaFault.FAILS)
         self.assertEqual(failing, "rolled_back")
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 
+from tests.relay_case import RelayTestCase
 from tests.relay_support import (
     CallerAnswer,
     RelayUnderTest,
@@ -16,7 +17,6 @@
     never_answering,
     stream_head,
 )
-from tests.test_relay_path import RelayTestCase
 from winchfork.core.prompt_cost import worth_moving
 from winchfork.core.routing import RouteKind
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -4,8 +4,8 @@
 
 import unittest
 
+from tests.relay_case import RelayTestCase
 from tests.relay_support import ScriptedReplica, SeenRequest, answering, chunk, event, stream_head
-from tests.test_relay_path import RelayTestCase
 from winchfork.core.routing import RouteKind
 from winchfork.core.urgency import LEAST_URGENT, MOST_SET_BACK, urgency_level
 
--- a/tests/test_zone_loss.py
+++ b/tests/test_zone_loss.py
@@ -6,6 +6,7 @@
 import unittest
 from collections.abc import Callable
 
+from tests.large_fleet import LargeFleet, in_large_fleet
 from tests.peer_support import Daemon
 from tests.relay_support import (
     PATIENCE_S,
@@ -19,7 +20,6 @@
     read_answer,
     stream_head,
 )
-from tests.test_zone_hubs import LargeFleet, in_large_fleet
 from winchfork.core.routing import RouteKind
 from winchfork.core.zone_reach import FAILED_REPLICAS, SILENCE_S, WORD_HOLDS_S, ZoneReach
 
