Soak: lose datagrams between machines, and cut a zone off

The soak could not cut what routers tell each other, so a lost zone, and daemons that lose each other while the store serves, were played in virtual time only. Routers run through a launcher now, which drops datagrams between machines that a file names as cut off; nobody is excused for lost datagrams, since what holds by the store has to hold.

A test over loopback sockets shows the loss both ways and the healing.

--- a/standins/soak/disruptions.py
+++ b/standins/soak/disruptions.py
@@ -34,7 +34,7 @@
     ) -> None:
         self._contact_s = contact_s
         self._clock = clock
-        self._tell = tell
+        self.tell = tell
         self._all: list[Disruption] = []
 
     @contextlib.contextmanager
@@ -42,18 +42,18 @@
         """Note a disturbance that lasts as long as the block."""
         disruption = Disruption(what, router, self._clock())
         self._all.append(disruption)
-        self._tell(f"{what} begins" + self._whose(router))
+        self.tell(f"{what} begins" + self._whose(router))
         try:
             yield
         finally:
             disruption.ended_s = self._clock()
-            self._tell(f"{what} ends" + self._whose(router))
+            self.tell(f"{what} ends" + self._whose(router))
 
     def note(self, what: str, router: int) -> None:
         """Note a disturbance of a router that lasts no time, such as a reset."""
         now_s = self._clock()
         self._all.append(Disruption(what, router, now_s, now_s))
-        self._tell(what + self._whose(router))
+        self.tell(what + self._whose(router))
 
     def stretch_start_s(self, at_s: float) -> float | None:
         """Return since when the store and all links have been sound; None: they are not."""
--- a/standins/soak/routers.py
+++ b/standins/soak/routers.py
@@ -10,6 +10,7 @@
 
 from standins.fault_proxy import FaultProxy
 from standins.fleet import Surroundings, node_id
+from standins.soak.cut_machines import CUT_FILE, CUT_MACHINES
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
 
@@ -23,6 +24,7 @@
         self._zone = zone
         self._file = folder / f"router-{number}.conf"
         self._log = folder / f"router-{number}.log"
+        self._cut_machines = folder / CUT_FILE
         self._process: asyncio.subprocess.Process | None = None
         self.address = ""
         self.node_id = node_id(zone)
@@ -30,6 +32,11 @@
         self.process_fault = asyncio.Lock()
         self.link_fault = asyncio.Lock()
 
+    @property
+    def machine_ip(self) -> str:
+        """The IP number of its machine."""
+        return self.address.partition(":")[0]
+
     async def prepare(self) -> None:
         """Start the proxy and write the settings, which stay the same over restarts."""
         self.proxy = FaultProxy(self._surroundings.store.address)
@@ -41,12 +48,13 @@
 
     async def start(self) -> None:
         """Start the process."""
-        environment = {**os.environ, "WINCHFORK_BOOT": str(self._file)}
+        files = {"WINCHFORK_BOOT": str(self._file), CUT_MACHINES: str(self._cut_machines)}
+        environment = {**os.environ, **files}
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "winchfork.platform",
+                "standins.soak.lossy_router",
                 cwd=_ROOT,
                 env=environment,
                 stdout=log,
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -11,9 +11,11 @@
 
 from standins.fleet import ZONES, Surroundings, WeightsTiming
 from standins.soak.callers import Callers
+from standins.soak.cut_machines import CUT_FILE, CutMachines
 from standins.soak.disruptions import DisruptionLog
 from standins.soak.fatal_requests import FatalCallers, judge_fatal, prepare_replicas
 from standins.soak.faults.foreign_entries import ForeignEntries
+from standins.soak.faults.peer_faults import PeerFaults
 from standins.soak.faults.process_faults import ProcessFaults
 from standins.soak.faults.replica_faults import ReplicaFaults
 from standins.soak.faults.scene import Scene
@@ -41,6 +43,7 @@
 CONNECTION_PAUSE_S = 12.0
 STORE_PAUSE_S = 12.0
 ENTRY_PAUSE_S = 4.0
+PEER_PAUSE_S = 12.0
 #: Faults of the store and of links stop every bound, so they begin up to this part of a run late.
 STORE_DELAY_SHARE = 0.7
 
@@ -118,6 +121,9 @@
         connections = StoreFaults(scene, self._generator("connections struck"))
         store = StoreFaults(scene, self._generator("store struck"))
         entries = ForeignEntries(self._surroundings.store, self._generator("entries"), self._tell)
+        peers = PeerFaults(
+            scene, self._generator("peers struck"), CutMachines(self._folder / CUT_FILE)
+        )
         delay_s = self._seconds * STORE_DELAY_SHARE
         return [
             Lane("leaders", [leaders.leader_standstills], LEADER_PAUSE_S),
@@ -142,6 +148,7 @@
                 CONNECTION_PAUSE_S,
             ),
             Lane("entries", [entries.foreign_entry], ENTRY_PAUSE_S),
+            Lane("peers", [peers.peers_cut, peers.zone_cut], PEER_PAUSE_S, delay_s),
             Lane("store", [store.store_down, store.link_cut], STORE_PAUSE_S, delay_s),
         ]
 
--- /dev/null
+++ b/tests/test_lossy_router.py
@@ -0,0 +1,64 @@
+"""Machines of a soak that lose each other's datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from standins.soak.cut_machines import CutMachines
+from standins.soak.lossy_router import LossyProtocol
+from winchfork.emulator.free_ports import free_port
+
+
+class Heard(asyncio.DatagramProtocol):
+    """Notes what it hears, and keeps its transport."""
+
+    def __init__(self) -> None:
+        self.heard: list[bytes] = []
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:  # type: ignore[override]
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.heard.append(data)
+
+
+class LossTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        file = Path(folder.name) / "cut-machines"
+        self.cut = CutMachines(file)
+        self.machines = [Heard() for _ in range(3)]
+        self.addresses = [(f"127.0.0.{number}", 0) for number in (1, 2, 3)]
+        loop = asyncio.get_running_loop()
+        for number, machine in enumerate(self.machines):
+            ip = self.addresses[number][0]
+            self.addresses[number] = (ip, free_port(ip))
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda machine=machine: LossyProtocol(machine, CutMachines(file)),  # type: ignore[misc]
+                local_addr=self.addresses[number],
+            )
+            self.addCleanup(transport.close)
+
+    async def heard_of_each(self) -> list[set[bytes]]:
+        """Have each machine send its number to each; return what each has heard."""
+        for machine in self.machines:
+            machine.heard.clear()
+        for number, machine in enumerate(self.machines):
+            assert machine.transport is not None
+            for address in self.addresses:
+                machine.transport.sendto(b"%d" % number, address)
+        await asyncio.sleep(0.1)
+        return [set(machine.heard) for machine in self.machines]
+
+    async def test_a_cut_separates_machines_both_ways_until_it_is_healed(self) -> None:
+        everything = [{b"0", b"1", b"2"}] * 3
+        self.assertEqual(await self.heard_of_each(), everything)
+        self.cut.write({"127.0.0.2"})
+        self.assertEqual(await self.heard_of_each(), [{b"0", b"2"}, {b"1"}, {b"0", b"2"}])
+        self.cut.write(set())
+        self.assertEqual(await self.heard_of_each(), everything)
