Move a version without approval only if its answers speak for it

Cause: where few requests come, a version moved on one answer that did not speak against it, as soon as all that was expected fitted into the budget.

Ruled out: the bound on unapproved moves of before; none of these exceeded the budget.

Tests: three good answers are no reason, ten are; the tests of the step ask for the new opinion where they asked for an open one, and refuse an open one.

--- a/tests/test_software_rollout.py
+++ b/tests/test_software_rollout.py
@@ -136,31 +136,37 @@
     with no leader from then on.
     """
 
-    def play(self, behaviour: Behaviour, *, lose_leader: bool, outcome: str) -> None:
+    def play(self, *, lose_leader: bool) -> None:
+        """Roll out a version that turns slow when all has moved, as six times the requests come."""
+
         async def scenario(fleet: RolloutFleet) -> None:
-            fleet.behaviour = behaviour
+            has_moved = False
+
+            def slow_once_moved(request: Request, generator: random.Random) -> Answer:
+                is_slow = has_moved and request.software == "v2"
+                return slowed(Answer()) if is_slow else Answer()
+
+            fleet.behaviour = slow_once_moved
             fleet.list_replicas("v2")
             fleet.order()
             await until(lambda: phase_is(fleet, SoftwarePhase.MOVED))
+            has_moved = True
             fleet.rate_per_s *= 6.0
             if lose_leader:
                 fleet.kill(fleet.leader())
             await fleet.to_time_limit()
             self.assertGreaterEqual(fleet.budget_left(), 0.0)
             await fleet.until_settled()
-            self.assertEqual(fleet.status(), (outcome, "v2"))
+            self.assertEqual(fleet.status(), ("rolled_back", "v2"))
             self.assertEqual(fleet.record().judged_bad, ())
 
         in_rollout_fleet(scenario, daemons=3, replicas=4, rate_per_s=2.0)
 
-    def slow_once_moved(self) -> Behaviour:
-        return bad(slowed, lambda request: request.at_s > 0.55 * DURATION_S, 1.0)
-
     def test_more_requests_after_it_do_not_exceed_the_budget(self) -> None:
-        self.play(self.slow_once_moved(), lose_leader=False, outcome="rolled_back")
+        self.play(lose_leader=False)
 
     def test_nor_while_nobody_leads(self) -> None:
-        self.play(self.slow_once_moved(), lose_leader=True, outcome="rolled_back")
+        self.play(lose_leader=True)
 
 
 class MarginsTest(unittest.TestCase):
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -160,6 +160,7 @@
         lacks: tuple[dict[str, object], ...] = (
             {"elapsed_s": 3.0},
             {"opinion": Opinion.OPEN, "all_answers": 1200, "new_answers": 60},
+            {"opinion": Opinion.PROBABLE, "all_answers": 1200, "new_answers": 60},
             {"opinion": Opinion.DOUBTFUL},
             {"new_slots": 500},
         )
@@ -170,11 +171,22 @@
         """17 requests a second never show enough in a trial of some seconds."""
         state = self.running(SoftwarePhase.TRIAL, 0.3)
         few = {"elapsed_s": 7.0, "stage_s": 0.2, "all_answers": 60, "new_answers": 14}
-        step = next_step(state, self.view(**few), self.LIMITS)
+        step = next_step(state, self.view(**few, opinion=Opinion.PROBABLE), self.LIMITS)
         assert step is not None
         self.assertIs(step.state.phase, SoftwarePhase.MOVING)
-        doubtful = self.view(**(few | {"opinion": Opinion.DOUBTFUL}))
-        self.assertIsNone(next_step(state, doubtful, self.LIMITS))
+        for opinion in (Opinion.OPEN, Opinion.DOUBTFUL):
+            view = self.view(**few, opinion=opinion)
+            self.assertIsNone(next_step(state, view, self.LIMITS), opinion)
+
+    def test_three_good_answers_do_not_speak_for_a_version_and_ten_do(self) -> None:
+        """Slow versions were put in force on 2 to 24 answers, where few requests came through."""
+        for answers, opinion in ((3, Opinion.OPEN), (10, Opinion.PROBABLE)):
+            test = VersionTest()
+            old = {1: AnswerCounts(40, 0, 0)}
+            test.judge(Evidence(old, {7: {1: AnswerCounts(answers, 0, 0)}}))
+            self.assertIs(test.opinion, opinion, answers)
+        test.judge(Evidence(old, {7: {1: AnswerCounts(14, 0, 3)}}))
+        self.assertIs(test.opinion, Opinion.DOUBTFUL)
 
     def test_few_requests_that_faults_kept_away_are_no_reason_to_move(self) -> None:
         """A slow version got 85 of 156 requests where 66 are allowed, in a soak.
@@ -186,13 +198,13 @@
         state = self.running(SoftwarePhase.TRIAL, 0.3)
         few = {"elapsed_s": 7.0, "stage_s": 0.2, "all_answers": 40, "new_answers": 3}
         for per_s in (None, 25.0):
-            view = self.view(**few, recent_per_s=per_s)
+            view = self.view(**few, recent_per_s=per_s, opinion=Opinion.PROBABLE)
             self.assertIsNone(next_step(state, view, self.LIMITS), per_s)
 
     def test_a_version_that_moved_without_approval_gets_no_more_than_the_budget(self) -> None:
         state = self.running(SoftwarePhase.TRIAL, 0.3)
         few = {"elapsed_s": 7.0, "stage_s": 0.2, "all_answers": 60, "new_answers": 14}
-        moving = next_step(state, self.view(**few), self.LIMITS)
+        moving = next_step(state, self.view(**few, opinion=Opinion.PROBABLE), self.LIMITS)
         assert moving is not None
         spent = self.view(elapsed_s=9.0, stage_s=0.2, all_answers=150, new_answers=60)
         for phase in (SoftwarePhase.MOVING, SoftwarePhase.MOVED):
--- a/winchfork/core/software_plan.py
+++ b/winchfork/core/software_plan.py
@@ -191,7 +191,9 @@
     moving = state.advanced(SoftwarePhase.MOVING, MOVING_SHARES[0], view.elapsed_s)
     if view.opinion is Opinion.GOOD:
         return RolloutStep(moving, "the version is approved")
-    if view.opinion is Opinion.OPEN and _can_afford_all(state, view, limits):
+    # Fewer answers tell nothing: slow versions were put in force in 14 of 24 runs of real processes
+    # on a machine with four times the work that it bears, which had let few requests through.
+    if view.opinion is Opinion.PROBABLE and _can_afford_all(state, view, limits):
         unapproved = msgspec.structs.replace(moving, unapproved=True)
         return RolloutStep(unapproved, "what is left is within the budget")
     return None
--- a/winchfork/core/version_evidence.py
+++ b/winchfork/core/version_evidence.py
@@ -28,6 +28,9 @@
 ALARM = 10.0
 #: Approval threshold: a version that is bad passes it with a chance of 0.02.
 APPROVAL = math.log(0.02)
+#: Threshold from which on answers speak for a version, if not clearly: some eight good ones and no
+#: bad one where nothing else fails. One with four bad answers in ten gets as far in one of 60.
+LEANING = math.log(0.25)
 #: The old version's share of bad answers before any was seen, and how many answers that is worth.
 PRIOR_SHARE = 0.03
 PRIOR_ANSWERS = 20.0
@@ -93,6 +96,12 @@
         """Answers of the new version."""
         return sum(counts.answers for routes in self.new.values() for counts in routes.values())
 
+    @property
+    def new_bad_answers(self) -> int:
+        """Of these, the ones that failed or were slow."""
+        routes = [counts for routes in self.new.values() for counts in routes.values()]
+        return sum(counts.failed + counts.slow for counts in routes)
+
     @property
     def all_answers(self) -> int:
         """Answers of both versions."""
@@ -114,6 +123,8 @@
 
     #: They speak clearly for it, and on no route against it.
     GOOD = "good"
+    #: They speak for it, if not clearly, and on no route against it.
+    PROBABLE = "probable"
     #: They speak against it on no route, but too few have come.
     OPEN = "open"
     #: On some route a bad version is the likelier one, if not by much.
@@ -129,6 +140,8 @@
         self._ratios: dict[tuple[int, Fault], float] = {}
         self._seen: dict[tuple[int, Fault], tuple[int, int]] = {}
         self._old_seen: dict[int, collections.deque[AnswerCounts]] = {}
+        #: Log likelihood ratios of all answers, those of the worst replicas as well.
+        self._leaning: dict[Fault, float] = dict.fromkeys(Fault, 0.0)
 
     def judge(self, evidence: Evidence, *, compares_times: bool = True) -> Alarm | None:
         """Take in what is new and return the alarm, if there is one.
@@ -137,6 +150,8 @@
         too few to tell what is slow just now.
         """
         faults = tuple(Fault) if compares_times else (Fault.FAILED,)
+        for fault in faults:
+            self._leaning[fault] = _leaning(evidence, fault)
         for route, counts in new_by_route(evidence).items():
             old = evidence.old.get(route, AnswerCounts())
             lately = self._lately(route, old)
@@ -179,7 +194,9 @@
             if ratio > 0.0:
                 return Opinion.DOUBTFUL
             totals[fault] += ratio
-        return Opinion.GOOD if max(totals.values()) <= APPROVAL else Opinion.OPEN
+        if max(totals.values()) <= APPROVAL:
+            return Opinion.GOOD
+        return Opinion.PROBABLE if max(self._leaning.values()) <= LEANING else Opinion.OPEN
 
 
 def expected_share(old: AnswerCounts, fault: Fault) -> float:
@@ -207,8 +224,27 @@
 
 def new_by_route(evidence: Evidence) -> dict[int, AnswerCounts]:
     """Add the new version's counts up by route, without its worst replicas."""
+    return _by_route(_without_worst(evidence.new))
+
+
+def _leaning(evidence: Evidence, fault: Fault) -> float:
+    """Return the log likelihood ratio of all of the new version's answers.
+
+    With few answers none is left out, neither the worst replicas' nor, by that, good ones.
+    """
+    return sum(
+        log_ratio(
+            counts.of(fault),
+            counts.answers - counts.of(fault),
+            expected_share(evidence.old.get(route, AnswerCounts()), fault),
+        )
+        for route, counts in _by_route(evidence.new.values()).items()
+    )
+
+
+def _by_route(replicas: Iterable[CountsByRoute]) -> dict[int, AnswerCounts]:
     totals: dict[int, AnswerCounts] = {}
-    for routes in _without_worst(evidence.new):
+    for routes in replicas:
         for route, counts in routes.items():
             totals.setdefault(route, AnswerCounts()).add(counts)
     return totals
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -212,6 +212,7 @@
             puts.append(self._status.rollout_status(service, record.target, record.outcome))
         written = await self._store.transact(expected, puts)
         failed = isinstance(written, Failure)
+        evidence = self._evidence.evidence(service)
         log_event(
             "software_step",
             "WARNING" if failed else "INFO",
@@ -223,6 +224,9 @@
             outcome=record.outcome.value,
             elapsed_s=record.elapsed_s,
             reason=step.reason,
+            new_answers=evidence.new_answers,
+            new_bad=evidence.new_bad_answers,
+            all_answers=evidence.all_answers,
             written=str(written) if failed else "yes",
             fence=self._leadership.fence,
         )
