--- a/winchfork/core/software_plan.py
+++ b/winchfork/core/software_plan.py
@@ -44,8 +44,8 @@
 #: Capacity that the target must show before traffic moves, as a share of that of the others.
 CAPACITY_SHARE = 0.9
 #: Part of the budget after which a version that has moved without approval gets nothing more. The
-#: rest is for requests under way and for the tenth of a second until every daemon has heard: 20 a
-#: second of a service so small leave 2 of 50 on top of a tenth.
+#: rest is for requests under way and those sent until every daemon has heard, within 0.1 s: at 20
+#: requests a second some 4 of the 7 that 0.15 of a slack of 50 leaves.
 MOST_SPENT = 0.85
 #: Answers, and seconds since the order, after which the rate of requests is known well enough to
 #: plan by it.
