--- a/standins/soak/lossy_router.py
+++ b/standins/soak/lossy_router.py
@@ -1,7 +1,7 @@
 """A router process whose datagrams to and from other machines can be lost.
 
-``python -m standins.soak.lossy_router`` runs the router as the platform starts it. A
-datagram between a machine that is cut off and any other is dropped where it is sent.
+``python -m standins.soak.lossy_router`` runs the router as the platform starts it. A datagram
+between a machine that is cut off and any other is dropped where it is sent.
 """
 
 from __future__ import annotations
--- a/tests/test_software_rollout.py
+++ b/tests/test_software_rollout.py
@@ -162,10 +162,10 @@
 
         in_rollout_fleet(scenario, daemons=3, replicas=4, rate_per_s=2.0)
 
-    def test_more_requests_after_it_do_not_exceed_the_budget(self) -> None:
+    def test_the_budget_holds_when_more_requests_come_than_expected(self) -> None:
         self.play(lose_leader=False)
 
-    def test_nor_while_nobody_leads(self) -> None:
+    def test_the_budget_holds_while_nobody_leads(self) -> None:
         self.play(lose_leader=True)
 
 
