Tell what answers say of their replicas, and why a repeat is denied

Cause: no line told whether the words of an answer (that its replica leaves, or wants no requests for some seconds) had been read, and none why 94 of 103 requests that were turned away were not offered to another replica. Both are read and logged now, once for each replica that drains and each backoff that begins; nothing heeds them yet.

Ruled out: logging each such answer, which a replica that sheds all would make as many lines as requests.

--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from winchfork.core.rendezvous import member_hash
+from winchfork.core.replica_notice import ReplicaNotice
 
 #: Share of a new sample in the moving averages.
 _SAMPLE_WEIGHT = 0.25
@@ -95,6 +96,8 @@
     #: Until then a rollout is about to order it: long requests had better go elsewhere.
     next_until_s: float = 0.0
     peer_busy_until_s: float = 0.0
+    #: What this incarnation has said of itself in its answers.
+    notice: ReplicaNotice = msgspec.field(default_factory=ReplicaNotice)
     _ends_s: dict[int, float] = msgspec.field(default_factory=dict)
     _accused_s: dict[str, float] = msgspec.field(default_factory=dict)
 
--- a/winchfork/platform/headers.py
+++ b/winchfork/platform/headers.py
@@ -6,6 +6,7 @@
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
 from winchfork.platform.forwarded_headers import forwarded_headers
+from winchfork.platform.notices import read_notice
 from winchfork.router.dialect import AnswerFields, DispatchFields, RequestFields
 from winchfork.router.http_types import AnswerHead, Headers
 
@@ -57,13 +58,15 @@
         """Read a replica's headers."""
         found = _by_name(head.headers)
         version = found.get(names.WEIGHT_VERSIONS.lower(), "")
+        not_run = names.NOT_EXECUTED.lower() in found
         return AnswerFields(
             request_id=found.get(names.REQUEST_ID.lower()),
             authentic=names.SIGNATURE.lower() in found,
-            not_run=names.NOT_EXECUTED.lower() in found,
+            not_run=not_run,
             misdirected=head.status == names.STATUS_MISDIRECTED,
             weights_version=int(version) if version.isdigit() else None,
             replica_id=found.get(names.INSTANCE_ID.lower()),
+            notice=read_notice(head, not_run=not_run),
         )
 
 
--- a/winchfork/platform/names.py
+++ b/winchfork/platform/names.py
@@ -12,6 +12,7 @@
 SIGNATURE: Final = b"X-Server-Signature"
 NOT_EXECUTED: Final = b"X-Not-Executed"
 INSTANCE_ID: Final = b"X-Instance-Id"
+SERVER_LEAVING: Final = b"Server-Leaving"
 EXPECTED_INSTANCE: Final = b"X-Expected-Instance"
 EXPECTED_VERSION: Final = b"X-Expected-Version"
 WEIGHT_VERSIONS: Final = b"X-Weight-Versions"
@@ -74,6 +75,7 @@
     INSTANCE_ID: HeaderOwner.ANSWER,
     WEIGHT_VERSIONS: HeaderOwner.ANSWER,
     RETRY_AFTER: HeaderOwner.ANSWER,
+    SERVER_LEAVING: HeaderOwner.ANSWER,
     WAIT_MS: HeaderOwner.OTHER_CALL,
 }
 
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.routing import RouteKind
 from winchfork.router.caller_answer import CallerAnswer, StreamReader
 from winchfork.router.dialect import AnswerFields, Dialect
@@ -57,6 +58,8 @@
     ends_s: float
     expected_s: float = 1.0
     on_read: Callable[[], None] = lambda: None
+    #: Told what the head of each answer on the connection says of the replica, as it is read.
+    on_notice: Callable[[AnswerNotice], None] = lambda notice: None
     on_events: Callable[[], None] = lambda: None
 
 
@@ -77,6 +80,8 @@
         self._answer = answer
         self._dialect = dialect
         self._head: AnswerHead | None = None
+        #: The last head that came on the connection, and that of this request's answer.
+        self._last_read: AnswerFields | None = None
         self._fields: AnswerFields | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -90,7 +95,7 @@
         """Send the request and follow its answer to the end."""
         plan = self.plan
         plan.replica.note_sent(id(self), plan.unread_tokens, plan.ends_s, plan.memory_tokens)
-        exchange = Exchange(self._inbox.put, self._is_own, plan.no_body)
+        exchange = Exchange(self._inbox.put, self._is_own, plan.no_body, self._read_head)
         try:
             self._connection.start(plan.message, exchange)
             self._heard_s = self._loop.time()
@@ -145,8 +150,13 @@
             return Moved()
         return None
 
+    def _read_head(self, head: AnswerHead) -> None:
+        self._last_read = self._dialect.read_answer(head)
+        self.plan.on_notice(self._last_read.notice)
+
     def _is_own(self, head: AnswerHead) -> bool:
-        fields = self._dialect.read_answer(head)
+        fields = self._last_read
+        assert fields is not None
         # A refusal that proves "not run" may come without an id; nothing else may.
         if fields.request_id is None:
             return fields.not_run or fields.misdirected
@@ -154,7 +164,8 @@
 
     def _take_head(self, head: AnswerHead) -> Outcome | None:
         self._head = head
-        self._fields = self._dialect.read_answer(head)
+        self._fields = self._last_read
+        assert self._fields is not None
         version = self._fields.weights_version
         if version is not None and self.plan.model:
             versions = self.plan.replica.versions
--- a/winchfork/router/dialect.py
+++ b/winchfork/router/dialect.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from winchfork.core.prompt_parts import Prompt
+from winchfork.core.replica_notice import AnswerNotice
 from winchfork.errors import Failure
 from winchfork.router.http_types import AnswerHead, Headers
 
@@ -46,7 +47,7 @@
     """What a replica's headers say. ``not_run`` is its proof that it did not run the request.
 
     ``misdirected`` says the same: the request expected another replica, or other weights of the
-    replica that ``replica_id`` names.
+    replica that ``replica_id`` names. ``notice`` is what the replica says of itself.
     """
 
     request_id: str | None
@@ -55,6 +56,7 @@
     misdirected: bool
     weights_version: int | None
     replica_id: str | None
+    notice: AnswerNotice = AnswerNotice()
 
 
 class Dialect(Protocol):
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Sequence
 
 from winchfork.core.engine_speed import PRIOR_FIRST_TOKEN_S, EngineSpeed
@@ -162,6 +163,7 @@
             ends_s=self._state.clock() + self._expected_run_s(decision),
             expected_s=self._expected_first_s(decision),
             on_read=self._on_read(decision, version),
+            on_notice=functools.partial(self._state.note_notice, replica),
         )
 
     def _fields(
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -143,6 +143,12 @@
             "Requests sent, by replica's region.",
             "region",
         )
+        self.notices = Labelled(
+            CounterChild,
+            "winchfork_notices",
+            "Replicas that said in an answer that they drain, or began a backoff.",
+            "notice",
+        )
         #: Share of each service's requests that a new version of its software may get now.
         self.software_shares: Callable[[], Mapping[str, float]] = dict
         #: Units that each tenant may use now, read when the page is asked for.
@@ -171,7 +177,7 @@
 
         for counter in (self.bad_datagrams, self.datagrams_refused, self.documents_refused):
             yield CounterMetricFamily(counter.name, counter.description, value=counter.value)
-        counters = (self.requests, self.calls, self.updates_relayed)
+        counters = (self.requests, self.calls, self.updates_relayed, self.notices)
         sent = (self.sent_by_software, self.sent_by_region)
         for labelled in (*counters, *sent, self.quota_used, self.quota_refused):
             counts = CounterMetricFamily(
--- a/winchfork/router/repeats.py
+++ b/winchfork/router/repeats.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from winchfork.core.routing import Route
 from winchfork.router.request_record import RequestRecord
 from winchfork.router.state import RouterState
@@ -10,6 +12,15 @@
 LEAST_TIME_LEFT_S = 0.03
 
 
+class RepeatDenial(enum.Enum):
+    """Why a request is not sent once more."""
+
+    #: It was sent to as many replicas as its route allows.
+    SENDS = "sends"
+    TIME = "time"
+    BUDGET = "budget"
+
+
 class Repeats:
     """The repeats of one request, which is over at ``ends_at_s``."""
 
@@ -38,7 +49,16 @@
 
     def take(self, most_sends: int, reserve: float = 0.0) -> bool:
         """Spend one repeat of the budget, of which ``reserve`` is left; False if it may not be."""
+        denial = self._denial(most_sends, reserve)
+        self.record.repeat_denied = denial.value if denial is not None else ""
+        return denial is None
+
+    def _denial(self, most_sends: int, reserve: float) -> RepeatDenial | None:
+        if self.record.sends >= most_sends:
+            return RepeatDenial.SENDS
         if not self.are_left(most_sends):
-            return False
+            return RepeatDenial.TIME
         daemons = self._state.daemons
-        return self._state.budget.take(self._service, daemons, self._state.clock(), reserve)
+        if self._state.budget.take(self._service, daemons, self._state.clock(), reserve):
+            return None
+        return RepeatDenial.BUDGET
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -49,11 +49,16 @@
 
 
 class Exchange(msgspec.Struct):
-    """One request on a connection: where its progress goes and which answers are its own."""
+    """One request on a connection: where its progress goes and which answers are its own.
+
+    ``on_head`` is shown the head of every answer before that, also of one to an earlier request:
+    whoever is at the other end has written it.
+    """
 
     deliver: Callable[[Progress], None]
     is_own: Callable[[AnswerHead], bool]
     no_body: bool = False
+    on_head: Callable[[AnswerHead], None] = lambda head: None
 
 
 class ReplicaConnection(asyncio.Protocol):
@@ -182,6 +187,7 @@
         bodyless = status in (204, 304) or self._exchange.no_body
         self._until_close = head.length is None and not chunked and not bodyless
         self._note_persistence(head)
+        self._exchange.on_head(head)
         self._own = self._exchange.is_own(head)
         if not self._own:
             if self._until_close:
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -31,6 +31,8 @@
     first_event_s: float | None = None
     last_event_s: float = 0.0
     longest_gap_s: float = 0.0
+    #: Why the last repeat that was asked for was denied; empty if it was granted.
+    repeat_denied: str = ""
 
     def note_sent(self) -> None:
         """An attempt begins."""
@@ -97,4 +99,5 @@
             sends=self.sends,
             events=events or None,
             ran=ran.value,
+            repeat_denied=self.repeat_denied or None,
         )
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -17,6 +17,7 @@
 from winchfork.core.region_delay import RegionDelay
 from winchfork.core.relay_fleet import RelayFleet, StandingChange
 from winchfork.core.relay_replica import RelayReplica, ReplicaListing
+from winchfork.core.replica_notice import AnswerNotice, NoticeChange
 from winchfork.core.routing import Route, RoutingTable, SplitChooser
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.store_outage import StoreOutageWatch
@@ -114,6 +115,7 @@
         self.choice = ReplicaChoice(self)
         self.crashes = CrashGuard(settings.node_id, clock)
         self._refused_documents = LineLimit()
+        self._unreadable_notices = LineLimit()
         self.quotas = QuotaBook(bounds.quota, self.life)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
         #: Seconds of a run for each token that its caller allows out, as measured lately.
@@ -212,6 +214,31 @@
         if self._refused_documents.allows(self.clock()):
             log_event("document_refused", "WARNING", key=key, reason=failure.reason)
 
+    def note_notice(self, replica: RelayReplica, notice: AnswerNotice) -> None:
+        """Take in what an answer says of its replica; log what that changes."""
+        if notice.is_empty:
+            return
+        now_s = self.clock()
+        if notice.unreadable and self._unreadable_notices.allows(now_s):
+            log_event(
+                "notice_unreadable",
+                "WARNING",
+                replica=replica.replica_id,
+                reason=notice.unreadable,
+            )
+        change = replica.notice.note(notice, now_s)
+        if change is NoticeChange.NOTHING:
+            return
+        self.metrics.notices.labels(change.value).inc()
+        log_event(
+            "replica_notice",
+            replica=replica.replica_id,
+            notice=change.value,
+            backoff_s=notice.backoff_s,
+            in_flight=replica.in_flight,
+            listed_as_accepting=replica.listing.accepting,
+        )
+
     def note_superseded(self, replica: RelayReplica, by: str = "") -> None:
         """Record that another incarnation answers at a replica's address, ``by`` if it said so."""
         self.fleet.note_other_answered(replica, by)
