--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -10,6 +10,7 @@
 
 from standins.answer_faults import SLOWED_S, AnswerSpoiler, ReplicaFault
 from standins.http_server import HttpServer, Request, write_answer
+from standins.spoken_notices import SpokenNotices
 from standins.stale_entries import StaleEntry
 from standins.store_server import StoreServer
 
@@ -73,6 +74,8 @@
     ) -> None:
         self._software = software
         self.spoiler = AnswerSpoiler(replica_id)
+        #: What each incarnation of it has said in its answers, the newest last.
+        self.spoken = [SpokenNotices()]
         self._store = store
         self.replica_id = replica_id
         self._service = service
@@ -104,6 +107,11 @@
         self._ended = False
         self._listens = False
 
+    @property
+    def notices(self) -> SpokenNotices:
+        """What the incarnation that runs now says."""
+        return self.spoken[-1]
+
     async def start(self) -> None:
         """Listen, and be listed; a start after a crash has the same address."""
         self._listens = True
@@ -134,6 +142,7 @@
             self.replica_id += "'"
         self.sequence = 0
         self.fence = 0
+        self.spoken.append(SpokenNotices())
         await self.start()
 
     def silence_open_connections(self) -> None:
@@ -158,15 +167,20 @@
 
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         if request.path == "/report":
-            write_answer(writer, 200, json.dumps(self._report()).encode())
+            write_answer(writer, 200, json.dumps(self._report()).encode(), self.notices.headers())
             return True
         if request.path == "/order":
-            write_answer(writer, self._order(request))
+            write_answer(writer, self._order(request), headers=self.notices.headers())
             return True
         refusal = self._refusal(request)
         if refusal:
             headers = {"X-Not-Executed": "1", "X-Instance-Id": self.replica_id}
-            write_answer(writer, refusal, headers=headers)
+            write_answer(writer, refusal, headers=headers | self.notices.headers())
+            return True
+        self.notices.note_arrival(request)
+        if self.notices.rest_s is not None:
+            headers = {"X-Request-Id": request.headers["x-request-id"]} | self.notices.headers()
+            write_answer(writer, 503, headers=headers | self.notices.turn_away(request))
             return True
         return await self._run(request, writer)
 
@@ -268,7 +282,7 @@
         return {
             "X-Request-Id": request.headers["x-request-id"],
             "X-Server-Signature": f"signed.{self.replica_id}",
-        }
+        } | self.notices.headers()
 
     async def _stream(
         self, request: Request, writer: asyncio.StreamWriter, arrived_s: float
--- /dev/null
+++ b/standins/spoken_notices.py
@@ -0,0 +1,63 @@
+"""What a stand-in replica says of itself in its answers, and which requests reached it since."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from standins.http_server import Request
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that reached a replica; time of the loop's clock."""
+
+    request_id: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Backoff:
+    """A request that was turned away with a wait; times of the loop's clock."""
+
+    request_id: str
+    at_s: float
+    until_s: float
+
+
+class SpokenNotices:
+    """The words of one replica, put into its answers, and a record of who had them and who came."""
+
+    def __init__(self) -> None:
+        #: Whether answers say that the replica leaves.
+        self.leaving = False
+        #: Seconds of rest that each request is turned away with; None: none is turned away.
+        self.rest_s: float | None = None
+        #: Whether such an answer proves that the request did not run.
+        self.proves_not_run = True
+        self.arrivals: list[Arrival] = []
+        #: Answers that said that the replica leaves, as arrivals of their requests.
+        self.left: list[Arrival] = []
+        self.backoffs: list[Backoff] = []
+
+    def headers(self) -> dict[str, str]:
+        """Return what every answer carries now."""
+        return {"Server-Leaving": "1"} if self.leaving else {}
+
+    def note_arrival(self, request: Request) -> None:
+        """Note a request that the replica is to run or to turn away."""
+        arrival = Arrival(request.headers["x-request-id"], asyncio.get_running_loop().time())
+        self.arrivals.append(arrival)
+        if self.leaving:
+            self.left.append(arrival)
+
+    def turn_away(self, request: Request) -> dict[str, str]:
+        """Return the headers of a 503 with a wait, and note it."""
+        assert self.rest_s is not None
+        now_s = asyncio.get_running_loop().time()
+        name = request.headers["x-request-id"]
+        self.backoffs.append(Backoff(name, now_s, now_s + self.rest_s))
+        headers = {"Retry-After": f"{self.rest_s:g}"}
+        if self.proves_not_run:
+            headers["X-Not-Executed"] = "1"
+        return headers
