Heed what replicas say of themselves in their answers

Cause: leaving was learnt from the store's entry alone, and a replica that had turned a request away was left alone for 0.3 s whatever it asked for. Each incarnation has one record of its own words now (core/replica_notice.py): leaving for good, a pause with an end on the clock that counts suspensions. The head of every answer is read for it, also of surplus answers and of reports and orders; the list cannot take it back, also by an entry that goes and returns. One question, RelayReplica.takes_requests, decides for every way out. After a pause one request goes first, on trial; ends are spread by a tenth.

Rests are capped at 600 s, dates, negative and infinite waits are told and not heeded, the wait of a 429 counts only if it proves that nothing ran. Orders of weights wait for a pause unless the replica may run nothing before it is loaded.

--- a/benchmarks/replica_notices.py
+++ b/benchmarks/replica_notices.py
@@ -3,11 +3,12 @@
     python -m benchmarks.replica_notices [--seed N] [--play NAME]
 
 Three routers before four model replicas and 25 streams a second of 23 families for 20 s. From
-second 4 to 16 some replicas, the busiest first, say their word: `leave`, one puts "leaving" into its
-answers, which the store does not know; `rest`, `half`, `all`, one, two or four turn every request
-away and ask for 3 s of rest; `short`, four for 0.4 s. A caller that is turned away comes back once,
-at another router, when it was told to, if that is within a third of the time it has left. Printed for
-each play: requests that reached a replica that had told their router not to, and callers' fates.
+second 4 to 16 some replicas, the busiest first, say their word: `leave`, one puts "leaving" into
+its answers, which the store does not know; `rest`, `half`, `all`, one, two or four turn every
+request away and ask for 3 s of rest; `short`, four for 0.4 s. A caller that is turned away comes
+back once, at another router, when it was told to, if that is within a third of the time it has
+left. Printed for each play: requests that reached a replica that had told their router not to, and
+callers' fates.
 """
 
 from __future__ import annotations
--- a/tests/test_replica_notices.py
+++ b/tests/test_replica_notices.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import unittest
 from collections.abc import Callable
 
 from tests.relay_case import ENGINE, RelayTestCase
@@ -20,8 +21,25 @@
     ScriptedReplica,
     SeenRequest,
     answering,
+    caller_request,
+    chunk,
+    event,
+    resetting,
     signed,
+    stream_head,
 )
+from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.replica_notice import (
+    MAX_BACKOFF_S,
+    RETURN_SPREAD_SHARE,
+    TRIAL_S,
+    AnswerNotice,
+    NoticeChange,
+    ReplicaNotice,
+)
+from winchfork.core.routing import RouteKind
+from winchfork.platform.notices import read_notice
+from winchfork.router.http_types import AnswerHead, Headers
 
 LEAVING = "Server-Leaving: 1\r\n"
 REST_S = 3.0
@@ -72,6 +90,113 @@
     async def test_a_replica_that_said_it_leaves_gets_nothing_more(self) -> None:
         await self.leave(lambda r: signed(r, b"ok", extra=LEAVING))
 
+    async def test_whatever_answer_says_it(self) -> None:
+        answers = {
+            "any case": lambda r: signed(r, b"ok", extra="sERVER-lEAVING:  1 \r\n"),
+            "not found": lambda r: signed(r, b"", "404 Not Found", LEAVING),
+            "failed": lambda r: signed(r, b"", "500 Failed", LEAVING),
+            "turned away": lambda r: refusal(r, "0", f"X-Not-Executed: 1\r\n{LEAVING}"),
+            "a surplus answer": lambda r: (
+                signed(r, b"late", extra=LEAVING).replace(b"id-0", b"id-9") + signed(r, b"ok")
+            ),
+        }
+        for name, answer in answers.items():
+            with self.subTest(name):
+                await self.leave(answer)
+
+    async def test_the_head_of_a_stream_says_it_before_the_stream_ends(self) -> None:
+        async def stream(
+            request: SeenRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> bool:
+            head = stream_head(request).replace(b"\r\n\r\n", b"\r\n" + LEAVING.encode() + b"\r\n")
+            writer.write(head + chunk(event(1)))
+            await asyncio.sleep(0.3)
+            writer.write(chunk(event(2)) + b"0\r\n\r\n")
+            return True
+
+        leaving = ScriptedReplica(stream)
+        other = ScriptedReplica(
+            answering(lambda r: stream_head(r) + chunk(event(1)) + b"0\r\n\r\n")
+        )
+        relay = await self.relay(leaving, other, kind=RouteKind.STREAMING)
+        running = asyncio.create_task(relay.ask("id-0", extra=ENGINE))
+        while not relay.state.fleet.get("i-0").notice.draining:  # type: ignore[union-attr]
+            await asyncio.sleep(0.01)
+        self.assertEqual((await relay.ask("id-1", extra=ENGINE)).status, 200)
+        answer = await running
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual((len(leaving.seen), len(other.seen)), (1, 1))
+
+    async def test_a_caller_that_has_gone_leaves_the_word_behind(self) -> None:
+        async def say_it_and_wait(
+            request: SeenRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(signed(request, b"ok", extra=LEAVING)[:-1])
+            await reader.readexactly(1)
+            return False
+
+        leaving = ScriptedReplica(say_it_and_wait)
+        relay = await self.relay(leaving, sound())
+        _, writer = await relay.connect()
+        writer.write(caller_request("id-0"))
+        while not relay.state.fleet.get("i-0").notice.draining:  # type: ignore[union-attr]
+            await asyncio.sleep(0.01)
+        writer.close()
+        self.assertEqual(await self.ask(relay, 3), [200] * 3)
+        self.assertEqual(len(leaving.seen), 1)
+
+    async def test_a_repeat_and_a_stream_that_moves_go_elsewhere(self) -> None:
+        leaving = ScriptedReplica(answering(lambda r: signed(r, b"ok", extra=LEAVING)))
+        torn = ScriptedReplica(resetting(lambda r: stream_head(r) + chunk(event(1))))
+        whole = ScriptedReplica(
+            answering(lambda r: stream_head(r) + chunk(event(1)) + chunk(event(2)) + b"0\r\n\r\n")
+        )
+        relay = await self.relay(leaving, kind=RouteKind.STREAMING, resumable=True)
+        await self.ask(relay)
+        relay.add(torn, "i-1", versions={"m": 1})
+        await torn.start()
+        await whole.start()
+        self.addAsyncCleanup(torn.stop)
+        self.addAsyncCleanup(whole.stop)
+        relay.add(torn, "i-1", versions={"m": 1})
+        relay.add(whole, "i-2", versions={"m": 1}, zone="z2")
+        answer = await relay.ask("id-9", extra=ENGINE)
+        self.assertTrue(answer.whole)
+        self.assertEqual(len(leaving.seen), 1)
+
+    async def test_when_all_leave_nothing_is_sent_and_the_reason_says_so(self) -> None:
+        leaving = ScriptedReplica(answering(lambda r: signed(r, b"ok", extra=LEAVING)))
+        relay = await self.relay(leaving)
+        await self.ask(relay)
+        answer = await relay.ask("id-1", method="POST", body=b"x")
+        self.assert_not_run(answer)
+        self.assertIn(b"1 of 1 replicas drain", answer.body)
+        self.assertEqual(len(leaving.seen), 1)
+
+    async def test_a_later_incarnation_has_said_nothing(self) -> None:
+        leaving = ScriptedReplica(answering(lambda r: signed(r, b"ok", extra=LEAVING)))
+        relay = await self.relay(leaving)
+        await self.ask(relay)
+        relay.state.fleet.remove("i-0")
+        relay.add(leaving, "i-0", versions={"m": 1}, born_ms=7)
+        self.assertEqual(await self.ask(relay), [200])
+
+    async def test_its_runs_that_break_are_held_against_no_request(self) -> None:
+        """A replica that leaves may cut what it runs, as planned."""
+
+        def torn(extra: str) -> ScriptedReplica:
+            head = b"\r\n" + extra.encode() + b"\r\n"
+            return ScriptedReplica(
+                resetting(lambda r: stream_head(r).replace(b"\r\n\r\n", head) + chunk(event(1)))
+            )
+
+        for extra, breaks in ((LEAVING, 0), ("X-Own: 1\r\n", 1)):
+            relay = await self.relay(torn(extra), kind=RouteKind.STREAMING)
+            broken: list[RelayReplica] = []
+            relay.state.crashes.on_break = broken.append
+            self.assertFalse((await relay.ask(extra=ENGINE)).whole)
+            self.assertEqual(len(broken), breaks, extra)
+
     async def test_nothing_that_the_store_says_takes_the_word_back(self) -> None:
         leaving = ScriptedReplica(answering(lambda r: signed(r, b"ok", extra=LEAVING)))
         relay = await self.relay(leaving, sound())
@@ -94,6 +219,57 @@
             self.assertEqual(await self.ask(relay, 2, ENGINE), [200] * 2)
         self.assertEqual(len(resting.seen), 1)
 
+    async def test_after_it_one_request_goes_first(self) -> None:
+        """Of a burst after the rest one reaches the replica; it is turned away, the rest is not."""
+        resting = turned_away()
+        relay = await self.relay(resting, sound())
+        await self.ask(relay)
+        self.pass_time(relay, REST_S * (1.0 + RETURN_SPREAD_SHARE))
+        answers = await asyncio.gather(*(relay.ask(f"burst-{number}") for number in range(5)))
+        self.assertEqual([answer.status for answer in answers], [200] * 5)
+        self.assertEqual(len(resting.seen), 2)
+
+    async def test_once_it_takes_requests_again_it_gets_as_many_as_before(self) -> None:
+        resting = ScriptedReplica(
+            answering(lambda r: refusal(r, "3")), answering(lambda r: signed(r, b"ok"))
+        )
+        relay = await self.relay(resting, sound())
+        await self.ask(relay)
+        self.pass_time(relay, REST_S * (1.0 + RETURN_SPREAD_SHARE))
+        await self.ask(relay, 6)
+        self.assertEqual(len(resting.seen), 7)
+
+    async def test_the_later_of_two_ends_holds(self) -> None:
+        resting = ScriptedReplica(
+            answering(lambda r: refusal(r, "3")), answering(lambda r: refusal(r, "0.5"))
+        )
+        relay = await self.relay(resting, sound())
+        replica = relay.state.fleet.get("i-0")
+        assert replica is not None
+        await self.ask(relay)
+        until_s = replica.notice.backoff_until_s
+        relay.state.note_notice(replica, AnswerNotice(backoff_s=0.5))
+        self.assertEqual(replica.notice.backoff_until_s, until_s)
+
+    async def test_when_all_rest_for_long_a_request_is_refused_at_once(self) -> None:
+        resting = turned_away("9")
+        relay = await self.relay(resting, max_attempts=1)
+        await self.ask(relay)
+        answer = await relay.ask("id-1")
+        self.assert_not_run(answer)
+        self.assertGreaterEqual(float(answer.headers["retry-after"]), 8.5)
+        self.assertIn(b"1 of 1 replicas back off", answer.body)
+        self.assertEqual(len(resting.seen), 1)
+
+    async def test_when_all_rest_shortly_a_request_waits_and_is_served(self) -> None:
+        resting = ScriptedReplica(
+            answering(lambda r: refusal(r, "0.3")), answering(lambda r: signed(r, b"ok"))
+        )
+        relay = await self.relay(resting, max_attempts=1)
+        await self.ask(relay)
+        self.assertEqual((await relay.ask("id-1")).status, 200)
+        self.assertEqual(len(resting.seen), 2)
+
     async def test_a_request_chosen_before_the_word_came_is_not_sent_after_it(self) -> None:
         """While its connection comes up, the replica asks for rest on another connection."""
         resting = turned_away()
@@ -110,3 +286,92 @@
         relay.pool._open_one = open_late  # type: ignore[method-assign, assignment]
         self.assertEqual(await self.ask(relay), [200])
         self.assertEqual(len(resting.seen), 1)
+
+
+class ReadNoticeTest(unittest.TestCase):
+    """What counts as a word of the replica itself."""
+
+    def read(self, status: int, *headers: tuple[str, str], not_run: bool = False) -> AnswerNotice:
+        lines: Headers = [(name.encode(), value.encode()) for name, value in headers]
+        return read_notice(AnswerHead(status, b"", lines, 0), not_run=not_run)
+
+    def backoff_s(self, *values: str, status: int = 503, not_run: bool = False) -> float | None:
+        headers = [("retry-AFTER", value) for value in values]
+        return self.read(status, *headers, not_run=not_run).backoff_s
+
+    def test_a_wait_in_seconds(self) -> None:
+        self.assertEqual(self.backoff_s("3"), 3.0)
+        self.assertEqual(self.backoff_s(" 0.25 "), 0.25)
+        self.assertEqual(self.backoff_s("0"), 0.0)
+        self.assertEqual(self.backoff_s("2", "5", "3"), 5.0)
+        self.assertEqual(self.backoff_s("2", "soon"), 2.0)
+
+    def test_a_wait_that_cannot_be_read_is_none_and_told(self) -> None:
+        for value in ("-1", "nan", "inf", "soon", "", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            with self.subTest(value):
+                notice = self.read(503, ("Retry-After", value))
+                self.assertIsNone(notice.backoff_s)
+                self.assertIn("Retry-After holds", notice.unreadable)
+
+    def test_the_status_says_whose_wait_it_is(self) -> None:
+        for status in (200, 301, 404, 429, 500, 502):
+            self.assertIsNone(self.backoff_s("3", status=status), status)
+        self.assertEqual(self.backoff_s("3", status=429, not_run=True), 3.0)
+
+    def test_only_one_value_says_that_a_replica_leaves(self) -> None:
+        self.assertTrue(self.read(200, ("server-leaving", "1")).draining)
+        for value in ("0", "", "true", "11"):
+            notice = self.read(200, ("Server-Leaving", value))
+            self.assertFalse(notice.draining)
+            self.assertIn("Server-Leaving holds", notice.unreadable)
+        self.assertTrue(self.read(200, ("X-Own", "1"), ("Connection", "close")).is_empty)
+
+
+class ReplicaNoticeTest(unittest.TestCase):
+    """The rules of backoffs and their ends, in virtual time."""
+
+    def test_a_wait_without_measure_is_bounded(self) -> None:
+        notice = ReplicaNotice()
+        notice.note(AnswerNotice(backoff_s=1e12), 10.0)
+        self.assertEqual(notice.backoff_until_s, 10.0 + MAX_BACKOFF_S)
+
+    def test_a_backoff_is_told_once(self) -> None:
+        notice = ReplicaNotice()
+        asked = AnswerNotice(backoff_s=3.0)
+        changes = [notice.note(asked, at_s) for at_s in (10.0, 10.1, 12.9, 16.0)]
+        nothing, backoff = NoticeChange.NOTHING, NoticeChange.BACKOFF
+        self.assertEqual(changes, [backoff, nothing, nothing, backoff])
+
+    def test_a_trial_that_is_not_turned_away_opens_it(self) -> None:
+        notice = ReplicaNotice()
+        notice.note(AnswerNotice(backoff_s=3.0), 10.0)
+        self.assertEqual(notice.opens_in_s(11.0), 2.0)
+        notice.note_sent(13.5)
+        self.assertFalse(notice.takes_requests(13.6))
+        self.assertTrue(notice.takes_requests(13.5 + TRIAL_S))
+        notice.note_answered(13.5, turned_away=False)
+        self.assertTrue(notice.takes_requests(13.6))
+        notice.note_sent(13.6)
+        self.assertTrue(notice.takes_requests(13.6))
+
+    def test_an_answer_to_what_was_sent_before_the_backoff_ended_is_no_trial(self) -> None:
+        notice = ReplicaNotice()
+        notice.note(AnswerNotice(backoff_s=3.0), 10.0)
+        notice.note_answered(9.0, turned_away=False)
+        notice.note_sent(13.5)
+        self.assertFalse(notice.takes_requests(13.6))
+
+    def test_a_trial_that_is_turned_away_is_followed_by_one_more(self) -> None:
+        notice = ReplicaNotice()
+        notice.note(AnswerNotice(backoff_s=3.0), 10.0)
+        notice.note_sent(13.5)
+        notice.note_answered(13.5, turned_away=True)
+        self.assertTrue(notice.takes_requests(13.6))
+        notice.note_sent(13.6)
+        self.assertFalse(notice.takes_requests(13.7))
+
+    def test_draining_is_for_good_whatever_is_said_of_pauses(self) -> None:
+        notice = ReplicaNotice()
+        both = AnswerNotice(draining=True, backoff_s=3.0)
+        self.assertIs(notice.note(both, 10.0), NoticeChange.DRAINING)
+        self.assertFalse(notice.takes_requests(1e9))
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -9,7 +9,13 @@
 
 from tests.memory_store import MemoryStore
 from tests.virtual_loop import run_virtually
-from winchfork.backends.replica_control import OrderOutcome, ReplicaReport, WeightsOrder
+from winchfork.backends.replica_control import (
+    OnNotice,
+    OrderOutcome,
+    ReplicaReport,
+    WeightsOrder,
+    ignore_notice,
+)
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.weight_rollout import VersionHistory
@@ -73,7 +79,9 @@
         #: How long a connection takes to come up for an order.
         self.connect_s = 0.0
 
-    async def report(self, address: str) -> ReplicaReport | Failure:
+    async def report(
+        self, address: str, on_notice: OnNotice = ignore_notice
+    ) -> ReplicaReport | Failure:
         await asyncio.sleep(0.003)
         replica = self.replicas[address]
         replica.settle(asyncio.get_running_loop().time())
@@ -81,7 +89,11 @@
         return ReplicaReport(replica.sequence, busy, 0, 0, {MODEL: replica.version})
 
     async def order(
-        self, address: str, order: WeightsOrder, allowed: Callable[[], bool]
+        self,
+        address: str,
+        order: WeightsOrder,
+        allowed: Callable[[], bool],
+        on_notice: OnNotice = ignore_notice,
     ) -> OrderOutcome | Failure:
         await asyncio.sleep(0.003 + self.connect_s)
         if not allowed():
--- a/winchfork/backends/replica_control.py
+++ b/winchfork/backends/replica_control.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from winchfork.core.replica_notice import AnswerNotice
 from winchfork.errors import Failure
 
 
@@ -55,15 +56,28 @@
     REFUSED = "refused"
 
 
+OnNotice = Callable[[AnswerNotice], None]
+
+
+def ignore_notice(notice: AnswerNotice) -> None:
+    """Take no notice."""
+
+
 class ReplicaControl(Protocol):
-    """Calls to one replica."""
+    """Calls to one replica; ``on_notice`` is told what each answer says of the replica itself."""
 
-    async def report(self, address: str) -> ReplicaReport | Failure:
+    async def report(
+        self, address: str, on_notice: OnNotice = ignore_notice
+    ) -> ReplicaReport | Failure:
         """Ask for the report."""
         ...
 
     async def order(
-        self, address: str, order: WeightsOrder, allowed: Callable[[], bool]
+        self,
+        address: str,
+        order: WeightsOrder,
+        allowed: Callable[[], bool],
+        on_notice: OnNotice = ignore_notice,
     ) -> OrderOutcome | Failure:
         """Give an order, if ``allowed`` still holds as its first byte leaves.
 
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -13,9 +13,11 @@
 import msgspec
 
 from winchfork.core.relay_replica import RelayReplica, ReplicaListing, Standing
+from winchfork.core.replica_notice import AnswerNotice, NoticeChange, ReplicaNotice
 
-#: Replicas that have gone whose place in the order of listing is remembered.
-MOST_GONE = 256
+#: Replicas that have gone of which is remembered what the list may bring back too late: their place
+#: in the order of listing, and what they have said. More than a fleet of 600 that vanishes at once.
+MOST_GONE = 2048
 
 
 class StandingCause(enum.Enum):
@@ -25,6 +27,8 @@
     LISTED = "listed"
     #: A replica at the address has gone from the list.
     GONE = "gone"
+    #: A replica at the address has said that it leaves.
+    DRAINS = "drains"
     #: The replica has answered as itself.
     ANSWERED = "answered"
     #: Another incarnation has answered in the place of the one that was asked.
@@ -39,6 +43,11 @@
     by: str
 
 
+class _GoneReplica(msgspec.Struct, frozen=True):
+    recency: int
+    notice: ReplicaNotice
+
+
 class RelayFleet:
     """All replicas by id. Not thread-safe."""
 
@@ -46,8 +55,8 @@
         self._replicas: dict[str, RelayReplica] = {}
         self._by_service: dict[str, list[RelayReplica]] = {}
         self._last_recency = 0
-        #: The recency of replicas that have gone, the oldest first.
-        self._gone: dict[int, int] = {}
+        #: Incarnations that have gone, the oldest first.
+        self._gone: dict[int, _GoneReplica] = {}
         #: Told of each change of a replica's standing.
         self.on_standing: Callable[[StandingChange], None] = lambda change: None
         #: Called before a decision reads the work on replicas: brings what peers told up to date.
@@ -64,8 +73,11 @@
             return known
         if known is None:
             known = RelayReplica(listing, dict(listing.versions), listing.incarnation)
-            # An entry that comes back is no newer than what has been listed there since.
-            known.recency = self._gone.pop(listing.incarnation, 0) or self._next_recency()
+            # An entry that comes back is no newer than what has been listed there since, and takes
+            # nothing back that its replica has said.
+            gone = self._gone.pop(listing.incarnation, None)
+            known.recency = gone.recency if gone else self._next_recency()
+            known.notice = gone.notice if gone else known.notice
             self._replicas[listing.replica_id] = known
         else:
             # An entry that does not say when its replica started is still this incarnation's.
@@ -87,10 +99,21 @@
         return removed
 
     def _remember(self, removed: RelayReplica) -> None:
-        self._gone[removed.order_hash] = removed.recency
+        self._gone[removed.order_hash] = _GoneReplica(removed.recency, removed.notice)
         if len(self._gone) > MOST_GONE:
             del self._gone[next(iter(self._gone))]
 
+    # What replicas say of themselves
+
+    def note_notice(
+        self, replica: RelayReplica, notice: AnswerNotice, now_s: float, draw: float
+    ) -> NoticeChange:
+        """Take in what an answer says of the replica that gave it; ``draw`` is from 0 to 1."""
+        change = replica.notice.note(notice, now_s, draw)
+        if change is NoticeChange.DRAINING:
+            self._settle(StandingCause.DRAINS)
+        return change
+
     # Who answers at an address
 
     def note_answered(self, replica: RelayReplica) -> None:
@@ -131,7 +154,7 @@
         candidates = [item for item in self._replicas.values() if item.standing is not ended]
         for replica in candidates:
             known = in_place.get(replica.listing.address)
-            if replica.listing.accepting and (known is None or replica.recency > known.recency):
+            if replica.wants_work and (known is None or replica.recency > known.recency):
                 in_place[replica.listing.address] = replica
         for replica in candidates:
             heir = in_place.get(replica.listing.address, replica)
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -111,10 +111,28 @@
         """Whether another incarnation is thought, or was shown, to answer at its address."""
         return self.standing is not Standing.IN_PLACE
 
+    @property
+    def wants_work(self) -> bool:
+        """Whether neither its entry nor an answer of its own has said that it leaves."""
+        return self.listing.accepting and not self.notice.draining
+
     @property
     def accepting(self) -> bool:
         """Whether it may be given work at all."""
-        return self.listing.accepting and not self.superseded
+        return self.wants_work and not self.superseded
+
+    def takes_requests(self, now_s: float) -> bool:
+        """Whether it may be sent a request now, whatever it has failed and whatever weights it has.
+
+        The one answer for everything that is sent to run: first tries, repeats and moved streams.
+        """
+        return (
+            self.accepting and now_s >= self.loading_until_s and self.notice.takes_requests(now_s)
+        )
+
+    def opens_in_s(self, now_s: float) -> float:
+        """Return in how many seconds one that is accepting takes requests; 0: now."""
+        return max(0.0, self.loading_until_s - now_s, self.notice.opens_in_s(now_s))
 
     @property
     def queued_tokens(self) -> int:
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -13,6 +13,12 @@
 #: The longest backoff that is heeded, in seconds. A replica that asks for more is tried once in
 #: this time, so that a value written wrongly does not cost it for good.
 MAX_BACKOFF_S = 600.0
+#: Part of a backoff that is added to it, as drawn: daemons that were turned away together do not
+#: come back together.
+RETURN_SPREAD_SHARE = 0.1
+#: Seconds that the first request after a backoff goes alone: a replica that still wants none turns
+#: it away within a round trip, between regions too.
+TRIAL_S = 0.25
 
 
 class AnswerNotice(msgspec.Struct, frozen=True):
@@ -42,22 +48,60 @@
 
 
 class ReplicaNotice(msgspec.Struct):
-    """What one incarnation has said of itself so far."""
+    """What one incarnation has said of itself so far, and whether it may be sent requests by that.
+
+    After a backoff one request goes first, on trial, and the others once it was not turned away.
+    """
 
     draining: bool = False
     backoff_until_s: float = 0.0
+    _returning: bool = False
+    _trial_sent_s: float | None = None
 
-    def note(self, notice: AnswerNotice, now_s: float) -> NoticeChange:
-        """Take in what an answer says that was read at ``now_s``."""
+    def note(self, notice: AnswerNotice, now_s: float, draw: float = 0.0) -> NoticeChange:
+        """Take in what an answer says that was read at ``now_s``; ``draw`` is from 0 to 1."""
+        began = bool(notice.backoff_s) and self._back_off(notice.backoff_s or 0.0, now_s, draw)
         if notice.draining and not self.draining:
             self.draining = True
             return NoticeChange.DRAINING
-        if notice.backoff_s:
-            return self._back_off(notice.backoff_s, now_s)
-        return NoticeChange.NOTHING
+        return NoticeChange.BACKOFF if began else NoticeChange.NOTHING
 
-    def _back_off(self, backoff_s: float, now_s: float) -> NoticeChange:
+    def _back_off(self, backoff_s: float, now_s: float, draw: float) -> bool:
         was_backing_off = now_s < self.backoff_until_s
-        until_s = now_s + min(backoff_s, MAX_BACKOFF_S)
+        heeded_s = min(backoff_s, MAX_BACKOFF_S)
+        until_s = now_s + heeded_s * (1.0 + RETURN_SPREAD_SHARE * draw)
         self.backoff_until_s = max(self.backoff_until_s, until_s)
-        return NoticeChange.NOTHING if was_backing_off else NoticeChange.BACKOFF
+        self._returning = True
+        self._trial_sent_s = None
+        return not was_backing_off
+
+    def is_backing_off(self, now_s: float) -> bool:
+        """Whether the pause that it asked for lasts."""
+        return now_s < self.backoff_until_s
+
+    def opens_in_s(self, now_s: float) -> float:
+        """Return in how many seconds it may be sent a request, as far as it has asked for pauses.
+
+        0: now. A draining replica never may, whatever this says.
+        """
+        if self.is_backing_off(now_s):
+            return self.backoff_until_s - now_s
+        if self._returning and self._trial_sent_s is not None:
+            return max(0.0, self._trial_sent_s + TRIAL_S - now_s)
+        return 0.0
+
+    def takes_requests(self, now_s: float) -> bool:
+        """Whether it may be sent a request now by what it has said."""
+        return not self.draining and self.opens_in_s(now_s) <= 0.0
+
+    def note_sent(self, now_s: float) -> None:
+        """A request is sent to it: after a backoff the first is the trial."""
+        if self._returning and self._trial_sent_s is None and not self.is_backing_off(now_s):
+            self._trial_sent_s = now_s
+
+    def note_answered(self, sent_s: float, *, turned_away: bool) -> None:
+        """A request that was sent then has been answered; the trial's answer decides."""
+        if not self._returning or sent_s < self.backoff_until_s:
+            return
+        self._trial_sent_s = None
+        self._returning = turned_away
--- a/winchfork/platform/notices.py
+++ b/winchfork/platform/notices.py
@@ -6,7 +6,7 @@
 
 from winchfork.core.replica_notice import AnswerNotice
 from winchfork.platform import names
-from winchfork.router.http_types import AnswerHead
+from winchfork.router.http_types import AnswerHead, find_header
 
 _LEAVING = names.SERVER_LEAVING.lower()
 _RETRY_AFTER = names.RETRY_AFTER.lower()
@@ -46,6 +46,12 @@
     return AnswerNotice(draining, backoff_s, ", ".join(unreadable))
 
 
+def notice_of(head: AnswerHead) -> AnswerNotice:
+    """Return what the answer to a call of the router's own says of its replica."""
+    not_run = find_header(head.headers, names.NOT_EXECUTED.lower()) is not None
+    return read_notice(head, not_run=not_run)
+
+
 def _seconds(value: bytes) -> float | None:
     """Return a wait in seconds, which may have a fraction; None for dates and anything else."""
     try:
--- a/winchfork/platform/replicas.py
+++ b/winchfork/platform/replicas.py
@@ -6,9 +6,16 @@
 
 import msgspec
 
-from winchfork.backends.replica_control import OrderOutcome, ReplicaReport, WeightsOrder
+from winchfork.backends.replica_control import (
+    OnNotice,
+    OrderOutcome,
+    ReplicaReport,
+    WeightsOrder,
+    ignore_notice,
+)
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
+from winchfork.platform.notices import notice_of
 from winchfork.router.http_call import HttpCaller
 
 #: Time limits of the calls, in seconds.
@@ -43,10 +50,18 @@
     def __init__(self, caller: HttpCaller) -> None:
         self._caller = caller
 
-    async def report(self, address: str) -> ReplicaReport | Failure:
+    async def report(
+        self, address: str, on_notice: OnNotice = ignore_notice
+    ) -> ReplicaReport | Failure:
         """Ask for the report."""
         reply = await self._caller.call(
-            address, b"GET", b"/report", None, REPORT_TIMEOUT_S, label="report"
+            address,
+            b"GET",
+            b"/report",
+            None,
+            REPORT_TIMEOUT_S,
+            label="report",
+            on_head=lambda head: on_notice(notice_of(head)),
         )
         if isinstance(reply, Failure):
             return reply
@@ -62,7 +77,11 @@
         )
 
     async def order(
-        self, address: str, order: WeightsOrder, allowed: Callable[[], bool]
+        self,
+        address: str,
+        order: WeightsOrder,
+        allowed: Callable[[], bool],
+        on_notice: OnNotice = ignore_notice,
     ) -> OrderOutcome | Failure:
         """Give an order to load weights."""
         body = {
@@ -83,6 +102,7 @@
             label="order",
             headers=[(names.EXPECTED_INSTANCE, order.replica_id.encode())],
             allowed=allowed,
+            on_head=lambda head: on_notice(notice_of(head)),
         )
         if isinstance(reply, Failure):
             return reply
--- a/winchfork/router/attempt_evidence.py
+++ b/winchfork/router/attempt_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import RouteKind
 from winchfork.router.attempt import AttemptPlan
 from winchfork.router.outcomes import Delivered, MayHaveRun, NotRun, Outcome
@@ -31,6 +32,7 @@
         took_s = now_s - record.sent_s
         self._note_software(plan, outcome, record, took_s)
         self._note_run(plan, outcome)
+        self._note_answered(replica, outcome, record)
         if isinstance(outcome, Delivered):
             replica.note_success(took_s, now_s)
             self._state.fleet.note_answered(replica)
@@ -50,6 +52,15 @@
                 self._state.on_silent(replica)
         return False
 
+    def _note_answered(
+        self, replica: RelayReplica, outcome: Outcome, record: RequestRecord
+    ) -> None:
+        """Tell whether a request was turned away: a replica on trial is shown to take them."""
+        if isinstance(outcome, NotRun):
+            replica.notice.note_answered(record.sent_s, turned_away=True)
+        elif isinstance(outcome, Delivered) or _has_answer(outcome):
+            replica.notice.note_answered(record.sent_s, turned_away=False)
+
     def _note_run(self, plan: AttemptPlan, outcome: Outcome) -> None:
         """Tell whether the replica outlived the request; one that leaves may cut it as planned."""
         crashes = self._state.crashes
@@ -63,7 +74,7 @@
             crashes.note_outlived(digest)
         elif outcome.broke:
             listed = self._state.fleet.get(replica.replica_id) is replica
-            if listed and replica.listing.accepting:
+            if listed and replica.wants_work:
                 crashes.note_broken(replica, digest, silent=outcome.silent)
 
     def _note_software(
@@ -90,6 +101,10 @@
         )
 
 
+def _has_answer(outcome: Outcome) -> bool:
+    return isinstance(outcome, MayHaveRun) and outcome.answer is not None
+
+
 def _is_failure(outcome: Outcome) -> bool:
     if not isinstance(outcome, MayHaveRun) or outcome.answer is None:
         return False
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -100,7 +100,7 @@
     def _note_gone(self, replica_id: str, item: TableItem) -> None:
         """Remove a replica; one that only vanished during an outage is kept for a while."""
         replica = self._state.fleet.get(replica_id)
-        if item.vanished and replica is not None and replica.listing.accepting:
+        if item.vanished and replica is not None and replica.wants_work:
             self._state.vanished.setdefault(replica_id, self._state.clock() + RETURN_S)
         else:
             self._remove_replica(replica_id, item.revision)
--- a/winchfork/router/http_call.py
+++ b/winchfork/router/http_call.py
@@ -52,10 +52,12 @@
         label: str,
         headers: Headers | None = None,
         allowed: Callable[[], bool] | None = None,
+        on_head: Callable[[AnswerHead], None] = lambda head: None,
     ) -> CallReply | Failure:
         """Return the answer; a failure whose ``ran`` is "not run" was never sent.
 
-        ``allowed`` is asked as the last thing before the first byte leaves.
+        ``allowed`` is asked as the last thing before the first byte leaves; ``on_head`` is shown
+        the head of each answer.
         """
         connection = await self._pool.acquire(address, _MOST_CONNECTIONS)
         if isinstance(connection, Failure):
@@ -70,7 +72,7 @@
             lines.append((b"Content-Type", b"application/json"))
             lines.append((b"Content-Length", str(len(body)).encode()))
         message = render_headers(b"%b %b HTTP/1.1" % (method, target), lines) + (body or b"")
-        connection.start(message, Exchange(inbox.put, lambda head: True))
+        connection.start(message, Exchange(inbox.put, lambda head: True, on_head=on_head))
         answer = _CollectedAnswer(inbox)
         try:
             async with asyncio.timeout(timeout_s):
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -95,7 +95,7 @@
             admitted.digest,
             admitted.route,
             request.received_s,
-            self._loop.time,
+            self._state.clock,
         )
         self._repeats = Repeats(
             service.state, self._backend, admitted.route, self._record, ends_at_s
@@ -173,11 +173,7 @@
             else:
                 opening_s = self._dispatch.next_opening_s(self._tried)
             if opening_s is None or opening_s > self._repeats.time_left_s - LEAST_TIME_LEFT_S:
-                return FailureKind.NO_REPLICA.because(
-                    f"no replica of {self._backend} takes work in time",
-                    ran=self._ran(),
-                    retry_after_s=opening_s or self._state.settings.bounds.heartbeat_s,
-                )
+                return self._no_replica(opening_s)
             self._loop.call_later(_LOOK_AGAIN_S, self._inbox.put, TimeLimit(_LOOK_AGAIN))
             item = await self._inbox.get()
             if isinstance(item, CallerLeft):
@@ -185,6 +181,16 @@
             if isinstance(item, TimeLimit) and item.name == _DEADLINE:
                 return Stopped(StopCause.DEADLINE)
 
+    def _no_replica(self, opening_s: float | None) -> Failure:
+        """Return why nothing is sent, and when one is expected to take work."""
+        reason = f"no replica of {self._backend} takes work in time"
+        closed = self._state.choice.closed(self._backend)
+        return FailureKind.NO_REPLICA.because(
+            f"{reason}: {closed}" if closed else reason,
+            ran=self._ran(),
+            retry_after_s=opening_s or self._state.settings.bounds.heartbeat_s,
+        )
+
     def _barred(self) -> set[str]:
         """Return the replicas that were tried, or that another suspected request has to itself."""
         replicas = self._state.fleet.of_service(self._backend)
@@ -206,6 +212,7 @@
             self._charge.charge_again()
         attempt = Attempt(plan, connection, self._inbox, self._answer, self._service.dialect)
         self._record.note_sent()
+        replica.notice.note_sent(self._record.sent_s)
         self._count_sent(replica)
         family = self._dispatch.family_key(plan.weights_version)
         self._record.log_sent(decision, plan, family, self._repeats.time_left_s)
--- a/winchfork/router/replica_choice.py
+++ b/winchfork/router/replica_choice.py
@@ -50,9 +50,8 @@
         candidates = [
             replica
             for replica in self._state.fleet.of_service(service)
-            if replica.accepting
+            if replica.takes_requests(now_s)
             and replica.replica_id not in tried
-            and now_s >= replica.loading_until_s
             and (prompt is None or self._weights_allowed(replica, prompt, now_s))
         ]
         candidates = self._state.software.allowed(service, candidates, on_target=on_target)
@@ -68,7 +67,8 @@
     ) -> float | None:
         """Return in how many seconds a replica will take work that takes none now; None: none will.
 
-        A replica under a hold says when it ends; one whose weights are too old is loaded next.
+        A replica under a hold or in a backoff says when it ends; one whose weights are too old is
+        loaded next.
         """
         now_s = self._state.clock()
         left = [
@@ -77,11 +77,23 @@
             if replica.accepting and replica.replica_id not in tried
         ]
         openings = [
-            replica.loading_until_s - now_s if replica.loading_until_s > now_s else PRIOR_LOAD_S
+            replica.opens_in_s(now_s) or PRIOR_LOAD_S
             for replica in self._state.software.allowed(service, left, on_target=on_target)
         ]
         return min(openings, default=None)
 
+    def closed(self, service: str) -> str:
+        """Return how many of a service's replicas want no requests, and why; for operators."""
+        now_s = self._state.clock()
+        replicas = self._state.fleet.of_service(service)
+        draining = sum(not replica.wants_work for replica in replicas)
+        resting = sum(replica.notice.is_backing_off(now_s) for replica in replicas)
+        counts = {"drain": draining, "back off": resting}
+        told = [
+            f"{count} of {len(replicas)} replicas {why}" for why, count in counts.items() if count
+        ]
+        return ", ".join(told)
+
     def weights_due_s(self, model: str, version: int | None) -> float:
         """Return when no request may begin on a version any more; infinite without a newer one."""
         history = self._state.versions.get(model)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -226,7 +226,7 @@
                 replica=replica.replica_id,
                 reason=notice.unreadable,
             )
-        change = replica.notice.note(notice, now_s)
+        change = self.fleet.note_notice(replica, notice, now_s, self.generator.random())
         if change is NoticeChange.NOTHING:
             return
         self.metrics.notices.labels(change.value).inc()
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 from winchfork.backends.replica_control import (
     OrderOutcome,
@@ -109,13 +110,18 @@
 
     def _view(self, replica: RelayReplica, model: str, now_s: float) -> LoadingReplica:
         due_s = self._state.choice.weights_due_s(model, replica.versions[model])
+        overdue = now_s + BEGIN_MARGIN_S >= due_s
+        # One that wants no requests is ordered after its backoff, unless it may run none before.
+        is_left_alone = now_s < replica.avoided_until_s or (
+            replica.notice.is_backing_off(now_s) and not overdue
+        )
         return LoadingReplica(
             replica.replica_id,
             replica.versions[model],
-            replica.accepting and now_s >= replica.avoided_until_s,
+            replica.accepting and not is_left_alone,
             max(0.0, replica.busy_until_s - now_s),
             replica.replica_id in self._under_order,
-            now_s + BEGIN_MARGIN_S >= due_s,
+            overdue,
         )
 
     def _prepare(self, replica_id: str, model: str) -> None:
@@ -140,7 +146,7 @@
         ordered = False
         unheard = 0
         while self._goes_on(replica, begun_s, ordered):
-            report = await self._control.report(replica.listing.address)
+            report = await self._report(replica)
             if isinstance(report, Failure):
                 unheard += 1
                 if unheard >= MOST_UNHEARD:
@@ -203,7 +209,10 @@
             report.sequence,
         )
         outcome = await self._control.order(
-            replica.listing.address, order, self._leadership.may_order
+            replica.listing.address,
+            order,
+            self._leadership.may_order,
+            functools.partial(self._state.note_notice, replica),
         )
         log_event(
             "weights_ordered",
@@ -221,8 +230,12 @@
             return outcome.ran is not RunState.NOT_RUN and await self._was_taken(replica, report)
         return outcome in (OrderOutcome.TAKEN, OrderOutcome.ALREADY_SO)
 
+    async def _report(self, replica: RelayReplica) -> ReplicaReport | Failure:
+        on_notice = functools.partial(self._state.note_notice, replica)
+        return await self._control.report(replica.listing.address, on_notice)
+
     async def _was_taken(self, replica: RelayReplica, before: ReplicaReport) -> bool:
         """Ask whether an order without an answer has been taken; it may still come later."""
         await asyncio.sleep(REPORT_LAG_S)
-        report = await self._control.report(replica.listing.address)
+        report = await self._report(replica)
         return isinstance(report, ReplicaReport) and report.sequence > before.sequence
