Wait for a replica only where a run can still end in time

Cause: a request waited for the end of a pause or a load until 30 ms before its own end, though its run takes longer: what cannot be served is refused at once. Not mended: 1 or 2 torn streams in 'all', sent with little time left.

--- a/benchmarks/replica_notices.py
+++ b/benchmarks/replica_notices.py
@@ -5,10 +5,10 @@
 Three routers before four model replicas and 25 streams a second of 23 families for 20 s. From
 second 4 to 16 some replicas, the busiest first, say their word: `leave`, one puts "leaving" into
 its answers, which the store does not know; `rest`, `half`, `all`, one, two or four turn every
-request away and ask for 3 s of rest; `short`, four for 0.4 s. A caller that is turned away comes
-back once, at another router, when it was told to, if that is within a third of the time it has
-left. Printed for each play: requests that reached a replica that had told their router not to, and
-callers' fates.
+request away and ask for 3 s of rest; `short`, four for 0.4 s; `once`, four for 3 s, but only until
+second 4.5. A caller that is turned away comes back once, at another router, when it was told to, if
+that is within a third of the time it has left. Printed for each play: requests that reached a
+replica that had told their router not to, and callers' fates.
 """
 
 from __future__ import annotations
@@ -28,7 +28,6 @@
 
 SECONDS = 20.0
 WORD_FROM_S = 4.0
-WORD_UNTIL_S = 16.0
 STREAMS_PER_S = 25
 FAMILIES = 23
 DEADLINE_S = 5.0
@@ -40,10 +39,11 @@
 
 
 class Play(msgspec.Struct, frozen=True):
-    """How many replicas say what; ``rest_s`` None: that they leave."""
+    """How many replicas say what, and for how long; ``rest_s`` None: that they leave."""
 
     replicas: int
     rest_s: float | None
+    for_s: float = 12.0
 
 
 PLAYS = {
@@ -52,6 +52,7 @@
     "half": Play(2, 3.0),
     "all": Play(4, 3.0),
     "short": Play(4, 0.4),
+    "once": Play(4, 3.0, for_s=0.5),
 }
 
 
@@ -102,7 +103,7 @@
         for replica in self._struck:
             replica.notices.leaving = self._play.rest_s is None
             replica.notices.rest_s = self._play.rest_s
-        await asyncio.sleep(WORD_UNTIL_S - WORD_FROM_S)
+        await asyncio.sleep(self._play.for_s)
         for replica in self._struck:
             replica.notices.rest_s = None
 
--- a/tests/test_replica_notices.py
+++ b/tests/test_replica_notices.py
@@ -270,6 +270,18 @@
         self.assertEqual((await relay.ask("id-1")).status, 200)
         self.assertEqual(len(resting.seen), 2)
 
+    async def test_a_request_that_could_not_end_in_time_after_it_is_refused_at_once(self) -> None:
+        """The rest ends before the deadline, but not early enough for a run of half a second."""
+        resting = turned_away("3.7")
+        relay = await self.relay(resting, max_attempts=1)
+        relay.state.token_s = 0.5 / 20
+        await self.ask(relay)
+        replica = relay.state.fleet.get("i-0")
+        assert replica is not None
+        asked_s = relay.state.clock()
+        self.assert_not_run(await relay.ask("id-1", extra=ENGINE))
+        self.assertLess(relay.state.clock(), asked_s + 2.0)
+
     async def test_a_request_chosen_before_the_word_came_is_not_sent_after_it(self) -> None:
         """While its connection comes up, the replica asks for rest on another connection."""
         resting = turned_away()
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -109,6 +109,13 @@
         """Return in how many seconds a replica will take work that takes none now."""
         return self._state.choice.next_opening_s(self._service, tried, on_target=self._on_target)
 
+    def least_run_s(self) -> float:
+        """Return how long a run of the request takes at least, as runs have taken lately."""
+        if self._prompt is None:
+            return 0.0
+        read_s = self._prompt.prompt_tokens / self._speed.read_tokens_per_s
+        return read_s + self._prompt.output_tokens * self._state.token_s
+
     def expected_wait_s(self) -> float | None:
         """Return how long the best replica of all is expected to take; None without any."""
         decision = self.place(set())
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -172,7 +172,7 @@
                 opening_s: float | None = _LOOK_AGAIN_S
             else:
                 opening_s = self._dispatch.next_opening_s(self._tried)
-            if opening_s is None or opening_s > self._repeats.time_left_s - LEAST_TIME_LEFT_S:
+            if opening_s is None or opening_s > self._time_to_begin_s():
                 return self._no_replica(opening_s)
             self._loop.call_later(_LOOK_AGAIN_S, self._inbox.put, TimeLimit(_LOOK_AGAIN))
             item = await self._inbox.get()
@@ -181,6 +181,10 @@
             if isinstance(item, TimeLimit) and item.name == _DEADLINE:
                 return Stopped(StopCause.DEADLINE)
 
+    def _time_to_begin_s(self) -> float:
+        """Return in how many seconds a run has to begin that is to end in time."""
+        return self._repeats.time_left_s - max(LEAST_TIME_LEFT_S, self._dispatch.least_run_s())
+
     def _no_replica(self, opening_s: float | None) -> Failure:
         """Return why nothing is sent, and when one is expected to take work."""
         reason = f"no replica of {self._backend} takes work in time"
