Soak: replicas that leave or rest by their answers alone, and a promise on both

A lane of its own draws them (other lanes' draws stay as they were); one that leaves serves on for 2 to 6 s and ends, one or more of a service, at times all, turn requests away for 0.5 to 4 s and ask for 0.2 to 4 s. A kill, a stop or a standstill of the router since the word excuses.

--- a/standins/notice_promises.py
+++ b/standins/notice_promises.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from typing import Protocol
 
 from standins.spoken_notices import Backoff, SpokenNotices
 
@@ -16,60 +17,78 @@
 MOST_IN_REST = 2
 
 
+class IsExcused(Protocol):
+    """Whether a router may have forgotten between two times what it had heard, or stood still."""
+
+    def __call__(self, router: int, from_s: float, until_s: float) -> bool:
+        """Tell it of a router."""
+        ...
+
+
+def _never(router: int, from_s: float, until_s: float) -> bool:
+    return False
+
+
 @dataclasses.dataclass(frozen=True)
 class Sender:
-    """The router that a caller sent a request to, and when, by the loop's clock.
-
-    ``life`` tells the starts of one router apart: what an earlier one heard is forgotten.
-    """
+    """The router that a caller sent a request to, and when, by the loop's clock."""
 
     router: int
-    sent_s: float
-    life: int = 0
+    sent_s: float = 0.0
 
 
-def sent_to_leaving(notices: SpokenNotices, senders: Mapping[str, Sender]) -> list[str]:
+def sent_to_leaving(
+    notices: SpokenNotices, senders: Mapping[str, Sender], excused: IsExcused = _never
+) -> list[str]:
     """Return the requests sent to a router long after it had heard that the replica leaves."""
-    heard_s: dict[tuple[int, int], float] = {}
+    heard: dict[int, list[float]] = {}
     for answer in notices.left:
-        sender = senders[answer.request_id]
-        heard_s.setdefault((sender.router, sender.life), answer.at_s)
+        heard.setdefault(senders[answer.request_id].router, []).append(answer.at_s)
     late = []
     for arrival in notices.arrivals:
         sender = senders[arrival.request_id]
-        first_s = heard_s.get((sender.router, sender.life))
-        if first_s is not None and sender.sent_s > first_s + LEAVING_BOUND_S:
+        early = [
+            heard_s
+            for heard_s in heard.get(sender.router, ())
+            if heard_s < sender.sent_s - LEAVING_BOUND_S
+        ]
+        # What it heard last and early enough is forgotten the least.
+        if early and not excused(sender.router, max(early), arrival.at_s):
             late.append(arrival.request_id)
     return late
 
 
-def reached_in_rest(notices: SpokenNotices, senders: Mapping[str, Sender]) -> Counter[str]:
+def reached_in_rest(
+    notices: SpokenNotices, senders: Mapping[str, Sender], excused: IsExcused = _never
+) -> Counter[str]:
     """Return, by the request that was turned away, how many of its router came within the rest."""
     counts: Counter[str] = Counter()
     for backoff in notices.backoffs:
-        sender = senders[backoff.request_id]
+        router = senders[backoff.request_id].router
+        if excused(router, backoff.at_s, backoff.until_s):
+            continue
         counts[backoff.request_id] = sum(
-            _is_in_rest(arrival.at_s, backoff)
-            and senders[arrival.request_id].router == sender.router
-            and senders[arrival.request_id].life == sender.life
+            _is_in_rest(arrival.at_s, backoff) and senders[arrival.request_id].router == router
             for arrival in notices.arrivals
         )
     return counts
 
 
 def judge_notices(
-    replicas: Iterable[tuple[str, SpokenNotices]], senders: Mapping[str, Sender]
+    replicas: Iterable[tuple[str, SpokenNotices]],
+    senders: Mapping[str, Sender],
+    excused: IsExcused = _never,
 ) -> list[str]:
     """Return a line for each replica that was not left alone as it had asked."""
     broken = []
     for replica_id, notices in replicas:
-        late = sent_to_leaving(notices, senders)
+        late = sent_to_leaving(notices, senders, excused)
         if late:
             broken.append(
                 f"DRAIN: {len(late)} requests, the first {late[0]}, were sent to {replica_id} "
                 f"over {LEAVING_BOUND_S:g} s after an answer had said that it leaves"
             )
-        counts = reached_in_rest(notices, senders)
+        counts = reached_in_rest(notices, senders, excused)
         worst = max(counts, key=lambda name: counts[name], default="")
         if counts[worst] > MOST_IN_REST:
             broken.append(
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from standins.fleet import KEY, MODEL
+from standins.notice_promises import Sender
 from standins.soak.routers import RouterUnderSoak
 
 #: Every router has callers of its own: one that stands still holds up nobody else's.
@@ -48,8 +49,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.commands: dict[str, Reply] = {}
         self.streams: list[StreamReply] = []
-        #: The number of the router that each request was sent to.
-        self.senders: dict[str, int] = {}
+        #: The router that each request was sent to.
+        self.senders: dict[str, Sender] = {}
         self.outcomes: Counter[str] = Counter()
 
     def start(self) -> None:
@@ -96,7 +97,7 @@
     def _next_id(self, kind: str, router: RouterUnderSoak) -> str:
         self._asked += 1
         request_id = f"{kind}-{self._asked}"
-        self.senders[request_id] = router.number
+        self.senders[request_id] = Sender(router.number, asyncio.get_running_loop().time())
         return request_id
 
 
--- a/standins/soak/disruptions.py
+++ b/standins/soak/disruptions.py
@@ -14,6 +14,11 @@
 
 #: Stands for the store or a link in place of a router's number.
 EVERYBODY = 0
+#: What befalls a process: it forgets what it had heard, or does not run.
+KILL = "kill"
+PLANNED_STOP = "planned stop"
+STANDSTILL = "standstill"
+PROCESS_FAULTS = (KILL, PLANNED_STOP, STANDSTILL)
 
 
 @dataclasses.dataclass
@@ -75,6 +80,16 @@
             for disruption in self._all
         )
 
+    def struck_between(self, router: int, from_s: float, until_s: float) -> bool:
+        """Tell whether a router's process was ended, started or stood still in that time."""
+        return any(
+            disruption.router == router
+            and disruption.what in PROCESS_FAULTS
+            and disruption.began_s < until_s
+            and disruption.ended_s > from_s
+            for disruption in self._all
+        )
+
     @staticmethod
     def _whose(router: int) -> str:
         return "" if router == EVERYBODY else f" at router {router}"
--- a/standins/soak/fatal_requests.py
+++ b/standins/soak/fatal_requests.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Iterable, Mapping, Sequence
 
+from standins.notice_promises import Sender
 from standins.replica_server import FatalRequest, FatalRun, ReplicaServer
 from standins.soak.callers import ask, stream_headers
 from standins.soak.disruptions import EVERYBODY, DisruptionLog
@@ -30,8 +31,8 @@
         self._routers = routers
         self._random = generator
         self._asked = 0
-        #: The number of the router that each request was sent to.
-        self.senders: dict[str, int] = {}
+        #: The router that each request was sent to.
+        self.senders: dict[str, Sender] = {}
 
     async def run(self, until_s: float) -> None:
         """Send until the time is up."""
@@ -50,7 +51,7 @@
         self._asked += 1
         request_id = f"{body.decode()}-try-{self._asked}"
         router = self._random.choice(self._routers)
-        self.senders[request_id] = router.number
+        self.senders[request_id] = Sender(router.number, asyncio.get_running_loop().time())
         await ask(router.address, "/review/x", request_id, stream_headers(12, 7, 0), body)
 
 
@@ -62,7 +63,7 @@
 
 def judge_fatal(
     replicas: Iterable[ReplicaServer],
-    senders: Mapping[str, int],
+    senders: Mapping[str, Sender],
     disruptions: DisruptionLog,
     contact_s: float,
 ) -> list[str]:
@@ -81,7 +82,7 @@
             run
             for run in all_runs
             if run.began_s > known_s
-            and not disruptions.excuses(senders[run.request_id], run.began_s)
+            and not disruptions.excuses(senders[run.request_id].router, run.began_s)
             and not disruptions.excuses(EVERYBODY, run.began_s)
         ]
         if len(later) > MOST_LATER_RUNS:
--- a/standins/soak/faults/process_faults.py
+++ b/standins/soak/faults/process_faults.py
@@ -7,6 +7,7 @@
 import signal
 
 from standins.replica_server import ReceivedOrder
+from standins.soak.disruptions import KILL, PLANNED_STOP, STANDSTILL
 from standins.soak.faults.scene import Scene
 from standins.soak.routers import RouterUnderSoak
 
@@ -32,7 +33,7 @@
         if router is None:
             return
         async with router.process_fault:
-            with self._scene.disruptions.during("kill", router.number):
+            with self._scene.disruptions.during(KILL, router.number):
                 await router.end(signal.SIGKILL)
                 await asyncio.sleep(self._random.random())
                 await router.start()
@@ -43,7 +44,7 @@
         if router is None:
             return
         async with router.process_fault:
-            with self._scene.disruptions.during("planned stop", router.number):
+            with self._scene.disruptions.during(PLANNED_STOP, router.number):
                 takes_stops = router.takes(signal.SIGTERM)
                 code = await router.end(signal.SIGTERM)
                 if code != 0 and (takes_stops or code != -signal.SIGTERM):
@@ -73,7 +74,7 @@
 
     async def _stand(self, router: RouterUnderSoak, for_s: float) -> None:
         async with router.process_fault:
-            with self._scene.disruptions.during("standstill", router.number):
+            with self._scene.disruptions.during(STANDSTILL, router.number):
                 router.pause(True)
                 await asyncio.sleep(for_s)
                 router.pause(False)
--- a/standins/soak/faults/replica_faults.py
+++ b/standins/soak/faults/replica_faults.py
@@ -1,4 +1,4 @@
-"""Faults of replicas: crashes with entries that lapse late or come back, and torn streams."""
+"""Faults of replicas: crashes with late entries, torn streams, and words in answers alone."""
 
 from __future__ import annotations
 
@@ -18,6 +18,11 @@
 #: How long after the return the old entry is written once more, and how long it then stays.
 LEAST_LATE_S, MOST_LATE_S = 0.3, 2.5
 LEAST_KEPT_S, MOST_KEPT_S = 1.0, 4.0
+#: How long a replica serves on that says in its answers alone that it leaves; how long replicas
+#: turn requests away, and the rest that they ask for; seconds.
+LEAST_LEAVING_S, MOST_LEAVING_S = 2.0, 6.0
+LEAST_AWAY_WORD_S, MOST_AWAY_WORD_S = 0.5, 4.0
+LEAST_REST_S, MOST_REST_S = 0.2, 4.0
 
 
 class ReplicaFaults:
@@ -53,6 +58,33 @@
         for replica in self._surroundings.model_rollouts.replicas:
             replica.tear_at_event = self._random.randrange(0, 6)
 
+    async def leaves_by_its_answers(self) -> None:
+        """A replica says that it leaves in its answers only, serves on, ends, and starts anew."""
+        replica = self._random.choice(self._any_operator().replicas)
+        self._tell(f"{replica.replica_id} leaves by its answers")
+        replica.notices.leaving = True
+        await asyncio.sleep(self._random.uniform(LEAST_LEAVING_S, MOST_LEAVING_S))
+        self._tell(f"{replica.replica_id} ends")
+        entry = await replica.crash()
+        lapsing = asyncio.create_task(self._lapse(entry, self._random.uniform(0.0, MOST_LAPSE_S)))
+        await self._return(replica)
+        await lapsing
+
+    async def turn_away_with_a_wait(self) -> None:
+        """One or more replicas of a service, at times all, turn requests away and ask for rest."""
+        replicas = self._any_operator().replicas
+        struck = self._random.sample(replicas, self._random.randint(1, len(replicas)))
+        rest_s = self._random.uniform(LEAST_REST_S, MOST_REST_S)
+        names = ",".join(replica.replica_id for replica in struck)
+        self._tell(f"{names} turn away for {rest_s:.2f} s")
+        words = [replica.notices for replica in struck]
+        for notices in words:
+            notices.rest_s = rest_s
+        await asyncio.sleep(self._random.uniform(LEAST_AWAY_WORD_S, MOST_AWAY_WORD_S))
+        for notices in words:
+            notices.rest_s = None
+        self._tell(f"{names} turn nothing away")
+
     def _any_operator(self) -> RolloutOperator:
         """Return the operator of either service, drawn by the number of its replicas."""
         surroundings = self._surroundings
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from standins.fleet import ZONES, Surroundings, WeightsTiming
+from standins.notice_promises import judge_notices
 from standins.soak.callers import Callers
 from standins.soak.cut_machines import CUT_FILE, CutMachines
 from standins.soak.disruptions import DisruptionLog
@@ -43,6 +44,7 @@
 CONNECTION_PAUSE_S = 12.0
 STORE_PAUSE_S = 12.0
 ENTRY_PAUSE_S = 4.0
+WORD_PAUSE_S = 5.0
 PEER_PAUSE_S = 12.0
 #: Faults of the store and of links stop every bound, so they begin up to this part of a run late.
 STORE_DELAY_SHARE = 0.7
@@ -120,6 +122,7 @@
         processes = ProcessFaults(scene, self._generator("processes struck"), self.broken)
         connections = StoreFaults(scene, self._generator("connections struck"))
         store = StoreFaults(scene, self._generator("store struck"))
+        words = ReplicaFaults(self._surroundings, self._generator("words"), self._tell)
         entries = ForeignEntries(self._surroundings.store, self._generator("entries"), self._tell)
         peers = PeerFaults(
             scene, self._generator("peers struck"), CutMachines(self._folder / CUT_FILE)
@@ -147,6 +150,11 @@
                 ],
                 CONNECTION_PAUSE_S,
             ),
+            Lane(
+                "words",
+                [words.leaves_by_its_answers, words.turn_away_with_a_wait],
+                WORD_PAUSE_S,
+            ),
             Lane("entries", [entries.foreign_entry], ENTRY_PAUSE_S),
             Lane("peers", [peers.peers_cut, peers.zone_cut], PEER_PAUSE_S, delay_s),
             Lane("store", [store.store_down, store.link_cut], STORE_PAUSE_S, delay_s),
@@ -199,5 +207,11 @@
         bound_s = WEIGHTS_TIMING.bound_s
         named = surroundings.weights.named
         senders = callers.senders | self._fatal.senders
+        spoken = [
+            (item.replica_id, notices)
+            for item in (*models, *surroundings.all_applications)
+            for notices in item.spoken
+        ]
+        self.broken += judge_notices(spoken, senders, disruptions.struck_between)
         late = late_generations(generations, named, senders, disruptions, bound_s)
         self.broken += describe_late(late)
--- a/standins/soak/weights_promises.py
+++ b/standins/soak/weights_promises.py
@@ -6,6 +6,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+from standins.notice_promises import Sender
 from standins.replica_server import Generation, ReplicaServer
 from standins.soak.disruptions import DisruptionLog
 from standins.weights_operator import NamedWeights
@@ -28,7 +29,7 @@
 def late_generations(
     generations: Iterable[Generation],
     named: Sequence[NamedWeights],
-    senders: Mapping[str, int],
+    senders: Mapping[str, Sender],
     disruptions: DisruptionLog,
     bound_s: float,
 ) -> list[LateGeneration]:
@@ -41,7 +42,7 @@
     for generation in generations:
         newer = [item for item in named if item.version > generation.version]
         stretch_s = disruptions.stretch_start_s(generation.began_s)
-        router = senders[generation.request_id]
+        router = senders[generation.request_id].router
         if not newer or stretch_s is None or generation.arrived_s < stretch_s:
             continue
         if disruptions.excuses(router, generation.arrived_s):
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -5,10 +5,11 @@
 import unittest
 
 from standins.answer_faults import ReplicaFault
+from standins.notice_promises import Sender, judge_notices
 from standins.replica_server import FatalRun, Generation, ReceivedOrder, ReplicaServer
 from standins.rollout_operator import RolloutReport
 from standins.soak.callers import Reply, StreamReply
-from standins.soak.disruptions import EVERYBODY, DisruptionLog
+from standins.soak.disruptions import EVERYBODY, STANDSTILL, DisruptionLog
 from standins.soak.fatal_requests import judge_fatal
 from standins.soak.promises import (
     judge_commands,
@@ -23,6 +24,7 @@
     late_generations,
     stragglers,
 )
+from standins.spoken_notices import Arrival, Backoff, SpokenNotices
 from standins.store_server import StoreServer
 from standins.weights_operator import NamedWeights
 
@@ -58,7 +60,7 @@
         """Return by how much a generation is late, if it is."""
         sent_s = began_s - 0.02 if arrived_s is None else arrived_s
         begun = Generation("r", "i-1", version, sent_s, began_s)
-        found = late_generations([begun], NAMED, {"r": SENDER}, self.log, BOUND_S)
+        found = late_generations([begun], NAMED, {"r": Sender(SENDER)}, self.log, BOUND_S)
         return [round(item.late_s, 3) for item in found]
 
     def test_a_version_may_be_begun_until_a_bound_after_its_successor(self) -> None:
@@ -197,7 +199,7 @@
     def judge(self, *runs: FatalRun) -> list[str]:
         replica = ReplicaServer(StoreServer(), "i-1", "models", "z")
         replica.fatal_runs = list(runs)
-        senders = {run.request_id: SENDER for run in runs}
+        senders = {run.request_id: Sender(SENDER) for run in runs}
         return judge_fatal([replica], senders, self.log, CONTACT_S)
 
     def runs(self, *began_s: float) -> list[FatalRun]:
@@ -226,3 +228,56 @@
         refused = Reply(500, b'{"code": "ends_replicas"}', True)
         self.assertEqual(judge_innocent([Reply(500, b"spoiled", True)]), [])
         self.assertEqual(len(judge_innocent([refused, refused])), 1)
+
+
+class NoticePromisesTest(unittest.TestCase):
+    """A replica that leaves or rests by its answers: what counts, and what excuses."""
+
+    def setUp(self) -> None:
+        self.now_s = 0.0
+        self.log = DisruptionLog(CONTACT_S, lambda: self.now_s, lambda line: None)
+        self.notices = SpokenNotices()
+        self.senders: dict[str, Sender] = {}
+
+    def arrive(self, at_s: float, router: int = SENDER) -> Arrival:
+        arrival = Arrival(f"r{len(self.senders)}", at_s)
+        self.senders[arrival.request_id] = Sender(router, at_s)
+        self.notices.arrivals.append(arrival)
+        return arrival
+
+    def stand_still(self, from_s: float, until_s: float) -> None:
+        self.now_s = from_s
+        with self.log.during(STANDSTILL, SENDER):
+            self.now_s = until_s
+
+    def broken(self) -> int:
+        spoken = [("i-1", self.notices)]
+        return len(judge_notices(spoken, self.senders, self.log.struck_between))
+
+    def test_a_request_over_two_seconds_after_the_word(self) -> None:
+        self.notices.left.append(self.arrive(10.0))
+        self.arrive(11.9)
+        self.arrive(20.0, router=SENDER + 1)
+        self.assertEqual(self.broken(), 0)
+        self.arrive(12.1)
+        self.assertEqual(self.broken(), 1)
+
+    def test_a_standstill_since_the_word_excuses_and_one_before_does_not(self) -> None:
+        self.stand_still(8.0, 9.0)
+        self.notices.left.append(self.arrive(10.0))
+        self.arrive(13.0)
+        self.assertEqual(self.broken(), 1)
+        self.stand_still(11.0, 12.0)
+        self.assertEqual(self.broken(), 0)
+
+    def test_a_third_request_within_a_rest(self) -> None:
+        turned_away = self.arrive(10.0)
+        self.notices.backoffs.append(Backoff(turned_away.request_id, 10.0, 13.0))
+        for at_s in (10.4, 10.6, 12.9, 13.1):
+            self.arrive(at_s)
+        self.arrive(11.0, router=SENDER + 1)
+        self.assertEqual(self.broken(), 0)
+        self.arrive(12.0)
+        self.assertEqual(self.broken(), 1)
+        self.stand_still(11.0, 11.5)
+        self.assertEqual(self.broken(), 0)
