--- a/standins/soak/routers.py
+++ b/standins/soak/routers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import signal
 import sys
@@ -16,9 +17,22 @@
 
 
 class RouterUnderSoak:
-    """One router process and its proxy. Faults that would meet at one of them take turns."""
-
-    def __init__(self, surroundings: Surroundings, number: int, zone: str, folder: Path) -> None:
+    """One router process and its proxy. Faults that would meet at one of them take turns.
+
+    Its first process runs the build in ``first_tree``, all later ones the build of this file.
+    """
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        number: int,
+        zone: str,
+        folder: Path,
+        first_tree: Path | None = None,
+    ) -> None:
+        self._tree = first_tree or _ROOT
+        #: When a process of this file's build was started first; infinite before.
+        self.upgraded_s = math.inf
         self._surroundings = surroundings
         self.number = number
         self._zone = zone
@@ -48,6 +62,9 @@
 
     async def start(self) -> None:
         """Start the process."""
+        tree, self._tree = self._tree, _ROOT
+        if tree == _ROOT:
+            self.upgraded_s = min(self.upgraded_s, asyncio.get_running_loop().time())
         files = {"WINCHFORK_BOOT": str(self._file), CUT_MACHINES: str(self._cut_machines)}
         environment = {**os.environ, **files}
         with self._log.open("ab") as log:
@@ -55,7 +72,7 @@
                 sys.executable,
                 "-m",
                 "standins.soak.lossy_router",
-                cwd=_ROOT,
+                cwd=tree,
                 env=environment,
                 stdout=log,
                 stderr=log,
--- /dev/null
+++ b/tests/peer_samples.py
@@ -0,0 +1,101 @@
+"""One message of each type that daemons send each other, and one record of each in the store.
+
+`tests/earlier_build.json` holds these as the build before has written them. The file is made by
+``python -m tests.peer_samples > tests/earlier_build.json`` on that build; builds that run beside
+each other read what the others write.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+
+import msgspec
+
+from winchfork.cluster.wire import PeerCodec
+from winchfork.core.document_table import TableItem, TableUpdate
+from winchfork.core.member import IndirectProbe, Member, MemberStatus, Probe, ProbeReply
+from winchfork.core.peer_message import PeerMessage
+from winchfork.core.quota_book import QuotaLevel, QuotaLevels, QuotaReport, QuotaTotals
+from winchfork.core.software_state import SoftwarePhase, SoftwareState, StopCause
+from winchfork.router.document_parts import split_update
+from winchfork.router.peer_messages import (
+    PEER_MESSAGE_TYPES,
+    Accusation,
+    Activity,
+    ClearedRequests,
+    DocumentPull,
+    EndedUnder,
+    EvidenceNote,
+    FleetWork,
+    Forward,
+    KeptNote,
+    NamedNote,
+    NamedVersions,
+    RegionWork,
+    ReplicaLoadNote,
+    Resignation,
+    SuspectUnderWay,
+    VersionEvidence,
+    VersionStop,
+    WeightsNote,
+    WeightsProgress,
+    ZoneUse,
+    ZoneWork,
+)
+from winchfork.router.refusal_records import RefusalRecord
+from winchfork.router.software_records import write_record
+
+KEY = b"key of the samples"
+_DIGEST = bytes(range(16))
+_MEMBER = Member("n1", "z1", "10.0.0.1:7", "10.0.0.1:8", 5, MemberStatus.SUSPECT, 1000, 4)
+_LOADS = (ReplicaLoadNote(2**63 + 1, 3, 400, 500, 6),)
+_KEPT = (KeptNote(9, (1, 2**64 - 1)),)
+_QUOTA = QuotaReport(77, (QuotaTotals(1, 2, 3, 4),))
+_LEVELS = QuotaLevels(80, True, False, (QuotaLevel(1, 2),))
+UPDATE = TableUpdate(
+    3, 5, False, True, (TableItem("op/config", 4, b"{}"), TableItem("servers/i-1", 5, None))
+)
+RECORD = SoftwareState("s", "v1", SoftwarePhase.TRIAL, "v2", 0.1, 2, 12)
+REFUSAL = RefusalRecord(_DIGEST, 1_790_000_000_000, 2)
+
+MESSAGES: tuple[PeerMessage, ...] = (
+    Probe(_MEMBER, 1, (2, 3), (_MEMBER,), "n2", b"loads", 6),
+    ProbeReply(_MEMBER, 1, (2, 3), (_MEMBER,), b"loads"),
+    IndirectProbe(_MEMBER, 1, "n3", (_MEMBER,)),
+    Activity("n1", _LOADS, _KEPT, _QUOTA, _LEVELS),
+    WeightsProgress("n1", 41, (WeightsNote("i-1", 2**63 + 2, "m", 3, 1500, 1000),)),
+    NamedVersions((NamedNote("m", 3, 2500),)),
+    Resignation(41, 1200, 90_000),
+    ZoneWork("n1", "z1", _LOADS, _KEPT, _QUOTA, _LEVELS),
+    FleetWork("n1", True, _LOADS, _KEPT, _LEVELS, ("z2",), True),
+    Forward(b"datagram", True),
+    DocumentPull("n1", "10.0.0.1:7", 5),
+    split_update("n1", UPDATE)[0],
+    Accusation("n1", 2**63 + 3),
+    RegionWork("n1", "g", True, _LOADS, (ZoneUse("n1", "z1", _QUOTA, _LEVELS),)),
+    VersionEvidence("n1", 77, "z1", "s", 12, (EvidenceNote(1, 2, 30, 4, 5),)),
+    VersionStop("n1", "s", 12, StopCause.SPENT),
+    EndedUnder(2**63 + 4, (_DIGEST,)),
+    SuspectUnderWay("n1", _DIGEST, 2**63 + 4, 900),
+    ClearedRequests((_DIGEST,)),
+)
+
+
+def encoded_messages() -> dict[str, str]:
+    """Return each message as this build writes it, in hexadecimal, by the name of its type."""
+    codec = PeerCodec(KEY, PEER_MESSAGE_TYPES)
+    datagrams = {type(message).__name__: codec.encode(message) for message in MESSAGES}
+    return {name: data.hex() for name, data in datagrams.items() if isinstance(data, bytes)}
+
+
+def encoded_records() -> dict[str, str]:
+    """Return each record as this build writes it."""
+    return {
+        "software": write_record(RECORD).decode(),
+        "refusal": msgspec.json.encode(REFUSAL).decode(),
+    }
+
+
+if __name__ == "__main__":
+    json.dump({"messages": encoded_messages(), "records": encoded_records()}, sys.stdout, indent=1)
