--- a/benchmarks/replica_notices.py
+++ b/benchmarks/replica_notices.py
@@ -1,10 +1,10 @@
 """What callers get while replicas leave or rest by their answers alone, on loopback.
 
-    python -m benchmarks.replica_notices [--seed N] [--play NAME]
+    python -m benchmarks.replica_notices [--seed N] [--play NAME] [--routers N]
 
-Three routers before four model replicas and 25 streams a second of 23 families for 20 s. From
-second 4 to 16 some replicas, the busiest first, say their word: `leave`, one puts "leaving" into
-its answers, which the store does not know; `rest`, `half`, `all`, one, two or four turn every
+Three routers, or more, before four model replicas and 25 streams a second of 23 families for 20 s.
+From second 4 to 16 some replicas, the busiest first, say their word: `leave`, one puts "leaving"
+into its answers, which the store does not know; `rest`, `half`, `all`, one, two or four turn every
 request away and ask for 3 s of rest; `short`, four for 0.4 s; `once`, four for 3 s, but only until
 second 4.5. A caller that is turned away comes back once, at another router, when it was told to, if
 that is within a third of the time it has left. Printed for each play: requests that reached a
@@ -31,6 +31,8 @@
 STREAMS_PER_S = 25
 FAMILIES = 23
 DEADLINE_S = 5.0
+#: Routers that are not ready after this long never will be.
+START_S = 25.0
 #: A caller heeds a wait of up to this part of the time that it has left.
 HEEDED_SHARE = 1.0 / 3.0
 #: An answer within this time of its first try is in time.
@@ -67,10 +69,11 @@
 class NoticePlay:
     """One play with one seed."""
 
-    def __init__(self, play: Play, seed: int) -> None:
+    def __init__(self, play: Play, seed: int, routers: int) -> None:
         self._play = play
+        self._routers = routers
         self._random = random.Random(seed)
-        self._deployment = LoopbackDeployment()
+        self._deployment = LoopbackDeployment(routers)
         self._senders: dict[str, Sender] = {}
         self._fates: Counter[str] = Counter()
         self._struck: list[ReplicaServer] = []
@@ -78,7 +81,7 @@
     async def run(self) -> str:
         """Play and return a line of figures."""
         await self._deployment.start()
-        await self._deployment.wait_until_ready()
+        await asyncio.wait_for(self._deployment.wait_until_ready(), START_S)
         for router in self._deployment.routers:
             started_s = router.state.clock() - REPEATS.window_s
             router.state.budget = SlidingRetryBudget(REPEATS, started_s)
@@ -110,7 +113,7 @@
     async def _call(self, number: int, family: int) -> None:
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
-        router = self._random.randrange(3)
+        router = self._random.randrange(self._routers)
         reply = await self._try(f"{number}-0", router, family, DEADLINE_S)
         left_s = begun_s + DEADLINE_S - loop.time()
         wait_s = reply.retry_after_s
@@ -118,7 +121,7 @@
             self._fates["turned away once"] += 1
             await asyncio.sleep(min(wait_s, left_s * HEEDED_SHARE))
             left_s = begun_s + DEADLINE_S - loop.time()
-            reply = await self._try(f"{number}-1", (router + 1) % 3, family, left_s)
+            reply = await self._try(f"{number}-1", (router + 1) % self._routers, family, left_s)
         if reply.status == 200 and reply.whole:
             in_time = loop.time() - begun_s <= OBJECTIVE_S
             self._fates["in time" if in_time else "late"] += 1
@@ -162,12 +165,13 @@
     """Print a line for each play."""
     parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
     parser.add_argument("--seed", type=int, default=21)
+    parser.add_argument("--routers", type=int, default=3)
     parser.add_argument("--play", choices=list(PLAYS), action="append")
     arguments = parser.parse_args()
     configure_logs("error")
     for name in arguments.play or PLAYS:
-        line = asyncio.run(NoticePlay(PLAYS[name], arguments.seed).run())
-        print(f"{name} seed={arguments.seed}: {line}", flush=True)
+        line = asyncio.run(NoticePlay(PLAYS[name], arguments.seed, arguments.routers).run())
+        print(f"{name} seed={arguments.seed} routers={arguments.routers}: {line}", flush=True)
 
 
 if __name__ == "__main__":
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -79,9 +79,9 @@
 }
 
 
-def node_id(zone: str) -> str:
-    """Return the name of a zone's router."""
-    return f"front-{zone}"
+def node_id(zone: str, number: int = 0) -> str:
+    """Return the name of a zone's router; ``number`` tells those after the first three apart."""
+    return f"front-{zone}-{number}" if number > len(ZONES) else f"front-{zone}"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,7 +157,7 @@
         """Return the settings file of router ``number``, in the platform's form."""
         ip = f"127.0.0.{number}"
         lines = [
-            f"Node={node_id(zone)}",
+            f"Node={node_id(zone, number)}",
             f"Ip={ip}",
             f"Zone={zone}",
             f"ListenAddresses.Front={ip}:{free_port(ip)}",
@@ -174,10 +174,11 @@
 
 
 class LoopbackDeployment(Surroundings):
-    """Three routers in this process among the stand-ins."""
+    """Three routers, or more, in this process among the stand-ins."""
 
-    def __init__(self) -> None:
+    def __init__(self, routers: int = len(ZONES)) -> None:
         super().__init__()
+        self._zones = [ZONES[number % len(ZONES)] for number in range(routers)]
         self.settings: list[RouterSettings] = []
         self.routers: list[RouterProcess] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -185,7 +186,7 @@
     async def start(self) -> None:
         """Start everything; the routers learn the rest from the store."""
         await super().start()
-        for number, zone in enumerate(ZONES, start=1):
+        for number, zone in enumerate(self._zones, start=1):
             self._add_router(number, zone)
 
     def _add_router(self, number: int, zone: str) -> None:
@@ -218,7 +219,7 @@
         self.settings.clear()
         self.routers.clear()
         self.tasks.clear()
-        for number, zone in enumerate(ZONES, start=1):
+        for number, zone in enumerate(self._zones, start=1):
             self._add_router(number, zone)
         await self.wait_until_ready()
 
