Tests of what answers say, one for each way out and each belief that ages

Orders of weights wait for a pause of 3 s and not for one of a minute; a replica that leaves by its answers is not ordered; reports and orders tell it too; a pause passes in sleep; an outage of the store, with an entry that vanishes and returns as ready, takes nothing back.

--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -8,6 +8,7 @@
 
 from tests.relay_support import ScriptedReplica, SeenRequest, answering, resetting
 from winchfork.backends.replica_control import OrderOutcome, ReplicaReport, WeightsOrder
+from winchfork.core.replica_notice import AnswerNotice
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.platform.replicas import PlatformReplicaControl
 from winchfork.platform.store import PlatformStore
@@ -155,6 +156,16 @@
         self.assertEqual(report, ReplicaReport(2, False, 12, 1, {"daka510000": 1}))
         self.assertIsInstance(await control.report(server.address), Failure)
 
+    async def test_what_their_answers_say_of_the_replica_is_told(self) -> None:
+        leaving = plain("200 OK", {}).replace(b"\r\n", b"\r\nServer-Leaving: 1\r\n", 1)
+        resting = plain("503 Full", {}).replace(b"\r\n", b"\r\nRetry-After: 3\r\n", 1)
+        server = await self.server(leaving, resting)
+        control = PlatformReplicaControl(self.calls)
+        told: list[AnswerNotice] = []
+        await control.report(server.address, told.append)
+        await control.order(server.address, self.ORDER, lambda: True, told.append)
+        self.assertEqual(told, [AnswerNotice(draining=True), AnswerNotice(backoff_s=3.0)])
+
     async def test_an_order_carries_fence_sequence_and_replica(self) -> None:
         statuses = {
             "202 Taken": OrderOutcome.TAKEN,
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -12,6 +12,7 @@
 from tests.test_platform_documents import CONFIGURATION, REPLICA
 from tests.virtual_loop import run_virtually, stand_still
 from winchfork.core.document_table import TableItem, TableUpdate
+from winchfork.core.replica_notice import AnswerNotice
 from winchfork.errors import Failure
 from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocuments
@@ -195,6 +196,24 @@
 
         follow(scenario)
 
+    def test_an_outage_takes_nothing_back_that_a_replica_has_said_of_itself(self) -> None:
+        """It vanished from the list that returned late, and came back in it as ready."""
+
+        async def scenario(followed: Followed) -> None:
+            leaving = followed.state.fleet.get("i-1")
+            assert leaving is not None
+            followed.state.note_notice(leaving, AnswerNotice(draining=True))
+            await followed.lose_in_an_outage("i-1")
+            self.assertEqual(followed.known(), ["i-2"])
+            followed.put_replica("i-1")
+            await asyncio.sleep(4.0)
+            listed = followed.state.fleet.get("i-1")
+            assert listed is not None
+            self.assertTrue(listed.listing.accepting)
+            self.assertFalse(listed.accepting)
+
+        follow(scenario)
+
     def test_standings_that_entries_change_are_logged(self) -> None:
         """Nothing said why replicas were left alone after the entry of another had come late."""
 
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -29,6 +29,8 @@
     stream_head,
 )
 from tests.virtual_loop import VirtualLoop, run_virtually, stand_still
+from winchfork.core.relay_replica import ReplicaListing
+from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.routing import RouteKind
 from winchfork.core.suspect_runs import SuspectRun
 from winchfork.core.tenant_quota import QuotaUnit, TenantLimit
@@ -119,6 +121,21 @@
 
         asleep(scenario)
 
+    def test_a_pause_that_a_replica_asked_for_passes_in_sleep(self) -> None:
+        async def scenario(seconds: float) -> None:
+            relay = RelayUnderTest()
+            listing = ReplicaListing("i-1", "s", "127.0.0.1:1", "z1", 8, True)
+            replica = relay.state.fleet.install(listing)
+            relay.state.note_notice(replica, AnswerNotice(backoff_s=3.0))
+            stand_still(seconds)
+            woken_s = relay.state.clock()
+            self.assertEqual(replica.notice.is_backing_off(woken_s), seconds < 3.0)
+            relay.state.note_notice(replica, AnswerNotice(draining=True))
+            stand_still(seconds)
+            self.assertFalse(replica.accepting)
+
+        asleep(scenario)
+
     def test_a_key_that_may_have_been_revoked_is_not_admitted(self) -> None:
         async def scenario(seconds: float) -> None:
             relay = RelayUnderTest()
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -18,6 +18,7 @@
 )
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_replica import ReplicaListing
+from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.leadership import Leadership
@@ -231,6 +232,41 @@
 
         run_virtually(scenario())
 
+    def test_a_replica_that_wants_rest_is_ordered_after_it_unless_it_is_overdue(self) -> None:
+        """A pause of 3 s ends in time; one of a minute would leave the replica behind for good."""
+
+        async def scenario() -> None:
+            for rest_s, ordered_from_s, ordered_until_s in ((3.0, 3.0, 4.5), (60.0, 6.5, 9.5)):
+                replicas = [FakeReplica(f"i-{number}") for number in range(3)]
+                fleet = Fleet(replicas)
+                await asyncio.sleep(4.0)
+                resting = fleet.state.fleet.get("i-1")
+                assert resting is not None
+                fleet.state.note_notice(resting, AnswerNotice(backoff_s=rest_s))
+                asked_s = fleet.state.clock()
+                fleet.name(2)
+                while replicas[1].next_version == 1:
+                    await asyncio.sleep(0.01)
+                waited_s = fleet.state.clock() - asked_s
+                self.assertGreaterEqual(waited_s, ordered_from_s)
+                self.assertLess(waited_s, ordered_until_s)
+
+        run_virtually(scenario())
+
+    def test_a_replica_that_leaves_by_its_answers_is_not_ordered(self) -> None:
+        async def scenario() -> None:
+            replicas = [FakeReplica(f"i-{number}") for number in range(3)]
+            fleet = Fleet(replicas)
+            await asyncio.sleep(4.0)
+            leaving = fleet.state.fleet.get("i-1")
+            assert leaving is not None
+            fleet.state.note_notice(leaving, AnswerNotice(draining=True))
+            fleet.name(2)
+            await asyncio.sleep(10.0)
+            self.assertEqual([replica.version for replica in replicas], [2, 1, 2])
+
+        run_virtually(scenario())
+
     def test_a_daemon_that_does_not_lead_orders_nothing(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica("i-1")]
