Soak: every other standstill of a router is a suspension of its machine

A stopped process has all its clocks run on; a suspended machine's steady clock stands still. The soak's router now reads a steady clock that is late by as long as it was frozen, while the boot clock counts it. Ruled out: putting the boot clock forward without time passing, which would have a leader tell peers that its last order is older than it is.

--- a/standins/soak/faults/process_faults.py
+++ b/standins/soak/faults/process_faults.py
@@ -26,6 +26,7 @@
         self._scene = scene
         self._random = generator
         self._broken = broken
+        self._standstills = 0
 
     async def kill(self) -> None:
         """SIGKILL, and a start within a second."""
@@ -77,6 +78,11 @@
             with self._scene.disruptions.during(STANDSTILL, router.number):
                 router.pause(True)
                 await asyncio.sleep(for_s)
+                self._standstills += 1
+                # Every other one is a suspension of the machine, drawn without a draw: seeds that
+                # are kept go on to mean the same faults at the same times.
+                if self._standstills % 2:
+                    router.count_suspended(for_s)
                 router.pause(False)
 
     async def _next_order(self, since: ReceivedOrder | None) -> ReceivedOrder | None:
--- a/standins/soak/lossy_router.py
+++ b/standins/soak/lossy_router.py
@@ -1,4 +1,4 @@
-"""A router process whose datagrams to and from other machines can be lost.
+"""A router process whose datagrams can be lost and whose steady clock stands still in suspensions.
 
 ``python -m standins.soak.lossy_router`` runs the router as the platform starts it. A datagram
 between a machine that is cut off and any other is dropped where it is sent.
@@ -14,6 +14,7 @@
 
 import winchfork.early_stop  # noqa: F401 - before the slow imports
 from standins.soak.cut_machines import CUT_MACHINES, CutMachines
+from standins.soak.suspended_clock import SUSPENDED, SuspendedTime, leave_out_suspensions
 from winchfork.platform.__main__ import main
 from winchfork.router.boot_clock import BootClockLoop
 
@@ -70,5 +71,6 @@
 
 
 if __name__ == "__main__":
+    leave_out_suspensions(SuspendedTime(Path(os.environ[SUSPENDED])))
     lose_datagrams(CutMachines(Path(os.environ[CUT_MACHINES])))
     sys.exit(main())
--- a/standins/soak/routers.py
+++ b/standins/soak/routers.py
@@ -12,6 +12,7 @@
 from standins.fault_proxy import FaultProxy
 from standins.fleet import Surroundings, node_id
 from standins.soak.cut_machines import CUT_FILE, CUT_MACHINES
+from standins.soak.suspended_clock import SUSPENDED, SuspendedTime
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
 
@@ -39,6 +40,8 @@
         self._file = folder / f"router-{number}.conf"
         self._log = folder / f"router-{number}.log"
         self._cut_machines = folder / CUT_FILE
+        self._suspended_file = folder / f"suspended-{number}"
+        self._suspended = SuspendedTime(self._suspended_file)
         self._process: asyncio.subprocess.Process | None = None
         self.address = ""
         self.node_id = node_id(zone)
@@ -65,7 +68,12 @@
         tree, self._tree = self._tree, _ROOT
         if tree == _ROOT:
             self.upgraded_s = min(self.upgraded_s, asyncio.get_running_loop().time())
-        files = {"WINCHFORK_BOOT": str(self._file), CUT_MACHINES: str(self._cut_machines)}
+        self._suspended.write(0.0)
+        files = {
+            "WINCHFORK_BOOT": str(self._file),
+            CUT_MACHINES: str(self._cut_machines),
+            SUSPENDED: str(self._suspended_file),
+        }
         environment = {**os.environ, **files}
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -111,3 +119,7 @@
         assert self._process is not None
         if self._process.returncode is None:
             self._process.send_signal(signal.SIGSTOP if paused else signal.SIGCONT)
+
+    def count_suspended(self, seconds: float) -> None:
+        """Let the process, which is frozen, find that its machine was suspended for so long."""
+        self._suspended.write(self._suspended.total_s() + seconds)
