Tell who is turned away by the last replica when the first takes requests again

Besides, the time that a run still takes counted the reading twice: the measured time for each token out holds it. Test first: 0.26 s told before, the soonest end of 2 s now.

--- a/tests/test_replica_notices.py
+++ b/tests/test_replica_notices.py
@@ -251,6 +251,15 @@
         relay.state.note_notice(replica, AnswerNotice(backoff_s=0.5))
         self.assertEqual(replica.notice.backoff_until_s, until_s)
 
+    async def test_who_is_turned_away_by_the_last_is_told_when_the_first_takes_requests(
+        self,
+    ) -> None:
+        """It was told to come back after a quarter of a second, and found all at rest."""
+        relay = await self.relay(turned_away("3"), turned_away("2"), max_attempts=2)
+        answer = await relay.ask()
+        self.assert_not_run(answer)
+        self.assertGreaterEqual(float(answer.headers["retry-after"]), 1.9)
+
     async def test_when_all_rest_for_long_a_request_is_refused_at_once(self) -> None:
         resting = turned_away("9")
         relay = await self.relay(resting, max_attempts=1)
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -111,15 +111,15 @@
 
     def least_run_s(self) -> float:
         """Return how long a run of the request takes at least, as runs have taken lately."""
-        if self._prompt is None:
-            return 0.0
-        read_s = self._prompt.prompt_tokens / self._speed.read_tokens_per_s
-        return read_s + self._prompt.output_tokens * self._state.token_s
+        return self._prompt.output_tokens * self._state.token_s if self._prompt else 0.0
 
     def expected_wait_s(self) -> float | None:
-        """Return how long the best replica of all is expected to take; None without any."""
+        """Return how long the best replica of all is expected to take.
+
+        While none takes requests: when the first will; None if none will.
+        """
         decision = self.place(set())
-        return decision.cost_s if decision is not None else None
+        return decision.cost_s if decision is not None else self.next_opening_s(set())
 
     def family_key(self, version: int | None) -> str | None:
         """Return the name of the prompt's last shared part under a version, as peers tell it."""
