--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -15,8 +15,8 @@
 from winchfork.core.relay_replica import RelayReplica, ReplicaListing, Standing
 from winchfork.core.replica_notice import AnswerNotice, NoticeChange, ReplicaNotice
 
-#: Replicas that have gone of which is remembered what the list may bring back too late: their place
-#: in the order of listing, and what they have said. More than a fleet of 600 that vanishes at once.
+#: Incarnations that are remembered after they have left the list, since it may bring them back: their
+#: place in the order of listing, and what they have said. Several times a fleet of 600 replicas.
 MOST_GONE = 2048
 
 
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -60,13 +60,16 @@
 
     def note(self, notice: AnswerNotice, now_s: float, draw: float = 0.0) -> NoticeChange:
         """Take in what an answer says that was read at ``now_s``; ``draw`` is from 0 to 1."""
-        began = bool(notice.backoff_s) and self._back_off(notice.backoff_s or 0.0, now_s, draw)
+        change = NoticeChange.NOTHING
+        if notice.backoff_s and self._back_off(notice.backoff_s, now_s, draw):
+            change = NoticeChange.BACKOFF
         if notice.draining and not self.draining:
             self.draining = True
-            return NoticeChange.DRAINING
-        return NoticeChange.BACKOFF if began else NoticeChange.NOTHING
+            change = NoticeChange.DRAINING
+        return change
 
     def _back_off(self, backoff_s: float, now_s: float, draw: float) -> bool:
+        """Begin a backoff or make it longer; True if none was under way."""
         was_backing_off = now_s < self.backoff_until_s
         heeded_s = min(backoff_s, MAX_BACKOFF_S)
         until_s = now_s + heeded_s * (1.0 + RETURN_SPREAD_SHARE * draw)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -38,7 +38,7 @@
 )
 from winchfork.router.quota_gate import QuotaCharge
 from winchfork.router.refusals import refusal_answer
-from winchfork.router.repeats import LEAST_TIME_LEFT_S, Repeats
+from winchfork.router.repeats import Repeats
 from winchfork.router.replica_connection import ReplicaConnection
 from winchfork.router.request_admission import AdmittedRequest
 from winchfork.router.request_record import RequestRecord
@@ -159,6 +159,7 @@
 
     async def _find_replica(self) -> RelayDecision | Failure | Stopped:
         """Choose a replica; wait for one that will take work in time, and for no other."""
+        run_s = self._dispatch.least_run_s()
         while True:
             refusal = self._crashes.refusal(self._admitted.digest, self._ran())
             if refusal is not None:
@@ -172,7 +173,7 @@
                 opening_s: float | None = _LOOK_AGAIN_S
             else:
                 opening_s = self._dispatch.next_opening_s(self._tried)
-            if opening_s is None or opening_s > self._time_to_begin_s():
+            if opening_s is None or opening_s > self._repeats.time_to_begin_s(run_s):
                 return self._no_replica(opening_s)
             self._loop.call_later(_LOOK_AGAIN_S, self._inbox.put, TimeLimit(_LOOK_AGAIN))
             item = await self._inbox.get()
@@ -181,10 +182,6 @@
             if isinstance(item, TimeLimit) and item.name == _DEADLINE:
                 return Stopped(StopCause.DEADLINE)
 
-    def _time_to_begin_s(self) -> float:
-        """Return in how many seconds a run has to begin that is to end in time."""
-        return self._repeats.time_left_s - max(LEAST_TIME_LEFT_S, self._dispatch.least_run_s())
-
     def _no_replica(self, opening_s: float | None) -> Failure:
         """Return why nothing is sent, and when one is expected to take work."""
         reason = f"no replica of {self._backend} takes work in time"
--- a/winchfork/router/repeats.py
+++ b/winchfork/router/repeats.py
@@ -43,6 +43,10 @@
         """Seconds until the request's time is up."""
         return self.ends_at_s - self._state.clock()
 
+    def time_to_begin_s(self, run_s: float) -> float:
+        """Return in how many seconds a run has to begin that takes ``run_s`` and ends in time."""
+        return self.time_left_s - max(LEAST_TIME_LEFT_S, run_s)
+
     def are_left(self, most_sends: int) -> bool:
         """Whether sends and time are left, whatever the budget says."""
         return self.record.sends < most_sends and self.time_left_s >= LEAST_TIME_LEFT_S
