--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -15,8 +15,8 @@
 from winchfork.core.relay_replica import RelayReplica, ReplicaListing, Standing
 from winchfork.core.replica_notice import AnswerNotice, NoticeChange, ReplicaNotice
 
-#: Incarnations that are remembered after they have left the list, since it may bring them back: their
-#: place in the order of listing, and what they have said. Several times a fleet of 600 replicas.
+#: Incarnations that are remembered after they have left the list, since it may bring them back:
+#: their place in the order of listing, and what they have said. Several times a fleet of 600.
 MOST_GONE = 2048
 
 
