--- /dev/null
+++ b/winchfork/cli/log_commands.py
@@ -0,0 +1,65 @@
+"""`winchfork explain --log`: a request's life from routers' log files, without a daemon."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Iterator
+from datetime import UTC, datetime
+from pathlib import Path
+
+from winchfork.cli.log_explanation import RequestExplanation, explain_request
+from winchfork.cli.log_reading import LoggedEvent, read_events
+from winchfork.cli.output import EXIT_OK, print_failure, print_json
+from winchfork.errors import Failure, FailureKind
+
+
+def explain_from_logs(arguments: argparse.Namespace) -> int:
+    """Print what the named files tell of a request; a line for each event, and what it comes to."""
+    events: list[LoggedEvent] = []
+    for name in arguments.log:
+        read = _read_file(Path(name))
+        if isinstance(read, Failure):
+            return print_failure(read)
+        events += read
+    explanation = explain_request(events, arguments.request_id)
+    if explanation is None:
+        unknown = FailureKind.NOT_FOUND.because(
+            f"no line of {', '.join(arguments.log)} names request {arguments.request_id}",
+            remedy="name the logs of every daemon of the zone, of the minute of the request",
+        )
+        return print_failure(unknown)
+    if arguments.output == "json":
+        print_json(_as_json(explanation))
+    else:
+        for line in _as_text(explanation):
+            print(line)
+    return EXIT_OK
+
+
+def _read_file(path: Path) -> list[LoggedEvent] | Failure:
+    try:
+        text = path.read_text(errors="replace")
+    except OSError as error:
+        return FailureKind.INVALID_REQUEST.because(
+            f"--log {path} cannot be read: {error.strerror}", remedy="name a readable log file"
+        )
+    return list(read_events(path.stem, text.splitlines()))
+
+
+def _as_text(explanation: RequestExplanation) -> Iterator[str]:
+    for event in explanation.events:
+        fields = " ".join(f"{key}={value}" for key, value in event.fields.items() if key != "level")
+        yield f"{_clock(event.at_s)} {event.source} {event.name} {fields}"
+    yield f"=> {explanation.meaning}"
+
+
+def _as_json(explanation: RequestExplanation) -> dict[str, object]:
+    rows = [
+        {"time": _clock(event.at_s), "source": event.source, "event": event.name, **event.fields}
+        for event in explanation.events
+    ]
+    return {"request": explanation.request_id, "events": rows, "meaning": explanation.meaning}
+
+
+def _clock(at_s: float) -> str:
+    return datetime.fromtimestamp(at_s, UTC).strftime("%H:%M:%S.%f")[:-3]
--- a/winchfork/cli/operator_commands.py
+++ b/winchfork/cli/operator_commands.py
@@ -11,6 +11,7 @@
 
 from google.protobuf import json_format
 
+from winchfork.cli.log_commands import explain_from_logs
 from winchfork.cli.output import EXIT_FAILED, EXIT_OK, print_failure, print_json, print_table
 from winchfork.control import winchfork_pb2 as pb
 from winchfork.control.convert import (
@@ -50,6 +51,12 @@
     _connect(drain, _drain)
     explain = commands.add_parser("explain", help="show every decision about a request")
     explain.add_argument("request_id", help="the X-Request-Id of the answer")
+    explain.add_argument(
+        "--log",
+        action="append",
+        metavar="FILE",
+        help="a router's log, in place of asking a daemon; may be given again",
+    )
     _connect(explain, _explain)
     rollout = commands.add_parser("rollout", help="roll new weights over a pool")
     steps = rollout.add_subparsers(dest="action", required=True, metavar="ACTION")
@@ -215,6 +222,8 @@
 
 
 def _explain(arguments: argparse.Namespace) -> int:
+    if arguments.log:
+        return explain_from_logs(arguments)
     reply = _client(arguments).explain(arguments.request_id)
     if isinstance(reply, Failure):
         return print_failure(reply)
