Heed what a restarted replica says before the list tells of it

What was heard after the new incarnation had started by its own clock, less 0.5 s, is taken over now: a pause with its end, draining as a pause of 15 s.

--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -44,6 +44,7 @@
 
 
 class _GoneReplica(msgspec.Struct, frozen=True):
+    replica_id: str
     recency: int
     notice: ReplicaNotice
 
@@ -99,7 +100,9 @@
         return removed
 
     def _remember(self, removed: RelayReplica) -> None:
-        self._gone[removed.order_hash] = _GoneReplica(removed.recency, removed.notice)
+        self._gone[removed.order_hash] = _GoneReplica(
+            removed.replica_id, removed.recency, removed.notice
+        )
         if len(self._gone) > MOST_GONE:
             del self._gone[next(iter(self._gone))]
 
@@ -114,6 +117,13 @@
             self._settle(StandingCause.DRAINS)
         return change
 
+    def former_notice(self, replica: RelayReplica) -> ReplicaNotice | None:
+        """Return what was heard last as said by an earlier incarnation under a replica's id."""
+        formers = (gone for gone in reversed(self._gone.values()))
+        same_id = (gone for gone in formers if gone.replica_id == replica.replica_id)
+        former = next(same_id, None)
+        return former.notice if former is not None else None
+
     # Who answers at an address
 
     def note_answered(self, replica: RelayReplica) -> None:
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import msgspec
 
@@ -16,6 +17,11 @@
 #: Part of a backoff that is added to it, as drawn: daemons that were turned away together do not
 #: come back together.
 RETURN_SPREAD_SHARE = 0.1
+#: Seconds for which a replica is left alone that may have said, before it was listed, that it
+#: leaves: one that does serves on for some seconds and ends, any other is tried after this time.
+DOUBTED_DRAINING_S = 15.0
+#: Seconds by which the clocks of a replica and of this machine are taken to differ.
+CLOCK_TOLERANCE_S = 0.5
 #: Seconds that the first request after a backoff goes alone: a replica that still wants none turns
 #: it away within a round trip, between regions too.
 TRIAL_S = 0.25
@@ -55,12 +61,16 @@
 
     draining: bool = False
     backoff_until_s: float = 0.0
+    #: When it last said something of itself.
+    heard_s: float = -math.inf
     _returning: bool = False
     _trial_sent_s: float | None = None
 
     def note(self, notice: AnswerNotice, now_s: float, draw: float = 0.0) -> NoticeChange:
         """Take in what an answer says that was read at ``now_s``; ``draw`` is from 0 to 1."""
         change = NoticeChange.NOTHING
+        if notice.draining or notice.backoff_s:
+            self.heard_s = now_s
         if notice.backoff_s and self._back_off(notice.backoff_s, now_s, draw):
             change = NoticeChange.BACKOFF
         if notice.draining and not self.draining:
@@ -78,6 +88,22 @@
         self._trial_sent_s = None
         return not was_backing_off
 
+    def adopt(self, former: ReplicaNotice, started_s: float, now_s: float) -> bool:
+        """Take over what was heard as an earlier incarnation's word and may be this one's own.
+
+        An answer does not tell which incarnation gave it, and one that has started may answer
+        before it is listed. Draining is taken over as a pause: if it was the other's word, it must
+        not cost this one for good. False where all was heard before this one ``started_s``.
+        """
+        if former.heard_s <= started_s - CLOCK_TOLERANCE_S:
+            return False
+        until_s = now_s + DOUBTED_DRAINING_S if former.draining else former.backoff_until_s
+        if until_s <= now_s:
+            return False
+        self.backoff_until_s = max(self.backoff_until_s, until_s)
+        self._returning = True
+        return True
+
     def is_backing_off(self, now_s: float) -> bool:
         """Whether the pause that it asked for lasts."""
         return now_s < self.backoff_until_s
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections import defaultdict
 from collections.abc import Callable
 
@@ -56,6 +57,8 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
+        #: Seconds since 1970, as entries of the store date what they tell.
+        self.wall_clock: Callable[[], float] = time.time
         self.generator = generator
         #: When this process began; what it then finds in the store may have been there for long.
         self.started_at_s = clock()
@@ -189,7 +192,26 @@
         known = self.fleet.get(listing.replica_id)
         if known is not None and _has_loaded(known, listing):
             known.loading_until_s = 0.0
-        self.fleet.install(listing)
+        replica = self.fleet.install(listing)
+        if known is None and listing.born_ms:
+            self._adopt_notice(replica)
+
+    def _adopt_notice(self, replica: RelayReplica) -> None:
+        """Heed what a new incarnation may have said itself before the list told of it."""
+        former = self.fleet.former_notice(replica)
+        if former is None:
+            return
+        now_s = self.clock()
+        age_s = self.wall_clock() - replica.listing.born_ms / 1000.0
+        if replica.notice.adopt(former, now_s - age_s, now_s):
+            log_event(
+                "replica_notice",
+                replica=replica.replica_id,
+                notice="adopted",
+                backoff_s=replica.notice.backoff_until_s - now_s,
+                heard_s_ago=now_s - former.heard_s,
+                started_s_ago=age_s,
+            )
 
     def note_version(self, replica: RelayReplica, model: str, version: int) -> None:
         """Record a replica's weights version; newer weights have emptied its cache."""
