Make the test of a restarted replica's word fail without its mend

It now asks which replicas are open: with the word dropped both of its cases fail (i-0 and i-1 in place of i-1), with the mend both pass.

--- a/tests/test_replica_notices.py
+++ b/tests/test_replica_notices.py
@@ -197,6 +197,8 @@
                 relay = await self.relay(speaker, sound())
                 await self.ask(relay)
                 self.restart(relay, speaker, started_s_ago=1.7)
+                open_now = relay.state.choice.available("s", set())
+                self.assertEqual([replica.replica_id for replica in open_now], ["i-1"])
                 self.assertEqual(await self.ask(relay, 3), [200] * 3)
                 self.assertEqual(len(speaker.seen), 1)
 
