--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -3,164 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import unittest
-from collections.abc import Callable
 
-from tests.memory_store import MemoryStore
 from tests.virtual_loop import run_virtually
-from winchfork.backends.replica_control import (
-    OnNotice,
-    OrderOutcome,
-    ReplicaReport,
-    WeightsOrder,
-    ignore_notice,
-)
+from tests.weights_fleet import LOAD_S, MODEL, PROMPT, FakeReplica, Fleet
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.replica_notice import AnswerNotice
-from winchfork.core.weight_rollout import VersionHistory
-from winchfork.errors import Failure, FailureKind
-from winchfork.router.leadership import Leadership
-from winchfork.router.peer_messages import WeightsNote
-from winchfork.router.peers import PeerGroup
-from winchfork.router.settings import RouterSettings
-from winchfork.router.state import RouterState
-from winchfork.router.version_news import VersionNews
-from winchfork.router.weights_rollout import WeightsRollout
-
-LOAD_S = 0.6
-MODEL = "m"
-PROMPT = Prompt(MODEL, (), 400)
-
-
-class FakeReplica:
-    """Takes orders as the platform's replicas do: sequence, fence, loading, late execution."""
-
-    def __init__(self, replica_id: str) -> None:
-        self.replica_id = replica_id
-        self.version = 1
-        self.sequence = 0
-        self.fence = 0
-        self.loading_until_s = 0.0
-        self.next_version = 1
-        self.lose_next = 0
-        self.late_s = 0.0
-        self.superseded = False
-        self.loads: list[int] = []
-
-    def settle(self, now_s: float) -> None:
-        if self.next_version != self.version and now_s >= self.loading_until_s:
-            self.version = self.next_version
-            self.loads.append(self.version)
-
-    def take(self, order: WeightsOrder, now_s: float) -> OrderOutcome:
-        self.settle(now_s)
-        if self.superseded or order.replica_id != self.replica_id:
-            return OrderOutcome.OTHER_REPLICA
-        if order.fence < self.fence:
-            return OrderOutcome.FENCED
-        if order.expected_sequence != self.sequence or self.next_version != self.version:
-            return OrderOutcome.CONFLICT
-        if order.version == self.version:
-            return OrderOutcome.ALREADY_SO
-        self.fence = order.fence
-        self.sequence += 1
-        self.next_version = order.version
-        self.loading_until_s = now_s + LOAD_S
-        return OrderOutcome.TAKEN
-
-
-class FakeControl:
-    """The port to the fake replicas, by address."""
-
-    def __init__(self, replicas: list[FakeReplica]) -> None:
-        self.replicas = {replica.replica_id: replica for replica in replicas}
-        self.most_loading = 0
-        #: How long a connection takes to come up for an order.
-        self.connect_s = 0.0
-
-    async def report(
-        self, address: str, on_notice: OnNotice = ignore_notice
-    ) -> ReplicaReport | Failure:
-        await asyncio.sleep(0.003)
-        replica = self.replicas[address]
-        replica.settle(asyncio.get_running_loop().time())
-        busy = replica.next_version != replica.version
-        return ReplicaReport(replica.sequence, busy, 0, 0, {MODEL: replica.version})
-
-    async def order(
-        self,
-        address: str,
-        order: WeightsOrder,
-        allowed: Callable[[], bool],
-        on_notice: OnNotice = ignore_notice,
-    ) -> OrderOutcome | Failure:
-        await asyncio.sleep(0.003 + self.connect_s)
-        if not allowed():
-            return FailureKind.NOT_ACCEPTING_WORK.because("no longer allowed")
-        loop = asyncio.get_running_loop()
-        replica = self.replicas[address]
-        if replica.lose_next:
-            replica.lose_next -= 1
-            loop.call_later(replica.late_s, lambda: replica.take(order, loop.time()))
-            return FailureKind.BACKEND_BROKE.because("no answer")
-        outcome = replica.take(order, loop.time())
-        loading = sum(1 for item in self.replicas.values() if item.next_version != item.version)
-        self.most_loading = max(self.most_loading, loading)
-        return outcome
-
-
-class CountingNews(VersionNews):
-    """Keeps what has been told."""
-
-    def __init__(self, state: RouterState, peers: PeerGroup) -> None:
-        super().__init__(state, peers)
-        self.told: list[tuple[WeightsNote, ...]] = []
-
-    def tell_weights(self, fence: int, notes: tuple[WeightsNote, ...]) -> None:
-        self.told.append(notes)
-        super().tell_weights(fence, notes)
-
-
-class Fleet:
-    """A leading daemon before fake replicas."""
-
-    def __init__(self, replicas: list[FakeReplica]) -> None:
-        loop = asyncio.get_running_loop()
-        settings = RouterSettings("n1", "z1", "g", "", "", "", "")
-        self.state = RouterState(settings, loop.time, random.Random(1))
-        self.control = FakeControl(replicas)
-        self.store = MemoryStore()
-        self.leadership = Leadership(self.store, "n1", 3.0, loop.time, random.Random(2), 1.0)
-        self.leadership.note_no_entry(0)
-        self.peers = PeerGroup(self.state, random.Random(3))
-        self.news = CountingNews(self.state, self.peers)
-        self.rollout = WeightsRollout(
-            self.state, self.leadership, self.control, self.peers, self.news
-        )
-        for replica in replicas:
-            self.state.fleet.install(
-                ReplicaListing(
-                    replica.replica_id, "s", replica.replica_id, "z1", 8, True, {MODEL: 1}
-                )
-            )
-        self.state.versions[MODEL] = VersionHistory()
-        self.tasks = [
-            asyncio.create_task(self.leadership.run()),
-            asyncio.create_task(self.rollout.run()),
-        ]
-
-    def name(self, version: int) -> None:
-        self.state.versions[MODEL].note(version, self.state.clock())
 
 
 class RolloutTest(unittest.TestCase):
     def test_all_replicas_are_brought_in_time_a_third_at_once(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(6)]
-            fleet = Fleet(replicas)
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led(replicas)
             fleet.name(2)
             await asyncio.sleep(8.0)
             self.assertEqual({replica.version for replica in replicas}, {2})
@@ -173,8 +29,7 @@
 
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(45)]
-            fleet = Fleet(replicas)
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led(replicas)
             fleet.name(2)
             await asyncio.sleep(8.0)
             self.assertEqual({replica.version for replica in replicas}, {2})
@@ -186,8 +41,7 @@
     def test_a_newer_version_replaces_the_older_in_mid_rollout(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(9)]
-            fleet = Fleet(replicas)
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led(replicas)
             fleet.name(2)
             await asyncio.sleep(1.0)
             fleet.name(3)
@@ -202,8 +56,7 @@
             replicas = [FakeReplica(f"i-{number}") for number in range(3)]
             for replica in replicas:
                 replica.lose_next, replica.late_s = 1, 5.0
-            fleet = Fleet(replicas)
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led(replicas)
             fleet.name(2)
             await asyncio.sleep(2.0)
             fleet.name(3)
@@ -217,8 +70,7 @@
     def test_a_replica_under_order_is_given_no_work(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(3)]
-            fleet = Fleet(replicas)
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led(replicas)
             fleet.name(2)
             for _ in range(800):
                 await asyncio.sleep(0.01)
@@ -238,8 +90,7 @@
         async def scenario() -> None:
             for rest_s, ordered_from_s, ordered_until_s in ((3.0, 3.0, 4.5), (60.0, 6.5, 9.5)):
                 replicas = [FakeReplica(f"i-{number}") for number in range(3)]
-                fleet = Fleet(replicas)
-                await asyncio.sleep(4.0)
+                fleet = await Fleet.led(replicas)
                 resting = fleet.state.fleet.get("i-1")
                 assert resting is not None
                 fleet.state.note_notice(resting, AnswerNotice(backoff_s=rest_s))
@@ -256,8 +107,7 @@
     def test_a_replica_that_leaves_by_its_answers_is_not_ordered(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(3)]
-            fleet = Fleet(replicas)
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led(replicas)
             leaving = fleet.state.fleet.get("i-1")
             assert leaving is not None
             fleet.state.note_notice(leaving, AnswerNotice(draining=True))
@@ -342,8 +192,7 @@
     def test_a_replica_that_has_taken_an_order_stays_held_when_the_store_is_lost(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(3)]
-            fleet = Fleet(replicas)
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led(replicas)
             fleet.name(2)
             while all(replica.next_version == 1 for replica in replicas):
                 await asyncio.sleep(0.01)
@@ -363,8 +212,7 @@
     def test_a_replica_that_returns_with_weights_long_replaced_gets_no_request(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(3)]
-            fleet = Fleet(replicas)
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led(replicas)
             fleet.name(2)
             await asyncio.sleep(9.0)
             fleet.name(3)
@@ -389,8 +237,7 @@
 
         async def scenario() -> None:
             replica = FakeReplica("r0")
-            fleet = Fleet([replica])
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led([replica])
             fleet.name(2)
             while not fleet.news.told:
                 await asyncio.sleep(0.001)
@@ -407,8 +254,7 @@
 
         async def scenario() -> None:
             replica = FakeReplica("r0")
-            fleet = Fleet([replica])
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led([replica])
             fleet.name(2)
             while replica.next_version == 1:
                 await asyncio.sleep(0.01)
@@ -433,8 +279,7 @@
 
         async def scenario() -> None:
             replica = FakeReplica("r0")
-            fleet = Fleet([replica])
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led([replica])
             fleet.name(2)
             while replica.next_version == 1:
                 await asyncio.sleep(0.01)
@@ -456,8 +301,7 @@
 
     def _most_loading(self, named_before_s: float) -> int:
         async def scenario() -> int:
-            fleet = Fleet([FakeReplica(f"i-{number}") for number in range(6)])
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led([FakeReplica(f"i-{number}") for number in range(6)])
             fleet.state.versions[MODEL].note(2, fleet.state.clock() - named_before_s)
             await asyncio.sleep(5.0)
             return fleet.control.most_loading
@@ -501,8 +345,7 @@
 
         async def scenario() -> None:
             living = FakeReplica("i-0")
-            fleet = Fleet([living])
-            await asyncio.sleep(4.0)
+            fleet = await Fleet.led([living])
             late = ReplicaListing("i-late", "s", "i-0", "z1", 8, True, {MODEL: 1})
             fleet.state.fleet.install(late)
             fleet.name(2)
