--- /dev/null
+++ b/tests/test_notice_rules.py
@@ -0,0 +1,122 @@
+"""What counts as a replica's word on itself, and the rules of pauses, in virtual time."""
+
+from __future__ import annotations
+
+import unittest
+
+from winchfork.core.replica_notice import (
+    CLOCK_TOLERANCE_S,
+    DOUBTED_DRAINING_S,
+    MAX_BACKOFF_S,
+    TRIAL_S,
+    AnswerNotice,
+    NoticeChange,
+    ReplicaNotice,
+)
+from winchfork.platform.notices import read_notice
+from winchfork.router.http_types import AnswerHead, Headers
+
+
+class ReadNoticeTest(unittest.TestCase):
+    """What counts as a word of the replica itself."""
+
+    def read(self, status: int, *headers: tuple[str, str], not_run: bool = False) -> AnswerNotice:
+        lines: Headers = [(name.encode(), value.encode()) for name, value in headers]
+        return read_notice(AnswerHead(status, b"", lines, 0), not_run=not_run)
+
+    def backoff_s(self, *values: str, status: int = 503, not_run: bool = False) -> float | None:
+        headers = [("retry-AFTER", value) for value in values]
+        return self.read(status, *headers, not_run=not_run).backoff_s
+
+    def test_a_wait_in_seconds(self) -> None:
+        self.assertEqual(self.backoff_s("3"), 3.0)
+        self.assertEqual(self.backoff_s(" 0.25 "), 0.25)
+        self.assertEqual(self.backoff_s("0"), 0.0)
+        self.assertEqual(self.backoff_s("2", "5", "3"), 5.0)
+        self.assertEqual(self.backoff_s("2", "soon"), 2.0)
+
+    def test_a_wait_that_cannot_be_read_is_none_and_told(self) -> None:
+        for value in ("-1", "nan", "inf", "soon", "", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            with self.subTest(value):
+                notice = self.read(503, ("Retry-After", value))
+                self.assertIsNone(notice.backoff_s)
+                self.assertIn("Retry-After holds", notice.unreadable)
+
+    def test_the_status_says_whose_wait_it_is(self) -> None:
+        for status in (200, 301, 404, 429, 500, 502):
+            self.assertIsNone(self.backoff_s("3", status=status), status)
+        self.assertEqual(self.backoff_s("3", status=429, not_run=True), 3.0)
+
+    def test_only_one_value_says_that_a_replica_leaves(self) -> None:
+        self.assertTrue(self.read(200, ("server-leaving", "1")).draining)
+        for value in ("0", "", "true", "11"):
+            notice = self.read(200, ("Server-Leaving", value))
+            self.assertFalse(notice.draining)
+            self.assertIn("Server-Leaving holds", notice.unreadable)
+        self.assertTrue(self.read(200, ("X-Own", "1"), ("Connection", "close")).is_empty)
+
+
+class ReplicaNoticeTest(unittest.TestCase):
+    """The rules of backoffs and their ends, in virtual time."""
+
+    def test_a_wait_without_measure_is_bounded(self) -> None:
+        notice = ReplicaNotice()
+        notice.note(AnswerNotice(backoff_s=1e12), 10.0)
+        self.assertEqual(notice.backoff_until_s, 10.0 + MAX_BACKOFF_S)
+
+    def test_a_backoff_is_told_once(self) -> None:
+        notice = ReplicaNotice()
+        asked = AnswerNotice(backoff_s=3.0)
+        changes = [notice.note(asked, at_s) for at_s in (10.0, 10.1, 12.9, 16.0)]
+        nothing, backoff = NoticeChange.NOTHING, NoticeChange.BACKOFF
+        self.assertEqual(changes, [backoff, nothing, nothing, backoff])
+
+    def test_a_trial_that_is_not_turned_away_opens_it(self) -> None:
+        notice = ReplicaNotice()
+        notice.note(AnswerNotice(backoff_s=3.0), 10.0)
+        self.assertEqual(notice.opens_in_s(11.0), 2.0)
+        notice.note_sent(13.5)
+        self.assertFalse(notice.takes_requests(13.6))
+        self.assertTrue(notice.takes_requests(13.5 + TRIAL_S))
+        notice.note_answered(13.5, turned_away=False)
+        self.assertTrue(notice.takes_requests(13.6))
+        notice.note_sent(13.6)
+        self.assertTrue(notice.takes_requests(13.6))
+
+    def test_an_answer_to_what_was_sent_before_the_backoff_ended_is_no_trial(self) -> None:
+        notice = ReplicaNotice()
+        notice.note(AnswerNotice(backoff_s=3.0), 10.0)
+        notice.note_answered(9.0, turned_away=False)
+        notice.note_sent(13.5)
+        self.assertFalse(notice.takes_requests(13.6))
+
+    def test_a_trial_that_is_turned_away_is_followed_by_one_more(self) -> None:
+        notice = ReplicaNotice()
+        notice.note(AnswerNotice(backoff_s=3.0), 10.0)
+        notice.note_sent(13.5)
+        notice.note_answered(13.5, turned_away=True)
+        self.assertTrue(notice.takes_requests(13.6))
+        notice.note_sent(13.6)
+        self.assertFalse(notice.takes_requests(13.7))
+
+    def test_draining_is_for_good_whatever_is_said_of_pauses(self) -> None:
+        notice = ReplicaNotice()
+        both = AnswerNotice(draining=True, backoff_s=3.0)
+        self.assertIs(notice.note(both, 10.0), NoticeChange.DRAINING)
+        self.assertFalse(notice.takes_requests(1e9))
+
+    def test_a_doubtful_word_costs_a_successor_seconds_and_not_its_life(self) -> None:
+        former, successor = ReplicaNotice(), ReplicaNotice()
+        former.note(AnswerNotice(draining=True), 10.0)
+        self.assertTrue(successor.adopt(former, started_s=8.0, now_s=12.0))
+        self.assertFalse(successor.draining)
+        self.assertFalse(successor.takes_requests(11.9 + DOUBTED_DRAINING_S))
+        self.assertTrue(successor.takes_requests(12.0 + DOUBTED_DRAINING_S))
+
+    def test_a_successor_takes_over_nothing_said_before_it_started(self) -> None:
+        former = ReplicaNotice()
+        former.note(AnswerNotice(draining=True, backoff_s=600.0), 10.0)
+        successor = ReplicaNotice()
+        self.assertFalse(successor.adopt(former, started_s=10.0 + CLOCK_TOLERANCE_S, now_s=12.0))
+        self.assertTrue(successor.takes_requests(12.0))
+        self.assertFalse(ReplicaNotice().adopt(ReplicaNotice(), started_s=1.0, now_s=12.0))
