--- a/tests/test_replica_notices.py
+++ b/tests/test_replica_notices.py
@@ -194,12 +194,21 @@
                 self.assertEqual(await self.ask(relay, 3), [200] * 3)
                 self.assertEqual(len(speaker.seen), 1)
 
+    async def test_a_word_that_comes_after_the_list_told_of_the_restart(self) -> None:
+        """The request was sent to the former life's address, and the new one answers it."""
+        relay = await self.relay(sound())
+        former = relay.state.fleet.get("i-0")
+        assert former is not None
+        self.restart(relay, ScriptedReplica(), started_s_ago=1.7)
+        relay.state.notices.note(former, AnswerNotice(draining=True))
+        self.assertEqual(relay.state.choice.available("s", set()), [])
+
     def restart(
         self, relay: RelayUnderTest, replica: ScriptedReplica, started_s_ago: float
     ) -> None:
         """List a later incarnation under the id of the first replica."""
         relay.state.fleet.remove("i-0")
-        born_ms = int((relay.state.wall_clock() - started_s_ago) * 1000)
+        born_ms = int((relay.state.notices.wall_clock() - started_s_ago) * 1000)
         listing = ReplicaListing(
             "i-0", "s", replica.address, "z1", 8, True, {"m": 1}, born_ms=born_ms
         )
@@ -272,7 +281,7 @@
         assert replica is not None
         await self.ask(relay)
         until_s = replica.notice.backoff_until_s
-        relay.state.note_notice(replica, AnswerNotice(backoff_s=0.5))
+        relay.state.notices.note(replica, AnswerNotice(backoff_s=0.5))
         self.assertEqual(replica.notice.backoff_until_s, until_s)
 
     async def test_who_is_turned_away_by_the_last_is_told_when_the_first_takes_requests(
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -126,11 +126,11 @@
             relay = RelayUnderTest()
             listing = ReplicaListing("i-1", "s", "127.0.0.1:1", "z1", 8, True)
             replica = relay.state.fleet.install(listing)
-            relay.state.note_notice(replica, AnswerNotice(backoff_s=3.0))
+            relay.state.notices.note(replica, AnswerNotice(backoff_s=3.0))
             stand_still(seconds)
             woken_s = relay.state.clock()
             self.assertEqual(replica.notice.is_backing_off(woken_s), seconds < 3.0)
-            relay.state.note_notice(replica, AnswerNotice(draining=True))
+            relay.state.notices.note(replica, AnswerNotice(draining=True))
             stand_still(seconds)
             self.assertFalse(replica.accepting)
 
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -170,7 +170,7 @@
             ends_s=self._state.clock() + self._expected_run_s(decision),
             expected_s=self._expected_first_s(decision),
             on_read=self._on_read(decision, version),
-            on_notice=functools.partial(self._state.note_notice, replica),
+            on_notice=functools.partial(self._state.notices.note, replica),
         )
 
     def _fields(
--- /dev/null
+++ b/winchfork/router/notice_book.py
@@ -0,0 +1,73 @@
+"""Books what answers say of replicas on the incarnations that gave them, and logs what changes."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.replica_notice import AnswerNotice, NoticeChange
+from winchfork.logs import log_event
+from winchfork.router.line_limit import LineLimit
+
+if TYPE_CHECKING:
+    from winchfork.router.state import RouterState
+
+
+class NoticeBook:
+    """The notices of all replicas, on the beliefs of one process."""
+
+    def __init__(self, state: RouterState) -> None:
+        self._state = state
+        self._unreadable = LineLimit()
+        #: Seconds since 1970, by which replicas date their starts.
+        self.wall_clock: Callable[[], float] = time.time
+
+    def note(self, replica: RelayReplica, notice: AnswerNotice) -> None:
+        """Take in what an answer says of the replica that was asked."""
+        if notice.is_empty:
+            return
+        state = self._state
+        now_s = state.clock()
+        if notice.unreadable and self._unreadable.allows(now_s):
+            log_event(
+                "notice_unreadable",
+                "WARNING",
+                replica=replica.replica_id,
+                reason=notice.unreadable,
+            )
+        change = state.fleet.note_notice(replica, notice, now_s, state.generator.random())
+        if change is not NoticeChange.NOTHING:
+            self._log(replica, notice, change)
+        listed = state.fleet.get(replica.replica_id)
+        if listed is not None and listed is not replica:
+            self.adopt(listed)
+
+    def adopt(self, replica: RelayReplica) -> None:
+        """Heed what a new incarnation may have said itself before the list told of it."""
+        former = self._state.fleet.former_notice(replica)
+        if former is None or not replica.listing.born_ms:
+            return
+        now_s = self._state.clock()
+        age_s = self.wall_clock() - replica.listing.born_ms / 1000.0
+        if replica.notice.adopt(former, now_s - age_s, now_s):
+            log_event(
+                "replica_notice",
+                replica=replica.replica_id,
+                notice="adopted",
+                backoff_s=replica.notice.backoff_until_s - now_s,
+                heard_s_ago=now_s - former.heard_s,
+                started_s_ago=age_s,
+            )
+
+    def _log(self, replica: RelayReplica, notice: AnswerNotice, change: NoticeChange) -> None:
+        self._state.metrics.notices.labels(change.value).inc()
+        log_event(
+            "replica_notice",
+            replica=replica.replica_id,
+            notice=change.value,
+            backoff_s=notice.backoff_s,
+            in_flight=replica.in_flight,
+            listed_as_accepting=replica.listing.accepting,
+        )
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections import defaultdict
 from collections.abc import Callable
 
@@ -18,7 +17,6 @@
 from winchfork.core.region_delay import RegionDelay
 from winchfork.core.relay_fleet import RelayFleet, StandingChange
 from winchfork.core.relay_replica import RelayReplica, ReplicaListing
-from winchfork.core.replica_notice import AnswerNotice, NoticeChange
 from winchfork.core.routing import Route, RoutingTable, SplitChooser
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.store_outage import StoreOutageWatch
@@ -30,6 +28,7 @@
 from winchfork.router.crash_guard import CrashGuard
 from winchfork.router.line_limit import LineLimit
 from winchfork.router.metrics import RouterMetrics
+from winchfork.router.notice_book import NoticeBook
 from winchfork.router.replica_choice import ReplicaChoice
 from winchfork.router.settings import RouterSettings
 from winchfork.router.software_versions import SoftwareVersions
@@ -57,8 +56,6 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        #: Seconds since 1970, as entries of the store date what they tell.
-        self.wall_clock: Callable[[], float] = time.time
         self.generator = generator
         #: When this process began; what it then finds in the store may have been there for long.
         self.started_at_s = clock()
@@ -118,7 +115,7 @@
         self.choice = ReplicaChoice(self)
         self.crashes = CrashGuard(settings.node_id, clock)
         self._refused_documents = LineLimit()
-        self._unreadable_notices = LineLimit()
+        self.notices = NoticeBook(self)
         self.quotas = QuotaBook(bounds.quota, self.life)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
         #: Seconds of a run for each token that its caller allows out, as measured lately.
@@ -193,25 +190,8 @@
         if known is not None and _has_loaded(known, listing):
             known.loading_until_s = 0.0
         replica = self.fleet.install(listing)
-        if known is None and listing.born_ms:
-            self._adopt_notice(replica)
-
-    def _adopt_notice(self, replica: RelayReplica) -> None:
-        """Heed what a new incarnation may have said itself before the list told of it."""
-        former = self.fleet.former_notice(replica)
-        if former is None:
-            return
-        now_s = self.clock()
-        age_s = self.wall_clock() - replica.listing.born_ms / 1000.0
-        if replica.notice.adopt(former, now_s - age_s, now_s):
-            log_event(
-                "replica_notice",
-                replica=replica.replica_id,
-                notice="adopted",
-                backoff_s=replica.notice.backoff_until_s - now_s,
-                heard_s_ago=now_s - former.heard_s,
-                started_s_ago=age_s,
-            )
+        if known is None:
+            self.notices.adopt(replica)
 
     def note_version(self, replica: RelayReplica, model: str, version: int) -> None:
         """Record a replica's weights version; newer weights have emptied its cache."""
@@ -236,31 +216,6 @@
         if self._refused_documents.allows(self.clock()):
             log_event("document_refused", "WARNING", key=key, reason=failure.reason)
 
-    def note_notice(self, replica: RelayReplica, notice: AnswerNotice) -> None:
-        """Take in what an answer says of its replica; log what that changes."""
-        if notice.is_empty:
-            return
-        now_s = self.clock()
-        if notice.unreadable and self._unreadable_notices.allows(now_s):
-            log_event(
-                "notice_unreadable",
-                "WARNING",
-                replica=replica.replica_id,
-                reason=notice.unreadable,
-            )
-        change = self.fleet.note_notice(replica, notice, now_s, self.generator.random())
-        if change is NoticeChange.NOTHING:
-            return
-        self.metrics.notices.labels(change.value).inc()
-        log_event(
-            "replica_notice",
-            replica=replica.replica_id,
-            notice=change.value,
-            backoff_s=notice.backoff_s,
-            in_flight=replica.in_flight,
-            listed_as_accepting=replica.listing.accepting,
-        )
-
     def note_superseded(self, replica: RelayReplica, by: str = "") -> None:
         """Record that another incarnation answers at a replica's address, ``by`` if it said so."""
         self.fleet.note_other_answered(replica, by)
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -212,7 +212,7 @@
             replica.listing.address,
             order,
             self._leadership.may_order,
-            functools.partial(self._state.note_notice, replica),
+            functools.partial(self._state.notices.note, replica),
         )
         log_event(
             "weights_ordered",
@@ -231,7 +231,7 @@
         return outcome in (OrderOutcome.TAKEN, OrderOutcome.ALREADY_SO)
 
     async def _report(self, replica: RelayReplica) -> ReplicaReport | Failure:
-        on_notice = functools.partial(self._state.note_notice, replica)
+        on_notice = functools.partial(self._state.notices.note, replica)
         return await self._control.report(replica.listing.address, on_notice)
 
     async def _was_taken(self, replica: RelayReplica, before: ReplicaReport) -> bool:
