Stand-ins: ports that are named together differ

Cause: a play with 15 routers hung before it began; 14 of 15 peers' sockets and 50 listeners were bound: 7 of stand-ins, 14 times 3 and 1. A router's two ports were drawn one after the other before either was bound, and may be equal once in 12,000; its listeners fail then and it never becomes ready. Ruled out: load, the process was idle.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,7 +16,7 @@
 from standins.rollout_operator import RolloutOperator
 from standins.store_server import StoreServer
 from standins.weights_operator import WeightsOperator
-from winchfork.emulator.free_ports import free_port
+from winchfork.emulator.free_ports import free_port, free_ports
 from winchfork.errors import Failure
 from winchfork.platform.parts import platform_parts
 from winchfork.platform.settings import parse_settings
@@ -156,12 +156,13 @@
     def settings_text(self, number: int, zone: str, store_address: str = "") -> str:
         """Return the settings file of router ``number``, in the platform's form."""
         ip = f"127.0.0.{number}"
+        front_port, readiness_port = free_ports(2, ip)
         lines = [
             f"Node={node_id(zone, number)}",
             f"Ip={ip}",
             f"Zone={zone}",
-            f"ListenAddresses.Front={ip}:{free_port(ip)}",
-            f"ListenAddresses.Readiness={ip}:{free_port(ip)}",
+            f"ListenAddresses.Front={ip}:{front_port}",
+            f"ListenAddresses.Readiness={ip}:{readiness_port}",
             f"InternalPorts={self._peer_port},{self._peer_port}",
             "Seeds=127.0.0.1:1",
             "Contracts=base,rollout",
--- a/winchfork/emulator/free_ports.py
+++ b/winchfork/emulator/free_ports.py
@@ -27,3 +27,15 @@
                 continue
             return port
     raise OSError(f"no free port on {ip} between {FIRST_PORT} and {LAST_PORT}")
+
+
+def free_ports(count: int, ip: str = "127.0.0.1") -> list[int]:
+    """Return different ports of ``ip`` that no listener holds now.
+
+    One that was handed out is free until it is bound: asked twice, :func:`free_port` may hand it
+    out twice.
+    """
+    ports: set[int] = set()
+    while len(ports) < count:
+        ports.add(free_port(ip))
+    return sorted(ports)
