--- a/tests/run.py
+++ b/tests/run.py
@@ -83,6 +83,13 @@
         return [here, *(future.result() for future in apart)]
 
 
+def outcome_of(name: str, bad: list[str]) -> str:
+    """Return what became of a case that is known to fail; commands are run by hand."""
+    if not name.startswith("tests."):
+        return "not run here"
+    return "failed" if name in bad else "passed"
+
+
 def main() -> int:
     """Run the tests; 0 when every test outside KNOWN-RED.txt passed."""
     results = run_all()
@@ -91,7 +98,7 @@
     bad = [name for result in results for name in result.bad]
     red = known_red()
     for name in sorted(red):
-        print(f"known red: {name} ({'failed' if name in bad else 'passed'})")
+        print(f"known red: {name} ({outcome_of(name, bad)})")
     failed = [name for name in bad if name not in red]
     sys.stderr.flush()
     passed = sum(result.passed for result in results)
