Read a replica's words by one function; look for a former life only where there may be one

read_notice took what its two callers had each found out, whether the answer proves that nothing ran, and notice_of was there to find it once more; it needs that for a 429 alone, and now looks itself.

--- a/tests/test_notice_rules.py
+++ b/tests/test_notice_rules.py
@@ -22,7 +22,9 @@
 
     def read(self, status: int, *headers: tuple[str, str], not_run: bool = False) -> AnswerNotice:
         lines: Headers = [(name.encode(), value.encode()) for name, value in headers]
-        return read_notice(AnswerHead(status, b"", lines, 0), not_run=not_run)
+        if not_run:
+            lines.append((b"X-Not-Executed", b"1"))
+        return read_notice(AnswerHead(status, b"", lines, 0))
 
     def backoff_s(self, *values: str, status: int = 503, not_run: bool = False) -> float | None:
         headers = [("retry-AFTER", value) for value in values]
--- a/winchfork/platform/headers.py
+++ b/winchfork/platform/headers.py
@@ -58,15 +58,14 @@
         """Read a replica's headers."""
         found = _by_name(head.headers)
         version = found.get(names.WEIGHT_VERSIONS.lower(), "")
-        not_run = names.NOT_EXECUTED.lower() in found
         return AnswerFields(
             request_id=found.get(names.REQUEST_ID.lower()),
             authentic=names.SIGNATURE.lower() in found,
-            not_run=not_run,
+            not_run=names.NOT_EXECUTED.lower() in found,
             misdirected=head.status == names.STATUS_MISDIRECTED,
             weights_version=int(version) if version.isdigit() else None,
             replica_id=found.get(names.INSTANCE_ID.lower()),
-            notice=read_notice(head, not_run=not_run),
+            notice=read_notice(head),
         )
 
 
--- a/winchfork/platform/notices.py
+++ b/winchfork/platform/notices.py
@@ -10,6 +10,7 @@
 
 _LEAVING = names.SERVER_LEAVING.lower()
 _RETRY_AFTER = names.RETRY_AFTER.lower()
+_NOT_EXECUTED = names.NOT_EXECUTED.lower()
 #: The one value that says that a replica leaves.
 _IS_LEAVING = b"1"
 _STATUS_UNAVAILABLE = 503
@@ -18,17 +19,17 @@
 _MOST_SHOWN = 40
 
 
-def read_notice(head: AnswerHead, *, not_run: bool) -> AnswerNotice:
+def read_notice(head: AnswerHead) -> AnswerNotice:
     """Return what an answer says of its replica.
 
-    The wait of a 503 is the replica's own. That of a 429 is too if the request was turned away
-    unread (``not_run``); otherwise it is the application's word to the caller. Of several waits the
-    longest counts. On other answers the header means something else.
+    The wait of a 503 is the replica's own. That of a 429 is too if it proves that the request did
+    not run; otherwise it is the application's word to the caller. Of several waits the longest
+    counts. On other answers the header means something else.
     """
     draining = False
     backoff_s: float | None = None
     unreadable: list[str] = []
-    waits = head.status == _STATUS_UNAVAILABLE or (head.status == _STATUS_TOO_MANY and not_run)
+    waits = _is_own_wait(head)
     for name, value in head.headers:
         lowered = name.lower()
         if lowered == _LEAVING:
@@ -46,10 +47,11 @@
     return AnswerNotice(draining, backoff_s, ", ".join(unreadable))
 
 
-def notice_of(head: AnswerHead) -> AnswerNotice:
-    """Return what the answer to a call of the router's own says of its replica."""
-    not_run = find_header(head.headers, names.NOT_EXECUTED.lower()) is not None
-    return read_notice(head, not_run=not_run)
+def _is_own_wait(head: AnswerHead) -> bool:
+    """Whether a wait in this answer is the replica's word on itself."""
+    if head.status == _STATUS_TOO_MANY:
+        return find_header(head.headers, _NOT_EXECUTED) is not None
+    return head.status == _STATUS_UNAVAILABLE
 
 
 def _seconds(value: bytes) -> float | None:
--- a/winchfork/platform/replicas.py
+++ b/winchfork/platform/replicas.py
@@ -15,7 +15,7 @@
 )
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
-from winchfork.platform.notices import notice_of
+from winchfork.platform.notices import read_notice
 from winchfork.router.http_call import HttpCaller
 
 #: Time limits of the calls, in seconds.
@@ -61,7 +61,7 @@
             None,
             REPORT_TIMEOUT_S,
             label="report",
-            on_head=lambda head: on_notice(notice_of(head)),
+            on_head=lambda head: on_notice(read_notice(head)),
         )
         if isinstance(reply, Failure):
             return reply
@@ -102,7 +102,7 @@
             label="order",
             headers=[(names.EXPECTED_INSTANCE, order.replica_id.encode())],
             allowed=allowed,
-            on_head=lambda head: on_notice(notice_of(head)),
+            on_head=lambda head: on_notice(read_notice(head)),
         )
         if isinstance(reply, Failure):
             return reply
--- a/winchfork/router/notice_book.py
+++ b/winchfork/router/notice_book.py
@@ -46,8 +46,10 @@
 
     def adopt(self, replica: RelayReplica) -> None:
         """Heed what a new incarnation may have said itself before the list told of it."""
+        if not replica.listing.born_ms:
+            return
         former = self._state.fleet.former_notice(replica)
-        if former is None or not replica.listing.born_ms:
+        if former is None:
             return
         now_s = self._state.clock()
         age_s = self.wall_clock() - replica.listing.born_ms / 1000.0
