Stand-ins: one allowance of repeats for tests and benchmarks

The figures and the loop that gives them to the routers of a deployment stood in test_platform_whole and were written again in test_notices_whole and benchmarks/replica_notices; LoopbackDeployment.allow_repeats serves all three.

--- a/benchmarks/replica_notices.py
+++ b/benchmarks/replica_notices.py
@@ -23,7 +23,6 @@
 from standins.fleet import KEY, MODEL, LoopbackDeployment
 from standins.notice_promises import Sender, reached_in_rest, sent_to_leaving
 from standins.replica_server import ReplicaServer
-from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.logs import configure_logs
 
 SECONDS = 20.0
@@ -37,7 +36,6 @@
 HEEDED_SHARE = 1.0 / 3.0
 #: An answer within this time of its first try is in time.
 OBJECTIVE_S = 0.6
-REPEATS = RetryAllowance(ratio=0.2, slack=56.0, window_s=10.0)
 
 
 class Play(msgspec.Struct, frozen=True):
@@ -82,9 +80,7 @@
         """Play and return a line of figures."""
         await self._deployment.start()
         await asyncio.wait_for(self._deployment.wait_until_ready(), START_S)
-        for router in self._deployment.routers:
-            started_s = router.state.clock() - REPEATS.window_s
-            router.state.budget = SlidingRetryBudget(REPEATS, started_s)
+        self._deployment.allow_repeats()
         await asyncio.gather(self._send(), self._speak())
         line = self._line()
         await self._deployment.stop()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,6 +16,7 @@
 from standins.rollout_operator import RolloutOperator
 from standins.store_server import StoreServer
 from standins.weights_operator import WeightsOperator
+from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.emulator.free_ports import free_port, free_ports
 from winchfork.errors import Failure
 from winchfork.platform.parts import platform_parts
@@ -26,6 +27,8 @@
 MODEL = "himal-70b"
 KEY = "school-key-1"
 ZONES = ("thamel", "patan", "bhaktapur")
+#: Repeats that deployments allow their routers; the stand-ins' settings allow none.
+REPEATS = RetryAllowance(ratio=0.2, slack=56.0, window_s=10.0)
 _CONFIGURATION = {
     "Version": 1,
     "Routes": [
@@ -205,6 +208,12 @@
         while not all(router.state.ready and len(router.state.fleet) for router in self.routers):
             await asyncio.sleep(0.02)
 
+    def allow_repeats(self) -> None:
+        """Let the routers repeat requests, as those do that have run for a whole window."""
+        for router in self.routers:
+            started_s = router.state.clock() - REPEATS.window_s
+            router.state.budget = SlidingRetryBudget(REPEATS, started_s)
+
     def lose_leader(self) -> RouterSettings | None:
         """Stop the duties of the router that leads, without a word; return its settings."""
         for router, settings in zip(self.routers, self.settings, strict=True):
--- a/tests/test_notices_whole.py
+++ b/tests/test_notices_whole.py
@@ -13,15 +13,12 @@
 from standins.fleet import KEY, MODEL, LoopbackDeployment
 from standins.notice_promises import LEAVING_BOUND_S, Sender, judge_notices, reached_in_rest
 from tests.relay_support import CallerAnswer, read_answer
-from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 
 _PATIENCE_S = 25.0
 SEED = 21
 FAMILIES = 23
 STREAMS_PER_S = 25
 REST_S = 3.0
-#: Repeats that deployments allow their routers; the stand-ins' settings allow none.
-REPEATS = RetryAllowance(ratio=0.2, slack=56.0, window_s=10.0)
 
 
 def stream_request(number: int, family: int) -> bytes:
@@ -40,9 +37,7 @@
         await self.deployment.start()
         self.addAsyncCleanup(self.deployment.stop)
         await asyncio.wait_for(self.deployment.wait_until_ready(), _PATIENCE_S)
-        for router in self.deployment.routers:
-            started_s = router.state.clock() - REPEATS.window_s
-            router.state.budget = SlidingRetryBudget(REPEATS, started_s)
+        self.deployment.allow_repeats()
         self.random = random.Random(SEED)
         self.senders: dict[str, Sender] = {}
         self.statuses: list[int] = []
--- a/tests/test_platform_whole.py
+++ b/tests/test_platform_whole.py
@@ -9,14 +9,11 @@
 from standins.fleet import KEY, MODEL, LoopbackDeployment
 from standins.replica_server import ReplicaServer
 from tests.relay_support import CallerAnswer, read_answer
-from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.router.settings import RouterSettings
 
 _PATIENCE_S = 25.0
 #: Seconds that operators give a rollout of software.
 ROLLOUT_S = 9.0
-#: Repeats that deployments allow their routers; the stand-ins' settings allow none.
-REPEATS = RetryAllowance(ratio=0.2, slack=56.0, window_s=10.0)
 _HEAD = (
     "POST {path} HTTP/1.1\r\nHost: proofs.example\r\nX-Request-Id: {request_id}\r\n"
     "X-Key: {key}\r\nX-Deadline-Ms: 6000\r\n{extra}Content-Length: 4\r\n\r\nbody"
@@ -69,7 +66,7 @@
         self.assertEqual(sorted(ran), ["command-0", "command-1", "command-2"])
 
     async def test_a_torn_stream_goes_on_at_another_replica(self) -> None:
-        self._give_slack()
+        self.deployment.allow_repeats()
         for replica in self.deployment.models:
             replica.tear_at_event = 5
         answer = await _ask(self.deployment.settings[0], _request("torn", tokens_out=9))
@@ -95,12 +92,6 @@
         self.assertEqual(_numbers(answer), [1, 2, 3, 4])
         self.assertEqual(len(self._that_ran("torn")), 1)
 
-    def _give_slack(self) -> None:
-        """Let the routers repeat requests, as those do that have run for a whole window."""
-        for router in self.deployment.routers:
-            started_s = router.state.clock() - REPEATS.window_s
-            router.state.budget = SlidingRetryBudget(REPEATS, started_s)
-
     async def _tear_where_it_runs_next(self, number: int) -> ReplicaServer:
         """Find the replica that a stream is sent to, and have it tear the next one."""
         name = f"before-{number}"
