Sight: log the limits that replicas name, and words on themselves that nobody knows

No line told who had an answer with a limit, when, and what it held. Counters beside them. An answer ends a limit only if its request was sent after the last answer that named one, and only with the replica's signature. Nothing heeds the limit yet.

--- /dev/null
+++ b/tests/test_request_limit.py
@@ -0,0 +1,109 @@
+"""What counts as the limit that a replica names, and when it begins, changes and ends."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.relay_case import RelayTestCase
+from tests.relay_support import ScriptedReplica, answering, signed
+from winchfork.core.replica_notice import AnswerNotice
+from winchfork.core.request_limit import LimitChange, RequestLimit
+from winchfork.platform.notices import read_notice
+from winchfork.router.http_types import AnswerHead
+
+
+def read(*values: str, name: str = "Server-Limit") -> AnswerNotice:
+    """Return what an answer with these values of a header says."""
+    headers = [(name.encode(), value.encode()) for value in values]
+    return read_notice(AnswerHead(200, b"OK", headers, 0))
+
+
+class ReadLimitTest(unittest.TestCase):
+    def test_decimal_numbers_are_limits(self) -> None:
+        for value, per_s in (("3", 3.0), ("0.5", 0.5), (" 3 ", 3.0), ("3.0", 3.0), ("0", 0.0)):
+            notice = read(value)
+            self.assertEqual((notice.limit_per_s, notice.names_limit), (per_s, True), value)
+            self.assertFalse(notice.unreadable)
+        self.assertEqual(read("3", name="sERVER-lIMIT").limit_per_s, 3.0)
+
+    def test_of_several_the_least_holds(self) -> None:
+        for values in (("3", "5"), ("5", "3"), ("3, 5",), ("5,3",)):
+            self.assertEqual(read(*values).limit_per_s, 3.0, values)
+
+    def test_anything_else_names_a_limit_that_cannot_be_read(self) -> None:
+        for value in ("-1", "+3", "nan", "inf", "1e12", "9" * 400, "three", "", "3 5"):
+            with self.subTest(value):
+                notice = read(value)
+                self.assertIsNone(notice.limit_per_s)
+                self.assertTrue(notice.names_limit)
+                self.assertIn("Server-Limit holds", notice.unreadable)
+        self.assertEqual(read("many, 4").limit_per_s, 4.0)
+
+    def test_no_header_names_none(self) -> None:
+        self.assertFalse(read("3", name="X-Limit").names_limit)
+
+    def test_a_word_that_is_not_known_is_told_by_name(self) -> None:
+        self.assertEqual(read("1", name="Server-Mood").unknown, ("server-mood",))
+        for name in ("Server-Leaving", "Server-Limit", "Server-Timing", "Server", "X-Server-Id"):
+            self.assertEqual(read("1", name=name).unknown, (), name)
+
+
+class RequestLimitTest(unittest.TestCase):
+    def test_it_begins_changes_and_ends(self) -> None:
+        limit = RequestLimit()
+        self.assertIs(limit.name(3.0, heard_s=10.0), LimitChange.BEGUN)
+        self.assertIs(limit.name(3.0, heard_s=11.0), LimitChange.NOTHING)
+        self.assertIs(limit.name(1.0, heard_s=12.0), LimitChange.CHANGED)
+        self.assertIs(limit.end(sent_s=12.5, heard_s=13.0), LimitChange.ENDED)
+        self.assertIs(limit.end(sent_s=13.5, heard_s=14.0), LimitChange.NOTHING)
+        self.assertIsNone(limit.per_s)
+
+    def test_an_answer_that_was_asked_for_before_the_word_ends_nothing(self) -> None:
+        limit = RequestLimit()
+        limit.name(3.0, heard_s=10.0)
+        self.assertIs(limit.end(sent_s=9.9, heard_s=12.0), LimitChange.NOTHING)
+        self.assertEqual(limit.per_s, 3.0)
+
+
+class HeardLimitTest(RelayTestCase):
+    async def test_which_answers_begin_keep_and_end_it(self) -> None:
+        answers = {
+            "Server-Limit: 2\r\n": 2.0,
+            "Server-Limit: many\r\n": 2.0,
+            "Server-Limit: 0.5\r\n": 0.5,
+            "": None,
+        }
+        scripts = [
+            answering(lambda r, extra=extra: signed(r, b"ok", extra=extra))  # type: ignore[misc]
+            for extra in answers
+        ]
+        relay = await self.relay(ScriptedReplica(*scripts))
+        replica = relay.state.fleet.get("i-0")
+        assert replica is not None
+        for number, (extra, per_s) in enumerate(answers.items()):
+            self.assertEqual((await relay.ask(f"id-{number}")).status, 200)
+            self.assertEqual(replica.notice.limit.per_s, per_s, extra)
+
+    async def test_an_answer_without_proof_of_origin_ends_nothing(self) -> None:
+        named = answering(lambda r: signed(r, b"ok", extra="Server-Limit: 2\r\n"))
+        refused = answering(
+            lambda r: (
+                b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\nX-Request-Id: "
+                + r.headers["x-request-id"].encode()
+                + b"\r\n\r\n"
+            )
+        )
+        relay = await self.relay(ScriptedReplica(named, refused))
+        replica = relay.state.fleet.get("i-0")
+        assert replica is not None
+        await relay.ask("id-0")
+
+        await relay.ask("id-1")
+        self.assertEqual(replica.notice.limit.per_s, 2.0)
+
+    async def test_an_unknown_word_is_counted_by_name(self) -> None:
+        spoken = answering(lambda r: signed(r, b"ok", extra="Server-Mood: bad\r\n"))
+        relay = await self.relay(ScriptedReplica(spoken))
+        for number in range(3):
+            await relay.ask(f"id-{number}")
+        self.assertEqual(relay.state.metrics.unknown_words.labels("server-mood").value, 3)
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from winchfork.core.request_limit import RequestLimit
+
 #: The longest backoff that is heeded, in seconds. A replica that asks for more is tried once in
 #: this time, so that a value written wrongly does not cost it for good.
 MAX_BACKOFF_S = 600.0
@@ -31,17 +33,23 @@
     """What one answer says of the replica that gave it.
 
     ``backoff_s`` are the seconds for which it wants no requests; None: it asks for nothing.
-    ``unreadable`` says which words could not be read; empty where all could.
+    ``unreadable`` says which words could not be read; empty where all could. ``limit_per_s`` is how
+    many requests a second it takes from all daemons together; None with ``names_limit``: it names
+    a limit that could not be read. ``unknown`` are names of words that this build does not know.
     """
 
     draining: bool = False
     backoff_s: float | None = None
     unreadable: str = ""
+    limit_per_s: float | None = None
+    names_limit: bool = False
+    unknown: tuple[str, ...] = ()
 
     @property
     def is_empty(self) -> bool:
         """Whether the answer says nothing of its replica."""
-        return not self.draining and self.backoff_s is None and not self.unreadable
+        asks = self.draining or self.names_limit or self.backoff_s is not None
+        return not (asks or self.unreadable or self.unknown)
 
 
 class NoticeChange(enum.Enum):
@@ -63,6 +71,8 @@
     backoff_until_s: float = 0.0
     #: When it last said something of itself.
     heard_s: float = -math.inf
+    #: How many requests a second it takes from all daemons together.
+    limit: RequestLimit = msgspec.field(default_factory=RequestLimit)
     _returning: bool = False
     _trial_sent_s: float | None = None
 
--- a/winchfork/platform/names.py
+++ b/winchfork/platform/names.py
@@ -13,6 +13,7 @@
 NOT_EXECUTED: Final = b"X-Not-Executed"
 INSTANCE_ID: Final = b"X-Instance-Id"
 SERVER_LEAVING: Final = b"Server-Leaving"
+SERVER_LIMIT: Final = b"Server-Limit"
 EXPECTED_INSTANCE: Final = b"X-Expected-Instance"
 EXPECTED_VERSION: Final = b"X-Expected-Version"
 WEIGHT_VERSIONS: Final = b"X-Weight-Versions"
@@ -76,6 +77,7 @@
     WEIGHT_VERSIONS: HeaderOwner.ANSWER,
     RETRY_AFTER: HeaderOwner.ANSWER,
     SERVER_LEAVING: HeaderOwner.ANSWER,
+    SERVER_LIMIT: HeaderOwner.ANSWER,
     WAIT_MS: HeaderOwner.OTHER_CALL,
 }
 
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -58,8 +58,9 @@
     ends_s: float
     expected_s: float = 1.0
     on_read: Callable[[], None] = lambda: None
-    #: Told what the head of each answer on the connection says of the replica, as it is read.
-    on_notice: Callable[[AnswerNotice], None] = lambda notice: None
+    #: Told what the head of each answer on the connection says of the replica, as it is read, and
+    #: whether the replica's own program answers this request with it.
+    on_notice: Callable[[AnswerNotice, bool], None] = lambda notice, is_answer: None
     on_events: Callable[[], None] = lambda: None
 
 
@@ -151,8 +152,9 @@
         return None
 
     def _read_head(self, head: AnswerHead) -> None:
-        self._last_read = self._dialect.read_answer(head)
-        self.plan.on_notice(self._last_read.notice)
+        fields = self._last_read = self._dialect.read_answer(head)
+        is_answer = fields.authentic and fields.request_id == self.plan.request_id
+        self.plan.on_notice(fields.notice, is_answer)
 
     def _is_own(self, head: AnswerHead) -> bool:
         fields = self._last_read
--- a/winchfork/router/dispatch.py
+++ b/winchfork/router/dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 from collections.abc import Callable, Sequence
 
 from winchfork.core.engine_speed import PRIOR_FIRST_TOKEN_S, EngineSpeed
@@ -13,6 +12,7 @@
 from winchfork.core.relay_placement import place_prompt
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import member_hash
+from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.task_placement import TaskPlacement, place_task
 from winchfork.core.urgency import urgency_level
 from winchfork.router.attempt import AttemptPlan
@@ -170,9 +170,18 @@
             ends_s=self._state.clock() + self._expected_run_s(decision),
             expected_s=self._expected_first_s(decision),
             on_read=self._on_read(decision, version),
-            on_notice=functools.partial(self._state.notices.note, replica),
+            on_notice=self._on_notice(replica),
         )
 
+    def _on_notice(self, replica: RelayReplica) -> Callable[[AnswerNotice, bool], None]:
+        """Return what is done with what answers say of a replica that is sent the request now."""
+        sent_s = self._state.clock()
+
+        def note(notice: AnswerNotice, is_answer: bool) -> None:
+            self._state.notices.note(replica, notice, sent_s if is_answer else None)
+
+        return note
+
     def _fields(
         self,
         decision: RelayDecision,
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -146,9 +146,15 @@
         self.notices = Labelled(
             CounterChild,
             "winchfork_notices",
-            "Replicas that said in an answer that they drain, or began a backoff.",
+            "Replicas that said in an answer that they drain, began a backoff, or named a limit.",
             "notice",
         )
+        self.unknown_words = Labelled(
+            CounterChild,
+            "winchfork_unknown_notices",
+            "Answers with a word of a replica on itself that this build does not know, by header.",
+            "header",
+        )
         #: Share of each service's requests that a new version of its software may get now.
         self.software_shares: Callable[[], Mapping[str, float]] = dict
         #: Units that each tenant may use now, read when the page is asked for.
@@ -177,7 +183,13 @@
 
         for counter in (self.bad_datagrams, self.datagrams_refused, self.documents_refused):
             yield CounterMetricFamily(counter.name, counter.description, value=counter.value)
-        counters = (self.requests, self.calls, self.updates_relayed, self.notices)
+        counters = (
+            self.requests,
+            self.calls,
+            self.updates_relayed,
+            self.notices,
+            self.unknown_words,
+        )
         sent = (self.sent_by_software, self.sent_by_region)
         for labelled in (*counters, *sent, self.quota_used, self.quota_refused):
             counts = CounterMetricFamily(
--- a/winchfork/router/notice_book.py
+++ b/winchfork/router/notice_book.py
@@ -8,6 +8,7 @@
 
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.replica_notice import AnswerNotice, NoticeChange
+from winchfork.core.request_limit import LimitChange
 from winchfork.logs import log_event
 from winchfork.router.line_limit import LineLimit
 
@@ -15,17 +16,31 @@
     from winchfork.router.state import RouterState
 
 
+#: Unknown words of replicas that are counted and logged by name; more are not told apart.
+MOST_UNKNOWN_WORDS = 16
+
+
 class NoticeBook:
     """The notices of all replicas, on the beliefs of one process."""
 
     def __init__(self, state: RouterState) -> None:
         self._state = state
         self._unreadable = LineLimit()
+        self._limit_lines = LineLimit()
         #: Seconds since 1970, by which replicas date their starts.
         self.wall_clock: Callable[[], float] = time.time
 
-    def note(self, replica: RelayReplica, notice: AnswerNotice) -> None:
-        """Take in what an answer says of the replica that was asked."""
+    def note(
+        self, replica: RelayReplica, notice: AnswerNotice, answers_sent_s: float | None = None
+    ) -> None:
+        """Take in what an answer says of the replica that was asked.
+
+        ``answers_sent_s`` is when the request was sent that it answers, if a replica's own program
+        answers a request: only these name no limit where there is none.
+        """
+        limit = replica.notice.limit
+        if not notice.names_limit and answers_sent_s is not None and limit.per_s is not None:
+            self._note_limit_end(replica, answers_sent_s)
         if notice.is_empty:
             return
         state = self._state
@@ -37,6 +52,10 @@
                 replica=replica.replica_id,
                 reason=notice.unreadable,
             )
+        if notice.limit_per_s is not None:
+            self._note_limit(replica, notice.limit_per_s)
+        for name in notice.unknown:
+            self._note_unknown(replica, name)
         change = state.fleet.note_notice(replica, notice, now_s, state.generator.random())
         if change is not NoticeChange.NOTHING:
             self._log(replica, notice, change)
@@ -63,6 +82,42 @@
                 started_s_ago=age_s,
             )
 
+    def _note_limit(self, replica: RelayReplica, per_s: float) -> None:
+        was_per_s = replica.notice.limit.per_s
+        change = replica.notice.limit.name(per_s, self._state.clock())
+        self._log_limit(replica, change, was_per_s)
+
+    def _note_limit_end(self, replica: RelayReplica, sent_s: float) -> None:
+        was_per_s = replica.notice.limit.per_s
+        change = replica.notice.limit.end(sent_s, self._state.clock())
+        self._log_limit(replica, change, was_per_s)
+
+    def _log_limit(
+        self, replica: RelayReplica, change: LimitChange, was_per_s: float | None
+    ) -> None:
+        if change is LimitChange.NOTHING:
+            return
+        self._state.metrics.notices.labels(f"limit_{change.value}").inc()
+        if self._limit_lines.allows(self._state.clock()):
+            log_event(
+                "replica_limit",
+                replica=replica.replica_id,
+                change=change.value,
+                per_s=replica.notice.limit.per_s,
+                was_per_s=was_per_s,
+                in_flight=replica.in_flight,
+            )
+
+    def _note_unknown(self, replica: RelayReplica, name: str) -> None:
+        """Count a word that this build does not know, and log its name once."""
+        counts = self._state.metrics.unknown_words
+        is_new = name not in counts.children
+        if is_new and len(counts.children) >= MOST_UNKNOWN_WORDS:
+            return
+        counts.labels(name).inc()
+        if is_new:
+            log_event("notice_unknown", "WARNING", replica=replica.replica_id, header=name)
+
     def _log(self, replica: RelayReplica, notice: AnswerNotice, change: NoticeChange) -> None:
         self._state.metrics.notices.labels(change.value).inc()
         log_event(
