Failing tests: replicas that name a limit get as many requests as before

What callers of a replica saw on the record: 13 requests a second before it named 2.5, and 13 after. On the stand-ins two replicas that name 2 a second get 38 and 34 in 4 s where 17 are allowed; a router sends one that names 2 a second seven of seven.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -26,6 +26,8 @@
 
 MODEL = "himal-70b"
 KEY = "school-key-1"
+#: The key of a tenant whose requests come before those of the route's own priority.
+URGENT_KEY = "press-key-1"
 ZONES = ("thamel", "patan", "bhaktapur")
 #: Repeats that deployments allow their routers; the stand-ins' settings allow none.
 REPEATS = RetryAllowance(ratio=0.2, slack=56.0, window_s=10.0)
@@ -78,7 +80,10 @@
         "HeaderTimeoutMs": 3000,
         "IdleTimeoutMs": 15000,
     },
-    "Tenants": [{"Name": "school", "ApiKeys": [KEY]}],
+    "Tenants": [
+        {"Name": "school", "ApiKeys": [KEY]},
+        {"Name": "press", "ApiKeys": [URGENT_KEY], "Priority": 0},
+    ],
 }
 
 
--- a/standins/notice_promises.py
+++ b/standins/notice_promises.py
@@ -25,7 +25,8 @@
         ...
 
 
-def _never(router: int, from_s: float, until_s: float) -> bool:
+def never_excused(router: int, from_s: float, until_s: float) -> bool:
+    """Excuse nothing."""
     return False
 
 
@@ -38,7 +39,7 @@
 
 
 def sent_to_leaving(
-    notices: SpokenNotices, senders: Mapping[str, Sender], excused: IsExcused = _never
+    notices: SpokenNotices, senders: Mapping[str, Sender], excused: IsExcused = never_excused
 ) -> list[str]:
     """Return the requests sent to a router long after it had heard that the replica leaves."""
     heard: dict[int, list[float]] = {}
@@ -59,7 +60,7 @@
 
 
 def reached_in_rest(
-    notices: SpokenNotices, senders: Mapping[str, Sender], excused: IsExcused = _never
+    notices: SpokenNotices, senders: Mapping[str, Sender], excused: IsExcused = never_excused
 ) -> Counter[str]:
     """Return, by the request that was turned away, how many of its router came within the rest."""
     counts: Counter[str] = Counter()
@@ -77,7 +78,7 @@
 def judge_notices(
     replicas: Iterable[tuple[str, SpokenNotices]],
     senders: Mapping[str, Sender],
-    excused: IsExcused = _never,
+    excused: IsExcused = never_excused,
 ) -> list[str]:
     """Return a line for each replica that was not left alone as it had asked."""
     broken = []
--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -282,7 +282,7 @@
         return {
             "X-Request-Id": request.headers["x-request-id"],
             "X-Server-Signature": f"signed.{self.replica_id}",
-        } | self.notices.headers()
+        } | self.notices.headers(request)
 
     async def _stream(
         self, request: Request, writer: asyncio.StreamWriter, arrived_s: float
--- a/standins/spoken_notices.py
+++ b/standins/spoken_notices.py
@@ -25,6 +25,14 @@
     until_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class NamedLimit:
+    """A limit in requests a second, named since then; None: none is named since then."""
+
+    per_s: float | None
+    since_s: float
+
+
 class SpokenNotices:
     """The words of one replica, put into its answers, and a record of who had them and who came."""
 
@@ -39,14 +47,33 @@
         #: Answers that said that the replica leaves, as arrivals of their requests.
         self.left: list[Arrival] = []
         self.backoffs: list[Backoff] = []
+        #: The limits that were named, in order.
+        self.limits: list[NamedLimit] = []
+        #: Answers that named a limit, at the time of their heads.
+        self.limited: list[Arrival] = []
 
-    def headers(self) -> dict[str, str]:
-        """Return what every answer carries now."""
-        return {"Server-Leaving": "1"} if self.leaving else {}
+    def name_limit(self, per_s: float | None) -> None:
+        """Name a limit from now on, or none."""
+        self.limits.append(NamedLimit(per_s, asyncio.get_running_loop().time()))
+
+    @property
+    def limit_per_s(self) -> float | None:
+        """The limit that is named now."""
+        return self.limits[-1].per_s if self.limits else None
+
+    def headers(self, request: Request | None = None) -> dict[str, str]:
+        """Return what every answer carries now; note the request that is answered with it."""
+        headers = {"Server-Leaving": "1"} if self.leaving else {}
+        per_s = self.limit_per_s
+        if per_s is not None:
+            headers["Server-Limit"] = f"{per_s:g}"
+            if request is not None:
+                self.limited.append(self._arrival(request))
+        return headers
 
     def note_arrival(self, request: Request) -> None:
         """Note a request that the replica is to run or to turn away."""
-        arrival = Arrival(request.headers["x-request-id"], asyncio.get_running_loop().time())
+        arrival = self._arrival(request)
         self.arrivals.append(arrival)
         if self.leaving:
             self.left.append(arrival)
@@ -61,3 +88,7 @@
         if self.proves_not_run:
             headers["X-Not-Executed"] = "1"
         return headers
+
+    @staticmethod
+    def _arrival(request: Request) -> Arrival:
+        return Arrival(request.headers["x-request-id"], asyncio.get_running_loop().time())
--- /dev/null
+++ b/tests/loopback_case.py
@@ -0,0 +1,68 @@
+"""A test case of whole routers among stand-ins, with callers of streams at random."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from standins.fleet import KEY, MODEL, LoopbackDeployment
+from standins.notice_promises import Sender
+from standins.replica_server import ReplicaServer
+from tests.relay_support import CallerAnswer, read_answer
+
+PATIENCE_S = 25.0
+SEED = 21
+FAMILIES = 23
+STREAMS_PER_S = 25
+
+
+def stream_request(number: int, family: int) -> bytes:
+    """Return a short streamed request of a prompt family."""
+    return (
+        f"POST /review/x HTTP/1.1\r\nHost: proofs.example\r\nX-Request-Id: stream-{number}\r\n"
+        f"X-Key: {KEY}\r\nX-Deadline-Ms: 5000\r\nX-Model: {MODEL}\r\nX-Token-Usage: 400,8\r\n"
+        f"X-Prefix-Hash: 5c1e07a2:90,{family:08x}:110,{number:08x}:200\r\n"
+        "Content-Length: 4\r\nConnection: close\r\n\r\nbody"
+    ).encode()
+
+
+class LoopbackTestCase(unittest.IsolatedAsyncioTestCase):
+    routers = 3
+
+    async def asyncSetUp(self) -> None:
+        self.deployment = LoopbackDeployment(self.routers)
+        await self.deployment.start()
+        self.addAsyncCleanup(self.deployment.stop)
+        await asyncio.wait_for(self.deployment.wait_until_ready(), PATIENCE_S)
+        self.deployment.allow_repeats()
+        self.random = random.Random(SEED)
+        self.senders: dict[str, Sender] = {}
+        self.statuses: list[int] = []
+
+    async def ask(self, router: int) -> CallerAnswer:
+        """Send one stream to a router."""
+        number = len(self.senders)
+        self.senders[f"stream-{number}"] = Sender(router, asyncio.get_running_loop().time())
+        host, _, port = self.deployment.settings[router].caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(stream_request(number, self.random.randrange(FAMILIES)))
+        try:
+            answer = await asyncio.wait_for(read_answer(reader), PATIENCE_S)
+        finally:
+            writer.close()
+        self.statuses.append(answer.status)
+        return answer
+
+    async def send_for(self, seconds: float) -> None:
+        """Send streams to routers at random, and wait for their answers."""
+        asked = []
+        for _ in range(int(seconds * STREAMS_PER_S)):
+            asked.append(asyncio.create_task(self.ask(self.random.randrange(self.routers))))
+            await asyncio.sleep(1.0 / STREAMS_PER_S)
+        await asyncio.gather(*asked)
+
+    def by_work(self) -> list[ReplicaServer]:
+        """Return the model replicas, the one that got most requests first."""
+        models = self.deployment.models
+        return sorted(models, key=lambda model: len(model.notices.arrivals), reverse=True)
--- a/tests/test_request_limit.py
+++ b/tests/test_request_limit.py
@@ -107,3 +107,17 @@
         for number in range(3):
             await relay.ask(f"id-{number}")
         self.assertEqual(relay.state.metrics.unknown_words.labels("server-mood").value, 3)
+
+
+class HeededLimitTest(RelayTestCase):
+    """A router that is alone has the whole limit, one request at a time."""
+
+    async def test_what_is_sent_to_a_limited_replica(self) -> None:
+        limited = ScriptedReplica(
+            answering(lambda r: signed(r, b"ok", extra="Server-Limit: 2\r\n"))
+        )
+        other = ScriptedReplica(answering(lambda r: signed(r, b"ok")))
+        relay = await self.relay(limited, other)
+        for number in range(7):
+            self.assertEqual((await relay.ask(f"id-{number}")).status, 200)
+        self.assertEqual((len(limited.seen), len(other.seen)), (1, 6))
