Heed the limits that replicas name, over all daemons together

What callers saw: nothing; a replica in need got 13 requests a second before it named 2.5, and 13 after (45 in 4 s, 20 allowed), from every router. Cause: nobody read the header. Ruled out: heeding it at each router alone (a bucket of one request each lets D + 4 N through: 420 daemons, N 1: 424 where 11 are allowed); requests chosen before the word (all were first attempts). Now as many daemons as keep every window of 4 s within the limit and one request share it, the first ones in an order by rendezvous of the incarnation, spaced by about a second; the others send elsewhere. A place counts when bytes go out, and is asked for once more when a connection took time to come up. Daemons tell each other what their answers say, beginnings and ends within 50 ms; one peer's word counts for half of a service at most. An end counts if its request was sent after the last word. Who becomes a holder by a change of the fleet waits 4 s; if nobody says anything for 8 s, the others try in turn. A successor under the id takes over what it may have said itself.

Not yet: who gets a place first where all are limited, callers who wait for one too long.

--- /dev/null
+++ b/tests/limit_fleet.py
@@ -0,0 +1,93 @@
+"""A fleet of real peer sides before a replica that names a limit, in virtual time.
+
+Daemons send whenever their own beliefs say that they may; the replica answers with the limit that
+it names at that moment, on a real record of each daemon.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import random
+
+from tests.peer_support import Daemon, Network
+from winchfork.core.relay_replica import RelayReplica, ReplicaListing
+from winchfork.core.replica_notice import AnswerNotice
+
+WINDOW_S = 4.0
+ANSWER_S = 0.05
+REPLICA = "i-limited"
+
+
+def list_limited(daemon: Daemon, born_ms: int = 0) -> None:
+    """List the replica to a daemon."""
+    listing = ReplicaListing(REPLICA, "s", "a:2", "z1", 8, True, {"m": 1}, born_ms=born_ms)
+    daemon.state.install_listing(listing)
+
+
+class LimitedReplica:
+    """One replica that every daemon knows."""
+
+    def __init__(self, network: Network, daemons: list[Daemon], per_s: float | None = None) -> None:
+        self.network = network
+        self.daemons = daemons
+        self.per_s = per_s
+        self.arrivals_s: list[float] = []
+        self.senders: set[str] = set()
+        self._answers: set[asyncio.Task[None]] = set()
+        self._random = random.Random(len(daemons))
+        for daemon in daemons:
+            list_limited(daemon)
+
+    def record(self, daemon: Daemon) -> RelayReplica:
+        """Return what a daemon believes of it."""
+        replica = daemon.state.fleet.get(REPLICA)
+        assert replica is not None
+        return replica
+
+    def limits(self) -> list[float | None]:
+        """Return the limit that each living daemon knows of."""
+        living = [item for item in self.daemons if item.ip in self.network.groups]
+        return [self.record(daemon).notice.limit.per_s for daemon in living]
+
+    def offer(self, daemon: Daemon, *, chosen_before: bool = False) -> bool:
+        """Send it a request of a daemon, if its beliefs allow that."""
+        if daemon.ip not in self.network.groups:
+            return False
+        now_s = daemon.state.clock()
+        replica = self.record(daemon)
+        if not chosen_before and not replica.takes_requests(now_s):
+            return False
+        replica.notice.note_sent(now_s)
+        self.arrivals_s.append(now_s)
+        self.senders.add(daemon.ip)
+        task = asyncio.create_task(self._answer(daemon, replica, now_s))
+        self._answers.add(task)
+        task.add_done_callback(self._answers.discard)
+        return True
+
+    async def _answer(self, daemon: Daemon, replica: RelayReplica, sent_s: float) -> None:
+        notice = AnswerNotice(limit_per_s=self.per_s, names_limit=self.per_s is not None)
+        await asyncio.sleep(ANSWER_S)
+        if daemon.ip in self.network.groups:
+            daemon.state.notices.note(replica, notice, sent_s)
+
+    async def press(self, seconds: float, requests_per_s: float = 10.0) -> None:
+        """Let each daemon have so many requests a second for it, at random times."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + seconds
+        mean_s = 1.0 / (requests_per_s * len(self.daemons))
+        while loop.time() < until_s:
+            await asyncio.sleep(self._random.expovariate(1.0) * mean_s)
+            self.offer(self._random.choice(self.daemons))
+
+    def most_in_window(self, from_s: float) -> int:
+        """Return the most requests that came in any 4 s since then."""
+        came_s = [at_s for at_s in self.arrivals_s if at_s >= from_s]
+        return max(
+            (
+                number + 1 - bisect.bisect_right(came_s, at_s - WINDOW_S)
+                for number, at_s in enumerate(came_s)
+            ),
+            default=0,
+        )
--- a/tests/peer_samples.py
+++ b/tests/peer_samples.py
@@ -30,9 +30,11 @@
     FleetWork,
     Forward,
     KeptNote,
+    LimitNote,
     NamedNote,
     NamedVersions,
     RegionWork,
+    ReplicaLimits,
     ReplicaLoadNote,
     Resignation,
     SuspectUnderWay,
@@ -79,6 +81,7 @@
     EndedUnder(2**63 + 4, (_DIGEST,)),
     SuspectUnderWay("n1", _DIGEST, 2**63 + 4, 900),
     ClearedRequests((_DIGEST,)),
+    ReplicaLimits("n1", (LimitNote(2**63 + 5, 0.5, 120), LimitNote(6, None, 0))),
 )
 
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -28,6 +28,8 @@
     "test_software_rollout",
     "test_software_failures",
     "test_region_fleet",
+    "test_limit_fleet",
+    "test_limit_share",
 )
 #: Processes for them: with the main one, half of the cores of a small machine.
 COMPUTING_PROCESSES = 3
--- /dev/null
+++ b/tests/test_limit_fleet.py
@@ -0,0 +1,201 @@
+"""Daemons that tell each other of limits, in virtual time on a virtual network.
+
+In a large fleet nearly every request to one replica is its daemon's first. So a daemon that knows
+only of its own answers would send at least one request more, whatever the limit, and one that sends
+nothing would never hear of its end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.limit_fleet import REPLICA, LimitedReplica, list_limited
+from tests.peer_support import Daemon, Network, among
+from winchfork.core.request_limit import LEAST_PER_S, SILENCE_S
+from winchfork.router.peer_messages import Forward, LimitNote, ReplicaLimits
+
+#: All daemons know within this time what one has heard.
+TOLD_WITHIN_S = 0.5
+CONTACT_S = 3.0
+#: A daemon may spend 6,000 bytes a second on control at the target size, where one replica in
+#: fifty, twelve in all, may name limits at once: a fifth of it is for these.
+MOST_BYTES_PER_S = 6000.0 / 5 / 12
+
+
+def allowed(per_s: float) -> float:
+    """Return the most requests that any 4 s may hold."""
+    return 1.5 * per_s * 4.0 + 5
+
+
+class LimitFleetTest(unittest.TestCase):
+    def test_one_answer_tells_all_and_the_end_too(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 1.0)
+            replica.offer(daemons[0])
+            await asyncio.sleep(TOLD_WITHIN_S)
+            self.assertEqual(set(replica.limits()), {1.0})
+            replica.per_s = None
+            await replica.press(3.0)
+            self.assertEqual(set(replica.limits()), {None})
+
+        for count in (3, 15, 42):
+            among(count, scenario)
+
+    def test_the_sum_over_all_daemons_is_kept(self) -> None:
+        for count in (7, 15, 42):
+            for per_s in (0.0, 0.5, 1.0, 3.0, 8.0):
+
+                async def scenario(
+                    network: Network, daemons: list[Daemon], per_s: float = per_s
+                ) -> None:
+                    replica = LimitedReplica(network, daemons, per_s)
+                    from_s = daemons[0].state.clock() + TOLD_WITHIN_S
+                    await replica.press(40.0)
+                    most = replica.most_in_window(from_s)
+                    self.assertLessEqual(most, 4 * max(per_s, LEAST_PER_S) + 2)
+                    used = sum(at_s > from_s for at_s in replica.arrivals_s) / 39.5
+                    self.assertGreaterEqual(used, 0.85 * per_s)
+
+                with self.subTest(count=count, per_s=per_s):
+                    among(count, scenario)
+
+    def test_killed_holders_are_followed_by_others(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 3.0)
+            await replica.press(6.0)
+            from_s = daemons[0].state.clock()
+            for daemon in daemons:
+                if replica.record(daemon).notice.limit.is_holder:
+                    daemon.kill(network)
+            await replica.press(20.0)
+            self.assertLessEqual(replica.most_in_window(from_s), allowed(3.0))
+            late = [at_s for at_s in replica.arrivals_s if at_s > from_s + 15.0]
+            self.assertGreaterEqual(len(late), 9)
+
+        for count in (7, 42):
+            among(count, scenario)
+
+    def test_a_daemon_that_starts_knows_within_seconds(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 1.0)
+            await replica.press(6.0)
+            newcomer = Daemon(network, len(daemons) + 1)
+            list_limited(newcomer)
+            await replica.press(CONTACT_S)
+            self.assertEqual(replica.record(newcomer).notice.limit.per_s, 1.0)
+            from_s = newcomer.state.clock()
+            daemons.append(newcomer)
+            await replica.press(10.0)
+            self.assertLessEqual(replica.most_in_window(from_s), allowed(1.0))
+
+        among(15, scenario)
+
+    def test_one_that_stood_still_sends_no_more_than_what_it_had_in_hand(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 1.0)
+            await replica.press(6.0)
+            holders = [item for item in daemons if replica.record(item).notice.limit.is_holder]
+            replica.daemons = [item for item in daemons if item is not holders[0]]
+            await asyncio.gather(holders[0].stand_still(5.0, network), replica.press(5.0))
+            replica.daemons = daemons
+            from_s = daemons[0].state.clock() - 4.0
+            self.assertTrue(replica.offer(holders[0]))
+            self.assertFalse(replica.offer(holders[0]))
+            await replica.press(10.0)
+            self.assertLessEqual(replica.most_in_window(from_s), allowed(1.0))
+
+        among(7, scenario)
+
+    def test_holders_without_callers_hear_of_the_end_in_the_others_turns(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 1.0)
+            await replica.press(6.0)
+            replica.per_s = None
+            idle = [item for item in daemons if replica.record(item).notice.limit.is_holder]
+            replica.daemons = [item for item in daemons if item not in idle]
+            await replica.press(SILENCE_S + 5.0)
+            self.assertEqual(set(replica.limits()), {None})
+
+        among(7, scenario)
+
+    def test_messages_are_few(self) -> None:
+        """One daemon tells of a limit that goes on, however many send; hubs pass it on."""
+
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 8.0)
+            await replica.press(4.0)
+            sizes: list[int] = []
+
+            def count(sender: str, receiver: str, data: bytes) -> None:
+                message = daemons[0].peers._codec.decode(data)
+                if isinstance(message, Forward):
+                    message = daemons[0].peers._codec.decode(message.datagram)
+                if isinstance(message, ReplicaLimits):
+                    sizes.append(len(data))
+
+            network.on_sent = count
+            await replica.press(20.0)
+            self.assertGreater(len(sizes), 0)
+            self.assertLess(sum(sizes) / 20.0 / len(daemons), MOST_BYTES_PER_S)
+
+        for daemons in (7, 42):
+            among(daemons, scenario)
+
+
+class HearsayTest(unittest.TestCase):
+    def test_one_peer_alone_does_not_empty_a_service(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            daemon = daemons[0]
+            replicas = [daemon.state.fleet.get(name) for name in ("i-1", "i-2")]
+            notes = tuple(LimitNote(item.order_hash, 0.0, 0) for item in replicas if item)
+            daemon.state.limits.take("n2", [])
+            told = ReplicaLimits("n2", notes)
+            network.groups[daemon.ip]._handlers[ReplicaLimits](told)
+            limits = [item.notice.limit.per_s for item in replicas if item]
+            self.assertEqual(limits, [0.0, None])
+            network.groups[daemon.ip]._handlers[ReplicaLimits](ReplicaLimits("n3", notes))
+            limits = [item.notice.limit.per_s for item in replicas if item]
+            self.assertEqual(limits, [0.0, 0.0])
+
+        among(3, scenario)
+
+    def test_an_older_word_changes_nothing_and_one_of_an_unknown_replica_neither(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 2.0)
+            replica.offer(daemons[0])
+            await asyncio.sleep(TOLD_WITHIN_S)
+            take = network.groups[daemons[0].ip]._handlers[ReplicaLimits]
+            key = replica.record(daemons[0]).order_hash
+            take(ReplicaLimits("n2", (LimitNote(key, None, 5000), LimitNote(5, 1.0, 0))))
+            self.assertEqual(replica.record(daemons[0]).notice.limit.per_s, 2.0)
+            take(ReplicaLimits("n2", (LimitNote(key, None, 0),)))
+            self.assertIsNone(replica.record(daemons[0]).notice.limit.per_s)
+
+        among(3, scenario)
+
+    def test_what_a_former_life_said_binds_no_successor(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 1.0)
+            replica.offer(daemons[0])
+            await asyncio.sleep(TOLD_WITHIN_S)
+            for daemon in daemons:
+                daemon.state.fleet.remove(REPLICA)
+                born_ms = int((daemon.state.notices.wall_clock() + 5.0) * 1000)
+                list_limited(daemon, born_ms)
+            self.assertEqual(set(replica.limits()), {None})
+
+        among(3, scenario)
+
+    def test_what_it_said_before_it_was_listed_binds_itself(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 1.0)
+            replica.offer(daemons[0])
+            await asyncio.sleep(TOLD_WITHIN_S)
+            for daemon in daemons:
+                daemon.state.fleet.remove(REPLICA)
+                born_ms = int((daemon.state.notices.wall_clock() - 5.0) * 1000)
+                list_limited(daemon, born_ms)
+            self.assertEqual(set(replica.limits()), {1.0})
+
+        among(3, scenario)
--- a/tests/test_limits_whole.py
+++ b/tests/test_limits_whole.py
@@ -5,6 +5,11 @@
 and 20 in four seconds, where 20 and 13 were allowed. Every one was a first attempt
 (`request_sent ... attempt=1`), and one router alone sent 29 of the 45. No line said anything of the
 limit, since nobody read the header.
+
+A limit is for all machines together. So a few daemons share it, in an order that all agree on, and
+the others send elsewhere; who has an answer with a limit tells the rest, and who has the first
+without one tells them too. On these stand-ins two replicas that name 2 a second got 38 and 34
+requests in 4 s before, where 17 are allowed.
 """
 
 from __future__ import annotations
--- a/tests/test_request_limit.py
+++ b/tests/test_request_limit.py
@@ -54,15 +54,15 @@
         self.assertIs(limit.name(3.0, heard_s=10.0), LimitChange.BEGUN)
         self.assertIs(limit.name(3.0, heard_s=11.0), LimitChange.NOTHING)
         self.assertIs(limit.name(1.0, heard_s=12.0), LimitChange.CHANGED)
-        self.assertIs(limit.end(sent_s=12.5, heard_s=13.0), LimitChange.ENDED)
-        self.assertIs(limit.end(sent_s=13.5, heard_s=14.0), LimitChange.NOTHING)
+        self.assertIs(limit.end(heard_s=13.0), LimitChange.ENDED)
+        self.assertIs(limit.end(heard_s=14.0), LimitChange.NOTHING)
         self.assertIsNone(limit.per_s)
 
     def test_an_answer_that_was_asked_for_before_the_word_ends_nothing(self) -> None:
         limit = RequestLimit()
         limit.name(3.0, heard_s=10.0)
-        self.assertIs(limit.end(sent_s=9.9, heard_s=12.0), LimitChange.NOTHING)
-        self.assertEqual(limit.per_s, 3.0)
+        self.assertFalse(limit.may_be_ended_by_answer(sent_s=9.9))
+        self.assertTrue(limit.may_be_ended_by_answer(sent_s=10.1))
 
 
 class HeardLimitTest(RelayTestCase):
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -126,13 +126,17 @@
 
         The one answer for everything that is sent to run: first tries, repeats and moved streams.
         """
-        return (
-            self.accepting and now_s >= self.loading_until_s and self.notice.takes_requests(now_s)
-        )
+        is_open = now_s >= self.loading_until_s and self.notice.takes_requests(now_s)
+        return self.accepting and is_open and self.notice.limit.opens_in_s(now_s) <= 0.0
 
     def opens_in_s(self, now_s: float) -> float:
-        """Return in how many seconds one that is accepting takes requests; 0: now."""
-        return max(0.0, self.loading_until_s - now_s, self.notice.opens_in_s(now_s))
+        """Return in how many seconds one that is accepting takes requests; 0: now.
+
+        Infinite: only from other daemons, as far as known.
+        """
+        notice = self.notice
+        waits_s = (notice.opens_in_s(now_s), notice.limit.opens_in_s(now_s))
+        return max(0.0, self.loading_until_s - now_s, *waits_s)
 
     @property
     def queued_tokens(self) -> int:
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -64,7 +64,8 @@
 class ReplicaNotice(msgspec.Struct):
     """What one incarnation has said of itself so far, and whether it may be sent requests by that.
 
-    After a backoff one request goes first, on trial, and the others once it was not turned away.
+    How many it may be sent is told by ``limit`` alone, which no other method here asks. After a
+    backoff one request goes first, on trial, and the others once it was not turned away.
     """
 
     draining: bool = False
@@ -105,15 +106,23 @@
         before it is listed. Draining is taken over as a pause: if it was the other's word, it must
         not cost this one for good. False where all was heard before this one ``started_s``.
         """
+        adopts_limit = self._adopt_limit(former.limit, started_s)
         if former.heard_s <= started_s - CLOCK_TOLERANCE_S:
-            return False
+            return adopts_limit
         until_s = now_s + DOUBTED_DRAINING_S if former.draining else former.backoff_until_s
         if until_s <= now_s:
-            return False
+            return adopts_limit
         self.backoff_until_s = max(self.backoff_until_s, until_s)
         self._returning = True
         return True
 
+    def _adopt_limit(self, former: RequestLimit, started_s: float) -> bool:
+        if former.per_s is None or former.heard_s <= started_s - CLOCK_TOLERANCE_S:
+            return False
+        if former.heard_s > self.limit.heard_s:
+            self.limit.adopt(former)
+        return True
+
     def is_backing_off(self, now_s: float) -> bool:
         """Whether the pause that it asked for lasts."""
         return now_s < self.backoff_until_s
@@ -135,6 +144,7 @@
 
     def note_sent(self, now_s: float) -> None:
         """A request is sent to it: after a backoff the first is the trial."""
+        self.limit.note_sent(now_s)
         if self._returning and self._trial_sent_s is None and not self.is_backing_off(now_s):
             self._trial_sent_s = now_s
 
--- a/winchfork/router/notice_book.py
+++ b/winchfork/router/notice_book.py
@@ -8,7 +8,6 @@
 
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.replica_notice import AnswerNotice, NoticeChange
-from winchfork.core.request_limit import LimitChange
 from winchfork.logs import log_event
 from winchfork.router.line_limit import LineLimit
 
@@ -26,7 +25,6 @@
     def __init__(self, state: RouterState) -> None:
         self._state = state
         self._unreadable = LineLimit()
-        self._limit_lines = LineLimit()
         #: Seconds since 1970, by which replicas date their starts.
         self.wall_clock: Callable[[], float] = time.time
 
@@ -38,9 +36,8 @@
         ``answers_sent_s`` is when the request was sent that it answers, if a replica's own program
         answers a request: only these name no limit where there is none.
         """
-        limit = replica.notice.limit
-        if not notice.names_limit and answers_sent_s is not None and limit.per_s is not None:
-            self._note_limit_end(replica, answers_sent_s)
+        if answers_sent_s is not None and not notice.names_limit:
+            self._state.limits.note_answer(replica, answers_sent_s)
         if notice.is_empty:
             return
         state = self._state
@@ -53,7 +50,7 @@
                 reason=notice.unreadable,
             )
         if notice.limit_per_s is not None:
-            self._note_limit(replica, notice.limit_per_s)
+            state.limits.note_named(replica, notice.limit_per_s)
         for name in notice.unknown:
             self._note_unknown(replica, name)
         change = state.fleet.note_notice(replica, notice, now_s, state.generator.random())
@@ -73,41 +70,17 @@
         now_s = self._state.clock()
         age_s = self.wall_clock() - replica.listing.born_ms / 1000.0
         if replica.notice.adopt(former, now_s - age_s, now_s):
+            self._state.limits.assign(replica)
             log_event(
                 "replica_notice",
                 replica=replica.replica_id,
                 notice="adopted",
-                backoff_s=replica.notice.backoff_until_s - now_s,
+                backoff_s=max(0.0, replica.notice.backoff_until_s - now_s),
+                limit_per_s=replica.notice.limit.per_s,
                 heard_s_ago=now_s - former.heard_s,
                 started_s_ago=age_s,
             )
 
-    def _note_limit(self, replica: RelayReplica, per_s: float) -> None:
-        was_per_s = replica.notice.limit.per_s
-        change = replica.notice.limit.name(per_s, self._state.clock())
-        self._log_limit(replica, change, was_per_s)
-
-    def _note_limit_end(self, replica: RelayReplica, sent_s: float) -> None:
-        was_per_s = replica.notice.limit.per_s
-        change = replica.notice.limit.end(sent_s, self._state.clock())
-        self._log_limit(replica, change, was_per_s)
-
-    def _log_limit(
-        self, replica: RelayReplica, change: LimitChange, was_per_s: float | None
-    ) -> None:
-        if change is LimitChange.NOTHING:
-            return
-        self._state.metrics.notices.labels(f"limit_{change.value}").inc()
-        if self._limit_lines.allows(self._state.clock()):
-            log_event(
-                "replica_limit",
-                replica=replica.replica_id,
-                change=change.value,
-                per_s=replica.notice.limit.per_s,
-                was_per_s=was_per_s,
-                in_flight=replica.in_flight,
-            )
-
     def _note_unknown(self, replica: RelayReplica, name: str) -> None:
         """Count a word that this build does not know, and log its name once."""
         counts = self._state.metrics.unknown_words
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -233,6 +233,21 @@
     digests: tuple[bytes, ...]
 
 
+class LimitNote(PeerMessage, frozen=True):
+    """A limit that an answer has named so many milliseconds ago; None: it named none any more."""
+
+    incarnation: int
+    per_s: float | None
+    age_ms: int
+
+
+class ReplicaLimits(PeerMessage, frozen=True):
+    """What the sender's own answers say of replicas' limits."""
+
+    sender_id: str
+    notes: tuple[LimitNote, ...]
+
+
 PEER_MESSAGE_TYPES = (
     Probe,
     ProbeReply,
@@ -253,4 +268,5 @@
     EndedUnder,
     SuspectUnderWay,
     ClearedRequests,
+    ReplicaLimits,
 )
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -185,11 +185,13 @@
     def _no_replica(self, opening_s: float | None) -> Failure:
         """Return why nothing is sent, and when one is expected to take work."""
         reason = f"no replica of {self._backend} takes work in time"
-        closed = self._state.choice.closed(self._backend)
+        choice = self._state.choice
+        closed = choice.closed(self._backend)
+        again_s = opening_s or choice.place_elsewhere_s(self._backend)
         return FailureKind.NO_REPLICA.because(
             f"{reason}: {closed}" if closed else reason,
             ran=self._ran(),
-            retry_after_s=opening_s or self._state.settings.bounds.heartbeat_s,
+            retry_after_s=again_s or self._state.settings.bounds.heartbeat_s,
         )
 
     def _barred(self) -> set[str]:
--- a/winchfork/router/replica_choice.py
+++ b/winchfork/router/replica_choice.py
@@ -67,8 +67,8 @@
     ) -> float | None:
         """Return in how many seconds a replica will take work that takes none now; None: none will.
 
-        A replica under a hold or in a backoff says when it ends; one whose weights are too old is
-        loaded next.
+        A replica under a hold or in a backoff says when it ends, one with a limit when this daemon
+        may send to it again; one whose weights are too old is loaded next.
         """
         now_s = self._state.clock()
         left = [
@@ -80,7 +80,19 @@
             replica.opens_in_s(now_s) or PRIOR_LOAD_S
             for replica in self._state.software.allowed(service, left, on_target=on_target)
         ]
-        return min(openings, default=None)
+        opening_s = min(openings, default=math.inf)
+        return None if math.isinf(opening_s) else opening_s
+
+    def place_elsewhere_s(self, service: str) -> float | None:
+        """Return after how long a replica that names a limit takes one more from some daemon.
+
+        None where none names a limit.
+        """
+        intervals = [
+            replica.notice.limit.interval_s / replica.notice.limit.holders
+            for replica in self._state.limits.limited(service)
+        ]
+        return min(intervals, default=None)
 
     def closed(self, service: str) -> str:
         """Return how many of a service's replicas want no requests, and why; for operators."""
@@ -88,7 +100,8 @@
         replicas = self._state.fleet.of_service(service)
         draining = sum(not replica.wants_work for replica in replicas)
         resting = sum(replica.notice.is_backing_off(now_s) for replica in replicas)
-        counts = {"drain": draining, "back off": resting}
+        limited = sum(replica.notice.limit.opens_in_s(now_s) > 0.0 for replica in replicas)
+        counts = {"drain": draining, "back off": resting, "are at their limit": limited}
         told = [
             f"{count} of {len(replicas)} replicas {why}" for why, count in counts.items() if count
         ]
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -26,6 +26,7 @@
 from winchfork.logs import log_event
 from winchfork.router.cache_stores import CacheStores
 from winchfork.router.crash_guard import CrashGuard
+from winchfork.router.limit_book import LimitBook
 from winchfork.router.line_limit import LineLimit
 from winchfork.router.metrics import RouterMetrics
 from winchfork.router.notice_book import NoticeBook
@@ -115,6 +116,7 @@
         self.choice = ReplicaChoice(self)
         self.crashes = CrashGuard(settings.node_id, clock)
         self._refused_documents = LineLimit()
+        self.limits = LimitBook(self)
         self.notices = NoticeBook(self)
         self.quotas = QuotaBook(bounds.quota, self.life)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
