--- a/tests/relay_support.py
+++ b/tests/relay_support.py
@@ -27,6 +27,8 @@
 from winchfork.router.state import RouterState
 
 KEY = "key-of-the-school"
+#: The key of a tenant that comes before all others.
+URGENT_KEY = "urgent-key"
 #: Bound against hanging; no test asserts a time.
 PATIENCE_S = 10.0
 
@@ -201,7 +203,10 @@
             1,
             [self.route],
             [Service("s", engine=engine)],
-            [TenantPolicy("school", (KEY,), isolated=isolated)],
+            [
+                TenantPolicy("school", (KEY,), isolated=isolated),
+                TenantPolicy("press", (URGENT_KEY,), priority=0),
+            ],
         )
         self.state.install_table(table, 1)
         self.state.freshness.prove(self.state.clock() + 3600.0)
@@ -233,24 +238,33 @@
         return await asyncio.open_connection("127.0.0.1", self.port)
 
     async def ask(
-        self, request_id: str = "id-1", method: str = "GET", body: bytes = b"", extra: str = ""
+        self,
+        request_id: str = "id-1",
+        method: str = "GET",
+        body: bytes = b"",
+        extra: str = "",
+        key: str = KEY,
     ) -> CallerAnswer:
         """Send one request on a connection of its own and read the answer."""
         reader, writer = await self.connect()
-        writer.write(caller_request(request_id, method, body, extra))
+        writer.write(caller_request(request_id, method, body, extra, key))
         answer = await asyncio.wait_for(read_answer(reader), PATIENCE_S)
         writer.close()
         return answer
 
 
 def caller_request(
-    request_id: str = "id-1", method: str = "GET", body: bytes = b"", extra: str = ""
+    request_id: str = "id-1",
+    method: str = "GET",
+    body: bytes = b"",
+    extra: str = "",
+    key: str = KEY,
 ) -> bytes:
     """Return a request's bytes."""
     length = f"Content-Length: {len(body)}\r\n" if body or method == "POST" else ""
     return (
         f"{method} /p/x?q=1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {request_id}\r\n"
-        f"X-Deadline-Ms: 4000\r\nX-Key: {KEY}\r\n{extra}{length}\r\n"
+        f"X-Deadline-Ms: 4000\r\nX-Key: {key}\r\n{extra}{length}\r\n"
     ).encode() + body
 
 
