Soak: replicas name limits that rise and fall, and get no more than that

One or more replicas of a service, at times all, name limits of 0 to 6 a second in turn for 2 to 8 s each, beside all other lanes; judged by the rule, a router's own restarts and standstills excused.

--- a/standins/soak/faults/replica_faults.py
+++ b/standins/soak/faults/replica_faults.py
@@ -23,6 +23,11 @@
 LEAST_LEAVING_S, MOST_LEAVING_S = 2.0, 6.0
 LEAST_AWAY_WORD_S, MOST_AWAY_WORD_S = 0.5, 4.0
 LEAST_REST_S, MOST_REST_S = 0.2, 4.0
+#: How long replicas name limits, over how many values in turn, and how high they are at most, in
+#: requests a second.
+LEAST_LIMITED_S, MOST_LIMITED_S = 2.0, 8.0
+MOST_LIMITS = 3
+MOST_LIMIT_PER_S = 6.0
 
 
 class ReplicaFaults:
@@ -85,6 +90,24 @@
             notices.rest_s = None
         self._tell(f"{names} turn nothing away")
 
+    async def name_limits(self) -> None:
+        """One or more replicas of a service, at times all, name limits that rise and fall."""
+        replicas = self._any_operator().replicas
+        struck = self._random.sample(replicas, self._random.randint(1, len(replicas)))
+        names = ",".join(replica.replica_id for replica in struck)
+        words = [replica.notices for replica in struck]
+        for _ in range(self._random.randint(1, MOST_LIMITS)):
+            per_s = round(
+                self._random.choice((0.0, 0.5, 1.0, self._random.random() * MOST_LIMIT_PER_S)), 1
+            )
+            self._tell(f"{names} name a limit of {per_s:g} a second")
+            for notices in words:
+                notices.name_limit(per_s)
+            await asyncio.sleep(self._random.uniform(LEAST_LIMITED_S, MOST_LIMITED_S))
+        for notices in words:
+            notices.name_limit(None)
+        self._tell(f"{names} name no limit")
+
     def _any_operator(self) -> RolloutOperator:
         """Return the operator of either service, drawn by the number of its replicas."""
         surroundings = self._surroundings
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from standins.fleet import ZONES, Surroundings, WeightsTiming
+from standins.limit_promises import judge_limits
 from standins.notice_promises import judge_notices
 from standins.soak.callers import Callers
 from standins.soak.cut_machines import CUT_FILE, CutMachines
@@ -45,6 +46,7 @@
 STORE_PAUSE_S = 12.0
 ENTRY_PAUSE_S = 4.0
 WORD_PAUSE_S = 5.0
+LIMIT_PAUSE_S = 6.0
 PEER_PAUSE_S = 12.0
 #: Faults of the store and of links stop every bound, so they begin up to this part of a run late.
 STORE_DELAY_SHARE = 0.7
@@ -125,6 +127,7 @@
         connections = StoreFaults(scene, self._generator("connections struck"))
         store = StoreFaults(scene, self._generator("store struck"))
         words = ReplicaFaults(self._surroundings, self._generator("words"), self._tell)
+        limits = ReplicaFaults(self._surroundings, self._generator("limits"), self._tell)
         entries = ForeignEntries(self._surroundings.store, self._generator("entries"), self._tell)
         peers = PeerFaults(
             scene, self._generator("peers struck"), CutMachines(self._folder / CUT_FILE)
@@ -157,6 +160,7 @@
                 [words.leaves_by_its_answers, words.turn_away_with_a_wait],
                 WORD_PAUSE_S,
             ),
+            Lane("limits", [limits.name_limits], LIMIT_PAUSE_S),
             Lane("entries", [entries.foreign_entry], ENTRY_PAUSE_S),
             Lane("peers", [peers.peers_cut, peers.zone_cut], PEER_PAUSE_S, delay_s),
             Lane("store", [store.store_down, store.link_cut], STORE_PAUSE_S, delay_s),
@@ -221,5 +225,6 @@
             return is_earlier_build or disruptions.struck_between(router, from_s, until_s)
 
         self.broken += judge_notices(spoken, senders, excused)
+        self.broken += judge_limits(spoken, senders, excused)
         late = late_generations(generations, named, senders, disruptions, bound_s)
         self.broken += describe_late(late)
