--- a/standins/soak/faults/replica_faults.py
+++ b/standins/soak/faults/replica_faults.py
@@ -25,9 +25,9 @@
 LEAST_REST_S, MOST_REST_S = 0.2, 4.0
 #: How long replicas name limits, over how many values in turn, and how high they are at most, in
 #: requests a second.
-LEAST_LIMITED_S, MOST_LIMITED_S = 2.0, 8.0
-MOST_LIMITS = 3
-MOST_LIMIT_PER_S = 6.0
+LEAST_LIMITED_S, MOST_LIMITED_S = 3.0, 9.0
+MOST_LIMITS = 2
+MOST_LIMIT_PER_S = 2.0
 
 
 class ReplicaFaults:
