--- a/tests/test_place_queue.py
+++ b/tests/test_place_queue.py
@@ -60,6 +60,10 @@
             self.assert_not_run(answer)
             self.assertIn(b"limit", answer.body)
             self.assertGreater(float(answer.headers["retry-after"]), 0.8)
+        effects = relay.state.metrics.limit_effects
+        self.assertEqual(effects.labels("refused").value, len(refused))
+        self.assertGreaterEqual(effects.labels("waited").value, 2)
+        self.assertEqual(relay.state.metrics.sent_under_limit.labels("i-0").value, len(served) + 1)
 
     async def test_few_requests_wait_for_a_place_that_comes_in_time(self) -> None:
         relay, _ = await self.scarce("0.5")
--- a/tests/test_request_limit.py
+++ b/tests/test_request_limit.py
@@ -6,6 +6,7 @@
 
 from tests.relay_case import RelayTestCase
 from tests.relay_support import ScriptedReplica, answering, signed
+from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.request_limit import LimitChange, RequestLimit
 from winchfork.platform.notices import read_notice
@@ -121,3 +122,22 @@
         for number in range(7):
             self.assertEqual((await relay.ask(f"id-{number}")).status, 200)
         self.assertEqual((len(limited.seen), len(other.seen)), (1, 6))
+        self.assertEqual(relay.state.metrics.limit_effects.labels("elsewhere").value, 6)
+        self.assertEqual(relay.state.limits.known(), {"i-0": 2.0})
+
+    async def test_an_entry_that_comes_back_takes_no_limit_back(self) -> None:
+        limited = ScriptedReplica(
+            answering(lambda r: signed(r, b"ok", extra="Server-Limit: 1\r\n"))
+        )
+        other = ScriptedReplica(answering(lambda r: signed(r, b"ok")))
+        relay = await self.relay(limited, other)
+        await relay.ask("id-0")
+        relay.state.fleet.remove("i-0")
+        self.assertEqual(relay.state.limits.known(), {})
+        relay.state.install_listing(
+            ReplicaListing("i-0", "s", limited.address, "z1", 8, True, {"m": 1})
+        )
+        self.assertEqual(relay.state.limits.known(), {"i-0": 1.0})
+        for number in range(3):
+            await relay.ask(f"id-{number + 1}")
+        self.assertEqual((len(limited.seen), len(other.seen)), (1, 3))
--- a/tests/test_router_metrics.py
+++ b/tests/test_router_metrics.py
@@ -23,6 +23,9 @@
         figures.sent_by_software.labels("models:v2").inc()
         figures.sent_by_region.labels("perth").inc(3)
         figures.software_shares = lambda: {"models": 0.25}
+        figures.sent_under_limit.labels("i-1").inc(2)
+        figures.limit_effects.labels("refused").inc()
+        figures.replica_limits = lambda: {"i-1": 0.5}
         page = figures.render().decode()
         for line in (
             'winchfork_requests_total{outcome="delivered_200"} 2.0',
@@ -38,6 +41,9 @@
             'winchfork_sent_by_software_total{software="models:v2"} 1.0',
             'winchfork_sent_by_region_total{region="perth"} 3.0',
             'winchfork_software_share{service="models"} 0.25',
+            'winchfork_sent_under_limit_total{replica="i-1"} 2.0',
+            'winchfork_limit_effects_total{effect="refused"} 1.0',
+            'winchfork_replica_limit{replica="i-1"} 0.5',
         ):
             self.assertIn(line + "\n", page)
 
--- a/winchfork/cli/log_explanation.py
+++ b/winchfork/cli/log_explanation.py
@@ -29,6 +29,7 @@
         "zone_regained",
         "weights_named",
         "configuration_installed",
+        "replica_limit",
     }
 )
 #: What an outcome means to an operator; what begins with one of these is that.
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -187,6 +187,10 @@
         self.refresh()
         return self._replicas.get(replica_id)
 
+    def holds(self, replica: RelayReplica) -> bool:
+        """Whether this very incarnation is listed."""
+        return self._replicas.get(replica.replica_id) is replica
+
     def of_service(self, service: str) -> list[RelayReplica]:
         """Return the service's replicas, ordered by id."""
         return self._by_service.get(service, [])
--- a/winchfork/router/limit_book.py
+++ b/winchfork/router/limit_book.py
@@ -47,14 +47,32 @@
         self._changed_s = -math.inf
         #: The peers that name a limit of which this daemon has heard nothing itself.
         self._tellers: dict[int, set[str]] = {}
+        #: Replicas that have named a limit, by incarnation; some may have ended it, or be gone.
+        self._named: dict[int, RelayReplica] = {}
         #: Told of each limit that one of this daemon's own answers began, changed or ended, and of
         #: each answer that named one again.
         self.on_heard: Callable[[RelayReplica, LimitChange], None] = lambda replica, change: None
 
     def limited(self, service: str) -> list[RelayReplica]:
         """Return the service's replicas that have named a limit."""
-        replicas = self._state.fleet.of_service(service)
-        return [replica for replica in replicas if replica.notice.limit.per_s is not None]
+        return [replica for replica in self._all() if replica.listing.service == service]
+
+    def known(self) -> dict[str, float]:
+        """Return the limit of each replica that names one, in requests a second."""
+        return {replica.replica_id: replica.notice.limit.per_s or 0.0 for replica in self._all()}
+
+    def _all(self) -> list[RelayReplica]:
+        fleet = self._state.fleet
+        return [
+            replica
+            for replica in self._named.values()
+            if replica.notice.limit.per_s is not None and fleet.holds(replica)
+        ]
+
+    def note_listed(self, replica: RelayReplica) -> None:
+        """Take in that a replica is listed, perhaps again, with what it had said before."""
+        if replica.notice.limit.per_s is not None:
+            self.assign(replica)
 
     # Own answers
 
@@ -121,12 +139,13 @@
             return
         self._daemons = ordered
         self._changed_s = now_s
-        for replica in self._state.fleet.replicas():
-            if replica.notice.limit.per_s is not None:
-                self.assign(replica)
+        self._named = {replica.order_hash: replica for replica in self._all()}
+        for replica in self._named.values():
+            self.assign(replica)
 
     def assign(self, replica: RelayReplica) -> None:
         """Give this daemon its place among those that may send to a limited replica."""
+        self._named[replica.order_hash] = replica
         order = rendezvous_rank(replica.order_hash, self._daemons)
         own_id = self._state.settings.node_id
         # One that is not counted, since it stops, comes last.
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -149,6 +149,19 @@
             "Replicas that said in an answer that they drain, began a backoff, or named a limit.",
             "notice",
         )
+        self.sent_under_limit = Labelled(
+            CounterChild,
+            "winchfork_sent_under_limit",
+            "Requests sent to a replica that names a limit, by replica.",
+            "replica",
+        )
+        self.limit_effects = Labelled(
+            CounterChild,
+            "winchfork_limit_effects",
+            "Requests that were placed elsewhere, waited or were refused while replicas were at "
+            "their limits.",
+            "effect",
+        )
         self.unknown_words = Labelled(
             CounterChild,
             "winchfork_unknown_notices",
@@ -157,6 +170,8 @@
         )
         #: Share of each service's requests that a new version of its software may get now.
         self.software_shares: Callable[[], Mapping[str, float]] = dict
+        #: Requests a second that each replica names as its limit.
+        self.replica_limits: Callable[[], Mapping[str, float]] = dict
         #: Units that each tenant may use now, read when the page is asked for.
         self.quota_left: Callable[[], Mapping[str, float]] = dict
         self._shown: list[_ShownFigure] = []
@@ -190,8 +205,9 @@
             self.notices,
             self.unknown_words,
         )
-        sent = (self.sent_by_software, self.sent_by_region)
-        for labelled in (*counters, *sent, self.quota_used, self.quota_refused):
+        sent = (self.sent_by_software, self.sent_by_region, self.sent_under_limit)
+        quotas = (self.quota_used, self.quota_refused)
+        for labelled in (*counters, *sent, *quotas, self.limit_effects):
             counts = CounterMetricFamily(
                 labelled.name, labelled.description, labels=[labelled.label]
             )
@@ -227,6 +243,12 @@
                 "service",
                 self.software_shares(),
             ),
+            (
+                "winchfork_replica_limit",
+                "Requests a second that a replica takes from all daemons together.",
+                "replica",
+                self.replica_limits(),
+            ),
         )
         for name, description, label, values in rows:
             gauge = GaugeMetricFamily(name, description, labels=[label])
--- a/winchfork/router/notice_book.py
+++ b/winchfork/router/notice_book.py
@@ -70,7 +70,7 @@
         now_s = self._state.clock()
         age_s = self.wall_clock() - replica.listing.born_ms / 1000.0
         if replica.notice.adopt(former, now_s - age_s, now_s):
-            self._state.limits.assign(replica)
+            self._state.limits.note_listed(replica)
             log_event(
                 "replica_notice",
                 replica=replica.replica_id,
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -214,6 +214,7 @@
             lambda: state.quotas.supply.coverage,
         )
         state.metrics.software_shares = state.software.shares
+        state.metrics.replica_limits = state.limits.known
         show(
             "zones_unreachable",
             "Zones that requests are kept away from.",
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -209,6 +209,10 @@
         metrics = self._state.metrics
         software = f"{listing.service}:{listing.software or 'unknown'}"
         metrics.sent_by_software.labels(software).inc()
+        if replica.notice.limit.per_s is not None:
+            metrics.sent_under_limit.labels(replica.replica_id).inc()
+        elif self._state.choice.at_limit(listing.service):
+            metrics.limit_effects.labels("elsewhere").inc()
         metrics.sent_by_region.labels(self._state.settings.regions.region_of(listing.zone)).inc()
 
     def _unreached(self, replica: RelayReplica, failure: Failure) -> NotRun:
--- a/winchfork/router/replica_choice.py
+++ b/winchfork/router/replica_choice.py
@@ -121,13 +121,19 @@
         replicas = self._state.fleet.of_service(service)
         draining = sum(not replica.wants_work for replica in replicas)
         resting = sum(replica.notice.is_backing_off(now_s) for replica in replicas)
-        limited = sum(replica.notice.limit.opens_in_s(now_s) > 0.0 for replica in replicas)
+        limited = self.at_limit(service)
         counts = {"drain": draining, "back off": resting, "are at their limit": limited}
         told = [
             f"{count} of {len(replicas)} replicas {why}" for why, count in counts.items() if count
         ]
         return ", ".join(told)
 
+    def at_limit(self, service: str) -> int:
+        """Return how many of a service's replicas take nothing from this daemon by their limits."""
+        now_s = self._state.clock()
+        limited = self._state.limits.limited(service)
+        return sum(replica.notice.limit.opens_in_s(now_s) > 0.0 for replica in limited)
+
     def weights_due_s(self, model: str, version: int | None) -> float:
         """Return when no request may begin on a version any more; infinite without a newer one."""
         history = self._state.versions.get(model)
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -67,6 +67,7 @@
         self._inbox = inbox
         self._queue = state.place_queues[dispatch.service]
         self._ticket: PlaceTicket | None = None
+        self._waits_for_place = False
 
     async def find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
         """Choose a replica; wait for one that will take work in time, and for no other.
@@ -94,6 +95,7 @@
                 return found
             if not found.is_in_time:
                 return self._no_replica(found.in_s, ran())
+            self._count_wait()
             loop.call_later(LOOK_AGAIN_S, self._inbox.put, TimeLimit(_LOOK_AGAIN))
             item = await self._inbox.get()
             if isinstance(item, CallerLeft):
@@ -132,6 +134,12 @@
         waited_s = self._repeats.waited_s
         return _Opening(max(opens_s, LOOK_AGAIN_S), min(most_s, patient_s - waited_s))
 
+    def _count_wait(self) -> None:
+        """Count once that the request waits for a place of a limited replica."""
+        if self._ticket is not None and not self._waits_for_place:
+            self._waits_for_place = True
+            self._state.metrics.limit_effects.labels("waited").inc()
+
     def _leave_queue(self) -> None:
         if self._ticket is not None:
             self._queue.leave(self._ticket)
@@ -142,6 +150,8 @@
         service = self._dispatch.service
         reason = f"no replica of {service} takes work in time"
         closed = self._state.choice.closed(service)
+        if self._ticket is not None:
+            self._state.metrics.limit_effects.labels("refused").inc()
         again_s: float | None = opening_s
         if math.isinf(opening_s):
             again_s = self._state.choice.place_elsewhere_s(service)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -197,6 +197,7 @@
         replica = self.fleet.install(listing)
         if known is None:
             self.notices.adopt(replica)
+            self.limits.note_listed(replica)
 
     def note_version(self, replica: RelayReplica, model: str, version: int) -> None:
         """Record a replica's weights version; newer weights have emptied its cache."""
