--- a/tests/test_weights_bounds.py
+++ b/tests/test_weights_bounds.py
@@ -16,6 +16,8 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from tests.memory_store import MemoryStore
 from tests.peer_support import Daemon, Network
 from tests.virtual_loop import run_virtually
@@ -342,6 +344,33 @@
 
         run_virtually(main())
 
+    def test_news_after_a_silence_shorter_than_a_grace_are_as_old_as_the_silence(self) -> None:
+        """All connections fell silent for 2.4 s, and a version was named at once.
+
+        It was dated 1.07 s late, where a bound is under 5.5 s: two requests began 0.07 and 0.16 s
+        after a bound of 4 s. A daemon that had listed was granted the 3 s of one that has just
+        started, counted from the end of its silence.
+        """
+
+        async def main() -> None:
+            fleet = FollowingFleet()
+            short_s = 4.0
+            await asyncio.sleep(4.0)
+            deaf = fleet.daemons[0]
+            bounds = msgspec.structs.replace(deaf.state.settings.bounds, weights_s=short_s)
+            deaf.state.settings = msgspec.structs.replace(deaf.state.settings, bounds=bounds)
+            fleet.cut_off(deaf)
+            await asyncio.sleep(0.1)
+            fleet.name(2)
+            await asyncio.sleep(2.3)
+            deaf.store.cut = False
+            while MODEL not in deaf.state.versions:
+                await asyncio.sleep(0.005)
+            allowed_s = deaf.state.versions[MODEL].due_s(1, short_s) - fleet.named_s
+            self.assertLess(allowed_s, short_s + 0.1)
+
+        run_virtually(main())
+
     def test_a_cautious_date_stays_with_the_daemon_that_was_deaf(self) -> None:
         """It was told to the others as exact, and all barred the weights 4.3 s early."""
 
