Take an outage of the store for one only if most peers say so

Cause: one peer that says it has not reached the store either was enough to begin bounds anew. Of three daemons two were turned away by the store at once and the third stood still, so the one was turned away too. Now more than half of the others have to say so in a small fleet, and one that replies after half a second does not count, since it may have stood still. In a large fleet, whose daemons ask a few hubs, one is enough as before.

--- a/tests/test_weights_bounds.py
+++ b/tests/test_weights_bounds.py
@@ -221,6 +221,9 @@
     newer version meanwhile. On their return one wrote `weights_named version=3` and in the same
     millisecond `store_outage_ended for_s=3.17814`, and began the bounds anew: ten requests began on
     replaced weights 8.31 s after version 3 was in force, where 4 s were allowed.
+
+    One peer that says it has not reached the store either was enough: here one that was turned away
+    too. Now more than half of all others have to say so, and one that replies late does not count.
     """
 
     def test_one_that_was_turned_away_too_does_not_speak_for_all(self) -> None:
@@ -256,33 +259,47 @@
 
     def test_all_three_findings_make_an_outage(self) -> None:
         self.fail_twice(101.0)
-        self.watch.note_peer(99.5, asked_s=102.6)
+        self.watch.note_peer("n2", 99.5, asked_s=102.6, replied_s=102.6)
         self.watch.note_answer(104.0)
         self.assertEqual(self.watch.take_ended(), StoreOutage(100.0, 104.0))
         self.assertIsNone(self.watch.take_ended())
 
     def test_a_call_that_spans_a_standstill_is_no_finding(self) -> None:
         self.watch.note_failure(100.0, 104.0)
-        self.watch.note_peer(99.5, asked_s=104.0)
+        self.watch.note_peer("n2", 99.5, asked_s=104.0, replied_s=104.0)
         self.watch.note_answer(104.1)
         self.assertIsNone(self.watch.take_ended())
 
     def test_a_peer_that_reached_the_store_meanwhile_speaks_against_it(self) -> None:
         self.fail_twice(101.0)
-        self.watch.note_peer(102.0, asked_s=102.6)
+        self.watch.note_peer("n2", 102.0, asked_s=102.6, replied_s=102.6)
         self.watch.note_answer(104.0)
         self.assertIsNone(self.watch.take_ended())
 
     def test_a_peer_that_may_still_be_watching_says_nothing(self) -> None:
         self.fail_twice(101.0)
-        self.watch.note_peer(99.5, asked_s=102.0)
+        self.watch.note_peer("n2", 99.5, asked_s=102.0, replied_s=102.0)
         self.watch.note_answer(104.0)
         self.assertIsNone(self.watch.take_ended())
 
+    def test_most_peers_have_to_agree_and_one_that_replies_late_does_not_count(self) -> None:
+        for agreeing, reply_s, is_outage in ((1, 0.0, False), (2, 0.0, True), (2, 0.6, False)):
+            watch = StoreOutageWatch(90.0, has_peers=True)
+            watch.peers_needed = 2
+            watch.note_answer(100.0)
+            watch.note_failure(100.0, 101.0)
+            watch.note_failure(101.1, 101.2)
+            for asked_s in (102.6, 103.0):
+                for peer in range(agreeing):
+                    replied_s = asked_s + (reply_s if peer else 0.0)
+                    watch.note_peer(f"n{peer}", 99.5, asked_s, replied_s)
+            watch.note_answer(104.0)
+            self.assertIs(watch.take_ended() is not None, is_outage, (agreeing, reply_s))
+
     def test_peers_learn_of_the_return_first(self) -> None:
         self.fail_twice(101.0)
-        self.watch.note_peer(99.5, asked_s=102.6)
-        self.watch.note_peer(103.5, asked_s=103.6)
+        self.watch.note_peer("n2", 99.5, asked_s=102.6, replied_s=102.6)
+        self.watch.note_peer("n2", 103.5, asked_s=103.6, replied_s=103.6)
         self.watch.note_answer(104.0)
         self.assertEqual(self.watch.take_ended(), StoreOutage(100.0, 103.5))
 
@@ -299,25 +316,25 @@
     def test_a_second_call_that_spans_a_standstill_is_no_finding(self) -> None:
         self.watch.note_failure(100.0, 101.0)
         self.watch.note_failure(101.1, 104.0)
-        self.watch.note_peer(99.5, asked_s=104.0)
+        self.watch.note_peer("n2", 99.5, asked_s=104.0, replied_s=104.0)
         self.watch.note_answer(104.1)
         self.assertIsNone(self.watch.take_ended())
 
     def test_a_failure_before_a_peers_proof_is_forgotten(self) -> None:
         self.watch.note_failure(99.0, 101.0)
-        self.watch.note_peer(101.5, asked_s=101.6)
+        self.watch.note_peer("n2", 101.5, asked_s=101.6, replied_s=101.6)
         self.assertFalse(self.watch.is_suspected)
         self.watch.note_failure(158.0, 160.6)
-        self.watch.note_peer(101.0, asked_s=161.0)
+        self.watch.note_peer("n2", 101.0, asked_s=161.0, replied_s=161.0)
         self.watch.note_answer(163.0)
         self.assertIsNone(self.watch.take_ended())
 
     def test_a_daemon_that_starts_in_an_outage_learns_from_peers_since_when(self) -> None:
         watch = StoreOutageWatch(102.0, has_peers=True)
-        watch.note_peer(99.5, asked_s=102.1)
+        watch.note_peer("n2", 99.5, asked_s=102.1, replied_s=102.1)
         watch.note_failure(102.0, 102.1)
         watch.note_failure(102.3, 102.4)
-        watch.note_peer(99.5, asked_s=102.5)
+        watch.note_peer("n2", 99.5, asked_s=102.5, replied_s=102.5)
         watch.note_answer(103.0)
         self.assertEqual(watch.take_ended(), StoreOutage(99.5, 103.0))
 
--- a/winchfork/core/store_outage.py
+++ b/winchfork/core/store_outage.py
@@ -4,7 +4,9 @@
 connection may have fallen silent, or the store may have turned this machine away alone. Bounds that
 all daemons share begin anew only after an outage for all, so that is asserted on three findings
 together: nobody is known to have reached the store for longer than any sound watch takes, calls
-begun afresh failed here meanwhile, and a peer that was asked had not reached it either.
+begun afresh failed here meanwhile, and most peers say when asked that they had not reached it
+either. One is not enough: the store may turn away two daemons at once, or a peer may have stood
+still.
 """
 
 from __future__ import annotations
@@ -16,6 +18,8 @@
 #: Seconds after which a daemon without a newer proof has lost the store: its longest wait of one
 #: watch and that call's time limit.
 LONGEST_WATCH_S = 2.5
+#: A peer that answers later than this may have stood still, and then has not tried to reach it.
+PROMPT_REPLY_S = 0.5
 
 
 class StoreOutage(msgspec.Struct, frozen=True):
@@ -36,10 +40,12 @@
         self._started_s = started_s
         self._proven_s = -math.inf
         self._first_failure_s: float | None = None
-        #: When the first call begun afresh that failed since the last proof began, and when the
-        #: first peer was asked that had no newer proof either.
+        #: Peers that have to say that they had not reached the store.
+        self.peers_needed = 1
+        #: When the first call begun afresh that failed since the last proof began, and when each
+        #: peer was first asked that had no newer proof either.
         self._failed_afresh_s = math.inf
-        self._peer_asked_s = math.inf
+        self._agreeing_s: dict[str, float] = {}
         self._ended: StoreOutage | None = None
 
     @property
@@ -63,12 +69,14 @@
         self._first_failure_s = None
         self._note_proof(at_s)
 
-    def note_peer(self, proven_at_s: float, asked_s: float) -> None:
+    def note_peer(self, peer_id: str, proven_at_s: float, asked_s: float, replied_s: float) -> None:
         """Take in a peer's reply: when the store last answered it, and when the peer was asked."""
         if proven_at_s > self._proven_s:
             self._note_proof(proven_at_s)
-        elif asked_s - self._silent_from_s >= LONGEST_WATCH_S:
-            self._peer_asked_s = min(self._peer_asked_s, asked_s)
+            return
+        is_prompt = replied_s - asked_s <= PROMPT_REPLY_S
+        if is_prompt and asked_s - self._silent_from_s >= LONGEST_WATCH_S:
+            self._agreeing_s.setdefault(peer_id, asked_s)
 
     def take_ended(self) -> StoreOutage | None:
         """Return an outage that has ended, once."""
@@ -89,11 +97,12 @@
             self._first_failure_s = None
         if self._failed_afresh_s <= at_s:
             self._failed_afresh_s = math.inf
-        if self._peer_asked_s <= at_s:
-            self._peer_asked_s = math.inf
+        later = {peer: asked_s for peer, asked_s in self._agreeing_s.items() if asked_s > at_s}
+        self._agreeing_s = later
 
     def _was_away_until(self, at_s: float) -> bool:
         """Whether everything found since the last proof says that nobody reached the store."""
         failed_here = self._failed_afresh_s < at_s
-        others_agree = self._peer_asked_s < at_s or not self._has_peers
+        agreeing = sum(asked_s < at_s for asked_s in self._agreeing_s.values())
+        others_agree = agreeing >= self.peers_needed or not self._has_peers
         return failed_here and others_agree and at_s - self._silent_from_s >= LONGEST_WATCH_S
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -246,6 +246,9 @@
         members = self._membership.members()
         self._view = FleetView.of(self._membership.own, members, self._state.settings.regions)
         self._state.daemons = len(members) + _SPARE_DAEMONS
+        # In a large fleet only the few are asked that keep a daemon informed.
+        most = len(self._view.others) // 2 + 1
+        self._state.store_outage.peers_needed = most if self._view.direct else 1
 
     def _tell_store_delay(self) -> None:
         """Announce once how far the store is, so that the daemons near it watch it and lead."""
@@ -319,7 +322,8 @@
         if len(revisions) != 2:
             return
         proven_s = asked_s - revisions[1] / 1000.0
-        self._state.store_outage.note_peer(proven_s, asked_s)
+        now_s = self._loop.time()
+        self._state.store_outage.note_peer(sender.member_id, proven_s, asked_s, now_s)
         if revisions[0] > self._state.store_revision:
             self.on_revision(sender.peer_address, revisions[0])
             return
