--- a/tests/peer_samples.py
+++ b/tests/peer_samples.py
@@ -33,9 +33,10 @@
     LimitNote,
     NamedNote,
     NamedVersions,
+    NoticeNote,
     RegionWork,
-    ReplicaLimits,
     ReplicaLoadNote,
+    ReplicaNotices,
     Resignation,
     SuspectUnderWay,
     VersionEvidence,
@@ -81,7 +82,13 @@
     EndedUnder(2**63 + 4, (_DIGEST,)),
     SuspectUnderWay("n1", _DIGEST, 2**63 + 4, 900),
     ClearedRequests((_DIGEST,)),
-    ReplicaLimits("n1", (LimitNote(2**63 + 5, 0.5, 120), LimitNote(6, None, 0))),
+    ReplicaNotices(
+        "n1",
+        (
+            NoticeNote(2**63 + 5, False, 0, LimitNote(0.5, 120)),
+            NoticeNote(6, True, 3000, LimitNote(None, 0)),
+        ),
+    ),
 )
 
 
--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -13,7 +13,7 @@
 from tests.limit_fleet import REPLICA, LimitedReplica, list_limited
 from tests.peer_support import Daemon, Network, among
 from winchfork.core.request_limit import LEAST_PER_S, SILENCE_S
-from winchfork.router.peer_messages import Forward, LimitNote, ReplicaLimits
+from winchfork.router.peer_messages import Forward, LimitNote, NoticeNote, ReplicaNotices
 
 #: All daemons know within this time what one has heard.
 TOLD_WITHIN_S = 0.5
@@ -131,7 +131,7 @@
                 message = daemons[0].peers._codec.decode(data)
                 if isinstance(message, Forward):
                     message = daemons[0].peers._codec.decode(message.datagram)
-                if isinstance(message, ReplicaLimits):
+                if isinstance(message, ReplicaNotices):
                     sizes.append(len(data))
 
             network.on_sent = count
@@ -148,13 +148,16 @@
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             daemon = daemons[0]
             replicas = [daemon.state.fleet.get(name) for name in ("i-1", "i-2")]
-            notes = tuple(LimitNote(item.order_hash, 0.0, 0) for item in replicas if item)
-            daemon.state.limits.take("n2", [])
-            told = ReplicaLimits("n2", notes)
-            network.groups[daemon.ip]._handlers[ReplicaLimits](told)
+            notes = tuple(
+                NoticeNote(item.order_hash, False, 0, LimitNote(0.0, 0))
+                for item in replicas
+                if item
+            )
+            told = ReplicaNotices("n2", notes)
+            network.groups[daemon.ip]._handlers[ReplicaNotices](told)
             limits = [item.notice.limit.per_s for item in replicas if item]
             self.assertEqual(limits, [0.0, None])
-            network.groups[daemon.ip]._handlers[ReplicaLimits](ReplicaLimits("n3", notes))
+            network.groups[daemon.ip]._handlers[ReplicaNotices](ReplicaNotices("n3", notes))
             limits = [item.notice.limit.per_s for item in replicas if item]
             self.assertEqual(limits, [0.0, 0.0])
 
@@ -165,11 +168,13 @@
             replica = LimitedReplica(network, daemons, 2.0)
             replica.offer(daemons[0])
             await asyncio.sleep(TOLD_WITHIN_S)
-            take = network.groups[daemons[0].ip]._handlers[ReplicaLimits]
+            take = network.groups[daemons[0].ip]._handlers[ReplicaNotices]
             key = replica.record(daemons[0]).order_hash
-            take(ReplicaLimits("n2", (LimitNote(key, None, 5000), LimitNote(5, 1.0, 0))))
+            old, unknown = LimitNote(None, 5000), LimitNote(1.0, 0)
+            notes = (NoticeNote(key, False, 0, old), NoticeNote(5, False, 0, unknown))
+            take(ReplicaNotices("n2", notes))
             self.assertEqual(replica.record(daemons[0]).notice.limit.per_s, 2.0)
-            take(ReplicaLimits("n2", (LimitNote(key, None, 0),)))
+            take(ReplicaNotices("n2", (NoticeNote(key, False, 0, LimitNote(None, 0)),)))
             self.assertIsNone(replica.record(daemons[0]).notice.limit.per_s)
 
         among(3, scenario)
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -52,6 +52,18 @@
         return not (asks or self.unreadable or self.unknown)
 
 
+class ToldPause(msgspec.Struct, frozen=True):
+    """What a replica has said to a peer: that it drains, or that it wants a pause from now."""
+
+    draining: bool
+    backoff_s: float
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether it asks for nothing."""
+        return not self.draining and self.backoff_s <= 0.0
+
+
 class NoticeChange(enum.Enum):
     """What an answer's notice has changed."""
 
@@ -70,6 +82,8 @@
 
     draining: bool = False
     backoff_until_s: float = 0.0
+    #: The end of the pause that it has asked this daemon for.
+    own_backoff_until_s: float = 0.0
     #: When it last said something of itself.
     heard_s: float = -math.inf
     #: How many requests a second it takes from all daemons together.
@@ -94,10 +108,25 @@
         was_backing_off = now_s < self.backoff_until_s
         heeded_s = min(backoff_s, MAX_BACKOFF_S)
         until_s = now_s + heeded_s * (1.0 + RETURN_SPREAD_SHARE * draw)
+        self.own_backoff_until_s = max(self.own_backoff_until_s, until_s)
+        self._pause_until(until_s)
+        return not was_backing_off
+
+    def _pause_until(self, until_s: float) -> None:
         self.backoff_until_s = max(self.backoff_until_s, until_s)
         self._returning = True
         self._trial_sent_s = None
-        return not was_backing_off
+
+    def heed_peer(self, told: ToldPause, now_s: float) -> bool:
+        """Pause for what the replica has said to a peer; False if it is left alone by then anyway.
+
+        Draining that is not its own word to this daemon is a pause, with a trial at its end.
+        """
+        pause_s = DOUBTED_DRAINING_S if told.draining else min(told.backoff_s, MAX_BACKOFF_S)
+        if self.draining or now_s + pause_s <= self.backoff_until_s:
+            return False
+        self._pause_until(now_s + pause_s)
+        return True
 
     def adopt(self, former: ReplicaNotice, started_s: float, now_s: float) -> bool:
         """Take over what was heard as an earlier incarnation's word and may be this one's own.
@@ -112,8 +141,7 @@
         until_s = now_s + DOUBTED_DRAINING_S if former.draining else former.backoff_until_s
         if until_s <= now_s:
             return adopts_limit
-        self.backoff_until_s = max(self.backoff_until_s, until_s)
-        self._returning = True
+        self._pause_until(until_s)
         return True
 
     def _adopt_limit(self, former: RequestLimit, started_s: float) -> bool:
--- a/winchfork/router/limit_book.py
+++ b/winchfork/router/limit_book.py
@@ -1,18 +1,14 @@
-"""Books the limits that replicas name, from this daemon's own answers and from what peers tell.
-
-What peers tell is advice, and a false word must not empty a service: as long as one peer alone
-names limits, that counts for up to half of a service's replicas. What this daemon has heard itself,
-or two peers have, counts for all.
-"""
+"""Books the limits that replicas name, from this daemon's own answers and from what peers tell."""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from winchfork.core.hearsay import Hearsay
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import rendezvous_rank
 from winchfork.core.request_limit import SETTLE_S, LimitChange, LimitOrder
@@ -22,16 +18,10 @@
 if TYPE_CHECKING:
     from winchfork.router.state import RouterState
 
-#: Peers whose word on a limit counts for any number of replicas.
-CONFIRMING_PEERS = 2
-#: Part of a service's replicas that one peer alone may tell the limits of.
-MOST_HEARSAY_SHARE = 0.5
-
 
 class ToldLimit(msgspec.Struct, frozen=True):
     """What a peer has heard of a replica's limit; ``per_s`` None: it has ended."""
 
-    incarnation: int
     per_s: float | None
     heard_s: float
 
@@ -45,8 +35,7 @@
         #: The daemons that share limits, and when they last changed.
         self._daemons: tuple[str, ...] = (state.settings.node_id,)
         self._changed_s = -math.inf
-        #: The peers that name a limit of which this daemon has heard nothing itself.
-        self._tellers: dict[int, set[str]] = {}
+        self._hearsay = Hearsay()
         #: Replicas that have named a limit, by incarnation; some may have ended it, or be gone.
         self._named: dict[int, RelayReplica] = {}
         #: Told of each limit that one of this daemon's own answers began, changed or ended, and of
@@ -81,7 +70,7 @@
         limit = replica.notice.limit
         was_per_s = limit.per_s
         change = limit.name(per_s, self._state.clock())
-        self._tellers.pop(replica.order_hash, None)
+        self._hearsay.forget(replica.order_hash)
         self._after(replica, change, was_per_s)
         self.on_heard(replica, change)
 
@@ -97,38 +86,21 @@
 
     # Peers
 
-    def take(self, sender_id: str, told: Iterable[ToldLimit]) -> None:
+    def take(self, sender_id: str, replica: RelayReplica, told: ToldLimit) -> None:
         """Take in what a peer has heard."""
-        by_incarnation = {item.order_hash: item for item in self._state.fleet.replicas()}
-        for word in told:
-            replica = by_incarnation.get(word.incarnation)
-            if replica is not None:
-                self._take(sender_id, replica, word)
-
-    def _take(self, sender_id: str, replica: RelayReplica, word: ToldLimit) -> None:
         limit = replica.notice.limit
         was_per_s = limit.per_s
-        if word.per_s is None:
-            self._after(replica, limit.end(word.heard_s), was_per_s, sender_id)
+        if told.per_s is None:
+            self._after(replica, limit.end(told.heard_s), was_per_s, sender_id)
         elif self._is_credible(sender_id, replica):
-            change = limit.name(word.per_s, word.heard_s)
+            change = limit.name(told.per_s, told.heard_s)
             self._after(replica, change, was_per_s, sender_id)
 
     def _is_credible(self, sender_id: str, replica: RelayReplica) -> bool:
-        """Whether to heed a peer that names a limit; its word is kept until another confirms it."""
-        limit = replica.notice.limit
-        key = replica.order_hash
-        if limit.per_s is not None and key not in self._tellers:
-            return True
-        tellers = self._tellers.setdefault(key, set())
-        tellers.add(sender_id)
-        if limit.per_s is not None or len(tellers) >= CONFIRMING_PEERS:
-            return True
         service = replica.listing.service
-        hearsay = sum(
-            len(self._tellers.get(other.order_hash, ())) == 1 for other in self.limited(service)
-        )
-        return hearsay + 1 <= MOST_HEARSAY_SHARE * len(self._state.fleet.of_service(service))
+        heeded = {item.order_hash for item in self.limited(service)}
+        replicas = len(self._state.fleet.of_service(service))
+        return self._hearsay.counts(replica.order_hash, sender_id, heeded, replicas)
 
     # Who may send
 
@@ -163,7 +135,7 @@
         if change is LimitChange.NOTHING:
             return
         if change is LimitChange.ENDED:
-            self._tellers.pop(replica.order_hash, None)
+            self._hearsay.forget(replica.order_hash)
         else:
             self.assign(replica)
         self._state.metrics.notices.labels(f"limit_{change.value}").inc()
--- a/winchfork/router/notice_book.py
+++ b/winchfork/router/notice_book.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from winchfork.core.hearsay import Hearsay
 from winchfork.core.relay_replica import RelayReplica
-from winchfork.core.replica_notice import AnswerNotice, NoticeChange
+from winchfork.core.replica_notice import AnswerNotice, NoticeChange, ToldPause
 from winchfork.logs import log_event
 from winchfork.router.line_limit import LineLimit
 
@@ -25,6 +26,9 @@
     def __init__(self, state: RouterState) -> None:
         self._state = state
         self._unreadable = LineLimit()
+        self._hearsay = Hearsay()
+        #: Told of each replica that has said to this daemon that it drains or wants a pause.
+        self.on_heard: Callable[[RelayReplica], None] = lambda replica: None
         #: Seconds since 1970, by which replicas date their starts.
         self.wall_clock: Callable[[], float] = time.time
 
@@ -55,11 +59,31 @@
             self._note_unknown(replica, name)
         change = state.fleet.note_notice(replica, notice, now_s, state.generator.random())
         if change is not NoticeChange.NOTHING:
+            self._hearsay.forget(replica.order_hash)
             self._log(replica, notice, change)
+            self.on_heard(replica)
         listed = state.fleet.get(replica.replica_id)
         if listed is not None and listed is not replica:
             self.adopt(listed)
 
+    def take(self, sender_id: str, replica: RelayReplica, told: ToldPause) -> None:
+        """Take in what a replica has said to a peer."""
+        now_s = self._state.clock()
+        service = self._state.fleet.of_service(replica.listing.service)
+        heeded = {item.order_hash for item in service if item.notice.opens_in_s(now_s) > 0.0}
+        if not self._hearsay.counts(replica.order_hash, sender_id, heeded, len(service)):
+            return
+        if replica.notice.heed_peer(told, now_s):
+            log_event(
+                "replica_notice",
+                replica=replica.replica_id,
+                notice="told",
+                told_by=sender_id,
+                draining=told.draining,
+                backoff_s=replica.notice.backoff_until_s - now_s,
+                in_flight=replica.in_flight,
+            )
+
     def adopt(self, replica: RelayReplica) -> None:
         """Heed what a new incarnation may have said itself before the list told of it."""
         if not replica.listing.born_ms:
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -236,16 +236,24 @@
 class LimitNote(PeerMessage, frozen=True):
     """A limit that an answer has named so many milliseconds ago; None: it named none any more."""
 
-    incarnation: int
     per_s: float | None
     age_ms: int
 
 
-class ReplicaLimits(PeerMessage, frozen=True):
-    """What the sender's own answers say of replicas' limits."""
+class NoticeNote(PeerMessage, frozen=True):
+    """What a replica has said of itself to the sender, the pause from now on."""
+
+    incarnation: int
+    draining: bool
+    backoff_ms: int
+    limit: LimitNote | None = None
+
+
+class ReplicaNotices(PeerMessage, frozen=True):
+    """What replicas have said of themselves in the sender's own answers."""
 
     sender_id: str
-    notes: tuple[LimitNote, ...]
+    notes: tuple[NoticeNote, ...]
 
 
 PEER_MESSAGE_TYPES = (
@@ -268,5 +276,5 @@
     EndedUnder,
     SuspectUnderWay,
     ClearedRequests,
-    ReplicaLimits,
+    ReplicaNotices,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -10,7 +10,7 @@
 from winchfork.router.document_relay import DocumentRelay
 from winchfork.router.evidence_exchange import EvidenceExchange
 from winchfork.router.leadership import Leadership
-from winchfork.router.limit_exchange import LimitExchange
+from winchfork.router.notice_exchange import NoticeExchange
 from winchfork.router.peer_messages import (
     Accusation,
     Activity,
@@ -21,7 +21,7 @@
     FleetWork,
     NamedVersions,
     RegionWork,
-    ReplicaLimits,
+    ReplicaNotices,
     Resignation,
     SuspectUnderWay,
     VersionEvidence,
@@ -76,11 +76,11 @@
     peers.handle(EndedUnder, crashes.take_ended)
     peers.handle(SuspectUnderWay, crashes.take_run)
     peers.handle(ClearedRequests, crashes.take_cleared)
-    limits = LimitExchange(state, peers, call_later)
-    peers.handle(ReplicaLimits, limits.take)
+    notices = NoticeExchange(state, peers, call_later)
+    peers.handle(ReplicaNotices, notices.take)
     peers.handle(DocumentPull, relay.take_pull)
     peers.handle(DocumentPart, relay.take_part)
-    peers.on_tick += [state.standstill.tick, news.greet_newcomers, work.tick, limits.tick]
+    peers.on_tick += [state.standstill.tick, news.greet_newcomers, work.tick, notices.tick]
     if state.settings.software_rollouts:
         peers.on_tick.append(evidence.tick)
     peers.on_revision = relay.note_revision
