Let the daemons nearest to a limited replica hold its limit; begin none by an answer from before its end

Holders were drawn from all zones, so a replica's places were often with daemons for which another was cheaper: of a limit of 3 a third was used on the stand-ins (one of four replicas). And an answer that was under way when a limit ended began it again, for all that were told.

--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -12,6 +12,7 @@
 
 from tests.limit_fleet import REPLICA, LimitedReplica, list_limited
 from tests.peer_support import Daemon, Network, among
+from tests.virtual_loop import run_virtually
 from winchfork.core.request_limit import LEAST_PER_S, SILENCE_S
 from winchfork.router.peer_messages import Forward, LimitNote, NoticeNote, ReplicaNotices
 
@@ -143,6 +144,24 @@
             among(daemons, scenario)
 
 
+class NearestHoldersTest(unittest.TestCase):
+    def test_daemons_near_a_replica_hold_its_limit(self) -> None:
+        """Where they lie in another zone, nobody else may send and they send elsewhere."""
+
+        async def main() -> None:
+            network = Network()
+            zones = ("z2", "z3", "z1")
+            daemons = [Daemon(network, number, zone=zones[number % 3]) for number in range(1, 10)]
+            await asyncio.sleep(4.0)
+            replica = LimitedReplica(network, daemons, 3.0)
+            replica.offer(daemons[0])
+            await asyncio.sleep(TOLD_WITHIN_S)
+            holders = [item for item in daemons if replica.record(item).notice.limit.is_holder]
+            self.assertEqual([item.state.settings.zone for item in holders], ["z1"] * 3)
+
+        run_virtually(main())
+
+
 class HearsayTest(unittest.TestCase):
     def test_one_peer_alone_does_not_empty_a_service(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
--- a/tests/test_request_limit.py
+++ b/tests/test_request_limit.py
@@ -67,6 +67,20 @@
 
 
 class HeardLimitTest(RelayTestCase):
+    async def test_an_answer_that_was_under_way_when_the_limit_ended_begins_none(self) -> None:
+        relay = await self.relay(ScriptedReplica(answering(lambda r: signed(r, b"ok"))))
+        replica = relay.state.fleet.get("i-0")
+        assert replica is not None
+        now_s = relay.state.clock()
+        limits = relay.state.limits
+        limits.note_named(replica, 2.0, now_s - 3.0)
+        limits.note_answer(replica, now_s + 1.0)
+        self.assertIsNone(replica.notice.limit.per_s)
+        limits.note_named(replica, 2.0, now_s - 0.5)
+        self.assertIsNone(replica.notice.limit.per_s)
+        limits.note_named(replica, 2.0, relay.state.clock() + 0.1)
+        self.assertEqual(replica.notice.limit.per_s, 2.0)
+
     async def test_which_answers_begin_keep_and_end_it(self) -> None:
         answers = {
             "Server-Limit: 2\r\n": 2.0,
--- a/winchfork/core/request_limit.py
+++ b/winchfork/core/request_limit.py
@@ -121,6 +121,13 @@
         """
         return self.per_s is not None and sent_s > self.heard_s
 
+    def has_ended_since(self, sent_s: float) -> bool:
+        """Whether a limit has ended after a request was sent.
+
+        Its answer may have been written before, and would begin the limit again for all.
+        """
+        return self.per_s is None and self.heard_s > sent_s
+
     def adopt(self, former: RequestLimit) -> None:
         """Take over what was heard as an earlier incarnation's word and is this one's own."""
         self.per_s = former.per_s
--- a/winchfork/router/limit_book.py
+++ b/winchfork/router/limit_book.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -32,8 +32,8 @@
     def __init__(self, state: RouterState) -> None:
         self._state = state
         self._lines = LineLimit()
-        #: The daemons that share limits, and when they last changed.
-        self._daemons: tuple[str, ...] = (state.settings.node_id,)
+        #: The daemons that share limits, with their zones, and when they last changed.
+        self._daemons: Mapping[str, str] = {state.settings.node_id: state.settings.zone}
         self._changed_s = -math.inf
         self._hearsay = Hearsay()
         #: Replicas that have named a limit, by incarnation; some may have ended it, or be gone.
@@ -65,9 +65,11 @@
 
     # Own answers
 
-    def note_named(self, replica: RelayReplica, per_s: float) -> None:
-        """Take in that an answer of a replica names a limit."""
+    def note_named(self, replica: RelayReplica, per_s: float, sent_s: float | None = None) -> None:
+        """Take in that an answer of a replica names a limit, of a request that was sent then."""
         limit = replica.notice.limit
+        if sent_s is not None and limit.has_ended_since(sent_s):
+            return
         was_per_s = limit.per_s
         change = limit.name(per_s, self._state.clock())
         self._hearsay.forget(replica.order_hash)
@@ -104,12 +106,11 @@
 
     # Who may send
 
-    def install_daemons(self, daemons: Sequence[str], now_s: float) -> None:
-        """Share limits among these daemons from now on."""
-        ordered = tuple(sorted(daemons))
-        if ordered == self._daemons:
+    def install_daemons(self, zones: Mapping[str, str], now_s: float) -> None:
+        """Share limits among these daemons from now on; ``zones`` holds the zone of each."""
+        if zones == self._daemons:
             return
-        self._daemons = ordered
+        self._daemons = zones
         self._changed_s = now_s
         self._named = {replica.order_hash: replica for replica in self._all()}
         for replica in self._named.values():
@@ -118,12 +119,19 @@
     def assign(self, replica: RelayReplica) -> None:
         """Give this daemon its place among those that may send to a limited replica."""
         self._named[replica.order_hash] = replica
-        order = rendezvous_rank(replica.order_hash, self._daemons)
+        order = self._order(replica)
         own_id = self._state.settings.node_id
         # One that is not counted, since it stops, comes last.
         place = order.index(own_id) if own_id in order else len(order)
         replica.notice.limit.take_place(LimitOrder(place, len(order)), self._changed_s + SETTLE_S)
 
+    def _order(self, replica: RelayReplica) -> list[str]:
+        """Return the daemons, the nearest to a replica first: to others it is the dearer one."""
+        regions = self._state.settings.regions
+        zone = replica.listing.zone
+        ranked = rendezvous_rank(replica.order_hash, self._daemons)
+        return sorted(ranked, key=lambda item: regions.distance(zone, self._daemons[item]).value)
+
     def _after(
         self,
         replica: RelayReplica,
--- a/winchfork/router/notice_book.py
+++ b/winchfork/router/notice_book.py
@@ -54,7 +54,7 @@
                 reason=notice.unreadable,
             )
         if notice.limit_per_s is not None:
-            state.limits.note_named(replica, notice.limit_per_s)
+            state.limits.note_named(replica, notice.limit_per_s, answers_sent_s)
         for name in notice.unknown:
             self._note_unknown(replica, name)
         change = state.fleet.note_notice(replica, notice, now_s, state.generator.random())
--- a/winchfork/router/notice_exchange.py
+++ b/winchfork/router/notice_exchange.py
@@ -63,8 +63,8 @@
         if view is not self._view:
             self._view = view
             leaving = MemberStatus.LEAVING
-            working = [item.member_id for item in view.members if item.status < leaving]
-            self._state.limits.install_daemons(working, now_s)
+            zones = {item.member_id: item.zone for item in view.members if item.status < leaving}
+            self._state.limits.install_daemons(zones, now_s)
         if self._again:
             self._tell_again(now_s)
 
