Tell peers only of pauses of two seconds or more; a daemon that has just started holds no limit

A replica that is full for a moment may ask one daemon for a short wait; told to all, it would be left idle, and two such words would empty a service in an overload. A pause that a peer tells counts up to 60 s, so that a false one does not cost a replica for 10 minutes. And a daemon that had just started, and had heard of no other yet, took itself for the only holder at once.

--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -92,6 +92,19 @@
 
         among(15, scenario)
 
+    def test_one_that_has_just_started_holds_nothing_before_it_knows_the_others(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons, 3.0)
+            network.drop = lambda sender, receiver: True
+            newcomer = Daemon(network, len(daemons) + 1)
+            list_limited(newcomer)
+            replica.offer(newcomer)
+            await asyncio.sleep(1.0)
+            self.assertEqual(replica.record(newcomer).notice.limit.per_s, 3.0)
+            self.assertFalse(replica.offer(newcomer))
+
+        among(3, scenario)
+
     def test_one_that_stood_still_sends_no_more_than_what_it_had_in_hand(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             replica = LimitedReplica(network, daemons, 1.0)
--- a/tests/test_told_pauses.py
+++ b/tests/test_told_pauses.py
@@ -55,6 +55,16 @@
 
         among(15, scenario)
 
+    def test_a_short_pause_is_between_the_replica_and_who_was_refused(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = LimitedReplica(network, daemons)
+            first = daemons[0]
+            first.state.notices.note(replica.record(first), AnswerNotice(backoff_s=1.0))
+            await asyncio.sleep(TOLD_WITHIN_S)
+            self.assertEqual(self.taking(replica), len(daemons) - 1)
+
+        among(7, scenario)
+
     def test_what_was_told_is_not_told_on(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             replica = LimitedReplica(network, daemons)
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -16,6 +16,11 @@
 #: The longest backoff that is heeded, in seconds. A replica that asks for more is tried once in
 #: this time, so that a value written wrongly does not cost it for good.
 MAX_BACKOFF_S = 600.0
+#: The shortest backoff that peers are told of, and the longest that they heed, in seconds. A
+#: shorter one may be asked of one daemon by a replica that is full for a moment; told to all it
+#: would leave the replica idle. A longer one is heard again from the replica by the trial after it.
+LEAST_TOLD_BACKOFF_S = 2.0
+MAX_TOLD_BACKOFF_S = 60.0
 #: Part of a backoff that is added to it, as drawn: daemons that were turned away together do not
 #: come back together.
 RETURN_SPREAD_SHARE = 0.1
@@ -82,8 +87,8 @@
 
     draining: bool = False
     backoff_until_s: float = 0.0
-    #: The end of the pause that it has asked this daemon for.
-    own_backoff_until_s: float = 0.0
+    #: The end of the pause that it has asked this daemon for, if peers are to know of it.
+    told_backoff_until_s: float = 0.0
     #: When it last said something of itself.
     heard_s: float = -math.inf
     #: How many requests a second it takes from all daemons together.
@@ -108,7 +113,8 @@
         was_backing_off = now_s < self.backoff_until_s
         heeded_s = min(backoff_s, MAX_BACKOFF_S)
         until_s = now_s + heeded_s * (1.0 + RETURN_SPREAD_SHARE * draw)
-        self.own_backoff_until_s = max(self.own_backoff_until_s, until_s)
+        if backoff_s >= LEAST_TOLD_BACKOFF_S:
+            self.told_backoff_until_s = max(self.told_backoff_until_s, until_s)
         self._pause_until(until_s)
         return not was_backing_off
 
@@ -122,7 +128,7 @@
 
         Draining that is not its own word to this daemon is a pause, with a trial at its end.
         """
-        pause_s = DOUBTED_DRAINING_S if told.draining else min(told.backoff_s, MAX_BACKOFF_S)
+        pause_s = DOUBTED_DRAINING_S if told.draining else min(told.backoff_s, MAX_TOLD_BACKOFF_S)
         if self.draining or now_s + pause_s <= self.backoff_until_s:
             return False
         self._pause_until(now_s + pause_s)
--- a/winchfork/router/limit_book.py
+++ b/winchfork/router/limit_book.py
@@ -106,6 +106,10 @@
 
     # Who may send
 
+    def settle_from(self, now_s: float) -> None:
+        """Take this daemon for one that does not know yet who else there is."""
+        self._changed_s = now_s
+
     def install_daemons(self, zones: Mapping[str, str], now_s: float) -> None:
         """Share limits among these daemons from now on; ``zones`` holds the zone of each."""
         if zones == self._daemons:
--- a/winchfork/router/notice_exchange.py
+++ b/winchfork/router/notice_exchange.py
@@ -54,6 +54,7 @@
         self._retells: dict[int, int] = {}
         #: When somebody last told everybody of a replica.
         self._told_s: dict[int, float] = {}
+        state.limits.settle_from(state.clock())
         state.limits.on_heard = self._note_limit
         state.notices.on_heard = self._note_pause
 
@@ -96,7 +97,9 @@
             self._add_news(replica, RETELLS if change is LimitChange.ENDED else 0)
 
     def _note_pause(self, replica: RelayReplica) -> None:
-        self._add_news(replica, RETELLS)
+        now_s = self._state.clock()
+        if replica.notice.draining or replica.notice.told_backoff_until_s > now_s:
+            self._add_news(replica, RETELLS)
 
     def _add_news(self, replica: RelayReplica, retells: int) -> None:
         self._retells[replica.order_hash] = retells
@@ -140,7 +143,7 @@
         if math.isfinite(notice.limit.heard_s):
             age_ms = max(0, int((now_s - notice.limit.heard_s) * 1000))
             limit = LimitNote(notice.limit.per_s, age_ms)
-        backoff_ms = max(0, int((notice.own_backoff_until_s - now_s) * 1000))
+        backoff_ms = max(0, int((notice.told_backoff_until_s - now_s) * 1000))
         return NoticeNote(replica.order_hash, notice.draining, backoff_ms, limit)
 
 
