--- /dev/null
+++ b/winchfork/cli/day_figures.py
@@ -0,0 +1,128 @@
+"""What routers' log lines tell of a day, second by second: load, outcomes, replicas, events."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from winchfork.cli.log_reading import LoggedEvent
+
+#: How outcomes begin, and what they are drawn as; any other is a failure.
+_GROUPS = {
+    "delivered": "served",
+    "caller_left": "left by callers",
+    "passed_on": "failed",
+    "no_replica": "refused",
+    "overloaded": "refused",
+    "configuration": "refused",
+    "quota_exceeded": "refused",
+    "stopping": "refused",
+    "not_found": "refused",
+    "unauthenticated": "refused",
+}
+FAILED = "failed"
+GROUPS = ("served", "refused", FAILED, "left by callers")
+#: Events that are marked in the picture, with the field that names what they concern.
+_MARKED = {
+    "weights_named": "version",
+    "configuration_installed": "version",
+    "software_ordered": "target",
+    "replica_ejected": "replica",
+    "replica_notice": "replica",
+    "replica_limit": "replica",
+    "store_outage_ended": "",
+    "router_started": "node",
+    "router_stopping": "",
+    "leadership_taken": "",
+    "zone_lost": "zone",
+}
+
+
+class Mark(msgspec.Struct, frozen=True, order=True):
+    """Something that happened, once for all daemons that tell of it within a second."""
+
+    second: int
+    event: str
+    subject: str
+
+
+class StoreSilence(msgspec.Struct, frozen=True):
+    """Seconds in which one daemon did not reach the store; the end is None if no line tells it."""
+
+    source: str
+    from_s: float
+    until_s: float | None
+
+
+class DayFigures(msgspec.Struct, frozen=True):
+    """A day; seconds count from the first line, whose time in seconds since 1970 is ``began_s``."""
+
+    began_s: float
+    seconds: int
+    outcomes: dict[str, Counter[int]]
+    first_event_s: dict[int, list[float]]
+    sent: dict[str, Counter[int]]
+    marks: tuple[Mark, ...]
+    silences: tuple[StoreSilence, ...]
+
+    def first_event_at(self, second: int, share: float) -> float | None:
+        """Return the time to the first event that a share of a second's streams stayed within."""
+        waits_s = sorted(self.first_event_s.get(second, ()))
+        return waits_s[min(len(waits_s) - 1, int(share * len(waits_s)))] if waits_s else None
+
+    def busiest(self, most: int) -> list[str]:
+        """Return the replicas that were sent most, the busiest first."""
+        totals = {replica: counts.total() for replica, counts in self.sent.items()}
+        return sorted(totals, key=lambda replica: (-totals[replica], replica))[:most]
+
+
+def group_of(outcome: str) -> str:
+    """Return what an outcome is drawn as."""
+    found = (group for start, group in _GROUPS.items() if outcome.startswith(start))
+    return next(found, FAILED)
+
+
+def figures_of_day(events: Iterable[LoggedEvent]) -> DayFigures | None:
+    """Add up the events of all logs; None without any."""
+    known = sorted(events, key=lambda event: event.at_s)
+    if not known:
+        return None
+    began_s = known[0].at_s
+    outcomes: dict[str, Counter[int]] = {group: Counter() for group in GROUPS}
+    first_event_s: defaultdict[int, list[float]] = defaultdict(list)
+    sent: defaultdict[str, Counter[int]] = defaultdict(Counter)
+    marks: set[Mark] = set()
+    for event in known:
+        second = int(event.at_s - began_s)
+        if event.name in ("request_done", "request_refused"):
+            outcome = event.field("outcome") or event.field("code")
+            outcomes[group_of(outcome)][second] += 1
+            if event.field("first_event_s"):
+                first_event_s[second].append(float(event.field("first_event_s")))
+        elif event.name == "request_sent":
+            sent[event.field("replica")][second] += 1
+        elif event.name in _MARKED:
+            marks.add(Mark(second, event.name, event.field(_MARKED[event.name])))
+    return DayFigures(
+        began_s,
+        int(known[-1].at_s - began_s) + 1,
+        outcomes,
+        dict(first_event_s),
+        dict(sent),
+        tuple(sorted(marks)),
+        tuple(_silences(known, began_s)),
+    )
+
+
+def _silences(events: Sequence[LoggedEvent], began_s: float) -> list[StoreSilence]:
+    lost_s: dict[str, float] = {}
+    found = []
+    for event in events:
+        at_s = event.at_s - began_s
+        if event.name == "store_lost":
+            lost_s.setdefault(event.source, at_s)
+        elif event.name == "store_regained" and event.source in lost_s:
+            found.append(StoreSilence(event.source, lost_s.pop(event.source), at_s))
+    return found + [StoreSilence(source, from_s, None) for source, from_s in lost_s.items()]
--- a/winchfork/cli/log_commands.py
+++ b/winchfork/cli/log_commands.py
@@ -1,12 +1,14 @@
-"""`winchfork explain --log`: a request's life from routers' log files, without a daemon."""
+"""`winchfork explain --log` and `plot`: what routers' log files tell, without a daemon."""
 
 from __future__ import annotations
 
 import argparse
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from datetime import UTC, datetime
 from pathlib import Path
 
+from winchfork.cli.day_figures import figures_of_day
+from winchfork.cli.day_plot import draw_day
 from winchfork.cli.log_explanation import RequestExplanation, explain_request
 from winchfork.cli.log_reading import LoggedEvent, read_events
 from winchfork.cli.output import EXIT_OK, print_failure, print_json
@@ -15,12 +17,9 @@
 
 def explain_from_logs(arguments: argparse.Namespace) -> int:
     """Print what the named files tell of a request; a line for each event, and what it comes to."""
-    events: list[LoggedEvent] = []
-    for name in arguments.log:
-        read = _read_file(Path(name))
-        if isinstance(read, Failure):
-            return print_failure(read)
-        events += read
+    events = _read_files(arguments.log)
+    if isinstance(events, Failure):
+        return print_failure(events)
     explanation = explain_request(events, arguments.request_id)
     if explanation is None:
         unknown = FailureKind.NOT_FOUND.because(
@@ -36,6 +35,41 @@
     return EXIT_OK
 
 
+def plot_logs(arguments: argparse.Namespace) -> int:
+    """Draw the day that the named files tell of."""
+    events = _read_files(arguments.log)
+    if isinstance(events, Failure):
+        return print_failure(events)
+    day = figures_of_day(events)
+    if day is None:
+        empty = FailureKind.NOT_FOUND.because(
+            f"no line of {', '.join(arguments.log)} is a router's",
+            remedy="name logs that routers have written",
+        )
+        return print_failure(empty)
+    began = datetime.fromtimestamp(day.began_s, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
+    try:
+        draw_day(day, arguments.out, f"{len(arguments.log)} logs from {began}")
+    except (OSError, ValueError) as error:
+        unwritten = FailureKind.INVALID_REQUEST.because(
+            f"--out {arguments.out} cannot be written: {error}",
+            remedy="name a file in a folder that exists, ending in .png, .svg or .pdf",
+        )
+        return print_failure(unwritten)
+    print(arguments.out)
+    return EXIT_OK
+
+
+def _read_files(names: Sequence[str]) -> list[LoggedEvent] | Failure:
+    events: list[LoggedEvent] = []
+    for name in names:
+        read = _read_file(Path(name))
+        if isinstance(read, Failure):
+            return read
+        events += read
+    return events
+
+
 def _read_file(path: Path) -> list[LoggedEvent] | Failure:
     try:
         text = path.read_text(errors="replace")
--- a/winchfork/cli/main.py
+++ b/winchfork/cli/main.py
@@ -17,6 +17,7 @@
     "status": "operator_commands",
     "drain": "operator_commands",
     "explain": "operator_commands",
+    "plot": "operator_commands",
     "rollout": "operator_commands",
     "dev": "emulator_commands",
     "emulate": "emulator_commands",
--- a/winchfork/cli/operator_commands.py
+++ b/winchfork/cli/operator_commands.py
@@ -11,7 +11,7 @@
 
 from google.protobuf import json_format
 
-from winchfork.cli.log_commands import explain_from_logs
+from winchfork.cli.log_commands import explain_from_logs, plot_logs
 from winchfork.cli.output import EXIT_FAILED, EXIT_OK, print_failure, print_json, print_table
 from winchfork.control import winchfork_pb2 as pb
 from winchfork.control.convert import (
@@ -58,6 +58,12 @@
         help="a router's log, in place of asking a daemon; may be given again",
     )
     _connect(explain, _explain)
+    plot = commands.add_parser("plot", help="draw a day from routers' logs")
+    plot.add_argument(
+        "--log", action="append", required=True, metavar="FILE", help="may be given again"
+    )
+    plot.add_argument("--out", default="day.png", metavar="FILE", help="the picture (day.png)")
+    plot.set_defaults(run=plot_logs)
     rollout = commands.add_parser("rollout", help="roll new weights over a pool")
     steps = rollout.add_subparsers(dest="action", required=True, metavar="ACTION")
     start = steps.add_parser("start", help="start a rollout")
