--- a/tests/fuzz_machines.py
+++ b/tests/fuzz_machines.py
@@ -37,7 +37,7 @@
 from winchfork.core.retry_budget import RetryBudget
 from winchfork.emulator.engine_model import EngineModel, EngineSettings, Sequence
 from winchfork.errors import Failure, RunState
-from winchfork.gateway.generation import _Progress
+from winchfork.gateway.stream_progress import StreamProgress
 
 COUNTS: Counter[str] = Counter()
 _SKEW_S = 0.3
@@ -484,7 +484,7 @@
         super().__init__()
         self.tokens = [f"t{number} " for number in range(40)]
         self.received = ""
-        self.progress = _Progress(self._deliver)
+        self.progress = StreamProgress(self._deliver)
 
     def _deliver(self, text: str) -> Failure | None:
         self.received += text
--- /dev/null
+++ b/winchfork/gateway/admission_gate.py
@@ -0,0 +1,78 @@
+"""Lets generations in as their daemon has slots, and wakes those whose turn has come."""
+
+from __future__ import annotations
+
+from concurrent.futures import Future
+
+from winchfork.boot_clock import boot_seconds
+from winchfork.cluster.state import DaemonState
+from winchfork.core.admission import Ticket, Verdict
+from winchfork.errors import Failure, RunState
+from winchfork.gateway.caller import Waiter
+from winchfork.gateway.requests import CallerContext
+
+#: Seconds between two looks at whether a waiting caller has gone.
+_TICKET_POLL_S = 0.25
+
+
+class AdmissionGate:
+    """The waiting generations of one daemon. Thread-safe."""
+
+    def __init__(self, state: DaemonState) -> None:
+        self._state = state
+        self._tickets: dict[str, Future[None]] = {}
+
+    def admit(self, request_id: str, context: CallerContext, caller: Waiter) -> Failure | None:
+        """Let a request in, after its turn has come; the failure says why it is refused."""
+        now_s = boot_seconds()
+        ticket = Ticket(
+            request_id,
+            context.tenant.name,
+            context.traffic_class.name,
+            context.traffic_class.priority,
+            context.may_wait,
+            caller.deadline_at_s,
+            now_s,
+            context.tenant.weight,
+        )
+        admitted: Future[None] = Future()
+        with self._state.lock:
+            verdict = self._state.admission.offer(ticket, now_s)
+            if verdict is Verdict.QUEUED:
+                self._tickets[request_id] = admitted
+            self._state.retry_budget.note_request()
+        if isinstance(verdict, Failure):
+            return verdict
+        if verdict is Verdict.QUEUED:
+            return self._await_turn(request_id, caller, admitted)
+        return None
+
+    def _await_turn(
+        self, request_id: str, caller: Waiter, admitted: Future[None]
+    ) -> Failure | None:
+        self._state.note_decision(request_id, "queued", "no_free_slot")
+        while True:
+            try:
+                admitted.result(timeout=_TICKET_POLL_S)
+                return None
+            except TimeoutError:
+                reason = caller.check()
+            if reason is None:
+                continue
+            with self._state.lock:
+                withdrawn = self._state.admission.withdraw(request_id)
+                self._tickets.pop(request_id, None)
+            if withdrawn:
+                return reason.with_run_state(RunState.NOT_RUN)
+            # Admitted between the check and the withdrawal: give the slot back.
+            self.release(request_id, 0.0)
+            return reason.with_run_state(RunState.NOT_RUN)
+
+    def release(self, request_id: str, service_s: float) -> None:
+        """Give a request's slot back; those whose turn has come are let in."""
+        with self._state.lock:
+            admitted = self._state.admission.release(request_id, boot_seconds(), service_s)
+            futures = [self._tickets.pop(ticket.request_id, None) for ticket in admitted]
+        for future in futures:
+            if future is not None:
+                future.set_result(None)
--- /dev/null
+++ b/winchfork/gateway/attempt_placement.py
@@ -0,0 +1,163 @@
+"""Chooses the replica of an attempt, asking those whose identity is not known."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import time
+
+from winchfork.backends.engine_port import EnginePort
+from winchfork.cluster.placement_lookup import LookupResult, PlacementLookup
+from winchfork.cluster.state import DaemonState
+from winchfork.core.configuration import Pool
+from winchfork.core.fleet import Replica, ReplicaIdentity, is_urgent
+from winchfork.core.placement import PlacementDecision, PlacementRequest
+from winchfork.core.prefix import CacheScope, PromptPrefix, prompt_prefix
+from winchfork.errors import Failure, FailureKind
+from winchfork.gateway.requests import CallerContext, GenerationRequest
+
+#: Replicas held for unavailable that one request asks at most.
+_DOUBTFUL_ASKED = 3
+
+
+@dataclasses.dataclass
+class PlacedAttempt:
+    """An attempt at the replica that was chosen, and what it was expected to find there."""
+
+    attempt_id: str
+    replica: Replica
+    identity: ReplicaIdentity
+    decision: PlacementDecision
+    scope: CacheScope
+    prefix: PromptPrefix
+    import_address: str = ""
+
+
+class AttemptPlacement:
+    """Places the attempts of one daemon. Thread-safe."""
+
+    def __init__(self, state: DaemonState, lookup: PlacementLookup, engine: EnginePort) -> None:
+        self._state = state
+        self._lookup = lookup
+        self._engine = engine
+        self._attempts = itertools.count(1)
+
+    def place(
+        self,
+        request_id: str,
+        pool: Pool,
+        request: GenerationRequest,
+        context: CallerContext,
+        excluded: set[str],
+    ) -> PlacedAttempt | Failure:
+        """Choose a replica that is not excluded, and count the attempt on it."""
+        replicas = self._candidates(pool, excluded)
+        if not replicas:
+            return FailureKind.NO_REPLICA.because(
+                f"pool {pool.name} has no replica that takes work",
+                remedy="come back after the given time",
+                retry_after_s=2.0,
+            )
+        # Replicas differ in weights only during a rollout; the prompt's keys follow the version.
+        version = max(replica.identity.weights_version for replica in replicas if replica.identity)
+        scope = CacheScope(context.tenant.name, request.model, version)
+        prefix = prompt_prefix(scope, request.prompt.encode())
+        found = self._lookup.find(prefix)
+        urgent = is_urgent(context.traffic_class.priority)
+        placement = PlacementRequest(
+            request_id,
+            prefix,
+            context.traffic_class.placement_weights(),
+            self._state.settings.daemon.zone,
+            urgent,
+        )
+        attempt_id = f"{request_id}.{next(self._attempts)}"
+        with self._state.lock:
+            decision = self._state.policy.choose(placement, replicas, found.matched)
+            replica = next(item for item in replicas if item.replica_id == decision.replica_id)
+            identity = replica.identity
+            source = self._state.fleet.get(decision.import_from)
+            replica.note_dispatch(attempt_id, decision.uncached_tokens, time.time(), urgent=urgent)
+        assert identity is not None
+        if identity.weights_version != version:
+            scope = CacheScope(context.tenant.name, request.model, identity.weights_version)
+            prefix = prompt_prefix(scope, request.prompt.encode())
+        self._lookup.note_dispatch(prefix, replica.replica_id, identity)
+        self._note_placement(request_id, attempt_id, decision, found, identity)
+        import_address = source.address if source is not None else ""
+        return PlacedAttempt(attempt_id, replica, identity, decision, scope, prefix, import_address)
+
+    def _candidates(self, pool: Pool, excluded: set[str]) -> list[Replica]:
+        """Return the pool's replicas whose identity is known, asking those that are not.
+
+        Notes of identities can be lost, so a replica of unknown identity must not stay out for
+        good: one is asked with each request, and all of them while none is known.
+        """
+        with self._state.lock:
+            replicas = self._state.fleet.candidates(pool.name, time.time(), frozenset(excluded))
+            unknown = [replica for replica in replicas if replica.identity is None]
+        if not replicas:
+            return self._ask_doubtful(pool, excluded)
+        known = [replica for replica in replicas if replica.identity is not None]
+        for replica in unknown[:1] if known else unknown:
+            if self._ask(replica):
+                known.append(replica)
+        known.sort(key=lambda replica: replica.replica_id)
+        return known
+
+    def _ask_doubtful(self, pool: Pool, excluded: set[str]) -> list[Replica]:
+        """Ask a few replicas that are held for unavailable before a request is refused.
+
+        That belief comes by gossip and can be a second old, which matters while replicas take turns
+        at loading weights. Bounded, so that an outage of the pool costs little.
+        """
+        with self._state.lock:
+            doubtful = self._state.fleet.doubtful(pool.name, frozenset(excluded))
+        for replica in doubtful[:_DOUBTFUL_ASKED]:
+            if self._ask(replica):
+                return [replica]
+        return []
+
+    def _ask(self, replica: Replica) -> bool:
+        """Ask a replica who it is; False when it does not answer or takes no work."""
+        report = self._engine.report(replica.address, 1 << 60)
+        if isinstance(report, Failure) or not report.accepting:
+            return False
+        with self._state.lock:
+            replica.identity = report.identity
+            replica.note_load(report.load, time.time())
+        return True
+
+    def _note_placement(
+        self,
+        request_id: str,
+        attempt_id: str,
+        decision: PlacementDecision,
+        found: LookupResult,
+        identity: ReplicaIdentity,
+    ) -> None:
+        self._state.note_decision(
+            request_id,
+            "placed",
+            decision.reason.value,
+            attempt=attempt_id,
+            replica=decision.replica_id,
+            incarnation=identity.incarnation,
+            weights_version=identity.weights_version,
+            predicted_cached_blocks=decision.cached_blocks,
+            import_from=decision.import_from,
+            import_blocks=decision.import_blocks,
+            predicted_first_token_s=round(decision.expected_first_token_s, 4),
+            beliefs_from=found.source.value,
+            owner=found.owner,
+            candidates=[
+                {
+                    "replica": item.replica_id,
+                    "cached_blocks": item.cached_blocks,
+                    "wait_s": round(item.wait_s, 4),
+                    "prefill_s": round(item.prefill_s, 4),
+                    "cost": round(item.cost, 4),
+                }
+                for item in decision.candidates
+            ],
+        )
