Forget whose limits have ended, and who told of them: replicas come and go for months

Found in a last read: both tables were cleared only while something was left to tell, or when the fleet changed. Tests look at them after an end.

--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -39,6 +39,10 @@
             replica.per_s = None
             await replica.press(3.0)
             self.assertEqual(set(replica.limits()), {None})
+            await asyncio.sleep(12.0)
+            for daemon in daemons:
+                self.assertEqual(daemon.state.limits._named, {})
+                self.assertEqual(daemon.parts.notices._told_s, {})
 
         for count in (3, 15, 42):
             among(count, scenario)
--- a/winchfork/router/limit_book.py
+++ b/winchfork/router/limit_book.py
@@ -148,6 +148,7 @@
             return
         if change is LimitChange.ENDED:
             self._hearsay.forget(replica.order_hash)
+            self._named.pop(replica.order_hash, None)
         else:
             self.assign(replica)
         self._state.metrics.notices.labels(f"limit_{change.value}").inc()
--- a/winchfork/router/notice_exchange.py
+++ b/winchfork/router/notice_exchange.py
@@ -68,6 +68,8 @@
             self._state.limits.install_daemons(zones, now_s)
         if self._again:
             self._tell_again(now_s)
+        if self._told_s:
+            self._forget_old(now_s)
 
     def take(self, message: ReplicaNotices) -> None:
         """Take in what a peer has heard."""
@@ -119,6 +121,9 @@
         if due:
             self._news |= {key: self._again.pop(key) for key in due}
             self._tell()
+
+    def _forget_old(self, now_s: float) -> None:
+        """Keep only what may still hold back a retelling: replicas come and go for months."""
         self._told_s = {
             key: at_s for key, at_s in self._told_s.items() if now_s - at_s < 2 * RETELL_S
         }
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -43,6 +43,7 @@
 
     news: VersionNews
     evidence: EvidenceExchange
+    notices: NoticeExchange
 
 
 def connect_peers(
@@ -86,4 +87,4 @@
     peers.on_revision = relay.note_revision
     sync.relay_through(relay)
     leadership.eligible = lambda: relay.may_lead
-    return PeerParts(news, evidence)
+    return PeerParts(news, evidence, notices)
