--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -216,27 +216,22 @@
         among(3, scenario)
 
     def test_what_a_former_life_said_binds_no_successor(self) -> None:
-        async def scenario(network: Network, daemons: list[Daemon]) -> None:
-            replica = LimitedReplica(network, daemons, 1.0)
-            replica.offer(daemons[0])
-            await asyncio.sleep(TOLD_WITHIN_S)
-            for daemon in daemons:
-                daemon.state.fleet.remove(REPLICA)
-                born_ms = int((daemon.state.notices.wall_clock() + 5.0) * 1000)
-                list_limited(daemon, born_ms)
-            self.assertEqual(set(replica.limits()), {None})
-
-        among(3, scenario)
+        self._restart(started_s_ago=-5.0, limit_per_s=None)
 
     def test_what_it_said_before_it_was_listed_binds_itself(self) -> None:
+        self._restart(started_s_ago=5.0, limit_per_s=1.0)
+
+    def _restart(self, started_s_ago: float, limit_per_s: float | None) -> None:
+        """List a later incarnation after a limit was heard; check what is known of its limit."""
+
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             replica = LimitedReplica(network, daemons, 1.0)
             replica.offer(daemons[0])
             await asyncio.sleep(TOLD_WITHIN_S)
             for daemon in daemons:
                 daemon.state.fleet.remove(REPLICA)
-                born_ms = int((daemon.state.notices.wall_clock() - 5.0) * 1000)
-                list_limited(daemon, born_ms)
-            self.assertEqual(set(replica.limits()), {1.0})
+                born_s = daemon.state.notices.wall_clock() - started_s_ago
+                list_limited(daemon, int(born_s * 1000))
+            self.assertEqual(set(replica.limits()), {limit_per_s})
 
         among(3, scenario)
