Spare requests a second look at all replicas where places are not scarce

The list of replicas that are left stood twice in replica_choice and is one method. What is chosen, and when, is as before.

--- a/winchfork/router/replica_choice.py
+++ b/winchfork/router/replica_choice.py
@@ -72,11 +72,7 @@
         may send to it again; one whose weights are too old is loaded next.
         """
         now_s = self._state.clock()
-        left = [
-            replica
-            for replica in self._state.fleet.of_service(service)
-            if replica.accepting and replica.replica_id not in tried
-        ]
+        left = self._left(service, tried)
         openings = [
             replica.opens_in_s(now_s) or PRIOR_LOAD_S
             for replica in self._state.software.allowed(service, left, on_target=on_target)
@@ -84,6 +80,14 @@
         opening_s = min(openings, default=math.inf)
         return None if math.isinf(opening_s) else opening_s
 
+    def _left(self, service: str, tried: set[str]) -> list[RelayReplica]:
+        """Return the replicas that will be given work, now or later, without those tried."""
+        return [
+            replica
+            for replica in self._state.fleet.of_service(service)
+            if replica.accepting and replica.replica_id not in tried
+        ]
+
     def scarce_places(
         self, service: str, tried: set[str], *, on_target: bool = False
     ) -> list[PlaceOpening] | None:
@@ -91,11 +95,7 @@
 
         None where one takes work without a limit, or will, or where none is left.
         """
-        left = [
-            replica
-            for replica in self._state.fleet.of_service(service)
-            if replica.accepting and replica.replica_id not in tried
-        ]
+        left = self._left(service, tried)
         if not left or any(replica.notice.limit.per_s is None for replica in left):
             return None
         now_s = self._state.clock()
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -110,6 +110,9 @@
             return _Opening(LOOK_AGAIN_S, most_s)
         barred = self.barred()
         decision = self._dispatch.place(barred)
+        if decision is not None and decision.replica.notice.limit.per_s is None:
+            # Places are not scarce: nearly every request is spared another look at all replicas.
+            return decision
         places = self._dispatch.scarce_places(self._tried)
         if places is not None:
             return self._look_in_turn(decision, places, most_s)
