Tell which era the store is in, what it refuses, and that an answer is older than what is known

Nothing told a store that had come back from a copy from one whose answers were late: its era was not read, a 410 left no trace, and what was dropped for its revision was not counted. Now: store_era, store_history_lost, store_revision_below, store_header_unknown (the store's Store-... headers, as replicas' ones have); counters of refusals by status and of updates dropped; the era on the metrics page. No decision reads any of it.

--- /dev/null
+++ b/tests/test_store_eras.py
@@ -0,0 +1,72 @@
+"""What the store says of itself in the headers of its answers, and what is told of that."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from winchfork.platform.store_headers import read_store_answer
+from winchfork.router import store_eras
+from winchfork.router.http_types import AnswerHead, Headers
+from winchfork.router.metrics import RouterMetrics
+from winchfork.router.store_eras import StoreEras
+from winchfork.stores.async_key_value import StoreAnswer
+
+
+def answer(*headers: tuple[bytes, bytes], status: int = 200) -> StoreAnswer:
+    named: Headers = [(b"Content-Type", b"application/json"), *headers]
+    return read_store_answer(AnswerHead(status, b"", named, 0))
+
+
+class StoreHeadersTest(unittest.TestCase):
+    def test_the_era_is_read_whatever_the_case_of_its_name(self) -> None:
+        self.assertEqual(answer((b"Store-Era", b"3")).era, 3)
+        self.assertEqual(answer((b"STORE-ERA", b" 12 ")).era, 12)
+
+    def test_what_names_no_single_era_counts_as_none(self) -> None:
+        for value in (b"", b"x", b"-1", b"1.5", b"1e3", b"9" * 40, b"2, 3"):
+            with self.subTest(value):
+                self.assertEqual(answer((b"Store-Era", value)).era, 0)
+        self.assertEqual(answer((b"Store-Era", b"2"), (b"Store-Era", b"3")).era, 0)
+        self.assertEqual(answer().era, 0)
+
+    def test_the_same_era_twice_is_one(self) -> None:
+        self.assertEqual(answer((b"Store-Era", b"2"), (b"Store-Era", b"2")).era, 2)
+        self.assertEqual(answer((b"Store-Era", b"2, 2")).era, 2)
+
+    def test_a_header_of_the_store_that_is_not_known_is_named(self) -> None:
+        self.assertEqual(answer((b"Store-Mood", b"1")).unknown_headers, ("store-mood",))
+
+
+class StoreErasTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.metrics = RouterMetrics()
+        self.eras = StoreEras(self.metrics)
+
+    def test_eras_never_go_back_and_each_is_told_once(self) -> None:
+        with mock.patch.object(store_eras, "log_event") as log:
+            for era in (0, 3, 3, 2, 4, 0):
+                self.eras.take(StoreAnswer(200, era))
+        self.assertEqual(self.eras.newest, 4)
+        told = [(call.kwargs["era"], call.kwargs["before"]) for call in log.call_args_list]
+        self.assertEqual(told, [(3, None), (4, 3)])
+
+    def test_an_unknown_header_is_one_line_and_counted(self) -> None:
+        with mock.patch.object(store_eras, "log_event") as log:
+            for _ in range(3):
+                self.eras.take(StoreAnswer(200, 0, ("store-mood",)))
+        self.assertEqual(log.call_count, 1)
+        self.assertEqual(self.metrics.unknown_words.labels("store-mood").value, 3)
+
+    def test_refusals_are_counted_by_status_and_lost_history_is_told(self) -> None:
+        with mock.patch.object(store_eras, "log_event") as log:
+            self.eras.take(StoreAnswer(410, 0))
+            self.eras.take(StoreAnswer(429, 0))
+        self.assertEqual(log.call_args_list[0].args[0], "store_history_lost")
+        self.assertEqual(log.call_count, 1)
+        self.assertEqual(self.metrics.store_refusals.labels("410").value, 1)
+        self.assertEqual(self.metrics.store_refusals.labels("429").value, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/winchfork/platform/store.py
+++ b/winchfork/platform/store.py
@@ -10,13 +10,16 @@
 import msgspec
 
 from winchfork.errors import Failure, FailureKind, RunState
+from winchfork.platform.store_headers import read_store_answer
 from winchfork.router.http_call import CallReply, HttpCaller
 from winchfork.stores.async_key_value import (
     ExpectedRevision,
+    OnStoreAnswer,
     PutItem,
     StoreItem,
     StoreSnapshot,
     WatchBatch,
+    ignore_answer,
 )
 
 _Shape = TypeVar("_Shape")
@@ -57,9 +60,12 @@
 class PlatformStore:
     """Implements :class:`winchfork.stores.async_key_value.AsyncKeyValueStore`."""
 
-    def __init__(self, caller: HttpCaller, address: str) -> None:
+    def __init__(
+        self, caller: HttpCaller, address: str, on_answer: OnStoreAnswer = ignore_answer
+    ) -> None:
         self._caller = caller
         self._address = address
+        self._on_answer = on_answer
 
     async def list(self, prefix: str) -> StoreSnapshot | Failure:
         """Read every entry under a prefix, page by page."""
@@ -143,7 +149,13 @@
     ) -> CallReply | Failure:
         label = target[1:].partition("?")[0].partition("/")[0]
         reply = await self._caller.call(
-            self._address, method, target.encode(), body, timeout_s, label=label
+            self._address,
+            method,
+            target.encode(),
+            body,
+            timeout_s,
+            label=label,
+            on_head=lambda head: self._on_answer(read_store_answer(head)),
         )
         if isinstance(reply, Failure):
             return FailureKind.STORE_UNAVAILABLE.because(reply.reason, ran=reply.ran)
--- a/winchfork/router/document_relay.py
+++ b/winchfork/router/document_relay.py
@@ -133,7 +133,11 @@
         update = self._collector.add(part)
         if isinstance(update, Failure):
             self._state.metrics.bad_datagrams.inc()
-        elif update is not None and update.at_revision > self._state.store_revision:
+        elif update is None:
+            return
+        elif update.at_revision <= self._state.store_revision:
+            self._state.metrics.updates_dropped.labels("peer_knows_less").inc()
+        else:
             whole = self._documents.take_update(update)
             outcome = "whole" if whole else "with_a_gap"
             self._state.metrics.updates_relayed.labels(outcome).inc()
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -125,6 +125,18 @@
             "Updates of the store's entries taken from peers.",
             "outcome",
         )
+        self.updates_dropped = Labelled(
+            CounterChild,
+            "winchfork_updates_dropped",
+            "Answers of the store and updates of peers that were not taken in, by why.",
+            "why",
+        )
+        self.store_refusals = Labelled(
+            CounterChild,
+            "winchfork_store_refusals",
+            "Answers of the store other than success, by status.",
+            "status",
+        )
         self.quota_used = Labelled(
             CounterChild, "winchfork_quota_used", "Units let through, by tenant.", "tenant"
         )
@@ -165,7 +177,7 @@
         self.unknown_words = Labelled(
             CounterChild,
             "winchfork_unknown_notices",
-            "Answers with a word of a replica on itself that this build does not know, by header.",
+            "Answers that say something of their sender which this build does not know, by header.",
             "header",
         )
         #: Share of each service's requests that a new version of its software may get now.
@@ -202,6 +214,8 @@
             self.requests,
             self.calls,
             self.updates_relayed,
+            self.updates_dropped,
+            self.store_refusals,
             self.notices,
             self.unknown_words,
         )
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -38,7 +38,7 @@
 from winchfork.router.store_sync import StoreSync
 from winchfork.router.text_server import TextConnection
 from winchfork.router.weights_rollout import WeightsRollout
-from winchfork.stores.async_key_value import AsyncKeyValueStore
+from winchfork.stores.async_key_value import AsyncKeyValueStore, OnStoreAnswer
 
 SWEEP_PERIOD_S = 0.5
 LOG_PERIOD_S = 0.1
@@ -58,7 +58,7 @@
     dialect: Dialect
     documents: DocumentReader
     status: StatusWriter
-    make_store: Callable[[HttpCaller, str], AsyncKeyValueStore]
+    make_store: Callable[[HttpCaller, str, OnStoreAnswer], AsyncKeyValueStore]
     make_control: Callable[[HttpCaller], ReplicaControl]
 
 
@@ -89,7 +89,7 @@
             self._call_pool, lambda label: self.state.metrics.calls.labels(label).inc()
         )
         self.service = RouterService(self.state, self._pool, parts.dialect)
-        store = parts.make_store(self._calls, settings.store_address)
+        store = parts.make_store(self._calls, settings.store_address, self.state.eras.take)
         self._peers = PeerGroup(self.state, generator)
         self._peers.store_delay_s = lambda: self._call_pool.connect_s.get(settings.store_address)
         self._leadership = Leadership(
@@ -198,6 +198,7 @@
         show("requests_suspected", "Requests under which replicas ended.", lambda: ledger.suspected)
         show("requests_barred", "Requests refused as they end replicas.", lambda: ledger.refused)
         show("store_revision", "Everything before it is known.", lambda: state.store_revision)
+        show("store_era", "The newest heard of; 0 with none.", lambda: state.eras.newest)
         show(
             "configuration_version",
             "The configuration in force; 0 with none.",
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -35,6 +35,7 @@
 from winchfork.router.settings import RouterSettings
 from winchfork.router.software_versions import SoftwareVersions
 from winchfork.router.standstill import StandstillWatch
+from winchfork.router.store_eras import StoreEras
 from winchfork.router.zone_watch import ZoneWatch
 
 #: Part of the revocation bound that is kept for a store whose watches lag and for slow clocks.
@@ -92,6 +93,7 @@
         )
         self.splits = SplitChooser()
         self.metrics = RouterMetrics()
+        self.eras = StoreEras(self.metrics)
         self.stopping = False
         #: Whether a connection to a replica's address waits to be used.
         self.is_connected: Callable[[str], bool] = lambda address: True
--- /dev/null
+++ b/winchfork/router/store_eras.py
@@ -0,0 +1,54 @@
+"""Which era of the store this daemon's answers come from.
+
+A store that comes back from a copy begins a new era: revisions and leases that it gave out after
+the copy are void, and are given out again. Eras rise; 0 stands for an answer that names none.
+"""
+
+from __future__ import annotations
+
+from winchfork.logs import log_event
+from winchfork.router.metrics import RouterMetrics
+from winchfork.stores.async_key_value import StoreAnswer
+
+STATUS_OK = 200
+#: The store no longer has the history that a watch is to go on from.
+STATUS_GONE = 410
+#: Names of unknown headers that are told.
+MOST_UNKNOWN_HEADERS = 20
+
+
+class StoreEras:
+    """The newest era heard of, and what answers said on the way. Not thread-safe."""
+
+    def __init__(self, metrics: RouterMetrics) -> None:
+        self._metrics = metrics
+        self._unknown_headers: set[str] = set()
+        self.newest = 0
+
+    def take(self, answer: StoreAnswer) -> None:
+        """Take in what an answer of the store says of the store itself."""
+        self.note(answer.era)
+        for name in answer.unknown_headers:
+            self._note_unknown_header(name)
+        if answer.status != STATUS_OK:
+            self._metrics.store_refusals.labels(str(answer.status)).inc()
+        if answer.status == STATUS_GONE:
+            log_event("store_history_lost", "WARNING", era=answer.era or None)
+
+    def note(self, era: int, *, told_by: str = "store") -> None:
+        """Take in an era that the store or a peer names."""
+        if era <= self.newest:
+            return
+        before, self.newest = self.newest, era
+        level = "WARNING" if before else "INFO"
+        log_event("store_era", level, era=era, before=before or None, told_by=told_by)
+
+    def _note_unknown_header(self, name: str) -> None:
+        """Count a header that this build does not know, and log its name once."""
+        is_new = name not in self._unknown_headers
+        if is_new and len(self._unknown_headers) >= MOST_UNKNOWN_HEADERS:
+            return
+        self._metrics.unknown_words.labels(name).inc()
+        if is_new:
+            self._unknown_headers.add(name)
+            log_event("store_header_unknown", "WARNING", header=name)
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -139,7 +139,7 @@
         self._apply(gone)
         if LEADER_KEY not in {item.key for item in items}:
             self._leadership.note_no_entry(at_revision)
-        self._state.store_revision = max(self._state.store_revision, at_revision)
+        self._note_at(at_revision)
         self._listed = self._installer.ever_listed = True
 
     async def _watch_once(self) -> Failure | None:
@@ -155,13 +155,27 @@
         self._note_regained(asked_s)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
         self._apply(items)
-        self._state.store_revision = max(self._state.store_revision, batch.at_revision)
+        self._note_at(batch.at_revision)
         if self._relay is not None:
             self._relay.push(TableUpdate(base_revision, batch.at_revision, False, False, items))
         waited = in_time and not batch.items and answered_s - asked_s >= wait_s
         self._note_answer(asked_s + wait_s if waited else asked_s)
         return None
 
+    def _note_at(self, at_revision: int) -> None:
+        """Everything up to a revision is known here; one that is below ours is counted and told."""
+        known = self._state.store_revision
+        if at_revision < known:
+            self._state.metrics.updates_dropped.labels("revision_below").inc()
+            log_event(
+                "store_revision_below",
+                "WARNING",
+                revision=at_revision,
+                known=known,
+                era=self._state.eras.newest or None,
+            )
+        self._state.store_revision = max(known, at_revision)
+
     def _date_news(self, *, in_time: bool) -> NewsDate:
         """Date what an answer brings: now, or as old as it may be if this daemon could not hear."""
         now_s = self._state.clock()
--- a/winchfork/stores/async_key_value.py
+++ b/winchfork/stores/async_key_value.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -52,6 +52,24 @@
     lease_id: int = 0
 
 
+class StoreAnswer(msgspec.Struct, frozen=True):
+    """What the head of an answer says of the store itself.
+
+    ``era`` rises by one each time that the store comes back from a copy; 0 where none is named.
+    """
+
+    status: int
+    era: int = 0
+    unknown_headers: tuple[str, ...] = ()
+
+
+OnStoreAnswer = Callable[[StoreAnswer], None]
+
+
+def ignore_answer(answer: StoreAnswer) -> None:
+    """Take no notice."""
+
+
 class AsyncKeyValueStore(Protocol):
     """The service as the router uses it."""
 
