Failing tests: what is written after the store came back from a copy reaches no router for good

Stand-ins: the store names its era in all answers, says 410 to a watch from a revision that it does not have, and comes back from a copy with its leases; what the operator and the replicas wrote is written again.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import dataclasses
 import socket
+from typing import Any
 
 import msgspec
 
@@ -128,6 +130,7 @@
             self.store, "editing", self.applications, self._new_application_replica
         )
         self._peer_port = free_port("127.0.0.1", socket.SOCK_DGRAM)
+        self._configuration: dict[str, Any] = copy.deepcopy(_CONFIGURATION)
 
     def _new_model_replica(self, replica_id: str, software: str) -> ReplicaServer:
         zone = ZONES[len(replica_id) % len(ZONES)]
@@ -146,11 +149,17 @@
     async def start(self) -> None:
         """Start the store with a configuration, and the replicas."""
         await self.store.start()
-        self.store.put("op/config", _CONFIGURATION)
+        self.store.put("op/config", self._configuration)
         self.name_weights(1)
         for replica in (*self.models, *self.applications):
             await replica.start()
 
+    def add_key(self, key: str) -> None:
+        """Give the first tenant one more key, as a newer configuration does."""
+        self._configuration["Version"] += 1
+        self._configuration["Tenants"][0]["ApiKeys"].append(key)
+        self.store.put("op/config", self._configuration)
+
     async def stop(self) -> None:
         """Stop everything."""
         for replica in (*self.model_rollouts.replicas, *self.application_rollouts.replicas):
--- a/standins/store_server.py
+++ b/standins/store_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 from typing import Any
 
@@ -14,12 +15,31 @@
 _PAGE_ITEMS = 500
 
 
+#: What the operator and the replicas write, which they write again after the store's return.
+_WRITTEN_AGAIN = ("op/", "servers/")
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """All that the store held at a moment; ``leases`` maps ids to seconds left and the whole."""
+
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    revision: int
+    leases: dict[int, tuple[float, float]]
+    last_lease: int
+
+
 class StoreServer:
-    """Linearizable; ``down`` refuses every call as the platform does when it is busy."""
+    """Linearizable; ``down`` refuses every call as the platform does when it is busy.
+
+    ``era`` is named in every answer and rises with each return from a copy; 0: it is not named.
+    """
 
     def __init__(self) -> None:
         self.revision = 0
         self.down = False
+        self.era = 1
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._leases: dict[int, tuple[float, float]] = {}
@@ -67,16 +87,54 @@
         item = self._items.get(key)
         return base64.b64decode(item["Value"]).decode() if item else None
 
+    def copy(self) -> StoreCopy:
+        """Return what the store holds now."""
+        now_s = asyncio.get_running_loop().time()
+        leases = {
+            lease: (until_s - now_s, ttl_s) for lease, (until_s, ttl_s) in self._leases.items()
+        }
+        return StoreCopy(
+            dict(self._items), list(self._history), self.revision, leases, self._last_lease
+        )
+
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """Be as at an earlier moment, in a new era; operator and replicas write theirs again."""
+        now_s = asyncio.get_running_loop().time()
+        lost = self._items
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self.revision = copy.revision
+        self._leases = {
+            lease: (now_s + left_s, ttl_s) for lease, (left_s, ttl_s) in copy.leases.items()
+        }
+        self._last_lease = copy.last_lease
+        if self.era:
+            self.era += 1
+        self._write_again(lost)
+
+    def _write_again(self, lost: dict[str, dict[str, Any]]) -> None:
+        for key in sorted({*lost, *self._items}):
+            if not key.startswith(_WRITTEN_AGAIN):
+                continue
+            before, now = lost.get(key), self._items.get(key)
+            if before is None:
+                self.remove(key)
+            elif now is None or now["Value"] != before["Value"]:
+                self.put(key, base64.b64decode(before["Value"]))
+
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         self._expire()
         if self.down:
-            write_answer(writer, 503)
+            write_answer(writer, 503, headers=self._era_header())
             return True
         status, answer = await self._answer(request)
-        headers = {"Content-Type": "application/json"}
+        headers = {"Content-Type": "application/json"} | self._era_header()
         write_answer(writer, status, json.dumps(answer).encode(), headers)
         return True
 
+    def _era_header(self) -> dict[str, str]:
+        return {"Store-Era": str(self.era)} if self.era else {}
+
     async def _answer(self, request: Request) -> tuple[int, dict[str, Any]]:
         call, _, argument = request.path[1:].partition("/")
         if call == "kv-range":
@@ -110,6 +168,8 @@
         prefix, after = query.get("PathPrefix", ""), int(query.get("after", "0"))
         while True:
             self._expire()
+            if after > self.revision:
+                return 410, {}
             events = [
                 item
                 for item in self._history
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 from collections.abc import Sequence
+from typing import Any
 
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.stores.async_key_value import (
@@ -20,6 +22,8 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.era = 0
+        self.leases_granted = 0
         self.items: dict[str, StoreItem] = {}
         self.history: list[StoreItem] = []
         self.first_kept = 0
@@ -51,6 +55,28 @@
     def cut_watches(self) -> None:
         self._wake()
 
+    def copy(self) -> dict[str, Any]:
+        """Return what the store holds now."""
+        now_s = asyncio.get_running_loop().time()
+        return {
+            "revision": self.revision,
+            "items": dict(self.items),
+            "history": list(self.history),
+            "leases": {key: (end_s - now_s, ttl_s) for key, (end_s, ttl_s) in self.leases.items()},
+            "lease_of": dict(self.lease_of),
+            "leases_granted": self.leases_granted,
+        }
+
+    def come_back_from(self, held: dict[str, Any]) -> None:
+        """Be as at an earlier moment, in a new era: revisions and leases are given out again."""
+        now_s = asyncio.get_running_loop().time()
+        kept = copy.deepcopy(held)
+        leases = kept.pop("leases")
+        self.leases = {key: (now_s + left_s, ttl_s) for key, (left_s, ttl_s) in leases.items()}
+        vars(self).update(kept)
+        self.era += 1
+        self._wake()
+
     def _record(self, item: StoreItem) -> None:
         if item.value is None:
             self.items.pop(item.key, None)
@@ -88,11 +114,11 @@
         failure = await self._arrive("watch")
         if failure:
             return failure
-        if after_revision < self.first_kept:
-            return FailureKind.HISTORY_LOST.because("forgotten")
         until_s = asyncio.get_running_loop().time() + wait_s
         while True:
             self.expire()
+            if not self.first_kept <= after_revision <= self.revision:
+                return FailureKind.HISTORY_LOST.because("forgotten, or of another era")
             found = [item for item in self.history if item.revision > after_revision]
             found = [item for item in found if item.key.startswith(prefix)]
             left_s = until_s - asyncio.get_running_loop().time()
@@ -123,7 +149,8 @@
         failure = await self._arrive("grant_lease")
         if failure:
             return failure
-        lease_id = 1000 + len(self.calls)
+        self.leases_granted += 1
+        lease_id = 1000 + self.leases_granted
         self.leases[lease_id] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
         return lease_id
 
--- /dev/null
+++ b/tests/store_drill.py
@@ -0,0 +1,99 @@
+"""Daemons whose store comes back from a copy, for scenarios in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+from tests.memory_store import MemoryStore
+from tests.peer_support import Daemon, Network
+from tests.test_platform_documents import CONFIGURATION, REPLICA
+from tests.virtual_loop import run_virtually
+
+MODEL = "m"
+ZONES = ("z1", "z2", "z3")
+#: How old the copy is, and how long the store is away.
+COPY_AGE_S = 4.0
+AWAY_S = 1.0
+#: Changes of no meaning before the store goes away, which keep its revisions lower afterwards.
+LOST_CHANGES = 40
+SETTLED_S = 12.0
+#: A change is known to all daemons within this time.
+KNOWN_WITHIN_S = 1.0
+
+
+class DrilledFleet:
+    """Daemons before one store that names its era."""
+
+    def __init__(self, count: int) -> None:
+        self.network = Network()
+        self.store = MemoryStore()
+        self.store.era = 1
+        self.configure(3)
+        self.list_replica("i-1")
+        self.list_replica("i-2")
+        self.name_weights(1)
+        self.daemons = [
+            Daemon(self.network, number, ZONES[number % 3], self.store)
+            for number in range(1, count + 1)
+        ]
+        for daemon in self.daemons:
+            daemon.follow()
+
+    def configure(self, version: int) -> None:
+        self._put("op/config", {**CONFIGURATION, "Version": version})
+
+    def name_weights(self, version: int) -> None:
+        self._put(f"op/version/{MODEL}", {"Model": MODEL, "Version": version})
+
+    def list_replica(self, replica_id: str, **changes: object) -> None:
+        self._put(f"servers/{replica_id}", {**REPLICA, **changes})
+
+    def _put(self, key: str, document: object) -> None:
+        self.store.put(key, json.dumps(document).encode())
+
+    def change(self, times: int) -> None:
+        """Change an entry that nobody reads."""
+        for number in range(times):
+            self.store.put("operators/note", str(number).encode())
+
+    async def lose(
+        self, meanwhile: Callable[[], None] = lambda: None, changes: int = LOST_CHANGES
+    ) -> None:
+        """Have the store come back without what it took in the last seconds."""
+        copy = self.store.copy()
+        await asyncio.sleep(COPY_AGE_S / 2)
+        self.change(changes)
+        meanwhile()
+        await asyncio.sleep(COPY_AGE_S / 2)
+        self.store.down = True
+        await asyncio.sleep(AWAY_S)
+        self.store.come_back_from(copy)
+        self.store.down = False
+
+    async def unaware(self, knows: Callable[[Daemon], bool], within_s: float) -> list[str]:
+        """Return the daemons that do not know something within a time."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + within_s
+        while loop.time() < until_s:
+            if all(knows(daemon) for daemon in self.daemons):
+                return []
+            await asyncio.sleep(0.01)
+        return [daemon.state.settings.node_id for daemon in self.daemons if not knows(daemon)]
+
+    def leading(self) -> Iterator[Daemon]:
+        """Return the daemons that may give orders now."""
+        return (daemon for daemon in self.daemons if daemon.leadership.may_act())
+
+
+def after_a_drill(count: int, scenario: Callable[[DrilledFleet], Awaitable[Any]]) -> None:
+    """Play a scenario with daemons that have settled."""
+
+    async def main() -> None:
+        fleet = DrilledFleet(count)
+        await asyncio.sleep(SETTLED_S)
+        await scenario(fleet)
+
+    run_virtually(main())
