--- a/tests/entry_fuzz.py
+++ b/tests/entry_fuzz.py
@@ -145,7 +145,7 @@
         assert seen == self.good, f"seen {seen}, written {self.good}"
         assert self.state.table is not None
         assert self.state.table.version == CONFIGURATION["Version"]
-        assert self.state.store_revision == self.store.revision
+        assert self.state.store_position.revision == self.store.revision
 
 
 def fuzz(seed: int) -> Counter[str]:
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.stores.async_key_value import (
     ExpectedRevision,
@@ -34,6 +35,10 @@
         self.calls: list[str] = []
         self._changed = asyncio.Event()
 
+    @property
+    def at(self) -> StorePosition:
+        return StorePosition(self.era, self.revision)
+
     # Faults and operators
 
     def put(self, key: str, value: bytes, lease_id: int = 0) -> int:
@@ -108,7 +113,7 @@
         if failure:
             return failure
         found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
-        return StoreSnapshot(tuple(found), self.revision)
+        return StoreSnapshot(tuple(found), self.at)
 
     async def watch(self, prefix: str, after_revision: int, wait_s: float) -> WatchBatch | Failure:
         failure = await self._arrive("watch")
@@ -123,7 +128,7 @@
             found = [item for item in found if item.key.startswith(prefix)]
             left_s = until_s - asyncio.get_running_loop().time()
             if found or left_s < 1e-6:
-                return WatchBatch(tuple(found), self.revision)
+                return WatchBatch(tuple(found), self.at)
             try:
                 await asyncio.wait_for(self._changed.wait(), min(left_s, 0.05))
             except TimeoutError:
@@ -131,7 +136,7 @@
 
     async def transact(
         self, expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
-    ) -> int | Failure:
+    ) -> StorePosition | Failure:
         failure = await self._arrive("transact")
         if failure:
             return failure
@@ -143,7 +148,7 @@
             if put.lease_id and put.lease_id not in self.leases:
                 return FailureKind.NOT_FOUND.because("no such lease")
             self.put(put.key, put.value, put.lease_id)
-        return self._answer(self.revision)
+        return self._answer(self.at)
 
     async def grant_lease(self, ttl_s: float) -> int | Failure:
         failure = await self._arrive("grant_lease")
@@ -179,8 +184,8 @@
             return FailureKind.STORE_UNAVAILABLE.because("down")
         return None
 
-    def _answer(self, revision: int) -> int | Failure:
+    def _answer(self, at: StorePosition) -> StorePosition | Failure:
         if self.lose_writes > 0:
             self.lose_writes -= 1
             return FailureKind.STORE_UNAVAILABLE.because("the answer was lost")
-        return revision
+        return at
--- a/tests/peer_samples.py
+++ b/tests/peer_samples.py
@@ -18,6 +18,7 @@
 from winchfork.core.peer_message import PeerMessage
 from winchfork.core.quota_book import QuotaLevel, QuotaLevels, QuotaReport, QuotaTotals
 from winchfork.core.software_state import SoftwarePhase, SoftwareState, StopCause
+from winchfork.core.store_position import StorePosition
 from winchfork.router.document_parts import split_update
 from winchfork.router.peer_messages import (
     PEER_MESSAGE_TYPES,
@@ -26,6 +27,7 @@
     ClearedRequests,
     DocumentPull,
     EndedUnder,
+    EraDocumentPull,
     EvidenceNote,
     FleetWork,
     Forward,
@@ -57,7 +59,11 @@
 _QUOTA = QuotaReport(77, (QuotaTotals(1, 2, 3, 4),))
 _LEVELS = QuotaLevels(80, True, False, (QuotaLevel(1, 2),))
 UPDATE = TableUpdate(
-    3, 5, False, True, (TableItem("op/config", 4, b"{}"), TableItem("servers/i-1", 5, None))
+    StorePosition(0, 3),
+    StorePosition(0, 5),
+    False,
+    True,
+    (TableItem("op/config", 4, b"{}"), TableItem("servers/i-1", 5, None)),
 )
 RECORD = SoftwareState("s", "v1", SoftwarePhase.TRIAL, "v2", 0.1, 2, 12)
 REFUSAL = RefusalRecord(_DIGEST, 1_790_000_000_000, 2)
@@ -75,6 +81,8 @@
     Forward(b"datagram", True),
     DocumentPull("n1", "10.0.0.1:7", 5),
     split_update("n1", UPDATE)[0],
+    EraDocumentPull(3, DocumentPull("n1", "10.0.0.1:7", 5)),
+    split_update("n1", msgspec.structs.replace(UPDATE, at=StorePosition(3, 5)))[0],
     Accusation("n1", 2**63 + 3),
     RegionWork("n1", "g", True, _LOADS, (ZoneUse("n1", "z1", _QUOTA, _LEVELS),)),
     VersionEvidence("n1", 77, "z1", "s", 12, (EvidenceNote(1, 2, 30, 4, 5),)),
--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -11,6 +11,7 @@
 from tests.virtual_loop import run_virtually
 from winchfork.core.region_map import RegionMap
 from winchfork.core.relay_replica import ReplicaListing
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform.documents import PlatformDocuments
 from winchfork.router.leadership import Leadership
@@ -56,7 +57,7 @@
 
     async def transact(
         self, expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
-    ) -> int | Failure:
+    ) -> StorePosition | Failure:
         return self._failure() or await self.store.transact(expected, puts)
 
     async def grant_lease(self, ttl_s: float) -> int | Failure:
--- a/tests/relay_support.py
+++ b/tests/relay_support.py
@@ -208,7 +208,7 @@
                 TenantPolicy("press", (URGENT_KEY,), priority=0),
             ],
         )
-        self.state.install_table(table, 1)
+        self.state.install_table(table)
         self.state.freshness.prove(self.state.clock() + 3600.0)
         self.state.budget._started_at_s = -1e9
 
--- a/tests/store_drill.py
+++ b/tests/store_drill.py
@@ -11,6 +11,7 @@
 from tests.peer_support import Daemon, Network
 from tests.test_platform_documents import CONFIGURATION, REPLICA
 from tests.virtual_loop import run_virtually
+from winchfork.router.process import SWEEP_PERIOD_S
 
 MODEL = "m"
 ZONES = ("z1", "z2", "z3")
@@ -41,6 +42,13 @@
         ]
         for daemon in self.daemons:
             daemon.follow()
+        self._sweeping = asyncio.create_task(self._sweep())
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            for daemon in self.daemons:
+                daemon.sync.expire_vanished(daemon.state.clock())
 
     def configure(self, version: int) -> None:
         self._put("op/config", {**CONFIGURATION, "Version": version})
--- a/tests/test_cache_store_copies.py
+++ b/tests/test_cache_store_copies.py
@@ -74,7 +74,7 @@
         state = RouterState(
             RouterSettings("n", "z1", "g", "", "", "", ""), lambda: 0.0, random.Random(1)
         )
-        state.install_table(RoutingTable(1, [], services), 1)
+        state.install_table(RoutingTable(1, [], services))
         return state
 
     def test_the_rate_is_that_of_the_slower_link(self) -> None:
@@ -97,7 +97,7 @@
         for version, zone in ((1, "z1"), (2, "z2")):
             store = CacheStore("10.0.0.1:1", zone, 1000, 25_000.0)
             services = [Service("s", engine=ENGINE), Service("k", store=store)]
-            state.install_table(RoutingTable(version, [], services), version)
+            state.install_table(RoutingTable(version, [], services))
             homes.append(state.cache_stores.homes_of(prompt("f"), settings.regions))
         self.assertEqual([list(found) for found in homes], [["west"], ["east"]])
         self.assertEqual(homes[1]["east"].listing.zone, "z2")
@@ -107,7 +107,7 @@
         before = state.cache_stores.homes_of(prompt("f"), state.settings.regions)[""]
         store = CacheStore("10.0.0.1:1", "z2", 1000, 25_000.0)
         services = [Service("s", engine=ENGINE), Service("k", store=store)]
-        state.install_table(RoutingTable(2, [], services), 2)
+        state.install_table(RoutingTable(2, [], services))
         after = state.cache_stores.homes_of(prompt("f"), state.settings.regions)[""]
         self.assertIs(before, after)
 
@@ -115,5 +115,5 @@
         """A request keeps its store over its attempts, and places itself anew for each."""
         state = self.configured()
         store = state.cache_stores.homes_of(prompt("f"), state.settings.regions)[""]
-        state.install_table(RoutingTable(2, [], [Service("s", engine=ENGINE)]), 2)
+        state.install_table(RoutingTable(2, [], [Service("s", engine=ENGINE)]))
         self.assertEqual(state.copy_tokens_per_s("s", store), 3_125_000.0)
--- a/tests/test_late_word.py
+++ b/tests/test_late_word.py
@@ -11,6 +11,7 @@
 from tests.test_weights_bounds import MODEL, FollowingFleet
 from tests.virtual_loop import run_virtually, stand_still
 from winchfork.core.document_table import TableItem, TableUpdate
+from winchfork.core.store_position import StorePosition
 from winchfork.router.peer_messages import NamedNote, NamedVersions
 from winchfork.router.peer_port import PeerPort
 from winchfork.router.version_news import VersionNews
@@ -73,10 +74,11 @@
             while deaf.age_s() < 1.9:
                 await asyncio.sleep(0.01)
             proven_s = deaf.state.freshness.proven_at_s
-            revision = deaf.state.store_revision
+            known = deaf.state.store_position
+            later = StorePosition(known.era, known.revision + 1)
             document = json.dumps({"Model": MODEL, "Version": 2}).encode()
-            named = TableItem(f"op/version/{MODEL}", revision + 1, document)
-            deaf.sync.take_update(TableUpdate(revision, revision + 1, False, False, (named,)))
+            named = TableItem(f"op/version/{MODEL}", later.revision, document)
+            deaf.sync.take_update(TableUpdate(known, later, False, False, (named,)))
             (newest,) = (item for item in deaf.state.versions[MODEL].named if item.version == 2)
             self.assertLessEqual(newest.heard_s, proven_s)
             self.assertTrue(newest.assumed)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -9,6 +9,7 @@
 
 from tests.memory_store import MemoryStore
 from tests.virtual_loop import run_virtually
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure
 from winchfork.router.leadership import ACT_S, LEADER_KEY, Leadership
 from winchfork.stores.async_key_value import ExpectedRevision, PutItem, WatchBatch
@@ -38,18 +39,18 @@
 
     async def _watch(self) -> None:
         revision = 0
-        self.leadership.note_no_entry(0)
+        self.leadership.note_no_entry(StorePosition())
         while True:
             batch = await self.store.watch(LEADER_KEY, revision, 1.0)
             if not isinstance(batch, WatchBatch) or self.cut:
                 await asyncio.sleep(0.1)
                 continue
-            revision = batch.at_revision
+            revision = batch.at.revision
             for item in batch.items:
                 if item.value is None:
-                    self.leadership.note_no_entry(item.revision)
+                    self.leadership.note_no_entry(StorePosition(0, item.revision))
                 else:
-                    self.leadership.note_entry(item.revision)
+                    self.leadership.note_entry(StorePosition(0, item.revision))
 
     def kill(self) -> None:
         for task in self.tasks:
@@ -63,7 +64,7 @@
 
     async def answered_late(
         expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
-    ) -> int | Failure:
+    ) -> StorePosition | Failure:
         store.transact = real  # type: ignore[method-assign]
         answer = await real(expected, puts)
         await asyncio.sleep(LATE_ANSWER_S)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,6 +8,7 @@
 
 from tests.peer_support import Daemon, Network, among
 from winchfork.core.rendezvous import member_hash
+from winchfork.core.store_position import StorePosition
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.router.peer_messages import Resignation, WeightsNote
 
@@ -22,7 +23,7 @@
     def test_a_proof_passes_to_a_daemon_that_is_cut_from_the_store(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             first, second = daemons
-            first.state.store_revision = second.state.store_revision = 8
+            first.state.store_position = second.state.store_position = StorePosition(0, 8)
             for _ in range(40):
                 first.state.freshness.prove(first.state.clock())
                 await asyncio.sleep(0.1)
@@ -34,7 +35,8 @@
     def test_a_proof_of_documents_not_known_here_proves_nothing(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             first, second = daemons
-            first.state.store_revision, second.state.store_revision = 9, 8
+            first.state.store_position = StorePosition(0, 9)
+            second.state.store_position = StorePosition(0, 8)
             for _ in range(40):
                 first.state.freshness.prove(first.state.clock())
                 await asyncio.sleep(0.1)
@@ -45,7 +47,7 @@
     def test_a_late_answer_ages_by_the_whole_time_since_the_question(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             first, second = daemons
-            first.state.store_revision = second.state.store_revision = 8
+            first.state.store_position = second.state.store_position = StorePosition(0, 8)
             network.delay_s = 0.9
             proven_s = first.state.clock()
             first.state.freshness.prove(proven_s)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -9,6 +9,7 @@
 from tests.relay_support import ScriptedReplica, SeenRequest, answering, resetting
 from winchfork.backends.replica_control import OrderOutcome, ReplicaReport, WeightsOrder
 from winchfork.core.replica_notice import AnswerNotice
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.platform.replicas import PlatformReplicaControl
 from winchfork.platform.store import PlatformStore
@@ -59,7 +60,10 @@
         store, server = await self.store(plain("200 OK", first), plain("200 OK", second))
         snapshot = await store.list("")
         self.assertEqual(
-            snapshot, StoreSnapshot((StoreItem("a", b"1", 3), StoreItem("b", b"2", 12)), 10)
+            snapshot,
+            StoreSnapshot(
+                (StoreItem("a", b"1", 3), StoreItem("b", b"2", 12)), StorePosition(0, 10)
+            ),
         )
         self.assertIn("after=a", server.seen[1].line)
 
@@ -71,7 +75,10 @@
         store, server = await self.store(plain("200 OK", body))
         batch = await store.watch("", 411, 1.6)
         self.assertEqual(
-            batch, WatchBatch((StoreItem("a", b"x", 412), StoreItem("b", None, 413)), 413)
+            batch,
+            WatchBatch(
+                (StoreItem("a", b"x", 412), StoreItem("b", None, 413)), StorePosition(0, 413)
+            ),
         )
         self.assertIn("after=411&WaitMs=1600", server.seen[0].line)
 
@@ -109,7 +116,7 @@
             plain("200 OK", {"Revision": 412}), plain("412 Changed", {"items": []})
         )
         arguments = [ExpectedRevision("my/leader", 0)], [PutItem("my/leader", b"node-1", 77120)]
-        self.assertEqual(await store.transact(*arguments), 412)
+        self.assertEqual(await store.transact(*arguments), StorePosition(0, 412))
         self.assertEqual(
             json.loads(server.seen[0].body),
             {
--- a/tests/test_region_placement.py
+++ b/tests/test_region_placement.py
@@ -143,7 +143,7 @@
         engine = EngineProfile(12, 90_000, 327_680, 280_000.0, ("m",))
         settings = RouterSettings("n", "b2", "b", "", "", "", "", regions=REGIONS)
         state = RouterState(settings, lambda: 0.0, random.Random(1))
-        state.install_table(RoutingTable(1, [], [Service("s", engine=engine), *services]), 1)
+        state.install_table(RoutingTable(1, [], [Service("s", engine=engine), *services]))
         homes = [state.store_choices("s", prompt(f"f{number}")) for number in range(40)]
         self.assertEqual({choices["b"].store.listing.address for choices in homes}, {"k3:1"})
         self.assertEqual(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -112,7 +112,7 @@
         for daemon in ("n1", "n2"):
             settings = RouterSettings(daemon, "z1", "g", "", "", "", "")
             state = RouterState(settings, lambda: 0.0, random.Random(daemon))
-            state.install_table(RoutingTable(1, [], services), 1)
+            state.install_table(RoutingTable(1, [], services))
             families = [
                 Prompt("m", (PromptPart(f"f{number}", 9), PromptPart("own", 9)), 18)
                 for number in range(90)
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from tests.peer_support import Daemon
 from tests.store_drill import KNOWN_WITHIN_S, MODEL, DrilledFleet, after_a_drill
+from winchfork.router.document_installer import RETURN_S
+from winchfork.router.process import SWEEP_PERIOD_S
 
 #: Every daemon watches the store; two of them do for all.
 FLEETS = (3, 36)
@@ -36,13 +39,20 @@
     def test_a_leaving_replica_is_known_to_all_after_the_stores_return(self) -> None:
         async def scenario(fleet: DrilledFleet) -> None:
             await fleet.lose()
+            returned_s = asyncio.get_running_loop().time()
             fleet.list_replica("i-1", State="draining", Sequence=9)
             fleet.store.remove("servers/i-2")
 
             def knows(daemon: Daemon) -> bool:
-                return not takes_work(daemon, "i-1") and not takes_work(daemon, "i-2")
+                return not takes_work(daemon, "i-1")
+
+            def knows_gone(daemon: Daemon) -> bool:
+                return daemon.state.fleet.get("i-2") is None
 
             self.assertEqual(await fleet.unaware(knows, KNOWN_WITHIN_S), [])
+            elapsed_s = asyncio.get_running_loop().time() - returned_s
+            within_s = KNOWN_WITHIN_S + RETURN_S + SWEEP_PERIOD_S - elapsed_s
+            self.assertEqual(await fleet.unaware(knows_gone, within_s), [])
 
         for count in FLEETS:
             with self.subTest(daemons=count):
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -13,6 +13,7 @@
 from tests.virtual_loop import run_virtually, stand_still
 from winchfork.core.document_table import TableItem, TableUpdate
 from winchfork.core.replica_notice import AnswerNotice
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure
 from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocuments
@@ -60,7 +61,7 @@
 
     async def settle(self) -> None:
         """Wait until what was written is known."""
-        while self.state.store_revision < self.store.revision:
+        while self.state.store_position < self.store.at:
             await asyncio.sleep(0.01)
 
     def known(self) -> list[str]:
@@ -262,7 +263,9 @@
                 assert not isinstance(snapshot, Failure)
                 revision = store.put(LEADER_KEY, b"n2")
                 entry = TableItem(LEADER_KEY, revision, b"n2")
-                update = TableUpdate(snapshot.at_revision, revision, False, False, (entry,))
+                update = TableUpdate(
+                    snapshot.at, StorePosition(0, revision), False, False, (entry,)
+                )
                 followed.sync.take_update(update)
                 return snapshot
 
--- a/tests/test_weights_bounds.py
+++ b/tests/test_weights_bounds.py
@@ -24,6 +24,7 @@
 from winchfork.core.document_table import TableItem, TableUpdate
 from winchfork.core.member import Probe
 from winchfork.core.store_outage import LONGEST_WATCH_S, StoreOutage, StoreOutageWatch
+from winchfork.core.store_position import StorePosition
 from winchfork.router.settings import RouterBounds
 from winchfork.router.store_sync import LATE_ANSWER_S, START_GRACE_S
 
@@ -381,10 +382,11 @@
             deaf = fleet.daemons[0]
             fleet.cut_off(deaf)
             await asyncio.sleep(3.0)
-            revision = deaf.state.store_revision
+            known = deaf.state.store_position
+            later = StorePosition(known.era, known.revision + 1)
             document = json.dumps({"Model": MODEL, "Version": 2}).encode()
-            named = TableItem(f"op/version/{MODEL}", revision + 1, document)
-            deaf.sync.take_update(TableUpdate(revision, revision + 1, False, False, (named,)))
+            named = TableItem(f"op/version/{MODEL}", later.revision, document)
+            deaf.sync.take_update(TableUpdate(known, later, False, False, (named,)))
             left_s = deaf.state.versions[MODEL].due_s(1, BOUND_S) - deaf.state.clock()
             self.assertLess(left_s, BOUND_S - deaf.age_s() + 0.1)
 
--- a/tests/test_zone_hubs.py
+++ b/tests/test_zone_hubs.py
@@ -15,10 +15,11 @@
 from winchfork.core.document_table import MOST_GONE, DocumentTable, TableItem, TableUpdate
 from winchfork.core.member import Member, MemberStatus
 from winchfork.core.rendezvous import member_hash
+from winchfork.core.store_position import StorePosition
 from winchfork.core.zone_hubs import WATCHERS, FleetView
 from winchfork.errors import Failure
 from winchfork.router.document_parts import PART_BYTES, PartCollector, split_update
-from winchfork.router.peer_messages import WeightsNote
+from winchfork.router.peer_messages import DocumentPart, WeightsNote
 from winchfork.router.work_exchange import ADD_UP_PERIOD_S, WorkExchange
 
 
@@ -414,32 +415,38 @@
         self.assertFalse(table.note(TableItem("a", 4, b"old")))
         self.assertTrue(table.note(TableItem("a", 6, None)))
         self.assertFalse(table.note(TableItem("a", 5, b"new")))
-        self.assertEqual(table.update_after(0, 6).items, (TableItem("a", 6, None),))
+        self.assertEqual(
+            table.update_after(StorePosition(), StorePosition(0, 6)).items,
+            (TableItem("a", 6, None),),
+        )
 
     def test_a_peer_behind_what_is_forgotten_gets_everything(self) -> None:
         table = DocumentTable()
         table.note(TableItem("kept", 1, b"x"))
         for number in range(MOST_GONE + 1):
             table.note(TableItem(f"k{number}", 2 + number, None))
-        update = table.update_after(1, 3_000)
+        update = table.update_after(StorePosition(0, 1), StorePosition(0, 3_000))
         self.assertTrue(update.complete)
         self.assertEqual([item.key for item in update.items], ["kept"])
-        self.assertFalse(table.update_after(2, 3_000).complete)
+        self.assertFalse(table.update_after(StorePosition(0, 2), StorePosition(0, 3_000)).complete)
 
     def test_a_large_update_comes_in_parts_and_a_lost_part_costs_all(self) -> None:
         values = [
             bytes((number * 31 + index * 17) % 251 for index in range(997)) for number in range(40)
         ]
         items = tuple(TableItem(f"k{number}", number, value) for number, value in enumerate(values))
-        update = TableUpdate(0, 50, False, False, items)
-        parts = split_update("n1", update)
+        update = TableUpdate(StorePosition(), StorePosition(0, 50), False, False, items)
+        parts = [part for part in split_update("n1", update) if isinstance(part, DocumentPart)]
         collector = PartCollector()
         got = [collector.add(part) for part in parts]
         self.assertEqual(got[-1], update)
         self.assertTrue(all(len(part.data) <= PART_BYTES for part in parts))
 
     def test_nonsense_is_refused(self) -> None:
-        update = TableUpdate(0, 9, False, False, (TableItem("a", 1, b"x"),))
+        update = TableUpdate(
+            StorePosition(), StorePosition(0, 9), False, False, (TableItem("a", 1, b"x"),)
+        )
         part = split_update("n1", update)[0]
+        assert isinstance(part, DocumentPart)
         broken = type(part)("n1", 0, 9, False, False, 0, 3, b"abc")
         self.assertIsInstance(PartCollector().add(broken), Failure)
--- a/tests/weights_fleet.py
+++ b/tests/weights_fleet.py
@@ -16,6 +16,7 @@
 )
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_replica import ReplicaListing
+from winchfork.core.store_position import StorePosition
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.leadership import Leadership
@@ -132,7 +133,7 @@
         self.control = FakeControl(replicas)
         self.store = MemoryStore()
         self.leadership = Leadership(self.store, "n1", 3.0, loop.time, random.Random(2), 1.0)
-        self.leadership.note_no_entry(0)
+        self.leadership.note_no_entry(StorePosition())
         self.peers = PeerGroup(self.state, random.Random(3))
         self.news = CountingNews(self.state, self.peers)
         self.rollout = WeightsRollout(
--- a/winchfork/core/document_table.py
+++ b/winchfork/core/document_table.py
@@ -1,7 +1,8 @@
 """The store's entries as one daemon holds them, so that it can pass them on to its peers.
 
 Each entry is kept as it was written, with its revision; an entry that has gone is remembered for a
-while by its key alone. A revision never goes down for a key, whoever it was heard from.
+while by its key alone. Within an era of the store a revision never goes down for a key, whoever it
+was heard from. A new era begins with a complete list, beside which no earlier revision counts.
 """
 
 from __future__ import annotations
@@ -12,9 +13,12 @@
 import msgspec
 
 from winchfork.core.peer_message import PeerMessage
+from winchfork.core.store_position import StorePosition
 
 #: Entries that have gone and are remembered; a peer that is further behind gets everything.
 MOST_GONE = 2_000
+#: Below every revision that the store gives out.
+NO_REVISION = -1
 
 
 class TableItem(PeerMessage, frozen=True):
@@ -30,14 +34,15 @@
 
 
 class TableUpdate(msgspec.Struct, frozen=True):
-    """What has changed after ``base_revision`` up to ``at_revision``.
+    """What has changed after ``base`` up to ``at``; the items' revisions are of the era of ``at``.
 
     A ``complete`` update holds every entry: what it does not hold is not there. ``after_outage`` of
-    the store, it may only not have been written again yet.
+    the store, it may only not have been written again yet. One that is not complete stays within
+    an era.
     """
 
-    base_revision: int
-    at_revision: int
+    base: StorePosition
+    at: StorePosition
     complete: bool
     after_outage: bool
     items: tuple[TableItem, ...]
@@ -53,6 +58,18 @@
         self._gone_known_after = 0
         self._listed_after_outage = False
 
+    def begin_era(self) -> None:
+        """Let every entry of a complete list that comes next be newer than what is held.
+
+        What is held is kept by its key, so that what the list lacks is known.
+        """
+        self._items = {
+            key: msgspec.structs.replace(item, revision=NO_REVISION)
+            for key, item in self._items.items()
+        }
+        self._gone.clear()
+        self._gone_known_after = 0
+
     def note(self, item: TableItem) -> bool:
         """Take an entry in; False when a newer one is held."""
         known = self._items.get(item.key) or self._gone.get(item.key)
@@ -78,12 +95,12 @@
         """Return the keys held here that a complete list does not hold."""
         return sorted(self._items.keys() - set(listed))
 
-    def update_after(self, revision: int, at_revision: int) -> TableUpdate:
-        """Return what a peer that knows everything up to ``revision`` lacks."""
-        complete = revision < self._gone_known_after
-        after = -1 if complete else revision
+    def update_after(self, known: StorePosition, at: StorePosition) -> TableUpdate:
+        """Return what a peer that knows everything up to ``known`` lacks up to ``at``."""
+        complete = known.era != at.era or known.revision < self._gone_known_after
+        after = NO_REVISION if complete else known.revision
         gone = () if complete else self._gone.values()
         items = [item for item in (*self._items.values(), *gone) if item.revision > after]
         items.sort(key=lambda item: item.revision)
         after_outage = complete and self._listed_after_outage
-        return TableUpdate(revision, at_revision, complete, after_outage, tuple(items))
+        return TableUpdate(known, at, complete, after_outage, tuple(items))
--- a/winchfork/platform/store.py
+++ b/winchfork/platform/store.py
@@ -4,14 +4,16 @@
 
 import base64
 from collections.abc import Sequence
-from typing import TypeVar
+from typing import Generic, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.platform.store_headers import read_store_answer
 from winchfork.router.http_call import CallReply, HttpCaller
+from winchfork.router.http_types import AnswerHead
 from winchfork.stores.async_key_value import (
     ExpectedRevision,
     OnStoreAnswer,
@@ -57,6 +59,13 @@
     ttl_ms: float = 0.0
 
 
+class _Answered(msgspec.Struct, Generic[_Shape]):
+    """A successful answer's body and the era that the answer names."""
+
+    body: _Shape
+    era: int
+
+
 class PlatformStore:
     """Implements :class:`winchfork.stores.async_key_value.AsyncKeyValueStore`."""
 
@@ -70,17 +79,20 @@
     async def list(self, prefix: str) -> StoreSnapshot | Failure:
         """Read every entry under a prefix, page by page."""
         items: list[StoreItem] = []
-        first_at = -1
+        at: StorePosition | None = None
         after = ""
         for _ in range(_MOST_PAGES):
             query = {"PathPrefix": prefix} | ({"after": after} if after else {})
-            page = await self._read(f"/kv-range?{urlencode(query)}", _Page, CALL_TIMEOUT_S)
-            if isinstance(page, Failure):
-                return page
-            first_at = page.at if first_at < 0 else first_at
+            answer = await self._read(f"/kv-range?{urlencode(query)}", _Page, CALL_TIMEOUT_S)
+            if isinstance(answer, Failure):
+                return answer
+            page = answer.body
+            at = at or StorePosition(answer.era, page.at)
+            if answer.era != at.era:
+                return FailureKind.HISTORY_LOST.because("the era changed between two pages")
             items += [_item(entry) for entry in page.items]
             if not page.more or not page.items:
-                return StoreSnapshot(tuple(items), first_at)
+                return StoreSnapshot(tuple(items), at)
             after = page.items[-1].key
         return FailureKind.STORE_UNAVAILABLE.because("the list does not end")
 
@@ -89,14 +101,16 @@
         query = urlencode(
             {"PathPrefix": prefix, "after": after_revision, "WaitMs": int(wait_s * 1000)}
         )
-        batch = await self._read(f"/kv-watch?{query}", _Events, wait_s + WATCH_SLACK_S)
-        if isinstance(batch, Failure):
-            return batch
-        return WatchBatch(tuple(_item(entry) for entry in batch.events), batch.at)
+        answer = await self._read(f"/kv-watch?{query}", _Events, wait_s + WATCH_SLACK_S)
+        if isinstance(answer, Failure):
+            return answer
+        batch = answer.body
+        at = StorePosition(answer.era, batch.at)
+        return WatchBatch(tuple(_item(entry) for entry in batch.events), at)
 
     async def transact(
         self, expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
-    ) -> int | Failure:
+    ) -> StorePosition | Failure:
         """Write all or nothing."""
         body = {
             "Expected": [{"PrivateKey": item.key, "Revision": item.revision} for item in expected],
@@ -110,44 +124,44 @@
             ],
             "Remove": [],
         }
-        reply = await self._write("/kv-txn", body)
-        if isinstance(reply, Failure):
-            return reply
-        decoded = _decode(reply.body, _Revision)
-        return decoded if isinstance(decoded, Failure) else decoded.revision
+        answer = await self._write("/kv-txn", body, _Revision)
+        if isinstance(answer, Failure):
+            return answer
+        return StorePosition(answer.era, answer.body.revision)
 
     async def grant_lease(self, ttl_s: float) -> int | Failure:
         """Open a lease."""
-        reply = await self._write("/kv-lease", {"ttl_ms": int(ttl_s * 1000)})
-        if isinstance(reply, Failure):
-            return reply
-        decoded = _decode(reply.body, _Lease)
-        return decoded if isinstance(decoded, Failure) else decoded.lease
+        answer = await self._write("/kv-lease", {"ttl_ms": int(ttl_s * 1000)}, _Lease)
+        return answer if isinstance(answer, Failure) else answer.body.lease
 
     async def renew_lease(self, lease_id: int) -> bool | Failure:
         """Renew a lease; False when it is over."""
-        reply = await self._write(f"/kv-keep/{lease_id}", None)
-        if isinstance(reply, Failure):
-            return False if reply.kind is FailureKind.NOT_FOUND else reply
+        answer = await self._call(b"POST", f"/kv-keep/{lease_id}", b"", CALL_TIMEOUT_S)
+        if isinstance(answer, Failure):
+            return False if answer.kind is FailureKind.NOT_FOUND else answer
         return True
 
     async def end_lease(self, lease_id: int) -> Failure | None:
         """End a lease."""
-        reply = await self._call(b"DELETE", f"/kv-lease-end/{lease_id}", None, CALL_TIMEOUT_S)
-        return reply if isinstance(reply, Failure) else None
+        answer = await self._call(b"DELETE", f"/kv-lease-end/{lease_id}", None, CALL_TIMEOUT_S)
+        return answer if isinstance(answer, Failure) else None
 
-    async def _read(self, target: str, shape: type[_Shape], timeout_s: float) -> _Shape | Failure:
-        reply = await self._call(b"GET", target, None, timeout_s)
-        return reply if isinstance(reply, Failure) else _decode(reply.body, shape)
+    async def _read(
+        self, target: str, shape: type[_Shape], timeout_s: float
+    ) -> _Answered[_Shape] | Failure:
+        return _decode(await self._call(b"GET", target, None, timeout_s), shape)
 
-    async def _write(self, target: str, body: object) -> CallReply | Failure:
-        encoded = msgspec.json.encode(body) if body is not None else b""
-        return await self._call(b"POST", target, encoded, CALL_TIMEOUT_S)
+    async def _write(
+        self, target: str, body: object, shape: type[_Shape]
+    ) -> _Answered[_Shape] | Failure:
+        encoded = msgspec.json.encode(body)
+        return _decode(await self._call(b"POST", target, encoded, CALL_TIMEOUT_S), shape)
 
     async def _call(
         self, method: bytes, target: str, body: bytes | None, timeout_s: float
-    ) -> CallReply | Failure:
+    ) -> _Answered[bytes] | Failure:
         label = target[1:].partition("?")[0].partition("/")[0]
+        heads: list[AnswerHead] = []
         reply = await self._caller.call(
             self._address,
             method,
@@ -155,11 +169,13 @@
             body,
             timeout_s,
             label=label,
-            on_head=lambda head: self._on_answer(read_store_answer(head)),
+            on_head=heads.append,
         )
         if isinstance(reply, Failure):
             return FailureKind.STORE_UNAVAILABLE.because(reply.reason, ran=reply.ran)
-        return reply if reply.status == 200 else _refused(reply)
+        answer = read_store_answer(heads[-1])
+        self._on_answer(answer)
+        return _Answered(reply.body, answer.era) if reply.status == 200 else _refused(reply)
 
 
 def _refused(reply: CallReply) -> Failure:
@@ -176,9 +192,11 @@
     return FailureKind.STORE_UNAVAILABLE.because(f"the store answered {reply.status}")
 
 
-def _decode(body: bytes, shape: type[_Shape]) -> _Shape | Failure:
+def _decode(answer: _Answered[bytes] | Failure, shape: type[_Shape]) -> _Answered[_Shape] | Failure:
+    if isinstance(answer, Failure):
+        return answer
     try:
-        return msgspec.json.decode(body, type=shape)
+        return _Answered(msgspec.json.decode(answer.body, type=shape), answer.era)
     except msgspec.DecodeError as error:
         return FailureKind.STORE_UNAVAILABLE.because(f"unreadable answer: {error}")
 
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -14,6 +14,7 @@
 from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.routing import RoutingTable
 from winchfork.core.software_state import SoftwareOrder
+from winchfork.core.store_position import StorePosition
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.errors import Failure
 from winchfork.logs import log_event
@@ -51,10 +52,10 @@
         #: Whether a whole list was taken in: what comes before was there when this daemon started.
         self.ever_listed = False
 
-    def install(self, item: TableItem, news: NewsDate) -> None:
-        """Take in what an entry says now, or that it has gone."""
+    def install(self, item: TableItem, era: int, news: NewsDate) -> None:
+        """Take in what an entry of an era of the store says now, or that it has gone."""
         if item.key == LEADER_KEY:
-            self._install_leader(item)
+            self._install_leader(item, StorePosition(era, item.revision))
             return
         if is_refusal_key(item.key):
             unread = self._state.crashes.take_record(item.key, item.value, item.revision)
@@ -81,11 +82,11 @@
         elif isinstance(document, ReplicaGone):
             self._note_gone(document.replica_id, item)
 
-    def _install_leader(self, item: TableItem) -> None:
+    def _install_leader(self, item: TableItem, position: StorePosition) -> None:
         if item.value is None:
-            self._leadership.note_no_entry(item.revision)
+            self._leadership.note_no_entry(position)
         else:
-            self._leadership.note_entry(item.revision)
+            self._leadership.note_entry(position)
         self._state.leader_id = (item.value or b"").decode(errors="replace")
 
     def _install_record(self, item: TableItem) -> None:
@@ -106,7 +107,7 @@
             self._remove_replica(replica_id, item.revision)
 
     def _install_table(self, table: RoutingTable, revision: int) -> None:
-        if self._state.install_table(table, revision):
+        if self._state.install_table(table):
             log_event(
                 "configuration_installed",
                 version=table.version,
@@ -172,4 +173,4 @@
         for replica_id, until_s in list(self._state.vanished.items()):
             if now_s >= until_s:
                 del self._state.vanished[replica_id]
-                self._remove_replica(replica_id, self._state.store_revision)
+                self._remove_replica(replica_id, self._state.store_position.revision)
--- a/winchfork/router/document_parts.py
+++ b/winchfork/router/document_parts.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Sequence
 
 import msgspec
 
 from winchfork.core.document_table import TableItem, TableUpdate
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind
-from winchfork.router.peer_messages import DocumentPart
+from winchfork.router.peer_messages import DocumentPart, EraDocumentPart
 
 #: Bytes of a packed update in one datagram.
 PART_BYTES = 8_192
@@ -21,14 +23,16 @@
 _ITEMS = msgspec.msgpack.Decoder(tuple[TableItem, ...])
 
 
-def split_update(sender_id: str, update: TableUpdate) -> list[DocumentPart]:
+def split_update(
+    sender_id: str, update: TableUpdate
+) -> Sequence[DocumentPart] | Sequence[EraDocumentPart]:
     """Return the datagrams that carry ``update``, in order."""
     packed = zlib.compress(msgspec.msgpack.encode(update.items), level=1)
-    return [
+    parts = [
         DocumentPart(
             sender_id,
-            update.base_revision,
-            update.at_revision,
+            update.base.revision,
+            update.at.revision,
             update.complete,
             update.after_outage,
             offset,
@@ -37,39 +41,56 @@
         )
         for offset in range(0, len(packed), PART_BYTES)
     ]
+    era = update.at.era
+    return [EraDocumentPart(era, part) for part in parts] if era else parts
+
+
+class _UpdateKey(msgspec.Struct, frozen=True):
+    """Tells the updates of one sender apart."""
+
+    era: int
+    base_revision: int
+    at_revision: int
+
+
+class _Collected(msgspec.Struct):
+    """The beginning of an update."""
+
+    key: _UpdateKey
+    data: bytearray = msgspec.field(default_factory=bytearray)
 
 
 class PartCollector:
     """Puts the parts of each sender's newest update together."""
 
     def __init__(self) -> None:
-        self._collected: dict[str, tuple[DocumentPart, bytearray]] = {}
+        self._collected: dict[str, _Collected] = {}
 
-    def add(self, part: DocumentPart) -> TableUpdate | Failure | None:
+    def add(self, message: DocumentPart | EraDocumentPart) -> TableUpdate | Failure | None:
         """Take a part in; return the update when it was the last one, None before that."""
-        if part.offset == 0:
-            data = bytearray()
+        if isinstance(message, EraDocumentPart):
+            part, era = message.part, message.era
         else:
-            first, data = self._collected.pop(part.sender_id, (part, bytearray()))
-            same = (first.base_revision, first.at_revision) == (
-                part.base_revision,
-                part.at_revision,
-            )
-            if not same or part.offset != len(data):
-                return None
-        data += part.data
-        if len(data) < part.total:
-            self._collected[part.sender_id] = (part, data)
+            part, era = message, 0
+        key = _UpdateKey(era, part.base_revision, part.at_revision)
+        collected = self._collected.pop(part.sender_id, None)
+        if part.offset == 0:
+            collected = _Collected(key)
+        if collected is None or collected.key != key or part.offset != len(collected.data):
+            return None
+        collected.data += part.data
+        if len(collected.data) < part.total:
+            self._collected[part.sender_id] = collected
             return None
-        return _unpack(part, bytes(data))
+        return _unpack(part, era, bytes(collected.data))
 
 
-def _unpack(part: DocumentPart, packed: bytes) -> TableUpdate | Failure:
+def _unpack(part: DocumentPart, era: int, packed: bytes) -> TableUpdate | Failure:
     try:
         unpacking = zlib.decompressobj()
         items = _ITEMS.decode(unpacking.decompress(packed, MAX_UNPACKED_BYTES))
     except (zlib.error, msgspec.DecodeError) as error:
         return FailureKind.BAD_DATAGRAM.because(f"unreadable update: {type(error).__name__}")
-    return TableUpdate(
-        part.base_revision, part.at_revision, part.complete, part.after_outage, items
-    )
+    base = StorePosition(era, part.base_revision)
+    at = StorePosition(era, part.at_revision)
+    return TableUpdate(base, at, part.complete, part.after_outage, items)
--- a/winchfork/router/document_relay.py
+++ b/winchfork/router/document_relay.py
@@ -2,9 +2,9 @@
 
 In a large fleet two hubs watch the store and tell the other hubs what changes, and each hub tells
 its zone; in every fleet a daemon that sees that a peer knows more asks it, so that one that is cut
-from the store alone still learns of configurations, revoked keys and leaving replicas. An entry's
-revision never goes down, and what is passed on says nothing about how current it is: that is proven
-apart, by answers dated from their question.
+from the store alone still learns of configurations, revoked keys and leaving replicas. Positions
+never go back; a daemon of an earlier era of the store is told everything anew. What is passed on
+says nothing about how current it is: that is proven apart, by answers dated from their question.
 """
 
 from __future__ import annotations
@@ -15,11 +15,17 @@
 
 from winchfork.core.document_table import DocumentTable, TableUpdate
 from winchfork.core.member import Member
+from winchfork.core.store_position import StorePosition
 from winchfork.core.zone_hubs import SPEAKERS_PER_REGION
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.router.document_parts import PartCollector, split_update
-from winchfork.router.peer_messages import DocumentPart, DocumentPull
+from winchfork.router.peer_messages import (
+    DocumentPart,
+    DocumentPull,
+    EraDocumentPart,
+    EraDocumentPull,
+)
 from winchfork.router.peer_port import PeerPort
 from winchfork.router.state import RouterState
 
@@ -114,41 +120,62 @@
         for part in split_update(self._state.settings.node_id, update):
             self._peers.send_each(receivers, part)
 
-    def note_revision(self, address: str, revision: int) -> None:
-        """A peer knows the store up to ``revision``: ask it if that is news a moment later."""
-        if revision > self._state.store_revision:
-            self._call_later(PULL_DELAY_S, lambda: self._pull(address, revision))
+    def note_position(self, address: str, position: StorePosition) -> None:
+        """A peer knows the store up to ``position``: ask it if that is news a moment later."""
+        if position > self._state.store_position:
+            self._call_later(PULL_DELAY_S, lambda: self._pull(address, position))
 
     def take_pull(self, message: DocumentPull) -> None:
+        """Answer a peer that lacks something, and names no era."""
+        self._answer_pull(message, 0)
+
+    def take_era_pull(self, message: EraDocumentPull) -> None:
         """Answer a peer that lacks something."""
-        own_revision = self._state.store_revision
-        if message.after_revision >= own_revision:
+        self._answer_pull(message.pull, message.era)
+
+    def _answer_pull(self, pull: DocumentPull, era: int) -> None:
+        known, own = StorePosition(era, pull.after_revision), self._state.store_position
+        if known >= own:
             return
-        update = self._documents.table.update_after(message.after_revision, own_revision)
+        update = self._documents.table.update_after(known, own)
         for part in split_update(self._state.settings.node_id, update):
-            self._peers.send(message.sender_address, part)
+            self._peers.send(pull.sender_address, part)
+
+    def take_era_part(self, message: EraDocumentPart) -> None:
+        """Collect an update of an era, and install it when it is whole."""
+        self._take(message, message.part.sender_id)
 
     def take_part(self, part: DocumentPart) -> None:
-        """Collect an update, and install it when it is whole."""
-        update = self._collector.add(part)
+        """Collect an update that names no era, and install it when it is whole."""
+        self._take(part, part.sender_id)
+
+    def _take(self, message: DocumentPart | EraDocumentPart, sender_id: str) -> None:
+        update = self._collector.add(message)
         if isinstance(update, Failure):
             self._state.metrics.bad_datagrams.inc()
         elif update is None:
             return
-        elif update.at_revision <= self._state.store_revision:
+        elif update.at <= self._state.store_position:
             self._state.metrics.updates_dropped.labels("peer_knows_less").inc()
         else:
             whole = self._documents.take_update(update)
             outcome = "whole" if whole else "with_a_gap"
             self._state.metrics.updates_relayed.labels(outcome).inc()
-            self._pass_on(update, part.sender_id)
+            self._pass_on(update, sender_id)
 
-    def _pull(self, address: str, revision: int) -> None:
+    def _pull(self, address: str, position: StorePosition) -> None:
         now_s = self._state.clock()
-        known = self._state.store_revision
-        if revision <= known or now_s - self._asked_at_s < PULL_PERIOD_S:
+        known = self._state.store_position
+        if position <= known or now_s - self._asked_at_s < PULL_PERIOD_S:
             return
         self._asked_at_s = now_s
-        log_event("update_asked_for", peer=address, known=known, revision=revision)
+        log_event(
+            "update_asked_for",
+            peer=address,
+            known=known.revision,
+            revision=position.revision,
+            era=position.era or None,
+        )
         own = self._peers.view.own
-        self._peers.send(address, DocumentPull(own.member_id, own.peer_address, known))
+        pull = DocumentPull(own.member_id, own.peer_address, known.revision)
+        self._peers.send(address, EraDocumentPull(known.era, pull) if known.era else pull)
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -14,6 +14,7 @@
 import random
 from collections.abc import Callable
 
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.router.peer_messages import Resignation
@@ -58,7 +59,7 @@
         self._started_s = clock()
         self._last_order_s = -math.inf
         self._holder_fence = 0
-        self._heard_revision = 0
+        self._heard = StorePosition()
         self._resigned_order_s: float | None = None
         self._hurry = False
         self._withdrawn = False
@@ -66,24 +67,24 @@
         #: Whether this daemon follows the store closely enough to lead; others need not campaign.
         self.eligible: Callable[[], bool] = lambda: True
 
-    def note_entry(self, revision: int) -> None:
-        """Take what the store or a peer says of the leader's entry: it was written at a revision.
+    def note_entry(self, position: StorePosition) -> None:
+        """Take what the store or a peer says of the leader's entry: where it was written.
 
         The newest of what was heard holds, not the last: a list may be older than a peer's word.
         """
-        if revision < self._heard_revision:
+        if position < self._heard:
             return
-        self._heard_revision = revision
+        self._heard = position
         self._vacant.clear()
-        if revision != self._holder_fence:
-            self._holder_fence = revision
+        if position.revision != self._holder_fence:
+            self._holder_fence = position.revision
             self._resigned_order_s = None
             self._hurry = False
 
-    def note_no_entry(self, at_revision: int) -> None:
-        """Take what the store or a peer says: at a revision there was no leader's entry."""
-        if at_revision >= self._heard_revision:
-            self._heard_revision = at_revision
+    def note_no_entry(self, at: StorePosition) -> None:
+        """Take what the store or a peer says: at a position there was no leader's entry."""
+        if at >= self._heard:
+            self._heard = at
             self._vacant.set()
 
     def note_order(self) -> None:
@@ -183,19 +184,19 @@
             log_event("leadership_not_taken", reason=str(taken))
             await asyncio.sleep(self._generator.random())
             return False
-        if taken < self._heard_revision:
+        if taken < self._heard:
             # Heard while the answer was under way: the entry has gone, or another came after it.
             log_event("leadership_not_taken", reason="what was written has lapsed already")
             return False
-        self._heard_revision = taken
+        self._heard = taken
         self._vacant.clear()
         self._lease_id = lease_id
         self._valid_until_s = asked_s + ACT_S
         wait_s = self._turn_wait_s()
         self._acts_from_s = self._clock() + wait_s
-        self._holder_fence = self.fence = taken
+        self._holder_fence = self.fence = taken.revision
         self._resigned_order_s = None
-        log_event("leadership_taken", fence=taken, acts_in_s=wait_s)
+        log_event("leadership_taken", fence=self.fence, acts_in_s=wait_s)
         return True
 
     async def _keep(self) -> None:
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -175,6 +175,20 @@
     data: bytes
 
 
+class EraDocumentPull(PeerMessage, frozen=True):
+    """A pull of a daemon whose store has named an era; earlier builds do not know any."""
+
+    era: int
+    pull: DocumentPull
+
+
+class EraDocumentPart(PeerMessage, frozen=True):
+    """A part of an update whose revisions are of an era."""
+
+    era: int
+    part: DocumentPart
+
+
 class EvidenceNote(PeerMessage, frozen=True):
     """Answers on one route since an order was given, the route named by its hash.
 
@@ -277,4 +291,6 @@
     SuspectUnderWay,
     ClearedRequests,
     ReplicaNotices,
+    EraDocumentPull,
+    EraDocumentPart,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -18,6 +18,8 @@
     DocumentPart,
     DocumentPull,
     EndedUnder,
+    EraDocumentPart,
+    EraDocumentPull,
     FleetWork,
     NamedVersions,
     RegionWork,
@@ -81,10 +83,12 @@
     peers.handle(ReplicaNotices, notices.take)
     peers.handle(DocumentPull, relay.take_pull)
     peers.handle(DocumentPart, relay.take_part)
+    peers.handle(EraDocumentPull, relay.take_era_pull)
+    peers.handle(EraDocumentPart, relay.take_era_part)
     peers.on_tick += [state.standstill.tick, news.greet_newcomers, work.tick, notices.tick]
     if state.settings.software_rollouts:
         peers.on_tick.append(evidence.tick)
-    peers.on_revision = relay.note_revision
+    peers.on_position = relay.note_position
     sync.relay_through(relay)
     leadership.eligible = lambda: relay.may_lead
     return PeerParts(news, evidence, notices)
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -27,6 +27,7 @@
     ProbeReply,
 )
 from winchfork.core.membership import Membership
+from winchfork.core.store_position import StorePosition
 from winchfork.core.zone_hubs import FleetView
 from winchfork.errors import Failure
 from winchfork.router.peer_messages import (
@@ -100,8 +101,8 @@
         self._view_changes = -1
         #: Told of each tick: the monotonic time.
         self.on_tick: list[Callable[[float], None]] = []
-        #: Told of the address and the store's revision of each peer that answers.
-        self.on_revision: Callable[[str, int], None] = lambda address, revision: None
+        #: Told of the address and the position in the store of each peer that answers.
+        self.on_position: Callable[[str, StorePosition], None] = lambda address, position: None
         #: Digests of what was lately passed on, and when.
         self._forwarded: dict[int, float] = {}
         #: Seconds for a connection to the store to come up; None until one has.
@@ -307,27 +308,35 @@
     # Proofs that the operators' documents are current
 
     def _own_proof(self) -> tuple[int, ...]:
-        """Return the store's revision held here and the age of its proof in milliseconds."""
+        """Return the store's revision held here, the age of its proof in milliseconds, its era.
+
+        Earlier builds, which know no eras, take no proof that names one.
+        """
         age_s = self._state.freshness.age_s(self._loop.time())
-        return (self._state.store_revision, int(min(age_s, _NO_PROOF_S) * 1000) + 1)
+        position = self._state.store_position
+        era = (position.era,) if position.era else ()
+        return (position.revision, int(min(age_s, _NO_PROOF_S) * 1000) + 1, *era)
 
     def _take_proof(self, sender: Member, revisions: tuple[int, ...], asked_s: float) -> None:
         """Adopt a peer's proof, dated from the question: however late the answer is read.
 
-        It counts only here if everything up to the peer's revision is known here as well.
+        It counts only here if everything up to the peer's position is known here as well, and if
+        the peer is not left in an era that is over.
         """
         settings = self._state.settings
         if settings.regions.is_far(settings.zone, sender.zone):
             self._state.region_delay.note_reply(self._loop.time() - asked_s)
-        if len(revisions) != 2:
+        if len(revisions) not in (2, 3):
             return
+        position = StorePosition(revisions[2] if len(revisions) == 3 else 0, revisions[0])
         proven_s = asked_s - revisions[1] / 1000.0
         now_s = self._loop.time()
         self._state.store_outage.note_peer(sender.member_id, proven_s, asked_s, now_s)
-        if revisions[0] > self._state.store_revision:
-            self.on_revision(sender.peer_address, revisions[0])
-            return
-        self._state.freshness.prove(proven_s)
+        self._state.eras.note(position.era, told_by=sender.member_id)
+        if position > self._state.store_position:
+            self.on_position(sender.peer_address, position)
+        elif position.era == self._state.store_position.era:
+            self._state.freshness.prove(proven_s)
 
 
 def _is_past(at_s: float, now_s: float) -> bool:
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -197,7 +197,11 @@
         ledger = state.crashes.ledger
         show("requests_suspected", "Requests under which replicas ended.", lambda: ledger.suspected)
         show("requests_barred", "Requests refused as they end replicas.", lambda: ledger.refused)
-        show("store_revision", "Everything before it is known.", lambda: state.store_revision)
+        show(
+            "store_revision",
+            "Everything before it is known.",
+            lambda: state.store_position.revision,
+        )
         show("store_era", "The newest heard of; 0 with none.", lambda: state.eras.newest)
         show(
             "configuration_version",
--- a/winchfork/router/refusal_writer.py
+++ b/winchfork/router/refusal_writer.py
@@ -71,7 +71,7 @@
             log_event("refusal_not_written", "WARNING", digest=digest.hex(), reason=written.reason)
             return
         del self._due_s[digest]
-        log_event("refusal_written", digest=digest.hex(), key=key, revision=written)
+        log_event("refusal_written", digest=digest.hex(), key=key, revision=written.revision)
 
 
 async def _wait_at_most(event: asyncio.Event, seconds: float) -> None:
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -21,6 +21,7 @@
 from winchfork.core.routing import Route, RoutingTable, SplitChooser
 from winchfork.core.sliding_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.store_outage import StoreOutageWatch
+from winchfork.core.store_position import StorePosition
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.core.zone_reach import ZoneReach
 from winchfork.errors import Failure
@@ -63,9 +64,8 @@
         #: When this process began; what it then finds in the store may have been there for long.
         self.started_at_s = clock()
         self.table: RoutingTable | None = None
-        self.table_revision = 0
-        #: Everything in the store up to this revision is known here.
-        self.store_revision = 0
+        #: Everything in the store up to there is known here.
+        self.store_position = StorePosition()
         #: Versions of each model's weights that operators have named.
         self.versions: dict[str, VersionHistory] = {}
         #: Replicas missing from the list since an outage, with the time until which they are kept.
@@ -130,13 +130,12 @@
         #: Seconds of a run, as measured lately.
         self.mean_run_s = FIRST_RUN_S
 
-    def install_table(self, table: RoutingTable, revision: int) -> bool:
+    def install_table(self, table: RoutingTable) -> bool:
         """Put a newer configuration in force; False when it is not newer."""
         current = self.table.version if self.table else -1
-        if table.version <= current or revision <= self.table_revision:
+        if table.version <= current:
             return False
         self.table = table
-        self.table_revision = revision
         self.cache_stores.install(table)
         limits = {item.name: item.limit for item in table.tenants if item.limit is not None}
         self.quotas.install(limits, self.clock())
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -2,9 +2,10 @@
 
 One watch covers every document, so one call proves all of them current. An empty batch proves that
 nothing had changed when the wait was over; the proof is dated by the moment that the wait must have
-ended, never by when the answer came, and by the question when the answer is late. Revisions never
-go down within a life. In a large fleet two hubs watch; a daemon that peers keep informed takes
-their updates, and asks the store itself only when its proof grows old.
+ended, never by when the answer came, and by the question when the answer is late. Positions never
+go back; an era of the store begins with a complete list, and what comes of another one is dropped.
+In a large fleet two hubs watch; a daemon that peers keep informed takes their updates, and asks the
+store itself only when its proof grows old.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 from collections.abc import Iterable
 
 from winchfork.core.document_table import DocumentTable, TableItem, TableUpdate
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.document_installer import DocumentInstaller, NewsDate
@@ -85,17 +87,19 @@
                 failures = 0
                 await asyncio.sleep(INFORMED_PAUSE_S)
                 continue
-            revision = self._state.store_revision
+            position = self._state.store_position
             asked_s = self._state.clock()
             failure = await (self._watch_once() if self._listed else self._list_once())
             if failure is None:
                 failures = 0
-                if self._feeds_others and self._state.store_revision > revision:
+                if self._feeds_others and self._state.store_position > position:
                     await asyncio.sleep(GATHER_CHANGES_S)
                 continue
             failures += 1
             if failure.kind is FailureKind.HISTORY_LOST:
+                # The store answers: a list is due at once, however long it was away.
                 self._listed = False
+                failures = 1
             else:
                 self._state.store_outage.note_failure(asked_s, self._state.clock())
                 self._note_lost(failure)
@@ -120,61 +124,99 @@
         snapshot = await self._store.list(_EVERYTHING)
         if isinstance(snapshot, Failure):
             return snapshot
+        if snapshot.at.era < self._state.eras.newest:
+            return self._drop_answer(snapshot.at, "era_over")
         after_outage = self._lost_since_s is not None
         self._note_regained(asked_s)
         self._news = self._date_news(in_time=False)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
-        self._take_complete(items, snapshot.at_revision, after_outage)
+        self._take_complete(items, snapshot.at, after_outage)
         self._note_answer(asked_s)
         return None
 
     def _take_complete(
-        self, items: tuple[TableItem, ...], at_revision: int, after_outage: bool
+        self, items: tuple[TableItem, ...], at: StorePosition, after_outage: bool
     ) -> None:
-        """Take a complete list in, and note what it no longer holds."""
-        self._apply(items)
+        """Take a complete list in, and note what it no longer holds.
+
+        What the first list of an era lacks may only not have been written again yet.
+        """
+        if at.era > self._state.store_position.era:
+            self._begin_era(at)
+            after_outage = after_outage or self._installer.ever_listed
+        self._apply(items, at.era)
         missing = self.table.missing_from(item.key for item in items)
-        gone = [TableItem(key, at_revision, None, after_outage) for key in missing]
-        self.table.note_list(at_revision, after_outage=after_outage)
-        self._apply(gone)
+        gone = [TableItem(key, at.revision, None, after_outage) for key in missing]
+        self.table.note_list(at.revision, after_outage=after_outage)
+        self._apply(gone, at.era)
         if LEADER_KEY not in {item.key for item in items}:
-            self._leadership.note_no_entry(at_revision)
-        self._note_at(at_revision)
+            self._leadership.note_no_entry(at)
+        self._note_at(at)
         self._listed = self._installer.ever_listed = True
 
     async def _watch_once(self) -> Failure | None:
         asked_s = self._state.clock()
         wait_s = self._watch_wait_s()
-        base_revision = self._state.store_revision
-        batch = await self._store.watch(_EVERYTHING, base_revision, wait_s)
+        base = self._state.store_position
+        batch = await self._store.watch(_EVERYTHING, base.revision, wait_s)
         if isinstance(batch, Failure):
             return batch
+        if batch.at.era != base.era or base.era != self._state.store_position.era:
+            return self._drop_answer(batch.at, "other_era")
         answered_s = self._state.clock()
         in_time = answered_s - asked_s <= wait_s + LATE_ANSWER_S
         self._news = self._date_news(in_time=in_time and self._lost_since_s is None)
         self._note_regained(asked_s)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
-        self._apply(items)
-        self._note_at(batch.at_revision)
+        self._apply(items, batch.at.era)
+        self._note_at(batch.at)
         if self._relay is not None:
-            self._relay.push(TableUpdate(base_revision, batch.at_revision, False, False, items))
+            self._relay.push(TableUpdate(base, batch.at, False, False, items))
         waited = in_time and not batch.items and answered_s - asked_s >= wait_s
         self._note_answer(asked_s + wait_s if waited else asked_s)
         return None
 
-    def _note_at(self, at_revision: int) -> None:
-        """Everything up to a revision is known here; one that is below ours is counted and told."""
-        known = self._state.store_revision
-        if at_revision < known:
+    def _begin_era(self, at: StorePosition) -> None:
+        """Begin an era of the store with the list that comes next."""
+        self._state.eras.note(at.era, told_by="list")
+        known = self._state.store_position
+        if self._installer.ever_listed:
+            log_event(
+                "store_era_begun",
+                "WARNING",
+                era=at.era,
+                revision=at.revision,
+                known_era=known.era or None,
+                known_revision=known.revision,
+            )
+        self.table.begin_era()
+
+    def _drop_answer(self, at: StorePosition, why: str) -> Failure:
+        """Take nothing of an answer that belongs to another era: a list has to come first."""
+        self._state.metrics.updates_dropped.labels(why).inc()
+        log_event(
+            "store_answer_dropped",
+            "WARNING",
+            why=why,
+            era=at.era or None,
+            revision=at.revision,
+            known_era=self._state.store_position.era or None,
+        )
+        return FailureKind.HISTORY_LOST.because(f"an answer of era {at.era}")
+
+    def _note_at(self, at: StorePosition) -> None:
+        """Everything up to a position is known here; one that is below ours is counted and told."""
+        known = self._state.store_position
+        if at < known:
             self._state.metrics.updates_dropped.labels("revision_below").inc()
             log_event(
                 "store_revision_below",
                 "WARNING",
-                revision=at_revision,
-                known=known,
-                era=self._state.eras.newest or None,
+                revision=at.revision,
+                known=known.revision,
+                era=at.era or None,
             )
-        self._state.store_revision = max(known, at_revision)
+        self._state.store_position = max(known, at)
 
     def _date_news(self, *, in_time: bool) -> NewsDate:
         """Date what an answer brings: now, or as old as it may be if this daemon could not hear."""
@@ -206,14 +248,17 @@
         age_s = self._state.freshness.age_s(self._state.clock())
         # One that watches itself and hears it from a peer could not hear it when it was written.
         in_time = age_s <= WATCH_WAIT_S + LATE_ANSWER_S and not self._watches
-        self._news = self._date_news(in_time=in_time)
+        known = self._state.store_position
+        self._news = self._date_news(in_time=in_time and update.at.era == known.era)
         if update.complete:
-            self._take_complete(update.items, update.at_revision, update.after_outage)
+            self._take_complete(update.items, update.at, update.after_outage)
             return True
-        self._apply(update.items)
-        if not self._listed or update.base_revision > self._state.store_revision:
+        if update.at.era != known.era:
+            return False
+        self._apply(update.items, known.era)
+        if not self._listed or update.base > known:
             return False
-        self._state.store_revision = max(self._state.store_revision, update.at_revision)
+        self._state.store_position = max(known, update.at)
         return True
 
     # Documents
@@ -222,11 +267,11 @@
         """Remove replicas that have not been listed again in time."""
         self._installer.expire_vanished(now_s)
 
-    def _apply(self, items: Iterable[TableItem]) -> None:
+    def _apply(self, items: Iterable[TableItem], era: int) -> None:
         """Install the entries that are newer than what is held."""
         for item in items:
             if self.table.note(item):
-                self._installer.install(item, self._news)
+                self._installer.install(item, era, self._news)
 
     def _assumed_age_s(self) -> float:
         """Return how long ago a version counts as named that the first list holds.
@@ -248,7 +293,10 @@
         if self._lost_since_s is None:
             self._lost_since_s = self._state.clock()
             log_event(
-                "store_lost", "WARNING", reason=str(failure), revision=self._state.store_revision
+                "store_lost",
+                "WARNING",
+                reason=str(failure),
+                revision=self._state.store_position.revision,
             )
 
     def _note_regained(self, now_s: float) -> None:
--- a/winchfork/stores/async_key_value.py
+++ b/winchfork/stores/async_key_value.py
@@ -1,8 +1,9 @@
 """The port to the platform's key-value service for a single-loop process.
 
-Revisions come from one counter that every change raises. A failed write may still have taken
-effect, now or seconds later: ``STORE_UNAVAILABLE`` from a write says nothing about it, while
-``STORE_RATE_LIMITED`` and ``REVISION_CONFLICT`` say that nothing was done.
+Revisions come from one counter that every change raises, until the store comes back from a copy:
+that begins a new era, and what it had given out since the copy is void. A failed write may still
+have taken effect, now or seconds later: ``STORE_UNAVAILABLE`` from a write says nothing about it,
+while ``STORE_RATE_LIMITED`` and ``REVISION_CONFLICT`` say that nothing was done.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 
 import msgspec
 
+from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure
 
 
@@ -24,17 +26,17 @@
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True):
-    """Entries under a prefix; changes after ``at_revision`` are still to be watched."""
+    """Entries under a prefix, of one era; changes after ``at`` are still to be watched."""
 
     items: tuple[StoreItem, ...]
-    at_revision: int
+    at: StorePosition
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
-    """Changes in order; the next watch goes on after ``at_revision``."""
+    """Changes in order, of one era; the next watch goes on after ``at``."""
 
     items: tuple[StoreItem, ...]
-    at_revision: int
+    at: StorePosition
 
 
 class ExpectedRevision(msgspec.Struct, frozen=True):
@@ -83,8 +85,8 @@
 
     async def transact(
         self, expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
-    ) -> int | Failure:
-        """Write all if every condition holds; return the revision."""
+    ) -> StorePosition | Failure:
+        """Write all if every condition holds; return where."""
         ...
 
     async def grant_lease(self, ttl_s: float) -> int | Failure:
