Keep one leader, and fences that rise, when the store comes back from a copy

Seen in tests (virtual time, five routers), failing on the code before: an earlier holder that had been cut off renewed its lease, which the copy had brought back, and acted 0.57 s after the one that led, under fence 5 after 7; a lease given out again let two act 2.63 and 2.81 s apart (bound 3 s); where the copy held the entry of one that was dead, nobody acted for 4.1 s. Cause: a lease, its id and a fence were taken for things that the store cannot take back.

A lease now belongs to an era and is worth nothing in the next. The last holder takes the leadership anew, by a condition on the entry that the copy brought back, if nobody can have acted since its lease was last confirmed; everybody else waits a whole bound, and a holder that hears of a later entry steps down. A fence is the entry's revision, or the next above every fence known, recorded beside the entry in the same transaction; a leader whose fence replicas refuse takes a higher one.

--- a/tests/entry_fuzz.py
+++ b/tests/entry_fuzz.py
@@ -21,7 +21,8 @@
 from tests.virtual_loop import run_virtually
 from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocuments
-from winchfork.router.leadership import LEADER_KEY, Leadership
+from winchfork.router.leader_entry import LEADER_KEY
+from winchfork.router.leadership import Leadership
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -13,6 +13,7 @@
     ExpectedRevision,
     PutItem,
     StoreItem,
+    StoreLease,
     StoreSnapshot,
     WatchBatch,
 )
@@ -150,30 +151,31 @@
             self.put(put.key, put.value, put.lease_id)
         return self._answer(self.at)
 
-    async def grant_lease(self, ttl_s: float) -> int | Failure:
+    async def grant_lease(self, ttl_s: float) -> StoreLease | Failure:
         failure = await self._arrive("grant_lease")
         if failure:
             return failure
         self.leases_granted += 1
         lease_id = 1000 + self.leases_granted
         self.leases[lease_id] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
-        return lease_id
+        return StoreLease(self.era, lease_id)
 
-    async def renew_lease(self, lease_id: int) -> bool | Failure:
+    async def renew_lease(self, lease: StoreLease) -> bool | Failure:
         failure = await self._arrive("renew_lease")
         if failure:
             return failure
+        lease_id = lease.lease_id
         if lease_id not in self.leases:
             return False
         ttl_s = self.leases[lease_id][1]
         self.leases[lease_id] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
-        return True
+        return lease.era == self.era
 
-    async def end_lease(self, lease_id: int) -> Failure | None:
+    async def end_lease(self, lease: StoreLease) -> Failure | None:
         failure = await self._arrive("end_lease")
         if failure:
             return failure
-        self._end(lease_id)
+        self._end(lease.lease_id)
         return None
 
     async def _arrive(self, call: str) -> Failure | None:
--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -22,9 +22,13 @@
 from winchfork.router.store_sync import StoreSync
 from winchfork.stores.async_key_value import (
     ExpectedRevision,
+    OnStoreAnswer,
     PutItem,
+    StoreAnswer,
+    StoreLease,
     StoreSnapshot,
     WatchBatch,
+    ignore_answer,
 )
 
 
@@ -40,34 +44,48 @@
         self.reads = 0
         self.reading = asyncio.Event()
         self.reading.set()
+        self.on_answer: OnStoreAnswer = ignore_answer
+
+    def _tell_era(self) -> None:
+        if not self.cut and not self.store.down:
+            self.on_answer(StoreAnswer(200, self.store.era))
 
     def _failure(self) -> Failure | None:
         return FailureKind.STORE_UNAVAILABLE.because("cut") if self.cut else None
 
     async def list(self, prefix: str) -> StoreSnapshot | Failure:
         self.reads += 1
-        return self._failure() or await self.store.list(prefix)
+        answer = self._failure() or await self.store.list(prefix)
+        self._tell_era()
+        return answer
 
     async def watch(self, prefix: str, after_revision: int, wait_s: float) -> WatchBatch | Failure:
         self.reads += 1
         failure = self._failure()
         batch = failure or await self.store.watch(prefix, after_revision, wait_s)
+        self._tell_era()
         await self.reading.wait()
         return FailureKind.STORE_UNAVAILABLE.because("cut") if self.cut else batch
 
     async def transact(
         self, expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
     ) -> StorePosition | Failure:
-        return self._failure() or await self.store.transact(expected, puts)
+        answer = self._failure() or await self.store.transact(expected, puts)
+        self._tell_era()
+        return answer
 
-    async def grant_lease(self, ttl_s: float) -> int | Failure:
-        return self._failure() or await self.store.grant_lease(ttl_s)
+    async def grant_lease(self, ttl_s: float) -> StoreLease | Failure:
+        answer = self._failure() or await self.store.grant_lease(ttl_s)
+        self._tell_era()
+        return answer
 
-    async def renew_lease(self, lease_id: int) -> bool | Failure:
-        return self._failure() or await self.store.renew_lease(lease_id)
+    async def renew_lease(self, lease: StoreLease) -> bool | Failure:
+        answer = self._failure() or await self.store.renew_lease(lease)
+        self._tell_era()
+        return answer
 
-    async def end_lease(self, lease_id: int) -> Failure | None:
-        return self._failure() or await self.store.end_lease(lease_id)
+    async def end_lease(self, lease: StoreLease) -> Failure | None:
+        return self._failure() or await self.store.end_lease(lease)
 
 
 class Network:
@@ -128,6 +146,7 @@
         self.peers = PeerGroup(self.state, random.Random(number))
         self.peers.connection_made(network.transport(self.ip))
         self.store = StoreAccess(store or MemoryStore())
+        self.store.on_answer = self.state.eras.take
         self.leadership = Leadership(
             self.store, settings.node_id, 3.0, loop.time, random.Random(number), 1.0
         )
--- /dev/null
+++ b/tests/test_fence_book.py
@@ -0,0 +1,96 @@
+"""Fences rise over the store's eras, and a holder takes the place of no new one."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.memory_store import MemoryStore
+from tests.virtual_loop import run_virtually
+from tests.weights_fleet import FakeReplica, Fleet
+from winchfork.core.fence_book import FenceBook
+from winchfork.core.store_position import StorePosition
+from winchfork.router.leader_entry import FENCE_KEY, LEADER_KEY, LeaderEntry
+from winchfork.stores.async_key_value import StoreLease
+
+
+class FenceBookTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.book = FenceBook()
+        self.book.note_entry(StorePosition(1, 64))
+
+    def test_a_revision_is_fence_enough_while_it_rises(self) -> None:
+        self.assertIsNone(self.book.to_record(StorePosition(1, 64)))
+        self.assertEqual(self.book.fence_of(StorePosition(1, 70)), 70)
+
+    def test_a_lower_revision_needs_a_fence_of_its_own(self) -> None:
+        self.assertEqual(self.book.to_record(StorePosition(2, 55)), 65)
+
+    def test_a_recorded_fence_is_that_of_the_entry_written_with_it(self) -> None:
+        self.book.note_record(StorePosition(2, 57), 65)
+        self.assertEqual(self.book.fence_of(StorePosition(2, 57)), 65)
+        self.assertEqual(self.book.fence_of(StorePosition(2, 70)), 70)
+        self.assertEqual(self.book.to_record(StorePosition(2, 58)), 66)
+
+    def test_a_fence_that_replicas_refuse_is_exceeded_by_far(self) -> None:
+        self.book.note_refused(64)
+        self.assertGreater(self.book.to_record(StorePosition(1, 70)) or 0, 1_000)
+
+    def test_an_entry_of_before_is_told_from_a_new_one(self) -> None:
+        self.assertTrue(self.book.came_back(StorePosition(2, 64)))
+        self.assertFalse(self.book.came_back(StorePosition(2, 57)))
+        self.assertFalse(self.book.came_back(StorePosition(1, 64)))
+
+
+class LeaderEntryTest(unittest.TestCase):
+    def test_a_new_holders_entry_is_not_replaced(self) -> None:
+        async def scenario() -> object:
+            store = MemoryStore()
+            entry = LeaderEntry(store, "n1")
+            entry.fences.note_entry(StorePosition(0, 7))
+            store.era = 1
+            store.put(LEADER_KEY, b"n2")
+            return await entry.find_replaceable()
+
+        self.assertIsNone(run_virtually(scenario()))
+
+    def test_the_fence_is_written_with_the_entry(self) -> None:
+        async def scenario() -> tuple[bytes | None, int, int]:
+            store = MemoryStore()
+            entry = LeaderEntry(store, "n1")
+            entry.fences.note_entry(StorePosition(0, 70))
+            store.era = 1
+            lease = await store.grant_lease(2.0)
+            assert isinstance(lease, StoreLease)
+            await entry.write(lease, 0, StorePosition(0, 80))
+            items = store.items
+            return items[FENCE_KEY].value, items[LEADER_KEY].revision, store.revision
+
+        value, revision, last = run_virtually(scenario())
+        self.assertEqual(value, b"71")
+        self.assertLessEqual(revision, last)
+
+    def test_a_record_that_is_no_number_means_nothing(self) -> None:
+        entry = LeaderEntry(MemoryStore(), "n1")
+        for value in (b"", b"x", b"-1", b"1.5", b"9" * 40):
+            entry.note_fence(StorePosition(1, 5), value)
+        self.assertEqual(entry.fences.highest, 0)
+
+
+class RefusedFenceTest(unittest.TestCase):
+    def test_a_leader_whose_fence_replicas_refuse_takes_a_higher_one(self) -> None:
+        """All daemons had restarted; nobody knew the fences that the store had lost."""
+
+        async def scenario() -> list[int]:
+            replica = FakeReplica("i-1")
+            replica.fence = 400
+            fleet = await Fleet.led([replica])
+            fleet.name(2)
+            await asyncio.sleep(6.0)
+            return replica.loads
+
+        self.assertEqual(run_virtually(scenario()), [2])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -17,7 +17,7 @@
 from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocuments
 from winchfork.router.documents import UnreadableReplica
-from winchfork.router.leadership import LEADER_KEY
+from winchfork.router.leader_entry import LEADER_KEY
 from winchfork.stores.async_key_value import StoreItem
 
 #: 1026 once showed a replica without a zone as one to use.
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -11,7 +11,8 @@
 from tests.virtual_loop import run_virtually
 from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure
-from winchfork.router.leadership import ACT_S, LEADER_KEY, Leadership
+from winchfork.router.leader_entry import LEADER_KEY
+from winchfork.router.leadership import ACT_S, Leadership
 from winchfork.stores.async_key_value import ExpectedRevision, PutItem, WatchBatch
 
 LEASE_BOUND_S = 3.0
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -19,6 +19,7 @@
     ExpectedRevision,
     PutItem,
     StoreItem,
+    StoreLease,
     StoreSnapshot,
     WatchBatch,
 )
@@ -136,10 +137,10 @@
             plain("404 Not Found", {}),
             plain("200 OK", {}),
         )
-        self.assertEqual(await store.grant_lease(2.0), 77120)
-        self.assertIs(await store.renew_lease(77120), True)
-        self.assertIs(await store.renew_lease(77120), False)
-        self.assertIsNone(await store.end_lease(77120))
+        self.assertEqual(await store.grant_lease(2.0), StoreLease(0, 77120))
+        self.assertIs(await store.renew_lease(StoreLease(0, 77120)), True)
+        self.assertIs(await store.renew_lease(StoreLease(0, 77120)), False)
+        self.assertIsNone(await store.end_lease(StoreLease(0, 77120)))
         self.assertEqual(server.seen[3].line, "DELETE /kv-lease-end/77120 HTTP/1.1")
         self.assertEqual(self.made.count("kv-keep"), 2)
 
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -18,7 +18,8 @@
 from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocuments
 from winchfork.router.document_installer import RETURN_S
-from winchfork.router.leadership import LEADER_KEY, Leadership
+from winchfork.router.leader_entry import LEADER_KEY
+from winchfork.router.leadership import Leadership
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import WATCH_WAIT_S, StoreSync
--- a/winchfork/platform/store.py
+++ b/winchfork/platform/store.py
@@ -19,6 +19,7 @@
     OnStoreAnswer,
     PutItem,
     StoreItem,
+    StoreLease,
     StoreSnapshot,
     WatchBatch,
     ignore_answer,
@@ -129,21 +130,25 @@
             return answer
         return StorePosition(answer.era, answer.body.revision)
 
-    async def grant_lease(self, ttl_s: float) -> int | Failure:
+    async def grant_lease(self, ttl_s: float) -> StoreLease | Failure:
         """Open a lease."""
         answer = await self._write("/kv-lease", {"ttl_ms": int(ttl_s * 1000)}, _Lease)
-        return answer if isinstance(answer, Failure) else answer.body.lease
+        if isinstance(answer, Failure):
+            return answer
+        return StoreLease(answer.era, answer.body.lease)
 
-    async def renew_lease(self, lease_id: int) -> bool | Failure:
-        """Renew a lease; False when it is over."""
-        answer = await self._call(b"POST", f"/kv-keep/{lease_id}", b"", CALL_TIMEOUT_S)
+    async def renew_lease(self, lease: StoreLease) -> bool | Failure:
+        """Renew a lease; False when it is over, or its era is."""
+        target = f"/kv-keep/{lease.lease_id}"
+        answer = await self._call(b"POST", target, b"", CALL_TIMEOUT_S)
         if isinstance(answer, Failure):
             return False if answer.kind is FailureKind.NOT_FOUND else answer
-        return True
+        return answer.era == lease.era
 
-    async def end_lease(self, lease_id: int) -> Failure | None:
+    async def end_lease(self, lease: StoreLease) -> Failure | None:
         """End a lease."""
-        answer = await self._call(b"DELETE", f"/kv-lease-end/{lease_id}", None, CALL_TIMEOUT_S)
+        target = f"/kv-lease-end/{lease.lease_id}"
+        answer = await self._call(b"DELETE", target, None, CALL_TIMEOUT_S)
         return answer if isinstance(answer, Failure) else None
 
     async def _read(
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -24,7 +24,8 @@
     UnreadableReplica,
     WeightsTarget,
 )
-from winchfork.router.leadership import LEADER_KEY, Leadership
+from winchfork.router.leader_entry import FENCE_KEY, LEADER_KEY
+from winchfork.router.leadership import Leadership
 from winchfork.router.refusal_records import is_refusal_key
 from winchfork.router.software_records import is_record_key, read_record
 from winchfork.router.state import RouterState
@@ -57,6 +58,9 @@
         if item.key == LEADER_KEY:
             self._install_leader(item, StorePosition(era, item.revision))
             return
+        if item.key == FENCE_KEY:
+            self._leadership.note_fence(StorePosition(era, item.revision), item.value or b"")
+            return
         if is_refusal_key(item.key):
             unread = self._state.crashes.take_record(item.key, item.value, item.revision)
             if unread is not None:
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -1,10 +1,14 @@
 """A leased, fenced leadership held by at most one router process at a time.
 
 The store keeps one entry under a lease; its revision is the fence, which rises with every change of
-holder. A holder acts only within ``ACT_S`` of the start of its last renewal, by its own monotonic
-clock, and the lease outlives that. A new holder waits until orders of the one before it are at
-least the deployment's lease bound old: the time that the lease outlived the other's last possible
-order already counts.
+holder (:mod:`winchfork.core.fence_book` over the store's returns from copies). A holder acts only
+within ``ACT_S`` of the start of its last renewal, by its own monotonic clock, and the lease
+outlives that. A new holder waits until orders of the one before it are at least the deployment's
+lease bound old: the time that the lease outlived the other's last possible order already counts.
+
+When the store has come back from a copy, no lease of before holds. The last holder takes the
+leadership anew, by a condition on whatever entry the copy brought back; anybody else waits a whole
+bound, since nothing tells how old the last holder's orders are.
 """
 
 from __future__ import annotations
@@ -17,10 +21,10 @@
 from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure
 from winchfork.logs import log_event
+from winchfork.router.leader_entry import LeaderEntry
 from winchfork.router.peer_messages import Resignation
-from winchfork.stores.async_key_value import AsyncKeyValueStore, ExpectedRevision, PutItem
+from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreLease
 
-LEADER_KEY = "winchfork/leader"
 #: The lease, and how long after the start of a renewal its holder may act.
 LEASE_S = 2.0
 ACT_S = 0.9
@@ -29,6 +33,8 @@
 MAX_TRY_DELAY_S = 0.5
 #: The same for those that a rolling restart has already passed.
 HURRY_DELAY_S = 0.05
+#: Longest pause between two tries to take the leadership anew.
+RECLAIM_PAUSE_S = 0.2
 _LONG_AGO_S = 3600.0
 #: Added to the wait of a new holder, for clocks that run apart and messages on their way.
 TURN_MARGIN_S = 0.25
@@ -47,25 +53,34 @@
         min_lease_s: float,
     ) -> None:
         self._store = store
-        self._own_id = own_id
         self._lease_s = max(LEASE_S, min_lease_s)
         self._lease_bound_s = lease_bound_s
         self._clock = clock
         self._generator = generator
-        self._vacant = asyncio.Event()
-        self._lease_id = 0
+        #: Set while this daemon is to take the leadership: there is no entry, or it was its own.
+        self._due = asyncio.Event()
+        self._vacant = False
+        self._reclaims = False
+        self._lease = StoreLease(0, 0)
+        self._confirmed_s = -math.inf
         self._valid_until_s = 0.0
         self._acts_from_s = 0.0
         self._started_s = clock()
         self._last_order_s = -math.inf
-        self._holder_fence = 0
+        self._holder = StorePosition()
+        self._entry = LeaderEntry(store, own_id)
+        self._fences = self._entry.fences
         self._heard = StorePosition()
+        #: Whether no entry has been written yet since the store's last return from a copy.
+        self._is_copy = False
         self._resigned_order_s: float | None = None
         self._hurry = False
         self._withdrawn = False
         self.fence = 0
         #: Whether this daemon follows the store closely enough to lead; others need not campaign.
         self.eligible: Callable[[], bool] = lambda: True
+        #: The newest era of the store that this daemon has heard of.
+        self.newest_era: Callable[[], int] = lambda: 0
 
     def note_entry(self, position: StorePosition) -> None:
         """Take what the store or a peer says of the leader's entry: where it was written.
@@ -74,18 +89,53 @@
         """
         if position < self._heard:
             return
-        self._heard = position
-        self._vacant.clear()
-        if position.revision != self._holder_fence:
-            self._holder_fence = position.revision
+        if self.fence and position > self._holder:
+            self._step_down("another holder's entry")
+        self._is_copy = self._is_first_of_era(position) or (
+            self._is_copy and position == self._heard
+        )
+        self._hear(position, vacant=False)
+        self._fences.note_entry(position)
+        if position != self._holder:
+            self._holder = position
             self._resigned_order_s = None
             self._hurry = False
 
+    def note_fence(self, position: StorePosition, value: bytes) -> None:
+        """Take what the store or a peer says: the fence that was recorded at a position."""
+        self._entry.note_fence(position, value)
+
     def note_no_entry(self, at: StorePosition) -> None:
         """Take what the store or a peer says: at a position there was no leader's entry."""
         if at >= self._heard:
-            self._heard = at
-            self._vacant.set()
+            self._is_copy = self._is_copy or self._is_first_of_era(at)
+            self._hear(at, vacant=True)
+
+    def _hear(self, position: StorePosition, *, vacant: bool) -> None:
+        self._heard = position
+        self._vacant = vacant
+        self._refresh_due()
+
+    def _refresh_due(self) -> None:
+        if self._vacant or self._reclaims:
+            self._due.set()
+        else:
+            self._due.clear()
+
+    def _is_first_of_era(self, position: StorePosition) -> bool:
+        """Whether nothing was heard of the position's era yet, though of an earlier one."""
+        return self._heard != StorePosition() and position.era > self._heard.era
+
+    def note_refused_fence(self, fence: int) -> None:
+        """A replica has refused an order: it has seen a higher fence.
+
+        A holder by the store's word takes the leadership anew, under a higher one.
+        """
+        if fence != self.fence or not self.may_act():
+            return
+        log_event("fence_refused", "WARNING", fence=fence)
+        self._fences.note_refused(fence)
+        self._reclaim("a replica has seen a higher fence")
 
     def note_order(self) -> None:
         """Record that an order leaves now."""
@@ -96,7 +146,7 @@
 
         In a rolling restart those that have been restarted stay: they campaign without delay.
         """
-        if message.fence != self._holder_fence:
+        if message.fence != self._fences.fence_of(self._holder):
             return
         now_s = self._clock()
         self._resigned_order_s = now_s - message.last_order_ms / 1000.0
@@ -104,8 +154,7 @@
 
     def may_act(self) -> bool:
         """Tell, without I/O, whether an order may leave now."""
-        now_s = self._clock()
-        return self.fence != 0 and self._acts_from_s <= now_s < self._valid_until_s
+        return self._acts_from_s <= self._clock() and self.leads()
 
     def may_order(self) -> bool:
         """Tell whether an order may leave now, and record that it does.
@@ -124,18 +173,34 @@
         The writes name the leader's entry as a condition, so they need not wait for the orders of
         the holder before to grow old.
         """
-        return self.fence != 0 and self._clock() < self._valid_until_s
+        is_current = self._lease.era == self.newest_era()
+        return self.fence != 0 and is_current and self._clock() < self._valid_until_s
+
+    @property
+    def entry_revision(self) -> int:
+        """The revision of the holder's entry, as a condition of what it alone writes."""
+        return self._holder.revision
 
     async def run(self) -> None:
         """Campaign whenever there is no leader; renew while leading."""
         while True:
-            await self._vacant.wait()
-            await asyncio.sleep(self._try_delay_s())
-            if not self.eligible():
-                await asyncio.sleep(MAX_TRY_DELAY_S)
-            elif self._vacant.is_set() and not self._withdrawn and await self._take():
+            await self._due.wait()
+            if await (self._take_anew() if self._reclaims else self._succeed()):
                 await self._keep()
 
+    async def _succeed(self) -> bool:
+        """Take the leadership if there is none; True when this daemon leads."""
+        await asyncio.sleep(self._try_delay_s())
+        if not self.eligible():
+            await asyncio.sleep(MAX_TRY_DELAY_S)
+            return False
+        if not self._vacant or self._withdrawn:
+            return False
+        if await self._take(0, self._turn_wait_s):
+            return True
+        await asyncio.sleep(self._generator.random())
+        return False
+
     def withdraw(self) -> None:
         """Campaign no more: this daemon is about to stop."""
         self._withdrawn = True
@@ -154,7 +219,7 @@
         now_s = self._clock()
         age_s = min(_LONG_AGO_S, now_s - last_s)
         log_event("leadership_resigned", fence=fence, last_order_s=age_s)
-        await self._store.end_lease(self._lease_id)
+        await self._store.end_lease(self._lease)
         return Resignation(fence, int(age_s * 1000), int((now_s - self._started_s) * 1000))
 
     def _try_delay_s(self) -> float:
@@ -167,46 +232,99 @@
         if self._resigned_order_s is not None:
             age_s = self._clock() - self._resigned_order_s
             return max(0.0, self._lease_bound_s + TURN_MARGIN_S - age_s)
+        if self._is_copy:
+            return self._lease_bound_s + TURN_MARGIN_S
+        return self._succession_s
+
+    @property
+    def _succession_s(self) -> float:
+        """How long a holder waits that takes over when a lease has run out."""
         return max(0.0, self._lease_bound_s - (self._lease_s - ACT_S) + TURN_MARGIN_S)
 
-    async def _take(self) -> bool:
+    # Taking and keeping
+
+    async def _take(self, expected: int, wait_s: Callable[[], float]) -> bool:
+        """Write the entry in the place of the one at a revision; True when this daemon leads."""
         asked_s = self._clock()
-        lease_id = await self._store.grant_lease(self._lease_s)
-        if isinstance(lease_id, Failure):
-            await asyncio.sleep(self._generator.random())
+        lease = await self._store.grant_lease(self._lease_s)
+        if isinstance(lease, Failure):
             return False
-        taken = await self._store.transact(
-            [ExpectedRevision(LEADER_KEY, 0)],
-            [PutItem(LEADER_KEY, self._own_id.encode(), lease_id)],
-        )
+        taken = await self._entry.write(lease, expected, self._heard)
         if isinstance(taken, Failure):
-            # If it took effect unheard, nobody renews the lease and it runs out by itself.
-            log_event("leadership_not_taken", reason=str(taken))
-            await asyncio.sleep(self._generator.random())
             return False
-        if taken < self._heard:
+        if taken < self._heard or taken.era != lease.era:
             # Heard while the answer was under way: the entry has gone, or another came after it.
             log_event("leadership_not_taken", reason="what was written has lapsed already")
             return False
-        self._heard = taken
-        self._vacant.clear()
-        self._lease_id = lease_id
+        self._hear(taken, vacant=False)
+        self._lease = lease
+        self._confirmed_s = asked_s
         self._valid_until_s = asked_s + ACT_S
-        wait_s = self._turn_wait_s()
-        self._acts_from_s = self._clock() + wait_s
-        self._holder_fence = self.fence = taken.revision
+        acts_in_s = wait_s()
+        self._acts_from_s = self._clock() + acts_in_s
+        self._holder = taken
+        self._fences.note_entry(taken)
+        self.fence = self._fences.fence_of(taken)
+        self._is_copy = False
         self._resigned_order_s = None
-        log_event("leadership_taken", fence=self.fence, acts_in_s=wait_s)
+        log_event(
+            "leadership_taken", fence=self.fence, acts_in_s=acts_in_s, replaced=expected or None
+        )
         return True
 
     async def _keep(self) -> None:
         while self.fence:
             await asyncio.sleep(RENEW_PERIOD_S)
-            asked_s = self._clock()
-            renewed = await self._store.renew_lease(self._lease_id)
-            if renewed is True and self.fence:
-                # Valid from before the question: a slow answer cannot stretch it.
-                self._valid_until_s = asked_s + ACT_S
-            elif renewed is False:
-                log_event("leadership_lost", fence=self.fence)
-                self.fence = 0
+            if self.fence and self._lease.era == self.newest_era():
+                await self._renew()
+            if self.fence and self._lease.era != self.newest_era():
+                self._reclaim("the store came back from a copy")
+
+    async def _renew(self) -> None:
+        asked_s = self._clock()
+        renewed = await self._store.renew_lease(self._lease)
+        if renewed is True and self.fence:
+            # Valid from before the question: a slow answer cannot stretch it.
+            self._confirmed_s = asked_s
+            self._valid_until_s = asked_s + ACT_S
+        elif renewed is False and self.fence and self._lease.era == self.newest_era():
+            self._step_down("the lease is over")
+
+    def _step_down(self, reason: str) -> None:
+        log_event("leadership_lost", fence=self.fence, reason=reason)
+        self.fence = 0
+
+    # Taking the leadership anew
+
+    def _reclaim(self, reason: str) -> None:
+        """Take the leadership anew, which this daemon's lease no longer shows."""
+        self._step_down(reason)
+        self._reclaims = True
+        self._refresh_due()
+
+    def _end_reclaim(self) -> None:
+        self._reclaims = False
+        self._refresh_due()
+
+    def _may_reclaim(self) -> bool:
+        """Whether nobody can have acted since this daemon's lease was last confirmed."""
+        since_s = self._clock() - self._confirmed_s
+        return not self._withdrawn and since_s < self._lease_s + self._succession_s
+
+    async def _take_anew(self) -> bool:
+        """Take the place of the entry that the copy brought back, if there is one."""
+        if not self._may_reclaim():
+            self._end_reclaim()
+            return False
+        expected = await self._entry.find_replaceable()
+        if expected is None:
+            self._end_reclaim()
+            return False
+        acts_from_s = self._acts_from_s
+        if not isinstance(expected, Failure) and await self._take(
+            expected, lambda: max(0.0, acts_from_s - self._clock())
+        ):
+            self._end_reclaim()
+            return True
+        await asyncio.sleep(self._generator.random() * RECLAIM_PAUSE_S)
+        return False
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -91,4 +91,5 @@
     peers.on_position = relay.note_position
     sync.relay_through(relay)
     leadership.eligible = lambda: relay.may_lead
+    leadership.newest_era = lambda: state.eras.newest
     return PeerParts(news, evidence, notices)
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -24,7 +24,8 @@
 from winchfork.logs import log_event
 from winchfork.router.documents import StatusWriter
 from winchfork.router.evidence_exchange import EvidenceExchange
-from winchfork.router.leadership import LEADER_KEY, Leadership
+from winchfork.router.leader_entry import LEADER_KEY
+from winchfork.router.leadership import Leadership
 from winchfork.router.quota_exchange import SILENCE_S, remembered_s
 from winchfork.router.software_records import record_key, write_record
 from winchfork.router.state import RouterState
@@ -204,7 +205,7 @@
         record = step.state
         service = record.service
         expected = [
-            ExpectedRevision(LEADER_KEY, self._leadership.fence),
+            ExpectedRevision(LEADER_KEY, self._leadership.entry_revision),
             ExpectedRevision(record_key(service), self._versions.revision(service)),
         ]
         puts = [PutItem(record_key(service), write_record(record))]
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -22,7 +22,8 @@
 from winchfork.router.document_installer import DocumentInstaller, NewsDate
 from winchfork.router.document_relay import DocumentRelay
 from winchfork.router.documents import DocumentReader
-from winchfork.router.leadership import LEADER_KEY, Leadership
+from winchfork.router.leader_entry import LEADER_KEY
+from winchfork.router.leadership import Leadership
 from winchfork.router.state import RouterState
 from winchfork.stores.async_key_value import AsyncKeyValueStore
 
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -166,6 +166,7 @@
                     # A newer one may have been named since this turn began.
                     version = self._state.versions[model].newest
                     ordered = await self._order(replica, model, version, report)
+            fence = max(fence, self._leadership.fence)
             self._notes.hold(replica, model, fence, has_order=ordered)
             await asyncio.sleep(REPORT_PERIOD_S)
         else:
@@ -226,6 +227,8 @@
         )
         if outcome is OrderOutcome.OTHER_REPLICA:
             self._state.note_superseded(replica)
+        if outcome is OrderOutcome.FENCED:
+            self._leadership.note_refused_fence(order.fence)
         if isinstance(outcome, Failure):
             return outcome.ran is not RunState.NOT_RUN and await self._was_taken(replica, report)
         return outcome in (OrderOutcome.TAKEN, OrderOutcome.ALREADY_SO)
--- a/winchfork/stores/async_key_value.py
+++ b/winchfork/stores/async_key_value.py
@@ -72,6 +72,13 @@
     """Take no notice."""
 
 
+class StoreLease(msgspec.Struct, frozen=True):
+    """A lease; after the store's return from a copy its id may be given to another."""
+
+    era: int
+    lease_id: int
+
+
 class AsyncKeyValueStore(Protocol):
     """The service as the router uses it."""
 
@@ -89,14 +96,14 @@
         """Write all if every condition holds; return where."""
         ...
 
-    async def grant_lease(self, ttl_s: float) -> int | Failure:
-        """Open a lease and return its id."""
+    async def grant_lease(self, ttl_s: float) -> StoreLease | Failure:
+        """Open a lease."""
         ...
 
-    async def renew_lease(self, lease_id: int) -> bool | Failure:
-        """Renew a lease; False when it is over."""
+    async def renew_lease(self, lease: StoreLease) -> bool | Failure:
+        """Renew a lease; False when it is over, or its era is."""
         ...
 
-    async def end_lease(self, lease_id: int) -> Failure | None:
+    async def end_lease(self, lease: StoreLease) -> Failure | None:
         """End a lease; its entries go."""
         ...
