Believe nothing of a copy of the store against what is known to be later

Seen in tests, failing on the code before: after the store's return a replica that had said it leaves was ready again until it wrote itself anew (requests would have gone there), one that had gone was listed again, a request that ends replicas was free to run on all routers (its record was missing, or the copy said that it may), and a rollout of software fell back to an earlier record, whose revision nobody could write over; an order of before took the place of a later one, and one written again counted as new. Cause: the list of a store was taken for the newest word on everything in it.

What comes with the first list of an era is now held against what is known. A refusal that is missing or older is written again, once for the fleet (the writer's spread), and goes on holding meanwhile. A later record of a rollout stays and the leader writes it again. Orders keep one number over eras (core/software_orders.py).

The leaving replica in test_store_copies was doubted for its address before it left, so that nothing was asked of it: the test now looks at what its entry says.

--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -17,6 +17,7 @@
 from winchfork.router.leadership import Leadership
 from winchfork.router.peer_wiring import connect_peers
 from winchfork.router.peers import PeerGroup
+from winchfork.router.refusal_writer import RefusalWriter
 from winchfork.router.settings import RouterBounds, RouterSettings
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
@@ -167,6 +168,11 @@
         self.tasks.append(asyncio.create_task(self.sync.run()))
         self.tasks.append(asyncio.create_task(self.leadership.run()))
 
+    def write_refusals(self) -> asyncio.Task[None]:
+        """Write refused requests into the store, until the task is cancelled."""
+        writer = RefusalWriter(self.state, self.store, random.Random(self.ip))
+        return asyncio.create_task(writer.run())
+
     async def stand_still(self, seconds: float, network: Network) -> None:
         """Do nothing for a while: answers wait to be read, datagrams are lost."""
         self.tasks.remove(self._gossip)
--- a/tests/run.py
+++ b/tests/run.py
@@ -30,6 +30,9 @@
     "test_region_fleet",
     "test_limit_fleet",
     "test_limit_share",
+    "test_leader_copies",
+    "test_store_copies",
+    "test_restored_entries",
 )
 #: Processes for them: with the main one, half of the cores of a small machine.
 COMPUTING_PROCESSES = 3
--- a/tests/store_drill.py
+++ b/tests/store_drill.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -62,6 +63,15 @@
     def _put(self, key: str, document: object) -> None:
         self.store.put(key, json.dumps(document).encode())
 
+    def order_software(self, service: str, target: str, duration_s: float) -> int:
+        """Order a rollout; return the revision of the order."""
+        order = {"Service": service, "TargetVersion": target, "DurationS": duration_s}
+        self._put(f"op/rollout/{service}", order)
+        return self.store.revision
+
+    def now_ms(self) -> int:
+        return int(time.time() * 1000)
+
     def change(self, times: int) -> None:
         """Change an entry that nobody reads."""
         for number in range(times):
--- /dev/null
+++ b/tests/test_restored_entries.py
@@ -0,0 +1,219 @@
+"""What a copy of the store brings back is not believed against what is known to be later."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from tests.store_drill import COPY_AGE_S, DrilledFleet, after_a_drill
+from winchfork.core.request_digest import DIGEST_BYTES
+from winchfork.core.software_state import SoftwareOrder, SoftwarePhase, SoftwareState
+from winchfork.router.refusal_records import RefusalRecord, place_key
+from winchfork.router.refusal_writer import OTHERS_WAIT_S
+from winchfork.router.restored_entries import HELD_BACK_S
+from winchfork.router.software_records import record_key, write_record
+
+DAEMONS = 5
+DIGEST = bytes(range(DIGEST_BYTES))
+
+
+async def come_back(fleet: DrilledFleet, copy: dict[str, Any], away_s: float = 1.0) -> None:
+    """Have the store come back from a copy after a moment."""
+    fleet.change(30)
+    await asyncio.sleep(COPY_AGE_S)
+    fleet.store.down = True
+    await asyncio.sleep(away_s)
+    fleet.store.come_back_from(copy)
+    fleet.store.down = False
+
+
+class RestoredReplicasTest(unittest.TestCase):
+    def _accepting(self, fleet: DrilledFleet) -> set[str]:
+        return {
+            replica.replica_id
+            for daemon in fleet.daemons
+            for replica in daemon.state.fleet.replicas()
+            if replica.listing.accepting
+        }
+
+    def test_a_replica_that_has_said_it_leaves_is_not_ready_again(self) -> None:
+        """The copy held its entry of before; the leaving was written again 1.5 s later."""
+
+        async def scenario(fleet: DrilledFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.list_replica("i-1", State="draining", Sequence=7)
+            await come_back(fleet, copy)
+            ready = []
+            for _ in range(300):
+                await asyncio.sleep(0.01)
+                ready += ["i-1"] if "i-1" in self._accepting(fleet) else []
+            self.assertEqual(ready, [])
+
+        after_a_drill(DAEMONS, scenario)
+
+    def test_a_replica_that_has_gone_is_not_listed_again_at_once(self) -> None:
+        async def scenario(fleet: DrilledFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.store.remove("servers/i-1")
+            await come_back(fleet, copy)
+            await asyncio.sleep(HELD_BACK_S - 1.0)
+            self.assertEqual(self._accepting(fleet), {"i-2"})
+            fleet.store.remove("servers/i-1")
+            await asyncio.sleep(4.0)
+            self.assertEqual(self._accepting(fleet), {"i-2"})
+
+        after_a_drill(DAEMONS, scenario)
+
+    def test_one_that_lives_after_all_is_listed_again(self) -> None:
+        async def scenario(fleet: DrilledFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.store.remove("servers/i-1")
+            await come_back(fleet, copy)
+            await asyncio.sleep(HELD_BACK_S + 2.0)
+            self.assertEqual(self._accepting(fleet), {"i-1", "i-2"})
+
+        after_a_drill(DAEMONS, scenario)
+
+    def test_what_is_written_after_the_return_is_believed_at_once(self) -> None:
+        async def scenario(fleet: DrilledFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.store.remove("servers/i-1")
+            await come_back(fleet, copy)
+            await asyncio.sleep(1.0)
+            fleet.list_replica("i-1", Sequence=9)
+            await asyncio.sleep(0.5)
+            self.assertEqual(self._accepting(fleet), {"i-1", "i-2"})
+
+        after_a_drill(DAEMONS, scenario)
+
+    def test_a_later_incarnation_is_believed_at_once(self) -> None:
+        async def scenario(fleet: DrilledFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.store.remove("servers/i-1")
+            await come_back(fleet, copy)
+            fleet.list_replica("i-1", born=5_000)
+            await asyncio.sleep(1.5)
+            self.assertEqual(self._accepting(fleet), {"i-1", "i-2"})
+
+        after_a_drill(DAEMONS, scenario)
+
+
+class RestoredRefusalsTest(unittest.TestCase):
+    """A request that ends replicas was free to run once more after the store's return."""
+
+    def _play(self, before: RefusalRecord | None) -> None:
+        async def scenario(fleet: DrilledFleet) -> None:
+            writers = [daemon.write_refusals() for daemon in fleet.daemons]
+            key = place_key(DIGEST)
+            if before is not None:
+                fleet.store.put(key, json.dumps(_plain(before)).encode())
+                await asyncio.sleep(0.5)
+            copy = fleet.store.copy()
+            now_ms = fleet.now_ms()
+            fleet.store.put(key, json.dumps(_plain(RefusalRecord(DIGEST, now_ms, 2))).encode())
+            await come_back(fleet, copy)
+            await asyncio.sleep(1.0 + OTHERS_WAIT_S + 1.0)
+            refused = [daemon.state.crashes.refusal(DIGEST) is not None for daemon in fleet.daemons]
+            self.assertEqual(refused, [True] * DAEMONS)
+            stored = json.loads(fleet.store.items[key].value or b"{}")
+            self.assertEqual(stored["times"], 2)
+            written = [item for item in fleet.store.history if item.key == key]
+            self.assertLessEqual(len(written), 3)
+            for writer in writers:
+                writer.cancel()
+
+        after_a_drill(DAEMONS, scenario)
+
+    def test_a_refused_request_stays_refused_where_the_copy_knows_nothing_of_it(self) -> None:
+        self._play(None)
+
+    def test_a_refused_request_stays_refused_where_the_copy_says_that_it_may_run(self) -> None:
+        self._play(RefusalRecord(DIGEST, 1_000, 0))
+
+
+def _plain(record: RefusalRecord) -> dict[str, object]:
+    digest = base64.b64encode(record.digest).decode()
+    return {"digest": digest, "refused_ms": record.refused_ms, "times": record.times}
+
+
+class RestoredRolloutsTest(unittest.TestCase):
+    """A rollout of software whose record the copy holds as it was earlier, or not at all."""
+
+    def _order(self, fleet: DrilledFleet, target: str) -> int:
+        return fleet.order_software("huvo11a", target, 30.0)
+
+    def _states(self, fleet: DrilledFleet) -> set[tuple[str, str]]:
+        states = [daemon.state.software.state("huvo11a") for daemon in fleet.daemons]
+        return {(state.phase.value, state.target) for state in states}
+
+    def _play(self, scenario: Callable[[DrilledFleet], Any]) -> None:
+        after_a_drill(DAEMONS, scenario)
+
+    def test_a_later_record_is_kept_and_its_revision_is_the_copys(self) -> None:
+        async def scenario(fleet: DrilledFleet) -> None:
+            order = self._order(fleet, "v2")
+            record = SoftwareState(
+                "huvo11a", "v1", SoftwarePhase.TRIAL, "v2", 0.05, 1, order, 30.0, 1.0
+            )
+            fleet.store.put(record_key("huvo11a"), write_record(record))
+            await asyncio.sleep(0.5)
+            copy = fleet.store.copy()
+            later = record.advanced(SoftwarePhase.MOVING, 0.2, 3.0)
+            fleet.store.put(record_key("huvo11a"), write_record(later))
+            await come_back(fleet, copy)
+            await asyncio.sleep(1.0)
+            self.assertEqual(self._states(fleet), {("moving", "v2")})
+            revision = fleet.store.items[record_key("huvo11a")].revision
+            for daemon in fleet.daemons:
+                self.assertEqual(daemon.state.software.revision("huvo11a"), revision)
+                self.assertTrue(daemon.state.software.is_lost("huvo11a"))
+
+        self._play(scenario)
+
+    def test_an_order_that_is_written_again_is_no_new_one(self) -> None:
+        async def scenario(fleet: DrilledFleet) -> None:
+            copy = fleet.store.copy()
+            given = self._order(fleet, "v2")
+            await come_back(fleet, copy)
+            fleet.change(3)
+            self._order(fleet, "v2")
+            await asyncio.sleep(1.0)
+            known = {daemon.state.software.orders["huvo11a"] for daemon in fleet.daemons}
+            self.assertEqual(known, {SoftwareOrder("huvo11a", "v2", 30.0, given)})
+
+        self._play(scenario)
+
+    def test_an_order_of_before_does_not_take_the_place_of_a_later_one(self) -> None:
+        async def scenario(fleet: DrilledFleet) -> None:
+            self._order(fleet, "v1")
+            await asyncio.sleep(0.5)
+            copy = fleet.store.copy()
+            self._order(fleet, "v2")
+            await come_back(fleet, copy)
+            await asyncio.sleep(1.0)
+            targets = {daemon.state.software.orders["huvo11a"].target for daemon in fleet.daemons}
+            self.assertEqual(targets, {"v2"})
+
+        self._play(scenario)
+
+    def test_a_new_order_after_the_return_is_taken_though_its_revision_is_lower(self) -> None:
+        async def scenario(fleet: DrilledFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.change(10)
+            given = self._order(fleet, "v2")
+            await come_back(fleet, copy)
+            self._order(fleet, "v3")
+            await asyncio.sleep(1.0)
+            orders = [daemon.state.software.orders["huvo11a"] for daemon in fleet.daemons]
+            self.assertEqual({order.target for order in orders}, {"v3"})
+            self.assertGreater(min(order.revision for order in orders), given)
+
+        self._play(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -16,7 +16,7 @@
 
 def takes_work(daemon: Daemon, replica_id: str) -> bool:
     replica = daemon.state.fleet.get(replica_id)
-    return replica is not None and replica.accepting
+    return replica is not None and replica.listing.accepting
 
 
 class DeafRouterTest(unittest.TestCase):
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -106,6 +106,10 @@
         if len(self._gone) > MOST_GONE:
             del self._gone[next(iter(self._gone))]
 
+    def has_gone(self, incarnation: int) -> bool:
+        """Whether an incarnation has left the list, as far as remembered."""
+        return incarnation in self._gone
+
     # What replicas say of themselves
 
     def note_notice(
--- a/winchfork/core/software_state.py
+++ b/winchfork/core/software_state.py
@@ -94,6 +94,11 @@
         """Whether the order says to stay at, or go back to, the version in force."""
         return self.running and self.target == self.in_force
 
+    def is_earlier_than(self, other: SoftwareState) -> bool:
+        """Whether another record of the same service was written after this one."""
+        own_age = (self.order_revision, self.elapsed_s)
+        return own_age < (other.order_revision, other.elapsed_s)
+
     def advanced(
         self, phase: SoftwarePhase, share: float, elapsed_s: float, trial_replicas: int = 0
     ) -> SoftwareState:
--- a/winchfork/router/crash_guard.py
+++ b/winchfork/router/crash_guard.py
@@ -162,8 +162,18 @@
 
     # What the store and peers tell
 
-    def take_record(self, key: str, value: bytes | None, revision: int) -> Failure | None:
-        """Take in what the store holds of a refused request; a failure if that cannot be read."""
+    def take_record(
+        self, key: str, value: bytes | None, revision: int, *, is_restored: bool = False
+    ) -> Failure | None:
+        """Take in what the store holds of a refused request; a failure if that cannot be read.
+
+        ``is_restored``: it may be of a copy, and older than what is known.
+        """
+        outdated = self.records.is_older(key, value) if is_restored else None
+        if outdated is not None:
+            self.records.note_outdated(key, value, revision)
+            self.on_record(outdated, own=False)
+            return None
         unread = self.records.take(key, value, revision)
         digest = self.records.digest_at(key)
         now_s = self._clock()
@@ -176,6 +186,12 @@
             self.on_record(digest, own=True)
         return unread
 
+    def note_lost_record(self, key: str) -> None:
+        """The store came back without a record: have it written again if it still matters."""
+        digest = self.records.lose(key)
+        if digest is not None and not self.records.are_current(digest):
+            self.on_record(digest, own=False)
+
     def take_ended(self, incarnation: int, digests: Iterable[bytes]) -> None:
         """A peer's runs of these requests were on an incarnation when it ended."""
         self._note_ends(incarnation, digests, own=False)
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -27,7 +27,8 @@
 from winchfork.router.leader_entry import FENCE_KEY, LEADER_KEY
 from winchfork.router.leadership import Leadership
 from winchfork.router.refusal_records import is_refusal_key
-from winchfork.router.software_records import is_record_key, read_record
+from winchfork.router.restored_entries import RestoredEntries
+from winchfork.router.software_records import is_record_key, read_record, service_of
 from winchfork.router.state import RouterState
 from winchfork.stores.async_key_value import StoreItem
 
@@ -52,6 +53,9 @@
         self._leadership = leadership
         #: Whether a whole list was taken in: what comes before was there when this daemon started.
         self.ever_listed = False
+        #: Whether what is installed may be of a copy: it comes with the first list of an era.
+        self.restoring = False
+        self._restored = RestoredEntries(state.fleet)
 
     def install(self, item: TableItem, era: int, news: NewsDate) -> None:
         """Take in what an entry of an era of the store says now, or that it has gone."""
@@ -62,9 +66,7 @@
             self._leadership.note_fence(StorePosition(era, item.revision), item.value or b"")
             return
         if is_refusal_key(item.key):
-            unread = self._state.crashes.take_record(item.key, item.value, item.revision)
-            if unread is not None:
-                self._state.note_refused_document(item.key, unread)
+            self._install_refusal(item)
             return
         if is_record_key(item.key):
             self._install_record(item)
@@ -82,7 +84,8 @@
         elif isinstance(document, ReplicaListing):
             self._install_replica(document, item.revision)
         elif isinstance(document, SoftwareOrder):
-            self._state.software.note_order(document, found=not self.ever_listed)
+            position = StorePosition(era, item.revision)
+            self._state.software.note_order(document, position, found=not self.ever_listed)
         elif isinstance(document, ReplicaGone):
             self._note_gone(document.replica_id, item)
 
@@ -93,17 +96,34 @@
             self._leadership.note_entry(position)
         self._state.leader_id = (item.value or b"").decode(errors="replace")
 
+    def _install_refusal(self, item: TableItem) -> None:
+        crashes = self._state.crashes
+        if item.value is None and item.vanished:
+            crashes.note_lost_record(item.key)
+            return
+        unread = crashes.take_record(
+            item.key, item.value, item.revision, is_restored=self.restoring
+        )
+        if unread is not None:
+            self._state.note_refused_document(item.key, unread)
+
     def _install_record(self, item: TableItem) -> None:
+        software = self._state.software
         if item.value is None:
+            if item.vanished:
+                software.note_lost(service_of(item.key))
             return
         record = read_record(item.value)
         if isinstance(record, Failure):
             self._state.note_refused_document(item.key, record)
+        elif self.restoring:
+            software.install_restored(record, item.revision)
         else:
-            self._state.software.install(record, item.revision, found=not self.ever_listed)
+            software.install(record, item.revision, found=not self.ever_listed)
 
     def _note_gone(self, replica_id: str, item: TableItem) -> None:
         """Remove a replica; one that only vanished during an outage is kept for a while."""
+        self._restored.forget(replica_id)
         replica = self._state.fleet.get(replica_id)
         if item.vanished and replica is not None and replica.wants_work:
             self._state.vanished.setdefault(replica_id, self._state.clock() + RETURN_S)
@@ -129,6 +149,13 @@
             )
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
+        if not self.restoring:
+            self._restored.forget(listing.replica_id)
+        elif self._restored.hold_back(listing, revision, self._state.clock()):
+            return
+        self._list_replica(listing, revision)
+
+    def _list_replica(self, listing: ReplicaListing, revision: int) -> None:
         known = self._state.fleet.get(listing.replica_id)
         if known is not None and listing.is_older_incarnation_of(known.listing):
             log_event(
@@ -173,7 +200,9 @@
             log_event("replica_gone", replica=replica_id, revision=revision)
 
     def expire_vanished(self, now_s: float) -> None:
-        """Remove replicas that have not been listed again in time."""
+        """Remove replicas that have not been listed again in time; list those held back so long."""
+        for listing, revision in self._restored.take_due(now_s):
+            self._list_replica(listing, revision)
         for replica_id, until_s in list(self._state.vanished.items()):
             if now_s >= until_s:
                 del self._state.vanished[replica_id]
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -109,6 +109,27 @@
             self._ledger.clear(record.digest)
         return None
 
+    def is_older(self, key: str, value: bytes | None) -> bytes | None:
+        """Return the request of the known record of a place if that is later than a stored one."""
+        known = self._records.get(key)
+        record = read_refusal(value) if value is not None else None
+        if known is None or not isinstance(record, RefusalRecord):
+            return None
+        return known.digest if record.refused_ms < known.refused_ms else None
+
+    def note_outdated(self, key: str, value: bytes | None, revision: int) -> None:
+        """Remember what is stored in a place, which means nothing to the ledger."""
+        self._revisions[key] = revision
+        record = read_refusal(value or b"")
+        if isinstance(record, RefusalRecord):
+            self._records[key] = record
+
+    def lose(self, key: str) -> bytes | None:
+        """A place is free again though nobody has released it; return whose it was."""
+        self._revisions.pop(key, None)
+        record = self._records.pop(key, None)
+        return record.digest if record is not None else None
+
     def _take_refusal(self, record: RefusalRecord) -> None:
         for_s = self._ledger.refusal_s(record.times)
         age_s = max(0.0, self._wall_clock() - record.refused_ms / 1000.0)
--- a/winchfork/router/software_records.py
+++ b/winchfork/router/software_records.py
@@ -15,6 +15,11 @@
     return _PREFIX + service
 
 
+def service_of(key: str) -> str:
+    """Return the service whose record has a key."""
+    return key.removeprefix(_PREFIX)
+
+
 def is_record_key(key: str) -> bool:
     """Whether an entry is such a record."""
     return key.startswith(_PREFIX)
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -138,6 +138,8 @@
             return RolloutStep(assumed, "the version in force is recorded")
         if order is not None and order.revision > record.order_revision:
             return self._take_order(record, order)
+        if self._versions.is_lost(service):
+            return RolloutStep(record, "the store came back without it")
         if not record.running:
             return None
         return next_step(record, self._view(record), self._state.settings.bounds.exposure)
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -15,6 +15,7 @@
 from winchfork.core.relay_fleet import RelayFleet
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import member_hash
+from winchfork.core.software_orders import OrderBook
 from winchfork.core.software_state import (
     SoftwareOrder,
     SoftwarePhase,
@@ -25,6 +26,7 @@
     likely_in_force,
     rule_of,
 )
+from winchfork.core.store_position import StorePosition
 from winchfork.core.version_evidence import AnswerCounts
 from winchfork.logs import log_event
 
@@ -76,7 +78,10 @@
         self._proof_age_s = proof_age_s
         self._states: dict[str, SoftwareState] = {}
         self._revisions: dict[str, int] = {}
+        #: Services whose record the store has lost, or holds as it was earlier.
+        self._lost: set[str] = set()
         self.orders: dict[str, SoftwareOrder] = {}
+        self._order_book = OrderBook()
         #: Revisions of orders and records that were there at the start.
         self._found: set[int] = set()
         #: The version taken to be in force where there is no record.
@@ -100,6 +105,7 @@
         known = self._states.get(state.service)
         self._states[state.service] = state
         self._revisions[state.service] = revision
+        self._lost.discard(state.service)
         if found:
             self._found.add(revision)
         if known is None or known.order_revision != state.order_revision:
@@ -117,11 +123,38 @@
             revision=revision,
         )
 
-    def note_order(self, order: SoftwareOrder, *, found: bool = False) -> None:
+    def install_restored(self, state: SoftwareState, revision: int) -> None:
+        """Take a record from a copy of the store: a later one that is known here stays."""
+        known = self._states.get(state.service)
+        self._revisions[state.service] = revision
+        if known is None or known.is_earlier_than(state):
+            self._revisions.pop(state.service)
+            self.install(state, revision)
+        elif known != state:
+            self._note_lost(state.service)
+
+    def note_lost(self, service: str) -> None:
+        """The store came back without a service's record."""
+        if service in self._states:
+            self._revisions[service] = 0
+            self._note_lost(service)
+
+    def _note_lost(self, service: str) -> None:
+        self._lost.add(service)
+        log_event("software_record_lost", "WARNING", service=service)
+
+    def is_lost(self, service: str) -> bool:
+        """Whether the store holds an earlier record than the one that is known, or none."""
+        return service in self._lost
+
+    def note_order(
+        self, order: SoftwareOrder, position: StorePosition, *, found: bool = False
+    ) -> None:
         """Take an operator's order from the store; ``found`` as in :meth:`install`."""
-        known = self.orders.get(order.service)
-        if known is not None and known.revision >= order.revision:
+        new = self._order_book.take(order, position)
+        if new is None:
             return
+        order = new
         self.orders[order.service] = order
         if found:
             self._found.add(order.revision)
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -144,8 +144,10 @@
         """
         if at.era > self._state.store_position.era:
             self._begin_era(at)
+            self._installer.restoring = self._installer.ever_listed
             after_outage = after_outage or self._installer.ever_listed
         self._apply(items, at.era)
+        self._installer.restoring = False
         missing = self.table.missing_from(item.key for item in items)
         gone = [TableItem(key, at.revision, None, after_outage) for key in missing]
         self.table.note_list(at.revision, after_outage=after_outage)
@@ -265,7 +267,7 @@
     # Documents
 
     def expire_vanished(self, now_s: float) -> None:
-        """Remove replicas that have not been listed again in time."""
+        """Settle what waits for replicas to write themselves again."""
         self._installer.expire_vanished(now_s)
 
     def _apply(self, items: Iterable[TableItem], era: int) -> None:
