--- a/standins/soak/faults/store_faults.py
+++ b/standins/soak/faults/store_faults.py
@@ -11,6 +11,9 @@
 from standins.soak.routers import RouterUnderSoak
 
 LEAST_FAULT_S, MOST_FAULT_S = 1.0, 6.0
+#: How old a copy of the store is at most, and how long the store is away before it comes back.
+MOST_COPY_AGE_S = 4.0
+LEAST_AWAY_S, MOST_AWAY_S = 0.3, 2.5
 
 
 class StoreFaults:
@@ -27,6 +30,18 @@
             await asyncio.sleep(self._fault_s())
             self._scene.surroundings.store.down = False
 
+    async def comes_back_from_copy(self) -> None:
+        """The store is away and comes back as it was seconds before, at times twice in a row."""
+        store = self._scene.surroundings.store
+        for _ in range(self._random.choice((1, 1, 2))):
+            copy = store.copy()
+            await asyncio.sleep(self._random.uniform(0.0, MOST_COPY_AGE_S))
+            with self._scene.disruptions.during("store comes back from a copy"):
+                store.down = True
+                await asyncio.sleep(self._random.uniform(LEAST_AWAY_S, MOST_AWAY_S))
+                store.come_back_from(copy)
+                store.down = False
+
     async def link_cut(self) -> None:
         """One way to the store is slow, silent, or silent one way."""
         router = self._free()
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -126,6 +126,7 @@
         processes = ProcessFaults(scene, self._generator("processes struck"), self.broken)
         connections = StoreFaults(scene, self._generator("connections struck"))
         store = StoreFaults(scene, self._generator("store struck"))
+        copies = StoreFaults(scene, self._generator("store brought back"))
         words = ReplicaFaults(self._surroundings, self._generator("words"), self._tell)
         limits = ReplicaFaults(self._surroundings, self._generator("limits"), self._tell)
         entries = ForeignEntries(self._surroundings.store, self._generator("entries"), self._tell)
@@ -164,6 +165,7 @@
             Lane("entries", [entries.foreign_entry], ENTRY_PAUSE_S),
             Lane("peers", [peers.peers_cut, peers.zone_cut], PEER_PAUSE_S, delay_s),
             Lane("store", [store.store_down, store.link_cut], STORE_PAUSE_S, delay_s),
+            Lane("copies", [copies.comes_back_from_copy], STORE_PAUSE_S, delay_s),
         ]
 
     def _generator(self, name: str) -> random.Random:
--- a/standins/store_server.py
+++ b/standins/store_server.py
@@ -15,6 +15,8 @@
 _PAGE_ITEMS = 500
 
 
+#: An entry that a copy has brought back and nobody writes lapses after this time.
+LAPSE_S = 3.6
 #: What the operator and the replicas write, which they write again after the store's return.
 _WRITTEN_AGAIN = ("op/", "servers/")
 
@@ -113,14 +115,20 @@
         self._write_again(lost)
 
     def _write_again(self, lost: dict[str, dict[str, Any]]) -> None:
-        for key in sorted({*lost, *self._items}):
-            if not key.startswith(_WRITTEN_AGAIN):
-                continue
-            before, now = lost.get(key), self._items.get(key)
-            if before is None:
-                self.remove(key)
-            elif now is None or now["Value"] != before["Value"]:
+        for key, before in sorted(lost.items()):
+            now = self._items.get(key)
+            if key.startswith(_WRITTEN_AGAIN) and (now is None or now["Value"] != before["Value"]):
                 self.put(key, base64.b64decode(before["Value"]))
+        loop = asyncio.get_running_loop()
+        for key in self._items.keys() - lost.keys():
+            if key.startswith(_WRITTEN_AGAIN):
+                loop.call_later(LAPSE_S, self._lapse, key, self._items[key]["Revision"], self.era)
+
+    def _lapse(self, key: str, revision: int, era: int) -> None:
+        """Remove an entry that nobody has written since the store's return."""
+        item = self._items.get(key)
+        if item is not None and item["Revision"] == revision and self.era == era:
+            self.remove(key)
 
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         self._expire()
