A list that tells of the store's return first does not depose the leader

Where the followed list named the new era before the leader's own renewal did, it took its entry of the copy, by its higher era, for that of another holder, stepped down and waited for it to lapse. Also: a test wrote its output into the working tree.

--- a/tests/test_early_stop.py
+++ b/tests/test_early_stop.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import tempfile
 import unittest
 from asyncio.subprocess import PIPE
 from pathlib import Path
@@ -26,8 +27,10 @@
 class TakesSignalsTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_process_takes_a_stop_as_soon_as_anything_of_the_router_runs(self) -> None:
         """A soak's stop came 31 ms after a start, before the interpreter had run any module."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
         for module, takes in (("sys", False), ("winchfork.early_stop", True)):
-            router = RouterUnderSoak(Surroundings(), 1, ZONES[0], Path())
+            router = RouterUnderSoak(Surroundings(), 1, ZONES[0], Path(folder.name))
             program = f"import {module}, sys; print(flush=True); sys.stdin.read()"
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-c", program, cwd=_ROOT, stdin=PIPE, stdout=PIPE
--- a/tests/test_leader_copies.py
+++ b/tests/test_leader_copies.py
@@ -93,6 +93,17 @@
     def test_a_leader_whose_entry_came_back_goes_on(self) -> None:
         self._play(lambda fleet: fleet.lose())
 
+    def test_a_leader_goes_on_whether_its_renewal_or_its_list_tells_of_the_return(self) -> None:
+        """A list that came first deposed it for the entry that the copy had brought back."""
+        for step in range(12):
+            with self.subTest(step=step):
+
+                async def scenario(fleet: DrilledFleet, step: int = step) -> None:
+                    await asyncio.sleep(step * 0.07)
+                    await fleet.lose()
+
+                self._play(scenario)
+
     def test_a_leader_whose_entry_was_lost_goes_on(self) -> None:
         """Its successors took the entry of the leader before for one that is renewed."""
 
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -89,7 +89,7 @@
         """
         if position < self._heard:
             return
-        if self.fence and position > self._holder:
+        if self.fence and position.era == self._holder.era and position > self._holder:
             self._step_down("another holder's entry")
         self._is_copy = self._is_first_of_era(position) or (
             self._is_copy and position == self._heard
