--- a/standins/soak/routers.py
+++ b/standins/soak/routers.py
@@ -49,6 +49,11 @@
         self.process_fault = asyncio.Lock()
         self.link_fault = asyncio.Lock()
 
+    @property
+    def runs_earlier_build(self) -> bool:
+        """Whether no process of this file's build has been started yet."""
+        return math.isinf(self.upgraded_s)
+
     @property
     def machine_ip(self) -> str:
         """The IP number of its machine."""
