The revision that a leader's writes name is that of its entry, also where a fence was written beside it

Each entry of a transaction may have a revision of its own; the answer names the last, and the entry stood before the fence. It is written last now, and a recorded fence belongs to the entry at or after it. The test failed before (entry revision one below).

--- a/tests/test_fence_book.py
+++ b/tests/test_fence_book.py
@@ -6,6 +6,7 @@
 import unittest
 
 from tests.memory_store import MemoryStore
+from tests.store_drill import DrilledFleet, after_a_drill
 from tests.virtual_loop import run_virtually
 from tests.weights_fleet import FakeReplica, Fleet
 from winchfork.core.fence_book import FenceBook
@@ -29,6 +30,8 @@
     def test_a_recorded_fence_is_that_of_the_entry_written_with_it(self) -> None:
         self.book.note_record(StorePosition(2, 57), 65)
         self.assertEqual(self.book.fence_of(StorePosition(2, 57)), 65)
+        self.assertEqual(self.book.fence_of(StorePosition(2, 58)), 65)
+        self.assertEqual(self.book.fence_of(StorePosition(3, 58)), 58)
         self.assertEqual(self.book.fence_of(StorePosition(2, 70)), 70)
         self.assertEqual(self.book.to_record(StorePosition(2, 58)), 66)
 
@@ -68,7 +71,20 @@
 
         value, revision, last = run_virtually(scenario())
         self.assertEqual(value, b"71")
-        self.assertLessEqual(revision, last)
+        self.assertEqual(revision, last)
+
+    def test_what_a_leader_writes_after_the_stores_return_has_its_entry_as_condition(self) -> None:
+        """Its records conflicted for 38 s: the entry's revision was taken for the next one."""
+
+        async def scenario(fleet: DrilledFleet) -> None:
+            await fleet.lose()
+            await asyncio.sleep(3.0)
+            (leader,) = fleet.leading()
+            entry = fleet.store.items[LEADER_KEY]
+            self.assertIn(FENCE_KEY, fleet.store.items)
+            self.assertEqual(leader.leadership.entry_revision, entry.revision)
+
+        after_a_drill(3, scenario)
 
     def test_a_record_that_is_no_number_means_nothing(self) -> None:
         entry = LeaderEntry(MemoryStore(), "n1")
--- a/winchfork/core/fence_book.py
+++ b/winchfork/core/fence_book.py
@@ -20,7 +20,7 @@
 
 
 class _RecordedFence(msgspec.Struct, frozen=True):
-    """The fence that was written together with a holder's entry."""
+    """The fence that was written together with a holder's entry, no later than it."""
 
     position: StorePosition
     fence: int
@@ -53,7 +53,8 @@
     def fence_of(self, entry: StorePosition) -> int:
         """Return the fence of the holder whose entry was written there."""
         recorded = self._recorded
-        return max(entry.revision, recorded.fence if recorded.position == entry else 0)
+        is_before = recorded.position.era == entry.era and recorded.position <= entry
+        return max(entry.revision, recorded.fence if is_before else 0)
 
     def to_record(self, known: StorePosition) -> int | None:
         """Return the fence that an entry needs which is written after ``known``.
--- a/winchfork/router/leader_entry.py
+++ b/winchfork/router/leader_entry.py
@@ -41,11 +41,13 @@
 
         ``heard`` is the newest that is known of the entry.
         """
-        puts = [PutItem(LEADER_KEY, self._own_value, lease.lease_id)]
+        puts = []
         is_of_era = heard.era == lease.era
         fence = self.fences.to_record(heard if is_of_era else StorePosition(lease.era))
         if fence is not None:
             puts.append(PutItem(FENCE_KEY, str(fence).encode()))
+        # Last: where each entry of a transaction has a revision of its own, the answer names this.
+        puts.append(PutItem(LEADER_KEY, self._own_value, lease.lease_id))
         taken = await self._store.transact([ExpectedRevision(LEADER_KEY, expected)], puts)
         if isinstance(taken, Failure):
             # If it took effect unheard, nobody renews the lease and it runs out by itself.
