An order of software has the same number on all routers after the store's return

An order's number is now the revision of its entry in the era that the store is in. The same order under another revision is renamed everywhere: record (the leader writes it again), answers counted, evidence heard, stops, time limit. What no entry names any more is below every new order.

The counting of answers has a module of its own.

--- a/winchfork/router/evidence_exchange.py
+++ b/winchfork/router/evidence_exchange.py
@@ -25,7 +25,7 @@
 from winchfork.logs import log_event
 from winchfork.router.peer_messages import EvidenceNote, VersionEvidence, VersionStop
 from winchfork.router.peer_port import PeerPort
-from winchfork.router.software_versions import OLD_VERSION
+from winchfork.router.service_answers import OLD_VERSION
 from winchfork.router.state import RouterState
 
 #: Seconds between two messages about one rollout, and between two that tell nothing new.
@@ -123,9 +123,10 @@
     def take(self, message: VersionEvidence) -> None:
         """Take in what a daemon or a zone has seen of the order that is known here."""
         record = self._versions.state(message.service)
-        if not record.running or record.order_revision != message.order_revision:
+        number = self._versions.number_of(message.service, message.order_revision)
+        if not record.running or record.order_revision != number:
             return
-        heard = self._about(message.service, message.order_revision)
+        heard = self._about(message.service, number)
         if not message.zone:
             heard.daemons[message.sender_id, message.life] = message.notes
         else:
@@ -158,6 +159,8 @@
 
     def _about(self, service: str, order_revision: int) -> _Heard:
         heard = self._heard.get(service)
+        if heard is not None:
+            heard.order_revision = self._versions.number_of(service, heard.order_revision)
         if heard is None or heard.order_revision != order_revision:
             heard = self._heard[service] = _Heard(order_revision)
         return heard
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -98,7 +98,15 @@
                 self._rates[service].note(answers, now_s)
             order = self._versions.orders.get(service)
             if order is not None:
-                _note_seen(self._orders_seen, service, order.revision, now_s)
+                self._note_order_seen(order, now_s)
+
+    def _note_order_seen(self, order: SoftwareOrder, now_s: float) -> None:
+        """Note since when an order is known, by whatever number."""
+        seen = self._orders_seen.get(order.service)
+        if seen is not None:
+            number = self._versions.number_of(order.service, seen.revision)
+            self._orders_seen[order.service] = _Seen(number, seen.since_s)
+        _note_seen(self._orders_seen, order.service, order.revision, now_s)
 
     def _listen_around(self, now_s: float) -> None:
         """Note whether every daemon is heard; one that is silent for long is no longer missed."""
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -15,7 +15,7 @@
 from winchfork.core.relay_fleet import RelayFleet
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import member_hash
-from winchfork.core.software_orders import OrderBook
+from winchfork.core.software_orders import NO_ORDER, OrderBook
 from winchfork.core.software_state import (
     SoftwareOrder,
     SoftwarePhase,
@@ -27,29 +27,12 @@
     rule_of,
 )
 from winchfork.core.store_position import StorePosition
-from winchfork.core.version_evidence import AnswerCounts
 from winchfork.logs import log_event
+from winchfork.router.service_answers import OLD_VERSION, ServiceAnswers
 
 #: Part of the bound on rollbacks that is kept for a store whose watches lag, for slow clocks and
 #: for requests on their way: a share whose proof is older than the rest may have been taken back.
 ROLLBACK_MARGIN_S = 1.15
-#: An answer that takes this many times as long as the old version's usually do is slow.
-SLOW_RATIO = 2.5
-#: Share of a new sample in the moving average of what answers usually take, and how far above the
-#: average a sample counts.
-USUAL_WEIGHT = 0.1
-MOST_TIMES_USUAL = 4.0
-#: Names the version in force where answers are counted by replica.
-OLD_VERSION = 0
-
-
-class ServiceAnswers(msgspec.Struct):
-    """This daemon's counts of one order, by replica (or OLD_VERSION) and route, by hash."""
-
-    order_revision: int
-    counts: dict[tuple[int, int], AnswerCounts] = {}
-    #: Seconds that answers of the old version usually take, for each expected second, by route.
-    usual: dict[int, float] = {}
 
 
 class _Stop(msgspec.Struct, frozen=True):
@@ -102,6 +85,7 @@
         """
         if revision <= self._revisions.get(state.service, 0):
             return
+        state = self._with_number_now(state)
         known = self._states.get(state.service)
         self._states[state.service] = state
         self._revisions[state.service] = revision
@@ -125,6 +109,7 @@
 
     def install_restored(self, state: SoftwareState, revision: int) -> None:
         """Take a record from a copy of the store: a later one that is known here stays."""
+        state = self._with_number_now(state)
         known = self._states.get(state.service)
         self._revisions[state.service] = revision
         if known is None or known.is_earlier_than(state):
@@ -151,11 +136,14 @@
         self, order: SoftwareOrder, position: StorePosition, *, found: bool = False
     ) -> None:
         """Take an operator's order from the store; ``found`` as in :meth:`install`."""
-        new = self._order_book.take(order, position)
-        if new is None:
+        news = self._order_book.take(order, position)
+        if news is None:
             return
-        order = new
-        self.orders[order.service] = order
+        self.orders[order.service] = news.order
+        if news.former_number is not None:
+            self._renumber(order.service, news.former_number, order.revision)
+            return
+        self._void_numbers_from(order)
         if found:
             self._found.add(order.revision)
         log_event(
@@ -166,6 +154,37 @@
             order=order.revision,
         )
 
+    def number_of(self, service: str, number: int) -> int:
+        """Return what the order is called now that had a number before."""
+        return self._order_book.number_of(service, number)
+
+    def _renumber(self, service: str, former: int, number: int) -> None:
+        """The store holds an order under another revision since its return from a copy."""
+        state = self._states.get(service)
+        if state is not None and state.order_revision == former:
+            self._states[service] = self._with_number_now(state)
+            self._note_lost(service)
+        answers = self.answers.get(service)
+        if answers is not None and answers.order_revision == former:
+            answers.order_revision = number
+        stop = self._stops.get(service)
+        if stop is not None and stop.order_revision == former:
+            self._stops[service] = _Stop(number, stop.cause)
+        if former in self._found:
+            self._found.add(number)
+        log_event("software_order_renumbered", service=service, order=number, former=former)
+
+    def _void_numbers_from(self, order: SoftwareOrder) -> None:
+        """A new order is later than the record, whose number is of an era that is over."""
+        state = self._states.get(order.service)
+        if state is not None and state.order_revision >= order.revision:
+            self._order_book.void(order.service, state.order_revision)
+            self._renumber(order.service, state.order_revision, NO_ORDER)
+
+    def _with_number_now(self, state: SoftwareState) -> SoftwareState:
+        number = self.number_of(state.service, state.order_revision)
+        return msgspec.structs.replace(state, order_revision=number)
+
     def shares(self) -> dict[str, float]:
         """Return for each service with a record the share that its target may get."""
         return {service: state.share for service, state in self._states.items()}
@@ -262,8 +281,10 @@
 
     def stop(self, service: str, order_revision: int, cause: StopCause, *, told_by: str) -> None:
         """Send the target nothing more, whatever the record says."""
-        known = self._stops.get(service)
-        if known is not None and known.order_revision >= order_revision:
+        order_revision = self.number_of(service, order_revision)
+        known, state = self._stops.get(service), self._states.get(service)
+        is_of_before = state is not None and order_revision < state.order_revision
+        if is_of_before or (known is not None and known.order_revision == order_revision):
             return
         self._stops[service] = _Stop(order_revision, cause)
         log_event(
@@ -291,23 +312,13 @@
         state = self._states.get(service)
         if not self.enabled or state is None or not state.running:
             return
-        answers = self.answers[service]
-        route_hash = member_hash(route)
-        ratio = took_s / max(expected_s, 1e-3)
         is_new = replica.listing.software == state.target
-        place = replica.order_hash if is_new else OLD_VERSION
         if not is_new and replica.listing.software != state.in_force:
             return
-        usual = answers.usual.get(route_hash)
-        slow = not failed and usual is not None and ratio > SLOW_RATIO * usual
-        counts = answers.counts.setdefault((place, route_hash), AnswerCounts())
-        counts.add(AnswerCounts(1, int(failed), int(slow)))
-        if failed or slow:
+        place = replica.order_hash if is_new else OLD_VERSION
+        ratio = took_s / max(expected_s, 1e-3)
+        if self.answers[service].note(place, member_hash(route), ratio, failed=failed):
             self.on_bad_answer()
-        if not is_new and not failed:
-            known = usual if usual is not None else ratio
-            sample = min(ratio, MOST_TIMES_USUAL * known)
-            answers.usual[route_hash] = known + USUAL_WEIGHT * (sample - known)
 
 
 def _of_version(replicas: Sequence[RelayReplica], software: str) -> list[RelayReplica]:
