A successor's wait does not shrink when its own entry is heard before its answer

The wait is now computed before the write. Also: no lease of an era that is over is ended, since its id may be another's; lists that keep naming an era that is over are asked for with growing pauses.

--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -33,6 +33,8 @@
         self.lease_of: dict[str, int] = {}
         self.down = False
         self.lose_writes = 0
+        #: How long after a write has taken effect its answer comes.
+        self.answer_writes_after_s = 0.0
         self.calls: list[str] = []
         self._changed = asyncio.Event()
 
@@ -149,7 +151,10 @@
             if put.lease_id and put.lease_id not in self.leases:
                 return FailureKind.NOT_FOUND.because("no such lease")
             self.put(put.key, put.value, put.lease_id)
-        return self._answer(self.at)
+        at = self.at
+        if self.answer_writes_after_s:
+            await asyncio.sleep(self.answer_writes_after_s)
+        return self._answer(at)
 
     async def grant_lease(self, ttl_s: float) -> StoreLease | Failure:
         failure = await self._arrive("grant_lease")
--- a/tests/test_leader_copies.py
+++ b/tests/test_leader_copies.py
@@ -164,6 +164,25 @@
 
         self._play(scenario, acts_within_s=LEASE_BOUND_S + 2.0)
 
+    def test_a_successor_whose_entry_is_heard_before_its_answer_waits_a_whole_bound(self) -> None:
+        """Its own entry, seen first, ended the doubt about the last holder's orders."""
+
+        async def scenario(fleet: DrilledFleet) -> None:
+            copy = fleet.store.copy()
+            copy["items"].pop("winchfork/leader")
+            copy["lease_of"].pop("winchfork/leader")
+            copy["leases"].clear()
+            leader = leader_of(fleet)
+            fleet.store.down = True
+            await asyncio.sleep(0.8)
+            leader.kill(fleet.network)
+            fleet.daemons.remove(leader)
+            fleet.store.answer_writes_after_s = 0.5
+            fleet.store.come_back_from(copy)
+            fleet.store.down = False
+
+        self._play(scenario, acts_within_s=LEASE_BOUND_S + 2.5)
+
     def test_a_holder_that_was_cut_off_for_long_does_not_take_it_anew(self) -> None:
         """The copy holds its entry; who led since is gone, but has just given orders."""
 
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -219,7 +219,8 @@
         now_s = self._clock()
         age_s = min(_LONG_AGO_S, now_s - last_s)
         log_event("leadership_resigned", fence=fence, last_order_s=age_s)
-        await self._store.end_lease(self._lease)
+        if self._lease.era == self.newest_era():
+            await self._store.end_lease(self._lease)
         return Resignation(fence, int(age_s * 1000), int((now_s - self._started_s) * 1000))
 
     def _try_delay_s(self) -> float:
@@ -246,6 +247,8 @@
     async def _take(self, expected: int, wait_s: Callable[[], float]) -> bool:
         """Write the entry in the place of the one at a revision; True when this daemon leads."""
         asked_s = self._clock()
+        # What is heard meanwhile, this daemon's own entry too, tells nothing of the last holder.
+        acts_in_s = wait_s()
         lease = await self._store.grant_lease(self._lease_s)
         if isinstance(lease, Failure):
             return False
@@ -260,7 +263,6 @@
         self._lease = lease
         self._confirmed_s = asked_s
         self._valid_until_s = asked_s + ACT_S
-        acts_in_s = wait_s()
         self._acts_from_s = self._clock() + acts_in_s
         self._holder = taken
         self._fences.note_entry(taken)
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -98,9 +98,9 @@
                 continue
             failures += 1
             if failure.kind is FailureKind.HISTORY_LOST:
-                # The store answers: a list is due at once, however long it was away.
+                # The store answers a watch: a list is due at once, however long it was away.
+                failures = 1 if self._listed else failures
                 self._listed = False
-                failures = 1
             else:
                 self._state.store_outage.note_failure(asked_s, self._state.clock())
                 self._note_lost(failure)
@@ -181,7 +181,7 @@
 
     def _begin_era(self, at: StorePosition) -> None:
         """Begin an era of the store with the list that comes next."""
-        self._state.eras.note(at.era, told_by="list")
+        self._state.eras.note(at.era, told_by="update")
         known = self._state.store_position
         if self._installer.ever_listed:
             log_event(
