--- a/tests/test_leader_copies.py
+++ b/tests/test_leader_copies.py
@@ -7,9 +7,11 @@
 import random
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from tests.peer_support import Daemon
 from tests.store_drill import DrilledFleet, after_a_drill
+from winchfork.router.leader_entry import LEADER_KEY
 
 DAEMONS = 5
 LEASE_BOUND_S = 3.0
@@ -58,6 +60,15 @@
     return leader
 
 
+def copy_without_leader(fleet: DrilledFleet) -> dict[str, Any]:
+    """Return what the store held before anybody led."""
+    copy = fleet.store.copy()
+    copy["items"].pop(LEADER_KEY)
+    copy["lease_of"].pop(LEADER_KEY)
+    copy["leases"].clear()
+    return copy
+
+
 async def change_leader(fleet: DrilledFleet) -> Daemon:
     """Cut the leader from the store until another acts; return the one that was cut."""
     before = leader_of(fleet)
@@ -136,10 +147,7 @@
 
     def test_the_first_leader_ever_may_be_in_what_was_lost(self) -> None:
         async def scenario(fleet: DrilledFleet) -> None:
-            copy = fleet.store.copy()
-            copy["items"].pop("winchfork/leader")
-            copy["lease_of"].pop("winchfork/leader")
-            copy["leases"].clear()
+            copy = copy_without_leader(fleet)
             fleet.change(20)
             fleet.store.down = True
             await asyncio.sleep(1.0)
@@ -150,10 +158,7 @@
 
     def test_a_leader_lost_together_with_its_entry_is_succeeded_after_a_whole_bound(self) -> None:
         async def scenario(fleet: DrilledFleet) -> None:
-            copy = fleet.store.copy()
-            copy["items"].pop("winchfork/leader")
-            copy["lease_of"].pop("winchfork/leader")
-            copy["leases"].clear()
+            copy = copy_without_leader(fleet)
             leader = leader_of(fleet)
             fleet.store.down = True
             await asyncio.sleep(0.8)
@@ -168,10 +173,7 @@
         """Its own entry, seen first, ended the doubt about the last holder's orders."""
 
         async def scenario(fleet: DrilledFleet) -> None:
-            copy = fleet.store.copy()
-            copy["items"].pop("winchfork/leader")
-            copy["lease_of"].pop("winchfork/leader")
-            copy["leases"].clear()
+            copy = copy_without_leader(fleet)
             leader = leader_of(fleet)
             fleet.store.down = True
             await asyncio.sleep(0.8)
@@ -214,10 +216,7 @@
 
     def test_a_lease_that_is_given_out_again_is_not_renewed_for_another(self) -> None:
         async def scenario(fleet: DrilledFleet) -> None:
-            copy = fleet.store.copy()
-            copy["items"].pop("winchfork/leader")
-            copy["lease_of"].pop("winchfork/leader")
-            copy["leases"].clear()
+            copy = copy_without_leader(fleet)
             copy["leases_granted"] = 0
             leader = leader_of(fleet)
             fleet.store.down = True
--- a/tests/test_restored_entries.py
+++ b/tests/test_restored_entries.py
@@ -140,6 +140,12 @@
     return {"digest": digest, "refused_ms": record.refused_ms, "times": record.times}
 
 
+def trial_of(order: int, share: float = 0.05, elapsed_s: float = 1.0) -> SoftwareState:
+    """Return the record of a rollout to v2 in its first stage."""
+    phase = SoftwarePhase.TRIAL
+    return SoftwareState("huvo11a", "v1", phase, "v2", share, 1, order, 30.0, elapsed_s)
+
+
 class RestoredRolloutsTest(unittest.TestCase):
     """A rollout of software whose record the copy holds as it was earlier, or not at all."""
 
@@ -156,9 +162,7 @@
     def test_a_later_record_is_kept_and_its_revision_is_the_copys(self) -> None:
         async def scenario(fleet: DrilledFleet) -> None:
             order = self._order(fleet, "v2")
-            record = SoftwareState(
-                "huvo11a", "v1", SoftwarePhase.TRIAL, "v2", 0.05, 1, order, 30.0, 1.0
-            )
+            record = trial_of(order)
             fleet.store.put(record_key("huvo11a"), write_record(record))
             await asyncio.sleep(0.5)
             copy = fleet.store.copy()
@@ -196,16 +200,12 @@
             copy = fleet.store.copy()
             fleet.change(10)
             given = self._order(fleet, "v2")
-            record = SoftwareState(
-                "huvo11a", "v1", SoftwarePhase.TRIAL, "v2", 0.05, 1, given, 30.0, 1.0
-            )
+            record = trial_of(given)
             fleet.store.put(record_key("huvo11a"), write_record(record))
             await come_back(fleet, copy)
             number = self._order(fleet, "v2")
             await asyncio.sleep(1.5)
-            fresh = SoftwareState(
-                "huvo11a", "v1", SoftwarePhase.TRIAL, "v2", 0.1, 1, number, 30.0, 2.0
-            )
+            fresh = trial_of(number, share=0.1, elapsed_s=2.0)
             fleet.store.put(record_key("huvo11a"), write_record(fresh))
             await asyncio.sleep(0.5)
             for daemon in fleet.daemons:
@@ -232,9 +232,7 @@
             copy = fleet.store.copy()
             fleet.change(10)
             given = self._order(fleet, "v2")
-            record = SoftwareState(
-                "huvo11a", "v1", SoftwarePhase.TRIAL, "v2", 0.05, 1, given, 30.0, 1.0
-            )
+            record = trial_of(given)
             fleet.store.put(record_key("huvo11a"), write_record(record))
             await come_back(fleet, copy)
             number = self._order(fleet, "v3")
