--- a/winchfork/core/place_queue.py
+++ b/winchfork/core/place_queue.py
@@ -16,8 +16,7 @@
 
 #: Part of a request's latency objective for which it waits for a place. Where demand goes on being
 #: more than there are places, everybody waits for as long as anybody may: what is served has to be
-#: in time all the same. Of 744 streams 709 were in time with half, 619 with all of it (loopback,
-#: 31 streams a second and 30 places).
+#: in time all the same.
 PATIENT_SHARE = 0.5
 #: It waits for up to this many of the times in which places come, even where that is longer: with
 #: few places a second it would else be refused though nobody is before it.
--- a/winchfork/core/request_limit.py
+++ b/winchfork/core/request_limit.py
@@ -24,15 +24,14 @@
 USED_SHARE = 0.95
 WINDOW_S = 4.0
 #: Seconds by which a request may go before its time, if the one before went late: a place waits for
-#: its daemon's next request. Of a limit 0.94 is used with it, 0.87 without, where each daemon has
-#: ten requests a second for it; 0.88 and 0.81 with five (virtual time, 79 daemons).
+#: its daemon's next request.
 EARLY_S = 0.2
 #: Requests a second that are sent to a replica in any case, also to one that takes none: without an
 #: answer nobody learns that its limit has ended.
 LEAST_PER_S = 0.2
 #: Seconds after a change of the fleet's daemons in which a daemon does not begin to send in
-#: another's place: longer than it takes until all have heard of the change (up to 3.75 s measured
-#: among 42 daemons), since until then both may take themselves for the holder.
+#: another's place: longer than it takes until all have heard of the change, since until then both
+#: may take themselves for the holder.
 SETTLE_S = 4.0
 #: Seconds without a word on a limit after which the others may try in turn: longer than the pause
 #: between two requests to a replica that takes none. And seconds that each has.
