Read the change once more: one way to tell unknown headers, fewer steps for a copy's entries

A restored record of a rollout set a revision only to take it back. - Parts of updates are collected by the positions that the update has; a key type of its own and a second unwrapping are gone. - Tests bring the store back in one place, and ask for a configuration in one place; what they assert is the same.

--- a/tests/store_drill.py
+++ b/tests/store_drill.py
@@ -86,8 +86,12 @@
         self.change(changes)
         meanwhile()
         await asyncio.sleep(COPY_AGE_S / 2)
+        await self.come_back(copy)
+
+    async def come_back(self, copy: dict[str, Any], away_s: float = AWAY_S) -> None:
+        """Have the store be away and come back from a copy."""
         self.store.down = True
-        await asyncio.sleep(AWAY_S)
+        await asyncio.sleep(away_s)
         self.store.come_back_from(copy)
         self.store.down = False
 
--- a/tests/test_leader_copies.py
+++ b/tests/test_leader_copies.py
@@ -122,10 +122,7 @@
             copy = fleet.store.copy()
             before = await change_leader(fleet)
             fleet.change(20)
-            fleet.store.down = True
-            await asyncio.sleep(1.0)
-            fleet.store.come_back_from(copy)
-            fleet.store.down = False
+            await fleet.come_back(copy)
             before.store.cut = False
 
         self._play(scenario)
@@ -138,10 +135,7 @@
             fleet.daemons.remove(before)
             while leader_of_or_none(fleet) is None:
                 await asyncio.sleep(0.05)
-            fleet.store.down = True
-            await asyncio.sleep(1.0)
-            fleet.store.come_back_from(copy)
-            fleet.store.down = False
+            await fleet.come_back(copy)
 
         self._play(scenario)
 
@@ -149,10 +143,7 @@
         async def scenario(fleet: DrilledFleet) -> None:
             copy = copy_without_leader(fleet)
             fleet.change(20)
-            fleet.store.down = True
-            await asyncio.sleep(1.0)
-            fleet.store.come_back_from(copy)
-            fleet.store.down = False
+            await fleet.come_back(copy)
 
         self._play(scenario)
 
@@ -219,10 +210,7 @@
             copy = copy_without_leader(fleet)
             copy["leases_granted"] = 0
             leader = leader_of(fleet)
-            fleet.store.down = True
-            await asyncio.sleep(1.0)
-            fleet.store.come_back_from(copy)
-            fleet.store.down = False
+            await fleet.come_back(copy)
             leader.store.cut = True
             await asyncio.sleep(5.5)
             leader.store.cut = False
@@ -260,10 +248,7 @@
             fleet.network.drop = lambda sender, receiver: alone in (sender, receiver)
         fleet.change(draw.choice((0, 3, 40)))
         await asyncio.sleep(draw.uniform(0.0, 9.0))
-        fleet.store.down = True
-        await asyncio.sleep(draw.choice((0.0, 0.3, 1.0, 2.5, 5.0)))
-        fleet.store.come_back_from(copy)
-        fleet.store.down = False
+        await fleet.come_back(copy, draw.choice((0.0, 0.3, 1.0, 2.5, 5.0)))
         await asyncio.sleep(draw.choice((0.0, 0.0, 1.0)))
         fleet.change(draw.choice((0, 0, 60)))
         for daemon in fleet.daemons:
--- a/tests/test_restored_entries.py
+++ b/tests/test_restored_entries.py
@@ -21,14 +21,11 @@
 DIGEST = bytes(range(DIGEST_BYTES))
 
 
-async def come_back(fleet: DrilledFleet, copy: dict[str, Any], away_s: float = 1.0) -> None:
+async def come_back(fleet: DrilledFleet, copy: dict[str, Any]) -> None:
     """Have the store come back from a copy after a moment."""
     fleet.change(30)
     await asyncio.sleep(COPY_AGE_S)
-    fleet.store.down = True
-    await asyncio.sleep(away_s)
-    fleet.store.come_back_from(copy)
-    fleet.store.down = False
+    await fleet.come_back(copy)
 
 
 class RestoredReplicasTest(unittest.TestCase):
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -19,6 +19,10 @@
     return replica is not None and replica.listing.accepting
 
 
+def knows_configuration(daemon: Daemon) -> bool:
+    return daemon.state.table is not None and daemon.state.table.version == 9
+
+
 class DeafRouterTest(unittest.TestCase):
     """Whoever had heard of revision 64 took what was written under 56 to 64 for old."""
 
@@ -26,11 +30,7 @@
         async def scenario(fleet: DrilledFleet) -> None:
             await fleet.lose()
             fleet.configure(9)
-
-            def knows(daemon: Daemon) -> bool:
-                return daemon.state.table is not None and daemon.state.table.version == 9
-
-            self.assertEqual(await fleet.unaware(knows, KNOWN_WITHIN_S), [])
+            self.assertEqual(await fleet.unaware(knows_configuration, KNOWN_WITHIN_S), [])
 
         for count in FLEETS:
             with self.subTest(daemons=count):
@@ -79,11 +79,7 @@
             fleet.change(5)
             fleet.store.come_back_from(copy)
             fleet.configure(9)
-
-            def knows(daemon: Daemon) -> bool:
-                return daemon.state.table is not None and daemon.state.table.version == 9
-
-            self.assertEqual(await fleet.unaware(knows, KNOWN_WITHIN_S), [])
+            self.assertEqual(await fleet.unaware(knows_configuration, KNOWN_WITHIN_S), [])
 
         for count in FLEETS:
             with self.subTest(daemons=count):
--- a/winchfork/router/crash_guard.py
+++ b/winchfork/router/crash_guard.py
@@ -169,10 +169,9 @@
 
         ``is_restored``: it may be of a copy, and older than what is known.
         """
-        outdated = self.records.is_older(key, value) if is_restored else None
-        if outdated is not None:
-            self.records.note_outdated(key, value, revision)
-            self.on_record(outdated, own=False)
+        later = self.records.take_outdated(key, value, revision) if is_restored else None
+        if later is not None:
+            self.on_record(later, own=False)
             return None
         unread = self.records.take(key, value, revision)
         digest = self.records.digest_at(key)
--- a/winchfork/router/document_parts.py
+++ b/winchfork/router/document_parts.py
@@ -45,18 +45,11 @@
     return [EraDocumentPart(era, part) for part in parts] if era else parts
 
 
-class _UpdateKey(msgspec.Struct, frozen=True):
-    """Tells the updates of one sender apart."""
-
-    era: int
-    base_revision: int
-    at_revision: int
-
-
 class _Collected(msgspec.Struct):
-    """The beginning of an update."""
+    """The beginning of an update from ``base`` to ``at``."""
 
-    key: _UpdateKey
+    base: StorePosition
+    at: StorePosition
     data: bytearray = msgspec.field(default_factory=bytearray)
 
 
@@ -66,31 +59,28 @@
     def __init__(self) -> None:
         self._collected: dict[str, _Collected] = {}
 
-    def add(self, message: DocumentPart | EraDocumentPart) -> TableUpdate | Failure | None:
+    def add(self, part: DocumentPart, era: int = 0) -> TableUpdate | Failure | None:
         """Take a part in; return the update when it was the last one, None before that."""
-        if isinstance(message, EraDocumentPart):
-            part, era = message.part, message.era
-        else:
-            part, era = message, 0
-        key = _UpdateKey(era, part.base_revision, part.at_revision)
+        base = StorePosition(era, part.base_revision)
+        at = StorePosition(era, part.at_revision)
         collected = self._collected.pop(part.sender_id, None)
         if part.offset == 0:
-            collected = _Collected(key)
-        if collected is None or collected.key != key or part.offset != len(collected.data):
+            collected = _Collected(base, at)
+        if collected is None or (collected.base, collected.at) != (base, at):
+            return None
+        if part.offset != len(collected.data):
             return None
         collected.data += part.data
         if len(collected.data) < part.total:
             self._collected[part.sender_id] = collected
             return None
-        return _unpack(part, era, bytes(collected.data))
+        return _unpack(part, collected)
 
 
-def _unpack(part: DocumentPart, era: int, packed: bytes) -> TableUpdate | Failure:
+def _unpack(part: DocumentPart, collected: _Collected) -> TableUpdate | Failure:
     try:
         unpacking = zlib.decompressobj()
-        items = _ITEMS.decode(unpacking.decompress(packed, MAX_UNPACKED_BYTES))
+        items = _ITEMS.decode(unpacking.decompress(collected.data, MAX_UNPACKED_BYTES))
     except (zlib.error, msgspec.DecodeError) as error:
         return FailureKind.BAD_DATAGRAM.because(f"unreadable update: {type(error).__name__}")
-    base = StorePosition(era, part.base_revision)
-    at = StorePosition(era, part.at_revision)
-    return TableUpdate(base, at, part.complete, part.after_outage, items)
+    return TableUpdate(collected.base, collected.at, part.complete, part.after_outage, items)
--- a/winchfork/router/document_relay.py
+++ b/winchfork/router/document_relay.py
@@ -143,14 +143,14 @@
 
     def take_era_part(self, message: EraDocumentPart) -> None:
         """Collect an update of an era, and install it when it is whole."""
-        self._take(message, message.part.sender_id)
+        self._take(message.part, message.era)
 
     def take_part(self, part: DocumentPart) -> None:
         """Collect an update that names no era, and install it when it is whole."""
-        self._take(part, part.sender_id)
+        self._take(part, 0)
 
-    def _take(self, message: DocumentPart | EraDocumentPart, sender_id: str) -> None:
-        update = self._collector.add(message)
+    def _take(self, part: DocumentPart, era: int) -> None:
+        update = self._collector.add(part, era)
         if isinstance(update, Failure):
             self._state.metrics.bad_datagrams.inc()
         elif update is None:
@@ -161,7 +161,7 @@
             whole = self._documents.take_update(update)
             outcome = "whole" if whole else "with_a_gap"
             self._state.metrics.updates_relayed.labels(outcome).inc()
-            self._pass_on(update, sender_id)
+            self._pass_on(update, part.sender_id)
 
     def _pull(self, address: str, position: StorePosition) -> None:
         now_s = self._state.clock()
--- a/winchfork/router/notice_book.py
+++ b/winchfork/router/notice_book.py
@@ -11,6 +11,7 @@
 from winchfork.core.replica_notice import AnswerNotice, NoticeChange, ToldPause
 from winchfork.logs import log_event
 from winchfork.router.line_limit import LineLimit
+from winchfork.router.unknown_headers import UnknownHeaders
 
 if TYPE_CHECKING:
     from winchfork.router.state import RouterState
@@ -26,6 +27,7 @@
     def __init__(self, state: RouterState) -> None:
         self._state = state
         self._unreadable = LineLimit()
+        self._unknown = UnknownHeaders(state.metrics.unknown_words, MOST_UNKNOWN_WORDS)
         self._hearsay = Hearsay()
         #: Told of each replica that has said to this daemon that it drains or wants a pause.
         self.on_heard: Callable[[RelayReplica], None] = lambda replica: None
@@ -56,7 +58,8 @@
         if notice.limit_per_s is not None:
             state.limits.note_named(replica, notice.limit_per_s, answers_sent_s)
         for name in notice.unknown:
-            self._note_unknown(replica, name)
+            if self._unknown.note(name):
+                log_event("notice_unknown", "WARNING", replica=replica.replica_id, header=name)
         change = state.fleet.note_notice(replica, notice, now_s, state.generator.random())
         if change is not NoticeChange.NOTHING:
             self._hearsay.forget(replica.order_hash)
@@ -105,16 +108,6 @@
                 started_s_ago=age_s,
             )
 
-    def _note_unknown(self, replica: RelayReplica, name: str) -> None:
-        """Count a word that this build does not know, and log its name once."""
-        counts = self._state.metrics.unknown_words
-        is_new = name not in counts.children
-        if is_new and len(counts.children) >= MOST_UNKNOWN_WORDS:
-            return
-        counts.labels(name).inc()
-        if is_new:
-            log_event("notice_unknown", "WARNING", replica=replica.replica_id, header=name)
-
     def _log(self, replica: RelayReplica, notice: AnswerNotice, change: NoticeChange) -> None:
         self._state.metrics.notices.labels(change.value).inc()
         log_event(
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -109,20 +109,20 @@
             self._ledger.clear(record.digest)
         return None
 
-    def is_older(self, key: str, value: bytes | None) -> bytes | None:
-        """Return the request of the known record of a place if that is later than a stored one."""
+    def take_outdated(self, key: str, value: bytes | None, revision: int) -> bytes | None:
+        """Remember what a copy of the store holds in a place, if a later record is known.
+
+        It means nothing to the ledger. Returns the request of the later one; None without one.
+        """
         known = self._records.get(key)
-        record = read_refusal(value) if value is not None else None
+        record = read_refusal(value) if known is not None and value is not None else None
         if known is None or not isinstance(record, RefusalRecord):
             return None
-        return known.digest if record.refused_ms < known.refused_ms else None
-
-    def note_outdated(self, key: str, value: bytes | None, revision: int) -> None:
-        """Remember what is stored in a place, which means nothing to the ledger."""
+        if record.refused_ms >= known.refused_ms:
+            return None
         self._revisions[key] = revision
-        record = read_refusal(value or b"")
-        if isinstance(record, RefusalRecord):
-            self._records[key] = record
+        self._records[key] = record
+        return known.digest
 
     def lose(self, key: str) -> bytes | None:
         """A place is free again though nobody has released it; return whose it was."""
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -111,11 +111,12 @@
         """Take a record from a copy of the store: a later one that is known here stays."""
         state = self._with_number_now(state)
         known = self._states.get(state.service)
-        self._revisions[state.service] = revision
         if known is None or known.is_earlier_than(state):
-            self._revisions.pop(state.service)
+            self._revisions.pop(state.service, None)
             self.install(state, revision)
-        elif known != state:
+            return
+        self._revisions[state.service] = revision
+        if known != state:
             self._note_lost(state.service)
 
     def note_lost(self, service: str) -> None:
--- a/winchfork/router/store_eras.py
+++ b/winchfork/router/store_eras.py
@@ -8,6 +8,7 @@
 
 from winchfork.logs import log_event
 from winchfork.router.metrics import RouterMetrics
+from winchfork.router.unknown_headers import UnknownHeaders
 from winchfork.stores.async_key_value import StoreAnswer
 
 STATUS_OK = 200
@@ -22,14 +23,15 @@
 
     def __init__(self, metrics: RouterMetrics) -> None:
         self._metrics = metrics
-        self._unknown_headers: set[str] = set()
+        self._unknown_headers = UnknownHeaders(metrics.unknown_words, MOST_UNKNOWN_HEADERS)
         self.newest = 0
 
     def take(self, answer: StoreAnswer) -> None:
         """Take in what an answer of the store says of the store itself."""
         self.note(answer.era)
         for name in answer.unknown_headers:
-            self._note_unknown_header(name)
+            if self._unknown_headers.note(name):
+                log_event("store_header_unknown", "WARNING", header=name)
         if answer.status != STATUS_OK:
             self._metrics.store_refusals.labels(str(answer.status)).inc()
         if answer.status == STATUS_GONE:
@@ -42,13 +44,3 @@
         before, self.newest = self.newest, era
         level = "WARNING" if before else "INFO"
         log_event("store_era", level, era=era, before=before or None, told_by=told_by)
-
-    def _note_unknown_header(self, name: str) -> None:
-        """Count a header that this build does not know, and log its name once."""
-        is_new = name not in self._unknown_headers
-        if is_new and len(self._unknown_headers) >= MOST_UNKNOWN_HEADERS:
-            return
-        self._metrics.unknown_words.labels(name).inc()
-        if is_new:
-            self._unknown_headers.add(name)
-            log_event("store_header_unknown", "WARNING", header=name)
