Log by what a version is dated, and first events after the weights' bound

Cause: weights_left_s rests on the dating that is in doubt, so logs could not tell a version dated late from a prompt that waited at its replica. Change: weights_named has via, dated_s_ago, assumed and known_s; request_sent has weights_margin_s and queued; request_done has head_s; stream_started_late and winchfork_late_starts. No decision is changed.

--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -44,7 +44,8 @@
     ``prefill_tokens`` are the prompt tokens that the replica has to process, ``memory_tokens`` the
     most cache memory that the run may use, in tokens. ``expected_end_at_s`` is when the run is
     expected to end, on the loop's clock. ``expected_s`` is the expected time in seconds to the
-    first event, or to the whole answer if it has no events. ``no_body``: the answer has no body.
+    first event, or to the whole answer if it has no events. ``start_margin_s`` is the longest time
+    that the run was expected to take to begin. ``no_body``: the answer has no body.
     """
 
     replica: RelayReplica
@@ -58,8 +59,11 @@
     no_body: bool
     expected_end_at_s: float
     expected_s: float = 1.0
+    start_margin_s: float = 0.0
     #: Called once, when the first event has been received.
     on_prefill_done: Callable[[], None] = lambda: None
+    #: Called when the head of this request's answer has been received.
+    on_head: Callable[[], None] = lambda: None
     #: Called with the notice in each answer head on the connection; the flag says whether the head
     #: is authentic and answers this request.
     on_notice: Callable[[AnswerNotice, bool], None] = lambda notice, is_answer: None
@@ -172,6 +176,7 @@
     def _handle_head(self, head: AnswerHead) -> Outcome | None:
         self._head = head
         self._fields = self._last_fields
+        self.plan.on_head()
         assert self._fields is not None
         version = self._fields.weights_version
         if version is not None and self.plan.model:
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -16,6 +16,7 @@
 from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.task_placement import TaskPlacementRequest, place_task
 from winchfork.core.urgency import urgency_level
+from winchfork.logs import log_event
 from winchfork.router.attempt import AttemptPlan
 from winchfork.router.header_codec import DispatchFields, HeaderCodec
 from winchfork.router.http_types import IncomingRequest, render_headers
@@ -169,6 +170,7 @@
         """Return the attempt at the chosen replica; ``time_left_s`` becomes its deadline."""
         replica = decision.replica
         prompt = self._prompt
+        selector = self._state.replica_selector
         version = replica.versions.get(prompt.model) if prompt else None
         fields = self._fields(decision, version, time_left_s, resume_after)
         return AttemptPlan(
@@ -183,6 +185,7 @@
             no_body=self._request.method == b"HEAD",
             expected_end_at_s=self._state.clock() + self._expected_run_s(decision),
             expected_s=self._expected_first_event_s(decision),
+            start_margin_s=selector.start_margin_s(replica, prompt) if prompt else 0.0,
             on_prefill_done=self._on_prefill_done(decision, version),
             on_notice=self._on_notice(replica),
         )
@@ -258,6 +261,7 @@
         alone = not replica.queued_prefill_tokens and self._prefills_all_uncached(decision)
 
         def record_prefill() -> None:
+            self._record_late_start(replica, version, sent_at_s)
             self._record_cached(replica, version, decision.save_to)
             if alone:
                 took_s = self._state.clock() - sent_at_s
@@ -265,6 +269,26 @@
 
         return record_prefill
 
+    def _record_late_start(
+        self, replica: RelayReplica, version: int | None, sent_at_s: float
+    ) -> None:
+        """Log and count a stream whose first event came after its weights had expired."""
+        model = self._prompt.model if self._prompt else ""
+        now_s = self._state.clock()
+        late_s = now_s - self._state.replica_selector.weights_expire_at_s(model, version)
+        if late_s <= 0.0:
+            return
+        self._state.metrics.late_starts.inc()
+        log_event(
+            "stream_started_late",
+            "WARNING",
+            id=self._admitted.fields.request_id,
+            replica=replica.replica_id,
+            weights=version,
+            late_s=late_s,
+            sent_s=now_s - sent_at_s,
+        )
+
     def _prefills_all_uncached(self, decision: RelayDecision) -> bool:
         """Whether the replica processes every token that it has not cached, and copies none."""
         if decision.copied_tokens:
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import enum
+import math
+
 import msgspec
 
 from winchfork.core.broken_runs import CrashEvidence
@@ -39,11 +42,24 @@
 RELISTING_GRACE_S = 2.0
 
 
+class EntrySource(enum.Enum):
+    """How an entry reached this daemon."""
+
+    LIST = "list"
+    WATCH = "watch"
+    RELAY = "relay"
+
+
 class EntryDate(msgspec.Struct, frozen=True):
-    """When an entry was written; if ``assumed``, the earliest time at which it may have been."""
+    """When an entry was written; if ``assumed``, the earliest time at which it may have been.
+
+    ``proven_at_s`` is the time of the last freshness proof before it.
+    """
 
     written_at_s: float
     assumed: bool
+    source: EntrySource = EntrySource.LIST
+    proven_at_s: float = -math.inf
 
 
 class DocumentInstaller:
@@ -152,8 +168,16 @@
     ) -> None:
         history = self._state.weights_versions.setdefault(target.model, VersionHistory())
         if history.add(target.version, date.written_at_s, assumed=date.assumed):
+            now_s = self._state.clock()
             log_event(
-                "weights_named", model=target.model, version=target.version, revision=revision
+                "weights_named",
+                model=target.model,
+                version=target.version,
+                revision=revision,
+                via=date.source.value,
+                dated_s_ago=now_s - date.written_at_s,
+                assumed=date.assumed,
+                known_s=now_s - date.proven_at_s,
             )
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -120,6 +120,10 @@
         self.documents_refused = Counter(
             "winchfork_documents_refused", "Entries of the store that could not be decoded."
         )
+        self.late_starts = Counter(
+            "winchfork_late_starts",
+            "Streams whose first event came after the weights they run on had expired.",
+        )
         self.updates_relayed = LabelledMetric(
             CounterChild,
             "winchfork_updates_relayed",
@@ -215,7 +219,8 @@
             HistogramMetricFamily,
         )
 
-        for counter in (self.bad_datagrams, self.datagrams_refused, self.documents_refused):
+        single = (self.bad_datagrams, self.datagrams_refused, self.documents_refused)
+        for counter in (*single, self.late_starts):
             yield CounterMetricFamily(counter.name, counter.description, value=counter.value)
         counters = (
             self.requests,
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -172,6 +172,7 @@
             self._service.pool.release(replica.listing.address, connection)
             return NotRun("the deadline passed while the connection was opened", sent=False)
         plan = self._planner.plan(decision, self._retries.time_left_s, self._resume_after())
+        plan.on_head = self._record.mark_head
         plan.on_events = self._record.mark_events
         if self._charge is not None and self._may_have_run:
             self._charge.charge_again()
--- a/winchfork/router/replica_selector.py
+++ b/winchfork/router/replica_selector.py
@@ -148,11 +148,15 @@
 
     def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
         """Whether a request sent now is expected to begin before the replica's weights expire."""
+        expires_at_s = self.weights_expire_at_s(prompt.model, replica.versions.get(prompt.model, 0))
+        return now_s + self.start_margin_s(replica, prompt) < expires_at_s
+
+    def start_margin_s(self, replica: RelayReplica, prompt: Prompt) -> float:
+        """Return the longest time in seconds that a prompt is expected to take to begin."""
         tokens = (
             QUEUE_MARGIN_FACTOR * replica.queued_prefill_tokens
             + PROMPT_MARGIN_FACTOR * prompt.prompt_tokens
         )
         tokens_per_s = self._state.engine_speed(replica.listing.service).prefill_tokens_per_s
         margin_s = START_MARGIN_S + tokens / min(PRIOR_PREFILL_TOKENS_PER_S, tokens_per_s)
-        expires_at_s = self.weights_expire_at_s(prompt.model, replica.versions.get(prompt.model, 0))
-        return now_s + min(MAX_START_MARGIN_S, margin_s) < expires_at_s
+        return min(MAX_START_MARGIN_S, margin_s)
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -18,7 +18,8 @@
 class RequestRecord(msgspec.Struct):
     """Times and outcome of one request.
 
-    ``..._at_s`` are seconds of ``clock``; ``first_event_s`` counts from ``received_at_s``.
+    ``..._at_s`` are seconds of ``clock``; ``head_s``, of the first answer's head, and
+    ``first_event_s`` count from ``received_at_s``.
     """
 
     state: RouterState
@@ -31,6 +32,7 @@
     sent_at_s: float = 0.0
     outcome: str = "?"
     reason: str = ""
+    head_s: float | None = None
     first_event_s: float | None = None
     last_event_at_s: float = 0.0
     longest_gap_s: float = 0.0
@@ -42,6 +44,11 @@
         self.attempts += 1
         self.sent_at_s = self.clock()
 
+    def mark_head(self) -> None:
+        """Record that the head of an answer was received."""
+        if self.head_s is None:
+            self.head_s = self.clock() - self.received_at_s
+
     def mark_events(self) -> None:
         """Record that events were sent to the caller."""
         now_s = self.clock()
@@ -55,6 +62,7 @@
         self, decision: RelayDecision, plan: AttemptPlan, family: str | None, left_s: float
     ) -> None:
         """Log the placement of an attempt; ``left_s`` is the time left to the deadline."""
+        weights_left_s = self._weights_left_s(plan)
         log_event(
             "request_sent",
             id=self.request_id,
@@ -71,7 +79,9 @@
             copy_from=decision.copy_from.replica_id if decision.copy_from else None,
             save_to=decision.save_to.replica_id if decision.save_to else None,
             weights=plan.weights_version,
-            weights_left_s=self._weights_left_s(plan),
+            weights_left_s=weights_left_s,
+            weights_margin_s=plan.start_margin_s if weights_left_s is not None else None,
+            queued=decision.replica.queued_prefill_tokens,
             in_flight=decision.replica.in_flight,
             left_s=left_s,
             known_s=self.state.freshness.age_s(self.clock()),
@@ -99,6 +109,7 @@
             outcome=self.outcome,
             reason=self.reason or None,
             took_s=took_s,
+            head_s=self.head_s,
             first_event_s=self.first_event_s,
             longest_gap_s=self.longest_gap_s or None,
             sends=self.attempts,
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -20,7 +20,7 @@
 from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
-from winchfork.router.document_installer import DocumentInstaller, EntryDate
+from winchfork.router.document_installer import DocumentInstaller, EntryDate, EntrySource
 from winchfork.router.document_relay import DocumentRelay
 from winchfork.router.documents import DocumentReader
 from winchfork.router.leader_entry import LEADER_KEY
@@ -130,7 +130,7 @@
             return self._drop_answer(snapshot.position, "era_over")
         after_outage = self._lost_since_s is not None
         self._mark_store_regained(started_s)
-        self._entry_date = self._date_entries(in_time=False)
+        self._entry_date = self._date_entries(EntrySource.LIST, in_time=False)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
         self._install_complete(items, snapshot.position, after_outage)
         self._record_proof(started_s)
@@ -170,7 +170,8 @@
             return self._drop_answer(batch.position, "other_era")
         answered_s = self._state.clock()
         in_time = answered_s - started_s <= wait_s + LATE_ANSWER_S
-        self._entry_date = self._date_entries(in_time=in_time and self._lost_since_s is None)
+        is_current = in_time and self._lost_since_s is None
+        self._entry_date = self._date_entries(EntrySource.WATCH, in_time=is_current)
         self._mark_store_regained(started_s)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
         self._install_newer(items, batch.position.era)
@@ -223,7 +224,7 @@
             )
         self._state.store_position = max(known, at)
 
-    def _date_entries(self, *, in_time: bool) -> EntryDate:
+    def _date_entries(self, source: EntrySource, *, in_time: bool) -> EntryDate:
         """Return when the entries of an answer were written.
 
         That is now if the answer is ``in_time`` and the process did not stall since the last proof;
@@ -232,8 +233,9 @@
         now_s = self._state.clock()
         proven_s = self._state.freshness.proven_at_s
         if in_time and self._state.stall_detector.ran_since(proven_s, now_s):
-            return EntryDate(now_s, assumed=False)
-        return EntryDate(max(proven_s, now_s - self._assumed_age_s()), assumed=True)
+            return EntryDate(now_s, False, source, proven_s)
+        written_at_s = max(proven_s, now_s - self._assumed_age_s())
+        return EntryDate(written_at_s, True, source, proven_s)
 
     def _record_proof(self, at_s: float) -> None:
         """Record that all entries that the store held at ``at_s`` are known."""
@@ -258,7 +260,8 @@
         # A watcher that gets an update from a peer has missed it in its own watch.
         in_time = age_s <= WATCH_WAIT_S + LATE_ANSWER_S and not self._is_watcher
         known = self._state.store_position
-        self._entry_date = self._date_entries(in_time=in_time and update.at.era == known.era)
+        in_time = in_time and update.at.era == known.era
+        self._entry_date = self._date_entries(EntrySource.RELAY, in_time=in_time)
         if update.complete:
             self._install_complete(update.items, update.at, update.after_outage)
             return True
