Date relayed weights versions by the last proof before them

What callers saw: in a large fleet a request may begin on replaced weights up to a second after their bound. Cause: a follower dated a version by the arrival of its hub's message, a daemon that polled the store by its answer. Both may be late for any reason: a lost or delayed datagram, a hub without processor time. The class: the arrival of a one-way message taken for the time of what it says. Why it works: all entries written before the last proof are known, and proofs are dated from their question. So a version that is new here was named after that proof, and lateness of any kind only shortens the use of replaced weights. A watch that was waiting when its answer came dates by the arrival, less the time in which no watch was open.

--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -72,6 +72,8 @@
         self._relay: DocumentRelay | None = None
         self._lost_since_s: float | None = None
         self._has_listed = False
+        #: Until when this daemon's own calls would have shown a change at once.
+        self._observed_until_s = -math.inf
         #: When the entries that are being installed were written.
         self._entry_date = EntryDate(-math.inf, assumed=True)
 
@@ -131,6 +133,7 @@
         after_outage = self._lost_since_s is not None
         self._mark_store_regained(started_s)
         self._entry_date = self._date_entries(EntrySource.LIST, in_time=False)
+        self._observed_until_s = started_s
         items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
         self._install_complete(items, snapshot.position, after_outage)
         self._record_proof(started_s)
@@ -171,7 +174,11 @@
         answered_s = self._state.clock()
         in_time = answered_s - started_s <= wait_s + LATE_ANSWER_S
         is_current = in_time and self._lost_since_s is None
-        self._entry_date = self._date_entries(EntrySource.WATCH, in_time=is_current)
+        unobserved_s = started_s - self._observed_until_s
+        self._entry_date = self._date_entries(
+            EntrySource.WATCH, in_time=is_current, unobserved_s=unobserved_s
+        )
+        self._observed_until_s = answered_s
         self._mark_store_regained(started_s)
         items = tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
         self._install_newer(items, batch.position.era)
@@ -224,16 +231,23 @@
             )
         self._state.store_position = max(known, at)
 
-    def _date_entries(self, source: EntrySource, *, in_time: bool) -> EntryDate:
-        """Return when the entries of an answer were written.
+    def _date_entries(
+        self, source: EntrySource, *, in_time: bool, unobserved_s: float = math.inf
+    ) -> EntryDate:
+        """Return the earliest time at which the entries of an answer may have been written.
 
-        That is now if the answer is ``in_time`` and the process did not stall since the last proof;
-        otherwise the earliest time at which they may have been written.
+        All entries that were written before the last proof are known. An entry that a watch shows
+        is no older than its arrival and the ``unobserved_s`` seconds before that watch in which no
+        call was waiting; a relayed one may have been delayed for any time. The date is an
+        assumption if the proof is old, the answer not ``in_time`` or the process has stalled.
         """
         now_s = self._state.clock()
+        stalls = self._state.stall_detector
         proven_s = self._state.freshness.proven_at_s
-        if in_time and self._state.stall_detector.ran_since(proven_s, now_s):
-            return EntryDate(now_s, False, source, proven_s)
+        is_proof_recent = now_s - proven_s <= WATCH_WAIT_S + LATE_ANSWER_S
+        if in_time and is_proof_recent and stalls.ran_since(proven_s, now_s):
+            earliest_s = stalls.earliest_arrival_s(now_s) - unobserved_s
+            return EntryDate(max(proven_s, earliest_s), False, source, proven_s)
         written_at_s = max(proven_s, now_s - self._assumed_age_s())
         return EntryDate(written_at_s, True, source, proven_s)
 
@@ -256,11 +270,9 @@
 
     def install_update(self, update: TableUpdate) -> bool:
         """Install a relayed update; False if changes before it may be missing."""
-        age_s = self._state.freshness.age_s(self._state.clock())
-        # A watcher that gets an update from a peer has missed it in its own watch.
-        in_time = age_s <= WATCH_WAIT_S + LATE_ANSWER_S and not self._is_watcher
         known = self._state.store_position
-        in_time = in_time and update.at.era == known.era
+        # A watcher that gets an update from a peer has missed it in its own watch.
+        in_time = update.at.era == known.era and not self._is_watcher
         self._entry_date = self._date_entries(EntrySource.RELAY, in_time=in_time)
         if update.complete:
             self._install_complete(update.items, update.at, update.after_outage)
