--- a/tests/test_weights_bounds.py
+++ b/tests/test_weights_bounds.py
@@ -437,6 +437,22 @@
             with self.subTest(other_change=other_change):
                 self._name_during_a_stall(other_change)
 
+    def test_a_version_named_during_a_short_stall_is_not_dated_later(self) -> None:
+        """Guards against a date from when a busy process reads an answer that has long arrived."""
+
+        async def main() -> None:
+            fleet = FollowingFleet()
+            await asyncio.sleep(4.0)
+            stalled = fleet.daemons[0]
+            stall = asyncio.create_task(stalled.stall(0.7, fleet.network))
+            await asyncio.sleep(0.05)
+            fleet.name(2)
+            await stall
+            await asyncio.sleep(0.5)
+            self.assertLess(fleet.allowed_s(stalled), BOUND_S + 0.05)
+
+        run_virtually(main())
+
     def _name_during_a_stall(self, other_change: bool) -> None:
         async def main() -> None:
             fleet = FollowingFleet()
