Count the wait for a slot and for memory before replaced weights expire

What callers saw: a caption that waited for one of 16 slots, or for memory, began on replaced weights after their bound. Cause: the margin before the bound counted prompts that wait to be prefilled, and neither slots nor memory; it was also cut at 5 s, so a prompt with a longer wait before it was sent with just over 5 s left. Why it works: placement already expected that wait (core/prompt_cost); the same estimate, twice, is now part of the margin.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -9,9 +9,9 @@
 from tests.test_weights_bounds import FollowingFleet
 from tests.virtual_loop import run_virtually
 from winchfork.core.routing import RouteKind
+from winchfork.core.start_margin import START_MARGIN_S
 from winchfork.core.weight_rollout import VersionHistory
 from winchfork.logs import configure_logs
-from winchfork.router.replica_selector import START_MARGIN_S
 
 
 async def slow_to_begin(
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -20,8 +20,8 @@
 from winchfork.core.prompt_cost import worth_moving
 from winchfork.core.routing import RouteKind
 from winchfork.core.sliding_retry_budget import RetryAllowance, SlidingRetryBudget
+from winchfork.core.start_margin import START_MARGIN_S
 from winchfork.core.weight_rollout import VersionHistory
-from winchfork.router.replica_selector import START_MARGIN_S
 
 #: Headers of a prompt of 100 tokens with 1000 output tokens.
 LONG_ANSWER = "X-Model: m\r\nX-Token-Usage: 100,1000\r\nX-Prefix-Hash: aa:60,bb:40\r\n"
--- a/winchfork/core/prompt_cost.py
+++ b/winchfork/core/prompt_cost.py
@@ -12,6 +12,7 @@
 from winchfork.core.region_map import Distance
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import mixed_order
+from winchfork.core.start_margin import missing_share
 from winchfork.core.zone_hubs import MAX_FULL_MESH_MEMBERS
 
 #: Cost in seconds of a replica whose slots are all taken; scaled by the share of slots taken.
@@ -144,14 +145,5 @@
 
 
 def _expected_wait_s(request: PromptPlacementRequest, replica: RelayReplica) -> float:
-    """Return the expected wait in seconds for a free slot and enough cache memory.
-
-    Slots and memory are assumed to be released evenly over the mean run time, so the wait is the
-    missing share of them times the mean run time.
-    """
-    slots = max(1, replica.listing.slots)
-    missing_share = max(0.0, replica.running + 1 - slots) / slots
-    if request.cache_tokens:
-        tokens = replica.used_tokens + request.prompt.memory_tokens - request.cache_tokens
-        missing_share = max(missing_share, tokens / request.cache_tokens)
-    return missing_share * request.mean_run_s
+    """Return the expected wait in seconds for a free slot and enough cache memory."""
+    return missing_share(replica, request.prompt, request.cache_tokens) * request.mean_run_s
--- a/winchfork/router/replica_selector.py
+++ b/winchfork/router/replica_selector.py
@@ -5,23 +5,15 @@
 import math
 from typing import TYPE_CHECKING
 
-from winchfork.core.engine_speed import PRIOR_PREFILL_TOKENS_PER_S
 from winchfork.core.permit_queue import PermitOpening
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.start_margin import ServiceLoad, start_margin_s
 from winchfork.core.weight_rollout import PRIOR_LOAD_S
 
 if TYPE_CHECKING:
     from winchfork.router.state import RouterState
 
-#: A request goes to old weights only if its first token is expected before they expire, by a margin
-#: in seconds: START_MARGIN_S plus the estimated prefill times of the queue and of the prompt, each
-#: times its factor, up to MAX_START_MARGIN_S.
-START_MARGIN_S = 0.8
-QUEUE_MARGIN_FACTOR = 2.0
-PROMPT_MARGIN_FACTOR = 2.0
-MAX_START_MARGIN_S = 5.0
-
 
 class ReplicaSelector:
     """Selects candidates by the state of one process."""
@@ -149,14 +141,16 @@
     def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
         """Whether a request sent now is expected to begin before the replica's weights expire."""
         expires_at_s = self.weights_expire_at_s(prompt.model, replica.versions.get(prompt.model, 0))
+        if math.isinf(expires_at_s):
+            return True
         return now_s + self.start_margin_s(replica, prompt) < expires_at_s
 
     def start_margin_s(self, replica: RelayReplica, prompt: Prompt) -> float:
         """Return the longest time in seconds that a prompt is expected to take to begin."""
-        tokens = (
-            QUEUE_MARGIN_FACTOR * replica.queued_prefill_tokens
-            + PROMPT_MARGIN_FACTOR * prompt.prompt_tokens
+        service = replica.listing.service
+        load = ServiceLoad(
+            self._state.engine_speed(service).prefill_tokens_per_s,
+            self._state.mean_run_s,
+            self._state.cache_capacity_tokens(service),
         )
-        tokens_per_s = self._state.engine_speed(replica.listing.service).prefill_tokens_per_s
-        margin_s = START_MARGIN_S + tokens / min(PRIOR_PREFILL_TOKENS_PER_S, tokens_per_s)
-        return min(MAX_START_MARGIN_S, margin_s)
+        return start_margin_s(replica, prompt, load)
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -18,12 +18,12 @@
     WeightsOrder,
 )
 from winchfork.core.relay_replica import IncarnationState, RelayReplica
+from winchfork.core.start_margin import START_MARGIN_S
 from winchfork.core.weight_rollout import LoadingReplica, LoadPace, next_step
 from winchfork.errors import Failure, RunState
 from winchfork.logs import log_event
 from winchfork.router.leadership import Leadership
 from winchfork.router.peers import PeerGroup
-from winchfork.router.replica_selector import START_MARGIN_S
 from winchfork.router.state import RouterState
 from winchfork.router.weights_announcer import WeightsAnnouncer
 from winchfork.router.weights_exchange import WeightsExchange
