Reserve replicas whose weights expire soon to few daemons each, in large fleets

What callers saw: prompts that many daemons sent to one replica at the same moment began on replaced weights after their bound. Cause: each daemon judged by its own view. A daemon of a large fleet hears of the others' work some tenths of a second later, so a replica that came free shortly before the bound was found empty by all of them at once. Why it works: in the last 3 s four daemons (more where replicas are fewer than daemons) may send to a replica, which all compute alike from members and lists; what these may send unseen is part of the margin. Fleets in which all daemons send to each other are as before.

--- a/winchfork/core/start_margin.py
+++ b/winchfork/core/start_margin.py
@@ -24,34 +24,40 @@
     """Measurements of a service that determine how fast its replicas work through their queues.
 
     ``mean_run_s`` is the recent mean run time in seconds, ``cache_tokens`` the cache memory of each
-    replica, 0 if unknown.
+    replica, 0 if unknown. ``unknown_requests`` is how many requests of other daemons may be under
+    way to a replica without being known here.
     """
 
     prefill_tokens_per_s: float
     mean_run_s: float
     cache_tokens: int = 0
+    unknown_requests: int = 0
 
 
 def start_margin_s(replica: RelayReplica, prompt: Prompt, load: ServiceLoad) -> float:
     """Return the longest time in seconds that a prompt is expected to take to begin."""
     tokens = (
         QUEUE_MARGIN_FACTOR * replica.queued_prefill_tokens
-        + PROMPT_MARGIN_FACTOR * prompt.prompt_tokens
+        + (PROMPT_MARGIN_FACTOR + load.unknown_requests) * prompt.prompt_tokens
     )
     prefill_s = tokens / min(PRIOR_PREFILL_TOKENS_PER_S, load.prefill_tokens_per_s)
-    wait_s = SLOT_MARGIN_FACTOR * missing_share(replica, prompt, load.cache_tokens)
-    return START_MARGIN_S + prefill_s + wait_s * load.mean_run_s
+    requests = 1 + load.unknown_requests
+    wait_s = load.mean_run_s * missing_share(replica, prompt, load.cache_tokens, requests)
+    return START_MARGIN_S + prefill_s + SLOT_MARGIN_FACTOR * wait_s
 
 
-def missing_share(replica: RelayReplica, prompt: Prompt, cache_tokens: int) -> float:
+def missing_share(
+    replica: RelayReplica, prompt: Prompt, cache_tokens: int, requests: int = 1
+) -> float:
     """Return which share of a replica's slots or memory has to be released for a prompt to begin.
 
-    The scarcer of the two counts; ``cache_tokens`` is the replica's memory, 0 if unknown. Both are
-    assumed to be released evenly over a mean run.
+    The prompt is the last of ``requests`` like it. The scarcer of slots and memory counts;
+    ``cache_tokens`` is the replica's memory, 0 if unknown. Both are assumed to be released evenly
+    over a mean run.
     """
     slots = max(1, replica.listing.slots)
-    share = max(0.0, replica.running + 1 - slots) / slots
+    share = max(0.0, replica.running + requests - slots) / slots
     if cache_tokens:
-        tokens = replica.used_tokens + prompt.memory_tokens - cache_tokens
+        tokens = replica.used_tokens + requests * prompt.memory_tokens - cache_tokens
         share = max(share, tokens / cache_tokens)
     return share
--- a/winchfork/router/notice_exchange.py
+++ b/winchfork/router/notice_exchange.py
@@ -60,13 +60,14 @@
         state.notices.on_notice_received = self._queue_pause
 
     def tick(self, now_s: float) -> None:
-        """Share limits among the current daemons, and resend notices that are due."""
+        """Share replicas and limits among the current daemons, and resend notices that are due."""
         view = self._peers.view
         if view is not self._view:
             self._view = view
             leaving = MemberStatus.LEAVING
             zones = {item.member_id: item.zone for item in view.members if item.status < leaving}
             self._state.limits.update_daemons(zones, now_s)
+            self._state.reserved_senders.update_daemons(zones)
         if self._to_resend:
             self._resend_due(now_s)
         if self._announced_at_s:
--- a/winchfork/router/replica_selector.py
+++ b/winchfork/router/replica_selector.py
@@ -8,6 +8,7 @@
 from winchfork.core.permit_queue import PermitOpening
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.reserved_senders import RESERVED_S
 from winchfork.core.start_margin import ServiceLoad, start_margin_s
 from winchfork.core.weight_rollout import PRIOR_LOAD_S
 
@@ -139,11 +140,18 @@
         return history.expires_at_s(version, self._state.settings.bounds.weights_s)
 
     def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
-        """Whether a request sent now is expected to begin before the replica's weights expire."""
+        """Whether a request sent now is expected to begin before the replica's weights expire.
+
+        In a large fleet, replicas whose weights expire soon are reserved to few daemons each.
+        """
         expires_at_s = self.weights_expire_at_s(prompt.model, replica.versions.get(prompt.model, 0))
         if math.isinf(expires_at_s):
             return True
-        return now_s + self.start_margin_s(replica, prompt) < expires_at_s
+        if now_s + self.start_margin_s(replica, prompt) >= expires_at_s:
+            return False
+        replicas = self._state.fleet.of_service(replica.listing.service)
+        is_reserved = now_s + RESERVED_S >= expires_at_s
+        return not is_reserved or self._state.reserved_senders.may_send(replica, replicas)
 
     def start_margin_s(self, replica: RelayReplica, prompt: Prompt) -> float:
         """Return the longest time in seconds that a prompt is expected to take to begin."""
@@ -152,5 +160,8 @@
             self._state.engine_speed(service).prefill_tokens_per_s,
             self._state.mean_run_s,
             self._state.cache_capacity_tokens(service),
+            self._state.reserved_senders.unknown_requests(
+                len(self._state.fleet.of_service(service))
+            ),
         )
         return start_margin_s(replica, prompt, load)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -21,6 +21,7 @@
 from winchfork.core.region_delay import RegionDelay
 from winchfork.core.relay_fleet import IncarnationChange, RelayFleet
 from winchfork.core.relay_replica import RelayReplica, ReplicaListing
+from winchfork.core.reserved_senders import ReservedSenders
 from winchfork.core.routing import Route, RoutingTable, TrafficSplitter
 from winchfork.core.sliding_retry_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.store_outage import StoreOutageDetector
@@ -123,6 +124,7 @@
         self.crashes = CrashTracker(settings.node_id, clock)
         self._refused_documents_log_limit = LogRateLimit()
         self.limits = LimitRegistry(self)
+        self.reserved_senders = ReservedSenders(settings.node_id)
         #: Requests that wait for a permit because replicas limit their requests, by service.
         self.permit_queues: defaultdict[str, PermitQueue] = defaultdict(PermitQueue)
         self.notices = NoticeRegistry(self)
