Keep a replica on hold between two orders while one has no answer

What callers saw: requests sent to a replica that was about to be ordered again were flushed or waited until after their weights' bound. Cause: a rollout that got no answer within 4 s released the replica and began anew 0.1 s later. In between every daemon found it idle. Why it works: the hold is renewed by the next pass or lapses by itself, 1.5 s after the last announcement.

--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -10,6 +10,7 @@
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.replica_notice import AnswerNotice
+from winchfork.router.weights_rollout import MAX_ORDER_WAIT_S
 
 
 class RolloutTest(unittest.TestCase):
@@ -67,6 +68,27 @@
 
         run_virtually(scenario())
 
+    def test_a_replica_with_an_unanswered_order_is_not_opened_between_two_orders(self) -> None:
+        """Guards against many requests at once to a replica that may load at any moment."""
+
+        async def scenario() -> None:
+            replicas = [FakeReplica("i-0")]
+            replicas[0].order_answers_to_lose, replicas[0].lost_order_delay_s = 50, 60.0
+            fleet = await Fleet.with_leader(replicas)
+            fleet.name_version(2)
+            replica = fleet.state.fleet.get("i-0")
+            assert replica is not None
+            await asyncio.sleep(1.0)
+            named_s = fleet.state.clock() - 1.0
+            opened_s = []
+            while fleet.state.clock() - named_s < 3 * MAX_ORDER_WAIT_S:
+                await asyncio.sleep(0.005)
+                if replica.accepts_requests(fleet.state.clock()):
+                    opened_s.append(round(fleet.state.clock() - named_s, 3))
+            self.assertEqual(opened_s, [])
+
+        run_virtually(scenario())
+
     def test_a_loading_replica_gets_no_requests(self) -> None:
         async def scenario() -> None:
             replicas = [FakeReplica(f"i-{number}") for number in range(3)]
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import functools
 
 from winchfork.backends.replica_control import (
@@ -47,6 +48,17 @@
 MAX_STOP_WAIT_S = 2.0
 
 
+class _OrderState(enum.Enum):
+    """What is known of an order that was given to a replica."""
+
+    #: No order was given, or the replica has refused it.
+    NONE = "none"
+    #: No answer, so the replica may still carry it out.
+    UNANSWERED = "unanswered"
+    #: The replica carries it out, or already has the version.
+    ACCEPTED = "accepted"
+
+
 class WeightsRollout:
     """The task that orders loads while this daemon leads; idle otherwise."""
 
@@ -138,14 +150,18 @@
         task.add_done_callback(lambda _: self._under_order.pop(replica_id, None))
 
     async def _bring_up_to_date(self, replica: RelayReplica, model: str) -> None:
-        """Bring one replica to the newest version, or give up until the next pass."""
+        """Bring one replica to the newest version, or give up until the next pass.
+
+        A replica that may still carry out an order is not released: the next pass holds it again,
+        and all daemons would send to it in between.
+        """
         version = self._state.weights_versions[model].newest
         started_s = self._state.clock()
         fence = self._leadership.fence
         await self._hold_new_requests(replica, model, fence)
-        ordered = False
+        order = _OrderState.NONE
         failed_reports = 0
-        while self._should_continue(replica, started_s, ordered):
+        while self._should_continue(replica, started_s, order):
             report = await self._report(replica)
             if isinstance(report, Failure):
                 failed_reports += 1
@@ -159,21 +175,25 @@
                 loaded = report.versions.get(model, 0)
                 if loaded >= version and not report.busy:
                     self._state.record_version(replica, model, loaded)
-                    if ordered:
+                    if order is _OrderState.ACCEPTED:
                         self._pace.record_load(self._state.clock() - started_s)
                     break
-                if not ordered and not report.busy:
+                if order is not _OrderState.ACCEPTED and not report.busy:
                     # A newer version may have been named since the task started.
                     version = self._state.weights_versions[model].newest
-                    ordered = await self._order(replica, model, version, report)
+                    given = await self._order(replica, model, version, report)
+                    order = order if given is _OrderState.NONE else given
             fence = max(fence, self._leadership.fence)
-            self._announcements.hold(replica, model, fence, has_order=ordered)
+            has_order = order is _OrderState.ACCEPTED
+            self._announcements.hold(replica, model, fence, has_order=has_order)
             await asyncio.sleep(REPORT_PERIOD_S)
         else:
             log_event("rollout_postponed", "WARNING", replica=replica.replica_id, version=version)
+            if order is _OrderState.UNANSWERED:
+                return
         self._announcements.release(replica, model, fence)
 
-    def _should_continue(self, replica: RelayReplica, started_s: float, ordered: bool) -> bool:
+    def _should_continue(self, replica: RelayReplica, started_s: float, order: _OrderState) -> bool:
         """Whether to poll the replica's report again.
 
         Only an order needs the leadership. After one, polling goes on without it, because the
@@ -184,7 +204,7 @@
         if is_removed or replica.incarnation_state is IncarnationState.ENDED:
             return False
         waited_s = self._state.clock() - started_s
-        if ordered:
+        if order is _OrderState.ACCEPTED:
             return waited_s < MAX_LOAD_WAIT_S
         may_order = not replica.superseded and self._leadership.may_act()
         return waited_s < MAX_ORDER_WAIT_S and may_order
@@ -199,8 +219,8 @@
 
     async def _order(
         self, replica: RelayReplica, model: str, version: int, report: ReplicaReport
-    ) -> bool:
-        """Give the order; True if the replica has accepted it or already has the version.
+    ) -> _OrderState:
+        """Give the order and return its state.
 
         If an order that may have been sent got no answer, the replica's next report decides.
         """
@@ -233,8 +253,12 @@
         if outcome is OrderOutcome.FENCED:
             self._leadership.record_refused_fence(order.fence)
         if isinstance(outcome, Failure):
-            return outcome.ran is not RunState.NOT_RUN and await self._was_accepted(replica, report)
-        return outcome in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_LOADED)
+            if outcome.ran is RunState.NOT_RUN:
+                return _OrderState.NONE
+            is_accepted = await self._was_accepted(replica, report)
+            return _OrderState.ACCEPTED if is_accepted else _OrderState.UNANSWERED
+        is_accepted = outcome in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_LOADED)
+        return _OrderState.ACCEPTED if is_accepted else _OrderState.NONE
 
     async def _report(self, replica: RelayReplica) -> ReplicaReport | Failure:
         on_notice = functools.partial(self._state.notices.record, replica)
