Cancel a stream that cannot be moved and has not begun when its weights expire

What callers saw: captions, which may not be resumed, and reviews without attempts left began on replaced weights after their bound. Cause: only streams that may be resumed were withdrawn before the bound, and only while a candidate, an attempt and retry budget were left; the check was scheduled once, by the versions known when the attempt began. Change: a stream without a first event is moved 0.3 s before the bound as before, and cancelled 0.1 s before it if that is not possible; its caller is told that the outcome is unknown. The check is repeated while no newer version is known. Tests: test_a_stream_that_cannot_be_resumed_is_not_moved expected that wait and the 504; its successor asserts that the stream is not moved, and in addition the end of the connection before the bound, for two causes. test_late_starts names the version earlier by a peer's report, since a stream that waits for 0.5 s beyond a known bound no longer gets that far. Left: an event holds several tokens, so a stream may have begun when it is cancelled.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -38,8 +38,12 @@
         relay = await self.relay(ScriptedReplica(slow_to_begin), kind=RouteKind.STREAMING)
         history = relay.state.weights_versions["m"] = VersionHistory()
         bound_s = relay.state.settings.bounds.weights_s
-        history.add(2, relay.state.clock() - bound_s + START_MARGIN_S + 0.2)
-        await relay.ask(method="POST", extra=PROMPT_HEADERS)
+        history.add(2, relay.state.clock())
+        asking = asyncio.create_task(relay.ask(method="POST", extra=PROMPT_HEADERS))
+        await asyncio.sleep(0.3)
+        # A peer's report of an earlier naming ends the bound while the request is queued.
+        history.update_received_at(2, relay.state.clock() - bound_s)
+        await asking
         self.assertEqual(relay.state.metrics.late_starts.value, 1)
         self.assertIn("late_s=", self.line("stream_started_late"))
         self.assertIn("weights_margin_s=", self.line("request_sent"))
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -10,6 +10,7 @@
     ReceivedAnswer,
     ReceivedRequest,
     RelayUnderTest,
+    Script,
     ScriptedReplica,
     answering,
     chunk,
@@ -52,16 +53,30 @@
     return stream_head(request) + pieces + b"0\r\n\r\n"
 
 
+async def begins_and_ends_after_the_expiry(
+    request: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> bool:
+    writer.write(stream_head(request) + chunk(event(1)))
+    await asyncio.sleep(START_MARGIN_S + 0.6)
+    writer.write(chunk(event(2)) + b"0\r\n\r\n")
+    await writer.drain()
+    return True
+
+
 class WithdrawalTest(RelayTestCase):
     """Guards against a stream that begins on expired weights, behind prompts of other daemons."""
 
+    def setUp(self) -> None:
+        self.script: Script = never_answering
+
     async def ask(self, **route: object) -> tuple[ReceivedAnswer, ScriptedReplica]:
-        queueing = ScriptedReplica(never_answering)
+        queueing = self.queueing = ScriptedReplica(self.script)
         current = ScriptedReplica(answering(rest))
         relay = await self.relay(queueing, current, kind=RouteKind.STREAMING, **route)
         history = relay.state.weights_versions["m"] = VersionHistory()
         bound_s = relay.state.settings.bounds.weights_s
-        history.add(2, relay.state.clock() - bound_s + START_MARGIN_S + 0.3)
+        self.expires_at_s = relay.state.clock() + START_MARGIN_S + 0.3
+        history.add(2, self.expires_at_s - bound_s)
         for replica in relay.state.fleet.replicas():
             if replica.listing.address == current.address:
                 replica.versions["m"] = 2
@@ -74,9 +89,26 @@
         answer, current = await self.ask(resumable=True, timeout_s=2.0)
         self.assertEqual((answer.status, len(current.received)), (200, 1))
 
-    async def test_a_stream_that_cannot_be_resumed_is_not_moved(self) -> None:
-        answer, current = await self.ask(resumable=False, timeout_s=2.0)
-        self.assertEqual((answer.status, len(current.received)), (504, 0))
+    async def test_a_stream_that_cannot_be_moved_is_cancelled_before_its_weights_expire(
+        self,
+    ) -> None:
+        cases: tuple[dict[str, object], ...] = (
+            {"resumable": False},
+            {"resumable": True, "max_attempts": 1},
+        )
+        for route in cases:
+            with self.subTest(route=route):
+                answer, current = await self.ask(timeout_s=5.0, **route)
+                self.assertEqual((answer.status, len(current.received)), (502, 0))
+                self.assertNotIn("x-server-signature", answer.headers)
+                await asyncio.wait_for(self.queueing.closed_by_router.wait(), 1.0)
+                self.assertLess(asyncio.get_running_loop().time(), self.expires_at_s)
+
+    async def test_a_stream_that_has_begun_is_not_cancelled(self) -> None:
+        self.script = begins_and_ends_after_the_expiry
+        answer, current = await self.ask(resumable=False, timeout_s=5.0)
+        self.assertEqual((answer.status, answer.whole, len(current.received)), (200, True, 0))
+        self.assertGreater(asyncio.get_running_loop().time(), self.expires_at_s)
 
 
 class StreamMoveTest(RelayTestCase):
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -20,6 +20,7 @@
     CallerDisconnected,
     MoveRequested,
     TimerFired,
+    WeightsExpired,
 )
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import (
@@ -155,6 +156,8 @@
             return self._stop(StopCause.CALLER_DISCONNECTED)
         if isinstance(item, TimerFired):
             return self._stop(StopCause.DEADLINE)
+        if isinstance(item, WeightsExpired) and item.replica_id == self.plan.replica.replica_id:
+            return None if self._prefill_done else self._stop(StopCause.WEIGHTS_EXPIRED)
         if isinstance(item, MoveRequested) and item.replica_id == self.plan.replica.replica_id:
             self._abandon()
             return Moved()
--- a/winchfork/router/http_types.py
+++ b/winchfork/router/http_types.py
@@ -136,6 +136,12 @@
     replica_id: str
 
 
+class WeightsExpired(msgspec.Struct, frozen=True):
+    """The attempt at this replica is to end unless it has begun: the replica's weights expire."""
+
+    replica_id: str
+
+
 RequestEvent = (
     AnswerHead
     | AnswerData
@@ -144,4 +150,5 @@
     | CallerDisconnected
     | TimerFired
     | MoveRequested
+    | WeightsExpired
 )
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -14,6 +14,7 @@
 
     CALLER_DISCONNECTED = "caller_left"
     DEADLINE = "deadline"
+    WEIGHTS_EXPIRED = "weights_expired"
 
 
 class BufferedAnswer(msgspec.Struct, frozen=True):
@@ -56,7 +57,7 @@
 
 
 class Stopped(msgspec.Struct, frozen=True):
-    """The caller disconnected, or the request's time is up."""
+    """The caller disconnected, the request's time is up, or its weights expired too early."""
 
     cause: StopCause
 
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -306,6 +306,10 @@
         if cause is StopCause.CALLER_DISCONNECTED:
             self._record.outcome = cause.value
             return
+        if cause is StopCause.WEIGHTS_EXPIRED:
+            reason = "the weights of its replica expired before the run was known to have begun"
+            self._answer_failure(FailureKind.OUTCOME_UNKNOWN.because(reason, ran=RunState.UNKNOWN))
+            return
         reason = "the deadline of the request has passed"
         self._answer_failure(FailureKind.DEADLINE_EXCEEDED.because(reason, ran=self._run_state()))
 
--- a/winchfork/router/stream_moves.py
+++ b/winchfork/router/stream_moves.py
@@ -1,7 +1,8 @@
 """Moves a request in progress to another replica, if its route allows that and it is worthwhile.
 
 A daemon that is stopping moves nothing: the next replica may refuse, while the attempt in progress
-may still complete.
+may still complete. A stream that has not begun shortly before its replica's weights expire is
+moved, or cancelled if it cannot be.
 """
 
 from __future__ import annotations
@@ -10,9 +11,9 @@
 
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.logs import log_event
-from winchfork.router.attempt import Attempt, AttemptPlan
+from winchfork.router.attempt import Attempt
 from winchfork.router.attempt_planner import AttemptPlanner
-from winchfork.router.http_types import MoveRequested
+from winchfork.router.http_types import MoveRequested, WeightsExpired
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import Outcome
 from winchfork.router.request_retries import RequestRetries
@@ -23,6 +24,10 @@
 #: Seconds before the weights expire at which a stream that has not begun is withdrawn; covers the
 #: delays of the withdrawal and of the announcement of the newer version.
 WITHDRAWAL_LEAD_S = 0.3
+#: Seconds before the weights expire at which such a stream is cancelled if it cannot be moved.
+CANCELLATION_LEAD_S = 0.1
+#: Longest time between two checks, as a share of the bound on replaced weights.
+EXPIRY_CHECK_SHARE = 0.5
 #: Share of the retry budget that is reserved for failures: :meth:`StreamMoves.replica_held` does
 #: not spend it.
 _FAILURE_RESERVE = 0.5
@@ -47,16 +52,18 @@
         self._inbox = inbox
         #: The attempt in progress; None between attempts.
         self.attempt: Attempt | None = None
+        self._expiry_check: asyncio.TimerHandle | None = None
 
     async def run_attempt(self, attempt: Attempt) -> Outcome:
         """Run an attempt until it ends or is moved."""
         self.attempt = attempt
-        withdrawal = self._schedule_withdrawal(attempt.plan)
+        self._schedule_expiry_check(WITHDRAWAL_LEAD_S)
         try:
             return await attempt.run()
         finally:
-            if withdrawal is not None:
-                withdrawal.cancel()
+            if self._expiry_check is not None:
+                self._expiry_check.cancel()
+                self._expiry_check = None
             self.attempt = None
 
     def replica_held(self, replica: RelayReplica) -> None:
@@ -86,28 +93,55 @@
         if self._retries.try_spend(self._route.max_attempts):
             self._move("answer_given_up", replica)
 
-    def _schedule_withdrawal(self, plan: AttemptPlan) -> asyncio.TimerHandle | None:
-        """Schedule the withdrawal of a stream that has not begun shortly before its weights expire.
+    # Streams that have not begun when their replica's weights expire
 
-        It may begin later than expected, since other daemons send prompts at the same time. Return
-        None if the stream cannot be resumed or its weights do not expire before its deadline.
+    def _schedule_expiry_check(self, lead_s: float) -> None:
+        """Check the attempt ``lead_s`` before its weights expire.
+
+        Until a newer version is known they do not expire, so the check is repeated.
         """
-        expires_at_s = self._state.replica_selector.weights_expire_at_s(
-            plan.model, plan.weights_version
-        )
-        if not self._route.resumable or expires_at_s >= self._retries.ends_at_s:
-            return None
+        attempt = self.attempt
+        if attempt is None or attempt.plan.weights_version is None:
+            return
+        latest_s = self._state.clock() + EXPIRY_CHECK_SHARE * self._state.settings.bounds.weights_s
+        at_s = min(latest_s, self._expires_at_s(attempt) - lead_s)
         loop = asyncio.get_running_loop()
-        return loop.call_at(expires_at_s - WITHDRAWAL_LEAD_S, self._withdraw, plan.replica)
+        self._expiry_check = loop.call_at(at_s, self._check_expiry)
+
+    def _check_expiry(self) -> None:
+        """Move a stream that has not begun, or cancel it if that is not possible.
 
-    def _withdraw(self, replica: RelayReplica) -> None:
+        It may begin later than expected, since other daemons send prompts at the same time.
+        """
         attempt = self.attempt
-        if attempt is None or not self._is_at(replica) or attempt.has_first_event:
-            return
-        if self._state.stopping or not self._planner.has_candidates(self._attempted):
+        if attempt is None or attempt.has_first_event:
             return
-        if self._retries.try_spend(self._route.max_attempts):
-            self._move("stream_withdrawn", replica)
+        left_s = self._expires_at_s(attempt) - self._state.clock()
+        if left_s > WITHDRAWAL_LEAD_S:
+            self._schedule_expiry_check(WITHDRAWAL_LEAD_S)
+        elif self._may_withdraw():
+            self._move("stream_withdrawn", attempt.replica)
+        elif left_s > CANCELLATION_LEAD_S:
+            self._schedule_expiry_check(CANCELLATION_LEAD_S)
+        else:
+            self._cancel(attempt)
+
+    def _expires_at_s(self, attempt: Attempt) -> float:
+        return self._state.replica_selector.weights_expire_at_s(
+            attempt.plan.model, attempt.plan.weights_version
+        )
+
+    def _may_withdraw(self) -> bool:
+        if not self._route.resumable or self._state.stopping:
+            return False
+        if not self._planner.has_candidates(self._attempted):
+            return False
+        return self._retries.try_spend(self._route.max_attempts)
+
+    def _cancel(self, attempt: Attempt) -> None:
+        replica_id = attempt.replica.replica_id
+        log_event("stream_cancelled", id=self._retries.record.request_id, replica=replica_id)
+        self._inbox.put(WeightsExpired(replica_id))
 
     def _is_at(self, replica: RelayReplica) -> bool:
         return self.attempt is not None and self.attempt.replica is replica
