Bound the margin before replaced weights expire, unless the expected wait is longer

With runs of 10 s and a queue of half its slots, every replica on replaced weights would be closed right after a version is named. Cause: the factor of the margin was applied without the former bound of 5 s, and the unknown prompts of other daemons were taken to be as long as this one. Why it works: the expected wait itself always counts; its padding is bounded as before.

--- a/tests/test_expiring_weights.py
+++ b/tests/test_expiring_weights.py
@@ -35,18 +35,17 @@
 
 
 class FullReplicaTest(unittest.TestCase):
-    def candidates(self, left_s: float, running: int, used_tokens: int = 0) -> list[RelayReplica]:
-        """Return the candidates among a replica that runs ``running`` requests, and no other."""
+    def candidates(self, left_s: float, running: int, run_s: float = RUN_S) -> list[RelayReplica]:
+        """Return the candidates among a replica that has ``running`` requests, and no other."""
 
         async def main() -> list[RelayReplica]:
             loop = asyncio.get_running_loop()
             settings = RouterSettings("n1", "z1", "g", "", "", "", "")
             state = RouterState(settings, loop.time, random.Random(1))
-            state.mean_run_s = RUN_S
+            state.mean_run_s = run_s
             listing = ReplicaListing("i-1", "s", "a:1", "z1", SLOTS, True, {MODEL: 1})
             replica = state.fleet.install(listing)
             replica.peer_in_flight = running
-            replica.peer_memory_tokens = used_tokens
             named_so_that_expires_in(state, left_s)
             return state.replica_selector.candidates("s", set(), Prompt(MODEL, (), 600))
 
@@ -68,6 +67,10 @@
     def test_a_replica_with_free_slots_is_used_until_shortly_before_the_expiry(self) -> None:
         self.assertTrue(self.candidates(1.0, SLOTS // 2))
 
+    def test_a_queue_of_long_runs_closes_no_replica_that_works_it_off_in_time(self) -> None:
+        """Guards against a fleet without candidates right after a version was named."""
+        self.assertTrue(self.candidates(7.9, SLOTS + 8, run_s=10.0))
+
 
 class ManySendersTest(unittest.TestCase):
     PROMPT = Prompt(MODEL, (), 3_300)
--- a/winchfork/core/reserved_senders.py
+++ b/winchfork/core/reserved_senders.py
@@ -49,9 +49,10 @@
         """Whether replicas are reserved at all: not where all daemons send to each other."""
         return len(self._daemons) > MAX_FULL_MESH_MEMBERS
 
-    def unknown_requests(self, replicas: int) -> int:
-        """Return how many requests of other daemons may be under way to one of ``replicas``."""
-        return self._senders(replicas) - 1 if self.has_restrictions else 0
+    @property
+    def unknown_requests(self) -> int:
+        """How many requests of other daemons may be under way to a replica, unknown here."""
+        return MIN_SENDERS - 1 if self.has_restrictions else 0
 
     def may_send(self, replica: RelayReplica, replicas: Sequence[RelayReplica]) -> bool:
         """Whether this daemon is a reserved sender of one of the service's ``replicas``."""
--- a/winchfork/core/start_margin.py
+++ b/winchfork/core/start_margin.py
@@ -14,10 +14,10 @@
 
 #: Seconds that are allowed in any case, for delays of the network and of busy machines.
 START_MARGIN_S = 0.8
-#: Factors on the estimated times, which may be too short.
-QUEUE_MARGIN_FACTOR = 2.0
-PROMPT_MARGIN_FACTOR = 2.0
-SLOT_MARGIN_FACTOR = 2.0
+#: Factor on the estimated wait, which may be too short.
+START_MARGIN_FACTOR = 2.0
+#: Upper bound of the margin in seconds, unless the estimated wait itself is longer.
+MAX_START_MARGIN_S = 5.0
 
 
 class ServiceLoad(msgspec.Struct, frozen=True):
@@ -36,14 +36,13 @@
 
 def start_margin_s(replica: RelayReplica, prompt: Prompt, load: ServiceLoad) -> float:
     """Return the longest time in seconds that a prompt is expected to take to begin."""
-    tokens = (
-        QUEUE_MARGIN_FACTOR * replica.queued_prefill_tokens
-        + (PROMPT_MARGIN_FACTOR + load.unknown_requests) * prompt.prompt_tokens
-    )
+    tokens = replica.queued_prefill_tokens + prompt.prompt_tokens
     prefill_s = tokens / min(PRIOR_PREFILL_TOKENS_PER_S, load.prefill_tokens_per_s)
+    wait_s = load.mean_run_s * missing_share(replica, prompt, load.cache_tokens)
     requests = 1 + load.unknown_requests
-    wait_s = load.mean_run_s * missing_share(replica, prompt, load.cache_tokens, requests)
-    return START_MARGIN_S + prefill_s + SLOT_MARGIN_FACTOR * wait_s
+    longest_wait_s = load.mean_run_s * missing_share(replica, prompt, load.cache_tokens, requests)
+    margin_s = START_MARGIN_S + START_MARGIN_FACTOR * (prefill_s + longest_wait_s)
+    return max(prefill_s + wait_s, min(MAX_START_MARGIN_S, margin_s))
 
 
 def missing_share(
--- a/winchfork/router/replica_selector.py
+++ b/winchfork/router/replica_selector.py
@@ -139,6 +139,10 @@
             return math.inf
         return history.expires_at_s(version, self._state.settings.bounds.weights_s)
 
+    def start_margin_s(self, replica: RelayReplica, prompt: Prompt) -> float:
+        """Return the longest time in seconds that a prompt is expected to take to begin."""
+        return start_margin_s(replica, prompt, self._service_load(replica.listing.service))
+
     def _weights_allowed(self, replica: RelayReplica, prompt: Prompt, now_s: float) -> bool:
         """Whether a request sent now is expected to begin before the replica's weights expire.
 
@@ -149,19 +153,15 @@
             return True
         if now_s + self.start_margin_s(replica, prompt) >= expires_at_s:
             return False
+        if now_s + RESERVED_S < expires_at_s:
+            return True
         replicas = self._state.fleet.of_service(replica.listing.service)
-        is_reserved = now_s + RESERVED_S >= expires_at_s
-        return not is_reserved or self._state.reserved_senders.may_send(replica, replicas)
+        return self._state.reserved_senders.may_send(replica, replicas)
 
-    def start_margin_s(self, replica: RelayReplica, prompt: Prompt) -> float:
-        """Return the longest time in seconds that a prompt is expected to take to begin."""
-        service = replica.listing.service
-        load = ServiceLoad(
+    def _service_load(self, service: str) -> ServiceLoad:
+        return ServiceLoad(
             self._state.engine_speed(service).prefill_tokens_per_s,
             self._state.mean_run_s,
             self._state.cache_capacity_tokens(service),
-            self._state.reserved_senders.unknown_requests(
-                len(self._state.fleet.of_service(service))
-            ),
+            self._state.reserved_senders.unknown_requests,
         )
-        return start_margin_s(replica, prompt, load)
