Tests: allow no daemon to use replaced weights 0.8 s beyond the bound

A daemon may stop 0.8 s early as before, and late only by the 0.05 s of a store's answer; after an outage for all, by the time until the store counts as stable.

--- a/tests/test_weights_bounds.py
+++ b/tests/test_weights_bounds.py
@@ -29,8 +29,10 @@
 BOUNDS = RouterBounds(weights_s=BOUND_S)
 #: Time from the end of an outage until the bound is counted again.
 STABILIZATION_S = 2.5
-#: Allowed deviation of a daemon's bound, for propagation and retry delays.
+#: How much earlier than the bound a daemon may stop using old weights.
 TOLERANCE_S = 0.8
+#: How much later it may: the delay of a store's answer.
+ANSWER_DELAY_S = 0.05
 
 
 class FollowingFleet:
@@ -86,6 +88,12 @@
     run_virtually(main())
 
 
+class BoundsTestCase(unittest.TestCase):
+    def assert_near_bound(self, allowed_s: float) -> None:
+        self.assertGreater(allowed_s, BOUND_S - TOLERANCE_S)
+        self.assertLess(allowed_s, BOUND_S + ANSWER_DELAY_S)
+
+
 class SlowStartTest(unittest.TestCase):
     """Guards against a grace period that counts from the first list instead of the process start.
 
@@ -112,13 +120,13 @@
         return daemon.state.weights_versions[MODEL].expires_at_s(2, BOUND_S) - ready_s
 
 
-class BoundsTest(unittest.TestCase):
+class BoundsTest(BoundsTestCase):
     def test_a_single_failed_call_of_one_daemon_restarts_no_bound(self) -> None:
         async def scenario(fleet: FollowingFleet) -> None:
             await fleet.fail_a_call(fleet.daemons[0])
             await asyncio.sleep(2.0)
             for daemon in fleet.daemons:
-                self.assertLess(abs(fleet.allowed_s(daemon) - BOUND_S), TOLERANCE_S)
+                self.assert_near_bound(fleet.allowed_s(daemon))
 
         follow(scenario)
 
@@ -129,7 +137,7 @@
             fleet.daemons[0].store.cut = False
             await asyncio.sleep(2.0)
             for daemon in fleet.daemons:
-                self.assertLess(abs(fleet.allowed_s(daemon) - BOUND_S), TOLERANCE_S)
+                self.assert_near_bound(fleet.allowed_s(daemon))
 
         follow(scenario)
 
@@ -145,7 +153,7 @@
             fleet.daemons[0].store.cut = False
             await asyncio.sleep(3.0)
             for daemon in fleet.daemons:
-                self.assertLess(abs(fleet.allowed_s(daemon) - BOUND_S), TOLERANCE_S)
+                self.assert_near_bound(fleet.allowed_s(daemon))
 
         follow(scenario)
 
@@ -169,8 +177,10 @@
             outage_end_s = asyncio.get_running_loop().time() - fleet.named_s
             await asyncio.sleep(3.0)
             expected_s = outage_end_s + STABILIZATION_S + BOUND_S
+            latest_s = outage_end_s + BOUNDS.contact_s + BOUND_S
             for daemon in fleet.daemons:
-                self.assertLess(abs(fleet.allowed_s(daemon) - expected_s), TOLERANCE_S)
+                self.assertGreater(fleet.allowed_s(daemon), expected_s - TOLERANCE_S)
+                self.assertLess(fleet.allowed_s(daemon), latest_s)
 
         follow(scenario)
 
@@ -202,12 +212,12 @@
             await asyncio.sleep(4.5)
             fleet.reconnect(isolated)
             await asyncio.sleep(2.0)
-            self.assertLess(abs(fleet.allowed_s(isolated) - BOUND_S), TOLERANCE_S)
+            self.assert_near_bound(fleet.allowed_s(isolated))
 
         follow(scenario)
 
 
-class SeparateFailuresTest(unittest.TestCase):
+class SeparateFailuresTest(BoundsTestCase):
     """No daemon reaches the store for a while, each for its own reason, but the store is up.
 
     Guards against an outage that is assumed because a single peer confirms it. More than half of
@@ -231,7 +241,7 @@
                 allowed_s = (
                     daemon.state.weights_versions[MODEL].expires_at_s(2, BOUND_S) - fleet.named_s
                 )
-                self.assertLess(allowed_s, BOUND_S + TOLERANCE_S, daemon.ip)
+                self.assertLess(allowed_s, BOUND_S + ANSWER_DELAY_S, daemon.ip)
 
         follow(scenario, daemons=3)
 
@@ -328,7 +338,7 @@
         self.assertEqual(detector.pop_ended(), StoreOutage(99.5, 103.0))
 
 
-class NamedDuringDisconnectionTest(unittest.TestCase):
+class NamedDuringDisconnectionTest(BoundsTestCase):
     """Guards against a bound that starts only when a disconnected daemon learns of a version."""
 
     def test_a_version_named_while_a_daemon_was_cut_off_is_not_dated_later(self) -> None:
@@ -342,7 +352,7 @@
             await asyncio.sleep(3.0)
             fleet.reconnect(late)
             await asyncio.sleep(1.5)
-            self.assertLess(fleet.allowed_s(late), BOUND_S + TOLERANCE_S)
+            self.assertLess(fleet.allowed_s(late), BOUND_S + ANSWER_DELAY_S)
             self.assertGreater(fleet.allowed_s(late), BOUND_S - 2.0 - TOLERANCE_S - 1.6)
 
         run_virtually(main())
@@ -426,8 +436,8 @@
             fleet.reconnect(isolated)
             await asyncio.sleep(3.0)
             for daemon in fleet.daemons[1:]:
-                self.assertLess(abs(fleet.allowed_s(daemon) - BOUND_S), TOLERANCE_S)
-            self.assertLess(fleet.allowed_s(isolated), BOUND_S + TOLERANCE_S)
+                self.assert_near_bound(fleet.allowed_s(daemon))
+            self.assertLess(fleet.allowed_s(isolated), BOUND_S + ANSWER_DELAY_S)
 
         run_virtually(main())
 
@@ -466,6 +476,6 @@
             fleet.name(2)
             await stall
             await asyncio.sleep(0.5)
-            self.assertLess(fleet.allowed_s(stalled), BOUND_S + TOLERANCE_S)
+            self.assertLess(fleet.allowed_s(stalled), BOUND_S + ANSWER_DELAY_S)
 
         run_virtually(main())
