Do not cancel answers that are no streams when their weights expire

What callers saw: none, found by reading the diff before the landing. A buffered answer to a prompt whose run was under way was cancelled 0.1 s before its weights' bound, with outcome unknown. Cause: only the events of a stream show that its run has begun; the check took any answer for one. Evidence: test_stream_moves...buffered_answer fails before (502), passes after (200). Left: whether such a run begins in time rests on the margin alone, as before.

--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -16,6 +16,7 @@
     chunk,
     event,
     never_answering,
+    signed,
     stream_head,
 )
 from winchfork.core.prompt_cost import worth_moving
@@ -63,6 +64,15 @@
     return True
 
 
+async def answers_after_the_expiry(
+    request: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> bool:
+    await asyncio.sleep(START_MARGIN_S + 0.6)
+    writer.write(signed(request, b"done"))
+    await writer.drain()
+    return True
+
+
 class WithdrawalTest(RelayTestCase):
     """Guards against a stream that begins on expired weights, behind prompts of other daemons."""
 
@@ -72,7 +82,7 @@
     async def ask(self, **route: object) -> tuple[ReceivedAnswer, ScriptedReplica]:
         queueing = self.queueing = ScriptedReplica(self.script)
         current = ScriptedReplica(answering(rest))
-        relay = await self.relay(queueing, current, kind=RouteKind.STREAMING, **route)
+        relay = await self.relay(queueing, current, **{"kind": RouteKind.STREAMING, **route})
         history = relay.state.weights_versions["m"] = VersionHistory()
         bound_s = relay.state.settings.bounds.weights_s
         self.expires_at_s = relay.state.clock() + START_MARGIN_S + 0.3
@@ -104,6 +114,14 @@
                 await asyncio.wait_for(self.queueing.closed_by_router.wait(), 1.0)
                 self.assertLess(asyncio.get_running_loop().time(), self.expires_at_s)
 
+    async def test_a_buffered_answer_is_not_cancelled(self) -> None:
+        """Nothing shows whether its run has begun."""
+        self.script = answers_after_the_expiry
+        answer, current = await self.ask(
+            kind=RouteKind.SAFE, max_attempts=1, resumable=False, timeout_s=5.0
+        )
+        self.assertEqual((answer.status, len(current.received)), (200, 0))
+
     async def test_a_stream_that_has_begun_is_not_cancelled(self) -> None:
         self.script = begins_and_ends_after_the_expiry
         answer, current = await self.ask(resumable=False, timeout_s=5.0)
--- a/winchfork/router/stream_moves.py
+++ b/winchfork/router/stream_moves.py
@@ -10,6 +10,7 @@
 import asyncio
 
 from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.routing import RouteKind
 from winchfork.logs import log_event
 from winchfork.router.attempt import Attempt
 from winchfork.router.attempt_planner import AttemptPlanner
@@ -98,11 +99,14 @@
     def _schedule_expiry_check(self, lead_s: float) -> None:
         """Check the attempt ``lead_s`` before its weights expire.
 
-        Until a newer version is known they do not expire, so the check is repeated.
+        Until a newer version is known they do not expire, so the check is repeated. An answer that
+        is not a stream does not show whether its run has begun, and is not checked.
         """
         attempt = self.attempt
         if attempt is None or attempt.plan.weights_version is None:
             return
+        if self._route.kind is not RouteKind.STREAMING:
+            return
         latest_s = self._state.clock() + EXPIRY_CHECK_SHARE * self._state.settings.bounds.weights_s
         at_s = min(latest_s, self._expires_at_s(attempt) - lead_s)
         loop = asyncio.get_running_loop()
