Mark an entry as superseded where its address reports another listed start

Cause: the rollout read from a report that another incarnation answers at the address, and gave up without recording it. The entry, a late one that a restored store held, stayed the one in place; ten times a second it was tried again and took the only slot, while the living replica counted as superseded and got no order. Entries without start times were mended before, by the answer to the order. Why it works: the report names the start of an incarnation that is listed at the same address; the other one has ended.

--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -375,3 +375,22 @@
             self.assertEqual(running.version, 2)
 
         run_virtually(scenario())
+
+    def test_a_replica_that_reports_another_start_than_the_listed_one_is_ordered_next(
+        self,
+    ) -> None:
+        """The same where entries and reports have start times, so that no order is sent."""
+
+        async def scenario() -> None:
+            running = FakeReplica("i-0")
+            running.started_at_ms = 2_000
+            fleet = await Fleet.with_leader([running])
+            late = ReplicaListing(
+                "i-late", "s", "i-0", "z1", 8, True, {MODEL: 1}, started_at_ms=1_000
+            )
+            fleet.state.fleet.install(late)
+            fleet.name_version(2)
+            await asyncio.sleep(8.0)
+            self.assertEqual(running.version, 2)
+
+        run_virtually(scenario())
--- a/tests/weights_fleet.py
+++ b/tests/weights_fleet.py
@@ -51,6 +51,8 @@
         self.order_answers_to_lose = 0
         self.lost_order_delay_s = 0.0
         self.superseded = False
+        #: Its start time in milliseconds since 1970, as listed and reported; 0: neither.
+        self.started_at_ms = 0
         self.loads: list[int] = []
 
     def finish_load(self, now_s: float) -> None:
@@ -91,7 +93,9 @@
         replica = self.replicas[address]
         replica.finish_load(asyncio.get_running_loop().time())
         busy = replica.next_version != replica.version
-        return ReplicaReport(replica.sequence, busy, 0, 0, {MODEL: replica.version})
+        return ReplicaReport(
+            replica.sequence, busy, 0, 0, {MODEL: replica.version}, replica.started_at_ms
+        )
 
     async def order(
         self,
@@ -148,7 +152,14 @@
         for replica in replicas:
             self.state.fleet.install(
                 ReplicaListing(
-                    replica.replica_id, "s", replica.replica_id, "z1", 8, True, {MODEL: 1}
+                    replica.replica_id,
+                    "s",
+                    replica.replica_id,
+                    "z1",
+                    8,
+                    True,
+                    {MODEL: 1},
+                    started_at_ms=replica.started_at_ms,
                 )
             )
         self.state.weights_versions[MODEL] = VersionHistory()
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -169,6 +169,7 @@
                     self._state.record_failure(replica, report.reason, certain=True)
                     break
             elif report.is_of_another_incarnation(replica.listing.started_at_ms):
+                self._mark_superseded(replica, report)
                 break
             else:
                 failed_reports = 0
@@ -209,6 +210,19 @@
         may_order = not replica.superseded and self._leadership.may_act()
         return waited_s < MAX_ORDER_WAIT_S and may_order
 
+    def _mark_superseded(self, replica: RelayReplica, report: ReplicaReport) -> None:
+        """Mark a replica as superseded if the report is of another one listed at its address.
+
+        An order would have shown this by its answer, but none is sent.
+        """
+        for other in self._state.fleet.replicas():
+            if (
+                other.listing.address == replica.listing.address
+                and other.listing.started_at_ms == report.started_at_ms
+            ):
+                self._state.mark_superseded(replica, other.replica_id)
+                return
+
     async def _hold_new_requests(self, replica: RelayReplica, model: str, fence: int) -> None:
         """Ask peers to send no new requests, and wait for the prefill of those already sent."""
         self._announcements.hold(replica, model, fence)
