--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PIP_FLAGS := --disable-pip-version-check --no-compile --quiet
 DURATION ?= 300
 
-.PHONY: run run-platform soak test check format spec fuzz proto clean
+.PHONY: run run-platform soak test check format rename-tools spec fuzz proto clean
 
 $(VENV)/.runtime: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -37,6 +37,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+rename-tools: $(VENV)/.dev
+	$(BIN)/pip install $(PIP_FLAGS) -r requirements-rename.txt
+
 spec: $(VENV)/.dev
 	$(BIN)/python -m spec.check --deep
 
