Do not take an end that a replica announced to a peer for a crash

Cause: a run that breaks on a draining replica does not count, but only the daemon whose own answer carried the announcement knew that it drains. The others, told by it, only paused the replica: they took its planned end for a crash of every request still running there. Left: a daemon that no report reached counts as before.

--- a/tests/test_crash_tracker.py
+++ b/tests/test_crash_tracker.py
@@ -9,6 +9,7 @@
 from tests.relay_case import RelayTestCase
 from tests.relay_support import (
     ReceivedRequest,
+    RelayUnderTest,
     ScriptedReplica,
     answering,
     never_answering,
@@ -18,6 +19,7 @@
 from winchfork.core.broken_runs import EVIDENCE_WINDOW_S
 from winchfork.core.crash_history import CRASHES_TO_REFUSE
 from winchfork.core.relay_replica import RelayReplica, ReplicaListing
+from winchfork.core.replica_notice import UNCONFIRMED_DRAINING_S, ReportedPause
 from winchfork.core.request_digest import request_digest
 from winchfork.core.routing import RouteKind
 from winchfork.core.suspect_runs import SuspectRun
@@ -59,6 +61,14 @@
             await asyncio.sleep(0.01)
 
 
+def report_draining(relay: RelayUnderTest, replica: RelayReplica) -> None:
+    """Let two peers report that a replica drains, which confirms it."""
+    for peer in ("n2", "n3"):
+        relay.state.notices.handle_peer_report(
+            peer, replica, ReportedPause(draining=True, backoff_s=0.0)
+        )
+
+
 class PathTest(RelayTestCase):
     async def test_lost_answers_of_running_replicas_cause_no_suspicion(self) -> None:
         replica = ScriptedReplica(resetting(empty_answer))
@@ -150,6 +160,39 @@
         self.assertEqual(relay.state.crashes.history.suspected_count, 0)
         self.assertEqual(len(replica.received), 1)
 
+    async def test_a_replica_that_a_peer_reported_as_draining_causes_no_suspicion_at_its_end(
+        self,
+    ) -> None:
+        """Guards against counting announced ends as crashes where only a peer was told of them."""
+        replica = CrashingReplica()
+        relay = await self.relay(replica, kind=RouteKind.UNSAFE, max_attempts=1)
+        listed = relay.state.fleet.of_service("s")[0]
+        replica.before_crash = lambda: report_draining(relay, listed)
+        self.assertEqual((await relay.ask()).status, 502)
+        await asyncio.sleep(0.1)
+        self.assertEqual(relay.state.crashes.history.suspected_count, 0)
+        self.assertEqual(len(replica.received), 1)
+
+    async def test_an_end_is_announced_also_if_the_report_arrives_after_the_break(self) -> None:
+        replica = CrashingReplica()
+        relay = await self.relay(replica, kind=RouteKind.UNSAFE, max_attempts=1)
+        listed = relay.state.fleet.of_service("s")[0]
+        self.assertEqual((await relay.ask()).status, 502)
+        report_draining(relay, listed)
+        await asyncio.sleep(0.1)
+        self.assertEqual(relay.state.crashes.history.suspected_count, 0)
+
+    async def test_a_crash_counts_after_a_reported_draining_has_expired(self) -> None:
+        replica = CrashingReplica()
+        relay = await self.relay(replica, kind=RouteKind.UNSAFE, max_attempts=1)
+        listed = relay.state.fleet.of_service("s")[0]
+        now_s = relay.state.clock()
+        listed.notice.apply_peer_pause(
+            ReportedPause(draining=True, backoff_s=0.0), now_s - UNCONFIRMED_DRAINING_S
+        )
+        await relay.ask()
+        await until(lambda: relay.state.crashes.history.crash_count(ASKED, 0.0) == 1)
+
     async def test_an_idle_connection_does_not_count_as_a_reached_replica(self) -> None:
         """The replica's port is closed, but the pool has not seen the end of its connection yet."""
         replica = CrashingReplica()
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -121,6 +121,10 @@
         """Whether neither its entry nor its own notice says that it is draining."""
         return self.listing.accepting and not self.notice.draining
 
+    def has_announced_end(self, now_s: float) -> bool:
+        """Whether its entry, its notice or a peer's report says that it drains before its end."""
+        return not self.listing.accepting or self.notice.is_draining(now_s)
+
     @property
     def accepting(self) -> bool:
         """Whether it is in service and not superseded, regardless of temporary pauses."""
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -85,6 +85,8 @@
     backoff_until_s: float = 0.0
     #: The end of the backoff to report to peers.
     reported_backoff_until_s: float = 0.0
+    #: Until when a peer's report of draining is relied on.
+    reported_draining_until_s: float = -math.inf
     #: When draining or a backoff was last received.
     received_at_s: float = -math.inf
     #: Its limit on requests per second over all daemons.
@@ -125,11 +127,11 @@
         Draining reported by a peer causes a pause with a trial request at its end, not permanent
         draining.
         """
-        pause_s = (
-            UNCONFIRMED_DRAINING_S
-            if pause.draining
-            else min(pause.backoff_s, MAX_REPORTED_BACKOFF_S)
-        )
+        if pause.draining:
+            pause_s = UNCONFIRMED_DRAINING_S
+            self.reported_draining_until_s = now_s + pause_s
+        else:
+            pause_s = min(pause.backoff_s, MAX_REPORTED_BACKOFF_S)
         if self.draining or now_s + pause_s <= self.backoff_until_s:
             return False
         self._pause_until(now_s + pause_s)
@@ -158,6 +160,10 @@
             self.limit.adopt(previous)
         return True
 
+    def is_draining(self, now_s: float) -> bool:
+        """Whether it has announced draining to this daemon, or recently to a peer."""
+        return self.draining or now_s < self.reported_draining_until_s
+
     def is_backing_off(self, now_s: float) -> bool:
         """Whether a backoff or another pause is in progress."""
         return now_s < self.backoff_until_s
--- a/winchfork/router/crash_tracker.py
+++ b/winchfork/router/crash_tracker.py
@@ -153,19 +153,29 @@
         self._broken_runs.mark_reached(replica.order_hash, asked_s)
 
     def record_crash(self, replica: RelayReplica, evidence: CrashEvidence) -> None:
-        """Record a crashed incarnation, and suspect this daemon's requests that ran there."""
+        """Record a crashed incarnation, and suspect this daemon's requests that ran there.
+
+        An end that the replica had announced is no crash. A peer may report the announcement only
+        after the runs broke. The entry is not considered here, since it may have changed after a
+        crash.
+        """
         incarnation = replica.order_hash
-        digests = self._broken_runs.pop_crashed(incarnation, evidence, self._clock())
+        now_s = self._clock()
+        digests = self._broken_runs.pop_crashed(incarnation, evidence, now_s)
         if not digests:
             return
+        was_announced = replica.notice.is_draining(now_s)
         log_event(
             "replica_ended",
             "WARNING",
             replica=replica.replica_id,
             born_ms=replica.listing.started_at_ms or None,
             evidence=evidence.value,
+            announced=was_announced,
             requests=len(digests),
         )
+        if was_announced:
+            return
         self._record_crashes(incarnation, digests, own=True)
         self.on_crash(incarnation, digests)
 
--- a/winchfork/router/outcome_recorder.py
+++ b/winchfork/router/outcome_recorder.py
@@ -67,7 +67,7 @@
     def _record_run(self, plan: AttemptPlan, outcome: Outcome) -> None:
         """Record whether the run was answered or broken off.
 
-        A break counts only for a replica in service: one that drains may end its runs as planned.
+        A replica that drains may end its runs as planned, so its breaks do not count.
         """
         crashes = self._state.crashes
         digest = self._admitted.digest
@@ -80,7 +80,7 @@
             crashes.record_success(digest)
         elif outcome.truncated:
             listed = self._state.fleet.get(replica.replica_id) is replica
-            if listed and replica.is_in_service:
+            if listed and not replica.has_announced_end(self._state.clock()):
                 crashes.record_broken_run(replica, digest, silent=outcome.silent)
 
     def _record_software(
