Name the time of a published version for what it is

PublishedVersion.received_at_s held the earliest possible publication, not the arrival: published_at_s, and update_published_at with it.

--- a/tests/test_late_peer_messages.py
+++ b/tests/test_late_peer_messages.py
@@ -27,7 +27,7 @@
         for ticked in (False, True):
             with self.subTest(ticked_before_it_is_read=ticked):
                 relay = run_virtually(self._read_late(ticked))
-                named_s = relay.state.weights_versions["m"].versions[0].received_at_s
+                named_s = relay.state.weights_versions["m"].versions[0].published_at_s
                 self.assertLessEqual(named_s, 1000.0)
 
     async def _read_late(self, ticked: bool) -> RelayUnderTest:
@@ -50,7 +50,7 @@
                 await asyncio.sleep(0.2)
             exchange = WeightsExchange(state, cast(PeerMessenger, None))
             exchange.handle_version_ages(VersionAges((VersionAgeEntry("m", 4, 500),)))
-            return state.clock() - state.weights_versions["m"].versions[0].received_at_s
+            return state.clock() - state.weights_versions["m"].versions[0].published_at_s
 
         self.assertAlmostEqual(run_virtually(scenario()), 0.5)
 
@@ -80,7 +80,7 @@
                 for item in isolated.state.weights_versions[MODEL].versions
                 if item.version == 2
             )
-            self.assertLessEqual(newest.received_at_s, proven_s)
+            self.assertLessEqual(newest.published_at_s, proven_s)
             self.assertTrue(newest.assumed)
 
         run_virtually(main())
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -42,7 +42,7 @@
         asking = asyncio.create_task(relay.ask(method="POST", extra=PROMPT_HEADERS))
         await asyncio.sleep(0.3)
         # A peer's report of an earlier naming ends the bound while the request is queued.
-        history.update_received_at(2, relay.state.clock() - bound_s)
+        history.update_published_at(2, relay.state.clock() - bound_s)
         await asking
         self.assertEqual(relay.state.metrics.late_starts.value, 1)
         self.assertIn("late_s=", self.line("stream_started_late"))
--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -45,25 +45,25 @@
     def test_a_peer_report_can_only_move_a_time_earlier(self) -> None:
         history = VersionHistory()
         history.add(2, 100.0)
-        history.update_received_at(2, 104.0)
+        history.update_published_at(2, 104.0)
         self.assertEqual(history.expires_at_s(1, 8.0), 108.0)
-        history.update_received_at(2, 95.0)
+        history.update_published_at(2, 95.0)
         self.assertEqual(history.expires_at_s(1, 8.0), 103.0)
 
     def test_a_peer_report_replaces_an_assumed_time(self) -> None:
         history = VersionHistory()
         history.add(2, 95.0, assumed=True)
-        history.update_received_at(2, 99.0)
+        history.update_published_at(2, 99.0)
         self.assertEqual(history.expires_at_s(1, 8.0), 107.0)
-        history.update_received_at(2, 99.5)
+        history.update_published_at(2, 99.5)
         self.assertEqual(history.expires_at_s(1, 8.0), 107.0)
 
     def test_versions_that_the_store_no_longer_holds_are_learned_from_peers(self) -> None:
         """Guards against a late expiry at a restarted daemon that knows the newest version only."""
         history = VersionHistory()
         history.add(4, 95.0, assumed=True)
-        history.update_received_at(4, 98.0)
-        history.update_received_at(3, 93.0)
+        history.update_published_at(4, 98.0)
+        history.update_published_at(3, 93.0)
         self.assertEqual(history.expires_at_s(2, 8.0), 101.0)
         self.assertEqual(history.expires_at_s(3, 8.0), 106.0)
         self.assertEqual(history.newest, 4)
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -75,7 +75,7 @@
     """
 
     version: int
-    received_at_s: float
+    published_at_s: float
     assumed: bool = False
 
 
@@ -88,15 +88,15 @@
     def __init__(self) -> None:
         self._versions: list[PublishedVersion] = []
 
-    def add(self, version: int, received_at_s: float, *, assumed: bool = False) -> bool:
+    def add(self, version: int, published_at_s: float, *, assumed: bool = False) -> bool:
         """Record a published version; False if it is not newer than the newest."""
         if self._versions and version <= self._versions[-1].version:
             return False
-        self._versions.append(PublishedVersion(version, received_at_s, assumed))
+        self._versions.append(PublishedVersion(version, published_at_s, assumed))
         del self._versions[:-MAX_VERSIONS]
         return True
 
-    def update_received_at(self, version: int, received_at_s: float) -> None:
+    def update_published_at(self, version: int, published_at_s: float) -> None:
         """Apply a peer's report of when a version was published.
 
         It replaces an assumed time; otherwise the earlier time is kept. Unknown versions are added:
@@ -104,10 +104,10 @@
         """
         for number, published in enumerate(self._versions):
             if published.version == version:
-                if published.assumed or received_at_s < published.received_at_s:
-                    self._versions[number] = PublishedVersion(version, received_at_s)
+                if published.assumed or published_at_s < published.published_at_s:
+                    self._versions[number] = PublishedVersion(version, published_at_s)
                 return
-        self._versions.append(PublishedVersion(version, received_at_s))
+        self._versions.append(PublishedVersion(version, published_at_s))
         self._versions.sort(key=lambda published: published.version)
 
     def restart_bounds(
@@ -119,10 +119,10 @@
         times.
         """
         running = tuple(
-            published for published in self._versions if published.received_at_s + bound_s > lost_s
+            published for published in self._versions if published.published_at_s + bound_s > lost_s
         )
         self._versions = [
-            msgspec.structs.replace(published, received_at_s=regained_s)
+            msgspec.structs.replace(published, published_at_s=regained_s)
             if published in running
             else published
             for published in self._versions
@@ -143,7 +143,7 @@
         """Return when ``version`` expires: ``bound_s`` after the next one; infinite if newest."""
         for published in self._versions:
             if published.version > version:
-                return published.received_at_s + bound_s
+                return published.published_at_s + bound_s
         return math.inf
 
 
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -347,7 +347,7 @@
                     "WARNING",
                     model=model,
                     version=named.version,
-                    heard_before_s=outage.ended_at_s - named.received_at_s,
+                    heard_before_s=outage.ended_at_s - named.published_at_s,
                     begins_in_s=begins_s - self._state.clock(),
                 )
 
--- a/winchfork/router/weights_exchange.py
+++ b/winchfork/router/weights_exchange.py
@@ -79,7 +79,7 @@
         new_members = [members[key] for key in members.keys() - self._known_members]
         self._known_members = set(members)
         entries = tuple(
-            VersionAgeEntry(model, named.version, int((now_s - named.received_at_s) * 1000))
+            VersionAgeEntry(model, named.version, int((now_s - named.published_at_s) * 1000))
             for model, history in self._state.weights_versions.items()
             for named in history.versions
             if not named.assumed
@@ -95,4 +95,4 @@
         now_s = self._state.stall_detector.earliest_arrival_s(self._state.clock())
         for entry in message.entries:
             history = self._state.weights_versions.setdefault(entry.model, VersionHistory())
-            history.update_received_at(entry.version, now_s - entry.age_ms / 1000.0)
+            history.update_published_at(entry.version, now_s - entry.age_ms / 1000.0)
