Date a version's age by this daemon's query, not by the arrival of a peer's report

VersionAges says how old a version is as of sending; its arrival was taken for that time, and the result replaced an assumed date. Why it works: a daemon that assumed a date queries two peers, at intervals that double, until one knows. The peer's age is as of the query or later, so question minus age is never after the publication, however late the reply is. Types are added, no field is changed. Tests: test_late_peer_messages expected an unasked report to be dated by its arrival, which is the fault; replaced by one for replies (dated by the query exactly) and one for reports (from the start of the process, assumed). The case after a stall stays as it was. Left: an unasked report to an earlier process at the same address, delayed for longer than the restart.

--- a/tests/peer_samples.py
+++ b/tests/peer_samples.py
@@ -39,6 +39,8 @@
     Resignation,
     SuspectRunReport,
     VersionAgeEntry,
+    VersionAgeQuery,
+    VersionAgeReply,
     VersionAges,
     VersionEvidence,
     VersionStop,
@@ -96,6 +98,8 @@
             ReplicaNoticeEntry(6, True, 3000, LimitEntry(None, 0)),
         ),
     ),
+    VersionAgeQuery("10.0.0.1:7000", 2**32 - 1),
+    VersionAgeReply(2**32 - 1, (VersionAgeEntry("m", 3, 2500),)),
 )
 
 
--- a/tests/test_late_peer_messages.py
+++ b/tests/test_late_peer_messages.py
@@ -6,15 +6,22 @@
 import json
 import unittest
 from typing import cast
+from unittest import mock
 
 from tests.relay_support import RelayUnderTest
 from tests.test_weights_bounds import MODEL, FollowingFleet
 from tests.virtual_loop import run_virtually, stall_loop
 from winchfork.core.document_table import TableItem, TableUpdate
 from winchfork.core.store_position import StorePosition
-from winchfork.router.peer_messages import VersionAgeEntry, VersionAges
+from winchfork.core.weight_rollout import VersionHistory
+from winchfork.router.peer_messages import (
+    VersionAgeEntry,
+    VersionAgeQuery,
+    VersionAgeReply,
+    VersionAges,
+)
 from winchfork.router.peer_messenger import PeerMessenger
-from winchfork.router.weights_exchange import WeightsExchange
+from winchfork.router.version_age_exchange import VersionAgeExchange
 
 
 class LateVersionAgesTest(unittest.TestCase):
@@ -37,23 +44,60 @@
         stall_loop(2.7)
         if ticked:
             state.stall_detector.tick(state.clock())
-        exchange = WeightsExchange(state, cast(PeerMessenger, None))
-        exchange.handle_version_ages(VersionAges((VersionAgeEntry("m", 4, 10),)))
+        exchange = VersionAgeExchange(state, cast(PeerMessenger, None))
+        exchange.handle_report(VersionAges((VersionAgeEntry("m", 4, 10),)))
         return relay
 
-    def test_without_a_stall_versions_are_dated_by_their_age(self) -> None:
+    def test_without_a_stall_replies_are_dated_by_their_query(self) -> None:
         async def scenario() -> float:
             relay = RelayUnderTest()
             state = relay.state
             for _ in range(10):
                 state.stall_detector.tick(state.clock())
                 await asyncio.sleep(0.2)
-            exchange = WeightsExchange(state, cast(PeerMessenger, None))
-            exchange.handle_version_ages(VersionAges((VersionAgeEntry("m", 4, 500),)))
-            return state.clock() - state.weights_versions["m"].versions[0].published_at_s
+            history = state.weights_versions["m"] = VersionHistory()
+            history.add(4, state.clock() - 5.0, assumed=True)
+            peers = mock.Mock()
+            peers.view.is_full_mesh, peers.view.others = True, ()
+            exchange = VersionAgeExchange(state, peers)
+            queried_s = state.clock()
+            exchange.tick(queried_s)
+            (query,) = [
+                call.args[1]
+                for call in peers.send_each.call_args_list
+                if isinstance(call.args[1], VersionAgeQuery)
+            ]
+            await asyncio.sleep(0.1)
+            exchange.handle_reply(VersionAgeReply(query.nonce, (VersionAgeEntry("m", 4, 500),)))
+            self.assertFalse(history.versions[0].assumed)
+            return queried_s - history.versions[0].published_at_s
 
         self.assertAlmostEqual(run_virtually(scenario()), 0.5)
 
+    def test_a_report_is_dated_no_later_than_from_the_start_of_the_process(self) -> None:
+        """It may have been sent to this process at any time since."""
+
+        async def scenario() -> tuple[float, bool]:
+            relay = RelayUnderTest()
+            state = relay.state
+            await asyncio.sleep(2.0)
+            exchange = VersionAgeExchange(state, mock.Mock())
+            exchange.handle_report(VersionAges((VersionAgeEntry("m", 4, 500),)))
+            (published,) = state.weights_versions["m"].versions
+            return state.started_at_s - published.published_at_s, published.assumed
+
+        self.assertEqual(run_virtually(scenario()), (0.5, True))
+
+    def test_replies_to_unknown_queries_are_dropped(self) -> None:
+        relay = run_virtually(self._read_reply_to_nothing())
+        self.assertEqual(relay.state.weights_versions, {})
+
+    async def _read_reply_to_nothing(self) -> RelayUnderTest:
+        relay = RelayUnderTest()
+        exchange = VersionAgeExchange(relay.state, mock.Mock())
+        exchange.handle_reply(VersionAgeReply(7, (VersionAgeEntry("m", 4, 500),)))
+        return relay
+
 
 class LateUpdateTest(unittest.TestCase):
     def test_a_relayed_version_is_dated_by_the_watchers_own_last_proof(self) -> None:
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -96,19 +96,42 @@
         del self._versions[:-MAX_VERSIONS]
         return True
 
-    def update_published_at(self, version: int, published_at_s: float) -> None:
-        """Apply a peer's report of when a version was published.
+    def update_published_at(self, version: int, published_at_s: float) -> bool:
+        """Apply a peer's report of when a version was published at the earliest.
 
         It replaces an assumed time; otherwise the earlier time is kept. Unknown versions are added:
-        the store holds only the newest version, so earlier ones are known from peers only.
+        the store holds only the newest version, so earlier ones are known from peers only. Returns
+        whether anything has changed.
         """
-        for number, published in enumerate(self._versions):
-            if published.version == version:
-                if published.assumed or published_at_s < published.published_at_s:
-                    self._versions[number] = PublishedVersion(version, published_at_s)
-                return
-        self._versions.append(PublishedVersion(version, published_at_s))
-        self._versions.sort(key=lambda published: published.version)
+        known = self._find(version)
+        if known is not None and not known.assumed and published_at_s >= known.published_at_s:
+            return False
+        self._put(PublishedVersion(version, published_at_s))
+        return True
+
+    def narrow_published_at(self, version: int, earliest_s: float, latest_s: float) -> None:
+        """Apply a peer's report that may have been delayed, so that its time lies in a range.
+
+        A known time is kept if it lies in the range or is exact and before it, else moved to the
+        nearer end. An unknown version gets the earliest time, as an assumption.
+        """
+        known = self._find(version)
+        if known is None:
+            self._put(PublishedVersion(version, earliest_s, assumed=True))
+            return
+        published_at_s = min(known.published_at_s, latest_s)
+        if known.assumed:
+            published_at_s = max(published_at_s, earliest_s)
+        self._put(PublishedVersion(version, published_at_s, known.assumed))
+
+    def _find(self, version: int) -> PublishedVersion | None:
+        return next((item for item in self._versions if item.version == version), None)
+
+    def _put(self, published: PublishedVersion) -> None:
+        """Replace the entry of a version, or insert it in order."""
+        others = [item for item in self._versions if item.version != published.version]
+        self._versions = sorted([*others, published], key=lambda item: item.version)
+        del self._versions[:-MAX_VERSIONS]
 
     def restart_bounds(
         self, lost_s: float, regained_s: float, bound_s: float
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -70,7 +70,7 @@
 
 
 class VersionAgeEntry(PeerMessage, frozen=True):
-    """How long ago the sender learned that operators had named a version."""
+    """How long ago a version was published at the most, as of sending, rounded up."""
 
     model: str
     version: int
@@ -83,6 +83,20 @@
     entries: tuple[VersionAgeEntry, ...]
 
 
+class VersionAgeQuery(PeerMessage, frozen=True):
+    """Requests a ``VersionAgeReply`` with the same nonce."""
+
+    sender_address: str
+    nonce: int
+
+
+class VersionAgeReply(PeerMessage, frozen=True):
+    """The ages of versions, as of some time after the query was sent."""
+
+    nonce: int
+    entries: tuple[VersionAgeEntry, ...]
+
+
 class Resignation(PeerMessage, frozen=True):
     """The leader that holds ``fence`` shuts down and gives no more orders.
 
@@ -303,4 +317,6 @@
     ReplicaNotices,
     EraDocumentPull,
     EraDocumentPart,
+    VersionAgeQuery,
+    VersionAgeReply,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -25,6 +25,8 @@
     ReplicaNotices,
     Resignation,
     SuspectRunReport,
+    VersionAgeQuery,
+    VersionAgeReply,
     VersionAges,
     VersionEvidence,
     VersionStop,
@@ -36,6 +38,7 @@
 from winchfork.router.region_exchange import RegionExchange
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
+from winchfork.router.version_age_exchange import VersionAgeExchange
 from winchfork.router.weights_exchange import WeightsExchange
 from winchfork.router.work_exchange import WorkExchange
 
@@ -64,7 +67,10 @@
     peers.register_handler(RegionWork, work.handle_region)
     peers.register_handler(FleetWork, work.handle_fleet)
     peers.register_handler(WeightsProgress, weights.handle_weights)
-    peers.register_handler(VersionAges, weights.handle_version_ages)
+    version_ages = VersionAgeExchange(state, peers)
+    peers.register_handler(VersionAges, version_ages.handle_report)
+    peers.register_handler(VersionAgeQuery, version_ages.handle_query)
+    peers.register_handler(VersionAgeReply, version_ages.handle_reply)
     peers.register_handler(Resignation, leadership.handle_resignation)
     peers.register_handler(
         FailureReport,
@@ -86,7 +92,7 @@
     peers.register_handler(DocumentPart, relay.handle_part)
     peers.register_handler(EraDocumentPull, relay.handle_era_pull)
     peers.register_handler(EraDocumentPart, relay.handle_era_part)
-    peers.on_tick += [state.stall_detector.tick, weights.send_version_ages, work.tick, notices.tick]
+    peers.on_tick += [state.stall_detector.tick, version_ages.tick, work.tick, notices.tick]
     if state.settings.software_rollouts:
         peers.on_tick.append(evidence.tick)
     peers.on_position = relay.handle_position
--- a/winchfork/router/weights_exchange.py
+++ b/winchfork/router/weights_exchange.py
@@ -1,29 +1,20 @@
-"""Exchanges weights versions and rollout holds of replicas, and the ages of named versions."""
+"""Exchanges weights versions and rollout holds of replicas."""
 
 from __future__ import annotations
 
 from winchfork.core.relay_replica import RelayReplica
-from winchfork.core.weight_rollout import VersionHistory
-from winchfork.core.zone_hubs import FleetView
 from winchfork.logs import log_event
-from winchfork.router.peer_messages import (
-    VersionAgeEntry,
-    VersionAges,
-    WeightsEntry,
-    WeightsProgress,
-)
+from winchfork.router.peer_messages import WeightsEntry, WeightsProgress
 from winchfork.router.peer_messenger import PeerMessenger
 from winchfork.router.state import RouterState
 
 
 class WeightsExchange:
-    """Applies the rollout leader's messages, and sends version ages to new members."""
+    """Broadcasts and applies the rollout leader's messages."""
 
     def __init__(self, state: RouterState, peers: PeerMessenger) -> None:
         self._state = state
         self._peers = peers
-        self._known_members: set[tuple[str, int]] = set()
-        self._last_view: FleetView | None = None
 
     def broadcast_weights(self, fence: int, entries: tuple[WeightsEntry, ...]) -> None:
         """Broadcast the leader's entries, and apply them here as well."""
@@ -62,37 +53,3 @@
             fence=message.fence,
             told_by=message.sender_id,
         )
-
-    def send_version_ages(self, now_s: float) -> None:
-        """Send new members the time since each version was named.
-
-        Outside a full mesh only hubs send, to their own zone and to the hubs of other zones.
-        """
-        view = self._peers.view
-        if view is self._last_view:
-            return
-        self._last_view = view
-        receivers = view.others if view.is_full_mesh else []
-        if not view.is_full_mesh and view.is_hub:
-            receivers = [*view.zone_peers, *view.other_zone_hubs]
-        members = {(member.member_id, member.incarnation): member for member in receivers}
-        new_members = [members[key] for key in members.keys() - self._known_members]
-        self._known_members = set(members)
-        entries = tuple(
-            VersionAgeEntry(model, named.version, int((now_s - named.published_at_s) * 1000))
-            for model, history in self._state.weights_versions.items()
-            for named in history.versions
-            if not named.assumed
-        )
-        if entries:
-            self._peers.send_each(new_members, VersionAges(entries))
-
-    def handle_version_ages(self, message: VersionAges) -> None:
-        """Adopt the times at which versions were named, from a peer's message.
-
-        Its ages are as of sending, so they are subtracted from the earliest possible arrival.
-        """
-        now_s = self._state.stall_detector.earliest_arrival_s(self._state.clock())
-        for entry in message.entries:
-            history = self._state.weights_versions.setdefault(entry.model, VersionHistory())
-            history.update_published_at(entry.version, now_s - entry.age_ms / 1000.0)
