Order replicas for placement by their ids, which outlast a restart

Cause: the hash of an incarnation also decided the order of placement, so each restart drew the replica's place in its zone and the home of every family anew. Why it works: a place that hangs on the id is the same before and after a restart, and on all daemons. Reserved senders, cache stores and jitter use it as well.

--- a/benchmarks/replica_limits.py
+++ b/benchmarks/replica_limits.py
@@ -5,12 +5,14 @@
 Three or more routers serve 31 streams a second of 23 prompt families with four model replicas for
 24 s; three of the 31 are of an urgent tenant. From second 4 to 18 the busiest replicas announce a
 limit. Scenarios: `one`, `two` and `all` replicas; `scarce`, all of them, for less than half of the
-demand; `restarted`, one, which restarts under the same id in second 10; `zero`, one that accepts no
-requests; `wide`, one, with fifteen routers.
+demand; `zero`, one that accepts no requests; `wide`, one, with fifteen routers. In `restarted`,
+`restarted-3`, `restarted-zero` and `restarted-free` one replica announces 0.5, 3, 0 and 1,000
+requests a second, and restarts under the same id in second 9.
 
 Printed for each scenario: the requests in the worst window of 4 s and the number allowed in it; the
-share of the limit used between seconds 8 and 18; the maximum requests in one second before and
-after the limit; and the callers' outcomes. Windows count requests from 3 s after the first answer
+share of the limit used between seconds 8 and 18, or from second 11 after a restart; the maximum
+requests in one second before and after the limit; the requests in the 5 s from second 19 on; and
+the callers' outcomes. Windows count requests from 3 s after the first answer
 that announced the limit, and only those of routers that had received such an answer at least 0.5 s
 before.
 """
@@ -32,9 +34,14 @@
 SECONDS = 24.0
 LIMIT_FROM_S = 4.0
 LIMIT_UNTIL_S = 18.0
-RESTART_S = 10.0
-#: Second from which on the use of the limits is measured.
+RESTART_S = 9.0
+#: Seconds for which a replica that restarts is down.
+DOWN_S = 0.5
+#: Second from which on the use of the limits is measured, without and after a restart.
 MEASURED_FROM_S = 8.0
+MEASURED_AFTER_RESTART_S = 11.0
+#: Second from which on the requests after the limits are counted.
+COUNTED_AFTER_S = 19.0
 STREAMS_PER_S = 28.0
 URGENT_PER_S = 3.0
 #: Seconds within which all routers must become ready.
@@ -56,6 +63,9 @@
     "all": Scenario(4, 8.0),
     "scarce": Scenario(4, 3.0),
     "restarted": Scenario(1, 0.5, restarts=True),
+    "restarted-3": Scenario(1, 3.0, restarts=True),
+    "restarted-zero": Scenario(1, 0.0, restarts=True),
+    "restarted-free": Scenario(1, 1000.0, restarts=True),
     "zero": Scenario(1, 0.0),
     "wide": Scenario(1, 1.0, routers=15),
 }
@@ -96,15 +106,18 @@
         if self._scenario.restarts:
             await asyncio.sleep(RESTART_S - LIMIT_FROM_S)
             for replica in self._limited:
-                await replica.crash()
-                await replica.restart(keeps_id=True)
-                replica.notices.set_limit(self._scenario.per_s)
-        await asyncio.sleep(
-            LIMIT_UNTIL_S - (RESTART_S if self._scenario.restarts else LIMIT_FROM_S)
-        )
+                await self._restart(replica)
+        now_s = asyncio.get_running_loop().time() - self._started_s
+        await asyncio.sleep(LIMIT_UNTIL_S - now_s)
         for replica in self._limited:
             replica.notices.set_limit(None)
 
+    async def _restart(self, replica: ReplicaServer) -> None:
+        await replica.crash()
+        await asyncio.sleep(DOWN_S)
+        await replica.restart(keeps_id=True)
+        replica.notices.set_limit(self._scenario.per_s)
+
     def _line(self) -> str:
         senders = self._callers.senders
         emitters = [
@@ -116,15 +129,21 @@
             f"worst 4 s {worst.requests} of {worst.allowed:g}" if worst else "no window counted"
         )
         counts = self._arrivals_by_second()
-        used = sum(counts[second] for second in range(int(MEASURED_FROM_S), int(LIMIT_UNTIL_S)))
-        allowed = self._scenario.per_s * (LIMIT_UNTIL_S - MEASURED_FROM_S) * len(self._limited)
-        share = f"used {used / allowed:.2f}" if allowed else f"sent {used} in 10 s"
+        from_s = MEASURED_AFTER_RESTART_S if self._scenario.restarts else MEASURED_FROM_S
+        used = sum(counts[second] for second in range(int(from_s), int(LIMIT_UNTIL_S)))
+        measured_s = LIMIT_UNTIL_S - from_s
+        allowed = self._scenario.per_s * measured_s * len(self._limited)
+        share = f"used {used / allowed:.2f}" if allowed else f"sent {used} in {measured_s:g} s"
         before = max(counts[second] for second in range(1, int(LIMIT_FROM_S)))
         after = max(counts[second] for second in range(int(LIMIT_UNTIL_S), int(SECONDS)))
+        later = sum(counts[second] for second in range(int(COUNTED_AFTER_S), int(SECONDS)))
         outcomes = ", ".join(
             f"{outcome} {count}" for outcome, count in sorted(self._callers.outcomes.items())
         )
-        return f"{window}, {share}, max per second {before} before, {after} after; {outcomes}"
+        return (
+            f"{window}, {share}, max per second {before} before, {after} after, "
+            f"{later} in 5 s after; {outcomes}"
+        )
 
     def _arrivals_by_second(self) -> Counter[int]:
         return Counter(
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Mapping
 
 from winchfork.core.cached_parts_backlog import CachedPartsBacklog
 from winchfork.core.part_index import PartIndex, part_key
@@ -22,11 +23,20 @@
 PREFILL_RATE = 40_000.0
 
 
-def fleet_of(count: int, zones: tuple[str, ...] = ("z1",)) -> list[RelayReplica]:
+def fleet_of(
+    count: int, zones: tuple[str, ...] = ("z1",), born_ms: Mapping[str, int] | None = None
+) -> list[RelayReplica]:
+    """Return idle replicas; ``born_ms`` has the start times of some, by id."""
     fleet = RelayFleet()
     for number in range(count):
+        name = f"i-{number}"
+        started_at_ms = (born_ms or {}).get(name, 0)
         zone = zones[number % len(zones)]
-        fleet.install(ReplicaListing(f"i-{number}", "s", f"a:{number}", zone, 16, True, {"m": 1}))
+        fleet.install(
+            ReplicaListing(
+                name, "s", f"a:{number}", zone, 16, True, {"m": 1}, started_at_ms=started_at_ms
+            )
+        )
     return fleet.of_service("s")
 
 
@@ -106,6 +116,24 @@
         homes = {placed(prompt(f"f{n}"), fleet_of(6), PartIndex()).replica_id for n in range(60)}
         self.assertEqual(len(homes), 6)
 
+    def test_a_replica_that_restarts_under_its_id_keeps_its_place(self) -> None:
+        """Guards against a replica that is left idle after its restart, and families that move."""
+
+        def placements(born_ms: int) -> list[str]:
+            replicas = fleet_of(6, ("z1", "z2"), {"i-3": born_ms})
+            families = [placed(prompt(f"f{n}"), replicas, PartIndex()) for n in range(40)]
+            long_answer = Prompt("m", (PromptPart("a", 100),), 500, 50)
+            answers = [
+                placed(long_answer, replicas, PartIndex(), zone=zone, expected_run_s=0.4)
+                for zone in ("z1", "z2")
+            ]
+            return [replica.replica_id for replica in (*families, *answers)]
+
+        before = placements(1_000)
+        for born_ms in range(2_000, 12_000, 1_000):
+            with self.subTest(born_ms=born_ms):
+                self.assertEqual(placements(born_ms), before)
+
     def test_a_queue_at_home_moves_a_family_with_a_copy(self) -> None:
         replicas, index = fleet_of(3), PartIndex()
         request = prompt("f")
--- a/winchfork/core/prompt_cost.py
+++ b/winchfork/core/prompt_cost.py
@@ -73,7 +73,7 @@
     cost_s += running * _token_gap_cost_s(request, replica, prefill_s)
     cost_s += _expected_wait_s(request, replica) + _preemption_cost_s(request, replica)
     if request.max_jitter_s:
-        cost_s += request.max_jitter_s * mixed_order(request.jitter_key, replica.order_hash)
+        cost_s += request.max_jitter_s * mixed_order(request.jitter_key, replica.placement_hash)
     cost_s += rank * (LONG_ANSWER_RANK_COST_S if request.is_long_answer else RANK_COST_S)
     if plan.copied_tokens:
         cost_s += COPY_SETUP_S + plan.copy_s
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -85,13 +85,13 @@
     which concentrates them on few replicas.
     """
     if request.is_long_answer:
-        order = sorted(range(len(candidates)), key=lambda number: candidates[number].order_hash)
+        order = sorted(range(len(candidates)), key=lambda number: candidates[number].placement_hash)
         locations = [candidate.listing.zone for candidate in candidates]
     else:
         family_hash = member_hash(request.prompt.family)
         order = sorted(
             range(len(candidates)),
-            key=lambda number: mixed_order(family_hash, candidates[number].order_hash),
+            key=lambda number: mixed_order(family_hash, candidates[number].placement_hash),
         )
         region_of = request.regions.region_of
         locations = [region_of(candidate.listing.zone) for candidate in candidates]
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -80,6 +80,7 @@
 
     listing: ReplicaListing
     versions: dict[str, int]
+    #: Identifies the incarnation, see :attr:`ReplicaListing.incarnation`.
     order_hash: int
     in_flight: int = 0
     pending_prefill_tokens: int = 0
@@ -103,9 +104,15 @@
     peer_busy_until_s: float = 0.0
     #: The notice from this incarnation's answers: draining, backoff, request limit.
     notice: ReplicaNotice = msgspec.field(default_factory=ReplicaNotice)
+    #: The hash of its id, which orders the replicas for placement. It outlasts a restart, so that
+    #: the replica and the prompt families keep their places.
+    placement_hash: int = 0
     _expected_ends_s: dict[int, float] = msgspec.field(default_factory=dict)
     _failure_reported_at_s: dict[str, float] = msgspec.field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.placement_hash = member_hash(self.listing.replica_id)
+
     @property
     def replica_id(self) -> str:
         """The replica's id."""
--- a/winchfork/core/reserved_senders.py
+++ b/winchfork/core/reserved_senders.py
@@ -73,7 +73,7 @@
         daemons = len(self._daemons)
         senders = self._senders(len(replicas))
         own = self._daemons.index(self._own_id) if self._own_id in self._daemons else 0
-        order = sorted(replicas, key=lambda item: (item.listing.zone, item.order_hash))
+        order = sorted(replicas, key=lambda item: (item.listing.zone, item.placement_hash))
         return frozenset(
             replica.replica_id
             for number, replica in enumerate(order)
--- a/winchfork/router/cache_stores.py
+++ b/winchfork/router/cache_stores.py
@@ -37,7 +37,7 @@
         family_hash = member_hash(prompt.family)
         by_region: dict[str, RelayReplica] = {}
         by_order = sorted(
-            self._stores.values(), key=lambda store: mixed_order(family_hash, store.order_hash)
+            self._stores.values(), key=lambda store: mixed_order(family_hash, store.placement_hash)
         )
         for store in by_order:
             by_region.setdefault(regions.region_of(store.listing.zone), store)
