--- a/tests/test_cache_store_copies.py
+++ b/tests/test_cache_store_copies.py
@@ -49,8 +49,8 @@
         request = prompt("f")
         keys = shared_keys(SCOPE, request, 1)
         holder = replicas[0]
-        index.record_cached(keys, holder.order_hash, 1.0)
-        index.record_cached(keys, store.order_hash, 1.0)
+        index.record_cached(keys, holder.incarnation_hash, 1.0)
+        index.record_cached(keys, store.incarnation_hash, 1.0)
         holder.pending_prefill_tokens = 2000
         placement = PromptPlacementRequest(
             request,
--- a/tests/test_crash_tracker.py
+++ b/tests/test_crash_tracker.py
@@ -239,10 +239,12 @@
             crashes.handle_crash_report(2, [digest])
         until_s = relay.state.clock() + 60.0
         crashes.handle_suspect_run(
-            "n2", ASKED, SuspectRun(second.order_hash, until_s, is_exclusive=True)
+            "n2", ASKED, SuspectRun(second.incarnation_hash, until_s, is_exclusive=True)
         )
         crashes.handle_suspect_run(
-            "n2", b"other suspect   ", SuspectRun(first.order_hash, until_s, is_exclusive=True)
+            "n2",
+            b"other suspect   ",
+            SuspectRun(first.incarnation_hash, until_s, is_exclusive=True),
         )
         answer = asyncio.create_task(relay.ask())
         await asyncio.sleep(0.15)
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -39,8 +39,8 @@
                 (current.running, current.queued_prefill_tokens, current.used_tokens), (0, 0, 0)
             )
             self.assertEqual(state.parts.holders(11), {})
-            state.record_peer_cached_parts(former.order_hash, (13,))
-            self.assertNotIn(current.order_hash, state.parts.holders(13))
+            state.record_peer_cached_parts(former.incarnation_hash, (13,))
+            self.assertNotIn(current.incarnation_hash, state.parts.holders(13))
 
         follow(scenario)
 
--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -183,7 +183,7 @@
             daemon = daemons[0]
             replicas = [daemon.state.fleet.get(name) for name in ("i-1", "i-2")]
             entries = tuple(
-                ReplicaNoticeEntry(item.order_hash, False, 0, LimitEntry(0.0, 0))
+                ReplicaNoticeEntry(item.incarnation_hash, False, 0, LimitEntry(0.0, 0))
                 for item in replicas
                 if item
             )
@@ -203,7 +203,7 @@
             replica.send_if_allowed(daemons[0])
             await asyncio.sleep(PROPAGATION_S)
             handle = network.groups[daemons[0].ip]._handlers[ReplicaNotices]
-            key = replica.replica_at(daemons[0]).order_hash
+            key = replica.replica_at(daemons[0]).incarnation_hash
             old, unknown = LimitEntry(None, 5000), LimitEntry(1.0, 0)
             entries = (
                 ReplicaNoticeEntry(key, False, 0, old),
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -110,7 +110,9 @@
             assert replica is not None
             first.state.record_cached_parts(replica, [11, 12])
             await asyncio.sleep(0.5)
-            self.assertEqual(second.state.parts.cached_part_count([11, 12], replica.order_hash), 2)
+            self.assertEqual(
+                second.state.parts.cached_part_count([11, 12], replica.incarnation_hash), 2
+            )
             sent = first.peers.sent_bytes
             first.state.record_cached_parts(replica, [11, 12])
             self.assertEqual(first.state.cached_parts_backlog.pop(10), [])
--- a/tests/test_region_placement.py
+++ b/tests/test_region_placement.py
@@ -105,7 +105,7 @@
         keys = shared_keys(SCOPE, prompt("f"), 1)
         for replica in replicas:
             if replica.listing.zone.startswith("b"):
-                index.record_cached(keys, replica.order_hash, 1.0)
+                index.record_cached(keys, replica.incarnation_hash, 1.0)
         decision = place(replicas, index)
         self.assertEqual(REGIONS.region_of(decision.replica.listing.zone), "a")
         self.assertIsNone(decision.copy_from)
@@ -117,7 +117,7 @@
         home = place(replicas).replica
         for replica in replicas:
             if replica is not home:
-                index.record_cached(keys, replica.order_hash, 1.0)
+                index.record_cached(keys, replica.incarnation_hash, 1.0)
                 replica.peer_pending_prefill_tokens = 100_000
         decision = place(replicas, index)
         self.assertIs(decision.replica, home)
@@ -127,7 +127,7 @@
     def test_the_store_of_the_replicas_region_is_queried_and_saved_to(self) -> None:
         replicas = fleet_of(8, ZONES)
         near, far = fleet_of(1, ("a1",))[0], fleet_of(2, ("a1", "b1"))[1]
-        near.order_hash, far.order_hash = 1, 2
+        near.incarnation_hash, far.incarnation_hash = 1, 2
         both = {"a": CacheStoreChoice(near, COPY_RATE), "b": CacheStoreChoice(far, COPY_RATE)}
         decision = place(replicas, stores=both)
         self.assertIs(decision.copy_from, near)
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -139,7 +139,7 @@
         request = prompt("f")
         home = placed(request, replicas, index)
         keys = [part_key(SCOPE.namespace(1), part) for part in request.shared_parts]
-        index.record_cached(keys, home.order_hash, 1.0)
+        index.record_cached(keys, home.incarnation_hash, 1.0)
         self.assertIs(placed(request, replicas, index), home)
         home.pending_prefill_tokens = 20_000
         placement = PromptPlacementRequest(request, SCOPE, "z1", copy_tokens_per_s=COPY_RATE)
@@ -239,7 +239,7 @@
         request = prompt("f")
         keys = [part_key(SCOPE.namespace(1), part) for part in request.shared_parts]
         for replica in replicas:
-            index.record_cached(keys, replica.order_hash, 1.0)
+            index.record_cached(keys, replica.incarnation_hash, 1.0)
             replica.versions["m"] = 2
         placement = PromptPlacementRequest(request, SCOPE, "z1", copy_tokens_per_s=COPY_RATE)
         decision = place_prompt(placement, replicas, replicas, index)
@@ -257,7 +257,7 @@
         assert first is not None
         self.assertIs(first.save_to, store)
         keys = [part_key(SCOPE.namespace(1), part) for part in request.shared_parts]
-        index.record_cached(keys, store.order_hash, 1.0)
+        index.record_cached(keys, store.incarnation_hash, 1.0)
         second = place_prompt(placement, replicas, [*replicas, store], index)
         assert second is not None
         self.assertIsNone(second.save_to)
@@ -290,7 +290,7 @@
         short = Prompt("m", (PromptPart("a", 100), PromptPart("own", 300)), 400, 50)
         first = placed(short, replicas, index, expected_run_s=0.4)
         other = next(item for item in replicas if item.listing.zone == "z1" and item is not first)
-        connected = frozenset({other.order_hash})
+        connected = frozenset({other.incarnation_hash})
         self.assertIs(
             placed(short, replicas, index, expected_run_s=0.4, connected=connected), other
         )
@@ -298,7 +298,7 @@
         self.assertIsNot(
             placed(short, replicas, index, expected_run_s=0.4, connected=connected), other
         )
-        task = TaskPlacementRequest("z1", 0.0, connected=frozenset({replicas[3].order_hash}))
+        task = TaskPlacementRequest("z1", 0.0, connected=frozenset({replicas[3].incarnation_hash}))
         chosen = place_task(task, replicas[:4])
         assert chosen is not None
         self.assertIs(chosen.replica, replicas[3])
@@ -307,7 +307,7 @@
         replicas, index = fleet_of(6), PartIndex()
         request = prompt("f", own_tokens=2900)
         home = placed(request, replicas, index)
-        others = frozenset(item.order_hash for item in replicas if item is not home)
+        others = frozenset(item.incarnation_hash for item in replicas if item is not home)
         self.assertIs(placed(request, replicas, index, connected=others), home)
 
     def test_nothing_is_placed_without_candidates(self) -> None:
--- a/tests/test_zone_hubs.py
+++ b/tests/test_zone_hubs.py
@@ -282,7 +282,9 @@
                 self.assertEqual(replica.peer_in_flight, DAEMONS - 1)
                 self.assertEqual(replica.peer_pending_prefill_tokens, 100 * (DAEMONS - 1))
                 for number in range(DAEMONS):
-                    self.assertIn(replica.order_hash, daemon.state.parts.holders(1000 + number))
+                    self.assertIn(
+                        replica.incarnation_hash, daemon.state.parts.holders(1000 + number)
+                    )
             for daemon in fleet.followers():
                 self.assertLess(daemon.peers.sent_messages - sent[daemon.ip], 2.0 * 20)
 
--- a/tests/test_zone_loss.py
+++ b/tests/test_zone_loss.py
@@ -219,7 +219,7 @@
         replica = relay.state.fleet.get("i-far")
         assert replica is not None
         for reporter in ("n8", "n9"):
-            relay.state.record_failure_report(replica.order_hash, reporter)
+            relay.state.record_failure_report(replica.incarnation_hash, reporter)
         relay.state.record_failure(replica, "did not come up", certain=True)
         await asyncio.sleep(0.65)
         relay.service.sweep(relay.state.clock())
--- a/winchfork/core/placement_request.py
+++ b/winchfork/core/placement_request.py
@@ -23,7 +23,7 @@
 
     ``connected`` holds the hashes of replicas with an idle connection; None: connections are free.
     """
-    if connected is None or replica.order_hash in connected:
+    if connected is None or replica.incarnation_hash in connected:
         return 0.0
     return CONNECT_COST_S
 
--- a/winchfork/core/prefill_plan.py
+++ b/winchfork/core/prefill_plan.py
@@ -62,9 +62,9 @@
         self, request: PromptPlacementRequest, sources: Sequence[RelayReplica], index: PartIndex
     ) -> None:
         self._request = request
-        self._sources = {source.order_hash: source for source in sources}
+        self._sources = {source.incarnation_hash: source for source in sources}
         self._store_rates = {
-            choice.store.order_hash: choice.tokens_per_s for choice in request.stores.values()
+            choice.store.incarnation_hash: choice.tokens_per_s for choice in request.stores.values()
         }
         self._index = index
         self._by_version: dict[int, CachedParts] = {}
@@ -83,7 +83,7 @@
 
     def plan_for(self, replica: RelayReplica) -> PrefillPlan:
         """Return how a replica would obtain the prompt."""
-        cached_part_count = self.cached_parts_for(replica).depths.get(replica.order_hash, 0)
+        cached_part_count = self.cached_parts_for(replica).depths.get(replica.incarnation_hash, 0)
         plan_key = (self._request.version_at(replica), replica.listing.zone, cached_part_count)
         known = self._plans.get(plan_key)
         if known is None:
@@ -97,7 +97,7 @@
     def copy_tokens_per_s(self, source: RelayReplica, replica: RelayReplica) -> float:
         """Return the tokens per second that a replica copies from a source; 0 if it cannot."""
         own_rate = self._request.copy_tokens_per_s
-        rate = self._store_rates.get(source.order_hash, own_rate) if own_rate else 0.0
+        rate = self._store_rates.get(source.incarnation_hash, own_rate) if own_rate else 0.0
         distance = self._request.regions.distance(source.listing.zone, replica.listing.zone)
         return rate / COPY_TIME_RATIO[distance]
 
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -102,7 +102,7 @@
         return removed
 
     def _retain(self, removed: RelayReplica) -> None:
-        self._removed[removed.order_hash] = _RemovedReplica(
+        self._removed[removed.incarnation_hash] = _RemovedReplica(
             removed.replica_id, removed.recency, removed.notice
         )
         if len(self._removed) > MAX_REMOVED:
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -70,7 +70,7 @@
         return decision
     store = choice.store
     cached_parts = planner.cached_parts_for(decision.replica)
-    is_stored = cached_parts.depths.get(store.order_hash, 0) == len(cached_parts.keys)
+    is_stored = cached_parts.depths.get(store.incarnation_hash, 0) == len(cached_parts.keys)
     is_long_enough = request.prompt.shared_tokens >= MIN_STORE_LOOKUP_TOKENS
     query_store = decision.copy_from is None and is_long_enough
     source = store if is_stored or query_store else decision.copy_from
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -81,7 +81,7 @@
     listing: ReplicaListing
     versions: dict[str, int]
     #: Identifies the incarnation, see :attr:`ReplicaListing.incarnation`.
-    order_hash: int
+    incarnation_hash: int
     in_flight: int = 0
     pending_prefill_tokens: int = 0
     #: Largest number of prompt and answer tokens of this daemon's requests in flight.
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -61,7 +61,7 @@
         settings = self._state.settings
         delay = self._state.region_delay
         connected = frozenset(
-            replica.order_hash
+            replica.incarnation_hash
             for replica in candidates
             if self._state.is_connected(replica.listing.address)
         )
--- a/winchfork/router/crash_tracker.py
+++ b/winchfork/router/crash_tracker.py
@@ -106,7 +106,7 @@
         if self.crash_count(digest) < CRASHES_TO_RUN_ALONE:
             return set()
         exclusive = self._suspect_runs.exclusive_incarnations(self._clock())
-        return {replica.replica_id for replica in replicas if replica.order_hash in exclusive}
+        return {replica.replica_id for replica in replicas if replica.incarnation_hash in exclusive}
 
     # A run
 
@@ -115,7 +115,7 @@
         crashes = self.crash_count(digest)
         if not crashes:
             return
-        run = SuspectRun(replica.order_hash, until_s, crashes >= CRASHES_TO_RUN_ALONE)
+        run = SuspectRun(replica.incarnation_hash, until_s, crashes >= CRASHES_TO_RUN_ALONE)
         self._suspect_runs.begin(self._daemon_id, digest, run)
         if run.is_exclusive:
             self.on_suspect_run(digest, run)
@@ -142,7 +142,7 @@
 
         ``silent``: the replica had stopped acknowledging data, so the network may have failed.
         """
-        self._broken_runs.record(replica.order_hash, digest, self._clock(), silent=silent)
+        self._broken_runs.record(replica.incarnation_hash, digest, self._clock(), silent=silent)
         if not silent:
             self.on_connection_broken(replica)
 
@@ -150,7 +150,7 @@
 
     def record_connected(self, replica: RelayReplica, asked_s: float) -> None:
         """Record that a connection to a replica, requested at ``asked_s``, was established."""
-        self._broken_runs.mark_reached(replica.order_hash, asked_s)
+        self._broken_runs.mark_reached(replica.incarnation_hash, asked_s)
 
     def record_crash(self, replica: RelayReplica, evidence: CrashEvidence) -> None:
         """Record a crashed incarnation, and suspect this daemon's requests that ran there.
@@ -159,7 +159,7 @@
         after the runs broke. The entry is not considered here, since it may have changed after a
         crash.
         """
-        incarnation = replica.order_hash
+        incarnation = replica.incarnation_hash
         now_s = self._clock()
         digests = self._broken_runs.pop_crashed(incarnation, evidence, now_s)
         if not digests:
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -229,7 +229,7 @@
         if removed is not None:
             if evidence is not None:
                 self._state.crashes.record_crash(removed, evidence)
-            self._state.parts.drop_replica(removed.order_hash)
+            self._state.parts.drop_replica(removed.incarnation_hash)
             log_event("replica_gone", replica=replica_id, revision=revision)
 
     def expire_missing_replicas(self, now_s: float) -> None:
--- a/winchfork/router/limit_registry.py
+++ b/winchfork/router/limit_registry.py
@@ -82,7 +82,7 @@
             return
         was_per_s = limit.per_s
         change = limit.update(per_s, self._state.clock())
-        self._peer_reports.forget(replica.order_hash)
+        self._peer_reports.forget(replica.incarnation_hash)
         self._apply_change(replica, change, was_per_s)
         self.on_limit_received(replica, change)
 
@@ -112,9 +112,9 @@
 
     def _is_credible(self, sender_id: str, replica: RelayReplica) -> bool:
         service = replica.listing.service
-        accepted = {item.order_hash for item in self.limited_replicas(service)}
+        accepted = {item.incarnation_hash for item in self.limited_replicas(service)}
         replicas = len(self._state.fleet.of_service(service))
-        return self._peer_reports.accept(replica.order_hash, sender_id, accepted, replicas)
+        return self._peer_reports.accept(replica.incarnation_hash, sender_id, accepted, replicas)
 
     # Positions
 
@@ -128,13 +128,13 @@
             return
         self._daemons = zones
         self._daemons_changed_at_s = now_s
-        self._limited = {replica.order_hash: replica for replica in self._all_limited()}
+        self._limited = {replica.incarnation_hash: replica for replica in self._all_limited()}
         for replica in self._limited.values():
             self.assign_position(replica)
 
     def assign_position(self, replica: RelayReplica) -> None:
         """Set this daemon's rank among those that may send to a limited replica."""
-        self._limited[replica.order_hash] = replica
+        self._limited[replica.incarnation_hash] = replica
         order = self._rank_daemons(replica)
         own_id = self._state.settings.node_id
         # A daemon that is stopping is not in the order, and ranks last.
@@ -147,7 +147,7 @@
         """Return the daemon ids, the nearest to a replica first, then by rendezvous hashing."""
         regions = self._state.settings.regions
         zone = replica.listing.zone
-        ranked = rendezvous_rank(replica.order_hash, self._daemons)
+        ranked = rendezvous_rank(replica.incarnation_hash, self._daemons)
         return sorted(ranked, key=lambda item: regions.distance(zone, self._daemons[item]).value)
 
     def _apply_change(
@@ -161,8 +161,8 @@
         if change is LimitChange.NOTHING:
             return
         if change is LimitChange.ENDED:
-            self._peer_reports.forget(replica.order_hash)
-            self._limited.pop(replica.order_hash, None)
+            self._peer_reports.forget(replica.incarnation_hash)
+            self._limited.pop(replica.incarnation_hash, None)
         else:
             self.assign_position(replica)
         self._state.metrics.notices.labels(f"limit_{change.value}").inc()
--- a/winchfork/router/notice_exchange.py
+++ b/winchfork/router/notice_exchange.py
@@ -76,7 +76,7 @@
     def handle_notices(self, message: ReplicaNotices) -> None:
         """Apply the notices that a peer has received from replicas."""
         now_s = self._state.clock()
-        by_incarnation = {item.order_hash: item for item in self._state.fleet.replicas()}
+        by_incarnation = {item.incarnation_hash: item for item in self._state.fleet.replicas()}
         for entry in message.entries:
             self._announced_at_s[entry.incarnation] = now_s
             self._to_resend.pop(entry.incarnation, None)
@@ -100,7 +100,7 @@
 
     def _queue_limit(self, replica: RelayReplica, change: LimitChange) -> None:
         if change is LimitChange.NOTHING:
-            self._to_resend[replica.order_hash] = replica
+            self._to_resend[replica.incarnation_hash] = replica
         else:
             self._enqueue(replica, RESEND_COUNT if change is LimitChange.ENDED else 0)
 
@@ -110,10 +110,10 @@
             self._enqueue(replica, RESEND_COUNT)
 
     def _enqueue(self, replica: RelayReplica, resends: int) -> None:
-        self._resends_left[replica.order_hash] = resends
+        self._resends_left[replica.incarnation_hash] = resends
         if not self._pending:
             self._call_later(BATCH_WINDOW_S, self._flush)
-        self._pending[replica.order_hash] = replica
+        self._pending[replica.incarnation_hash] = replica
 
     # Sending
 
@@ -145,7 +145,7 @@
             )
             self._peers.broadcast(ReplicaNotices(self._state.settings.node_id, entries))
         for replica in replicas:
-            key = replica.order_hash
+            key = replica.incarnation_hash
             self._announced_at_s[key] = self._state.clock()
             remaining = self._resends_left.pop(key, 0)
             if remaining:
@@ -160,7 +160,7 @@
             age_ms = max(0, int((now_s - notice.limit.received_at_s) * 1000))
             limit = LimitEntry(notice.limit.per_s, age_ms)
         backoff_ms = max(0, int((notice.reported_backoff_until_s - now_s) * 1000))
-        return ReplicaNoticeEntry(replica.order_hash, notice.draining, backoff_ms, limit)
+        return ReplicaNoticeEntry(replica.incarnation_hash, notice.draining, backoff_ms, limit)
 
 
 def _resend_interval_s(replica: RelayReplica) -> float:
--- a/winchfork/router/notice_registry.py
+++ b/winchfork/router/notice_registry.py
@@ -64,7 +64,7 @@
                 log_event("notice_unknown", "WARNING", replica=replica.replica_id, header=name)
         change = state.fleet.record_notice(replica, notice, now_s, state.generator.random())
         if change is not NoticeChange.NOTHING:
-            self._peer_reports.forget(replica.order_hash)
+            self._peer_reports.forget(replica.incarnation_hash)
             self._log(replica, notice, change)
             self.on_notice_received(replica)
         listed = state.fleet.get(replica.replica_id)
@@ -77,8 +77,12 @@
         """Apply a notice that a peer has received from a replica."""
         now_s = self._state.clock()
         service = self._state.fleet.of_service(replica.listing.service)
-        accepted = {item.order_hash for item in service if item.notice.available_in_s(now_s) > 0.0}
-        if not self._peer_reports.accept(replica.order_hash, sender_id, accepted, len(service)):
+        accepted = {
+            item.incarnation_hash for item in service if item.notice.available_in_s(now_s) > 0.0
+        }
+        if not self._peer_reports.accept(
+            replica.incarnation_hash, sender_id, accepted, len(service)
+        ):
             return
         if replica.notice.apply_peer_pause(report, now_s):
             log_event(
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -77,7 +77,7 @@
         lambda message: state.record_failure_report(message.replica_hash, message.sender_id),
     )
     state.on_ejected = lambda replica: peers.broadcast(
-        FailureReport(state.settings.node_id, replica.order_hash)
+        FailureReport(state.settings.node_id, replica.incarnation_hash)
     )
     state.on_work_sent = work.send_soon
     peers.register_handler(VersionEvidence, evidence.handle_evidence)
--- a/winchfork/router/replica_probes.py
+++ b/winchfork/router/replica_probes.py
@@ -26,16 +26,16 @@
 
     def schedule(self, replica: RelayReplica) -> None:
         """Schedule a probe of this incarnation, unless one is scheduled."""
-        if replica.order_hash in self._scheduled:
+        if replica.incarnation_hash in self._scheduled:
             return
-        self._scheduled.add(replica.order_hash)
+        self._scheduled.add(replica.incarnation_hash)
         task = asyncio.get_running_loop().create_task(self._probe(replica))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _probe(self, replica: RelayReplica) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
-        self._scheduled.discard(replica.order_hash)
+        self._scheduled.discard(replica.incarnation_hash)
         started_at_s = self._state.clock()
         address = replica.listing.address
         limit = self._state.connection_limit(replica.listing.service)
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -265,9 +265,9 @@
         if not rule.trial_replicas:
             return found
         listed = _of_version(self._fleet.of_service(service), rule.preferred)
-        hashes = [replica.order_hash for replica in listed if replica.accepting]
+        hashes = [replica.incarnation_hash for replica in listed if replica.accepting]
         chosen = select_trial_replicas(hashes, rule.trial_replicas)
-        return [replica for replica in found if replica.order_hash in chosen]
+        return [replica for replica in found if replica.incarnation_hash in chosen]
 
     # Stopping
 
@@ -320,7 +320,7 @@
         is_new = replica.listing.software == state.target
         if not is_new and replica.listing.software != state.in_force:
             return
-        counted_as = replica.order_hash if is_new else OLD_VERSION
+        counted_as = replica.incarnation_hash if is_new else OLD_VERSION
         ratio = took_s / max(expected_s, 1e-3)
         if self.answers[service].record(counted_as, member_hash(route), ratio, failed=failed):
             self.on_bad_answer()
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -191,9 +191,9 @@
 
     def record_cached_parts(self, replica: RelayReplica, keys: list[int]) -> None:
         """Record parts that a replica has cached while it served this daemon."""
-        new_keys = self.parts.record_cached(keys, replica.order_hash, self.clock())
+        new_keys = self.parts.record_cached(keys, replica.incarnation_hash, self.clock())
         if new_keys:
-            self.cached_parts_backlog.add(replica.order_hash, new_keys)
+            self.cached_parts_backlog.add(replica.incarnation_hash, new_keys)
 
     def record_peer_cached_parts(self, replica_hash: int, keys: tuple[int, ...]) -> None:
         """Record parts that a replica has cached while it served another daemon."""
@@ -251,7 +251,9 @@
         """Record a replica's failure; log if the replica is now ejected for a while."""
         now_s = self.clock()
         if certain:
-            self.zone_reachability.record_failure(replica.listing.zone, replica.order_hash, now_s)
+            self.zone_reachability.record_failure(
+                replica.listing.zone, replica.incarnation_hash, now_s
+            )
         if replica.record_failure(now_s, certain=certain):
             log_event(
                 "replica_ejected",
@@ -266,7 +268,7 @@
         """Record that a peer has ejected a replica; log if it is now ejected here as well."""
         now_s = self.clock()
         for replica in self.fleet.replicas():
-            if replica.order_hash != replica_hash:
+            if replica.incarnation_hash != replica_hash:
                 continue
             self.zone_reachability.record_failure(replica.listing.zone, replica_hash, now_s)
             if replica.record_failure_report(reporter, now_s):
--- a/winchfork/router/weights_announcer.py
+++ b/winchfork/router/weights_announcer.py
@@ -46,10 +46,10 @@
         """Hold new work back from a replica; no-op while more than half of its hold remains."""
         now_s = self._clock()
         hold_s = ORDERED_HOLD_S if has_order else HOLD_S
-        remaining_s = self._held_until_s.get(replica.order_hash, 0.0) - now_s
+        remaining_s = self._held_until_s.get(replica.incarnation_hash, 0.0) - now_s
         if remaining_s > hold_s / 2:
             return
-        self._held_until_s[replica.order_hash] = now_s + hold_s
+        self._held_until_s[replica.incarnation_hash] = now_s + hold_s
         renewal = remaining_s > RENEWAL_BATCH_WINDOW_S
         self._enqueue(
             replica,
@@ -62,7 +62,7 @@
 
     def release(self, replica: RelayReplica, model: str, fence: int) -> None:
         """End a hold and announce the replica's version."""
-        self._held_until_s.pop(replica.order_hash, None)
+        self._held_until_s.pop(replica.incarnation_hash, None)
         self._enqueue(replica, model, fence, 0.0, 0.0, BATCH_WINDOW_S)
 
     def prepare(self, replica: RelayReplica, model: str, fence: int) -> None:
@@ -92,9 +92,9 @@
         if fence != self._fence:
             self.flush()
             self._fence = fence
-        self._pending[replica.order_hash] = WeightsEntry(
+        self._pending[replica.incarnation_hash] = WeightsEntry(
             replica.replica_id,
-            replica.order_hash,
+            replica.incarnation_hash,
             model,
             replica.versions.get(model, 0),
             int(held_s * 1000),
--- a/winchfork/router/weights_exchange.py
+++ b/winchfork/router/weights_exchange.py
@@ -29,7 +29,7 @@
         self._state.weights_fence = message.fence
         for entry in message.entries:
             replica = self._state.fleet.get(entry.replica_id)
-            if replica is not None and replica.order_hash == entry.incarnation:
+            if replica is not None and replica.incarnation_hash == entry.incarnation:
                 self._apply(replica, entry, message)
 
     def _apply(self, replica: RelayReplica, entry: WeightsEntry, message: WeightsProgress) -> None:
--- a/winchfork/router/work_exchange.py
+++ b/winchfork/router/work_exchange.py
@@ -136,7 +136,7 @@
     def _own_loads(self, now_s: float) -> tuple[ReplicaLoadEntry, ...]:
         return tuple(
             ReplicaLoadEntry(
-                replica.order_hash,
+                replica.incarnation_hash,
                 replica.in_flight,
                 replica.pending_prefill_tokens,
                 replica.memory_tokens,
@@ -293,8 +293,8 @@
             own = {entry.replica_hash: entry for entry in self._sent_loads} if received else {}
         totals = sum_loads(received)
         for replica in self._state.fleet.replicas():
-            work = totals.get(replica.order_hash, NO_WORK)
-            sent = own.get(replica.order_hash)
+            work = totals.get(replica.incarnation_hash, NO_WORK)
+            sent = own.get(replica.incarnation_hash)
             in_flight = work.in_flight - (sent.in_flight if sent else 0)
             prefill = work.pending_prefill_tokens - (sent.pending_prefill_tokens if sent else 0)
             memory = work.memory_tokens - (sent.memory_tokens if sent else 0)
