End a starting process at SIGTERM without an exception that can be lost

Cause: the handler of the time before the event loop raised SystemExit, which code that discards exceptions loses without a trace. The new test, a signal inside a block that discards all exceptions, fails before (no end within 20 s) and passes after. Why it works: os._exit raises nothing, and nothing is served or written yet that it could cut.

--- a/tests/test_early_stop.py
+++ b/tests/test_early_stop.py
@@ -24,6 +24,20 @@
 """
 
 
+#: A program that gets SIGTERM in code that discards all exceptions, as some imported modules do.
+_DISCARDING_PROGRAM = """
+import os, signal
+import winchfork.early_stop
+try:
+    os.kill(os.getpid(), signal.SIGTERM)
+except BaseException:
+    pass
+signal.pause()
+"""
+#: Longest time in seconds until a program ends.
+_END_S = 20.0
+
+
 class HandlesSignalTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_process_handles_sigterm_once_the_first_router_module_is_imported(self) -> None:
         """The soak must not stop a process that cannot handle SIGTERM yet."""
@@ -50,3 +64,14 @@
             sys.executable, "-c", _PROGRAM, cwd=_ROOT, env=dict(os.environ)
         )
         self.assertEqual(await process.wait(), 0)
+
+    async def test_a_stop_is_not_lost_in_code_that_discards_exceptions(self) -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", _DISCARDING_PROGRAM, cwd=_ROOT, env=dict(os.environ)
+        )
+        try:
+            self.assertEqual(await asyncio.wait_for(process.wait(), _END_S), 0)
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
--- a/winchfork/early_stop.py
+++ b/winchfork/early_stop.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
+import os
 import signal
-import sys
 from types import FrameType
 
 from winchfork.boot_clock import boot_seconds
@@ -17,7 +17,8 @@
 
 
 def _exit(number: int, frame: FrameType | None) -> None:
-    sys.exit(0)
+    # SystemExit may be discarded by the code that is running, and the stop with it.
+    os._exit(0)
 
 
 signal.signal(signal.SIGTERM, _exit)
