Count a restarted replica as connected while its former connections would be open

Whoever was connected kept the work, and nobody tried the other one. Why it works: a restart costs a replica no more than its cache. Once it has answered, its connections are open or not as any other's, and 12 s after the last answer of the former incarnation nothing is assumed any more, so replicas that a daemon did not use cost a connection as before. The unit test needs what is new here, so it could not run before.

--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from winchfork.constants import IDLE_CONNECTION_TIMEOUT_S
 from winchfork.core.relay_fleet import IncarnationChange, IncarnationChangeCause, RelayFleet
 from winchfork.core.relay_replica import IncarnationState, RelayReplica, ReplicaListing
 
@@ -188,6 +189,20 @@
         self.assertIs(replica(fleet, "i"), known)
         self.assertEqual((known.listing.started_at_ms, known.listing.accepting), (2_000, False))
 
+    def test_a_restart_does_not_cost_a_replica_the_connections_that_it_had(self) -> None:
+        """Guards against a replica that is left idle because another one is connected."""
+        fleet = fleet_of(listing("i", started_at_ms=1_000), listing("j"))
+        replica(fleet, "i").record_success(0.1, 100.0)
+        fleet.remove("i")
+        fleet.install(listing("i", started_at_ms=2_000))
+        restarted = replica(fleet, "i")
+        open_until_s = 100.0 + IDLE_CONNECTION_TIMEOUT_S
+        self.assertTrue(restarted.replaces_connected(open_until_s - 0.1))
+        self.assertFalse(restarted.replaces_connected(open_until_s))
+        self.assertFalse(replica(fleet, "j").replaces_connected(101.0))
+        restarted.record_success(0.1, 101.0)
+        self.assertFalse(restarted.replaces_connected(101.0))
+
     def test_incarnations_of_one_id_have_different_hashes(self) -> None:
         hashes = {listing("i", started_at_ms=at_ms).incarnation for at_ms in (0, 1_000, 2_000)}
         self.assertEqual(len(hashes), 3)
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -50,6 +50,7 @@
     replica_id: str
     recency: int
     notice: ReplicaNotice
+    answered_at_s: float
 
 
 class RelayFleet:
@@ -81,6 +82,9 @@
             removed = self._removed.pop(listing.incarnation, None)
             known.recency = removed.recency if removed else self._next_recency()
             known.notice = removed.notice if removed else known.notice
+            former = removed or self._last_removed(listing.replica_id)
+            if former is not None:
+                known.former_answered_at_s = former.answered_at_s
             self._replicas[listing.replica_id] = known
         else:
             # An entry without a start time belongs to the known incarnation.
@@ -103,7 +107,10 @@
 
     def _retain(self, removed: RelayReplica) -> None:
         self._removed[removed.incarnation_hash] = _RemovedReplica(
-            removed.replica_id, removed.recency, removed.notice
+            removed.replica_id,
+            removed.recency,
+            removed.notice,
+            removed.latency_at_s or removed.former_answered_at_s,
         )
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
@@ -125,11 +132,13 @@
 
     def previous_notice(self, replica: RelayReplica) -> ReplicaNotice | None:
         """Return the notice of the most recently removed incarnation with the replica's id."""
-        newest_first = (removed for removed in reversed(self._removed.values()))
-        same_id = (removed for removed in newest_first if removed.replica_id == replica.replica_id)
-        previous = next(same_id, None)
+        previous = self._last_removed(replica.replica_id)
         return previous.notice if previous is not None else None
 
+    def _last_removed(self, replica_id: str) -> _RemovedReplica | None:
+        newest_first = reversed(self._removed.values())
+        return next((item for item in newest_first if item.replica_id == replica_id), None)
+
     # Incarnation states
 
     def record_answer(self, replica: RelayReplica) -> None:
