--- a/winchfork/core/crash_history.py
+++ b/winchfork/core/crash_history.py
@@ -66,10 +66,9 @@
 
     def record_crash(self, digest: bytes, incarnation: int, now_s: float) -> bool:
         """Record that an incarnation crashed under a request; False if that was known."""
-        known = self._live_suspicion(digest, now_s)
-        if known is not None and incarnation in known.incarnations:
+        before = self.crashed_incarnations(digest, now_s)
+        if incarnation in before:
             return False
-        before = known.incarnations if known is not None else ()
         suspicion = _Suspicion((*before, incarnation)[-CRASHES_TO_REFUSE:], now_s)
         _put_last(self._suspicions, digest, suspicion, self._max_suspects)
         return True
@@ -82,13 +81,16 @@
         """
         if digest in self._refusals:
             return CRASHES_TO_REFUSE
+        return len(self.crashed_incarnations(digest, now_s))
+
+    def crashed_incarnations(self, digest: bytes, now_s: float) -> tuple[int, ...]:
+        """Return the incarnations that have crashed under a request since its last success."""
         known = self._live_suspicion(digest, now_s)
-        return len(known.incarnations) if known is not None else 0
+        return known.incarnations if known is not None else ()
 
     def has_crash(self, digest: bytes, incarnation: int, now_s: float) -> bool:
         """Whether the crash of this incarnation still counts against a request."""
-        known = self._live_suspicion(digest, now_s)
-        return known is not None and incarnation in known.incarnations
+        return incarnation in self.crashed_incarnations(digest, now_s)
 
     def record_success(self, digest: bytes, now_s: float) -> None:
         """Record that a run of a request has succeeded."""
--- a/winchfork/router/crash_tracker.py
+++ b/winchfork/router/crash_tracker.py
@@ -170,6 +170,7 @@
             "WARNING",
             replica=replica.replica_id,
             born_ms=replica.listing.started_at_ms or None,
+            incarnation=f"{incarnation:016x}",
             evidence=evidence.value,
             announced=was_announced,
             requests=len(digests),
@@ -246,7 +247,15 @@
     def _refuse(self, digest: bytes, *, own: bool) -> None:
         times = self.history.times_refused(digest) + 1
         for_s = self.history.refusal_s(times)
-        log_event("digest_refused", "WARNING", digest=digest.hex(), times=times, for_s=for_s)
+        incarnations = self.history.crashed_incarnations(digest, self._clock())
+        log_event(
+            "digest_refused",
+            "WARNING",
+            digest=digest.hex(),
+            times=times,
+            for_s=for_s,
+            incarnations=",".join(f"{incarnation:016x}" for incarnation in incarnations),
+        )
         self.history.refuse(digest, times, self._clock() + for_s)
         self.on_record_changed(digest, own=own)
 
