Start no waiting request on runners that were shut down

Cause: stop() shut the runners down while the thread that starts requests was in the middle of a pass. Evidence: test_waiting_work, which stops in the middle of a pass, fails before and passes after. Why it works: the thread that submits to the runners shuts them down, once its loop has ended.

--- a/winchfork/cluster/waiting_work.py
+++ b/winchfork/cluster/waiting_work.py
@@ -144,6 +144,13 @@
 
     def run(self) -> None:
         """Store and run requests, and keep the lease, until stopped; the body of one thread."""
+        try:
+            self._work_until_stopped()
+        finally:
+            # Only this thread starts requests, so none is started on runners that were shut down.
+            self._runners.shutdown(wait=False, cancel_futures=True)
+
+    def _work_until_stopped(self) -> None:
         next_renewal_s = next_record_s = 0.0
         while not self._stopping.wait(GROUP_COMMIT_S):
             try:
@@ -167,7 +174,6 @@
     def stop(self) -> None:
         """Stop; other daemons take over the unanswered requests when the lease expires."""
         self._stopping.set()
-        self._runners.shutdown(wait=False, cancel_futures=True)
 
     def _should_retry(self) -> bool:
         """Wait shortly before a retry of a write; False when stopping or past the deadline."""
