Say whether a replica was connected before its restart

Found on reading the change: replaces_connected had to be read twice. Names and a docstring only; the tests of the two modules pass (Ran 44 tests).

--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -197,11 +197,11 @@
         fleet.install(listing("i", started_at_ms=2_000))
         restarted = replica(fleet, "i")
         open_until_s = 100.0 + IDLE_CONNECTION_TIMEOUT_S
-        self.assertTrue(restarted.replaces_connected(open_until_s - 0.1))
-        self.assertFalse(restarted.replaces_connected(open_until_s))
-        self.assertFalse(replica(fleet, "j").replaces_connected(101.0))
+        self.assertTrue(restarted.was_connected_before_restart(open_until_s - 0.1))
+        self.assertFalse(restarted.was_connected_before_restart(open_until_s))
+        self.assertFalse(replica(fleet, "j").was_connected_before_restart(101.0))
         restarted.record_success(0.1, 101.0)
-        self.assertFalse(restarted.replaces_connected(101.0))
+        self.assertFalse(restarted.was_connected_before_restart(101.0))
 
     def test_incarnations_of_one_id_have_different_hashes(self) -> None:
         hashes = {listing("i", started_at_ms=at_ms).incarnation for at_ms in (0, 1_000, 2_000)}
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -202,10 +202,10 @@
         """When the last request of any daemon is expected to end."""
         return max(self.own_busy_until_s, self.peer_busy_until_s)
 
-    def replaces_connected(self, now_s: float) -> bool:
-        """Whether a connection would still be open, had its former incarnation not ended.
+    def was_connected_before_restart(self, now_s: float) -> bool:
+        """Whether connections to its former incarnation would still be open, had it not ended.
 
-        False once it has answered itself.
+        False once this incarnation has answered: its own connections count from then on.
         """
         if self.latency_at_s:
             return False
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -64,7 +64,7 @@
             replica.incarnation_hash
             for replica in candidates
             if self._state.is_connected(replica.listing.address)
-            or replica.replaces_connected(now_s)
+            or replica.was_connected_before_restart(now_s)
         )
         if self._prompt is None:
             task = TaskPlacementRequest(
