--- a/benchmarks/replica_limits.py
+++ b/benchmarks/replica_limits.py
@@ -1,9 +1,10 @@
 """Measures requests to replicas that announce a request limit in their answers, on loopback.
 
-    python -m benchmarks.replica_limits [--seed N] [--play NAME] [--routers N]
+    python -m benchmarks.replica_limits [--seed N] [--play NAME] [--routers N] [--streams N]
 
-Three or more routers serve 31 streams a second of 23 prompt families with four model replicas for
-24 s; three of the 31 are of an urgent tenant. From second 4 to 18 the busiest replicas announce a
+Routers, three unless ``--routers`` says otherwise, serve 31 streams a second of 23 prompt families
+with four model replicas for 24 s; three a second are of an urgent tenant, ``--streams`` sets the
+rate of the others. From second 4 to 18 the busiest replicas announce a
 limit. Scenarios: `one`, `two` and `all` replicas; `scarce`, all of them, for less than half of the
 demand; `zero`, one that accepts no requests; `wide`, one, with fifteen routers. In `restarted`,
 `restarted-3`, `restarted-zero` and `restarted-free` one replica announces 0.5, 3, 0 and 1,000
@@ -12,9 +13,8 @@
 Printed for each scenario: the requests in the worst window of 4 s and the number allowed in it; the
 share of the limit used between seconds 8 and 18, or from second 11 after a restart; the maximum
 requests in one second before and after the limit; the requests in the 5 s from second 19 on; and
-the callers' outcomes. Windows count requests from 3 s after the first answer
-that announced the limit, and only those of routers that had received such an answer at least 0.5 s
-before.
+the callers' outcomes. Windows count requests from 3 s after the first answer that announced the
+limit, and only those of routers that had received such an answer at least 0.5 s before.
 """
 
 from __future__ import annotations
@@ -74,8 +74,11 @@
 class LimitScenarioRun:
     """One run of a scenario with one seed."""
 
-    def __init__(self, scenario: Scenario, seed: int, routers: int) -> None:
+    def __init__(
+        self, scenario: Scenario, seed: int, routers: int, streams_per_s: float = STREAMS_PER_S
+    ) -> None:
         self._scenario = scenario
+        self._streams_per_s = streams_per_s
         self._deployment = LoopbackDeployment(scenario.routers or routers)
         self._callers = StreamCallers(self._deployment, scenario.routers or routers, seed)
         self._limited: list[ReplicaServer] = []
@@ -88,7 +91,7 @@
         self._deployment.allow_retries()
         self._started_s = asyncio.get_running_loop().time()
         await asyncio.gather(
-            self._callers.send(STREAMS_PER_S, SECONDS),
+            self._callers.send(self._streams_per_s, SECONDS),
             self._callers.send(URGENT_PER_S, SECONDS, URGENT_API_KEY),
             self._announce_limits(),
         )
@@ -159,13 +162,15 @@
     parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
     parser.add_argument("--seed", type=int, default=31)
     parser.add_argument("--routers", type=int, default=3)
+    parser.add_argument("--streams", type=float, default=STREAMS_PER_S)
     parser.add_argument("--play", choices=list(SCENARIOS), action="append")
     arguments = parser.parse_args()
     configure_logs("error")
     for name in arguments.play or SCENARIOS:
-        line = asyncio.run(
-            LimitScenarioRun(SCENARIOS[name], arguments.seed, arguments.routers).run()
+        run = LimitScenarioRun(
+            SCENARIOS[name], arguments.seed, arguments.routers, arguments.streams
         )
+        line = asyncio.run(run.run())
         print(f"{name} seed={arguments.seed}: {line}", flush=True)
 
 
