Count a restarted replica as connected however long its restart took

Why it works: a connection is assumed once for each restart, until the first answer, by daemons that the former incarnation had answered.

--- a/winchfork/constants.py
+++ b/winchfork/constants.py
@@ -20,8 +20,6 @@
 # Back-end client.
 CONNECT_TIMEOUT_S: Final = 1.0
 ENGINE_IDLE_TIMEOUT_S: Final = 10.0
-#: How long an idle connection to a replica is kept open.
-IDLE_CONNECTION_TIMEOUT_S: Final = 12.0
 MAX_PLACEMENTS_PER_REQUEST: Final = 6
 AVOID_AFTER_FAILURE_S: Final = 1.0
 RETRY_BUDGET_RATIO: Final = 0.05
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -50,7 +50,7 @@
     replica_id: str
     recency: int
     notice: ReplicaNotice
-    answered_at_s: float
+    has_answered: bool
 
 
 class RelayFleet:
@@ -84,7 +84,7 @@
             known.notice = removed.notice if removed else known.notice
             former = removed or self._last_removed(listing.replica_id)
             if former is not None:
-                known.former_answered_at_s = former.answered_at_s
+                known.answered_before_restart = former.has_answered
             self._replicas[listing.replica_id] = known
         else:
             # An entry without a start time belongs to the known incarnation.
@@ -110,7 +110,7 @@
             removed.replica_id,
             removed.recency,
             removed.notice,
-            removed.latency_at_s or removed.former_answered_at_s,
+            bool(removed.latency_at_s) or removed.answered_before_restart,
         )
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -3,18 +3,16 @@
 The listing comes from the platform and is replaced by
 :class:`winchfork.core.relay_fleet.RelayFleet`. Everything else is measured or received by this
 daemon: requests in flight, latency, failures, weights versions. Id and start time together identify
-one incarnation. Of a former incarnation with the same id only the time of its last answer is known.
+one incarnation. Of a former incarnation with the same id it is only known whether it has answered.
 """
 
 from __future__ import annotations
 
 import enum
-import math
 from collections.abc import Mapping
 
 import msgspec
 
-from winchfork.constants import IDLE_CONNECTION_TIMEOUT_S
 from winchfork.core.rendezvous import member_hash
 from winchfork.core.replica_notice import ReplicaNotice
 
@@ -109,8 +107,8 @@
     #: The hash of its id, which orders the replicas for placement. It outlasts a restart, so that
     #: the replica and the prompt families keep their places.
     placement_hash: int = 0
-    #: When a former incarnation with its id last answered.
-    former_answered_at_s: float = -math.inf
+    #: Whether a former incarnation with its id has answered this daemon.
+    answered_before_restart: bool = False
     _expected_ends_s: dict[int, float] = msgspec.field(default_factory=dict)
     _failure_reported_at_s: dict[str, float] = msgspec.field(default_factory=dict)
 
@@ -202,14 +200,13 @@
         """When the last request of any daemon is expected to end."""
         return max(self.own_busy_until_s, self.peer_busy_until_s)
 
-    def was_connected_before_restart(self, now_s: float) -> bool:
-        """Whether connections to its former incarnation would still be open, had it not ended.
+    @property
+    def counts_as_connected(self) -> bool:
+        """Whether it has restarted since it answered this daemon, and has not answered since.
 
-        False once this incarnation has answered: its own connections count from then on.
+        Its connections ended with its former incarnation, which is no reason to prefer others.
         """
-        if self.latency_at_s:
-            return False
-        return now_s - self.former_answered_at_s < IDLE_CONNECTION_TIMEOUT_S
+        return self.answered_before_restart and not self.latency_at_s
 
     def record_success(self, latency_s: float, now_s: float) -> None:
         """Record a successful answer and its latency; resets failures and ejections in a row."""
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -63,8 +63,7 @@
         connected = frozenset(
             replica.incarnation_hash
             for replica in candidates
-            if self._state.is_connected(replica.listing.address)
-            or replica.was_connected_before_restart(now_s)
+            if replica.counts_as_connected or self._state.is_connected(replica.listing.address)
         )
         if self._prompt is None:
             task = TaskPlacementRequest(
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from winchfork.constants import IDLE_CONNECTION_TIMEOUT_S
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.replica_connection import ReplicaConnection
 
@@ -17,6 +16,8 @@
 CONNECT_TIMEOUT_S = 0.6
 #: Seconds that the connect timeout may fire late; beyond that, a stall of the process is assumed.
 STALL_THRESHOLD_S = 0.3
+#: Seconds after which an idle connection is closed.
+IDLE_TIMEOUT_S = 12.0
 
 
 class PoolCounters(msgspec.Struct):
@@ -133,7 +134,7 @@
         for address in list(self._idle):
             usable: list[ReplicaConnection] = []
             for connection in self._idle[address]:
-                fresh = now_s - connection.idle_since_s < IDLE_CONNECTION_TIMEOUT_S
+                fresh = now_s - connection.idle_since_s < IDLE_TIMEOUT_S
                 if fresh and connection.is_usable(now_s):
                     usable.append(connection)
                 else:
