Keep exact dates of versions where a report or reply is read late

Evidence: weights_dated in the log of, front-bhaktapur-hall-1 at 15.12 (0.235 s ago) and 21.15 (9.53 s ago) for version 4; which peer replied is not logged, front-thamel-hall-1 had stood still from 16 to 19. Both new tests fail before (-2.7 s; a reply 0.6 s late is adopted) and pass after. Why it works: an exact date is the earliest possible already, so only a report that is younger when it is read can say more; an unknown version is still dated from the start of the process. A reply counts for 0.5 s, another query follows.

--- a/tests/test_late_peer_messages.py
+++ b/tests/test_late_peer_messages.py
@@ -21,7 +21,7 @@
     VersionAges,
 )
 from winchfork.router.peer_messenger import PeerMessenger
-from winchfork.router.version_age_exchange import VersionAgeExchange
+from winchfork.router.version_age_exchange import MAX_REPLY_S, VersionAgeExchange
 
 
 class LateVersionAgesTest(unittest.TestCase):
@@ -88,6 +88,43 @@
 
         self.assertEqual(run_virtually(scenario()), (0.5, True))
 
+    def test_a_report_that_is_read_after_a_stall_does_not_lower_an_exact_date(self) -> None:
+        """Guards against dates that get earlier with each stall, and are passed on as exact."""
+
+        async def scenario() -> float:
+            relay = RelayUnderTest()
+            state = relay.state
+            state.stall_detector.tick(state.clock())
+            named_s = state.clock() - 1.0
+            history = state.weights_versions["m"] = VersionHistory()
+            history.add(4, named_s)
+            stall_loop(2.7)
+            state.stall_detector.tick(state.clock())
+            exchange = VersionAgeExchange(state, mock.Mock())
+            exchange.handle_report(VersionAges((VersionAgeEntry("m", 4, 3700),)))
+            return history.versions[0].published_at_s - named_s
+
+        self.assertAlmostEqual(run_virtually(scenario()), 0.0)
+
+    def test_a_reply_that_is_read_late_is_dropped(self) -> None:
+        """It would date a version much too early; another query follows."""
+
+        async def scenario() -> bool:
+            relay = RelayUnderTest()
+            state = relay.state
+            history = state.weights_versions["m"] = VersionHistory()
+            history.add(4, state.clock() - 5.0, assumed=True)
+            peers = mock.Mock()
+            peers.view.is_full_mesh, peers.view.others = True, ()
+            exchange = VersionAgeExchange(state, peers)
+            exchange.tick(state.clock())
+            nonce = peers.send_each.call_args_list[-1].args[1].nonce
+            stall_loop(MAX_REPLY_S + 0.1)
+            exchange.handle_reply(VersionAgeReply(nonce, (VersionAgeEntry("m", 4, 500),)))
+            return history.versions[0].assumed
+
+        self.assertTrue(run_virtually(scenario()))
+
     def test_replies_to_unknown_queries_are_dropped(self) -> None:
         relay = run_virtually(self._read_reply_to_nothing())
         self.assertEqual(relay.state.weights_versions, {})
--- a/winchfork/router/version_age_exchange.py
+++ b/winchfork/router/version_age_exchange.py
@@ -28,6 +28,8 @@
 #: First and longest interval between queries, in seconds; it doubles each time.
 INITIAL_QUERY_INTERVAL_S = 0.2
 MAX_QUERY_INTERVAL_S = 2.0
+#: Longest time in seconds from a query to its reply; a later one would date versions too early.
+MAX_REPLY_S = 0.5
 #: Bounds the table of queries whose replies are accepted.
 MAX_OPEN_QUERIES = 8
 _NONCE_BITS = 32
@@ -76,12 +78,12 @@
             self._peers.send_each(new_members, VersionAges(entries))
 
     def handle_report(self, message: VersionAges) -> None:
-        """Apply a peer's report, of which it is only known that it was sent to this process."""
-        arrived_s = self._earliest_arrival_s()
+        """Apply a peer's report, which was sent at any time since this process started."""
+        now_s = self._state.clock()
         for entry in message.entries:
             age_s = entry.age_ms / 1000.0
             self._history(entry.model).narrow_published_at(
-                entry.version, self._state.started_at_s - age_s, arrived_s - age_s
+                entry.version, self._state.started_at_s - age_s, now_s - age_s
             )
 
     # Queries
@@ -123,13 +125,13 @@
 
     def handle_reply(self, message: VersionAgeReply) -> None:
         """Adopt the ages of a reply, which are as of the query or later."""
+        now_s = self._state.clock()
         queried_at_s = self._queried_at_s.get(message.nonce)
-        if queried_at_s is None:
+        if queried_at_s is None or now_s - queried_at_s > MAX_REPLY_S:
             return
         for entry in message.entries:
             published_at_s = queried_at_s - entry.age_ms / 1000.0
             if self._history(entry.model).update_published_at(entry.version, published_at_s):
-                now_s = self._state.clock()
                 log_event(
                     "weights_dated",
                     model=entry.model,
@@ -151,6 +153,3 @@
 
     def _history(self, model: str) -> VersionHistory:
         return self._state.weights_versions.setdefault(model, VersionHistory())
-
-    def _earliest_arrival_s(self) -> float:
-        return self._state.stall_detector.earliest_arrival_s(self._state.clock())
