Test of the route's timeout: let a busy machine send the request first

Traced: the route's timeout of 0.1 s counts from the first byte of the request. So the test asserted the machine's speed. Change: 2 s, and the replica has to have received exactly one request, which the test did not say; 504 and the closed connection as before.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -207,9 +207,11 @@
 
     async def test_the_route_timeout_ends_a_request_that_may_have_run(self) -> None:
         replica = ScriptedReplica(never_answering)
-        relay = await self.relay(replica, kind=RouteKind.UNSAFE, timeout_s=0.1)
+        # Long enough for a busy machine to send the request before.
+        relay = await self.relay(replica, kind=RouteKind.UNSAFE, timeout_s=2.0)
         answer = await relay.ask(method="POST")
         self.assertEqual(answer.status, 504)
+        self.assertEqual(len(replica.received), 1)
         await asyncio.wait_for(replica.closed_by_router.wait(), 10.0)
 
     async def test_without_a_replica_the_refusal_has_a_retry_after(self) -> None:
