--- a/tests/test_log_explanation.py
+++ b/tests/test_log_explanation.py
@@ -74,6 +74,12 @@
             "retried: it was sent to as many replicas as its route allows; replica answered 503",
         )
 
+    def test_an_answer_that_was_cut_short_is_told_from_a_refusal(self) -> None:
+        cut = {"id": "cut", "outcome": "overloaded", "truncated_by": "router"}
+        explanation = explained("cut", ("n1", [line(21.0, "request_done", **cut)]))
+        assert explanation is not None
+        self.assertTrue(explanation.meaning.endswith("the answer was cut short by the router"))
+
     def test_events_of_other_daemons_are_left_out(self) -> None:
         elsewhere = [line(20.9, "replica_ejected", replica="i-1"), line(20.9, "store_lost")]
         explanation = explained("asked", ("n1", LINES), ("n2", elsewhere))
--- a/tests/test_router_metrics.py
+++ b/tests/test_router_metrics.py
@@ -14,6 +14,7 @@
         router_metrics.requests.labels("delivered_200").inc()
         router_metrics.requests.labels("delivered_200").inc()
         router_metrics.requests.labels("overloaded").inc()
+        router_metrics.truncated_answers.labels("router").inc()
         router_metrics.request_seconds.labels("stream").observe(0.3)
         router_metrics.first_event_seconds.observe(0.03)
         router_metrics.first_event_seconds.observe(99.0)
@@ -30,6 +31,7 @@
         for line in (
             'winchfork_requests_total{outcome="delivered_200"} 2.0',
             'winchfork_requests_total{outcome="overloaded"} 1.0',
+            'winchfork_truncated_answers_total{by="router"} 1.0',
             'winchfork_request_seconds_bucket{kind="stream",le="0.2"} 0.0',
             'winchfork_request_seconds_bucket{kind="stream",le="0.4"} 1.0',
             'winchfork_request_seconds_bucket{kind="stream",le="+Inf"} 1.0',
--- /dev/null
+++ b/tests/test_truncated_answers.py
@@ -0,0 +1,98 @@
+"""The lines on attempts without a whole answer, and on answers that were broken off."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.relay_case import RelayTestCase
+from tests.relay_support import (
+    ReceivedRequest,
+    RelayUnderTest,
+    ScriptedReplica,
+    answering,
+    caller_request,
+    chunk,
+    event,
+    never_answering,
+    resetting,
+    signed,
+    stream_head,
+)
+from winchfork.cli.log_reading import LoggedEvent, read_events
+from winchfork.core.routing import RouteKind
+from winchfork.logs import configure_logs
+
+
+def begun(request: ReceivedRequest) -> bytes:
+    return stream_head(request) + chunk(event(1) + event(2))
+
+
+def refused(request: ReceivedRequest) -> bytes:
+    return signed(request, b"", "503 Full", "X-Not-Executed: true\r\n")
+
+
+class TruncatedAnswerLinesTest(RelayTestCase):
+    def setUp(self) -> None:
+        self.lines: list[str] = []
+        configure_logs("info", self.lines.append)
+        self.addCleanup(configure_logs, "error")
+
+    def logged(self, name: str) -> list[LoggedEvent]:
+        return [item for item in read_events("n1", self.lines) if item.name == name]
+
+    def assert_truncated_by(self, relay: RelayUnderTest, outcome: str, by: str) -> None:
+        (done,) = self.logged("request_done")
+        self.assertEqual(
+            (done.field("outcome"), done.field("truncated_by"), done.field("ran")),
+            (outcome, by, "unknown"),
+        )
+        self.assertEqual(relay.state.metrics.truncated_answers.labels(by).value, 1)
+
+    async def test_an_answer_cut_by_its_replica(self) -> None:
+        replica = ScriptedReplica(resetting(begun))
+        relay = await self.relay(replica, kind=RouteKind.STREAMING, max_attempts=1)
+        answer = await relay.ask(method="POST")
+        self.assertFalse(answer.whole)
+        self.assert_truncated_by(relay, "outcome_unknown", "replica")
+        (ended,) = self.logged("attempt_ended")
+        self.assertEqual((ended.field("ending"), ended.field("events")), ("may_have_run", "2"))
+
+    async def test_an_answer_cut_because_the_next_replica_refused(self) -> None:
+        replicas = [ScriptedReplica(resetting(begun)), ScriptedReplica(answering(refused))]
+        route = {"kind": RouteKind.STREAMING, "resumable": True}
+        relay = await self.relay(*replicas, **route)
+        answer = await relay.ask(method="POST")
+        self.assertFalse(answer.whole)
+        self.assert_truncated_by(relay, "overloaded", "router")
+        endings = [item.field("ending") for item in self.logged("attempt_ended")]
+        self.assertEqual(endings, ["may_have_run", "not_run"])
+
+    async def test_an_answer_cut_at_the_deadline(self) -> None:
+        relay = await self.relay(
+            ScriptedReplica(answering(begun)), kind=RouteKind.STREAMING, timeout_s=0.5
+        )
+        answer = await relay.ask(method="POST")
+        self.assertFalse(answer.whole)
+        self.assert_truncated_by(relay, "deadline_exceeded", "deadline")
+
+    async def test_an_answer_that_its_caller_left(self) -> None:
+        relay = await self.relay(ScriptedReplica(answering(begun)), kind=RouteKind.STREAMING)
+        reader, writer = await relay.connect()
+        writer.write(caller_request(method="POST"))
+        await reader.readuntil(b"piece-2")
+        writer.close()
+        while not self.logged("request_done"):
+            await asyncio.sleep(0.01)
+        self.assert_truncated_by(relay, "caller_left", "caller")
+
+    async def test_a_refusal_and_a_whole_answer_are_not_truncated(self) -> None:
+        replica = ScriptedReplica(
+            answering(lambda request: begun(request) + b"0\r\n\r\n"),
+            answering(refused),
+            never_answering,
+        )
+        relay = await self.relay(replica, kind=RouteKind.STREAMING, max_attempts=1, timeout_s=0.5)
+        statuses = [(await relay.ask(f"id-{number}", "POST")).status for number in range(3)]
+        self.assertEqual(statuses[:2], [200, 503])
+        fields = [done.field("truncated_by") for done in self.logged("request_done")]
+        self.assertEqual(fields, ["", "", ""])
--- a/winchfork/cli/log_explanation.py
+++ b/winchfork/cli/log_explanation.py
@@ -49,6 +49,13 @@
     "unauthenticated": "the API key is unknown, and the configuration is current",
     "stopping": "the daemon was shutting down",
 }
+#: Value of ``truncated_by`` -> what cut the answer short after it had begun.
+_TRUNCATIONS = {
+    "caller": "the answer was cut short: the caller closed its connection",
+    "deadline": "the answer was cut short at the deadline",
+    "replica": "the answer was cut short by its replica or the connection to it",
+    "router": "the answer was cut short by the router",
+}
 #: Value of ``repeat_denied`` -> why the request was not retried.
 _DENIALS = {
     "sends": "it was sent to as many replicas as its route allows",
@@ -104,6 +111,9 @@
     meaning = next(texts, outcome)
     denial = _DENIALS.get(last.field("repeat_denied"), "")
     parts = [meaning]
+    truncation = _TRUNCATIONS.get(last.field("truncated_by"))
+    if truncation is not None:
+        parts.append(truncation)
     if denial and not outcome.startswith("delivered"):
         parts.append(f"not retried: {denial}")
     if last.field("reason"):
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -131,6 +131,11 @@
         """Whether the first event of the stream has been received."""
         return self._prefill_done
 
+    @property
+    def events(self) -> int:
+        """How many whole events of the stream have been received."""
+        return self._stream.events if self._stream is not None else 0
+
     @property
     def silent_s(self) -> float:
         """Seconds since the last part of the answer was received, or since the request was sent."""
--- a/winchfork/router/caller_answer.py
+++ b/winchfork/router/caller_answer.py
@@ -23,6 +23,12 @@
         self.ended = False
         self.last_event_id: int | None = None
         self.events = 0
+        self._complete = False
+
+    @property
+    def truncated(self) -> bool:
+        """Whether the answer has begun and was not completed."""
+        return self.started and not self._complete
 
     def send_buffered(self, answer: BufferedAnswer) -> None:
         """Send a whole answer to the caller."""
@@ -30,7 +36,7 @@
         headers = [pair for pair in end_to_end(head.headers) if pair[0].lower() != _LENGTH]
         # An answer to HEAD keeps its Content-Length although it has no body.
         length = len(answer.body) if answer.body or head.length is None else head.length
-        self.started = self.ended = True
+        self.started = self.ended = self._complete = True
         self._connection.start_answer(head.status, head.reason, headers, length)
         if answer.body:
             self._connection.write_body(answer.body)
@@ -53,7 +59,7 @@
 
     def finish(self) -> None:
         """End a complete stream."""
-        self.ended = True
+        self.ended = self._complete = True
         self._connection.finish_answer()
 
     def abort(self) -> None:
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -124,6 +124,12 @@
             "winchfork_late_starts",
             "Streams whose first event came after the weights they run on had expired.",
         )
+        self.truncated_answers = LabelledMetric(
+            CounterChild,
+            "winchfork_truncated_answers",
+            "Answers that had begun and were not completed, by who broke them off.",
+            "by",
+        )
         self.updates_relayed = LabelledMetric(
             CounterChild,
             "winchfork_updates_relayed",
@@ -224,6 +230,7 @@
             yield CounterMetricFamily(counter.name, counter.description, value=counter.value)
         counters = (
             self.requests,
+            self.truncated_answers,
             self.calls,
             self.updates_relayed,
             self.updates_dropped,
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -133,7 +133,9 @@
             timer.cancel()
             if self._charge is not None and self._run_state() is RunState.NOT_RUN:
                 self._charge.refund()
-            self._record.log_done(self._run_state(), self._answer.events)
+            self._record.log_done(
+                self._run_state(), self._answer.events, truncated=self._answer.truncated
+            )
 
     @property
     def _request_id(self) -> str:
@@ -189,6 +191,7 @@
             outcome = await self.moves.run_attempt(attempt)
         finally:
             self._crashes.end_run(self._admitted.digest)
+        self._record.log_attempt_ended(attempt, outcome)
         self._newer_weights = self._outcome_recorder.record_outcome(plan, outcome, self._record)
         return outcome
 
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -9,11 +9,19 @@
 
 from winchfork.core.placement_request import RelayDecision
 from winchfork.core.routing import Route
-from winchfork.errors import RunState
+from winchfork.errors import FailureKind, RunState
 from winchfork.logs import log_event
-from winchfork.router.attempt import AttemptPlan
+from winchfork.router.attempt import Attempt, AttemptPlan
+from winchfork.router.outcomes import MayHaveRun, Moved, NotRun, Outcome, Stopped
 from winchfork.router.state import RouterState
 
+#: Outcome of a request -> who broke off its answer, if that had begun; any other: the router.
+_TRUNCATED_BY = {
+    FailureKind.CALLER_DISCONNECTED.value: "caller",
+    FailureKind.DEADLINE_EXCEEDED.value: "deadline",
+    FailureKind.OUTCOME_UNKNOWN.value: "replica",
+}
+
 
 class RequestRecord(msgspec.Struct):
     """Times and outcome of one request.
@@ -95,11 +103,33 @@
         )
         return None if math.isinf(expires_at_s) else expires_at_s - self.clock()
 
-    def log_done(self, ran: RunState, events: int) -> None:
-        """Log and count the outcome; ``events`` were sent to the caller."""
+    def log_attempt_ended(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Log the end of an attempt that delivered no whole answer."""
+        ending = _ending(outcome)
+        if ending is None:
+            return
+        log_event(
+            "attempt_ended",
+            id=self.request_id,
+            replica=attempt.replica.replica_id,
+            attempt=self.attempts,
+            ending=ending[0],
+            reason=ending[1] or None,
+            took_s=self.clock() - self.sent_at_s,
+            events=attempt.events or None,
+        )
+
+    def log_done(self, ran: RunState, events: int, *, truncated: bool) -> None:
+        """Log and count the outcome.
+
+        ``events`` were sent to the caller; ``truncated``: its answer began and was not completed.
+        """
         took_s = self.clock() - self.received_at_s
+        truncated_by = _TRUNCATED_BY.get(self.outcome, "router") if truncated else None
         metrics = self.state.metrics
         metrics.requests.labels(self.outcome).inc()
+        if truncated_by is not None:
+            metrics.truncated_answers.labels(truncated_by).inc()
         metrics.request_seconds.labels(self.route.kind.value).observe(took_s)
         if self.first_event_s is not None:
             metrics.first_event_seconds.observe(self.first_event_s)
@@ -114,6 +144,18 @@
             longest_gap_s=self.longest_gap_s or None,
             sends=self.attempts,
             events=events or None,
+            truncated_by=truncated_by,
             ran=ran.value,
             repeat_denied=self.retry_denied or None,
         )
+
+
+def _ending(outcome: Outcome) -> tuple[str, str] | None:
+    """Return how an attempt ended and why; None if it delivered a whole answer."""
+    if isinstance(outcome, NotRun):
+        return "not_run", outcome.reason
+    if isinstance(outcome, MayHaveRun):
+        return "may_have_run", outcome.reason
+    if isinstance(outcome, Stopped):
+        return "stopped", outcome.cause.value
+    return ("moved", "") if isinstance(outcome, Moved) else None
