--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -24,11 +24,16 @@
 from winchfork.core.sliding_retry_budget import RetryAllowance, SlidingRetryBudget
 from winchfork.core.start_margin import START_MARGIN_S
 from winchfork.core.weight_rollout import VersionHistory
+from winchfork.router.stream_moves import MIN_SILENCE_S
 
 #: Headers of a prompt of 100 tokens with 1000 output tokens.
 LONG_ANSWER = "X-Model: m\r\nX-Token-Usage: 100,1000\r\nX-Prefix-Hash: aa:60,bb:40\r\n"
 
 
+def full(request: ReceivedRequest) -> bytes:
+    return signed(request, b"", "503 Full", "X-Not-Executed: true\r\n")
+
+
 class SlowStream:
     """A replica's stream that pauses after two events until ``resume`` is set."""
 
@@ -160,6 +165,29 @@
         assert former is not None
         self.assertEqual((former.in_flight, former.consecutive_failures), (0, 0))
 
+    async def test_a_stream_at_a_held_replica_outlives_a_refusal_elsewhere(self) -> None:
+        """Guards against a sound run that is ended before another replica has begun."""
+        stream = SlowStream()
+        replicas = [ScriptedReplica(stream), ScriptedReplica(answering(full))]
+        relay, answering_task = await self.start_stream(replicas, stream, resumable=True)
+        self.hold(relay, "i-0")
+        await asyncio.sleep(0.1)
+        stream.resume.set()
+        self.assert_whole(await answering_task)
+
+    async def test_a_stream_at_an_unreachable_replica_outlives_a_refusal_elsewhere(self) -> None:
+        """Guards against a run that is ended on suspicion before another replica has begun."""
+        stream = SlowStream()
+        replicas = [ScriptedReplica(stream), ScriptedReplica(answering(full))]
+        relay, answering_task = await self.start_stream(replicas, stream, resumable=True)
+        await asyncio.sleep(MIN_SILENCE_S)
+        replica = relay.state.fleet.get("i-0")
+        assert replica is not None
+        relay.state.on_unresponsive(replica)
+        await asyncio.sleep(0.1)
+        stream.resume.set()
+        self.assert_whole(await answering_task)
+
     async def test_a_stream_that_cannot_be_resumed_stays(self) -> None:
         stream = SlowStream()
         replicas = [ScriptedReplica(stream), ScriptedReplica(answering(rest))]
