Leave a begun stream at its replica when that loads weights next

Callers saw a resumable stream broken off in its middle, with neither an answer nor a refusal: the daemon ended a sound run because its replica was held for a load of weights, the next replica answered 503 after a wait in its queue, and the route's attempts were used up.

Cause: the move gave up what was certain, a run that delivers, for an estimate: that another replica accepts the request, reads the prompt again and does so within the pause that the caller bears. None of this is known before the other one has begun, and a predecessor that goes on can't be caught up with by a successor of the same speed. A load waits for the runs in progress, so a stream that stays costs the rollout its remaining time and no caller anything.

--- a/winchfork/core/prompt_cost.py
+++ b/winchfork/core/prompt_cost.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from winchfork.core.placement_request import LONG_ANSWER_RATIO, PromptPlacementRequest
+from winchfork.core.placement_request import PromptPlacementRequest
 from winchfork.core.prefill_plan import PrefillPlan
 from winchfork.core.prompt_parts import Prompt
 from winchfork.core.region_map import Distance
@@ -48,8 +48,6 @@
 #: Cost in seconds per rank for long answers; concentrates them on few replicas of a zone, apart
 #: from large prompts.
 LONG_ANSWER_RANK_COST_S = 0.01
-#: Seconds for which a moved stream is interrupted, besides the repeated prefill.
-MOVE_SETUP_S = 0.05
 
 
 def prompt_cost_s(
@@ -120,17 +118,6 @@
     return share * (JITTER_COST_S + prompt.prompt_tokens / prefill_tokens_per_s)
 
 
-def worth_moving(expected_s: float, elapsed_s: float, prefill_s: float) -> bool:
-    """Whether a run should move to another replica after ``elapsed_s`` of ``expected_s``.
-
-    ``prefill_s`` is the time to prefill its prompt again, which delays all answers on the new
-    replica; so the remaining run time must be several times as long. A run that has exceeded its
-    expected time is assumed to need the excess once more.
-    """
-    remaining_s = abs(expected_s - elapsed_s)
-    return remaining_s > MOVE_SETUP_S + LONG_ANSWER_RATIO * prefill_s
-
-
 def _preemption_cost_s(request: PromptPlacementRequest, replica: RelayReplica) -> float:
     """Return the cost in seconds of a prompt that does not fit into a replica's cache memory.
 
--- a/winchfork/core/sliding_retry_budget.py
+++ b/winchfork/core/sliding_retry_budget.py
@@ -50,14 +50,9 @@
             allowed += self._allowance.slack / max(1, daemons)
         return SAFETY_SHARE * allowed - retries
 
-    def try_spend(self, service: str, daemons: int, now_s: float, reserve: float = 0.0) -> bool:
-        """Spend one retry; False when this daemon's share, less the ``reserve``, is exhausted.
-
-        ``reserve`` is the fraction of the share that is left unused.
-        """
-        retries = len(self._trimmed(self._retries, service, now_s))
-        remaining = self.remaining(service, daemons, now_s)
-        if remaining - reserve * (remaining + retries) < 1.0:
+    def try_spend(self, service: str, daemons: int, now_s: float) -> bool:
+        """Spend one retry; False when this daemon's share is exhausted."""
+        if self.remaining(service, daemons, now_s) < 1.0:
             return False
         self.record_retry(service, now_s)
         return True
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -8,7 +8,7 @@
 from winchfork.core.part_index import part_key, shared_keys
 from winchfork.core.permit_queue import PermitOpening
 from winchfork.core.placement_request import PromptPlacementRequest, RelayDecision
-from winchfork.core.prompt_cost import max_jitter_s, worth_moving
+from winchfork.core.prompt_cost import max_jitter_s
 from winchfork.core.prompt_parts import CacheScope, Prompt
 from winchfork.core.relay_placement import place_prompt
 from winchfork.core.relay_replica import RelayReplica
@@ -142,15 +142,6 @@
         namespace = self._scope(prompt).namespace(version)
         return f"{part_key(namespace, prompt.shared_parts[-1]):016x}"
 
-    def worth_moving(self, elapsed_s: float, excluded: set[str]) -> bool:
-        """Whether moving a run that began ``elapsed_s`` ago is worth a second prefill."""
-        prompt = self._prompt
-        if prompt is None or not self._candidates(excluded):
-            return False
-        expected_s = prompt.output_tokens * self._state.run_s_per_token
-        prefill_s = prompt.prompt_tokens / self._speed.prefill_tokens_per_s
-        return worth_moving(expected_s, elapsed_s, prefill_s)
-
     def _old_versions(self, model: str, candidates: Sequence[RelayReplica]) -> frozenset[int]:
         """Return the candidates' weights versions that were replaced longer ago than the grace."""
         history = self._state.weights_versions.get(model)
--- a/winchfork/router/request_retries.py
+++ b/winchfork/router/request_retries.py
@@ -55,21 +55,18 @@
         """Whether attempts and time are left; the retry budget is not checked."""
         return self.record.attempts < max_attempts and self.time_left_s >= MIN_TIME_LEFT_S
 
-    def try_spend(self, max_attempts: int, reserve: float = 0.0) -> bool:
-        """Spend one retry of the budget; return False if it is denied.
-
-        It is also denied if less than the share ``reserve`` of the budget would be left.
-        """
-        denial = self._denial(max_attempts, reserve)
+    def try_spend(self, max_attempts: int) -> bool:
+        """Spend one retry of the budget; return False if it is denied."""
+        denial = self._denial(max_attempts)
         self.record.retry_denied = denial.value if denial is not None else ""
         return denial is None
 
-    def _denial(self, max_attempts: int, reserve: float) -> RetryDenial | None:
+    def _denial(self, max_attempts: int) -> RetryDenial | None:
         if self.record.attempts >= max_attempts:
             return RetryDenial.ATTEMPTS
         if not self.has_attempts_left(max_attempts):
             return RetryDenial.TIME
         daemons = self._state.daemon_count
-        if self._state.retry_budget.try_spend(self._service, daemons, self._state.clock(), reserve):
+        if self._state.retry_budget.try_spend(self._service, daemons, self._state.clock()):
             return None
         return RetryDenial.BUDGET
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -46,7 +46,6 @@
         self._connections: set[CallerConnection] = set()
         self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
         state.is_connected = pool.is_connected
-        state.on_replica_hold = self._replica_held
         state.on_unresponsive = self._replica_unreachable
         state.on_zone_unreachable = self._zone_unreachable
         self._probes = ReplicaProbes(state, pool)
@@ -113,10 +112,6 @@
         connection.write_answer(answer.status, answer.headers, answer.body)
         return RefusedRequest()
 
-    def _replica_held(self, replica: RelayReplica) -> None:
-        for request in list(self._tasks.values()):
-            request.moves.replica_held(replica)
-
     def _replica_unreachable(self, replica: RelayReplica) -> None:
         for request in list(self._tasks.values()):
             request.moves.replica_unreachable(replica)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -103,8 +103,6 @@
         self.is_connected: Callable[[str], bool] = lambda address: True
         #: Called when this daemon has sent a replica a prompt.
         self.on_work_sent: Callable[[], None] = lambda: None
-        #: Called for each replica that gets no new requests because it loads weights next.
-        self.on_replica_hold: Callable[[RelayReplica], None] = lambda replica: None
         #: Called for each replica that did not acknowledge a request on an open connection.
         self.on_unresponsive: Callable[[RelayReplica], None] = lambda replica: None
         #: Called for each zone that has become unreachable.
--- a/winchfork/router/stream_moves.py
+++ b/winchfork/router/stream_moves.py
@@ -1,8 +1,9 @@
-"""Moves a request in progress to another replica, if its route allows that and it is worthwhile.
+"""Moves a request in progress to another replica, if its route allows that.
 
-A daemon that is stopping moves nothing: the next replica may refuse, while the attempt in progress
-may still complete. A stream that has not begun shortly before its replica's weights expire is
-moved, or cancelled if it cannot be.
+A stream at a replica that loads weights next stays there, since the load waits for it. A daemon
+that is stopping moves nothing: the next replica may refuse, while the attempt in progress may still
+complete. A stream that has not begun shortly before its replica's weights expire is moved, or
+cancelled if it cannot be.
 """
 
 from __future__ import annotations
@@ -29,9 +30,6 @@
 CANCELLATION_LEAD_S = 0.1
 #: Longest time between two checks, as a share of the bound on replaced weights.
 EXPIRY_CHECK_SHARE = 0.5
-#: Share of the retry budget that is reserved for failures: :meth:`StreamMoves.replica_held` does
-#: not spend it.
-_FAILURE_RESERVE = 0.5
 
 
 class StreamMoves:
@@ -67,21 +65,6 @@
                 self._expiry_check = None
             self.attempt = None
 
-    def replica_held(self, replica: RelayReplica) -> None:
-        """Move a resumable stream away from a replica that loads weights next, if worthwhile.
-
-        The load waits for the runs in progress. A move repeats the prefill and spends a retry.
-        """
-        if not self._is_at(replica) or not self._route.resumable or self._state.stopping:
-            return
-        if not self._retries.has_attempts_left(self._route.max_attempts):
-            return
-        elapsed_s = self._state.clock() - self._retries.record.sent_at_s
-        if not self._planner.worth_moving(elapsed_s, self._attempted | {replica.replica_id}):
-            return
-        if self._retries.try_spend(self._route.max_attempts, _FAILURE_RESERVE):
-            self._move("stream_moves", replica)
-
     def replica_unreachable(self, replica: RelayReplica) -> None:
         """Move a repeatable request without waiting for the connection to time out."""
         attempt = self.attempt
--- a/winchfork/router/weights_exchange.py
+++ b/winchfork/router/weights_exchange.py
@@ -39,8 +39,6 @@
         replica.loading_until_s = now_s + entry.held_ms / 1000.0
         replica.load_upcoming_until_s = now_s + entry.next_ms / 1000.0
         self._state.record_version(replica, entry.model, entry.version)
-        if entry.held_ms > 0 and not was_held:
-            self._state.on_replica_hold(replica)
         if was_held == (entry.held_ms > 0) and entry.version <= known:
             return
         log_event(
