Abandon a run at a suspect replica only when a backup attempt has begun

Callers saw a begun answer broken off, or a 502, for a request whose replica would have gone on: when one connection to a replica timed out, or a zone was reported as unreachable, every repeatable request there that had heard nothing for 0.3 s was ended and sent elsewhere. If the next replica refused, the attempts were used up. A silence is no proof (a prompt in a queue and any answer that is no stream are silent too), and silence was also counted while the router itself did not read, for a slow caller.

Now the run goes on while a backup attempt is opened at another replica. A stream's backup has begun with its first event; then, and not before, the first attempt is abandoned. If the first one makes progress meanwhile, the backup is dropped; if the backup is refused or breaks, the first goes on; if the first breaks, the backup takes its place. Event ids keep the answer whole, and never do two runs of one stream deliver. Both attempts count against the route and the retry budget, as before. Attempts no longer read the request's events themselves: one runner reads them and passes each part to its attempt by number, so a late event of an attempt that has ended reaches no other one (a withdrawal was matched by the replica's id, which a retry at the same replica shares; a timer of the search counted as the deadline).

--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -23,8 +23,8 @@
 from winchfork.core.routing import RouteKind
 from winchfork.core.start_margin import START_MARGIN_S
 from winchfork.core.weight_rollout import VersionHistory
+from winchfork.router.attempt_runner import MIN_SILENCE_S
 from winchfork.router.peer_messages import WeightsEntry, WeightsProgress
-from winchfork.router.stream_moves import MIN_SILENCE_S
 from winchfork.router.weights_exchange import WeightsExchange
 
 #: Headers of a prompt of 100 tokens with 1000 output tokens.
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -13,26 +12,15 @@
 from winchfork.router.caller_answer import CallerAnswer, StreamRelay
 from winchfork.router.header_codec import AnswerFields, HeaderCodec
 from winchfork.router.http_types import (
-    AnswerData,
     AnswerEnd,
     AnswerHead,
+    AnswerPart,
     AnswerTruncated,
-    CallerDisconnected,
-    MoveRequested,
-    TimerFired,
-    WeightsExpired,
+    AttemptPart,
+    RequestEvent,
 )
 from winchfork.router.inbox import Inbox
-from winchfork.router.outcomes import (
-    BufferedAnswer,
-    Delivered,
-    MayHaveRun,
-    Moved,
-    NotRun,
-    Outcome,
-    StopCause,
-    Stopped,
-)
+from winchfork.router.outcomes import BufferedAnswer, Delivered, MayHaveRun, NotRun, Outcome
 from winchfork.router.replica_connection import Exchange, ReplicaConnection
 
 #: The largest answer in bytes that is buffered until it is whole.
@@ -73,21 +61,31 @@
 
 
 class Attempt:
-    """Runs one exchange. After :meth:`run` the connection is idle or closed."""
+    """One exchange, between :meth:`start` and :meth:`end`.
+
+    The parts of its answer go to the inbox, marked with ``number``; the reader passes them to
+    :meth:`handle`. ``number`` is 1 for the first attempt of a request.
+    """
 
     def __init__(
         self,
+        number: int,
         plan: AttemptPlan,
         connection: ReplicaConnection,
-        inbox: Inbox,
+        inbox: Inbox[RequestEvent],
         answer: CallerAnswer,
         header_codec: HeaderCodec,
+        clock: Callable[[], float],
     ) -> None:
+        self.number = number
         self.plan = plan
+        #: When the request was sent, in seconds of ``clock``.
+        self.sent_at_s = 0.0
         self._connection = connection
         self._inbox = inbox
         self._answer = answer
         self._header_codec = header_codec
+        self._clock = clock
         self._head: AnswerHead | None = None
         #: Fields of the last head received on the connection, and of this request's answer.
         self._last_fields: AnswerFields | None = None
@@ -97,29 +95,27 @@
         self._stream: StreamRelay | None = None
         self._pending_prefill_tokens = plan.prefill_tokens
         self._prefill_done = False
-        self._loop = asyncio.get_running_loop()
+        self._paused = False
         self._last_received_at_s = 0.0
 
-    async def run(self) -> Outcome:
-        """Send the request and process its answer until the outcome is known."""
+    def start(self) -> None:
+        """Send the request."""
         plan = self.plan
         plan.replica.record_sent(
             id(self), plan.prefill_tokens, plan.expected_end_at_s, plan.memory_tokens
         )
-        exchange = Exchange(self._inbox.put, self._is_own, plan.no_body, self._read_head)
-        try:
-            self._connection.start(plan.message, exchange)
-            self._last_received_at_s = self._loop.time()
-            while True:
-                item = await self._inbox.get()
-                if isinstance(item, AnswerHead | AnswerData):
-                    self._last_received_at_s = self._loop.time()
-                outcome = self._handle(item)
-                if outcome is not None:
-                    return outcome
-        finally:
-            self._release_pending_prefill()
-            plan.replica.record_ended(id(self), plan.memory_tokens)
+        exchange = Exchange(self._deliver, self._is_own, plan.no_body, self._read_head)
+        self.sent_at_s = self._last_received_at_s = self._clock()
+        self._connection.start(plan.message, exchange)
+
+    def end(self) -> None:
+        """Record at the replica that the attempt is over; the connection is idle or closed."""
+        self._release_pending_prefill()
+        self.plan.replica.record_ended(id(self), self.plan.memory_tokens)
+
+    def abandon(self) -> None:
+        """Close the connection without waiting for the rest of the answer."""
+        self._connection.abandon()
 
     @property
     def replica(self) -> RelayReplica:
@@ -138,35 +134,34 @@
 
     @property
     def silent_s(self) -> float:
-        """Seconds since the last part of the answer was received, or since the request was sent."""
-        return self._loop.time() - self._last_received_at_s
+        """Seconds since a part of the answer was received or the request was sent.
+
+        It is 0 while reading is paused, since a silence then says nothing of the replica.
+        """
+        return 0.0 if self._paused else self._clock() - self._last_received_at_s
 
     def set_paused(self, paused: bool) -> None:
         """Pause or resume reading from the replica (backpressure)."""
+        self._paused = paused
         if paused:
             self._connection.pause()
         else:
+            self._last_received_at_s = self._clock()
             self._connection.resume()
 
-    def _handle(self, item: object) -> Outcome | None:
-        if isinstance(item, AnswerHead):
-            return self._handle_head(item)
-        if isinstance(item, AnswerData):
-            return self._handle_data(item.data)
-        if isinstance(item, AnswerEnd):
+    def handle(self, part: AnswerPart) -> Outcome | None:
+        """Process a part of the answer; return the outcome if the attempt has ended with it."""
+        if isinstance(part, AnswerEnd):
             return self._handle_end()
-        if isinstance(item, AnswerTruncated):
-            return self._handle_truncation(item)
-        if isinstance(item, CallerDisconnected):
-            return self._stop(StopCause.CALLER_DISCONNECTED)
-        if isinstance(item, TimerFired):
-            return self._stop(StopCause.DEADLINE)
-        if isinstance(item, WeightsExpired) and item.replica_id == self.plan.replica.replica_id:
-            return None if self._prefill_done else self._stop(StopCause.WEIGHTS_EXPIRED)
-        if isinstance(item, MoveRequested) and item.replica_id == self.plan.replica.replica_id:
-            self._abandon()
-            return Moved()
-        return None
+        if isinstance(part, AnswerTruncated):
+            return self._handle_truncation(part)
+        self._last_received_at_s = self._clock()
+        if isinstance(part, AnswerHead):
+            return self._handle_head(part)
+        return self._handle_data(part.data)
+
+    def _deliver(self, part: AnswerPart) -> None:
+        self._inbox.put(AttemptPart(self.number, part))
 
     def _read_head(self, head: AnswerHead) -> None:
         fields = self._last_fields = self._header_codec.read_answer(head)
@@ -203,7 +198,7 @@
         self._body.append(data)
         self._body_bytes += len(data)
         if self._body_bytes > MAX_BUFFERED_BYTES:
-            self._abandon()
+            self.abandon()
             return MayHaveRun("the answer exceeds the buffer limit")
         return None
 
@@ -266,14 +261,6 @@
             return NotRun("the connection ended inside the replica's refusal", True)
         return MayHaveRun(f"connection {item.reason}", truncated=True, silent=item.silent)
 
-    def _stop(self, cause: StopCause) -> Outcome:
-        self._abandon()
-        return Stopped(cause)
-
-    def _abandon(self) -> None:
-        self._connection.abandon()
-        self._inbox.drop_answers()
-
     def _release_pending_prefill(self) -> None:
         self.plan.replica.record_prefilled(self._pending_prefill_tokens)
         self._pending_prefill_tokens = 0
--- /dev/null
+++ b/winchfork/router/attempt_launcher.py
@@ -0,0 +1,159 @@
+"""Sends the attempts of one request to replicas, and records how they ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from winchfork.core.broken_runs import CrashEvidence
+from winchfork.core.placement_request import RelayDecision
+from winchfork.core.relay_replica import RelayReplica
+from winchfork.errors import Failure, FailureKind
+from winchfork.router.attempt import Attempt
+from winchfork.router.attempt_planner import AttemptPlanner
+from winchfork.router.caller_answer import CallerAnswer
+from winchfork.router.http_types import RequestEvent
+from winchfork.router.inbox import Inbox
+from winchfork.router.outcome_recorder import OutcomeRecorder
+from winchfork.router.outcomes import MayHaveRun, Moved, NotRun, Outcome, StalePlacement, Stopped
+from winchfork.router.quota_gate import QuotaCharge
+from winchfork.router.replica_connection import ReplicaConnection
+from winchfork.router.replica_search import ReplicaSearch
+from winchfork.router.request_admission import AdmittedRequest
+from winchfork.router.request_record import RequestRecord
+from winchfork.router.request_retries import RequestRetries
+
+if TYPE_CHECKING:
+    from winchfork.router.service import RouterService
+
+#: Failures that mean that a replica could not be reached.
+_UNREACHABLE_KINDS = (FailureKind.BACKEND_UNREACHABLE, FailureKind.CONNECTION_REFUSED)
+
+
+class AttemptLauncher:
+    """Launches the attempts of one request.
+
+    ``charge`` is charged again for each attempt after one that may have run.
+    """
+
+    def __init__(
+        self,
+        service: RouterService,
+        admitted: AdmittedRequest,
+        planner: AttemptPlanner,
+        search: ReplicaSearch,
+        retries: RequestRetries,
+        inbox: Inbox[RequestEvent],
+        answer: CallerAnswer,
+        charge: QuotaCharge | None,
+    ) -> None:
+        self._service = service
+        self._state = service.state
+        self._crashes = service.state.crashes
+        self._admitted = admitted
+        self._planner = planner
+        self._search = search
+        self._retries = retries
+        self._record: RequestRecord = retries.record
+        self._inbox = inbox
+        self._answer = answer
+        self._charge = charge
+        self._outcome_recorder = OutcomeRecorder(service.state, admitted, planner.service)
+        #: Attempts that have not ended.
+        self._in_progress = 0
+        self._some_may_have_run = False
+        #: Whether the last attempt was refused by a replica that has newer weights than expected.
+        self.newer_weights = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some attempt may have run or may still run."""
+        return self._some_may_have_run or self._in_progress > 0
+
+    async def connect(self, replica: RelayReplica) -> ReplicaConnection | NotRun | StalePlacement:
+        """Return a connection, or the outcome if the request cannot be sent to the replica."""
+        pool = self._service.pool
+        address = replica.listing.address
+        idle = pool.pop_idle(address)
+        if idle is not None:
+            return idle
+        limit = self._state.connection_limit(replica.listing.service)
+        connection = await pool.acquire(address, limit)
+        if isinstance(connection, Failure):
+            return self._handle_connect_failure(replica, connection)
+        # The replica may have begun to drain or load, or its weights may have expired.
+        if self._planner.is_available(replica, self._search.excluded()) and self.is_allowed():
+            return connection
+        pool.release(address, connection)
+        return StalePlacement()
+
+    def is_allowed(self) -> bool:
+        """Whether the request may be sent once more, by what is known of crashes under it."""
+        digest = self._admitted.digest
+        return self._crashes.refusal(digest) is None and self._crashes.may_run(digest)
+
+    def release(self, replica: RelayReplica, connection: ReplicaConnection) -> None:
+        """Put back a connection that is not used."""
+        self._service.pool.release(replica.listing.address, connection)
+
+    def launch(self, decision: RelayDecision, connection: ReplicaConnection) -> Attempt:
+        """Send the request to the chosen replica."""
+        replica = decision.replica
+        plan = self._planner.plan(decision, self._retries.time_left_s, self._resume_after())
+        plan.on_head = self._record.mark_head
+        plan.on_events = self._record.mark_events
+        if self._charge is not None and self.may_have_run:
+            self._charge.charge_again()
+        self._record.mark_sent()
+        attempt = Attempt(
+            self._record.attempts,
+            plan,
+            connection,
+            self._inbox,
+            self._answer,
+            self._service.header_codec,
+            self._state.clock,
+        )
+        replica.notice.record_sent(self._record.sent_at_s)
+        self._count_sent(replica)
+        family = self._planner.family_key(plan.weights_version)
+        self._record.log_sent(decision, plan, family, self._retries.time_left_s)
+        if plan.prefill_tokens:
+            self._state.on_work_sent()
+        self._crashes.begin_run(self._admitted.digest, replica, self._retries.ends_at_s)
+        self._in_progress += 1
+        attempt.start()
+        return attempt
+
+    def finish(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Record the outcome of an attempt that has ended."""
+        attempt.end()
+        self._in_progress -= 1
+        if isinstance(outcome, Moved | MayHaveRun | Stopped):
+            self._some_may_have_run = True
+        self._crashes.end_run(self._admitted.digest)
+        self._record.log_attempt_ended(attempt, outcome)
+        self.newer_weights = self._outcome_recorder.record_outcome(attempt, outcome, self._record)
+
+    def _count_sent(self, replica: RelayReplica) -> None:
+        listing = replica.listing
+        metrics = self._state.metrics
+        software = f"{listing.service}:{listing.software or 'unknown'}"
+        metrics.sent_by_software.labels(software).inc()
+        if replica.notice.limit.per_s is not None:
+            metrics.sent_under_limit.labels(replica.replica_id).inc()
+        elif self._state.replica_selector.count_at_limit(listing.service):
+            metrics.limit_effects.labels("elsewhere").inc()
+        metrics.sent_by_region.labels(self._state.settings.regions.region_of(listing.zone)).inc()
+
+    def _handle_connect_failure(self, replica: RelayReplica, failure: Failure) -> NotRun:
+        if failure.kind is FailureKind.CONNECTION_REFUSED:
+            self._crashes.record_crash(replica, CrashEvidence.PORT_CLOSED)
+        if failure.kind in _UNREACHABLE_KINDS:
+            self._state.record_failure(replica, failure.reason, certain=True)
+        return NotRun(failure.reason, sent=False)
+
+    def _resume_after(self) -> int | None:
+        """Return the id of the last event that the caller has received."""
+        if self._answer.last_event_id is not None:
+            return self._answer.last_event_id
+        return self._admitted.fields.resume_after
--- a/winchfork/router/http_types.py
+++ b/winchfork/router/http_types.py
@@ -130,25 +130,42 @@
     name: str
 
 
-class MoveRequested(msgspec.Struct, frozen=True):
-    """The attempt at this replica is to end, and the request to continue at another one."""
+AnswerPart = AnswerHead | AnswerData | AnswerEnd | AnswerTruncated
 
-    replica_id: str
+
+class AttemptPart(msgspec.Struct, frozen=True):
+    """A part of the answer to the attempt with this number."""
+
+    attempt: int
+    part: AnswerPart
+
+
+class WithdrawalRequested(msgspec.Struct, frozen=True):
+    """The attempt is to end unless its stream has begun, and the request to be sent elsewhere."""
+
+    attempt: int
 
 
 class WeightsExpired(msgspec.Struct, frozen=True):
-    """The attempt at this replica is to end unless it has begun: the replica's weights expire."""
+    """The attempt is to end unless its stream has begun: the replica's weights expire."""
+
+    attempt: int
+
+
+class BackupReady(msgspec.Struct, frozen=True):
+    """The connection for a backup attempt was opened, or could not be.
+
+    ``opening`` identifies which one, since one that was dropped may still be announced.
+    """
 
-    replica_id: str
+    opening: object
 
 
 RequestEvent = (
-    AnswerHead
-    | AnswerData
-    | AnswerEnd
-    | AnswerTruncated
+    AttemptPart
     | CallerDisconnected
     | TimerFired
-    | MoveRequested
+    | WithdrawalRequested
     | WeightsExpired
+    | BackupReady
 )
--- a/winchfork/router/inbox.py
+++ b/winchfork/router/inbox.py
@@ -1,23 +1,24 @@
-"""The event queue of a request: answer parts, timers, and the end of the caller's connection."""
+"""An event queue, such as that of a request: answer parts, timers, a caller that disconnects."""
 
 from __future__ import annotations
 
 import asyncio
 from collections import deque
+from typing import Generic, TypeVar
 
-from winchfork.router.http_types import CallerDisconnected, RequestEvent, TimerFired
+_Event = TypeVar("_Event")
 
 
-class Inbox:
+class Inbox(Generic[_Event]):
     """An unbounded queue with one reader; writers bound it by pausing reads from the replica."""
 
     __slots__ = ("_items", "_waiter")
 
     def __init__(self) -> None:
-        self._items: deque[RequestEvent] = deque()
+        self._items: deque[_Event] = deque()
         self._waiter: asyncio.Future[None] | None = None
 
-    def put(self, item: RequestEvent) -> None:
+    def put(self, item: _Event) -> None:
         """Add an item and wake the reader."""
         self._items.append(item)
         waiter = self._waiter
@@ -27,7 +28,7 @@
     def __len__(self) -> int:
         return len(self._items)
 
-    async def get(self) -> RequestEvent:
+    async def get(self) -> _Event:
         """Wait for the next item."""
         while not self._items:
             self._waiter = asyncio.get_running_loop().create_future()
@@ -37,13 +38,6 @@
                 self._waiter = None
         return self.pop()
 
-    def pop(self) -> RequestEvent:
+    def pop(self) -> _Event:
         """Remove and return the next item; the queue must not be empty."""
         return self._items.popleft()
-
-    def drop_answers(self) -> None:
-        """Drop the answer parts and move requests of an abandoned exchange."""
-        remaining = [
-            item for item in self._items if isinstance(item, (CallerDisconnected, TimerFired))
-        ]
-        self._items = deque(remaining)
--- a/winchfork/router/outcome_recorder.py
+++ b/winchfork/router/outcome_recorder.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import RouteKind
-from winchfork.router.attempt import AttemptPlan
+from winchfork.router.attempt import Attempt, AttemptPlan
 from winchfork.router.outcomes import Delivered, MayHaveRun, NotRun, Outcome
 from winchfork.router.request_admission import AdmittedRequest
 from winchfork.router.request_record import RequestRecord
@@ -25,14 +24,15 @@
         self._route = admitted.route
         self._service = service
 
-    def record_outcome(self, plan: AttemptPlan, outcome: Outcome, record: RequestRecord) -> bool:
+    def record_outcome(self, attempt: Attempt, outcome: Outcome, record: RequestRecord) -> bool:
         """Record an outcome; return whether the replica has newer weights than expected."""
+        plan = attempt.plan
         replica = plan.replica
         now_s = self._state.clock()
-        took_s = now_s - record.sent_at_s
-        self._record_software(plan, outcome, record, took_s)
+        took_s = now_s - attempt.sent_at_s
+        self._record_software(attempt, outcome, record, took_s)
         self._record_run(plan, outcome)
-        self._record_acceptance(replica, outcome, record)
+        self._record_acceptance(attempt, outcome)
         if isinstance(outcome, Delivered):
             replica.record_success(took_s, now_s)
             self._state.fleet.record_answer(replica)
@@ -52,17 +52,16 @@
                 self._state.on_unresponsive(replica)
         return False
 
-    def _record_acceptance(
-        self, replica: RelayReplica, outcome: Outcome, record: RequestRecord
-    ) -> None:
+    def _record_acceptance(self, attempt: Attempt, outcome: Outcome) -> None:
         """Record whether the replica accepted the request.
 
         For a replica on trial after a backoff, this is the result of the trial.
         """
+        notice = attempt.replica.notice
         if isinstance(outcome, NotRun):
-            replica.notice.record_answer(record.sent_at_s, refused=True)
+            notice.record_answer(attempt.sent_at_s, refused=True)
         elif isinstance(outcome, Delivered) or _has_answer(outcome):
-            replica.notice.record_answer(record.sent_at_s, refused=False)
+            notice.record_answer(attempt.sent_at_s, refused=False)
 
     def _record_run(self, plan: AttemptPlan, outcome: Outcome) -> None:
         """Record whether the run was answered or broken off.
@@ -84,7 +83,7 @@
                 crashes.record_broken_run(replica, digest, silent=outcome.silent)
 
     def _record_software(
-        self, plan: AttemptPlan, outcome: Outcome, record: RequestRecord, took_s: float
+        self, attempt: Attempt, outcome: Outcome, record: RequestRecord, took_s: float
     ) -> None:
         """Count a whole answer as a success or failure of the replica's software version.
 
@@ -96,14 +95,14 @@
         if self._route.kind is RouteKind.STREAMING and not failed:
             if record.attempts > 1 or record.first_event_s is None:
                 return
-            took_s = record.first_event_s - (record.sent_at_s - record.received_at_s)
+            took_s = record.first_event_s - (attempt.sent_at_s - record.received_at_s)
         self._state.software.record_answer(
             self._service,
             self._route.name,
-            plan.replica,
+            attempt.replica,
             failed=failed,
             took_s=took_s,
-            expected_s=plan.expected_s,
+            expected_s=attempt.plan.expected_s,
         )
 
 
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -15,6 +15,7 @@
     CALLER_DISCONNECTED = "caller_left"
     DEADLINE = "deadline"
     WEIGHTS_EXPIRED = "weights_expired"
+    ROUTER_STOPPED = "router_stopped"
 
 
 class BufferedAnswer(msgspec.Struct, frozen=True):
@@ -57,13 +58,13 @@
 
 
 class Stopped(msgspec.Struct, frozen=True):
-    """The caller disconnected, the request's time is up, or its weights expired too early."""
+    """The attempt was abandoned, and no other follows."""
 
     cause: StopCause
 
 
 class Moved(msgspec.Struct, frozen=True):
-    """The attempt was ended so that the request continues at another replica."""
+    """The router ended the attempt, and the request continues at another replica."""
 
 
 class StalePlacement(msgspec.Struct, frozen=True):
--- a/winchfork/router/pooled_http_client.py
+++ b/winchfork/router/pooled_http_client.py
@@ -13,9 +13,9 @@
     AnswerData,
     AnswerEnd,
     AnswerHead,
+    AnswerPart,
     AnswerTruncated,
     Headers,
-    RequestEvent,
     render_headers,
 )
 from winchfork.router.inbox import Inbox
@@ -68,7 +68,7 @@
                 "the call was no longer allowed once connected"
             )
         self._on_call(label)
-        inbox = Inbox()
+        inbox: Inbox[AnswerPart] = Inbox()
         lines: Headers = [(b"Host", address.encode()), *(headers or [])]
         if body is not None:
             lines.append((b"Content-Type", b"application/json"))
@@ -96,7 +96,7 @@
 class _ReplyReader:
     """Assembles an answer from its parts."""
 
-    def __init__(self, inbox: Inbox) -> None:
+    def __init__(self, inbox: Inbox[AnswerPart]) -> None:
         self._inbox = inbox
         self._status = 0
         self._pieces: list[bytes] = []
@@ -116,7 +116,7 @@
                 return answer
         return None
 
-    def _handle(self, item: RequestEvent) -> CallReply | Failure | None:
+    def _handle(self, item: AnswerPart) -> CallReply | Failure | None:
         if isinstance(item, AnswerHead):
             self._status = item.status
         elif isinstance(item, AnswerData):
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -10,22 +10,22 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from winchfork.core.broken_runs import CrashEvidence
 from winchfork.core.placement_request import RelayDecision
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
-from winchfork.router.attempt import Attempt
+from winchfork.router.attempt_launcher import AttemptLauncher
 from winchfork.router.attempt_planner import AttemptPlanner
+from winchfork.router.attempt_runner import AttemptRunner, EndedAttempt
 from winchfork.router.caller_answer import CallerAnswer
 from winchfork.router.crash_tracker import MAX_CRASHES_PER_ATTEMPT
 from winchfork.router.http_types import (
     CallerDisconnected,
     IncomingRequest,
+    RequestEvent,
     TimerFired,
 )
 from winchfork.router.inbox import Inbox
-from winchfork.router.outcome_recorder import OutcomeRecorder
 from winchfork.router.outcomes import (
     Delivered,
     MayHaveRun,
@@ -43,7 +43,6 @@
 from winchfork.router.request_admission import AdmittedRequest
 from winchfork.router.request_record import RequestRecord
 from winchfork.router.request_retries import RequestRetries
-from winchfork.router.stream_moves import StreamMoves
 
 if TYPE_CHECKING:
     from winchfork.router.caller_connection import CallerConnection
@@ -51,8 +50,6 @@
 
 #: Retries at a replica that refused only the weights version.
 _MAX_VERSION_RETRIES = 1
-#: Failures that mean that a replica could not be reached.
-_UNREACHABLE_KINDS = (FailureKind.BACKEND_UNREACHABLE, FailureKind.CONNECTION_REFUSED)
 
 
 class RelayedRequest:
@@ -74,19 +71,16 @@
         self._request = request
         self._admitted = admitted
         self._route = admitted.route
-        self._inbox = Inbox()
+        self._inbox: Inbox[RequestEvent] = Inbox()
         self._answer = CallerAnswer(connection)
         self._connection = connection
         self._service_name = self._state.choose_service(admitted.route)
         self._planner = AttemptPlanner(
             service.state, service.header_codec, request, admitted, self._service_name
         )
-        self._outcome_recorder = OutcomeRecorder(service.state, admitted, self._service_name)
         ends_at_s = request.received_at_s + self._time_allowed_s()
         self._attempted: set[str] = set()
         self._version_retries = 0
-        self._newer_weights = False
-        self._may_have_run = False
         self._answered_by_replica = False
         self._record = RequestRecord(
             service.state,
@@ -102,9 +96,25 @@
         self._search = ReplicaSearch(
             service.state, self._planner, self._retries, admitted, self._attempted, self._inbox
         )
-        #: Moves the request away from its current replica.
-        self.moves = StreamMoves(
-            service.state, self._planner, self._retries, self._attempted, self._inbox
+        self._launcher = AttemptLauncher(
+            service,
+            admitted,
+            self._planner,
+            self._search,
+            self._retries,
+            self._inbox,
+            self._answer,
+            charge,
+        )
+        #: The attempts in progress.
+        self.runner = AttemptRunner(
+            service.state,
+            self._planner,
+            self._search,
+            self._retries,
+            self._launcher,
+            self._attempted,
+            self._inbox,
         )
 
     # ActiveRequest
@@ -115,8 +125,7 @@
 
     def set_backpressure(self, paused: bool) -> None:
         """Pause or resume reading from the replica."""
-        if self.moves.attempt is not None:
-            self.moves.attempt.set_paused(paused)
+        self.runner.set_paused(paused)
 
     # Lifecycle
 
@@ -155,90 +164,26 @@
             if isinstance(decision, Failure):
                 self._answer_failure(decision)
                 return
-            outcome = await self._attempt(decision)
-            if isinstance(outcome, MayHaveRun):
+            ended = await self._attempt(decision)
+            if isinstance(ended.outcome, MayHaveRun):
                 await self._crashes.wait_until_resolved(
                     self._admitted.digest, self._retries.ends_at_s
                 )
-            if not self._handle_outcome(decision.replica, outcome):
+            if not self._handle_outcome(ended.replica, ended.outcome):
                 return
 
     # One attempt
 
-    async def _attempt(self, decision: RelayDecision) -> Outcome:
+    async def _attempt(self, decision: RelayDecision) -> EndedAttempt:
         replica = decision.replica
-        connection = await self._connect(replica)
+        connection = await self._launcher.connect(replica)
         if not isinstance(connection, ReplicaConnection):
-            return connection
+            return EndedAttempt(replica, connection)
         if self._retries.time_left_s <= 0:
-            self._service.pool.release(replica.listing.address, connection)
-            return NotRun("the deadline passed while the connection was opened", sent=False)
-        plan = self._planner.plan(decision, self._retries.time_left_s, self._resume_after())
-        plan.on_head = self._record.mark_head
-        plan.on_events = self._record.mark_events
-        if self._charge is not None and self._may_have_run:
-            self._charge.charge_again()
-        attempt = Attempt(plan, connection, self._inbox, self._answer, self._service.header_codec)
-        self._record.mark_sent()
-        replica.notice.record_sent(self._record.sent_at_s)
-        self._count_sent(replica)
-        family = self._planner.family_key(plan.weights_version)
-        self._record.log_sent(decision, plan, family, self._retries.time_left_s)
-        if plan.prefill_tokens:
-            self._state.on_work_sent()
-        self._crashes.begin_run(self._admitted.digest, replica, self._retries.ends_at_s)
-        try:
-            outcome = await self.moves.run_attempt(attempt)
-        finally:
-            self._crashes.end_run(self._admitted.digest)
-        self._record.log_attempt_ended(attempt, outcome)
-        self._newer_weights = self._outcome_recorder.record_outcome(plan, outcome, self._record)
-        return outcome
-
-    async def _connect(self, replica: RelayReplica) -> ReplicaConnection | NotRun | StalePlacement:
-        """Return a connection, or the outcome if the request cannot be sent to the replica."""
-        pool = self._service.pool
-        address = replica.listing.address
-        idle = pool.pop_idle(address)
-        if idle is not None:
-            return idle
-        limit = self._state.connection_limit(replica.listing.service)
-        connection = await pool.acquire(address, limit)
-        if isinstance(connection, Failure):
-            return self._handle_connect_failure(replica, connection)
-        # The replica may have begun to drain or load, or its weights may have expired.
-        if self._planner.is_available(replica, self._search.excluded()) and self._may_run():
-            return connection
-        pool.release(address, connection)
-        return StalePlacement()
-
-    def _count_sent(self, replica: RelayReplica) -> None:
-        listing = replica.listing
-        metrics = self._state.metrics
-        software = f"{listing.service}:{listing.software or 'unknown'}"
-        metrics.sent_by_software.labels(software).inc()
-        if replica.notice.limit.per_s is not None:
-            metrics.sent_under_limit.labels(replica.replica_id).inc()
-        elif self._state.replica_selector.count_at_limit(listing.service):
-            metrics.limit_effects.labels("elsewhere").inc()
-        metrics.sent_by_region.labels(self._state.settings.regions.region_of(listing.zone)).inc()
-
-    def _handle_connect_failure(self, replica: RelayReplica, failure: Failure) -> NotRun:
-        if failure.kind is FailureKind.CONNECTION_REFUSED:
-            self._crashes.record_crash(replica, CrashEvidence.PORT_CLOSED)
-        if failure.kind in _UNREACHABLE_KINDS:
-            self._state.record_failure(replica, failure.reason, certain=True)
-        return NotRun(failure.reason, sent=False)
-
-    def _resume_after(self) -> int | None:
-        """Return the id of the last event that the caller has received."""
-        if self._answer.last_event_id is not None:
-            return self._answer.last_event_id
-        return self._admitted.fields.resume_after
-
-    def _may_run(self) -> bool:
-        digest = self._admitted.digest
-        return self._crashes.refusal(digest) is None and self._crashes.may_run(digest)
+            self._launcher.release(replica, connection)
+            late = NotRun("the deadline passed while the connection was opened", sent=False)
+            return EndedAttempt(replica, late)
+        return await self.runner.run(self._launcher.launch(decision, connection))
 
     # After an attempt
 
@@ -249,11 +194,9 @@
             self._answered_by_replica = True
             return False
         if isinstance(outcome, Stopped):
-            self._may_have_run = self._may_have_run or self._record.attempts > 0
             self._stop(outcome.cause)
             return False
         if isinstance(outcome, Moved):
-            self._may_have_run = True
             self._attempted.add(replica.replica_id)
             return True
         if isinstance(outcome, StalePlacement):
@@ -263,7 +206,7 @@
         return self._handle_may_have_run(replica, outcome)
 
     def _handle_not_run(self, replica: RelayReplica, outcome: NotRun) -> bool:
-        newer = outcome.retry_same_replica and self._newer_weights
+        newer = outcome.retry_same_replica and self._launcher.newer_weights
         if newer and self._version_retries < _MAX_VERSION_RETRIES:
             self._version_retries += 1
             if self._retries.try_spend(self._route.max_attempts + self._version_retries):
@@ -278,7 +221,6 @@
         return False
 
     def _handle_may_have_run(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
-        self._may_have_run = True
         self._attempted.add(replica.replica_id)
         failed_by_replica = outcome.answer is not None and outcome.answer.head.status < 500
         has_others = self._planner.has_candidates(self._attempted)
@@ -303,7 +245,7 @@
     def _run_state(self) -> RunState:
         if self._answered_by_replica:
             return RunState.RAN
-        return RunState.UNKNOWN if self._may_have_run else RunState.NOT_RUN
+        return RunState.UNKNOWN if self._launcher.may_have_run else RunState.NOT_RUN
 
     def _stop(self, cause: StopCause) -> None:
         if cause is StopCause.CALLER_DISCONNECTED:
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -18,9 +18,9 @@
     AnswerData,
     AnswerEnd,
     AnswerHead,
+    AnswerPart,
     AnswerTruncated,
     Headers,
-    RequestEvent,
     find_header,
 )
 
@@ -54,7 +54,7 @@
     answer, including those that ``is_own`` then rejects. ``no_body``: the answer has no body.
     """
 
-    deliver: Callable[[RequestEvent], None]
+    deliver: Callable[[AnswerPart], None]
     is_own: Callable[[AnswerHead], bool]
     no_body: bool = False
     on_head: Callable[[AnswerHead], None] = lambda head: None
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -21,7 +21,7 @@
 from winchfork.core.placement_request import RelayDecision
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.router.attempt_planner import AttemptPlanner
-from winchfork.router.http_types import CallerDisconnected, TimerFired
+from winchfork.router.http_types import CallerDisconnected, RequestEvent, TimerFired
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import StopCause, Stopped
 from winchfork.router.request_admission import AdmittedRequest
@@ -59,7 +59,7 @@
         retries: RequestRetries,
         admitted: AdmittedRequest,
         attempted: set[str],
-        inbox: Inbox,
+        inbox: Inbox[RequestEvent],
     ) -> None:
         self._state = state
         self._crashes = state.crashes
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -112,10 +112,10 @@
             "attempt_ended",
             id=self.request_id,
             replica=attempt.replica.replica_id,
-            attempt=self.attempts,
+            attempt=attempt.number,
             ending=ending[0],
             reason=ending[1] or None,
-            took_s=self.clock() - self.sent_at_s,
+            took_s=self.clock() - attempt.sent_at_s,
             events=attempt.events or None,
         )
 
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -114,7 +114,7 @@
 
     def _replica_unreachable(self, replica: RelayReplica) -> None:
         for request in list(self._tasks.values()):
-            request.moves.replica_unreachable(replica)
+            request.runner.replica_unreachable(replica)
 
     def _zone_unreachable(self, zone: str) -> None:
         lost = [item for item in self.state.fleet.replicas() if item.listing.zone == zone]
