Queue a retried request from the end of its last run

Callers saw: where all replicas have request limits, a repeatable request whose first run had broken off was refused at once (or its answer broken off) although the next permit was a third of a second away.

Cause: the time that a request had waited for a permit was counted from its last send. After a run of 3.4 s it counted as having waited 3.4 s, more than any request may queue, so `queueing_limit_s - waited_s` was negative.

Fix: the wait of a request that may have run begins with the search. One that is known not to have run keeps its start at the last send: a refusal sends it back to its caller early.

Evidence: test_the_time_of_a_run_is_not_counted_as_a_wait_for_a_permit failed before with "Failure(kind=NO_REPLICA, reason='no replica of s accepts requests in time', retry_after_s=0.326...) is not an instance of RelayDecision" and passes now; test_a_request_that_was_refused_late_is_not_queued_again passed before and passes now.

--- /dev/null
+++ b/tests/test_replica_search.py
@@ -0,0 +1,121 @@
+"""The search for the next replica of a request whose first run has ended, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.relay_support import RelayUnderTest, ScriptedReplica
+from tests.virtual_loop import run_virtually
+from winchfork.core.placement_request import RelayDecision
+from winchfork.core.prompt_parts import Prompt, PromptPart
+from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.routing import RouteKind
+from winchfork.errors import Failure, FailureKind, RunState
+from winchfork.platform.headers import PlatformHeaderCodec
+from winchfork.router.attempt_planner import AttemptPlanner
+from winchfork.router.header_codec import RequestFields
+from winchfork.router.http_types import IncomingRequest, TimerFired
+from winchfork.router.inbox import Inbox
+from winchfork.router.outcomes import Stopped
+from winchfork.router.replica_search import DEADLINE, ReplicaSearch
+from winchfork.router.request_admission import AdmittedRequest
+from winchfork.router.request_record import RequestRecord
+from winchfork.router.request_retries import RequestRetries
+
+#: The replica of the first run.
+FIRST = "i-0"
+OTHER = "i-1"
+#: Requests per second that a limited replica accepts.
+PER_S = 2.0
+#: Duration of a first run in seconds; longer than a request may queue for a permit.
+RUN_S = 3.4
+
+
+class SearchUnderTest:
+    """The search of one request that was sent to no replica yet; its replicas are only listed."""
+
+    def __init__(self, *, output_tokens: int = 20, **route: object) -> None:
+        self.relay = RelayUnderTest(**route)
+        self.relay.configure()
+        self.state = self.relay.state
+        self.inbox = Inbox()
+        now_s = self.state.clock()
+        prompt = Prompt("m", (PromptPart("aa", 60), PromptPart("bb", 40)), 100, output_tokens)
+        fields = RequestFields("id-1", None, None, prompt, None)
+        admitted = AdmittedRequest(self.relay.route, None, fields, b"digest")
+        request = IncomingRequest(b"POST", b"/p/x", [], b"", False, True, now_s)
+        planner = AttemptPlanner(self.state, PlatformHeaderCodec(), request, admitted, "s")
+        self.record = RequestRecord(
+            self.state, "id-1", b"digest", admitted.route, now_s, self.state.clock
+        )
+        ends_at_s = now_s + admitted.route.timeout_s
+        retries = RequestRetries(self.state, "s", admitted.route, self.record, ends_at_s)
+        self._attempted: set[str] = set()
+        self._search = ReplicaSearch(
+            self.state, planner, retries, admitted, self._attempted, self.inbox
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_at(ends_at_s, self.inbox.put, TimerFired(DEADLINE))
+
+    def add(self, replica_id: str) -> RelayReplica:
+        """List a replica."""
+        replica = ScriptedReplica()
+        replica.address = f"{replica_id}.example:1"
+        self.relay.add(replica, replica_id, versions={"m": 1})
+        listed = self.state.fleet.get(replica_id)
+        assert listed is not None
+        return listed
+
+    def add_limited(self, replica_id: str) -> RelayReplica:
+        """List a replica that has a request limit and was just sent a request."""
+        replica = self.add(replica_id)
+        replica.notice.limit.update(PER_S, self.state.clock())
+        replica.notice.limit.record_sent(self.state.clock())
+        return replica
+
+    async def run_first(self, *, events: bool) -> None:
+        """Let the first run take ``RUN_S``; ``events``: the caller received some of its stream."""
+        self.record.mark_sent()
+        self._attempted.add(FIRST)
+        await asyncio.sleep(RUN_S)
+        if events:
+            self.record.mark_events()
+
+    async def find(self, ran: RunState) -> RelayDecision | Failure | Stopped:
+        """Search for a replica."""
+        return await self._search.find(lambda: ran)
+
+
+class SearchTestCase(unittest.TestCase):
+    def assert_found(self, found: RelayDecision | Failure | Stopped, replica_id: str) -> None:
+        self.assertIsInstance(found, RelayDecision)
+        assert isinstance(found, RelayDecision)
+        self.assertEqual(found.replica.replica_id, replica_id)
+
+    def assert_refused(self, found: RelayDecision | Failure | Stopped) -> None:
+        self.assertIsInstance(found, Failure)
+        assert isinstance(found, Failure)
+        self.assertIs(found.kind, FailureKind.NO_REPLICA)
+
+
+class PermitWaitTest(SearchTestCase):
+    async def search_limited(self, ran: RunState) -> RelayDecision | Failure | Stopped:
+        """Search where the only other replica grants its next permit within the usual wait."""
+        search = SearchUnderTest(kind=RouteKind.SAFE, timeout_s=10.0, target_latency_s=1.0)
+        search.add(FIRST)
+        await search.run_first(events=False)
+        search.add_limited(OTHER)
+        return await search.find(ran)
+
+    def test_the_time_of_a_run_is_not_counted_as_a_wait_for_a_permit(self) -> None:
+        async def scenario() -> None:
+            self.assert_found(await self.search_limited(RunState.UNKNOWN), OTHER)
+
+        run_virtually(scenario())
+
+    def test_a_request_that_was_refused_late_is_not_queued_again(self) -> None:
+        async def scenario() -> None:
+            self.assert_refused(await self.search_limited(RunState.NOT_RUN))
+
+        run_virtually(scenario())
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -71,17 +71,26 @@
         self._queue = state.permit_queues[planner.service]
         self._ticket: PermitTicket | None = None
         self._wait_counted = False
+        #: When the request began to wait, on the state's clock.
+        self._waiting_since_s = 0.0
 
     async def find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
         """Return a placement, after a wait if a replica is expected to accept in time.
 
         ``ran`` returns whether the request may have run.
         """
+        self._waiting_since_s = self._wait_start_s(ran())
         try:
             return await self._find(ran)
         finally:
             self._leave_queue()
 
+    def _wait_start_s(self, ran: RunState) -> float:
+        """Return when the request began to wait; the time of a run that has ended is no wait."""
+        if ran is RunState.NOT_RUN:
+            return self._retries.last_sent_at_s
+        return self._state.clock()
+
     def excluded(self) -> set[str]:
         """Return the attempted replicas and those reserved for another suspect request."""
         replicas = self._state.fleet.of_service(self._planner.service)
@@ -137,7 +146,7 @@
         if decision is not None and in_s <= 0.0:
             return decision
         queueing_limit_s = max_permit_wait_s(permits, self._admitted.route.target_latency_s)
-        waited_s = self._retries.waited_s
+        waited_s = self._state.clock() - self._waiting_since_s
         return _Availability(
             max(in_s, POLL_INTERVAL_S), min(max_wait_s, queueing_limit_s - waited_s)
         )
--- a/winchfork/router/request_retries.py
+++ b/winchfork/router/request_retries.py
@@ -43,9 +43,9 @@
         return self.ends_at_s - self._state.clock()
 
     @property
-    def waited_s(self) -> float:
-        """Seconds since the request was last sent, or since it was received if it was not sent."""
-        return self._state.clock() - max(self.record.received_at_s, self.record.sent_at_s)
+    def last_sent_at_s(self) -> float:
+        """When the request was last sent, or when it was received if it was not sent."""
+        return max(self.record.received_at_s, self.record.sent_at_s)
 
     def latest_start_in_s(self, expected_run_s: float) -> float:
         """Return within how many seconds a run has to begin to end before the deadline."""
