--- a/tests/test_replica_search.py
+++ b/tests/test_replica_search.py
@@ -119,3 +119,45 @@
             self.assert_refused(await self.search_limited(RunState.NOT_RUN))
 
         run_virtually(scenario())
+
+
+class BegunStreamTest(SearchTestCase):
+    """Guards against breaking off an answer that has begun while a replica may still take it."""
+
+    def begun_stream(self, **changes: object) -> SearchUnderTest:
+        """Return the search of a stream whose whole run would take longer than its time left."""
+        stream = {"kind": RouteKind.STREAMING, "resumable": True, "timeout_s": 10.0}
+        search = SearchUnderTest(output_tokens=1000, **{**stream, **changes})
+        search.add(FIRST)
+        return search
+
+    def test_a_begun_stream_is_not_broken_off_for_the_expected_time_of_its_whole_run(self) -> None:
+        async def scenario() -> None:
+            search = self.begun_stream()
+            await search.run_first(events=True)
+            search.add(OTHER).loading_until_s = search.state.clock() + 0.4
+            self.assert_found(await search.find(RunState.UNKNOWN), OTHER)
+
+        run_virtually(scenario())
+
+    def test_a_stream_without_events_is_refused_if_its_run_would_end_too_late(self) -> None:
+        async def scenario() -> None:
+            search = self.begun_stream()
+            await search.run_first(events=False)
+            search.add(OTHER).loading_until_s = search.state.clock() + 0.4
+            self.assert_refused(await search.find(RunState.UNKNOWN))
+
+        run_virtually(scenario())
+
+    def test_a_begun_stream_queues_for_a_permit_beyond_the_wait_of_new_requests(self) -> None:
+        async def scenario() -> None:
+            search = self.begun_stream()
+            await search.run_first(events=True)
+            search.add_limited(OTHER)
+            queue = search.state.permit_queues["s"]
+            urgent = [queue.join(0) for _ in range(4)]
+            for ticket in urgent:
+                asyncio.get_running_loop().call_later(2.0, queue.leave, ticket)
+            self.assert_found(await search.find(RunState.UNKNOWN), OTHER)
+
+        run_virtually(scenario())
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -117,7 +117,7 @@
 
     def _check(self) -> RelayDecision | _Availability:
         """Return a placement for now, or when one is expected."""
-        max_wait_s = self._retries.latest_start_in_s(self._planner.min_run_s())
+        max_wait_s = self._max_wait_s()
         if not self._crashes.may_run(self._admitted.digest):
             return _Availability(POLL_INTERVAL_S, max_wait_s)
         excluded = self.excluded()
@@ -136,6 +136,15 @@
         available_in_s = self._planner.next_available_in_s(self._attempted)
         return _Availability(math.inf if available_in_s is None else available_in_s, max_wait_s)
 
+    def _max_wait_s(self) -> float:
+        """Return how many seconds the request may wait before its run begins.
+
+        Once events were delivered, only the deadline counts: most of the run may be over, waiting
+        occupies no replica, and an answer that was broken off cannot be completed.
+        """
+        expected_run_s = 0.0 if self._retries.answer_begun else self._planner.min_run_s()
+        return self._retries.latest_start_in_s(expected_run_s)
+
     def _check_queue(
         self, decision: RelayDecision | None, permits: list[PermitOpening], max_wait_s: float
     ) -> RelayDecision | _Availability:
@@ -145,11 +154,11 @@
         in_s = permit_in_s(permits, self._queue.ahead(self._ticket))
         if decision is not None and in_s <= 0.0:
             return decision
-        queueing_limit_s = max_permit_wait_s(permits, self._admitted.route.target_latency_s)
-        waited_s = self._state.clock() - self._waiting_since_s
-        return _Availability(
-            max(in_s, POLL_INTERVAL_S), min(max_wait_s, queueing_limit_s - waited_s)
-        )
+        if not self._retries.answer_begun:
+            queueing_limit_s = max_permit_wait_s(permits, self._admitted.route.target_latency_s)
+            waited_s = self._state.clock() - self._waiting_since_s
+            max_wait_s = min(max_wait_s, queueing_limit_s - waited_s)
+        return _Availability(max(in_s, POLL_INTERVAL_S), max_wait_s)
 
     def _count_wait(self) -> None:
         """Count, once per request, that it waits for a permit."""
--- a/winchfork/router/request_retries.py
+++ b/winchfork/router/request_retries.py
@@ -47,6 +47,11 @@
         """When the request was last sent, or when it was received if it was not sent."""
         return max(self.record.received_at_s, self.record.sent_at_s)
 
+    @property
+    def answer_begun(self) -> bool:
+        """Whether the caller has received events, so that it can no longer be refused."""
+        return self.record.first_event_s is not None
+
     def latest_start_in_s(self, expected_run_s: float) -> float:
         """Return within how many seconds a run has to begin to end before the deadline."""
         return self.time_left_s - max(MIN_TIME_LEFT_S, expected_run_s)
