Keep searching for a begun answer until its deadline

Callers saw: a resumable stream with events delivered was broken off at once, with seconds left, if no other replica accepted at that instant: none listed, all tried, or the permits of all with other daemons.

Cause: the search gave up as soon as no replica was expected to accept in time. For a request without events that is a refusal which its caller can repeat elsewhere; for a begun answer it is final.

Fix: for a begun answer the search polls on, every 0.03 s as for any other wait, until a replica accepts, the deadline passes, the caller leaves or the request is barred. Attempts and the retry budget are checked before each search, as before. While no permit is in prospect it holds no ticket, since the requests behind a ticket wait for it. Requests without a delivered event are refused at once, as before.

Evidence: these failed before (NO_REPLICA at once, retry_after_s=1.2) and pass now: test_a_begun_stream_... waits_for_a_replica_while_no_other_is_listed, waits_for_a_replica_that_only_other_daemons_may_use_now, without_any_replica_polls_until_its_deadline (at most a placement for each poll interval), that_waits_ends_when_its_ caller_disconnects, that_waits_ends_when_its_request_is_barred, without_a_permit_in_time_holds_back_no_new_request. The last one also fails with the fix if the ticket is kept.

--- a/tests/test_replica_search.py
+++ b/tests/test_replica_search.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import unittest
 
 from tests.relay_support import RelayUnderTest, ScriptedReplica
@@ -10,15 +11,16 @@
 from winchfork.core.placement_request import RelayDecision
 from winchfork.core.prompt_parts import Prompt, PromptPart
 from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.request_limit import LimitPosition
 from winchfork.core.routing import RouteKind
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.platform.headers import PlatformHeaderCodec
 from winchfork.router.attempt_planner import AttemptPlanner
 from winchfork.router.header_codec import RequestFields
-from winchfork.router.http_types import IncomingRequest, TimerFired
+from winchfork.router.http_types import CallerDisconnected, IncomingRequest, TimerFired
 from winchfork.router.inbox import Inbox
-from winchfork.router.outcomes import Stopped
-from winchfork.router.replica_search import DEADLINE, ReplicaSearch
+from winchfork.router.outcomes import StopCause, Stopped
+from winchfork.router.replica_search import DEADLINE, POLL_INTERVAL_S, ReplicaSearch
 from winchfork.router.request_admission import AdmittedRequest
 from winchfork.router.request_record import RequestRecord
 from winchfork.router.request_retries import RequestRetries
@@ -30,6 +32,7 @@
 PER_S = 2.0
 #: Duration of a first run in seconds; longer than a request may queue for a permit.
 RUN_S = 3.4
+TIMEOUT_S = 10.0
 
 
 class SearchUnderTest:
@@ -52,6 +55,15 @@
         ends_at_s = now_s + admitted.route.timeout_s
         retries = RequestRetries(self.state, "s", admitted.route, self.record, ends_at_s)
         self._attempted: set[str] = set()
+        #: How often the search asked for a placement.
+        self.placements = 0
+        place = planner.place
+
+        def counting_place(excluded: set[str]) -> RelayDecision | None:
+            self.placements += 1
+            return place(excluded)
+
+        planner.place = counting_place  # type: ignore[method-assign]
         self._search = ReplicaSearch(
             self.state, planner, retries, admitted, self._attempted, self.inbox
         )
@@ -102,7 +114,7 @@
 class PermitWaitTest(SearchTestCase):
     async def search_limited(self, ran: RunState) -> RelayDecision | Failure | Stopped:
         """Search where the only other replica grants its next permit within the usual wait."""
-        search = SearchUnderTest(kind=RouteKind.SAFE, timeout_s=10.0, target_latency_s=1.0)
+        search = SearchUnderTest(kind=RouteKind.SAFE, timeout_s=TIMEOUT_S, target_latency_s=1.0)
         search.add(FIRST)
         await search.run_first(events=False)
         search.add_limited(OTHER)
@@ -124,17 +136,21 @@
 class BegunStreamTest(SearchTestCase):
     """Guards against breaking off an answer that has begun while a replica may still take it."""
 
-    def begun_stream(self, **changes: object) -> SearchUnderTest:
-        """Return the search of a stream whose whole run would take longer than its time left."""
-        stream = {"kind": RouteKind.STREAMING, "resumable": True, "timeout_s": 10.0}
-        search = SearchUnderTest(output_tokens=1000, **{**stream, **changes})
+    async def stream(self, *, events: bool = True) -> SearchUnderTest:
+        """Return the search of a stream after its first run.
+
+        The whole run is expected to take longer than the time that is left.
+        """
+        search = SearchUnderTest(
+            output_tokens=1000, kind=RouteKind.STREAMING, resumable=True, timeout_s=TIMEOUT_S
+        )
         search.add(FIRST)
+        await search.run_first(events=events)
         return search
 
     def test_a_begun_stream_is_not_broken_off_for_the_expected_time_of_its_whole_run(self) -> None:
         async def scenario() -> None:
-            search = self.begun_stream()
-            await search.run_first(events=True)
+            search = await self.stream()
             search.add(OTHER).loading_until_s = search.state.clock() + 0.4
             self.assert_found(await search.find(RunState.UNKNOWN), OTHER)
 
@@ -142,8 +158,7 @@
 
     def test_a_stream_without_events_is_refused_if_its_run_would_end_too_late(self) -> None:
         async def scenario() -> None:
-            search = self.begun_stream()
-            await search.run_first(events=False)
+            search = await self.stream(events=False)
             search.add(OTHER).loading_until_s = search.state.clock() + 0.4
             self.assert_refused(await search.find(RunState.UNKNOWN))
 
@@ -151,8 +166,7 @@
 
     def test_a_begun_stream_queues_for_a_permit_beyond_the_wait_of_new_requests(self) -> None:
         async def scenario() -> None:
-            search = self.begun_stream()
-            await search.run_first(events=True)
+            search = await self.stream()
             search.add_limited(OTHER)
             queue = search.state.permit_queues["s"]
             urgent = [queue.join(0) for _ in range(4)]
@@ -161,3 +175,68 @@
             self.assert_found(await search.find(RunState.UNKNOWN), OTHER)
 
         run_virtually(scenario())
+
+    def test_a_begun_stream_waits_for_a_replica_while_no_other_is_listed(self) -> None:
+        async def scenario() -> None:
+            search = await self.stream()
+            asyncio.get_running_loop().call_later(2.0, search.add, OTHER)
+            self.assert_found(await search.find(RunState.UNKNOWN), OTHER)
+
+        run_virtually(scenario())
+
+    def test_a_begun_stream_waits_for_a_replica_that_only_other_daemons_may_use_now(self) -> None:
+        async def scenario() -> None:
+            search = await self.stream()
+            limit = search.add_limited(OTHER).notice.limit
+            limit.set_position(LimitPosition(rank=5, daemons=6), 0.0)
+            ends_s = search.state.clock() + 2.0
+            asyncio.get_running_loop().call_at(ends_s, limit.clear, ends_s)
+            self.assert_found(await search.find(RunState.UNKNOWN), OTHER)
+
+        run_virtually(scenario())
+
+    def test_a_begun_stream_without_any_replica_polls_until_its_deadline(self) -> None:
+        async def scenario() -> None:
+            search = await self.stream()
+            began_s = search.state.clock()
+            found = await search.find(RunState.UNKNOWN)
+            self.assertEqual(found, Stopped(StopCause.DEADLINE))
+            waited_s = search.state.clock() - began_s
+            self.assertAlmostEqual(waited_s, TIMEOUT_S - RUN_S)
+            self.assertLessEqual(search.placements, math.ceil(waited_s / POLL_INTERVAL_S) + 1)
+
+        run_virtually(scenario())
+
+    def test_a_begun_stream_that_waits_ends_when_its_caller_disconnects(self) -> None:
+        async def scenario() -> None:
+            search = await self.stream()
+            asyncio.get_running_loop().call_later(1.0, search.inbox.put, CallerDisconnected())
+            stopped = Stopped(StopCause.CALLER_DISCONNECTED)
+            self.assertEqual(await search.find(RunState.UNKNOWN), stopped)
+
+        run_virtually(scenario())
+
+    def test_a_begun_stream_that_waits_ends_when_its_request_is_barred(self) -> None:
+        async def scenario() -> None:
+            search = await self.stream()
+            history = search.state.crashes.history
+            until_s = search.state.clock() + 60.0
+            asyncio.get_running_loop().call_later(1.0, history.refuse, b"digest", 1, until_s)
+            found = await search.find(RunState.UNKNOWN)
+            assert isinstance(found, Failure)
+            self.assertIs(found.kind, FailureKind.CRASHES_REPLICAS)
+
+        run_virtually(scenario())
+
+    def test_a_begun_stream_without_a_permit_in_time_holds_back_no_new_request(self) -> None:
+        async def scenario() -> None:
+            search = await self.stream()
+            limit = search.add_limited(OTHER).notice.limit
+            limit.set_position(LimitPosition(rank=5, daemons=6), 0.0)
+            searching = asyncio.create_task(search.find(RunState.UNKNOWN))
+            await asyncio.sleep(1.0)
+            self.assertFalse(searching.done())
+            self.assertEqual(len(search.state.permit_queues["s"]), 0)
+            searching.cancel()
+
+        run_virtually(scenario())
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -1,7 +1,8 @@
 """The search for a replica for one request.
 
 A request waits for a replica that will accept it before its deadline and is refused at once if none
-will. If every replica has a request limit, requests wait for permits in a queue.
+will. If every replica has a request limit, requests wait for permits in a queue. A stream whose
+answer has begun cannot be refused any more: it waits until its deadline in any case.
 """
 
 from __future__ import annotations
@@ -106,7 +107,10 @@
             if isinstance(found, RelayDecision):
                 return found
             if not found.is_in_time:
-                return self._no_replica(found.in_s, ran())
+                if not self._retries.answer_begun:
+                    return self._no_replica(found.in_s, ran())
+                # A ticket without a permit in prospect would hold back the requests behind it.
+                self._leave_queue()
             self._count_wait()
             loop.call_later(POLL_INTERVAL_S, self._inbox.put, TimerFired(_POLL))
             item = await self._inbox.get()
