Check the time left again when a request has waited for its replica

Callers saw: after a long wait a request could be begun although its run could no longer end before its deadline, so it ended as "deadline exceeded" instead of as refused, not run, with a Retry-After.

Cause: the latest start was compared with the expected wait only while the request waited. When a replica was found, it was placed unchecked: after the last poll interval, after a connection that took long, and after a rise of the expected run time.

Fix: a placement after a wait is refused like an expected wait that is too long. A request that finds a replica without a wait is placed as before, whatever its expected run, and so is an answer that has begun.

Evidence: test_a_run_that_is_expected_to_take_longer_after_a_wait_is_not_begun and test_no_run_is_begun_if_the_connection_after_a_wait_took_too_long failed before (a RelayDecision was returned) and pass now; test_a_request_that_did_not_wait_is_placed_whatever_its_expected_run passed before and passes now.

--- a/tests/test_replica_search.py
+++ b/tests/test_replica_search.py
@@ -109,6 +109,8 @@
         self.assertIsInstance(found, Failure)
         assert isinstance(found, Failure)
         self.assertIs(found.kind, FailureKind.NO_REPLICA)
+        assert found.retry_after_s is not None
+        self.assertGreater(found.retry_after_s, 0.0)
 
 
 class PermitWaitTest(SearchTestCase):
@@ -240,3 +242,45 @@
             searching.cancel()
 
         run_virtually(scenario())
+
+
+class NewRequestTest(SearchTestCase):
+    """Guards against a run that is begun although its caller will have left before its end."""
+
+    def new_request(self) -> SearchUnderTest:
+        """Return the search of a stream that is expected to run for 4 s of its 10 s."""
+        search = SearchUnderTest(output_tokens=500, kind=RouteKind.STREAMING, timeout_s=TIMEOUT_S)
+        search.state.run_s_per_token = 0.008
+        return search
+
+    def test_a_run_that_is_expected_to_take_longer_after_a_wait_is_not_begun(self) -> None:
+        async def scenario() -> None:
+            search = self.new_request()
+            available_at_s = search.state.clock() + 5.0
+            search.add(OTHER).loading_until_s = available_at_s
+            searching = asyncio.create_task(search.find(RunState.NOT_RUN))
+            await asyncio.sleep(5.0 - 0.5 * POLL_INTERVAL_S)
+            search.state.run_s_per_token *= 2.0
+            self.assert_refused(await searching)
+            self.assertGreaterEqual(search.state.clock(), available_at_s)
+
+        run_virtually(scenario())
+
+    def test_no_run_is_begun_if_the_connection_after_a_wait_took_too_long(self) -> None:
+        async def scenario() -> None:
+            search = self.new_request()
+            search.add(OTHER).loading_until_s = search.state.clock() + 5.0
+            self.assert_found(await search.find(RunState.NOT_RUN), OTHER)
+            await asyncio.sleep(1.5)
+            self.assert_refused(await search.find(RunState.NOT_RUN))
+
+        run_virtually(scenario())
+
+    def test_a_request_that_did_not_wait_is_placed_whatever_its_expected_run(self) -> None:
+        async def scenario() -> None:
+            search = self.new_request()
+            search.state.run_s_per_token *= 10.0
+            search.add(OTHER)
+            self.assert_found(await search.find(RunState.NOT_RUN), OTHER)
+
+        run_virtually(scenario())
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -72,6 +72,8 @@
         self._queue = state.permit_queues[planner.service]
         self._ticket: PermitTicket | None = None
         self._wait_counted = False
+        #: Whether the request has waited for a replica, in this search or an earlier one.
+        self._has_waited = False
         #: When the request began to wait, on the state's clock.
         self._waiting_since_s = 0.0
 
@@ -111,6 +113,7 @@
                     return self._no_replica(found.in_s, ran())
                 # A ticket without a permit in prospect would hold back the requests behind it.
                 self._leave_queue()
+            self._has_waited = True
             self._count_wait()
             loop.call_later(POLL_INTERVAL_S, self._inbox.put, TimerFired(_POLL))
             item = await self._inbox.get()
@@ -120,8 +123,15 @@
                 return Stopped(StopCause.DEADLINE)
 
     def _check(self) -> RelayDecision | _Availability:
-        """Return a placement for now, or when one is expected."""
+        """Return a placement whose run can end in time, or when one is expected."""
         max_wait_s = self._max_wait_s()
+        found = self._find_available(max_wait_s)
+        if isinstance(found, RelayDecision) and self._has_waited and max_wait_s < 0.0:
+            return _Availability(0.0, max_wait_s)
+        return found
+
+    def _find_available(self, max_wait_s: float) -> RelayDecision | _Availability:
+        """Return a placement for now, or when one is expected."""
         if not self._crashes.may_run(self._admitted.digest):
             return _Availability(POLL_INTERVAL_S, max_wait_s)
         excluded = self.excluded()
