Keep the polls of a replica search out of the request's inbox

Callers could see: an attempt that was just begun ended as "the deadline of the request has passed" with seconds left. Not seen in a log; found while reading the search for the lost moved stream.

Cause: the search put a poll timer into the request's inbox and left it there when something else woke it, such as a move request that arrived with the end of the attempt before. The timer then fired for the next attempt, which takes any timer for the deadline.

Fix: the search waits for the inbox with a timeout, so that a poll is no event and nothing is left over.

Evidence: test_no_timer_of_a_search_reaches_the_next_attempt failed before ("1 != 0" events left in the inbox) and passes now.

--- a/tests/test_replica_search.py
+++ b/tests/test_replica_search.py
@@ -284,3 +284,18 @@
             self.assert_found(await search.find(RunState.NOT_RUN), OTHER)
 
         run_virtually(scenario())
+
+
+class PollTest(SearchTestCase):
+    def test_no_timer_of_a_search_reaches_the_next_attempt(self) -> None:
+        """Guards against an attempt that takes a late poll for the deadline."""
+
+        async def scenario() -> None:
+            search = SearchUnderTest(kind=RouteKind.STREAMING, timeout_s=TIMEOUT_S)
+            search.add(OTHER).loading_until_s = search.state.clock() + 0.4
+            search.inbox.put(TimerFired("other"))
+            self.assert_found(await search.find(RunState.NOT_RUN), OTHER)
+            await asyncio.sleep(2.0 * POLL_INTERVAL_S)
+            self.assertEqual(len(search.inbox), 0)
+
+        run_virtually(scenario())
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -31,9 +31,8 @@
 
 #: Seconds between checks for an available replica.
 POLL_INTERVAL_S = 0.03
-#: Names of the timers of a request.
+#: Name of the timer that ends a request.
 DEADLINE = "deadline"
-_POLL = "poll"
 
 
 class _Availability(msgspec.Struct, frozen=True):
@@ -100,7 +99,6 @@
         return self._attempted | self._crashes.excluded_replicas(self._admitted.digest, replicas)
 
     async def _find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
-        loop = asyncio.get_running_loop()
         while True:
             refusal = self._crashes.refusal(self._admitted.digest, ran())
             if refusal is not None:
@@ -115,12 +113,25 @@
                 self._leave_queue()
             self._has_waited = True
             self._count_wait()
-            loop.call_later(POLL_INTERVAL_S, self._inbox.put, TimerFired(_POLL))
-            item = await self._inbox.get()
-            if isinstance(item, CallerDisconnected):
-                return Stopped(StopCause.CALLER_DISCONNECTED)
-            if isinstance(item, TimerFired) and item.name == DEADLINE:
-                return Stopped(StopCause.DEADLINE)
+            stopped = await self._wait()
+            if stopped is not None:
+                return stopped
+
+    async def _wait(self) -> Stopped | None:
+        """Wait for the next poll or event; return why the search ends, or None if it goes on.
+
+        The poll is no event of the inbox, where a later attempt might receive it.
+        """
+        try:
+            async with asyncio.timeout(POLL_INTERVAL_S):
+                item = await self._inbox.get()
+        except TimeoutError:
+            return None
+        if isinstance(item, CallerDisconnected):
+            return Stopped(StopCause.CALLER_DISCONNECTED)
+        if isinstance(item, TimerFired) and item.name == DEADLINE:
+            return Stopped(StopCause.DEADLINE)
+        return None
 
     def _check(self) -> RelayDecision | _Availability:
         """Return a placement whose run can end in time, or when one is expected."""
