Release replicas without an order as soon as the rollout's leader stops

What callers saw: after a planned stop of the leader, no daemon used a replica whose order had not been accepted (busy, prompts still in prefill, an order without a connection yet) for up to 2 s of the stop and the 1.5 s of its last hold, although nobody was to load it.

Cause: WeightsRollout.stop() threw the task away after MAX_STOP_WAIT_S, and with it the release; until then the task knew nothing of the stop: it held, ordered and repeated unanswered orders, and one more pass could begin a task after the stop had begun.

Change: what is known of the order belongs to the update (_ReplicaUpdate), and counts as unanswered from its first byte. A stop cancels the updates without an order and releases their replicas at once; the others are waited for as before, but give no order any more. The check that a stop has not begun is made together with that of the leadership, directly before the order is sent, so none can pass between. Cancelled updates never continue, so no hold follows the release. A replica with an unanswered order stays held, as before.

--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -8,9 +8,9 @@
 from tests.virtual_loop import run_virtually
 from tests.weights_fleet import LOAD_S, MODEL, PROMPT, FakeReplica, Fleet
 from winchfork.core.prompt_parts import Prompt
-from winchfork.core.relay_replica import ReplicaListing
+from winchfork.core.relay_replica import RelayReplica, ReplicaListing
 from winchfork.core.replica_notice import AnswerNotice
-from winchfork.router.weights_rollout import MAX_ORDER_WAIT_S
+from winchfork.router.weights_rollout import MAX_ORDER_WAIT_S, MAX_STOP_WAIT_S
 
 
 class RolloutTest(unittest.TestCase):
@@ -394,3 +394,92 @@
             self.assertEqual(running.version, 2)
 
         run_virtually(scenario())
+
+
+class StopTest(unittest.TestCase):
+    """A planned stop of the leader during a rollout."""
+
+    def _replica(self, fleet: Fleet, replica_id: str) -> RelayReplica:
+        replica = fleet.state.fleet.get(replica_id)
+        assert replica is not None
+        return replica
+
+    async def _unavailable_s(self, fleet: Fleet, replica_id: str, watched_s: float) -> float:
+        """Return for how long a replica gets no requests, from now on."""
+        replica = self._replica(fleet, replica_id)
+        started_s, last_s = fleet.state.clock(), -1.0
+        while fleet.state.clock() - started_s < watched_s:
+            if not replica.accepts_requests(fleet.state.clock()):
+                last_s = fleet.state.clock() - started_s
+            await asyncio.sleep(0.005)
+        return max(0.0, last_s)
+
+    def test_a_stop_releases_a_replica_that_is_too_busy_for_an_order(self) -> None:
+        async def scenario() -> None:
+            busy = FakeReplica("i-0")
+            busy.next_version, busy.loading_until_s = 3, float("inf")
+            fleet = await Fleet.with_leader([busy])
+            fleet.name_version(2)
+            await asyncio.sleep(1.0)
+            self.assertFalse(self._replica(fleet, "i-0").accepts_requests(fleet.state.clock()))
+            stop = asyncio.create_task(fleet.rollout.stop())
+            self.assertLess(await self._unavailable_s(fleet, "i-0", 5.0), 0.02)
+            await stop
+
+        run_virtually(scenario())
+
+    def test_a_stop_releases_a_replica_whose_prompts_are_still_in_prefill(self) -> None:
+        async def scenario() -> None:
+            replica = FakeReplica("i-0")
+            fleet = await Fleet.with_leader([replica])
+            self._replica(fleet, "i-0").pending_prefill_tokens = 10_000
+            fleet.name_version(2)
+            await asyncio.sleep(0.3)
+            stop = asyncio.create_task(fleet.rollout.stop())
+            self.assertLess(await self._unavailable_s(fleet, "i-0", 5.0), 0.02)
+            self.assertEqual(replica.sequence, 0)
+            await stop
+
+        run_virtually(scenario())
+
+    def test_a_stop_at_any_moment_sends_no_order_and_holds_only_replicas_under_order(self) -> None:
+        for hundredths in range(0, 200, 4):
+            with self.subTest(stopped_after_s=hundredths / 100):
+                run_virtually(self._stop_after(hundredths / 100))
+
+    async def _stop_after(self, seconds: float) -> None:
+        replicas = [FakeReplica(f"i-{number}") for number in range(3)]
+        fleet = await Fleet.with_leader(replicas)
+        fleet.control.connect_s = 0.15
+        fleet.name_version(2)
+        await asyncio.sleep(seconds)
+        ordered = [replica.sequence for replica in replicas]
+        stop = asyncio.create_task(fleet.rollout.stop())
+        unavailable_s = await asyncio.gather(
+            *(self._unavailable_s(fleet, replica.replica_id, 5.0) for replica in replicas)
+        )
+        await stop
+        self.assertEqual([replica.sequence for replica in replicas], ordered)
+        for orders, duration_s in zip(ordered, unavailable_s, strict=True):
+            self.assertLess(duration_s, LOAD_S + 0.3 if orders else 0.02)
+
+    def test_a_stop_neither_repeats_an_unanswered_order_nor_releases_its_replica(self) -> None:
+        """Guards against requests to a replica that may still carry the order out."""
+
+        async def scenario() -> None:
+            replica = FakeReplica("i-0")
+            replica.order_answers_to_lose, replica.lost_order_delay_s = 50, 60.0
+            fleet = await Fleet.with_leader([replica])
+            fleet.name_version(2)
+            await asyncio.sleep(1.0)
+            answers_to_lose = replica.order_answers_to_lose
+            self.assertLess(answers_to_lose, 50)
+            stop = asyncio.create_task(fleet.rollout.stop())
+            stopped_s = fleet.state.clock()
+            while not stop.done():
+                await asyncio.sleep(0.005)
+                self.assertFalse(self._replica(fleet, "i-0").accepts_requests(fleet.state.clock()))
+            self.assertGreaterEqual(fleet.state.clock() - stopped_s, MAX_STOP_WAIT_S)
+            self.assertEqual(replica.order_answers_to_lose, answers_to_lose)
+
+        run_virtually(scenario())
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -12,6 +12,8 @@
 import enum
 import functools
 
+import msgspec
+
 from winchfork.backends.replica_control import (
     OrderOutcome,
     ReplicaControl,
@@ -59,6 +61,18 @@
     ACCEPTED = "accepted"
 
 
+class _ReplicaUpdate(msgspec.Struct):
+    """A replica that is being brought to a newer version of a model."""
+
+    replica: RelayReplica
+    model: str
+    #: The newest version when the update began, or when an order was last given.
+    version: int
+    #: The highest fence under which this daemon has led since the update began.
+    fence: int
+    order_state: _OrderState = _OrderState.NONE
+
+
 class WeightsRollout:
     """The task that orders loads while this daemon leads; idle otherwise."""
 
@@ -74,7 +88,7 @@
         self._leadership = leadership
         self._control = control
         self._peers = peers
-        self._under_order: dict[str, asyncio.Task[None]] = {}
+        self._updates: dict[asyncio.Task[None], _ReplicaUpdate] = {}
         self._stopping = False
         self._pace = LoadPace(state.settings.bounds.weights_s)
         self._announcements = WeightsAnnouncer(exchange.broadcast_weights, state.clock)
@@ -82,16 +96,20 @@
     async def run(self) -> None:
         """Order loads until stopped or cancelled."""
         while not self._stopping:
-            await asyncio.sleep(POLL_PERIOD_S)
             if self._leadership.may_act():
                 for model in list(self._state.weights_versions):
                     self._run_pass(model)
+            await asyncio.sleep(POLL_PERIOD_S)
 
     async def stop(self) -> None:
-        """Order no more loads, wait for the replicas under order, then resign the leadership."""
+        """Order no more loads, wait for the replicas under order, then resign the leadership.
+
+        Replicas without an order are released at once.
+        """
         self._stopping = True
         self._leadership.withdraw()
-        if self._under_order:
+        self._cancel_updates_without_order()
+        if self._updates:
             await asyncio.wait(self.active_tasks(), timeout=MAX_STOP_WAIT_S)
         for task in self.active_tasks():
             task.cancel()
@@ -101,8 +119,15 @@
             self._peers.broadcast(resignation)
 
     def active_tasks(self) -> list[asyncio.Task[None]]:
-        """Return the tasks of the replicas under order."""
-        return list(self._under_order.values())
+        """Return the tasks of the replicas that are being updated."""
+        return list(self._updates)
+
+    def _cancel_updates_without_order(self) -> None:
+        for task, update in self._updates.items():
+            if update.order_state is _OrderState.NONE:
+                task.cancel()
+                self._log_postponed(update)
+                self._announcements.release(update.replica, update.model, update.fence)
 
     def _run_pass(self, model: str) -> None:
         history = self._state.weights_versions[model]
@@ -113,14 +138,20 @@
             if model in replica.versions and self._state.is_configured(replica.listing.service)
         ]
         now_s = self._state.clock()
-        views = [self._view(replica, model, now_s) for replica in replicas]
+        updating = {update.replica.replica_id for update in self._updates.values()}
+        views = [
+            self._view(replica, model, now_s, replica.replica_id in updating)
+            for replica in replicas
+        ]
         step = next_step(views, history.newest, self._pace)
         for replica_id in step.prepare:
             self._prepare(replica_id, model)
         for replica_id in step.order:
             self._begin(replica_id, model)
 
-    def _view(self, replica: RelayReplica, model: str, now_s: float) -> LoadingReplica:
+    def _view(
+        self, replica: RelayReplica, model: str, now_s: float, under_order: bool
+    ) -> LoadingReplica:
         due_s = self._state.replica_selector.weights_expire_at_s(model, replica.versions[model])
         overdue = now_s + START_MARGIN_S >= due_s
         # A replica that backs off gets its order afterwards, unless its weights expire before that.
@@ -132,7 +163,7 @@
             replica.versions[model],
             replica.accepting and not is_unavailable,
             max(0.0, replica.busy_until_s - now_s),
-            replica.replica_id in self._under_order,
+            under_order,
             overdue,
         )
 
@@ -145,23 +176,23 @@
         replica = self._state.fleet.get(replica_id)
         if replica is None:
             return
-        task = asyncio.get_running_loop().create_task(self._bring_up_to_date(replica, model))
-        self._under_order[replica_id] = task
-        task.add_done_callback(lambda _: self._under_order.pop(replica_id, None))
+        version = self._state.weights_versions[model].newest
+        update = _ReplicaUpdate(replica, model, version, self._leadership.fence)
+        task = asyncio.get_running_loop().create_task(self._bring_up_to_date(update))
+        self._updates[task] = update
+        task.add_done_callback(self._updates.pop)
 
-    async def _bring_up_to_date(self, replica: RelayReplica, model: str) -> None:
+    async def _bring_up_to_date(self, update: _ReplicaUpdate) -> None:
         """Bring one replica to the newest version, or give up until the next pass.
 
         A replica that may still carry out an order is not released: the next pass holds it again,
         and all daemons would send to it in between.
         """
-        version = self._state.weights_versions[model].newest
+        replica, model = update.replica, update.model
         started_s = self._state.clock()
-        fence = self._leadership.fence
-        await self._hold_new_requests(replica, model, fence)
-        order_state = _OrderState.NONE
+        await self._hold_new_requests(update)
         failed_reports = 0
-        while self._should_continue(replica, started_s, order_state):
+        while self._should_continue(update, started_s):
             report = await self._report(replica)
             if isinstance(report, Failure):
                 failed_reports += 1
@@ -174,41 +205,51 @@
             else:
                 failed_reports = 0
                 loaded = report.versions.get(model, 0)
-                if loaded >= version and not report.busy:
+                if loaded >= update.version and not report.busy:
                     self._state.record_version(replica, model, loaded)
-                    if order_state is _OrderState.ACCEPTED:
+                    if update.order_state is _OrderState.ACCEPTED:
                         self._pace.record_load(self._state.clock() - started_s)
                     break
-                if order_state is not _OrderState.ACCEPTED and not report.busy:
-                    # A newer version may have been named since the task started.
-                    version = self._state.weights_versions[model].newest
-                    given = await self._order(replica, model, version, report)
-                    order_state = order_state if given is _OrderState.NONE else given
-            fence = max(fence, self._leadership.fence)
-            has_order = order_state is _OrderState.ACCEPTED
-            self._announcements.hold(replica, model, fence, has_order=has_order)
+                if self._may_order(update, report):
+                    await self._order(update, report)
+            update.fence = max(update.fence, self._leadership.fence)
+            has_order = update.order_state is _OrderState.ACCEPTED
+            self._announcements.hold(replica, model, update.fence, has_order=has_order)
             await asyncio.sleep(REPORT_PERIOD_S)
         else:
-            log_event("rollout_postponed", "WARNING", replica=replica.replica_id, version=version)
-            if order_state is _OrderState.UNANSWERED:
+            self._log_postponed(update)
+            if update.order_state is _OrderState.UNANSWERED:
                 return
-        self._announcements.release(replica, model, fence)
+        self._announcements.release(replica, model, update.fence)
+
+    def _log_postponed(self, update: _ReplicaUpdate) -> None:
+        log_event(
+            "rollout_postponed",
+            "WARNING",
+            replica=update.replica.replica_id,
+            version=update.version,
+        )
 
-    def _should_continue(
-        self, replica: RelayReplica, started_s: float, order_state: _OrderState
-    ) -> bool:
+    def _may_order(self, update: _ReplicaUpdate, report: ReplicaReport) -> bool:
+        is_accepted = update.order_state is _OrderState.ACCEPTED
+        return not is_accepted and not report.busy and not self._stopping
+
+    def _should_continue(self, update: _ReplicaUpdate, started_s: float) -> bool:
         """Whether to poll the replica's report again.
 
         Only an order needs the leadership. After one, polling goes on without it, because the
         replica refuses requests until it is done and the peers' hold has to be renewed.
         """
+        replica = update.replica
         # A later incarnation with the same id got no order from this task.
         is_removed = self._state.fleet.get(replica.replica_id) is not replica
         if is_removed or replica.incarnation_state is IncarnationState.ENDED:
             return False
         waited_s = self._state.clock() - started_s
-        if order_state is _OrderState.ACCEPTED:
+        if update.order_state is _OrderState.ACCEPTED:
             return waited_s < MAX_LOAD_WAIT_S
+        if update.order_state is _OrderState.NONE and self._stopping:
+            return False
         may_order = not replica.superseded and self._leadership.may_act()
         return waited_s < MAX_ORDER_WAIT_S and may_order
 
@@ -225,25 +266,39 @@
                 self._state.mark_superseded(replica, other.replica_id)
                 return
 
-    async def _hold_new_requests(self, replica: RelayReplica, model: str, fence: int) -> None:
+    async def _hold_new_requests(self, update: _ReplicaUpdate) -> None:
         """Ask peers to send no new requests, and wait for the prefill of those already sent."""
-        self._announcements.hold(replica, model, fence)
+        replica = update.replica
+        self._announcements.hold(replica, update.model, update.fence)
         await asyncio.sleep(HOLD_PROPAGATION_S)
         until_s = self._state.clock() + MAX_PREFILL_WAIT_S
         while replica.queued_prefill_tokens and self._state.clock() < until_s:
             await asyncio.sleep(HOLD_PROPAGATION_S)
 
-    async def _order(
-        self, replica: RelayReplica, model: str, version: int, report: ReplicaReport
-    ) -> _OrderState:
-        """Give the order and return its state.
+    async def _order(self, update: _ReplicaUpdate, report: ReplicaReport) -> None:
+        """Order the newest version, which may be newer than when the update began."""
+        update.version = self._state.weights_versions[update.model].newest
+        earlier_state = update.order_state
+        given = await self._send_order(update, report)
+        update.order_state = earlier_state if given is _OrderState.NONE else given
+
+    def _authorize_order(self, update: _ReplicaUpdate) -> bool:
+        """Return whether an order may be sent now; if so, it is unanswered from now on."""
+        if self._stopping or not self._leadership.authorize_order():
+            return False
+        update.order_state = _OrderState.UNANSWERED
+        return True
+
+    async def _send_order(self, update: _ReplicaUpdate, report: ReplicaReport) -> _OrderState:
+        """Send the order and return its state.
 
         If an order that may have been sent got no answer, the replica's next report decides.
         """
+        replica = update.replica
         order = WeightsOrder(
             replica.replica_id,
-            model,
-            version,
+            update.model,
+            update.version,
             self._state.settings.node_id,
             self._leadership.fence,
             report.sequence,
@@ -251,14 +306,14 @@
         outcome = await self._control.order(
             replica.listing.address,
             order,
-            self._leadership.authorize_order,
+            functools.partial(self._authorize_order, update),
             functools.partial(self._state.notices.record, replica),
         )
         log_event(
             "weights_ordered",
             replica=replica.replica_id,
-            model=model,
-            version=version,
+            model=update.model,
+            version=update.version,
             fence=order.fence,
             expected=order.expected_sequence,
             running=report.running,
