Listen until a stopping router exits, so that late callers get a refusal

What callers saw: a connection to a stopping router was refused from 2.3 s after SIGTERM until its last answer had ended, up to the end of the grace period. A caller learned nothing from that: a 503 promises that the request has not run and says when to come back.

Cause: RouterProcess._stop closed the listening sockets on the estimate that the load balancer has taken the router out by then. It goes on using all routers of a zone while fewer than half of them are ready.

Evidence, new tests on the code before: while a stream of the stopping router still ran, the next caller got ConnectionRefusedError; with a request half read on a connection opened after refusals began, busy_connections counted 2 instead of 1.

Change: the sockets are closed last. Until then requests are refused at once, and their connections close after the answer, as those on older connections did. The readiness page answers 503 instead of refusing the connection; the platform counts both as a miss, so the router is taken out as early as before. Connections opened while requests are refused cannot hold up the stop, whatever arrives on them: they are not counted as busy, and are closed with the sockets.

--- a/tests/test_platform_whole.py
+++ b/tests/test_platform_whole.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from standins.answer_faults import ReplicaFault
 from standins.deployment import API_KEY, MODEL, LoopbackDeployment
 from standins.replica_server import ReplicaServer
 from tests.relay_support import ReceivedAnswer, read_answer
+from winchfork.router import process
 from winchfork.router.settings import RouterSettings
 
 _TIMEOUT_S = 25.0
@@ -31,8 +33,8 @@
     return text.encode()
 
 
-async def _ask(settings: RouterSettings, message: bytes) -> ReceivedAnswer:
-    host, _, port = settings.caller_address.rpartition(":")
+async def _send(address: str, message: bytes) -> ReceivedAnswer:
+    host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(message)
     answer = await asyncio.wait_for(read_answer(reader), _TIMEOUT_S)
@@ -40,6 +42,16 @@
     return answer
 
 
+async def _ask(settings: RouterSettings, message: bytes) -> ReceivedAnswer:
+    return await _send(settings.caller_address, message)
+
+
+async def _probe(settings: RouterSettings) -> int:
+    """Return the status of the readiness page."""
+    request = b"GET /readiness HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n"
+    return (await _send(settings.readiness_address, request)).status
+
+
 def _event_ids(answer: ReceivedAnswer) -> list[int]:
     lines = answer.body.decode().splitlines()
     return [int(line[4:]) for line in lines if line.startswith("id: ")]
@@ -188,6 +200,35 @@
         with self.assertRaises(OSError):
             await _ask(settings, _request("late", tokens_out=3))
 
+    async def test_a_stopping_router_refuses_late_callers_until_its_last_stream_ends(self) -> None:
+        """A load balancer may send callers to a stopping router if too few others are ready."""
+        router, settings = self.deployment.routers[0], self.deployment.settings[0]
+        for replica in self.deployment.model_replicas:
+            replica.token_interval_s = 0.012
+        request = asyncio.create_task(_ask(settings, _request("stopping", tokens_out=300)))
+        while not router.service.active_requests:
+            await asyncio.sleep(0.01)
+        with mock.patch.object(process, "LOAD_BALANCER_DRAIN_S", 0.1):
+            router.request_stop()
+            while not router.service.refusing_requests:
+                await asyncio.sleep(0.01)
+        for number in range(3):
+            late = await _ask(settings, _request(f"late-{number}", tokens_out=3))
+            self.assertEqual(late.status, 503)
+            self.assertIn(b"stopping", late.body)
+            self.assertEqual(late.headers["connection"], "close")
+            self.assertEqual(await _probe(settings), 503)
+        self.assertFalse(request.done())
+        answer = await request
+        self.assertTrue(answer.whole)
+        self.assertEqual(_event_ids(answer), list(range(1, 301)))
+        await asyncio.wait_for(self.deployment.tasks[0], _TIMEOUT_S)
+        for address in (settings.caller_address, settings.readiness_address):
+            with self.assertRaises(OSError):
+                await _send(address, b"")
+        ran = [name for replica in self.deployment.model_replicas for name in replica.ran]
+        self.assertEqual(ran, ["stopping"])
+
     async def test_a_store_outage_fails_closed_until_the_store_returns(self) -> None:
         settings, router = self.deployment.settings[0], self.deployment.routers[0]
         self.deployment.store.down = True
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -292,3 +292,27 @@
         self.assertEqual(answer.body, event(1) + event(2))
         for writer in (idle_writer, late_writer):
             writer.close()
+
+    async def test_a_stop_does_not_wait_for_a_connection_that_was_opened_late(self) -> None:
+        relay = await self.relay(ScriptedReplica(answering(lambda r: signed(r, b"ok"))))
+        request = caller_request("early", method="POST", body=b"ping")
+        early_reader, early_writer = await relay.connect()
+        early_writer.write(request[:-2])
+        while not relay.service.busy_connections:
+            await asyncio.sleep(0.005)
+        relay.state.stopping = True
+        relay.service.refusing_requests = True
+        relay.service.close_callers_when_idle()
+        late_reader, late_writer = await relay.connect()
+        late_writer.write(request[:-2].replace(b"early", b"late"))
+        opened_later_reader, opened_later_writer = await relay.connect()
+        opened_later_writer.write(caller_request("later"))
+        self.assert_not_run(await read_answer(opened_later_reader))
+        self.assertEqual(relay.service.busy_connections, 1)
+        early_writer.write(request[-2:])
+        self.assert_not_run(await read_answer(early_reader))
+        self.assertEqual(relay.service.busy_connections, 0)
+        relay.service.close_late_callers()
+        self.assertEqual(await late_reader.read(), b"")
+        for writer in (early_writer, late_writer, opened_later_writer):
+            writer.close()
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -2,8 +2,9 @@
 
 A graceful shutdown first makes the process not ready, so that the load balancer in front stops
 sending requests. The process still accepts requests for ``LOAD_BALANCER_DRAIN_S``, but at most half
-of the grace period, and closes each caller's connection after its answer. Then it accepts no
-connections or requests, and ends when no request is active or the grace period is over.
+of the grace period, and closes each caller's connection after its answer. Then it refuses requests,
+and ends when none is active or the grace period is over. It listens until its end: a load balancer
+that finds too few daemons ready sends callers to all of them.
 """
 
 from __future__ import annotations
@@ -45,7 +46,8 @@
 LOG_FLUSH_PERIOD_S = 0.1
 #: Pause before a background task that ended unexpectedly is restarted.
 DUTY_RESTART_PAUSE_S = 0.2
-#: After a stop request, the load balancer may send requests until two of its probes have failed.
+#: After a stop request, the load balancer may send requests until two of its probes have failed, or
+#: longer if too few other daemons are ready.
 LOAD_BALANCER_DRAIN_S = 2.3
 #: Part of the grace period reserved for closing connections and exiting.
 STOP_MARGIN_S = 0.5
@@ -289,12 +291,13 @@
         await asyncio.sleep(drain_s)
         # Requests that arrive later may not finish within the grace period.
         self.service.refusing_requests = True
-        for server in self._servers:
-            server.close()
         self.service.close_callers_when_idle()
         while self.service.busy_connections and self._loop.time() < deadline_s:
             await asyncio.sleep(0.02)
         await asyncio.wait([handover], timeout=max(0.0, deadline_s - self._loop.time()))
+        for server in self._servers:
+            server.close()
+        self.service.close_late_callers()
         self._peers.leave()
         for task in self._tasks:
             task.cancel()
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -44,6 +44,8 @@
         self._admission = RequestAdmission(state)
         self._quota_gate = QuotaGate(state.quotas, state.clock, state.metrics)
         self._connections: set[CallerConnection] = set()
+        #: Those that were opened while requests are refused.
+        self._late_connections: set[CallerConnection] = set()
         self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
         state.is_connected = pool.is_connected
         state.on_unresponsive = self._replica_unreachable
@@ -60,10 +62,13 @@
     def connection_opened(self, connection: CallerConnection) -> None:
         """Add a connection."""
         self._connections.add(connection)
+        if self.refusing_requests:
+            self._late_connections.add(connection)
 
     def connection_closed(self, connection: CallerConnection) -> None:
         """Remove a connection."""
         self._connections.discard(connection)
+        self._late_connections.discard(connection)
 
     def start_request(
         self, connection: CallerConnection, request: IncomingRequest
@@ -130,8 +135,12 @@
 
     @property
     def busy_connections(self) -> int:
-        """The number of callers' connections with a request."""
-        return sum(1 for connection in self._connections if connection.busy)
+        """The number of callers' connections with a request, without those that were opened late.
+
+        Requests on late connections are refused, so a stop need not wait for them.
+        """
+        awaited = self._connections - self._late_connections
+        return sum(1 for connection in awaited if connection.busy)
 
     def sweep(self, now_s: float) -> None:
         """Enforce the timeouts of callers' connections; close idle connections to replicas."""
@@ -143,3 +152,8 @@
         """Close every caller's connection after its answer, idle ones at once."""
         for connection in list(self._connections):
             connection.close_when_idle()
+
+    def close_late_callers(self) -> None:
+        """Close the connections that were opened while requests are refused."""
+        for connection in list(self._late_connections):
+            connection.close()
