Keep sound replicas whose lapse in a store outage a watch or a peer reports

Seen by callers: after a store outage of more than three heartbeats that kept its history, each daemon drops every replica whose entry lapsed, and all daemons do so at the same moment. Until the entries are written again, up to two seconds later, a new request finds no candidate and is refused (by reading replica_search), and what was known of the replicas' caches is lost for good.

Cause: only a list marked missing entries with `missing_after_outage`. The first watch after an outage, the peers' incremental updates and the complete update of a peer that had just started delivered the same lapses as plain removals, which drop the listing and the cache at once. A lapse is only an estimate that a replica has ended.

Evidence: on the code before, with the tests of this commit, 6 of 26 fail: test_store_sync: ..._keeps_its_cached_parts: ['i-2'] != ['i-1', 'i-2'] test_store_sync: ..._still_missing_after_the_grace (history_lost=False): 'i-1' not found in ['i-2'] test_lapses_in_outages, kept by daemons that watch, and that hear of the lapses from a peer: [[], [], []] != [['i-1', 'i-2'], ['i-1', 'i-2'], ['i-1', 'i-2']] test_lapses_in_outages, updated by a peer that has just started, or that stalled in the outage: [[], []] != [['i-1', 'i-2'], ['i-1', 'i-2']] (The other four tests of the new module are of a method that the code before lacks.)

Change: a replica's removal that was not known at the last freshness proof is marked if an outage in which entries may have lapsed has ended since that proof, whether a list, a watch or a peer reports it. The mark is stored and relayed in the field that exists; no message changes. Such an outage takes repeated failures here and two heartbeats in which no daemon is known to have reached the store. So one lost answer, a short failure, a stall, or a store that rejects this daemon alone gives no grace. A list after any failure keeps the grace that it had. Everything after the mark is as after a list: a replica that is draining goes at once, one that is still missing after RELISTING_GRACE_S goes then, and a removal made after the first answer (the proof) goes at once. Records of refusals and rollouts are not marked: a removal that a watch reports does not mean that the store has lost them.

The detector is now told of an answer before its entries are installed, since they depend on it. The conditions for restarting the bounds on weights are the same.

Two tests of test_store_sync now run for a list and for a watch; the outage of the latter is longer, because the in-memory store still answers a watch that was waiting when it went down.

--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -13,18 +13,23 @@
 from tests.virtual_loop import run_virtually, stall_loop
 from winchfork.core.document_table import TableItem, TableUpdate
 from winchfork.core.replica_notice import AnswerNotice
+from winchfork.core.software_state import SoftwareState
 from winchfork.core.store_position import StorePosition
-from winchfork.errors import Failure
+from winchfork.errors import Failure, FailureKind
 from winchfork.logs import configure_logs
 from winchfork.platform.documents import PlatformDocumentCodec
 from winchfork.router.document_installer import RELISTING_GRACE_S
 from winchfork.router.leader_entry import LEADER_KEY
 from winchfork.router.leadership import Leadership
-from winchfork.router.settings import RouterSettings
+from winchfork.router.settings import RouterBounds, RouterSettings
+from winchfork.router.software_records import encode_record, software_record_key
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import WATCH_WAIT_S, StoreSync
 from winchfork.stores.async_key_value import StoreSnapshot
 
+#: An outage after which entries have lapsed. A watch that waits when it begins is still answered.
+LAPSE_OUTAGE_S = WATCH_WAIT_S + 3.0 * RouterBounds().heartbeat_s
+
 
 class Followed:
     """A RouterState that follows a store."""
@@ -51,12 +56,13 @@
     def put_replica(self, replica_id: str, **changes: object) -> None:
         self.store.put(f"servers/{replica_id}", json.dumps({**REPLICA, **changes}).encode())
 
-    async def lose_in_an_outage(self, replica_id: str) -> None:
+    async def lose_in_an_outage(self, replica_id: str, *, history_lost: bool = True) -> None:
         """Remove an entry during a store outage, and wait until that is known."""
         self.store.down = True
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(3.0 if history_lost else LAPSE_OUTAGE_S)
         self.store.remove(f"servers/{replica_id}")
-        self.store.compact_history()
+        if history_lost:
+            self.store.compact_history()
         self.store.down = False
         up_s = self.state.clock()
         while self.state.clock() - up_s < 60.0 and not self.state.missing_until_s:
@@ -186,9 +192,31 @@
 
         follow(scenario)
 
+    def test_a_replica_whose_entry_lapsed_in_an_outage_keeps_its_cached_parts(self) -> None:
+        """The store has kept its history, so that the removals are heard by a watch."""
+
+        async def scenario(followed: Followed) -> None:
+            replica = followed.state.fleet.get("i-1")
+            assert replica is not None
+            followed.state.parts.record_cached([7], replica.incarnation_hash, 0.0)
+            await followed.lose_in_an_outage("i-1", history_lost=False)
+            self.assertEqual(followed.known(), ["i-1", "i-2"])
+            followed.put_replica("i-1")
+            await asyncio.sleep(4.0)
+            followed.sync.expire_missing_replicas(followed.state.clock())
+            self.assertIs(followed.state.fleet.get("i-1"), replica)
+            self.assertIn(replica.incarnation_hash, followed.state.parts.holders(7))
+
+        follow(scenario)
+
     def test_a_replica_is_removed_when_its_entry_is_still_missing_after_the_grace(self) -> None:
+        for history_lost in (True, False):
+            with self.subTest(history_lost=history_lost):
+                self.check_end_of_grace(history_lost)
+
+    def check_end_of_grace(self, history_lost: bool) -> None:
         async def scenario(followed: Followed) -> None:
-            await followed.lose_in_an_outage("i-1")
+            await followed.lose_in_an_outage("i-1", history_lost=history_lost)
             await asyncio.sleep(RELISTING_GRACE_S - 0.1)
             followed.sync.expire_missing_replicas(followed.state.clock())
             self.assertIn("i-1", followed.known())
@@ -200,12 +228,16 @@
 
     def test_a_draining_replica_stays_so_when_its_entry_returns_after_an_outage(self) -> None:
         """Its own notice counts more than an entry that is written again as ready."""
+        for history_lost in (True, False):
+            with self.subTest(history_lost=history_lost):
+                self.check_draining_replica(history_lost)
 
+    def check_draining_replica(self, history_lost: bool) -> None:
         async def scenario(followed: Followed) -> None:
             leaving = followed.state.fleet.get("i-1")
             assert leaving is not None
             followed.state.notices.record(leaving, AnswerNotice(draining=True))
-            await followed.lose_in_an_outage("i-1")
+            await followed.lose_in_an_outage("i-1", history_lost=history_lost)
             self.assertEqual(followed.known(), ["i-2"])
             followed.put_replica("i-1")
             await asyncio.sleep(4.0)
@@ -216,6 +248,67 @@
 
         follow(scenario)
 
+    def test_a_replica_listed_as_draining_is_removed_when_its_entry_lapses_in_an_outage(
+        self,
+    ) -> None:
+        async def scenario(followed: Followed) -> None:
+            followed.put_replica("i-1", State="draining")
+            await followed.wait_until_synced()
+            await followed.lose_in_an_outage("i-1", history_lost=False)
+            self.assertEqual(followed.known(), ["i-2"])
+
+        follow(scenario)
+
+    def test_a_removal_that_follows_the_first_answer_after_an_outage_has_no_grace(self) -> None:
+        async def scenario(followed: Followed) -> None:
+            await followed.lose_in_an_outage("i-1", history_lost=False)
+            followed.store.remove("servers/i-2")
+            await asyncio.sleep(0.1)
+            self.assertNotIn("i-2", followed.known())
+
+        follow(scenario)
+
+    def test_a_removal_has_no_grace_after_a_failure_in_which_no_entry_lapses(self) -> None:
+        async def scenario(followed: Followed) -> None:
+            followed.store.down = True
+            await asyncio.sleep(WATCH_WAIT_S + 0.5)
+            followed.store.remove("servers/i-1")
+            followed.store.down = False
+            await asyncio.sleep(1.5)
+            self.assertEqual(followed.known(), ["i-2"])
+
+        follow(scenario)
+
+    def test_a_removal_has_no_grace_after_a_single_lost_answer(self) -> None:
+        async def scenario(followed: Followed) -> None:
+            real = followed.store.watch
+
+            async def lose_an_answer(*_: object) -> Failure:
+                followed.store.watch = real  # type: ignore[method-assign]
+                await asyncio.sleep(3.0)
+                followed.store.remove("servers/i-1")
+                return FailureKind.STORE_UNAVAILABLE.because("the answer was lost")
+
+            followed.store.watch = lose_an_answer  # type: ignore[assignment, method-assign]
+            await asyncio.sleep(WATCH_WAIT_S + 3.5)
+            self.assertEqual(followed.known(), ["i-2"])
+
+        follow(scenario)
+
+    def test_a_record_that_is_removed_in_an_outage_does_not_count_as_lost(self) -> None:
+        async def scenario(followed: Followed) -> None:
+            key = software_record_key("s")
+            followed.store.put(key, encode_record(SoftwareState("s", "1.0")))
+            await followed.wait_until_synced()
+            followed.store.down = True
+            await asyncio.sleep(LAPSE_OUTAGE_S)
+            followed.store.remove(key)
+            followed.store.down = False
+            await asyncio.sleep(2.0)
+            self.assertFalse(followed.state.software.is_record_lost("s"))
+
+        follow(scenario)
+
     def test_incarnation_changes_caused_by_entries_are_logged(self) -> None:
         """Guards against replicas that get no requests without a logged reason."""
 
--- a/winchfork/core/document_table.py
+++ b/winchfork/core/document_table.py
@@ -25,7 +25,7 @@
     """One entry; ``value`` is None for a removed one.
 
     ``missing_after_outage`` marks an entry that the store lacked after an outage. It need not have
-    been removed: it may only not have been written again yet.
+    been removed on purpose: it may have lapsed and not been written again yet.
     """
 
     key: str
--- a/winchfork/core/store_outage.py
+++ b/winchfork/core/store_outage.py
@@ -7,6 +7,9 @@
 - no daemon is known to have reached the store for ``MAX_WATCH_S``;
 - calls that were started in that time failed here;
 - enough peers (``peers_needed``) replied that they had not reached the store either.
+
+Whether entries may have lapsed for lack of renewal is a different question, on which the loss of
+sound replicas depends. It is answered with yes unless a peer is known to have reached the store.
 """
 
 from __future__ import annotations
@@ -19,6 +22,9 @@
 MAX_WATCH_S = 2.5
 #: A later reply confirms no outage: the peer may have stalled and not tried to reach the store.
 MAX_REPLY_DELAY_S = 0.5
+#: Shortest outage in which a replica's entry may lapse, in heartbeats of the replica. An entry
+#: lapses after three heartbeats of silence, one of which may have passed when the outage begins.
+LAPSE_HEARTBEATS = 2
 
 
 class StoreOutage(msgspec.Struct, frozen=True):
@@ -31,11 +37,13 @@
 class StoreOutageDetector:
     """Collects one daemon's observations. Times are monotonic seconds of this daemon.
 
-    Without peers (``has_peers`` false), its own observations decide.
+    Without peers (``has_peers`` false), its own observations decide. ``heartbeat_s`` is the period
+    in which replicas renew their entries.
     """
 
-    def __init__(self, started_s: float, *, has_peers: bool) -> None:
+    def __init__(self, started_s: float, *, has_peers: bool, heartbeat_s: float = 1.2) -> None:
         self._has_peers = has_peers
+        self._shortest_lapse_s = LAPSE_HEARTBEATS * heartbeat_s
         self._started_s = started_s
         #: Latest time at which the store is known to have answered a daemon (a proof).
         self._proven_s = -math.inf
@@ -47,6 +55,8 @@
         #: By peer: when the request was sent whose reply first confirmed the outage.
         self._peers_agreed_at_s: dict[str, float] = {}
         self._ended: StoreOutage | None = None
+        #: End of the latest time without contact to the store in which entries may have lapsed.
+        self._lapses_until_s = -math.inf
 
     @property
     def is_suspected(self) -> bool:
@@ -85,6 +95,14 @@
         ended, self._ended = self._ended, None
         return ended
 
+    def may_have_lapsed_since(self, at_s: float) -> bool:
+        """Whether entries that the store held at ``at_s`` may have lapsed for lack of renewal.
+
+        That is, whether a time has ended since then in which no daemon is known to have reached the
+        store and which was long enough for entries to lapse.
+        """
+        return self._lapses_until_s > at_s
+
     @property
     def _unreached_since_s(self) -> float:
         return self._proven_s if math.isfinite(self._proven_s) else self._started_s
@@ -92,6 +110,8 @@
     def _record_proof(self, at_s: float) -> None:
         if at_s <= self._proven_s:
             return
+        if self._failed_before(at_s) and at_s - self._unreached_since_s >= self._shortest_lapse_s:
+            self._lapses_until_s = at_s
         if self._was_unreachable_until(at_s):
             self._ended = StoreOutage(self._unreached_since_s, at_s)
         self._proven_s = at_s
@@ -106,7 +126,11 @@
 
     def _was_unreachable_until(self, at_s: float) -> bool:
         """Whether the observations since the last proof show an outage for all daemons."""
-        failed_here = self._first_fresh_failure_at_s < at_s
         agreeing = sum(asked_s < at_s for asked_s in self._peers_agreed_at_s.values())
         peers_agree = agreeing >= self.peers_needed or not self._has_peers
-        return failed_here and peers_agree and at_s - self._unreached_since_s >= MAX_WATCH_S
+        is_long = at_s - self._unreached_since_s >= MAX_WATCH_S
+        return self._failed_before(at_s) and peers_agree and is_long
+
+    def _failed_before(self, at_s: float) -> bool:
+        """Whether calls failed here between the last proof and ``at_s``, and not due to a stall."""
+        return self._first_fresh_failure_at_s < at_s
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -1,6 +1,6 @@
 """Applies store entries to this daemon's state.
 
-A replica that is missing from the first list after a store outage is kept for
+A replica whose removal is found out by the first answer after a store outage is kept for
 ``RELISTING_GRACE_S``, because its entry may have expired while the replica could not renew it.
 """
 
@@ -110,6 +110,13 @@
         elif isinstance(document, ReplicaRemoved):
             self._handle_removed_replica(document.replica_id, item)
 
+    def is_replica_removal(self, item: TableItem) -> bool:
+        """Whether an item is the removal of a replica's entry."""
+        if item.value is not None:
+            return False
+        document = self._reader.read(StoreItem(item.key, None, item.revision))
+        return isinstance(document, ReplicaRemoved)
+
     def _install_leader(self, item: TableItem, position: StorePosition) -> None:
         if item.value is None:
             self._leadership.record_no_entry(position)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -87,7 +87,9 @@
         self.weights_fence = 0
         self.freshness = Freshness()
         self.stall_detector = StallDetector()
-        self.store_outage = StoreOutageDetector(clock(), has_peers=bool(settings.seeds))
+        self.store_outage = StoreOutageDetector(
+            clock(), has_peers=bool(settings.seeds), heartbeat_s=settings.bounds.heartbeat_s
+        )
         self.software = SoftwareVersions(
             self.fleet,
             lambda: self.freshness.age_s(self.clock()),
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -16,6 +16,8 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
+
 from winchfork.core.document_table import DocumentTable, TableItem, TableUpdate
 from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind
@@ -132,6 +134,7 @@
             return self._drop_answer(snapshot.position, "era_over")
         after_outage = self._lost_since_s is not None
         self._mark_store_regained(started_s)
+        self._state.store_outage.record_answer(started_s)
         self._entry_date = self._date_entries(EntrySource.LIST, in_time=False)
         self._observed_until_s = started_s
         items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
@@ -154,9 +157,9 @@
         self._install_newer(items, at.era)
         self._installer.is_restoring = False
         missing = self.table.missing_from(item.key for item in items)
-        removed = [TableItem(key, at.revision, None, after_outage) for key in missing]
+        removed = tuple(TableItem(key, at.revision, None, after_outage) for key in missing)
         self.table.mark_listed(at.revision, after_outage=after_outage)
-        self._install_newer(removed, at.era)
+        self._install_newer(self._mark_lapses(removed), at.era)
         if LEADER_KEY not in {item.key for item in items}:
             self._leadership.record_no_entry(at)
         self._advance_position(at)
@@ -180,7 +183,10 @@
         )
         self._observed_until_s = answered_s
         self._mark_store_regained(started_s)
-        items = tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
+        self._state.store_outage.record_answer(started_s)
+        items = self._mark_lapses(
+            tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
+        )
         self._install_newer(items, batch.position.era)
         self._advance_position(batch.position)
         if self._relay is not None:
@@ -279,7 +285,7 @@
             return True
         if update.at.era != known.era:
             return False
-        self._install_newer(update.items, known.era)
+        self._install_newer(self._mark_lapses(update.items), known.era)
         if not self._has_listed or update.base > known:
             return False
         self._state.store_position = max(known, update.at)
@@ -297,6 +303,22 @@
             if self.table.apply(item):
                 self._installer.install(item, era, self._entry_date)
 
+    def _mark_lapses(self, items: tuple[TableItem, ...]) -> tuple[TableItem, ...]:
+        """Mark the removals of replicas whose entries may have lapsed in an outage of the store.
+
+        These are the removals since the last freshness proof, whoever reported them: a peer that
+        has just started does not know of the outage. Other entries need no renewal.
+        """
+        proven_s = self._state.freshness.proven_at_s
+        if not self._state.store_outage.may_have_lapsed_since(proven_s):
+            return items
+        return tuple(
+            msgspec.structs.replace(item, missing_after_outage=True)
+            if self._installer.is_replica_removal(item)
+            else item
+            for item in items
+        )
+
     def _assumed_age_s(self) -> float:
         """Return the assumed age of a weights version that was named at an unknown time.
 
