Test the retry budget, request limits and late events of backup attempts

Three of twelve mutants of the runner lived: one that spent no retry, one that took the permit of a replica with a request limit, and one that took the event of a dropped backup for the next one's. Each has a test now. The type of the inbox in test_replica_search follows.

--- a/tests/test_backup_attempts.py
+++ b/tests/test_backup_attempts.py
@@ -20,9 +20,11 @@
     signed,
     stream_head,
 )
+from winchfork.core.request_limit import LimitPosition
 from winchfork.core.routing import RouteKind
 from winchfork.errors import Failure
 from winchfork.router.attempt_runner import MIN_SILENCE_S
+from winchfork.router.http_types import BackupReady
 from winchfork.router.replica_connection import ReplicaConnection
 
 EVENTS = 6
@@ -307,6 +309,46 @@
         self.assert_whole(await answer)
         self.assertEqual(backup.received, [])
 
+    async def test_a_backup_spends_the_retry_budget(self) -> None:
+        first = StepwiseStream()
+        backup = ScriptedReplica(StepwiseStream(EVENTS))
+        relay, answer = await self.start(first, backup)
+        budget = relay.state.retry_budget
+        while budget.try_spend("s", relay.state.daemon_count, relay.state.clock()):
+            pass
+        self.report_unreachable(relay)
+        await asyncio.sleep(0.1)
+        await first.allow(EVENTS)
+        self.assert_whole(await answer)
+        self.assertEqual(backup.received, [])
+
+    async def test_a_backup_takes_no_permit_of_a_replica_with_a_request_limit(self) -> None:
+        """Guards against overtaking the requests that queue for a permit."""
+        first = StepwiseStream()
+        backup = ScriptedReplica(StepwiseStream(EVENTS))
+        relay, answer = await self.start(first, backup)
+        other = relay.state.fleet.get("i-1")
+        assert other is not None
+        other.notice.limit.update(1000.0, relay.state.clock() - 60.0)
+        other.notice.limit.set_position(LimitPosition(rank=0, daemons=1), 0.0)
+        self.assertIn(other, relay.state.replica_selector.candidates("s", {"i-0"}))
+        self.report_unreachable(relay)
+        await asyncio.sleep(0.1)
+        await first.allow(EVENTS)
+        self.assert_whole(await answer)
+        self.assertEqual(backup.received, [])
+
+    async def test_a_late_event_of_a_dropped_backup_does_not_end_the_next(self) -> None:
+        first, second = StepwiseStream(), StepwiseStream(EVENTS)
+        relay, answer = await self.start(first, ScriptedReplica(second))
+        connected = self.delay_connections(relay)
+        self.report_unreachable(relay)
+        (request,) = relay.service._tasks.values()
+        request._inbox.put(BackupReady(opening=object()))
+        await asyncio.sleep(0.05)
+        connected.set()
+        self.assert_whole(await answer)
+
     async def test_a_silence_under_backpressure_gets_no_backup(self) -> None:
         """Guards against taking a replica that is not read from for a silent one."""
         first = StepwiseStream()
--- a/tests/test_replica_search.py
+++ b/tests/test_replica_search.py
@@ -17,7 +17,12 @@
 from winchfork.platform.headers import PlatformHeaderCodec
 from winchfork.router.attempt_planner import AttemptPlanner
 from winchfork.router.header_codec import RequestFields
-from winchfork.router.http_types import CallerDisconnected, IncomingRequest, TimerFired
+from winchfork.router.http_types import (
+    CallerDisconnected,
+    IncomingRequest,
+    RequestEvent,
+    TimerFired,
+)
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import StopCause, Stopped
 from winchfork.router.replica_search import DEADLINE, POLL_INTERVAL_S, ReplicaSearch
@@ -42,7 +47,7 @@
         self.relay = RelayUnderTest(**route)
         self.relay.configure()
         self.state = self.relay.state
-        self.inbox = Inbox()
+        self.inbox: Inbox[RequestEvent] = Inbox()
         now_s = self.state.clock()
         prompt = Prompt("m", (PromptPart("aa", 60), PromptPart("bb", 40)), 100, output_tokens)
         fields = RequestFields("id-1", None, None, prompt, None)
