Let a begun answer wait for a replica when its own breaks off

Callers saw a resumable stream broken off at once when its replica crashed and no other one accepted requests at that moment (each held for a load, at its limit or asking for a rest), although the stream had time left. The search waits for a begun answer until its deadline, but was not begun: the retry was denied before it unless some replica was a candidate at once.

test_begun_answers...waits_for_a_replica_that_accepts_later failed before (truncated after two of four events). A request whose answer has not begun is refused as before.

--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -223,7 +223,8 @@
     def _handle_may_have_run(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
         self._attempted.add(replica.replica_id)
         failed_by_replica = outcome.answer is not None and outcome.answer.head.status < 500
-        has_others = self._planner.has_candidates(self._attempted)
+        # A begun answer cannot be refused any more, so it also waits for one.
+        has_others = self._answer.started or self._planner.has_candidates(self._attempted)
         # A request under which several replicas may have crashed is not sent to one more.
         crashes_replicas = (
             self._crashes.crash_count(self._admitted.digest) >= MAX_CRASHES_PER_ATTEMPT
