Tell callers and the log the truth of requests that the end of a stop cuts

Callers whose request was still in progress when a stop's grace period ended got a closed connection, also where nothing had been sent for it and a 503 would have been true.

Cause: the request's task was cancelled with the event loop, and the cancellation passed by all that records an outcome; an attempt in progress did not count as a run that may happen. Now the stop ends the requests itself, before it closes the sockets: outcome=stopping, 503 for what has not run, 502 where that is unknown, a truncated answer where it has begun, and no refund of the last two. Both tests in test_truncated_answers failed before (no answer and no line).

--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from tests.relay_case import RelayTestCase
 from tests.relay_support import (
@@ -40,6 +41,10 @@
     def logged(self, name: str) -> list[LoggedEvent]:
         return [item for item in read_events("n1", self.lines) if item.name == name]
 
+    def events_sent(self, relay: RelayUnderTest) -> int:
+        """Return how many events the callers of requests in progress have received."""
+        return sum(request._answer.events for request in relay.service._tasks.values())
+
     def assert_truncated_by(self, relay: RelayUnderTest, outcome: str, by: str) -> None:
         (done,) = self.logged("request_done")
         self.assertEqual(
@@ -85,6 +90,39 @@
             await asyncio.sleep(0.01)
         self.assert_truncated_by(relay, "caller_left", "caller")
 
+    async def test_an_answer_cut_at_the_end_of_a_stop(self) -> None:
+        """Guards against a line and a quota refund that say that a cut request did not run."""
+        relay = await self.relay(ScriptedReplica(answering(begun)), kind=RouteKind.STREAMING)
+        charge = mock.Mock()
+        with mock.patch.object(relay.service._quota_gate, "admit", return_value=charge):
+            answer = asyncio.create_task(relay.ask(method="POST"))
+            while not self.events_sent(relay):
+                await asyncio.sleep(0.01)
+        self.assertEqual(await relay.service.cut_requests(), 1)
+        self.assertFalse((await answer).whole)
+        self.assert_truncated_by(relay, "stopping", "router")
+        charge.refund.assert_not_called()
+
+    async def test_a_request_without_an_answer_is_told_of_the_end_of_a_stop(self) -> None:
+        """Guards against a connection that is closed without an answer."""
+        replica = ScriptedReplica(never_answering)
+        relay = await self.relay(replica, kind=RouteKind.STREAMING)
+        listed = relay.state.fleet.get("i-0")
+        assert listed is not None
+        for sent, status, ran in ((False, 503, "not_run"), (True, 502, "unknown")):
+            with self.subTest(sent=sent):
+                self.lines.clear()
+                now_s = relay.state.clock()
+                listed.loading_until_s = now_s if sent else now_s + 1.0
+                answer = asyncio.create_task(relay.ask(method="POST"))
+                while not (replica.received if sent else relay.service.active_requests):
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.05)
+                self.assertEqual(await relay.service.cut_requests(), 1)
+                self.assertEqual((await answer).status, status)
+                (done,) = self.logged("request_done")
+                self.assertEqual((done.field("outcome"), done.field("ran")), ("stopping", ran))
+
     async def test_a_refusal_and_a_whole_answer_are_not_truncated(self) -> None:
         replica = ScriptedReplica(
             answering(lambda request: begun(request) + b"0\r\n\r\n"),
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -295,6 +295,7 @@
         while self.service.busy_connections and self._loop.time() < deadline_s:
             await asyncio.sleep(0.02)
         await asyncio.wait([handover], timeout=max(0.0, deadline_s - self._loop.time()))
+        cut = await self.service.cut_requests()
         for server in self._servers:
             server.close()
         self.service.close_late_callers()
@@ -307,7 +308,7 @@
         log_event(
             "router_stopped",
             took_s=self._loop.time() - requested_s,
-            cut=self.service.active_requests,
+            cut=cut,
         )
 
 
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -130,11 +130,15 @@
     # Lifecycle
 
     async def run(self) -> None:
-        """Serve the request; never raises."""
+        """Serve the request; raises nothing but a cancellation at the end of a stop."""
         timer = self._loop.call_at(self._retries.ends_at_s, self._inbox.put, TimerFired(DEADLINE))
         self._state.retry_budget.record_request(self._service_name, self._loop.time())
         try:
             await self._serve()
+        except asyncio.CancelledError:
+            reason = "the grace period of the router's stop ended"
+            self._answer_failure(FailureKind.STOPPING.because(reason, ran=self._run_state()))
+            raise
         except Exception as error:  # noqa: BLE001 - an error in one request must not end others
             log_event("request_error", "ERROR", id=self._request_id, error=repr(error))
             self._answer_failure(FailureKind.INTERNAL.because(repr(error), ran=self._run_state()))
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -153,6 +153,14 @@
         for connection in list(self._connections):
             connection.close_when_idle()
 
+    async def cut_requests(self) -> int:
+        """End the requests in progress, at the end of the grace period; return their number."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return len(tasks)
+
     def close_late_callers(self) -> None:
         """Close the connections that were opened while requests are refused."""
         for connection in list(self._late_connections):
