Pass on a replica's failure answer if no later attempt is answered

Callers got winchfork's own 502 or 504 (outcome unknown) where a replica had answered with a whole, signed 500 or 504: the answer was dropped for a retry, on the estimate that another replica would take the request. If that one refused or was silent until the deadline, the only answer that there was had been thrown away.

The last whole failure answer is now kept until the request ends, and passed on unless a later attempt is answered. Both tests of test_begun_answers.FailedAnswerTest failed before (502 overloaded, 504 deadline_exceeded).

--- a/tests/test_begun_answers.py
+++ b/tests/test_begun_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from tests.relay_case import PROMPT_HEADERS, RelayTestCase
 from tests.relay_support import (
     ReceivedAnswer,
@@ -60,3 +62,30 @@
         answer = await self.ask(relay)
         self.assert_not_run(answer)
         self.assertEqual(sum(len(replica.received) for replica in replicas), 2)
+
+
+class FailedAnswerTest(RelayTestCase):
+    async def test_a_failure_is_passed_on_if_no_other_replica_takes_the_request(self) -> None:
+        """Guards against a replica's own answer that is replaced by an unknown outcome."""
+        failing = ScriptedReplica(
+            answering(lambda request: signed(request, b"broken", "500 Internal Server Error"))
+        )
+        relay = await self.relay(failing, ScriptedReplica(answering(full)))
+        answer = await relay.ask()
+        self.assertEqual((answer.status, answer.body), (500, b"broken"))
+        self.assertEqual(answer.headers["x-server-signature"], "sig")
+
+    async def test_a_failure_is_passed_on_at_the_deadline(self) -> None:
+        failing = ScriptedReplica(
+            answering(lambda request: signed(request, b"broken", "500 Internal Server Error"))
+        )
+
+        async def silent(
+            request: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> bool:
+            await asyncio.sleep(60)
+            return False
+
+        relay = await self.relay(failing, ScriptedReplica(silent), timeout_s=0.5)
+        answer = await relay.ask()
+        self.assertEqual((answer.status, answer.body), (500, b"broken"))
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -14,7 +14,15 @@
 from winchfork.router.http_types import RequestEvent
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcome_recorder import OutcomeRecorder
-from winchfork.router.outcomes import MayHaveRun, Moved, NotRun, Outcome, StalePlacement, Stopped
+from winchfork.router.outcomes import (
+    BufferedAnswer,
+    MayHaveRun,
+    Moved,
+    NotRun,
+    Outcome,
+    StalePlacement,
+    Stopped,
+)
 from winchfork.router.quota_gate import QuotaCharge
 from winchfork.router.replica_connection import ReplicaConnection
 from winchfork.router.replica_search import ReplicaSearch
@@ -61,6 +69,8 @@
         #: Attempts that have not ended.
         self._in_progress = 0
         self._some_may_have_run = False
+        #: The last whole failure answer of a replica, which was not sent to the caller.
+        self.failed_answer: BufferedAnswer | None = None
         #: Whether the last attempt was refused by a replica that has newer weights than expected.
         self.newer_weights = False
 
@@ -130,6 +140,8 @@
         self._in_progress -= 1
         if isinstance(outcome, Moved | MayHaveRun | Stopped):
             self._some_may_have_run = True
+        if isinstance(outcome, MayHaveRun) and outcome.answer is not None:
+            self.failed_answer = outcome.answer
         self._crashes.end_run(self._admitted.digest)
         self._record.log_attempt_ended(attempt, outcome)
         self.newer_weights = self._outcome_recorder.record_outcome(attempt, outcome, self._record)
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -237,14 +237,9 @@
         may_retry = repeatable and not failed_by_replica and has_others
         if may_retry and self._retries.try_spend(self._route.max_attempts):
             return True
-        if outcome.answer is not None and not self._answer.started:
-            self._record.outcome = f"passed_on_{outcome.answer.head.status}"
-            self._answered_by_replica = True
-            self._answer.send_buffered(outcome.answer)
-        else:
-            self._answer_failure(
-                FailureKind.OUTCOME_UNKNOWN.because(outcome.reason, ran=RunState.UNKNOWN)
-            )
+        self._answer_failure(
+            FailureKind.OUTCOME_UNKNOWN.because(outcome.reason, ran=RunState.UNKNOWN)
+        )
         return False
 
     def _run_state(self) -> RunState:
@@ -264,9 +259,18 @@
         self._answer_failure(FailureKind.DEADLINE_EXCEEDED.because(reason, ran=self._run_state()))
 
     def _answer_failure(self, failure: Failure) -> None:
-        """Send the final answer for a failure, or abort an answer that has started."""
-        self._record.outcome = failure.kind.value
+        """Send the final answer for a failure, or abort an answer that has started.
+
+        A replica's own failure answer goes before that of the router.
+        """
         self._record.reason = failure.reason
+        failed_answer = self._launcher.failed_answer
+        if failed_answer is not None and not self._answer.started and not self._answer.ended:
+            self._record.outcome = f"passed_on_{failed_answer.head.status}"
+            self._answered_by_replica = True
+            self._answer.send_buffered(failed_answer)
+            return
+        self._record.outcome = failure.kind.value
         if self._answer.ended:
             return
         if self._answer.started:
