Ask a replica that refused a begun answer once more

Callers saw a begun answer broken off at the first refusal of the replica that was to continue it: both attempts of the route were used up, though the refusal proves that it has not run, and a replica that is full or loads weights accepts again within a second.

MaxAttempts limits the replicas that a request is sent to, not how often one of them is asked. So a begun answer is asked for again at replicas that refused it, no others, each time out of the retry budget and after their cooldown, until the deadline. A request whose answer has not begun is refused at once as before.

--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -218,12 +218,22 @@
         self._attempted.add(replica.replica_id)
         if not outcome.sent or self._retries.try_spend(self._route.max_attempts):
             return True
+        if self._answer.started and self._may_ask_again(replica):
+            return True
         overloaded = FailureKind.OVERLOADED.because(
             outcome.reason, ran=self._run_state(), retry_after_s=self._planner.expected_wait_s()
         )
         self._answer_failure(overloaded)
         return False
 
+    def _may_ask_again(self, replica: RelayReplica) -> bool:
+        """Let a begun answer be asked for once more at replicas that refused it.
+
+        A route limits the replicas that a request is sent to, not how often each one is asked.
+        """
+        self._search.allow_again(replica.replica_id)
+        return self._retries.try_spend(self._record.attempts + 1)
+
     def _handle_may_have_run(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
         self._attempted.add(replica.replica_id)
         failed_by_replica = outcome.answer is not None and outcome.answer.head.status < 500
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -67,6 +67,8 @@
         self._retries = retries
         self._admitted = admitted
         self._attempted = attempted
+        #: The only replicas that the request may still be sent to; None for all but attempted ones.
+        self._allowed: set[str] | None = None
         self._inbox = inbox
         self._queue = state.permit_queues[planner.service]
         self._ticket: PermitTicket | None = None
@@ -93,10 +95,21 @@
             return self._retries.last_sent_at_s
         return self._state.clock()
 
+    def allow_again(self, replica_id: str) -> None:
+        """Search only among replicas that refused the request, of which this is one."""
+        self._allowed = (self._allowed or set()) | {replica_id}
+
     def excluded(self) -> set[str]:
-        """Return the attempted replicas and those reserved for another suspect request."""
+        """Return the replicas excluded by attempts, and those reserved for a suspect request."""
+        replicas = self._state.fleet.of_service(self._planner.service)
+        reserved = self._crashes.excluded_replicas(self._admitted.digest, replicas)
+        return self._excluded_by_attempts() | reserved
+
+    def _excluded_by_attempts(self) -> set[str]:
+        if self._allowed is None:
+            return self._attempted
         replicas = self._state.fleet.of_service(self._planner.service)
-        return self._attempted | self._crashes.excluded_replicas(self._admitted.digest, replicas)
+        return {replica.replica_id for replica in replicas} - self._allowed
 
     async def _find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
         while True:
@@ -145,20 +158,21 @@
         """Return a placement for now, or when one is expected."""
         if not self._crashes.may_run(self._admitted.digest):
             return _Availability(POLL_INTERVAL_S, max_wait_s)
+        excluded_by_attempts = self._excluded_by_attempts()
         excluded = self.excluded()
         decision = self._planner.place(excluded)
         if decision is not None and decision.replica.notice.limit.per_s is None:
             # No queue is needed: skip the search for permits.
             return decision
-        permits = self._planner.permit_openings(self._attempted)
+        permits = self._planner.permit_openings(excluded_by_attempts)
         if permits is not None:
             return self._check_queue(decision, permits, max_wait_s)
         self._leave_queue()
         if decision is not None:
             return decision
-        if excluded != self._attempted:
+        if excluded != excluded_by_attempts:
             return _Availability(POLL_INTERVAL_S, max_wait_s)
-        available_in_s = self._planner.next_available_in_s(self._attempted)
+        available_in_s = self._planner.next_available_in_s(excluded_by_attempts)
         return _Availability(math.inf if available_in_s is None else available_in_s, max_wait_s)
 
     def _max_wait_s(self) -> float:
