Pause no connection whose exchange is over

Callers got a 504 after their whole deadline, for a request that a healthy replica had answered at once: it had been sent on a pooled connection that was never read from again.

Cause: a caller that reads slowly pauses the connection of its attempt. The parts of an answer wait in the request's inbox, so the connection may be back in the pool by the time that they are written and the caller's buffer is full; it was paused there, and the attempt that would have resumed it had ended. Found while reviewing the backup attempts for backpressure, older than them.

test_slow_callers (3 MiB to a caller with a receive buffer of 4 KiB, then another request) failed before: 504 after 4 s.

--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -117,9 +117,10 @@
         )
 
     def pause(self) -> None:
-        """Pause reading (backpressure)."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        """Pause reading (backpressure), unless the exchange is over and the connection is idle."""
+        if self._exchange is None or self._transport is None or self._transport.is_closing():
+            return
+        self._transport.pause_reading()
 
     def resume(self) -> None:
         """Resume reading."""
