Put back reasons and numbers that comments had lost

Put back, in today's names, what the old comments held:

core: why limits, shares and costs are not higher or lower (membership, placement_request, prompt_cost, prefill_plan, relay_placement, permit_queue, request_limit, replica_notice, software_plan, weight_rollout, zone_hubs, exposure, policies/expected_time); what numbers stand for (broken_runs, crash_history, open_probes, peer_reports, quota_ledger, relay_fleet, tenant_quota, version_evidence); in docstrings, why equal shares of a request limit do not do and holders are many, why the store is preferred as a source, what a hub sends, and what counting all remote usage would do. router: what time-outs and intervals cover (crash_tracker, document_installer, evidence_exchange, peers, quota_exchange, region_exchange, replica_probes, stall_detector, store_sync, weights_announcer, work_exchange); reasons in connection_pool, leadership, refusals, software_rollout, state. platform: why unknown notice headers are reported by name. others: the source of BLOCK_TOKENS, the byte behind _MAX_TYPES, the target size in emulator/capacity.

No tests were run, since no code changed.

--- a/winchfork/cluster/wire.py
+++ b/winchfork/cluster/wire.py
@@ -18,6 +18,7 @@
 
 _TAG_BYTES = 16
 _BODY_START = _TAG_BYTES + 1
+#: The type number takes one byte.
 _MAX_TYPES = 256
 
 
--- a/winchfork/constants.py
+++ b/winchfork/constants.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-# Prompt blocks.
+# Prompt blocks. Engines hold their caches in pieces of about a thousand tokens.
 BLOCK_TOKENS: Final = 1024
 BYTES_PER_TOKEN: Final = 4
 BLOCK_BYTES: Final = BLOCK_TOKENS * BYTES_PER_TOKEN
--- a/winchfork/core/broken_runs.py
+++ b/winchfork/core/broken_runs.py
@@ -11,7 +11,9 @@
 
 import msgspec
 
-#: Evidence is attributed to a broken run for this long after the break.
+#: Evidence is attributed to a broken run for this long after the break. Later evidence is of
+#: another event: an entry lapses after three heartbeats (3.6 s by default), and replicas return
+#: within seconds.
 EVIDENCE_WINDOW_S = 6.0
 
 
--- a/winchfork/core/crash_history.py
+++ b/winchfork/core/crash_history.py
@@ -26,12 +26,13 @@
 #: Duration of a request's first refusal and of each later one.
 FIRST_REFUSAL_S = 600.0
 REPEATED_REFUSAL_S = 24 * 3600.0
-#: Bounds the table of suspect requests.
+#: Bounds the table of suspect requests to about 4 MB. A crash makes some 50 requests suspect, so it
+#: holds those of 300 crashes.
 MAX_SUSPECTS = 16_384
 #: A crash this soon after a success of the request is not attributed to it: a request that many
 #: callers send may be running on several replicas that crash in quick succession.
 RECENT_SUCCESS_S = 3.0
-#: Bounds the table of recently successful requests.
+#: Bounds the table of recently successful requests: those of some seconds on a busy daemon.
 MAX_RECENT_SUCCESSES = 1_024
 #: Bounds the table of refused requests.
 MAX_REFUSED = 4_096
--- a/winchfork/core/exposure.py
+++ b/winchfork/core/exposure.py
@@ -11,7 +11,7 @@
 
 from winchfork.core.rendezvous import member_hash, mixed_order
 
-#: Credit, in requests, that a daemon may accumulate.
+#: Credit, in requests, that a daemon may accumulate while it gets no request of an eligible family.
 MAX_CREDIT = 2.0
 #: Share of families that is eligible beyond the exposure share, so that a daemon with few requests
 #: meets an eligible family while it has credit.
--- a/winchfork/core/membership.py
+++ b/winchfork/core/membership.py
@@ -31,12 +31,13 @@
 
 #: Changes sent with one message.
 PIGGYBACK_CHANGES = 6
-#: Changes sent with one message while a backlog with suspicions is queued, as after a partition.
+#: Changes sent with one message while a backlog with suspicions is queued: after a partition each
+#: side has suspected all members of the other.
 BACKLOG_PIGGYBACK_CHANGES = 16
-#: Random records in the reply to a daemon that knows fewer members, for each member that it lacks;
-#: speeds up the start of a whole fleet.
+#: Random records in the reply to a daemon that knows fewer members, for each member that it lacks.
+#: Piggybacked changes alone would take half a minute at the start of a whole fleet of some 200.
 RECORDS_PER_MISSING = 8
-#: Bounds the random records in one reply.
+#: Bounds the random records in one reply, to some 4 KB.
 MAX_RECORDS = 64
 #: Each change is sent with this many messages times log2 of the number of members.
 SPREAD_FACTOR = 3
--- a/winchfork/core/open_probes.py
+++ b/winchfork/core/open_probes.py
@@ -9,7 +9,7 @@
 
 from winchfork.constants import HEARTBEAT_PERIOD_S, SUSPECT_AFTER_S
 
-#: Bounds the table of relayed probes.
+#: Bounds the table of relayed probes: those of some seconds on a busy daemon.
 MAX_RELAYED = 64
 
 
--- a/winchfork/core/peer_reports.py
+++ b/winchfork/core/peer_reports.py
@@ -13,7 +13,7 @@
 MIN_CONFIRMING_PEERS = 2
 #: Share of a service's replicas for which unconfirmed reports are accepted.
 MAX_UNCONFIRMED_SHARE = 0.5
-#: Bounds the table of reported replicas.
+#: Bounds the table of reported replicas; more than a fleet has.
 MAX_REMEMBERED = 2048
 
 
--- a/winchfork/core/permit_queue.py
+++ b/winchfork/core/permit_queue.py
@@ -14,7 +14,8 @@
 
 import msgspec
 
-#: Largest share of a request's latency objective that it may wait for a permit.
+#: Largest share of a request's latency objective that it may wait for a permit. Under lasting
+#: overload all requests wait for as long as they may, and still have to be answered in time.
 MAX_WAIT_SHARE = 0.5
 #: Number of mean permit intervals that a request may wait in any case; keeps requests from being
 #: refused from an empty queue when permits are rare.
--- a/winchfork/core/placement_request.py
+++ b/winchfork/core/placement_request.py
@@ -13,7 +13,9 @@
 
 #: Ratio of answer time to prefill time above which a request counts as a long answer.
 LONG_ANSWER_RATIO = 4.0
-#: Cost in seconds of a replica to which no idle connection is open.
+#: Cost in seconds of a replica to which no idle connection is open: a round trip, and work of the
+#: replica. In a large fleet a daemon and a replica meet so rarely that idle connections close
+#: before reuse.
 CONNECT_COST_S = 0.02
 _NO_REGIONS = RegionMap()
 
--- a/winchfork/core/policies/expected_time.py
+++ b/winchfork/core/policies/expected_time.py
@@ -32,7 +32,7 @@
 #: Cost in seconds per request that is already running on the replica (batch slowdown).
 RUNNING_REQUEST_COST_S = 0.004
 #: Largest cost in seconds by the family's rendezvous order; breaks ties the same way on every
-#: daemon.
+#: daemon without outweighing real queues.
 RANK_COST_S = 0.05
 #: Seconds to set up a copy, whatever its size.
 IMPORT_SETUP_S = 0.02
--- a/winchfork/core/prefill_plan.py
+++ b/winchfork/core/prefill_plan.py
@@ -15,7 +15,8 @@
 from winchfork.core.region_map import Distance
 from winchfork.core.relay_replica import RelayReplica
 
-#: Time to copy cached tokens relative to a copy within one zone, by distance.
+#: Time to copy cached tokens relative to a copy within one zone, by distance. The operators give
+#: these figures.
 COPY_TIME_RATIO = {
     Distance.SAME_ZONE: 1.0,
     Distance.SAME_REGION: 2.0,
@@ -24,7 +25,7 @@
 #: Largest ratio of copy time to prefill time of the same tokens. Above 1 because a copy, unlike a
 #: prefill, does not delay running answers.
 MAX_COPY_TO_PREFILL_RATIO = 1.5
-#: Smallest number of tokens that is copied.
+#: Smallest number of tokens that is copied; fewer are not worth the setup of a copy.
 MIN_COPIED_TOKENS = 64
 
 
--- a/winchfork/core/prompt_cost.py
+++ b/winchfork/core/prompt_cost.py
@@ -15,16 +15,19 @@
 from winchfork.core.start_margin import missing_share
 from winchfork.core.zone_hubs import MAX_FULL_MESH_MEMBERS
 
-#: Cost in seconds of a replica whose slots are all taken; scaled by the share of slots taken.
+#: Cost in seconds of a replica whose slots are all taken; scaled by the share of slots taken. In a
+#: larger batch every token takes longer.
 FULL_COST_S = 0.064
-#: Cost of caching copied parts a second time, as a share of their prefill time.
+#: Cost of caching copied parts a second time, as a share of their prefill time: they evict other
+#: parts.
 DUPLICATE_COST_SHARE = 0.25
 #: Cost of placing a family away from its home replica with none of it cached or copied, as a share
 #: of the prefill time of its shared parts: the home may have it cached without this daemon's
 #: knowledge.
 NOT_HOME_COST_SHARE = 0.9
 #: Largest jitter in seconds, besides the prompt's prefill time, in the cost of a replica. It keeps
-#: daemons with stale load data from all choosing the same replica.
+#: daemons, whose data on each other's load are some tenths of a second old, from all choosing the
+#: same replica.
 JITTER_COST_S = 0.03
 #: Number of daemons beyond a full mesh at which the jitter reaches its maximum.
 FULL_JITTER_DAEMONS = 50
@@ -32,9 +35,11 @@
 COPY_SETUP_S = 0.004
 #: Cost in seconds per rank in the family's order; breaks ties the same way on every daemon.
 RANK_COST_S = 0.004
-#: Cost in seconds of a replica in another zone of the same region.
+#: Cost in seconds of a replica in another zone of the same region: the latency of a round trip, and
+#: the price of the traffic.
 OTHER_ZONE_COST_S = 0.012
-#: Cost in seconds of a replica with an outdated weights version.
+#: Cost in seconds of a replica with an outdated weights version: its answers are worth less, though
+#: not by as much as late ones.
 OLD_WEIGHTS_COST_S = 0.15
 #: Cost of a request on a replica that loads weights next, as a share of the expected run time: the
 #: load has to wait for the request to end.
@@ -43,7 +48,8 @@
 INTERFERENCE_SHARE = 0.1
 #: Cost in seconds per running answer whose token gap would exceed the allowed maximum.
 TOKEN_GAP_COST_S = 0.3
-#: Share of the allowed token gap at which that cost sets in; it is full at twice this share.
+#: Share of the allowed token gap at which that cost sets in; it is full at twice this share. It
+#: sets in early because replicas prefill in pieces, which delay a token that is half computed.
 TOKEN_GAP_FREE_SHARE = 0.55
 #: Cost in seconds per rank for long answers; concentrates them on few replicas of a zone, apart
 #: from large prompts.
--- a/winchfork/core/quota_ledger.py
+++ b/winchfork/core/quota_ledger.py
@@ -26,11 +26,11 @@
 RESEND_WINDOW_S = 1.0
 #: Interval between two sends of an unchanged total.
 RESEND_INTERVAL_S = 0.3
-#: Validity of a coverage check.
+#: Validity of a coverage check in seconds; hubs check each 0.05 s, other daemons each 0.2 s.
 COVERAGE_TTL_S = 0.5
-#: Starts of one daemon that are remembered.
+#: Starts of one daemon that are remembered; no message outlives more of them.
 MAX_STARTS = 4
-#: Reduces a 64-bit hash to a tenant key of 32 bits.
+#: Reduces a 64-bit hash to a tenant key of 32 bits, which tell tenants apart in half of the bytes.
 _KEY_SHIFT = 32
 
 
@@ -252,7 +252,8 @@
         """Count what other daemons have used in the ``silent_s`` seconds before the report.
 
         If that is longer than a bucket takes to fill, only the part used within the fill time
-        counts: the rest has been refilled since.
+        counts: the rest has been refilled since. Counting all of it would leave tenants without
+        quota for seconds after a zone that was cut off returns.
         """
         for key, cost in usage.items():
             quota = self._quotas.get(key)
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -16,7 +16,7 @@
 from winchfork.core.replica_notice import AnswerNotice, NoticeChange, ReplicaNotice
 
 #: Number of removed incarnations whose recency and notice are retained, in case they are listed
-#: again.
+#: again; several times a fleet of 600 replicas.
 MAX_REMOVED = 2048
 
 
@@ -78,7 +78,8 @@
             return known
         if known is None:
             known = RelayReplica(listing, dict(listing.versions), listing.incarnation)
-            # An incarnation that is listed again keeps its recency and its notice.
+            # An incarnation that is listed again is no newer than what was listed there since, and
+            # revokes nothing that its replica has announced: it keeps its recency and its notice.
             removed = self._removed.pop(listing.incarnation, None)
             known.recency = removed.recency if removed else self._next_recency()
             known.notice = removed.notice if removed else known.notice
--- a/winchfork/core/relay_placement.py
+++ b/winchfork/core/relay_placement.py
@@ -18,6 +18,7 @@
 from winchfork.core.rendezvous import member_hash, mixed_order
 
 #: Smallest number of shared tokens for which a store is queried without knowing that it holds them.
+#: Their prefill takes several times as long as a lookup in vain.
 MIN_STORE_LOOKUP_TOKENS = 500
 
 
@@ -61,7 +62,8 @@
     Parts that the store is not known to hold are saved to it. The store is the source if it holds
     all shared parts, or if there is no other source and the prompt is long enough to query it: it
     may hold parts that other daemons had saved. The replica copies only parts that it has not
-    cached itself.
+    cached itself, so a source that is not needed costs nothing, and a query in vain takes 1 ms.
+    The store is preferred, since a replica may have evicted what it is assumed to hold.
     """
     choice = request.store_for(decision.replica)
     if choice is None or request.prompt.shared_tokens < MIN_COPIED_TOKENS:
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -13,20 +13,25 @@
 
 from winchfork.core.request_limit import RequestLimit
 
-#: Upper bound, in seconds, of the backoff that a replica may request.
+#: Upper bound, in seconds, of the backoff that a replica may request. A trial after this time keeps
+#: a wrong value from disabling the replica for good.
 MAX_BACKOFF_S = 600.0
-#: Shortest backoff in seconds that is reported to peers; a shorter one may concern one daemon only.
+#: Shortest backoff in seconds that is reported to peers. A replica that is full for a moment may
+#: ask one daemon for a shorter one; if all heeded it, the replica would be idle.
 MIN_REPORTED_BACKOFF_S = 2.0
-#: Upper bound, in seconds, of a backoff that a peer reports.
+#: Upper bound, in seconds, of a backoff that a peer reports; the trial after it tells if the
+#: replica asks for more.
 MAX_REPORTED_BACKOFF_S = 60.0
 #: Largest jitter added to a backoff, as a share of it, so that daemons do not resume together.
 BACKOFF_JITTER_SHARE = 0.1
 #: Seconds for which a replica is paused if its draining was reported by a peer only, or may have
-#: been announced by an earlier incarnation.
+#: been announced by an earlier incarnation. A draining replica ends within some seconds; any other
+#: is tried again after this time.
 UNCONFIRMED_DRAINING_S = 15.0
 #: Assumed bound, in seconds, on the clock difference between a replica and this machine.
 CLOCK_TOLERANCE_S = 0.5
-#: Longest time in seconds for which an unanswered trial request holds back other requests.
+#: Longest time in seconds for which an unanswered trial request holds back other requests. A
+#: replica that still wants none refuses it within a round trip, between regions too.
 TRIAL_S = 0.25
 
 
--- a/winchfork/core/request_limit.py
+++ b/winchfork/core/request_limit.py
@@ -4,6 +4,8 @@
 Only a few daemons, the holders, may send to a limited replica: the first ones in an order that all
 daemons compute alike. There is at least one, and at most one for each whole request per second of
 the limit. Each holder spaces its requests evenly; all other daemons use other replicas.
+An equal share for every daemon would not do: with a bucket of one request each, all daemons could
+send one at once, whatever the limit.
 
 If no report of a limit arrives for a while, for example because the holders have no requests, the
 other daemons take turns to send one trial request each. Times are monotonic seconds, passed in by
@@ -17,17 +19,19 @@
 
 import msgspec
 
-#: Share of a limit that the holders use together.
+#: Share of a limit that the holders use together. They do not act in step, and each may send one
+#: request more than its rate in a window; the rest makes room for that.
 MAX_UTILIZATION = 0.95
 #: Length in seconds of the window in which the holders together send at most one request more than
 #: the limit allows.
 WINDOW_S = 4.0
-#: Seconds by which a request may be sent before it is due.
+#: Seconds by which a request may be sent before it is due. It makes up for a request before it that
+#: was sent late, because permits wait for the next request of their daemon.
 MAX_EARLY_S = 0.2
 #: Requests per second that are allowed even under a lower limit, so that its end is noticed.
 MIN_REQUESTS_PER_S = 0.2
 #: Seconds after a membership change for which a new holder sends nothing, since the previous one
-#: may not yet know of the change.
+#: may not yet know of the change. Longer than a change takes to reach all daemons.
 STABILIZATION_S = 4.0
 #: Seconds without a report of a limit after which non-holders take turns to send trial requests;
 #: has to exceed ``1 / MIN_REQUESTS_PER_S``.
@@ -56,7 +60,8 @@
     """Return how many daemons may share a limit of ``per_s`` requests per second.
 
     It is the largest number for which the holders together send at most one request more than the
-    limit allows in any ``WINDOW_S``.
+    limit allows in any ``WINDOW_S``. With more holders, one of them has a request for a permit
+    sooner, since each serves callers of its own.
     """
     allowed = WINDOW_S * max(per_s, MIN_REQUESTS_PER_S) + 1.0
     for holders in range(max(1, min(daemons, int(per_s))), 1, -1):
--- a/winchfork/core/software_plan.py
+++ b/winchfork/core/software_plan.py
@@ -15,17 +15,23 @@
 from winchfork.core.software_state import SoftwarePhase, SoftwareState, StopCause
 from winchfork.core.version_evidence import Assessment
 
-#: Shortest duration, in seconds, of an order that is carried out.
+#: Shortest duration, in seconds, of an order that is carried out; in less time a version cannot be
+#: assessed and moved to.
 MIN_DURATION_S = 3.0
-#: Share of the exposure budget that the trial may spend; the rest is reserved for the move.
+#: Share of the exposure budget that the trial may spend. The rest is reserved for the move, in
+#: which a bad version is fully used for up to a second until it is noticed.
 TRIAL_BUDGET_SHARE = 0.25
-#: Share of the duration after which an approved version may move.
+#: Share of the duration after which an approved version may move: late, so that a version that
+#: turns bad is found before, but in time for the last answers of the old replicas to end.
 MOVE_START_SHARE = 0.5
-#: Share of the time before the move in which the trial spends its budget share.
+#: Share of the time before the move in which the trial spends its budget share; early, so that a
+#: version that is bad from the start is found soon.
 TRIAL_SPEND_TIME_SHARE = 0.6
 #: Additional share of the exposure budget for a trial that is still inconclusive after that time.
+#: The whole service may have been slow or failing until then.
 UNDECIDED_BUDGET_SHARE = 0.12
-#: Upper bound on the share of requests that a trial gets.
+#: Upper bound on the share of requests that a trial gets; takes effect where requests are so few
+#: that the allowance on top of the share counts.
 MAX_TRIAL_SHARE = 0.3
 #: Smallest number of trial replicas, if as many exist, so that a single faulty replica can be
 #: distinguished from a bad version.
@@ -42,13 +48,14 @@
 #: Slots that the target needs before traffic moves, as a share of the old replicas' slots.
 CAPACITY_SHARE = 0.9
 #: Share of the budget at which an unapproved version is stopped; the rest covers requests that are
-#: in flight or sent before every daemon knows of the stop.
+#: in flight or sent before every daemon knows of the stop, within 0.1 s.
 MAX_UNAPPROVED_BUDGET_SHARE = 0.85
 #: Smallest number of answers from which the request rate is estimated.
 MIN_ANSWERS = 10
 #: Shortest time, in seconds since the order, over which the request rate is estimated.
 MIN_OBSERVED_S = 1.0
-#: Interval between checkpoints of the elapsed time, as a share of the duration.
+#: Interval between checkpoints of the elapsed time, as a share of the duration. From a checkpoint a
+#: fleet that was killed knows how much of the duration has passed.
 CHECKPOINT_SHARE = 0.125
 #: Shortest interval between checkpoints, in seconds.
 MIN_CHECKPOINT_S = 1.0
@@ -204,7 +211,8 @@
     moving = state.advanced(SoftwarePhase.MOVING, MOVING_SHARES[0], view.elapsed_s)
     if view.assessment is Assessment.GOOD:
         return RolloutStep(moving, "the version is approved")
-    # Anything weaker than PROBABLE rests on too few answers to move an unapproved version.
+    # Anything weaker than PROBABLE rests on too few answers to move an unapproved version. On an
+    # overloaded machine few requests get through, and slow versions would be put in force.
     if view.assessment is Assessment.PROBABLE and _can_afford_all(state, view, limits):
         unapproved = msgspec.structs.replace(moving, unapproved=True)
         return RolloutStep(unapproved, "the remaining requests fit into the exposure budget")
--- a/winchfork/core/tenant_quota.py
+++ b/winchfork/core/tenant_quota.py
@@ -17,11 +17,14 @@
 
 import msgspec
 
-#: Share of the tolerated excess that deepens the bucket; the rest covers unreported usage.
+#: Share of the tolerated excess that deepens the bucket. The rest covers usage that is not reported
+#: yet, for 0.06 to 0.12 s, and daemons that are cut off or have just started.
 BURST_EXCESS_SHARE = 0.1
 #: A bucket filled below this share is low: without coverage, a daemon then uses only its own part.
+#: Otherwise every daemon would use up the rest for itself.
 LOW_LEVEL_SHARE = 0.5
-#: A hub's report includes the usage that this daemon counted at least this long before.
+#: A hub's report includes the usage that this daemon counted at least this long before: two ticks
+#: of a hub, and the transfer in both directions.
 HUB_REPORT_LAG_S = 0.2
 
 
--- a/winchfork/core/version_evidence.py
+++ b/winchfork/core/version_evidence.py
@@ -21,12 +21,16 @@
 
 #: A version is bad if its share of bad answers exceeds the old version's by this much.
 BAD_EXCESS = 0.15
-#: Log likelihood ratio at which a route raises the alarm.
+#: Log likelihood ratio at which a route raises the alarm. A good version raises a false one about
+#: once in 220,000 answers of a route; three bad answers in ten are found after some 6 bad ones
+#: where no others fail.
 ALARM_THRESHOLD = 10.0
 #: Log likelihood ratio at or below which a version is approved; bounds the chance of approving a
 #: bad version to 0.02.
 APPROVAL_THRESHOLD = math.log(0.02)
-#: Log likelihood ratio at or below which a version is probably good.
+#: Log likelihood ratio at or below which a version is probably good: some eight good answers and no
+#: bad one, where no others fail. A version with four bad answers in ten gets as far in one case of
+#: 60.
 PROBABLE_THRESHOLD = math.log(0.25)
 #: Prior estimate of the old version's share of bad answers.
 PRIOR_BAD_SHARE = 0.03
@@ -36,6 +40,7 @@
 MIN_SHARE = 0.01
 MAX_SHARE = 0.95
 #: Number of recent evaluations over which the old version's recent share of bad answers is taken.
+#: When all of a service turns slow or fails, that is no evidence against its new version.
 COMPARED_CHECKS = 5
 #: Smallest number of the old version's recent answers from which such a share is computed.
 MIN_RECENT_ANSWERS = 5
--- a/winchfork/core/weight_rollout.py
+++ b/winchfork/core/weight_rollout.py
@@ -12,14 +12,18 @@
 
 import msgspec
 
-#: Share of the accepting replicas that may load at the same time.
+#: Share of the accepting replicas that may load at the same time. Loads take longer the more of
+#: them run, and the known deployments bear little more than this.
 MAX_LOADING_SHARE = 0.38
 #: Factor on the number of concurrent loads for overdue replicas, which serve nothing until loaded.
+#: With more, loads would slow each other down so much that all replicas return late.
 OVERDUE_FACTOR = 2
 #: Share of the version bound within which all loads should be done; the rest is a reserve for a
-#: change of leader and for replicas that are slow to drain.
+#: change of leader and for replicas that are slow to drain. More loads at a time than that needs
+#: would withdraw capacity too early.
 ROLLOUT_TIME_SHARE = 0.6
-#: Initial estimate, in seconds, of the time that a load takes, including the drain.
+#: Initial estimate, in seconds, of the time that a load takes, including the drain; 0.9 to 1.5 s
+#: are usual under low load.
 PRIOR_LOAD_S = 1.3
 #: Weight of a new sample in the exponential moving average of that time.
 LOAD_SAMPLE_WEIGHT = 0.1
--- a/winchfork/core/zone_hubs.py
+++ b/winchfork/core/zone_hubs.py
@@ -10,7 +10,8 @@
 so that the traffic between two regions does not depend on the number of zones and daemons.
 
 A hub forwards every message of its zone to each daemon of the zone, so the daemons with the fastest
-links are chosen.
+links are chosen. With some 80 daemons that is several hundred kilobytes a second: through a slow
+link load data would arrive late, and the hub's own callers would wait.
 """
 
 from __future__ import annotations
@@ -25,11 +26,13 @@
 
 #: Tolerates the loss of one hub.
 HUBS_PER_ZONE = 2
-#: Hubs that watch the platform's store for the whole fleet; tolerates the loss of one.
+#: Hubs that watch the platform's store for the whole fleet; tolerates the loss of one. No more,
+#: since every change wakes every watcher and each call has a cost.
 WATCHERS_PER_FLEET = 2
 #: Hubs of a region that exchange messages with other regions; tolerates the loss of one.
 HUBS_PER_REGION = 2
-#: Regions whose delays to the store differ by less than this count as equally near to it.
+#: Regions whose delays to the store differ by less than this count as equally near to it. The
+#: delays of one region's zones do.
 STORE_DELAY_STEP_MS = 8
 #: Up to this many daemons, each sends to every other.
 MAX_FULL_MESH_MEMBERS = 13
--- a/winchfork/emulator/capacity.py
+++ b/winchfork/emulator/capacity.py
@@ -29,7 +29,7 @@
 from winchfork.emulator.hollow import HollowRegion
 from winchfork.errors import Failure
 
-#: Daemons in a region.
+#: Daemons in a region; the target has 140.
 CAPACITY_SIZES = (20, 40, 80, 140)
 _WARM_UP_S = 12.0
 _MEASURED_S = 10.0
--- a/winchfork/platform/notices.py
+++ b/winchfork/platform/notices.py
@@ -13,7 +13,8 @@
 _LIMIT = names.SERVER_LIMIT.lower()
 _RETRY_AFTER = names.RETRY_AFTER.lower()
 _NOT_EXECUTED = names.NOT_EXECUTED.lower()
-#: Prefix of the headers in which a replica describes itself. Unknown ones are reported by name.
+#: Prefix of the headers in which a replica describes itself. Unknown ones are reported by name,
+#: since they may ask for something that this build does not do.
 _REPLICA_PREFIX = b"server-"
 #: A standard HTTP header with the same prefix; not a notice.
 _SERVER_TIMING = b"server-timing"
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -1,6 +1,7 @@
 """A pool of connections to replicas, with a limit for each address.
 
 The most recently used connection is reused first, so that surplus ones become idle and are closed.
+Replicas accept a limited number of connections from all daemons together, hence the limits.
 """
 
 from __future__ import annotations
--- a/winchfork/router/crash_tracker.py
+++ b/winchfork/router/crash_tracker.py
@@ -25,7 +25,8 @@
 CRASHES_TO_RUN_ALONE = 2
 #: Crashes under one attempt of a caller after which it is not retried on a further replica.
 MAX_CRASHES_PER_ATTEMPT = 2
-#: Seconds that an attempt waits at most to learn whether replicas crashed or only lost its answers.
+#: Seconds that an attempt waits at most to learn whether replicas crashed or only lost its answers;
+#: a probe takes some hundredths of a second.
 MAX_RESOLVE_WAIT_S = 0.5
 RESOLVE_POLL_S = 0.01
 
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -38,7 +38,8 @@
 from winchfork.router.state import RouterState
 from winchfork.stores.async_key_value import StoreItem
 
-#: Time for a replica whose entry expired during a store outage to write it again.
+#: Time for a replica whose entry expired during a store outage to write it again, as the operators
+#: state it. One that is still missing then has gone.
 RELISTING_GRACE_S = 2.0
 
 
--- a/winchfork/router/evidence_exchange.py
+++ b/winchfork/router/evidence_exchange.py
@@ -32,7 +32,8 @@
 #: Seconds between two messages about one rollout, and between two with the same counts.
 SEND_INTERVAL_S = 0.04
 RESEND_INTERVAL_S = 1.0
-#: Seconds within which a bad answer is reported.
+#: Seconds within which a bad answer is reported: each tenth of a second costs the requests of that
+#: time once a bad version is in full use.
 EARLY_SEND_DELAY_S = 0.05
 #: Seconds between two evaluations.
 MIN_EVALUATION_INTERVAL_S = 0.05
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -79,7 +79,8 @@
         self._has_priority = False
         self._withdrawn = False
         self.fence = 0
-        #: Returns whether this daemon may campaign.
+        #: Returns whether this daemon may campaign, that is, follows the store closely enough to
+        #: lead.
         self.eligible: Callable[[], bool] = lambda: True
         #: Returns the newest era of the store that this daemon knows of.
         self.newest_era: Callable[[], int] = lambda: 0
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -39,8 +39,8 @@
 #: Seconds between two ticks of a daemon, and of a hub.
 TICK_PERIOD_S = 0.2
 HUB_TICK_PERIOD_S = 0.05
-#: Seconds between two probes for a proof of freshness: of a hub by other daemons, and of a watcher
-#: by a hub, on whose proof its whole zone depends.
+#: Seconds between two probes for a proof of freshness: of a hub by other daemons, a little less
+#: than two ticks, and of a watcher by a hub, on whose proof its whole zone depends.
 HUB_PROBE_PERIOD_S = 0.35
 WATCHER_PROBE_PERIOD_S = 0.2
 #: Number added to the known members when budgets are divided, for machines that return.
@@ -50,7 +50,7 @@
 #: Age sent by a daemon without a proof of freshness.
 _NO_PROOF_AGE_S = 3600.0
 
-#: Parsed peer addresses.
+#: Parsed peer addresses; more than the target size of 420 daemons.
 _ADDRESS_CACHE_SIZE = 1024
 
 #: Seconds in which a repeated datagram is a copy that another hub has forwarded. Messages that are
--- a/winchfork/router/quota_exchange.py
+++ b/winchfork/router/quota_exchange.py
@@ -23,14 +23,17 @@
 from winchfork.router.settings import RouterBounds
 from winchfork.router.state import ASSUMED_DAEMON_COUNT, RouterState
 
-#: Seconds without a report after which a hub, a daemon or another zone counts as unreachable.
+#: Seconds without a report after which a hub, a daemon or another zone counts as unreachable: two
+#: of the complete messages that a hub sends each half second.
 SILENCE_S = 1.0
 #: Seconds without a report after which another hub of a zone becomes its active one: a little more
 #: than that hub waits before it sends.
 ACTIVE_HUB_SILENCE_S = 0.75
-#: Seconds for which a hub's levels are valid.
+#: Seconds for which a hub's levels are valid. A hub sends the levels of tenants at their limits
+#: with each tick, and the buckets of others are full.
 HUB_REPORT_TTL_S = 0.25
-#: Seconds within which a daemon of a full mesh, or a hub, has to receive any report.
+#: Seconds within which a daemon of a full mesh, or a hub, has to receive any report: covers the
+#: interval between two ticks, and between two complete messages of hubs.
 MAX_REPORT_GAP_S = 0.55
 #: Seconds after its start for which a daemon without a hub's report uses its equal share only.
 STABILIZATION_S = 4.0
@@ -38,7 +41,8 @@
 HUB_STABILIZATION_S = 0.6
 #: The same in a full mesh, whose daemons know each other after a few probes.
 FULL_MESH_STABILIZATION_S = 1.5
-#: Part of its equal share that an isolated daemon uses: others use the whole until they notice.
+#: Part of its equal share that an isolated daemon uses: others use the whole until they notice. At
+#: a half, a third of a fleet that was cut off exceeded a limit by 0.5 %.
 ISOLATED_SHARE = 0.25
 #: Seconds for which a daemon that has vanished may go on using quotas, if API keys never expire.
 VANISHED_DAEMON_USE_S = 60.0
--- a/winchfork/router/refusals.py
+++ b/winchfork/router/refusals.py
@@ -23,7 +23,8 @@
 }
 #: Seconds in Retry-After when the failure gives no estimate.
 DEFAULT_RETRY_AFTER_S = 0.25
-#: Largest jitter added to Retry-After: a share of the wait, but at least MIN_JITTER_S seconds.
+#: Largest jitter added to Retry-After: a share of the wait, but at least MIN_JITTER_S seconds. The
+#: minimum spreads callers of a daemon whose bucket or queue is free at one moment.
 JITTER_SHARE = 0.5
 MIN_JITTER_S = 0.1
 
--- a/winchfork/router/region_exchange.py
+++ b/winchfork/router/region_exchange.py
@@ -19,13 +19,15 @@
 from winchfork.router.state import RouterState
 from winchfork.router.work_totals import LoadsByReplica, ReceivedLoads, SentLoads
 
-#: Seconds between two messages to another region: a few round trips.
+#: Seconds between two messages to another region: a few round trips. More frequent ones would
+#: arrive with hardly newer data.
 SEND_INTERVAL_S = 0.2
 #: Seconds between two complete messages; those in between have only what has changed.
 COMPLETE_PERIOD_S = 0.5
 #: Seconds without a message of the first region hub after which the second one sends.
 REGION_HUB_SILENCE_S = 0.7
-#: Quota reports of zones that are queued for the next message.
+#: Quota reports of zones that are queued for the next message; more than a region's zones send in
+#: that time.
 MAX_PENDING_USES = 64
 
 
--- a/winchfork/router/replica_probes.py
+++ b/winchfork/router/replica_probes.py
@@ -10,7 +10,8 @@
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.state import RouterState
 
-#: Seconds from a broken run to the probe; one probe covers all runs that break in this time.
+#: Seconds from a broken run to the probe; one probe covers all runs that break in this time. When a
+#: replica crashes, its other runs break within some milliseconds.
 PROBE_DELAY_S = 0.03
 
 
--- a/winchfork/router/software_rollout.py
+++ b/winchfork/router/software_rollout.py
@@ -36,7 +36,7 @@
 WRITE_PAUSE_S = 0.3
 #: Assumed age of an order or a record that existed when this daemon started.
 ASSUMED_AGE_AT_START_S = 3.0
-#: Runs longer than this many times the mean may be aborted at the time limit.
+#: Runs longer than this many times the mean may be aborted at the time limit, since they are rare.
 LONG_RUN_RATIO = 4.0
 #: Coverage of a daemon that receives the reports of every other daemon.
 FULL_COVERAGE = 1.0
--- a/winchfork/router/stall_detector.py
+++ b/winchfork/router/stall_detector.py
@@ -9,7 +9,8 @@
 
 from winchfork.logs import log_event
 
-#: Seconds between two ticks from which on the process counts as having stalled.
+#: Seconds between two ticks from which on the process counts as having stalled; several times the
+#: interval of ticks.
 STALL_S = 1.0
 #: Seconds between two ticks from which on messages may have waited to be read. A busy process
 #: delays them without stalling.
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -53,6 +53,7 @@
 BYTES_PER_S_PER_MBPS = 125_000.0
 #: Daemons assumed to share budgets and connections until the members are known.
 ASSUMED_DAEMON_COUNT = 10
+#: Enough that no two starts of one daemon get the same id.
 START_ID_BITS = 32
 
 
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -32,7 +32,7 @@
 
 #: Longest wait of one watch, which bounds how late a restored connection is noticed.
 WATCH_WAIT_S = 1.6
-#: The same for a watcher that relays to a large fleet.
+#: The same for a watcher that relays to a large fleet, whose data are as recent as its last answer.
 FLEET_WATCH_WAIT_S = 0.4
 #: Pause of a hub after a change, to receive further changes in one call.
 CHANGE_BATCH_S = 0.1
@@ -43,7 +43,7 @@
 #: First and longest backoff after failed calls, before jitter of half its length up or down.
 INITIAL_BACK_OFF_S = 0.1
 MAX_BACK_OFF_S = 0.5
-#: The longest backoff of a daemon that is no watcher.
+#: The longest backoff of a daemon that is no watcher: there are many, and hubs send them changes.
 MAX_FOLLOWER_BACK_OFF_S = 1.5
 #: How long after the start of its process a daemon may use weights older than those that it finds
 #: named. Not counted from the first list, since the start alone may take seconds.
--- a/winchfork/router/weights_announcer.py
+++ b/winchfork/router/weights_announcer.py
@@ -15,6 +15,7 @@
 #: Seconds for which one message holds work back from a replica.
 HOLD_S = 1.5
 #: The same once a replica has accepted an order, which it carries out even if the leader is lost.
+#: Covers a load that waits for long answers.
 ORDERED_HOLD_S = 4.0
 #: Seconds for which one message keeps long work away from the replicas that load next.
 UPCOMING_LOAD_S = 1.0
--- a/winchfork/router/work_exchange.py
+++ b/winchfork/router/work_exchange.py
@@ -47,7 +47,8 @@
 AGGREGATION_INTERVAL_S = 0.2
 #: Seconds without a message of a zone's active hub after which its other hub sends.
 HUB_SILENCE_S = 0.7
-#: Seconds without a message after which a zone may be unreachable in a full mesh.
+#: Seconds without a message after which a zone may be unreachable in a full mesh, whose daemons
+#: send at least every 0.5 s and check every 0.2 s.
 FULL_MESH_SILENCE_S = 1.2
 #: Seconds without a message from any other zone after which this zone counts as isolated.
 ISOLATED_SILENCE_S = 1.2
