Ask every replica that refused a begun answer again, without a busy loop

Callers saw a begun answer broken off although a replica that had refused it accepted again: asking again was tied to the last refusal only. It did not happen after a crash that followed the refusal (of a backup, or before the answer began), forgot all but the last replica that refused, and with attempts left waited for a further replica where there was none.

Cause: which replicas a request may be sent to was spread over a set, an optional set and the order of calls. AttemptedReplicas now says it in one place: tried, and refused as not run. A begun answer may go to what is neither, while the route's number of replicas is not reached, and to what has refused it. One that could not be sent waits for a poll first.

--- a/tests/test_replica_search.py
+++ b/tests/test_replica_search.py
@@ -16,6 +16,7 @@
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.platform.headers import PlatformHeaderCodec
 from winchfork.router.attempt_planner import AttemptPlanner
+from winchfork.router.attempted_replicas import AttemptedReplicas
 from winchfork.router.header_codec import RequestFields
 from winchfork.router.http_types import (
     CallerDisconnected,
@@ -59,7 +60,7 @@
         )
         ends_at_s = now_s + admitted.route.timeout_s
         retries = RequestRetries(self.state, "s", admitted.route, self.record, ends_at_s)
-        self._attempted: set[str] = set()
+        self._attempted = AttemptedReplicas(self.relay.route.max_attempts)
         #: How often the search asked for a placement.
         self.placements = 0
         place = planner.place
--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -32,6 +32,7 @@
 from winchfork.router.attempt import Attempt
 from winchfork.router.attempt_launcher import AttemptLauncher
 from winchfork.router.attempt_planner import AttemptPlanner
+from winchfork.router.attempted_replicas import AttemptedReplicas
 from winchfork.router.http_types import (
     AnswerData,
     AnswerHead,
@@ -97,7 +98,7 @@
         search: ReplicaSearch,
         retries: RequestRetries,
         launcher: AttemptLauncher,
-        attempted: set[str],
+        attempted: AttemptedReplicas,
         inbox: Inbox[RequestEvent],
     ) -> None:
         self._state = state
@@ -219,8 +220,9 @@
 
     def _finish(self, attempt: Attempt, outcome: Outcome) -> None:
         self._expiry_checks.pop(attempt.number).cancel()
+        refused = isinstance(outcome, NotRun)
         if not (isinstance(outcome, NotRun) and outcome.retry_same_replica):
-            self._attempted.add(attempt.replica.replica_id)
+            self._attempted.add(attempt.replica.replica_id, refused=refused)
         self._launcher.finish(attempt, outcome)
 
     def _stop(self, cause: StopCause) -> EndedAttempt:
@@ -309,7 +311,9 @@
             return False
         if self._backup is not None:
             return True  # The other attempt goes on.
-        if not self._planner.has_candidates(self._attempted | {attempt.replica.replica_id}):
+        if not self._planner.has_candidates(
+            self._search.excluded_by_attempts() | {attempt.replica.replica_id}
+        ):
             return False
         return self._retries.try_spend(self._route.max_attempts)
 
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -17,6 +17,7 @@
 from winchfork.router.attempt_launcher import AttemptLauncher
 from winchfork.router.attempt_planner import AttemptPlanner
 from winchfork.router.attempt_runner import AttemptRunner, EndedAttempt
+from winchfork.router.attempted_replicas import AttemptedReplicas
 from winchfork.router.caller_answer import CallerAnswer
 from winchfork.router.crash_tracker import MAX_CRASHES_PER_ATTEMPT
 from winchfork.router.http_types import (
@@ -79,7 +80,7 @@
             service.state, service.header_codec, request, admitted, self._service_name
         )
         ends_at_s = request.received_at_s + self._time_allowed_s()
-        self._attempted: set[str] = set()
+        self._attempted = AttemptedReplicas(admitted.route.max_attempts)
         self._version_retries = 0
         self._answered_by_replica = False
         self._record = RequestRecord(
@@ -160,8 +161,9 @@
         return timeout_s if deadline_s is None else min(deadline_s, timeout_s)
 
     async def _serve(self) -> None:
+        pause = False
         while True:
-            decision = await self._search.find(self._run_state)
+            decision = await self._search.find(self._run_state, pause=pause)
             if isinstance(decision, Stopped):
                 self._stop(decision.cause)
                 return
@@ -175,6 +177,7 @@
                 )
             if not self._handle_outcome(ended.replica, ended.outcome):
                 return
+            pause = self._is_unsent_continuation(ended.outcome)
 
     # One attempt
 
@@ -209,16 +212,20 @@
             return self._handle_not_run(replica, outcome)
         return self._handle_may_have_run(replica, outcome)
 
+    def _is_unsent_continuation(self, outcome: Outcome) -> bool:
+        """Whether a begun answer was not sent anywhere, for example for lack of a connection."""
+        return self._answer.started and isinstance(outcome, NotRun) and not outcome.sent
+
     def _handle_not_run(self, replica: RelayReplica, outcome: NotRun) -> bool:
         newer = outcome.retry_same_replica and self._launcher.newer_weights
         if newer and self._version_retries < _MAX_VERSION_RETRIES:
             self._version_retries += 1
             if self._retries.try_spend(self._route.max_attempts + self._version_retries):
                 return True
-        self._attempted.add(replica.replica_id)
-        if not outcome.sent or self._retries.try_spend(self._route.max_attempts):
+        if self._is_unsent_continuation(outcome):
             return True
-        if self._answer.started and self._may_ask_again(replica):
+        self._attempted.add(replica.replica_id, refused=True)
+        if not outcome.sent or self._may_retry():
             return True
         overloaded = FailureKind.OVERLOADED.because(
             outcome.reason, ran=self._run_state(), retry_after_s=self._planner.expected_wait_s()
@@ -226,26 +233,27 @@
         self._answer_failure(overloaded)
         return False
 
-    def _may_ask_again(self, replica: RelayReplica) -> bool:
-        """Let a begun answer be asked for once more at replicas that refused it.
-
-        A route limits the replicas that a request is sent to, not how often each one is asked.
-        """
-        self._search.allow_again(replica.replica_id)
-        return self._retries.try_spend(self._record.attempts + 1)
+    def _may_retry(self) -> bool:
+        """Spend a retry; a begun answer is also asked for again where it was refused."""
+        max_attempts = self._route.max_attempts
+        if self._answer.started and self._attempted.has_refused:
+            max_attempts = max(max_attempts, self._record.attempts + 1)
+        return self._retries.try_spend(max_attempts)
 
     def _handle_may_have_run(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
         self._attempted.add(replica.replica_id)
         failed_by_replica = outcome.answer is not None and outcome.answer.head.status < 500
         # A begun answer cannot be refused any more, so it also waits for one.
-        has_others = self._answer.started or self._planner.has_candidates(self._attempted)
+        has_others = self._answer.started or self._planner.has_candidates(
+            self._search.excluded_by_attempts()
+        )
         # A request under which several replicas may have crashed is not sent to one more.
         crashes_replicas = (
             self._crashes.crash_count(self._admitted.digest) >= MAX_CRASHES_PER_ATTEMPT
         )
         repeatable = self._route.repeatable and not crashes_replicas
         may_retry = repeatable and not failed_by_replica and has_others
-        if may_retry and self._retries.try_spend(self._route.max_attempts):
+        if may_retry and self._may_retry():
             return True
         self._answer_failure(
             FailureKind.OUTCOME_UNKNOWN.because(outcome.reason, ran=RunState.UNKNOWN)
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -22,6 +22,7 @@
 from winchfork.core.placement_request import RelayDecision
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.router.attempt_planner import AttemptPlanner
+from winchfork.router.attempted_replicas import AttemptedReplicas
 from winchfork.router.http_types import CallerDisconnected, RequestEvent, TimerFired
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import StopCause, Stopped
@@ -50,7 +51,7 @@
 
 
 class ReplicaSearch:
-    """Searches for one request; ``attempted`` holds the replicas that it was sent to before."""
+    """Searches for one request."""
 
     def __init__(
         self,
@@ -58,7 +59,7 @@
         planner: AttemptPlanner,
         retries: RequestRetries,
         admitted: AdmittedRequest,
-        attempted: set[str],
+        attempted: AttemptedReplicas,
         inbox: Inbox[RequestEvent],
     ) -> None:
         self._state = state
@@ -67,8 +68,6 @@
         self._retries = retries
         self._admitted = admitted
         self._attempted = attempted
-        #: The only replicas that the request may still be sent to; None for all but attempted ones.
-        self._allowed: set[str] | None = None
         self._inbox = inbox
         self._queue = state.permit_queues[planner.service]
         self._ticket: PermitTicket | None = None
@@ -78,14 +77,18 @@
         #: When the request began to wait, on the state's clock.
         self._waiting_since_s = 0.0
 
-    async def find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
+    async def find(
+        self, ran: Callable[[], RunState], *, pause: bool = False
+    ) -> RelayDecision | Failure | Stopped:
         """Return a placement, after a wait if a replica is expected to accept in time.
 
-        ``ran`` returns whether the request may have run.
+        ``ran`` returns whether the request may have run. ``pause``: wait for one poll interval
+        first, since the last placement failed at once and may be found again.
         """
         self._waiting_since_s = self._wait_start_s(ran())
         try:
-            return await self._find(ran)
+            stopped = await self._wait() if pause else None
+            return stopped or await self._find(ran)
         finally:
             self._leave_queue()
 
@@ -95,21 +98,17 @@
             return self._retries.last_sent_at_s
         return self._state.clock()
 
-    def allow_again(self, replica_id: str) -> None:
-        """Search only among replicas that refused the request, of which this is one."""
-        self._allowed = (self._allowed or set()) | {replica_id}
-
     def excluded(self) -> set[str]:
-        """Return the replicas excluded by attempts, and those reserved for a suspect request."""
+        """Return those excluded by attempts, and those reserved for another suspect request."""
         replicas = self._state.fleet.of_service(self._planner.service)
         reserved = self._crashes.excluded_replicas(self._admitted.digest, replicas)
-        return self._excluded_by_attempts() | reserved
+        return self.excluded_by_attempts() | reserved
 
-    def _excluded_by_attempts(self) -> set[str]:
-        if self._allowed is None:
-            return self._attempted
+    def excluded_by_attempts(self) -> set[str]:
+        """Return the replicas excluded by attempts."""
         replicas = self._state.fleet.of_service(self._planner.service)
-        return {replica.replica_id for replica in replicas} - self._allowed
+        listed = (replica.replica_id for replica in replicas)
+        return self._attempted.excluded(listed, answer_begun=self._retries.answer_begun)
 
     async def _find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
         while True:
@@ -158,7 +157,7 @@
         """Return a placement for now, or when one is expected."""
         if not self._crashes.may_run(self._admitted.digest):
             return _Availability(POLL_INTERVAL_S, max_wait_s)
-        excluded_by_attempts = self._excluded_by_attempts()
+        excluded_by_attempts = self.excluded_by_attempts()
         excluded = self.excluded()
         decision = self._planner.place(excluded)
         if decision is not None and decision.replica.notice.limit.per_s is None:
