Keep a backup attempt when the first one is refused late

Callers got a 502 (outcome unknown) although a backup ran soundly: any head at the first attempt dropped the backup, also that of a 503, 421 or 500, after which the first attempt itself was over. Only the head of an answer that may be delivered drops the backup.

a_late_refusal_of_the_first_attempt_leaves_the_backup failed before.

--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -122,6 +122,13 @@
         """The replica that this attempt was sent to."""
         return self.plan.replica
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the head of an answer was received that may be delivered."""
+        if self._head is None or self._fields is None:
+            return False
+        return self._fields.authentic and 200 <= self._head.status < 300
+
     @property
     def has_first_event(self) -> bool:
         """Whether the first event of the stream has been received."""
--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -7,7 +7,7 @@
 ==========================  ==========================================================
 event                       with a backup
 ==========================  ==========================================================
-part of the first's answer  the backup is dropped
+first is answered           the backup is dropped, unless that is a refusal or a failure
 first attempt ends          dropped after a whole answer, else it takes the first's place;
                             one that is not connected yet is dropped in any case
 backup begins               it takes the first's place, which is abandoned
@@ -34,8 +34,6 @@
 from winchfork.router.attempt_planner import AttemptPlanner
 from winchfork.router.attempted_replicas import AttemptedReplicas
 from winchfork.router.http_types import (
-    AnswerData,
-    AnswerHead,
     AttemptPart,
     BackupReady,
     CallerDisconnected,
@@ -181,15 +179,13 @@
                 outcome = attempt.handle(event.part)
                 if attempt is self._backup:
                     return self._handle_backup(attempt, outcome)
-                return self._handle_first(attempt, outcome, event)
+                return self._handle_first(attempt, outcome)
         return None  # The attempt has been abandoned.
 
-    def _handle_first(
-        self, first: Attempt, outcome: Outcome | None, event: AttemptPart
-    ) -> EndedAttempt | None:
+    def _handle_first(self, first: Attempt, outcome: Outcome | None) -> EndedAttempt | None:
         if outcome is not None:
             return self._end_first(first, outcome)
-        if isinstance(event.part, AnswerHead | AnswerData):
+        if first.is_answering:
             self._drop_backup("the first attempt made progress")
         return None
 
