Deliver a backup's whole answer that is no failure at once

Callers waited until their deadline for an answer that was known: a whole 404 of the backup counted as a backup that had ended, and the silent first attempt went on. An answer below 500 is final at a single attempt, and now at a backup as well.

--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -11,7 +11,7 @@
 first attempt ends          dropped after a whole answer, else it takes the first's place;
                             one that is not connected yet is dropped in any case
 backup begins               it takes the first's place, which is abandoned
-backup ends                 the first goes on
+backup ends                 the first goes on, unless the answer is whole and no failure
 withdrawal of the first     it takes the first's place, which is abandoned
 deadline, caller is gone    both are abandoned
 ==========================  ==========================================================
@@ -42,7 +42,16 @@
     WeightsExpired,
 )
 from winchfork.router.inbox import Inbox
-from winchfork.router.outcomes import Delivered, Moved, NotRun, Outcome, StopCause, Stopped
+from winchfork.router.outcome_recorder import MIN_FAILURE_STATUS
+from winchfork.router.outcomes import (
+    Delivered,
+    MayHaveRun,
+    Moved,
+    NotRun,
+    Outcome,
+    StopCause,
+    Stopped,
+)
 from winchfork.router.replica_connection import ReplicaConnection
 from winchfork.router.replica_search import DEADLINE, ReplicaSearch
 from winchfork.router.request_retries import RequestRetries
@@ -86,6 +95,13 @@
         self._inbox.put(BackupReady(self))
 
 
+def _is_final(outcome: Outcome | None) -> bool:
+    """Whether an outcome is an answer that another attempt would not better."""
+    if isinstance(outcome, MayHaveRun) and outcome.answer is not None:
+        return outcome.answer.head.status < MIN_FAILURE_STATUS
+    return isinstance(outcome, Delivered)
+
+
 class AttemptRunner:
     """Runs attempts of one request, at most two at a time."""
 
@@ -190,7 +206,7 @@
         return None
 
     def _handle_backup(self, backup: Attempt, outcome: Outcome | None) -> EndedAttempt | None:
-        if isinstance(outcome, Delivered) or (outcome is None and backup.has_first_event):
+        if _is_final(outcome) or (outcome is None and backup.has_first_event):
             self._abandon_first()
         if outcome is None:
             return None
