Open no backup for an attempt that has ended

The log said backup_opened, while the first attempt goes on, for one that had just ended: recording a silent break reports the replica as unreachable, to this request too, which still held the attempt. It is taken out of the runner before it is recorded.

an_attempt_that_ended_silently_opens_no_backup_for_itself failed before.

--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -218,8 +218,8 @@
 
     def _end_first(self, first: Attempt, outcome: Outcome) -> EndedAttempt | None:
         """Finish the first attempt; its backup takes its place unless the answer is whole."""
-        self._finish(first, outcome)
         self._first = None
+        self._finish(first, outcome)
         ended = EndedAttempt(first.replica, outcome)
         if isinstance(outcome, Delivered):
             self._drop_backup("the first attempt was answered")
@@ -297,8 +297,8 @@
             replica=first.replica.replica_id,
         )
         first.abandon()
-        self._finish(first, Moved())
         self._promote_backup()
+        self._finish(first, Moved())
 
     def _drop_backup(self, reason: str) -> None:
         backup = self._backup
