Check again before a backup attempt is sent

A backup was sent although the daemon had begun to stop while its connection was opened, and although the request had become suspect of crashing replicas in that time; of two runs of a suspect, the end of the first then removed both from the books, so that it might run at a third. Both are checked when the connection is ready, and a suspect gets no backup at all.

a_daemon_that_stops_while_the_backup_connects_does_not_send_it and a_backup_of_a_suspect_counts_as_running_after_the_first_ended failed before.

--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -101,6 +101,11 @@
         digest = self._admitted.digest
         return self._crashes.refusal(digest) is None and self._crashes.may_run(digest)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a replica has crashed while it ran this request."""
+        return self._crashes.crash_count(self._admitted.digest) > 0
+
     def release(self, replica: RelayReplica, connection: ReplicaConnection) -> None:
         """Put back a connection that is not used."""
         self._service.pool.release(replica.listing.address, connection)
--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -17,7 +17,7 @@
 ==========================  ==========================================================
 
 A stream begins with its first event, any other answer when it is whole. A daemon that is stopping
-starts no backup.
+starts no backup, and a request that is suspected of crashing replicas gets none.
 """
 
 from __future__ import annotations
@@ -258,9 +258,11 @@
             return False
         if self._backup is not None or self._opening is not None:
             return False
+        if self._launcher.is_suspect:
+            return False
         if not self._retries.has_attempts_left(self._route.max_attempts):
             return False
-        return first.silent_s >= MIN_SILENCE_S and self._launcher.is_allowed()
+        return first.silent_s >= MIN_SILENCE_S
 
     def _open_backup(self, first: Attempt, decision: RelayDecision) -> None:
         log_event(
@@ -278,12 +280,18 @@
             return  # It was dropped meanwhile.
         self._opening = None
         connection = opening.connection
-        if connection is None or not self._retries.try_spend(self._route.max_attempts):
+        if connection is None or not self._may_launch_backup():
             opening.cancel()
             return
         self._backup = self._launcher.launch(opening.decision, connection)
         self._watch(self._backup)
 
+    def _may_launch_backup(self) -> bool:
+        """Check again what may have changed while the connection was opened; spend a retry."""
+        if self._state.stopping or self._launcher.is_suspect:
+            return False
+        return self._retries.try_spend(self._route.max_attempts)
+
     def _promote_backup(self) -> None:
         self._first, self._backup = self._backup, None
 
