Withdraw at most one of two attempts whose weights expire together

A request reached three replicas on a route that allows two, free of the retry budget: the checks of both attempts asked, at the same moment, whether the other one goes on, and both were told that it does. By reading, the same happened when one ended before the other's withdrawal was handled. The check decided and paid; the runner acted later, on a view that was stale by then.

Now the check only reports that weights expire, and the runner decides as it handles the event: another attempt goes on, or a retry is spent, or, at the last moment, the stream is cancelled. two_attempts_whose_weights_expire_at_once_are_not_both_withdrawn failed before. The tests of withdrawals are unchanged.

--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -12,7 +12,7 @@
                             one that is not connected yet is dropped in any case
 backup begins               it takes the first's place, which is abandoned
 backup ends                 the first goes on, unless the answer is whole and no failure
-withdrawal of the first     it takes the first's place, which is abandoned
+weights of one expire       it is abandoned if it has not begun, the other goes on
 deadline, caller is gone    both are abandoned
 ==========================  ==========================================================
 
@@ -171,9 +171,9 @@
         """Apply backpressure to a new attempt, and watch the expiry of its weights."""
         if self._paused:
             attempt.set_paused(True)
-        check = WeightsExpiryCheck(self._state, self._retries, attempt, self._inbox)
-        check.schedule(self._may_withdraw)
-        self._expiry_checks[attempt.number] = check
+        self._expiry_checks[attempt.number] = WeightsExpiryCheck(
+            self._state, self._route.kind, attempt, self._inbox
+        )
 
     def _handle(self, event: RequestEvent) -> EndedAttempt | None:
         if isinstance(event, AttemptPart):
@@ -185,9 +185,7 @@
             return self._stop(StopCause.CALLER_DISCONNECTED)
         if isinstance(event, TimerFired):
             return self._stop(StopCause.DEADLINE) if event.name == DEADLINE else None
-        if isinstance(event, WeightsExpired):
-            return self._handle_expiry(event.attempt, Stopped(StopCause.WEIGHTS_EXPIRED))
-        return self._handle_expiry(event.attempt, Moved())
+        return self._handle_expiry(event.attempt, expired=isinstance(event, WeightsExpired))
 
     def _handle_part(self, event: AttemptPart) -> EndedAttempt | None:
         for attempt in self._attempts():
@@ -326,24 +324,34 @@
 
     # Weights that expire
 
+    def _handle_expiry(self, number: int, *, expired: bool) -> EndedAttempt | None:
+        """Withdraw a stream whose weights expire, unless it has begun; or cancel it in the end."""
+        for attempt in self._attempts():
+            if attempt.number == number and not attempt.has_first_event:
+                if len(self._attempts()) > 1 or self._may_withdraw(attempt):
+                    return self._end_before_expiry(attempt, "stream_withdrawn", Moved())
+                if expired:
+                    cancelled = Stopped(StopCause.WEIGHTS_EXPIRED)
+                    return self._end_before_expiry(attempt, "stream_cancelled", cancelled)
+        return None
+
     def _may_withdraw(self, attempt: Attempt) -> bool:
+        """Spend a retry to send the request elsewhere."""
         if not self._route.resumable or self._state.stopping:
             return False
-        if self._backup is not None:
-            return True  # The other attempt goes on.
-        if not self._planner.has_candidates(
-            self._search.excluded_by_attempts() | {attempt.replica.replica_id}
-        ):
+        excluded = self._search.excluded_by_attempts() | {attempt.replica.replica_id}
+        if not self._planner.has_candidates(excluded):
             return False
         return self._retries.try_spend(self._route.max_attempts)
 
-    def _handle_expiry(self, number: int, outcome: Outcome) -> EndedAttempt | None:
-        """End a stream whose weights expire, unless it has begun meanwhile."""
-        for attempt in self._attempts():
-            if attempt.number == number and not attempt.has_first_event:
-                attempt.abandon()
-                if attempt is self._first:
-                    return self._end_first(attempt, outcome)
-                self._finish(attempt, outcome)
-                self._backup = None
+    def _end_before_expiry(
+        self, attempt: Attempt, event: str, outcome: Outcome
+    ) -> EndedAttempt | None:
+        replica_id = attempt.replica.replica_id
+        log_event(event, id=self._retries.record.request_id, replica=replica_id)
+        attempt.abandon()
+        if attempt is self._first:
+            return self._end_first(attempt, outcome)
+        self._backup = None
+        self._finish(attempt, outcome)
         return None
--- a/winchfork/router/http_types.py
+++ b/winchfork/router/http_types.py
@@ -140,14 +140,14 @@
     part: AnswerPart
 
 
-class WithdrawalRequested(msgspec.Struct, frozen=True):
-    """The attempt is to end unless its stream has begun, and the request to be sent elsewhere."""
+class WeightsExpiring(msgspec.Struct, frozen=True):
+    """The attempt's weights expire soon: unless its stream has begun, it may be sent elsewhere."""
 
     attempt: int
 
 
 class WeightsExpired(msgspec.Struct, frozen=True):
-    """The attempt is to end unless its stream has begun: the replica's weights expire."""
+    """The attempt's weights expire: it has to end unless its stream has begun."""
 
     attempt: int
 
@@ -162,10 +162,5 @@
 
 
 RequestEvent = (
-    AttemptPart
-    | CallerDisconnected
-    | TimerFired
-    | WithdrawalRequested
-    | WeightsExpired
-    | BackupReady
+    AttemptPart | CallerDisconnected | TimerFired | WeightsExpiring | WeightsExpired | BackupReady
 )
--- a/winchfork/router/weights_expiry.py
+++ b/winchfork/router/weights_expiry.py
@@ -1,20 +1,17 @@
 """Watches a stream that has not begun when the weights of its replica expire.
 
-It may begin later than expected, since other daemons send prompts at the same time. It is sent
-elsewhere, or cancelled if that is not possible.
+It may begin later than expected, since other daemons send prompts at the same time. Shortly before
+the weights expire the request's reader is asked to send it elsewhere, then told that it has to end.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 from winchfork.core.routing import RouteKind
-from winchfork.logs import log_event
 from winchfork.router.attempt import Attempt
-from winchfork.router.http_types import RequestEvent, WeightsExpired, WithdrawalRequested
+from winchfork.router.http_types import RequestEvent, WeightsExpired, WeightsExpiring
 from winchfork.router.inbox import Inbox
-from winchfork.router.request_retries import RequestRetries
 from winchfork.router.state import RouterState
 
 #: Seconds before the weights expire at which a stream that has not begun is withdrawn; covers the
@@ -27,30 +24,19 @@
 
 
 class WeightsExpiryCheck:
-    """Checks one attempt until it has begun or :meth:`cancel` is called."""
+    """Checks one attempt until its stream has begun or :meth:`cancel` is called.
+
+    An answer that is not a stream does not show whether its run has begun, and is not checked.
+    """
 
     def __init__(
-        self,
-        state: RouterState,
-        retries: RequestRetries,
-        attempt: Attempt,
-        inbox: Inbox[RequestEvent],
+        self, state: RouterState, kind: RouteKind, attempt: Attempt, inbox: Inbox[RequestEvent]
     ) -> None:
         self._state = state
-        self._record = retries.record
-        self._is_stream = retries.route.kind is RouteKind.STREAMING
         self._attempt = attempt
         self._inbox = inbox
-        self._may_withdraw: Callable[[Attempt], bool] = lambda attempt: False
         self._timer: asyncio.TimerHandle | None = None
-
-    def schedule(self, may_withdraw: Callable[[Attempt], bool]) -> None:
-        """Begin to check; ``may_withdraw`` tells, and then commits to, a withdrawal.
-
-        An answer that is not a stream does not show whether its run has begun, and is not checked.
-        """
-        self._may_withdraw = may_withdraw
-        if self._is_stream and self._attempt.plan.weights_version is not None:
+        if kind is RouteKind.STREAMING and attempt.plan.weights_version is not None:
             self._schedule(WITHDRAWAL_LEAD_S)
 
     def cancel(self) -> None:
@@ -71,19 +57,12 @@
         left_s = self._expires_at_s() - self._state.clock()
         if left_s > WITHDRAWAL_LEAD_S:
             self._schedule(WITHDRAWAL_LEAD_S)
-        elif self._may_withdraw(self._attempt):
-            self._log("stream_withdrawn")
-            self._inbox.put(WithdrawalRequested(self._attempt.number))
         elif left_s > CANCELLATION_LEAD_S:
+            self._inbox.put(WeightsExpiring(self._attempt.number))
             self._schedule(CANCELLATION_LEAD_S)
         else:
-            self._log("stream_cancelled")
             self._inbox.put(WeightsExpired(self._attempt.number))
 
     def _expires_at_s(self) -> float:
         plan = self._attempt.plan
         return self._state.replica_selector.weights_expire_at_s(plan.model, plan.weights_version)
-
-    def _log(self, event: str) -> None:
-        replica_id = self._attempt.replica.replica_id
-        log_event(event, id=self._record.request_id, replica=replica_id)
