Count a connection once that is cancelled or times out as it opens

More connections to a replica could be open than its limit allows: where the wait for a connection ended in the same moment in which it was made, its count was taken back by the wait and again by the connection's end. Dropped backups cancel such waits more often.

--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -93,21 +93,25 @@
         released = False
         started_at_s = self._loop.time()
 
-        def on_idle(connection: ReplicaConnection) -> None:
+        def release() -> None:
             nonlocal released
-            if not connection.closed:
-                self._idle.setdefault(address, []).append(connection)
-            elif not released:
+            if not released:
                 released = True
                 self._decrement_open(address)
 
+        def on_idle(connection: ReplicaConnection) -> None:
+            if connection.closed:
+                release()
+            else:
+                self._idle.setdefault(address, []).append(connection)
+
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self._loop.create_connection(
                     lambda: ReplicaConnection(on_idle), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError) as error:
-            self._decrement_open(address)
+            release()
             self.counters.failed += 1
             refused = isinstance(error, ConnectionRefusedError)
             kind = FailureKind.CONNECTION_REFUSED if refused else FailureKind.BACKEND_UNREACHABLE
@@ -116,7 +120,7 @@
                 remedy="check that it is running and reachable",
             )
         except asyncio.CancelledError:
-            self._decrement_open(address)
+            release()
             raise
         self.counters.opened += 1
         took_s = self._loop.time() - started_at_s
