--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -83,6 +83,7 @@
         self._attempted = AttemptedReplicas(admitted.route.max_attempts)
         self._version_retries = 0
         self._answered_by_replica = False
+        self._caller_disconnected = False
         self._record = RequestRecord(
             service.state,
             admitted.fields.request_id,
@@ -122,6 +123,7 @@
 
     def caller_disconnected(self) -> None:
         """End the request: its caller has disconnected."""
+        self._caller_disconnected = True
         self._inbox.put(CallerDisconnected())
 
     def set_backpressure(self, paused: bool) -> None:
@@ -186,6 +188,9 @@
         connection = await self._launcher.connect(replica)
         if not isinstance(connection, ReplicaConnection):
             return EndedAttempt(replica, connection)
+        if self._caller_disconnected:
+            self._launcher.release(replica, connection)
+            return EndedAttempt(replica, Stopped(StopCause.CALLER_DISCONNECTED))
         if self._retries.time_left_s <= 0:
             self._launcher.release(replica, connection)
             late = NotRun("the deadline passed while the connection was opened", sent=False)
