Take back the quota charge of an attempt that a replica refused

Tenants were charged for work that was not done: each attempt after one that may have run is charged again as it is sent, and the charge stayed when the replica refused it as not run (a net of four charges in place of one in the test), also where both attempts were refused and only the admission's charge was refunded.

refusals_are_not_charged_to_the_tenant and a_request_that_both_replicas_refuse_is_not_charged failed before.

--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -66,6 +66,8 @@
         self._answer = answer
         self._charge = charge
         self._outcome_recorder = OutcomeRecorder(service.state, admitted, planner.service)
+        #: Numbers of the attempts that were charged beyond the admission.
+        self._charged_again: set[int] = set()
         #: Attempts that have not ended.
         self._in_progress = 0
         self._some_may_have_run = False
@@ -116,9 +118,10 @@
         plan = self._planner.plan(decision, self._retries.time_left_s, self._resume_after())
         plan.on_head = self._record.mark_head
         plan.on_events = self._record.mark_events
+        self._record.mark_sent()
         if self._charge is not None and self.may_have_run:
             self._charge.charge_again()
-        self._record.mark_sent()
+            self._charged_again.add(self._record.attempts)
         attempt = Attempt(
             self._record.attempts,
             plan,
@@ -145,6 +148,9 @@
         self._in_progress -= 1
         if isinstance(outcome, Moved | MayHaveRun | Stopped):
             self._some_may_have_run = True
+        if isinstance(outcome, NotRun) and attempt.number in self._charged_again:
+            assert self._charge is not None
+            self._charge.refund()
         if isinstance(outcome, MayHaveRun) and outcome.answer is not None:
             self.failed_answer = outcome.answer
         self._crashes.end_run(self._admitted.digest)
