Say that the router cut an answer whose weights expired

The line of an answer that was cut because its continuation could not begin in time said truncated_by=replica, since its outcome is that of a broken connection. an_answer_cut_because_weights_expire_is_not_cut_by_its_replica failed before.

--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -275,6 +275,7 @@
             self._record.outcome = cause.value
             return
         if cause is StopCause.WEIGHTS_EXPIRED:
+            self._record.cut_by_router = True
             reason = "the weights of its replica expired before the run was known to have begun"
             self._answer_failure(FailureKind.OUTCOME_UNKNOWN.because(reason, ran=RunState.UNKNOWN))
             return
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -43,6 +43,8 @@
     head_s: float | None = None
     first_event_s: float | None = None
     last_event_at_s: float = 0.0
+    #: The router ended the last attempt by itself, whatever the outcome says.
+    cut_by_router: bool = False
     longest_gap_s: float = 0.0
     #: Why the last retry was denied; empty if it was granted.
     retry_denied: str = ""
@@ -119,13 +121,16 @@
             events=attempt.events or None,
         )
 
+    def _truncated_by(self) -> str:
+        return "router" if self.cut_by_router else _TRUNCATED_BY.get(self.outcome, "router")
+
     def log_done(self, ran: RunState, events: int, *, truncated: bool) -> None:
         """Log and count the outcome.
 
         ``events`` were sent to the caller; ``truncated``: its answer began and was not completed.
         """
         took_s = self.clock() - self.received_at_s
-        truncated_by = _TRUNCATED_BY.get(self.outcome, "router") if truncated else None
+        truncated_by = self._truncated_by() if truncated else None
         metrics = self.state.metrics
         metrics.requests.labels(self.outcome).inc()
         if truncated_by is not None:
