Stricter tests of backups and refusals, and an opening that fails in any way

From the review: the test of the unreachable replica asserts that a backup was asked, tests wait for the request in place of a fixed time, repeated refusals have an upper bound by their cooldown. An opening of a backup that ends with an exception is announced too, and a request's task that fails is no longer logged as a stop of the router.

--- a/tests/test_backup_attempts.py
+++ b/tests/test_backup_attempts.py
@@ -175,6 +175,8 @@
         backup = ScriptedReplica(answering(full))
         relay, answer = await self.start(first, backup)
         self.report_unreachable(relay)
+        while not backup.received:
+            await asyncio.sleep(0.01)
         await asyncio.sleep(0.1)
         self.assertEqual(len(backup.received), 1)
         await first.allow(EVENTS)
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -192,9 +192,12 @@
         replica = relay.state.fleet.get("i-0")
         assert replica is not None
         relay.state.on_unresponsive(replica)
+        while not replicas[1].received:
+            await asyncio.sleep(0.01)
         await asyncio.sleep(0.1)
         stream.resume.set()
         self.assert_whole(await answering_task)
+        self.assertEqual(len(replicas[1].received), 1)
 
     async def test_a_stream_that_cannot_be_resumed_stays(self) -> None:
         stream = SlowStream()
--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from unittest import mock
 
 from tests.relay_case import RelayTestCase
 from tests.relay_support import (
+    HANG_TIMEOUT_S,
     ReceivedRequest,
     RelayUnderTest,
     ScriptedReplica,
@@ -22,6 +24,7 @@
 from winchfork.cli.log_reading import LoggedEvent, read_events
 from winchfork.core.routing import RouteKind
 from winchfork.logs import configure_logs
+from winchfork.router.outcome_recorder import REFUSAL_COOLDOWN_S
 
 
 def begun(request: ReceivedRequest) -> bytes:
@@ -73,6 +76,7 @@
         self.assertEqual(endings[:2], ["may_have_run", "not_run"])
         # The replica is asked again until the retry budget is spent.
         self.assertEqual(set(endings[2:]), {"not_run"})
+        self.assertLessEqual(len(endings), 1 + math.ceil(HANG_TIMEOUT_S / REFUSAL_COOLDOWN_S))
 
     async def test_an_answer_cut_at_the_deadline(self) -> None:
         relay = await self.relay(
--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -89,10 +89,12 @@
             self._launcher.release(self.decision.replica, self.connection)
 
     async def _connect(self) -> None:
-        connection = await self._launcher.connect(self.decision.replica)
-        if isinstance(connection, ReplicaConnection):
-            self.connection = connection
-        self._inbox.put(BackupReady(self))
+        try:
+            connection = await self._launcher.connect(self.decision.replica)
+            if isinstance(connection, ReplicaConnection):
+                self.connection = connection
+        finally:
+            self._inbox.put(BackupReady(self))
 
 
 def _is_final(outcome: Outcome | None) -> bool:
@@ -162,7 +164,7 @@
                 if ended is not None:
                     return ended
         finally:
-            self._abandon_all(Stopped(StopCause.ROUTER_STOPPED))
+            self._abandon_all(Stopped(StopCause.ABANDONED))
 
     def _attempts(self) -> list[Attempt]:
         return [attempt for attempt in (self._first, self._backup) if attempt is not None]
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -15,7 +15,8 @@
     CALLER_DISCONNECTED = "caller_left"
     DEADLINE = "deadline"
     WEIGHTS_EXPIRED = "weights_expired"
-    ROUTER_STOPPED = "router_stopped"
+    #: The request's task was cancelled or failed.
+    ABANDONED = "abandoned"
 
 
 class BufferedAnswer(msgspec.Struct, frozen=True):
