Count refusals of a begun answer against no replica of its route

Callers saw a begun answer cut although one of the route's three replicas had not been asked: a refusal that was followed by a run at the same replica still counted as one of three attempts. A begun answer is limited by the replicas that it is sent to; AttemptedReplicas now says whether one more is allowed.

a_refusal_uses_up_no_replica_of_the_route failed before.

--- a/winchfork/router/attempted_replicas.py
+++ b/winchfork/router/attempted_replicas.py
@@ -27,9 +27,9 @@
             self._refused.discard(replica_id)
 
     @property
-    def has_refused(self) -> bool:
-        """Whether a replica that was tried has not run the request."""
-        return bool(self._refused)
+    def allows_another(self) -> bool:
+        """Whether a begun answer may be sent to one more replica, or again where it was refused."""
+        return bool(self._refused) or len(self._tried) < self._max_replicas
 
     def excluded(self, replica_ids: Iterable[str], *, answer_begun: bool) -> set[str]:
         """Return which of these replicas the request may not be sent to."""
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -239,10 +239,10 @@
         return False
 
     def _may_retry(self) -> bool:
-        """Spend a retry; a begun answer is also asked for again where it was refused."""
+        """Spend a retry; for a begun answer the replicas are limited, not the attempts."""
         max_attempts = self._route.max_attempts
-        if self._answer.started and self._attempted.has_refused:
-            max_attempts = max(max_attempts, self._record.attempts + 1)
+        if self._answer.started and self._attempted.allows_another:
+            max_attempts = self._record.attempts + 1
         return self._retries.try_spend(max_attempts)
 
     def _handle_may_have_run(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
