End a begun answer that no replica may continue any more

Callers were kept waiting until their deadline where nothing could come: the replicas of the route were used up, and those that had refused the answer were no longer listed. They can resume by a new request, which has attempts of its own, so the answer is broken off at once.

--- a/winchfork/router/attempted_replicas.py
+++ b/winchfork/router/attempted_replicas.py
@@ -31,6 +31,10 @@
         """Whether a begun answer may be sent to one more replica, or again where it was refused."""
         return bool(self._refused) or len(self._tried) < self._max_replicas
 
+    def is_exhausted(self, replica_ids: Iterable[str]) -> bool:
+        """Whether a begun answer may be sent to none of these, nor to one that is added."""
+        return len(self._tried) >= self._max_replicas and self._refused.isdisjoint(replica_ids)
+
     def excluded(self, replica_ids: Iterable[str], *, answer_begun: bool) -> set[str]:
         """Return which of these replicas the request may not be sent to."""
         if not answer_begun:
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -2,7 +2,7 @@
 
 A request waits for a replica that will accept it before its deadline and is refused at once if none
 will. If every replica has a request limit, requests wait for permits in a queue. A stream whose
-answer has begun cannot be refused any more: it waits until its deadline in any case.
+answer has begun cannot be refused any more: it waits until its deadline, while it may be sent on.
 """
 
 from __future__ import annotations
@@ -104,6 +104,10 @@
         reserved = self._crashes.excluded_replicas(self._admitted.digest, replicas)
         return self.excluded_by_attempts() | reserved
 
+    def _is_exhausted(self) -> bool:
+        replicas = self._state.fleet.of_service(self._planner.service)
+        return self._attempted.is_exhausted(replica.replica_id for replica in replicas)
+
     def excluded_by_attempts(self) -> set[str]:
         """Return the replicas excluded by attempts."""
         replicas = self._state.fleet.of_service(self._planner.service)
@@ -119,7 +123,7 @@
             if isinstance(found, RelayDecision):
                 return found
             if not found.is_in_time:
-                if not self._retries.answer_begun:
+                if not self._retries.answer_begun or self._is_exhausted():
                     return self._no_replica(found.in_s, ran())
                 # A ticket without a permit in prospect would hold back the requests behind it.
                 self._leave_queue()
