Withdraw the continuation of a begun answer also where nobody accepts yet

Callers saw a begun answer cut with time and an attempt left: its continuation had not begun as the weights expired, and was cancelled since no other replica accepted at that moment, or since the router was stopping. A continuation has to end then in any case, so waiting for a replica costs nothing. A request whose answer has not begun is cancelled as before.

a_continuation_whose_weights_expire_waits_for_the_next_replica and ..._during_a_stop_goes_elsewhere failed before.

--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -339,13 +339,17 @@
 
     def _may_withdraw(self, attempt: Attempt) -> bool:
         """Spend a retry to send the request elsewhere."""
-        if not self._route.resumable or self._state.stopping:
-            return False
-        excluded = self._search.excluded_by_attempts() | {attempt.replica.replica_id}
-        if not self._planner.has_candidates(excluded):
+        if not self._route.resumable or not self._may_search_without(attempt):
             return False
         return self._retries.try_spend(self._route.max_attempts)
 
+    def _may_search_without(self, attempt: Attempt) -> bool:
+        """Whether another replica accepts now; a begun answer may wait for one, also in a stop."""
+        if self._retries.answer_begun:
+            return True
+        excluded = self._search.excluded_by_attempts() | {attempt.replica.replica_id}
+        return not self._state.stopping and self._planner.has_candidates(excluded)
+
     def _end_before_expiry(
         self, attempt: Attempt, event: str, outcome: Outcome
     ) -> EndedAttempt | None:
