Refund an extra charge whichever attempt was refused

A tenant paid twice for one run: the first attempt was refused as not run after its backup had been charged, and only the backup's own refusal would have taken a charge back. Charges are alike, so they are counted, and each attempt that was refused takes one back.

a_first_attempt_that_is_refused_late_is_not_charged failed before.

--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -66,8 +66,8 @@
         self._answer = answer
         self._charge = charge
         self._outcome_recorder = OutcomeRecorder(service.state, admitted, planner.service)
-        #: Numbers of the attempts that were charged beyond the admission.
-        self._charged_again: set[int] = set()
+        #: Charges beyond that of the admission, less those taken back.
+        self._extra_charges = 0
         #: Attempts that have not ended.
         self._in_progress = 0
         self._some_may_have_run = False
@@ -121,7 +121,7 @@
         self._record.mark_sent()
         if self._charge is not None and self.may_have_run:
             self._charge.charge_again()
-            self._charged_again.add(self._record.attempts)
+            self._extra_charges += 1
         attempt = Attempt(
             self._record.attempts,
             plan,
@@ -148,15 +148,19 @@
         self._in_progress -= 1
         if isinstance(outcome, Moved | MayHaveRun | Stopped):
             self._some_may_have_run = True
-        if isinstance(outcome, NotRun) and attempt.number in self._charged_again:
-            assert self._charge is not None
-            self._charge.refund()
+        if isinstance(outcome, NotRun):
+            self._refund_extra_charge()
         if isinstance(outcome, MayHaveRun) and outcome.answer is not None:
             self.failed_answer = outcome.answer
         self._crashes.end_run(self._admitted.digest)
         self._record.log_attempt_ended(attempt, outcome)
         self.newer_weights = self._outcome_recorder.record_outcome(attempt, outcome, self._record)
 
+    def _refund_extra_charge(self) -> None:
+        if self._charge is not None and self._extra_charges:
+            self._extra_charges -= 1
+            self._charge.refund()
+
     def _count_sent(self, replica: RelayReplica) -> None:
         listing = replica.listing
         metrics = self._state.metrics
