Deliver the first attempt's whole answer that is no failure at once

Callers waited for a silent backup although the first attempt had answered a whole 404: only an answer of success dropped the backup.

a_final_answer_of_the_first_attempt_is_passed_on_at_once failed before.

--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -221,7 +221,7 @@
         self._first = None
         self._finish(first, outcome)
         ended = EndedAttempt(first.replica, outcome)
-        if isinstance(outcome, Delivered):
+        if _is_final(outcome):
             self._drop_backup("the first attempt was answered")
             return ended
         if self._backup is not None:
