Stop at the deadline, and for a caller that left, after failed connections too

Callers were answered long after their deadline (3.0 s for one of 0.5 s, six replicas whose connections time out), and replicas were searched for callers that had left: both were looked at only after a connection that succeeded. A zone that falls silent gives this.

Both tests of ConnectPastDeadlineTest failed before.

--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -186,17 +186,20 @@
     async def _attempt(self, decision: RelayDecision) -> EndedAttempt:
         replica = decision.replica
         connection = await self._launcher.connect(replica)
+        stopped = self._stopped_meanwhile()
         if not isinstance(connection, ReplicaConnection):
-            return EndedAttempt(replica, connection)
-        if self._caller_disconnected:
-            self._launcher.release(replica, connection)
-            return EndedAttempt(replica, Stopped(StopCause.CALLER_DISCONNECTED))
-        if self._retries.time_left_s <= 0:
+            return EndedAttempt(replica, stopped or connection)
+        if stopped is not None:
             self._launcher.release(replica, connection)
-            late = NotRun("the deadline passed while the connection was opened", sent=False)
-            return EndedAttempt(replica, late)
+            return EndedAttempt(replica, stopped)
         return await self.runner.run(self._launcher.launch(decision, connection))
 
+    def _stopped_meanwhile(self) -> Stopped | None:
+        """Return why nothing may be sent any more, after a wait that did not read the inbox."""
+        if self._caller_disconnected:
+            return Stopped(StopCause.CALLER_DISCONNECTED)
+        return Stopped(StopCause.DEADLINE) if self._retries.time_left_s <= 0 else None
+
     # After an attempt
 
     def _handle_outcome(self, replica: RelayReplica, outcome: Outcome) -> bool:
