Log each backup attempt that is dropped

backup_opened had no closing line where the backup was not sent: the retry budget denied it, its connection failed, the router began to stop, or the first attempt ended while it connected. a_backup_that_is_not_sent_is_logged_as_dropped failed before.

--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -227,7 +227,7 @@
         if self._backup is not None:
             self._promote_backup()
             return None
-        self._cancel_opening()
+        self._drop_backup("the first attempt ended while the backup connected")
         return ended
 
     def _finish(self, attempt: Attempt, outcome: Outcome) -> None:
@@ -281,6 +281,7 @@
         self._opening = None
         connection = opening.connection
         if connection is None or not self._may_launch_backup():
+            self._log_dropped("it could not be sent")
             opening.cancel()
             return
         self._backup = self._launcher.launch(opening.decision, connection)
@@ -312,13 +313,16 @@
         backup = self._backup
         if backup is None and self._opening is None:
             return
-        log_event("backup_dropped", id=self._retries.record.request_id, reason=reason)
+        self._log_dropped(reason)
         self._cancel_opening()
         if backup is not None:
             backup.abandon()
             self._finish(backup, Moved())
             self._backup = None
 
+    def _log_dropped(self, reason: str) -> None:
+        log_event("backup_dropped", id=self._retries.record.request_id, reason=reason)
+
     def _cancel_opening(self) -> None:
         if self._opening is not None:
             self._opening.cancel()
