Ask again whether a backup's replica accepts requests before it is sent

A backup was sent to a replica that had just announced that it drains, loads weights or wants a rest: with a kept connection the check after connecting is passed over, and the backup is sent two turns of the loop after its placement. It is made in the turn of the send now, as for other attempts.

a_backup_on_a_kept_connection_asks_once_more_for_availability failed before.

--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -280,17 +280,19 @@
             return  # It was dropped meanwhile.
         self._opening = None
         connection = opening.connection
-        if connection is None or not self._may_launch_backup():
+        if connection is None or not self._may_launch_backup(opening.decision.replica):
             self._log_dropped("it could not be sent")
             opening.cancel()
             return
         self._backup = self._launcher.launch(opening.decision, connection)
         self._watch(self._backup)
 
-    def _may_launch_backup(self) -> bool:
+    def _may_launch_backup(self, replica: RelayReplica) -> bool:
         """Check again what may have changed while the connection was opened; spend a retry."""
         if self._state.stopping or self._launcher.is_suspect:
             return False
+        if not self._planner.is_available(replica, self._search.excluded()):
+            return False
         return self._retries.try_spend(self._route.max_attempts)
 
     def _promote_backup(self) -> None:
