--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -142,7 +142,7 @@
     def accepts_requests(self, now_s: float) -> bool:
         """Whether it may be sent a request now; ignores ejection and weights versions.
 
-        Applies to all attempts alike: first attempts, retries and moved streams.
+        Applies to all attempts alike: first attempts, retries and backups.
         """
         is_open = now_s >= self.loading_until_s and self.notice.accepts_requests(now_s)
         return self.accepting and is_open and self.notice.limit.available_in_s(now_s) <= 0.0
