One copy of the streams and the set-up that tests of attempts share

begun, rest, full, the stepwise stream and the case of a suspect replica stood in up to five test modules. They are in tests/stream_case.py now.

--- a/tests/test_attempt_orders.py
+++ b/tests/test_attempt_orders.py
@@ -8,21 +8,25 @@
 
 from tests.relay_case import PROMPT_HEADERS, RelayTestCase
 from tests.relay_support import (
-    HANG_TIMEOUT_S,
     ReceivedAnswer,
     ReceivedRequest,
     RelayUnderTest,
     ScriptedReplica,
     answering,
     caller_request,
-    chunk,
-    event,
     never_answering,
     resetting,
     signed,
-    stream_head,
 )
-from tests.test_backup_attempts import EVENTS, StepwiseStream
+from tests.stream_case import (
+    EVENTS,
+    BackupTestCase,
+    StepwiseStream,
+    StreamTestCase,
+    begun,
+    full,
+    rest,
+)
 from winchfork.cli.log_reading import LoggedEvent, read_events
 from winchfork.core.routing import RouteKind
 from winchfork.core.start_margin import START_MARGIN_S
@@ -35,22 +39,7 @@
 from winchfork.router.replica_connection import ReplicaConnection
 
 
-def begun(request: ReceivedRequest) -> bytes:
-    return stream_head(request) + chunk(event(1) + event(2))
-
-
-def rest(request: ReceivedRequest) -> bytes:
-    """Return the stream after the last event that the caller has received."""
-    after = int(request.headers.get("last-event-id", "0"))
-    pieces = b"".join(chunk(event(number)) for number in range(after + 1, EVENTS + 1))
-    return stream_head(request) + pieces + b"0\r\n\r\n"
-
-
-def full(request: ReceivedRequest) -> bytes:
-    return signed(request, b"", "503 Full", "X-Not-Executed: true\r\n")
-
-
-class BegunAnswerTest(RelayTestCase):
+class BegunAnswerTest(StreamTestCase):
     async def stream_relay(self, *replicas: ScriptedReplica, **route: object) -> RelayUnderTest:
         route = {"kind": RouteKind.STREAMING, "resumable": True, **route}
         return await self.relay(*replicas, **route)
@@ -58,10 +47,6 @@
     async def ask(self, relay: RelayUnderTest) -> ReceivedAnswer:
         return await relay.ask(method="POST", extra=PROMPT_HEADERS)
 
-    def assert_whole(self, answer: ReceivedAnswer) -> None:
-        self.assertTrue(answer.whole)
-        self.assertEqual(answer.body, b"".join(event(number) for number in range(1, EVENTS + 1)))
-
     async def test_a_replica_without_free_connections_is_not_asked_in_a_busy_loop(self) -> None:
         """Guards against a router that serves nobody until the deadline of one request."""
         other = ScriptedReplica(answering(full), answering(rest))
@@ -154,42 +139,7 @@
         self.assertEqual(charged, 1)
 
 
-class BackupTest(RelayTestCase):
-    async def start(
-        self, first: StepwiseStream, *others: ScriptedReplica
-    ) -> tuple[RelayUnderTest, asyncio.Task[ReceivedAnswer]]:
-        """Relay a stream that has delivered two events and then falls silent."""
-        replica = ScriptedReplica(first)
-        relay = await self.relay(replica, *others, kind=RouteKind.STREAMING, resumable=True)
-        await first.allow(2)
-        answer = asyncio.create_task(relay.ask(method="POST", extra=PROMPT_HEADERS))
-        await asyncio.wait_for(first.asked.wait(), HANG_TIMEOUT_S)
-        await asyncio.sleep(MIN_SILENCE_S + 0.1)
-        return relay, answer
-
-    def report_unreachable(self, relay: RelayUnderTest) -> None:
-        replica = relay.state.fleet.get("i-0")
-        assert replica is not None
-        relay.state.on_unresponsive(replica)
-
-    def delay_connections(self, relay: RelayUnderTest) -> asyncio.Event:
-        """Hold back new connections to replicas until the returned event is set."""
-        connected = asyncio.Event()
-        acquire = relay.pool.acquire
-
-        async def acquire_late(address: str, limit: int) -> ReplicaConnection | Failure:
-            await connected.wait()
-            return await acquire(address, limit)
-
-        patch = mock.patch.object(relay.pool, "acquire", acquire_late)
-        patch.start()
-        self.addCleanup(patch.stop)
-        return connected
-
-    def assert_whole(self, answer: ReceivedAnswer) -> None:
-        self.assertEqual(answer.body, b"".join(event(number) for number in range(1, EVENTS + 1)))
-        self.assertTrue(answer.whole)
-
+class BackupTest(BackupTestCase):
     async def test_a_refused_backup_is_asked_again_when_the_first_attempt_crashes(self) -> None:
         """Guards against a begun answer that ends although a replica that refused accepts again."""
         first = StepwiseStream()
--- a/tests/test_attempt_promises.py
+++ b/tests/test_attempt_promises.py
@@ -18,8 +18,7 @@
     resetting,
     signed,
 )
-from tests.test_attempt_orders import begun, full, rest
-from tests.test_backup_attempts import EVENTS
+from tests.stream_case import EVENTS, begun, full, rest
 from winchfork.cli.log_reading import read_events
 from winchfork.core.routing import RouteKind
 from winchfork.core.start_margin import START_MARGIN_S
--- a/tests/test_begun_answers.py
+++ b/tests/test_begun_answers.py
@@ -11,31 +11,14 @@
     RelayUnderTest,
     ScriptedReplica,
     answering,
-    chunk,
-    event,
     resetting,
     signed,
-    stream_head,
 )
+from tests.stream_case import StreamTestCase, begun, full, rest
 from winchfork.core.routing import RouteKind
 
 
-def begun(request: ReceivedRequest) -> bytes:
-    return stream_head(request) + chunk(event(1) + event(2))
-
-
-def rest(request: ReceivedRequest) -> bytes:
-    """Return the stream after the last event that the caller has received."""
-    after = int(request.headers.get("last-event-id", "0"))
-    pieces = b"".join(chunk(event(number)) for number in range(after + 1, 5))
-    return stream_head(request) + pieces + b"0\r\n\r\n"
-
-
-def full(request: ReceivedRequest) -> bytes:
-    return signed(request, b"", "503 Full", "X-Not-Executed: true\r\n")
-
-
-class BegunAnswerTest(RelayTestCase):
+class BegunAnswerTest(StreamTestCase):
     async def stream_relay(self, *replicas: ScriptedReplica, **route: object) -> RelayUnderTest:
         route = {"kind": RouteKind.STREAMING, "resumable": True, **route}
         return await self.relay(*replicas, **route)
@@ -43,10 +26,6 @@
     async def ask(self, relay: RelayUnderTest) -> ReceivedAnswer:
         return await relay.ask(method="POST", extra=PROMPT_HEADERS)
 
-    def assert_whole(self, answer: ReceivedAnswer) -> None:
-        self.assertTrue(answer.whole)
-        self.assertEqual(answer.body, b"".join(event(number) for number in range(1, 5)))
-
     async def test_a_broken_stream_waits_for_a_replica_that_accepts_later(self) -> None:
         """Guards against a begun answer that ends because no replica accepts at that moment."""
         replicas = [ScriptedReplica(resetting(begun)), ScriptedReplica(answering(rest))]
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -20,6 +20,7 @@
     signed,
     stream_head,
 )
+from tests.stream_case import full
 from winchfork.core.routing import RouteKind
 from winchfork.core.start_margin import START_MARGIN_S
 from winchfork.core.weight_rollout import VersionHistory
@@ -31,10 +32,6 @@
 LONG_ANSWER = "X-Model: m\r\nX-Token-Usage: 100,1000\r\nX-Prefix-Hash: aa:60,bb:40\r\n"
 
 
-def full(request: ReceivedRequest) -> bytes:
-    return signed(request, b"", "503 Full", "X-Not-Executed: true\r\n")
-
-
 class SlowStream:
     """A replica's stream that pauses after two events until ``resume`` is set."""
 
--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -9,32 +9,20 @@
 from tests.relay_case import RelayTestCase
 from tests.relay_support import (
     HANG_TIMEOUT_S,
-    ReceivedRequest,
     RelayUnderTest,
     ScriptedReplica,
     answering,
     caller_request,
-    chunk,
-    event,
     never_answering,
     resetting,
-    signed,
-    stream_head,
 )
+from tests.stream_case import begun, full
 from winchfork.cli.log_reading import LoggedEvent, read_events
 from winchfork.core.routing import RouteKind
 from winchfork.logs import configure_logs
 from winchfork.router.outcome_recorder import REFUSAL_COOLDOWN_S
 
 
-def begun(request: ReceivedRequest) -> bytes:
-    return stream_head(request) + chunk(event(1) + event(2))
-
-
-def refused(request: ReceivedRequest) -> bytes:
-    return signed(request, b"", "503 Full", "X-Not-Executed: true\r\n")
-
-
 class TruncatedAnswerLinesTest(RelayTestCase):
     def setUp(self) -> None:
         self.lines: list[str] = []
@@ -66,7 +54,7 @@
         self.assertEqual((ended.field("ending"), ended.field("events")), ("may_have_run", "2"))
 
     async def test_an_answer_cut_because_the_next_replica_refused(self) -> None:
-        replicas = [ScriptedReplica(resetting(begun)), ScriptedReplica(answering(refused))]
+        replicas = [ScriptedReplica(resetting(begun)), ScriptedReplica(answering(full))]
         route = {"kind": RouteKind.STREAMING, "resumable": True}
         relay = await self.relay(*replicas, **route)
         answer = await relay.ask(method="POST")
@@ -132,7 +120,7 @@
     async def test_a_refusal_and_a_whole_answer_are_not_truncated(self) -> None:
         replica = ScriptedReplica(
             answering(lambda request: begun(request) + b"0\r\n\r\n"),
-            answering(refused),
+            answering(full),
             never_answering,
         )
         relay = await self.relay(replica, kind=RouteKind.STREAMING, max_attempts=1, timeout_s=0.5)
