--- a/winchfork/router/attempted_replicas.py
+++ b/winchfork/router/attempted_replicas.py
@@ -32,7 +32,7 @@
         return bool(self._refused) or len(self._tried) < self._max_replicas
 
     def is_exhausted(self, replica_ids: Iterable[str]) -> bool:
-        """Whether a begun answer may be sent to none of these, nor to one that is added."""
+        """Whether neither the listed replicas nor any new one may continue a begun answer."""
         return len(self._tried) >= self._max_replicas and self._refused.isdisjoint(replica_ids)
 
     def excluded(self, replica_ids: Iterable[str], *, answer_begun: bool) -> set[str]:
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -251,7 +251,7 @@
     def _handle_may_have_run(self, replica: RelayReplica, outcome: MayHaveRun) -> bool:
         self._attempted.add(replica.replica_id)
         failed_by_replica = outcome.answer is not None and outcome.answer.head.status < 500
-        # A begun answer cannot be refused any more, so it also waits for one.
+        # A begun answer cannot be refused any more, so it waits for a candidate.
         has_others = self._answer.started or self._planner.has_candidates(
             self._search.excluded_by_attempts()
         )
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -2,7 +2,8 @@
 
 A request waits for a replica that will accept it before its deadline and is refused at once if none
 will. If every replica has a request limit, requests wait for permits in a queue. A stream whose
-answer has begun cannot be refused any more: it waits until its deadline, while it may be sent on.
+answer has begun cannot be refused any more. It waits until its deadline, unless its attempts leave
+no replica that could continue it.
 """
 
 from __future__ import annotations
