--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Mapping
 
 import msgspec
@@ -109,6 +110,8 @@
     placement_hash: int = 0
     #: Whether a former incarnation with its id has answered this daemon.
     answered_before_restart: bool = False
+    #: When this daemon last received a part of an answer from it; minus infinity if never.
+    last_received_at_s: float = -math.inf
     _expected_ends_s: dict[int, float] = msgspec.field(default_factory=dict)
     _failure_reported_at_s: dict[str, float] = msgspec.field(default_factory=dict)
 
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -162,7 +162,7 @@
             return self._handle_end()
         if isinstance(part, AnswerTruncated):
             return self._handle_truncation(part)
-        self._last_received_at_s = self._clock()
+        self._last_received_at_s = self.replica.last_received_at_s = self._clock()
         if isinstance(part, AnswerHead):
             return self._handle_head(part)
         return self._handle_data(part.data)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import defaultdict
 from collections.abc import Callable
@@ -262,6 +263,7 @@
                 reason=reason,
                 failures=replica.consecutive_failures,
                 for_s=replica.ejected_until_s - now_s,
+                last_received_s=_age_s(replica.last_received_at_s, now_s),
             )
             self.on_ejected(replica)
 
@@ -279,6 +281,7 @@
                     reason="peers have ejected the replica",
                     told_by=reporter,
                     for_s=replica.ejected_until_s - now_s,
+                    last_received_s=_age_s(replica.last_received_at_s, now_s),
                 )
 
     def engine_speed(self, service: str) -> EngineSpeed:
@@ -322,6 +325,11 @@
     )
 
 
+def _age_s(at_s: float, now_s: float) -> float | None:
+    """Return how long ago a time was; None if it is minus infinity, that is, never."""
+    return None if math.isinf(at_s) else now_s - at_s
+
+
 def _log_incarnation_change(change: IncarnationChange) -> None:
     replica = change.replica
     log_event(
