--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from standins.replica_links import ReplicaLinks
 from standins.replica_server import ReplicaServer
 from standins.rollout_operator import RolloutOperator
 from standins.store_server import StoreServer
@@ -194,8 +195,11 @@
 class LoopbackDeployment(PlatformStandins):
     """The stand-ins and routers (one a zone by default) in this process."""
 
-    def __init__(self, routers: int = len(ZONES)) -> None:
+    def __init__(self, routers: int = len(ZONES), *, simulate_links: bool = False) -> None:
         super().__init__()
+        self._simulate_links = simulate_links
+        #: Faults on the links between routers and replicas; set while running, if simulated.
+        self.links: ReplicaLinks | None = None
         self._zones = [ZONES[number % len(ZONES)] for number in range(routers)]
         self.settings: list[RouterSettings] = []
         self.routers: list[RouterProcess] = []
@@ -204,9 +208,15 @@
     async def start(self) -> None:
         """Start the stand-ins and the routers; ``wait_until_ready`` waits for the routers."""
         await super().start()
+        if self._simulate_links:
+            self.links = ReplicaLinks(self._replica_addresses)
         for number, zone in enumerate(self._zones, start=1):
             self._add_router(number, zone)
 
+    def _replica_addresses(self) -> set[str]:
+        replicas = (*self.all_model_replicas, *self.all_application_replicas)
+        return {replica.address for replica in replicas}
+
     def _add_router(self, number: int, zone: str) -> None:
         settings = parse_settings(self.settings_text(number, zone))
         if isinstance(settings, Failure):
@@ -215,7 +225,10 @@
         router = RouterProcess(settings, platform_adapters(), lambda: settings)
         self.settings.append(settings)
         self.routers.append(router)
-        self.tasks.append(asyncio.create_task(router.run()))
+        running = router.run()
+        if self.links is not None:
+            running = self.links.run_router(number - 1, running)
+        self.tasks.append(asyncio.create_task(running))
 
     async def wait_until_ready(self) -> None:
         """Wait until every router is ready and knows at least one replica."""
@@ -250,6 +263,8 @@
     async def stop(self) -> None:
         """Stop the routers with a planned stop, then the stand-ins."""
         await self._stop_routers()
+        if self.links is not None:
+            self.links.uninstall()
         await super().stop()
 
     async def _stop_routers(self) -> None:
--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -115,6 +115,11 @@
         self._stopped = False
         self._is_listening = False
 
+    @property
+    def address(self) -> str:
+        """The address that it listens on; empty before the first start."""
+        return self._http.address
+
     @property
     def notices(self) -> NoticeEmitter:
         """The notices of the current incarnation."""
@@ -165,7 +170,7 @@
         models = [{"Name": self._model, "Version": self.weights_version}] if self._model else []
         entry = {
             "Service": self._service,
-            "Address": self._http.address,
+            "Address": self.address,
             "Zone": self._zone,
             "Version": self._software_version,
             "Slots": 16,
--- a/tests/loopback_case.py
+++ b/tests/loopback_case.py
@@ -29,9 +29,11 @@
 
 class LoopbackTestCase(unittest.IsolatedAsyncioTestCase):
     routers = 3
+    #: Whether the links between routers and replicas can be given faults.
+    simulate_links = False
 
     async def asyncSetUp(self) -> None:
-        self.deployment = LoopbackDeployment(self.routers)
+        self.deployment = LoopbackDeployment(self.routers, simulate_links=self.simulate_links)
         await self.deployment.start()
         self.addAsyncCleanup(self.deployment.stop)
         await asyncio.wait_for(self.deployment.wait_until_ready(), MAX_WAIT_S)
