--- a/tests/stream_case.py
+++ b/tests/stream_case.py
@@ -121,13 +121,13 @@
     def delay_connections(self, relay: RelayUnderTest) -> asyncio.Event:
         """Hold back new connections to replicas until the returned event is set."""
         connected = asyncio.Event()
-        acquire = relay.pool.acquire
+        open_new = relay.pool.open_new
 
-        async def acquire_late(address: str, limit: int) -> ReplicaConnection | Failure:
+        async def open_late(address: str, limit: int) -> ReplicaConnection | Failure:
             await connected.wait()
-            return await acquire(address, limit)
+            return await open_new(address, limit)
 
-        patch = unittest.mock.patch.object(relay.pool, "acquire", acquire_late)
+        patch = unittest.mock.patch.object(relay.pool, "open_new", open_late)
         patch.start()
         self.addCleanup(patch.stop)
         return connected
--- a/tests/test_attempt_orders.py
+++ b/tests/test_attempt_orders.py
@@ -53,13 +53,13 @@
         relay = await self.stream_relay(
             ScriptedReplica(resetting(begun)), other, max_attempts=2, timeout_s=1.5
         )
-        acquire = relay.pool.acquire
+        open_new = relay.pool.open_new
         refused = 0
 
-        async def acquire_few(address: str, limit: int) -> ReplicaConnection | Failure:
+        async def open_few(address: str, limit: int) -> ReplicaConnection | Failure:
             nonlocal refused
             if address != other.address or not other.received:
-                return await acquire(address, limit)
+                return await open_new(address, limit)
             refused += 1
             if refused > 500:
                 raise RuntimeError("asked for a connection 500 times")
@@ -72,7 +72,7 @@
             return None if address == other.address else pop_idle(address)
 
         with (
-            mock.patch.object(relay.pool, "acquire", acquire_few),
+            mock.patch.object(relay.pool, "open_new", open_few),
             mock.patch.object(relay.pool, "pop_idle", pop_no_idle),
         ):
             await self.ask(relay)
@@ -82,17 +82,17 @@
         """Guards against a wait for other replicas while the only one left was never asked."""
         other = ScriptedReplica(answering(rest))
         relay = await self.stream_relay(ScriptedReplica(resetting(begun)), other, timeout_s=2.0)
-        acquire = relay.pool.acquire
+        open_new = relay.pool.open_new
         refused = 0
 
-        async def acquire_later(address: str, limit: int) -> ReplicaConnection | Failure:
+        async def open_later(address: str, limit: int) -> ReplicaConnection | Failure:
             nonlocal refused
             if address == other.address and not refused:
                 refused += 1
                 return FailureKind.OVERLOADED.because("all 2 connections are in use")
-            return await acquire(address, limit)
+            return await open_new(address, limit)
 
-        with mock.patch.object(relay.pool, "acquire", acquire_later):
+        with mock.patch.object(relay.pool, "open_new", open_later):
             self.assert_whole(await self.ask(relay))
 
     async def test_a_replica_that_was_full_is_asked_again_if_attempts_are_left(self) -> None:
@@ -337,13 +337,13 @@
         """Guards against requests that reach a replica long after their caller has left."""
         replica = ScriptedReplica(answering(rest))
         relay = await self.relay(replica, kind=RouteKind.STREAMING)
-        acquire = relay.pool.acquire
+        open_new = relay.pool.open_new
 
-        async def acquire_late(address: str, limit: int) -> ReplicaConnection | Failure:
+        async def open_late(address: str, limit: int) -> ReplicaConnection | Failure:
             await asyncio.sleep(0.3)
-            return await acquire(address, limit)
+            return await open_new(address, limit)
 
-        with mock.patch.object(relay.pool, "acquire", acquire_late):
+        with mock.patch.object(relay.pool, "open_new", open_late):
             _, writer = await relay.connect()
             writer.write(caller_request(method="POST"))
             while not relay.service.active_requests:
--- a/tests/test_attempt_promises.py
+++ b/tests/test_attempt_promises.py
@@ -184,7 +184,7 @@
             await asyncio.sleep(0.6)
             return FailureKind.BACKEND_UNREACHABLE.because("timed out")
 
-        with mock.patch.object(relay.pool, "acquire", time_out):
+        with mock.patch.object(relay.pool, "open_new", time_out):
             began_s = relay.state.clock()
             self.assert_not_run(await relay.ask())
         late = [at_s - began_s for at_s in asked if at_s - began_s > 0.55]
@@ -204,7 +204,7 @@
             await asyncio.sleep(0.2)
             return FailureKind.BACKEND_UNREACHABLE.because("timed out")
 
-        with mock.patch.object(relay.pool, "acquire", time_out):
+        with mock.patch.object(relay.pool, "open_new", time_out):
             _, writer = await relay.connect()
             writer.write(caller_request())
             while not asked:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -80,10 +80,10 @@
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             replicas = [daemon.state.fleet.get("i-1") for daemon in daemons]
             first, second, third, fourth = [item for item in replicas if item is not None]
-            daemons[0].state.record_failure(first, "silent", certain=True)
+            daemons[0].state.record_unreachable(first, "silent", confirmed=True)
             await asyncio.sleep(0.1)
             self.assertEqual((third.ejected_until_s, fourth.ejected_until_s), (0.0, 0.0))
-            daemons[1].state.record_failure(second, "silent", certain=True)
+            daemons[1].state.record_unreachable(second, "silent", confirmed=True)
             await asyncio.sleep(0.1)
             for replica, daemon in ((third, daemons[2]), (fourth, daemons[3])):
                 self.assertGreater(replica.ejected_until_s, daemon.state.clock())
@@ -96,13 +96,40 @@
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             for _ in range(5):
                 for replica in daemons[0].state.fleet.replicas():
-                    daemons[0].state.record_failure(replica, "silent", certain=True)
+                    daemons[0].state.record_unreachable(replica, "silent", confirmed=True)
                 await asyncio.sleep(1.0)
             for replica in daemons[1].state.fleet.replicas():
                 self.assertEqual(replica.ejected_until_s, 0.0)
 
         run_with_daemons(3, scenario)
 
+    def test_what_only_its_reporters_have_seen_ejects_no_replica(self) -> None:
+        """Guards against routers that lost their own links speaking for all."""
+
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            for daemon in daemons[:2]:
+                for replica in daemon.state.fleet.replicas():
+                    daemon.state.record_unreachable(replica, "silent", confirmed=False)
+            await asyncio.sleep(0.5)
+            for replica in daemons[2].state.fleet.replicas():
+                self.assertEqual(replica.ejected_until_s, 0.0)
+
+        run_with_daemons(3, scenario)
+
+    def test_reports_eject_no_replica_that_has_answered_here_meanwhile(self) -> None:
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            replica = daemons[2].state.fleet.get("i-1")
+            assert replica is not None
+            for daemon in daemons[:2]:
+                silent = daemon.state.fleet.get("i-1")
+                assert silent is not None
+                daemon.state.record_unreachable(silent, "silent", confirmed=True)
+                await asyncio.sleep(0.1)
+                replica.last_received_at_s = daemons[2].state.clock()
+            self.assertEqual(replica.ejected_until_s, 0.0)
+
+        run_with_daemons(3, scenario)
+
     def test_cached_parts_are_sent_once(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             first, second = daemons
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -148,14 +148,14 @@
         replica = ScriptedReplica(answering(stream))
         relay = await self.relay(replica, kind=RouteKind.STREAMING, max_attempts=1, timeout_s=0.3)
         history = relay.state.weights_versions["m"] = VersionHistory()
-        acquire = relay.pool.acquire
+        open_new = relay.pool.open_new
 
-        async def acquire_late(address: str, limit: int) -> ReplicaConnection | Failure:
-            connection = await acquire(address, limit)
+        async def open_late(address: str, limit: int) -> ReplicaConnection | Failure:
+            connection = await open_new(address, limit)
             history.add(2, relay.state.clock() - relay.state.settings.bounds.weights_s)
             return connection
 
-        relay.pool.acquire = acquire_late  # type: ignore[method-assign]
+        relay.pool.open_new = open_late  # type: ignore[method-assign]
         self.assert_not_run(await relay.ask(method="POST", extra=PROMPT_HEADERS))
         self.assertEqual(replica.received, [])
 
@@ -163,16 +163,16 @@
         """Guards against excluding the only replica for a hold of 0.2 s."""
         replica = ScriptedReplica(answering(lambda request: signed(request, b"pong")))
         relay = await self.relay(replica, max_attempts=3)
-        acquire = relay.pool.acquire
+        open_new = relay.pool.open_new
         holds = [0.2]
 
-        async def acquire_late(address: str, limit: int) -> ReplicaConnection | Failure:
-            connection = await acquire(address, limit)
+        async def open_late(address: str, limit: int) -> ReplicaConnection | Failure:
+            connection = await open_new(address, limit)
             for known in relay.state.fleet.replicas():
                 known.loading_until_s = relay.state.clock() + holds.pop() if holds else 0.0
             return connection
 
-        relay.pool.acquire = acquire_late  # type: ignore[method-assign]
+        relay.pool.open_new = open_late  # type: ignore[method-assign]
         self.assertEqual((await relay.ask()).status, 200)
         self.assertEqual(len(replica.received), 1)
 
--- a/tests/test_zone_loss.py
+++ b/tests/test_zone_loss.py
@@ -86,11 +86,11 @@
 
 
 def fail_replicas(daemons: list[Daemon], zone: str) -> None:
-    """Let two of the daemons record that the zone's replicas are silent."""
+    """Let two of the daemons, and a peer that each asks, not reach the zone's replicas."""
     for daemon in daemons[:2]:
         for replica in daemon.state.fleet.replicas():
             if replica.listing.zone == zone:
-                daemon.state.record_failure(replica, "silent", certain=True)
+                daemon.state.record_unreachable(replica, "silent", confirmed=True)
 
 
 class ZonePartitionTest(unittest.TestCase):
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -238,13 +238,17 @@
         return True
 
     def record_failure_report(self, reporter: str, now_s: float) -> bool:
-        """Record that a peer has ejected it; True when it is now ejected here as well."""
-        self._failure_reported_at_s[reporter] = now_s
-        for peer in [
-            key for key, at_s in self._failure_reported_at_s.items() if _is_expired(at_s, now_s)
-        ]:
-            del self._failure_reported_at_s[peer]
-        if now_s < self.ejected_until_s or len(self._failure_reported_at_s) < REPORTERS_TO_EJECT:
+        """Record that a peer could not reach it; True when it is now ejected here as well.
+
+        Reports are ignored if it has answered this daemon since the first of them.
+        """
+        reports = self._failure_reported_at_s
+        reports[reporter] = now_s
+        for peer in [key for key, at_s in reports.items() if _is_expired(at_s, now_s)]:
+            del reports[peer]
+        if now_s < self.ejected_until_s or len(reports) < REPORTERS_TO_EJECT:
+            return False
+        if self.last_received_at_s > min(reports.values()):
             return False
         self._failure_reported_at_s.clear()
         self.ejected_until_s = now_s + EJECTION_S
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -21,7 +21,8 @@
 )
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import BufferedAnswer, Delivered, MayHaveRun, NotRun, Outcome
-from winchfork.router.replica_connection import Exchange, ReplicaConnection
+from winchfork.router.relay_messages import read_relay_failure
+from winchfork.router.replica_connection import Exchange, RelayLeg, ReplicaConnection
 
 #: The largest answer in bytes that is buffered until it is whole.
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
@@ -122,6 +123,11 @@
         """The replica that this attempt was sent to."""
         return self.plan.replica
 
+    @property
+    def relay(self) -> RelayLeg | None:
+        """The peer that relays the request; None if it was sent to the replica itself."""
+        return self._connection.relay
+
     @property
     def is_answering(self) -> bool:
         """Whether the head of an answer was received that may be delivered."""
@@ -176,12 +182,10 @@
         self.plan.on_notice(fields.notice, is_answer)
 
     def _is_own(self, head: AnswerHead) -> bool:
-        fields = self._last_fields
-        assert fields is not None
-        # Only a refusal that proves "not run" may lack the request id.
-        if fields.request_id is None:
-            return fields.not_run or fields.misdirected
-        return fields.request_id == self.plan.request_id
+        if self.relay is not None and read_relay_failure(head) is not None:
+            return True
+        assert self._last_fields is not None
+        return self._last_fields.may_answer(self.plan.request_id)
 
     def _handle_head(self, head: AnswerHead) -> Outcome | None:
         self._head = head
@@ -218,6 +222,10 @@
 
     def _handle_end(self) -> Outcome:
         assert self._head is not None and self._fields is not None
+        relay_failure = read_relay_failure(self._head) if self.relay is not None else None
+        if relay_failure is not None:
+            reason = f"the peer did not relay the request: {relay_failure.value}"
+            return NotRun(reason, sent=False, relay_failed=True)
         if self._stream is not None:
             return self._end_stream()
         answer = BufferedAnswer(self._head, b"".join(self._body))
@@ -266,7 +274,9 @@
     def _handle_truncation(self, item: AnswerTruncated) -> Outcome:
         if self._head is not None and self._fields is not None and self._fields.not_run:
             return NotRun("the connection ended inside the replica's refusal", True)
-        return MayHaveRun(f"connection {item.reason}", truncated=True, silent=item.silent)
+        # The end of a relayed answer does not tell whether the peer, a link or the replica failed.
+        silent = item.silent or self.relay is not None
+        return MayHaveRun(f"connection {item.reason}", truncated=True, silent=silent)
 
     def _release_pending_prefill(self) -> None:
         self.plan.replica.record_prefilled(self._pending_prefill_tokens)
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -7,7 +7,7 @@
 from winchfork.core.broken_runs import CrashEvidence
 from winchfork.core.placement_request import RelayDecision
 from winchfork.core.relay_replica import RelayReplica
-from winchfork.errors import Failure, FailureKind
+from winchfork.errors import FailureKind
 from winchfork.router.attempt import Attempt
 from winchfork.router.attempt_planner import AttemptPlanner
 from winchfork.router.caller_answer import CallerAnswer
@@ -24,7 +24,9 @@
     Stopped,
 )
 from winchfork.router.quota_gate import QuotaCharge
+from winchfork.router.relay_messages import add_relay_target
 from winchfork.router.replica_connection import ReplicaConnection
+from winchfork.router.replica_connector import ConnectFailure
 from winchfork.router.replica_search import ReplicaSearch
 from winchfork.router.request_admission import AdmittedRequest
 from winchfork.router.request_record import RequestRecord
@@ -33,9 +35,6 @@
 if TYPE_CHECKING:
     from winchfork.router.service import RouterService
 
-#: Failures that mean that a replica could not be reached.
-_UNREACHABLE_KINDS = (FailureKind.BACKEND_UNREACHABLE, FailureKind.CONNECTION_REFUSED)
-
 
 class AttemptLauncher:
     """Launches the attempts of one request.
@@ -83,19 +82,17 @@
 
     async def connect(self, replica: RelayReplica) -> ReplicaConnection | NotRun | StalePlacement:
         """Return a connection, or the outcome if the request cannot be sent to the replica."""
-        pool = self._service.pool
-        address = replica.listing.address
-        idle = pool.pop_idle(address)
+        connector = self._service.connector
+        idle = connector.pop_idle(replica)
         if idle is not None:
             return idle
-        limit = self._state.connection_limit(replica.listing.service)
-        connection = await pool.acquire(address, limit)
-        if isinstance(connection, Failure):
+        connection = await connector.connect(replica)
+        if isinstance(connection, ConnectFailure):
             return self._handle_connect_failure(replica, connection)
         # The replica may have begun to drain or load, or its weights may have expired.
         if self._planner.is_available(replica, self._search.excluded()) and self.is_allowed():
             return connection
-        pool.release(address, connection)
+        connector.release(replica, connection)
         return StalePlacement()
 
     def is_allowed(self) -> bool:
@@ -110,12 +107,14 @@
 
     def release(self, replica: RelayReplica, connection: ReplicaConnection) -> None:
         """Put back a connection that is not used."""
-        self._service.pool.release(replica.listing.address, connection)
+        self._service.connector.release(replica, connection)
 
     def launch(self, decision: RelayDecision, connection: ReplicaConnection) -> Attempt:
         """Send the request to the chosen replica."""
         replica = decision.replica
         plan = self._planner.plan(decision, self._retries.time_left_s, self._resume_after())
+        if connection.relay is not None:
+            plan.message = add_relay_target(plan.message, replica.listing.address)
         plan.on_head = self._record.mark_head
         plan.on_events = self._record.mark_events
         self._record.mark_sent()
@@ -134,7 +133,8 @@
         replica.notice.record_sent(self._record.sent_at_s)
         self._count_sent(replica)
         family = self._planner.family_key(plan.weights_version)
-        self._record.log_sent(decision, plan, family, self._retries.time_left_s)
+        relayed_by = connection.relay.peer_id if connection.relay is not None else None
+        self._record.log_sent(decision, plan, family, self._retries.time_left_s, relayed_by)
         if plan.prefill_tokens:
             self._state.on_work_sent()
         self._crashes.begin_run(self._admitted.digest, replica, self._retries.ends_at_s)
@@ -150,6 +150,8 @@
             self._some_may_have_run = True
         if isinstance(outcome, NotRun):
             self._refund_extra_charge()
+        if attempt.relay is not None and _is_relay_failure(outcome):
+            self._service.connector.record_relay_failure(attempt.replica, attempt.relay)
         if isinstance(outcome, MayHaveRun) and outcome.answer is not None:
             self.failed_answer = outcome.answer
         self._crashes.end_run(self._admitted.digest)
@@ -172,15 +174,24 @@
             metrics.limit_effects.labels("elsewhere").inc()
         metrics.sent_by_region.labels(self._state.settings.regions.region_of(listing.zone)).inc()
 
-    def _handle_connect_failure(self, replica: RelayReplica, failure: Failure) -> NotRun:
-        if failure.kind is FailureKind.CONNECTION_REFUSED:
+    def _handle_connect_failure(self, replica: RelayReplica, result: ConnectFailure) -> NotRun:
+        if result.failure.kind is FailureKind.CONNECTION_REFUSED:
             self._crashes.record_crash(replica, CrashEvidence.PORT_CLOSED)
-        if failure.kind in _UNREACHABLE_KINDS:
-            self._state.record_failure(replica, failure.reason, certain=True)
-        return NotRun(failure.reason, sent=False)
+        if result.is_unreachable:
+            self._state.record_unreachable(
+                replica, result.failure.reason, confirmed=result.confirmed
+            )
+        return NotRun(result.failure.reason, sent=False)
 
     def _resume_after(self) -> int | None:
         """Return the id of the last event that the caller has received."""
         if self._answer.last_event_id is not None:
             return self._answer.last_event_id
         return self._admitted.fields.resume_after
+
+
+def _is_relay_failure(outcome: Outcome) -> bool:
+    """Whether an outcome of a relayed attempt may be the peer's fault."""
+    if isinstance(outcome, NotRun):
+        return outcome.relay_failed
+    return isinstance(outcome, MayHaveRun) and outcome.answer is None
--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -233,7 +233,7 @@
     def _finish(self, attempt: Attempt, outcome: Outcome) -> None:
         self._expiry_checks.pop(attempt.number).cancel()
         refused = isinstance(outcome, NotRun)
-        if not (isinstance(outcome, NotRun) and outcome.retry_same_replica):
+        if not (isinstance(outcome, NotRun) and outcome.allows_same_replica):
             self._attempted.add(attempt.replica.replica_id, refused=refused)
         self._launcher.finish(attempt, outcome)
 
--- a/winchfork/router/header_codec.py
+++ b/winchfork/router/header_codec.py
@@ -66,6 +66,12 @@
     replica_id: str | None
     notice: AnswerNotice = AnswerNotice()
 
+    def may_answer(self, request_id: str) -> bool:
+        """Whether the answer belongs to a request; a proof of "not run" may lack the id."""
+        if self.request_id is None:
+            return self.not_run or self.misdirected
+        return self.request_id == request_id
+
 
 class HeaderCodec(Protocol):
     """Converts between headers and fields."""
--- a/winchfork/router/outcome_recorder.py
+++ b/winchfork/router/outcome_recorder.py
@@ -47,9 +47,10 @@
         elif isinstance(outcome, NotRun) and outcome.sent:
             replica.loading_until_s = max(replica.loading_until_s, now_s + REFUSAL_COOLDOWN_S)
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
-            self._state.record_failure(replica, outcome.reason, certain=outcome.silent)
             if outcome.silent:
-                self._state.on_unresponsive(replica)
+                self._state.suspect_unreachable(replica)
+            else:
+                self._state.record_failure(replica, outcome.reason)
         return False
 
     def _record_acceptance(self, attempt: Attempt, outcome: Outcome) -> None:
@@ -58,7 +59,7 @@
         For a replica on trial after a backoff, this is the result of the trial.
         """
         notice = attempt.replica.notice
-        if isinstance(outcome, NotRun):
+        if isinstance(outcome, NotRun) and not outcome.relay_failed:
             notice.record_answer(attempt.sent_at_s, refused=True)
         elif isinstance(outcome, Delivered) or _has_answer(outcome):
             notice.record_answer(attempt.sent_at_s, refused=False)
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -37,12 +37,19 @@
 
     ``sent``: the request was sent. ``retry_same_replica``: only the weights version was wrong.
     ``other_incarnation``: the id of the incarnation that now answers at the replica's address.
+    ``relay_failed``: a peer did not pass the request on, which says nothing of the replica.
     """
 
     reason: str
     sent: bool
     retry_same_replica: bool = False
     other_incarnation: str = ""
+    relay_failed: bool = False
+
+    @property
+    def allows_same_replica(self) -> bool:
+        """Whether the request may be sent to the same replica again."""
+        return self.retry_same_replica or self.relay_failed
 
 
 class MayHaveRun(msgspec.Struct, frozen=True):
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -29,6 +29,7 @@
 from winchfork.router.header_codec import HeaderCodec
 from winchfork.router.leadership import Leadership
 from winchfork.router.log_output import LogOutput
+from winchfork.router.peer_relay import PeerRelay
 from winchfork.router.peer_wiring import connect_peers
 from winchfork.router.peers import PeerGroup
 from winchfork.router.pooled_http_client import PooledHttpClient
@@ -95,7 +96,9 @@
         store = adapters.make_store(
             self._http_client, settings.store_address, self.state.eras.handle_answer
         )
+        self._relay = PeerRelay(self.service)
         self._peers = PeerGroup(self.state, generator)
+        self.service.connector.set_view(lambda: self._peers.view)
         self._peers.store_delay_s = lambda: self._call_pool.min_connect_s.get(
             settings.store_address
         )
@@ -144,6 +147,7 @@
             self._weights_rollout.run,
             self._software_rollout.run,
             self._refusals.run,
+            self.service.connector.run,
         ):
             self._tasks.append(self._loop.create_task(self._supervise(duty)))
         log_event(
@@ -170,15 +174,26 @@
         settings = self._settings
         await self._serve_on(settings.caller_address, lambda: CallerConnection(self.service))
         await self._serve_on(settings.readiness_address, lambda: TextConnection(self._readiness))
+        if settings.peer_ports[0]:
+            address = f"{settings.machine_ip}:{settings.peer_ports[0]}"
+            await self._serve_optionally(
+                "relay_unavailable", address, lambda: CallerConnection(self._relay)
+            )
         if settings.metrics_address:
-            await self._serve_metrics(settings.metrics_address)
-
-    async def _serve_metrics(self, address: str) -> None:
-        """Serve the metrics page; if its port is in use, the router runs without the page."""
+            await self._serve_optionally(
+                "metrics_unavailable",
+                settings.metrics_address,
+                lambda: TextConnection(self._metrics_page),
+            )
+
+    async def _serve_optionally(
+        self, event: str, address: str, factory: Callable[[], asyncio.Protocol]
+    ) -> None:
+        """Listen; if the port is in use, log ``event``, and the router runs without."""
         try:
-            await self._serve_on(address, lambda: TextConnection(self._metrics_page))
+            await self._serve_on(address, factory)
         except OSError as error:
-            log_event("metrics_unavailable", "WARNING", address=address, reason=repr(error))
+            log_event(event, "WARNING", address=address, reason=repr(error))
 
     async def _serve_on(self, address: str, factory: Callable[[], asyncio.Protocol]) -> None:
         host, _, port = address.rpartition(":")
@@ -251,6 +266,12 @@
             lambda: self._peers.cross_region_bytes,
         )
         state.metrics.remaining_quotas = lambda: state.quotas.remaining(state.clock())
+        add(
+            "replicas_through_peers",
+            "Replicas that are reached only through peers.",
+            lambda: self.service.connector.paths.lost_count,
+        )
+        add("relayed_active", "Peers' requests being relayed.", lambda: self._relay.active_requests)
         counters = self._replica_pool.counters
         add("connections_opened", "Connections opened to replicas.", lambda: counters.opened)
         add("connections_failed", "Failed connection attempts.", lambda: counters.failed)
@@ -265,6 +286,7 @@
             await asyncio.sleep(SWEEP_PERIOD_S)
             now_s = self._loop.time()
             self.service.sweep(now_s)
+            self._relay.sweep(now_s)
             self._call_pool.sweep(now_s)
             self._sync.expire_missing_replicas(now_s)
 
@@ -281,6 +303,11 @@
         self.state.settings = settings
         log_event("settings_reloaded", changed=",".join(changed) or "nothing")
 
+    @property
+    def _is_busy(self) -> bool:
+        """Whether a caller or a peer awaits an answer."""
+        return bool(self.service.busy_connections or self._relay.active_requests)
+
     async def _stop(self) -> None:
         requested_s = self._loop.time()
         self.state.stopping = True
@@ -292,7 +319,8 @@
         # Requests that arrive later may not finish within the grace period.
         self.service.refusing_requests = True
         self.service.close_callers_when_idle()
-        while self.service.busy_connections and self._loop.time() < deadline_s:
+        self._relay.close_when_idle()
+        while self._is_busy and self._loop.time() < deadline_s:
             await asyncio.sleep(0.02)
         await asyncio.wait([handover], timeout=max(0.0, deadline_s - self._loop.time()))
         cut = await self.service.cut_requests()
@@ -304,6 +332,7 @@
             task.cancel()
         self._peers.close()
         self._replica_pool.close()
+        self.service.connector.close()
         self._call_pool.close()
         log_event(
             "router_stopped",
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -60,6 +60,13 @@
     on_head: Callable[[AnswerHead], None] = lambda head: None
 
 
+class RelayLeg(msgspec.Struct, frozen=True):
+    """The peer at the other end of a connection, which relays requests to replicas."""
+
+    peer_id: str
+    peer_address: str
+
+
 class ReplicaConnection(asyncio.Protocol):
     """One connection. :meth:`start` begins an exchange.
 
@@ -80,6 +87,8 @@
         self._reusable = True
         self._in_answer = False
         self.closed = False
+        #: Set if requests go to a peer, which relays them to the replica.
+        self.relay: RelayLeg | None = None
         self.idle_since_s = 0.0
         self.reusable_until_s = float("inf")
         self.exchanges = 0
--- a/winchfork/router/replica_probes.py
+++ b/winchfork/router/replica_probes.py
@@ -1,4 +1,4 @@
-"""Probes whether a replica still listens after a run on it broke off."""
+"""Probes whether a replica can be reached after a run on it broke off or peers reported it."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 from winchfork.core.broken_runs import CrashEvidence
 from winchfork.core.relay_replica import RelayReplica
-from winchfork.errors import Failure, FailureKind
-from winchfork.router.connection_pool import ConnectionPool
+from winchfork.errors import FailureKind
+from winchfork.router.replica_connector import ReplicaConnector
 from winchfork.router.state import RouterState
 
 #: Seconds from a broken run to the probe; one probe covers all runs that break in this time. When a
@@ -16,15 +16,22 @@
 
 
 class ReplicaProbes:
-    """Opens a connection to a replica after a broken run and records the result."""
+    """Connects to a replica by any path after a broken run or a report, and records the result."""
 
-    def __init__(self, state: RouterState, pool: ConnectionPool) -> None:
+    def __init__(self, state: RouterState, connector: ReplicaConnector) -> None:
         self._state = state
-        self._pool = pool
+        self._connector = connector
         #: Hashes of the incarnations whose probe has not begun yet.
         self._scheduled: set[int] = set()
+        #: Hashes of those of them that peers have reported.
+        self._reported: set[int] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def verify_report(self, replica: RelayReplica) -> None:
+        """Schedule a probe that ends the ejection for peers' reports if it reaches the replica."""
+        self._reported.add(replica.incarnation_hash)
+        self.schedule(replica)
+
     def schedule(self, replica: RelayReplica) -> None:
         """Schedule a probe of this incarnation, unless one is scheduled."""
         if replica.incarnation_hash in self._scheduled:
@@ -37,13 +44,19 @@
     async def _probe(self, replica: RelayReplica) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
         self._scheduled.discard(replica.incarnation_hash)
+        was_reported = replica.incarnation_hash in self._reported
+        self._reported.discard(replica.incarnation_hash)
         started_at_s = self._state.clock()
-        address = replica.listing.address
-        limit = self._state.connection_limit(replica.listing.service)
         # An idle connection proves nothing: its end may not have been detected yet.
-        connection = await self._pool.open_new(address, limit)
-        if not isinstance(connection, Failure):
-            self._pool.release(address, connection)
+        failed = await self._connector.verify(replica)
+        if failed is None:
             self._state.crashes.record_connected(replica, started_at_s)
-        elif connection.kind is FailureKind.CONNECTION_REFUSED:
+            if was_reported:
+                self._state.end_ejection(replica)
+            return
+        if failed.failure.kind is FailureKind.CONNECTION_REFUSED:
             self._state.crashes.record_crash(replica, CrashEvidence.PORT_CLOSED)
+        if failed.is_unreachable:
+            self._state.record_unreachable(
+                replica, failed.failure.reason, confirmed=failed.confirmed
+            )
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -69,9 +69,17 @@
         self.last_event_at_s = now_s
 
     def log_sent(
-        self, decision: RelayDecision, plan: AttemptPlan, family: str | None, left_s: float
+        self,
+        decision: RelayDecision,
+        plan: AttemptPlan,
+        family: str | None,
+        left_s: float,
+        relayed_by: str | None,
     ) -> None:
-        """Log the placement of an attempt; ``left_s`` is the time left to the deadline."""
+        """Log the placement of an attempt.
+
+        ``left_s`` is the time left to the deadline, ``relayed_by`` the peer that relays it, if any.
+        """
         weights_left_s = self._weights_left_s(plan)
         log_event(
             "request_sent",
@@ -80,6 +88,7 @@
             route=self.route.name,
             replica=decision.replica.replica_id,
             attempt=self.attempts,
+            relayed_by=relayed_by,
             cost_s=decision.cost_s,
             weighed=decision.candidate_count,
             kept=decision.cached_tokens,
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -15,6 +15,7 @@
 from winchfork.router.quota_gate import QuotaGate
 from winchfork.router.refusals import refusal_answer
 from winchfork.router.relayed_request import RelayedRequest
+from winchfork.router.replica_connector import ReplicaConnector
 from winchfork.router.replica_probes import ReplicaProbes
 from winchfork.router.request_admission import RequestAdmission
 from winchfork.router.state import RouterState
@@ -47,10 +48,13 @@
         #: Those that were opened while requests are refused.
         self._late_connections: set[CallerConnection] = set()
         self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
-        state.is_connected = pool.is_connected
-        state.on_unresponsive = self._replica_unreachable
+        self.connector = ReplicaConnector(state, pool, state.generator)
+        state.is_connected = self.connector.is_connected
+        self._probes = ReplicaProbes(state, self.connector)
+        state.on_unresponsive = self._replica_silent
+        state.on_reported = self._probes.verify_report
+        state.on_path_lost = self._replica_unreachable
         state.on_zone_unreachable = self._zone_unreachable
-        self._probes = ReplicaProbes(state, pool)
         state.crashes.on_connection_broken = self._probes.schedule
 
     # CallerHandler
@@ -117,6 +121,12 @@
         connection.write_answer(answer.status, answer.headers, answer.body)
         return RefusedRequest()
 
+    def _replica_silent(self, replica: RelayReplica) -> None:
+        """Check a replica that did not acknowledge a request, and let its requests have backups."""
+        self.connector.suspect(replica)
+        self._probes.schedule(replica)
+        self._replica_unreachable(replica)
+
     def _replica_unreachable(self, replica: RelayReplica) -> None:
         for request in list(self._tasks.values()):
             request.runner.replica_unreachable(replica)
@@ -147,6 +157,7 @@
         for connection in list(self._connections):
             connection.enforce_timeouts(now_s)
         self.pool.sweep(now_s)
+        self.connector.sweep(now_s)
 
     def close_callers_when_idle(self) -> None:
         """Close every caller's connection after its answer, idle ones at once."""
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -111,8 +111,12 @@
         self.on_unresponsive: Callable[[RelayReplica], None] = lambda replica: None
         #: Called for each zone that has become unreachable.
         self.on_zone_unreachable: Callable[[str], None] = lambda zone: None
-        #: Called for each replica that this daemon ejects because of its own failures with it.
+        #: Called for each replica that neither this daemon nor a peer that it asked could reach.
         self.on_ejected: Callable[[RelayReplica], None] = lambda replica: None
+        #: Called for each replica that is ejected because peers have reported it.
+        self.on_reported: Callable[[RelayReplica], None] = lambda replica: None
+        #: Called for each replica that is from now on reached only through peers.
+        self.on_path_lost: Callable[[RelayReplica], None] = lambda replica: None
         bounds = settings.bounds
         self.retry_budget = SlidingRetryBudget(
             RetryAllowance(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s), clock()
@@ -249,13 +253,33 @@
         self.fleet.record_other_answered(replica, by)
         self.crashes.record_crash(replica, CrashEvidence.REPLACED)
 
-    def record_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> None:
-        """Record a replica's failure; log if the replica is now ejected for a while."""
+    def suspect_unreachable(self, replica: RelayReplica) -> None:
+        """Record that a replica was silent, which may be the link's fault; have it checked."""
+        self.zone_reachability.record_failure(
+            replica.listing.zone, replica.incarnation_hash, self.clock()
+        )
+        self.on_unresponsive(replica)
+
+    def record_unreachable(self, replica: RelayReplica, reason: str, *, confirmed: bool) -> None:
+        """Record that no connection to a replica came up by any path, and eject it.
+
+        Peers are told only if one of them has ``confirmed`` it: this daemon's links may be down.
+        """
+        self.zone_reachability.record_failure(
+            replica.listing.zone, replica.incarnation_hash, self.clock()
+        )
+        if self.record_failure(replica, reason, certain=True) and confirmed:
+            self.on_ejected(replica)
+
+    def end_ejection(self, replica: RelayReplica) -> None:
+        """Send requests to a replica again that was reached by some path."""
+        replica.ejected_until_s = min(replica.ejected_until_s, self.clock())
+        replica.consecutive_failures = 0
+        replica.consecutive_ejections = 0
+
+    def record_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> bool:
+        """Record a replica's failure; log and return True if it is now ejected for a while."""
         now_s = self.clock()
-        if certain:
-            self.zone_reachability.record_failure(
-                replica.listing.zone, replica.incarnation_hash, now_s
-            )
         if replica.record_failure(now_s, certain=certain):
             log_event(
                 "replica_ejected",
@@ -265,7 +289,8 @@
                 for_s=replica.ejected_until_s - now_s,
                 last_received_s=_age_s(replica.last_received_at_s, now_s),
             )
-            self.on_ejected(replica)
+            return True
+        return False
 
     def record_failure_report(self, replica_hash: int, reporter: str) -> None:
         """Record that a peer has ejected a replica; log if it is now ejected here as well."""
@@ -283,6 +308,7 @@
                     for_s=replica.ejected_until_s - now_s,
                     last_received_s=_age_s(replica.last_received_at_s, now_s),
                 )
+                self.on_reported(replica)
 
     def engine_speed(self, service: str) -> EngineSpeed:
         """Return the measured speed of a service's engines."""
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -197,7 +197,7 @@
             if isinstance(report, Failure):
                 failed_reports += 1
                 if failed_reports >= MAX_FAILED_REPORTS:
-                    self._state.record_failure(replica, report.reason, certain=True)
+                    self._state.suspect_unreachable(replica)
                     break
             elif report.is_of_another_incarnation(replica.listing.started_at_ms):
                 self._mark_if_superseded(replica, report)
