--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -396,6 +396,21 @@
         run_virtually(scenario())
 
 
+class PartitionedLeaderTest(unittest.TestCase):
+    def test_a_leader_that_does_not_reach_replicas_resigns(self) -> None:
+        """Guards against orders that no replica gets while a peer could give them."""
+
+        async def scenario() -> None:
+            fleet = await Fleet.with_leader([FakeReplica(f"i-{number}") for number in range(3)])
+            self.assertTrue(fleet.leadership.leads())
+            fleet.state.is_partitioned = lambda: True
+            await asyncio.sleep(2.0)
+            self.assertFalse(fleet.leadership.leads())
+            self.assertEqual(fleet.leadership.fence, 0)
+
+        run_virtually(scenario())
+
+
 class StopTest(unittest.TestCase):
     """A planned stop of the leader during a rollout."""
 
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -97,6 +97,6 @@
         peers.on_tick.append(evidence.tick)
     peers.on_position = relay.handle_position
     sync.set_relay(relay)
-    leadership.eligible = lambda: relay.may_lead
+    leadership.eligible = lambda: relay.may_lead and not state.is_partitioned()
     leadership.newest_era = lambda: state.eras.newest
     return PeerExchanges(weights, evidence, notices)
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -50,6 +50,7 @@
         self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
         self.connector = ReplicaConnector(state, pool, state.generator)
         state.is_connected = self.connector.is_connected
+        state.is_partitioned = lambda: self.connector.is_partitioned
         self._probes = ReplicaProbes(state, self.connector)
         state.on_unresponsive = self._replica_silent
         state.on_reported = self._probes.verify_report
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -105,6 +105,8 @@
         self.stopping = False
         #: Returns whether an idle connection to a replica's address is open.
         self.is_connected: Callable[[str], bool] = lambda address: True
+        #: Returns whether peers reach many replicas that this daemon does not reach.
+        self.is_partitioned: Callable[[], bool] = lambda: False
         #: Called when this daemon has sent a replica a prompt.
         self.on_work_sent: Callable[[], None] = lambda: None
         #: Called for each replica that did not acknowledge a request on an open connection.
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -96,7 +96,9 @@
     async def run(self) -> None:
         """Order loads until stopped or cancelled."""
         while not self._stopping:
-            if self._leadership.may_act():
+            if self._state.is_partitioned() and self._leadership.leads():
+                await self._hand_over()
+            elif self._leadership.may_act():
                 for model in list(self._state.weights_versions):
                     self._run_pass(model)
             await asyncio.sleep(POLL_PERIOD_S)
@@ -111,6 +113,14 @@
         self._cancel_updates_without_order()
         if self._updates:
             await asyncio.wait(self.active_tasks(), timeout=MAX_STOP_WAIT_S)
+        await self._resign()
+
+    async def _hand_over(self) -> None:
+        """Resign, because a peer can give orders to replicas that this daemon does not reach."""
+        self._cancel_updates_without_order()
+        await self._resign()
+
+    async def _resign(self) -> None:
         for task in self.active_tasks():
             task.cancel()
         self._announcements.flush()
