--- a/tests/test_routers_without_replicas.py
+++ b/tests/test_routers_without_replicas.py
@@ -18,6 +18,8 @@
 ALLOWED_FAILURES = 10
 REQUESTS_PER_S = 60
 COUNTED_S = 2.0
+#: Seconds for which a sound replica may be silent.
+SILENCE_S = 1.2
 
 
 def command(name: str) -> bytes:
@@ -41,16 +43,20 @@
 
     async def send_command(self, router: int, name: str) -> bool:
         """Send one command and return whether it was served."""
+        return await self.command_status(router, name) == 200
+
+    async def command_status(self, router: int, name: str) -> int:
+        """Send one command and return the status of its whole answer, or 0."""
         host, _, port = self.deployment.settings[router].caller_address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(command(name))
         try:
             answer = await asyncio.wait_for(read_answer(reader), MAX_WAIT_S)
         except (asyncio.IncompleteReadError, ConnectionError):
-            return False
+            return 0
         finally:
             writer.close()
-        return answer.whole and answer.status == 200
+        return answer.status if answer.whole else 0
 
     async def send_stream(self, router: int) -> bool:
         """Send one stream and return whether it was served."""
@@ -108,6 +114,27 @@
         """Guards against the same where open connections live on."""
         await self.serve_under(LinkFault.REFUSE_NEW)
 
+    async def test_a_silence_of_a_second_ends_no_answer(self) -> None:
+        """Guards against connections to sound replicas that are given up after a short silence."""
+        await self.send_to_all(1.0, "before")
+        commands: list[asyncio.Task[int]] = []
+        for begin in range(2):
+            for router in range(self.routers):
+                self.links.set_fault(router, LinkFault.SILENT)
+            for number in range(4 * self.routers):
+                sending = self.command_status(number % self.routers, f"silent-{begin}-{number}")
+                commands.append(asyncio.create_task(sending))
+            streams = [asyncio.create_task(self.send_stream(router)) for router in range(5)]
+            await asyncio.sleep(SILENCE_S)
+            for router in range(self.routers):
+                self.links.set_fault(router, LinkFault.NONE)
+            self.assertEqual([await stream for stream in streams], [True] * 5)
+        statuses = [await answer for answer in commands]
+        # A command that no connection came up for was not run, and is refused as such.
+        self.assertEqual([status for status in statuses if status not in (200, 503)], [])
+        ran = [name for replica in self.deployment.application_replicas for name in replica.ran]
+        self.assertEqual(len(ran), len(set(ran)))
+
     async def test_sound_routers_do_not_avoid_replicas_that_answer_them(self) -> None:
         """Guards against ejections on the word of routers that lost their own links."""
         await self.send_to_all(1.0, "before")
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -82,6 +82,8 @@
         self.plan = plan
         #: When the request was sent, in seconds of ``clock``.
         self.sent_at_s = 0.0
+        #: Whether a backup was considered because of this attempt's silence.
+        self.backup_offered = False
         self._connection = connection
         self._inbox = inbox
         self._answer = answer
--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -139,6 +139,17 @@
         for attempt in self._attempts():
             attempt.set_paused(paused)
 
+    @property
+    def first(self) -> Attempt | None:
+        """The first attempt in progress; None while none is."""
+        return self._first
+
+    def offer_backup(self, attempt: Attempt) -> None:
+        """Open a backup for an attempt that has been silent for long, at most once."""
+        if not attempt.backup_offered:
+            attempt.backup_offered = True
+            self.replica_unreachable(attempt.replica)
+
     def replica_unreachable(self, replica: RelayReplica) -> None:
         """Open a backup for a repeatable request at a replica that is suspected to be unreachable.
 
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -148,6 +148,7 @@
             self._software_rollout.run,
             self._refusals.run,
             self.service.connector.run,
+            self.service.watch_silence,
         ):
             self._tasks.append(self._loop.create_task(self._supervise(duty)))
         log_event(
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -24,8 +24,10 @@
     find_header,
 )
 
-#: Milliseconds after which unacknowledged data ends the connection.
-USER_TIMEOUT_MS = 800
+#: Milliseconds after which unacknowledged data ends the connection. Longer than the silence of a
+#: second or so that a sound replica may have, and the retransmission that follows it. It also
+#: decides when keep-alive probes give up, whatever their number.
+USER_TIMEOUT_MS = 3_000
 #: TCP keep-alive: idle seconds before the first probe, seconds between probes, unanswered probes.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -18,6 +18,7 @@
 from winchfork.router.replica_connector import ReplicaConnector
 from winchfork.router.replica_probes import ReplicaProbes
 from winchfork.router.request_admission import RequestAdmission
+from winchfork.router.silence_watch import WATCH_PERIOD_S, SilenceWatch
 from winchfork.router.state import RouterState
 
 _DEFAULT_LIMITS = CallerLimits()
@@ -52,6 +53,7 @@
         state.is_connected = self.connector.is_connected
         state.is_partitioned = lambda: self.connector.is_partitioned
         self._probes = ReplicaProbes(state, self.connector)
+        self._silence_watch = SilenceWatch(state.clock, self._probes)
         state.on_unresponsive = self._replica_silent
         state.on_reported = self._probes.verify_report
         state.on_path_lost = self._replica_unreachable
@@ -139,6 +141,12 @@
 
     # Maintenance
 
+    async def watch_silence(self) -> None:
+        """Look for silent attempts until cancelled."""
+        while True:
+            await asyncio.sleep(WATCH_PERIOD_S)
+            self._silence_watch.look([request.runner for request in self._tasks.values()])
+
     @property
     def active_requests(self) -> int:
         """The number of requests in progress."""
