--- a/standins/notice_emitter.py
+++ b/standins/notice_emitter.py
@@ -41,6 +41,8 @@
         self.draining = False
         #: Backoff in seconds with which every request is refused; None: no refusals.
         self.backoff_s: float | None = None
+        #: Rejections a second that answers say the replica bears; None: not said.
+        self.brittle_per_s: float | None = None
         #: Whether a refusal states that the request did not run.
         self.proves_not_run = True
         self.arrivals: list[Arrival] = []
@@ -64,6 +66,8 @@
     def headers(self, request: Request | None = None) -> dict[str, str]:
         """Return the notice headers of an answer; record its request if a limit is announced."""
         headers = {"Server-Leaving": "1"} if self.draining else {}
+        if self.brittle_per_s is not None:
+            headers["Server-Brittle"] = f"{self.brittle_per_s:g}"
         limit_per_s = self.limit_per_s
         if limit_per_s is not None:
             headers["Server-Limit"] = f"{limit_per_s:g}"
--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -13,11 +13,15 @@
 from typing import Any
 
 from standins.answer_faults import SLOW_ANSWER_DELAY_S, AnswerFaultInjector, ReplicaFault
+from standins.brittle_room import BrittleRoom
 from standins.http_server import HttpServer, Request, write_answer
 from standins.notice_emitter import NoticeEmitter
 from standins.stale_entries import StaleEntry
 from standins.store_server import StoreServer
 
+#: Seconds for which a replica that fell over is away.
+FALL_S = 2.0
+
 
 @dataclasses.dataclass(frozen=True)
 class ReceivedOrder:
@@ -106,6 +110,8 @@
         self.truncate_at_event = 0
         #: The kind of request that crashes this replica, and its runs here.
         self.fatal_request: FatalRequest | None = None
+        #: Bounds the requests that it admits; None: all.
+        self.room: BrittleRoom | None = None
         self.fatal_runs: list[FatalRun] = []
         self.started_at_ms = 0
         self._http = HttpServer(self._handle)
@@ -193,6 +199,8 @@
             headers = {"X-Not-Executed": "1", "X-Instance-Id": self.replica_id}
             write_answer(writer, refusal, headers=headers | self.notices.headers())
             return True
+        if self.room is not None and not self.room.has_room(self.running):
+            return self._reject(self.room, request, writer)
         self.notices.record_arrival(request)
         if self.notices.backoff_s is not None:
             headers = {"X-Request-Id": request.headers["x-request-id"]} | self.notices.headers()
@@ -200,6 +208,26 @@
             return True
         return await self._run(request, writer)
 
+    def _reject(self, room: BrittleRoom, request: Request, writer: asyncio.StreamWriter) -> bool:
+        """Reject a request for want of room; fall over if that happens too often."""
+        if room.reject(asyncio.get_running_loop().time()):
+            task = asyncio.create_task(self._fall())
+            self._crash_tasks.add(task)
+            task.add_done_callback(self._crash_tasks.discard)
+            return False
+        headers = {"X-Not-Executed": "1", "X-Request-Id": request.headers["x-request-id"]}
+        write_answer(writer, 503, headers=headers | self.notices.headers())
+        return True
+
+    async def _fall(self) -> None:
+        """Crash, and come back under a new id."""
+        brittle_per_s = self.notices.brittle_per_s
+        entry = await self.crash()
+        entry.lapse()
+        await asyncio.sleep(FALL_S)
+        await self.restart()
+        self.notices.brittle_per_s = brittle_per_s
+
     def _report(self) -> dict[str, Any]:
         models = [{"Name": self._model, "Version": self.weights_version, "Adapters": []}]
         return {
