--- a/tests/peer_samples.py
+++ b/tests/peer_samples.py
@@ -22,6 +22,8 @@
 from winchfork.router.peer_messages import (
     PEER_MESSAGE_TYPES,
     Activity,
+    BrittleEntry,
+    BrittleReport,
     CachedPartsEntry,
     ClearedRequests,
     CrashReport,
@@ -100,6 +102,7 @@
     ),
     VersionAgeQuery("10.0.0.1:7000", 2**32 - 1),
     VersionAgeReply(2**32 - 1, (VersionAgeEntry("m", 3, 2500),)),
+    BrittleReport("n1", (BrittleEntry(2**64 - 1, 3.0, 120, 4), BrittleEntry(7, None, 0))),
 )
 
 
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -198,6 +198,11 @@
         """When the last of this daemon's requests is expected to end; 0 with none."""
         return max(self._expected_ends_s.values(), default=0.0)
 
+    @property
+    def next_end_s(self) -> float:
+        """When the first of this daemon's requests is expected to end; 0 with none."""
+        return min(self._expected_ends_s.values(), default=0.0)
+
     @property
     def busy_until_s(self) -> float:
         """When the last request of any daemon is expected to end."""
--- a/winchfork/core/replica_notice.py
+++ b/winchfork/core/replica_notice.py
@@ -50,6 +50,8 @@
     limit_per_s: float | None = None
     has_limit: bool = False
     unknown_names: tuple[str, ...] = ()
+    #: Rejections a second for want of room that the replica bears; None if it does not say.
+    brittle_per_s: float | None = None
 
     @property
     def is_empty(self) -> bool:
--- a/winchfork/platform/names.py
+++ b/winchfork/platform/names.py
@@ -14,6 +14,7 @@
 INSTANCE_ID: Final = b"X-Instance-Id"
 SERVER_LEAVING: Final = b"Server-Leaving"
 SERVER_LIMIT: Final = b"Server-Limit"
+SERVER_BRITTLE: Final = b"Server-Brittle"
 EXPECTED_INSTANCE: Final = b"X-Expected-Instance"
 EXPECTED_VERSION: Final = b"X-Expected-Version"
 WEIGHT_VERSIONS: Final = b"X-Weight-Versions"
@@ -78,6 +79,7 @@
     RETRY_AFTER: HeaderOwner.ANSWER,
     SERVER_LEAVING: HeaderOwner.ANSWER,
     SERVER_LIMIT: HeaderOwner.ANSWER,
+    SERVER_BRITTLE: HeaderOwner.ANSWER,
     WAIT_MS: HeaderOwner.OTHER_CALL,
 }
 
--- a/winchfork/platform/notices.py
+++ b/winchfork/platform/notices.py
@@ -1,4 +1,4 @@
-"""Reads what a replica's answer states about the replica: draining, backoff and request limit."""
+"""Reads what a replica's answer states about the replica: draining, backoff, limits."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 
 _LEAVING = names.SERVER_LEAVING.lower()
 _LIMIT = names.SERVER_LIMIT.lower()
+_BRITTLE = names.SERVER_BRITTLE.lower()
 _RETRY_AFTER = names.RETRY_AFTER.lower()
 _NOT_EXECUTED = names.NOT_EXECUTED.lower()
 #: Prefix of the headers in which a replica describes itself. Unknown ones are reported by name,
@@ -58,6 +59,7 @@
         self._backoffs_s: list[float] = []
         self._limits_per_s: list[float] = []
         self._names_limit = False
+        self._brittle_per_s: list[float] = []
         self._unreadable: list[str] = []
         self._unknown: list[str] = []
 
@@ -69,6 +71,8 @@
             self._check(name, value, value.strip() == _LEAVING_VALUE)
         elif lowered == _LIMIT:
             self._add_limit(name, value)
+        elif lowered == _BRITTLE:
+            self._add_brittle(name, value)
         elif self._reads_retry_after and lowered == _RETRY_AFTER:
             seconds = _seconds(value)
             self._backoffs_s += [] if seconds is None else [seconds]
@@ -85,8 +89,16 @@
             min(self._limits_per_s, default=None),
             self._names_limit,
             tuple(self._unknown),
+            min(self._brittle_per_s, default=None),
         )
 
+    def _add_brittle(self, name: bytes, value: bytes) -> None:
+        """Add the rejections a second that the replica bears; the least counts."""
+        texts = [text.strip() for text in value.split(b",")]
+        readable = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+        self._brittle_per_s += readable
+        self._check(name, value, len(readable) == len(texts))
+
     def _add_limit(self, name: bytes, value: bytes) -> None:
         """Add a limit; proxies join repeated headers with commas."""
         self._names_limit = True
--- a/winchfork/router/attempt_runner.py
+++ b/winchfork/router/attempt_runner.py
@@ -159,8 +159,9 @@
         if first is None or first.replica is not replica or not self._may_have_backup(first):
             return
         decision = self._planner.place(self._search.excluded() | {replica.replica_id})
-        # A permit of a replica with a request limit belongs to the next request in its queue.
-        if decision is not None and decision.replica.notice.limit.per_s is None:
+        # A permit of a rationed replica belongs to the next request in its queue.
+        is_rationed = self._state.replica_selector.is_rationed
+        if decision is not None and not is_rationed(decision.replica):
             self._open_backup(first, decision)
 
     # Running
--- a/winchfork/router/notice_exchange.py
+++ b/winchfork/router/notice_exchange.py
@@ -68,6 +68,7 @@
             zones = {item.member_id: item.zone for item in view.members if item.status < leaving}
             self._state.limits.update_daemons(zones, now_s)
             self._state.reserved_senders.update_daemons(zones)
+            self._state.brittle.update_daemons(zones)
         if self._to_resend:
             self._resend_due(now_s)
         if self._announced_at_s:
--- a/winchfork/router/notice_registry.py
+++ b/winchfork/router/notice_registry.py
@@ -46,6 +46,10 @@
         """
         if request_sent_at_s is not None and not notice.has_limit:
             self._state.limits.record_unlimited_answer(replica, request_sent_at_s)
+        if notice.brittle_per_s is not None:
+            self._state.brittle.record_word(replica, notice.brittle_per_s)
+        elif request_sent_at_s is not None:
+            self._state.brittle.record_no_word(replica, request_sent_at_s)
         if notice.is_empty:
             return
         state = self._state
--- a/winchfork/router/outcome_recorder.py
+++ b/winchfork/router/outcome_recorder.py
@@ -45,6 +45,8 @@
             refused = plan.weights_version or 0
             return self._state.record_refused_version(replica, plan.model, refused)
         elif isinstance(outcome, NotRun) and outcome.sent:
+            if now_s >= replica.loading_until_s:
+                self._state.brittle.record_rejection(replica)
             replica.loading_until_s = max(replica.loading_until_s, now_s + REFUSAL_COOLDOWN_S)
         elif isinstance(outcome, MayHaveRun) and outcome.answer is None:
             if outcome.silent:
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -294,6 +294,26 @@
     entries: tuple[ReplicaNoticeEntry, ...]
 
 
+class BrittleEntry(PeerMessage, frozen=True):
+    """What the sender has heard of a replica, and so of its service.
+
+    Answers of ``age_ms`` ago say that ``per_s`` rejections a second are borne; None: that has
+    ended. ``rejected_room`` is the room that the sender knows of after a rejection, 0 without one.
+    """
+
+    incarnation: int
+    per_s: float | None
+    age_ms: int
+    rejected_room: int = 0
+
+
+class BrittleReport(PeerMessage, frozen=True):
+    """Brittle replicas that the sender has heard of, or that have rejected its requests."""
+
+    sender_id: str
+    entries: tuple[BrittleEntry, ...]
+
+
 PEER_MESSAGE_TYPES = (
     Probe,
     ProbeReply,
@@ -319,4 +339,5 @@
     EraDocumentPart,
     VersionAgeQuery,
     VersionAgeReply,
+    BrittleReport,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from winchfork.router.brittle_exchange import BrittleExchange
 from winchfork.router.crash_exchange import CrashExchange
 from winchfork.router.document_relay import DocumentRelay
 from winchfork.router.evidence_exchange import EvidenceExchange
@@ -13,6 +14,7 @@
 from winchfork.router.notice_exchange import NoticeExchange
 from winchfork.router.peer_messages import (
     Activity,
+    BrittleReport,
     ClearedRequests,
     CrashReport,
     DocumentPart,
@@ -76,6 +78,8 @@
         FailureReport,
         lambda message: state.record_failure_report(message.replica_hash, message.sender_id),
     )
+    brittle = BrittleExchange(state, peers, call_later)
+    peers.register_handler(BrittleReport, brittle.handle_report)
     state.on_ejected = lambda replica: peers.broadcast(
         FailureReport(state.settings.node_id, replica.incarnation_hash)
     )
@@ -92,7 +96,13 @@
     peers.register_handler(DocumentPart, relay.handle_part)
     peers.register_handler(EraDocumentPull, relay.handle_era_pull)
     peers.register_handler(EraDocumentPart, relay.handle_era_part)
-    peers.on_tick += [state.stall_detector.tick, version_ages.tick, work.tick, notices.tick]
+    peers.on_tick += [
+        state.stall_detector.tick,
+        version_ages.tick,
+        work.tick,
+        notices.tick,
+        brittle.tick,
+    ]
     if state.settings.software_rollouts:
         peers.on_tick.append(evidence.tick)
     peers.on_position = relay.handle_position
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -165,7 +165,7 @@
         excluded_by_attempts = self.excluded_by_attempts()
         excluded = self.excluded()
         decision = self._planner.place(excluded)
-        if decision is not None and decision.replica.notice.limit.per_s is None:
+        if decision is not None and not self._state.replica_selector.is_rationed(decision.replica):
             # No queue is needed: skip the search for permits.
             return decision
         permits = self._planner.permit_openings(excluded_by_attempts)
--- a/winchfork/router/replica_selector.py
+++ b/winchfork/router/replica_selector.py
@@ -43,6 +43,7 @@
             for replica in self._state.fleet.of_service(service)
             if replica.accepts_requests(now_s)
             and replica.replica_id not in excluded
+            and self._state.brittle.has_place(replica)
             and (prompt is None or self._weights_allowed(replica, prompt, now_s))
         ]
         candidates = self._state.software.allowed_replicas(service, candidates, on_target=on_target)
@@ -64,7 +65,7 @@
         now_s = self._state.clock()
         remaining = self._remaining(service, excluded)
         waits_s = [
-            replica.available_in_s(now_s) or PRIOR_LOAD_S
+            self._available_in_s(replica, now_s) or PRIOR_LOAD_S
             for replica in self._state.software.allowed_replicas(
                 service, remaining, on_target=on_target
             )
@@ -83,21 +84,35 @@
     def permit_openings(
         self, service: str, excluded: set[str], *, on_target: bool = False
     ) -> list[PermitOpening] | None:
-        """Return the coming permits of each remaining replica, if all have a request limit.
+        """Return the coming permits of each remaining replica, if all are rationed.
 
-        Return None if a remaining replica has no limit, or if none remains.
+        Return None if a remaining replica is not, or if none remains.
         """
         remaining = self._remaining(service, excluded)
-        if not remaining or any(replica.notice.limit.per_s is None for replica in remaining):
+        if not remaining or not all(self.is_rationed(replica) for replica in remaining):
             return None
         now_s = self._state.clock()
         return [
-            PermitOpening(replica.available_in_s(now_s), replica.notice.limit.interval_s)
+            PermitOpening(self._available_in_s(replica, now_s), self._permit_interval_s(replica))
             for replica in self._state.software.allowed_replicas(
                 service, remaining, on_target=on_target
             )
         ]
 
+    def is_rationed(self, replica: RelayReplica) -> bool:
+        """Whether requests to a replica need a permit: it limits requests, or is brittle."""
+        if replica.notice.limit.per_s is not None:
+            return True
+        return self._state.brittle.word_of(replica.listing.service) is not None
+
+    def _available_in_s(self, replica: RelayReplica, now_s: float) -> float:
+        return max(replica.available_in_s(now_s), self._state.brittle.available_in_s(replica))
+
+    def _permit_interval_s(self, replica: RelayReplica) -> float:
+        if replica.notice.limit.per_s is not None:
+            return replica.notice.limit.interval_s
+        return self._state.brittle.interval_s(replica)
+
     def fleet_permit_interval_s(self, service: str) -> float | None:
         """Return the shortest interval in seconds at which a replica takes requests by its limit.
 
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -31,6 +31,7 @@
 from winchfork.core.zone_reachability import ZoneReachability
 from winchfork.errors import Failure
 from winchfork.logs import log_event
+from winchfork.router.brittle_registry import BrittleRegistry
 from winchfork.router.cache_stores import CacheStores
 from winchfork.router.crash_tracker import CrashTracker
 from winchfork.router.limit_registry import LimitRegistry
@@ -132,6 +133,7 @@
         self.crashes = CrashTracker(settings.node_id, clock)
         self._refused_documents_log_limit = LogRateLimit()
         self.limits = LimitRegistry(self)
+        self.brittle = BrittleRegistry(self)
         self.reserved_senders = ReservedSenders(settings.node_id)
         #: Requests that wait for a permit because replicas limit their requests, by service.
         self.permit_queues: defaultdict[str, PermitQueue] = defaultdict(PermitQueue)
