--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -155,6 +155,11 @@
         for replica in (*self.model_replicas, *self.application_replicas):
             await replica.start()
 
+    def replica_addresses(self) -> set[str]:
+        """Return the addresses of all replicas, including those that have stopped."""
+        replicas = (*self.all_model_replicas, *self.all_application_replicas)
+        return {replica.address for replica in replicas}
+
     def add_api_key(self, key: str) -> None:
         """Publish a newer configuration in which the first tenant has an additional API key."""
         self._configuration["Version"] += 1
@@ -209,14 +214,10 @@
         """Start the stand-ins and the routers; ``wait_until_ready`` waits for the routers."""
         await super().start()
         if self._simulate_links:
-            self.links = ReplicaLinks(self._replica_addresses)
+            self.links = ReplicaLinks(self.replica_addresses)
         for number, zone in enumerate(self._zones, start=1):
             self._add_router(number, zone)
 
-    def _replica_addresses(self) -> set[str]:
-        replicas = (*self.all_model_replicas, *self.all_application_replicas)
-        return {replica.address for replica in replicas}
-
     def _add_router(self, number: int, zone: str) -> None:
         settings = parse_settings(self.settings_text(number, zone))
         if isinstance(settings, Failure):
--- a/standins/replica_links.py
+++ b/standins/replica_links.py
@@ -11,7 +11,7 @@
 import contextvars
 import enum
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from typing import Any
 
 #: The number of the router that the current task belongs to; None outside routers.
@@ -32,15 +32,26 @@
 
 
 class ReplicaLinks:
-    """Installs itself in the running event loop; faults apply to ``replica_addresses`` only."""
+    """Installs itself in the running event loop; faults apply to ``replica_addresses`` only.
 
-    def __init__(self, replica_addresses: Callable[[], set[str]]) -> None:
+    ``only_router`` is the number of the process's only router. ``connect`` opens connections; the
+    event loop's own method by default.
+    """
+
+    def __init__(
+        self,
+        replica_addresses: Callable[[], Collection[str]],
+        *,
+        only_router: int | None = None,
+        connect: Any = None,
+    ) -> None:
+        self._only_router = only_router
         self._replica_addresses = replica_addresses
         self._faults: dict[int, LinkFault] = {}
         self._links: set[_Link] = set()
         self._changed = asyncio.Event()
         loop = asyncio.get_running_loop()
-        self._create_connection: Any = loop.create_connection
+        self._create_connection: Any = connect or loop.create_connection
         loop.create_connection = self._create  # type: ignore[method-assign,assignment]
 
     def uninstall(self) -> None:
@@ -64,7 +75,7 @@
     async def _create(
         self, factory: Callable[[], asyncio.Protocol], host: str, port: int, **options: Any
     ) -> tuple[asyncio.Transport, asyncio.Protocol]:
-        router = _router.get()
+        router = _router.get() if self._only_router is None else self._only_router
         if router is None or f"{host}:{port}" not in self._replica_addresses():
             return await self._create_connection(factory, host, port, **options)
         while self._fault(router) is LinkFault.SILENT:
--- a/standins/soak/faults/peer_faults.py
+++ b/standins/soak/faults/peer_faults.py
@@ -1,4 +1,4 @@
-"""Faults between the routers' machines: lost datagrams."""
+"""Faults of the routers' network: lost datagrams, and links to replicas."""
 
 from __future__ import annotations
 
@@ -6,23 +6,30 @@
 import random
 
 from standins.fault_proxy import Fault
+from standins.replica_links import LinkFault
 from standins.soak.disruptions import ALL_ROUTERS
 from standins.soak.faults.context import FaultContext
 from standins.soak.network_partition import NetworkPartition
+from standins.soak.replica_partition import ReplicaPartition
 from standins.soak.routers import SoakRouter
 
 MIN_FAULT_S, MAX_FAULT_S = 1.0, 6.0
 
 
 class PeerFaults:
-    """Isolates one machine at a time from the others."""
+    """Isolates one machine at a time from the others, or some from the replicas."""
 
     def __init__(
-        self, context: FaultContext, generator: random.Random, partition: NetworkPartition
+        self,
+        context: FaultContext,
+        generator: random.Random,
+        partition: NetworkPartition,
+        replica_partition: ReplicaPartition,
     ) -> None:
         self._context = context
         self._random = generator
         self._partition = partition
+        self._replica_partition = replica_partition
 
     async def peers_cut(self) -> None:
         """Drop the datagrams between one machine and the others; all keep the store.
@@ -48,6 +55,22 @@
                 await self._isolate(router)
                 router.proxy.fault = Fault.NONE
 
+    async def without_replicas(self) -> None:
+        """Take the links to all replicas from some routers, or from all of them."""
+        count = self._random.randint(1, len(self._context.routers))
+        routers = self._random.sample(list(self._context.routers), count)
+        faults = [LinkFault.SILENT, LinkFault.RESET, LinkFault.REFUSE_NEW]
+        chosen = {router.machine_ip: self._random.choice(faults) for router in routers}
+        numbers = ",".join(str(router.number) for router in routers)
+        what = f"links of routers {numbers} to replicas cut"
+        with self._context.disruptions.during(what, ALL_ROUTERS):
+            self._replica_partition.write(chosen, self._replica_addresses())
+            await asyncio.sleep(self._random.uniform(MIN_FAULT_S, MAX_FAULT_S))
+            self._replica_partition.write({}, self._replica_addresses())
+
+    def _replica_addresses(self) -> set[str]:
+        return self._context.platform.replica_addresses()
+
     async def _isolate(self, router: SoakRouter) -> None:
         self._partition.write({router.machine_ip})
         await asyncio.sleep(self._random.uniform(MIN_FAULT_S, MAX_FAULT_S))
--- a/standins/soak/lossy_router.py
+++ b/standins/soak/lossy_router.py
@@ -1,4 +1,4 @@
-"""A router process with simulated datagram loss and simulated machine suspensions.
+"""A router process with simulated datagram loss, partitions from replicas, and suspensions.
 
 ``python -m standins.soak.lossy_router`` runs the router as the platform starts it. A datagram from
 or to an isolated machine is dropped by its sender; the monotonic clock excludes suspensions.
@@ -14,6 +14,12 @@
 
 import winchfork.early_stop  # noqa: F401 - installs its handler before the slow imports
 from standins.soak.network_partition import PARTITION_FILE_VARIABLE, NetworkPartition
+from standins.soak.replica_partition import (
+    MACHINE_IP_VARIABLE,
+    REPLICA_PARTITION_VARIABLE,
+    ReplicaPartition,
+    apply_replica_partition,
+)
 from standins.soak.suspended_clock import (
     SUSPENDED_FILE_VARIABLE,
     SuspendedTime,
@@ -77,4 +83,6 @@
 if __name__ == "__main__":
     exclude_suspensions(SuspendedTime(Path(os.environ[SUSPENDED_FILE_VARIABLE])))
     lose_datagrams(NetworkPartition(Path(os.environ[PARTITION_FILE_VARIABLE])))
+    replica_partition = ReplicaPartition(Path(os.environ[REPLICA_PARTITION_VARIABLE]))
+    apply_replica_partition(replica_partition, os.environ[MACHINE_IP_VARIABLE])
     sys.exit(main())
--- a/standins/soak/routers.py
+++ b/standins/soak/routers.py
@@ -12,6 +12,11 @@
 from standins.deployment import PlatformStandins, node_id
 from standins.fault_proxy import FaultProxy
 from standins.soak.network_partition import PARTITION_FILE_NAME, PARTITION_FILE_VARIABLE
+from standins.soak.replica_partition import (
+    MACHINE_IP_VARIABLE,
+    REPLICA_PARTITION_NAME,
+    REPLICA_PARTITION_VARIABLE,
+)
 from standins.soak.suspended_clock import SUSPENDED_FILE_VARIABLE, SuspendedTime
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
@@ -41,6 +46,7 @@
         self._file = folder / f"router-{number}.conf"
         self._log = folder / f"router-{number}.log"
         self._partition_file = folder / PARTITION_FILE_NAME
+        self._replica_partition_file = folder / REPLICA_PARTITION_NAME
         self._suspended_file = folder / f"suspended-{number}"
         self._suspended = SuspendedTime(self._suspended_file)
         self._process: asyncio.subprocess.Process | None = None
@@ -79,6 +85,8 @@
             "WINCHFORK_BOOT": str(self._file),
             PARTITION_FILE_VARIABLE: str(self._partition_file),
             SUSPENDED_FILE_VARIABLE: str(self._suspended_file),
+            REPLICA_PARTITION_VARIABLE: str(self._replica_partition_file),
+            MACHINE_IP_VARIABLE: self.machine_ip,
         }
         environment = {**os.environ, **files}
         with self._log.open("ab") as log:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -30,6 +30,7 @@
 from standins.soak.lanes import Lane
 from standins.soak.network_partition import PARTITION_FILE_NAME, NetworkPartition
 from standins.soak.operators import Operators
+from standins.soak.replica_partition import REPLICA_PARTITION_NAME, ReplicaPartition
 from standins.soak.routers import SoakRouter
 from standins.soak.weights_checks import (
     FINAL_BOUND_FACTOR,
@@ -67,6 +68,7 @@
         self._seed = str(seed)
         self._seconds = seconds
         self._folder = folder
+        self._replica_partition = ReplicaPartition(folder / REPLICA_PARTITION_NAME)
         self._platform = PlatformStandins(WEIGHTS_TIMING)
         self._routers = [
             SoakRouter(self._platform, number, zone, folder, first_tree)
@@ -94,6 +96,7 @@
 
     async def _run(self) -> None:
         await self._platform.start()
+        self._replica_partition.write({}, self._platform.replica_addresses())
         for router in self._routers:
             await router.prepare()
             await router.start()
@@ -140,6 +143,13 @@
             context,
             self._generator("peers struck"),
             NetworkPartition(self._folder / PARTITION_FILE_NAME),
+            self._replica_partition,
+        )
+        links = PeerFaults(
+            context,
+            self._generator("links struck"),
+            NetworkPartition(self._folder / PARTITION_FILE_NAME),
+            self._replica_partition,
         )
         delay_s = self._seconds * STORE_DELAY_SHARE
         return [
@@ -172,6 +182,7 @@
             Lane("limits", [limits.name_limits], LIMIT_PAUSE_S),
             Lane("entries", [entries.foreign_entry], ENTRY_PAUSE_S),
             Lane("peers", [peers.peers_cut, peers.zone_cut], PEER_PAUSE_S, delay_s),
+            Lane("links", [links.without_replicas], PEER_PAUSE_S),
             Lane("store", [store.store_down, store.link_cut], STORE_PAUSE_S, delay_s),
             Lane("copies", [copies.comes_back_from_copy], STORE_PAUSE_S, delay_s),
         ]
