--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -25,7 +25,7 @@
 from winchfork.core.zone_hubs import FleetView
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.caller_connection import CallerConnection
-from winchfork.router.connection_pool import ConnectionPool
+from winchfork.router.connection_pool import CONNECT_TIMEOUT_S, ConnectionPool
 from winchfork.router.peer_relay import PeerRelay
 from winchfork.router.relay_messages import RELAY_TO, RelayFailure
 from winchfork.router.replica_connection import ReplicaConnection
@@ -229,6 +229,40 @@
         self.assert_not_run(await relay.ask(method="POST", body=b"x"))
         self.assertEqual(reported, ["confirmed"])
 
+    async def test_a_peer_confirms_in_time_that_a_replica_is_silent(self) -> None:
+        """Guards against a peer whose own connection takes longer than its answer may."""
+        relay, (peer,) = await self.relay_with_peers(
+            ScriptedReplica(never_answering), kind=RouteKind.UNSAFE
+        )
+
+        async def time_out(address: str, limit: int) -> ReplicaConnection | Failure:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            return FailureKind.BACKEND_UNREACHABLE.because(f"{address}: timed out in the test")
+
+        relay.pool.open_new = time_out  # type: ignore[method-assign]
+        peer.pool.open_new = time_out  # type: ignore[method-assign]
+        replica = relay.state.fleet.get("i-0")
+        assert replica is not None
+        failed = await relay.service.connector.verify(replica)
+        assert failed is not None
+        self.assertTrue(failed.confirmed)
+
+    async def test_a_peer_that_relays_many_requests_still_answers_questions(self) -> None:
+        """Guards against a sound peer that is taken for one without a path."""
+        replica = ScriptedReplica(never_answering)
+        relay, (peer,) = await self.relay_with_peers(replica)
+        # The peer's share of the replica's connections is then enough for all of them.
+        peer.state.daemon_count = 1
+        for number in range(12):
+            _, writer = await relay.connect()
+            self.addCleanup(writer.close)
+            writer.write(caller_request(f"open-{number}"))
+        while len(replica.received) < 12:
+            await asyncio.sleep(0.01)
+        listed = relay.state.fleet.get("i-0")
+        assert listed is not None
+        self.assertIsNone(await relay.service.connector.verify(listed))
+
     async def test_a_direct_path_is_used_again_once_it_is_back(self) -> None:
         replica = ScriptedReplica(answering(lambda request: signed(request, b"done")))
         relay, _ = await self.relay_with_peers(replica)
--- a/winchfork/core/replica_paths.py
+++ b/winchfork/core/replica_paths.py
@@ -22,6 +22,7 @@
 
 
 class _LostPath(msgspec.Struct):
+    since_s: float
     check_at_s: float
     #: When each peer, by member id, last reached the replica.
     reached_at_s: dict[str, float] = msgspec.field(default_factory=dict)
@@ -44,10 +45,20 @@
         """How many addresses are reached only through peers."""
         return len(self._lost)
 
+    def count_lost_for(self, duration_s: float, now_s: float) -> int:
+        """Return how many paths have been lost for at least ``duration_s``."""
+        return sum(now_s - path.since_s >= duration_s for path in self._lost.values())
+
+    def renew_proof(self, address: str, peer_id: str, now_s: float) -> None:
+        """Record that a peer has relayed an answer from an address."""
+        path = self._lost.get(address)
+        if path is not None:
+            path.reached_at_s[peer_id] = now_s
+
     def record_reached_by_peer(self, address: str, peer_id: str, now_s: float) -> bool:
         """Record that a peer reached an address whose direct path failed; True if that is new."""
         is_new = address not in self._lost
-        path = self._lost.setdefault(address, _LostPath(now_s + CHECK_PERIOD_S))
+        path = self._lost.setdefault(address, _LostPath(now_s, now_s + CHECK_PERIOD_S))
         path.reached_at_s[peer_id] = now_s
         self._failed_at_s.pop((address, peer_id), None)
         return is_new
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -16,6 +16,7 @@
 from winchfork.router.outcome_recorder import OutcomeRecorder
 from winchfork.router.outcomes import (
     BufferedAnswer,
+    Delivered,
     MayHaveRun,
     Moved,
     NotRun,
@@ -25,7 +26,7 @@
 )
 from winchfork.router.quota_gate import QuotaCharge
 from winchfork.router.relay_messages import add_relay_target
-from winchfork.router.replica_connection import ReplicaConnection
+from winchfork.router.replica_connection import RelayLeg, ReplicaConnection
 from winchfork.router.replica_connector import ConnectFailure
 from winchfork.router.replica_search import ReplicaSearch
 from winchfork.router.request_admission import AdmittedRequest
@@ -150,14 +151,20 @@
             self._some_may_have_run = True
         if isinstance(outcome, NotRun):
             self._refund_extra_charge()
-        if attempt.relay is not None and _is_relay_failure(outcome):
-            self._service.connector.record_relay_failure(attempt.replica, attempt.relay)
+        if attempt.relay is not None:
+            self._record_relay(attempt.replica, attempt.relay, outcome)
         if isinstance(outcome, MayHaveRun) and outcome.answer is not None:
             self.failed_answer = outcome.answer
         self._crashes.end_run(self._admitted.digest)
         self._record.log_attempt_ended(attempt, outcome)
         self.newer_weights = self._outcome_recorder.record_outcome(attempt, outcome, self._record)
 
+    def _record_relay(self, replica: RelayReplica, relay: RelayLeg, outcome: Outcome) -> None:
+        if isinstance(outcome, Delivered):
+            self._service.connector.record_relayed(replica, relay)
+        elif _is_relay_failure(outcome):
+            self._service.connector.record_relay_failure(replica, relay)
+
     def _refund_extra_charge(self) -> None:
         if self._charge is not None and self._extra_charges:
             self._extra_charges -= 1
--- a/winchfork/router/peer_relay.py
+++ b/winchfork/router/peer_relay.py
@@ -11,8 +11,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
@@ -47,6 +45,8 @@
 MAX_RELAYED = 128
 #: A replica that answered this daemon so recently, in seconds, is reached without a new connection.
 RECENT_ANSWER_S = 0.2
+#: Seconds that a connection may take to come up for that; less than the peer waits for the answer.
+CHECK_TIMEOUT_S = 0.35
 #: Largest header in bytes: a caller's and those that the peer has added.
 MAX_HEADER_BYTES = 65_536
 _LENGTH = b"content-length"
@@ -80,8 +80,13 @@
     # CallerHandler
 
     def limits(self) -> CallerLimits:
-        """Return the callers' limits, with room for the headers that the peer has added."""
-        return msgspec.structs.replace(self._service.limits(), header_bytes=MAX_HEADER_BYTES)
+        """Return the callers' limit on bodies, with room for the headers that the peer has added.
+
+        Idle connections are kept for longer than peers do, so that none closes as it is used.
+        """
+        return CallerLimits(
+            header_bytes=MAX_HEADER_BYTES, body_bytes=self._service.limits().body_bytes
+        )
 
     def connection_opened(self, connection: CallerConnection) -> None:
         """Add a connection."""
@@ -141,17 +146,13 @@
 
     async def _check(self, replica: RelayReplica) -> RelayFailure | None:
         """Return why this daemon does not reach a replica directly; None if it does."""
-        now_s = self._state.clock()
-        address = replica.listing.address
-        if self._service.connector.paths.is_lost(address) or now_s < replica.ejected_until_s:
+        connector = self._service.connector
+        if connector.paths.is_lost(replica.listing.address):
             return RelayFailure.UNREACHABLE
-        if now_s - replica.last_received_at_s <= RECENT_ANSWER_S:
+        if self._state.clock() - replica.last_received_at_s <= RECENT_ANSWER_S:
             return None
-        connection = await self._service.connector.connect_directly(replica)
-        if isinstance(connection, Failure):
-            return _relay_failure(connection)
-        self._service.pool.release(address, connection)
-        return None
+        failure = await connector.check_directly(replica, CHECK_TIMEOUT_S)
+        return _relay_failure(failure) if failure is not None else None
 
 
 class _NothingToStop:
--- a/winchfork/router/replica_connector.py
+++ b/winchfork/router/replica_connector.py
@@ -34,6 +34,10 @@
 #: partitioned from the replicas.
 PARTITIONED_SHARE = 0.1
 
+#: Seconds for which a path must have been lost to count for that; a sound replica or link may be
+#: silent for a second or so.
+PARTITIONED_AFTER_S = 1.5
+
 _DirectTask = asyncio.Task[ReplicaConnection | Failure]
 _UNREACHABLE_KINDS = (FailureKind.BACKEND_UNREACHABLE, FailureKind.CONNECTION_REFUSED)
 
@@ -59,8 +63,10 @@
         self._generator = generator
         self.paths = ReplicaPaths()
         self._peer_pool = ConnectionPool()
+        #: Connections for questions to peers, beside those that requests take.
+        self._question_pool = ConnectionPool()
         client = PooledHttpClient(
-            self._peer_pool, lambda label: state.metrics.calls.labels(label).inc()
+            self._question_pool, lambda label: state.metrics.calls.labels(label).inc()
         )
         self._reach = ReplicaReach(self.paths, client, state.clock, generator)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -71,8 +77,9 @@
 
     @property
     def is_partitioned(self) -> bool:
-        """Whether peers reach many replicas that this daemon does not reach."""
-        return self.paths.lost_count > PARTITIONED_SHARE * len(self._state.fleet)
+        """Whether peers have reached many replicas for a while that this daemon does not reach."""
+        lost = self.paths.count_lost_for(PARTITIONED_AFTER_S, self._state.clock())
+        return lost > PARTITIONED_SHARE * len(self._state.fleet)
 
     def is_connected(self, address: str) -> bool:
         """Whether a request can be sent to an address without a new connection to the replica."""
@@ -116,6 +123,20 @@
             self._record_restored(replica.listing.address)
         return connection
 
+    async def check_directly(self, replica: RelayReplica, timeout_s: float) -> Failure | None:
+        """Return why a new direct connection did not come up in time; None if it did."""
+        direct = asyncio.get_running_loop().create_task(self.connect_directly(replica))
+        direct.add_done_callback(lambda task: self._release_unused(replica, task))
+        await asyncio.wait({direct}, timeout=timeout_s)
+        if not direct.done():
+            return FailureKind.BACKEND_UNREACHABLE.because(f"not connected in {timeout_s:.2f} s")
+        result = direct.result()
+        return result if isinstance(result, Failure) else None
+
+    def record_relayed(self, replica: RelayReplica, relay: RelayLeg) -> None:
+        """Record that a peer has relayed a whole answer."""
+        self.paths.renew_proof(replica.listing.address, relay.peer_id, self._state.clock())
+
     def record_relay_failure(self, replica: RelayReplica, relay: RelayLeg) -> None:
         """Record that a peer did not relay a request, or lost the answer."""
         self.paths.record_peer_failure(replica.listing.address, relay.peer_id, self._state.clock())
@@ -127,10 +148,12 @@
     def close(self) -> None:
         """Close all idle connections to peers."""
         self._peer_pool.close()
+        self._question_pool.close()
 
     def sweep(self, now_s: float) -> None:
         """Close the connections to peers that have been idle too long."""
         self._peer_pool.sweep(now_s)
+        self._question_pool.sweep(now_s)
 
     async def run(self) -> None:
         """Check lost paths until cancelled."""
