--- a/tests/run.py
+++ b/tests/run.py
@@ -1,8 +1,8 @@
 """Runs every test and ends with the line `N passed, N failed`.
 
 Tests listed in KNOWN-RED.txt (one line each: test, cause, issue) are run and printed, but do not
-change the exit status. Modules that only compute run in separate processes, in parallel with the
-others.
+change the exit status. Modules that only compute, and those that take long in real time, run in
+separate processes, in parallel with the others.
 """
 
 from __future__ import annotations
@@ -33,9 +33,18 @@
     "test_leadership_after_restore",
     "test_store_restore",
     "test_restored_entries",
+    "test_brittle_fleet",
 )
-#: Processes for these modules, beside the main one.
-CPU_BOUND_PROCESSES = 3
+#: Modules that take long in real time, the longest first. Their sockets have ports of their own.
+LONG_MODULES = (
+    "test_routers_without_replicas",
+    "test_brittle_replicas",
+    "test_backup_attempts",
+    "test_attempt_orders",
+)
+#: Modules that run in separate processes, and the number of these beside the main one.
+SEPARATE_MODULES = (*LONG_MODULES, *CPU_BOUND_MODULES)
+SEPARATE_PROCESSES = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,10 +89,10 @@
 def run_all() -> list[SuiteResult]:
     """Run every module of the folder."""
     modules = sorted(path.stem for path in _TESTS.glob("test_*.py"))
-    others = [name for name in modules if name not in CPU_BOUND_MODULES]
+    others = [name for name in modules if name not in SEPARATE_MODULES]
     context = multiprocessing.get_context("spawn")
-    with concurrent.futures.ProcessPoolExecutor(CPU_BOUND_PROCESSES, context) as pool:
-        separate = [pool.submit(run_captured, name) for name in CPU_BOUND_MODULES]
+    with concurrent.futures.ProcessPoolExecutor(SEPARATE_PROCESSES, context) as pool:
+        separate = [pool.submit(run_captured, name) for name in SEPARATE_MODULES]
         in_process = run_modules(others)
         return [in_process, *(future.result() for future in separate)]
 
