--- a/winchfork/router/brittle_registry.py
+++ b/winchfork/router/brittle_registry.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -34,6 +34,13 @@
     heard_at_s: float
 
 
+class _OrderedReplicas(msgspec.Struct, frozen=True):
+    """A service's replicas, as the fleet lists them, and the position of each incarnation."""
+
+    replicas: Sequence[RelayReplica]
+    positions: dict[int, int]
+
+
 class BrittleRegistry:
     """The brittle services, and the learned room of their replicas. Not thread-safe."""
 
@@ -44,7 +51,10 @@
         self._rooms: dict[int, LearnedRoom] = {}
         #: The room last learned at a replica of each service, as a fraction of its ceiling.
         self._fractions: dict[str, float] = {}
-        self._daemons: list[str] = []
+        self._ordered: dict[str, _OrderedReplicas] = {}
+        self._daemon_count = 0
+        #: This daemon's position in the order of all; None while it is not a member.
+        self._own_position: int | None = None
         #: Called with a replica and whether it has rejected a request, when peers should know.
         self.on_news: Callable[[RelayReplica, bool], None] = lambda replica, rejected: None
 
@@ -53,7 +63,8 @@
     def word_of(self, service: str) -> BrittleWord | None:
         """Return the word of a service's replicas; None if they are not brittle now."""
         word = self._words.get(service)
-        if word is None or self._state.clock() - word.heard_at_s > WORD_TTL_S:
+        if word is not None and self._state.clock() - word.heard_at_s > WORD_TTL_S:
+            self._end(service)
             return None
         return word
 
@@ -97,12 +108,18 @@
         self._ended_at_s[service] = self._state.clock()
         for replica in self._state.fleet.of_service(service):
             self._rooms.pop(replica.incarnation_hash, None)
+        if not self._words:
+            # Also those of incarnations that are not listed any more.
+            self._rooms.clear()
 
     # Places
 
     def update_daemons(self, zones: Mapping[str, str]) -> None:
         """Deal places among these daemons from now on; ``zones`` has the zone of each, by id."""
-        self._daemons = sorted(zones, key=lambda item: (zones[item], member_hash(item)))
+        order = sorted(zones, key=lambda item: (zones[item], member_hash(item)))
+        own_id = self._state.settings.node_id
+        self._daemon_count = len(order)
+        self._own_position = order.index(own_id) if own_id in order else None
 
     def has_place(self, replica: RelayReplica) -> bool:
         """Whether this daemon may send one more request to a replica now."""
@@ -170,14 +187,23 @@
         return room
 
     def _places(self, replica: RelayReplica, room: LearnedRoom) -> int:
-        own_id = self._state.settings.node_id
-        if own_id not in self._daemons:
+        if self._own_position is None:
             return room.room
-        replicas = self._state.fleet.of_service(replica.listing.service)
-        position = next((i for i, item in enumerate(replicas) if item is replica), 0)
+        positions = self._positions(replica.listing.service)
+        position = positions.get(replica.incarnation_hash, 0)
         return dealt_places(
-            room.room, position, len(replicas), self._daemons.index(own_id), len(self._daemons)
+            room.room, position, len(positions), self._own_position, self._daemon_count
         )
 
+    def _positions(self, service: str) -> dict[int, int]:
+        """Return the positions of a service's replicas in the order that all daemons share."""
+        replicas = self._state.fleet.of_service(service)
+        ordered = self._ordered.get(service)
+        if ordered is None or ordered.replicas is not replicas:
+            hashes = (item.incarnation_hash for item in replicas)
+            ordered = _OrderedReplicas(replicas, {key: i for i, key in enumerate(hashes)})
+            self._ordered[service] = ordered
+        return ordered.positions
+
     def _run_s(self, replica: RelayReplica) -> float:
         return replica.latency_s or DEFAULT_RUN_S
