--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -246,6 +246,20 @@
         assert failed is not None
         self.assertTrue(failed.confirmed)
 
+    async def test_a_peer_does_not_vouch_for_a_replica_that_has_crashed_since_it_answered(
+        self,
+    ) -> None:
+        """Guards against requests that are relayed to a crashed replica."""
+        replica = ScriptedReplica(answering(lambda request: signed(request, b"done")))
+        relay, (peer,) = await self.relay_with_peers(replica)
+        self.assertEqual((await peer.ask("of-the-peer")).status, 200)
+        await replica.stop()
+        listed = relay.state.fleet.get("i-0")
+        assert listed is not None
+        failed = await relay.service.connector.verify(listed)
+        assert failed is not None
+        self.assertIs(failed.failure.kind, FailureKind.CONNECTION_REFUSED)
+
     async def test_a_peer_that_relays_many_requests_still_answers_questions(self) -> None:
         """Guards against a sound peer that is taken for one without a path."""
         replica = ScriptedReplica(never_answering)
--- a/winchfork/router/peer_relay.py
+++ b/winchfork/router/peer_relay.py
@@ -43,9 +43,7 @@
 
 #: Requests that are relayed at a time.
 MAX_RELAYED = 128
-#: A replica that answered this daemon so recently, in seconds, is reached without a new connection.
-RECENT_ANSWER_S = 0.2
-#: Seconds that a connection may take to come up for that; less than the peer waits for the answer.
+#: Seconds that a connection may take to come up for a peer's question; less than the peer waits.
 CHECK_TIMEOUT_S = 0.35
 #: Largest header in bytes: a caller's and those that the peer has added.
 MAX_HEADER_BYTES = 65_536
@@ -149,8 +147,6 @@
         connector = self._service.connector
         if connector.paths.is_lost(replica.listing.address):
             return RelayFailure.UNREACHABLE
-        if self._state.clock() - replica.last_received_at_s <= RECENT_ANSWER_S:
-            return None
         failure = await connector.check_directly(replica, CHECK_TIMEOUT_S)
         return _relay_failure(failure) if failure is not None else None
 
