--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -29,6 +29,7 @@
 from winchfork.router.peer_relay import PeerRelay
 from winchfork.router.relay_messages import RELAY_TO, RelayFailure
 from winchfork.router.replica_connection import ReplicaConnection
+from winchfork.router.replica_reach import Reach, ReachResult
 
 
 def cut_direct_path(relay: RelayUnderTest, *, refused: bool = False) -> None:
@@ -246,6 +247,25 @@
         assert failed is not None
         self.assertTrue(failed.confirmed)
 
+    async def test_a_request_does_not_wait_for_peers_while_another_replica_is_there(self) -> None:
+        """Guards against requests that are late because their replica has just crashed."""
+        crashed = ScriptedReplica(never_answering)
+        other = ScriptedReplica(answering(lambda request: signed(request, b"done")))
+        relay = await self.relay(crashed, other)
+        await crashed.stop()
+        asked = asyncio.Event()
+        released = asyncio.Event()
+
+        async def check(address: str) -> ReachResult:
+            asked.set()
+            await released.wait()
+            return ReachResult(Reach.REFUSED)
+
+        relay.service.connector._reach.check = check  # type: ignore[method-assign]
+        self.assertEqual((await relay.ask()).status, 200)
+        await asyncio.wait_for(asked.wait(), HANG_TIMEOUT_S)
+        released.set()
+
     async def test_a_peer_does_not_vouch_for_a_replica_that_has_crashed_since_it_answered(
         self,
     ) -> None:
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -87,7 +87,7 @@
         idle = connector.pop_idle(replica)
         if idle is not None:
             return idle
-        connection = await connector.connect(replica)
+        connection = await connector.connect(replica, lambda: self._has_others(replica))
         if isinstance(connection, ConnectFailure):
             return self._handle_connect_failure(replica, connection)
         # The replica may have begun to drain or load, or its weights may have expired.
@@ -96,6 +96,9 @@
         connector.release(replica, connection)
         return StalePlacement()
 
+    def _has_others(self, replica: RelayReplica) -> bool:
+        return self._planner.has_candidates(self._search.excluded() | {replica.replica_id})
+
     def is_allowed(self) -> bool:
         """Whether the request may be sent once more, by what is known of crashes under it."""
         digest = self._admitted.digest
@@ -182,8 +185,10 @@
         metrics.sent_by_region.labels(self._state.settings.regions.region_of(listing.zone)).inc()
 
     def _handle_connect_failure(self, replica: RelayReplica, result: ConnectFailure) -> NotRun:
-        if result.failure.kind is FailureKind.CONNECTION_REFUSED:
+        if result.failure.kind is FailureKind.CONNECTION_REFUSED and not result.unverified:
             self._crashes.record_crash(replica, CrashEvidence.PORT_CLOSED)
+        if result.unverified:
+            self._state.on_unverified_ejection(replica)
         if result.is_unreachable:
             self._state.record_unreachable(
                 replica, result.failure.reason, confirmed=result.confirmed
--- a/winchfork/router/replica_connector.py
+++ b/winchfork/router/replica_connector.py
@@ -43,10 +43,14 @@
 
 
 class ConnectFailure(msgspec.Struct, frozen=True):
-    """Nothing was sent. ``confirmed``: a peer could not reach the replica either."""
+    """Nothing was sent. ``confirmed``: a peer could not reach the replica either.
+
+    ``unverified``: no peer has been asked, so this daemon's link may be at fault.
+    """
 
     failure: Failure
     confirmed: bool = False
+    unverified: bool = False
 
     @property
     def is_unreachable(self) -> bool:
@@ -98,18 +102,24 @@
         else:
             self._pool.release(replica.listing.address, connection)
 
-    async def connect(self, replica: RelayReplica) -> ReplicaConnection | ConnectFailure:
-        """Return a connection to a replica by any path that exists."""
+    async def connect(
+        self, replica: RelayReplica, has_others: Callable[[], bool] = lambda: False
+    ) -> ReplicaConnection | ConnectFailure:
+        """Return a connection to a replica by any path that exists.
+
+        ``has_others`` returns whether the request may go to another replica. It then had better do
+        so at once if the direct connection is refused: most often the replica has crashed.
+        """
         address = replica.listing.address
         if self.paths.is_lost(address):
             relayed = await self._connect_through_known_peer(address)
             if relayed is not None:
                 return relayed
-        return await self._connect_by_any_path(replica)
+        return await self._connect_by_any_path(replica, has_others)
 
     async def verify(self, replica: RelayReplica) -> ConnectFailure | None:
         """Return the failure if no path leads to a replica; proven by a new connection."""
-        connection = await self._connect_by_any_path(replica)
+        connection = await self._connect_by_any_path(replica, lambda: False)
         if isinstance(connection, ConnectFailure):
             return connection
         self.release(replica, connection)
@@ -167,13 +177,15 @@
     # Paths
 
     async def _connect_by_any_path(
-        self, replica: RelayReplica
+        self, replica: RelayReplica, has_others: Callable[[], bool]
     ) -> ReplicaConnection | ConnectFailure:
         loop = asyncio.get_running_loop()
         direct = loop.create_task(self.connect_directly(replica))
         check: asyncio.Task[ReachResult] | None = None
         try:
             await asyncio.wait({direct}, timeout=HEDGE_DELAY_S)
+            if direct.done() and _is_refused(direct.result()) and has_others():
+                return ConnectFailure(_as_failure(direct.result()), unverified=True)
             if not direct.done() or _is_unreachable(direct.result()):
                 check = loop.create_task(self._reach.check(replica.listing.address))
                 await _wait_for_a_path(direct, check)
@@ -194,9 +206,7 @@
         """Connect to the peer that reaches the replica, while the direct connection is awaited."""
         peer = result.peer
         if peer is None:
-            failure = direct.result()
-            assert isinstance(failure, Failure)
-            return _combined_failure(failure, result.reach)
+            return _combined_failure(_as_failure(direct.result()), result.reach)
         direct.add_done_callback(lambda task: self._settle_direct(replica, peer, task))
         connection = await self._connect_to_peer(peer)
         return connection if connection is not None else _peer_lost(peer)
@@ -282,6 +292,15 @@
     return isinstance(result, Failure) and result.kind in _UNREACHABLE_KINDS
 
 
+def _is_refused(result: ReplicaConnection | Failure) -> bool:
+    return isinstance(result, Failure) and result.kind is FailureKind.CONNECTION_REFUSED
+
+
+def _as_failure(result: ReplicaConnection | Failure) -> Failure:
+    assert isinstance(result, Failure)
+    return result
+
+
 def _as_result(result: ReplicaConnection | Failure) -> ReplicaConnection | ConnectFailure:
     return ConnectFailure(result) if isinstance(result, Failure) else result
 
--- a/winchfork/router/replica_probes.py
+++ b/winchfork/router/replica_probes.py
@@ -23,13 +23,13 @@
         self._connector = connector
         #: Hashes of the incarnations whose probe has not begun yet.
         self._scheduled: set[int] = set()
-        #: Hashes of those of them that peers have reported.
-        self._reported: set[int] = set()
+        #: Hashes of those of them that are ejected without proof by another path.
+        self._unverified: set[int] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def verify_report(self, replica: RelayReplica) -> None:
-        """Schedule a probe that ends the ejection for peers' reports if it reaches the replica."""
-        self._reported.add(replica.incarnation_hash)
+    def verify_ejection(self, replica: RelayReplica) -> None:
+        """Schedule a probe that ends the replica's ejection if it reaches it by some path."""
+        self._unverified.add(replica.incarnation_hash)
         self.schedule(replica)
 
     def schedule(self, replica: RelayReplica) -> None:
@@ -44,14 +44,14 @@
     async def _probe(self, replica: RelayReplica) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
         self._scheduled.discard(replica.incarnation_hash)
-        was_reported = replica.incarnation_hash in self._reported
-        self._reported.discard(replica.incarnation_hash)
+        was_unverified = replica.incarnation_hash in self._unverified
+        self._unverified.discard(replica.incarnation_hash)
         started_at_s = self._state.clock()
         # An idle connection proves nothing: its end may not have been detected yet.
         failed = await self._connector.verify(replica)
         if failed is None:
             self._state.crashes.record_connected(replica, started_at_s)
-            if was_reported:
+            if was_unverified:
                 self._state.end_ejection(replica)
             return
         if failed.failure.kind is FailureKind.CONNECTION_REFUSED:
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -55,7 +55,7 @@
         self._probes = ReplicaProbes(state, self.connector)
         self._silence_watch = SilenceWatch(state.clock, self._probes)
         state.on_unresponsive = self._replica_silent
-        state.on_reported = self._probes.verify_report
+        state.on_unverified_ejection = self._probes.verify_ejection
         state.on_path_lost = self._replica_unreachable
         state.on_zone_unreachable = self._zone_unreachable
         state.crashes.on_connection_broken = self._probes.schedule
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -116,8 +116,8 @@
         self.on_zone_unreachable: Callable[[str], None] = lambda zone: None
         #: Called for each replica that neither this daemon nor a peer that it asked could reach.
         self.on_ejected: Callable[[RelayReplica], None] = lambda replica: None
-        #: Called for each replica that is ejected because peers have reported it.
-        self.on_reported: Callable[[RelayReplica], None] = lambda replica: None
+        #: Called for each replica that is ejected on reports, or on this daemon's view alone.
+        self.on_unverified_ejection: Callable[[RelayReplica], None] = lambda replica: None
         #: Called for each replica that is from now on reached only through peers.
         self.on_path_lost: Callable[[RelayReplica], None] = lambda replica: None
         bounds = settings.bounds
@@ -272,7 +272,8 @@
         self.zone_reachability.record_failure(
             replica.listing.zone, replica.incarnation_hash, self.clock()
         )
-        if self.record_failure(replica, reason, certain=True) and confirmed:
+        self.record_failure(replica, reason, certain=True)
+        if confirmed:
             self.on_ejected(replica)
 
     def end_ejection(self, replica: RelayReplica) -> None:
@@ -281,8 +282,8 @@
         replica.consecutive_failures = 0
         replica.consecutive_ejections = 0
 
-    def record_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> bool:
-        """Record a replica's failure; log and return True if it is now ejected for a while."""
+    def record_failure(self, replica: RelayReplica, reason: str, *, certain: bool = False) -> None:
+        """Record a replica's failure; log if it is now ejected for a while."""
         now_s = self.clock()
         if replica.record_failure(now_s, certain=certain):
             log_event(
@@ -293,8 +294,6 @@
                 for_s=replica.ejected_until_s - now_s,
                 last_received_s=_age_s(replica.last_received_at_s, now_s),
             )
-            return True
-        return False
 
     def record_failure_report(self, replica_hash: int, reporter: str) -> None:
         """Record that a peer has ejected a replica; log if it is now ejected here as well."""
@@ -312,7 +311,7 @@
                     for_s=replica.ejected_until_s - now_s,
                     last_received_s=_age_s(replica.last_received_at_s, now_s),
                 )
-                self.on_reported(replica)
+                self.on_unverified_ejection(replica)
 
     def engine_speed(self, service: str) -> EngineSpeed:
         """Return the measured speed of a service's engines."""
