--- a/tests/loopback_case.py
+++ b/tests/loopback_case.py
@@ -33,6 +33,8 @@
     simulate_links = False
 
     async def asyncSetUp(self) -> None:
+        # Debug mode takes most of the processor here, and whole routers depend on real time.
+        asyncio.get_running_loop().set_debug(False)
         self.deployment = LoopbackDeployment(self.routers, simulate_links=self.simulate_links)
         await self.deployment.start()
         self.addAsyncCleanup(self.deployment.stop)
