--- a/standins/brittle_room.py
+++ b/standins/brittle_room.py
@@ -17,6 +17,8 @@
         self.rejected = 0
         #: When the replica fell over, on the event loop's clock.
         self.falls_s: list[float] = []
+        #: How long each admitted request ran, in seconds.
+        self.runs_s: list[float] = []
         self._recent_s: deque[float] = deque()
 
     def has_room(self, running: int) -> bool:
--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -299,6 +299,8 @@
             return True
         finally:
             self.running -= 1
+            if self.room is not None:
+                self.room.runs_s.append(asyncio.get_running_loop().time() - arrived_s)
 
     async def _crash_under(self, fatal: FatalRequest, request: Request) -> bool:
         """Crash the replica after a delay and restart it later; never answer the request."""
--- a/winchfork/core/learned_room.py
+++ b/winchfork/core/learned_room.py
@@ -50,23 +50,26 @@
     _used: bool = False
 
     def record_rejection(self, now_s: float, tolerated_per_s: float) -> None:
-        """Record that the replica rejected a request for want of room."""
-        is_repeated = now_s - self.rejected_at_s < REPEATED_S
-        if self._grown and not is_repeated:
+        """Record that the replica rejected a request for want of room.
+
+        Further rejections of the same moment change nothing. One that follows a growth only takes
+        the grown place back; after any other the room is unknown, so the replica is paused.
+        """
+        since_s = now_s - self.rejected_at_s
+        if self._grown and since_s >= REPEATED_S:
             self.room -= 1
             self.grow_after_s = min(MAX_GROW_AFTER_S, 2.0 * self.grow_after_s)
-        elif not self._is_paused(now_s):
+        elif since_s >= MIN_PAUSE_S:
             self.room = int(self.room * SHRINK_FACTOR)
+            pause_s = 2.0 / tolerated_per_s if tolerated_per_s > 0 else MAX_PAUSE_S
+            self.paused_until_s = now_s + min(MAX_PAUSE_S, max(MIN_PAUSE_S, pause_s))
         self.room = max(1, self.room)
         self._set_changed(now_s, grown=False)
         self.rejected_at_s = now_s
-        pause_s = 2.0 / tolerated_per_s if tolerated_per_s > 0 else MAX_PAUSE_S
-        self.paused_until_s = now_s + min(MAX_PAUSE_S, max(MIN_PAUSE_S, pause_s))
 
     def apply_report(self, room: int, now_s: float, tolerated_per_s: float) -> None:
         """Apply a peer's report of a rejection, after which it knew of ``room`` places."""
-        if not self._is_paused(now_s):
-            self.record_rejection(now_s, tolerated_per_s)
+        self.record_rejection(now_s, tolerated_per_s)
         self.room = max(1, min(self.room, room))
 
     def apply_hint(self, fraction: float, now_s: float) -> None:
@@ -98,9 +101,6 @@
         """Return for how long no request may be sent."""
         return max(0.0, self.paused_until_s - now_s)
 
-    def _is_paused(self, now_s: float) -> bool:
-        return now_s < self.paused_until_s
-
     def _set_changed(self, now_s: float, *, grown: bool) -> None:
         self._grown = grown
         self._used = False
