--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -182,7 +182,7 @@
             Lane("limits", [limits.name_limits], LIMIT_PAUSE_S),
             Lane("entries", [entries.foreign_entry], ENTRY_PAUSE_S),
             Lane("peers", [peers.peers_cut, peers.zone_cut], PEER_PAUSE_S, delay_s),
-            Lane("links", [links.without_replicas], PEER_PAUSE_S),
+            Lane("links", [links.without_replicas], PEER_PAUSE_S, delay_s),
             Lane("store", [store.store_down, store.link_cut], STORE_PAUSE_S, delay_s),
             Lane("copies", [copies.comes_back_from_copy], STORE_PAUSE_S, delay_s),
         ]
