Log the software version of each attempt, and what a stream continues

Callers saw streams with events of two versions. Nothing in our lines told which version a request was sent to, nor that it continued a stream, nor whose; of the three hypotheses only the retry inside an answer could be seen, by joining four kinds of lines.

request_sent has software, resume_after and origin (the attempt named by Resumes); request_done has software and origin. stream_mixed and winchfork_mixed_streams tell of an answer with events of two versions. No decision depends on any of this.

--- a/winchfork/platform/headers.py
+++ b/winchfork/platform/headers.py
@@ -36,6 +36,7 @@
             api_key=found.get(names.API_KEY.lower()),
             prompt=prompt,
             resume_after=int(resume_after) if resume_after and resume_after.isdigit() else None,
+            origin_id=found.get(names.RESUMES.lower()) or None,
             declared_tokens=_declared_tokens(found.get(names.TOKEN_USAGE.lower(), "")),
         )
 
--- a/winchfork/platform/names.py
+++ b/winchfork/platform/names.py
@@ -22,6 +22,7 @@
 TOKEN_USAGE: Final = b"X-Token-Usage"
 PREFIX_HASH: Final = b"X-Prefix-Hash"
 LAST_EVENT_ID: Final = b"Last-Event-Id"
+RESUMES: Final = b"Resumes"
 CACHE_SALT: Final = b"X-Cache-Salt"
 REQUEST_PRIORITY: Final = b"X-Request-Priority"
 KV_FETCH: Final = b"X-Kv-Fetch"
@@ -58,6 +59,7 @@
     TOKEN_USAGE: HeaderOwner.CALLER,
     PREFIX_HASH: HeaderOwner.CALLER,
     LENGTH_HINT: HeaderOwner.CALLER,
+    RESUMES: HeaderOwner.CALLER,
     API_KEY: HeaderOwner.CALLER_TO_ROUTER,
     DEADLINE_MS: HeaderOwner.ROUTER,
     LAST_EVENT_ID: HeaderOwner.ROUTER,
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -50,6 +50,10 @@
     expected_end_at_s: float
     expected_s: float = 1.0
     start_margin_s: float = 0.0
+    #: Version of the replica's software as of the placement; empty if the platform gives none.
+    software: str = ""
+    #: Id of the last event that the caller has; None for a stream from its beginning.
+    resume_after: int | None = None
     #: Called once, when the first event has been received.
     on_prefill_done: Callable[[], None] = lambda: None
     #: Called when the head of this request's answer has been received.
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -177,6 +177,8 @@
             expected_end_at_s=self._state.clock() + self._expected_run_s(decision),
             expected_s=self._expected_first_event_s(decision),
             start_margin_s=selector.start_margin_s(replica, prompt) if prompt else 0.0,
+            software=replica.listing.software,
+            resume_after=resume_after,
             on_prefill_done=self._on_prefill_done(decision, version),
             on_notice=self._on_notice(replica),
         )
--- a/winchfork/router/header_codec.py
+++ b/winchfork/router/header_codec.py
@@ -20,7 +20,8 @@
     """Fields of a caller's headers; None where a header is missing.
 
     ``deadline_s`` is how many seconds the caller still waits. ``declared_tokens`` is the declared
-    sum of input and output tokens. ``resume_after`` is the id of the last event received.
+    sum of input and output tokens. ``resume_after`` is the id of the last event received, and
+    ``origin_id`` the request id of the attempt that brought the first event of the stream.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     prompt: Prompt | None
     resume_after: int | None
     declared_tokens: int | None = None
+    origin_id: str | None = None
 
 
 class DispatchFields(msgspec.Struct, frozen=True):
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -124,6 +124,10 @@
             "winchfork_late_starts",
             "Streams whose first event came after the weights they run on had expired.",
         )
+        self.mixed_streams = Counter(
+            "winchfork_mixed_streams",
+            "Answers with events of several versions of a service's software.",
+        )
         self.truncated_answers = LabelledMetric(
             CounterChild,
             "winchfork_truncated_answers",
@@ -226,7 +230,7 @@
         )
 
         single = (self.bad_datagrams, self.datagrams_refused, self.documents_refused)
-        for counter in (*single, self.late_starts):
+        for counter in (*single, self.late_starts, self.mixed_streams):
             yield CounterMetricFamily(counter.name, counter.description, value=counter.value)
         counters = (
             self.requests,
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -91,6 +91,7 @@
             admitted.route,
             request.received_at_s,
             self._state.clock,
+            origin_id=admitted.fields.origin_id,
         )
         self._retries = RequestRetries(
             service.state, self._service_name, admitted.route, self._record, ends_at_s
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -48,6 +48,12 @@
     longest_gap_s: float = 0.0
     #: Why the last retry was denied; empty if it was granted.
     retry_denied: str = ""
+    #: The attempt that brought the first event of the stream, if the caller named one.
+    origin_id: str | None = None
+    #: Version of the software that the first event came from; None before it.
+    software: str | None = None
+    #: Whether events of several versions of the software were sent to the caller.
+    mixed: bool = False
 
     def mark_sent(self) -> None:
         """Record the start of an attempt."""
@@ -59,15 +65,30 @@
         if self.head_s is None:
             self.head_s = self.clock() - self.received_at_s
 
-    def mark_events(self) -> None:
-        """Record that events were sent to the caller."""
+    def mark_events(self, software: str = "") -> None:
+        """Record that events of a replica with this version of the software were received."""
         now_s = self.clock()
+        self._mark_software(software)
         if self.first_event_s is None:
             self.first_event_s = now_s - self.received_at_s
         else:
             self.longest_gap_s = max(self.longest_gap_s, now_s - self.last_event_at_s)
         self.last_event_at_s = now_s
 
+    def _mark_software(self, software: str) -> None:
+        if self.software is None:
+            self.software = software
+        elif self.software != software and not self.mixed:
+            self.mixed = True
+            self.state.metrics.mixed_streams.inc()
+            log_event(
+                "stream_mixed",
+                "ERROR",
+                id=self.request_id,
+                began_at=self.software or None,
+                software=software or None,
+            )
+
     def log_sent(
         self,
         decision: RelayDecision,
@@ -87,7 +108,10 @@
             digest=self.digest.hex(),
             route=self.route.name,
             replica=decision.replica.replica_id,
+            software=plan.software or None,
             attempt=self.attempts,
+            resume_after=plan.resume_after,
+            origin=self.origin_id,
             relayed_by=relayed_by,
             cost_s=decision.cost_s,
             weighed=decision.candidate_count,
@@ -158,6 +182,8 @@
             longest_gap_s=self.longest_gap_s or None,
             sends=self.attempts,
             events=events or None,
+            software=self.software or None,
+            origin=self.origin_id,
             truncated_by=truncated_by,
             ran=ran.value,
             repeat_denied=self.retry_denied or None,
