Failing tests: streams with events of two software versions

Streams break off in the middle and callers take them up at any router, beside routers that die or stop as planned, lost links to replicas, a version that vanishes, and replicas that come back with another version.

The stand-ins' events name the version that wrote them.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -104,9 +104,15 @@
 
 
 class PlatformStandins:
-    """The stand-ins around the routers: the store, four model and two application replicas."""
+    """The stand-ins around the routers: the store, four model and two application replicas.
 
-    def __init__(self, weights_timing: WeightsTiming | None = None) -> None:
+    ``contracts`` are those in the routers' settings.
+    """
+
+    def __init__(
+        self, weights_timing: WeightsTiming | None = None, contracts: str = "base,rollout"
+    ) -> None:
+        self._contracts = contracts
         self.weights_timing = weights_timing or WeightsTiming()
         self.store = StoreServer()
         self.weights_operator = WeightsOperator(self.store, MODEL)
@@ -188,7 +194,7 @@
             f"ListenAddresses.Readiness={ip}:{readiness_port}",
             f"InternalPorts={self._peer_port},{self._peer_port}",
             "Seeds=127.0.0.1:1",
-            "Contracts=base,rollout",
+            f"Contracts={self._contracts}",
             "Bounds.ExposureShare=0.1",
             "Bounds.ExposureSlack=50",
             f"Bounds.VersionMs={self.weights_timing.version_bound_s * 1000:.0f}",
@@ -200,8 +206,14 @@
 class LoopbackDeployment(PlatformStandins):
     """The stand-ins and routers (one a zone by default) in this process."""
 
-    def __init__(self, routers: int = len(ZONES), *, simulate_links: bool = False) -> None:
-        super().__init__()
+    def __init__(
+        self,
+        routers: int = len(ZONES),
+        *,
+        simulate_links: bool = False,
+        contracts: str = "base,rollout",
+    ) -> None:
+        super().__init__(contracts=contracts)
         self._simulate_links = simulate_links
         #: Faults on the links between routers and replicas; set while running, if simulated.
         self.links: ReplicaLinks | None = None
@@ -218,18 +230,38 @@
         for number, zone in enumerate(self._zones, start=1):
             self._add_router(number, zone)
 
-    def _add_router(self, number: int, zone: str) -> None:
+    def kill_router(self, index: int) -> None:
+        """Simulate the death of a router: its sockets close, and nothing of it runs any more."""
+        router = self.routers[index]
+        for task in (self.tasks[index], *router._tasks, *router.service._tasks):
+            task.cancel()
+        for server in router._servers:
+            server.close()
+        for connection in list(router.service._connections):
+            connection.close()
+        router._peers.close()
+        router._replica_pool.close()
+        router.service.connector.close()
+        router._call_pool.close()
+
+    def replace_router(self, index: int) -> None:
+        """Start a router without state in the place of one that has died or was stopped."""
+        del self.routers[index], self.settings[index], self.tasks[index]
+        self._add_router(index + 1, self._zones[index], index)
+
+    def _add_router(self, number: int, zone: str, index: int | None = None) -> None:
+        index = len(self.routers) if index is None else index
         settings = parse_settings(self.settings_text(number, zone))
         if isinstance(settings, Failure):
             raise ValueError(str(settings))
         settings = msgspec.structs.replace(settings, metrics_address=f"{settings.machine_ip}:0")
         router = RouterProcess(settings, platform_adapters(), lambda: settings)
-        self.settings.append(settings)
-        self.routers.append(router)
+        self.settings.insert(index, settings)
+        self.routers.insert(index, router)
         running = router.run()
         if self.links is not None:
             running = self.links.run_router(number - 1, running)
-        self.tasks.append(asyncio.create_task(running))
+        self.tasks.insert(index, asyncio.create_task(running))
 
     async def wait_until_ready(self) -> None:
         """Wait until every router is ready and knows at least one replica."""
--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import json
+import random
 import time
 from typing import Any
 
@@ -84,7 +85,8 @@
         model: str = "",
         software: str = "v1",
     ) -> None:
-        self._software_version = software
+        #: Version of its software, which each event names.
+        self.software = software
         self.fault_injector = AnswerFaultInjector(replica_id)
         #: The notices of each incarnation, the newest last.
         self.notices_by_incarnation = [NoticeEmitter()]
@@ -108,6 +110,9 @@
         self.generations: list[Generation] = []
         #: Truncate the next stream inside this event; 0: no truncation.
         self.truncate_at_event = 0
+        #: Share of the streams that are truncated after some of their events.
+        self.truncated_share = 0.0
+        self._generator = random.Random(replica_id)
         #: The kind of request that crashes this replica, and its runs here.
         self.fatal_request: FatalRequest | None = None
         #: Bounds the requests that it admits; None: all.
@@ -178,7 +183,7 @@
             "Service": self._service,
             "Address": self.address,
             "Zone": self._zone,
-            "Version": self._software_version,
+            "Version": self.software,
             "Slots": 16,
             "State": state,
             "Models": models,
@@ -332,6 +337,13 @@
             "X-Server-Signature": f"signed.{self.replica_id}",
         } | self.notices.headers(request)
 
+    def _draw_truncation(self, first: int, last: int) -> int:
+        """Return the event inside which the next stream is truncated; 0: none."""
+        at_event, self.truncate_at_event = self.truncate_at_event, 0
+        if at_event or first >= last or self._generator.random() >= self.truncated_share:
+            return at_event
+        return self._generator.randrange(first + 1, last + 1)
+
     async def _stream(
         self, request: Request, writer: asyncio.StreamWriter, arrived_s: float
     ) -> bool:
@@ -352,11 +364,11 @@
             "",
         ]
         writer.write("\r\n".join(lines).encode())
-        truncate_at, self.truncate_at_event = self.truncate_at_event, 0
         first = int(request.headers.get("last-event-id", "0")) + 1
+        truncate_at = self._draw_truncation(first, int(tokens_out))
         for number in range(first, int(tokens_out) + 1):
             await asyncio.sleep(self.token_interval_s)
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            event = b"id: %d\ndata: piece of %b\n\n" % (number, self.software.encode())
             if number == truncate_at:
                 writer.write(b"%x\r\n%b" % (len(event), event[:7]))
                 await writer.drain()
--- a/tests/loopback_case.py
+++ b/tests/loopback_case.py
@@ -31,11 +31,14 @@
     routers = 3
     #: Whether the links between routers and replicas can be given faults.
     simulate_links = False
+    contracts = "base,rollout"
 
     async def asyncSetUp(self) -> None:
         # Debug mode takes most of the processor here, and whole routers depend on real time.
         asyncio.get_running_loop().set_debug(False)
-        self.deployment = LoopbackDeployment(self.routers, simulate_links=self.simulate_links)
+        self.deployment = LoopbackDeployment(
+            self.routers, simulate_links=self.simulate_links, contracts=self.contracts
+        )
         await self.deployment.start()
         self.addAsyncCleanup(self.deployment.stop)
         await asyncio.wait_for(self.deployment.wait_until_ready(), MAX_WAIT_S)
