Continue a begun answer at the version of the software that began it

Callers saw one answer with events of two versions of a service: after a break the router sent the stream on to any replica.

Cause: what had begun a stream was not part of any decision after its first event. Now the planner is bound to the version at the first event, before it is sent, and everything that chooses or awaits a replica asks the planner: retries, backups, withdrawals, queues for permits, and the check before sending. If the service accepts requests at other versions only, the answer ends at once; without any replica it waits as before. During a rollout, a version that was stopped or rolled back gets no continuation either.

--- a/tests/test_begun_answers.py
+++ b/tests/test_begun_answers.py
@@ -13,6 +13,7 @@
     answering,
     resetting,
     signed,
+    stream_head,
 )
 from tests.stream_case import StreamTestCase, begun, full, rest
 from winchfork.core.routing import RouteKind
@@ -96,3 +97,49 @@
         relay = await self.relay(failing, ScriptedReplica(silent), timeout_s=0.5)
         answer = await relay.ask()
         self.assertEqual((answer.status, answer.body), (500, b"broken"))
+
+
+class BegunSoftwareTest(StreamTestCase):
+    async def stream_relay(
+        self, *replicas: tuple[ScriptedReplica, str], **route: object
+    ) -> RelayUnderTest:
+        """Relay streams to replicas with these versions of their software."""
+        route = {"kind": RouteKind.STREAMING, "resumable": True, "max_attempts": 3, **route}
+        relay = await self.relay(*(replica for replica, _ in replicas), **route)
+        for number, (replica, software) in enumerate(replicas):
+            zone = "z1" if number == 0 else "z2"
+            relay.add(replica, f"i-{number}", versions={"m": 1}, zone=zone, software=software)
+        return relay
+
+    async def ask(self, relay: RelayUnderTest) -> ReceivedAnswer:
+        return await relay.ask(method="POST", extra=PROMPT_HEADERS)
+
+    async def test_a_broken_stream_goes_on_at_its_version_only(self) -> None:
+        """Guards against a retry inside an answer at a replica of another version."""
+        others = [ScriptedReplica(answering(rest)) for _ in range(3)]
+        relay = await self.stream_relay(
+            (ScriptedReplica(resetting(begun)), "v1"),
+            (others[0], "v1.1"),
+            (others[1], "v1"),
+            (others[2], "v1.1"),
+        )
+        self.assert_whole(await self.ask(relay))
+        self.assertEqual([len(replica.received) for replica in others], [0, 1, 0])
+
+    async def test_a_broken_stream_ends_at_once_without_a_replica_of_its_version(self) -> None:
+        """Guards against a begun answer that waits for what will not come."""
+        other = ScriptedReplica(answering(rest))
+        relay = await self.stream_relay(
+            (ScriptedReplica(resetting(begun)), "v1"), (other, "v1.1"), timeout_s=4.0
+        )
+        answer = await asyncio.wait_for(self.ask(relay), 2.0)
+        self.assertFalse(answer.whole)
+        self.assertEqual(other.received, [])
+        self.assertEqual(relay.state.metrics.mixed_streams.value, 0)
+
+    async def test_a_request_without_events_may_go_to_another_version(self) -> None:
+        other = ScriptedReplica(answering(rest))
+        first = ScriptedReplica(resetting(lambda request: stream_head(request)))
+        relay = await self.stream_relay((first, "v1"), (other, "v1.1"))
+        self.assert_whole(await self.ask(relay))
+        self.assertEqual(len(other.received), 1)
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -56,6 +56,8 @@
     resume_after: int | None = None
     #: Called once, when the first event has been received.
     on_prefill_done: Callable[[], None] = lambda: None
+    #: Called once, before the first event is sent to the caller.
+    on_first_event: Callable[[], None] = lambda: None
     #: Called when the head of this request's answer has been received.
     on_head: Callable[[], None] = lambda: None
     #: Called with the notice in each answer head on the connection; the flag says whether the head
@@ -204,7 +206,7 @@
             versions[self.plan.model] = max(version, versions.get(self.plan.model, 0))
         streaming = self.plan.kind is RouteKind.STREAMING
         if streaming and 200 <= head.status < 300 and self._fields.authentic:
-            self._stream = StreamRelay(self._answer, head)
+            self._stream = StreamRelay(self._answer, head, self.plan.on_first_event)
         return None
 
     def _handle_data(self, data: bytes) -> Outcome | None:
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -120,6 +120,7 @@
         if connection.relay is not None:
             plan.message = add_relay_target(plan.message, replica.listing.address)
         plan.on_head = self._record.mark_head
+        plan.on_first_event = lambda: self._planner.bind_to_software(plan.software)
         plan.on_events = lambda: self._record.mark_events(plan.software)
         self._record.mark_sent()
         if self._charge is not None and self.may_have_run:
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -48,8 +48,14 @@
         self._prompt = admitted.fields.prompt
         family = self._prompt.family if self._prompt else admitted.fields.request_id
         self._on_target = state.software.assign_to_target(service, family)
+        #: The version of the software that began the stream; None while none has.
+        self._begun_at: str | None = None
         self._stores = state.cache_store_choices(service, self._prompt) if self._prompt else {}
 
+    def bind_to_software(self, version: str) -> None:
+        """Send the rest of a stream to this version of the software only, which has begun it."""
+        self._begun_at = version
+
     @property
     def _speed(self) -> EngineSpeed:
         return self._state.engine_speed(self.service)
@@ -96,27 +102,45 @@
 
     def _candidates(self, excluded: set[str]) -> list[RelayReplica]:
         return self._state.replica_selector.candidates(
-            self.service, excluded, self._prompt, on_target=self._on_target
+            self.service,
+            excluded,
+            self._prompt,
+            on_target=self._on_target,
+            begun_at=self._begun_at,
         )
 
     def is_available(self, replica: RelayReplica, excluded: set[str]) -> bool:
         """Whether this incarnation of a replica may be sent the request now."""
         return any(candidate is replica for candidate in self._candidates(excluded))
 
+    def listed_replicas(self) -> list[RelayReplica]:
+        """Return the service's replicas, of a begun stream those with its version only."""
+        replicas = self._state.fleet.of_service(self.service)
+        if self._begun_at is None:
+            return list(replicas)
+        return [item for item in replicas if item.listing.software == self._begun_at]
+
     def has_candidates(self, excluded: set[str]) -> bool:
         """Whether a replica not in ``excluded`` accepts requests now."""
         return bool(self._candidates(excluded))
 
+    def is_version_gone(self, excluded: set[str]) -> bool:
+        """Whether the service accepts requests, but none of the version that began the stream."""
+        if self._begun_at is None:
+            return False
+        selector = self._state.replica_selector
+        return selector.is_version_gone(self.service, excluded, self._begun_at)
+
     def next_available_in_s(self, excluded: set[str]) -> float | None:
         """Return in how many seconds the first replica will accept requests; None if none will."""
         return self._state.replica_selector.next_available_in_s(
-            self.service, excluded, on_target=self._on_target
+            self.service, excluded, on_target=self._on_target, begun_at=self._begun_at
         )
 
     def permit_openings(self, excluded: set[str]) -> list[PermitOpening] | None:
         """Return the coming permits if every remaining replica has a request limit, else None."""
         return self._state.replica_selector.permit_openings(
-            self.service, excluded, on_target=self._on_target
+            self.service, excluded, on_target=self._on_target, begun_at=self._begun_at
         )
 
     def min_run_s(self) -> float:
--- a/winchfork/router/caller_answer.py
+++ b/winchfork/router/caller_answer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from winchfork.router.caller_connection import CallerConnection
 from winchfork.router.event_stream import EventSplitter, StreamEvent
 from winchfork.router.http_types import AnswerHead, end_to_end
@@ -69,10 +71,16 @@
 
 
 class StreamRelay:
-    """Splits one replica's stream into events and sends the whole ones to the caller."""
+    """Splits one replica's stream into events and sends the whole ones to the caller.
+
+    ``on_first_event`` is called before the first one is sent.
+    """
 
-    def __init__(self, answer: CallerAnswer, head: AnswerHead) -> None:
+    def __init__(
+        self, answer: CallerAnswer, head: AnswerHead, on_first_event: Callable[[], None]
+    ) -> None:
         self._answer = answer
+        self._on_first_event = on_first_event
         self._head = head
         self._splitter = EventSplitter()
         self.events = 0
@@ -80,6 +88,8 @@
     def feed(self, data: bytes) -> int:
         """Send the events that ``data`` completes; return how many there were."""
         events = self._splitter.feed(data)
+        if events and not self.events:
+            self._on_first_event()
         for event in events:
             self._answer.send_event(self._head, event)
         self.events += len(events)
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -3,7 +3,7 @@
 A request waits for a replica that will accept it before its deadline and is refused at once if none
 will. If every replica has a request limit, requests wait for permits in a queue. A stream whose
 answer has begun cannot be refused any more. It waits until its deadline, unless its attempts leave
-no replica that could continue it.
+no replica that could continue it, or only replicas of other versions of the software accept.
 """
 
 from __future__ import annotations
@@ -106,9 +106,13 @@
         return self.excluded_by_attempts() | reserved
 
     def _is_exhausted(self) -> bool:
-        replicas = self._state.fleet.of_service(self._planner.service)
+        replicas = self._planner.listed_replicas()
         return self._attempted.is_exhausted(replica.replica_id for replica in replicas)
 
+    def _cannot_continue(self) -> bool:
+        """Whether no replica is left that may continue a begun answer."""
+        return self._is_exhausted() or self._planner.is_version_gone(self.excluded_by_attempts())
+
     def excluded_by_attempts(self) -> set[str]:
         """Return the replicas excluded by attempts."""
         replicas = self._state.fleet.of_service(self._planner.service)
@@ -124,7 +128,7 @@
             if isinstance(found, RelayDecision):
                 return found
             if not found.is_in_time:
-                if not self._retries.answer_begun or self._is_exhausted():
+                if not self._retries.answer_begun or self._cannot_continue():
                     return self._no_replica(found.in_s, ran())
                 # A ticket without a permit in prospect would hold back the requests behind it.
                 self._leave_queue()
--- a/winchfork/router/replica_selector.py
+++ b/winchfork/router/replica_selector.py
@@ -29,12 +29,15 @@
         prompt: Prompt | None = None,
         *,
         on_target: bool = False,
+        begun_at: str | None = None,
     ) -> list[RelayReplica]:
         """Return the replicas that may be sent a request now, without those in ``excluded``.
 
         ``on_target``: the request goes to the target version of a software rollout while that
-        version accepts requests. For a prompt, replicas whose weights expire before it begins are
-        left out. If all are ejected, or all are in unreachable zones, that condition is ignored.
+        version accepts requests. ``begun_at`` is the version that began a stream, which no other
+        version may continue; None for a request that has not begun. For a prompt, replicas whose
+        weights expire before it begins are left out. If all are ejected, or all are in unreachable
+        zones, that condition is ignored.
         """
         now_s = self._state.clock()
         self._state.fleet.refresh()
@@ -46,7 +49,9 @@
             and self._state.brittle.has_place(replica)
             and (prompt is None or self._weights_allowed(replica, prompt, now_s))
         ]
-        candidates = self._state.software.allowed_replicas(service, candidates, on_target=on_target)
+        candidates = self._of_allowed_software(
+            service, candidates, on_target=on_target, begun_at=begun_at
+        )
         healthy = [replica for replica in candidates if now_s >= replica.ejected_until_s]
         unreachable = self._state.zone_reachability.unreachable(now_s)
         if unreachable:
@@ -54,8 +59,26 @@
             healthy = reachable or healthy
         return healthy or candidates
 
+    def _of_allowed_software(
+        self,
+        service: str,
+        replicas: list[RelayReplica],
+        *,
+        on_target: bool,
+        begun_at: str | None,
+    ) -> list[RelayReplica]:
+        software = self._state.software
+        if begun_at is not None:
+            return software.continuing_replicas(service, replicas, begun_at)
+        return software.allowed_replicas(service, replicas, on_target=on_target)
+
     def next_available_in_s(
-        self, service: str, excluded: set[str], *, on_target: bool = False
+        self,
+        service: str,
+        excluded: set[str],
+        *,
+        on_target: bool = False,
+        begun_at: str | None = None,
     ) -> float | None:
         """Return in how many seconds the first replica will accept requests; None if none will.
 
@@ -66,13 +89,19 @@
         remaining = self._remaining(service, excluded)
         waits_s = [
             self._available_in_s(replica, now_s) or PRIOR_LOAD_S
-            for replica in self._state.software.allowed_replicas(
-                service, remaining, on_target=on_target
+            for replica in self._of_allowed_software(
+                service, remaining, on_target=on_target, begun_at=begun_at
             )
         ]
         shortest_s = min(waits_s, default=math.inf)
         return None if math.isinf(shortest_s) else shortest_s
 
+    def is_version_gone(self, service: str, excluded: set[str], version: str) -> bool:
+        """Whether replicas not in ``excluded`` accept now or later, none of them this version."""
+        remaining = self._remaining(service, excluded)
+        same = self._state.software.continuing_replicas(service, remaining, version)
+        return bool(remaining) and not same
+
     def _remaining(self, service: str, excluded: set[str]) -> list[RelayReplica]:
         """Return the replicas that may get requests now or later, without those in ``excluded``."""
         return [
@@ -82,20 +111,27 @@
         ]
 
     def permit_openings(
-        self, service: str, excluded: set[str], *, on_target: bool = False
+        self,
+        service: str,
+        excluded: set[str],
+        *,
+        on_target: bool = False,
+        begun_at: str | None = None,
     ) -> list[PermitOpening] | None:
         """Return the coming permits of each remaining replica, if all are rationed.
 
         Return None if a remaining replica is not, or if none remains.
         """
         remaining = self._remaining(service, excluded)
+        if begun_at is not None:
+            remaining = self._state.software.continuing_replicas(service, remaining, begun_at)
         if not remaining or not all(self.is_rationed(replica) for replica in remaining):
             return None
         now_s = self._state.clock()
         return [
             PermitOpening(self._available_in_s(replica, now_s), self._permit_interval_s(replica))
-            for replica in self._state.software.allowed_replicas(
-                service, remaining, on_target=on_target
+            for replica in self._of_allowed_software(
+                service, remaining, on_target=on_target, begun_at=begun_at
             )
         ]
 
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -17,6 +17,7 @@
 from winchfork.core.rendezvous import member_hash
 from winchfork.core.software_orders import NO_ORDER, OrderRegistry
 from winchfork.core.software_state import (
+    RolloutOutcome,
     SoftwareOrder,
     SoftwarePhase,
     SoftwareState,
@@ -258,6 +259,30 @@
         preferred = self._preferred_replicas(service, replicas, rule)
         return preferred or _of_version(replicas, rule.fallback)
 
+    def continuing_replicas(
+        self, service: str, replicas: Sequence[RelayReplica], begun_at: str
+    ) -> list[RelayReplica]:
+        """Return those of ``replicas`` that may continue a stream which ``begun_at`` began.
+
+        Only that version may, and not once it was rolled back or while it gets no requests. A
+        version that is no longer in force may finish what it has begun.
+        """
+        same = [replica for replica in replicas if replica.listing.software == begun_at]
+        state = self.effective_state(service) if self.enabled else None
+        if state is None or begun_at == state.in_force:
+            return same
+        if begun_at in state.judged_bad:
+            return []
+        if begun_at != state.target:
+            return same
+        if state.outcome is RolloutOutcome.ROLLED_BACK or self.is_stopped(state):
+            return []
+        if state.phase in (SoftwarePhase.STABLE, SoftwarePhase.MOVED):
+            return same
+        if not self._is_share_current(state):
+            return []
+        return self._preferred_replicas(service, same, version_rule(state, on_target=True))
+
     def _preferred_replicas(
         self, service: str, replicas: Sequence[RelayReplica], rule: VersionRule
     ) -> list[RelayReplica]:
