Continue a stream at any router at the version that began it, or refuse it

Callers that took a broken stream up again got the rest of it from replicas of another version: the router that got the second attempt placed it like a new request, and Resumes was read by nobody.

Cause: a stream outlives the attempt that began it, and what it was begun with lived in that attempt only.

Now its origin, the service and the version of its software, is recorded before the first event is sent: here, and by one datagram at each of three daemons that rendezvous hashing names, in turns of zones. A request that continues a stream is bound to the origin, known here or from the first peer that replies; it is refused as not run if none knows it (three rounds of 40 ms at most, at once if all asked reply). A daemon that stops hands its records over; one that began a stream replaces holders that have gone. A service that has had one version only for longer than a stream may last needs no record. Ids are scoped by caller; an id used for two streams of different origin counts as unknown. Routers of earlier builds ignore the new messages, and streams that they begin are refused where versions differ.

--- a/tests/peer_samples.py
+++ b/tests/peer_samples.py
@@ -39,6 +39,10 @@
     ReplicaNoticeEntry,
     ReplicaNotices,
     Resignation,
+    StreamOriginEntry,
+    StreamOriginQuery,
+    StreamOriginReply,
+    StreamOriginReport,
     SuspectRunReport,
     VersionAgeEntry,
     VersionAgeQuery,
@@ -103,6 +107,9 @@
     VersionAgeQuery("10.0.0.1:7000", 2**32 - 1),
     VersionAgeReply(2**32 - 1, (VersionAgeEntry("m", 3, 2500),)),
     BrittleReport("n1", (BrittleEntry(2**64 - 1, 3.0, 120, 4), BrittleEntry(7, None, 0))),
+    StreamOriginReport((StreamOriginEntry(b"k" * 16, "s", "v1.1", 25_000),)),
+    StreamOriginQuery("10.0.0.1:7000", 2**48 - 1, b"k" * 16, "s", 25_000),
+    StreamOriginReply("n1", 2**48 - 1, "s", "v1.1"),
 )
 
 
--- a/winchfork/errors.py
+++ b/winchfork/errors.py
@@ -35,6 +35,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     STOPPING = "stopping"
     NO_REPLICA = "no_replica"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_FAILED = "backend_broke"
     BACKEND_REFUSED = "backend_refused"
@@ -91,6 +92,7 @@
         FailureKind.QUOTA_EXCEEDED,
         FailureKind.STOPPING,
         FailureKind.NO_REPLICA,
+        FailureKind.STREAM_ORIGIN_UNKNOWN,
         FailureKind.BACKEND_UNREACHABLE,
         FailureKind.CONNECTION_REFUSED,
         FailureKind.FENCE_MISMATCH,
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -7,6 +7,7 @@
 from winchfork.core.broken_runs import CrashEvidence
 from winchfork.core.placement_request import RelayDecision
 from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.stream_origin import StreamOrigin
 from winchfork.errors import FailureKind
 from winchfork.router.attempt import Attempt
 from winchfork.router.attempt_planner import AttemptPlanner
@@ -120,7 +121,7 @@
         if connection.relay is not None:
             plan.message = add_relay_target(plan.message, replica.listing.address)
         plan.on_head = self._record.mark_head
-        plan.on_first_event = lambda: self._planner.bind_to_software(plan.software)
+        plan.on_first_event = lambda: self._begin_stream(plan.software)
         plan.on_events = lambda: self._record.mark_events(plan.software)
         self._record.mark_sent()
         if self._charge is not None and self.may_have_run:
@@ -147,6 +148,15 @@
         attempt.start()
         return attempt
 
+    def _begin_stream(self, software: str) -> None:
+        """Bind the rest of the stream to the software that is about to begin it."""
+        if self._retries.answer_begun:
+            return
+        self._planner.bind_to_software(software)
+        if self._retries.route.resumable:
+            origin = StreamOrigin(self._planner.service, software)
+            self._state.stream_origins.record(self._admitted, origin)
+
     def finish(self, attempt: Attempt, outcome: Outcome) -> None:
         """Record the outcome of an attempt that has ended."""
         attempt.end()
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -128,6 +128,12 @@
             "winchfork_mixed_streams",
             "Answers with events of several versions of a service's software.",
         )
+        self.continued_streams = LabelledMetric(
+            CounterChild,
+            "winchfork_continued_streams",
+            "Requests that continue a stream, by where the software that began it was known.",
+            "origin",
+        )
         self.truncated_answers = LabelledMetric(
             CounterChild,
             "winchfork_truncated_answers",
@@ -235,6 +241,7 @@
         counters = (
             self.requests,
             self.truncated_answers,
+            self.continued_streams,
             self.calls,
             self.updates_relayed,
             self.updates_dropped,
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -314,6 +314,47 @@
     entries: tuple[BrittleEntry, ...]
 
 
+class StreamOriginEntry(PeerMessage, frozen=True):
+    """A begun stream, and the version of a service's software that began it.
+
+    It may be forgotten ``remaining_ms`` after sending.
+    """
+
+    key: bytes
+    service: str
+    software: str
+    remaining_ms: int
+
+
+class StreamOriginReport(PeerMessage, frozen=True):
+    """Streams that the receiver is to remember."""
+
+    entries: tuple[StreamOriginEntry, ...]
+
+
+class StreamOriginQuery(PeerMessage, frozen=True):
+    """Asks which software began a stream, for a ``StreamOriginReply`` with the same nonce.
+
+    ``service`` is the only one that may have, or empty; all streams on the same route are over
+    ``lifetime_ms`` after their begin.
+    """
+
+    sender_address: str
+    nonce: int
+    key: bytes
+    service: str
+    lifetime_ms: int
+
+
+class StreamOriginReply(PeerMessage, frozen=True):
+    """The origin of a stream; ``software`` is None if the sender does not know it."""
+
+    sender_id: str
+    nonce: int
+    service: str
+    software: str | None
+
+
 PEER_MESSAGE_TYPES = (
     Probe,
     ProbeReply,
@@ -340,4 +381,7 @@
     VersionAgeQuery,
     VersionAgeReply,
     BrittleReport,
+    StreamOriginReport,
+    StreamOriginQuery,
+    StreamOriginReply,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -26,6 +26,9 @@
     RegionWork,
     ReplicaNotices,
     Resignation,
+    StreamOriginQuery,
+    StreamOriginReply,
+    StreamOriginReport,
     SuspectRunReport,
     VersionAgeQuery,
     VersionAgeReply,
@@ -40,6 +43,7 @@
 from winchfork.router.region_exchange import RegionExchange
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
+from winchfork.router.stream_origin_exchange import StreamOriginExchange
 from winchfork.router.version_age_exchange import VersionAgeExchange
 from winchfork.router.weights_exchange import WeightsExchange
 from winchfork.router.work_exchange import WorkExchange
@@ -51,6 +55,7 @@
     weights: WeightsExchange
     evidence: EvidenceExchange
     notices: NoticeExchange
+    stream_origins: StreamOriginExchange
 
 
 def connect_peers(
@@ -92,6 +97,10 @@
     peers.register_handler(ClearedRequests, crashes.handle_cleared)
     notices = NoticeExchange(state, peers, call_later)
     peers.register_handler(ReplicaNotices, notices.handle_notices)
+    stream_origins = StreamOriginExchange(state, peers)
+    peers.register_handler(StreamOriginReport, stream_origins.handle_report)
+    peers.register_handler(StreamOriginQuery, stream_origins.handle_query)
+    peers.register_handler(StreamOriginReply, stream_origins.handle_reply)
     peers.register_handler(DocumentPull, relay.handle_pull)
     peers.register_handler(DocumentPart, relay.handle_part)
     peers.register_handler(EraDocumentPull, relay.handle_era_pull)
@@ -102,6 +111,7 @@
         work.tick,
         notices.tick,
         brittle.tick,
+        stream_origins.tick,
     ]
     if state.settings.software_rollouts:
         peers.on_tick.append(evidence.tick)
@@ -109,4 +119,4 @@
     sync.set_relay(relay)
     leadership.eligible = lambda: relay.may_lead and not state.is_partitioned()
     leadership.newest_era = lambda: state.eras.newest
-    return PeerExchanges(weights, evidence, notices)
+    return PeerExchanges(weights, evidence, notices, stream_origins)
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -116,6 +116,7 @@
         self._weights_rollout = WeightsRollout(
             self.state, self._leadership, control, self._peers, connected.weights
         )
+        self._stream_origins = connected.stream_origins
         self._refusals = RefusalWriter(self.state, store, generator)
         self._software_rollout = SoftwareRollout(
             self.state, self._leadership, store, adapters.status, connected.evidence
@@ -313,6 +314,8 @@
         requested_s = self._loop.time()
         self.state.stopping = True
         log_event("router_stopping", active=self.service.active_requests)
+        # Callers of this router continue their streams at others from now on.
+        self._stream_origins.hand_over()
         handover = self._loop.create_task(self._weights_rollout.stop())
         deadline_s = requested_s + self._settings.bounds.grace_s - STOP_MARGIN_S
         drain_s = min(LOAD_BALANCER_DRAIN_S, self._settings.bounds.grace_s / 2)
@@ -328,6 +331,7 @@
         for server in self._servers:
             server.close()
         self.service.close_late_callers()
+        self._stream_origins.hand_over()
         self._peers.leave()
         for task in self._tasks:
             task.cancel()
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -12,6 +12,7 @@
 
 from winchfork.core.placement_request import RelayDecision
 from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.stream_origin import StreamOrigin
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
 from winchfork.router.attempt_launcher import AttemptLauncher
@@ -54,7 +55,10 @@
 
 
 class RelayedRequest:
-    """Serves one admitted request; ``charge`` is refunded if the request did not run."""
+    """Serves one admitted request; ``charge`` is refunded if the request did not run.
+
+    A request that continues a stream goes to the software of its ``origin`` only.
+    """
 
     def __init__(
         self,
@@ -63,6 +67,7 @@
         request: IncomingRequest,
         admitted: AdmittedRequest,
         charge: QuotaCharge | None = None,
+        origin: StreamOrigin | None = None,
     ) -> None:
         self._service = service
         self._charge = charge
@@ -75,10 +80,14 @@
         self._inbox: Inbox[RequestEvent] = Inbox()
         self._answer = CallerAnswer(connection)
         self._connection = connection
-        self._service_name = self._state.choose_service(admitted.route)
+        self._service_name = (
+            origin.service if origin else self._state.choose_service(admitted.route)
+        )
         self._planner = AttemptPlanner(
             service.state, service.header_codec, request, admitted, self._service_name
         )
+        if origin is not None:
+            self._planner.bind_to_software(origin.software)
         ends_at_s = request.received_at_s + self._time_allowed_s()
         self._attempted = AttemptedReplicas(admitted.route.max_attempts)
         self._version_retries = 0
--- a/winchfork/router/request_admission.py
+++ b/winchfork/router/request_admission.py
@@ -26,6 +26,8 @@
     fields: RequestFields
     #: Equal for all attempts of the same request by the same caller.
     digest: bytes = b""
+    #: The tenant's name, or the API key of an unknown one; empty without a key.
+    caller: str = ""
 
     @property
     def priority(self) -> int:
@@ -59,7 +61,7 @@
         tenant = table.tenant_of(fields.api_key) if fields.api_key else None
         caller = tenant.name if tenant is not None else fields.api_key or ""
         digest = request_digest(caller, request.method, request.host, request.target, request.body)
-        admitted = AdmittedRequest(route, tenant, fields, digest)
+        admitted = AdmittedRequest(route, tenant, fields, digest, caller)
         if not table.tenants or route.anonymous:
             return admitted
         if tenant is None:
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -6,20 +6,23 @@
 
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import CallerLimits
+from winchfork.core.stream_origin import StreamOrigin
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.caller_connection import ActiveRequest, CallerConnection
 from winchfork.router.connection_pool import ConnectionPool
+from winchfork.router.continued_request import ContinuedRequest
 from winchfork.router.header_codec import HeaderCodec
 from winchfork.router.http_types import IncomingRequest
-from winchfork.router.quota_gate import QuotaGate
+from winchfork.router.quota_gate import QuotaCharge, QuotaGate
 from winchfork.router.refusals import refusal_answer
 from winchfork.router.relayed_request import RelayedRequest
 from winchfork.router.replica_connector import ReplicaConnector
 from winchfork.router.replica_probes import ReplicaProbes
-from winchfork.router.request_admission import RequestAdmission
+from winchfork.router.request_admission import AdmittedRequest, RequestAdmission
 from winchfork.router.silence_watch import WATCH_PERIOD_S, SilenceWatch
 from winchfork.router.state import RouterState
+from winchfork.router.stream_origins import continues_stream
 
 _DEFAULT_LIMITS = CallerLimits()
 
@@ -49,6 +52,8 @@
         #: Those that were opened while requests are refused.
         self._late_connections: set[CallerConnection] = set()
         self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
+        #: Requests of which it is not known yet which stream they continue.
+        self._lookups: set[asyncio.Task[None]] = set()
         self.connector = ReplicaConnector(state, pool, state.generator)
         state.is_connected = self.connector.is_connected
         state.is_partitioned = lambda: self.connector.is_partitioned
@@ -98,12 +103,46 @@
         charge = self._quota_gate.admit(admitted.tenant, fields.declared_tokens)
         if isinstance(charge, Failure):
             return self._refuse(connection, charge, fields.request_id)
-        active = RelayedRequest(self, connection, request, admitted, charge)
+        if continues_stream(admitted):
+            return self._continue_stream(connection, request, admitted, charge)
+        return self._relay(connection, request, admitted, charge)
+
+    def _relay(
+        self,
+        connection: CallerConnection,
+        request: IncomingRequest,
+        admitted: AdmittedRequest,
+        charge: QuotaCharge | None,
+        origin: StreamOrigin | None = None,
+    ) -> ActiveRequest:
+        active = RelayedRequest(self, connection, request, admitted, charge, origin)
         task = asyncio.get_running_loop().create_task(active.run())
         self._tasks[task] = active
         task.add_done_callback(self._tasks.pop)
         return active
 
+    def _continue_stream(
+        self,
+        connection: CallerConnection,
+        request: IncomingRequest,
+        admitted: AdmittedRequest,
+        charge: QuotaCharge | None,
+    ) -> ActiveRequest:
+        """Find out which software began the stream, then relay the request or refuse it."""
+
+        request_id = admitted.fields.request_id
+        active = ContinuedRequest(
+            self.state.stream_origins,
+            admitted,
+            lambda origin: self._relay(connection, request, admitted, charge, origin),
+            lambda failure: self._refuse(connection, failure, request_id),
+            charge,
+        )
+        task = asyncio.get_running_loop().create_task(active.run())
+        self._lookups.add(task)
+        task.add_done_callback(self._lookups.discard)
+        return active
+
     def refuse_malformed(self, connection: CallerConnection, failure: Failure) -> None:
         """Refuse invalid input; the connection closes after the answer."""
         self._refuse(connection, failure, None)
@@ -150,7 +189,7 @@
     @property
     def active_requests(self) -> int:
         """The number of requests in progress."""
-        return len(self._tasks)
+        return len(self._tasks) + len(self._lookups)
 
     @property
     def busy_connections(self) -> int:
@@ -175,7 +214,7 @@
 
     async def cut_requests(self) -> int:
         """End the requests in progress, at the end of the grace period; return their number."""
-        tasks = list(self._tasks)
+        tasks = [*self._lookups, *self._tasks]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -43,6 +43,7 @@
 from winchfork.router.software_versions import SoftwareVersions
 from winchfork.router.stall_detector import StallDetector
 from winchfork.router.store_eras import StoreEras
+from winchfork.router.stream_origins import StreamOrigins
 from winchfork.router.zone_outage_handler import ZoneOutageHandler
 
 #: Part of the revocation bound reserved for watch lag and clock drift.
@@ -138,6 +139,7 @@
         #: Requests that wait for a permit because replicas limit their requests, by service.
         self.permit_queues: defaultdict[str, PermitQueue] = defaultdict(PermitQueue)
         self.notices = NoticeRegistry(self)
+        self.stream_origins = StreamOrigins(self)
         self.quotas = QuotaLedger(bounds.quota, self.start_id)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
         #: Moving average of a run's duration divided by its allowed number of output tokens.
--- /dev/null
+++ b/winchfork/router/stream_origin_exchange.py
@@ -0,0 +1,223 @@
+"""Keeps the origins of begun streams at several daemons, and asks for them.
+
+Each stream's origin is sent to the daemons that rendezvous hashing names, before its first event is
+sent to the caller. A daemon that is asked to continue a stream which it does not know asks these
+daemons, and all in a small fleet. A daemon that stops hands over what it knows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+import msgspec
+
+from winchfork.core.member import Member, MemberStatus
+from winchfork.core.stream_origin import RECORD_COPIES, StreamOrigin, record_owners
+from winchfork.core.zone_hubs import FleetView
+from winchfork.logs import log_event
+from winchfork.router.peer_messages import (
+    StreamOriginEntry,
+    StreamOriginQuery,
+    StreamOriginReply,
+    StreamOriginReport,
+)
+from winchfork.router.peer_messenger import PeerMessenger
+from winchfork.router.state import RouterState
+from winchfork.router.stream_origins import OriginQuestion, PeersAnswer
+
+#: Daemons that are asked, beyond those that hold the record, in case the members differ.
+EXTRA_ASKED = 3
+#: Times that daemons which have not replied are asked, and seconds between.
+QUERY_ROUNDS = 3
+QUERY_INTERVAL_S = 0.04
+#: Keeps a message within one packet.
+MAX_ENTRIES_PER_MESSAGE = 16
+#: Seconds between two looks at the versions that are listed.
+OBSERVE_INTERVAL_S = 0.2
+#: Seconds between two removals of expired records.
+SWEEP_INTERVAL_S = 2.0
+_NONCE_BITS = 48
+
+
+class _Query:
+    """A query in progress; ``outstanding`` are the members that have not replied."""
+
+    def __init__(self, asked: Iterable[Member]) -> None:
+        self.outstanding = {member.member_id: member for member in asked}
+        self.answered: asyncio.Future[PeersAnswer] = asyncio.get_running_loop().create_future()
+
+    def handle(self, message: StreamOriginReply) -> None:
+        self.outstanding.pop(message.sender_id, None)
+        if self.answered.done():
+            return
+        if message.software is not None:
+            origin = StreamOrigin(message.service, message.software)
+            self.answered.set_result(PeersAnswer(origin))
+        elif not self.outstanding:
+            self.answered.set_result(PeersAnswer(None))
+
+
+class _OwnStream(msgspec.Struct, frozen=True):
+    """A stream begun here: the incarnations of the daemons that were sent its record."""
+
+    holders: frozenset[tuple[str, int]]
+    expires_at_s: float
+
+
+class StreamOriginExchange:
+    """Sends one daemon's records and queries, and handles those of its peers."""
+
+    def __init__(self, state: RouterState, peers: PeerMessenger) -> None:
+        self._state = state
+        self._peers = peers
+        self._queries: dict[int, _Query] = {}
+        self._own_streams: dict[bytes, _OwnStream] = {}
+        self._last_view: FleetView | None = None
+        self._next_sweep_s = 0.0
+        self._next_observation_s = 0.0
+        state.stream_origins.on_recorded = self._handle_recorded
+        state.stream_origins.ask_peers = self.ask
+
+    # Records
+
+    def _handle_recorded(self, key: bytes, origin: StreamOrigin, lifetime_s: float) -> None:
+        holders = self._holders(key)
+        expires_at_s = self._state.clock() + lifetime_s
+        self._own_streams[key] = _OwnStream(_incarnations(holders), expires_at_s)
+        self._send(holders, [_entry(key, origin, lifetime_s)])
+
+    def _holders(self, key: bytes) -> list[Member]:
+        members = [item for item in self._peers.view.others if item.status < MemberStatus.LEAVING]
+        return record_owners(key, members, RECORD_COPIES)
+
+    def _send(self, receivers: Iterable[Member], entries: list[StreamOriginEntry]) -> None:
+        for first in range(0, len(entries), MAX_ENTRIES_PER_MESSAGE):
+            part = tuple(entries[first : first + MAX_ENTRIES_PER_MESSAGE])
+            self._peers.send_each(receivers, StreamOriginReport(part))
+
+    def handle_report(self, message: StreamOriginReport) -> None:
+        """Remember streams that other daemons have begun."""
+        now_s = self._state.clock()
+        for entry in message.entries:
+            origin = StreamOrigin(entry.service, entry.software)
+            expires_at_s = now_s + entry.remaining_ms / 1000.0
+            self._state.stream_origins.table.record(entry.key, origin, expires_at_s)
+
+    def hand_over(self) -> None:
+        """Send all records to other daemons, before this one stops."""
+        by_holder: dict[str, list[StreamOriginEntry]] = {}
+        members: dict[str, Member] = {}
+        for key, origin, remaining_s in self._remaining():
+            for holder in self._holders(key):
+                members[holder.member_id] = holder
+                entry = _entry(key, origin, remaining_s)
+                by_holder.setdefault(holder.member_id, []).append(entry)
+        for member_id, entries in by_holder.items():
+            self._send([members[member_id]], entries)
+
+    def _remaining(self) -> list[tuple[bytes, StreamOrigin, float]]:
+        return self._state.stream_origins.table.remaining(self._state.clock())
+
+    def tick(self, now_s: float) -> None:
+        """Replace holders that have gone, and remove what has expired."""
+        if now_s >= self._next_observation_s:
+            self._next_observation_s = now_s + OBSERVE_INTERVAL_S
+            self._state.stream_origins.observe()
+        if now_s >= self._next_sweep_s:
+            self._next_sweep_s = now_s + SWEEP_INTERVAL_S
+            self._remove_expired(now_s)
+        if self._peers.view is not self._last_view:
+            self._last_view = self._peers.view
+            self._replace_holders(now_s)
+
+    def _remove_expired(self, now_s: float) -> None:
+        self._state.stream_origins.table.remove_expired(now_s)
+        expired = [key for key, own in self._own_streams.items() if now_s >= own.expires_at_s]
+        for key in expired:
+            del self._own_streams[key]
+
+    def _replace_holders(self, now_s: float) -> None:
+        """Send the records of own streams to new holders, if one of the former is gone."""
+        present = _incarnations(self._peers.view.others)
+        for key, own in list(self._own_streams.items()):
+            origin = self._state.stream_origins.table.find(key, now_s)
+            if own.holders <= present or origin is None:
+                continue
+            holders = self._holders(key)
+            new = [item for item in holders if not _incarnations([item]) <= own.holders]
+            self._own_streams[key] = _OwnStream(_incarnations(holders), own.expires_at_s)
+            self._send(new, [_entry(key, origin, own.expires_at_s - now_s)])
+
+    # Queries
+
+    async def ask(self, question: OriginQuestion) -> PeersAnswer:
+        """Return what the peers know of a stream; the first that knows it decides."""
+        asked = self._asked(question.key)
+        if not asked:
+            return PeersAnswer(None)
+        nonce = self._state.generator.getrandbits(_NONCE_BITS)
+        query = self._queries[nonce] = _Query(asked)
+        asked_at_s = self._state.clock()
+        try:
+            answer = await self._ask_repeatedly(query, nonce, question)
+        finally:
+            del self._queries[nonce]
+        log_event(
+            "stream_origin_asked",
+            service=answer.origin.service if answer.origin else None,
+            software=answer.origin.software if answer.origin else None,
+            asked=len(asked),
+            unanswered=len(query.outstanding),
+            took_s=self._state.clock() - asked_at_s,
+        )
+        return answer
+
+    async def _ask_repeatedly(
+        self, query: _Query, nonce: int, question: OriginQuestion
+    ) -> PeersAnswer:
+        message = StreamOriginQuery(
+            self._peers.view.own.peer_address,
+            nonce,
+            question.key,
+            question.service,
+            round(question.lifetime_s * 1000),
+        )
+        for _ in range(QUERY_ROUNDS):
+            self._peers.send_each(list(query.outstanding.values()), message)
+            await asyncio.wait([query.answered], timeout=QUERY_INTERVAL_S)
+            if query.answered.done():
+                return query.answered.result()
+        return PeersAnswer(None, complete=False)
+
+    def _asked(self, key: bytes) -> list[Member]:
+        view = self._peers.view
+        if view.is_full_mesh:
+            return list(view.others)
+        return record_owners(key, view.others, RECORD_COPIES + EXTRA_ASKED)
+
+    def handle_query(self, message: StreamOriginQuery) -> None:
+        """Reply whether this daemon knows a stream's origin."""
+        question = OriginQuestion(message.key, message.service, message.lifetime_ms / 1000.0)
+        origin = self._state.stream_origins.find_here(question)
+        reply = StreamOriginReply(
+            self._state.settings.node_id,
+            message.nonce,
+            origin.service if origin is not None else "",
+            origin.software if origin is not None else None,
+        )
+        self._peers.send(message.sender_address, reply)
+
+    def handle_reply(self, message: StreamOriginReply) -> None:
+        """Hand a reply to the query that it answers, unless that is over."""
+        query = self._queries.get(message.nonce)
+        if query is not None:
+            query.handle(message)
+
+
+def _entry(key: bytes, origin: StreamOrigin, remaining_s: float) -> StreamOriginEntry:
+    return StreamOriginEntry(key, origin.service, origin.software, round(remaining_s * 1000))
+
+
+def _incarnations(members: Iterable[Member]) -> frozenset[tuple[str, int]]:
+    return frozenset((member.member_id, member.incarnation) for member in members)
--- /dev/null
+++ b/winchfork/router/stream_origins.py
@@ -0,0 +1,151 @@
+"""What this daemon knows of the streams that have begun, at any daemon, and how it finds it out.
+
+A stream's origin is recorded before its first event is sent: here, and by the
+:class:`.stream_origin_exchange.StreamOriginExchange` at some peers. For a request that continues a
+stream it is looked up here and then at peers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from winchfork.core.routing import Route, RouteKind
+from winchfork.core.software_history import SoftwareHistory
+from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
+from winchfork.errors import Failure, FailureKind
+
+if TYPE_CHECKING:
+    from winchfork.router.request_admission import AdmittedRequest
+    from winchfork.router.state import RouterState
+
+#: A stream's origin is kept for so many times as long as its first attempt may take, so that later
+#: attempts find it, and for some seconds more, in which callers return.
+LIFETIME_ATTEMPTS = 2.0
+LIFETIME_MARGIN_S = 5.0
+#: Upper bound of the time for which an origin is kept, in seconds.
+MAX_LIFETIME_S = 120.0
+#: Retry-After in seconds if not all peers that were asked have replied in time.
+UNANSWERED_RETRY_AFTER_S = 0.3
+
+
+class OriginQuestion(msgspec.Struct, frozen=True):
+    """Which software began a stream?
+
+    ``service`` is the only service of the route, or empty if there are several. Streams on the
+    route are over ``lifetime_s`` after their begin.
+    """
+
+    key: bytes
+    service: str
+    lifetime_s: float
+
+
+class PeersAnswer(msgspec.Struct, frozen=True):
+    """What peers know; ``complete``: all that were asked have replied."""
+
+    origin: StreamOrigin | None
+    complete: bool = True
+
+
+async def _ask_nobody(question: OriginQuestion) -> PeersAnswer:
+    return PeersAnswer(None)
+
+
+def continues_stream(admitted: AdmittedRequest) -> bool:
+    """Whether a request asks for the rest of a stream that an earlier attempt has begun."""
+    fields = admitted.fields
+    if admitted.route.kind is not RouteKind.STREAMING:
+        return False
+    return fields.resume_after is not None or fields.origin_id is not None
+
+
+def stream_lifetime_s(admitted: AdmittedRequest) -> float:
+    """Return for how many seconds after its begin a stream may be continued."""
+    attempt_s = max(admitted.route.timeout_s, admitted.fields.deadline_s or 0.0)
+    return min(MAX_LIFETIME_S, LIFETIME_ATTEMPTS * attempt_s + LIFETIME_MARGIN_S)
+
+
+def _services(route: Route) -> list[str]:
+    return [share.service for share in route.shares if share.weight > 0]
+
+
+def _origin_key(admitted: AdmittedRequest) -> bytes:
+    fields = admitted.fields
+    return stream_key(admitted.caller, fields.origin_id or fields.request_id)
+
+
+class StreamOrigins:
+    """The origins that one daemon knows."""
+
+    def __init__(self, state: RouterState) -> None:
+        self._state = state
+        self.table = StreamOriginTable()
+        self.history = SoftwareHistory(state.settings.bounds.contact_s)
+        #: Called with the key, the origin and the lifetime in seconds of each stream begun here.
+        self.on_recorded: Callable[[bytes, StreamOrigin, float], None] = lambda *recorded: None
+        self.ask_peers: Callable[[OriginQuestion], Awaitable[PeersAnswer]] = _ask_nobody
+
+    def record(self, admitted: AdmittedRequest, origin: StreamOrigin) -> None:
+        """Record that the first event of an attempt is about to be sent."""
+        keys = {stream_key(admitted.caller, admitted.fields.request_id)}
+        if continues_stream(admitted):
+            keys.add(_origin_key(admitted))
+        lifetime_s = stream_lifetime_s(admitted)
+        for key in keys:
+            self.table.record(key, origin, self._state.clock() + lifetime_s)
+            self.on_recorded(key, origin, lifetime_s)
+
+    def question(self, admitted: AdmittedRequest) -> OriginQuestion:
+        """Return the question that a request which continues a stream poses."""
+        services = _services(admitted.route)
+        service = services[0] if len(services) == 1 else ""
+        return OriginQuestion(_origin_key(admitted), service, stream_lifetime_s(admitted))
+
+    def find_here(self, question: OriginQuestion) -> StreamOrigin | None:
+        """Return the origin if this daemon knows it, by a record or as the only version."""
+        now_s = self._state.clock()
+        recorded = self.table.find(question.key, now_s)
+        if recorded is not None or not question.service:
+            return recorded
+        software = self.history.only_version(question.service, question.lifetime_s, now_s)
+        return StreamOrigin(question.service, software) if software is not None else None
+
+    async def find(self, admitted: AdmittedRequest) -> StreamOrigin | Failure:
+        """Return the origin of the stream that a request continues, or why it is refused."""
+        question = self.question(admitted)
+        answer = PeersAnswer(self.find_here(question))
+        source = "here"
+        if answer.origin is None:
+            answer = await self.ask_peers(question)
+            source = "peers"
+        if answer.origin is None:
+            self._count("unknown")
+            return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
+                "it is not known which version of the software began the stream",
+                remedy="send the request as a new one, without the last event's id",
+                retry_after_s=question.lifetime_s if answer.complete else UNANSWERED_RETRY_AFTER_S,
+            )
+        if answer.origin.service not in _services(admitted.route):
+            self._count("moved")
+            return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
+                f"the route no longer leads to {answer.origin.service}, which began the stream",
+                remedy="send the request as a new one, without the last event's id",
+                retry_after_s=question.lifetime_s,
+            )
+        self._count(source)
+        return answer.origin
+
+    def observe(self) -> None:
+        """Record which versions are listed now."""
+        versions: dict[str, set[str]] = {}
+        for replica in self._state.fleet.replicas():
+            listing = replica.listing
+            versions.setdefault(listing.service, set()).add(listing.software)
+        now_s = self._state.clock()
+        self.history.observe(versions, now_s, list_age_s=self._state.freshness.age_s(now_s))
+
+    def _count(self, source: str) -> None:
+        self._state.metrics.continued_streams.labels(source).inc()
