--- a/tests/test_continued_streams.py
+++ b/tests/test_continued_streams.py
@@ -139,8 +139,9 @@
         key = stream_key("school", "id-9")
         table = self.stream_relay.state.stream_origins.table
         table.record(key, StreamOrigin("left", "v1"), 1e9)
-        self.assert_not_run(await self.resume("Last-Event-Id: 2\r\nResumes: id-9\r\n"))
-        self.assertEqual(len(self.first.received), 0)
+        answer = await self.resume("Last-Event-Id: 2\r\nResumes: id-9\r\n")
+        self.assert_not_run(answer)
+        self.assertIn(b"no longer leads to left", answer.body)
 
     async def test_the_only_version_for_long_began_any_stream(self) -> None:
         """Guards against refusals where no two versions have served."""
--- a/tests/test_stream_origin_exchange.py
+++ b/tests/test_stream_origin_exchange.py
@@ -8,10 +8,11 @@
 
 from tests.stream_origin_fleet import STABILIZATION_S, Findings, StreamFleet, attempt
 from tests.virtual_loop import run_virtually
-from winchfork.core.stream_origin import RECORD_COPIES
+from winchfork.core.stream_origin import RECORD_COPIES, StreamOrigin
 from winchfork.errors import Failure
 from winchfork.router.peer_messages import StreamOriginQuery, StreamOriginReport
 from winchfork.router.stream_origin_exchange import QUERY_INTERVAL_S, QUERY_ROUNDS
+from winchfork.router.stream_origins import stream_lifetime_s
 
 SMALL, LARGE = 7, 24
 STREAMS = 60
@@ -111,6 +112,38 @@
             with self.subTest(daemons=daemons):
                 self.run_fleet(daemons, scenario)
 
+    def test_peers_that_have_not_replied_are_asked_again(self) -> None:
+        """Guards against a stream that is refused for one lost datagram."""
+
+        async def scenario(fleet: StreamFleet) -> None:
+            asker = fleet.daemons[0]
+            fleet.begin(1, fleet.daemons[1:])
+            until_s = asker.state.clock() + 1.5 * QUERY_INTERVAL_S
+            fleet.network.drop = lambda sender, receiver: (
+                sender == asker.ip and asker.state.clock() < until_s
+            )
+            self.assert_found(await fleet.continue_all([asker]), 1.0)
+
+        for daemons in (SMALL, LARGE):
+            with self.subTest(daemons=daemons):
+                self.run_fleet(daemons, scenario)
+
+    def test_a_continued_stream_stays_known(self) -> None:
+        """Guards against a third attempt that comes after the first one's record has expired."""
+
+        async def scenario(fleet: StreamFleet) -> None:
+            fleet.begin(1)
+            again = attempt("again", "stream-0")
+            await asyncio.sleep(stream_lifetime_s(again) - 1.0)
+            daemon = fleet.daemons[0]
+            origin = await daemon.state.stream_origins.find(again)
+            assert isinstance(origin, StreamOrigin)
+            daemon.state.stream_origins.record(again, origin)
+            await asyncio.sleep(5.0)
+            self.assert_found(await fleet.continue_all(), 1.0)
+
+        self.run_fleet(SMALL, scenario)
+
     def test_a_daemon_that_reaches_no_peer_refuses_in_time(self) -> None:
         """Guards against a guess, and a long wait, behind a partition."""
 
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -335,15 +335,15 @@
 class StreamOriginQuery(PeerMessage, frozen=True):
     """Asks which software began a stream, for a ``StreamOriginReply`` with the same nonce.
 
-    ``service`` is the only one that may have, or empty; all streams on the same route are over
-    ``lifetime_ms`` after their begin.
+    ``service`` is the only one that may have, or empty; the stream has begun within the last
+    ``max_age_ms``.
     """
 
     sender_address: str
     nonce: int
     key: bytes
     service: str
-    lifetime_ms: int
+    max_age_ms: int
 
 
 class StreamOriginReply(PeerMessage, frozen=True):
--- a/winchfork/router/stream_origin_exchange.py
+++ b/winchfork/router/stream_origin_exchange.py
@@ -181,7 +181,7 @@
             nonce,
             question.key,
             question.service,
-            round(question.lifetime_s * 1000),
+            round(question.max_age_s * 1000),
         )
         for _ in range(QUERY_ROUNDS):
             self._peers.send_each(list(query.outstanding.values()), message)
@@ -198,7 +198,7 @@
 
     def handle_query(self, message: StreamOriginQuery) -> None:
         """Reply whether this daemon knows a stream's origin."""
-        question = OriginQuestion(message.key, message.service, message.lifetime_ms / 1000.0)
+        question = OriginQuestion(message.key, message.service, message.max_age_ms / 1000.0)
         origin = self._state.stream_origins.find_here(question)
         reply = StreamOriginReply(
             self._state.settings.node_id,
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -25,6 +25,8 @@
 #: attempts find it, and for some seconds more, in which callers return.
 LIFETIME_ATTEMPTS = 2.0
 LIFETIME_MARGIN_S = 5.0
+#: Seconds after a caller's deadline in which its last attempt may arrive here.
+DEADLINE_MARGIN_S = 2.0
 #: Upper bound of the time for which an origin is kept, in seconds.
 MAX_LIFETIME_S = 120.0
 #: Retry-After in seconds if not all peers that were asked have replied in time.
@@ -34,13 +36,13 @@
 class OriginQuestion(msgspec.Struct, frozen=True):
     """Which software began a stream?
 
-    ``service`` is the only service of the route, or empty if there are several. Streams on the
-    route are over ``lifetime_s`` after their begin.
+    ``service`` is the only service of the route, or empty if there are several. The stream began at
+    most ``max_age_s`` ago.
     """
 
     key: bytes
     service: str
-    lifetime_s: float
+    max_age_s: float
 
 
 class PeersAnswer(msgspec.Struct, frozen=True):
@@ -84,6 +86,8 @@
         self._state = state
         self.table = StreamOriginTable()
         self.history = SoftwareHistory(state.settings.bounds.contact_s)
+        #: The longest deadline of a request on each route, by its name.
+        self._longest_deadlines_s: dict[str, float] = {}
         #: Called with the key, the origin and the lifetime in seconds of each stream begun here.
         self.on_recorded: Callable[[bytes, StreamOrigin, float], None] = lambda *recorded: None
         self.ask_peers: Callable[[OriginQuestion], Awaitable[PeersAnswer]] = _ask_nobody
@@ -94,6 +98,7 @@
         if continues_stream(admitted):
             keys.add(_origin_key(admitted))
         lifetime_s = stream_lifetime_s(admitted)
+        self.record_deadline(admitted)
         for key in keys:
             self.table.record(key, origin, self._state.clock() + lifetime_s)
             self.on_recorded(key, origin, lifetime_s)
@@ -102,7 +107,21 @@
         """Return the question that a request which continues a stream poses."""
         services = _services(admitted.route)
         service = services[0] if len(services) == 1 else ""
-        return OriginQuestion(_origin_key(admitted), service, stream_lifetime_s(admitted))
+        return OriginQuestion(_origin_key(admitted), service, self._max_age_s(admitted))
+
+    def _max_age_s(self, admitted: AdmittedRequest) -> float:
+        """Return how long ago a stream that is continued now may have begun.
+
+        All attempts of a caller lie within the deadline of its first one.
+        """
+        route = admitted.route
+        longest_s = max(route.timeout_s, self._longest_deadlines_s.get(route.name, 0.0))
+        return min(LIFETIME_ATTEMPTS * route.timeout_s, longest_s) + DEADLINE_MARGIN_S
+
+    def record_deadline(self, admitted: AdmittedRequest) -> None:
+        """Record how long a caller waits for an answer."""
+        name, deadline_s = admitted.route.name, admitted.fields.deadline_s or 0.0
+        self._longest_deadlines_s[name] = max(deadline_s, self._longest_deadlines_s.get(name, 0.0))
 
     def find_here(self, question: OriginQuestion) -> StreamOrigin | None:
         """Return the origin if this daemon knows it, by a record or as the only version."""
@@ -110,7 +129,7 @@
         recorded = self.table.find(question.key, now_s)
         if recorded is not None or not question.service:
             return recorded
-        software = self.history.only_version(question.service, question.lifetime_s, now_s)
+        software = self.history.only_version(question.service, question.max_age_s, now_s)
         return StreamOrigin(question.service, software) if software is not None else None
 
     async def find(self, admitted: AdmittedRequest) -> StreamOrigin | Failure:
@@ -126,14 +145,14 @@
             return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
                 "it is not known which version of the software began the stream",
                 remedy="send the request as a new one, without the last event's id",
-                retry_after_s=question.lifetime_s if answer.complete else UNANSWERED_RETRY_AFTER_S,
+                retry_after_s=question.max_age_s if answer.complete else UNANSWERED_RETRY_AFTER_S,
             )
         if answer.origin.service not in _services(admitted.route):
             self._count("moved")
             return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
                 f"the route no longer leads to {answer.origin.service}, which began the stream",
                 remedy="send the request as a new one, without the last event's id",
-                retry_after_s=question.lifetime_s,
+                retry_after_s=question.max_age_s,
             )
         self._count(source)
         return answer.origin
