Soak: replicas of several software versions, and callers that resume streams

Checked: no more than two streams with events of two versions, and over all attempts each event once and in order.

A refusal names the version that no replica of accepts.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -131,7 +131,7 @@
         self.all_application_replicas = list(self.application_replicas)
         #: One operator for the software of each service.
         self.model_rollouts = RolloutOperator(
-            self.store, "models", self.model_replicas, self._new_model_replica
+            self.store, "models", self.model_replicas, self.new_model_replica
         )
         self.application_rollouts = RolloutOperator(
             self.store, "editing", self.application_replicas, self._new_application_replica
@@ -139,7 +139,8 @@
         self._peer_port = free_port("127.0.0.1", socket.SOCK_DGRAM)
         self._configuration: dict[str, Any] = copy.deepcopy(_CONFIGURATION)
 
-    def _new_model_replica(self, replica_id: str, software: str) -> ReplicaServer:
+    def new_model_replica(self, replica_id: str, software: str) -> ReplicaServer:
+        """Return a model replica with the newest weights, which is not started yet."""
         zone = ZONES[len(replica_id) % len(ZONES)]
         replica = ReplicaServer(self.store, replica_id, "models", zone, MODEL, software)
         replica.weights_version = max(item.weights_version for item in self.model_rollouts.replicas)
--- a/standins/resuming_callers.py
+++ b/standins/resuming_callers.py
@@ -70,11 +70,11 @@
 
 
 async def send_resumable_stream(
-    stream: ResumableStream, family: int, choose_address: Callable[[], str]
+    stream: ResumableStream, family: int, choose_address: Callable[[str], str]
 ) -> None:
     """Send a stream, and take it up after each break until it is whole or no attempt is left.
 
-    ``choose_address`` returns the caller address of the router for the next attempt.
+    ``choose_address`` returns the caller address of the router for the attempt with this id.
     """
     body = stream.request_id.encode()
     headers = stream_headers(stream.tokens, family, 0)
@@ -84,7 +84,8 @@
         extra = headers
         if origin:
             extra += f"Last-Event-Id: {stream.events[-1][0]}\r\nResumes: {origin}\r\n"
-        reply = await send_request(choose_address(), "/review/x", attempt_id, extra, body)
+        address = choose_address(attempt_id)
+        reply = await send_request(address, "/review/x", attempt_id, extra, body)
         attempt = StreamAttempt.of(reply)
         stream.attempts.append(attempt)
         if not origin and attempt.events:
@@ -103,6 +104,14 @@
     return [f"{len(mixed)} of {len(streams)} streams hold events of two versions: {names}"]
 
 
+def check_order(stream: ResumableStream) -> list[str]:
+    """Over all attempts, each event arrives once and in order."""
+    numbers = [number for number, _ in stream.events]
+    if numbers == list(range(1, len(numbers) + 1)):
+        return []
+    return [f"{stream.request_id}: its attempts brought {numbers}"]
+
+
 def check_resumptions(streams: Sequence[ResumableStream]) -> list[str]:
     """Resumed streams go on at least half as often as new streams begin."""
     resumptions = [attempt for stream in streams for attempt in stream.resumptions]
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -21,10 +21,21 @@
     parser.add_argument(
         "--earlier", metavar="COMMIT", help="build that the routers run until their first restart"
     )
+    parser.add_argument(
+        "--mixed-software",
+        action="store_true",
+        help="run replicas of several versions side by side, and order no rollouts of software",
+    )
     arguments = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix="winchfork-soak-"))
     first_tree = unpack_build(arguments.earlier, folder) if arguments.earlier else None
-    soak = Soak(arguments.seed, arguments.seconds, folder, first_tree)
+    soak = Soak(
+        arguments.seed,
+        arguments.seconds,
+        folder,
+        first_tree,
+        mixed_software=arguments.mixed_software,
+    )
     asyncio.run(soak.run())
     print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, logs in {folder}")
     print("faults: " + ", ".join(f"{name} {count}" for name, count in sorted(soak.faults.items())))
--- a/standins/soak/operators.py
+++ b/standins/soak/operators.py
@@ -23,8 +23,15 @@
     """Acts until ``until_s``, concurrently with the faults, and checks each rollout at its end."""
 
     def __init__(
-        self, platform: PlatformStandins, seed: str, until_s: float, log_line: Callable[[str], None]
+        self,
+        platform: PlatformStandins,
+        seed: str,
+        until_s: float,
+        log_line: Callable[[str], None],
+        *,
+        orders_software: bool = True,
     ) -> None:
+        self._orders_software = orders_software
         self._platform = platform
         self._seed = seed
         self._until_s = until_s
@@ -35,6 +42,9 @@
     async def run(self) -> None:
         """Act until ``until_s``; return once every rollout has ended."""
         platform = self._platform
+        if not self._orders_software:
+            await self._publish_weights()
+            return
         await asyncio.gather(
             self._publish_weights(),
             self._order_software("models", platform.model_rollouts),
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -26,11 +26,13 @@
 from standins.soak.faults.peer_faults import PeerFaults
 from standins.soak.faults.process_faults import ProcessFaults
 from standins.soak.faults.replica_faults import ReplicaFaults
+from standins.soak.faults.software_faults import SoftwareFaults
 from standins.soak.faults.store_faults import StoreFaults
 from standins.soak.lanes import Lane
 from standins.soak.network_partition import PARTITION_FILE_NAME, NetworkPartition
 from standins.soak.operators import Operators
 from standins.soak.replica_partition import REPLICA_PARTITION_NAME, ReplicaPartition
+from standins.soak.resuming_streams import ResumingStreams
 from standins.soak.routers import SoakRouter
 from standins.soak.weights_checks import (
     FINAL_BOUND_FACTOR,
@@ -60,21 +62,34 @@
 
 
 class Soak:
-    """One run of the soak; ``violations`` holds a line for each guarantee that was broken."""
+    """One run of the soak; ``violations`` holds a line for each guarantee that was broken.
+
+    With ``mixed_software`` replicas of several versions serve side by side, and no rollout of
+    software is ordered.
+    """
 
     def __init__(
-        self, seed: int, seconds: float, folder: Path, first_tree: Path | None = None
+        self,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        first_tree: Path | None = None,
+        *,
+        mixed_software: bool = False,
     ) -> None:
+        self._mixed_software = mixed_software
         self._seed = str(seed)
         self._seconds = seconds
         self._folder = folder
         self._replica_partition = ReplicaPartition(folder / REPLICA_PARTITION_NAME)
-        self._platform = PlatformStandins(WEIGHTS_TIMING)
+        contracts = "base" if mixed_software else "base,rollout"
+        self._platform = PlatformStandins(WEIGHTS_TIMING, contracts)
         self._routers = [
             SoakRouter(self._platform, number, zone, folder, first_tree)
             for number, zone in enumerate(ZONES, start=1)
         ]
         self._callers = Callers(self._routers, self._seed)
+        self._resuming = ResumingStreams(self._routers, self._seed)
         self._fatal_callers = FatalCallers(self._routers, self._generator("fatal requests"))
         generator = self._generator("ends of replicas")
         prepare_replicas(self._platform.model_replicas, generator)
@@ -84,7 +99,7 @@
     @property
     def outcomes(self) -> Counter[str]:
         """Counts of answers and rollouts by their outcome."""
-        return self._callers.outcomes
+        return self._callers.outcomes + self._resuming.outcomes
 
     async def run(self) -> None:
         """Run callers and faults, wait for the recovery and check; kill all routers at the end."""
@@ -102,10 +117,18 @@
             await router.start()
         await self._expect_service("at the start")
         self._callers.start()
+        if self._mixed_software:
+            self._resuming.start()
         loop = asyncio.get_running_loop()
         until_s = loop.time() + self._seconds
         disruptions = DisruptionLog(CONTACT_S, loop.time, self._log_line)
-        operators = Operators(self._platform, self._seed, until_s, self._log_line)
+        operators = Operators(
+            self._platform,
+            self._seed,
+            until_s,
+            self._log_line,
+            orders_software=not self._mixed_software,
+        )
         replicas = ReplicaFaults(self._platform, self._generator("replicas struck"), self._log_line)
         lanes = self._lanes(disruptions, replicas)
         await asyncio.gather(
@@ -118,8 +141,9 @@
         self._log_line("healed")
         await self._expect_newest_weights(operators)
         await self._callers.stop()
+        await self._resuming.stop()
         await self._expect_service("after the last fault")
-        self.outcomes.update(operators.outcomes)
+        self._callers.outcomes.update(operators.outcomes)
         self.violations += operators.violations
         self._check_guarantees(disruptions)
         for router in self._routers:
@@ -151,8 +175,18 @@
             NetworkPartition(self._folder / PARTITION_FILE_NAME),
             self._replica_partition,
         )
+        software = SoftwareFaults(self._platform, self._generator("software"), self._log_line)
         delay_s = self._seconds * STORE_DELAY_SHARE
-        return [
+        mixed = Lane(
+            "software",
+            [
+                software.replace_as_planned,
+                software.replace_after_a_crash,
+                software.return_with_another_version,
+            ],
+            REPLICA_PAUSE_S,
+        )
+        lanes = [
             Lane("leaders", [leaders.leader_standstills], LEADER_PAUSE_S),
             Lane(
                 "processes",
@@ -186,6 +220,7 @@
             Lane("store", [store.store_down, store.link_cut], STORE_PAUSE_S, delay_s),
             Lane("copies", [copies.comes_back_from_copy], STORE_PAUSE_S, delay_s),
         ]
+        return [*lanes, mixed] if self._mixed_software else lanes
 
     def _generator(self, name: str) -> random.Random:
         """Return a generator for one task, so that its draws do not depend on other tasks."""
@@ -225,6 +260,7 @@
         platform, callers = self._platform, self._callers
         for stream in callers.streams:
             self.violations += check_stream(stream)
+        self.violations += self._resuming.violations()
         self.violations += check_commands(callers.commands, platform.all_application_replicas)
         self.violations += check_orders(platform.all_model_replicas)
         replies = [*callers.commands.values(), *(stream.reply for stream in callers.streams)]
@@ -238,7 +274,7 @@
         ]
         bound_s = WEIGHTS_TIMING.version_bound_s
         published = platform.weights_operator.published
-        senders = callers.senders | self._fatal_callers.senders
+        senders = callers.senders | self._fatal_callers.senders | self._resuming.senders
         emitters = [
             (item.replica_id, notices)
             for item in (*models, *platform.all_application_replicas)
--- a/tests/test_mixed_software.py
+++ b/tests/test_mixed_software.py
@@ -48,7 +48,7 @@
         for replica in self.replicas:
             replica.truncated_share = TRUNCATED_SHARE
 
-    def choose_address(self) -> str:
+    def choose_address(self, attempt_id: str) -> str:
         return self.random.choice(self.deployment.settings).caller_address
 
     async def send_streams(self, *faults: Awaitable[None]) -> None:
--- a/winchfork/cli/log_explanation.py
+++ b/winchfork/cli/log_explanation.py
@@ -38,6 +38,7 @@
     "passed_on": "the replica failed, and its answer was passed on to the caller unchanged",
     "overloaded": "the replica refused the request, and it could not be sent to another",
     "no_replica": "no replica accepted requests in the remaining time",
+    "stream_origin_unknown": "no daemon that was asked knew which software began the stream",
     "outcome_unknown": "the run broke off; the request may have run and could not be retried",
     "deadline_exceeded": "the deadline of the caller or the route passed",
     "caller_left": "the caller closed its connection",
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -113,6 +113,10 @@
         """Whether this incarnation of a replica may be sent the request now."""
         return any(candidate is replica for candidate in self._candidates(excluded))
 
+    def describe_target(self) -> str:
+        """Return the service, of a begun stream with the version that may continue it."""
+        return f"{self.service} at {self._begun_at}" if self._begun_at else self.service
+
     def listed_replicas(self) -> list[RelayReplica]:
         """Return the service's replicas, of a begun stream those with its version only."""
         replicas = self._state.fleet.of_service(self.service)
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -221,7 +221,7 @@
     def _no_replica(self, available_in_s: float, ran: RunState) -> Failure:
         """Return the failure with the reason and the expected time until a replica is available."""
         service = self._planner.service
-        reason = f"no replica of {service} accepts requests in time"
+        reason = f"no replica of {self._planner.describe_target()} accepts requests in time"
         details = self._state.replica_selector.describe_unavailable(service)
         if self._ticket is not None:
             self._state.metrics.limit_effects.labels("refused").inc()
