--- a/tests/test_stream_origin.py
+++ b/tests/test_stream_origin.py
@@ -10,9 +10,9 @@
 from winchfork.core.software_history import SoftwareHistory
 from winchfork.core.stream_origin import (
     RECORD_COPIES,
+    RecordPlacement,
     StreamOrigin,
     StreamOriginTable,
-    record_owners,
     stream_key,
 )
 
@@ -69,12 +69,12 @@
         self.assertEqual(table.find(stream_key("", "999"), 1.0), V1)
 
 
-class RecordOwnersTest(unittest.TestCase):
+class RecordPlacementTest(unittest.TestCase):
     def test_owners_are_in_different_zones_and_even(self) -> None:
-        fleet = members(420, 6)
+        placement = RecordPlacement(members(420, 6))
         counts: Counter[str] = Counter()
         for number in range(2000):
-            owners = record_owners(stream_key("", str(number)), fleet, RECORD_COPIES)
+            owners = placement.owners(stream_key("", str(number)), RECORD_COPIES)
             self.assertEqual(len({owner.zone for owner in owners}), RECORD_COPIES)
             counts.update(owner.member_id for owner in owners)
         self.assertLess(max(counts.values()), 6 * 2000 * RECORD_COPIES / 420)
@@ -85,14 +85,14 @@
         generator = random.Random(1)
         for number in range(300):
             key = stream_key("", str(number))
-            written = record_owners(key, generator.sample(fleet, 58), RECORD_COPIES)
-            asked = record_owners(key, generator.sample(fleet, 58), 2 * RECORD_COPIES)
+            written = RecordPlacement(generator.sample(fleet, 58)).owners(key, RECORD_COPIES)
+            asked = RecordPlacement(generator.sample(fleet, 58)).owners(key, 2 * RECORD_COPIES)
             shared = {owner.member_id for owner in written} & {owner.member_id for owner in asked}
             self.assertGreaterEqual(len(shared), 1)
 
     def test_all_members_own_in_a_small_fleet(self) -> None:
-        self.assertEqual(len(record_owners(KEY, members(2, 2), RECORD_COPIES)), 2)
-        self.assertEqual(record_owners(KEY, [], RECORD_COPIES), [])
+        self.assertEqual(len(RecordPlacement(members(2, 2)).owners(KEY, RECORD_COPIES)), 2)
+        self.assertEqual(RecordPlacement([]).owners(KEY, RECORD_COPIES), [])
 
 
 class SoftwareHistoryTest(unittest.TestCase):
--- a/winchfork/core/stream_origin.py
+++ b/winchfork/core/stream_origin.py
@@ -47,21 +47,32 @@
     return digest.digest()
 
 
-def record_owners(key: bytes, members: Iterable[Member], count: int) -> list[Member]:
-    """Return the daemons that remember a stream, in order of preference.
+class RecordPlacement:
+    """Which daemons remember a stream, by rendezvous hashing of its key.
 
     Zones take turns, so that the loss of one does not take all records of a stream.
     """
-    number = int.from_bytes(key[:8], "big")
-    by_zone: dict[str, list[tuple[float, str, Member]]] = {}
-    for member in members:
-        order = mixed_order(number, member_hash(member.member_id))
-        by_zone.setdefault(member.zone, []).append((order, member.member_id, member))
-    ranked = []
-    for entries in by_zone.values():
-        best = heapq.nsmallest(count, entries)
-        ranked += [(rank, order, name, member) for rank, (order, name, member) in enumerate(best)]
-    return [member for *_, member in heapq.nsmallest(count, ranked)]
+
+    def __init__(self, members: Iterable[Member]) -> None:
+        by_zone: dict[str, list[Member]] = {}
+        for member in members:
+            by_zone.setdefault(member.zone, []).append(member)
+        self._zones = [
+            (zone_members, [member_hash(member.member_id) for member in zone_members])
+            for zone_members in by_zone.values()
+        ]
+
+    def owners(self, key: bytes, count: int) -> list[Member]:
+        """Return at most ``count`` daemons, in order of preference."""
+        number = int.from_bytes(key[:8], "big")
+        ranked: list[tuple[int, float, str, Member]] = []
+        for members, hashes in self._zones:
+            orders = [mixed_order(number, hashed) for hashed in hashes]
+            best = heapq.nsmallest(count, range(len(orders)), key=orders.__getitem__)
+            for rank, index in enumerate(best):
+                member = members[index]
+                ranked.append((rank, orders[index], member.member_id, member))
+        return [member for *_, member in heapq.nsmallest(count, ranked)]
 
 
 class StreamOriginTable:
--- a/winchfork/router/stream_origin_exchange.py
+++ b/winchfork/router/stream_origin_exchange.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from winchfork.core.member import Member, MemberStatus
-from winchfork.core.stream_origin import RECORD_COPIES, StreamOrigin, record_owners
+from winchfork.core.stream_origin import RECORD_COPIES, RecordPlacement, StreamOrigin
 from winchfork.core.zone_hubs import FleetView
 from winchfork.logs import log_event
 from winchfork.router.peer_messages import (
@@ -74,6 +74,8 @@
         self._queries: dict[int, _Query] = {}
         self._own_streams: dict[bytes, _OwnStream] = {}
         self._last_view: FleetView | None = None
+        self._placed_view: FleetView | None = None
+        self._placement = RecordPlacement(())
         self._next_sweep_s = 0.0
         self._next_observation_s = 0.0
         state.stream_origins.on_recorded = self._handle_recorded
@@ -88,8 +90,16 @@
         self._send(holders, [_entry(key, origin, lifetime_s)])
 
     def _holders(self, key: bytes) -> list[Member]:
-        members = [item for item in self._peers.view.others if item.status < MemberStatus.LEAVING]
-        return record_owners(key, members, RECORD_COPIES)
+        self._refresh_placement()
+        return self._placement.owners(key, RECORD_COPIES)
+
+    def _refresh_placement(self) -> None:
+        """Place records on the members of the current view that do not leave."""
+        view = self._peers.view
+        if view is not self._placed_view:
+            self._placed_view = view
+            staying = (item for item in view.others if item.status < MemberStatus.LEAVING)
+            self._placement = RecordPlacement(staying)
 
     def _send(self, receivers: Iterable[Member], entries: list[StreamOriginEntry]) -> None:
         for first in range(0, len(entries), MAX_ENTRIES_PER_MESSAGE):
@@ -194,7 +204,8 @@
         view = self._peers.view
         if view.is_full_mesh:
             return list(view.others)
-        return record_owners(key, view.others, RECORD_COPIES + EXTRA_ASKED)
+        self._refresh_placement()
+        return self._placement.owners(key, RECORD_COPIES + EXTRA_ASKED)
 
     def handle_query(self, message: StreamOriginQuery) -> None:
         """Reply whether this daemon knows a stream's origin."""
