Specification of continued streams

A first form counted the deadline from the first event and was violated: a request sent before its version left may begin after it. The rule counts from the caller's first attempt, as the code does by the longest deadline.

--- a/spec/check.py
+++ b/spec/check.py
@@ -22,6 +22,7 @@
     quota_spec,
     relay_spec,
     rollout_spec,
+    stream_spec,
     suspension_spec,
 )
 
@@ -127,6 +128,10 @@
     results += check_holds("relay", relay_spec.relay_protocol(relay_rules))
     results += check_holds("quota", quota_spec.quota_protocol(quota_spec.QuotaRules()))
     results += check_holds("rollout", rollout_spec.rollout_protocol(rollout_spec.RolloutRules()))
+    stream_rules = stream_spec.StreamRules(horizon=5 if deep else 4)
+    stream = stream_spec.stream_protocol(stream_rules)
+    results += check_holds("stream", stream)
+    results += check_reachable("stream can: ", stream, stream_spec.WITNESSES)
     results += _availability()
     for name, clock_rules in clock_spec.MUTANTS.items():
         results.append(check_violated(name, clock_spec.clock_protocol(clock_rules)))
@@ -136,6 +141,8 @@
         results.append(check_violated(name, relay_spec.relay_protocol(relay_mutant)))
     for name, quota_mutant in quota_spec.MUTANTS.items():
         results.append(check_violated(name, quota_spec.quota_protocol(quota_mutant)))
+    for name, stream_mutant in stream_spec.MUTANTS.items():
+        results.append(check_violated(name, stream_spec.stream_protocol(stream_mutant)))
     for name, rollout_mutant in rollout_spec.MUTANTS.items():
         results.append(check_violated(name, rollout_spec.rollout_protocol(rollout_mutant)))
     for name, claim_rules in claim_spec.MUTANTS.items():
