Keep and find the origins of streams right after a start

A router's view of the fleet is empty for some tenths of a second after its start. Streams that it began then were recorded nowhere else, and were lost with its death; a stream that it was asked for then was refused as unknown for good, without asking anybody.

Records now go to holders as they become known; members are looked up again in each round of a query, and in the first 2 s a negative answer is not final. Two tests in virtual time failed before.

--- a/tests/test_stream_origin_exchange.py
+++ b/tests/test_stream_origin_exchange.py
@@ -101,6 +101,28 @@
 
         self.run_fleet(SMALL, scenario)
 
+    def test_streams_of_a_daemon_that_knew_no_peer_yet_are_found(self) -> None:
+        """Guards against records that are sent nowhere right after a start."""
+
+        async def scenario(fleet: StreamFleet) -> None:
+            started = fleet.replace(fleet.daemons[0])
+            fleet.begin(STREAMS, [started])
+            await asyncio.sleep(3.0)
+            started.kill(fleet.network)
+            fleet.daemons.remove(started)
+            self.assert_found(await fleet.continue_all(), 0.9)
+
+        self.run_fleet(SMALL, scenario)
+
+    def test_a_daemon_that_has_just_started_does_not_call_a_stream_unknown_for_good(self) -> None:
+        async def scenario(fleet: StreamFleet) -> None:
+            started = fleet.replace(fleet.daemons[0])
+            found = await started.state.stream_origins.find(attempt("again", "never"))
+            assert isinstance(found, Failure) and found.retry_after_s is not None
+            self.assertLess(found.retry_after_s, 1.0)
+
+        self.run_fleet(SMALL, scenario)
+
     def test_streams_are_found_while_a_fifth_of_the_datagrams_are_lost(self) -> None:
         async def scenario(fleet: StreamFleet) -> None:
             fleet.network.drop = lambda sender, receiver: fleet.generator.random() < 0.2
--- a/winchfork/router/stream_origin_exchange.py
+++ b/winchfork/router/stream_origin_exchange.py
@@ -31,6 +31,8 @@
 #: Times that daemons which have not replied are asked, and seconds between.
 QUERY_ROUNDS = 3
 QUERY_INTERVAL_S = 0.04
+#: Seconds after a start from which on all members are assumed to be known.
+VIEW_SETTLED_S = 2.0
 #: Keeps a message within one packet.
 MAX_ENTRIES_PER_MESSAGE = 16
 #: Seconds between two looks at the versions that are listed.
@@ -41,20 +43,37 @@
 
 
 class _Query:
-    """A query in progress; ``outstanding`` are the members that have not replied."""
+    """A query in progress.
 
-    def __init__(self, asked: Iterable[Member]) -> None:
-        self.outstanding = {member.member_id: member for member in asked}
+    ``is_final``: the stream is unknown once all that were asked have replied.
+    """
+
+    def __init__(self, *, is_final: bool) -> None:
         self.answered: asyncio.Future[PeersAnswer] = asyncio.get_running_loop().create_future()
+        self.is_final = is_final
+        self._asked: set[str] = set()
+        self._replied: set[str] = set()
+
+    @property
+    def unanswered(self) -> int:
+        """How many of the daemons that were asked have not replied."""
+        return len(self._asked - self._replied)
+
+    def ask(self, members: Iterable[Member]) -> list[Member]:
+        """Return those of ``members`` that have not replied, and expect their replies."""
+        outstanding = [item for item in members if item.member_id not in self._replied]
+        self._asked.update(member.member_id for member in outstanding)
+        return outstanding
 
     def handle(self, message: StreamOriginReply) -> None:
-        self.outstanding.pop(message.sender_id, None)
+        """Handle a reply; the first that knows the origin decides."""
+        self._replied.add(message.sender_id)
         if self.answered.done():
             return
         if message.software is not None:
             origin = StreamOrigin(message.service, message.software)
             self.answered.set_result(PeersAnswer(origin))
-        elif not self.outstanding:
+        elif self.is_final and not self.unanswered:
             self.answered.set_result(PeersAnswer(None))
 
 
@@ -152,7 +171,8 @@
         present = _incarnations(self._peers.view.others)
         for key, own in list(self._own_streams.items()):
             origin = self._state.stream_origins.table.find(key, now_s)
-            if own.holders <= present or origin is None:
+            is_held = len(own.holders) >= RECORD_COPIES and own.holders <= present
+            if is_held or origin is None:
                 continue
             holders = self._holders(key)
             new = [item for item in holders if not _incarnations([item]) <= own.holders]
@@ -163,12 +183,10 @@
 
     async def ask(self, question: OriginQuestion) -> PeersAnswer:
         """Return what the peers know of a stream; the first that knows it decides."""
-        asked = self._asked(question.key)
-        if not asked:
-            return PeersAnswer(None)
-        nonce = self._state.generator.getrandbits(_NONCE_BITS)
-        query = self._queries[nonce] = _Query(asked)
         asked_at_s = self._state.clock()
+        is_settled = asked_at_s - self._state.started_at_s >= VIEW_SETTLED_S
+        nonce = self._state.generator.getrandbits(_NONCE_BITS)
+        query = self._queries[nonce] = _Query(is_final=is_settled)
         try:
             answer = await self._ask_repeatedly(query, nonce, question)
         finally:
@@ -177,8 +195,7 @@
             "stream_origin_asked",
             service=answer.origin.service if answer.origin else None,
             software=answer.origin.software if answer.origin else None,
-            asked=len(asked),
-            unanswered=len(query.outstanding),
+            unanswered=query.unanswered,
             took_s=self._state.clock() - asked_at_s,
         )
         return answer
@@ -194,7 +211,11 @@
             round(question.max_age_s * 1000),
         )
         for _ in range(QUERY_ROUNDS):
-            self._peers.send_each(list(query.outstanding.values()), message)
+            # The members may become known meanwhile, after a start.
+            asked = query.ask(self._asked(question.key))
+            if not asked and query.is_final:
+                return PeersAnswer(None)
+            self._peers.send_each(asked, message)
             await asyncio.wait([query.answered], timeout=QUERY_INTERVAL_S)
             if query.answered.done():
                 return query.answered.result()
