--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(BIN)/python -m standins
 
 soak: $(VENV)/.runtime
-	$(BIN)/python -m standins.soak --seconds $(DURATION) $(if $(SEED),--seed $(SEED))
+	$(BIN)/python -m standins.soak --seconds $(DURATION) $(if $(SEED),--seed $(SEED)) $(SOAK_FLAGS)
 
 test: $(VENV)/.dev
 	$(BIN)/python -m tests.run
