Ask for a stream's record before concluding its origin from the only version

A router cut off from the store may send streams to a version that others no longer list. Asked to continue such a stream, another router concluded the only version on its own list without asking who holds the record.

Replies now tell a record from a conclusion; conclusions count only if no record is found, and only if they agree.

--- a/tests/peer_samples.py
+++ b/tests/peer_samples.py
@@ -109,7 +109,7 @@
     BrittleReport("n1", (BrittleEntry(2**64 - 1, 3.0, 120, 4), BrittleEntry(7, None, 0))),
     StreamOriginReport((StreamOriginEntry(b"k" * 16, "s", "v1.1", 25_000),)),
     StreamOriginQuery("10.0.0.1:7000", 2**48 - 1, b"k" * 16, "s", 25_000),
-    StreamOriginReply("n1", 2**48 - 1, "s", "v1.1"),
+    StreamOriginReply("n1", 2**48 - 1, "s", "v1.1", True),
 )
 
 
--- a/tests/test_stream_origin_exchange.py
+++ b/tests/test_stream_origin_exchange.py
@@ -123,6 +123,27 @@
 
         self.run_fleet(SMALL, scenario)
 
+    def test_a_record_goes_before_the_only_version_that_is_listed(self) -> None:
+        """Guards against a stream that a daemon with an older list began at another version."""
+
+        async def scenario(fleet: StreamFleet) -> None:
+            for daemon in fleet.daemons:
+                now_s = daemon.state.clock()
+                daemon.state.freshness.prove(now_s + 60.0)
+                for age_s in range(60, -1, -1):
+                    daemon.state.stream_origins.history.observe(
+                        {"s": {"v1"}}, now_s - age_s, list_age_s=0.0
+                    )
+            fleet.begin(STREAMS)
+            await asyncio.sleep(0.01)
+            self.assert_found(await fleet.continue_all(), 1.0)
+            found = await fleet.daemons[0].state.stream_origins.find(attempt("again", "never"))
+            self.assertEqual(found, StreamOrigin("s", "v1"))
+
+        for daemons in (SMALL, LARGE):
+            with self.subTest(daemons=daemons):
+                self.run_fleet(daemons, scenario)
+
     def test_streams_are_found_while_a_fifth_of_the_datagrams_are_lost(self) -> None:
         async def scenario(fleet: StreamFleet) -> None:
             fleet.network.drop = lambda sender, receiver: fleet.generator.random() < 0.2
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -347,12 +347,17 @@
 
 
 class StreamOriginReply(PeerMessage, frozen=True):
-    """The origin of a stream; ``software`` is None if the sender does not know it."""
+    """The origin of a stream; ``software`` is None if the sender does not know it.
+
+    ``recorded``: the sender has the stream's record. If not, it has concluded the origin from its
+    list of replicas, which other daemons' lists may have differed from.
+    """
 
     sender_id: str
     nonce: int
     service: str
     software: str | None
+    recorded: bool
 
 
 PEER_MESSAGE_TYPES = (
--- a/winchfork/router/stream_origin_exchange.py
+++ b/winchfork/router/stream_origin_exchange.py
@@ -53,6 +53,7 @@
         self.is_final = is_final
         self._asked: set[str] = set()
         self._replied: set[str] = set()
+        self._concluded: set[StreamOrigin] = set()
 
     @property
     def unanswered(self) -> int:
@@ -66,15 +67,25 @@
         return outstanding
 
     def handle(self, message: StreamOriginReply) -> None:
-        """Handle a reply; the first that knows the origin decides."""
+        """Handle a reply; the first that has the record decides."""
         self._replied.add(message.sender_id)
-        if self.answered.done():
-            return
+        origin = None
         if message.software is not None:
             origin = StreamOrigin(message.service, message.software)
+        if origin is not None and not message.recorded:
+            self._concluded.add(origin)
+            origin = None
+        if self.answered.done():
+            return
+        if origin is not None:
             self.answered.set_result(PeersAnswer(origin))
         elif self.is_final and not self.unanswered:
-            self.answered.set_result(PeersAnswer(None))
+            self.answered.set_result(self.without_record(complete=True))
+
+    def without_record(self, *, complete: bool) -> PeersAnswer:
+        """Return what the peers conclude, unless they differ."""
+        concluded = next(iter(self._concluded)) if len(self._concluded) == 1 else None
+        return PeersAnswer(None, concluded, complete)
 
 
 class _OwnStream(msgspec.Struct, frozen=True):
@@ -191,10 +202,12 @@
             answer = await self._ask_repeatedly(query, nonce, question)
         finally:
             del self._queries[nonce]
+        origin = answer.recorded or answer.concluded
         log_event(
             "stream_origin_asked",
-            service=answer.origin.service if answer.origin else None,
-            software=answer.origin.software if answer.origin else None,
+            service=origin.service if origin else None,
+            software=origin.software if origin else None,
+            recorded=answer.recorded is not None,
             unanswered=query.unanswered,
             took_s=self._state.clock() - asked_at_s,
         )
@@ -214,12 +227,12 @@
             # The members may become known meanwhile, after a start.
             asked = query.ask(self._asked(question.key))
             if not asked and query.is_final:
-                return PeersAnswer(None)
+                return PeersAnswer()
             self._peers.send_each(asked, message)
             await asyncio.wait([query.answered], timeout=QUERY_INTERVAL_S)
             if query.answered.done():
                 return query.answered.result()
-        return PeersAnswer(None, complete=False)
+        return query.without_record(complete=False)
 
     def _asked(self, key: bytes) -> list[Member]:
         view = self._peers.view
@@ -230,13 +243,16 @@
 
     def handle_query(self, message: StreamOriginQuery) -> None:
         """Reply whether this daemon knows a stream's origin."""
+        origins = self._state.stream_origins
         question = OriginQuestion(message.key, message.service, message.max_age_ms / 1000.0)
-        origin = self._state.stream_origins.find_here(question)
+        recorded = origins.recorded(question.key)
+        origin = recorded or origins.concluded(question)
         reply = StreamOriginReply(
             self._state.settings.node_id,
             message.nonce,
             origin.service if origin is not None else "",
             origin.software if origin is not None else None,
+            recorded is not None,
         )
         self._peers.send(message.sender_address, reply)
 
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -2,7 +2,8 @@
 
 A stream's origin is recorded before its first event is sent: here, and by the
 :class:`.stream_origin_exchange.StreamOriginExchange` at some peers. For a request that continues a
-stream it is looked up here and then at peers.
+stream it is looked up here and then at peers; without a record, a service that has had one version
+only for long enough has begun it with that.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
 MAX_LIFETIME_S = 120.0
 #: Retry-After in seconds if not all peers that were asked have replied in time.
 UNANSWERED_RETRY_AFTER_S = 0.3
+_REMEDY = "send the request as a new one, without the last event's id"
 
 
 class OriginQuestion(msgspec.Struct, frozen=True):
@@ -46,14 +48,18 @@
 
 
 class PeersAnswer(msgspec.Struct, frozen=True):
-    """What peers know; ``complete``: all that were asked have replied."""
+    """What peers know: the recorded origin, or one that they conclude from their lists.
 
-    origin: StreamOrigin | None
+    ``complete``: all that were asked have replied.
+    """
+
+    recorded: StreamOrigin | None = None
+    concluded: StreamOrigin | None = None
     complete: bool = True
 
 
 async def _ask_nobody(question: OriginQuestion) -> PeersAnswer:
-    return PeersAnswer(None)
+    return PeersAnswer()
 
 
 def continues_stream(admitted: AdmittedRequest) -> bool:
@@ -123,39 +129,56 @@
         name, deadline_s = admitted.route.name, admitted.fields.deadline_s or 0.0
         self._longest_deadlines_s[name] = max(deadline_s, self._longest_deadlines_s.get(name, 0.0))
 
-    def find_here(self, question: OriginQuestion) -> StreamOrigin | None:
-        """Return the origin if this daemon knows it, by a record or as the only version."""
+    def recorded(self, key: bytes) -> StreamOrigin | None:
+        """Return the recorded origin of a stream, if this daemon has it."""
+        return self.table.find(key, self._state.clock())
+
+    def concluded(self, question: OriginQuestion) -> StreamOrigin | None:
+        """Return the origin if, by this daemon's list, only one version can have begun it."""
         now_s = self._state.clock()
-        recorded = self.table.find(question.key, now_s)
-        if recorded is not None or not question.service:
-            return recorded
         software = self.history.only_version(question.service, question.max_age_s, now_s)
         return StreamOrigin(question.service, software) if software is not None else None
 
     async def find(self, admitted: AdmittedRequest) -> StreamOrigin | Failure:
-        """Return the origin of the stream that a request continues, or why it is refused."""
+        """Return the origin of the stream that a request continues, or why it is refused.
+
+        A record goes before a conclusion: a daemon whose list is older may have begun the stream at
+        a version that is no longer listed.
+        """
         question = self.question(admitted)
-        answer = PeersAnswer(self.find_here(question))
-        source = "here"
-        if answer.origin is None:
-            answer = await self.ask_peers(question)
-            source = "peers"
-        if answer.origin is None:
-            self._count("unknown")
-            return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
-                "it is not known which version of the software began the stream",
-                remedy="send the request as a new one, without the last event's id",
-                retry_after_s=question.max_age_s if answer.complete else UNANSWERED_RETRY_AFTER_S,
-            )
-        if answer.origin.service not in _services(admitted.route):
-            self._count("moved")
-            return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
-                f"the route no longer leads to {answer.origin.service}, which began the stream",
-                remedy="send the request as a new one, without the last event's id",
-                retry_after_s=question.max_age_s,
-            )
-        self._count(source)
-        return answer.origin
+        origin = self.recorded(question.key)
+        if origin is not None:
+            return self._check_service(admitted, question, origin, "here")
+        answer = await self.ask_peers(question)
+        if answer.recorded is not None:
+            return self._check_service(admitted, question, answer.recorded, "peers")
+        origin = self.concluded(question) or answer.concluded
+        if origin is not None:
+            return self._check_service(admitted, question, origin, "only_version")
+        self._count("unknown")
+        return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
+            "it is not known which version of the software began the stream",
+            remedy=_REMEDY,
+            retry_after_s=question.max_age_s if answer.complete else UNANSWERED_RETRY_AFTER_S,
+        )
+
+    def _check_service(
+        self,
+        admitted: AdmittedRequest,
+        question: OriginQuestion,
+        origin: StreamOrigin,
+        source: str,
+    ) -> StreamOrigin | Failure:
+        """Return the origin, unless the route no longer leads to its service."""
+        if origin.service in _services(admitted.route):
+            self._count(source)
+            return origin
+        self._count("moved")
+        return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
+            f"the route no longer leads to {origin.service}, which began the stream",
+            remedy=_REMEDY,
+            retry_after_s=question.max_age_s,
+        )
 
     def observe(self) -> None:
         """Record which versions are listed now."""
