--- a/winchfork/router/continued_request.py
+++ b/winchfork/router/continued_request.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from winchfork.core.stream_origin import StreamOrigin
-from winchfork.errors import Failure, FailureKind
+from winchfork.errors import Failure, FailureKind, RunState
+from winchfork.logs import log_event
 from winchfork.router.caller_connection import ActiveRequest
 from winchfork.router.quota_gate import QuotaCharge
 from winchfork.router.request_admission import AdmittedRequest
@@ -58,6 +59,10 @@
             reason = "the grace period of the router's stop ended"
             self._end(FailureKind.STOPPING.because(reason))
             raise
+        except Exception as error:  # noqa: BLE001 - the caller gets an answer after any error
+            log_event("request_error", "ERROR", error=repr(error))
+            self._end(FailureKind.INTERNAL.because(repr(error), ran=RunState.NOT_RUN))
+            return
         if self._caller_disconnected:
             self._end(None)
         elif isinstance(origin, Failure):
--- a/winchfork/router/stream_origin_exchange.py
+++ b/winchfork/router/stream_origin_exchange.py
@@ -13,7 +13,12 @@
 import msgspec
 
 from winchfork.core.member import Member, MemberStatus
-from winchfork.core.stream_origin import RECORD_COPIES, RecordPlacement, StreamOrigin
+from winchfork.core.stream_origin import (
+    MAX_STREAMS,
+    RECORD_COPIES,
+    RecordPlacement,
+    StreamOrigin,
+)
 from winchfork.core.zone_hubs import FleetView
 from winchfork.logs import log_event
 from winchfork.router.peer_messages import (
@@ -35,7 +40,7 @@
 VIEW_SETTLED_S = 2.0
 #: Keeps a message within one packet.
 MAX_ENTRIES_PER_MESSAGE = 16
-#: Seconds between two looks at the versions that are listed.
+#: Seconds between two observations of the listed versions.
 OBSERVE_INTERVAL_S = 0.2
 #: Seconds between two removals of expired records.
 SWEEP_INTERVAL_S = 2.0
@@ -117,6 +122,8 @@
         holders = self._holders(key)
         expires_at_s = self._state.clock() + lifetime_s
         self._own_streams[key] = _OwnStream(_incarnations(holders), expires_at_s)
+        if len(self._own_streams) > MAX_STREAMS:
+            del self._own_streams[next(iter(self._own_streams))]
         self._send(holders, [_entry(key, origin, lifetime_s)])
 
     def _holders(self, key: bytes) -> list[Member]:
@@ -193,7 +200,7 @@
     # Queries
 
     async def ask(self, question: OriginQuestion) -> PeersAnswer:
-        """Return what the peers know of a stream; the first that knows it decides."""
+        """Return what the peers know of a stream; the first that has its record decides."""
         asked_at_s = self._state.clock()
         is_settled = asked_at_s - self._state.started_at_s >= VIEW_SETTLED_S
         nonce = self._state.generator.getrandbits(_NONCE_BITS)
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -1,4 +1,4 @@
-"""What this daemon knows of the streams that have begun, at any daemon, and how it finds it out.
+"""What this daemon knows of begun streams, and how it learns what began a stream elsewhere.
 
 A stream's origin is recorded before its first event is sent: here, and by the
 :class:`.stream_origin_exchange.StreamOriginExchange` at some peers. For a request that continues a
@@ -71,7 +71,7 @@
 
 
 def stream_lifetime_s(admitted: AdmittedRequest) -> float:
-    """Return for how many seconds after its begin a stream may be continued."""
+    """Return for how many seconds after its first event a stream may be continued."""
     attempt_s = max(admitted.route.timeout_s, admitted.fields.deadline_s or 0.0)
     return min(MAX_LIFETIME_S, LIFETIME_ATTEMPTS * attempt_s + LIFETIME_MARGIN_S)
 
@@ -104,7 +104,7 @@
         if continues_stream(admitted):
             keys.add(_origin_key(admitted))
         lifetime_s = stream_lifetime_s(admitted)
-        self.record_deadline(admitted)
+        self._record_deadline(admitted)
         for key in keys:
             self.table.record(key, origin, self._state.clock() + lifetime_s)
             self.on_recorded(key, origin, lifetime_s)
@@ -116,7 +116,7 @@
         return OriginQuestion(_origin_key(admitted), service, self._max_age_s(admitted))
 
     def _max_age_s(self, admitted: AdmittedRequest) -> float:
-        """Return how long ago a stream that is continued now may have begun.
+        """Return how many seconds ago a stream that is continued now may have begun.
 
         All attempts of a caller lie within the deadline of its first one.
         """
@@ -124,7 +124,7 @@
         longest_s = max(route.timeout_s, self._longest_deadlines_s.get(route.name, 0.0))
         return min(LIFETIME_ATTEMPTS * route.timeout_s, longest_s) + DEADLINE_MARGIN_S
 
-    def record_deadline(self, admitted: AdmittedRequest) -> None:
+    def _record_deadline(self, admitted: AdmittedRequest) -> None:
         """Record how long a caller waits for an answer."""
         name, deadline_s = admitted.route.name, admitted.fields.deadline_s or 0.0
         self._longest_deadlines_s[name] = max(deadline_s, self._longest_deadlines_s.get(name, 0.0))
