--- a/spec/stream_spec.py
+++ b/spec/stream_spec.py
@@ -43,7 +43,7 @@
     "version",
     "brought",
     "attempts",
-    "beginner_died",
+    "first_router_died",
 )
 
 
@@ -118,7 +118,7 @@
     if now["router"] == 0:
         changes |= {"router": NONE, "version": 0, "brought": 0}
     if now["events"] and now["known_0"]:
-        changes["beginner_died"] = 1
+        changes["first_router_died"] = 1
     return _after(now, **changes)
 
 
@@ -181,11 +181,11 @@
 
 
 WITNESSES = {
-    "a_stream_goes_on_after_its_beginner_died": lambda state: bool(
-        state["beginner_died"] and state["brought"] and state["attempts"] > 1
+    "a_stream_goes_on_after_the_first_router_died": lambda state: bool(
+        state["first_router_died"] and state["brought"] and state["attempts"] > 1
     ),
     "a_stream_goes_on_without_a_record": lambda state: bool(
-        state["beginner_died"]
+        state["first_router_died"]
         and state["router"] != NONE
         and not state["held"] | state["known_0"] | state["known_1"]
     ),
--- a/winchfork/core/software_history.py
+++ b/winchfork/core/software_history.py
@@ -42,7 +42,7 @@
                 self._periods[service] = _Period(next(iter(listed)), now_s)
 
     def only_version(self, service: str, for_s: float, now_s: float) -> str | None:
-        """Return the version that a service has had alone for so long; None if there is none."""
+        """Return the version that a service has had alone for ``for_s`` seconds, or None."""
         period = self._periods.get(service)
         is_current = (
             self._observed_at_s is not None and now_s - self._observed_at_s < self._max_gap_s
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -53,7 +53,7 @@
         self._stores = state.cache_store_choices(service, self._prompt) if self._prompt else {}
 
     def bind_to_software(self, version: str) -> None:
-        """Send the rest of a stream to this version of the software only, which has begun it."""
+        """Restrict the request to the version of the software that has begun its stream."""
         self._begun_at = version
 
     @property
@@ -114,11 +114,11 @@
         return any(candidate is replica for candidate in self._candidates(excluded))
 
     def describe_target(self) -> str:
-        """Return the service, of a begun stream with the version that may continue it."""
+        """Return the service's name, with the version if only one may continue the stream."""
         return f"{self.service} at {self._begun_at}" if self._begun_at else self.service
 
     def listed_replicas(self) -> list[RelayReplica]:
-        """Return the service's replicas, of a begun stream those with its version only."""
+        """Return the service's replicas, only those of its version once the stream has begun."""
         replicas = self._state.fleet.of_service(self.service)
         if self._begun_at is None:
             return list(replicas)
--- a/winchfork/router/continued_request.py
+++ b/winchfork/router/continued_request.py
@@ -1,4 +1,4 @@
-"""A caller's request that continues a stream, until it is known which software began that."""
+"""A request that continues a stream, while it is looked up which software began the stream."""
 
 from __future__ import annotations
 
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -52,7 +52,7 @@
         #: Those that were opened while requests are refused.
         self._late_connections: set[CallerConnection] = set()
         self._tasks: dict[asyncio.Task[None], RelayedRequest] = {}
-        #: Requests of which it is not known yet which stream they continue.
+        #: Requests that wait until it is known which software began the streams they continue.
         self._lookups: set[asyncio.Task[None]] = set()
         self.connector = ReplicaConnector(state, pool, state.generator)
         state.is_connected = self.connector.is_connected
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -22,8 +22,8 @@
     from winchfork.router.request_admission import AdmittedRequest
     from winchfork.router.state import RouterState
 
-#: A stream's origin is kept for so many times as long as its first attempt may take, so that later
-#: attempts find it, and for some seconds more, in which callers return.
+#: An origin is kept for this many times the longest attempt, plus a margin in seconds, so that the
+#: caller's later attempts find it.
 LIFETIME_ATTEMPTS = 2.0
 LIFETIME_MARGIN_S = 5.0
 #: Seconds after a caller's deadline in which its last attempt may arrive here.
