Log the shared parts of prompts whose runs broke off

attempt_ended names them, so that a part which recurs under crashed replicas shows wherever it stands in the prompt. The stand-ins' replicas can be made to crash under a part, also after an answer without framing that is closed in order between events. No logic of the router is changed.

--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -48,8 +48,10 @@
 class FatalRequest:
     """A kind of request that crashes the replica that runs it, and how the replica restarts.
 
-    A request matches if its body begins with ``body_prefix``. With ``keeps_id`` the
-    replica restarts under the same id, otherwise under a new one.
+    A request matches if its body begins with ``body_prefix`` and, unless ``parts`` is empty, its
+    prompt shares one of them. With ``keeps_id`` the replica restarts under the same id, otherwise
+    under a new one. ``closes_in_order``: it first writes one event of an answer without framing,
+    and closes that connection in order.
     """
 
     body_prefix: bytes
@@ -58,6 +60,20 @@
     keeps_id: bool = False
     #: Lifetime of the crashed incarnation's entry; unused with ``keeps_id``.
     entry_lapses_after_s: float = 1.0
+    parts: frozenset[str] = frozenset()
+    closes_in_order: bool = False
+
+    def matches(self, request: Request) -> bool:
+        """Whether a request crashes the replica that runs it."""
+        if not request.body.startswith(self.body_prefix):
+            return False
+        return not self.parts or not self.parts.isdisjoint(shared_part_ids(request))
+
+
+def shared_part_ids(request: Request) -> list[str]:
+    """Return the ids of the parts of a request's prompt, without the last one."""
+    listed = request.headers.get("x-prefix-hash", "").split(",")
+    return [entry.partition(":")[0] for entry in listed[:-1]]
 
 
 @dataclasses.dataclass
@@ -287,10 +303,8 @@
         self.running += 1
         self.ran.append(request.headers["x-request-id"])
         try:
-            if self.fatal_request is not None and request.body.startswith(
-                self.fatal_request.body_prefix
-            ):
-                return await self._crash_under(self.fatal_request, request)
+            if self.fatal_request is not None and self.fatal_request.matches(request):
+                return await self._crash_under(self.fatal_request, request, writer)
             fault = self.fault_injector.draw_fault()
             if fault is ReplicaFault.FAILS:
                 write_answer(writer, 500, b"spoiled", self._answer_headers(request))
@@ -307,8 +321,10 @@
             if self.room is not None:
                 self.room.runs_s.append(asyncio.get_running_loop().time() - arrived_s)
 
-    async def _crash_under(self, fatal: FatalRequest, request: Request) -> bool:
-        """Crash the replica after a delay and restart it later; never answer the request."""
+    async def _crash_under(
+        self, fatal: FatalRequest, request: Request, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Crash the replica after a delay and restart it later; never complete the answer."""
         now_s = asyncio.get_running_loop().time()
         run = FatalRun(request.body, request.headers["x-request-id"], now_s)
         self.fatal_runs.append(run)
@@ -317,9 +333,21 @@
             task = asyncio.create_task(self._crash_and_restart(fatal, run))
             self._crash_tasks.add(task)
             task.add_done_callback(self._crash_tasks.discard)
+        if fatal.closes_in_order:
+            await asyncio.sleep(fatal.crash_after_s * 0.9)
+            self._write_unframed_event(request, writer)
+            return False
         await asyncio.Event().wait()
         return False
 
+    def _write_unframed_event(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        """Write an answer with neither a length nor chunks, up to its first event."""
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        lines += [f"{name}: {value}" for name, value in self._answer_headers(request).items()]
+        lines += [f"X-Weight-Versions: {self.weights_version}", "", ""]
+        writer.write("\r\n".join(lines).encode())
+        writer.write(b"id: 1\ndata: piece of %b\n\n" % self.software.encode())
+
     async def _crash_and_restart(self, fatal: FatalRequest, run: FatalRun) -> None:
         await asyncio.sleep(fatal.crash_after_s)
         run.crashed_at_s = asyncio.get_running_loop().time()
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -101,6 +101,7 @@
             request.received_at_s,
             self._state.clock,
             origin_id=admitted.fields.origin_id,
+            prompt=admitted.fields.prompt,
         )
         self._retries = RequestRetries(
             service.state, self._service_name, admitted.route, self._record, ends_at_s
--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from winchfork.core.placement_request import RelayDecision
+from winchfork.core.prompt_parts import Prompt
 from winchfork.core.routing import Route
 from winchfork.errors import FailureKind, RunState
 from winchfork.logs import log_event
@@ -23,6 +24,10 @@
 }
 
 
+#: Shared parts of a prompt that are logged at most.
+_MAX_LOGGED_PARTS = 8
+
+
 class RequestRecord(msgspec.Struct):
     """Times and outcome of one request.
 
@@ -54,6 +59,7 @@
     software: str | None = None
     #: Whether events of several versions of the software were sent to the caller.
     mixed: bool = False
+    prompt: Prompt | None = None
 
     def mark_sent(self) -> None:
         """Record the start of an attempt."""
@@ -152,8 +158,13 @@
             reason=ending[1] or None,
             took_s=self.clock() - attempt.sent_at_s,
             events=attempt.events or None,
+            parts=self._shared_part_ids() if _broke_off(outcome) else None,
         )
 
+    def _shared_part_ids(self) -> str | None:
+        shared = self.prompt.shared_parts if self.prompt is not None else ()
+        return ",".join(part.part_id for part in shared[:_MAX_LOGGED_PARTS]) or None
+
     def _truncated_by(self) -> str:
         return "router" if self.cut_by_router else _TRUNCATED_BY.get(self.outcome, "router")
 
@@ -199,3 +210,8 @@
     if isinstance(outcome, Stopped):
         return "stopped", outcome.cause.value
     return ("moved", "") if isinstance(outcome, Moved) else None
+
+
+def _broke_off(outcome: Outcome) -> bool:
+    """Whether the replica ended the connection before its answer was complete."""
+    return isinstance(outcome, MayHaveRun) and outcome.truncated
