Failing tests: a prompt part under which replica after replica crashes

What callers saw: requests with one part of the prompt in common, no two alike, crash every replica that begins an answer on them; sound requests lose their streams with them. The stand-ins' fatal runs record the part, so that each is judged on its own.

--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -78,12 +78,16 @@
 
 @dataclasses.dataclass
 class FatalRun:
-    """One run of a fatal request; ``crashed_at_s`` is None unless this run crashed the replica."""
+    """One run of a fatal request; ``crashed_at_s`` is None unless this run crashed the replica.
+
+    ``parts`` are those of its prompt that crash replicas.
+    """
 
     body: bytes
     request_id: str
     started_at_s: float
     crashed_at_s: float | None = None
+    parts: frozenset[str] = frozenset()
 
 
 class ReplicaServer:
@@ -326,7 +330,8 @@
     ) -> bool:
         """Crash the replica after a delay and restart it later; never complete the answer."""
         now_s = asyncio.get_running_loop().time()
-        run = FatalRun(request.body, request.headers["x-request-id"], now_s)
+        parts = fatal.parts.intersection(shared_part_ids(request))
+        run = FatalRun(request.body, request.headers["x-request-id"], now_s, parts=parts)
         self.fatal_runs.append(run)
         if not self._is_crashing:
             self._is_crashing = True
--- a/tests/run.py
+++ b/tests/run.py
@@ -37,6 +37,7 @@
 )
 #: Modules that take long in real time, the longest first. Their sockets have ports of their own.
 LONG_MODULES = (
+    "test_crashing_parts",
     "test_mixed_software",
     "test_routers_without_replicas",
     "test_brittle_replicas",
