Limit, try alone and refuse prompt parts under which replicas crash

What callers saw: requests with one part in common crash replica after replica, since the guard against crashing requests knows a request by all its bytes and no two are alike; sound requests lose their streams with each crash. An unframed answer that a crash closes in order passed for a success and cleared the request.

Cause: the identity that crashes were counted by was too narrow.

Now each shared part, known by model and id, is counted too. The daemon that sent the run decides and tells the others, which object if the part succeeded there within 3 s; records in the store carry it over restarts. An unframed end proves nothing until the replica is reached again. If more than 16 parts are refused for long at once, the parts are not the cause, and further ones are refused for a second only.

--- a/tests/peer_samples.py
+++ b/tests/peer_samples.py
@@ -34,6 +34,8 @@
     FleetWork,
     Forward,
     LimitEntry,
+    PartRefusalEntry,
+    PartRefusalReport,
     RegionWork,
     ReplicaLoadEntry,
     ReplicaNoticeEntry,
@@ -43,6 +45,7 @@
     StreamOriginQuery,
     StreamOriginReply,
     StreamOriginReport,
+    SuspectPartsReport,
     SuspectRunReport,
     VersionAgeEntry,
     VersionAgeQuery,
@@ -110,6 +113,8 @@
     StreamOriginReport((StreamOriginEntry(b"k" * 16, "s", "v1.1", 25_000),)),
     StreamOriginQuery("10.0.0.1:7000", 2**48 - 1, b"k" * 16, "s", 25_000),
     StreamOriginReply("n1", 2**48 - 1, "s", "v1.1", True),
+    SuspectPartsReport(2**63 + 4, (_DIGEST,)),
+    PartRefusalReport((PartRefusalEntry(_DIGEST, 2, 900),)),
 )
 
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -19,7 +19,9 @@
 MIN_SERVED_RATIO = 0.5
 SOUND_INTERVAL_S = 0.05
 FATAL_INTERVAL_S = 0.4
-CALM_S = 1.5
+CALM_S = 2.0
+#: Long enough for the replica that crashes fifth and for two contact times after it.
+PLAY_S = 23.0
 FIRST_PART, SECOND_PART = "dead0001", "dead0002"
 
 
@@ -109,7 +111,7 @@
     async def _check_parts_are_refused(self, places: dict[str, int]) -> None:
         """Play requests with parts at these places, beside sound ones that share the others."""
         started_s = self._now_s()
-        await self._play(places, 14.0)
+        await self._play(places, PLAY_S)
         await asyncio.gather(*self.tasks)
         for part in places:
             runs = self._fatal_runs(part)
--- a/tests/test_replica_search.py
+++ b/tests/test_replica_search.py
@@ -28,6 +28,7 @@
 from winchfork.router.outcomes import StopCause, Stopped
 from winchfork.router.replica_search import DEADLINE, POLL_INTERVAL_S, ReplicaSearch
 from winchfork.router.request_admission import AdmittedRequest
+from winchfork.router.request_guard import RequestGuard
 from winchfork.router.request_record import RequestRecord
 from winchfork.router.request_retries import RequestRetries
 
@@ -70,8 +71,9 @@
             return place(excluded)
 
         planner.place = counting_place  # type: ignore[method-assign]
+        guard = RequestGuard(self.state.crashes, admitted)
         self._search = ReplicaSearch(
-            self.state, planner, retries, admitted, self._attempted, self.inbox
+            self.state, planner, retries, admitted, self._attempted, self.inbox, guard
         )
         loop = asyncio.get_running_loop()
         loop.call_at(ends_at_s, self.inbox.put, TimerFired(DEADLINE))
--- a/winchfork/core/broken_runs.py
+++ b/winchfork/core/broken_runs.py
@@ -1,8 +1,9 @@
 """Runs whose connection broke, kept until it is known whether their replica crashed.
 
 A broken connection alone does not show a crash: a reset, a lost answer, a refused connection and a
-network partition look the same. A crash is confirmed later by :class:`CrashEvidence`. Times are
-seconds of one clock, passed in by the caller.
+network partition look the same. A crash is confirmed later by :class:`CrashEvidence`. An answer
+without framing that ends in order may have been cut short by a crash, so its run is kept as well,
+until the replica is reached again. Times are seconds of one clock, passed in by the caller.
 """
 
 from __future__ import annotations
@@ -34,6 +35,8 @@
     silent: bool
     #: The replica accepted a connection after the break, so a crash is unlikely.
     reached_since: bool = False
+    #: The connection was closed in order at the end of an answer without framing.
+    in_order: bool = False
 
 
 class BrokenRuns:
@@ -42,15 +45,27 @@
     def __init__(self) -> None:
         self._runs: dict[int, dict[bytes, _BrokenRun]] = {}
 
-    def record(self, incarnation: int, digest: bytes, at_s: float, *, silent: bool) -> None:
-        """Record that the connection of a run broke."""
+    def record(
+        self, incarnation: int, digest: bytes, at_s: float, *, silent: bool, in_order: bool = False
+    ) -> None:
+        """Record that the connection of a run broke, or ended ``in_order`` without framing."""
         self._forget(at_s)
-        self._runs.setdefault(incarnation, {})[digest] = _BrokenRun(at_s, silent)
+        self._runs.setdefault(incarnation, {})[digest] = _BrokenRun(at_s, silent, in_order=in_order)
 
-    def mark_reached(self, incarnation: int, asked_s: float) -> None:
-        """Record that a connection to the replica succeeded that was requested at ``asked_s``."""
-        for run in self._runs.get(incarnation, {}).values():
+    def mark_reached(self, incarnation: int, asked_s: float) -> tuple[bytes, ...]:
+        """Record that a connection to the replica succeeded that was requested at ``asked_s``.
+
+        Removes and returns the requests whose answers ended in order before.
+        """
+        runs = self._runs.get(incarnation, {})
+        for run in runs.values():
             run.reached_since = run.reached_since or run.at_s <= asked_s
+        succeeded = tuple(
+            digest for digest, run in runs.items() if run.in_order and run.reached_since
+        )
+        for digest in succeeded:
+            del runs[digest]
+        return succeeded
 
     def clear(self, digest: bytes) -> None:
         """Discard the broken runs of a request that has since succeeded."""
@@ -82,7 +97,8 @@
         count = 0
         for runs in self._runs.values():
             run = runs.get(digest)
-            count += run is not None and not run.silent and not run.reached_since
+            if run is not None and not run.in_order:
+                count += not run.silent and not run.reached_since
         return count
 
     def _forget(self, now_s: float) -> None:
--- a/winchfork/core/crash_history.py
+++ b/winchfork/core/crash_history.py
@@ -1,8 +1,8 @@
-"""Requests under which replicas have crashed, and those that are refused because of it.
+"""Requests or prompt parts under which replicas have crashed, and those that are refused for it.
 
-A request is identified by its digest (:mod:`winchfork.core.request_digest`), an incarnation of a
-replica by its 64-bit hash. A crash fails every run on the replica, so one crash only makes a
-request suspect. It is refused after ``CRASHES_TO_REFUSE`` different incarnations have crashed under
+Both are identified by a digest (:mod:`winchfork.core.request_digest`), an incarnation of a replica
+by its 64-bit hash. A crash fails every run on the replica, so one crash only makes a digest
+suspect. A request is refused after ``CRASHES_TO_REFUSE`` different incarnations have crashed under
 it without a successful run in between.
 
 A refusal expires, since replicas may have crashed for another cause, such as faulty weights. The
@@ -26,6 +26,11 @@
 #: Duration of a request's first refusal and of each later one.
 FIRST_REFUSAL_S = 600.0
 REPEATED_REFUSAL_S = 24 * 3600.0
+#: Crashes under requests with a part after which these run one at a time.
+CRASHES_TO_LIMIT_PART = 2
+#: Durations of a part's refusals. The first only limits it; each later one follows a crash under a
+#: run that was alone in the fleet with the part.
+PART_REFUSALS_S = (0.0, 1.0, 10.0, 60.0, FIRST_REFUSAL_S, REPEATED_REFUSAL_S)
 #: Bounds the table of suspect requests to about 4 MB. A crash makes some 50 requests suspect, so it
 #: holds those of 300 crashes.
 MAX_SUSPECTS = 16_384
@@ -37,9 +42,29 @@
 #: Bounds the table of refused requests.
 MAX_REFUSED = 4_096
 
+#: Parts that many requests share succeed more often than whole requests.
+MAX_RECENT_PART_SUCCESSES = 4_096
+
 _Entry = TypeVar("_Entry")
 
 
+class RefusalPolicy(msgspec.Struct, frozen=True):
+    """The bounds of a history, and the durations in seconds of successive refusals of a digest.
+
+    ``max_crashes`` is the number of crashed incarnations that are remembered for each digest.
+    """
+
+    max_crashes: int
+    refusals_s: tuple[float, ...]
+    max_recent_successes: int
+
+
+REQUEST_POLICY = RefusalPolicy(
+    CRASHES_TO_REFUSE, (FIRST_REFUSAL_S, REPEATED_REFUSAL_S), MAX_RECENT_SUCCESSES
+)
+PART_POLICY = RefusalPolicy(CRASHES_TO_LIMIT_PART, PART_REFUSALS_S, MAX_RECENT_PART_SUCCESSES)
+
+
 class _Suspicion(msgspec.Struct):
     """The incarnations that have crashed under a request, and the time of the last crash."""
 
@@ -55,9 +80,15 @@
 
 
 class CrashHistory:
-    """Crashes, successes and refusals by request digest. Not thread-safe."""
-
-    def __init__(self, max_suspects: int = MAX_SUSPECTS, max_refused: int = MAX_REFUSED) -> None:
+    """Crashes, successes and refusals by digest. Not thread-safe."""
+
+    def __init__(
+        self,
+        max_suspects: int = MAX_SUSPECTS,
+        max_refused: int = MAX_REFUSED,
+        policy: RefusalPolicy = REQUEST_POLICY,
+    ) -> None:
+        self._policy = policy
         self._max_suspects = max_suspects
         self._max_refused = max_refused
         self._suspicions: OrderedDict[bytes, _Suspicion] = OrderedDict()
@@ -70,18 +101,18 @@
         before = self.crashed_incarnations(digest, now_s)
         if incarnation in before:
             return False
-        suspicion = _Suspicion((*before, incarnation)[-CRASHES_TO_REFUSE:], now_s)
+        suspicion = _Suspicion((*before, incarnation)[-self._policy.max_crashes :], now_s)
         _put_last(self._suspicions, digest, suspicion, self._max_suspects)
         return True
 
     def crash_count(self, digest: bytes, now_s: float) -> int:
         """Return how many incarnations have crashed under a request since its last success.
 
-        The count is at most ``CRASHES_TO_REFUSE``; a request that was refused and not cleared since
-        has that count.
+        The count is at most the policy's ``max_crashes``; a request that was refused and not
+        cleared since has that count.
         """
         if digest in self._refusals:
-            return CRASHES_TO_REFUSE
+            return self._policy.max_crashes
         return len(self.crashed_incarnations(digest, now_s))
 
     def crashed_incarnations(self, digest: bytes, now_s: float) -> tuple[int, ...]:
@@ -95,7 +126,7 @@
 
     def record_success(self, digest: bytes, now_s: float) -> None:
         """Record that a run of a request has succeeded."""
-        _put_last(self._succeeded_at_s, digest, now_s, MAX_RECENT_SUCCESSES)
+        _put_last(self._succeeded_at_s, digest, now_s, self._policy.max_recent_successes)
 
     def succeeded_recently(self, digest: bytes, now_s: float) -> bool:
         """Whether a run of a request succeeded here within ``RECENT_SUCCESS_S``."""
@@ -125,10 +156,22 @@
         refusal = self._refusals.get(digest)
         return refusal.times if refusal is not None else 0
 
-    @staticmethod
-    def refusal_s(times: int) -> float:
+    def refusal_s(self, times: int) -> float:
         """Return the duration of a request's ``times``-th refusal."""
-        return FIRST_REFUSAL_S if times <= 1 else REPEATED_REFUSAL_S
+        durations_s = self._policy.refusals_s
+        return durations_s[min(max(times, 1), len(durations_s)) - 1]
+
+    def count_refused(self, min_times: int, now_s: float) -> int:
+        """Return how many digests are refused for at least the ``min_times``-th time."""
+        return sum(
+            refusal.times >= min_times and now_s < refusal.until_s
+            for refusal in self._refusals.values()
+        )
+
+    def refused_until_s(self, digest: bytes) -> float:
+        """Return when the latest refusal of a digest ends; 0 if it has none."""
+        refusal = self._refusals.get(digest)
+        return refusal.until_s if refusal is not None else 0.0
 
     @property
     def suspected_count(self) -> int:
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -173,7 +173,7 @@
     def handle(self, part: AnswerPart) -> Outcome | None:
         """Process a part of the answer; return the outcome if the attempt has ended with it."""
         if isinstance(part, AnswerEnd):
-            return self._handle_end()
+            return self._handle_end(framed=part.framed)
         if isinstance(part, AnswerTruncated):
             return self._handle_truncation(part)
         self._last_received_at_s = self.replica.last_received_at_s = self._clock()
@@ -228,14 +228,14 @@
             self.plan.on_prefill_done()
         self.plan.on_events()
 
-    def _handle_end(self) -> Outcome:
+    def _handle_end(self, *, framed: bool) -> Outcome:
         assert self._head is not None and self._fields is not None
         relay_failure = read_relay_failure(self._head) if self.relay is not None else None
         if relay_failure is not None:
             reason = f"the peer did not relay the request: {relay_failure.value}"
             return NotRun(reason, sent=False, relay_failed=True)
         if self._stream is not None:
-            return self._end_stream()
+            return self._end_stream(framed=framed)
         answer = BufferedAnswer(self._head, b"".join(self._body))
         status = self._head.status
         if self._fields.not_run or self._fields.misdirected:
@@ -251,7 +251,7 @@
             if not self._fields.authentic or self.plan.kind is RouteKind.STREAMING:
                 return MayHaveRun(f"replica answered {status} without proof of origin")
             self._answer.send_buffered(answer)
-            return Delivered(status)
+            return Delivered(status, framed)
         return MayHaveRun(f"replica answered {status}", answer)
 
     def _wrong_version(self) -> bool:
@@ -269,7 +269,7 @@
         own = fields.replica_id == self.plan.replica.replica_id
         return "" if own else fields.replica_id
 
-    def _end_stream(self) -> Outcome:
+    def _end_stream(self, *, framed: bool) -> Outcome:
         assert self._stream is not None
         if self._stream.truncated:
             # An answer without framing ends with the connection, even in the middle of an event.
@@ -277,7 +277,7 @@
                 "the stream ended inside an event or before the first", truncated=True
             )
         self._answer.finish()
-        return Delivered(200)
+        return Delivered(200, framed)
 
     def _handle_truncation(self, item: AnswerTruncated) -> Outcome:
         if self._head is not None and self._fields is not None and self._fields.not_run:
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -31,6 +31,7 @@
 from winchfork.router.replica_connector import ConnectFailure
 from winchfork.router.replica_search import ReplicaSearch
 from winchfork.router.request_admission import AdmittedRequest
+from winchfork.router.request_guard import RequestGuard
 from winchfork.router.request_record import RequestRecord
 from winchfork.router.request_retries import RequestRetries
 
@@ -54,10 +55,11 @@
         inbox: Inbox[RequestEvent],
         answer: CallerAnswer,
         charge: QuotaCharge | None,
+        guard: RequestGuard,
     ) -> None:
         self._service = service
         self._state = service.state
-        self._crashes = service.state.crashes
+        self._guard = guard
         self._admitted = admitted
         self._planner = planner
         self._search = search
@@ -66,7 +68,7 @@
         self._inbox = inbox
         self._answer = answer
         self._charge = charge
-        self._outcome_recorder = OutcomeRecorder(service.state, admitted, planner.service)
+        self._outcome_recorder = OutcomeRecorder(service.state, admitted, planner.service, guard)
         #: Charges beyond that of the admission, less those taken back.
         self._extra_charges = 0
         #: Attempts that have not ended.
@@ -102,13 +104,12 @@
 
     def is_allowed(self) -> bool:
         """Whether the request may be sent once more, by what is known of crashes under it."""
-        digest = self._admitted.digest
-        return self._crashes.refusal(digest) is None and self._crashes.may_run(digest)
+        return self._guard.refusal() is None and self._guard.may_run()
 
     @property
     def is_suspect(self) -> bool:
-        """Whether a replica has crashed while it ran this request."""
-        return self._crashes.crash_count(self._admitted.digest) > 0
+        """Whether the request may have crashed a replica."""
+        return self._guard.is_suspect
 
     def release(self, replica: RelayReplica, connection: ReplicaConnection) -> None:
         """Put back a connection that is not used."""
@@ -143,7 +144,7 @@
         self._record.log_sent(decision, plan, family, self._retries.time_left_s, relayed_by)
         if plan.prefill_tokens:
             self._state.on_work_sent()
-        self._crashes.begin_run(self._admitted.digest, replica, self._retries.ends_at_s)
+        self._guard.begin_run(replica, self._retries.ends_at_s)
         self._in_progress += 1
         attempt.start()
         return attempt
@@ -169,9 +170,9 @@
             self._record_relay(attempt.replica, attempt.relay, outcome)
         if isinstance(outcome, MayHaveRun) and outcome.answer is not None:
             self.failed_answer = outcome.answer
-        self._crashes.end_run(self._admitted.digest)
         self._record.log_attempt_ended(attempt, outcome)
         self.newer_weights = self._outcome_recorder.record_outcome(attempt, outcome, self._record)
+        self._guard.end_run(attempt.replica)
 
     def _record_relay(self, replica: RelayReplica, relay: RelayLeg, outcome: Outcome) -> None:
         if isinstance(outcome, Delivered):
@@ -197,7 +198,7 @@
 
     def _handle_connect_failure(self, replica: RelayReplica, result: ConnectFailure) -> NotRun:
         if result.failure.kind is FailureKind.CONNECTION_REFUSED and not result.unverified:
-            self._crashes.record_crash(replica, CrashEvidence.PORT_CLOSED)
+            self._state.crashes.record_crash(replica, CrashEvidence.PORT_CLOSED)
         if result.unverified:
             self._state.on_unverified_ejection(replica)
         if result.is_unreachable:
--- a/winchfork/router/crash_exchange.py
+++ b/winchfork/router/crash_exchange.py
@@ -1,26 +1,19 @@
 """Exchanges crash reports, suspect runs and clearances of requests between daemons.
 
-Crash reports are resent, since a datagram may be lost and every daemon needs them; receiving one
-again has no effect. Clearances are batched, since one crash can lead to dozens of them.
+Clearances are batched, since one crash can lead to dozens of them.
 """
 
 from __future__ import annotations
 
-import functools
-from collections.abc import Callable
-
 from winchfork.core.suspect_runs import SuspectRun
+from winchfork.router.crash_broadcast import CallLater, CrashBroadcast, chunks
 from winchfork.router.crash_tracker import CRASHES_TO_RUN_ALONE
 from winchfork.router.peer_messages import ClearedRequests, CrashReport, SuspectRunReport
 from winchfork.router.peer_messenger import PeerMessenger
 from winchfork.router.state import RouterState
 
-#: Seconds after which a crash report is resent: further apart than the hubs' duplicate window.
-RESEND_DELAYS_S = (0.7, 1.6)
 #: Seconds for which clearances are collected into one message.
 BATCH_WINDOW_S = 0.1
-#: Keeps a message of 16-byte digests within one datagram.
-MAX_DIGESTS_PER_MESSAGE = 48
 
 
 class CrashExchange:
@@ -30,15 +23,17 @@
         self,
         state: RouterState,
         peers: PeerMessenger,
-        call_later: Callable[[float, Callable[[], None]], object],
+        call_later: CallLater,
     ) -> None:
         self._state = state
         self._tracker = state.crashes
         self._peers = peers
         self._call_later = call_later
         self._pending_cleared: list[bytes] = []
-        self._tracker.on_crash = self._broadcast_crash
-        self._tracker.on_suspect_run = self._broadcast_run
+        self._tracker.on_crash = CrashBroadcast(
+            self._tracker.history, peers, state.clock, call_later, CrashReport
+        ).send
+        self._tracker.on_suspect_run = self.broadcast_run
         self._tracker.on_cleared = self._queue_cleared
 
     def handle_crash_report(self, message: CrashReport) -> None:
@@ -58,24 +53,8 @@
         for digest in message.digests:
             self._tracker.handle_cleared(digest)
 
-    def _broadcast_crash(self, incarnation: int, digests: tuple[bytes, ...]) -> None:
-        for first in range(0, len(digests), MAX_DIGESTS_PER_MESSAGE):
-            part = digests[first : first + MAX_DIGESTS_PER_MESSAGE]
-            self._peers.broadcast(CrashReport(incarnation, part))
-            for delay_s in RESEND_DELAYS_S:
-                self._call_later(delay_s, functools.partial(self._resend_crash, incarnation, part))
-
-    def _resend_crash(self, incarnation: int, digests: tuple[bytes, ...]) -> None:
-        """Resend the crashes that still count: a cleared one would be recorded anew."""
-        now_s = self._state.clock()
-        history = self._tracker.history
-        remaining = tuple(
-            digest for digest in digests if history.has_crash(digest, incarnation, now_s)
-        )
-        if remaining:
-            self._peers.broadcast(CrashReport(incarnation, remaining))
-
-    def _broadcast_run(self, digest: bytes, run: SuspectRun | None) -> None:
+    def broadcast_run(self, digest: bytes, run: SuspectRun | None) -> None:
+        """Tell peers that an exclusive run has begun, or has ended (None)."""
         remaining_s = run.until_s - self._state.clock() if run is not None else 0.0
         incarnation = run.incarnation if run is not None else 0
         message = SuspectRunReport(
@@ -93,6 +72,5 @@
 
     def _flush_cleared(self) -> None:
         digests, self._pending_cleared = self._pending_cleared, []
-        for first in range(0, len(digests), MAX_DIGESTS_PER_MESSAGE):
-            part = tuple(digests[first : first + MAX_DIGESTS_PER_MESSAGE])
-            self._peers.broadcast(ClearedRequests(part))
+        for chunk in chunks(tuple(digests)):
+            self._peers.broadcast(ClearedRequests(chunk))
--- a/winchfork/router/crash_tracker.py
+++ b/winchfork/router/crash_tracker.py
@@ -1,5 +1,8 @@
 """Detects requests that crash replicas, and refuses them.
 
+Requests that differ, but share a prompt part that crashes replicas, are the task of
+:mod:`winchfork.router.part_guard`.
+
 A run whose connection breaks is remembered until it is known whether its replica crashed. A crash
 makes every request that was running there a suspect. A suspect runs once at a time; after two
 crashes it shares no replica with another such suspect; after three it is refused, by every daemon
@@ -10,7 +13,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 from winchfork.core.broken_runs import BrokenRuns, CrashEvidence
 from winchfork.core.crash_history import CRASHES_TO_REFUSE, CrashHistory
@@ -18,7 +20,9 @@
 from winchfork.core.suspect_runs import SuspectRun, SuspectRuns
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.logs import log_event
-from winchfork.router.refusal_records import RefusalRecords, bucket_key
+from winchfork.router.part_guard import PartGuard
+from winchfork.router.refusal_ledger import RefusalLedger
+from winchfork.router.refusal_records import RefusalRecords
 
 #: Crashes after which a request shares no replica with another such request: the cause of the
 #: second crash is among the few requests that ran on both replicas.
@@ -31,33 +35,22 @@
 RESOLVE_POLL_S = 0.01
 
 
-class RecordListener(Protocol):
-    """Called when the stored refusal of a request has to change."""
-
-    def __call__(self, digest: bytes, *, own: bool) -> None:
-        """Handle the change; ``own``: this daemon sent the request's last run."""
-        ...
-
-
-class CrashTracker:
+class CrashTracker(RefusalLedger):
     """One process's record of requests that may crash replicas."""
 
     def __init__(self, daemon_id: str, clock: Callable[[], float]) -> None:
+        history = CrashHistory()
+        super().__init__(history, RefusalRecords(history, clock), clock)
         self._daemon_id = daemon_id
-        self._clock = clock
-        self.history = CrashHistory()
-        self.records = RefusalRecords(self.history, clock)
         self._broken_runs = BrokenRuns()
         self._suspect_runs = SuspectRuns()
+        self.parts = PartGuard(daemon_id, clock, self._suspect_runs)
         #: Called for each broken connection whose cause is not known yet.
         self.on_connection_broken: Callable[[RelayReplica], None] = lambda replica: None
         #: Called with an incarnation that crashed and the requests that it was running.
         self.on_crash: Callable[[int, tuple[bytes, ...]], None] = lambda incarnation, digests: None
         #: Called when an exclusive run of a suspect begins, and with None when it ends.
         self.on_suspect_run: Callable[[bytes, SuspectRun | None], None] = lambda digest, run: None
-        #: Called when a suspect is cleared, with its number of crashes.
-        self.on_cleared: Callable[[bytes, int], None] = lambda digest, crashes: None
-        self.on_record_changed: RecordListener = _ignore
 
     # Before a run
 
@@ -78,14 +71,16 @@
             digest, now_s
         )
 
-    async def wait_until_resolved(self, digest: bytes, deadline_s: float) -> None:
+    async def wait_until_resolved(
+        self, digest: bytes, deadline_s: float, parts_unresolved: Callable[[], bool]
+    ) -> None:
         """Wait until it is known whether replicas crashed, if that decides on a retry.
 
         Wait at most ``MAX_RESOLVE_WAIT_S`` seconds, and not beyond ``deadline_s``, at which the
-        attempt ends.
+        attempt ends. ``parts_unresolved`` returns whether it is open for the request's parts.
         """
         until_s = min(self._clock() + MAX_RESOLVE_WAIT_S, deadline_s)
-        while self._is_unresolved(digest) and self._clock() < until_s:
+        while (self._is_unresolved(digest) or parts_unresolved()) and self._clock() < until_s:
             await asyncio.sleep(RESOLVE_POLL_S)
 
     def _is_unresolved(self, digest: bytes) -> bool:
@@ -106,6 +101,10 @@
         """Return the ids of the replicas that a request may not be sent to now."""
         if self.crash_count(digest) < CRASHES_TO_RUN_ALONE:
             return set()
+        return self.exclusive_replicas(replicas)
+
+    def exclusive_replicas(self, replicas: Iterable[RelayReplica]) -> set[str]:
+        """Return the ids of the replicas with an exclusive run of a suspect."""
         exclusive = self._suspect_runs.exclusive_incarnations(self._clock())
         return {replica.replica_id for replica in replicas if replica.incarnation_hash in exclusive}
 
@@ -129,14 +128,9 @@
 
     def record_success(self, digest: bytes) -> None:
         """Record a complete answer, and clear the request."""
-        now_s = self._clock()
-        self.history.record_success(digest, now_s)
+        self.history.record_success(digest, self._clock())
         self._broken_runs.clear(digest)
-        crashes = self.history.crash_count(digest, now_s)
-        if self.history.clear(digest):
-            self.on_cleared(digest, crashes)
-            if self.records.revision(bucket_key(digest)):
-                self.on_record_changed(digest, own=True)
+        self.clear(digest)
 
     def record_broken_run(self, replica: RelayReplica, digest: bytes, *, silent: bool) -> None:
         """Record that a run's connection broke before its answer was complete.
@@ -147,11 +141,20 @@
         if not silent:
             self.on_connection_broken(replica)
 
+    def record_end_in_order(self, replica: RelayReplica, digest: bytes) -> None:
+        """Record an answer without framing, which is complete if the replica did not crash."""
+        self._broken_runs.record(
+            replica.incarnation_hash, digest, self._clock(), silent=False, in_order=True
+        )
+        self.on_connection_broken(replica)
+
     # Replicas
 
     def record_connected(self, replica: RelayReplica, asked_s: float) -> None:
         """Record that a connection to a replica, requested at ``asked_s``, was established."""
-        self._broken_runs.mark_reached(replica.incarnation_hash, asked_s)
+        for digest in self._broken_runs.mark_reached(replica.incarnation_hash, asked_s):
+            self.record_success(digest)
+        self.parts.record_connected(replica, asked_s)
 
     def record_crash(self, replica: RelayReplica, evidence: CrashEvidence) -> None:
         """Record a crashed incarnation, and suspect this daemon's requests that ran there.
@@ -162,10 +165,11 @@
         """
         incarnation = replica.incarnation_hash
         now_s = self._clock()
+        was_announced = replica.notice.is_draining(now_s)
+        self.parts.record_crash(replica, evidence, announced=was_announced)
         digests = self._broken_runs.pop_crashed(incarnation, evidence, now_s)
         if not digests:
             return
-        was_announced = replica.notice.is_draining(now_s)
         log_event(
             "replica_ended",
             "WARNING",
@@ -183,36 +187,6 @@
 
     # Store and peers
 
-    def apply_record(
-        self, key: str, value: bytes | None, revision: int, *, is_restored: bool = False
-    ) -> Failure | None:
-        """Apply a refusal record of the store; return a failure if it cannot be decoded.
-
-        ``is_restored``: the store may have been restored from a backup, so that the record may be
-        older than the one known here.
-        """
-        outdated = self.records.record_outdated(key, value, revision) if is_restored else None
-        if outdated is not None:
-            self.on_record_changed(outdated, own=False)
-            return None
-        failure = self.records.install(key, value, revision)
-        digest = self.records.digest_at(key)
-        now_s = self._clock()
-        if digest is None or not self.history.is_refused(digest, now_s):
-            return failure
-        if self.history.succeeded_recently(digest, now_s):
-            # Refused by a daemon that had not received the success yet.
-            self.history.clear(digest)
-            self.on_cleared(digest, CRASHES_TO_REFUSE)
-            self.on_record_changed(digest, own=True)
-        return failure
-
-    def handle_lost_record(self, key: str) -> None:
-        """Handle a record that is missing from a restored store; have it rewritten if needed."""
-        digest = self.records.remove_lost(key)
-        if digest is not None and not self.records.matches_history(digest):
-            self.on_record_changed(digest, own=False)
-
     def handle_crash_report(self, incarnation: int, digests: Iterable[bytes]) -> None:
         """Record that a peer was running these requests on an incarnation that crashed."""
         self._record_crashes(incarnation, digests, own=False)
@@ -224,10 +198,6 @@
         else:
             self._suspect_runs.begin(daemon, digest, run)
 
-    def handle_cleared(self, digest: bytes) -> None:
-        """Clear a suspect whose run has succeeded at a peer."""
-        self.history.clear(digest)
-
     def _record_crashes(self, incarnation: int, digests: Iterable[bytes], *, own: bool) -> None:
         now_s = self._clock()
         for digest in digests:
@@ -259,7 +229,3 @@
         )
         self.history.refuse(digest, times, self._clock() + for_s)
         self.on_record_changed(digest, own=own)
-
-
-def _ignore(digest: bytes, *, own: bool) -> None:
-    pass
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -28,7 +28,8 @@
 )
 from winchfork.router.leader_entry import FENCE_KEY, LEADER_KEY
 from winchfork.router.leadership import Leadership
-from winchfork.router.refusal_records import is_refusal_key
+from winchfork.router.refusal_ledger import RefusalLedger
+from winchfork.router.refusal_records import is_part_refusal_key, is_refusal_key
 from winchfork.router.restored_entries import RestoredEntries
 from winchfork.router.software_records import (
     decode_record,
@@ -86,7 +87,10 @@
             self._leadership.record_fence(StorePosition(era, item.revision), item.value or b"")
             return
         if is_refusal_key(item.key):
-            self._install_refusal(item)
+            self._install_refusal(self._state.crashes, item)
+            return
+        if is_part_refusal_key(item.key):
+            self._install_refusal(self._state.crashes.parts, item)
             return
         if is_software_record_key(item.key):
             self._install_software_record(item)
@@ -125,12 +129,11 @@
             self._leadership.record_entry(position)
         self._state.leader_id = (item.value or b"").decode(errors="replace")
 
-    def _install_refusal(self, item: TableItem) -> None:
-        crashes = self._state.crashes
+    def _install_refusal(self, ledger: RefusalLedger, item: TableItem) -> None:
         if item.value is None and item.missing_after_outage:
-            crashes.handle_lost_record(item.key)
+            ledger.handle_lost_record(item.key)
             return
-        failure = crashes.apply_record(
+        failure = ledger.apply_record(
             item.key, item.value, item.revision, is_restored=self.is_restoring
         )
         if failure is not None:
--- a/winchfork/router/http_types.py
+++ b/winchfork/router/http_types.py
@@ -107,7 +107,12 @@
 
 
 class AnswerEnd(msgspec.Struct, frozen=True):
-    """The answer is complete."""
+    """The answer is complete.
+
+    ``framed`` is False if only the end of the connection shows it.
+    """
+
+    framed: bool = True
 
 
 class AnswerTruncated(msgspec.Struct, frozen=True):
--- a/winchfork/router/outcome_recorder.py
+++ b/winchfork/router/outcome_recorder.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import RouteKind
 from winchfork.router.attempt import Attempt, AttemptPlan
 from winchfork.router.outcomes import Delivered, MayHaveRun, NotRun, Outcome
 from winchfork.router.request_admission import AdmittedRequest
+from winchfork.router.request_guard import RequestGuard
 from winchfork.router.request_record import RequestRecord
 from winchfork.router.state import RouterState
 
@@ -18,7 +20,10 @@
 class OutcomeRecorder:
     """Records the outcomes of one request's attempts."""
 
-    def __init__(self, state: RouterState, admitted: AdmittedRequest, service: str) -> None:
+    def __init__(
+        self, state: RouterState, admitted: AdmittedRequest, service: str, guard: RequestGuard
+    ) -> None:
+        self._guard = guard
         self._state = state
         self._admitted = admitted
         self._route = admitted.route
@@ -71,19 +76,24 @@
 
         A replica that drains may end its runs as planned, so its breaks do not count.
         """
-        crashes = self._state.crashes
-        digest = self._admitted.digest
         replica = plan.replica
         if isinstance(outcome, Delivered):
-            crashes.record_success(digest)
+            if outcome.framed:
+                self._guard.record_success(complete=True)
+            elif self._may_crash(replica):
+                self._guard.record_end_in_order(replica)
         if not isinstance(outcome, MayHaveRun):
             return
         if outcome.answer is not None:
-            crashes.record_success(digest)
-        elif outcome.truncated:
-            listed = self._state.fleet.get(replica.replica_id) is replica
-            if listed and not replica.has_announced_end(self._state.clock()):
-                crashes.record_broken_run(replica, digest, silent=outcome.silent)
+            # A failure answer does not show that the replica could run the prompt.
+            self._guard.record_success(complete=False)
+        elif outcome.truncated and self._may_crash(replica):
+            self._guard.record_broken_run(replica, silent=outcome.silent)
+
+    def _may_crash(self, replica: RelayReplica) -> bool:
+        """Whether a broken run may show a crash: the replica is listed and announced no end."""
+        listed = self._state.fleet.get(replica.replica_id) is replica
+        return listed and not replica.has_announced_end(self._state.clock())
 
     def _record_software(
         self, attempt: Attempt, outcome: Outcome, record: RequestRecord, took_s: float
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -27,9 +27,13 @@
 
 
 class Delivered(msgspec.Struct, frozen=True):
-    """The whole answer was written to the caller's connection."""
+    """The whole answer was written to the caller's connection.
+
+    ``framed`` is False if it had neither a length nor chunks, so that its end is not certain.
+    """
 
     status: int
+    framed: bool = True
 
 
 class NotRun(msgspec.Struct, frozen=True):
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -254,7 +254,7 @@
 
 
 class SuspectRunReport(PeerMessage, frozen=True):
-    """The sender runs a request under which two or more replicas have crashed.
+    """The sender runs a request that has, or a prompt part of which has, crashed replicas.
 
     A ``remaining_ms`` of 0 means that the run is over.
     """
@@ -266,11 +266,35 @@
 
 
 class ClearedRequests(PeerMessage, frozen=True):
-    """Suspected requests, under which replicas had crashed, that have now succeeded."""
+    """Suspected requests or prompt parts, under which replicas had crashed, that succeeded."""
 
     digests: tuple[bytes, ...]
 
 
+class SuspectPartsReport(PeerMessage, frozen=True):
+    """A replica's incarnation has crashed while running requests with these prompt parts."""
+
+    incarnation: int
+    parts: tuple[bytes, ...]
+
+
+class PartRefusalEntry(PeerMessage, frozen=True):
+    """A prompt part that was refused ``times`` times since its last success.
+
+    The latest refusal ends in ``remaining_ms``. The first only limits the part.
+    """
+
+    part: bytes
+    times: int
+    remaining_ms: int
+
+
+class PartRefusalReport(PeerMessage, frozen=True):
+    """Prompt parts that the sender has limited or refused, since they may crash replicas."""
+
+    entries: tuple[PartRefusalEntry, ...]
+
+
 class LimitEntry(PeerMessage, frozen=True):
     """The limit, in requests a second, in an answer of ``age_ms`` ago; None if it has ended."""
 
@@ -389,4 +413,6 @@
     StreamOriginReport,
     StreamOriginQuery,
     StreamOriginReply,
+    SuspectPartsReport,
+    PartRefusalReport,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -12,6 +12,7 @@
 from winchfork.router.evidence_exchange import EvidenceExchange
 from winchfork.router.leadership import Leadership
 from winchfork.router.notice_exchange import NoticeExchange
+from winchfork.router.part_exchange import PartExchange
 from winchfork.router.peer_messages import (
     Activity,
     BrittleReport,
@@ -23,12 +24,14 @@
     EraDocumentPull,
     FailureReport,
     FleetWork,
+    PartRefusalReport,
     RegionWork,
     ReplicaNotices,
     Resignation,
     StreamOriginQuery,
     StreamOriginReply,
     StreamOriginReport,
+    SuspectPartsReport,
     SuspectRunReport,
     VersionAgeQuery,
     VersionAgeReply,
@@ -94,7 +97,16 @@
     crashes = CrashExchange(state, peers, call_later)
     peers.register_handler(CrashReport, crashes.handle_crash_report)
     peers.register_handler(SuspectRunReport, crashes.handle_suspect_run)
-    peers.register_handler(ClearedRequests, crashes.handle_cleared)
+    parts = PartExchange(state, peers, call_later)
+    state.crashes.parts.on_trial = crashes.broadcast_run
+    peers.register_handler(SuspectPartsReport, parts.handle_crash_report)
+    peers.register_handler(PartRefusalReport, parts.handle_refusals)
+
+    def handle_cleared(message: ClearedRequests) -> None:
+        crashes.handle_cleared(message)
+        parts.handle_cleared(message)
+
+    peers.register_handler(ClearedRequests, handle_cleared)
     notices = NoticeExchange(state, peers, call_later)
     peers.register_handler(ReplicaNotices, notices.handle_notices)
     stream_origins = StreamOriginExchange(state, peers)
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -229,6 +229,12 @@
             "Requests refused because they crash replicas.",
             lambda: history.refused_count,
         )
+        parts = state.crashes.parts.history
+        add(
+            "parts_limited",
+            "Prompt parts whose requests run one at a time or are refused.",
+            lambda: parts.refused_count,
+        )
         add(
             "store_revision",
             "Store revision up to which all entries are known.",
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -1,7 +1,7 @@
-"""Records of refused requests in the store, so that refusals survive a restart of every daemon.
+"""Records of refused requests and prompt parts in the store, which survive restarts of daemons.
 
-A request's digest selects one of ``BUCKETS`` entries, which bounds the space used in the store; a
-later request of the same bucket replaces the earlier one. Records have no lease. Their age is
+A digest selects one of ``BUCKETS`` entries of its kind, which bounds the space used in the store; a
+later digest of the same bucket replaces the earlier one. Records have no lease. Their age is
 measured by wall-clock time, on which daemons agree within seconds.
 """
 
@@ -17,7 +17,8 @@
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 
-_PREFIX = "winchfork/refused/"
+REQUEST_PREFIX = "winchfork/refused/"
+PART_PREFIX = "winchfork/refused-parts/"
 #: Maximum number of store entries for refused requests.
 BUCKETS = 512
 
@@ -33,14 +34,19 @@
     times: int
 
 
-def bucket_key(digest: bytes) -> str:
-    """Return the store key of a request's bucket."""
-    return f"{_PREFIX}{int.from_bytes(digest[:4], 'big') % BUCKETS:03x}"
+def bucket_key(digest: bytes, prefix: str = REQUEST_PREFIX) -> str:
+    """Return the store key of a digest's bucket."""
+    return f"{prefix}{int.from_bytes(digest[:4], 'big') % BUCKETS:03x}"
 
 
 def is_refusal_key(key: str) -> bool:
-    """Whether a store key is that of a bucket."""
-    return key.startswith(_PREFIX)
+    """Whether a store key is that of a bucket of requests."""
+    return key.startswith(REQUEST_PREFIX)
+
+
+def is_part_refusal_key(key: str) -> bool:
+    """Whether a store key is that of a bucket of prompt parts."""
+    return key.startswith(PART_PREFIX)
 
 
 def decode_refusal(value: bytes) -> RefusalRecord | Failure:
@@ -62,13 +68,19 @@
         history: CrashHistory,
         clock: Callable[[], float],
         wall_clock: Callable[[], float] = time.time,
+        prefix: str = REQUEST_PREFIX,
     ) -> None:
+        self._prefix = prefix
         self._history = history
         self._clock = clock
         self._wall_clock = wall_clock
         self._records: dict[str, RefusalRecord] = {}
         self._revisions: dict[str, int] = {}
 
+    def key_of(self, digest: bytes) -> str:
+        """Return the store key of a digest's bucket."""
+        return bucket_key(digest, self._prefix)
+
     def revision(self, key: str) -> int:
         """Return the revision of a bucket's entry; 0 if there is none."""
         return self._revisions.get(key, 0)
@@ -80,7 +92,7 @@
 
     def matches_history(self, digest: bytes) -> bool:
         """Whether the stored record of a request agrees with the crash history."""
-        record = self._records.get(bucket_key(digest))
+        record = self._records.get(self.key_of(digest))
         stored = record.times if record is not None and record.digest == digest else 0
         return stored == self._history.times_refused(digest)
 
--- a/winchfork/router/refusal_writer.py
+++ b/winchfork/router/refusal_writer.py
@@ -1,13 +1,14 @@
-"""Writes the records of refused requests to the store, once for the whole fleet."""
+"""Writes the records of refused requests and parts to the store, once for the whole fleet."""
 
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 
 from winchfork.errors import Failure
 from winchfork.logs import log_event
-from winchfork.router.refusal_records import bucket_key
+from winchfork.router.refusal_records import RefusalRecords
 from winchfork.router.state import RouterState
 from winchfork.stores.async_key_value import AsyncKeyValueStore, ExpectedRevision, PutItem
 
@@ -31,15 +32,19 @@
         self._store = store
         self._generator = generator
         self._due_at_s: dict[bytes, float] = {}
+        #: The records that hold each digest that is due.
+        self._records: dict[bytes, RefusalRecords] = {}
         self._scheduled = asyncio.Event()
-        state.crashes.on_record_changed = self.schedule
+        for ledger in (state.crashes, state.crashes.parts):
+            ledger.on_record_changed = functools.partial(self.schedule, ledger.records)
 
-    def schedule(self, digest: bytes, *, own: bool) -> None:
-        """Schedule a write of a request's record; ``own``: this daemon sent the last run."""
+    def schedule(self, records: RefusalRecords, digest: bytes, *, own: bool) -> None:
+        """Schedule a write of a digest's record; ``own``: this daemon sent the last run."""
         if digest in self._due_at_s or len(self._due_at_s) >= MAX_PENDING:
             return
         spread_s = self._generator.random() * SPREAD_PER_DAEMON_S * self._state.daemon_count
         self._due_at_s[digest] = self._state.clock() + (0.0 if own else OTHERS_DELAY_S + spread_s)
+        self._records[digest] = records
         self._scheduled.set()
 
     async def run(self) -> None:
@@ -57,11 +62,11 @@
             await self._write(digest)
 
     async def _write(self, digest: bytes) -> None:
-        records = self._state.crashes.records
+        records = self._records[digest]
         if records.matches_history(digest):
-            del self._due_at_s[digest]
+            self._remove(digest)
             return
-        key = bucket_key(digest)
+        key = records.key_of(digest)
         expected = ExpectedRevision(key, records.revision(key))
         value = records.encode_record(digest)
         written = await self._store.transact([expected], [PutItem(key, value)])
@@ -70,9 +75,13 @@
             self._due_at_s[digest] = self._state.clock() + pause_s
             log_event("refusal_not_written", "WARNING", digest=digest.hex(), reason=written.reason)
             return
-        del self._due_at_s[digest]
+        self._remove(digest)
         log_event("refusal_written", digest=digest.hex(), key=key, revision=written.revision)
 
+    def _remove(self, digest: bytes) -> None:
+        del self._due_at_s[digest]
+        del self._records[digest]
+
 
 async def _wait_at_most(event: asyncio.Event, seconds: float) -> None:
     try:
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -20,7 +20,6 @@
 from winchfork.router.attempt_runner import AttemptRunner, EndedAttempt
 from winchfork.router.attempted_replicas import AttemptedReplicas
 from winchfork.router.caller_answer import CallerAnswer
-from winchfork.router.crash_tracker import MAX_CRASHES_PER_ATTEMPT
 from winchfork.router.http_types import (
     CallerDisconnected,
     IncomingRequest,
@@ -43,6 +42,7 @@
 from winchfork.router.replica_connection import ReplicaConnection
 from winchfork.router.replica_search import DEADLINE, ReplicaSearch
 from winchfork.router.request_admission import AdmittedRequest
+from winchfork.router.request_guard import RequestGuard
 from winchfork.router.request_record import RequestRecord
 from winchfork.router.request_retries import RequestRetries
 
@@ -72,7 +72,7 @@
         self._service = service
         self._charge = charge
         self._state = service.state
-        self._crashes = service.state.crashes
+        self._guard = RequestGuard(service.state.crashes, admitted)
         self._loop = asyncio.get_running_loop()
         self._request = request
         self._admitted = admitted
@@ -107,7 +107,13 @@
             service.state, self._service_name, admitted.route, self._record, ends_at_s
         )
         self._search = ReplicaSearch(
-            service.state, self._planner, self._retries, admitted, self._attempted, self._inbox
+            service.state,
+            self._planner,
+            self._retries,
+            admitted,
+            self._attempted,
+            self._inbox,
+            self._guard,
         )
         self._launcher = AttemptLauncher(
             service,
@@ -118,6 +124,7 @@
             self._inbox,
             self._answer,
             charge,
+            self._guard,
         )
         #: The attempts in progress.
         self.runner = AttemptRunner(
@@ -185,9 +192,7 @@
                 return
             ended = await self._attempt(decision)
             if isinstance(ended.outcome, MayHaveRun):
-                await self._crashes.wait_until_resolved(
-                    self._admitted.digest, self._retries.ends_at_s
-                )
+                await self._guard.wait_until_resolved(self._retries.ends_at_s)
             if not self._handle_outcome(ended.replica, ended.outcome):
                 return
             pause = self._is_unsent_continuation(ended.outcome)
@@ -267,10 +272,7 @@
             self._search.excluded_by_attempts()
         )
         # A request under which several replicas may have crashed is not sent to one more.
-        crashes_replicas = (
-            self._crashes.crash_count(self._admitted.digest) >= MAX_CRASHES_PER_ATTEMPT
-        )
-        repeatable = self._route.repeatable and not crashes_replicas
+        repeatable = self._route.repeatable and not self._guard.crashed_repeatedly
         may_retry = repeatable and not failed_by_replica and has_others
         if may_retry and self._may_retry():
             return True
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -167,7 +167,7 @@
             and self._is_own_answer
             and self._until_close
         ):
-            self._complete(reusable=False)
+            self._complete(reusable=False, framed=False)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -244,7 +244,7 @@
                 usable_s = max(0.0, int(value) - KEEPALIVE_MARGIN_S)
                 self.reusable_until_s = self._loop.time() + usable_s
 
-    def _complete(self, *, reusable: bool) -> None:
+    def _complete(self, *, reusable: bool, framed: bool = True) -> None:
         exchange, self._exchange = self._exchange, None
         self._is_own_answer = False
         self.idle_since_s = self._loop.time()
@@ -252,7 +252,7 @@
         if not reusable or unsent:
             self.close()
         if exchange is not None:
-            exchange.deliver(AnswerEnd())
+            exchange.deliver(AnswerEnd(framed))
         self._on_idle(self)
 
     def _fail(self, reason: str, *, silent: bool = False) -> None:
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -28,6 +28,7 @@
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import StopCause, Stopped
 from winchfork.router.request_admission import AdmittedRequest
+from winchfork.router.request_guard import RequestGuard
 from winchfork.router.request_retries import RequestRetries
 from winchfork.router.state import RouterState
 
@@ -62,9 +63,10 @@
         admitted: AdmittedRequest,
         attempted: AttemptedReplicas,
         inbox: Inbox[RequestEvent],
+        guard: RequestGuard,
     ) -> None:
         self._state = state
-        self._crashes = state.crashes
+        self._guard = guard
         self._planner = planner
         self._retries = retries
         self._admitted = admitted
@@ -102,7 +104,7 @@
     def excluded(self) -> set[str]:
         """Return those excluded by attempts, and those reserved for another suspect request."""
         replicas = self._state.fleet.of_service(self._planner.service)
-        reserved = self._crashes.excluded_replicas(self._admitted.digest, replicas)
+        reserved = self._guard.excluded_replicas(replicas)
         return self.excluded_by_attempts() | reserved
 
     def _is_exhausted(self) -> bool:
@@ -121,7 +123,7 @@
 
     async def _find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
         while True:
-            refusal = self._crashes.refusal(self._admitted.digest, ran())
+            refusal = self._guard.refusal(ran())
             if refusal is not None:
                 return refusal
             found = self._check()
@@ -164,7 +166,7 @@
 
     def _find_available(self, max_wait_s: float) -> RelayDecision | _Availability:
         """Return a placement for now, or when one is expected."""
-        if not self._crashes.may_run(self._admitted.digest):
+        if not self._guard.may_run():
             return _Availability(POLL_INTERVAL_S, max_wait_s)
         excluded_by_attempts = self.excluded_by_attempts()
         excluded = self.excluded()
--- a/winchfork/router/request_admission.py
+++ b/winchfork/router/request_admission.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from winchfork.core.request_digest import request_digest
+from winchfork.core.request_digest import request_digest, shared_part_digests
 from winchfork.core.routing import Route, TenantPolicy
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.header_codec import RequestFields
@@ -28,6 +28,8 @@
     digest: bytes = b""
     #: The tenant's name, or the API key of an unknown one; empty without a key.
     caller: str = ""
+    #: Digests of the shared parts of its prompt.
+    shared_parts: tuple[bytes, ...] = ()
 
     @property
     def priority(self) -> int:
@@ -61,7 +63,8 @@
         tenant = table.tenant_of(fields.api_key) if fields.api_key else None
         caller = tenant.name if tenant is not None else fields.api_key or ""
         digest = request_digest(caller, request.method, request.host, request.target, request.body)
-        admitted = AdmittedRequest(route, tenant, fields, digest, caller)
+        shared_parts = shared_part_digests(fields.prompt)
+        admitted = AdmittedRequest(route, tenant, fields, digest, caller, shared_parts)
         if not table.tenants or route.anonymous:
             return admitted
         if tenant is None:
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -20,6 +20,7 @@
 from winchfork.router.replica_connector import ReplicaConnector
 from winchfork.router.replica_probes import ReplicaProbes
 from winchfork.router.request_admission import AdmittedRequest, RequestAdmission
+from winchfork.router.request_guard import RequestGuard
 from winchfork.router.silence_watch import WATCH_PERIOD_S, SilenceWatch
 from winchfork.router.state import RouterState
 from winchfork.router.stream_origins import continues_stream
@@ -97,7 +98,7 @@
         admitted = self._admission.admit(request, fields)
         if isinstance(admitted, Failure):
             return self._refuse(connection, admitted, fields.request_id)
-        refusal = self.state.crashes.refusal(admitted.digest)
+        refusal = RequestGuard(self.state.crashes, admitted).refusal()
         if refusal is not None:
             return self._refuse(connection, refusal, fields.request_id)
         charge = self._quota_gate.admit(admitted.tenant, fields.declared_tokens)
