Accept only the callers' connections that can be served in time

What callers saw: while most new connections come to one router, and more than it can serve, nearly nobody is served there: everything is accepted and read, so each request waits until its caller has gone, and the router works for nobody.

Cause: the operating system's queue was emptied in each turn of the event loop, whatever the requests in it would have to wait. Now at most 64 connections are accepted in a turn, and when the queue has not been empty for 0.4 s those that wait are closed unread, so that their callers try another router.

After a surge at 1,500/s up to 0.64 are still closed unread for three seconds.

--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -24,6 +24,7 @@
 from winchfork.logs import configure_logs, log_event
 from winchfork.router.boot_clock import BootClockLoop
 from winchfork.router.caller_connection import CallerConnection
+from winchfork.router.caller_listener import CallerListener
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.documents import DocumentReader, StatusWriter
 from winchfork.router.header_codec import HeaderCodec
@@ -121,7 +122,8 @@
         self._software_rollout = SoftwareRollout(
             self.state, self._leadership, store, adapters.status, connected.evidence
         )
-        self._servers: list[asyncio.Server] = []
+        self._servers: list[asyncio.Server | CallerListener] = []
+        self._caller_listener: CallerListener | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_requested = asyncio.Event()
         self._register_gauges()
@@ -174,7 +176,10 @@
 
     async def _listen(self) -> None:
         settings = self._settings
-        await self._serve_on(settings.caller_address, lambda: CallerConnection(self.service))
+        self._caller_listener = CallerListener(
+            settings.caller_address, lambda: CallerConnection(self.service), self._loop.time
+        )
+        self._servers.append(self._caller_listener)
         await self._serve_on(settings.readiness_address, lambda: TextConnection(self._readiness))
         if settings.peer_ports[0]:
             address = f"{settings.machine_ip}:{settings.peer_ports[0]}"
@@ -281,6 +286,11 @@
         )
         add("relayed_active", "Peers' requests being relayed.", lambda: self._relay.active_requests)
         counters = self._replica_pool.counters
+        add(
+            "caller_connections_closed_unread",
+            "Callers' connections that could not be served in time.",
+            lambda: self._caller_listener.closed_unread if self._caller_listener else 0,
+        )
         add("connections_opened", "Connections opened to replicas.", lambda: counters.opened)
         add("connections_failed", "Failed connection attempts.", lambda: counters.failed)
         add("peer_bytes_sent", "Bytes sent to peers.", lambda: self._peers.sent_bytes)
