Soak: requests with prompt parts that crash replicas (--fatal-parts)

Two such parts, at any place, in requests unlike each other that share their caller and other parts with sound streams, beside fatal bodies and all other faults. After five crashes under a part undisrupted routers may forward it three times more; no sound request may be refused for it. A fatal request of the stand-ins now matches by its body or by a part.

--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -48,10 +48,10 @@
 class FatalRequest:
     """A kind of request that crashes the replica that runs it, and how the replica restarts.
 
-    A request matches if its body begins with ``body_prefix`` and, unless ``parts`` is empty, its
-    prompt shares one of them. With ``keeps_id`` the replica restarts under the same id, otherwise
-    under a new one. ``closes_in_order``: it first writes one event of an answer without framing,
-    and closes that connection in order.
+    A request matches if its body begins with ``body_prefix``, unless that is empty, or if one of
+    its prompt's shared parts is in ``parts``. With ``keeps_id`` the replica restarts under the same
+    id, otherwise under a new one. ``closes_in_order``: it first writes one event of an answer
+    without framing, and closes that connection in order.
     """
 
     body_prefix: bytes
@@ -65,9 +65,9 @@
 
     def matches(self, request: Request) -> bool:
         """Whether a request crashes the replica that runs it."""
-        if not request.body.startswith(self.body_prefix):
-            return False
-        return not self.parts or not self.parts.isdisjoint(shared_part_ids(request))
+        if self.body_prefix and request.body.startswith(self.body_prefix):
+            return True
+        return not self.parts.isdisjoint(shared_part_ids(request))
 
 
 def shared_part_ids(request: Request) -> list[str]:
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -26,6 +26,11 @@
         action="store_true",
         help="run replicas of several versions side by side, and order no rollouts of software",
     )
+    parser.add_argument(
+        "--fatal-parts",
+        action="store_true",
+        help="send requests with prompt parts that crash replicas",
+    )
     arguments = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix="winchfork-soak-"))
     first_tree = unpack_build(arguments.earlier, folder) if arguments.earlier else None
@@ -35,6 +40,7 @@
         folder,
         first_tree,
         mixed_software=arguments.mixed_software,
+        fatal_parts=arguments.fatal_parts,
     )
     asyncio.run(soak.run())
     print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, logs in {folder}")
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -18,6 +18,8 @@
 _PAUSE_S = 0.05
 _MAX_TOKENS = 60
 _FAMILIES = 8
+#: The first part of every prompt.
+FIRST_PART = "5c1e07a2"
 
 
 @dataclasses.dataclass
@@ -105,7 +107,7 @@
     """Return the header lines for the model, the token counts and the prompt parts."""
     return (
         f"X-Model: {MODEL}\r\nX-Token-Usage: 900,{tokens}\r\n"
-        f"X-Prefix-Hash: 5c1e07a2:300,{family:08x}:410,{number:08x}:190\r\n"
+        f"X-Prefix-Hash: {FIRST_PART}:300,{family:08x}:410,{number:08x}:190\r\n"
     )
 
 
--- a/standins/soak/fatal_requests.py
+++ b/standins/soak/fatal_requests.py
@@ -56,10 +56,15 @@
         await send_request(router.address, "/review/x", request_id, stream_headers(12, 7, 0), body)
 
 
-def prepare_replicas(replicas: Iterable[ReplicaServer], generator: random.Random) -> None:
-    """Make replicas crash under fatal requests; some keep their id when they restart."""
+def prepare_replicas(
+    replicas: Iterable[ReplicaServer],
+    generator: random.Random,
+    parts: frozenset[str] = frozenset(),
+) -> None:
+    """Make replicas crash under fatal bodies and ``parts``; some keep their id in a restart."""
     for replica in replicas:
-        replica.fatal_request = FatalRequest(FATAL_PREFIX, keeps_id=generator.random() < 0.5)
+        keeps_id = generator.random() < 0.5
+        replica.fatal_request = FatalRequest(FATAL_PREFIX, keeps_id=keeps_id, parts=parts)
 
 
 def check_fatal_requests(
@@ -75,7 +80,8 @@
     runs: dict[bytes, list[FatalRun]] = {}
     for replica in replicas:
         for run in replica.fatal_runs:
-            runs.setdefault(run.body, []).append(run)
+            if run.body.startswith(FATAL_PREFIX):
+                runs.setdefault(run.body, []).append(run)
     broken = []
     for body, all_runs in sorted(runs.items()):
         crashes_s = sorted({run.crashed_at_s for run in all_runs if run.crashed_at_s is not None})
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -20,6 +20,7 @@
     check_unrelated_refusals,
 )
 from standins.soak.disruptions import DisruptionLog
+from standins.soak.fatal_parts import FATAL_PARTS, FatalPartCallers, check_fatal_parts
 from standins.soak.fatal_requests import FatalCallers, check_fatal_requests, prepare_replicas
 from standins.soak.faults.context import FaultContext
 from standins.soak.faults.foreign_entries import ForeignEntries
@@ -64,7 +65,8 @@
 class Soak:
     """One run of the soak; ``violations`` holds a line for each guarantee that was broken.
 
-    With ``mixed_software`` replicas of several versions serve side by side, and no rollout of
+    With ``fatal_parts`` some requests have a prompt part that crashes replicas. With
+    ``mixed_software`` replicas of several versions serve side by side, and no rollout of
     software is ordered.
     """
 
@@ -76,6 +78,7 @@
         first_tree: Path | None = None,
         *,
         mixed_software: bool = False,
+        fatal_parts: bool = False,
     ) -> None:
         self._mixed_software = mixed_software
         self._seed = str(seed)
@@ -92,7 +95,10 @@
         self._resuming = ResumingStreams(self._routers, self._seed)
         self._fatal_callers = FatalCallers(self._routers, self._generator("fatal requests"))
         generator = self._generator("ends of replicas")
-        prepare_replicas(self._platform.model_replicas, generator)
+        parts = frozenset(FATAL_PARTS) if fatal_parts else frozenset()
+        prepare_replicas(self._platform.model_replicas, generator, parts)
+        self._fatal_parts = fatal_parts
+        self._part_callers = FatalPartCallers(self._routers, self._generator("fatal parts"))
         self.faults: Counter[str] = Counter()
         self.violations: list[str] = []
 
@@ -134,6 +140,7 @@
         await asyncio.gather(
             operators.run(),
             self._fatal_callers.run(until_s),
+            self._part_callers.run(self._seconds if self._fatal_parts else 0.0),
             *(lane.run(self._generator(lane.name), until_s, self.faults) for lane in lanes),
         )
         # No process fault follows: a restarted router would have lost what it knew of the replica.
@@ -269,12 +276,16 @@
         self.violations += check_fatal_requests(
             models, self._fatal_callers.senders, disruptions, CONTACT_S
         )
+        self.violations += check_fatal_parts(
+            models, self._part_callers.senders, disruptions, CONTACT_S
+        )
         generations = [
             generation for item in platform.all_model_replicas for generation in item.generations
         ]
         bound_s = WEIGHTS_TIMING.version_bound_s
         published = platform.weights_operator.published
         senders = callers.senders | self._fatal_callers.senders | self._resuming.senders
+        senders |= self._part_callers.senders
         emitters = [
             (item.replica_id, notices)
             for item in (*models, *platform.all_application_replicas)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -18,6 +18,7 @@
     check_unrelated_refusals,
 )
 from standins.soak.disruptions import ALL_ROUTERS, STALL, DisruptionLog
+from standins.soak.fatal_parts import check_fatal_parts
 from standins.soak.fatal_requests import check_fatal_requests
 from standins.soak.weights_checks import (
     LateGeneration,
@@ -232,6 +233,28 @@
         self.assertEqual(len(check_unrelated_refusals([refused, refused])), 1)
 
 
+class FatalPartCheckTest(unittest.TestCase):
+    """After five crashes under one part, undisrupted routers may forward it only a few times."""
+
+    def check(self, *began_s: float) -> list[str]:
+        replica = ReplicaServer(StoreServer(), "i-1", "models", "z")
+        replica.fatal_runs = [
+            FatalRun(b"%.1f" % at_s, f"r{at_s}", at_s, at_s + 0.1, frozenset({"bad"}))
+            for at_s in began_s
+        ]
+        senders = {run.request_id: Sender(SENDER) for run in replica.fatal_runs}
+        log = DisruptionLog(CONTACT_S, ManualClock(), lambda line: None)
+        return check_fatal_parts([replica], senders, log, CONTACT_S)
+
+    def test_three_unlike_requests_are_allowed_after_the_fifth_crash_and_a_fourth_is_not(
+        self,
+    ) -> None:
+        first = (1.0, 2.0, 3.0, 4.0, 5.0)
+        self.assertEqual(self.check(*first, 20.0, 21.0, 22.0), [])
+        self.assertEqual(len(self.check(*first, 20.0, 21.0, 22.0, 23.0)), 1)
+        self.assertEqual(self.check(*first[1:], 20.0, 21.0, 22.0, 23.0), [])
+
+
 class NoticeCheckTest(unittest.TestCase):
     """Requests to replicas that announced draining or a backoff, and what excuses them."""
 
