Hold requests with a suspect part back twice before they are refused

Cause: one crash under a trial was taken for proof.

Of several parts of a trial only those suspected longest are blamed.

--- a/winchfork/router/part_guard.py
+++ b/winchfork/router/part_guard.py
@@ -9,13 +9,15 @@
 ==============================  ===============================================
 fewer than two                  not limited
 two                             one at a time: each run is a trial of the part
-under a trial                   refused for a time that grows with each of them,
-                                then one at a time again
+under one or two trials         held back for a second, then one at a time
+under each further trial        refused for a time that grows with each of them,
+                                then one at a time
 ==============================  ===============================================
 
-Only a crash under a trial leads to a refusal, since of all requests that were aboard at another
-crash most are sound. The daemon that sent the run decides and tells the others, each of which
-objects if the part has succeeded there recently.
+Only crashes under trials lead to a refusal, since of all requests that were aboard at another crash
+most are sound, and only under three of them, since the replica of a trial may crash for another
+cause. The daemon that sent the run decides and tells the others, each of which objects if the part
+has succeeded there recently.
 """
 
 from __future__ import annotations
@@ -37,8 +39,8 @@
 MAX_TRIAL_S = 3.0
 #: Seconds for which a trial whose connection broke keeps others back, until a crash is confirmed.
 RESOLVE_S = 1.0
-#: Number of refusals at which a part is refused for longer than a moment.
-LONG_REFUSAL_TIMES = 3
+#: Number of a part's refusals from which on its requests are refused; until then they wait.
+LONG_REFUSAL_TIMES = 4
 #: Parts that may be refused for long at the same time: if more crash replicas, the parts are not
 #: the cause.
 MAX_LONG_REFUSALS = 16
@@ -77,7 +79,8 @@
         """Return why a request with these parts may be sent to no replica, or None."""
         now_s = self._clock()
         for part in parts:
-            if self.history.is_refused(part, now_s):
+            refused_long = self.history.times_refused(part) >= LONG_REFUSAL_TIMES
+            if refused_long and self.history.is_refused(part, now_s):
                 return FailureKind.CRASHES_REPLICAS.because(
                     f"replicas crash while running requests with a part of this prompt "
                     f"({part.hex()})",
@@ -91,11 +94,12 @@
         return any(self.history.times_refused(part) for part in parts)
 
     def may_run(self, parts: Iterable[bytes]) -> bool:
-        """Whether no trial of these parts is under way."""
+        """Whether none of these parts is refused, and no trial of them is under way."""
         now_s = self._clock()
         return not any(
-            self.history.times_refused(part) and self._suspect_runs.is_running(part, now_s)
+            self.history.is_refused(part, now_s) or self._suspect_runs.is_running(part, now_s)
             for part in parts
+            if self.history.times_refused(part)
         )
 
     def is_unresolved(self, parts: Iterable[bytes]) -> bool:
@@ -185,7 +189,7 @@
         self._count_crash(incarnation, parts)
         self.on_crash(incarnation, parts)
         self._limit(parts)
-        self._decide(trials)
+        self._decide(self._most_suspect(trials))
 
     # Peers
 
@@ -223,6 +227,11 @@
                 limited.append(part)
         self._decide(limited)
 
+    def _most_suspect(self, parts: Sequence[bytes]) -> list[bytes]:
+        """Return those of a trial's parts that were refused most often: one cause is enough."""
+        most = max(map(self.history.times_refused, parts), default=0)
+        return [part for part in parts if self.history.times_refused(part) == most]
+
     def _decide(self, parts: Iterable[bytes]) -> None:
         """Limit parts, or refuse those under whose trial a replica has crashed."""
         decided = []
