End the trial of a part when its run ends without a crash

What callers saw: requests with a limited part waited for up to 3 s after a trial that had been turned away or had ended without a whole answer. Cause: a trial was recorded as broken from its beginning, so its end did not count. Found by reading; the test of it failed before (no daemon might run the next one 0.1 s later, all may now).

--- a/winchfork/router/part_guard.py
+++ b/winchfork/router/part_guard.py
@@ -121,10 +121,9 @@
         for part in parts:
             if self.history.times_refused(part):
                 self._forget_trials(now_s)
-                self._trials[part, replica.incarnation_hash] = _Trial(owner, now_s)
-                self._announce_trial(
-                    part, replica.incarnation_hash, min(until_s, now_s + MAX_TRIAL_S)
-                )
+                self._trials[part, replica.incarnation_hash] = _Trial(owner)
+                trial_until_s = min(until_s, now_s + MAX_TRIAL_S)
+                self._announce_trial(part, replica.incarnation_hash, trial_until_s)
 
     def end_run(self, owner: object, parts: Iterable[bytes], replica: RelayReplica) -> None:
         """Record that a run is over; one whose connection broke stays until that is resolved."""
