--- a/standins/soak/fatal_parts.py
+++ b/standins/soak/fatal_parts.py
@@ -7,20 +7,17 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 
 from standins.deployment import MODEL
 from standins.notice_checks import Sender
-from standins.replica_server import FatalRun, ReplicaServer
+from standins.replica_server import ReplicaServer
 from standins.soak.callers import FIRST_PART, send_request
-from standins.soak.disruptions import ALL_ROUTERS, DisruptionLog
-from standins.soak.routers import SoakRouter
+from standins.soak.disruptions import DisruptionLog
+from standins.soak.fatal_checks import MAX_LATER_RUNS, FatalSender, find_later_runs
 
-#: Crashes under one part after which routers must refuse it, and further runs that are tolerated
-#: after the contact time.
+#: Crashes under one part after which routers must refuse it.
 MAX_CRASHES = 5
-MAX_LATER_RUNS = 3
 FATAL_PARTS = ("dead0001", "dead0002")
 #: Pause between two requests.
 MIN_PAUSE_S, MAX_PAUSE_S = 0.1, 0.8
@@ -29,16 +26,9 @@
 _FAMILIES = 8
 
 
-class FatalPartCallers:
+class FatalPartCallers(FatalSender):
     """Sends requests with fatal parts, to routers drawn at random."""
 
-    def __init__(self, routers: Sequence[SoakRouter], generator: random.Random) -> None:
-        self._routers = routers
-        self._random = generator
-        self._sent = 0
-        #: The router that each request was sent to.
-        self.senders: dict[str, Sender] = {}
-
     async def run(self, for_s: float) -> None:
         """Send with the first part for the whole time, and with the second one from later on."""
         loop = asyncio.get_running_loop()
@@ -57,8 +47,7 @@
     async def _send(self, part: str) -> None:
         self._sent += 1
         request_id = f"part-{self._sent}"
-        router = self._random.choice(self._routers)
-        self.senders[request_id] = Sender(router.number, asyncio.get_running_loop().time())
+        router = self._choose_router(request_id)
         body = b"unlike %d" % self._sent
         path = f"/review/{self._sent}"
         await send_request(router.address, path, request_id, self._headers(part), body)
@@ -76,33 +65,16 @@
     disruptions: DisruptionLog,
     contact_s: float,
 ) -> list[str]:
-    """Return a line for each part that is still forwarded too often after five crashes.
-
-    Runs sent by disrupted routers, or while the store or a link is disrupted, do not count.
-    """
+    """Return a line for each part that is still forwarded too often after five crashes."""
     all_runs = [run for replica in replicas for run in replica.fatal_runs]
     broken = []
     for part in sorted({part for run in all_runs for part in run.parts}):
         runs = [run for run in all_runs if part in run.parts]
-        crashes_s = sorted(run.crashed_at_s for run in runs if run.crashed_at_s is not None)
-        if len(crashes_s) < MAX_CRASHES:
-            continue
-        counted_from_s = crashes_s[MAX_CRASHES - 1] + contact_s
-        later = [
-            run
-            for run in runs
-            if run.started_at_s > counted_from_s and not _is_excused(run, senders, disruptions)
-        ]
-        if len(later) > MAX_LATER_RUNS:
+        found = find_later_runs(runs, MAX_CRASHES, senders, disruptions, contact_s)
+        if len(found.late) > MAX_LATER_RUNS:
             broken.append(
-                f"BUDGET: part {part} ended {len(crashes_s)} replicas and reached {len(later)} "
-                f"later than {contact_s:.0f} s after the fifth, the last by {later[-1].request_id}"
+                f"BUDGET: part {part} ended {found.crashes} replicas and reached "
+                f"{len(found.late)} later than {contact_s:.0f} s after the fifth, the last by "
+                f"{found.late[-1].request_id}"
             )
     return broken
-
-
-def _is_excused(run: FatalRun, senders: Mapping[str, Sender], disruptions: DisruptionLog) -> bool:
-    router = senders[run.request_id].router
-    return disruptions.excuses(router, run.started_at_s) or disruptions.excuses(
-        ALL_ROUTERS, run.started_at_s
-    )
--- a/standins/soak/fatal_requests.py
+++ b/standins/soak/fatal_requests.py
@@ -4,18 +4,16 @@
 
 import asyncio
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 
 from standins.notice_checks import Sender
 from standins.replica_server import FatalRequest, FatalRun, ReplicaServer
 from standins.soak.callers import send_request, stream_headers
-from standins.soak.disruptions import ALL_ROUTERS, DisruptionLog
-from standins.soak.routers import SoakRouter
+from standins.soak.disruptions import DisruptionLog
+from standins.soak.fatal_checks import MAX_LATER_RUNS, FatalSender, find_later_runs
 
-#: Crashes under one body after which routers must refuse it, and further runs that are tolerated
-#: after the contact time.
+#: Crashes under one body after which routers must refuse it.
 MAX_CRASHES = 3
-MAX_LATER_RUNS = 3
 FATAL_PREFIX = b"fatal"
 #: Pause between two requests.
 MIN_PAUSE_S, MAX_PAUSE_S = 0.3, 1.2
@@ -25,16 +23,9 @@
 EARLIER_BODY_SHARE = 0.3
 
 
-class FatalCallers:
+class FatalCallers(FatalSender):
     """Sends each body that crashes replicas many times, to routers drawn at random."""
 
-    def __init__(self, routers: Sequence[SoakRouter], generator: random.Random) -> None:
-        self._routers = routers
-        self._random = generator
-        self._sent = 0
-        #: The router that each request was sent to.
-        self.senders: dict[str, Sender] = {}
-
     async def run(self, until_s: float) -> None:
         """Send until the time is up."""
         loop = asyncio.get_running_loop()
@@ -51,8 +42,7 @@
     async def _send(self, body: bytes) -> None:
         self._sent += 1
         request_id = f"{body.decode()}-try-{self._sent}"
-        router = self._random.choice(self._routers)
-        self.senders[request_id] = Sender(router.number, asyncio.get_running_loop().time())
+        router = self._choose_router(request_id)
         await send_request(router.address, "/review/x", request_id, stream_headers(12, 7, 0), body)
 
 
@@ -73,10 +63,7 @@
     disruptions: DisruptionLog,
     contact_s: float,
 ) -> list[str]:
-    """Return a line for each body that is still forwarded too often after three crashes.
-
-    Runs sent by disrupted routers, or while the store or a link is disrupted, do not count.
-    """
+    """Return a line for each body that is still forwarded too often after three crashes."""
     runs: dict[bytes, list[FatalRun]] = {}
     for replica in replicas:
         for run in replica.fatal_runs:
@@ -84,20 +71,11 @@
                 runs.setdefault(run.body, []).append(run)
     broken = []
     for body, all_runs in sorted(runs.items()):
-        crashes_s = sorted({run.crashed_at_s for run in all_runs if run.crashed_at_s is not None})
-        if len(crashes_s) < MAX_CRASHES:
-            continue
-        counted_from_s = crashes_s[MAX_CRASHES - 1] + contact_s
-        later = [
-            run
-            for run in all_runs
-            if run.started_at_s > counted_from_s
-            and not disruptions.excuses(senders[run.request_id].router, run.started_at_s)
-            and not disruptions.excuses(ALL_ROUTERS, run.started_at_s)
-        ]
-        if len(later) > MAX_LATER_RUNS:
+        found = find_later_runs(all_runs, MAX_CRASHES, senders, disruptions, contact_s)
+        if len(found.late) > MAX_LATER_RUNS:
             broken.append(
-                f"BUDGET: {body.decode()} ended {len(crashes_s)} replicas and reached {len(later)} "
-                f"later than {contact_s:.0f} s after the third, the last by {later[-1].request_id}"
+                f"BUDGET: {body.decode()} ended {found.crashes} replicas and reached "
+                f"{len(found.late)} later than {contact_s:.0f} s after the third, the last by "
+                f"{found.late[-1].request_id}"
             )
     return broken
