--- a/winchfork/router/request_guard.py
+++ b/winchfork/router/request_guard.py
@@ -6,10 +6,7 @@
 
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.errors import Failure, RunState
-from winchfork.router.crash_tracker import (
-    MAX_CRASHES_PER_ATTEMPT,
-    CrashTracker,
-)
+from winchfork.router.crash_tracker import MAX_CRASHES_PER_ATTEMPT, CrashTracker
 from winchfork.router.request_admission import AdmittedRequest
 
 
