--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,7 @@
 
 MODEL = "m0"
 #: Clients of the sound replica, each with a connection that it keeps, and the work of a request.
-CLIENTS, WORK_S = 10, 0.18
+CLIENTS, WORK_S = 10, 0.3
 #: The limit in the daemons' settings, ``Limits.MemoryMb``.
 MEMORY_MB = 150
 #: The most that the faulty replica sends, in bytes a second (1,000 Mbit/s) and bytes.
@@ -149,6 +149,8 @@
 
     async def send_on_a_kept_connection(self, daemon: Daemon, client: int) -> None:
         """Send one request after the other on one connection until it closes."""
+        # Spreads the clients, so that they don't get their answers at one moment.
+        await asyncio.sleep(client * WORK_S / CLIENTS)
         host, _, port = daemon.front.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         number = 0
