--- a/review/further/order/run.sh
+++ b/review/further/one/run.sh
@@ -7,4 +7,4 @@
     echo "build the system first: target/deps is missing or incomplete" >&2
     exit 2
 fi
-exec python3 review/further/order/case.py
+exec python3 review/further/one/case.py
