Account for the bytes from other processes that a router holds

Each holder now accounts for its bytes by kind: unfinished answer heads, answer bodies, unfinished events, replies to calls, requests, and answers that their receivers have not read. held_bytes_grown is logged at each doubling from 1 MiB with the resident memory; /metrics has the same. No logic changes.

--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -6,12 +6,14 @@
 
 import msgspec
 
+from winchfork.core.held_bytes import HolderKind
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.routing import RouteKind
 from winchfork.router.caller_answer import CallerAnswer, StreamRelay
 from winchfork.router.header_codec import AnswerFields, HeaderCodec
 from winchfork.router.http_types import (
+    AnswerData,
     AnswerEnd,
     AnswerHead,
     AnswerPart,
@@ -101,6 +103,8 @@
         self._fields: AnswerFields | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._body_holding = connection.held.open(HolderKind.ANSWER_BODY)
+        self._event_holding = connection.held.open(HolderKind.EVENT)
         self._stream: StreamRelay | None = None
         self._pending_prefill_tokens = plan.prefill_tokens
         self._prefill_done = False
@@ -120,6 +124,8 @@
     def end(self) -> None:
         """Record at the replica that the attempt is over; the connection is idle or closed."""
         self._release_pending_prefill()
+        self._body_holding.resize(0)
+        self._event_holding.resize(0)
         self.plan.replica.record_ended(id(self), self.plan.memory_tokens)
 
     def abandon(self) -> None:
@@ -182,6 +188,8 @@
         return self._handle_data(part.data)
 
     def _deliver(self, part: AnswerPart) -> None:
+        if isinstance(part, AnswerData):
+            self._body_holding.grow(len(part.data))
         self._inbox.put(AttemptPart(self.number, part))
 
     def _read_head(self, head: AnswerHead) -> None:
@@ -211,8 +219,10 @@
 
     def _handle_data(self, data: bytes) -> Outcome | None:
         if self._stream is not None:
+            self._body_holding.grow(-len(data))
             if self._stream.feed(data):
                 self._record_events()
+            self._event_holding.resize(self._stream.pending_bytes)
             return None
         self._body.append(data)
         self._body_bytes += len(data)
--- a/winchfork/router/caller_answer.py
+++ b/winchfork/router/caller_answer.py
@@ -95,6 +95,11 @@
         self.events += len(events)
         return len(events)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of the event that is not complete yet."""
+        return len(self._splitter.incomplete_event)
+
     @property
     def truncated(self) -> bool:
         """Whether the stream stopped inside an event, or before its first."""
--- a/winchfork/router/caller_connection.py
+++ b/winchfork/router/caller_connection.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from winchfork.core.held_bytes import HeldBytes, HolderKind
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.http_types import (
@@ -34,6 +35,11 @@
 class CallerHandler(Protocol):
     """Serves the requests of callers' connections."""
 
+    @property
+    def held(self) -> HeldBytes:
+        """The account of what the connections hold."""
+        ...
+
     def limits(self) -> CallerLimits:
         """Return the limits in force."""
         ...
@@ -91,6 +97,8 @@
         self._request: IncomingRequest | None = None
         self._chunked = False
         self._last_activity_at_s = self._loop.time()
+        self._request_holding = handler.held.open(HolderKind.REQUEST)
+        self._unsent_holding = handler.held.open(HolderKind.UNSENT)
         self.close_after_answer = False
 
     # State, for the periodic sweep and for a planned stop
@@ -102,6 +110,7 @@
 
     def enforce_timeouts(self, now_s: float) -> None:
         """Refuse a request that arrives too slowly; close a connection that is idle too long."""
+        self._record_unsent()
         limits = self._handler.limits()
         if self._active is not None or self._pipelined:
             return
@@ -179,6 +188,7 @@
     def _after_answer(self) -> None:
         self._active = None
         self._request = None
+        self._record_requests()
         self._last_activity_at_s = self._loop.time()
         if self.close_after_answer:
             self._pipelined.clear()
@@ -191,6 +201,7 @@
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            self._record_unsent()
 
     # asyncio.Protocol
 
@@ -219,6 +230,7 @@
             self._refuse(
                 FailureKind.INVALID_REQUEST.because(f"invalid HTTP: {type(error).__name__}")
             )
+        self._record_requests()
         if self._reading_head and self._header_bytes > self._handler.limits().header_bytes:
             self._refuse(FailureKind.HEADER_TOO_LARGE.because("the header is too large"))
         if len(self._pipelined) >= MAX_PIPELINED and self._transport is not None:
@@ -232,6 +244,8 @@
         """Notify the active request and the handler."""
         active, self._active = self._active, None
         self._pipelined.clear()
+        self._request_holding.resize(0)
+        self._unsent_holding.resize(0)
         if active is not None:
             active.caller_disconnected()
         self._handler.connection_closed(self)
@@ -243,6 +257,7 @@
 
     def resume_writing(self) -> None:
         """End backpressure on the active request."""
+        self._record_unsent()
         if self._active is not None:
             self._active.set_backpressure(False)
 
@@ -312,6 +327,18 @@
 
     # Internals
 
+    def _record_requests(self) -> None:
+        """Account for the request that is read, those that wait, and the one that is served."""
+        size = self._body_bytes if self._reading_body else 0
+        size += self._header_bytes if self._reading_head else 0
+        size += sum(len(request.body) for request in self._pipelined)
+        size += len(self._request.body) if self._request is not None else 0
+        self._request_holding.resize(size)
+
+    def _record_unsent(self) -> None:
+        if self._transport is not None:
+            self._unsent_holding.resize(self._transport.get_write_buffer_size())
+
     def _serve_next(self) -> None:
         if self._active is not None or not self._pipelined:
             return
--- a/winchfork/router/peer_relay.py
+++ b/winchfork/router/peer_relay.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from winchfork.core.held_bytes import HeldBytes
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
@@ -77,6 +78,11 @@
 
     # CallerHandler
 
+    @property
+    def held(self) -> HeldBytes:
+        """The account of what the connections hold."""
+        return self._state.held
+
     def limits(self) -> CallerLimits:
         """Return the callers' limit on bodies, with room for the headers that the peer has added.
 
--- a/winchfork/router/pooled_http_client.py
+++ b/winchfork/router/pooled_http_client.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from winchfork.core.held_bytes import HeldBytes, HolderKind
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.http_types import (
@@ -75,7 +76,7 @@
             lines.append((b"Content-Length", str(len(body)).encode()))
         message = render_headers(b"%b %b HTTP/1.1" % (method, target), lines) + (body or b"")
         connection.start(message, Exchange(inbox.put, lambda head: True, on_head=on_head))
-        reader = _ReplyReader(inbox)
+        reader = _ReplyReader(inbox, self._pool.held)
         try:
             async with asyncio.timeout(timeout_s):
                 return await reader.wait()
@@ -91,13 +92,16 @@
         except asyncio.CancelledError:
             connection.abandon()
             raise
+        finally:
+            reader.release()
 
 
 class _ReplyReader:
     """Assembles an answer from its parts."""
 
-    def __init__(self, inbox: Inbox[AnswerPart]) -> None:
+    def __init__(self, inbox: Inbox[AnswerPart], held: HeldBytes) -> None:
         self._inbox = inbox
+        self._holding = held.open(HolderKind.CALL_REPLY)
         self._status = 0
         self._pieces: list[bytes] = []
 
@@ -116,11 +120,16 @@
                 return answer
         return None
 
+    def release(self) -> None:
+        """End the account of what was read."""
+        self._holding.resize(0)
+
     def _handle(self, item: AnswerPart) -> CallReply | Failure | None:
         if isinstance(item, AnswerHead):
             self._status = item.status
         elif isinstance(item, AnswerData):
             self._pieces.append(item.data)
+            self._holding.grow(len(item.data))
         elif isinstance(item, AnswerEnd):
             return CallReply(self._status, b"".join(self._pieces))
         elif isinstance(item, AnswerTruncated):
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -22,6 +22,7 @@
 from winchfork.backends.replica_control import ReplicaControl
 from winchfork.errors import Failure
 from winchfork.logs import configure_logs, log_event
+from winchfork.resident_memory import resident_bytes
 from winchfork.router.boot_clock import BootClockLoop
 from winchfork.router.caller_connection import CallerConnection
 from winchfork.router.caller_listener import CallerListener
@@ -88,8 +89,8 @@
         self._read_settings = read_settings
         self._log_lines_dropped = log_lines_dropped
         self.state = RouterState(settings, loop.time, generator)
-        self._replica_pool = ConnectionPool()
-        self._call_pool = ConnectionPool()
+        self._replica_pool = ConnectionPool(self.state.held)
+        self._call_pool = ConnectionPool(self.state.held)
         self._http_client = PooledHttpClient(
             self._call_pool, lambda label: self.state.metrics.calls.labels(label).inc()
         )
@@ -127,6 +128,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_requested = asyncio.Event()
         self._register_gauges()
+        self.state.held.on_growth = self._log_held_bytes
 
     def install_signal_handlers(self) -> None:
         """Shut down gracefully on SIGTERM and SIGINT, reload the settings on SIGHUP."""
@@ -295,8 +297,20 @@
         add("connections_failed", "Failed connection attempts.", lambda: counters.failed)
         add("peer_bytes_sent", "Bytes sent to peers.", lambda: self._peers.sent_bytes)
         add("peer_messages_sent", "Messages sent to peers.", lambda: self._peers.sent_messages)
+        held = state.held
+        add("held_bytes", "Bytes from other processes that are held.", lambda: held.total)
+        add("held_bytes_peak", "The most of them held at a time.", lambda: held.peak)
+        add("resident_bytes", "Memory that this process occupies.", resident_bytes)
+        state.metrics.held_bytes = lambda: {kind.value: n for kind, n in held.by_kind.items()}
         add("log_lines_dropped", "Dropped log lines.", lambda: self._log_lines_dropped())
 
+    def _log_held_bytes(self) -> None:
+        held = self.state.held
+        sizes = {kind.value: size for kind, size in held.by_kind.items() if size}
+        log_event(
+            "held_bytes_grown", "WARNING", total=held.total, resident=resident_bytes(), **sizes
+        )
+
     # Duties
 
     async def _sweep(self) -> None:
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -14,6 +14,7 @@
 import httptools
 import msgspec
 
+from winchfork.core.held_bytes import HeldBytes, HolderKind
 from winchfork.router.http_types import (
     AnswerData,
     AnswerEnd,
@@ -75,8 +76,10 @@
     ``on_idle`` is called when the exchange has ended, and when the connection has closed.
     """
 
-    def __init__(self, on_idle: Callable[[ReplicaConnection], None]) -> None:
+    def __init__(self, on_idle: Callable[[ReplicaConnection], None], held: HeldBytes) -> None:
         self._on_idle = on_idle
+        self.held = held
+        self._head_holding = held.open(HolderKind.ANSWER_HEAD)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
@@ -88,6 +91,7 @@
         self._until_close = False
         self._reusable = True
         self._in_answer = False
+        self._reading_head = False
         self.closed = False
         #: Set if requests go to a peer, which relays them to the replica.
         self.relay: RelayLeg | None = None
@@ -151,6 +155,8 @@
         if self._exchange is None or self._parser is None:
             self.close()
             return
+        if self._reading_head:
+            self._head_holding.grow(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -173,6 +179,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Truncate the exchange in progress."""
         self.closed = True
+        self._head_holding.resize(0)
         self._fail(_close_reason(error), silent=isinstance(error, TimeoutError))
 
     # httptools callbacks
@@ -182,6 +189,7 @@
         self._headers = []
         self._reason = b""
         self._in_answer = True
+        self._reading_head = True
         if self._exchange is None:
             self.close()
 
@@ -195,6 +203,8 @@
 
     def on_headers_complete(self) -> None:
         """Deliver the head if the answer belongs to the exchange."""
+        self._reading_head = False
+        self._head_holding.resize(0)
         if self._exchange is None or self._parser is None:
             return
         status = self._parser.get_status_code()
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from winchfork.core.held_bytes import HeldBytes
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import CallerLimits
 from winchfork.core.stream_origin import StreamOrigin
@@ -68,6 +69,11 @@
 
     # CallerHandler
 
+    @property
+    def held(self) -> HeldBytes:
+        """The account of what the connections hold."""
+        return self.state.held
+
     def limits(self) -> CallerLimits:
         """Return the configured limits of callers."""
         return self.state.routing_table.limits if self.state.routing_table else _DEFAULT_LIMITS
