Bound the answers to calls of the store, replicas and peers

What a router saw: a replica's answer to /report, an order or a peer's question was kept whole, however large, until the call's timeout. A report without end at 1,000 Mbit/s took a router from 33 MB to 92 MB in its 0.6 s (75.8 MB of it); several at once, or an order with its second, take it over a limit of 150 MB.

Now a reply may have 64 KiB, one of the store 8 MiB (its pages are about 1 MB). A larger one is ANSWER_TOO_LARGE at once and its connection closes. A watch whose changes are larger leads to a list, which is read page by page; without that it would be repeated for ever.

--- a/standins/faulty_service.py
+++ b/standins/faulty_service.py
@@ -47,7 +47,7 @@
 
 
 class FaultyService:
-    """The deployment; ``answer`` serves the requests of the routes ``/stream/`` and ``/whole/``."""
+    """The deployment; ``answer`` serves the routes ``/stream/``, of a model, and ``/whole/``."""
 
     def __init__(self, folder: Path, answer: Answer) -> None:
         self._standins = PlatformStandins()
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -18,6 +18,7 @@
             FailureKind.OUTCOME_UNKNOWN,
             FailureKind.CLAIM_HELD,
             FailureKind.CLAIM_NO_MAJORITY,
+            FailureKind.ANSWER_TOO_LARGE,
         ):
             self.assertIs(kind.because("x").ran, RunState.UNKNOWN, kind)
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -12,9 +12,9 @@
 from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.platform.replicas import PlatformReplicaControl
-from winchfork.platform.store import PlatformStore
+from winchfork.platform.store import MAX_ANSWER_BYTES, PlatformStore
 from winchfork.router.connection_pool import ConnectionPool
-from winchfork.router.pooled_http_client import PooledHttpClient
+from winchfork.router.pooled_http_client import MAX_REPLY_BYTES, PooledHttpClient
 from winchfork.stores.async_key_value import (
     ExpectedRevision,
     PutItem,
@@ -83,6 +83,22 @@
         )
         self.assertIn("after=411&WaitMs=1600", server.received[0].line)
 
+    async def test_a_watch_with_more_changes_than_an_answer_may_have_leads_to_a_list(self) -> None:
+        """Guards against a watch that is repeated for ever because its answer is too large."""
+        value = b"x" * (MAX_ANSWER_BYTES // 2)
+        body = {"Events": [item("a", value, 412), item("b", value, 413)], "at": 413}
+        store, _ = await self.store(plain("200 OK", body))
+        answer = await store.watch("", 411, 1.6)
+        assert isinstance(answer, Failure)
+        self.assertEqual(answer.kind, FailureKind.HISTORY_LOST)
+
+    async def test_an_answer_larger_than_the_limit_is_a_failure_at_once(self) -> None:
+        """Guards against answers to calls that are kept whole however large they are."""
+        server = await self.server(plain("200 OK", "x" * MAX_REPLY_BYTES))
+        reply = await self.calls.call(server.address, b"GET", b"/report", None, 1.0, label="report")
+        assert isinstance(reply, Failure)
+        self.assertEqual(reply.kind, FailureKind.ANSWER_TOO_LARGE)
+
     async def test_refusals_are_typed(self) -> None:
         for status, kind in (
             ("410 Gone", FailureKind.HISTORY_LOST),
--- a/winchfork/errors.py
+++ b/winchfork/errors.py
@@ -56,6 +56,7 @@
     CONFIGURATION_STALE = "configuration_stale"
     HEADER_TOO_LARGE = "header_too_large"
     HISTORY_LOST = "history_lost"
+    ANSWER_TOO_LARGE = "answer_too_large"
     BAD_DOCUMENT = "bad_document"
     INTERNAL = "internal"
 
--- a/winchfork/platform/store.py
+++ b/winchfork/platform/store.py
@@ -31,6 +31,8 @@
 #: Time that a watch may take beyond its own wait.
 WATCH_SLACK_S = 0.9
 _MAX_PAGES = 200
+#: Limit on one answer of the store; a page has about 1 MB, and a watch has no bound of its own.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
 class _Item(msgspec.Struct):
@@ -100,13 +102,17 @@
         return FailureKind.STORE_UNAVAILABLE.because("the list exceeds the maximum number of pages")
 
     async def watch(self, prefix: str, after_revision: int, wait_s: float) -> WatchBatch | Failure:
-        """Wait up to ``wait_s`` for changes after a revision."""
+        """Wait up to ``wait_s`` for changes after a revision.
+
+        Changes that exceed the limit on an answer are read as a list, whose pages are small.
+        """
         query = urlencode(
             {"PathPrefix": prefix, "after": after_revision, "WaitMs": int(wait_s * 1000)}
         )
         answer = await self._read(f"/kv-watch?{query}", _Events, wait_s + WATCH_SLACK_S)
         if isinstance(answer, Failure):
-            return answer
+            too_large = answer.kind is FailureKind.ANSWER_TOO_LARGE
+            return FailureKind.HISTORY_LOST.because(answer.reason) if too_large else answer
         batch = answer.body
         position = StorePosition(answer.era, batch.at)
         return WatchBatch(tuple(_item(entry) for entry in batch.events), position)
@@ -177,7 +183,10 @@
             timeout_s,
             label=label,
             on_head=heads.append,
+            max_reply_bytes=MAX_ANSWER_BYTES,
         )
+        if isinstance(reply, Failure) and reply.kind is FailureKind.ANSWER_TOO_LARGE:
+            return reply
         if isinstance(reply, Failure):
             return FailureKind.STORE_UNAVAILABLE.because(reply.reason, ran=reply.ran)
         answer = read_store_answer(heads[-1])
--- a/winchfork/router/pooled_http_client.py
+++ b/winchfork/router/pooled_http_client.py
@@ -24,6 +24,8 @@
 
 #: Limit on the open connections to one address.
 _MAX_CONNECTIONS = 8
+#: Limit on the body of an answer, unless the caller of the client sets another.
+MAX_REPLY_BYTES = 64 * 1024
 
 
 class CallReply(msgspec.Struct, frozen=True):
@@ -54,11 +56,13 @@
         headers: Headers | None = None,
         is_still_allowed: Callable[[], bool] | None = None,
         on_head: Callable[[AnswerHead], None] = lambda head: None,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
     ) -> CallReply | Failure:
         """Return the answer; a failure whose ``ran`` is "not run" means that nothing was sent.
 
         ``is_still_allowed`` is checked directly before the call is sent, when the connection is
-        open. ``on_head`` is called with the head of the answer.
+        open. ``on_head`` is called with the head of the answer. A body of more than
+        ``max_reply_bytes`` is the failure ANSWER_TOO_LARGE.
         """
         connection = await self._pool.acquire(address, _MAX_CONNECTIONS)
         if isinstance(connection, Failure):
@@ -76,10 +80,10 @@
             lines.append((b"Content-Length", str(len(body)).encode()))
         message = render_headers(b"%b %b HTTP/1.1" % (method, target), lines) + (body or b"")
         connection.start(message, Exchange(inbox.put, lambda head: True, on_head=on_head))
-        reader = _ReplyReader(inbox, self._pool.held)
+        reader = _ReplyReader(inbox, self._pool.held, max_reply_bytes)
         try:
             async with asyncio.timeout(timeout_s):
-                return await reader.wait()
+                answer = await reader.wait()
         except TimeoutError:
             # After a stall of the process the timer may fire although the answer has arrived.
             arrived = reader.pop_arrived()
@@ -94,14 +98,18 @@
             raise
         finally:
             reader.release()
+        if isinstance(answer, Failure):
+            connection.abandon()
+        return answer
 
 
 class _ReplyReader:
     """Assembles an answer from its parts."""
 
-    def __init__(self, inbox: Inbox[AnswerPart], held: HeldBytes) -> None:
+    def __init__(self, inbox: Inbox[AnswerPart], held: HeldBytes, max_bytes: int) -> None:
         self._inbox = inbox
         self._holding = held.open(HolderKind.CALL_REPLY)
+        self._max_bytes = max_bytes
         self._status = 0
         self._pieces: list[bytes] = []
 
@@ -130,6 +138,10 @@
         elif isinstance(item, AnswerData):
             self._pieces.append(item.data)
             self._holding.grow(len(item.data))
+            if self._holding.size > self._max_bytes:
+                return FailureKind.ANSWER_TOO_LARGE.because(
+                    f"the answer has more than {self._max_bytes} bytes"
+                )
         elif isinstance(item, AnswerEnd):
             return CallReply(self._status, b"".join(self._pieces))
         elif isinstance(item, AnswerTruncated):
