Bound an event of a stream, and search each byte of it once

Callers saw: a replica whose event does not end keeps the router from all others.

Cause: the bytes of an event that is not complete were copied and searched from their beginning with each piece that arrived, and nothing bounded them.

--- a/tests/test_answer_limits.py
+++ b/tests/test_answer_limits.py
@@ -4,17 +4,20 @@
 
 import unittest
 
-from tests.relay_case import RelayTestCase
+from tests.relay_case import PROMPT_HEADERS, RelayTestCase
 from tests.relay_support import (
     ReceivedAnswer,
     ReceivedRequest,
     ScriptedReplica,
     answering,
     chunk,
+    event,
     signed,
+    stream_head,
 )
 from winchfork.core.routing import RouteKind
 from winchfork.router.answer_head import MAX_HEAD_BYTES, MAX_HEADERS
+from winchfork.router.event_stream import MAX_EVENT_BYTES, EventSplitter
 
 _BODY = b"a whole answer"
 
@@ -72,5 +75,33 @@
             self.assertEqual((answer.status, answer.body), (200, _BODY))
 
 
+class EventLimitsTest(RelayTestCase):
+    async def test_a_long_event_within_the_limit_is_delivered(self) -> None:
+        """Guards against a limit that breaks off sound streams."""
+        long_event = b"id: 1\ndata: " + b"x" * (MAX_EVENT_BYTES - 100) + b"\n\n"
+
+        def data(request: ReceivedRequest) -> bytes:
+            return stream_head(request) + chunk(long_event) + chunk(event(2)) + chunk(b"")
+
+        relay = await self.relay(ScriptedReplica(answering(data)), kind=RouteKind.STREAMING)
+        answer = await relay.ask(extra=PROMPT_HEADERS)
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body, long_event + event(2))
+
+
+class EventSplitterTest(unittest.TestCase):
+    def test_events_are_the_same_wherever_the_pieces_end(self) -> None:
+        """Guards against an end of an event that lies across two pieces."""
+        stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n\n\nid: 4\n\nrest"
+        whole = EventSplitter().feed(stream)
+        self.assertEqual([found.event_id for found in whole], [1, 2, None, None, 4])
+        for size in range(1, len(stream)):
+            splitter = EventSplitter()
+            pieces = [stream[at : at + size] for at in range(0, len(stream), size)]
+            found = [one for piece in pieces for one in splitter.feed(piece)]
+            self.assertEqual(found, whole, size)
+            self.assertEqual(splitter.incomplete_event, b"rest")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -81,3 +81,11 @@
                 statuses = await self.play("/stream/x", part, 20)
                 self.check_others()
                 self.assertEqual(set(statuses), {502})
+
+
+class EventTest(EndlessAnswersCase):
+    async def test_an_event_without_end_does_not_hold_up_the_others(self) -> None:
+        """Guards against an event that is copied and searched anew with each of its pieces."""
+        statuses = await self.play("/stream/x", EndlessPart.EVENT, 20)
+        self.check_others()
+        self.assertEqual(set(statuses), {502})
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -11,6 +11,7 @@
 from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.routing import RouteKind
 from winchfork.router.caller_answer import CallerAnswer, StreamRelay
+from winchfork.router.event_stream import MAX_EVENT_BYTES
 from winchfork.router.header_codec import AnswerFields, HeaderCodec
 from winchfork.router.http_types import (
     AnswerData,
@@ -223,6 +224,9 @@
             if self._stream.feed(data):
                 self._record_events()
             self._event_holding.resize(self._stream.pending_bytes)
+            if self._stream.is_too_large:
+                self.abandon()
+                return MayHaveRun(f"the stream has an event of more than {MAX_EVENT_BYTES} bytes")
             return None
         self._body.append(data)
         self._body_bytes += len(data)
--- a/winchfork/router/caller_answer.py
+++ b/winchfork/router/caller_answer.py
@@ -98,7 +98,12 @@
     @property
     def pending_bytes(self) -> int:
         """Bytes of the event that is not complete yet."""
-        return len(self._splitter.incomplete_event)
+        return self._splitter.incomplete_bytes
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether that event exceeds the limit."""
+        return self._splitter.is_too_large
 
     @property
     def truncated(self) -> bool:
