Bound what one turn of the event loop reads, and pass on what a read brings at once

Callers saw: a replica that sends short events or chunks keeps a router from all others. On one connection the readiness page took 3.2 s (events) and 1.4 s (chunks), where the platform asks once a second; on 20 connections 27 s and 5 s; on 60 chunks held 252 MB, where a process is killed at 150.

Cause: a read took up to 256 KiB, each event in it cost a write to the caller's socket, and each chunk an object and a turn of the request's task. So a read of some 100 Mbit/s link time took seconds, and nothing else ran.

Now connections of replicas, peers and callers read 16 KiB at a time, less once a turn has had four such reads, and what a read brings of a body, or of events, is passed on at once.

--- a/standins/replica_links.py
+++ b/standins/replica_links.py
@@ -14,6 +14,8 @@
 from collections.abc import Callable, Collection, Coroutine
 from typing import Any
 
+from winchfork.router.read_buffer import BoundedReadProtocol
+
 #: The number of the router that the current task belongs to; None outside routers.
 _router: contextvars.ContextVar[int | None] = contextvars.ContextVar("router", default=None)
 
@@ -73,7 +75,7 @@
         changed.set()
 
     async def _create(
-        self, factory: Callable[[], asyncio.Protocol], host: str, port: int, **options: Any
+        self, factory: Callable[[], Any], host: str, port: int, **options: Any
     ) -> tuple[asyncio.Transport, asyncio.Protocol]:
         router = _router.get() if self._only_router is None else self._only_router
         if router is None or f"{host}:{port}" not in self._replica_addresses():
@@ -95,7 +97,7 @@
 class _Link(asyncio.Protocol):
     """Stands between the transport of a connection and its protocol."""
 
-    def __init__(self, router: int, inner: asyncio.Protocol, links: set[_Link]) -> None:
+    def __init__(self, router: int, inner: BoundedReadProtocol, links: set[_Link]) -> None:
         self.router = router
         self.inner = inner
         self._links = links
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -89,3 +89,13 @@
         statuses = await self.play("/stream/x", EndlessPart.EVENT, 20)
         self.check_others()
         self.assertEqual(set(statuses), {502})
+
+
+class SmallPiecesTest(EndlessAnswersCase):
+    async def test_short_events_and_chunks_do_not_hold_up_the_others(self) -> None:
+        """Guards against one read of a connection that takes the event loop for long."""
+        for part in (EndlessPart.SHORT_EVENTS, EndlessPart.SHORT_CHUNKS):
+            for connections in (1, 20):
+                with self.subTest(part=part, connections=connections):
+                    await self.play("/stream/x", part, connections)
+                    self.check_others()
--- a/winchfork/router/caller_answer.py
+++ b/winchfork/router/caller_answer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from winchfork.router.caller_connection import CallerConnection
 from winchfork.router.event_stream import EventSplitter, StreamEvent
@@ -44,19 +44,25 @@
             self._connection.write_body(answer.body)
         self._connection.finish_answer()
 
-    def send_event(self, head: AnswerHead, event: StreamEvent) -> bool:
-        """Send a whole event to the caller; return False if the caller already has it."""
-        known = self.last_event_id
-        if event.event_id is not None and known is not None and event.event_id <= known:
-            return False
+    def send_events(self, head: AnswerHead, events: Sequence[StreamEvent]) -> None:
+        """Send whole events to the caller, except those that the caller already has."""
+        new = [event.raw for event in events if self._advance(event)]
+        if not new:
+            return
         if not self.started:
             self.started = True
             headers = [pair for pair in end_to_end(head.headers) if pair[0].lower() != _LENGTH]
             self._connection.start_answer(head.status, head.reason, headers, None)
-        if event.event_id is not None:
-            self.last_event_id = event.event_id
-        self.events += 1
-        self._connection.write_body(event.raw)
+        self.events += len(new)
+        self._connection.write_body(b"".join(new))
+
+    def _advance(self, event: StreamEvent) -> bool:
+        """Return whether an event is new to the caller."""
+        if event.event_id is None:
+            return True
+        if self.last_event_id is not None and event.event_id <= self.last_event_id:
+            return False
+        self.last_event_id = event.event_id
         return True
 
     def finish(self) -> None:
@@ -90,8 +96,7 @@
         events = self._splitter.feed(data)
         if events and not self.events:
             self._on_first_event()
-        for event in events:
-            self._answer.send_event(self._head, event)
+        self._answer.send_events(self._head, events)
         self.events += len(events)
         return len(events)
 
--- a/winchfork/router/caller_connection.py
+++ b/winchfork/router/caller_connection.py
@@ -23,6 +23,7 @@
     find_header,
     render_headers,
 )
+from winchfork.router.read_buffer import BoundedReadProtocol
 from winchfork.router.replica_connection import set_socket_options
 
 #: Pipelined requests on one connection at which reading pauses.
@@ -75,10 +76,11 @@
         ...
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(BoundedReadProtocol):
     """One connection from a caller."""
 
     def __init__(self, handler: CallerHandler) -> None:
+        super().__init__()
         self._handler = handler
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
--- a/winchfork/router/caller_listener.py
+++ b/winchfork/router/caller_listener.py
@@ -29,7 +29,7 @@
     def __init__(
         self,
         address: str,
-        make_protocol: Callable[[], asyncio.Protocol],
+        make_protocol: Callable[[], asyncio.BaseProtocol],
         clock: Callable[[], float],
     ) -> None:
         host, _, port = address.rpartition(":")
--- a/winchfork/router/event_stream.py
+++ b/winchfork/router/event_stream.py
@@ -60,6 +60,8 @@
 
 
 def _event_id(raw: bytes) -> int | None:
+    if b"id:" not in raw:
+        return None
     for line in raw.splitlines():
         name, _, value = line.partition(b":")
         if name == b"id":
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -196,7 +196,7 @@
             )
 
     async def _serve_optionally(
-        self, event: str, address: str, factory: Callable[[], asyncio.Protocol]
+        self, event: str, address: str, factory: Callable[[], asyncio.BaseProtocol]
     ) -> None:
         """Listen; if the port is in use, log ``event``, and the router runs without."""
         try:
@@ -204,7 +204,7 @@
         except OSError as error:
             log_event(event, "WARNING", address=address, reason=repr(error))
 
-    async def _serve_on(self, address: str, factory: Callable[[], asyncio.Protocol]) -> None:
+    async def _serve_on(self, address: str, factory: Callable[[], asyncio.BaseProtocol]) -> None:
         host, _, port = address.rpartition(":")
         server = await self._loop.create_server(factory, host, int(port), backlog=_BACKLOG)
         self._servers.append(server)
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -25,6 +25,7 @@
     Headers,
     find_header,
 )
+from winchfork.router.read_buffer import BoundedReadProtocol
 
 #: Milliseconds after which unacknowledged data ends the connection. Longer than the silence of a
 #: second or so that a sound replica may have, and the retransmission that follows it. It also
@@ -74,13 +75,14 @@
     peer_address: str
 
 
-class ReplicaConnection(asyncio.Protocol):
+class ReplicaConnection(BoundedReadProtocol):
     """One connection. :meth:`start` begins an exchange.
 
     ``on_idle`` is called when the exchange has ended, and when the connection has closed.
     """
 
     def __init__(self, on_idle: Callable[[ReplicaConnection], None], held: HeldBytes) -> None:
+        super().__init__()
         self._on_idle = on_idle
         self.held = held
         self._head = AnswerHeadReader(held.open(HolderKind.ANSWER_HEAD))
@@ -93,6 +95,8 @@
         self._until_close = False
         self._reusable = True
         self._in_answer = False
+        #: Pieces of the body in the read that is being parsed.
+        self._body: list[bytes] = []
         self._interim_answers = 0
         self._other_answers = 0
         self.closed = False
@@ -162,6 +166,7 @@
         try:
             self._head.record_read(len(data))
             self._parser.feed_data(data)
+            self._deliver_body()
         except AnswerRejectedError as error:
             self._fail(str(error))
         except httptools.HttpParserUpgrade:
@@ -232,9 +237,9 @@
             self._complete(reusable=False)
 
     def on_body(self, data: bytes) -> None:
-        """Deliver body data of the exchange's answer."""
+        """Collect body data of the exchange's answer."""
         if self._is_own_answer and self._exchange is not None and not self._interim:
-            self._exchange.deliver(AnswerData(data))
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Complete the exchange if this was its final answer."""
@@ -267,7 +272,17 @@
                 usable_s = max(0.0, int(value) - KEEPALIVE_MARGIN_S)
                 self.reusable_until_s = self._loop.time() + usable_s
 
+    def _deliver_body(self) -> None:
+        """Deliver the body data of a read at once: each part costs much more than its bytes."""
+        if not self._body:
+            return
+        data = b"".join(self._body)
+        self._body.clear()
+        if self._exchange is not None:
+            self._exchange.deliver(AnswerData(data))
+
     def _complete(self, *, reusable: bool, framed: bool = True) -> None:
+        self._deliver_body()
         exchange, self._exchange = self._exchange, None
         self._is_own_answer = False
         self.idle_since_s = self._loop.time()
@@ -279,6 +294,7 @@
         self._on_idle(self)
 
     def _fail(self, reason: str, *, silent: bool = False) -> None:
+        self._deliver_body()
         exchange, self._exchange = self._exchange, None
         self.close()
         if exchange is not None:
