Count every large read of a turn, not only those that fill the buffer

Callers saw: 2,000 callers that each send 15 KB of short header lines keep the router from everything else for more than 1.5 s (a trial: no log line and no readiness page came after they had been sent).

Cause: only reads of the whole 16 KiB counted toward a turn, so that as many reads of 15 KB as there are connections were parsed in one turn.

Now reads of more than 2 KiB count by their bytes; after 64 KiB a turn's other reads have 2 KiB.

--- a/winchfork/router/read_buffer.py
+++ b/winchfork/router/read_buffer.py
@@ -1,8 +1,8 @@
 """Bounds how much of one connection is read, and parsed, in a turn of the event loop.
 
-All connections of a loop read into one buffer, one after the other. A read may fill it. After a few
-such reads in one turn, the others in that turn are small, so that many busy connections together do
-not keep the loop from the rest either.
+All connections of a loop read into one buffer, one after the other. A read may fill it, until the
+reads of a turn have brought TURN_BYTES. The others in that turn are small, so that many busy
+connections together do not keep the loop from the rest either.
 """
 
 from __future__ import annotations
@@ -11,10 +11,10 @@
 import asyncio
 import weakref
 
-#: Largest read, and the full reads of a turn after which reads are small.
+#: Largest read, the bytes read in a turn after which reads are small, and the size of these.
 READ_BYTES = 16 * 1024
-FULL_READS_PER_TURN = 4
-SMALL_READ_BYTES = 1024
+TURN_BYTES = 64 * 1024
+SMALL_READ_BYTES = 2 * 1024
 
 
 class ReadBuffer:
@@ -24,20 +24,21 @@
         # The loop keys the buffer weakly, so the buffer must not keep the loop.
         self._loop = weakref.ref(loop)
         self._buffer = memoryview(bytearray(READ_BYTES))
-        self._full_reads = 0
+        #: Bytes of the turn's reads, without those that are small anyway.
+        self._turn_bytes = 0
 
     def offer(self) -> memoryview:
         """Return the part of the buffer that the next read may fill."""
-        if self._full_reads < FULL_READS_PER_TURN:
+        if self._turn_bytes < TURN_BYTES:
             return self._buffer
         return self._buffer[:SMALL_READ_BYTES]
 
     def take(self, size: int) -> bytes:
         """Return the ``size`` bytes that were read."""
-        if size == READ_BYTES:
-            if not self._full_reads:
+        if size > SMALL_READ_BYTES:
+            if not self._turn_bytes:
                 self._schedule_reset()
-            self._full_reads += 1
+            self._turn_bytes += size
         return bytes(self._buffer[:size])
 
     def _schedule_reset(self) -> None:
@@ -46,7 +47,7 @@
             loop.call_soon(self._begin_turn)
 
     def _begin_turn(self) -> None:
-        self._full_reads = 0
+        self._turn_bytes = 0
 
 
 _buffers: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, ReadBuffer] = (
