Bound what a router holds for all connections together by its memory limit

Callers saw: messages that are allowed one by one take a router over its limit of 150 MB together, and the platform kills it with all its requests. 20 uploads of 4 MB: 210 MB; 40: 263 MB; 60 answers that are buffered: 247 MB; heads of 1,000 callers that are not complete: 218 MB.

Uploads were besides held three times, as body, as message and in the write buffer.

Now the account of held bytes has a limit, 0.45 of Limits.MemoryMb. Beyond it the largest holding that can be given up is: a request that is being read is refused as not run, an answer broken off, a connection whose caller does not read is closed. From 0.3 on there is no room for more large messages: a large body is refused before it is read (503, not run, Retry-After), and buffered answers over 64 KiB are read on one at a time, the oldest first, so that sound ones are all delivered. Messages up to 64 KiB go on. A large body is written to the replica piece by piece and not copied. A refused caller's rest is read and dropped for up to a second, since closing at once resets the connection and loses the answer.

--- a/standins/faulty_service.py
+++ b/standins/faulty_service.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import copy
+import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -105,10 +106,17 @@
         status = int(received[9:12]) if received.startswith(b"HTTP/1.1 ") else 0
         return status, bytes(received)
 
-    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Open a caller's connection."""
+    async def connect(
+        self, receive_bytes: int = 0
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a caller's connection, with a receive buffer of its own if a size is given."""
         host, _, port = self.router.address.rpartition(":")
-        return await asyncio.open_connection(host, int(port))
+        raw = socket.socket()
+        raw.setblocking(False)
+        if receive_bytes:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        await asyncio.get_running_loop().sock_connect(raw, (host, int(port)))
+        return await asyncio.open_connection(sock=raw)
 
     def _configuration(self) -> dict[str, Any]:
         configuration = copy.deepcopy(self._standins.configuration)
--- a/tests/run.py
+++ b/tests/run.py
@@ -44,6 +44,7 @@
     "test_backup_attempts",
     "test_attempt_orders",
     "test_endless_answers",
+    "test_memory_limit",
 )
 #: Modules that run in separate processes, and the number of these beside the main one.
 SEPARATE_MODULES = (*LONG_MODULES, *CPU_BOUND_MODULES)
--- a/winchfork/platform/settings.py
+++ b/winchfork/platform/settings.py
@@ -14,6 +14,7 @@
 from winchfork.router.settings import RouterBounds, RouterSettings
 
 _METRICS_PORT = 9464
+BYTES_PER_MB = 1_000_000
 
 
 def read_settings(environment: Mapping[str, str] | None = None) -> RouterSettings | Failure:
@@ -70,6 +71,7 @@
         peer_ports=fields.ports("InternalPorts"),
         regions=RegionMap(fields.table("Zones.")),
         seeds=fields.items("Seeds"),
+        memory_bytes=int(fields.number("Limits.MemoryMb", 0) * BYTES_PER_MB),
         link_mbps=int(fields.number("Limits.LinkMbps", 0)),
         store_min_lease_s=fields.seconds("Platform.ttl_min_ms", 1_000),
         software_rollouts=names.ROLLOUT_CONTRACT in fields.items("Contracts"),
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from winchfork.core.held_bytes import HolderKind
+from winchfork.core.held_bytes import SMALL_BYTES, HolderKind
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.routing import RouteKind
@@ -42,7 +42,8 @@
     """
 
     replica: RelayReplica
-    message: bytes
+    head: bytes
+    body: bytes
     request_id: str
     kind: RouteKind
     prefill_tokens: int
@@ -104,12 +105,15 @@
         self._fields: AnswerFields | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._body_holding = connection.held.open(HolderKind.ANSWER_BODY)
-        self._event_holding = connection.held.open(HolderKind.EVENT)
+        self._body_holding = connection.held.open(HolderKind.ANSWER_BODY, connection.give_up)
+        self._event_holding = connection.held.open(HolderKind.EVENT, connection.give_up)
+        self._growth = connection.held.growth
         self._stream: StreamRelay | None = None
         self._pending_prefill_tokens = plan.prefill_tokens
         self._prefill_done = False
-        self._paused = False
+        #: Whether reading is paused because the caller reads slowly, and for lack of memory.
+        self._paused_by_caller = False
+        self._paused_for_room = False
         self._last_received_at_s = 0.0
 
     def start(self) -> None:
@@ -120,11 +124,12 @@
         )
         exchange = Exchange(self._deliver, self._is_own, plan.no_body, self._read_head)
         self.sent_at_s = self._last_received_at_s = self._clock()
-        self._connection.start(plan.message, exchange)
+        self._connection.start(plan.head, plan.body, exchange)
 
     def end(self) -> None:
         """Record at the replica that the attempt is over; the connection is idle or closed."""
         self._release_pending_prefill()
+        self._growth.leave(self)
         self._body_holding.resize(0)
         self._event_holding.resize(0)
         self.plan.replica.record_ended(id(self), self.plan.memory_tokens)
@@ -166,14 +171,27 @@
 
         It is 0 while reading is paused, since a silence then says nothing of the replica.
         """
-        return 0.0 if self._paused else self._clock() - self._last_received_at_s
+        return 0.0 if self._is_paused else self._clock() - self._last_received_at_s
 
     def set_paused(self, paused: bool) -> None:
         """Pause or resume reading from the replica (backpressure)."""
-        self._paused = paused
-        if paused:
+        was_paused = self._is_paused
+        self._paused_by_caller = paused
+        self._apply_pause(was_paused)
+
+    def _pause_for_room(self, paused: bool) -> None:
+        was_paused = self._is_paused
+        self._paused_for_room = paused
+        self._apply_pause(was_paused)
+
+    @property
+    def _is_paused(self) -> bool:
+        return self._paused_by_caller or self._paused_for_room
+
+    def _apply_pause(self, was_paused: bool) -> None:
+        if self._is_paused:
             self._connection.pause()
-        else:
+        elif was_paused:
             self._last_received_at_s = self._clock()
             self._connection.resume()
 
@@ -233,6 +251,8 @@
         if self._body_bytes > MAX_BUFFERED_BYTES:
             self.abandon()
             return MayHaveRun("the answer exceeds the buffer limit")
+        if self._body_bytes > SMALL_BYTES:
+            self._growth.enter(self, self._pause_for_room)
         return None
 
     def _record_events(self) -> None:
@@ -251,6 +271,8 @@
         if self._stream is not None:
             return self._end_stream(framed=framed)
         answer = BufferedAnswer(self._head, b"".join(self._body))
+        self._body.clear()
+        self._body_holding.resize(0)
         status = self._head.status
         if self._fields.not_run or self._fields.misdirected:
             return NotRun(
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -120,7 +120,7 @@
         replica = decision.replica
         plan = self._planner.plan(decision, self._retries.time_left_s, self._resume_after())
         if connection.relay is not None:
-            plan.message = add_relay_target(plan.message, replica.listing.address)
+            plan.head = add_relay_target(plan.head, replica.listing.address)
         plan.on_head = self._record.mark_head
         plan.on_first_event = lambda: self._begin_stream(plan.software)
         plan.on_events = lambda: self._record.mark_events(plan.software)
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -194,7 +194,8 @@
         fields = self._fields(decision, version, time_left_s, resume_after)
         return AttemptPlan(
             replica=replica,
-            message=self._message(fields),
+            head=self._message_head(fields),
+            body=self._request.body,
             request_id=self._admitted.fields.request_id,
             kind=self._admitted.route.kind,
             prefill_tokens=decision.prefill_tokens,
@@ -247,13 +248,13 @@
         target_s = self._admitted.route.target_latency_s
         return urgency_level(self._admitted.priority, prefill_s, target_s)
 
-    def _message(self, fields: DispatchFields) -> bytes:
+    def _message_head(self, fields: DispatchFields) -> bytes:
         request = self._request
         headers = self._header_codec.dispatch_headers(request.headers, fields)
         if request.body or request.method not in (b"GET", b"HEAD"):
             headers.append((b"Content-Length", str(len(request.body)).encode()))
         start_line = b"%b %b HTTP/1.1" % (request.method, request.target)
-        return render_headers(start_line, headers) + request.body
+        return render_headers(start_line, headers)
 
     def _scope(self, prompt: Prompt) -> CacheScope:
         tenant = self._admitted.tenant
--- a/winchfork/router/caller_connection.py
+++ b/winchfork/router/caller_connection.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from winchfork.core.held_bytes import HeldBytes, HolderKind
+from winchfork.core.held_bytes import SMALL_BYTES, HeldBytes, HolderKind
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.http_types import (
@@ -29,7 +29,12 @@
 #: Pipelined requests on one connection at which reading pauses.
 MAX_PIPELINED = 4
 #: Bytes buffered for a slow caller above which reading from the replica pauses.
-HIGH_WATER_BYTES = 256 * 1024
+HIGH_WATER_BYTES = 64 * 1024
+#: Memory in bytes that a header takes besides its name and value.
+HEADER_OVERHEAD_BYTES = 128
+#: Seconds for which the rest of a refused request is read and dropped. Closing at once would reset
+#: the connection, and the caller might lose the answer.
+LINGER_S = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -88,8 +93,9 @@
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        #: Bytes of the body that are announced and not received yet.
+        self._announced_bytes = 0
         self._request_started_at_s = 0.0
         self._reading_head = False
         self._reading_body = False
@@ -99,8 +105,10 @@
         self._request: IncomingRequest | None = None
         self._chunked = False
         self._last_activity_at_s = self._loop.time()
-        self._request_holding = handler.held.open(HolderKind.REQUEST)
-        self._unsent_holding = handler.held.open(HolderKind.UNSENT)
+        self._held = handler.held
+        self._reading_holding = self._held.open(HolderKind.REQUEST, self._give_up_reading)
+        self._request_holding = self._held.open(HolderKind.REQUEST)
+        self._unsent_holding = self._held.open(HolderKind.UNSENT, self._give_up_unsent)
         self.close_after_answer = False
 
     # State, for the periodic sweep and for a planned stop
@@ -194,12 +202,20 @@
         self._last_activity_at_s = self._loop.time()
         if self.close_after_answer:
             self._pipelined.clear()
-            self.close()
+            self._linger() if self._refused else self.close()
         elif self._pipelined:
             self._loop.call_soon(self._serve_next)
         elif self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def _linger(self) -> None:
+        """Close the side of this process, and the connection when the caller has closed its own."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._loop.call_later(LINGER_S, self.close)
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
@@ -246,6 +262,7 @@
         """Notify the active request and the handler."""
         active, self._active = self._active, None
         self._pipelined.clear()
+        self._reading_holding.resize(0)
         self._request_holding.resize(0)
         self._unsent_holding.resize(0)
         if active is not None:
@@ -270,8 +287,8 @@
         self._target = b""
         self._headers = []
         self._header_bytes = 0
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._announced_bytes = 0
         self._request_started_at_s = self._loop.time()
         self._reading_head = True
 
@@ -296,17 +313,25 @@
         if length is not None and length.isdigit() and int(length) > limits.body_bytes:
             self._refuse(FailureKind.BODY_TOO_LARGE.because("the body is too large"))
             return
+        self._announced_bytes = int(length) if length is not None and length.isdigit() else 0
+        if not self._held.has_room_for(self._announced_bytes):
+            self._refuse(_no_room(self._announced_bytes))
+            return
+        self._record_requests()
         expect = find_header(self._headers, b"expect")
         if expect is not None and expect.lower() == b"100-continue":
             self._write(_CONTINUE)
 
     def on_body(self, data: bytes) -> None:
         """Append to the body, up to the configured limit."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self._handler.limits().body_bytes:
-            self._refuse(FailureKind.BODY_TOO_LARGE.because("the body is too large"))
+        if self._refused:
             return
-        self._body.append(data)
+        self._body += data
+        size = len(self._body)
+        if size > self._handler.limits().body_bytes:
+            self._refuse(FailureKind.BODY_TOO_LARGE.because("the body is too large"))
+        elif size > max(SMALL_BYTES, self._announced_bytes) and not self._held.has_room:
+            self._refuse(_no_room(size))
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
@@ -317,12 +342,13 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             http_10=self._parser.get_http_version() == "1.0",
             keep_alive=self._parser.should_keep_alive(),
             received_at_s=self._request_started_at_s,
         )
-        self._body = []
+        self._body = bytearray()
+        self._announced_bytes = 0
         self._pipelined.append(request)
         if self._active is None:
             self._serve_next()
@@ -331,12 +357,24 @@
 
     def _record_requests(self) -> None:
         """Account for the request that is read, those that wait, and the one that is served."""
-        size = self._body_bytes if self._reading_body else 0
-        size += self._header_bytes if self._reading_head else 0
-        size += sum(len(request.body) for request in self._pipelined)
+        reading = self._header_bytes if self._reading_head else 0
+        if self._reading_head or self._reading_body:
+            reading += len(self._headers) * HEADER_OVERHEAD_BYTES
+            reading += max(len(self._body), self._announced_bytes)
+        self._reading_holding.resize(reading)
+        size = sum(len(request.body) for request in self._pipelined)
         size += len(self._request.body) if self._request is not None else 0
         self._request_holding.resize(size)
 
+    def _give_up_reading(self) -> None:
+        """Refuse the request that is being read, for lack of memory."""
+        self._refuse(_no_room(len(self._body)))
+
+    def _give_up_unsent(self) -> None:
+        """Close the connection, whose caller reads too slowly for the memory that is left."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def _record_unsent(self) -> None:
         if self._transport is not None:
             self._unsent_holding.resize(self._transport.get_write_buffer_size())
@@ -357,8 +395,17 @@
         self._refused = True
         self._reading_head = False
         self._reading_body = False
+        self._headers = []
+        self._body = bytearray()
+        self._reading_holding.resize(0)
         self.close_after_answer = True
         if self._active is None:
             self._handler.refuse_malformed(self, failure)
         else:
             self.close()
+
+
+def _no_room(size: int) -> Failure:
+    return FailureKind.OVERLOADED.because(
+        f"there is no memory for a body of {size} bytes now", remedy="send it again after the wait"
+    )
--- a/winchfork/router/peer_relay.py
+++ b/winchfork/router/peer_relay.py
@@ -225,7 +225,7 @@
             lambda head: codec.read_answer(head).may_answer(request_id),
             no_body,
         )
-        connection.start(self._message(), exchange)
+        connection.start(self._message_head(), self._request.body, exchange)
 
     async def _connect(self) -> ReplicaConnection | Failure:
         if self._service.connector.paths.is_lost(self._replica.listing.address):
@@ -235,11 +235,11 @@
             return idle
         return await self._service.connector.connect_directly(self._replica)
 
-    def _message(self) -> bytes:
+    def _message_head(self) -> bytes:
         request = self._request
         headers = without_relay_headers(end_to_end(request.headers))
         start_line = b"%b %b HTTP/1.1" % (request.method, request.target)
-        return render_headers(start_line, headers) + request.body
+        return render_headers(start_line, headers)
 
     def _deliver(self, part: AnswerPart) -> None:
         if self._peer_left:
--- a/winchfork/router/pooled_http_client.py
+++ b/winchfork/router/pooled_http_client.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from winchfork.core.held_bytes import HeldBytes, HolderKind
+from winchfork.core.held_bytes import HolderKind
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.http_types import (
@@ -20,7 +20,7 @@
     render_headers,
 )
 from winchfork.router.inbox import Inbox
-from winchfork.router.replica_connection import Exchange
+from winchfork.router.replica_connection import Exchange, ReplicaConnection
 
 #: Limit on the open connections to one address.
 _MAX_CONNECTIONS = 8
@@ -78,9 +78,10 @@
         if body is not None:
             lines.append((b"Content-Type", b"application/json"))
             lines.append((b"Content-Length", str(len(body)).encode()))
-        message = render_headers(b"%b %b HTTP/1.1" % (method, target), lines) + (body or b"")
-        connection.start(message, Exchange(inbox.put, lambda head: True, on_head=on_head))
-        reader = _ReplyReader(inbox, self._pool.held, max_reply_bytes)
+        head = render_headers(b"%b %b HTTP/1.1" % (method, target), lines)
+        exchange = Exchange(inbox.put, lambda head: True, on_head=on_head)
+        connection.start(head, body or b"", exchange)
+        reader = _ReplyReader(inbox, connection, max_reply_bytes)
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await reader.wait()
@@ -106,10 +107,13 @@
 class _ReplyReader:
     """Assembles an answer from its parts."""
 
-    def __init__(self, inbox: Inbox[AnswerPart], held: HeldBytes, max_bytes: int) -> None:
+    def __init__(
+        self, inbox: Inbox[AnswerPart], connection: ReplicaConnection, max_bytes: int
+    ) -> None:
         self._inbox = inbox
-        self._holding = held.open(HolderKind.CALL_REPLY)
+        self._holding = connection.held.open(HolderKind.CALL_REPLY, connection.give_up)
         self._max_bytes = max_bytes
+        self._read_bytes = 0
         self._status = 0
         self._pieces: list[bytes] = []
 
@@ -138,7 +142,8 @@
         elif isinstance(item, AnswerData):
             self._pieces.append(item.data)
             self._holding.grow(len(item.data))
-            if self._holding.size > self._max_bytes:
+            self._read_bytes += len(item.data)
+            if self._read_bytes > self._max_bytes:
                 return FailureKind.ANSWER_TOO_LARGE.because(
                     f"the answer has more than {self._max_bytes} bytes"
                 )
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -20,6 +20,7 @@
 
 from winchfork import __version__
 from winchfork.backends.replica_control import ReplicaControl
+from winchfork.core.held_bytes import Holding
 from winchfork.errors import Failure
 from winchfork.logs import configure_logs, log_event
 from winchfork.resident_memory import resident_bytes
@@ -31,6 +32,7 @@
 from winchfork.router.header_codec import HeaderCodec
 from winchfork.router.leadership import Leadership
 from winchfork.router.log_output import LogOutput
+from winchfork.router.log_rate_limit import LogRateLimit
 from winchfork.router.peer_relay import PeerRelay
 from winchfork.router.peer_wiring import connect_peers
 from winchfork.router.peers import PeerGroup
@@ -127,8 +129,10 @@
         self._caller_listener: CallerListener | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_requested = asyncio.Event()
+        self._given_up_log_limit = LogRateLimit()
         self._register_gauges()
         self.state.held.on_growth = self._log_held_bytes
+        self.state.held.on_give_up = self._log_given_up
 
     def install_signal_handlers(self) -> None:
         """Shut down gracefully on SIGTERM and SIGINT, reload the settings on SIGHUP."""
@@ -300,6 +304,7 @@
         held = state.held
         add("held_bytes", "Bytes from other processes that are held.", lambda: held.total)
         add("held_bytes_peak", "The most of them held at a time.", lambda: held.peak)
+        add("held_given_up", "Holdings given up for lack of memory.", lambda: held.given_up)
         add("resident_bytes", "Memory that this process occupies.", resident_bytes)
         state.metrics.held_bytes = lambda: {kind.value: n for kind, n in held.by_kind.items()}
         add("log_lines_dropped", "Dropped log lines.", lambda: self._log_lines_dropped())
@@ -311,6 +316,16 @@
             "held_bytes_grown", "WARNING", total=held.total, resident=resident_bytes(), **sizes
         )
 
+    def _log_given_up(self, holding: Holding) -> None:
+        if self._given_up_log_limit.allows(self._loop.time()):
+            log_event(
+                "holding_given_up",
+                "ERROR",
+                holder=holding.kind.value,
+                size=holding.size,
+                total=self.state.held.total,
+            )
+
     # Duties
 
     async def _sweep(self) -> None:
--- a/winchfork/router/relay_messages.py
+++ b/winchfork/router/relay_messages.py
@@ -32,9 +32,9 @@
     UNAVAILABLE = "unavailable"
 
 
-def add_relay_target(message: bytes, address: str) -> bytes:
-    """Return a request with the header that names the replica's address."""
-    line, _, rest = message.partition(b"\r\n")
+def add_relay_target(head: bytes, address: str) -> bytes:
+    """Return a request's head with the header that names the replica's address."""
+    line, _, rest = head.partition(b"\r\n")
     return b"%b\r\n%b: %b\r\n%b" % (line, RELAY_TO, address.encode(), rest)
 
 
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -40,6 +40,8 @@
 #: Interim answers (1xx), and answers to other requests, that may come before an exchange's own.
 MAX_INTERIM_ANSWERS = 32
 MAX_OTHER_ANSWERS = 32
+#: Bytes of a request's body that are written at a time, so that the transport copies no more.
+WRITE_BYTES = 64 * 1024
 
 
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
@@ -85,7 +87,7 @@
         super().__init__()
         self._on_idle = on_idle
         self.held = held
-        self._head = AnswerHeadReader(held.open(HolderKind.ANSWER_HEAD))
+        self._head = AnswerHeadReader(held.open(HolderKind.ANSWER_HEAD, self.give_up))
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
@@ -97,6 +99,9 @@
         self._in_answer = False
         #: Pieces of the body in the read that is being parsed.
         self._body: list[bytes] = []
+        #: The rest of the request's body; it is written as the other side reads.
+        self._unsent_body = memoryview(b"")
+        self._writing_paused = False
         self._interim_answers = 0
         self._other_answers = 0
         self.closed = False
@@ -108,7 +113,7 @@
 
     # Use of the connection
 
-    def start(self, message: bytes, exchange: Exchange) -> None:
+    def start(self, head: bytes, body: bytes, exchange: Exchange) -> None:
         """Send a request; ``exchange`` receives the answer up to its end or truncation."""
         assert self._transport is not None and self._exchange is None
         self._exchange = exchange
@@ -116,16 +121,26 @@
         self._interim_answers = self._other_answers = 0
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
-        self._transport.write(message)
+        if len(body) <= WRITE_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
+            self._unsent_body = memoryview(body)
+            self._write_body()
 
     def abandon(self) -> None:
         """End the exchange without its answer and close the connection."""
         self._exchange = None
         self.close()
 
+    def give_up(self) -> None:
+        """Break the answer off, for lack of memory to hold it."""
+        self._fail("given up for lack of memory")
+
     def close(self) -> None:
         """Close at once; unsent data is dropped."""
         self.closed = True
+        self._unsent_body = memoryview(b"")
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
 
@@ -192,6 +207,15 @@
         self._head.end()
         self._fail(_close_reason(error), silent=isinstance(error, TimeoutError))
 
+    def pause_writing(self) -> None:
+        """Stop writing the request's body until the other side has read."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on writing the request's body."""
+        self._writing_paused = False
+        self._write_body()
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
@@ -272,6 +296,15 @@
                 usable_s = max(0.0, int(value) - KEEPALIVE_MARGIN_S)
                 self.reusable_until_s = self._loop.time() + usable_s
 
+    def _write_body(self) -> None:
+        while self._unsent_body and not self._writing_paused and not self.closed:
+            assert self._transport is not None
+            piece, self._unsent_body = (
+                self._unsent_body[:WRITE_BYTES],
+                self._unsent_body[WRITE_BYTES:],
+            )
+            self._transport.write(piece)
+
     def _deliver_body(self) -> None:
         """Deliver the body data of a read at once: each part costs much more than its bytes."""
         if not self._body:
@@ -287,7 +320,7 @@
         self._is_own_answer = False
         self.idle_since_s = self._loop.time()
         unsent = self._transport is None or self._transport.get_write_buffer_size() > 0
-        if not reusable or unsent:
+        if not reusable or unsent or self._unsent_body:
             self.close()
         if exchange is not None:
             exchange.deliver(AnswerEnd(framed))
--- a/winchfork/router/settings.py
+++ b/winchfork/router/settings.py
@@ -52,6 +52,8 @@
     store_min_lease_s: float = 1.0
     #: Bandwidth of the machine's link in Mbit/s; 0 if unknown.
     link_mbps: int = 0
+    #: Memory limit of the process in bytes; 0 if there is none.
+    memory_bytes: int = 0
     #: Whether software rollouts are enabled; if not, every version gets requests.
     software_rollouts: bool = False
     bounds: RouterBounds = RouterBounds()
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -105,7 +105,7 @@
         self.splits = TrafficSplitter()
         self.metrics = RouterMetrics()
         #: Bytes of callers, replicas, peers and the store that this process holds.
-        self.held = HeldBytes()
+        self.held = HeldBytes(settings.memory_bytes)
         self.eras = StoreEras(self.metrics)
         self.stopping = False
         #: Returns whether an idle connection to a replica's address is open.
