Bound and drop the trailers of callers' requests

Callers saw: trailers after a chunked body were taken for headers, passed on to the replica unchecked, and kept without a bound.

Cause: the parser reports trailers as headers, and the limit on headers ends with the head.

Now trailers are dropped, and more of them than MaxHeaderBytes get 431.

--- a/winchfork/router/caller_connection.py
+++ b/winchfork/router/caller_connection.py
@@ -96,6 +96,7 @@
         self._body = bytearray()
         #: Bytes of the body that are announced and not received yet.
         self._announced_bytes = 0
+        self._trailer_bytes = 0
         self._request_started_at_s = 0.0
         self._reading_head = False
         self._reading_body = False
@@ -288,7 +289,7 @@
         self._headers = []
         self._header_bytes = 0
         self._body = bytearray()
-        self._announced_bytes = 0
+        self._announced_bytes = self._trailer_bytes = 0
         self._request_started_at_s = self._loop.time()
         self._reading_head = True
 
@@ -297,8 +298,13 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name, value))
+        """Append a header; a trailer, which may follow the body, is dropped."""
+        if self._reading_head:
+            self._headers.append((name, value))
+            return
+        self._trailer_bytes += len(name) + len(value)
+        if self._trailer_bytes > self._handler.limits().header_bytes:
+            self._refuse(FailureKind.HEADER_TOO_LARGE.because("the trailers are too large"))
 
     def on_headers_complete(self) -> None:
         """Check the announced sizes; answer ``Expect: 100-continue``."""
