Bound the updates that are collected from peers' parts

What a router saw: a peer's update of store entries was collected up to the size that its parts announce, and one for each sender name, for ever.

--- a/winchfork/router/document_parts.py
+++ b/winchfork/router/document_parts.py
@@ -20,6 +20,9 @@
 MAX_PART_BYTES = 8_192
 #: Limit of an update's decompressed size; larger ones are rejected.
 MAX_UNPACKED_BYTES = 32 * 1024 * 1024
+#: Limits on the compressed size of an update, and on the updates that are collected at a time.
+MAX_PACKED_BYTES = 8 * 1024 * 1024
+MAX_PARTIAL_UPDATES = 16
 _ITEMS = msgspec.msgpack.Decoder(tuple[TableItem, ...])
 
 
@@ -65,7 +68,7 @@
     def add(self, part: DocumentPart, era: int = 0) -> TableUpdate | Failure | None:
         """Add a part; return the update once it is complete, None until then.
 
-        Returns a Failure if the complete update cannot be decoded.
+        Returns a Failure if the update is too large, or complete and cannot be decoded.
         """
         base = StorePosition(era, part.base_revision)
         at = StorePosition(era, part.at_revision)
@@ -77,11 +80,21 @@
         if part.offset != len(collected.data):
             return None
         collected.data += part.data
+        if max(part.total, len(collected.data)) > MAX_PACKED_BYTES:
+            return FailureKind.BAD_DATAGRAM.because(
+                f"a document update has more than {MAX_PACKED_BYTES} bytes"
+            )
         if len(collected.data) < part.total:
-            self._partial_updates[part.sender_id] = collected
+            self._keep(part.sender_id, collected)
             return None
         return _unpack(part, collected)
 
+    def _keep(self, sender_id: str, update: _PartialUpdate) -> None:
+        """Keep an update that is not complete; the one that grew longest ago gives way."""
+        if len(self._partial_updates) >= MAX_PARTIAL_UPDATES:
+            self._partial_updates.pop(next(iter(self._partial_updates)))
+        self._partial_updates[sender_id] = update
+
 
 def _unpack(part: DocumentPart, collected: _PartialUpdate) -> TableUpdate | Failure:
     try:
