Send whole answers before a planned stop ends the process

Callers saw: a planned stop cuts answers that they still read.

Cause: a stop waits for requests, and a request ends when its answer is in the connection's write buffer. What the kernel does not take of that buffer was lost with the process.

Now a stop waits as well until the write buffers of callers' and peers' connections are empty, at most for the grace period; router_stopped says how many were not.

--- a/standins/faulty_service.py
+++ b/standins/faulty_service.py
@@ -21,6 +21,8 @@
 #: Memory limit in the router's settings.
 MEMORY_MB = 150
 SOUND_CALLERS = 10
+#: TCP segments of an ordinary network; the larger ones of loopback let the kernel take more.
+SEGMENT_BYTES = 1_400
 #: Time that the sound replica takes for a request.
 SOUND_RUN_S = 0.1
 _ROUTE = {
@@ -109,12 +111,13 @@
     async def connect(
         self, receive_bytes: int = 0
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Open a caller's connection, with a receive buffer of its own if a size is given."""
+        """Open a caller's connection; a receive buffer's size limits what the kernel takes."""
         host, _, port = self.router.address.rpartition(":")
         raw = socket.socket()
         raw.setblocking(False)
         if receive_bytes:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
         await asyncio.get_running_loop().sock_connect(raw, (host, int(port)))
         return await asyncio.open_connection(sock=raw)
 
--- a/standins/large_messages.py
+++ b/standins/large_messages.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import json
+import math
 from collections import Counter
 
 from standins.faulty_service import FaultyService, request_bytes
 from standins.http_server import Request, write_answer
+from winchfork.boot_clock import boot_seconds
 
 #: The largest body that the stand-ins' configuration allows callers.
 LARGE_BYTES = 4_000_000
+#: What a slow caller reads at a time, and its receive buffer.
+READ_BYTES = 4_096
+SLOW_RECEIVE_BYTES = 65_536
 #: Receive buffer of a caller that does not read.
 STALLED_RECEIVE_BYTES = 16_384
 
@@ -58,21 +63,32 @@
         if b"\r\nretry-after: " not in head.lower():
             self.without_wait.append(request_id)
 
-    async def download(self, service: FaultyService, request_id: str, size: int) -> None:
-        """Send a request, read its large answer whole, and record it."""
-        reader, writer = await service.connect()
+    async def download(
+        self, service: FaultyService, request_id: str, size: int, bytes_per_s: float = math.inf
+    ) -> None:
+        """Send a request, read its large answer at some speed, and record it."""
+        is_slow = not math.isinf(bytes_per_s)
+        reader, writer = await service.connect(SLOW_RECEIVE_BYTES if is_slow else 0)
         try:
             writer.write(request_bytes("/whole/x", request_id))
             head = await reader.readuntil(b"\r\n\r\n")
             self.statuses[int(head[9:12])] += 1
             if head.startswith(b"HTTP/1.1 200"):
-                await reader.readexactly(size)
+                await _read_slowly(reader, size, bytes_per_s)
         except (asyncio.IncompleteReadError, ConnectionError):
             self.cut.append(request_id)
         finally:
             writer.close()
 
 
+async def _read_slowly(reader: asyncio.StreamReader, size: int, bytes_per_s: float) -> None:
+    began_s, received = boot_seconds(), 0
+    while received < size:
+        piece = await reader.readexactly(min(READ_BYTES, size - received))
+        received += len(piece)
+        await asyncio.sleep(max(0.0, began_s + received / bytes_per_s - boot_seconds()))
+
+
 async def stall(service: FaultyService, request_id: str, seconds: float) -> None:
     """Send a request and read nothing of its answer for a while."""
     _, writer = await service.connect(STALLED_RECEIVE_BYTES)
--- a/standins/measured_router.py
+++ b/standins/measured_router.py
@@ -58,6 +58,11 @@
             self._process.kill()
             await self._process.wait()
 
+    def request_stop(self) -> None:
+        """Ask the process to stop, as the platform does."""
+        assert self._process is not None
+        self._process.terminate()
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -14,6 +14,9 @@
 MANY = 40
 STALLED_S = 2.0
 CALLERS = 1_000
+#: A caller's speed, at which it has its answer within the grace period of a planned stop.
+SLOW_BYTES_PER_S = 800_000
+STOP_AT_S = 0.3
 #: Bytes of the head that callers send, less than the limit in the stand-ins' configuration.
 MAX_HEAD_BYTES = 15_000
 
@@ -34,6 +37,25 @@
         self.check_others()
 
 
+class PlannedStopTest(LargeMessagesCase):
+    async def test_a_planned_stop_sends_the_answers_that_callers_still_read(self) -> None:
+        """Guards against a process that ends with whole answers in its write buffers."""
+        calls = LargeCalls()
+        service = await self.start(LargeAnswers())
+        names = [f"slow-{number}" for number in range(4)]
+        reading = [
+            asyncio.create_task(calls.download(service, name, LARGE_BYTES, SLOW_BYTES_PER_S))
+            for name in names
+        ]
+        await asyncio.sleep(STOP_AT_S)
+        service.router.request_stop()
+        async with asyncio.timeout(TIMEOUT_S):
+            await asyncio.gather(*reading)
+        await service.stop()
+        self.assertEqual(calls.statuses, {200: len(names)})
+        self.assertEqual(calls.cut, [])
+
+
 class MemoryLimitTest(LargeMessagesCase):
     async def test_answers_without_end_that_are_buffered_on_many_connections(self) -> None:
         """Guards against answers that are bounded one by one, but not as a whole."""
--- a/winchfork/router/caller_connection.py
+++ b/winchfork/router/caller_connection.py
@@ -119,6 +119,11 @@
         """Whether a request is being read, queued or served."""
         return bool(self._active or self._pipelined or self._reading_head or self._reading_body)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the caller has not read all that was written to it, as far as is known here."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def enforce_timeouts(self, now_s: float) -> None:
         """Refuse a request that arrives too slowly; close a connection that is idle too long."""
         self._record_unsent()
--- a/winchfork/router/peer_relay.py
+++ b/winchfork/router/peer_relay.py
@@ -66,6 +66,11 @@
         """The number of requests that are being relayed."""
         return len(self._active)
 
+    @property
+    def unsent_connections(self) -> int:
+        """The number of peers' connections with an answer that has not been sent whole."""
+        return sum(1 for connection in self._connections if connection.has_unsent)
+
     def sweep(self, now_s: float) -> None:
         """Enforce the timeouts of the connections of peers."""
         for connection in list(self._connections):
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -3,8 +3,8 @@
 A graceful shutdown first makes the process not ready, so that the load balancer in front stops
 sending requests. The process still accepts requests for ``LOAD_BALANCER_DRAIN_S``, but at most half
 of the grace period, and closes each caller's connection after its answer. Then it refuses requests,
-and ends when none is active or the grace period is over. It listens until its end: a load balancer
-that finds too few daemons ready sends callers to all of them.
+and ends when none is active and all answers are sent, or the grace period is over. It listens until
+its end: a load balancer that finds too few daemons ready sends callers to all of them.
 """
 
 from __future__ import annotations
@@ -352,8 +352,10 @@
 
     @property
     def _is_busy(self) -> bool:
-        """Whether a caller or a peer awaits an answer."""
-        return bool(self.service.busy_connections or self._relay.active_requests)
+        """Whether a caller or a peer awaits an answer, or has one that is not sent whole."""
+        if self.service.busy_connections or self._relay.active_requests:
+            return True
+        return bool(self.service.unsent_connections or self._relay.unsent_connections)
 
     async def _stop(self) -> None:
         requested_s = self._loop.time()
@@ -372,6 +374,7 @@
         while self._is_busy and self._loop.time() < deadline_s:
             await asyncio.sleep(0.02)
         await asyncio.wait([handover], timeout=max(0.0, deadline_s - self._loop.time()))
+        unsent = self.service.unsent_connections + self._relay.unsent_connections
         cut = await self.service.cut_requests()
         for server in self._servers:
             server.close()
@@ -388,6 +391,7 @@
             "router_stopped",
             took_s=self._loop.time() - requested_s,
             cut=cut,
+            unsent=unsent,
         )
 
 
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -207,6 +207,11 @@
         awaited = self._connections - self._late_connections
         return sum(1 for connection in awaited if connection.busy)
 
+    @property
+    def unsent_connections(self) -> int:
+        """The number of callers' connections with an answer that has not been sent whole."""
+        return sum(1 for connection in self._connections if connection.has_unsent)
+
     def sweep(self, now_s: float) -> None:
         """Enforce the timeouts of callers' connections; close idle connections to replicas."""
         for connection in list(self._connections):
