Refuse large uploads that hardly arrive while memory is short

Callers saw, in a trial of the limit on held bytes: 40 callers that announce 4 MB and send one byte keep the room for large bodies, and an upload of another caller is refused until they time out.

Cause: room is kept for an announced body from its head on, and its sender had only to stay within the idle timeout.

Now, while over half of the room is taken, a large body must arrive at 64 KiB/s from a second after its request on; a slower one gets 408 and gives its room back.

Evidence: test_slow_uploads... fails without the check (503) and passes.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from standins.endless_answers import EndlessPart
-from standins.faulty_service import FaultyService
+from standins.faulty_service import FaultyService, request_bytes
 from standins.large_messages import LARGE_BYTES, LargeAnswers, LargeCalls, stall
 from tests.test_endless_answers import TIMEOUT_S, EndlessAnswersCase
 
@@ -77,6 +77,22 @@
         self.assertEqual(calls.without_wait, [])
         self.assertEqual(answers.received, {LARGE_BYTES: calls.statuses[200]})
 
+    async def test_slow_uploads_do_not_keep_the_room_of_others(self) -> None:
+        """Guards against callers that announce large bodies and hardly send them."""
+        answers, calls = LargeAnswers(size=100), LargeCalls()
+        service = await self.start(answers)
+        head = request_bytes("/whole/x", "slow", b"u" * LARGE_BYTES).partition(b"\r\n\r\n")[0]
+        writers = [(await service.connect())[1] for _ in range(MANY)]
+        for writer in writers:
+            writer.write(head + b"\r\n\r\nu")
+        await asyncio.sleep(STALLED_S)
+        async with asyncio.timeout(TIMEOUT_S):
+            await calls.upload(service, "upload", LARGE_BYTES)
+        for writer in writers:
+            writer.close()
+        await self.finish()
+        self.assertEqual(calls.statuses, {200: 1})
+
     async def test_large_answers_of_a_sound_replica_at_once_are_all_delivered(self) -> None:
         """Guards against a limit on memory that gives up sound answers."""
         answers, calls = LargeAnswers(), LargeCalls()
--- a/winchfork/core/held_bytes.py
+++ b/winchfork/core/held_bytes.py
@@ -97,6 +97,11 @@
         max_bytes = self._max_bytes if size <= SMALL_BYTES else self._large_bytes
         return self.total + size <= max_bytes
 
+    @property
+    def is_short(self) -> bool:
+        """Whether over half of the room for large messages is taken."""
+        return bool(self._large_bytes) and self.total * 2 > self._large_bytes
+
     @property
     def has_room(self) -> bool:
         """Whether large messages may grow."""
--- a/winchfork/router/caller_connection.py
+++ b/winchfork/router/caller_connection.py
@@ -35,6 +35,9 @@
 #: Seconds for which the rest of a refused request is read and dropped. Closing at once would reset
 #: the connection, and the caller might lose the answer.
 LINGER_S = 1.0
+#: Speed that a large body must keep while memory is short, from some seconds after its request.
+MIN_BODY_BYTES_PER_S = 64 * 1024
+MIN_BODY_TIME_S = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -137,6 +140,10 @@
                 self._refuse(
                     FailureKind.SENDER_STALLED.because("the request timed out while it was read")
                 )
+            elif self._held.is_short and self._is_slow_body(now_s):
+                self._refuse(
+                    FailureKind.SENDER_STALLED.because("the body arrives too slowly to be held")
+                )
         elif now_s - self._last_activity_at_s > limits.idle_timeout_s:
             self.close()
 
@@ -366,6 +373,13 @@
 
     # Internals
 
+    def _is_slow_body(self, now_s: float) -> bool:
+        """Whether a large body, for which room is kept, arrives too slowly."""
+        took_s = now_s - self._request_started_at_s
+        if self._announced_bytes <= SMALL_BYTES or took_s < MIN_BODY_TIME_S:
+            return False
+        return len(self._body) < took_s * MIN_BODY_BYTES_PER_S
+
     def _record_requests(self) -> None:
         """Account for the request that is read, those that wait, and the one that is served."""
         reading = self._header_bytes if self._reading_head else 0
--- a/winchfork/router/read_buffer.py
+++ b/winchfork/router/read_buffer.py
@@ -14,7 +14,9 @@
 #: Largest read, the bytes read in a turn after which reads are small, and the size of these.
 READ_BYTES = 16 * 1024
 TURN_BYTES = 64 * 1024
-SMALL_READ_BYTES = 2 * 1024
+SMALL_READ_BYTES = 1024
+#: Reads up to this size do not count: an ordinary answer should not cost a turn of its own.
+UNCOUNTED_BYTES = 2 * 1024
 
 
 class ReadBuffer:
@@ -24,7 +26,7 @@
         # The loop keys the buffer weakly, so the buffer must not keep the loop.
         self._loop = weakref.ref(loop)
         self._buffer = memoryview(bytearray(READ_BYTES))
-        #: Bytes of the turn's reads, without those that are small anyway.
+        #: Bytes of the turn's counted reads.
         self._turn_bytes = 0
 
     def offer(self) -> memoryview:
@@ -35,7 +37,7 @@
 
     def take(self, size: int) -> bytes:
         """Return the ``size`` bytes that were read."""
-        if size > SMALL_READ_BYTES:
+        if size > UNCOUNTED_BYTES:
             if not self._turn_bytes:
                 self._schedule_reset()
             self._turn_bytes += size
