Rename the account of held bytes to the budget of buffered bytes

The names were of our own making: a holding that is given up is a reservation that is shed, and what is held is buffered. The log events are buffers_grown and buffer_shed, the metrics winchfork_buffered_bytes, winchfork_buffers_shed. No logic changes; the stand-ins' routers all have a memory limit now.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -32,6 +32,8 @@
 #: The API key of a tenant whose priority is higher than the route's.
 URGENT_API_KEY = "press-key-1"
 ZONES = ("thamel", "patan", "bhaktapur")
+#: Memory limit in the routers' settings.
+MEMORY_MB = 150
 #: The retry budget that ``allow_retries`` sets; the stand-ins' settings allow no retries.
 RETRY_ALLOWANCE = RetryAllowance(ratio=0.2, slack=56.0, window_s=10.0)
 _CONFIGURATION = {
@@ -145,6 +147,7 @@
         replica = ReplicaServer(self.store, replica_id, "models", zone, MODEL, software)
         replica.weights_version = max(item.weights_version for item in self.model_rollouts.replicas)
         replica.fatal_request = self.model_replicas[0].fatal_request
+        replica.endless_share = self.model_replicas[0].endless_share
         replica.load_duration_s = self.weights_timing.load_duration_s
         self.all_model_replicas.append(replica)
         return replica
@@ -196,6 +199,7 @@
             f"InternalPorts={self._peer_port},{self._peer_port}",
             "Seeds=127.0.0.1:1",
             f"Contracts={self._contracts}",
+            f"Limits.MemoryMb={MEMORY_MB}",
             "Bounds.ExposureShare=0.1",
             "Bounds.ExposureSlack=50",
             f"Bounds.VersionMs={self.weights_timing.version_bound_s * 1000:.0f}",
--- a/standins/faulty_service.py
+++ b/standins/faulty_service.py
@@ -18,8 +18,6 @@
 from standins.measured_router import MeasuredRouter
 from winchfork.boot_clock import boot_seconds
 
-#: Memory limit in the router's settings.
-MEMORY_MB = 150
 SOUND_CALLERS = 10
 #: TCP segments of an ordinary network; the larger ones of loopback let the kernel take more.
 SEGMENT_BYTES = 1_400
@@ -74,7 +72,7 @@
         await self._add_replica("i-stream", "streams", self._answer, models=True)
         await self._add_replica("i-whole", "answers", self._answer)
         settings = self._standins.settings_text(1, ZONES[0])
-        self.router = MeasuredRouter(f"{settings}\nLimits.MemoryMb={MEMORY_MB}", self._folder)
+        self.router = MeasuredRouter(settings, self._folder)
         await self.router.start()
         for number in range(SOUND_CALLERS):
             self._callers.append(asyncio.create_task(self._call_soundly(number)))
--- a/standins/measured_router.py
+++ b/standins/measured_router.py
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 
+from standins.process_memory import read_memory_mb
 from winchfork.boot_clock import boot_seconds
 
 _ROOT = Path(__file__).resolve().parent.parent
@@ -71,27 +72,20 @@
     @property
     def peak_resident_mb(self) -> float:
         """The most memory that the process has occupied, in MB; 0 once it has ended."""
-        return self._read_status("VmHWM:")
+        assert self._process is not None
+        return read_memory_mb(self._process.pid, "VmHWM")
 
     @property
     def resident_mb(self) -> float:
         """The memory that the process occupies, in MB; 0 once it has ended."""
-        return self._read_status("VmRSS:")
+        assert self._process is not None
+        return read_memory_mb(self._process.pid, "VmRSS")
 
     def log_lines(self, event: str) -> list[str]:
         """Return the lines of the log with an event."""
         lines = self._log.read_text(errors="replace").splitlines()
         return [line for line in lines if f"event={event} " in line]
 
-    def _read_status(self, field: str) -> float:
-        assert self._process is not None
-        try:
-            status = Path(f"/proc/{self._process.pid}/status").read_text()
-        except OSError:
-            return 0.0
-        kib = [int(line.split()[1]) for line in status.splitlines() if line.startswith(field)]
-        return kib[0] * 1024 / 1e6 if kib else 0.0
-
     async def _probe_until_cancelled(self) -> None:
         while True:
             began_s = boot_seconds()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,8 +7,9 @@
 import unittest
 from pathlib import Path
 
+from standins.deployment import MEMORY_MB
 from standins.endless_answers import EndlessPart, write_endless_answer
-from standins.faulty_service import MEMORY_MB, SOUND_CALLERS, FaultyService
+from standins.faulty_service import SOUND_CALLERS, FaultyService
 from standins.http_server import Request
 
 #: The link of the replica's machine, 1,000 Mbit/s, in bytes a second.
--- a/winchfork/core/held_bytes.py
+++ b/winchfork/core/memory_budget.py
@@ -1,7 +1,7 @@
-"""Accounts for the bytes from other processes that this process holds, and bounds their sum.
+"""Accounts for the bytes from other processes that this process buffers, and bounds their sum.
 
-Beyond the limit, the largest holdings that can be given up are. Well below it, there is no more
-room for large messages: their senders wait or are refused, and small ones go on.
+Beyond the limit, the largest buffers that can be shed are. Well below it, there is no more room for
+large messages: their senders wait or are refused, and small ones go on.
 """
 
 from __future__ import annotations
@@ -9,18 +9,18 @@
 import enum
 from collections.abc import Callable
 
-#: Bytes held from which growth is reported; the next report follows at twice as much.
+#: Buffered bytes from which growth is reported; the next report follows at twice as much.
 FIRST_REPORTED_BYTES = 1024 * 1024
 #: Messages up to this size need no room.
 SMALL_BYTES = 64 * 1024
-#: Shares of the process's memory limit: all that may be held, and what large messages may fill. The
-#: rest is the program's own, and copies of what is held that are made while it is passed on.
-MAX_HELD_SHARE = 0.45
+#: Shares of the process's memory limit: all that may be buffered, and what large messages may fill.
+#: The rest is the program's own, and copies that are made while buffers are passed on.
+MAX_BUFFERED_SHARE = 0.45
 LARGE_SHARE = 0.3
 
 
-class HolderKind(enum.Enum):
-    """What held bytes are part of."""
+class BufferKind(enum.Enum):
+    """What buffered bytes are part of."""
 
     #: The head of an answer, until it is complete.
     ANSWER_HEAD = "answer_head"
@@ -36,62 +36,62 @@
     UNSENT = "unsent"
 
 
-class Holding:
-    """The bytes that one holder holds; ``give_up`` is called once if they exceed what may be."""
+class Reservation:
+    """The bytes that one holder buffers; ``shed`` is called once if they are shed."""
 
-    __slots__ = ("_account", "give_up", "kind", "size")
+    __slots__ = ("_budget", "kind", "shed", "size")
 
     def __init__(
-        self, account: HeldBytes, kind: HolderKind, give_up: Callable[[], None] | None
+        self, budget: MemoryBudget, kind: BufferKind, shed: Callable[[], None] | None
     ) -> None:
-        self._account = account
+        self._budget = budget
         self.kind = kind
-        self.give_up = give_up
+        self.shed = shed
         self.size = 0
 
     def resize(self, size: int) -> None:
-        """Set the number of bytes held."""
+        """Set the number of bytes."""
         if size != self.size:
             before, self.size = self.size, size
-            self._account.record_change(self, size - before)
+            self._budget.record_change(self, size - before)
 
     def grow(self, size: int) -> None:
-        """Add to the number of bytes held, or take away from it if ``size`` is negative."""
+        """Add to the number of bytes, or take away from it if ``size`` is negative."""
         self.resize(max(0, self.size + size))
 
 
-class HeldBytes:
-    """The account of one process; ``memory_bytes`` is its memory limit, 0 if there is none.
+class MemoryBudget:
+    """The budget of one process; ``memory_bytes`` is its memory limit, 0 if there is none.
 
     Not thread-safe.
     """
 
     def __init__(self, memory_bytes: int = 0) -> None:
-        self._max_bytes = int(memory_bytes * MAX_HELD_SHARE)
+        self._max_bytes = int(memory_bytes * MAX_BUFFERED_SHARE)
         self._large_bytes = int(memory_bytes * LARGE_SHARE)
         self.total = 0
         #: The highest total so far.
         self.peak = 0
-        self.by_kind = dict.fromkeys(HolderKind, 0)
-        #: How many holdings were given up.
-        self.given_up = 0
+        self.by_kind = dict.fromkeys(BufferKind, 0)
+        #: How many reservations were shed.
+        self.shed_count = 0
         #: Called when the total has reached the next size that is reported.
         self.on_growth: Callable[[], None] = lambda: None
-        #: Called with each holding that is given up.
-        self.on_give_up: Callable[[Holding], None] = lambda holding: None
+        #: Called with each reservation that is shed.
+        self.on_shed: Callable[[Reservation], None] = lambda reservation: None
         #: Lets large messages grow by the room that there is.
         self.growth = GrowthGate(self)
         self._report_at = FIRST_REPORTED_BYTES
         self._had_room = True
-        #: Holdings that are not empty and may be given up.
-        self._expendable: set[Holding] = set()
+        #: Reservations that are not empty and may be shed.
+        self._sheddable: set[Reservation] = set()
 
-    def open(self, kind: HolderKind, give_up: Callable[[], None] | None = None) -> Holding:
-        """Return a new holding of no bytes; without ``give_up`` it is never given up."""
-        return Holding(self, kind, give_up)
+    def open(self, kind: BufferKind, shed: Callable[[], None] | None = None) -> Reservation:
+        """Return a new reservation of no bytes; without ``shed`` it is never shed."""
+        return Reservation(self, kind, shed)
 
     def has_room_for(self, size: int) -> bool:
-        """Whether a message of ``size`` bytes may be held now."""
+        """Whether a message of ``size`` bytes may be buffered now."""
         if not self._max_bytes:
             return True
         max_bytes = self._max_bytes if size <= SMALL_BYTES else self._large_bytes
@@ -107,18 +107,18 @@
         """Whether large messages may grow."""
         return not self._large_bytes or self.total <= self._large_bytes
 
-    def record_change(self, holding: Holding, change: int) -> None:
-        """Record that a holding has grown, or shrunk if ``change`` is negative."""
+    def record_change(self, reservation: Reservation, change: int) -> None:
+        """Record that a reservation has grown, or shrunk if ``change`` is negative."""
         self.total += change
-        self.by_kind[holding.kind] += change
+        self.by_kind[reservation.kind] += change
         self.peak = max(self.peak, self.total)
-        if holding.size and holding.give_up is not None:
-            self._expendable.add(holding)
+        if reservation.size and reservation.shed is not None:
+            self._sheddable.add(reservation)
         else:
-            self._expendable.discard(holding)
+            self._sheddable.discard(reservation)
         self._report_growth()
-        while self._max_bytes and self.total > self._max_bytes and self._expendable:
-            self._give_up_largest()
+        while self._max_bytes and self.total > self._max_bytes and self._sheddable:
+            self._shed_largest()
         if self.has_room is not self._had_room:
             self._had_room = self.has_room
             self.growth.update()
@@ -131,21 +131,21 @@
         elif self._report_at > FIRST_REPORTED_BYTES and self.total * 4 < self._report_at:
             self._report_at //= 2
 
-    def _give_up_largest(self) -> None:
-        largest = max(self._expendable, key=lambda holding: holding.size)
-        give_up, largest.give_up = largest.give_up, None
-        assert give_up is not None
-        self.given_up += 1
-        self.on_give_up(largest)
+    def _shed_largest(self) -> None:
+        largest = max(self._sheddable, key=lambda reservation: reservation.size)
+        shed, largest.shed = largest.shed, None
+        assert shed is not None
+        self.shed_count += 1
+        self.on_shed(largest)
         largest.resize(0)
-        give_up()
+        shed()
 
 
 class GrowthGate:
     """Lets large messages grow while there is room; otherwise only the oldest, so that it ends."""
 
-    def __init__(self, held: HeldBytes) -> None:
-        self._held = held
+    def __init__(self, memory: MemoryBudget) -> None:
+        self._memory = memory
         #: For each message that grows: pauses or resumes it.
         self._growing: dict[object, Callable[[bool], None]] = {}
 
@@ -153,15 +153,15 @@
         """Add a message that has become large."""
         if message not in self._growing:
             self._growing[message] = set_paused
-            set_paused(not self._held.has_room and len(self._growing) > 1)
+            set_paused(not self._memory.has_room and len(self._growing) > 1)
 
     def leave(self, message: object) -> None:
-        """Remove a message that is whole or given up."""
+        """Remove a message that is whole or broken off."""
         if self._growing.pop(message, None) is not None:
             self.update()
 
     def update(self) -> None:
         """Pause or resume the messages by the room that there is."""
-        has_room = self._held.has_room
+        has_room = self._memory.has_room
         for number, set_paused in enumerate(list(self._growing.values())):
             set_paused(not has_room and number > 0)
--- a/winchfork/router/answer_head.py
+++ b/winchfork/router/answer_head.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from winchfork.core.held_bytes import Holding
+from winchfork.core.memory_budget import Reservation
 from winchfork.router.http_types import Headers
 
 #: Limits on the head of an answer, and on its trailers. Each header costs more memory than its
@@ -20,8 +20,8 @@
 class AnswerHeadReader:
     """The head of one answer after the other; methods raise AnswerRejectedError."""
 
-    def __init__(self, holding: Holding) -> None:
-        self._holding = holding
+    def __init__(self, reservation: Reservation) -> None:
+        self._reservation = reservation
         self.reason = b""
         self.headers: Headers = []
         #: Whether a head has begun and is not complete.
@@ -42,13 +42,13 @@
     def end(self) -> None:
         """Record that the head is complete, or that nothing more is read."""
         self.is_reading = False
-        self._holding.resize(0)
+        self._reservation.resize(0)
 
     def record_read(self, size: int) -> None:
         """Count a read that is parsed next."""
         if self.is_reading:
             self._read_bytes += size
-            self._holding.grow(size)
+            self._reservation.grow(size)
             self._check_size(self._read_bytes)
 
     def add_reason(self, reason: bytes) -> None:
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from winchfork.core.held_bytes import SMALL_BYTES, HolderKind
+from winchfork.core.memory_budget import SMALL_BYTES, BufferKind
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.replica_notice import AnswerNotice
 from winchfork.core.routing import RouteKind
@@ -105,9 +105,9 @@
         self._fields: AnswerFields | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._body_holding = connection.held.open(HolderKind.ANSWER_BODY, connection.give_up)
-        self._event_holding = connection.held.open(HolderKind.EVENT, connection.give_up)
-        self._growth = connection.held.growth
+        self._body_reservation = connection.memory.open(BufferKind.ANSWER_BODY, connection.shed)
+        self._event_reservation = connection.memory.open(BufferKind.EVENT, connection.shed)
+        self._growth = connection.memory.growth
         self._stream: StreamRelay | None = None
         self._pending_prefill_tokens = plan.prefill_tokens
         self._prefill_done = False
@@ -130,8 +130,8 @@
         """Record at the replica that the attempt is over; the connection is idle or closed."""
         self._release_pending_prefill()
         self._growth.leave(self)
-        self._body_holding.resize(0)
-        self._event_holding.resize(0)
+        self._body_reservation.resize(0)
+        self._event_reservation.resize(0)
         self.plan.replica.record_ended(id(self), self.plan.memory_tokens)
 
     def abandon(self) -> None:
@@ -208,7 +208,7 @@
 
     def _deliver(self, part: AnswerPart) -> None:
         if isinstance(part, AnswerData):
-            self._body_holding.grow(len(part.data))
+            self._body_reservation.grow(len(part.data))
         self._inbox.put(AttemptPart(self.number, part))
 
     def _read_head(self, head: AnswerHead) -> None:
@@ -238,10 +238,10 @@
 
     def _handle_data(self, data: bytes) -> Outcome | None:
         if self._stream is not None:
-            self._body_holding.grow(-len(data))
+            self._body_reservation.grow(-len(data))
             if self._stream.feed(data):
                 self._record_events()
-            self._event_holding.resize(self._stream.pending_bytes)
+            self._event_reservation.resize(self._stream.pending_bytes)
             if self._stream.is_too_large:
                 self.abandon()
                 return MayHaveRun(f"the stream has an event of more than {MAX_EVENT_BYTES} bytes")
@@ -272,7 +272,7 @@
             return self._end_stream(framed=framed)
         answer = BufferedAnswer(self._head, b"".join(self._body))
         self._body.clear()
-        self._body_holding.resize(0)
+        self._body_reservation.resize(0)
         status = self._head.status
         if self._fields.not_run or self._fields.misdirected:
             return NotRun(
--- a/winchfork/router/caller_connection.py
+++ b/winchfork/router/caller_connection.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from winchfork.core.held_bytes import SMALL_BYTES, HeldBytes, HolderKind
+from winchfork.core.memory_budget import SMALL_BYTES, BufferKind, MemoryBudget
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.http_types import (
@@ -45,8 +45,8 @@
     """Serves the requests of callers' connections."""
 
     @property
-    def held(self) -> HeldBytes:
-        """The account of what the connections hold."""
+    def memory(self) -> MemoryBudget:
+        """The budget of what the connections buffer."""
         ...
 
     def limits(self) -> CallerLimits:
@@ -109,10 +109,10 @@
         self._request: IncomingRequest | None = None
         self._chunked = False
         self._last_activity_at_s = self._loop.time()
-        self._held = handler.held
-        self._reading_holding = self._held.open(HolderKind.REQUEST, self._give_up_reading)
-        self._request_holding = self._held.open(HolderKind.REQUEST)
-        self._unsent_holding = self._held.open(HolderKind.UNSENT, self._give_up_unsent)
+        self._memory = handler.memory
+        self._reading_reservation = self._memory.open(BufferKind.REQUEST, self._shed_reading)
+        self._request_reservation = self._memory.open(BufferKind.REQUEST)
+        self._unsent_reservation = self._memory.open(BufferKind.UNSENT, self._shed_unsent)
         self.close_after_answer = False
 
     # State, for the periodic sweep and for a planned stop
@@ -140,10 +140,8 @@
                 self._refuse(
                     FailureKind.SENDER_STALLED.because("the request timed out while it was read")
                 )
-            elif self._held.is_short and self._is_slow_body(now_s):
-                self._refuse(
-                    FailureKind.SENDER_STALLED.because("the body arrives too slowly to be held")
-                )
+            elif self._memory.is_short and self._is_slow_body(now_s):
+                self._refuse(FailureKind.SENDER_STALLED.because("the body arrives too slowly"))
         elif now_s - self._last_activity_at_s > limits.idle_timeout_s:
             self.close()
 
@@ -275,9 +273,9 @@
         """Notify the active request and the handler."""
         active, self._active = self._active, None
         self._pipelined.clear()
-        self._reading_holding.resize(0)
-        self._request_holding.resize(0)
-        self._unsent_holding.resize(0)
+        self._reading_reservation.resize(0)
+        self._request_reservation.resize(0)
+        self._unsent_reservation.resize(0)
         if active is not None:
             active.caller_disconnected()
         self._handler.connection_closed(self)
@@ -332,7 +330,7 @@
             self._refuse(FailureKind.BODY_TOO_LARGE.because("the body is too large"))
             return
         self._announced_bytes = int(length) if length is not None and length.isdigit() else 0
-        if not self._held.has_room_for(self._announced_bytes):
+        if not self._memory.has_room_for(self._announced_bytes):
             self._refuse(_no_room(self._announced_bytes))
             return
         self._record_requests()
@@ -348,7 +346,7 @@
         size = len(self._body)
         if size > self._handler.limits().body_bytes:
             self._refuse(FailureKind.BODY_TOO_LARGE.because("the body is too large"))
-        elif size > max(SMALL_BYTES, self._announced_bytes) and not self._held.has_room:
+        elif size > max(SMALL_BYTES, self._announced_bytes) and not self._memory.has_room:
             self._refuse(_no_room(size))
 
     def on_message_complete(self) -> None:
@@ -381,28 +379,28 @@
         return len(self._body) < took_s * MIN_BODY_BYTES_PER_S
 
     def _record_requests(self) -> None:
-        """Account for the request that is read, those that wait, and the one that is served."""
+        """Update the reservations of the request that is read, and of those that wait or run."""
         reading = self._header_bytes if self._reading_head else 0
         if self._reading_head or self._reading_body:
             reading += len(self._headers) * HEADER_OVERHEAD_BYTES
             reading += max(len(self._body), self._announced_bytes)
-        self._reading_holding.resize(reading)
+        self._reading_reservation.resize(reading)
         size = sum(len(request.body) for request in self._pipelined)
         size += len(self._request.body) if self._request is not None else 0
-        self._request_holding.resize(size)
+        self._request_reservation.resize(size)
 
-    def _give_up_reading(self) -> None:
+    def _shed_reading(self) -> None:
         """Refuse the request that is being read, for lack of memory."""
         self._refuse(_no_room(len(self._body)))
 
-    def _give_up_unsent(self) -> None:
+    def _shed_unsent(self) -> None:
         """Close the connection, whose caller reads too slowly for the memory that is left."""
         if self._transport is not None:
             self._transport.abort()
 
     def _record_unsent(self) -> None:
         if self._transport is not None:
-            self._unsent_holding.resize(self._transport.get_write_buffer_size())
+            self._unsent_reservation.resize(self._transport.get_write_buffer_size())
 
     def _serve_next(self) -> None:
         if self._active is not None or not self._pipelined:
@@ -422,7 +420,7 @@
         self._reading_body = False
         self._headers = []
         self._body = bytearray()
-        self._reading_holding.resize(0)
+        self._reading_reservation.resize(0)
         self.close_after_answer = True
         if self._active is None:
             self._handler.refuse_malformed(self, failure)
--- a/winchfork/router/connection_pool.py
+++ b/winchfork/router/connection_pool.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from winchfork.core.held_bytes import HeldBytes
+from winchfork.core.memory_budget import MemoryBudget
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.replica_connection import ReplicaConnection
 
@@ -32,10 +32,10 @@
 class ConnectionPool:
     """Idle and busy connections by address."""
 
-    def __init__(self, held: HeldBytes | None = None) -> None:
+    def __init__(self, memory: MemoryBudget | None = None) -> None:
         self._loop = asyncio.get_running_loop()
-        #: The account of what the connections hold.
-        self.held = held or HeldBytes()
+        #: The budget of what the connections buffer.
+        self.memory = memory or MemoryBudget()
         self._idle: dict[str, list[ReplicaConnection]] = {}
         self._open_counts: dict[str, int] = {}
         self.counters = PoolCounters()
@@ -111,7 +111,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self._loop.create_connection(
-                    lambda: ReplicaConnection(on_idle, self.held), host, int(port)
+                    lambda: ReplicaConnection(on_idle, self.memory), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError) as error:
             release()
--- a/winchfork/router/metrics.py
+++ b/winchfork/router/metrics.py
@@ -211,8 +211,8 @@
         self.software_shares: Callable[[], Mapping[str, float]] = dict
         #: Limit in requests a second, by replica.
         self.replica_limits: Callable[[], Mapping[str, float]] = dict
-        #: Bytes from other processes that are held, by what holds them.
-        self.held_bytes: Callable[[], Mapping[str, float]] = dict
+        #: Buffered bytes of other processes, by what they are part of.
+        self.buffered_bytes: Callable[[], Mapping[str, float]] = dict
         #: Quota units that may be used now, by tenant.
         self.remaining_quotas: Callable[[], Mapping[str, float]] = dict
         self._gauges: list[_Gauge] = []
@@ -296,10 +296,10 @@
                 self.replica_limits(),
             ),
             (
-                "winchfork_held_bytes_by_holder",
-                "Bytes from other processes that are held, by what holds them.",
-                "holder",
-                self.held_bytes(),
+                "winchfork_buffered_bytes_by_kind",
+                "Buffered bytes of other processes, by what they are part of.",
+                "kind",
+                self.buffered_bytes(),
             ),
         )
         for name, description, label, values in rows:
--- a/winchfork/router/peer_relay.py
+++ b/winchfork/router/peer_relay.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from winchfork.core.held_bytes import HeldBytes
+from winchfork.core.memory_budget import MemoryBudget
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
@@ -84,9 +84,9 @@
     # CallerHandler
 
     @property
-    def held(self) -> HeldBytes:
-        """The account of what the connections hold."""
-        return self._state.held
+    def memory(self) -> MemoryBudget:
+        """The budget of what the connections buffer."""
+        return self._state.memory
 
     def limits(self) -> CallerLimits:
         """Return the callers' limit on bodies, with room for the headers that the peer has added.
--- a/winchfork/router/pooled_http_client.py
+++ b/winchfork/router/pooled_http_client.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from winchfork.core.held_bytes import HolderKind
+from winchfork.core.memory_budget import BufferKind
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.connection_pool import ConnectionPool
 from winchfork.router.http_types import (
@@ -111,7 +111,7 @@
         self, inbox: Inbox[AnswerPart], connection: ReplicaConnection, max_bytes: int
     ) -> None:
         self._inbox = inbox
-        self._holding = connection.held.open(HolderKind.CALL_REPLY, connection.give_up)
+        self._reservation = connection.memory.open(BufferKind.CALL_REPLY, connection.shed)
         self._max_bytes = max_bytes
         self._read_bytes = 0
         self._status = 0
@@ -133,15 +133,15 @@
         return None
 
     def release(self) -> None:
-        """End the account of what was read."""
-        self._holding.resize(0)
+        """Release what was buffered."""
+        self._reservation.resize(0)
 
     def _handle(self, item: AnswerPart) -> CallReply | Failure | None:
         if isinstance(item, AnswerHead):
             self._status = item.status
         elif isinstance(item, AnswerData):
             self._pieces.append(item.data)
-            self._holding.grow(len(item.data))
+            self._reservation.grow(len(item.data))
             self._read_bytes += len(item.data)
             if self._read_bytes > self._max_bytes:
                 return FailureKind.ANSWER_TOO_LARGE.because(
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -20,7 +20,7 @@
 
 from winchfork import __version__
 from winchfork.backends.replica_control import ReplicaControl
-from winchfork.core.held_bytes import Holding
+from winchfork.core.memory_budget import Reservation
 from winchfork.errors import Failure
 from winchfork.logs import configure_logs, log_event
 from winchfork.resident_memory import resident_bytes
@@ -91,8 +91,8 @@
         self._read_settings = read_settings
         self._log_lines_dropped = log_lines_dropped
         self.state = RouterState(settings, loop.time, generator)
-        self._replica_pool = ConnectionPool(self.state.held)
-        self._call_pool = ConnectionPool(self.state.held)
+        self._replica_pool = ConnectionPool(self.state.memory)
+        self._call_pool = ConnectionPool(self.state.memory)
         self._http_client = PooledHttpClient(
             self._call_pool, lambda label: self.state.metrics.calls.labels(label).inc()
         )
@@ -129,10 +129,10 @@
         self._caller_listener: CallerListener | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._stop_requested = asyncio.Event()
-        self._given_up_log_limit = LogRateLimit()
+        self._shed_log_limit = LogRateLimit()
         self._register_gauges()
-        self.state.held.on_growth = self._log_held_bytes
-        self.state.held.on_give_up = self._log_given_up
+        self.state.memory.on_growth = self._log_buffers_grown
+        self.state.memory.on_shed = self._log_shed
 
     def install_signal_handlers(self) -> None:
         """Shut down gracefully on SIGTERM and SIGINT, reload the settings on SIGHUP."""
@@ -301,29 +301,29 @@
         add("connections_failed", "Failed connection attempts.", lambda: counters.failed)
         add("peer_bytes_sent", "Bytes sent to peers.", lambda: self._peers.sent_bytes)
         add("peer_messages_sent", "Messages sent to peers.", lambda: self._peers.sent_messages)
-        held = state.held
-        add("held_bytes", "Bytes from other processes that are held.", lambda: held.total)
-        add("held_bytes_peak", "The most of them held at a time.", lambda: held.peak)
-        add("held_given_up", "Holdings given up for lack of memory.", lambda: held.given_up)
+        memory = state.memory
+        add("buffered_bytes", "Buffered bytes of other processes.", lambda: memory.total)
+        add("buffered_bytes_peak", "The most of them at a time.", lambda: memory.peak)
+        add("buffers_shed", "Buffers shed for lack of memory.", lambda: memory.shed_count)
         add("resident_bytes", "Memory that this process occupies.", resident_bytes)
-        state.metrics.held_bytes = lambda: {kind.value: n for kind, n in held.by_kind.items()}
+        state.metrics.buffered_bytes = lambda: {kind.value: n for kind, n in memory.by_kind.items()}
         add("log_lines_dropped", "Dropped log lines.", lambda: self._log_lines_dropped())
 
-    def _log_held_bytes(self) -> None:
-        held = self.state.held
-        sizes = {kind.value: size for kind, size in held.by_kind.items() if size}
+    def _log_buffers_grown(self) -> None:
+        memory = self.state.memory
+        sizes = {kind.value: size for kind, size in memory.by_kind.items() if size}
         log_event(
-            "held_bytes_grown", "WARNING", total=held.total, resident=resident_bytes(), **sizes
+            "buffers_grown", "WARNING", total=memory.total, resident=resident_bytes(), **sizes
         )
 
-    def _log_given_up(self, holding: Holding) -> None:
-        if self._given_up_log_limit.allows(self._loop.time()):
+    def _log_shed(self, reservation: Reservation) -> None:
+        if self._shed_log_limit.allows(self._loop.time()):
             log_event(
-                "holding_given_up",
+                "buffer_shed",
                 "ERROR",
-                holder=holding.kind.value,
-                size=holding.size,
-                total=self.state.held.total,
+                kind=reservation.kind.value,
+                size=reservation.size,
+                total=self.state.memory.total,
             )
 
     # Duties
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -14,7 +14,7 @@
 import httptools
 import msgspec
 
-from winchfork.core.held_bytes import HeldBytes, HolderKind
+from winchfork.core.memory_budget import BufferKind, MemoryBudget
 from winchfork.router.answer_head import AnswerHeadReader, AnswerRejectedError
 from winchfork.router.http_types import (
     AnswerData,
@@ -83,11 +83,11 @@
     ``on_idle`` is called when the exchange has ended, and when the connection has closed.
     """
 
-    def __init__(self, on_idle: Callable[[ReplicaConnection], None], held: HeldBytes) -> None:
+    def __init__(self, on_idle: Callable[[ReplicaConnection], None], memory: MemoryBudget) -> None:
         super().__init__()
         self._on_idle = on_idle
-        self.held = held
-        self._head = AnswerHeadReader(held.open(HolderKind.ANSWER_HEAD, self.give_up))
+        self.memory = memory
+        self._head = AnswerHeadReader(memory.open(BufferKind.ANSWER_HEAD, self.shed))
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
@@ -133,9 +133,9 @@
         self._exchange = None
         self.close()
 
-    def give_up(self) -> None:
+    def shed(self) -> None:
         """Break the answer off, for lack of memory to hold it."""
-        self._fail("given up for lack of memory")
+        self._fail("shed for lack of memory")
 
     def close(self) -> None:
         """Close at once; unsent data is dropped."""
--- a/winchfork/router/replica_connector.py
+++ b/winchfork/router/replica_connector.py
@@ -66,9 +66,9 @@
         self._pool = pool
         self._generator = generator
         self.paths = ReplicaPaths()
-        self._peer_pool = ConnectionPool(state.held)
+        self._peer_pool = ConnectionPool(state.memory)
         #: Connections for questions to peers, beside those that requests take.
-        self._question_pool = ConnectionPool(state.held)
+        self._question_pool = ConnectionPool(state.memory)
         client = PooledHttpClient(
             self._question_pool, lambda label: state.metrics.calls.labels(label).inc()
         )
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from winchfork.core.held_bytes import HeldBytes
+from winchfork.core.memory_budget import MemoryBudget
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.routing import CallerLimits
 from winchfork.core.stream_origin import StreamOrigin
@@ -70,9 +70,9 @@
     # CallerHandler
 
     @property
-    def held(self) -> HeldBytes:
-        """The account of what the connections hold."""
-        return self.state.held
+    def memory(self) -> MemoryBudget:
+        """The budget of what the connections buffer."""
+        return self.state.memory
 
     def limits(self) -> CallerLimits:
         """Return the configured limits of callers."""
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -14,7 +14,7 @@
 from winchfork.core.cached_parts_backlog import CachedPartsBacklog
 from winchfork.core.engine_speed import EngineSpeed
 from winchfork.core.freshness import Freshness
-from winchfork.core.held_bytes import HeldBytes
+from winchfork.core.memory_budget import MemoryBudget
 from winchfork.core.part_index import PartIndex
 from winchfork.core.permit_queue import PermitQueue
 from winchfork.core.placement_request import CacheStoreChoice
@@ -104,8 +104,8 @@
         )
         self.splits = TrafficSplitter()
         self.metrics = RouterMetrics()
-        #: Bytes of callers, replicas, peers and the store that this process holds.
-        self.held = HeldBytes(settings.memory_bytes)
+        #: The budget of buffered bytes of callers, replicas, peers and the store.
+        self.memory = MemoryBudget(settings.memory_bytes)
         self.eras = StoreEras(self.metrics)
         self.stopping = False
         #: Returns whether an idle connection to a replica's address is open.
