--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -15,6 +15,7 @@
 
 from standins.answer_faults import SLOW_ANSWER_DELAY_S, AnswerFaultInjector, ReplicaFault
 from standins.brittle_room import BrittleRoom
+from standins.endless_answers import EndlessPart, write_endless_answer
 from standins.http_server import HttpServer, Request, write_answer
 from standins.notice_emitter import NoticeEmitter
 from standins.stale_entries import StaleEntry
@@ -22,6 +23,8 @@
 
 #: Seconds for which a replica that fell over is away.
 FALL_S = 2.0
+#: The most that a replica writes in a second of an answer that does not end.
+ENDLESS_BYTES_PER_S = 20_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,6 +136,9 @@
         #: Share of the streams that are truncated after some of their events.
         self.truncated_share = 0.0
         self._generator = random.Random(replica_id)
+        #: Share of the answers in which one part never ends; they have draws of their own.
+        self.endless_share = 0.0
+        self._endless_generator = random.Random(f"{replica_id}/endless")
         #: The kind of request that crashes this replica, and its runs here.
         self.fatal_request: FatalRequest | None = None
         #: Bounds the requests that it admits; None: all.
@@ -309,6 +315,10 @@
         try:
             if self.fatal_request is not None and self.fatal_request.matches(request):
                 return await self._crash_under(self.fatal_request, request, writer)
+            if self._endless_generator.random() < self.endless_share:
+                part = self._endless_generator.choice(list(EndlessPart))
+                await write_endless_answer(part, request, writer, ENDLESS_BYTES_PER_S)
+                return False
             fault = self.fault_injector.draw_fault()
             if fault is ReplicaFault.FAILS:
                 write_answer(writer, 500, b"spoiled", self._answer_headers(request))
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -31,6 +31,11 @@
         action="store_true",
         help="send requests with prompt parts that crash replicas",
     )
+    parser.add_argument(
+        "--endless-answers",
+        action="store_true",
+        help="let replicas write answers in which one part never ends",
+    )
     arguments = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix="winchfork-soak-"))
     first_tree = unpack_build(arguments.earlier, folder) if arguments.earlier else None
@@ -41,11 +46,13 @@
         first_tree,
         mixed_software=arguments.mixed_software,
         fatal_parts=arguments.fatal_parts,
+        endless_answers=arguments.endless_answers,
     )
     asyncio.run(soak.run())
     print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, logs in {folder}")
     print("faults: " + ", ".join(f"{name} {count}" for name, count in sorted(soak.faults.items())))
     print("answers: " + ", ".join(f"{name}: {n}" for name, n in sorted(soak.outcomes.items())))
+    print(f"peak memory of a router: {soak.peak_memory_mb:.0f} MB")
     for line in soak.violations:
         print(f"BROKEN {line}")
     print(f"{len(soak.violations)} promises broken")
--- a/standins/soak/routers.py
+++ b/standins/soak/routers.py
@@ -11,6 +11,7 @@
 
 from standins.deployment import PlatformStandins, node_id
 from standins.fault_proxy import FaultProxy
+from standins.process_memory import read_memory_mb
 from standins.soak.network_partition import PARTITION_FILE_NAME, PARTITION_FILE_VARIABLE
 from standins.soak.replica_partition import (
     MACHINE_IP_VARIABLE,
@@ -123,6 +124,13 @@
         caught = next(line for line in status.splitlines() if line.startswith("SigCgt:"))
         return bool(int(caught.split()[1], 16) >> (number - 1) & 1)
 
+    @property
+    def peak_memory_mb(self) -> float:
+        """The most memory that the current process has occupied; 0 once it has ended."""
+        if self._process is None or self._process.returncode is not None:
+            return 0.0
+        return read_memory_mb(self._process.pid, "VmHWM")
+
     def kill(self) -> None:
         """Kill the process if it still runs."""
         if self._process is not None and self._process.returncode is None:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -20,6 +20,7 @@
     check_unrelated_refusals,
 )
 from standins.soak.disruptions import DisruptionLog
+from standins.soak.endless_answers import MemoryWatch, prepare_endless_answers
 from standins.soak.fatal_parts import FATAL_PARTS, FatalPartCallers, check_fatal_parts
 from standins.soak.fatal_requests import FatalCallers, check_fatal_requests, prepare_replicas
 from standins.soak.faults.context import FaultContext
@@ -65,9 +66,9 @@
 class Soak:
     """One run of the soak; ``violations`` holds a line for each guarantee that was broken.
 
-    With ``fatal_parts`` some requests have a prompt part that crashes replicas. With
-    ``mixed_software`` replicas of several versions serve side by side, and no rollout of
-    software is ordered.
+    With ``fatal_parts`` some requests have a prompt part that crashes replicas, with
+    ``endless_answers`` some answers have a part that never ends. With ``mixed_software`` replicas
+    of several versions serve side by side, and no rollout of software is ordered.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         *,
         mixed_software: bool = False,
         fatal_parts: bool = False,
+        endless_answers: bool = False,
     ) -> None:
         self._mixed_software = mixed_software
         self._seed = str(seed)
@@ -98,6 +100,9 @@
         parts = frozenset(FATAL_PARTS) if fatal_parts else frozenset()
         prepare_replicas(self._platform.model_replicas, generator, parts)
         self._fatal_parts = fatal_parts
+        if endless_answers:
+            prepare_endless_answers(self._platform)
+        self._memory = MemoryWatch(self._routers)
         self._part_callers = FatalPartCallers(self._routers, self._generator("fatal parts"))
         self.faults: Counter[str] = Counter()
         self.violations: list[str] = []
@@ -107,11 +112,18 @@
         """Counts of answers and rollouts by their outcome."""
         return self._callers.outcomes + self._resuming.outcomes
 
+    @property
+    def peak_memory_mb(self) -> float:
+        """The most memory that a router's process has occupied."""
+        return self._memory.peak_mb
+
     async def run(self) -> None:
         """Run callers and faults, wait for the recovery and check; kill all routers at the end."""
+        watching = asyncio.create_task(self._memory.run())
         try:
             await self._run()
         finally:
+            watching.cancel()
             for router in self._routers:
                 router.kill()
 
@@ -301,5 +313,6 @@
 
         self.violations += check_notices(emitters, senders, excused)
         self.violations += check_limits(emitters, senders, excused)
+        self.violations += self._memory.violations()
         late = late_generations(generations, published, senders, disruptions, bound_s)
         self.violations += describe_late(late)
