--- a/benchmarks/days/make_days.py
+++ b/benchmarks/days/make_days.py
@@ -13,7 +13,7 @@
     "burst": (False, 'kind = "burst", x = 2.2, for_s = 4.0'),
     "hot_key": (False, 'kind = "hot_key", share = 0.5, for_s = 6.0'),
     "retry_abuse": (False, 'kind = "retry_abuse", x = 4.0, share = 0.5, for_s = 6.0'),
-    "shed": (False, 'kind = "shed", share = 0.5, for_s = 6.0'),
+    "give_up": (False, 'kind = "give_up", share = 0.5, for_s = 6.0'),
     "srv_crash": (False, 'kind = "srv_crash", share = 0.34, for_s = 4.0'),
     "srv_crash_dark": (False, 'kind = "srv_crash", how = "dark", share = 0.34, for_s = 5.0'),
     "srv_crash_gone": (False, 'kind = "srv_crash", how = "gone", share = 0.2'),
--- a/winchfork/cluster/claim_client.py
+++ b/winchfork/cluster/claim_client.py
@@ -118,7 +118,7 @@
                 self._node.send_to(voter, record)
 
     def _release(self, claim: Claim, first_send: bool) -> Failure:
-        failure, release = claim.shed(first_send=first_send)
+        failure, release = claim.give_up(first_send=first_send)
         for _ in range(_SENDS_PER_VOTER):
             for voter in claim.voters:
                 self._node.send_to(voter, release)
--- a/winchfork/core/claims.py
+++ b/winchfork/core/claims.py
@@ -340,7 +340,7 @@
 
     GATHERING = "gathering"
     WON = "won"
-    GIVEN_UP = "shed_count"
+    GIVEN_UP = "given_up"
     DISPATCHED = "dispatched"
 
 
@@ -408,8 +408,8 @@
         self.phase = ClaimPhase.GIVEN_UP
         return True
 
-    def shed(self, *, first_send: bool) -> tuple[Failure, VoteRelease]:
-        """Give up while gathering votes (action ``shed``); return the failure and the release.
+    def give_up(self, *, first_send: bool) -> tuple[Failure, VoteRelease]:
+        """Give up while gathering votes (action ``give_up``); return the failure and the release.
 
         The release lets a later attempt win. Other attempts of the key may have run, so the failure
         states "not run" only if the caller declared this its first and only send; otherwise the
--- a/winchfork/router/answer_head.py
+++ b/winchfork/router/answer_head.py
@@ -27,13 +27,11 @@
         self.headers: Headers = []
         #: Whether a head has begun and is not complete.
         self.is_reading = False
-        #: Bytes of whole lines, and of reads that began inside the head. Both are counted, because
-        #: the parser keeps a line until it is whole, and a read may hold more than the head.
+        #: Bytes of whole lines.
         self._line_bytes = 0
-        self._read_bytes = 0
         self._trailers = 0
-        #: Bytes of reads since the parser last reported anything: a trailer, or the extension of a
-        #: chunk, may be a line without end as well.
+        #: Bytes of reads since the parser last reported anything: it keeps a line, or the extension
+        #: of a chunk, until it is whole.
         self._unfinished_bytes = 0
 
     def begin(self) -> None:
@@ -41,7 +39,7 @@
         self.reason = b""
         self.headers = []
         self.is_reading = True
-        self._line_bytes = self._read_bytes = self._trailers = 0
+        self._line_bytes = self._trailers = 0
 
     def end(self) -> None:
         """Record that the head is complete, or that nothing more is read."""
@@ -58,9 +56,7 @@
         if self._unfinished_bytes > MAX_HEAD_BYTES + READ_BYTES:
             raise AnswerRejectedError(f"the answer has a line of more than {MAX_HEAD_BYTES} bytes")
         if self.is_reading:
-            self._read_bytes += size
             self._reservation.grow(size)
-            self._check_size(self._read_bytes)
 
     def add_reason(self, reason: bytes) -> None:
         """Append to the reason phrase, which may arrive in pieces."""
@@ -80,8 +76,5 @@
 
     def _add_line(self, size: int) -> None:
         self._line_bytes += size
-        self._check_size(self._line_bytes)
-
-    def _check_size(self, size: int) -> None:
-        if size > MAX_HEAD_BYTES:
+        if self._line_bytes > MAX_HEAD_BYTES:
             raise AnswerRejectedError(f"the answer's head is larger than {MAX_HEAD_BYTES} bytes")
