--- a/standins/measured_router.py
+++ b/standins/measured_router.py
@@ -34,7 +34,10 @@
         self.failed_probes = 0
 
     async def start(self) -> None:
-        """Start the process, wait until it is ready, and probe it from then on."""
+        """Start the process, wait until it is ready, and probe it from then on.
+
+        Raises TimeoutError, and kills the process, if it does not become ready.
+        """
         environment = {**os.environ, "WINCHFORK_BOOT": str(self._file)}
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -46,9 +49,13 @@
                 stdout=log,
                 stderr=log,
             )
-        async with asyncio.timeout(_READY_TIMEOUT_S):
-            while not await self._probe():
-                await asyncio.sleep(_PROBE_PERIOD_S)
+        try:
+            async with asyncio.timeout(_READY_TIMEOUT_S):
+                while not await self._probe():
+                    await asyncio.sleep(_PROBE_PERIOD_S)
+        except TimeoutError:
+            await self.stop()
+            raise
         self._probing = asyncio.create_task(self._probe_until_cancelled())
 
     async def stop(self) -> None:
