--- a/winchfork/core/memory_budget.py
+++ b/winchfork/core/memory_budget.py
@@ -11,7 +11,7 @@
 
 #: Buffered bytes from which growth is reported; the next report follows at twice as much.
 FIRST_REPORTED_BYTES = 1024 * 1024
-#: Messages up to this size need no room.
+#: Larger messages need room of their own; smaller ones only the budget.
 SMALL_BYTES = 64 * 1024
 #: Shares of the process's memory limit: all that may be buffered, and what large messages may fill.
 #: The rest is the program's own, and copies that are made while buffers are passed on.
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -111,7 +111,7 @@
         self._stream: StreamRelay | None = None
         self._pending_prefill_tokens = plan.prefill_tokens
         self._prefill_done = False
-        #: Whether reading is paused because the caller reads slowly, and for lack of memory.
+        #: Why reading is paused: the caller reads slowly; there is no room for a large answer.
         self._paused_by_caller = False
         self._paused_for_room = False
         self._last_received_at_s = 0.0
