--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -245,7 +245,7 @@
         await replica.start()
         self._closers.append(replica.stop)
 
-    def add_daemon(self, bounds: dict[str, str] | None = None) -> Daemon:
+    def add_daemon(self, bounds: dict[str, str] | None = None, store_address: str = "") -> Daemon:
         """Prepare one more daemon, which is not started yet."""
         number = len(self.daemons) + 1
         ip = f"{self._network}.{number}"
@@ -282,7 +282,7 @@
             "FaultTolerance.Zones=0",
             "FaultTolerance.Regions=0",
             *(f"Bounds.{key}={value}" for key, value in {**BOUNDS, **(bounds or {})}.items()),
-            f"Platform.Address={self.store.address}",
+            f"Platform.Address={store_address or self.store.address}",
             "Platform.form=kv",
             "Platform.writes_per_s=400",
             "Platform.reads_per_s=2000",
