--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-import json
+import contextlib
 import os
 import random
 import shutil
@@ -83,7 +83,8 @@
     def conclude(self, text: str) -> None:
         """Write a line of the result, and print it."""
         self.add(text)
-        print(text)
+        with contextlib.suppress(BrokenPipeError):
+            print(text, flush=True)
 
 
 @dataclass
@@ -458,12 +459,11 @@
         finally:
             await rig.close()
 
-    code = asyncio.run(run())
+    try:
+        code = asyncio.run(run())
+    except Exception as error:  # noqa: BLE001 - nor is one while all is ended
+        record.conclude(f"could not end: {error!r}")
+        code = COULD_NOT_RUN
     words = {HELD: "held", BROKEN: "broken", COULD_NOT_RUN: "could not run"}
     record.conclude(f"result: {words[code]}")
     sys.exit(code)
-
-
-def dump(value: object) -> str:
-    """Return a value as one line of JSON."""
-    return json.dumps(value, sort_keys=True)
