--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -56,7 +56,8 @@
     "VersionAllMs": "11000",
 }
 ZONES = ("hall-a", "hall-b", "hall-c")
-_TERMINATION_S = 10.0
+#: All daemons are ended at once, so a run of a case ends within ``_CASE_S + _TERMINATION_S``.
+_CASE_S, _TERMINATION_S = 95.0, 10.0
 
 
 def trouble() -> bool:
@@ -442,16 +443,22 @@
 
 
 def run_case(file: str, case: Callable[[Rig], Coroutine[Any, Any, int]], **options: Any) -> None:
-    """Run a case and exit with its code; everything that it started is ended before."""
+    """Run a case and exit with its code; everything that it started is ended before.
+
+    This holds too when the script is ended by SIGTERM or SIGINT.
+    """
     folder = Path(file).resolve().parent
     record = Record(folder)
     record.add(f"trouble {trouble()}, python {sys.version.split()[0]}")
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         rig = Rig(record, **options)
         try:
             await rig.start_store()
-            async with asyncio.timeout(110.0):
+            async with asyncio.timeout(_CASE_S):
                 return await case(rig)
         except Exception as error:  # noqa: BLE001 - an error of the script is no finding
             record.conclude(f"could not run: {error!r}")
@@ -461,8 +468,9 @@
 
     try:
         code = asyncio.run(run())
-    except Exception as error:  # noqa: BLE001 - nor is one while all is ended
-        record.conclude(f"could not end: {error!r}")
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:  # noqa: BLE001
+        # Neither is an error while all is ended, or an end from outside.
+        record.conclude(f"could not end, or was ended: {error!r}")
         code = COULD_NOT_RUN
     words = {HELD: "held", BROKEN: "broken", COULD_NOT_RUN: "could not run"}
     record.conclude(f"result: {words[code]}")
