Log what decided a stream's origin, and the start time of the replica

The logs could not tell apart the ways in which a stream can go on at another version: a conclusion and the age of the list behind it were not logged, nor the start time of the replica that a request was sent to. No logic changes.

--- a/winchfork/router/request_record.py
+++ b/winchfork/router/request_record.py
@@ -115,6 +115,7 @@
             route=self.route.name,
             replica=decision.replica.replica_id,
             software=plan.software or None,
+            born_ms=decision.replica.listing.started_at_ms or None,
             attempt=self.attempts,
             resume_after=plan.resume_after,
             origin=self.origin_id,
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -17,6 +17,7 @@
 from winchfork.core.software_history import SoftwareHistory
 from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
 from winchfork.errors import Failure, FailureKind
+from winchfork.logs import log_event
 
 if TYPE_CHECKING:
     from winchfork.router.request_admission import AdmittedRequest
@@ -155,7 +156,7 @@
         origin = self.concluded(question) or answer.concluded
         if origin is not None:
             return self._check_service(admitted, question, origin, "only_version")
-        self._count("unknown")
+        self._record_lookup(admitted, "unknown")
         return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
             "it is not known which version of the software began the stream",
             remedy=_REMEDY,
@@ -171,9 +172,9 @@
     ) -> StreamOrigin | Failure:
         """Return the origin, unless the route no longer leads to its service."""
         if origin.service in _services(admitted.route):
-            self._count(source)
+            self._record_lookup(admitted, source, origin)
             return origin
-        self._count("moved")
+        self._record_lookup(admitted, "moved", origin)
         return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
             f"the route no longer leads to {origin.service}, which began the stream",
             remedy=_REMEDY,
@@ -189,5 +190,19 @@
         now_s = self._state.clock()
         self.history.observe(versions, now_s, list_age_s=self._state.freshness.age_s(now_s))
 
-    def _count(self, source: str) -> None:
+    def _record_lookup(
+        self, admitted: AdmittedRequest, source: str, origin: StreamOrigin | None = None
+    ) -> None:
+        """Count and log what decided the origin, and how recent this daemon's list is."""
         self._state.metrics.continued_streams.labels(source).inc()
+        log_event(
+            "stream_origin_found" if origin is not None else "stream_origin_unknown",
+            id=admitted.fields.request_id,
+            origin=admitted.fields.origin_id,
+            source=source,
+            service=origin.service if origin is not None else None,
+            software=origin.software if origin is not None else None,
+            known_s=self._state.freshness.age_s(self._state.clock()),
+            uptime_s=self._state.clock() - self._state.started_at_s,
+            revision=self._state.store_position.revision,
+        )
