--- a/tests/loopback_case.py
+++ b/tests/loopback_case.py
@@ -36,9 +36,7 @@
     async def asyncSetUp(self) -> None:
         # Debug mode takes most of the processor here, and whole routers depend on real time.
         asyncio.get_running_loop().set_debug(False)
-        self.deployment = LoopbackDeployment(
-            self.routers, simulate_links=self.simulate_links, contracts=self.contracts
-        )
+        self.deployment = self.make_deployment()
         await self.deployment.start()
         self.addAsyncCleanup(self.deployment.stop)
         await asyncio.wait_for(self.deployment.wait_until_ready(), MAX_WAIT_S)
@@ -47,6 +45,12 @@
         self.senders: dict[str, Sender] = {}
         self.statuses: list[int] = []
 
+    def make_deployment(self) -> LoopbackDeployment:
+        """Return the deployment, before it starts."""
+        return LoopbackDeployment(
+            self.routers, simulate_links=self.simulate_links, contracts=self.contracts
+        )
+
     async def send_request(self, router: int) -> ReceivedAnswer:
         """Send one request to a router and read its streamed answer."""
         number = len(self.senders)
