Conclude from the only version with a list that is current after the request

Callers saw streams that a new version had begun go on at an older one (ORDER), at one router at a time, some seconds after replicas had joined.

Cause: a router without a stream's record concluded that the only version on its list had begun the stream. The list was accepted if its last proof was up to ContactMs old; in that time replicas of a new version can have joined and begun streams at other routers. Conclusions of peers, which may be as far behind, were believed too. Absence of knowledge was used as knowledge.

Now the conclusion needs a read of the store that begins after the request has arrived, shared by all that wait, and a list that contains what the store held then.

--- a/spec/stream_spec.py
+++ b/spec/stream_spec.py
@@ -3,16 +3,18 @@
 One caller, two routers, one more daemon that holds records, and two versions of a service's
 software. The caller takes its stream up again at any router within the deadline of its first
 attempt. Versions come and go, the first router and the holder die and lose what they know, records
-are lost, and questions to the holder may stay unanswered.
+are lost, and questions to the holder may stay unanswered. The second router's list of replicas may
+be old: it reads the store at any time, or not at all.
 
 Checked: the caller never has events of both versions. A router that does not know how a stream
 began refuses it; that is a step like any other, so it is also checked that a stream can go on after
 the death of the router that began it, by the record and by the only version.
 
 State: time, listed versions, when both were listed last, when the first router started and when it
-saw both last, what each router and the holder know, events of the caller, time since its first
-attempt, the running attempt (router, version, whether it has brought events), attempts so far,
-whether the first router died after it had begun the stream.
+saw both last, the versions that the second router has listed, whether it has read all changes, and
+when it saw both last, what each router and the holder know, events of the caller, time since its
+first attempt, the running attempt (router, version, whether it has brought events), attempts so
+far, whether the first router died after it had begun the stream.
 """
 
 from __future__ import annotations
@@ -34,6 +36,9 @@
     "both_at",
     "started_0",
     "saw_both_0",
+    "listed_1",
+    "is_current_1",
+    "saw_both_1",
     "known_0",
     "known_1",
     "held",
@@ -63,6 +68,8 @@
     waits_for_history: bool = True
     #: A router counts the time alone from its start on.
     counts_from_start: bool = True
+    #: A conclusion needs a list that is current when the attempt has arrived.
+    confirms_list: bool = True
     #: The record names the version of the first event, not that of the first sending.
     records_at_first_event: bool = True
 
@@ -78,7 +85,7 @@
             *_answer_steps(rules, now),
         ]
 
-    initial = (0, 1, NONE, 0, NONE, 0, 0, 0, 0, 0, NONE, 0, 0, 0, 0)
+    initial = (0, 1, NONE, 0, NONE, 1, 1, NONE, 0, 0, 0, 0, 0, NONE, 0, 0, 0, 0)
     return Protocol(
         name="stream",
         candidate=False,
@@ -98,6 +105,8 @@
     if now["time"] < rules.horizon:
         both = {"both_at": now["time"] + 1, "saw_both_0": now["time"] + 1}
         seen = both if now["listed"] == BOTH else {}
+        if now["listed_1"] == BOTH:
+            seen = seen | {"saw_both_1": now["time"] + 1}
         age = now["age"] + 1 if now["attempts"] else 0
         steps.append(("tick", _after(now, time=now["time"] + 1, age=age, **seen)))
     for version in VERSIONS:
@@ -105,7 +114,11 @@
         if listed:
             both = {"both_at": now["time"], "saw_both_0": now["time"]}
             seen = both if BOTH in (listed, now["listed"]) else {}
-            steps.append((f"list({listed})", _after(now, listed=listed, **seen)))
+            changes = {"listed": listed, "is_current_1": 0} | seen
+            steps.append((f"list({listed})", _after(now, **changes)))
+    if not now["is_current_1"]:
+        changes = {"listed_1": now["listed"], "is_current_1": 1, "saw_both_1": now["both_at"]}
+        steps.append(("second router reads the store", _after(now, **changes)))
     steps.append(("first router dies", _after_death(now)))
     if now["held"]:
         steps.append(("holder dies", _after(now, held=0)))
@@ -135,7 +148,7 @@
         refused = _after(now, attempts=now["attempts"] + 1)
         steps.append((f"refuse({router})", refused))
         for version in _allowed(rules, now, router):
-            if version & now["listed"]:
+            if version & now["listed"] & _listed_at(now, router):
                 changes = {"router": router, "version": version, "attempts": now["attempts"] + 1}
                 if not rules.records_at_first_event and not now["events"]:
                     changes |= {f"known_{router}": version, "held": version}
@@ -148,15 +161,22 @@
     if not now["events"] or not rules.binds_attempts:
         return set(VERSIONS)
     found = {now[f"known_{router}"], now["held"]} - {0}
-    if now["listed"] != BOTH and _is_only_for_long(rules, now, router):
-        found.add(now["listed"])
+    is_confirmed = not router or bool(now["is_current_1"]) or not rules.confirms_list
+    listed = _listed_at(now, router)
+    if listed != BOTH and is_confirmed and _is_only_for_long(rules, now, router):
+        found.add(listed)
     return found
 
 
+def _listed_at(now: dict[str, int], router: int) -> int:
+    """Return the versions that a router has listed; the first one's list is always current."""
+    return now["listed_1"] if router else now["listed"]
+
+
 def _is_only_for_long(rules: StreamRules, now: dict[str, int], router: int) -> bool:
     if not rules.waits_for_history:
         return True
-    since = now["both_at"] if router else now["saw_both_0"]
+    since = now["saw_both_1"] if router else now["saw_both_0"]
     if rules.counts_from_start and not router:
         since = max(since, now["started_0"])
     return now["time"] - since > rules.deadline
@@ -196,5 +216,6 @@
     "attempt_at_any_version": StreamRules(binds_attempts=False),
     "only_version_at_once": StreamRules(waits_for_history=False),
     "history_before_the_start": StreamRules(counts_from_start=False),
+    "conclusion_by_an_old_list": StreamRules(confirms_list=False),
     "recorded_when_sent": StreamRules(records_at_first_event=False),
 }
