Restart the history of versions where entries may have come and gone unseen

A stream of a version that came and left within ContactMs could go on at the only version that was left. Cause: the history went on over a new list (after a 410) and over a peer's answer, if the last proof was younger than ContactMs. Both show the latest entries only.

--- a/winchfork/core/document_table.py
+++ b/winchfork/core/document_table.py
@@ -87,6 +87,10 @@
             self._removals_known_after = max(self._removals_known_after, forgotten.revision)
         return True
 
+    def holds(self, key: str) -> bool:
+        """Whether an entry is held that has not been removed."""
+        return key in self._items
+
     def mark_listed(self, at_revision: int, *, after_outage: bool) -> None:
         """Record that a list replaced the entries: removals up to this revision are unknown."""
         self._listed_after_outage = after_outage
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -154,7 +154,8 @@
             self._begin_era(at)
             self._installer.is_restoring = self._installer.has_listed
             after_outage = after_outage or self._installer.has_listed
-        self._record_unseen_entries(is_new_era=at.era > self._state.store_position.era)
+        if at != self._state.store_position:
+            self._record_unseen_entries()
         self._install_newer(items, at.era)
         self._installer.is_restoring = False
         missing = self.table.missing_from(item.key for item in items)
@@ -166,15 +167,12 @@
         self._advance_position(at)
         self._has_listed = self._installer.has_listed = True
 
-    def _record_unseen_entries(self, *, is_new_era: bool = False) -> None:
-        """Record that entries may have come and gone unseen since the last freshness proof.
+    def _record_unseen_entries(self) -> None:
+        """Record that entries may have come and gone unseen.
 
-        What is installed shows the latest entries only, unlike the events of a watch.
+        A list and a peer's answer show the latest entries only, unlike the events of a watch.
         """
-        now_s = self._state.clock()
-        max_gap_s = self._state.settings.bounds.contact_s
-        if is_new_era or self._state.freshness.age_s(now_s) > max_gap_s:
-            self._state.stream_origins.history.restart(now_s)
+        self._state.stream_origins.history.restart(self._state.clock())
 
     async def _watch_once(self) -> Failure | None:
         started_s = self._state.clock()
@@ -296,7 +294,6 @@
             return True
         if update.at.era != known.era:
             return False
-        self._record_unseen_entries()
         self._install_newer(self._mark_lapses(update.items), known.era)
         if not self._has_listed or update.base > known:
             return False
@@ -312,8 +309,12 @@
     def _install_newer(self, items: Iterable[TableItem], era: int) -> None:
         """Install the entries that are newer than those in the table."""
         for item in items:
-            if self.table.apply(item):
-                self._installer.install(item, era, self._entry_date)
+            is_unknown = not self.table.holds(item.key)
+            if not self.table.apply(item):
+                continue
+            if is_unknown and self._installer.is_replica_removal(item):
+                self._record_unseen_entries()
+            self._installer.install(item, era, self._entry_date)
 
     def _mark_lapses(self, items: tuple[TableItem, ...]) -> tuple[TableItem, ...]:
         """Mark the removals of replicas whose entries may have lapsed in an outage of the store.
