Refuse a key that can't be checked on routes that allow anonymous requests

What callers saw: while a router is cut off from the store, a key that moved to another tenant went on running requests in its former tenant's name, with that tenant's priority and isolation, on routes that allow anonymous requests.

Cause: absence of knowledge used as knowledge. Admission returned the request of such a route before it looked at the age of the table that names the key's tenant. A key that can't be checked isn't a missing key: to run it without a name is wrong as well, since some tenant holds it.

Now a request with a key is refused there as not run, with a time to come back, as on other routes, once the proof is older than the revocation bound allows. Requests without a key go on; the store alone excuses nothing for them.

--- a/winchfork/router/request_admission.py
+++ b/winchfork/router/request_admission.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from winchfork.core.request_digest import request_digest, shared_part_digests
-from winchfork.core.routing import Route, TenantPolicy
+from winchfork.core.routing import Route, RoutingTable, TenantPolicy
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.header_codec import RequestFields
 from winchfork.router.http_types import IncomingRequest
@@ -65,9 +65,19 @@
         digest = request_digest(caller, request.method, request.host, request.target, request.body)
         shared_parts = shared_part_digests(fields.prompt)
         admitted = AdmittedRequest(route, tenant, fields, digest, caller, shared_parts)
-        if not table.tenants or route.anonymous:
-            return admitted
-        if tenant is None:
+        return self._check_key(admitted, table, certain=certain) or admitted
+
+    def _check_key(
+        self, admitted: AdmittedRequest, table: RoutingTable, *, certain: bool
+    ) -> Failure | None:
+        """Return why a request must not run with its key, or without one; None if it may.
+
+        A key counts on a route that needs none as well: the request runs in its tenant's name, and
+        a tenant of an old table may have lost the key to another one.
+        """
+        if not table.tenants or (admitted.route.anonymous and not admitted.fields.api_key):
+            return None
+        if admitted.tenant is None and not admitted.route.anonymous:
             if not certain:
                 return self._stale("the key is not known")
             return FailureKind.UNAUTHENTICATED.because(
@@ -76,7 +86,7 @@
             )
         if not self._state.api_keys_fresh:
             return self._stale("the key cannot be checked")
-        return admitted
+        return None
 
     def _stale(self, reason: str) -> Failure:
         age_s = self._state.freshness.age_s(self._state.clock())
