Conclude nothing for a route that has led to another service

A stream without a record that one service had begun could go on at another after its route was moved: the only version of the route's present service was taken for the one that began it.

A router now notes when it sees a route move, and concludes nothing for it for as long as a stream may be taken up. The new test in test_continued_streams failed before. A router that has started since the move does not know of it; the audit lists that as open.

--- a/tests/test_continued_streams.py
+++ b/tests/test_continued_streams.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import msgspec
+
 from tests.relay_case import PROMPT_HEADERS
 from tests.relay_support import (
     KEY,
@@ -19,7 +21,7 @@
     stream_head,
 )
 from tests.stream_case import StreamTestCase, begun, full, rest
-from winchfork.core.routing import RouteKind
+from winchfork.core.routing import RouteKind, RoutingTable, Service, ServiceShare
 from winchfork.core.software_history import SoftwareHistory
 from winchfork.core.stream_origin import StreamOrigin, stream_key
 from winchfork.errors import Failure, FailureKind
@@ -186,6 +188,26 @@
         answer = await self.resume("Last-Event-Id: 2\r\nResumes: never-seen\r\n")
         self.assert_not_run(answer)
 
+    async def test_the_only_version_did_not_begin_what_another_service_did(self) -> None:
+        """Guards against a stream without a record that began before its route was moved."""
+
+        async def confirm_list() -> None:
+            return None
+
+        self.list_one_version()
+        state = self.stream_relay.state
+        state.stream_origins.confirm_list = confirm_list
+        table = state.routing_table
+        assert table is not None
+        for version, service in ((2, "left"), (3, "s")):
+            route = msgspec.structs.replace(
+                self.stream_relay.route, shares=(ServiceShare(service, 1.0),)
+            )
+            services = [Service("left"), *table.services.values()]
+            state.install_table(RoutingTable(version, [route], services, table.tenants))
+        answer = await self.resume("Last-Event-Id: 2\r\nResumes: never-seen\r\n")
+        self.assert_not_run(answer)
+
     async def test_peers_are_asked_and_the_caller_may_leave_meanwhile(self) -> None:
         asked = asyncio.Event()
         known = asyncio.Event()
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -155,6 +155,7 @@
         current = self.routing_table.version if self.routing_table else -1
         if table.version <= current:
             return False
+        self.stream_origins.record_table(table)
         self.routing_table = table
         self.cache_stores.install(table)
         limits = {item.name: item.limit for item in table.tenants if item.limit is not None}
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -9,12 +9,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from winchfork.core.routing import Route, RouteKind
+from winchfork.core.routing import Route, RouteKind, RoutingTable
 from winchfork.core.software_history import SoftwareHistory
 from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
 from winchfork.errors import Failure, FailureKind
@@ -96,6 +97,8 @@
         self.history = SoftwareHistory()
         #: The longest deadline of a request on each route, by its name.
         self._longest_deadlines_s: dict[str, float] = {}
+        #: When each route was seen to lead to other services than before, by its name.
+        self._moved_at_s: dict[str, float] = {}
         #: Called with the key, the origin and the lifetime in seconds of each stream begun here.
         self.on_recorded: Callable[[bytes, StreamOrigin, float], None] = lambda *recorded: None
         self.ask_peers: Callable[[OriginQuestion], Awaitable[PeersAnswer]] = _ask_nobody
@@ -116,8 +119,26 @@
     def question(self, admitted: AdmittedRequest) -> OriginQuestion:
         """Return the question that a request which continues a stream poses."""
         services = _services(admitted.route)
-        service = services[0] if len(services) == 1 else ""
-        return OriginQuestion(_origin_key(admitted), service, self._max_age_s(admitted))
+        max_age_s = self._max_age_s(admitted)
+        has_moved = self._has_moved(admitted.route, max_age_s)
+        service = services[0] if len(services) == 1 and not has_moved else ""
+        return OriginQuestion(_origin_key(admitted), service, max_age_s)
+
+    def record_table(self, table: RoutingTable) -> None:
+        """Record which routes lead to other services in a table that is about to be installed."""
+        known = self._state.routing_table
+        if known is None:
+            return
+        services = {route.name: _services(route) for route in known.routes}
+        for route in table.routes:
+            if route.name in services and services[route.name] != _services(route):
+                self._moved_at_s[route.name] = self._state.clock()
+
+    def _has_moved(self, route: Route, max_age_s: float) -> bool:
+        """Whether another service may have begun the route's streams of this age."""
+        moved_at_s = self._moved_at_s.get(route.name, -math.inf)
+        max_delay_s = self._state.settings.bounds.contact_s
+        return self._state.clock() - moved_at_s <= max_age_s + max_delay_s
 
     def _max_age_s(self, admitted: AdmittedRequest) -> float:
         """Return how many seconds ago a stream that is continued now may have begun.
