Prove which incarnation of a replica answers before a stream is sent there

Callers saw streams with events of two software versions: a replica returned under its id with another version while its entry was late or could not be written. It was taken for the former one, by the version of the listing: streams that began there were recorded with the wrong version, and begun ones went on there.

Cause: a request names its replica by the id alone, and the version was read from the listing, whatever the connection led to.

Now a version belongs to an incarnation, an id and a start time. Before a stream of a resumable route is sent on a connection, a report whose call began after the connection was opened has to show the listed start. What shows it has listened at its address since before, so the connection leads there or nowhere. Calls are shared. A later start is listed at once, from the report, and its software is named after the incarnation: streams that begin there go on there, and at its version once its entry has arrived. Without a report a begun stream goes elsewhere, and a new one begins under a name that nobody continues, if there is no choice. A relay proves its own connection, for the start that the origin names.

--- a/standins/replica_server.py
+++ b/standins/replica_server.py
@@ -145,6 +145,15 @@
         self.room: BrittleRoom | None = None
         self.fatal_runs: list[FatalRun] = []
         self.started_at_ms = 0
+        #: Whether its entries are held back, as in an outage of the store.
+        self.holds_entry_back = False
+        #: Whether its entries and reports name the start time.
+        self.states_start = True
+        #: Reports asked for, and the delay of their answers in seconds.
+        self.reports = 0
+        self.report_delay_s = 0.0
+        #: The status of its reports.
+        self.report_status = 200
         self._http = HttpServer(self._handle)
         self._is_crashing = False
         self._crash_tasks: set[asyncio.Task[None]] = set()
@@ -165,8 +174,8 @@
     async def start(self) -> None:
         """Listen and write the entry; the address stays the same after a crash."""
         self._is_listening = True
-        await self._http.start()
         self.started_at_ms = max(self.started_at_ms + 1, int(time.time() * 1000))
+        await self._http.start()
         self.announce("ready")
 
     async def stop(self) -> None:
@@ -214,13 +223,16 @@
             "State": state,
             "Models": models,
             "Sequence": 1,
-            "born": self.started_at_ms,
-        }
-        self._store.put(f"servers/{self.replica_id}", entry)
+        } | self._start()
+        if not self.holds_entry_back:
+            self._store.put(f"servers/{self.replica_id}", entry)
+
+    def _start(self) -> dict[str, int]:
+        return {"born": self.started_at_ms} if self.states_start else {}
 
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         if request.path == "/report":
-            write_answer(writer, 200, json.dumps(self._report()).encode(), self.notices.headers())
+            await self._answer_report(writer)
             return True
         if request.path == "/order":
             write_answer(writer, self._order(request), headers=self.notices.headers())
@@ -259,6 +271,13 @@
         await self.restart()
         self.notices.brittle_per_s = brittle_per_s
 
+    async def _answer_report(self, writer: asyncio.StreamWriter) -> None:
+        self.reports += 1
+        if self.report_delay_s:
+            await asyncio.sleep(self.report_delay_s)
+        body = json.dumps(self._report()).encode()
+        write_answer(writer, self.report_status, body, self.notices.headers())
+
     def _report(self) -> dict[str, Any]:
         models = [{"Name": self._model, "Version": self.weights_version, "Adapters": []}]
         return {
@@ -268,8 +287,7 @@
             "Sequence": self.sequence,
             "Waiting": 0,
             "Running": self.running,
-            "born": self.started_at_ms,
-        }
+        } | self._start()
 
     def _order(self, request: Request) -> int:
         if self._is_misdirected(request):
--- a/tests/run.py
+++ b/tests/run.py
@@ -39,6 +39,8 @@
 LONG_MODULES = (
     "test_crashing_parts",
     "test_mixed_software",
+    "test_returned_replicas",
+    "test_unproven_replicas",
     "test_routers_without_replicas",
     "test_brittle_replicas",
     "test_backup_attempts",
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -14,6 +14,7 @@
 
 from winchfork.core.relay_replica import IncarnationState, RelayReplica, ReplicaListing
 from winchfork.core.replica_notice import AnswerNotice, NoticeChange, ReplicaNotice
+from winchfork.core.unlisted_software import unlisted_incarnation
 
 #: Number of removed incarnations whose recency and notice are retained, in case they are listed
 #: again; several times a fleet of 600 replicas.
@@ -51,6 +52,7 @@
     recency: int
     notice: ReplicaNotice
     has_answered: bool
+    listing: ReplicaListing
 
 
 class RelayFleet:
@@ -112,6 +114,7 @@
             removed.recency,
             removed.notice,
             bool(removed.latency_at_s) or removed.answered_before_restart,
+            removed.listing,
         )
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
@@ -215,6 +218,26 @@
         self.refresh()
         return self._replicas.get(replica_id)
 
+    def resolve_software(self, software: str) -> str:
+        """Return the version that an incarnation without an entry turned out to run.
+
+        Any other version is returned as it is, and so is the name while the entry is not known.
+        """
+        unlisted = unlisted_incarnation(software)
+        if unlisted is None:
+            return software
+        listed = self._replicas.get(unlisted.replica_id)
+        if listed is not None and listed.listing.started_at_ms == unlisted.started_at_ms:
+            return listed.listing.software
+        for removed in reversed(self._removed.values()):
+            listing = removed.listing
+            if (listing.replica_id, listing.started_at_ms) == (
+                unlisted.replica_id,
+                unlisted.started_at_ms,
+            ):
+                return listing.software
+        return software
+
     def is_listed(self, replica: RelayReplica) -> bool:
         """Whether this incarnation is listed."""
         return self._replicas.get(replica.replica_id) is replica
--- a/winchfork/core/relay_replica.py
+++ b/winchfork/core/relay_replica.py
@@ -112,6 +112,12 @@
     answered_before_restart: bool = False
     #: When this daemon last received a part of an answer from it; minus infinity if never.
     last_received_at_s: float = -math.inf
+    #: Start of the last call that proved this incarnation to answer at its address.
+    proven_at_s: float = -math.inf
+    #: When such a call last failed or proved nothing.
+    proof_failed_at_s: float = -math.inf
+    #: Whether it has begun a stream for this daemon.
+    has_begun_stream: bool = False
     _expected_ends_s: dict[int, float] = msgspec.field(default_factory=dict)
     _failure_reported_at_s: dict[str, float] = msgspec.field(default_factory=dict)
 
@@ -123,6 +129,14 @@
         """The replica's id."""
         return self.listing.replica_id
 
+    def is_proven_for(self, opened_at_s: float) -> bool:
+        """Whether a connection opened at that time leads to this incarnation, or to none.
+
+        An incarnation that answers a later call has listened at its address ever since the
+        connection was opened. Without a start time nothing can be proven, and it is assumed.
+        """
+        return not self.listing.started_at_ms or opened_at_s <= self.proven_at_s
+
     @property
     def superseded(self) -> bool:
         """Whether another incarnation is assumed or known to answer at its address."""
--- a/winchfork/router/attempt.py
+++ b/winchfork/router/attempt.py
@@ -24,7 +24,7 @@
 )
 from winchfork.router.inbox import Inbox
 from winchfork.router.outcomes import BufferedAnswer, Delivered, MayHaveRun, NotRun, Outcome
-from winchfork.router.relay_messages import read_relay_failure
+from winchfork.router.relay_messages import RelayFailure, read_relay_failure
 from winchfork.router.replica_connection import Exchange, RelayLeg, ReplicaConnection
 
 #: The largest answer in bytes that is buffered until it is whole.
@@ -267,7 +267,8 @@
         relay_failure = read_relay_failure(self._head) if self.relay is not None else None
         if relay_failure is not None:
             reason = f"the peer did not relay the request: {relay_failure.value}"
-            return NotRun(reason, sent=False, relay_failed=True)
+            unproven = relay_failure is RelayFailure.UNPROVEN
+            return NotRun(reason, sent=False, relay_failed=not unproven, unproven=unproven)
         if self._stream is not None:
             return self._end_stream(framed=framed)
         answer = BufferedAnswer(self._head, b"".join(self._body))
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from winchfork.core.broken_runs import CrashEvidence
 from winchfork.core.placement_request import RelayDecision
 from winchfork.core.relay_replica import RelayReplica
+from winchfork.core.routing import RouteKind
 from winchfork.core.stream_origin import StreamOrigin
+from winchfork.core.unlisted_software import UnlistedIncarnation, is_unlisted
 from winchfork.errors import FailureKind
-from winchfork.router.attempt import Attempt
+from winchfork.logs import log_event
+from winchfork.router.attempt import Attempt, AttemptPlan
 from winchfork.router.attempt_planner import AttemptPlanner
 from winchfork.router.caller_answer import CallerAnswer
 from winchfork.router.http_types import RequestEvent
 from winchfork.router.inbox import Inbox
+from winchfork.router.incarnation_proofs import Proof
 from winchfork.router.outcome_recorder import OutcomeRecorder
 from winchfork.router.outcomes import (
     BufferedAnswer,
@@ -74,6 +79,8 @@
         #: Attempts that have not ended.
         self._in_progress = 0
         self._some_may_have_run = False
+        #: Whether the request was not sent to some replica for want of proof.
+        self._has_lacked_proof = False
         #: The last whole failure answer of a replica, which was not sent to the caller.
         self.failed_answer: BufferedAnswer | None = None
         #: Whether the last attempt was refused by a replica that has newer weights than expected.
@@ -89,16 +96,65 @@
         connector = self._service.connector
         idle = connector.pop_idle(replica)
         if idle is not None:
-            return idle
+            return await self._prove(replica, idle) if self._needs_proof(replica, idle) else idle
         connection = await connector.connect(replica, lambda: self._has_others(replica))
         if isinstance(connection, ConnectFailure):
             return self._handle_connect_failure(replica, connection)
-        # The replica may have begun to drain or load, or its weights may have expired.
+        if self._needs_proof(replica, connection):
+            return await self._prove(replica, connection)
+        return self._if_still_available(replica, connection)
+
+    def _if_still_available(
+        self, replica: RelayReplica, connection: ReplicaConnection
+    ) -> ReplicaConnection | StalePlacement:
+        """Return the connection unless the request may no longer be sent, after a wait.
+
+        The replica may have begun to drain or load, or its weights may have expired.
+        """
         if self._planner.is_available(replica, self._search.excluded()) and self.is_allowed():
             return connection
-        connector.release(replica, connection)
+        self.release(replica, connection)
         return StalePlacement()
 
+    def _needs_proof(self, replica: RelayReplica, connection: ReplicaConnection) -> bool:
+        """Whether a direct connection may lead a stream to another incarnation of the replica."""
+        if not self._needs_one_version or connection.relay is not None:
+            return False
+        return self._state.incarnations.needs_proof(replica, connection.opened_at_s)
+
+    @property
+    def _needs_one_version(self) -> bool:
+        """Whether it matters which version runs the request: a stream that may or does go on."""
+        route = self._retries.route
+        if route.kind is not RouteKind.STREAMING:
+            return False
+        return route.resumable or self._planner.bound_to is not None
+
+    async def _prove(
+        self, replica: RelayReplica, connection: ReplicaConnection
+    ) -> ReplicaConnection | NotRun | StalePlacement:
+        """Return the connection if it leads to the listed incarnation of the replica."""
+        try:
+            proof = await self._state.incarnations.prove(replica, connection.opened_at_s)
+        except asyncio.CancelledError:
+            self.release(replica, connection)
+            raise
+        if proof is Proof.REPLACED or not connection.is_usable(self._state.clock()):
+            self.release(replica, connection)
+            return StalePlacement()
+        if proof is Proof.UNKNOWN and not self._may_begin_unproven(replica):
+            self._has_lacked_proof = True
+            self.release(replica, connection)
+            reason = "no report shows which incarnation of the replica answers"
+            return NotRun(reason, sent=False, unproven=True)
+        return self._if_still_available(replica, connection)
+
+    def _may_begin_unproven(self, replica: RelayReplica) -> bool:
+        """Whether the stream may begin without proof: it has not begun, and had to go elsewhere."""
+        if self._planner.bound_to is not None:
+            return False
+        return self._has_lacked_proof or not self._has_others(replica)
+
     def _has_others(self, replica: RelayReplica) -> bool:
         return self._planner.has_candidates(self._search.excluded() | {replica.replica_id})
 
@@ -120,9 +176,10 @@
         replica = decision.replica
         plan = self._planner.plan(decision, self._retries.time_left_s, self._resume_after())
         if connection.relay is not None:
-            plan.head = add_relay_target(plan.head, replica.listing.address)
+            started_at_ms = replica.listing.started_at_ms if self._needs_one_version else 0
+            plan.head = add_relay_target(plan.head, replica.listing.address, started_at_ms)
         plan.on_head = self._record.mark_head
-        plan.on_first_event = lambda: self._begin_stream(plan.software)
+        plan.on_first_event = lambda: self._begin_stream(plan, connection)
         plan.on_events = lambda: self._record.mark_events(plan.software)
         self._record.mark_sent()
         if self._charge is not None and self.may_have_run:
@@ -149,10 +206,20 @@
         attempt.start()
         return attempt
 
-    def _begin_stream(self, software: str) -> None:
+    def _begin_stream(self, plan: AttemptPlan, connection: ReplicaConnection) -> None:
         """Bind the rest of the stream to the software that is about to begin it."""
         if self._retries.answer_begun:
             return
+        replica = plan.replica
+        replica.has_begun_stream = True
+        if self._needs_proof(replica, connection):
+            plan.software = UnlistedIncarnation(replica.replica_id, 0).software
+            request_id = self._record.request_id
+            log_event("stream_unproven", id=request_id, replica=replica.replica_id)
+        # A stream that goes on keeps the name under which the rest of it is recorded.
+        software = self._planner.bound_to
+        if software is None:
+            software = self._state.fleet.resolve_software(plan.software)
         self._planner.bind_to_software(software)
         if self._retries.route.resumable:
             origin = StreamOrigin(self._planner.service, software)
@@ -188,7 +255,8 @@
     def _count_sent(self, replica: RelayReplica) -> None:
         listing = replica.listing
         metrics = self._state.metrics
-        software = f"{listing.service}:{listing.software or 'unknown'}"
+        known = listing.software and not is_unlisted(listing.software)
+        software = f"{listing.service}:{listing.software if known else 'unknown'}"
         metrics.sent_by_software.labels(software).inc()
         if replica.notice.limit.per_s is not None:
             metrics.sent_under_limit.labels(replica.replica_id).inc()
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -49,12 +49,19 @@
         family = self._prompt.family if self._prompt else admitted.fields.request_id
         self._on_target = state.software.assign_to_target(service, family)
         #: The version of the software that began the stream; None while none has.
-        self._begun_at: str | None = None
+        self.bound_to: str | None = None
         self._stores = state.cache_store_choices(service, self._prompt) if self._prompt else {}
 
     def bind_to_software(self, version: str) -> None:
         """Restrict the request to the version of the software that has begun its stream."""
-        self._begun_at = version
+        self.bound_to = version
+
+    @property
+    def _begun_at(self) -> str | None:
+        """The version that began the stream, as listed now."""
+        if self.bound_to is None:
+            return None
+        return self._state.fleet.resolve_software(self.bound_to)
 
     @property
     def _speed(self) -> EngineSpeed:
--- a/winchfork/router/continued_request.py
+++ b/winchfork/router/continued_request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from winchfork.core.stream_origin import StreamOrigin
 from winchfork.errors import Failure, FailureKind, RunState
@@ -14,10 +14,15 @@
 from winchfork.router.stream_origins import StreamOrigins
 
 
+async def _find_nothing(software: str) -> None:
+    pass
+
+
 class ContinuedRequest:
     """Finds the origin, then relays the request by ``relay`` or refuses it by ``refuse``.
 
-    ``charge`` is refunded if the request is not relayed.
+    ``charge`` is refunded if the request is not relayed. ``find_incarnation`` looks for the
+    incarnation that the origin's software is named after, if it is.
     """
 
     def __init__(
@@ -27,8 +32,10 @@
         relay: Callable[[StreamOrigin], ActiveRequest],
         refuse: Callable[[Failure], object],
         charge: QuotaCharge | None = None,
+        find_incarnation: Callable[[str], Awaitable[None]] = _find_nothing,
     ) -> None:
         self._origins = origins
+        self._find_incarnation = find_incarnation
         self._admitted = admitted
         self._relay = relay
         self._refuse = refuse
@@ -55,6 +62,8 @@
         """Find the origin and start or refuse the request."""
         try:
             origin = await self._origins.find(self._admitted)
+            if isinstance(origin, StreamOrigin):
+                await self._find_incarnation(origin.software)
         except asyncio.CancelledError:
             reason = "the grace period of the router's stop ended"
             self._end(FailureKind.STOPPING.because(reason))
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -42,6 +42,7 @@
     ``sent``: the request was sent. ``retry_same_replica``: only the weights version was wrong.
     ``other_incarnation``: the id of the incarnation that now answers at the replica's address.
     ``relay_failed``: a peer did not pass the request on, which says nothing of the replica.
+    ``unproven``: it is not known whether the connection led to the listed incarnation.
     """
 
     reason: str
@@ -49,11 +50,17 @@
     retry_same_replica: bool = False
     other_incarnation: str = ""
     relay_failed: bool = False
+    unproven: bool = False
 
     @property
     def allows_same_replica(self) -> bool:
         """Whether the request may be sent to the same replica again."""
-        return self.retry_same_replica or self.relay_failed
+        return self.retry_same_replica or self.allows_unspent_retry
+
+    @property
+    def allows_unspent_retry(self) -> bool:
+        """Whether the request did not reach the replica, which is no reason to avoid it."""
+        return self.relay_failed or self.unproven
 
 
 class MayHaveRun(msgspec.Struct, frozen=True):
--- a/winchfork/router/peer_relay.py
+++ b/winchfork/router/peer_relay.py
@@ -35,6 +35,7 @@
     RELAY_FAILURE,
     RELAY_TO,
     RelayFailure,
+    read_relay_incarnation,
     without_relay_headers,
 )
 from winchfork.router.replica_connection import Exchange, ReplicaConnection
@@ -221,6 +222,11 @@
         if isinstance(connection, Failure):
             self._fail(_relay_failure(connection))
             return
+        if not await self._leads_to_incarnation(connection):
+            self._service.pool.release(self._replica.listing.address, connection)
+            if not self._peer_left:
+                self._fail(RelayFailure.UNPROVEN)
+            return
         self._connection = connection
         no_body = self._request.method == b"HEAD"
         codec = self._service.header_codec
@@ -232,6 +238,19 @@
         )
         connection.start(self._message_head(), self._request.body, exchange)
 
+    async def _leads_to_incarnation(self, connection: ReplicaConnection) -> bool:
+        """Whether the connection is usable and leads to the only incarnation that may run it."""
+        started_at_ms = read_relay_incarnation(self._request.headers)
+        if not started_at_ms:
+            return True
+        opened_at_s = connection.opened_at_s
+        incarnations = self._service.state.incarnations
+        proven = await incarnations.leads_to(self._replica, opened_at_s, started_at_ms)
+        if proven is None:
+            return False
+        self._replica = proven
+        return not self._peer_left and connection.is_usable(self._service.state.clock())
+
     async def _connect(self) -> ReplicaConnection | Failure:
         if self._service.connector.paths.is_lost(self._replica.listing.address):
             return FailureKind.BACKEND_UNREACHABLE.because("this daemon has no direct path either")
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -116,6 +116,7 @@
         )
         self._sync = StoreSync(self.state, store, adapters.documents, self._leadership, generator)
         control = adapters.make_control(self._http_client)
+        self.state.incarnations.control = control
         connected = connect_peers(self.state, self._peers, self._sync, self._leadership)
         self._weights_rollout = WeightsRollout(
             self.state, self._leadership, control, self._peers, connected.weights
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -246,7 +246,9 @@
             self._version_retries += 1
             if self._retries.try_spend(self._route.max_attempts + self._version_retries):
                 return True
-        if outcome.relay_failed or self._is_unsent_continuation(outcome):
+        if outcome.unproven:
+            self._attempted.add_unproven(replica.replica_id)
+        if outcome.allows_unspent_retry or self._is_unsent_continuation(outcome):
             return True
         self._attempted.add(replica.replica_id, refused=True)
         if not outcome.sent or self._may_retry():
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
 
@@ -108,6 +109,8 @@
         #: Set if requests go to a peer, which relays them to the replica.
         self.relay: RelayLeg | None = None
         self.idle_since_s = 0.0
+        #: When this side knew that the connection was up, on the loop's clock.
+        self.opened_at_s = math.inf
         self.reusable_until_s = float("inf")
         self.exchanges = 0
 
@@ -171,6 +174,7 @@
         """Store the transport and set its socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.opened_at_s = self._loop.time()
         set_socket_options(transport)
 
     def data_received(self, data: bytes) -> None:
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -119,7 +119,12 @@
         """Return the replicas excluded by attempts."""
         replicas = self._state.fleet.of_service(self._planner.service)
         listed = (replica.replica_id for replica in replicas)
-        return self._attempted.excluded(listed, answer_begun=self._retries.answer_begun)
+        answer_begun = self._retries.answer_begun
+        excluded = self._attempted.excluded(listed, answer_begun=answer_begun)
+        if not self._attempted.lacks_proof:
+            return excluded
+        left = {item.replica_id for item in self._planner.listed_replicas() if item.accepting}
+        return excluded | self._attempted.unproven(left - excluded, answer_begun=answer_begun)
 
     async def _find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
         while True:
--- a/winchfork/router/service.py
+++ b/winchfork/router/service.py
@@ -144,6 +144,7 @@
             lambda origin: self._relay(connection, request, admitted, charge, origin),
             lambda failure: self._refuse(connection, failure, request_id),
             charge,
+            self.state.incarnations.find,
         )
         task = asyncio.get_running_loop().create_task(active.run())
         self._lookups.add(task)
--- a/winchfork/router/software_versions.py
+++ b/winchfork/router/software_versions.py
@@ -28,6 +28,7 @@
     version_rule,
 )
 from winchfork.core.store_position import StorePosition
+from winchfork.core.unlisted_software import is_unlisted
 from winchfork.logs import log_event
 from winchfork.router.service_answers import OLD_VERSION, ServiceAnswers
 
@@ -210,12 +211,16 @@
         return self._records.get(service) or SoftwareState(service, self._assume_in_force(service))
 
     def _assume_in_force(self, service: str) -> str:
-        replicas = self._fleet.of_service(service)
+        replicas = [
+            replica
+            for replica in self._fleet.of_service(service)
+            if not is_unlisted(replica.listing.software)
+        ]
         listed = [replica.listing.software for replica in replicas]
         order = self.orders.get(service)
         target = order.target if order else ""
         known = self._assumed_in_force.get(service, "")
-        if known and known in listed and known != target:
+        if known and (known in listed or not listed) and known != target:
             return known
         accepting = [replica.listing.software for replica in replicas if replica.accepting]
         self._assumed_in_force[service] = infer_in_force(accepting, listed, target)
@@ -257,7 +262,12 @@
             return _of_version(replicas, state.in_force)
         rule = version_rule(state, on_target=on_target and self._is_share_current(state))
         preferred = self._preferred_replicas(service, replicas, rule)
-        return preferred or _of_version(replicas, rule.fallback)
+        allowed = preferred or _of_version(replicas, rule.fallback)
+        order = self.orders.get(service)
+        if state.running or (order is not None and order.target != state.in_force):
+            return allowed
+        # What has returned without an entry is used, unless it may run the target of an order.
+        return allowed + [item for item in replicas if is_unlisted(item.listing.software)]
 
     def continuing_replicas(
         self, service: str, replicas: Sequence[RelayReplica], begun_at: str
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -35,6 +35,7 @@
 from winchfork.router.brittle_registry import BrittleRegistry
 from winchfork.router.cache_stores import CacheStores
 from winchfork.router.crash_tracker import CrashTracker
+from winchfork.router.incarnation_proofs import IncarnationProofs
 from winchfork.router.limit_registry import LimitRegistry
 from winchfork.router.log_rate_limit import LogRateLimit
 from winchfork.router.metrics import RouterMetrics
@@ -143,6 +144,7 @@
         self.permit_queues: defaultdict[str, PermitQueue] = defaultdict(PermitQueue)
         self.notices = NoticeRegistry(self)
         self.stream_origins = StreamOrigins(self)
+        self.incarnations = IncarnationProofs(self)
         self.quotas = QuotaLedger(bounds.quota, self.start_id)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
         #: Moving average of a run's duration divided by its allowed number of output tokens.
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -16,6 +16,7 @@
 from winchfork.core.routing import Route, RouteKind
 from winchfork.core.software_history import SoftwareHistory
 from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
+from winchfork.core.unlisted_software import is_unlisted
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 
@@ -186,6 +187,9 @@
         versions: dict[str, set[str]] = {}
         for replica in self._state.fleet.replicas():
             listing = replica.listing
+            if is_unlisted(listing.software) and not replica.has_begun_stream:
+                # It may be a replica with a new id, which refuses what is sent to the former one.
+                continue
             versions.setdefault(listing.service, set()).add(listing.software)
         now_s = self._state.clock()
         self.history.observe(versions, now_s, list_age_s=self._state.freshness.age_s(now_s))
--- a/winchfork/router/weights_rollout.py
+++ b/winchfork/router/weights_rollout.py
@@ -210,7 +210,6 @@
                     self._state.suspect_unreachable(replica)
                     break
             elif report.is_of_another_incarnation(replica.listing.started_at_ms):
-                self._mark_if_superseded(replica, report)
                 break
             else:
                 failed_reports = 0
@@ -263,19 +262,6 @@
         may_order = not replica.superseded and self._leadership.may_act()
         return waited_s < MAX_ORDER_WAIT_S and may_order
 
-    def _mark_if_superseded(self, replica: RelayReplica, report: ReplicaReport) -> None:
-        """Mark a replica as superseded if the report is of another one listed at its address.
-
-        An order would have shown this by its answer, but none is sent.
-        """
-        for other in self._state.fleet.replicas():
-            if (
-                other.listing.address == replica.listing.address
-                and other.listing.started_at_ms == report.started_at_ms
-            ):
-                self._state.mark_superseded(replica, other.replica_id)
-                return
-
     async def _hold_new_requests(self, update: _ReplicaUpdate) -> None:
         """Ask peers to send no new requests, and wait for the prefill of those already sent."""
         replica = update.replica
@@ -343,7 +329,11 @@
 
     async def _report(self, replica: RelayReplica) -> ReplicaReport | Failure:
         on_notice = functools.partial(self._state.notices.record, replica)
-        return await self._control.report(replica.listing.address, on_notice)
+        asked_at_s = self._state.clock()
+        report = await self._control.report(replica.listing.address, on_notice)
+        if isinstance(report, ReplicaReport):
+            self._state.incarnations.record(replica, report, asked_at_s)
+        return report
 
     async def _was_accepted(self, replica: RelayReplica, before: ReplicaReport) -> bool:
         """Return whether the report shows that an order without an answer was accepted.
