--- a/tests/run.py
+++ b/tests/run.py
@@ -40,6 +40,8 @@
     "test_crashing_parts",
     "test_mixed_software",
     "test_stale_replica_lists",
+    "test_returned_replicas",
+    "test_unproven_replicas",
     "test_routers_without_replicas",
     "test_brittle_replicas",
     "test_backup_attempts",
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -18,6 +18,7 @@
 from winchfork.core.routing import Route, RouteKind, RoutingTable
 from winchfork.core.software_history import SoftwareHistory
 from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
+from winchfork.core.unlisted_software import is_unlisted
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 
@@ -218,6 +219,9 @@
         now_s = self._state.clock()
         for replica in self._state.fleet.replicas():
             listing = replica.listing
+            if is_unlisted(listing.software) and not replica.has_begun_stream:
+                # It may be a replica with a new id, which refuses what is sent to the former one.
+                continue
             self.history.record_listed(listing.service, listing.software, now_s)
         self.history.forget_old(now_s)
 
