--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -21,6 +21,7 @@
 from winchfork.router.settings import RouterBounds, RouterSettings
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
+from winchfork.router.stream_store import StreamStore
 from winchfork.stores.async_key_value import (
     ExpectedRevision,
     OnStoreAnswer,
@@ -157,6 +158,8 @@
         )
         self.exchanges = connect_peers(self.state, self.peers, self.sync, self.leadership)
         self.weights = self.exchanges.weights
+        stream_store = StreamStore(self.state, self.store)
+        self.state.stream_origins.confirm_list = stream_store.confirm_list
         network.groups[self.ip] = self.peers
         for replica in ("i-1", "i-2"):
             listing = ReplicaListing(replica, "s", "a:1", "z1", 8, True, {"m": 1})
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -193,6 +193,9 @@
             )
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
+        self._state.stream_origins.history.record_listed(
+            listing.service, listing.software, self._state.clock()
+        )
         if not self.is_restoring:
             self._restored.forget(listing.replica_id)
         elif self._restored.hold_back(listing, revision, self._state.clock()):
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -373,8 +373,8 @@
 class StreamOriginReply(PeerMessage, frozen=True):
     """The origin of a stream; ``software`` is None if the sender does not know it.
 
-    ``recorded``: the sender has the stream's record. If not, it has concluded the origin from its
-    list of replicas, which other daemons' lists may have differed from.
+    ``recorded``: the sender has the stream's record. Earlier builds also reply with what they have
+    concluded from their list of replicas; that is not to be used, since the list may be old.
     """
 
     sender_id: str
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -43,6 +43,7 @@
 from winchfork.router.software_rollout import SoftwareRollout
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
+from winchfork.router.stream_store import StreamStore
 from winchfork.router.text_server import TextConnection
 from winchfork.router.weights_rollout import WeightsRollout
 from winchfork.stores.async_key_value import AsyncKeyValueStore, OnStoreAnswer
@@ -121,6 +122,8 @@
             self.state, self._leadership, control, self._peers, connected.weights
         )
         self._stream_origins = connected.stream_origins
+        stream_store = StreamStore(self.state, store)
+        self.state.stream_origins.confirm_list = stream_store.confirm_list
         self._refusals = RefusalWriter(self.state, store, generator)
         self._software_rollout = SoftwareRollout(
             self.state, self._leadership, store, adapters.status, connected.evidence
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -154,6 +154,7 @@
             self._begin_era(at)
             self._installer.is_restoring = self._installer.has_listed
             after_outage = after_outage or self._installer.has_listed
+        self._record_unseen_entries(is_new_era=at.era > self._state.store_position.era)
         self._install_newer(items, at.era)
         self._installer.is_restoring = False
         missing = self.table.missing_from(item.key for item in items)
@@ -165,6 +166,16 @@
         self._advance_position(at)
         self._has_listed = self._installer.has_listed = True
 
+    def _record_unseen_entries(self, *, is_new_era: bool = False) -> None:
+        """Record that entries may have come and gone unseen since the last freshness proof.
+
+        What is installed shows the latest entries only, unlike the events of a watch.
+        """
+        now_s = self._state.clock()
+        max_gap_s = self._state.settings.bounds.contact_s
+        if is_new_era or self._state.freshness.age_s(now_s) > max_gap_s:
+            self._state.stream_origins.history.restart(now_s)
+
     async def _watch_once(self) -> Failure | None:
         started_s = self._state.clock()
         wait_s = self._watch_wait_s()
@@ -285,6 +296,7 @@
             return True
         if update.at.era != known.era:
             return False
+        self._record_unseen_entries()
         self._install_newer(self._mark_lapses(update.items), known.era)
         if not self._has_listed or update.base > known:
             return False
--- a/winchfork/router/stream_origin_exchange.py
+++ b/winchfork/router/stream_origin_exchange.py
@@ -58,7 +58,6 @@
         self.is_final = is_final
         self._asked: set[str] = set()
         self._replied: set[str] = set()
-        self._concluded: set[StreamOrigin] = set()
 
     @property
     def unanswered(self) -> int:
@@ -72,25 +71,18 @@
         return outstanding
 
     def handle(self, message: StreamOriginReply) -> None:
-        """Handle a reply; the first that has the record decides."""
+        """Handle a reply; the first that has the record decides.
+
+        What a peer has concluded from its list is no knowledge: the list may be old.
+        """
         self._replied.add(message.sender_id)
-        origin = None
-        if message.software is not None:
-            origin = StreamOrigin(message.service, message.software)
-        if origin is not None and not message.recorded:
-            self._concluded.add(origin)
-            origin = None
         if self.answered.done():
             return
-        if origin is not None:
+        if message.recorded and message.software is not None:
+            origin = StreamOrigin(message.service, message.software)
             self.answered.set_result(PeersAnswer(origin))
         elif self.is_final and not self.unanswered:
-            self.answered.set_result(self.without_record(complete=True))
-
-    def without_record(self, *, complete: bool) -> PeersAnswer:
-        """Return what the peers conclude, unless they differ."""
-        concluded = next(iter(self._concluded)) if len(self._concluded) == 1 else None
-        return PeersAnswer(None, concluded, complete)
+            self.answered.set_result(PeersAnswer())
 
 
 class _OwnStream(msgspec.Struct, frozen=True):
@@ -209,12 +201,11 @@
             answer = await self._ask_repeatedly(query, nonce, question)
         finally:
             del self._queries[nonce]
-        origin = answer.recorded or answer.concluded
+        origin = answer.recorded
         log_event(
             "stream_origin_asked",
             service=origin.service if origin else None,
             software=origin.software if origin else None,
-            recorded=answer.recorded is not None,
             unanswered=query.unanswered,
             took_s=self._state.clock() - asked_at_s,
         )
@@ -239,7 +230,7 @@
             await asyncio.wait([query.answered], timeout=QUERY_INTERVAL_S)
             if query.answered.done():
                 return query.answered.result()
-        return query.without_record(complete=False)
+        return PeersAnswer(complete=False)
 
     def _asked(self, key: bytes) -> list[Member]:
         view = self._peers.view
@@ -249,17 +240,14 @@
         return self._placement.owners(key, RECORD_COPIES + EXTRA_ASKED)
 
     def handle_query(self, message: StreamOriginQuery) -> None:
-        """Reply whether this daemon knows a stream's origin."""
-        origins = self._state.stream_origins
-        question = OriginQuestion(message.key, message.service, message.max_age_ms / 1000.0)
-        recorded = origins.recorded(question.key)
-        origin = recorded or origins.concluded(question)
+        """Reply whether this daemon has a stream's record."""
+        origin = self._state.stream_origins.recorded(message.key)
         reply = StreamOriginReply(
             self._state.settings.node_id,
             message.nonce,
             origin.service if origin is not None else "",
             origin.software if origin is not None else None,
-            recorded is not None,
+            origin is not None,
         )
         self._peers.send(message.sender_address, reply)
 
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -3,7 +3,8 @@
 A stream's origin is recorded before its first event is sent: here, and by the
 :class:`.stream_origin_exchange.StreamOriginExchange` at some peers. For a request that continues a
 stream it is looked up here and then at peers; without a record, a service that has had one version
-only for long enough has begun it with that.
+only for long enough has begun it with that, if the list of replicas is proven current after the
+request has arrived (:class:`.stream_store.StreamStore`).
 """
 
 from __future__ import annotations
@@ -31,7 +32,7 @@
 DEADLINE_MARGIN_S = 2.0
 #: Upper bound of the time for which an origin is kept, in seconds.
 MAX_LIFETIME_S = 120.0
-#: Retry-After in seconds if not all peers that were asked have replied in time.
+#: Retry-After in seconds if a peer that was asked, or the store, has not answered in time.
 UNANSWERED_RETRY_AFTER_S = 0.3
 _REMEDY = "send the request as a new one, without the last event's id"
 
@@ -49,13 +50,9 @@
 
 
 class PeersAnswer(msgspec.Struct, frozen=True):
-    """What peers know: the recorded origin, or one that they conclude from their lists.
-
-    ``complete``: all that were asked have replied.
-    """
+    """What peers have recorded. ``complete``: all that were asked have replied."""
 
     recorded: StreamOrigin | None = None
-    concluded: StreamOrigin | None = None
     complete: bool = True
 
 
@@ -63,6 +60,10 @@
     return PeersAnswer()
 
 
+async def _confirm_nothing() -> Failure | None:
+    return FailureKind.STORE_UNAVAILABLE.because("the store is not read")
+
+
 def continues_stream(admitted: AdmittedRequest) -> bool:
     """Whether a request asks for the rest of a stream that an earlier attempt has begun."""
     fields = admitted.fields
@@ -92,12 +93,14 @@
     def __init__(self, state: RouterState) -> None:
         self._state = state
         self.table = StreamOriginTable()
-        self.history = SoftwareHistory(state.settings.bounds.contact_s)
+        self.history = SoftwareHistory()
         #: The longest deadline of a request on each route, by its name.
         self._longest_deadlines_s: dict[str, float] = {}
         #: Called with the key, the origin and the lifetime in seconds of each stream begun here.
         self.on_recorded: Callable[[bytes, StreamOrigin, float], None] = lambda *recorded: None
         self.ask_peers: Callable[[OriginQuestion], Awaitable[PeersAnswer]] = _ask_nobody
+        #: Waits until the list of replicas is proven current after the call; returns why it is not.
+        self.confirm_list: Callable[[], Awaitable[Failure | None]] = _confirm_nothing
 
     def record(self, admitted: AdmittedRequest, origin: StreamOrigin) -> None:
         """Record that the first event of an attempt is about to be sent."""
@@ -134,8 +137,15 @@
         """Return the recorded origin of a stream, if this daemon has it."""
         return self.table.find(key, self._state.clock())
 
-    def concluded(self, question: OriginQuestion) -> StreamOrigin | None:
-        """Return the origin if, by this daemon's list, only one version can have begun it."""
+    async def _conclude(self, question: OriginQuestion) -> StreamOrigin | Failure | None:
+        """Return the origin if only one version can have begun the stream.
+
+        Returns a failure if the list of replicas may be older than the stream.
+        """
+        unconfirmed = await self.confirm_list()
+        if unconfirmed is not None:
+            return unconfirmed
+        self.observe()
         now_s = self._state.clock()
         software = self.history.only_version(question.service, question.max_age_s, now_s)
         return StreamOrigin(question.service, software) if software is not None else None
@@ -153,14 +163,15 @@
         answer = await self.ask_peers(question)
         if answer.recorded is not None:
             return self._check_service(admitted, question, answer.recorded, "peers")
-        origin = self.concluded(question) or answer.concluded
-        if origin is not None:
-            return self._check_service(admitted, question, origin, "only_version")
-        self._record_lookup(admitted, "unknown")
+        concluded = await self._conclude(question)
+        if isinstance(concluded, StreamOrigin):
+            return self._check_service(admitted, question, concluded, "only_version")
+        self._record_lookup(admitted, "unknown", unconfirmed=concluded)
+        may_be_found = concluded is not None or not answer.complete
         return FailureKind.STREAM_ORIGIN_UNKNOWN.because(
             "it is not known which version of the software began the stream",
             remedy=_REMEDY,
-            retry_after_s=question.max_age_s if answer.complete else UNANSWERED_RETRY_AFTER_S,
+            retry_after_s=UNANSWERED_RETRY_AFTER_S if may_be_found else question.max_age_s,
         )
 
     def _check_service(
@@ -183,15 +194,19 @@
 
     def observe(self) -> None:
         """Record which versions are listed now."""
-        versions: dict[str, set[str]] = {}
+        now_s = self._state.clock()
         for replica in self._state.fleet.replicas():
             listing = replica.listing
-            versions.setdefault(listing.service, set()).add(listing.software)
-        now_s = self._state.clock()
-        self.history.observe(versions, now_s, list_age_s=self._state.freshness.age_s(now_s))
+            self.history.record_listed(listing.service, listing.software, now_s)
+        self.history.forget_old(now_s)
 
     def _record_lookup(
-        self, admitted: AdmittedRequest, source: str, origin: StreamOrigin | None = None
+        self,
+        admitted: AdmittedRequest,
+        source: str,
+        origin: StreamOrigin | None = None,
+        *,
+        unconfirmed: Failure | None = None,
     ) -> None:
         """Count and log what decided the origin, and how recent this daemon's list is."""
         self._state.metrics.continued_streams.labels(source).inc()
@@ -205,4 +220,5 @@
             known_s=self._state.freshness.age_s(self._state.clock()),
             uptime_s=self._state.clock() - self._state.started_at_s,
             revision=self._state.store_position.revision,
+            unconfirmed=unconfirmed.reason if unconfirmed is not None else None,
         )
