Let routers that have just started know which versions have served

After a kill of all routers, callers that take a stream up were refused until the new routers had run for as long as streams may be continued and 10 s more, though the service had one version only: the history of versions began empty.

The store now holds one record, winchfork/software-versions: the era, and all versions that may have begun a stream that can still be continued. A router that sees a listed version missing adds it, the leader at once, the others after a second if it is still missing. The leader alone creates the record and removes versions, and only if it has missed nothing for longer than streams may be continued. A router that has just started seeds its history with the record, if it is of the current era of the store.

A restored copy of the record is of an earlier era and counts for nothing. The leader writes it again from what it knew before, unless it had no proof for more than 10 s.

--- a/standins/resuming_callers.py
+++ b/standins/resuming_callers.py
@@ -70,7 +70,10 @@
 
 
 async def send_resumable_stream(
-    stream: ResumableStream, family: int, choose_address: Callable[[str], str]
+    stream: ResumableStream,
+    family: int,
+    choose_address: Callable[[str], str],
+    resumption_delay_s: float = RESUMPTION_DELAY_S,
 ) -> None:
     """Send a stream, and take it up after each break until it is whole or no attempt is left.
 
@@ -92,7 +95,7 @@
             origin = attempt_id
         if stream.is_whole:
             return
-        await asyncio.sleep(RESUMPTION_DELAY_S)
+        await asyncio.sleep(resumption_delay_s)
 
 
 def check_versions(streams: Sequence[ResumableStream]) -> list[str]:
--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -22,6 +22,7 @@
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
 from winchfork.router.stream_store import StreamStore
+from winchfork.router.version_register_writer import VersionRegisterWriter
 from winchfork.stores.async_key_value import (
     ExpectedRevision,
     OnStoreAnswer,
@@ -177,6 +178,13 @@
         writer = RefusalWriter(self.state, self.store, random.Random(self.ip))
         return asyncio.create_task(writer.run())
 
+    def record_versions(self) -> None:
+        """Keep the store's record of the versions that may have begun streams."""
+        writer = VersionRegisterWriter(
+            self.state, self.leadership, self.store, random.Random(self.ip)
+        )
+        self.tasks.append(asyncio.create_task(writer.run()))
+
     async def stall(self, seconds: float, network: Network) -> None:
         """Simulate a stall: answers of the store wait to be read, datagrams are lost."""
         self.tasks.remove(self._gossip)
--- a/tests/run.py
+++ b/tests/run.py
@@ -32,6 +32,7 @@
     "test_limit_share",
     "test_leadership_after_restore",
     "test_store_restore",
+    "test_version_record",
     "test_restored_entries",
     "test_brittle_fleet",
 )
@@ -41,6 +42,7 @@
     "test_mixed_software",
     "test_routers_without_replicas",
     "test_brittle_replicas",
+    "test_killed_fleet",
     "test_backup_attempts",
     "test_attempt_orders",
     "test_endless_answers",
--- a/winchfork/core/software_history.py
+++ b/winchfork/core/software_history.py
@@ -50,6 +50,11 @@
             software for software, at_s in last_listed_s.items() if now_s - at_s <= for_s
         )
 
+    def versions_by_service(self, for_s: float, now_s: float) -> dict[str, frozenset[str]]:
+        """Return the versions of each service, without services that have none."""
+        found = {service: self.versions(service, for_s, now_s) for service in self._last_listed_s}
+        return {service: versions for service, versions in found.items() if versions}
+
     def only_version(self, service: str, for_s: float, now_s: float) -> str | None:
         """Return the version that has begun each stream of the last ``for_s`` seconds, or None.
 
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -37,6 +37,7 @@
     service_of_record,
 )
 from winchfork.router.state import RouterState
+from winchfork.router.version_records import VERSION_RECORD_KEY, decode_version_record
 from winchfork.stores.async_key_value import StoreItem
 
 #: Time for a replica whose entry expired during a store outage to write it again, as the operators
@@ -95,6 +96,9 @@
         if is_software_record_key(item.key):
             self._install_software_record(item)
             return
+        if item.key == VERSION_RECORD_KEY:
+            self._install_version_record(item)
+            return
         document = self._reader.read(StoreItem(item.key, item.value, item.revision))
         if isinstance(document, Failure):
             self._state.record_refused_document(item.key, document)
@@ -153,6 +157,18 @@
         else:
             software.install(record, item.revision, found_at_start=not self.has_listed)
 
+    def _install_version_record(self, item: TableItem) -> None:
+        origins = self._state.stream_origins
+        if item.value is None:
+            origins.install_record(None, 0)
+            return
+        record = decode_version_record(item.value)
+        if isinstance(record, Failure):
+            self._state.record_refused_document(item.key, record)
+            origins.install_record(None, item.revision)
+        else:
+            origins.install_record(record, item.revision)
+
     def _handle_removed_replica(self, replica_id: str, item: TableItem) -> None:
         """Remove a replica, after a grace period if its entry went missing during an outage."""
         self._restored.forget(replica_id)
@@ -193,9 +209,7 @@
             )
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
-        self._state.stream_origins.history.record_listed(
-            listing.service, listing.software, self._state.clock()
-        )
+        self._state.stream_origins.record_listed(listing, self._state.clock())
         if not self.is_restoring:
             self._restored.forget(listing.replica_id)
         elif self._restored.hold_back(listing, revision, self._state.clock()):
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -45,6 +45,7 @@
 from winchfork.router.store_sync import StoreSync
 from winchfork.router.stream_store import StreamStore
 from winchfork.router.text_server import TextConnection
+from winchfork.router.version_register_writer import VersionRegisterWriter
 from winchfork.router.weights_rollout import WeightsRollout
 from winchfork.stores.async_key_value import AsyncKeyValueStore, OnStoreAnswer
 
@@ -125,6 +126,7 @@
         stream_store = StreamStore(self.state, store)
         self.state.stream_origins.confirm_list = stream_store.confirm_list
         self._refusals = RefusalWriter(self.state, store, generator)
+        self._versions = VersionRegisterWriter(self.state, self._leadership, store, generator)
         self._software_rollout = SoftwareRollout(
             self.state, self._leadership, store, adapters.status, connected.evidence
         )
@@ -159,6 +161,7 @@
             self._weights_rollout.run,
             self._software_rollout.run,
             self._refusals.run,
+            self._versions.run,
             self.service.connector.run,
             self.service.watch_silence,
         ):
@@ -255,6 +258,12 @@
             lambda: state.store_position.revision,
         )
         add("store_era", "Newest known era of the store; 0 if unknown.", lambda: state.eras.newest)
+        origins = state.stream_origins
+        add(
+            "software_versions_recorded",
+            "Versions in the store's record of those that may have begun streams; 0 if it is void.",
+            lambda: origins.register.count(state.store_position.era),
+        )
         add(
             "configuration_version",
             "Version of the active configuration; 0 if there is none.",
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -154,7 +154,8 @@
             self._begin_era(at)
             self._installer.is_restoring = self._installer.has_listed
             after_outage = after_outage or self._installer.has_listed
-        self._record_unseen_entries(is_new_era=at.era > self._state.store_position.era)
+        is_new_era = at.era > self._state.store_position.era
+        self._record_unseen_entries(is_new_era=is_new_era)
         self._install_newer(items, at.era)
         self._installer.is_restoring = False
         missing = self.table.missing_from(item.key for item in items)
@@ -165,16 +166,21 @@
             self._leadership.record_no_entry(at)
         self._advance_position(at)
         self._has_listed = self._installer.has_listed = True
+        self._seed_history()
 
     def _record_unseen_entries(self, *, is_new_era: bool = False) -> None:
         """Record that entries may have come and gone unseen since the last freshness proof.
 
         What is installed shows the latest entries only, unlike the events of a watch.
         """
-        now_s = self._state.clock()
-        max_gap_s = self._state.settings.bounds.contact_s
-        if is_new_era or self._state.freshness.age_s(now_s) > max_gap_s:
-            self._state.stream_origins.history.restart(now_s)
+        gap_s = self._state.freshness.age_s(self._state.clock())
+        if is_new_era or gap_s > self._state.settings.bounds.contact_s:
+            self._state.stream_origins.record_unseen(gap_s, is_new_era=is_new_era)
+
+    def _seed_history(self) -> None:
+        """Take the versions of before from the fleet's record, if this daemon has just started."""
+        if math.isinf(self._state.freshness.proven_at_s):
+            self._state.stream_origins.seed_history()
 
     async def _watch_once(self) -> Failure | None:
         started_s = self._state.clock()
@@ -301,6 +307,7 @@
         if not self._has_listed or update.base > known:
             return False
         self._state.store_position = max(known, update.at)
+        self._seed_history()
         return True
 
     # Documents
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -15,12 +15,14 @@
 import msgspec
 
 from winchfork.core.routing import Route, RouteKind
-from winchfork.core.software_history import SoftwareHistory
+from winchfork.core.software_history import DEPARTED_S, SoftwareHistory
 from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
+from winchfork.core.version_register import VersionRecord, VersionRegister
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 
 if TYPE_CHECKING:
+    from winchfork.core.relay_replica import ReplicaListing
     from winchfork.router.request_admission import AdmittedRequest
     from winchfork.router.state import RouterState
 
@@ -34,6 +36,9 @@
 MAX_LIFETIME_S = 120.0
 #: Retry-After in seconds if a peer that was asked, or the store, has not answered in time.
 UNANSWERED_RETRY_AFTER_S = 0.3
+#: Longest time in seconds without a freshness proof for which a daemon that knew all versions
+#: before counts as knowing them when a new era of the store begins.
+MAX_CARRIED_GAP_S = 10.0
 _REMEDY = "send the request as a new one, without the last event's id"
 
 
@@ -67,11 +72,15 @@
 def continues_stream(admitted: AdmittedRequest) -> bool:
     """Whether a request asks for the rest of a stream that an earlier attempt has begun."""
     fields = admitted.fields
-    if admitted.route.kind is not RouteKind.STREAMING:
+    if not _is_streaming(admitted.route):
         return False
     return fields.resume_after is not None or fields.origin_id is not None
 
 
+def _is_streaming(route: Route) -> bool:
+    return route.kind is RouteKind.STREAMING
+
+
 def stream_lifetime_s(admitted: AdmittedRequest) -> float:
     """Return for how many seconds after its first event a stream may be continued."""
     attempt_s = max(admitted.route.timeout_s, admitted.fields.deadline_s or 0.0)
@@ -94,6 +103,7 @@
         self._state = state
         self.table = StreamOriginTable()
         self.history = SoftwareHistory()
+        self.register = VersionRegister()
         #: The longest deadline of a request on each route, by its name.
         self._longest_deadlines_s: dict[str, float] = {}
         #: Called with the key, the origin and the lifetime in seconds of each stream begun here.
@@ -128,6 +138,17 @@
         longest_s = max(route.timeout_s, self._longest_deadlines_s.get(route.name, 0.0))
         return min(LIFETIME_ATTEMPTS * route.timeout_s, longest_s) + DEADLINE_MARGIN_S
 
+    def span_s(self) -> float | None:
+        """Return for how many seconds the versions matter on any route; None if it is not known.
+
+        No question reaches back further, whatever deadlines callers name.
+        """
+        table = self._state.routing_table
+        if table is None:
+            return None
+        timeouts_s = (route.timeout_s for route in table.routes if _is_streaming(route))
+        return LIFETIME_ATTEMPTS * max(timeouts_s, default=0.0) + DEADLINE_MARGIN_S + DEPARTED_S
+
     def _record_deadline(self, admitted: AdmittedRequest) -> None:
         """Record how long a caller waits for an answer."""
         name, deadline_s = admitted.route.name, admitted.fields.deadline_s or 0.0
@@ -196,9 +217,47 @@
         """Record which versions are listed now."""
         now_s = self._state.clock()
         for replica in self._state.fleet.replicas():
-            listing = replica.listing
-            self.history.record_listed(listing.service, listing.software, now_s)
+            self.record_listed(replica.listing, now_s)
         self.history.forget_old(now_s)
+        self.register.sightings.forget_old(now_s)
+
+    def record_listed(self, listing: ReplicaListing, now_s: float) -> None:
+        """Record that a replica is listed."""
+        self.history.record_listed(listing.service, listing.software, now_s)
+        self.register.sightings.record_listed(listing.service, listing.software, now_s)
+
+    def install_record(self, record: VersionRecord | None, revision: int) -> None:
+        """Install the fleet's record of versions; None if it is absent or garbled.
+
+        A version that another daemon has added may have been listed unseen by this one.
+        """
+        now_s = self._state.clock()
+        for service, versions in self.register.install(record, revision).items():
+            for software in versions:
+                self.history.record_listed(service, software, now_s)
+
+    def record_unseen(self, gap_s: float, *, is_new_era: bool) -> None:
+        """Record that entries may have come and gone unseen for ``gap_s`` seconds."""
+        now_s, span_s = self._state.clock(), self.span_s()
+        if not is_new_era or gap_s > MAX_CARRIED_GAP_S:
+            self.register.record_unseen()
+        else:
+            is_informed = span_s is not None and self.history.is_complete(span_s, now_s)
+            self.register.begin_era(self._state.store_position.era, is_informed=is_informed)
+        self.history.restart(now_s)
+
+    def seed_history(self) -> None:
+        """Let the fleet's record, if it is valid, stand for what this daemon has not seen."""
+        era, record = self._state.store_position.era, self.register.record
+        if record is None or not self.register.is_valid(era):
+            return
+        self.history.seed(record.services, self._state.clock())
+        log_event(
+            "software_history_seeded",
+            era=era,
+            revision=self.register.revision,
+            versions=self.register.count(era),
+        )
 
     def _record_lookup(
         self,
