--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -74,6 +74,8 @@
         self._relay: DocumentRelay | None = None
         self._lost_since_s: float | None = None
         self._has_listed = False
+        #: Whether entries may have come and gone unseen before those that are being installed.
+        self._has_unseen_entries = False
         #: Until when this daemon's own calls would have shown a change at once.
         self._observed_until_s = -math.inf
         #: When the entries that are being installed were written.
@@ -155,7 +157,7 @@
             self._installer.is_restoring = self._installer.has_listed
             after_outage = after_outage or self._installer.has_listed
         if at != self._state.store_position:
-            self._record_unseen_entries()
+            self._record_unseen_entries(is_new_era=at.era > self._state.store_position.era)
         self._install_newer(items, at.era)
         self._installer.is_restoring = False
         missing = self.table.missing_from(item.key for item in items)
@@ -166,13 +168,22 @@
             self._leadership.record_no_entry(at)
         self._advance_position(at)
         self._has_listed = self._installer.has_listed = True
+        self._seed_history()
 
-    def _record_unseen_entries(self) -> None:
-        """Record that entries may have come and gone unseen.
+    def _record_unseen_entries(self, *, is_new_era: bool = False) -> None:
+        """Record that entries may have come and gone unseen since the last freshness proof.
 
         A list and a peer's answer show the latest entries only, unlike the events of a watch.
         """
-        self._state.stream_origins.history.restart(self._state.clock())
+        gap_s = self._state.freshness.age_s(self._state.clock())
+        self._state.stream_origins.record_unseen(gap_s, is_new_era=is_new_era)
+        self._has_unseen_entries = True
+
+    def _seed_history(self) -> None:
+        """Take the versions of entries that were not seen from the fleet's record."""
+        if self._has_unseen_entries:
+            self._has_unseen_entries = False
+            self._state.stream_origins.seed_history()
 
     async def _watch_once(self) -> Failure | None:
         started_s = self._state.clock()
@@ -294,10 +305,12 @@
             return True
         if update.at.era != known.era:
             return False
+        self._record_unseen_entries()
         self._install_newer(self._mark_lapses(update.items), known.era)
         if not self._has_listed or update.base > known:
             return False
         self._state.store_position = max(known, update.at)
+        self._seed_history()
         return True
 
     # Documents
