--- a/spec/check.py
+++ b/spec/check.py
@@ -24,6 +24,7 @@
     rollout_spec,
     stream_spec,
     suspension_spec,
+    version_record_spec,
 )
 
 _MAX_STATES = 6_000_000
@@ -132,6 +133,9 @@
     stream = stream_spec.stream_protocol(stream_rules)
     results += check_holds("stream", stream)
     results += check_reachable("stream can: ", stream, stream_spec.WITNESSES)
+    record = version_record_spec.version_record_protocol(version_record_spec.VersionRecordRules())
+    results += check_holds("version record", record)
+    results += check_reachable("version record can: ", record, version_record_spec.WITNESSES)
     results += _availability()
     for name, clock_rules in clock_spec.MUTANTS.items():
         results.append(check_violated(name, clock_spec.clock_protocol(clock_rules)))
@@ -143,6 +147,9 @@
         results.append(check_violated(name, quota_spec.quota_protocol(quota_mutant)))
     for name, stream_mutant in stream_spec.MUTANTS.items():
         results.append(check_violated(name, stream_spec.stream_protocol(stream_mutant)))
+    for name, record_mutant in version_record_spec.MUTANTS.items():
+        mutant = version_record_spec.version_record_protocol(record_mutant)
+        results.append(check_violated(name, mutant))
     for name, rollout_mutant in rollout_spec.MUTANTS.items():
         results.append(check_violated(name, rollout_spec.rollout_protocol(rollout_mutant)))
     for name, claim_rules in claim_spec.MUTANTS.items():
--- a/tests/test_version_record.py
+++ b/tests/test_version_record.py
@@ -6,6 +6,7 @@
 import unittest
 
 from tests.large_fleet import DAEMONS
+from tests.version_record_events import RandomEvents
 from tests.version_record_fleet import (
     FORGOTTEN_S,
     LISTED_S,
@@ -22,6 +23,7 @@
 from winchfork.router.version_records import VERSION_RECORD_KEY, encode_version_record
 
 ROUTERS = 6
+SEEDS = range(1, 4)
 #: Seconds in which daemons see a change, and the leader has not yet written it.
 SEEN_S = 0.001
 #: A tenth of the writes that the store takes of the whole fleet in one second.
@@ -301,6 +303,18 @@
         run_in_version_record_fleet(ROUTERS, scenario)
 
 
+class RandomEventsTest(unittest.TestCase):
+    """Guards against orders of events in which a daemon concludes a version too early."""
+
+    def test_streams_go_on_at_their_version_or_not_at_all(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                events = RandomEvents.run_virtually(seed)
+                self.assertGreater(events.kills, 0)
+                self.assertGreater(events.findings.found, 0)
+                self.assertEqual(events.findings.wrong, 0)
+
+
 class LargeFleetTest(unittest.TestCase):
     """Guards against writes by every daemon of a large fleet."""
 
