Test a router that wakes from a suspension before its links do

Six router processes; one is suspended for 1.3 s while two replicas are replaced by v1.1, and hears neither its peers nor the store for another second. Streams that began elsewhere are taken up at it meanwhile.

--- a/tests/run.py
+++ b/tests/run.py
@@ -43,6 +43,7 @@
     "test_stale_replica_lists",
     "test_returned_replicas",
     "test_unproven_replicas",
+    "test_suspended_routers",
     "test_routers_without_replicas",
     "test_brittle_replicas",
     "test_killed_fleet",
