Test a version that leaves while a router is suspended

The history of versions knows that a version is listed from observations five times a second. After a suspension longer than callers wait and 10 s, the watch may bring the removal of the last replica of v1.1 before the next observation; v1.1 then counts as gone for as long as the suspension took, and "v1 only" is concluded while its streams are still taken up.

--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -12,7 +12,7 @@
 from tests.memory_store import MemoryStore
 from tests.test_platform_documents import REPLICA
 from tests.test_store_sync import Followed
-from tests.virtual_loop import run_virtually
+from tests.virtual_loop import run_virtually, stall_loop
 from winchfork.core.document_table import TableItem, TableUpdate
 from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind
@@ -292,6 +292,19 @@
 
         self.run_scenario(scenario)
 
+    def test_a_version_that_left_during_a_suspension_is_not_overlooked(self) -> None:
+        """Guards against a removal that is read before the list is looked at again."""
+
+        async def scenario(store: MemoryStore, daemon: Followed, reader: StreamStore) -> None:
+            _put_replica(store, "i-2", "v1.1")
+            await asyncio.sleep(0.1)
+            daemon.state.stream_origins.observe()
+            stall_loop(ALONE_S)
+            store.remove("servers/i-2")
+            self.assertIsNone(await _conclude(daemon, reader))
+
+        self.run_scenario(scenario)
+
     def test_a_relayed_removal_of_an_unknown_replica_is_not_overlooked(self) -> None:
         """Guards against a peer's latest entries, which lack what came and left between."""
 
