Count a replica's version as listed until the replica is removed

A stream of a version whose last replica left while a router was suspended for longer than callers wait and 10 s could go on at the only version left. Cause: a version counts as listed up to the last observation of the list, five times a second; after a suspension the watch may bring the removal before the next observation, and the version seemed gone for as long as the suspension took.

The removal itself now observes the replica. tests.test_stream_store.

--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -255,6 +255,8 @@
         """Remove a replica; ``evidence`` of a crash is recorded, if there is any."""
         removed = self._state.fleet.remove(replica_id)
         if removed is not None:
+            # The process may not have run between the last observation of the list and now.
+            self._state.stream_origins.observe_replica(removed, self._state.clock())
             if evidence is not None:
                 self._state.crashes.record_crash(removed, evidence)
             self._state.parts.drop_replica(removed.incarnation_hash)
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -24,7 +24,7 @@
 from winchfork.logs import log_event
 
 if TYPE_CHECKING:
-    from winchfork.core.relay_replica import ReplicaListing
+    from winchfork.core.relay_replica import RelayReplica, ReplicaListing
     from winchfork.router.request_admission import AdmittedRequest
     from winchfork.router.state import RouterState
 
@@ -239,13 +239,17 @@
         """Record which versions are listed now."""
         now_s = self._state.clock()
         for replica in self._state.fleet.replicas():
-            if is_unlisted(replica.listing.software) and not replica.has_begun_stream:
-                # It may be a replica with a new id, which refuses what is sent to the former one.
-                continue
-            self.record_listed(replica.listing, now_s)
+            self.observe_replica(replica, now_s)
         self.history.forget_old(now_s)
         self.register.sightings.forget_old(now_s)
 
+    def observe_replica(self, replica: RelayReplica, now_s: float) -> None:
+        """Record that a replica is listed, or was until now."""
+        if is_unlisted(replica.listing.software) and not replica.has_begun_stream:
+            # It may be a replica with a new id, which refuses what is sent to the former one.
+            return
+        self.record_listed(replica.listing, now_s)
+
     def record_listed(self, listing: ReplicaListing, now_s: float) -> None:
         """Record that a replica is listed."""
         self.history.record_listed(listing.service, listing.software, now_s)
