Conclude again where nothing was missed, and not where a caller may wait longer

- Each relayed update counted as a gap in the list, so that of 36 daemons only the two watchers concluded without a record.
Only a removal of an entry that was not held does.
- The name of a returned replica without an entry reached the fleet's record, and all routers had two versions for the span.
It stays in the daemon, and is replaced by the version once the entry is known.
- A late answer to a write put an older record over a later one, which is never delivered again.
- Running daemons did not use the record of a new era once it was written.
- A daemon that has just started knows no caller's deadline, and concluded as if none waited longer than the route's timeout.
- One that has just started does not know how many share the store: it reads it four times a second until its members are known (no test of its own).

The new tests failed before: four in test_version_record, one in test_continued_streams.

--- a/tests/test_continued_streams.py
+++ b/tests/test_continued_streams.py
@@ -21,11 +21,17 @@
     stream_head,
 )
 from tests.stream_case import StreamTestCase, begun, full, rest
+from tests.stream_origin_fleet import attempt
 from winchfork.core.routing import RouteKind, RoutingTable, Service, ServiceShare
 from winchfork.core.software_history import SoftwareHistory
 from winchfork.core.stream_origin import StreamOrigin, stream_key
 from winchfork.errors import Failure, FailureKind
-from winchfork.router.stream_origins import OriginQuestion, PeersAnswer
+from winchfork.router.stream_origins import (
+    DEADLINE_MARGIN_S,
+    LIFETIME_ATTEMPTS,
+    OriginQuestion,
+    PeersAnswer,
+)
 
 SECOND_HALF = b"".join(event(number) for number in (3, 4, 5, 6))
 
@@ -208,6 +214,15 @@
         answer = await self.resume("Last-Event-Id: 2\r\nResumes: never-seen\r\n")
         self.assert_not_run(answer)
 
+    async def test_a_router_that_has_just_started_knows_no_callers_deadline(self) -> None:
+        """Guards against a conclusion that forgets callers who wait longer than the timeout."""
+        state = self.stream_relay.state
+        asked = attempt("id-2", "id-1")
+        longest_s = LIFETIME_ATTEMPTS * asked.route.timeout_s + DEADLINE_MARGIN_S
+        self.assertEqual(state.stream_origins.question(asked).max_age_s, longest_s)
+        state.started_at_s -= longest_s
+        self.assertLess(state.stream_origins.question(asked).max_age_s, longest_s)
+
     async def test_peers_are_asked_and_the_caller_may_leave_meanwhile(self) -> None:
         asked = asyncio.Event()
         known = asyncio.Event()
--- a/tests/test_version_record.py
+++ b/tests/test_version_record.py
@@ -5,6 +5,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from tests.large_fleet import DAEMONS
 from tests.version_record_events import RandomEvents
 from tests.version_record_fleet import (
@@ -18,6 +20,7 @@
     run_in_version_record_fleet,
 )
 from winchfork.core.relay_replica import ReplicaListing
+from winchfork.core.unlisted_software import UnlistedIncarnation
 from winchfork.core.version_register import VersionRecord
 from winchfork.router.stream_origins import MAX_CARRIED_GAP_S
 from winchfork.router.version_records import VERSION_RECORD_KEY, encode_version_record
@@ -26,6 +29,8 @@
 SEEDS = range(1, 4)
 #: Seconds in which daemons see a change, and the leader has not yet written it.
 SEEN_S = 0.001
+#: Seconds between two changes of a busy fleet's list.
+CHANGE_PERIOD_S = 3.0
 #: A tenth of the writes that the store takes of the whole fleet in one second.
 MAX_WRITES_PER_CHANGE = 40
 
@@ -315,6 +320,56 @@
                 self.assertEqual(events.findings.wrong, 0)
 
 
+class FurtherLossesTest(unittest.TestCase):
+    """Guards against conclusions that the record prevents for longer than needed."""
+
+    def test_a_replica_that_returned_without_an_entry_stays_this_daemons_affair(self) -> None:
+        async def scenario(fleet: VersionRecordFleet) -> None:
+            state = fleet.daemons[2].state
+            replica = state.fleet.remove("i-0")
+            assert replica is not None
+            listing = msgspec.structs.replace(replica.listing, started_at_ms=200)
+            name = UnlistedIncarnation("i-0", 200).software
+            state.install_listing(msgspec.structs.replace(listing, software=name))
+            returned = state.fleet.get("i-0")
+            assert returned is not None
+            returned.has_begun_stream = True
+            state.stream_origins.observe()
+            await asyncio.sleep(WRITTEN_S + 2.0)
+            self.assertEqual(fleet.recorded(), {"v1"})
+            self.assertEqual(await fleet.conclusions(), {"v1", None})
+            state.install_listing(listing)
+            self.assertEqual(await fleet.conclusions(), {"v1"})
+
+        run_in_version_record_fleet(ROUTERS, scenario)
+
+    def test_a_late_answer_to_a_write_does_not_undo_a_later_record(self) -> None:
+        async def scenario(fleet: VersionRecordFleet) -> None:
+            leader = fleet.leader()
+            fleet.store.write_answer_delay_s = 0.8
+            fleet.list_replica("i-9", "v1.1")
+            await asyncio.sleep(0.3)
+            record = VersionRecord(fleet.store.era, {SERVICE: ("v1", "v1.1", "v1.2")})
+            fleet.store.put(VERSION_RECORD_KEY, encode_version_record(record))
+            await asyncio.sleep(1.3)
+            fleet.store.write_answer_delay_s = 0.0
+            self.assertEqual(leader.state.stream_origins.register.record, record)
+            fleet.remove_replica("i-9")
+            await asyncio.sleep(FORGOTTEN_S)
+            self.assertEqual(fleet.recorded(), {"v1"})
+
+        run_in_version_record_fleet(ROUTERS, scenario)
+
+    def test_running_daemons_use_the_record_of_a_new_era_once_it_is_written(self) -> None:
+        async def scenario(fleet: VersionRecordFleet) -> None:
+            await fleet.restore(fleet.store.backup())
+            await asyncio.sleep(START_S)
+            self.assertEqual(fleet.recorded(), {"v1"})
+            self.assertEqual(await fleet.conclusions(), {"v1"})
+
+        run_in_version_record_fleet(ROUTERS, scenario)
+
+
 class LargeFleetTest(unittest.TestCase):
     """Guards against writes by every daemon of a large fleet."""
 
@@ -336,6 +391,25 @@
 
         run_in_version_record_fleet(DAEMONS, scenario)
 
+    def test_changes_elsewhere_do_not_keep_daemons_from_concluding(self) -> None:
+        """Guards against a relayed update that counts as a gap in the list."""
+
+        async def scenario(fleet: VersionRecordFleet) -> None:
+            fleet.list_replica("i-9", "v1.1")
+            await asyncio.sleep(WRITTEN_S)
+            fleet.remove_replica("i-9")
+            for number in range(int(FORGOTTEN_S / CHANGE_PERIOD_S) + 1):
+                await asyncio.sleep(CHANGE_PERIOD_S)
+                replica_id = f"i-{20 + number % 2}"
+                if number % 4 < 2:
+                    fleet.list_replica(replica_id, "v1")
+                else:
+                    fleet.remove_replica(replica_id)
+            self.assertEqual(fleet.recorded(), {"v1"})
+            self.assertEqual(await fleet.conclusions(), {"v1"})
+
+        run_in_version_record_fleet(DAEMONS, scenario)
+
     def test_without_a_leader_few_daemons_write(self) -> None:
         async def scenario(fleet: VersionRecordFleet) -> None:
             for daemon in fleet.daemons:
--- a/winchfork/core/relay_fleet.py
+++ b/winchfork/core/relay_fleet.py
@@ -224,7 +224,7 @@
         Any other version is returned as it is, and so is the name while the entry is not known.
         """
         unlisted = unlisted_incarnation(software)
-        if unlisted is None:
+        if unlisted is None or not unlisted.started_at_ms:
             return software
         listed = self._replicas.get(unlisted.replica_id)
         if listed is not None and listed.listing.started_at_ms == unlisted.started_at_ms:
--- a/winchfork/core/software_history.py
+++ b/winchfork/core/software_history.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 #: Seconds after the removal of a replica's entry in which it may still begin streams.
 DEPARTED_S = 10.0
@@ -66,6 +66,13 @@
         versions = self.versions(service, reach_s, now_s)
         return next(iter(versions)) if len(versions) == 1 else None
 
+    def rename(self, resolve: Callable[[str], str]) -> None:
+        """Replace names of versions by those that ``resolve`` returns for them."""
+        for last_listed_s in self._last_listed_s.values():
+            for software in [name for name in last_listed_s if resolve(name) != name]:
+                at_s, known = last_listed_s.pop(software), resolve(software)
+                last_listed_s[known] = max(at_s, last_listed_s.get(known, -math.inf))
+
     def forget_old(self, now_s: float) -> None:
         """Forget versions that were last listed long ago."""
         for service, last_listed_s in list(self._last_listed_s.items()):
--- a/winchfork/router/incarnation_proofs.py
+++ b/winchfork/router/incarnation_proofs.py
@@ -46,11 +46,6 @@
     UNKNOWN = "unknown"
 
 
-class _Call(msgspec.Struct, frozen=True):
-    began_at_s: float
-    task: asyncio.Task[None]
-
-
 class IncarnationProofs:
     """Proves incarnations by the reports of their replicas."""
 
@@ -59,7 +54,7 @@
         #: Reads the reports; nothing can be proven while it is None.
         self.control: ReplicaControl | None = None
         #: The call in progress for each incarnation, by its hash.
-        self._calls: dict[int, _Call] = {}
+        self._calls: dict[int, asyncio.Task[None]] = {}
 
     def needs_proof(self, replica: RelayReplica, opened_at_s: float) -> bool:
         """Whether a connection opened at that time may lead to another incarnation."""
@@ -77,8 +72,8 @@
                     return Proof.UNKNOWN
                 call = self._begin_call(replica)
             # The call goes on for others, and for the first event of a stream sent without proof.
-            await asyncio.wait({call.task}, timeout=max(0.0, ends_at_s - self._state.clock()))
-            if not call.task.done():
+            await asyncio.wait({call}, timeout=max(0.0, ends_at_s - self._state.clock()))
+            if not call.done():
                 return Proof.UNKNOWN
         return Proof.PROVEN if self._state.fleet.is_listed(replica) else Proof.REPLACED
 
@@ -124,11 +119,12 @@
 
     # Internals
 
-    def _begin_call(self, replica: RelayReplica) -> _Call:
-        began_at_s = self._state.clock()
-        task = asyncio.get_running_loop().create_task(self._read_report(replica, began_at_s))
-        call = self._calls[replica.incarnation_hash] = _Call(began_at_s, task)
-        task.add_done_callback(lambda done: self._calls.pop(replica.incarnation_hash, None))
+    def _begin_call(self, replica: RelayReplica) -> asyncio.Task[None]:
+        reading = self._read_report(replica, self._state.clock())
+        call = self._calls[replica.incarnation_hash] = asyncio.get_running_loop().create_task(
+            reading
+        )
+        call.add_done_callback(lambda done: self._calls.pop(replica.incarnation_hash, None))
         return call
 
     async def _read_report(self, replica: RelayReplica, asked_at_s: float) -> None:
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -180,10 +180,9 @@
         self._has_unseen_entries = True
 
     def _seed_history(self) -> None:
-        """Take the versions of entries that were not seen from the fleet's record."""
-        if self._has_unseen_entries:
+        """Take the versions of entries that were not seen from the fleet's record, once valid."""
+        if self._has_unseen_entries and self._state.stream_origins.seed_history():
             self._has_unseen_entries = False
-            self._state.stream_origins.seed_history()
 
     async def _watch_once(self) -> Failure | None:
         started_s = self._state.clock()
@@ -209,6 +208,7 @@
         )
         self._install_newer(items, batch.position.era)
         self._advance_position(batch.position)
+        self._seed_history()
         if self._relay is not None:
             self._relay.broadcast(TableUpdate(base, batch.position, False, False, items))
         waited = in_time and not batch.items and answered_s - started_s >= wait_s
@@ -305,7 +305,6 @@
             return True
         if update.at.era != known.era:
             return False
-        self._record_unseen_entries()
         self._install_newer(self._mark_lapses(update.items), known.era)
         if not self._has_listed or update.base > known:
             return False
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -154,11 +154,15 @@
     def _max_age_s(self, admitted: AdmittedRequest) -> float:
         """Return how many seconds ago a stream that is continued now may have begun.
 
-        All attempts of a caller lie within the deadline of its first one.
+        All attempts of a caller lie within the deadline of its first one. A daemon that has just
+        started does not know the callers' deadlines.
         """
         route = admitted.route
+        max_s = LIFETIME_ATTEMPTS * route.timeout_s
         longest_s = max(route.timeout_s, self._longest_deadlines_s.get(route.name, 0.0))
-        return min(LIFETIME_ATTEMPTS * route.timeout_s, longest_s) + DEADLINE_MARGIN_S
+        if self._state.clock() - self._state.started_at_s < max_s:
+            longest_s = max_s
+        return min(max_s, longest_s) + DEADLINE_MARGIN_S
 
     def span_s(self) -> float | None:
         """Return for how many seconds the versions matter on any route; None if it is not known.
@@ -240,15 +244,19 @@
         now_s = self._state.clock()
         for replica in self._state.fleet.replicas():
             self.observe_replica(replica, now_s)
+        self.history.rename(self._state.fleet.resolve_software)
         self.history.forget_old(now_s)
         self.register.sightings.forget_old(now_s)
 
     def observe_replica(self, replica: RelayReplica, now_s: float) -> None:
         """Record that a replica is listed, or was until now."""
-        if is_unlisted(replica.listing.software) and not replica.has_begun_stream:
-            # It may be a replica with a new id, which refuses what is sent to the former one.
-            return
-        self.record_listed(replica.listing, now_s)
+        listing = replica.listing
+        if not is_unlisted(listing.software):
+            self.record_listed(listing, now_s)
+        elif replica.has_begun_stream:
+            # Without a stream it may be a replica with a new id, which refuses what is sent to the
+            # former one. The name is of use to this daemon only, and other daemons ask for it.
+            self.history.record_listed(listing.service, listing.software, now_s)
 
     def record_listed(self, listing: ReplicaListing, now_s: float) -> None:
         """Record that a replica is listed."""
@@ -275,11 +283,11 @@
             self.register.begin_era(self._state.store_position.era, is_informed=is_informed)
         self.history.restart(now_s)
 
-    def seed_history(self) -> None:
-        """Let the fleet's record, if it is valid, stand for what this daemon has not seen."""
+    def seed_history(self) -> bool:
+        """Let the fleet's record stand for what this daemon has not seen; False if it is void."""
         era, record = self._state.store_position.era, self.register.record
         if record is None or not self.register.is_valid(era):
-            return
+            return False
         self.history.seed(record.services, self._state.clock())
         log_event(
             "software_history_seeded",
@@ -287,6 +295,7 @@
             revision=self.register.revision,
             versions=self.register.count(era),
         )
+        return True
 
     def _record_lookup(
         self,
--- a/winchfork/router/stream_store.py
+++ b/winchfork/router/stream_store.py
@@ -12,6 +12,7 @@
 from winchfork.core.store_position import StorePosition
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.state import RouterState
+from winchfork.router.stream_origin_exchange import VIEW_SETTLED_S
 from winchfork.stores.async_key_value import AsyncKeyValueStore
 
 #: Prefix of the keys that are read. Any prefix serves to learn the store's position.
@@ -22,6 +23,8 @@
 _CATCH_UP_TICK_S = 0.01
 #: Limit on the reads of all daemons together, a part of what the store takes.
 MAX_FLEET_READS_PER_S = 500.0
+#: Seconds between two reads until the members of the fleet are known.
+STARTING_INTERVAL_S = 0.25
 
 
 class StreamStore:
@@ -45,8 +48,7 @@
 
     async def _read_in_turn(self) -> Failure | None:
         async with self._reading:
-            interval_s = self._state.daemon_count / MAX_FLEET_READS_PER_S
-            pause_s = self._last_read_s + interval_s - self._state.clock()
+            pause_s = self._last_read_s + self._interval_s() - self._state.clock()
             await asyncio.sleep(max(0.0, pause_s))
             # Requests that arrive from here on need a read that has not begun.
             self._pending = None
@@ -56,6 +58,12 @@
             return position
         return await self._catch_up(position)
 
+    def _interval_s(self) -> float:
+        """Return the seconds between two reads."""
+        uptime_s = self._state.clock() - self._state.started_at_s
+        starting_s = STARTING_INTERVAL_S if uptime_s < VIEW_SETTLED_S else 0.0
+        return max(starting_s, self._state.daemon_count / MAX_FLEET_READS_PER_S)
+
     async def _read(self) -> StorePosition | Failure:
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
--- a/winchfork/router/version_register_writer.py
+++ b/winchfork/router/version_register_writer.py
@@ -92,7 +92,9 @@
             added=_text(difference(record.services, known)),
             removed=_text(difference(known, record.services)),
         )
-        if written.era == self._state.store_position.era:
+        # The watch may have brought a later record before this answer.
+        is_newer = written.revision > register.revision
+        if written.era == self._state.store_position.era and is_newer:
             self._state.stream_origins.install_record(record, written.revision)
 
     def _retry_delay_s(self) -> float:
