Read archived records of begun streams from the store

Cause: records of streams live in routers' memories only.

The read of the store that proves the list of replicas also brings batches of records under winchfork/streams/. A record counts even if the list could not be proven; a missing one means nothing. The batches are read again only after a time in proportion to their size; reads in between list an empty prefix, which shows the position.

A batch that cannot be decoded is refused with a typed failure, counted and logged within a limit.

--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -9,13 +9,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from winchfork.core.routing import Route, RouteKind
 from winchfork.core.software_history import SoftwareHistory
+from winchfork.core.stream_batch import StreamRecord
 from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
@@ -101,6 +102,8 @@
         self.ask_peers: Callable[[OriginQuestion], Awaitable[PeersAnswer]] = _ask_nobody
         #: Waits until the list of replicas is proven current after the call; returns why it is not.
         self.confirm_list: Callable[[], Awaitable[Failure | None]] = _confirm_nothing
+        #: Returns the records of a stream that were read from the store.
+        self.find_archived: Callable[[bytes], Iterable[StreamRecord]] = lambda key: ()
 
     def record(self, admitted: AdmittedRequest, origin: StreamOrigin) -> None:
         """Record that the first event of an attempt is about to be sent."""
@@ -137,12 +140,20 @@
         """Return the recorded origin of a stream, if this daemon has it."""
         return self.table.find(key, self._state.clock())
 
-    async def _conclude(self, question: OriginQuestion) -> StreamOrigin | Failure | None:
+    def _recorded_in_store(self, key: bytes) -> StreamOrigin | None:
+        """Return the origin of a stream by what was read from the store, or learned meanwhile."""
+        now_s = self._state.clock()
+        for record in self.find_archived(key):
+            self.table.record(key, record.origin, now_s + record.remaining_s)
+        return self.recorded(key)
+
+    def _conclude(
+        self, question: OriginQuestion, unconfirmed: Failure | None
+    ) -> StreamOrigin | Failure | None:
         """Return the origin if only one version can have begun the stream.
 
-        Returns a failure if the list of replicas may be older than the stream.
+        Returns ``unconfirmed``, why the list of replicas may be older than the stream, if it may.
         """
-        unconfirmed = await self.confirm_list()
         if unconfirmed is not None:
             return unconfirmed
         self.observe()
@@ -163,7 +174,11 @@
         answer = await self.ask_peers(question)
         if answer.recorded is not None:
             return self._check_service(admitted, question, answer.recorded, "peers")
-        concluded = await self._conclude(question)
+        unconfirmed = await self.confirm_list()
+        archived = self._recorded_in_store(question.key)
+        if archived is not None:
+            return self._check_service(admitted, question, archived, "store")
+        concluded = self._conclude(question, unconfirmed)
         if isinstance(concluded, StreamOrigin):
             return self._check_service(admitted, question, concluded, "only_version")
         self._record_lookup(admitted, "unknown", unconfirmed=concluded)
--- a/winchfork/router/stream_store.py
+++ b/winchfork/router/stream_store.py
@@ -1,27 +1,34 @@
 """Reads the store for requests whose stream has no record at this daemon and its peers.
 
-What a daemon's list of replicas says is true as of its last proof, and a stream may have begun at a
-replica that was listed since. So a conclusion from the list needs a read that begins after the
-request has arrived, and a list that contains all that the store held then.
+A read brings the archived records of streams, unless they were read recently. It also proves the
+list of replicas:
+what a daemon's list says is true as of its last proof, and a stream may have begun at a replica
+that was listed since. So a conclusion from the list needs a read that begins after the request has
+arrived, and a list that contains all that the store held then.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from winchfork.core.store_position import StorePosition
+from winchfork.core.stream_batch import ArchivedStreams, StreamRecord
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.state import RouterState
-from winchfork.stores.async_key_value import AsyncKeyValueStore
+from winchfork.router.stream_records import POSITION_PREFIX, STREAMS_PREFIX, decode_batch
+from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreSnapshot
 
-#: Prefix of the keys that are read. Any prefix serves to learn the store's position.
-STREAMS_PREFIX = "winchfork/streams/"
 #: Seconds for a read, and for this daemon's list to contain what the store held then.
 READ_TIMEOUT_S = 0.5
 CATCH_UP_TIMEOUT_S = 0.6
 _CATCH_UP_TICK_S = 0.01
 #: Limit on the reads of all daemons together, a part of what the store takes.
 MAX_FLEET_READS_PER_S = 500.0
+#: Bytes of records that one daemon reads a second, on average.
+MAX_RECORD_BYTES_PER_S = 100_000.0
+#: Seconds from a failed read of the records to the next.
+RECORDS_RETRY_S = 1.0
 
 
 class StreamStore:
@@ -33,6 +40,15 @@
         self._reading = asyncio.Lock()
         self._pending: asyncio.Task[Failure | None] | None = None
         self._last_read_s = state.clock() - 1.0
+        self._archived = ArchivedStreams()
+        self._records_due_s = state.clock()
+        #: Called while the list is behind the store.
+        self.on_behind: Callable[[], None] = lambda: None
+        state.stream_origins.find_archived = self.find
+
+    def find(self, key: bytes) -> list[StreamRecord]:
+        """Return the records of a stream that were read."""
+        return self._archived.find(key, self._state.clock())
 
     async def confirm_list(self) -> Failure | None:
         """Wait until the list of replicas contains all that the store holds at or after this call.
@@ -57,19 +73,41 @@
         return await self._catch_up(position)
 
     async def _read(self) -> StorePosition | Failure:
-        try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                snapshot = await self._store.list(STREAMS_PREFIX)
-        except TimeoutError:
-            return FailureKind.STORE_UNAVAILABLE.because(f"no answer in {READ_TIMEOUT_S} s")
+        reads_records = self._state.clock() >= self._records_due_s
+        snapshot = await self._list(STREAMS_PREFIX if reads_records else POSITION_PREFIX)
         if isinstance(snapshot, Failure):
+            self._records_due_s = max(self._records_due_s, self._last_read_s + RECORDS_RETRY_S)
             return snapshot
+        if reads_records:
+            self._keep(snapshot)
         if snapshot.position.era < self._state.eras.newest:
             return FailureKind.HISTORY_LOST.because(
                 "the answer is from an earlier era of the store"
             )
         return snapshot.position
 
+    async def _list(self, prefix: str) -> StoreSnapshot | Failure:
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                return await self._store.list(prefix)
+        except TimeoutError:
+            return FailureKind.STORE_UNAVAILABLE.because(f"no answer in {READ_TIMEOUT_S} s")
+
+    def _keep(self, snapshot: StoreSnapshot) -> None:
+        """Keep the batches that are new. Records stay true after a restore of the store."""
+        now_s = self._state.clock()
+        self._archived.remove_expired(now_s)
+        for item in snapshot.items:
+            if item.value is None or item.key in self._archived:
+                continue
+            batch = decode_batch(item.value)
+            if isinstance(batch, Failure):
+                self._state.record_refused_document(item.key, batch)
+            else:
+                self._archived.add(item.key, batch, now_s)
+        size = sum(len(item.value or b"") for item in snapshot.items)
+        self._records_due_s = self._last_read_s + size / MAX_RECORD_BYTES_PER_S
+
     async def _catch_up(self, position: StorePosition) -> Failure | None:
         until_s = self._state.clock() + CATCH_UP_TIMEOUT_S
         while self._state.store_position < position:
@@ -77,5 +115,6 @@
                 return FailureKind.STORE_UNAVAILABLE.because(
                     f"the list of replicas is behind revision {position.revision}"
                 )
+            self.on_behind()
             await asyncio.sleep(_CATCH_UP_TICK_S)
         return None
