Don't take archived records of streams for changes that peers miss

Records of streams will be written to the store several times a second. One watch covers all keys, so StoreSync would keep them, relay them to each daemon, and raise the store position that daemons tell each other: followers would pull at each write, and adopt no proof of freshness until they have caught up.

StoreSync now drops these keys from lists, watches and relayed updates (earlier builds relay them). Peers exchange the position of the last change of a document. That is sufficient: a daemon that has reached it misses nothing up to the time of the proof. Relayed updates begin there too, or followers would see a gap after each record. A follower whose list has to be proven for a stream that is taken up reads the store itself, since relayed updates no longer bring it to each position.

tests/test_peers: the set-up of test_a_proof_at_a_later_store_position_ is_not_adopted assigns both positions, as a daemon that has received a document does; what is asserted is unchanged. A test is added for a position that only records of streams have raised.

--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -160,6 +160,7 @@
         self.weights = self.exchanges.weights
         stream_store = StreamStore(self.state, self.store)
         self.state.stream_origins.confirm_list = stream_store.confirm_list
+        stream_store.on_behind = self.sync.request_catch_up
         network.groups[self.ip] = self.peers
         for replica in ("i-1", "i-2"):
             listing = ReplicaListing(replica, "s", "a:1", "z1", 8, True, {"m": 1})
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -35,8 +35,8 @@
     def test_a_proof_at_a_later_store_position_is_not_adopted(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             first, second = daemons
-            first.state.store_position = StorePosition(0, 9)
-            second.state.store_position = StorePosition(0, 8)
+            first.state.store_position = first.state.document_position = StorePosition(0, 9)
+            second.state.store_position = second.state.document_position = StorePosition(0, 8)
             for _ in range(40):
                 first.state.freshness.prove(first.state.clock())
                 await asyncio.sleep(0.1)
@@ -44,6 +44,21 @@
 
         run_with_daemons(2, scenario)
 
+    def test_a_proof_is_adopted_if_only_records_of_streams_have_changed_since(self) -> None:
+        """Guards against daemons that pull documents whenever streams are archived."""
+
+        async def scenario(network: Network, daemons: list[Daemon]) -> None:
+            first, second = daemons
+            first.state.store_position = StorePosition(0, 9)
+            first.state.document_position = StorePosition(0, 8)
+            second.state.store_position = second.state.document_position = StorePosition(0, 8)
+            for _ in range(40):
+                first.state.freshness.prove(first.state.clock())
+                await asyncio.sleep(0.1)
+            self.assertLess(second.age_s(), 1.5)
+
+        run_with_daemons(2, scenario)
+
     def test_a_late_reply_ages_by_the_time_since_its_probe(self) -> None:
         async def scenario(network: Network, daemons: list[Daemon]) -> None:
             first, second = daemons
--- a/winchfork/router/peers.py
+++ b/winchfork/router/peers.py
@@ -316,12 +316,13 @@
     # Proofs of freshness of the operators' documents
 
     def _own_proof(self) -> tuple[int, ...]:
-        """Return this daemon's store revision, the age of its proof in milliseconds, and its era.
+        """Return this daemon's document revision, its proof's age in milliseconds, and its era.
 
+        What has changed in the store since that revision concerns no peer.
         The era is left out if there is none; earlier builds ignore a proof that has one.
         """
         age_s = self._state.freshness.age_s(self._loop.time())
-        position = self._state.store_position
+        position = self._state.document_position
         era = (position.era,) if position.era else ()
         return (position.revision, int(min(age_s, _NO_PROOF_AGE_S) * 1000) + 1, *era)
 
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -124,6 +124,7 @@
         self._stream_origins = connected.stream_origins
         stream_store = StreamStore(self.state, store)
         self.state.stream_origins.confirm_list = stream_store.confirm_list
+        stream_store.on_behind = self._sync.request_catch_up
         self._refusals = RefusalWriter(self.state, store, generator)
         self._software_rollout = SoftwareRollout(
             self.state, self._leadership, store, adapters.status, connected.evidence
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -75,6 +75,8 @@
         self.routing_table: RoutingTable | None = None
         #: The store position up to which all entries are known.
         self.store_position = StorePosition()
+        #: The position of the last change that peers need, of those up to ``store_position``.
+        self.document_position = StorePosition()
         #: Versions of each model's weights that operators have named.
         self.weights_versions: dict[str, VersionHistory] = {}
         #: Replicas missing from the list since a store outage, and until when they are kept.
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -7,6 +7,9 @@
 Positions only advance. An era of the store begins with a complete list, and answers from another
 era are dropped. In a large fleet two hubs watch; the other daemons use relayed updates, and query
 the store themselves only when their freshness proof gets too old.
+
+Archived records of streams are read by :class:`.stream_store.StreamStore`. Here they are neither
+kept nor relayed, and do not count as changes for other daemons.
 """
 
 from __future__ import annotations
@@ -14,7 +17,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -28,7 +31,8 @@
 from winchfork.router.leader_entry import LEADER_KEY
 from winchfork.router.leadership import Leadership
 from winchfork.router.state import RouterState
-from winchfork.stores.async_key_value import AsyncKeyValueStore
+from winchfork.router.stream_records import is_stream_batch_key
+from winchfork.stores.async_key_value import AsyncKeyValueStore, StoreItem
 
 #: Longest wait of one watch, which bounds how late a restored connection is noticed.
 WATCH_WAIT_S = 1.6
@@ -76,6 +80,9 @@
         self._has_listed = False
         #: Until when this daemon's own calls would have shown a change at once.
         self._observed_until_s = -math.inf
+        self._catch_up_requested = asyncio.Event()
+        #: Called with each batch of records of streams that a watch shows.
+        self.on_stream_batch: Callable[[bytes], None] = lambda value: None
         #: When the entries that are being installed were written.
         self._entry_date = EntryDate(-math.inf, assumed=True)
 
@@ -87,19 +94,20 @@
         """Sync with the store until cancelled."""
         failures = 0
         while True:
-            if self._has_listed and self._relay is not None and self._relay.is_relay_current:
+            if self._is_relayed:
                 self._mark_store_regained(self._state.clock())
                 self._restart_weights_bounds()
                 failures = 0
-                await asyncio.sleep(RELAYED_POLL_PERIOD_S)
+                await self._pause(RELAYED_POLL_PERIOD_S)
                 continue
+            self._catch_up_requested.clear()
             position = self._state.store_position
             started_s = self._state.clock()
             failure = await (self._watch_once() if self._has_listed else self._list_once())
             if failure is None:
                 failures = 0
                 if self._relays_to_others and self._state.store_position > position:
-                    await asyncio.sleep(CHANGE_BATCH_S)
+                    await self._pause(CHANGE_BATCH_S)
                 continue
             failures += 1
             if failure.kind is FailureKind.HISTORY_LOST:
@@ -111,6 +119,25 @@
                 self._mark_store_lost(failure)
             await asyncio.sleep(self._back_off_s(failures))
 
+    def request_catch_up(self) -> None:
+        """Read what the store holds now without a pause, also if relayed updates are current."""
+        self._catch_up_requested.set()
+
+    @property
+    def _is_relayed(self) -> bool:
+        """Whether relayed updates do instead of calls to the store."""
+        if not self._has_listed or self._relay is None or self._catch_up_requested.is_set():
+            return False
+        return self._relay.is_relay_current
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait, but not while a catch-up is requested."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._catch_up_requested.wait()
+        except TimeoutError:
+            return
+
     def _back_off_s(self, failures: int) -> float:
         max_s = MAX_BACK_OFF_S if self._is_watcher else MAX_FOLLOWER_BACK_OFF_S
         pause_s = min(max_s, INITIAL_BACK_OFF_S * 2.0 ** (failures - 1))
@@ -137,7 +164,7 @@
         self._state.store_outage.record_answer(started_s)
         self._entry_date = self._date_entries(EntrySource.LIST, in_time=False)
         self._observed_until_s = started_s
-        items = tuple(TableItem(item.key, item.revision, item.value) for item in snapshot.items)
+        items = _table_items(snapshot.items)
         self._install_complete(items, snapshot.position, after_outage)
         self._record_proof(started_s)
         return None
@@ -164,6 +191,7 @@
         if LEADER_KEY not in {item.key for item in items}:
             self._leadership.record_no_entry(at)
         self._advance_position(at)
+        self._state.document_position = self._state.store_position
         self._has_listed = self._installer.has_listed = True
 
     def _record_unseen_entries(self, *, is_new_era: bool = False) -> None:
@@ -180,6 +208,7 @@
         started_s = self._state.clock()
         wait_s = self._watch_wait_s()
         base = self._state.store_position
+        relayed_base = self._state.document_position
         batch = await self._store.watch(_ALL_KEYS, base.revision, wait_s)
         if isinstance(batch, Failure):
             return batch
@@ -195,13 +224,14 @@
         self._observed_until_s = answered_s
         self._mark_store_regained(started_s)
         self._state.store_outage.record_answer(started_s)
-        items = self._mark_lapses(
-            tuple(TableItem(item.key, item.revision, item.value) for item in batch.items)
-        )
+        items = self._mark_lapses(_table_items(batch.items))
+        for item in batch.items:
+            if item.value is not None and is_stream_batch_key(item.key):
+                self.on_stream_batch(item.value)
         self._install_newer(items, batch.position.era)
         self._advance_position(batch.position)
         if self._relay is not None:
-            self._relay.broadcast(TableUpdate(base, batch.position, False, False, items))
+            self._relay.broadcast(TableUpdate(relayed_base, batch.position, False, False, items))
         waited = in_time and not batch.items and answered_s - started_s >= wait_s
         self._record_proof(started_s + wait_s if waited else started_s)
         return None
@@ -297,7 +327,9 @@
         if update.at.era != known.era:
             return False
         self._record_unseen_entries()
-        self._install_newer(self._mark_lapses(update.items), known.era)
+        # Earlier builds also relay records of streams.
+        items = tuple(item for item in update.items if not is_stream_batch_key(item.key))
+        self._install_newer(self._mark_lapses(items), known.era)
         if not self._has_listed or update.base > known:
             return False
         self._state.store_position = max(known, update.at)
@@ -314,6 +346,8 @@
         for item in items:
             if self.table.apply(item):
                 self._installer.install(item, era, self._entry_date)
+                latest = StorePosition(era, item.revision)
+                self._state.document_position = max(self._state.document_position, latest)
 
     def _mark_lapses(self, items: tuple[TableItem, ...]) -> tuple[TableItem, ...]:
         """Mark the removals of replicas whose entries may have lapsed in an outage of the store.
@@ -388,3 +422,12 @@
     def _stabilization_s(self) -> float:
         """Return how long after its return a store does not yet count as stable."""
         return max(0.0, self._state.settings.bounds.contact_s - STABILIZATION_MARGIN_S)
+
+
+def _table_items(items: Iterable[StoreItem]) -> tuple[TableItem, ...]:
+    """Return the entries that daemons keep and relay."""
+    return tuple(
+        TableItem(item.key, item.revision, item.value)
+        for item in items
+        if not is_stream_batch_key(item.key)
+    )
