Archive begun streams in the store while several versions serve

Cause: the record of a stream is at the router that began it and at three more. When all die nothing knows what began it.

While more than one version was listed within the longest life of a record, a stream's record also goes to archivers, which write batches of records under leases that outlive them. There is one archiver for 25 routers and at least two: each write wakes every router that watches, so not each router writes. Up to 50 routers have two archivers with the same records, so that one may have died unnoticed; those that watch the store drop what the other has written. On becoming mixed, records of before are written too; in a new era of the store all that are alive. What the store does not take waits within a bound. Nothing is written while a service has one version.

--- a/tests/peer_support.py
+++ b/tests/peer_support.py
@@ -21,6 +21,7 @@
 from winchfork.router.settings import RouterBounds, RouterSettings
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
+from winchfork.router.stream_archive import StreamArchive
 from winchfork.router.stream_store import StreamStore
 from winchfork.stores.async_key_value import (
     ExpectedRevision,
@@ -161,6 +162,9 @@
         stream_store = StreamStore(self.state, self.store)
         self.state.stream_origins.confirm_list = stream_store.confirm_list
         stream_store.on_behind = self.sync.request_catch_up
+        self.archive = StreamArchive(self.state, self.store, random.Random(number))
+        self.archive.connect(self.exchanges.stream_archive)
+        self.sync.on_stream_batch = self.archive.handle_batch
         network.groups[self.ip] = self.peers
         for replica in ("i-1", "i-2"):
             listing = ReplicaListing(replica, "s", "a:1", "z1", 8, True, {"m": 1})
@@ -172,6 +176,7 @@
         """Follow the store, and take part in the election."""
         self.tasks.append(asyncio.create_task(self.sync.run()))
         self.tasks.append(asyncio.create_task(self.leadership.run()))
+        self.tasks.append(asyncio.create_task(self.archive.run()))
 
     def write_refusals(self) -> asyncio.Task[None]:
         """Write refused requests into the store, until the task is cancelled."""
--- a/winchfork/core/software_history.py
+++ b/winchfork/core/software_history.py
@@ -50,6 +50,10 @@
             software for software, at_s in last_listed_s.items() if now_s - at_s <= for_s
         )
 
+    def services(self) -> list[str]:
+        """Return the services of which a version is remembered."""
+        return list(self._last_listed_s)
+
     def only_version(self, service: str, for_s: float, now_s: float) -> str | None:
         """Return the version that has begun each stream of the last ``for_s`` seconds, or None.
 
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -46,6 +46,7 @@
 from winchfork.router.region_exchange import RegionExchange
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
+from winchfork.router.stream_archive_exchange import StreamArchiveExchange
 from winchfork.router.stream_origin_exchange import StreamOriginExchange
 from winchfork.router.version_age_exchange import VersionAgeExchange
 from winchfork.router.weights_exchange import WeightsExchange
@@ -59,6 +60,7 @@
     evidence: EvidenceExchange
     notices: NoticeExchange
     stream_origins: StreamOriginExchange
+    stream_archive: StreamArchiveExchange
 
 
 def connect_peers(
@@ -110,6 +112,7 @@
     notices = NoticeExchange(state, peers, call_later)
     peers.register_handler(ReplicaNotices, notices.handle_notices)
     stream_origins = StreamOriginExchange(state, peers)
+    stream_archive = StreamArchiveExchange(state, peers, stream_origins)
     peers.register_handler(StreamOriginReport, stream_origins.handle_report)
     peers.register_handler(StreamOriginQuery, stream_origins.handle_query)
     peers.register_handler(StreamOriginReply, stream_origins.handle_reply)
@@ -124,6 +127,7 @@
         notices.tick,
         brittle.tick,
         stream_origins.tick,
+        stream_archive.tick,
     ]
     if state.settings.software_rollouts:
         peers.on_tick.append(evidence.tick)
@@ -131,4 +135,4 @@
     sync.set_relay(relay)
     leadership.eligible = lambda: relay.may_lead and not state.is_partitioned()
     leadership.newest_era = lambda: state.eras.newest
-    return PeerExchanges(weights, evidence, notices, stream_origins)
+    return PeerExchanges(weights, evidence, notices, stream_origins, stream_archive)
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -43,6 +43,7 @@
 from winchfork.router.software_rollout import SoftwareRollout
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
+from winchfork.router.stream_archive import StreamArchive
 from winchfork.router.stream_store import StreamStore
 from winchfork.router.text_server import TextConnection
 from winchfork.router.weights_rollout import WeightsRollout
@@ -125,6 +126,9 @@
         stream_store = StreamStore(self.state, store)
         self.state.stream_origins.confirm_list = stream_store.confirm_list
         stream_store.on_behind = self._sync.request_catch_up
+        self._stream_archive = StreamArchive(self.state, store, generator)
+        self._stream_archive.connect(connected.stream_archive)
+        self._sync.on_stream_batch = self._stream_archive.handle_batch
         self._refusals = RefusalWriter(self.state, store, generator)
         self._software_rollout = SoftwareRollout(
             self.state, self._leadership, store, adapters.status, connected.evidence
@@ -160,6 +164,7 @@
             self._weights_rollout.run,
             self._software_rollout.run,
             self._refusals.run,
+            self._stream_archive.run,
             self.service.connector.run,
             self.service.watch_silence,
         ):
--- a/winchfork/router/stream_origin_exchange.py
+++ b/winchfork/router/stream_origin_exchange.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import msgspec
 
@@ -46,6 +46,9 @@
 SWEEP_INTERVAL_S = 2.0
 _NONCE_BITS = 48
 
+#: The key and origin of a begun stream, and the seconds for which they are kept.
+OriginRecord = tuple[bytes, StreamOrigin, float]
+
 
 class _Query:
     """A query in progress.
@@ -105,6 +108,10 @@
         self._placement = RecordPlacement(())
         self._next_sweep_s = 0.0
         self._next_observation_s = 0.0
+        #: Called with each stream begun here, and the daemons that were sent its record.
+        self.on_begun: Callable[[OriginRecord, list[Member]], None] = lambda record, holders: None
+        #: Called with each stream that another daemon has begun.
+        self.on_received: Callable[[OriginRecord], None] = lambda record: None
         state.stream_origins.on_recorded = self._handle_recorded
         state.stream_origins.ask_peers = self.ask
 
@@ -113,10 +120,12 @@
     def _handle_recorded(self, key: bytes, origin: StreamOrigin, lifetime_s: float) -> None:
         holders = self._holders(key)
         expires_at_s = self._state.clock() + lifetime_s
-        self._own_streams[key] = _OwnStream(_incarnations(holders), expires_at_s)
+        self._own_streams[key] = _OwnStream(incarnations(holders), expires_at_s)
         if len(self._own_streams) > MAX_STREAMS:
             del self._own_streams[next(iter(self._own_streams))]
-        self._send(holders, [_entry(key, origin, lifetime_s)])
+        record = (key, origin, lifetime_s)
+        self.send(holders, [record])
+        self.on_begun(record, holders)
 
     def _holders(self, key: bytes) -> list[Member]:
         self._refresh_placement()
@@ -130,32 +139,42 @@
             staying = (item for item in view.others if item.status < MemberStatus.LEAVING)
             self._placement = RecordPlacement(staying)
 
-    def _send(self, receivers: Iterable[Member], entries: list[StreamOriginEntry]) -> None:
+    def send(self, receivers: Iterable[Member], records: list[OriginRecord]) -> None:
+        """Have other daemons remember streams."""
+        entries = [_entry(*record) for record in records]
         for first in range(0, len(entries), MAX_ENTRIES_PER_MESSAGE):
             part = tuple(entries[first : first + MAX_ENTRIES_PER_MESSAGE])
             self._peers.send_each(receivers, StreamOriginReport(part))
 
+    def own_streams(self) -> Iterator[OriginRecord]:
+        """Return the streams begun here that may still be continued."""
+        now_s = self._state.clock()
+        for key, own in self._own_streams.items():
+            origin = self._state.stream_origins.table.find(key, now_s)
+            if origin is not None:
+                yield key, origin, own.expires_at_s - now_s
+
     def handle_report(self, message: StreamOriginReport) -> None:
         """Remember streams that other daemons have begun."""
         now_s = self._state.clock()
         for entry in message.entries:
             origin = StreamOrigin(entry.service, entry.software)
-            expires_at_s = now_s + entry.remaining_ms / 1000.0
-            self._state.stream_origins.table.record(entry.key, origin, expires_at_s)
+            remaining_s = entry.remaining_ms / 1000.0
+            self._state.stream_origins.table.record(entry.key, origin, now_s + remaining_s)
+            self.on_received((entry.key, origin, remaining_s))
 
     def hand_over(self) -> None:
         """Send all records to other daemons, before this one stops."""
-        by_holder: dict[str, list[StreamOriginEntry]] = {}
+        by_holder: dict[str, list[OriginRecord]] = {}
         members: dict[str, Member] = {}
         for key, origin, remaining_s in self._remaining():
             for holder in self._holders(key):
                 members[holder.member_id] = holder
-                entry = _entry(key, origin, remaining_s)
-                by_holder.setdefault(holder.member_id, []).append(entry)
-        for member_id, entries in by_holder.items():
-            self._send([members[member_id]], entries)
+                by_holder.setdefault(holder.member_id, []).append((key, origin, remaining_s))
+        for member_id, records in by_holder.items():
+            self.send([members[member_id]], records)
 
-    def _remaining(self) -> list[tuple[bytes, StreamOrigin, float]]:
+    def _remaining(self) -> list[OriginRecord]:
         return self._state.stream_origins.table.remaining(self._state.clock())
 
     def tick(self, now_s: float) -> None:
@@ -178,16 +197,16 @@
 
     def _replace_holders(self, now_s: float) -> None:
         """Send the records of own streams to new holders, if one of the former is gone."""
-        present = _incarnations(self._peers.view.others)
+        present = incarnations(self._peers.view.others)
         for key, own in list(self._own_streams.items()):
             origin = self._state.stream_origins.table.find(key, now_s)
             is_held = len(own.holders) >= RECORD_COPIES and own.holders <= present
             if is_held or origin is None:
                 continue
             holders = self._holders(key)
-            new = [item for item in holders if not _incarnations([item]) <= own.holders]
-            self._own_streams[key] = _OwnStream(_incarnations(holders), own.expires_at_s)
-            self._send(new, [_entry(key, origin, own.expires_at_s - now_s)])
+            new = [item for item in holders if not incarnations([item]) <= own.holders]
+            self._own_streams[key] = _OwnStream(incarnations(holders), own.expires_at_s)
+            self.send(new, [(key, origin, own.expires_at_s - now_s)])
 
     # Queries
 
@@ -262,5 +281,6 @@
     return StreamOriginEntry(key, origin.service, origin.software, round(remaining_s * 1000))
 
 
-def _incarnations(members: Iterable[Member]) -> frozenset[tuple[str, int]]:
+def incarnations(members: Iterable[Member]) -> frozenset[tuple[str, int]]:
+    """Return the ids and incarnations of daemons."""
     return frozenset((member.member_id, member.incarnation) for member in members)
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from winchfork.core.routing import Route, RouteKind
-from winchfork.core.software_history import SoftwareHistory
+from winchfork.core.software_history import DEPARTED_S, SoftwareHistory
 from winchfork.core.stream_batch import StreamRecord
 from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
 from winchfork.errors import Failure, FailureKind
@@ -75,7 +75,10 @@
 
 def stream_lifetime_s(admitted: AdmittedRequest) -> float:
     """Return for how many seconds after its first event a stream may be continued."""
-    attempt_s = max(admitted.route.timeout_s, admitted.fields.deadline_s or 0.0)
+    return _lifetime_s(max(admitted.route.timeout_s, admitted.fields.deadline_s or 0.0))
+
+
+def _lifetime_s(attempt_s: float) -> float:
     return min(MAX_LIFETIME_S, LIFETIME_ATTEMPTS * attempt_s + LIFETIME_MARGIN_S)
 
 
@@ -140,6 +143,30 @@
         """Return the recorded origin of a stream, if this daemon has it."""
         return self.table.find(key, self._state.clock())
 
+    def mixed_services(self) -> frozenset[str]:
+        """Return the services of which several versions may have begun streams that go on."""
+        return frozenset(
+            service
+            for service in self.history.services()
+            if self._is_mixed(service, MAX_LIFETIME_S + DEPARTED_S)
+            and self._is_mixed(service, self._reach_s(service))
+        )
+
+    def _is_mixed(self, service: str, for_s: float) -> bool:
+        return len(self.history.versions(service, for_s, self._state.clock())) > 1
+
+    def _reach_s(self, service: str) -> float:
+        """Return how long ago a version may have been listed that began a recorded stream."""
+        table = self._state.routing_table
+        if table is None:
+            return MAX_LIFETIME_S + DEPARTED_S
+        attempts_s = [
+            max(route.timeout_s, self._longest_deadlines_s.get(route.name, 0.0))
+            for route in table.routes
+            if service in _services(route)
+        ]
+        return _lifetime_s(max(attempts_s, default=0.0)) + DEPARTED_S
+
     def _recorded_in_store(self, key: bytes) -> StreamOrigin | None:
         """Return the origin of a stream by what was read from the store, or learned meanwhile."""
         now_s = self._state.clock()
