Test the death of all routers while two versions serve

Six real routers on loopback are killed at once with streams of two versions under way, and others start without state. Callers take each broken stream up once, when routers are back: in one test both versions serve from the start, in the other the second joins while streams run.

The number and the delay of resumptions are parameters of the stand-in's callers now, with the former values as defaults.

--- a/standins/resuming_callers.py
+++ b/standins/resuming_callers.py
@@ -9,9 +9,9 @@
 
 from standins.soak.callers import Reply, send_request, stream_headers
 
-#: Attempts after the first one.
+#: Attempts after the first one, unless given.
 MAX_RESUMPTIONS = 3
-#: Seconds from the end of an attempt to the next one.
+#: Seconds from the end of an attempt to the next one, unless given.
 RESUMPTION_DELAY_S = 0.05
 #: Streams with events of two versions of the software that are allowed.
 MAX_MIXED_STREAMS = 2
@@ -70,16 +70,22 @@
 
 
 async def send_resumable_stream(
-    stream: ResumableStream, family: int, choose_address: Callable[[str], str]
+    stream: ResumableStream,
+    family: int,
+    choose_address: Callable[[str], str],
+    *,
+    max_resumptions: int = MAX_RESUMPTIONS,
+    delay_s: float = RESUMPTION_DELAY_S,
 ) -> None:
     """Send a stream, and take it up after each break until it is whole or no attempt is left.
 
-    ``choose_address`` returns the caller address of the router for the attempt with this id.
+    ``choose_address`` returns the caller address of the router for the attempt with this id;
+    ``delay_s`` is the time from the end of an attempt to the next one.
     """
     body = stream.request_id.encode()
     headers = stream_headers(stream.tokens, family, 0)
     origin = ""
-    for number in range(MAX_RESUMPTIONS + 1):
+    for number in range(max_resumptions + 1):
         attempt_id = f"{stream.request_id}-{number}"
         extra = headers
         if origin:
@@ -92,7 +98,7 @@
             origin = attempt_id
         if stream.is_whole:
             return
-        await asyncio.sleep(RESUMPTION_DELAY_S)
+        await asyncio.sleep(delay_s)
 
 
 def check_versions(streams: Sequence[ResumableStream]) -> list[str]:
--- a/tests/run.py
+++ b/tests/run.py
@@ -39,6 +39,7 @@
 LONG_MODULES = (
     "test_crashing_parts",
     "test_mixed_software",
+    "test_killed_fleet_of_two_versions",
     "test_routers_without_replicas",
     "test_brittle_replicas",
     "test_backup_attempts",
