--- a/tests/test_killed_fleet.py
+++ b/tests/test_killed_fleet.py
@@ -80,7 +80,9 @@
             stream = ResumableStream(f"stream-{number}", tokens)
             self.streams.append(stream)
             family = self.random.randrange(FAMILIES)
-            sent = send_resumable_stream(stream, family, self.choose_address, RESUMPTION_DELAY_S)
+            sent = send_resumable_stream(
+                stream, family, self.choose_address, delay_s=RESUMPTION_DELAY_S
+            )
             tasks.append(asyncio.create_task(sent))
             await asyncio.sleep(1.0 / STREAMS_PER_S)
         await asyncio.gather(*tasks)
--- a/winchfork/core/software_history.py
+++ b/winchfork/core/software_history.py
@@ -55,6 +55,10 @@
         found = {service: self.versions(service, for_s, now_s) for service in self._last_listed_s}
         return {service: versions for service, versions in found.items() if versions}
 
+    def services(self) -> list[str]:
+        """Return the services of which a version is remembered."""
+        return list(self._last_listed_s)
+
     def only_version(self, service: str, for_s: float, now_s: float) -> str | None:
         """Return the version that has begun each stream of the last ``for_s`` seconds, or None.
 
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -43,6 +43,7 @@
 from winchfork.router.software_rollout import SoftwareRollout
 from winchfork.router.state import RouterState
 from winchfork.router.store_sync import StoreSync
+from winchfork.router.stream_archive import StreamArchive
 from winchfork.router.stream_store import StreamStore
 from winchfork.router.text_server import TextConnection
 from winchfork.router.version_register_writer import VersionRegisterWriter
@@ -126,6 +127,10 @@
         self._stream_origins = connected.stream_origins
         stream_store = StreamStore(self.state, store)
         self.state.stream_origins.confirm_list = stream_store.confirm_list
+        stream_store.on_behind = self._sync.request_catch_up
+        self._stream_archive = StreamArchive(self.state, store, generator)
+        self._stream_archive.connect(connected.stream_archive)
+        self._sync.on_stream_batch = self._stream_archive.handle_batch
         self._refusals = RefusalWriter(self.state, store, generator)
         self._versions = VersionRegisterWriter(self.state, self._leadership, store, generator)
         self._software_rollout = SoftwareRollout(
@@ -163,6 +168,7 @@
             self._software_rollout.run,
             self._refusals.run,
             self._versions.run,
+            self._stream_archive.run,
             self.service.connector.run,
             self.service.watch_silence,
         ):
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -10,13 +10,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from winchfork.core.routing import Route, RouteKind, RoutingTable
 from winchfork.core.software_history import DEPARTED_S, SoftwareHistory
+from winchfork.core.stream_batch import StreamRecord
 from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
 from winchfork.core.unlisted_software import is_unlisted
 from winchfork.core.version_register import VersionRecord, VersionRegister
@@ -85,7 +86,10 @@
 
 def stream_lifetime_s(admitted: AdmittedRequest) -> float:
     """Return for how many seconds after its first event a stream may be continued."""
-    attempt_s = max(admitted.route.timeout_s, admitted.fields.deadline_s or 0.0)
+    return _lifetime_s(max(admitted.route.timeout_s, admitted.fields.deadline_s or 0.0))
+
+
+def _lifetime_s(attempt_s: float) -> float:
     return min(MAX_LIFETIME_S, LIFETIME_ATTEMPTS * attempt_s + LIFETIME_MARGIN_S)
 
 
@@ -115,6 +119,8 @@
         self.ask_peers: Callable[[OriginQuestion], Awaitable[PeersAnswer]] = _ask_nobody
         #: Waits until the list of replicas is proven current after the call; returns why it is not.
         self.confirm_list: Callable[[], Awaitable[Failure | None]] = _confirm_nothing
+        #: Returns the records of a stream that were read from the store.
+        self.find_archived: Callable[[bytes], Iterable[StreamRecord]] = lambda key: ()
 
     def record(self, admitted: AdmittedRequest, origin: StreamOrigin) -> None:
         """Record that the first event of an attempt is about to be sent."""
@@ -184,12 +190,44 @@
         """Return the recorded origin of a stream, if this daemon has it."""
         return self.table.find(key, self._state.clock())
 
-    async def _conclude(self, question: OriginQuestion) -> StreamOrigin | Failure | None:
+    def mixed_services(self) -> frozenset[str]:
+        """Return the services of which several versions may have begun streams that go on."""
+        return frozenset(
+            service
+            for service in self.history.services()
+            if self._is_mixed(service, MAX_LIFETIME_S + DEPARTED_S)
+            and self._is_mixed(service, self._reach_s(service))
+        )
+
+    def _is_mixed(self, service: str, for_s: float) -> bool:
+        return len(self.history.versions(service, for_s, self._state.clock())) > 1
+
+    def _reach_s(self, service: str) -> float:
+        """Return how long ago a version may have been listed that began a recorded stream."""
+        table = self._state.routing_table
+        if table is None:
+            return MAX_LIFETIME_S + DEPARTED_S
+        attempts_s = [
+            max(route.timeout_s, self._longest_deadlines_s.get(route.name, 0.0))
+            for route in table.routes
+            if service in _services(route)
+        ]
+        return _lifetime_s(max(attempts_s, default=0.0)) + DEPARTED_S
+
+    def _recorded_in_store(self, key: bytes) -> StreamOrigin | None:
+        """Return the origin of a stream by what was read from the store, or learned meanwhile."""
+        now_s = self._state.clock()
+        for record in self.find_archived(key):
+            self.table.record(key, record.origin, now_s + record.remaining_s)
+        return self.recorded(key)
+
+    def _conclude(
+        self, question: OriginQuestion, unconfirmed: Failure | None
+    ) -> StreamOrigin | Failure | None:
         """Return the origin if only one version can have begun the stream.
 
-        Returns a failure if the list of replicas may be older than the stream.
+        Returns ``unconfirmed``, why the list of replicas may be older than the stream, if it may.
         """
-        unconfirmed = await self.confirm_list()
         if unconfirmed is not None:
             return unconfirmed
         self.observe()
@@ -210,7 +248,11 @@
         answer = await self.ask_peers(question)
         if answer.recorded is not None:
             return self._check_service(admitted, question, answer.recorded, "peers")
-        concluded = await self._conclude(question)
+        unconfirmed = await self.confirm_list()
+        archived = self._recorded_in_store(question.key)
+        if archived is not None:
+            return self._check_service(admitted, question, archived, "store")
+        concluded = self._conclude(question, unconfirmed)
         if isinstance(concluded, StreamOrigin):
             return self._check_service(admitted, question, concluded, "only_version")
         self._record_lookup(admitted, "unknown", unconfirmed=concluded)
