Let a fleet that starts on an unused store conclude from its first list

In the first half minute of a new fleet nothing could be concluded, and the record of versions was not created: streams taken up after an early death of all routers were refused (LOST), even with one version.

A store that holds no key of the routers has not been used by any, so no stream has begun. The history is complete from such a first list, and the first leader creates the record at once.

test_version_record.FirstUseTest; the first of its tests fails without.

--- a/tests/test_version_record.py
+++ b/tests/test_version_record.py
@@ -19,6 +19,7 @@
     VersionRecordFleet,
     run_in_version_record_fleet,
 )
+from tests.virtual_loop import run_virtually
 from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.unlisted_software import UnlistedIncarnation
 from winchfork.core.version_register import VersionRecord
@@ -320,6 +321,32 @@
                 self.assertEqual(events.findings.wrong, 0)
 
 
+class FirstUseTest(unittest.TestCase):
+    """Guards against a new fleet that can conclude nothing in its first half minute."""
+
+    def test_a_new_fleet_that_is_killed_early_concludes(self) -> None:
+        async def main() -> None:
+            fleet = VersionRecordFleet(ROUTERS)
+            await asyncio.sleep(START_S)
+            self.assertEqual(fleet.recorded(), {"v1"})
+            self.assertEqual(await fleet.conclusions(), {"v1"})
+            await fleet.restart_all()
+            self.assertEqual(await fleet.conclusions(), {"v1"})
+
+        run_virtually(main())
+
+    def test_a_version_that_a_new_fleet_has_seen_is_not_overlooked(self) -> None:
+        async def main() -> None:
+            fleet = VersionRecordFleet(ROUTERS)
+            fleet.list_replica("i-9", "v1.1")
+            await asyncio.sleep(START_S)
+            fleet.remove_replica("i-9")
+            await fleet.restart_all()
+            self.assertEqual(await fleet.conclusions(), {None})
+
+        run_virtually(main())
+
+
 class FurtherLossesTest(unittest.TestCase):
     """Guards against conclusions that the record prevents for longer than needed."""
 
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -55,6 +55,8 @@
 #: Part of the store's stabilization time that is not relied on.
 STABILIZATION_MARGIN_S = 0.5
 _ALL_KEYS = ""
+#: Prefix of the keys that routers write. The record of versions is one of them, and stays.
+OWN_PREFIX = "winchfork/"
 
 
 class StoreSync:
@@ -183,7 +185,9 @@
             self._begin_era(at)
             self._installer.is_restoring = self._installer.has_listed
             after_outage = after_outage or self._installer.has_listed
-        if at != self._state.store_position:
+        if not self._installer.has_listed and not _has_own_key(items):
+            self._state.stream_origins.record_first_use()
+        elif at != self._state.store_position:
             self._record_unseen_entries(is_new_era=at.era > self._state.store_position.era)
         self._install_newer(items, at.era)
         self._installer.is_restoring = False
@@ -437,6 +441,11 @@
         return max(0.0, self._state.settings.bounds.contact_s - STABILIZATION_MARGIN_S)
 
 
+def _has_own_key(items: Iterable[TableItem]) -> bool:
+    """Whether routers have written to the store."""
+    return any(item.key.startswith(OWN_PREFIX) for item in items)
+
+
 def _table_items(items: Iterable[StoreItem]) -> tuple[TableItem, ...]:
     """Return the entries that daemons keep and relay."""
     return tuple(
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -315,6 +315,11 @@
             for software in versions:
                 self.history.record_listed(service, software, now_s)
 
+    def record_first_use(self) -> None:
+        """Record that no daemon has used the store before this one: no stream has begun."""
+        self.history.seed({}, self._state.clock())
+        log_event("software_history_empty")
+
     def record_unseen(self, gap_s: float, *, is_new_era: bool) -> None:
         """Record that entries may have come and gone unseen for ``gap_s`` seconds."""
         now_s, span_s = self._state.clock(), self.span_s()
