Try proven replicas first, and refuse no new stream for want of a report

New streams now try proven replicas first, and begin unproven if no other is left or after waiting for two.

--- a/tests/run.py
+++ b/tests/run.py
@@ -45,6 +45,7 @@
     "test_unproven_replicas",
     "test_suspended_routers",
     "test_killed_fleet_of_two_versions",
+    "test_proven_connections",
     "test_routers_without_replicas",
     "test_brittle_replicas",
     "test_killed_fleet",
--- a/tests/test_returned_replicas.py
+++ b/tests/test_returned_replicas.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
-from standins.replica_links import LinkFault
 from tests.returned_replicas_case import CALM_S, NEW, SENDING_S, ReturnedReplicasTestCase
 
+#: Seconds for which streams begin before the entries arrive.
+BEGINNING_S = 0.5
 #: Seconds from a replica's return to its entry, where that is late.
 ENTRY_DELAY_S = 1.2
 
@@ -21,19 +22,19 @@
     async def test_streams_keep_to_a_version_that_returned_while_the_store_was_down(self) -> None:
         """Guards against streams of a returned replica being recorded by its former entry."""
 
-        async def replace() -> None:
-            await asyncio.sleep(CALM_S)
-            self.deployment.store.down = True
-            for replica in self.replicas[1::2]:
-                await self.return_as(replica, NEW)
-            await self.open_idle_connections()
+        async def end_outage() -> None:
             await asyncio.sleep(SENDING_S / 2)
             for replica in self.replicas[1::2]:
                 self.write_entry(replica)
             self.deployment.store.down = False
 
+        await self.send_streams(seconds=CALM_S)
+        self.deployment.store.down = True
+        for replica in self.replicas[1::2]:
+            await self.return_as(replica, NEW)
+        await self.open_idle_connections()
         self.truncate_streams()
-        await self.send_streams(replace())
+        await self.send_streams(end_outage())
         self.check_streams()
         self.assertGreater(self.served_by(NEW), 12)
 
@@ -55,34 +56,14 @@
         """Guards against a version that streams are bound to and that no entry ever names."""
 
         async def write_entries() -> None:
-            await asyncio.sleep(SENDING_S / 2)
+            await asyncio.sleep(1.2 * BEGINNING_S)
             for replica in self.replicas:
                 self.write_entry(replica)
 
         for replica in self.replicas:
             await self.return_as(replica, NEW)
-        self.truncate_streams()
-        await self.send_streams(write_entries())
+            replica.token_interval_s = 0.01
+            replica.truncated_share = 1.0
+        await self.send_streams(write_entries(), seconds=BEGINNING_S)
         self.check_streams()
         self.assertGreater(sum(len(stream.resumptions) for stream in self.streams), 12)
-
-
-class RelayedReturnTest(ReturnedReplicasTestCase):
-    routers = 4
-    simulate_links = True
-
-    async def test_streams_keep_to_their_version_through_peers(self) -> None:
-        """Guards against a peer whose connection leads to a replica that has returned."""
-
-        async def replace() -> None:
-            await asyncio.sleep(CALM_S)
-            assert self.deployment.links is not None
-            for index in (0, 1):
-                self.deployment.links.set_fault(index, LinkFault.RESET)
-            await asyncio.sleep(CALM_S)
-            for replica in self.replicas[1::2]:
-                await self.return_as(replica, NEW)
-
-        self.truncate_streams()
-        await self.send_streams(replace())
-        self.check_streams()
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from winchfork.core.broken_runs import CrashEvidence
@@ -18,7 +19,7 @@
 from winchfork.router.caller_answer import CallerAnswer
 from winchfork.router.http_types import RequestEvent
 from winchfork.router.inbox import Inbox
-from winchfork.router.incarnation_proofs import Proof
+from winchfork.router.incarnation_proofs import MAX_WAIT_S, Proof
 from winchfork.router.outcome_recorder import OutcomeRecorder
 from winchfork.router.outcomes import (
     BufferedAnswer,
@@ -79,8 +80,8 @@
         #: Attempts that have not ended.
         self._in_progress = 0
         self._some_may_have_run = False
-        #: Whether the request was not sent to some replica for want of proof.
-        self._has_lacked_proof = False
+        #: When the request was first not sent to a replica for want of proof.
+        self._unproven_since_s = math.inf
         #: The last whole failure answer of a replica, which was not sent to the caller.
         self.failed_answer: BufferedAnswer | None = None
         #: Whether the last attempt was refused by a replica that has newer weights than expected.
@@ -143,17 +144,21 @@
             self.release(replica, connection)
             return StalePlacement()
         if proof is Proof.UNKNOWN and not self._may_begin_unproven(replica):
-            self._has_lacked_proof = True
+            self._unproven_since_s = min(self._unproven_since_s, self._state.clock())
             self.release(replica, connection)
             reason = "no report shows which incarnation of the replica answers"
             return NotRun(reason, sent=False, unproven=True)
         return self._if_still_available(replica, connection)
 
     def _may_begin_unproven(self, replica: RelayReplica) -> bool:
-        """Whether the stream may begin without proof: it has not begun, and had to go elsewhere."""
+        """Whether the stream may begin without proof: it has not begun, and cannot go elsewhere.
+
+        It does not try one replica after the other that lets it wait for a proof.
+        """
         if self._planner.bound_to is not None:
             return False
-        return self._has_lacked_proof or not self._has_others(replica)
+        has_waited = self._state.clock() - self._unproven_since_s >= MAX_WAIT_S
+        return has_waited or not self._search.has_proven_others(replica)
 
     def _has_others(self, replica: RelayReplica) -> bool:
         return self._planner.has_candidates(self._search.excluded() | {replica.replica_id})
--- a/winchfork/router/attempted_replicas.py
+++ b/winchfork/router/attempted_replicas.py
@@ -17,7 +17,8 @@
         self._max_replicas = max_replicas
         self._tried: set[str] = set()
         self._refused: set[str] = set()
-        self._unproven: set[str] = set()
+        #: Those that the request was not sent to for want of proof which incarnation answers.
+        self.unproven: set[str] = set()
 
     def add(self, replica_id: str, *, refused: bool = False) -> None:
         """Add a replica that the request was sent to; ``refused``: it did not run it."""
@@ -27,23 +28,6 @@
         else:
             self._refused.discard(replica_id)
 
-    def add_unproven(self, replica_id: str) -> None:
-        """Add a replica that the request was not sent to for want of proof which one answers."""
-        self._unproven.add(replica_id)
-
-    @property
-    def lacks_proof(self) -> bool:
-        """Whether the request was not sent to some replica for want of proof."""
-        return bool(self._unproven)
-
-    def unproven(self, replica_ids: set[str], *, answer_begun: bool) -> set[str]:
-        """Return those of ``replica_ids`` that are not asked again for want of proof.
-
-        A begun answer asks them again if no others are left.
-        """
-        unproven = replica_ids & self._unproven
-        return set() if answer_begun and unproven == replica_ids else unproven
-
     @property
     def allows_another(self) -> bool:
         """Whether a begun answer may be sent to one more replica, or again where it was refused."""
--- a/winchfork/router/relayed_request.py
+++ b/winchfork/router/relayed_request.py
@@ -247,7 +247,7 @@
             if self._retries.try_spend(self._route.max_attempts + self._version_retries):
                 return True
         if outcome.unproven:
-            self._attempted.add_unproven(replica.replica_id)
+            self._attempted.unproven.add(replica.replica_id)
         if outcome.allows_unspent_retry or self._is_unsent_continuation(outcome):
             return True
         self._attempted.add(replica.replica_id, refused=True)
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -21,6 +21,7 @@
     permit_in_s,
 )
 from winchfork.core.placement_request import RelayDecision
+from winchfork.core.relay_replica import RelayReplica
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.router.attempt_planner import AttemptPlanner
 from winchfork.router.attempted_replicas import AttemptedReplicas
@@ -121,10 +122,23 @@
         listed = (replica.replica_id for replica in replicas)
         answer_begun = self._retries.answer_begun
         excluded = self._attempted.excluded(listed, answer_begun=answer_begun)
-        if not self._attempted.lacks_proof:
-            return excluded
-        left = {item.replica_id for item in self._planner.listed_replicas() if item.accepting}
-        return excluded | self._attempted.unproven(left - excluded, answer_begun=answer_begun)
+        return excluded | self._excluded_for_want_of_proof(excluded, answer_begun=answer_begun)
+
+    def _excluded_for_want_of_proof(self, excluded: set[str], *, answer_begun: bool) -> set[str]:
+        """Return the replicas that are not asked again because which of them answers is not known.
+
+        If no others are left, a begun answer asks them again, and a new stream begins there.
+        """
+        unproven = self._attempted.unproven - excluded
+        if not unproven or (self._planner.bound_to is not None and not answer_begun):
+            return unproven
+        listed = {item.replica_id for item in self._planner.listed_replicas() if item.accepting}
+        return unproven if listed - excluded - unproven else set()
+
+    def has_proven_others(self, replica: RelayReplica) -> bool:
+        """Whether a replica may be asked beside this one and those that could not be proven."""
+        excluded = self.excluded() | self._attempted.unproven | {replica.replica_id}
+        return self._planner.has_candidates(excluded)
 
     async def _find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
         while True:
