Don't take the configuration of a store that is back from a copy for the newest

What callers saw: a router that started while the store was back from a copy ran requests with a key that had been revoked more than RevokeMs before, until the operators had written their configuration again. It refused routes and keys that only the lost version had with 404 and 401.

Cause: absence of knowledge used as knowledge. The store named version 1, so there was no version 7. Routers that run keep 7; one that starts, or that was cut off when 7 came, has nothing to hold its list against, and its list is proven current at once.

Now each era of the store that a router meets begins with a question to six peers, or to the seeds while it knows no members: which version have you installed? Until three (all, if there are fewer) have replied, or for a second, what the new era's list proves doesn't count for keys and routes; what was proven before it goes on counting, so that routers that run serve on through a restore. A version below one that a peer has installed is never current: requests with a key, unknown routes and unknown keys get 503 with a time to come back. Two message types are added at the end. A store that names no era is never restored, and nothing is asked.

Open: where nobody that knew the later version is left, or none answers within a second, the earlier one is used.

--- a/tests/peer_samples.py
+++ b/tests/peer_samples.py
@@ -26,6 +26,8 @@
     BrittleReport,
     CachedPartsEntry,
     ClearedRequests,
+    ConfigurationQuery,
+    ConfigurationReply,
     CrashReport,
     DocumentPull,
     EraDocumentPull,
@@ -115,6 +117,8 @@
     StreamOriginReply("n1", 2**48 - 1, "s", "v1.1", True),
     SuspectPartsReport(2**63 + 4, (_DIGEST,)),
     PartRefusalReport((PartRefusalEntry(_DIGEST, 2, 900),)),
+    ConfigurationQuery("n1", "10.0.0.1:7000", 7),
+    ConfigurationReply("n1", 7),
 )
 
 
--- a/tests/store_restore_fleet.py
+++ b/tests/store_restore_fleet.py
@@ -44,6 +44,11 @@
             daemon.follow()
         self._sweep_task = asyncio.create_task(self._sweep())
 
+    @property
+    def contact_s(self) -> float:
+        """How long a daemon has to run undisturbed to count as in touch."""
+        return self.daemons[0].state.settings.bounds.contact_s
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
--- a/winchfork/router/peer_messages.py
+++ b/winchfork/router/peer_messages.py
@@ -384,6 +384,24 @@
     recorded: bool
 
 
+class ConfigurationQuery(PeerMessage, frozen=True):
+    """Asks for the version of the installed configuration; ``version`` is the sender's own.
+
+    A version is 0 without a configuration.
+    """
+
+    sender_id: str
+    sender_address: str
+    version: int
+
+
+class ConfigurationReply(PeerMessage, frozen=True):
+    """The version of the sender's installed configuration."""
+
+    sender_id: str
+    version: int
+
+
 PEER_MESSAGE_TYPES = (
     Probe,
     ProbeReply,
@@ -415,4 +433,6 @@
     StreamOriginReply,
     SuspectPartsReport,
     PartRefusalReport,
+    ConfigurationQuery,
+    ConfigurationReply,
 )
--- a/winchfork/router/peer_wiring.py
+++ b/winchfork/router/peer_wiring.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from winchfork.router.brittle_exchange import BrittleExchange
+from winchfork.router.configuration_exchange import ConfigurationExchange
 from winchfork.router.crash_exchange import CrashExchange
 from winchfork.router.document_relay import DocumentRelay
 from winchfork.router.evidence_exchange import EvidenceExchange
@@ -17,6 +18,8 @@
     Activity,
     BrittleReport,
     ClearedRequests,
+    ConfigurationQuery,
+    ConfigurationReply,
     CrashReport,
     DocumentPart,
     DocumentPull,
@@ -120,8 +123,12 @@
     peers.register_handler(DocumentPart, relay.handle_part)
     peers.register_handler(EraDocumentPull, relay.handle_era_pull)
     peers.register_handler(EraDocumentPart, relay.handle_era_part)
+    configurations = ConfigurationExchange(state, peers)
+    peers.register_handler(ConfigurationQuery, configurations.handle_query)
+    peers.register_handler(ConfigurationReply, configurations.handle_reply)
     peers.on_tick += [
         state.stall_detector.tick,
+        configurations.tick,
         version_ages.tick,
         work.tick,
         notices.tick,
--- a/winchfork/router/request_admission.py
+++ b/winchfork/router/request_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from winchfork.core.request_digest import request_digest, shared_part_digests
@@ -52,7 +54,7 @@
             return FailureKind.CONFIGURATION_UNKNOWN.because(
                 "no configuration is known yet", retry_after_s=STALE_RETRY_AFTER_S
             )
-        certain = self._state.freshness.age_s(self._state.clock()) <= MAX_CERTAIN_AGE_S
+        certain = self._state.configuration_age_s <= MAX_CERTAIN_AGE_S
         route = table.match(request.host, request.path)
         if route is None:
             if not certain:
@@ -89,8 +91,11 @@
         return None
 
     def _stale(self, reason: str) -> Failure:
-        age_s = self._state.freshness.age_s(self._state.clock())
+        age_s = self._state.configuration_age_s
+        proven = f"was last proven current {age_s:.1f} s ago"
+        if math.isinf(age_s):
+            proven = "is not known to be the newest one"
         return FailureKind.CONFIGURATION_STALE.because(
-            f"{reason}; the configuration was last proven current {age_s:.1f} s ago",
+            f"{reason}; the configuration {proven}",
             retry_after_s=STALE_RETRY_AFTER_S,
         )
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -12,6 +12,7 @@
 
 from winchfork.core.broken_runs import CrashEvidence
 from winchfork.core.cached_parts_backlog import CachedPartsBacklog
+from winchfork.core.configuration_check import ConfigurationCheck
 from winchfork.core.engine_speed import EngineSpeed
 from winchfork.core.freshness import Freshness
 from winchfork.core.memory_budget import MemoryBudget
@@ -94,6 +95,7 @@
         #: Highest fence in messages from rollout leaders.
         self.weights_fence = 0
         self.freshness = Freshness()
+        self.configuration_check = ConfigurationCheck(_count_other_seeds(settings))
         self.stall_detector = StallDetector()
         self.store_outage = StoreOutageDetector(
             clock(), has_peers=bool(settings.seeds), heartbeat_s=settings.bounds.heartbeat_s
@@ -175,6 +177,15 @@
             for region, store in stores.items()
         }
 
+    @property
+    def configuration_age_s(self) -> float:
+        """Seconds since the configuration was proven to be the newest one; infinite if it is not.
+
+        What the store lists is not enough after a restore from a backup.
+        """
+        version = self.routing_table.version if self.routing_table is not None else 0
+        return self.configuration_check.age_s(version, self.freshness.proven_at_s, self.clock())
+
     @property
     def api_keys_fresh(self) -> bool:
         """Whether the API keys of the routing table are recent enough to meet the revocation bound.
@@ -184,8 +195,7 @@
         bounds = self.settings.bounds
         if not bounds.fail_closed:
             return True
-        age_s = self.freshness.age_s(self.clock())
-        return age_s <= max(0.5, bounds.revoke_s - REVOCATION_MARGIN_S)
+        return self.configuration_age_s <= max(0.5, bounds.revoke_s - REVOCATION_MARGIN_S)
 
     @property
     def ready(self) -> bool:
@@ -357,6 +367,11 @@
         return max(2, total // self.daemon_count)
 
 
+def _count_other_seeds(settings: RouterSettings) -> int:
+    """Return how many seeds are on other machines."""
+    return sum(seed.rpartition(":")[0] != settings.machine_ip for seed in settings.seeds)
+
+
 def _has_loaded(known: RelayReplica, listing: ReplicaListing) -> bool:
     """Whether the entry has a newer version of some model than was known."""
     return any(
--- a/winchfork/router/store_eras.py
+++ b/winchfork/router/store_eras.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from winchfork.logs import log_event
 from winchfork.router.metrics import RouterMetrics
 from winchfork.router.unknown_headers import UnknownHeaderCounter
@@ -25,6 +27,8 @@
         self._metrics = metrics
         self._unknown_headers = UnknownHeaderCounter(metrics.unknown_headers, MAX_UNKNOWN_HEADERS)
         self.newest = 0
+        #: Called for each newer era, before anything of it is used.
+        self.on_advance: Callable[[], None] = lambda: None
 
     def handle_answer(self, answer: StoreAnswer) -> None:
         """Record the era, the status and any unknown headers of an answer of the store."""
@@ -44,3 +48,4 @@
         before, self.newest = self.newest, era
         level = "WARNING" if before else "INFO"
         log_event("store_era", level, era=era, before=before or None, told_by=reported_by)
+        self.on_advance()
