Leave the shared cache of prompts when another tenant becomes isolated

What callers saw: after a configuration that isolates a tenant, requests of the others went on using prompt parts that its requests had made before, for as long as they kept them in use.

Cause: absence of knowledge used as knowledge. All tenants that aren't isolated shared one namespace for ever; that it didn't name a tenant was taken to mean that it held nothing of one that is isolated now.

Now the isolation key that they share differs with the set of isolated tenants. It follows from the configuration alone, so that all routers name it alike, and a router with an earlier configuration stays outside too. A request keeps the key of the configuration that admitted it. Where nobody is isolated the key is as before.

--- a/winchfork/core/prompt_parts.py
+++ b/winchfork/core/prompt_parts.py
@@ -6,11 +6,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
+import xxhash
 
 _SHARED_ISOLATION_KEY = "-"
 
 
+def shared_isolation_key(isolated_tenants: Iterable[str]) -> str:
+    """Return the isolation key that the tenants share which are not isolated.
+
+    It differs with the isolated ones: a tenant that becomes isolated leaves its cached parts in the
+    namespaces that it has shared until then, so the others must not use those any more.
+    """
+    names = sorted(isolated_tenants)
+    if not names:
+        return _SHARED_ISOLATION_KEY
+    return _SHARED_ISOLATION_KEY + xxhash.xxh3_64_hexdigest("\0".join(names).encode())
+
+
 class PromptPart(msgspec.Struct, frozen=True):
     """One part: its id and its length in tokens."""
 
@@ -60,9 +75,11 @@
     model: str
 
     @classmethod
-    def for_tenant(cls, tenant: str, isolated: bool, model: str) -> CacheScope:
-        """Return the tenant's own scope where it is isolated, else the shared one."""
-        return cls(f"t.{tenant}" if isolated else _SHARED_ISOLATION_KEY, model)
+    def for_tenant(
+        cls, tenant: str, isolated: bool, model: str, shared_key: str = _SHARED_ISOLATION_KEY
+    ) -> CacheScope:
+        """Return the tenant's own scope where it is isolated, else the one under ``shared_key``."""
+        return cls(f"t.{tenant}" if isolated else shared_key, model)
 
     def namespace(self, weights_version: int) -> str:
         """Return the namespace of cached parts under this weights version."""
--- a/winchfork/core/routing.py
+++ b/winchfork/core/routing.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from winchfork.core.prompt_parts import shared_isolation_key
 from winchfork.core.tenant_quota import TenantLimit
 
 
@@ -127,6 +128,10 @@
         self.services = {service.name: service for service in services}
         self.tenants = tuple(tenants)
         self.limits = limits or CallerLimits()
+        #: Isolation key of the cache that the tenants share which are not isolated.
+        self.shared_isolation_key = shared_isolation_key(
+            tenant.name for tenant in self.tenants if tenant.isolated
+        )
         self._tenant_by_key = {key: tenant for tenant in self.tenants for key in tenant.api_keys}
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(self.routes, key=lambda route: -len(route.path_prefix)):
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -266,7 +266,12 @@
     def _scope(self, prompt: Prompt) -> CacheScope:
         tenant = self._admitted.tenant
         isolated = tenant is not None and tenant.isolated
-        return CacheScope.for_tenant(tenant.name if tenant else "", isolated, prompt.model)
+        return CacheScope.for_tenant(
+            tenant.name if tenant else "",
+            isolated,
+            prompt.model,
+            self._admitted.shared_isolation_key,
+        )
 
     def _expected_run_s(self, decision: RelayDecision) -> float:
         if self._prompt is None:
--- a/winchfork/router/request_admission.py
+++ b/winchfork/router/request_admission.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from winchfork.core.prompt_parts import shared_isolation_key
 from winchfork.core.request_digest import request_digest, shared_part_digests
 from winchfork.core.routing import Route, RoutingTable, TenantPolicy
 from winchfork.errors import Failure, FailureKind
@@ -32,6 +33,8 @@
     caller: str = ""
     #: Digests of the shared parts of its prompt.
     shared_parts: tuple[bytes, ...] = ()
+    #: Isolation key of the tenants that were not isolated when it was admitted.
+    shared_isolation_key: str = shared_isolation_key(())
 
     @property
     def priority(self) -> int:
@@ -66,7 +69,9 @@
         caller = tenant.name if tenant is not None else fields.api_key or ""
         digest = request_digest(caller, request.method, request.host, request.target, request.body)
         shared_parts = shared_part_digests(fields.prompt)
-        admitted = AdmittedRequest(route, tenant, fields, digest, caller, shared_parts)
+        admitted = AdmittedRequest(
+            route, tenant, fields, digest, caller, shared_parts, table.shared_isolation_key
+        )
         return self._check_key(admitted, table, certain=certain) or admitted
 
     def _check_key(
