--- a/winchfork/router/request_admission.py
+++ b/winchfork/router/request_admission.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
+from winchfork.core.prompt_parts import shared_isolation_key
 from winchfork.core.request_digest import request_digest, shared_part_digests
 from winchfork.core.routing import Route, RoutingTable, TenantPolicy
 from winchfork.errors import Failure, FailureKind
@@ -30,6 +33,8 @@
     caller: str = ""
     #: Digests of the shared parts of its prompt.
     shared_parts: tuple[bytes, ...] = ()
+    #: Isolation key of the tenants that were not isolated when it was admitted.
+    shared_isolation_key: str = shared_isolation_key(())
 
     @property
     def priority(self) -> int:
@@ -52,7 +57,7 @@
             return FailureKind.CONFIGURATION_UNKNOWN.because(
                 "no configuration is known yet", retry_after_s=STALE_RETRY_AFTER_S
             )
-        certain = self._state.freshness.age_s(self._state.clock()) <= MAX_CERTAIN_AGE_S
+        certain = self._state.configuration_age_s <= MAX_CERTAIN_AGE_S
         route = table.match(request.host, request.path)
         if route is None:
             if not certain:
@@ -64,7 +69,9 @@
         caller = tenant.name if tenant is not None else fields.api_key or ""
         digest = request_digest(caller, request.method, request.host, request.target, request.body)
         shared_parts = shared_part_digests(fields.prompt)
-        admitted = AdmittedRequest(route, tenant, fields, digest, caller, shared_parts)
+        admitted = AdmittedRequest(
+            route, tenant, fields, digest, caller, shared_parts, table.shared_isolation_key
+        )
         return self._check_key(admitted, table, certain=certain) or admitted
 
     def _check_key(
@@ -89,8 +96,11 @@
         return None
 
     def _stale(self, reason: str) -> Failure:
-        age_s = self._state.freshness.age_s(self._state.clock())
+        age_s = self._state.configuration_age_s
+        proven = f"was last proven current {age_s:.1f} s ago"
+        if math.isinf(age_s):
+            proven = "is not known to be the newest one"
         return FailureKind.CONFIGURATION_STALE.because(
-            f"{reason}; the configuration was last proven current {age_s:.1f} s ago",
+            f"{reason}; the configuration {proven}",
             retry_after_s=STALE_RETRY_AFTER_S,
         )
