Split what is known of listed versions from the origins of streams

StreamOrigins keeps records, questions and conclusions; SoftwareTracker keeps the history of versions, the fleet's record of them and where entries may have been missed. No logic changes.

--- a/tests/hollow_archive_fleet.py
+++ b/tests/hollow_archive_fleet.py
@@ -47,7 +47,7 @@
         """Record that replicas of several versions are listed."""
         now_s = self.state.clock()
         for software in VERSIONS:
-            self.state.stream_origins.history.record_listed(SERVICE, software, now_s)
+            self.state.software_tracker.history.record_listed(SERVICE, software, now_s)
 
     def send(self, address: str, message: Any) -> None:
         raise NotImplementedError
--- a/tests/test_continued_streams.py
+++ b/tests/test_continued_streams.py
@@ -156,9 +156,9 @@
     def list_one_version(self) -> None:
         """Let v1 be the only version that was ever listed."""
         self.list_replica(self.other, 1, "v1")
-        origins = self.stream_relay.state.stream_origins
-        origins.history = SoftwareHistory()
-        origins.history.seed({"s": ["v1"]}, self.stream_relay.state.clock())
+        tracker = self.stream_relay.state.software_tracker
+        tracker.history = SoftwareHistory()
+        tracker.history.seed({"s": ["v1"]}, self.stream_relay.state.clock())
 
     async def test_the_only_version_for_long_began_any_stream(self) -> None:
         """Guards against refusals where no two versions have served."""
--- a/tests/test_killed_fleet.py
+++ b/tests/test_killed_fleet.py
@@ -38,7 +38,7 @@
     async def run_for_long(self) -> None:
         """Let the routers know all versions, as if they had run for long, and record them."""
         for router in self.deployment.routers:
-            router.state.stream_origins.history.seed({}, router.state.clock())
+            router.state.software_tracker.history.seed({}, router.state.clock())
         await asyncio.wait_for(self.wait_until_recorded(), MAX_WAIT_S)
 
     async def wait_until_recorded(self) -> None:
--- a/tests/test_stream_origin_exchange.py
+++ b/tests/test_stream_origin_exchange.py
@@ -133,8 +133,8 @@
             for daemon in fleet.daemons:
                 for replica in daemon.state.fleet.replicas():
                     replica.listing = msgspec.structs.replace(replica.listing, software="v1")
-                daemon.state.stream_origins.history = SoftwareHistory()
-                daemon.state.stream_origins.history.seed({"s": ["v1"]}, daemon.state.clock())
+                daemon.state.software_tracker.history = SoftwareHistory()
+                daemon.state.software_tracker.history.seed({"s": ["v1"]}, daemon.state.clock())
             fleet.begin(STREAMS)
             await asyncio.sleep(0.01)
             self.assert_found(await fleet.continue_all(), 1.0)
--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -248,7 +248,7 @@
             daemon = Followed(store)
             stream_store = StreamStore(daemon.state, store)
             for _ in range(int(ALONE_S / 0.2)):
-                daemon.state.stream_origins.observe()
+                daemon.state.software_tracker.observe()
                 await asyncio.sleep(0.2)
             self.assertEqual(await _conclude(daemon, stream_store), "v1")
             await scenario(store, daemon, stream_store)
@@ -298,7 +298,7 @@
         async def scenario(store: MemoryStore, daemon: Followed, reader: StreamStore) -> None:
             _put_replica(store, "i-2", "v1.1")
             await asyncio.sleep(0.1)
-            daemon.state.stream_origins.observe()
+            daemon.state.software_tracker.observe()
             stall_loop(ALONE_S)
             store.remove("servers/i-2")
             self.assertIsNone(await _conclude(daemon, reader))
@@ -330,7 +330,7 @@
     """Return what began each recent stream by the daemon's list, once that is confirmed."""
     if await reader.confirm_list() is not None:
         return None
-    origins = daemon.state.stream_origins
-    origins.observe()
+    tracker = daemon.state.software_tracker
+    tracker.observe()
     service = str(REPLICA["Service"])
-    return origins.history.only_version(service, STREAM_AGE_S, daemon.state.clock())
+    return tracker.history.only_version(service, STREAM_AGE_S, daemon.state.clock())
--- a/tests/test_version_record.py
+++ b/tests/test_version_record.py
@@ -23,7 +23,7 @@
 from winchfork.core.relay_replica import ReplicaListing
 from winchfork.core.unlisted_software import UnlistedIncarnation
 from winchfork.core.version_register import VersionRecord
-from winchfork.router.stream_origins import MAX_CARRIED_GAP_S
+from winchfork.router.software_tracker import MAX_CARRIED_GAP_S
 from winchfork.router.version_records import VERSION_RECORD_KEY, encode_version_record
 
 ROUTERS = 6
@@ -242,7 +242,7 @@
             record = VersionRecord(fleet.store.era, {SERVICE: ("v1", "v1.2")})
             fleet.store.put(VERSION_RECORD_KEY, encode_version_record(record))
             listing = ReplicaListing("i-9", SERVICE, "a:1", "z1", 8, True, {}, software="v1.1")
-            leader.state.stream_origins.record_listed(listing, leader.state.clock())
+            leader.state.software_tracker.record_listed(listing, leader.state.clock())
             await asyncio.sleep(LISTED_S)
             self.assertEqual(fleet.recorded(), {"v1", "v1.2"})
             leader.store.reading.set()
@@ -361,7 +361,7 @@
             returned = state.fleet.get("i-0")
             assert returned is not None
             returned.has_begun_stream = True
-            state.stream_origins.observe()
+            state.software_tracker.observe()
             await asyncio.sleep(WRITTEN_S + 2.0)
             self.assertEqual(fleet.recorded(), {"v1"})
             self.assertEqual(await fleet.conclusions(), {"v1", None})
@@ -380,7 +380,7 @@
             fleet.store.put(VERSION_RECORD_KEY, encode_version_record(record))
             await asyncio.sleep(1.3)
             fleet.store.write_answer_delay_s = 0.0
-            self.assertEqual(leader.state.stream_origins.register.record, record)
+            self.assertEqual(leader.state.software_tracker.register.record, record)
             fleet.remove_replica("i-9")
             await asyncio.sleep(FORGOTTEN_S)
             self.assertEqual(fleet.recorded(), {"v1"})
--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -158,16 +158,16 @@
             software.install(record, item.revision, found_at_start=not self.has_listed)
 
     def _install_version_record(self, item: TableItem) -> None:
-        origins = self._state.stream_origins
+        tracker = self._state.software_tracker
         if item.value is None:
-            origins.install_record(None, 0)
+            tracker.install_record(None, 0)
             return
         record = decode_version_record(item.value)
         if isinstance(record, Failure):
             self._state.record_refused_document(item.key, record)
-            origins.install_record(None, item.revision)
+            tracker.install_record(None, item.revision)
         else:
-            origins.install_record(record, item.revision)
+            tracker.install_record(record, item.revision)
 
     def _handle_removed_replica(self, replica_id: str, item: TableItem) -> None:
         """Remove a replica, after a grace period if its entry went missing during an outage."""
@@ -209,7 +209,7 @@
             )
 
     def _install_replica(self, listing: ReplicaListing, revision: int) -> None:
-        self._state.stream_origins.record_listed(listing, self._state.clock())
+        self._state.software_tracker.record_listed(listing, self._state.clock())
         if not self.is_restoring:
             self._restored.forget(listing.replica_id)
         elif self._restored.hold_back(listing, revision, self._state.clock()):
@@ -256,7 +256,7 @@
         removed = self._state.fleet.remove(replica_id)
         if removed is not None:
             # The process may not have run between the last observation of the list and now.
-            self._state.stream_origins.observe_replica(removed, self._state.clock())
+            self._state.software_tracker.observe_replica(removed, self._state.clock())
             if evidence is not None:
                 self._state.crashes.record_crash(removed, evidence)
             self._state.parts.drop_replica(removed.incarnation_hash)
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -265,11 +265,11 @@
             lambda: state.store_position.revision,
         )
         add("store_era", "Newest known era of the store; 0 if unknown.", lambda: state.eras.newest)
-        origins = state.stream_origins
+        tracker = state.software_tracker
         add(
             "software_versions_recorded",
             "Versions in the store's record of those that may have begun streams; 0 if it is void.",
-            lambda: origins.register.count(state.store_position.era),
+            lambda: tracker.register.count(state.store_position.era),
         )
         add(
             "configuration_version",
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -43,6 +43,7 @@
 from winchfork.router.notice_registry import NoticeRegistry
 from winchfork.router.replica_selector import ReplicaSelector
 from winchfork.router.settings import RouterSettings
+from winchfork.router.software_tracker import SoftwareTracker
 from winchfork.router.software_versions import SoftwareVersions
 from winchfork.router.stall_detector import StallDetector
 from winchfork.router.store_eras import StoreEras
@@ -148,6 +149,7 @@
         self.permit_queues: defaultdict[str, PermitQueue] = defaultdict(PermitQueue)
         self.notices = NoticeRegistry(self)
         self.stream_origins = StreamOrigins(self)
+        self.software_tracker = SoftwareTracker(self)
         self.incarnations = IncarnationProofs(self)
         self.quotas = QuotaLedger(bounds.quota, self.start_id)
         self._engine_speeds: defaultdict[str, EngineSpeed] = defaultdict(EngineSpeed)
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -186,7 +186,7 @@
             self._installer.is_restoring = self._installer.has_listed
             after_outage = after_outage or self._installer.has_listed
         if not self._installer.has_listed and not _has_own_key(items):
-            self._state.stream_origins.record_first_use()
+            self._state.software_tracker.record_first_use()
         elif at != self._state.store_position:
             self._record_unseen_entries(is_new_era=at.era > self._state.store_position.era)
         self._install_newer(items, at.era)
@@ -208,12 +208,12 @@
         A list and a peer's answer show the latest entries only, unlike the events of a watch.
         """
         gap_s = self._state.freshness.age_s(self._state.clock())
-        self._state.stream_origins.record_unseen(gap_s, is_new_era=is_new_era)
+        self._state.software_tracker.record_unseen(gap_s, is_new_era=is_new_era)
         self._has_unseen_entries = True
 
     def _seed_history(self) -> None:
         """Take the versions of entries that were not seen from the fleet's record, once valid."""
-        if self._has_unseen_entries and self._state.stream_origins.seed_history():
+        if self._has_unseen_entries and self._state.software_tracker.seed_history():
             self._has_unseen_entries = False
 
     async def _watch_once(self) -> Failure | None:
--- a/winchfork/router/stream_origin_exchange.py
+++ b/winchfork/router/stream_origin_exchange.py
@@ -181,7 +181,7 @@
         """Replace holders that have gone, and remove what has expired."""
         if now_s >= self._next_observation_s:
             self._next_observation_s = now_s + OBSERVE_INTERVAL_S
-            self._state.stream_origins.observe()
+            self._state.software_tracker.observe()
         if now_s >= self._next_sweep_s:
             self._next_sweep_s = now_s + SWEEP_INTERVAL_S
             self._remove_expired(now_s)
--- a/winchfork/router/stream_origins.py
+++ b/winchfork/router/stream_origins.py
@@ -16,16 +16,13 @@
 import msgspec
 
 from winchfork.core.routing import Route, RouteKind, RoutingTable
-from winchfork.core.software_history import DEPARTED_S, SoftwareHistory
+from winchfork.core.software_history import DEPARTED_S
 from winchfork.core.stream_batch import StreamRecord
 from winchfork.core.stream_origin import StreamOrigin, StreamOriginTable, stream_key
-from winchfork.core.unlisted_software import is_unlisted
-from winchfork.core.version_register import VersionRecord, VersionRegister
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 
 if TYPE_CHECKING:
-    from winchfork.core.relay_replica import RelayReplica, ReplicaListing
     from winchfork.router.request_admission import AdmittedRequest
     from winchfork.router.state import RouterState
 
@@ -39,9 +36,6 @@
 MAX_LIFETIME_S = 120.0
 #: Retry-After in seconds if a peer that was asked, or the store, has not answered in time.
 UNANSWERED_RETRY_AFTER_S = 0.3
-#: Longest time in seconds without a freshness proof for which a daemon that knew all versions
-#: before counts as knowing them when a new era of the store begins.
-MAX_CARRIED_GAP_S = 10.0
 _REMEDY = "send the request as a new one, without the last event's id"
 
 
@@ -75,15 +69,11 @@
 def continues_stream(admitted: AdmittedRequest) -> bool:
     """Whether a request asks for the rest of a stream that an earlier attempt has begun."""
     fields = admitted.fields
-    if not _is_streaming(admitted.route):
+    if admitted.route.kind is not RouteKind.STREAMING:
         return False
     return fields.resume_after is not None or fields.origin_id is not None
 
 
-def _is_streaming(route: Route) -> bool:
-    return route.kind is RouteKind.STREAMING
-
-
 def stream_lifetime_s(admitted: AdmittedRequest) -> float:
     """Return for how many seconds after its first event a stream may be continued."""
     return _lifetime_s(max(admitted.route.timeout_s, admitted.fields.deadline_s or 0.0))
@@ -108,8 +98,6 @@
     def __init__(self, state: RouterState) -> None:
         self._state = state
         self.table = StreamOriginTable()
-        self.history = SoftwareHistory()
-        self.register = VersionRegister()
         #: The longest deadline of a request on each route, by its name.
         self._longest_deadlines_s: dict[str, float] = {}
         #: When each route was seen to lead to other services than before, by its name.
@@ -170,17 +158,6 @@
             longest_s = max_s
         return min(max_s, longest_s) + DEADLINE_MARGIN_S
 
-    def span_s(self) -> float | None:
-        """Return for how many seconds the versions matter on any route; None if it is not known.
-
-        No question reaches back further, whatever deadlines callers name.
-        """
-        table = self._state.routing_table
-        if table is None:
-            return None
-        timeouts_s = (route.timeout_s for route in table.routes if _is_streaming(route))
-        return LIFETIME_ATTEMPTS * max(timeouts_s, default=0.0) + DEADLINE_MARGIN_S + DEPARTED_S
-
     def _record_deadline(self, admitted: AdmittedRequest) -> None:
         """Record how long a caller waits for an answer."""
         name, deadline_s = admitted.route.name, admitted.fields.deadline_s or 0.0
@@ -194,13 +171,14 @@
         """Return the services of which several versions may have begun streams that go on."""
         return frozenset(
             service
-            for service in self.history.services()
+            for service in self._state.software_tracker.history.services()
             if self._is_mixed(service, MAX_LIFETIME_S + DEPARTED_S)
             and self._is_mixed(service, self._reach_s(service))
         )
 
     def _is_mixed(self, service: str, for_s: float) -> bool:
-        return len(self.history.versions(service, for_s, self._state.clock())) > 1
+        history = self._state.software_tracker.history
+        return len(history.versions(service, for_s, self._state.clock())) > 1
 
     def _reach_s(self, service: str) -> float:
         """Return how long ago a version may have been listed that began a recorded stream."""
@@ -230,9 +208,10 @@
         """
         if unconfirmed is not None:
             return unconfirmed
-        self.observe()
+        tracker = self._state.software_tracker
+        tracker.observe()
         now_s = self._state.clock()
-        software = self.history.only_version(question.service, question.max_age_s, now_s)
+        software = tracker.history.only_version(question.service, question.max_age_s, now_s)
         return StreamOrigin(question.service, software) if software is not None else None
 
     async def find(self, admitted: AdmittedRequest) -> StreamOrigin | Failure:
@@ -281,69 +260,6 @@
             retry_after_s=question.max_age_s,
         )
 
-    def observe(self) -> None:
-        """Record which versions are listed now."""
-        now_s = self._state.clock()
-        for replica in self._state.fleet.replicas():
-            self.observe_replica(replica, now_s)
-        self.history.rename(self._state.fleet.resolve_software)
-        self.history.forget_old(now_s)
-        self.register.sightings.forget_old(now_s)
-
-    def observe_replica(self, replica: RelayReplica, now_s: float) -> None:
-        """Record that a replica is listed, or was until now."""
-        listing = replica.listing
-        if not is_unlisted(listing.software):
-            self.record_listed(listing, now_s)
-        elif replica.has_begun_stream:
-            # Without a stream it may be a replica with a new id, which refuses what is sent to the
-            # former one. The name is of use to this daemon only, and other daemons ask for it.
-            self.history.record_listed(listing.service, listing.software, now_s)
-
-    def record_listed(self, listing: ReplicaListing, now_s: float) -> None:
-        """Record that a replica is listed."""
-        self.history.record_listed(listing.service, listing.software, now_s)
-        self.register.sightings.record_listed(listing.service, listing.software, now_s)
-
-    def install_record(self, record: VersionRecord | None, revision: int) -> None:
-        """Install the fleet's record of versions; None if it is absent or garbled.
-
-        A version that another daemon has added may have been listed unseen by this one.
-        """
-        now_s = self._state.clock()
-        for service, versions in self.register.install(record, revision).items():
-            for software in versions:
-                self.history.record_listed(service, software, now_s)
-
-    def record_first_use(self) -> None:
-        """Record that no daemon has used the store before this one: no stream has begun."""
-        self.history.seed({}, self._state.clock())
-        log_event("software_history_empty")
-
-    def record_unseen(self, gap_s: float, *, is_new_era: bool) -> None:
-        """Record that entries may have come and gone unseen for ``gap_s`` seconds."""
-        now_s, span_s = self._state.clock(), self.span_s()
-        if not is_new_era or gap_s > MAX_CARRIED_GAP_S:
-            self.register.record_unseen()
-        else:
-            is_informed = span_s is not None and self.history.is_complete(span_s, now_s)
-            self.register.begin_era(self._state.store_position.era, is_informed=is_informed)
-        self.history.restart(now_s)
-
-    def seed_history(self) -> bool:
-        """Let the fleet's record stand for what this daemon has not seen; False if it is void."""
-        era, record = self._state.store_position.era, self.register.record
-        if record is None or not self.register.is_valid(era):
-            return False
-        self.history.seed(record.services, self._state.clock())
-        log_event(
-            "software_history_seeded",
-            era=era,
-            revision=self.register.revision,
-            versions=self.register.count(era),
-        )
-        return True
-
     def _record_lookup(
         self,
         admitted: AdmittedRequest,
--- a/winchfork/router/version_register_writer.py
+++ b/winchfork/router/version_register_writer.py
@@ -57,15 +57,15 @@
 
     def _next_record(self) -> VersionRecord | None:
         """Return the record that is due to be written; None if none is."""
-        origins, now_s = self._state.stream_origins, self._state.clock()
-        era, span_s = self._state.store_position.era, origins.span_s()
+        tracker, now_s = self._state.software_tracker, self._state.clock()
+        era, span_s = self._state.store_position.era, tracker.span_s()
         if span_s is None or era != self._state.eras.newest:
             return None
         if self._leadership.leads():
             self._due_at_s = None
-            revised = origins.register.revised(era, origins.history, span_s, now_s)
+            revised = tracker.register.revised(era, tracker.history, span_s, now_s)
             return revised if now_s >= self._retry_at_s else None
-        extended = origins.register.extended(era, span_s, now_s)
+        extended = tracker.register.extended(era, span_s, now_s)
         if extended is None:
             self._due_at_s = None
         elif self._due_at_s is None:
@@ -74,7 +74,7 @@
         return extended if is_due else None
 
     async def _write(self, record: VersionRecord) -> None:
-        register = self._state.stream_origins.register
+        register = self._state.software_tracker.register
         expected = [ExpectedRevision(VERSION_RECORD_KEY, register.revision)]
         if self._leadership.leads():
             expected.append(ExpectedRevision(LEADER_KEY, self._leadership.entry_revision))
@@ -95,7 +95,7 @@
         # The watch may have brought a later record before this answer.
         is_newer = written.revision > register.revision
         if written.era == self._state.store_position.era and is_newer:
-            self._state.stream_origins.install_record(record, written.revision)
+            self._state.software_tracker.install_record(record, written.revision)
 
     def _retry_delay_s(self) -> float:
         pause_s = RETRY_DELAY_S * (0.5 + self._generator.random())
