Let a router that has just started read the store more often

The first three reads have no pause now, further ones 0.1 s; the new test of test_stream_store bounds them. 420 routers that all start at once and read without pause would exceed the store's 2,000 reads in that second; each would have to get more than four streams without a record a second.

--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -18,10 +18,13 @@
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.settings import RouterSettings
 from winchfork.router.state import RouterState
+from winchfork.router.stream_origin_exchange import VIEW_SETTLED_S
 from winchfork.router.stream_store import (
     CATCH_UP_TIMEOUT_S,
     MAX_FLEET_READS_PER_S,
     READ_TIMEOUT_S,
+    STARTING_INTERVAL_S,
+    STARTING_READS,
     StreamStore,
 )
 from winchfork.stores.async_key_value import StoreSnapshot
@@ -235,6 +238,18 @@
 
         self.run_scenario(scenario)
 
+    def test_a_daemon_that_does_not_know_the_fleet_yet_reads_rarely(self) -> None:
+        """Guards against the reads of a large fleet that starts at once."""
+
+        async def scenario(store: SlowStore, reader: Reader) -> None:
+            reader.state.started_at_s = reader.state.clock()
+            while reader.state.clock() - reader.state.started_at_s < VIEW_SETTLED_S:
+                self.assertIsNone(await reader.confirm())
+            reads = STARTING_READS + VIEW_SETTLED_S / STARTING_INTERVAL_S + 1
+            self.assertLessEqual(len(store.lists_s), reads)
+
+        self.run_scenario(scenario)
+
 
 class ConfirmedConclusionTest(unittest.TestCase):
     """Conclusions of a daemon that follows a store with one version for long."""
--- a/winchfork/router/stream_store.py
+++ b/winchfork/router/stream_store.py
@@ -26,8 +26,10 @@
 _CATCH_UP_TICK_S = 0.01
 #: Limit on the reads of all daemons together, a part of what the store takes.
 MAX_FLEET_READS_PER_S = 500.0
-#: Seconds between two reads until the members of the fleet are known.
-STARTING_INTERVAL_S = 0.25
+#: Until the members of the fleet are known: reads without a pause, and seconds between further
+#: ones.
+STARTING_READS = 3
+STARTING_INTERVAL_S = 0.1
 #: Bytes of records that one daemon reads a second, on average.
 MAX_RECORD_BYTES_PER_S = 100_000.0
 #: Seconds from a failed read of the records to the next.
@@ -43,6 +45,7 @@
         self._reading = asyncio.Lock()
         self._pending: asyncio.Task[Failure | None] | None = None
         self._last_read_s = state.clock() - 1.0
+        self._reads = 0
         self._archived = ArchivedStreams()
         self._records_due_s = state.clock()
         #: Called while the list is behind the store.
@@ -69,6 +72,7 @@
             # Requests that arrive from here on need a read that has not begun.
             self._pending = None
             self._last_read_s = self._state.clock()
+            self._reads += 1
             position = await self._read()
         if isinstance(position, Failure):
             return position
@@ -76,9 +80,11 @@
 
     def _interval_s(self) -> float:
         """Return the seconds between two reads."""
-        uptime_s = self._state.clock() - self._state.started_at_s
-        starting_s = STARTING_INTERVAL_S if uptime_s < VIEW_SETTLED_S else 0.0
-        return max(starting_s, self._state.daemon_count / MAX_FLEET_READS_PER_S)
+        interval_s = self._state.daemon_count / MAX_FLEET_READS_PER_S
+        is_starting = self._state.clock() - self._state.started_at_s < VIEW_SETTLED_S
+        if is_starting and self._reads >= STARTING_READS:
+            return max(interval_s, STARTING_INTERVAL_S)
+        return interval_s
 
     async def _read(self) -> StorePosition | Failure:
         reads_records = self._state.clock() >= self._records_due_s
