--- a/winchfork/core/archive_placement.py
+++ b/winchfork/core/archive_placement.py
@@ -2,8 +2,8 @@
 
 Every write to the store wakes all daemons that watch it, so a few daemons write for all. In a
 small fleet each record has both archivers, so that one may die unnoticed; in a large one it has one
-archiver. Daemons that see the same members choose the same ones; differing views
-cost a record or write it once more.
+archiver. Daemons that see the same members choose the same archivers. If their views differ, a
+record may be written by none or once more.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from winchfork.core.member import Member
 from winchfork.core.rendezvous import member_hash, mixed_order, rendezvous_rank
 
+#: Members for each archiver, and the least number of archivers.
 MEMBERS_PER_ARCHIVER = 25
 MIN_ARCHIVERS = 2
 _DUTY = "stream archiver"
--- a/winchfork/router/outcomes.py
+++ b/winchfork/router/outcomes.py
@@ -63,7 +63,7 @@
 
     @property
     def allows_unspent_retry(self) -> bool:
-        """Whether the request did not reach the replica, which is no reason to avoid it."""
+        """Whether it may be sent again without a retry, since it has not reached the replica."""
         return self.relay_failed or self.unproven
 
 
--- a/winchfork/router/software_tracker.py
+++ b/winchfork/router/software_tracker.py
@@ -1,7 +1,7 @@
-"""Tracks which versions of each service's software may have begun the streams of late.
+"""Tracks which versions of each service's software may have begun streams that may still go on.
 
-Three sources: the entries that this daemon sees, the replicas that it has listed, and the fleet's
-record in the store, which stands for entries that it has not seen.
+There are three sources: the entries that this daemon sees, the replicas that it has listed, and
+the fleet's record in the store, which stands for entries that it has not seen.
 """
 
 from __future__ import annotations
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -55,7 +55,7 @@
 #: Part of the store's stabilization time that is not relied on.
 STABILIZATION_MARGIN_S = 0.5
 _ALL_KEYS = ""
-#: Prefix of the keys that routers write. The record of versions is one of them, and stays.
+#: Prefix of the keys that routers write. One of them, the record of versions, is never removed.
 OWN_PREFIX = "winchfork/"
 
 
--- a/winchfork/router/stream_store.py
+++ b/winchfork/router/stream_store.py
@@ -1,10 +1,9 @@
 """Reads the store for requests whose stream has no record at this daemon and its peers.
 
 A read brings the archived records of streams, unless they were read recently. It also proves the
-list of replicas:
-what a daemon's list says is true as of its last proof, and a stream may have begun at a replica
-that was listed since. So a conclusion from the list needs a read that begins after the request has
-arrived, and a list that contains all that the store held then.
+list of replicas. What a list says is true as of its last proof, and a stream may have begun at a
+replica that was listed since. So a conclusion from the list needs a read that begins after the
+request has arrived, and a list that contains all that the store held then.
 """
 
 from __future__ import annotations
