Name the tenant of a request when it is sent, not when it is admitted

A request that waited until its key could not be checked any more was run all the same.

Cause: AdmittedRequest carried the tenant's policy and the shared isolation key of the routing table at admission, and each attempt used these.

Why it works: RequestTenancy looks the key up in the routing table each time that a replica is chosen or a message is built. Parts are recorded as cached under the namespace that was sent. A request that has not run is refused as not run once its key cannot be checked, so that its caller may ask a daemon that can; one that may have run goes on, as it gives nothing away that it has not had.

--- a/winchfork/core/routing.py
+++ b/winchfork/core/routing.py
@@ -132,6 +132,7 @@
         self.shared_isolation_key = shared_isolation_key(
             tenant.name for tenant in self.tenants if tenant.isolated
         )
+        self._tenant_by_name = {tenant.name: tenant for tenant in self.tenants}
         self._tenant_by_key = {key: tenant for tenant in self.tenants for key in tenant.api_keys}
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(self.routes, key=lambda route: -len(route.path_prefix)):
@@ -149,6 +150,10 @@
         """Return the tenant that owns ``api_key``, or None."""
         return self._tenant_by_key.get(api_key)
 
+    def tenant_named(self, name: str) -> TenantPolicy | None:
+        """Return the tenant called ``name``, or None."""
+        return self._tenant_by_name.get(name)
+
     def cache_stores(self) -> list[CacheStore]:
         """Return the configured cache stores."""
         return [item.store for item in self.services.values() if item.store]
--- a/winchfork/router/attempt_launcher.py
+++ b/winchfork/router/attempt_launcher.py
@@ -164,7 +164,9 @@
         return self._planner.has_candidates(self._search.excluded() | {replica.replica_id})
 
     def is_allowed(self) -> bool:
-        """Whether the request may be sent once more, by what is known of crashes under it."""
+        """Whether the request may be sent now, by its key and what is known of crashes under it."""
+        if not self.may_have_run and self._planner.tenancy.refusal() is not None:
+            return False
         return self._guard.refusal() is None and self._guard.may_run()
 
     @property
--- a/winchfork/router/attempt_planner.py
+++ b/winchfork/router/attempt_planner.py
@@ -9,7 +9,7 @@
 from winchfork.core.permit_queue import PermitOpening
 from winchfork.core.placement_request import PromptPlacementRequest, RelayDecision
 from winchfork.core.prompt_cost import max_jitter_s
-from winchfork.core.prompt_parts import CacheScope, Prompt
+from winchfork.core.prompt_parts import CacheScope
 from winchfork.core.relay_placement import place_prompt
 from winchfork.core.relay_replica import RelayReplica
 from winchfork.core.rendezvous import member_hash
@@ -21,6 +21,7 @@
 from winchfork.router.header_codec import DispatchFields, HeaderCodec
 from winchfork.router.http_types import IncomingRequest, render_headers
 from winchfork.router.request_admission import AdmittedRequest
+from winchfork.router.request_tenancy import RequestTenancy
 from winchfork.router.state import RouterState
 
 #: Seconds after the announcement of a newer version in which older weights carry no extra cost.
@@ -45,6 +46,7 @@
         self._request = request
         self._admitted = admitted
         self.service = service
+        self.tenancy = RequestTenancy(state, admitted)
         self._prompt = admitted.fields.prompt
         family = self._prompt.family if self._prompt else admitted.fields.request_id
         self._on_target = state.software.assign_to_target(service, family)
@@ -86,7 +88,7 @@
         prefill_tokens_per_s = self._speed.prefill_tokens_per_s
         request = PromptPlacementRequest(
             prompt=self._prompt,
-            scope=self._scope(self._prompt),
+            scope=self.tenancy.scope(self._prompt.model),
             zone=settings.zone,
             now_s=now_s,
             expected_run_s=self._prompt.output_tokens * self._state.run_s_per_token,
@@ -174,7 +176,7 @@
         prompt = self._prompt
         if prompt is None or version is None or not prompt.shared_parts:
             return None
-        namespace = self._scope(prompt).namespace(version)
+        namespace = self.tenancy.scope(prompt.model).namespace(version)
         return f"{part_key(namespace, prompt.shared_parts[-1]):016x}"
 
     def _old_versions(self, model: str, candidates: Sequence[RelayReplica]) -> frozenset[int]:
@@ -198,7 +200,8 @@
         prompt = self._prompt
         selector = self._state.replica_selector
         version = replica.versions.get(prompt.model) if prompt else None
-        fields = self._fields(decision, version, time_left_s, resume_after)
+        scope = self.tenancy.scope(prompt.model) if prompt else None
+        fields = self._fields(decision, version, time_left_s, resume_after, scope)
         return AttemptPlan(
             replica=replica,
             head=self._message_head(fields),
@@ -215,7 +218,7 @@
             start_margin_s=selector.start_margin_s(replica, prompt) if prompt else 0.0,
             software=replica.listing.software,
             resume_after=resume_after,
-            on_prefill_done=self._on_prefill_done(decision, version),
+            on_prefill_done=self._on_prefill_done(decision, version, scope),
             on_notice=self._on_notice(replica),
         )
 
@@ -234,16 +237,16 @@
         version: int | None,
         time_left_s: float,
         resume_after: int | None,
+        scope: CacheScope | None,
     ) -> DispatchFields:
-        prompt = self._prompt
-        tenant = self._admitted.tenant
+        tenant = self.tenancy.tenant
         save_to = decision.save_to
         return DispatchFields(
             deadline_s=time_left_s,
             replica_id=decision.replica.replica_id,
             tenant=tenant.name if tenant else None,
-            priority=self._urgency(decision) if prompt else None,
-            namespace=self._scope(prompt).namespace(version or 0) if prompt else None,
+            priority=self._urgency(decision) if self._prompt else None,
+            namespace=scope.namespace(version or 0) if scope else None,
             weights_version=version,
             resume_after=resume_after,
             copy_from=decision.copy_from.listing.address if decision.copy_from else None,
@@ -263,16 +266,6 @@
         start_line = b"%b %b HTTP/1.1" % (request.method, request.target)
         return render_headers(start_line, headers)
 
-    def _scope(self, prompt: Prompt) -> CacheScope:
-        tenant = self._admitted.tenant
-        isolated = tenant is not None and tenant.isolated
-        return CacheScope.for_tenant(
-            tenant.name if tenant else "",
-            isolated,
-            prompt.model,
-            self._admitted.shared_isolation_key,
-        )
-
     def _expected_run_s(self, decision: RelayDecision) -> float:
         if self._prompt is None:
             return decision.cost_s
@@ -288,7 +281,9 @@
         tokens = decision.replica.queued_prefill_tokens + decision.prefill_tokens
         return PRIOR_FIRST_TOKEN_S + tokens / self._speed.prefill_tokens_per_s
 
-    def _on_prefill_done(self, decision: RelayDecision, version: int | None) -> Callable[[], None]:
+    def _on_prefill_done(
+        self, decision: RelayDecision, version: int | None, scope: CacheScope | None
+    ) -> Callable[[], None]:
         """Return the callback that records what a finished prefill shows of the replica."""
         replica = decision.replica
         sent_at_s = self._state.clock()
@@ -296,7 +291,8 @@
 
         def record_prefill() -> None:
             self._record_late_start(replica, version, sent_at_s)
-            self._record_cached(replica, version, decision.save_to)
+            if scope is not None and version is not None:
+                self._record_cached(replica, scope, version, decision.save_to)
             if alone:
                 took_s = self._state.clock() - sent_at_s
                 self._speed.record_first_token(decision.prefill_tokens, took_s)
@@ -331,13 +327,17 @@
         return decision.copy_from is None or decision.cached_tokens == shared_tokens
 
     def _record_cached(
-        self, replica: RelayReplica, version: int | None, saved_to: RelayReplica | None
+        self,
+        replica: RelayReplica,
+        scope: CacheScope,
+        version: int,
+        saved_to: RelayReplica | None,
     ) -> None:
         """Record the prompt's shared parts as cached at the replica, and in the store if saved."""
         prompt = self._prompt
-        if prompt is None or version is None:
+        if prompt is None:
             return
-        keys = shared_keys(self._scope(prompt), prompt, version)
+        keys = shared_keys(scope, prompt, version)
         self._state.record_cached_parts(replica, keys)
         if saved_to is not None:
             self._state.record_cached_parts(saved_to, keys)
--- a/winchfork/router/replica_search.py
+++ b/winchfork/router/replica_search.py
@@ -142,7 +142,7 @@
 
     async def _find(self, ran: Callable[[], RunState]) -> RelayDecision | Failure | Stopped:
         while True:
-            refusal = self._guard.refusal(ran())
+            refusal = self._guard.refusal(ran()) or self._tenancy_refusal(ran())
             if refusal is not None:
                 return refusal
             found = self._check()
@@ -159,6 +159,10 @@
             if stopped is not None:
                 return stopped
 
+    def _tenancy_refusal(self, ran: RunState) -> Failure | None:
+        """Return why a request that has not run yet must not begin in its tenant's name."""
+        return self._planner.tenancy.refusal() if ran is RunState.NOT_RUN else None
+
     async def _wait(self) -> Stopped | None:
         """Wait for the next poll or event; return why the search ends, or None if it goes on.
 
--- a/winchfork/router/request_admission.py
+++ b/winchfork/router/request_admission.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from winchfork.core.prompt_parts import shared_isolation_key
 from winchfork.core.request_digest import request_digest, shared_part_digests
 from winchfork.core.routing import Route, RoutingTable, TenantPolicy
 from winchfork.errors import Failure, FailureKind
@@ -33,8 +32,6 @@
     caller: str = ""
     #: Digests of the shared parts of its prompt.
     shared_parts: tuple[bytes, ...] = ()
-    #: Isolation key of the tenants that were not isolated when it was admitted.
-    shared_isolation_key: str = shared_isolation_key(())
 
     @property
     def priority(self) -> int:
@@ -61,7 +58,7 @@
         route = table.match(request.host, request.path)
         if route is None:
             if not certain:
-                return self._stale("the route is not known")
+                return _stale(self._state, "the route is not known")
             return FailureKind.NOT_FOUND.because(
                 "no route matches this host and path", remedy="check the host and the path"
             )
@@ -69,9 +66,7 @@
         caller = tenant.name if tenant is not None else fields.api_key or ""
         digest = request_digest(caller, request.method, request.host, request.target, request.body)
         shared_parts = shared_part_digests(fields.prompt)
-        admitted = AdmittedRequest(
-            route, tenant, fields, digest, caller, shared_parts, table.shared_isolation_key
-        )
+        admitted = AdmittedRequest(route, tenant, fields, digest, caller, shared_parts)
         return self._check_key(admitted, table, certain=certain) or admitted
 
     def _check_key(
@@ -86,21 +81,27 @@
             return None
         if admitted.tenant is None and not admitted.route.anonymous:
             if not certain:
-                return self._stale("the key is not known")
+                return _stale(self._state, "the key is not known")
             return FailureKind.UNAUTHENTICATED.because(
                 "the key is missing or unknown",
                 remedy="send a key that the operators have configured",
             )
-        if not self._state.api_keys_fresh:
-            return self._stale("the key cannot be checked")
-        return None
+        return unchecked_key_failure(self._state, admitted.fields)
+
 
-    def _stale(self, reason: str) -> Failure:
-        age_s = self._state.configuration_age_s
-        proven = f"was last proven current {age_s:.1f} s ago"
-        if math.isinf(age_s):
-            proven = "is not known to be the newest one"
-        return FailureKind.CONFIGURATION_STALE.because(
-            f"{reason}; the configuration {proven}",
-            retry_after_s=STALE_RETRY_AFTER_S,
-        )
+def unchecked_key_failure(state: RouterState, fields: RequestFields) -> Failure | None:
+    """Return a failure if the request has a key whose tenant may have changed by now, else None."""
+    if not fields.api_key or state.api_keys_fresh:
+        return None
+    return _stale(state, "the key cannot be checked")
+
+
+def _stale(state: RouterState, reason: str) -> Failure:
+    age_s = state.configuration_age_s
+    proven = f"was last proven current {age_s:.1f} s ago"
+    if math.isinf(age_s):
+        proven = "is not known to be the newest one"
+    return FailureKind.CONFIGURATION_STALE.because(
+        f"{reason}; the configuration {proven}",
+        retry_after_s=STALE_RETRY_AFTER_S,
+    )
