Refuse a key at admission if a table without tenants can't be proven

A daemon whose configuration has no tenants runs a request with a key in nobody's name. If the first configuration with tenants is accepted while the daemon is cut off, the key has a tenant, and the run is in a foreign name (UNASKED).

Cause: the check of keys was skipped where the routing table has no tenants.

Evidence: test_request_admission.test_an_unproven_configuration_without_tenants, which fails on (200 in place of 503). The check before each attempt refuses it too, but only after a quota was charged and a replica looked for.

Why it works: a key is checked wherever one is sent. Requests without a key are served as before.

--- a/tests/test_request_admission.py
+++ b/tests/test_request_admission.py
@@ -5,8 +5,11 @@
 
 from __future__ import annotations
 
+import unittest
+
 from tests.relay_case import RelayTestCase
 from tests.relay_support import KEY, RelayUnderTest, ScriptedReplica, answering, signed
+from winchfork.core.routing import RoutingTable
 from winchfork.router.settings import RouterSettings
 
 FORMER_KEY = "key-of-nobody"
@@ -72,3 +75,20 @@
         self._prove(age_s=0.0)
         self.assertEqual((await self.router.ask()).status, 200)
         self.assertEqual(self._tenants_that_ran(), ["school"])
+
+    async def test_an_unproven_configuration_without_tenants_gives_a_key_to_nobody(self) -> None:
+        """A first configuration with tenants may have been accepted since."""
+        known = self.router.state.routing_table
+        assert known is not None
+        table = RoutingTable(2, known.routes, known.services.values())
+        self.assertTrue(self.router.state.install_table(table))
+        self._prove(age_s=self._revoke_s)
+        self.assert_not_run(await self.router.ask())
+        self.assertEqual((await self.router.ask(key="")).status, 200)
+        self._prove(age_s=0.0)
+        self.assertEqual((await self.router.ask()).status, 200)
+        self.assertEqual(self._tenants_that_ran(), [None, None])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/winchfork/router/request_admission.py
+++ b/winchfork/router/request_admission.py
@@ -74,12 +74,10 @@
     ) -> Failure | None:
         """Return why a request must not run with its key, or without one; None if it may.
 
-        A key counts on a route that needs none as well: the request runs in its tenant's name, and
-        a tenant of an old table may have lost the key to another one.
+        A key counts where none is needed as well, on an anonymous route or without tenants: a newer
+        configuration may name another tenant for it.
         """
-        if not table.tenants or (admitted.route.anonymous and not admitted.fields.api_key):
-            return None
-        if admitted.tenant is None and not admitted.route.anonymous:
+        if table.tenants and admitted.tenant is None and not admitted.route.anonymous:
             if not certain:
                 return _stale(self._state, "the key is not known")
             return FailureKind.UNAUTHENTICATED.because(
