Share no cached parts while the tenants cannot be proven

A daemon that is cut off from the store serves prompts without a key whatever the age of its table, and where keys do not fail closed those with one, under the cache namespace that tenants share as far as it knows.

Cause: the namespace was taken from the table without regard to its age.

Evidence: test_changed_configurations.UnprovenConfigurationTest: both tests failed before ('-/m/1' == '-/m/1').

Why it works: beyond the revocation bound each tenant uses a namespace of its own, as if isolated, and requests without a tenant one of theirs. The shared one is used again with the next proof. Prompts are read once more meanwhile.

--- a/tests/test_changed_configurations.py
+++ b/tests/test_changed_configurations.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import msgspec
+
 from tests.relay_case import PROMPT_HEADERS, RelayTestCase
 from tests.relay_support import (
     KEY,
@@ -176,3 +178,36 @@
         parts = self.router.state.parts
         self.assertTrue(parts.cached_depths(shared_keys(shared_scope, PROMPT, 1)))
         self.assertFalse(parts.cached_depths(shared_keys(own_scope, PROMPT, 1)))
+
+
+class UnprovenConfigurationTest(ChangedConfigurationCase):
+    """Guards against parts of a tenant that may be isolated by now, as far as can be known."""
+
+    async def _salt(self, key: str = "") -> str | None:
+        answer = await self.router.ask(method="POST", extra=PROMPT_HEADERS, key=key)
+        self.assertEqual(answer.status, 200)
+        return self.received[-1].headers.get("x-cache-salt")
+
+    def prove(self, age_s: float) -> None:
+        state = self.router.state
+        state.freshness = type(state.freshness)()
+        state.freshness.prove(state.clock() - age_s)
+
+    async def test_a_prompt_without_a_key_shares_no_parts_with_tenants(self) -> None:
+        await self.start(anonymous=True)
+        shared = await self._salt(KEY)
+        self.prove(age_s=self.router.state.settings.bounds.revoke_s)
+        self.assertNotEqual(await self._salt(), shared)
+        self.prove(age_s=0.0)
+        self.assertEqual(await self._salt(), shared)
+
+    async def test_a_tenant_whose_key_is_served_all_the_same_shares_no_parts(self) -> None:
+        await self.start()
+        shared = await self._salt(KEY)
+        bounds = self.router.state.settings.bounds
+        open_bounds = msgspec.structs.replace(bounds, fail_closed=False)
+        self.router.state.settings = msgspec.structs.replace(
+            self.router.state.settings, bounds=open_bounds
+        )
+        self.prove(age_s=bounds.revoke_s)
+        self.assertNotEqual(await self._salt(KEY), shared)
--- a/winchfork/router/request_tenancy.py
+++ b/winchfork/router/request_tenancy.py
@@ -35,11 +35,16 @@
         return self._table.tenant_named(former.name) or former
 
     def scope(self, model: str) -> CacheScope:
-        """Return the cache that the request may use."""
+        """Return the cache that the request may use.
+
+        While the tenants cannot be proven, any of them may have become isolated, so each uses its
+        own, and so do the requests of none.
+        """
         tenant = self.tenant
+        isolated = tenant is not None and tenant.isolated
         return CacheScope.for_tenant(
             tenant.name if tenant else "",
-            tenant is not None and tenant.isolated,
+            isolated or not self._state.tenants_fresh,
             model,
             self._table.shared_isolation_key,
         )
--- a/winchfork/router/state.py
+++ b/winchfork/router/state.py
@@ -194,10 +194,13 @@
 
         Always true if the bounds do not require it (``fail_closed`` is off).
         """
-        bounds = self.settings.bounds
-        if not bounds.fail_closed:
-            return True
-        return self.configuration_age_s <= max(0.5, bounds.revoke_s - REVOCATION_MARGIN_S)
+        return self.tenants_fresh or not self.settings.bounds.fail_closed
+
+    @property
+    def tenants_fresh(self) -> bool:
+        """Whether the tenants of the routing table were proven within the revocation bound."""
+        revoke_s = self.settings.bounds.revoke_s
+        return self.configuration_age_s <= max(0.5, revoke_s - REVOCATION_MARGIN_S)
 
     @property
     def ready(self) -> bool:
