Refuse one entry that cannot be applied, and go on with the others

What callers saw (a report of other operators): another writer left one odd entry among those of the replicas. A daemon that started while it was there never got ready: its list was installed from the beginning again and again.

Cause: an exception in reading or applying one entry ended the task that follows the store. Only the errors that somebody had thought of were caught, where the bytes are decoded.

Why it works: whatever an entry raises, it is refused, counted and logged, and the next one is applied. If its key is a replica's, that replica is taken for gone, as for an entry that cannot be read. So the reader's errors need not be listed.

--- a/winchfork/router/document_installer.py
+++ b/winchfork/router/document_installer.py
@@ -18,7 +18,7 @@
 from winchfork.core.software_state import SoftwareOrder
 from winchfork.core.store_position import StorePosition
 from winchfork.core.weight_rollout import VersionHistory
-from winchfork.errors import Failure
+from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 from winchfork.router.documents import (
     DocumentReader,
@@ -80,7 +80,25 @@
         self._restored = RestoredEntries(state.fleet)
 
     def install(self, item: TableItem, era: int, date: EntryDate) -> None:
-        """Apply an entry of the store's ``era``; a value of None means that it was removed."""
+        """Apply an entry of the store's ``era``; a value of None means that it was removed.
+
+        One that cannot be applied, for whatever reason, is refused. It must not keep this daemon
+        from the entries after it.
+        """
+        try:
+            self._apply(item, era, date)
+        except Exception as error:  # noqa: BLE001 - anybody may write an entry
+            self.refuse(item, error)
+
+    def refuse(self, item: TableItem, error: Exception) -> None:
+        """Record an entry that cannot be applied; if it is a replica's, it names none to use."""
+        failure = FailureKind.BAD_DOCUMENT.because(f"the entry cannot be applied: {error!r}")
+        self._state.record_refused_document(item.key, failure)
+        removed = self._reader.read(StoreItem(item.key, None, item.revision))
+        if isinstance(removed, ReplicaRemoved):
+            self._remove_replica(removed.replica_id, item.revision, None)
+
+    def _apply(self, item: TableItem, era: int, date: EntryDate) -> None:
         if item.key == LEADER_KEY:
             self._install_leader(item, StorePosition(era, item.revision))
             return
--- a/winchfork/router/store_sync.py
+++ b/winchfork/router/store_sync.py
@@ -237,9 +237,7 @@
         self._mark_store_regained(started_s)
         self._state.store_outage.record_answer(started_s)
         items = self._mark_lapses(_table_items(batch.items))
-        for item in batch.items:
-            if item.value is not None and is_stream_batch_key(item.key):
-                self.on_stream_batch(item.value)
+        self._pass_on_stream_batches(batch.items)
         self._install_newer(items, batch.position.era)
         self._advance_position(batch.position)
         self._seed_history()
@@ -249,6 +247,15 @@
         self._record_proof(started_s + wait_s if waited else started_s)
         return None
 
+    def _pass_on_stream_batches(self, items: Iterable[StoreItem]) -> None:
+        for item in items:
+            if item.value is None or not is_stream_batch_key(item.key):
+                continue
+            try:
+                self.on_stream_batch(item.value)
+            except Exception as error:  # noqa: BLE001 - anybody may write an entry
+                self._installer.refuse(TableItem(item.key, item.revision, item.value), error)
+
     def _begin_era(self, at: StorePosition) -> None:
         """Prepare for the list that begins a new era of the store."""
         self._state.eras.advance_to(at.era, reported_by="update")
