Decode what others write in one place, with bounded numbers

Numbers of 400 digits were taken for sequences, versions and limits, and overflow where they are first used with a float or sent to a peer.

Cause: ten places decode what others have written, and each listed the errors that it knew: three of them not that of deep nesting. Only the replicas' entries had bounds on their numbers.

Evidence: test_platform_calls...a_report_with_an_odd_value fails before (a sequence of 400 digits is taken; a field that is not read, nested deeply, raises). test_odd_entries passes on either side, since what an entry raises is refused.

Why it works: winchfork/decoding.py has the errors, the types of bounded numbers and the reader of decimal texts; adapters and records use these. A port, a fence and an era are read by the same function, so a text of any length is harmless.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,7 +6,7 @@
 import copy
 import json
 import unittest
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 from unittest import mock
 
@@ -144,7 +144,7 @@
 class OddEntryTest(unittest.TestCase):
     """Guards against a daemon that ends, stops following or never gets ready by one entry."""
 
-    def check(self, play: Callable[[str], Awaitable[list[str]]]) -> None:
+    def check(self, play: Callable[[str], Coroutine[Any, Any, list[str]]]) -> None:
         for key in (*DOCUMENTS, *OTHER_VALUES):
             with self.subTest(key=key):
                 self.assertEqual(run_virtually(play(key)), [])
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -180,6 +180,18 @@
         self.assertEqual(report, ReplicaReport(2, False, 12, 1, {"daka510000": 1}))
         self.assertIsInstance(await control.report(server.address), Failure)
 
+    async def test_a_report_with_an_odd_value_is_no_report(self) -> None:
+        """Guards against an error of the caller, a request or the leader's duty, in its place."""
+        deep = "[" * 20_000 + "]" * 20_000
+        for field in ("Busy", "Sequence", "Waiting", "Models", "born", "Unknown"):
+            for odd in (deep, "9" * 400, "9" * 5_000, "-1", "1e999", '"\\ud800"'):
+                body = f'{{"{field}": {odd}}}'.encode()
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+                server = await self.server(head + body)
+                report = await PlatformReplicaControl(self.calls).report(server.address)
+                if field != "Unknown":
+                    self.assertIsInstance(report, Failure, (field, odd[:10]))
+
     async def test_notices_in_answers_are_reported(self) -> None:
         draining = plain("200 OK", {}).replace(b"\r\n", b"\r\nServer-Leaving: 1\r\n", 1)
         backing_off = plain("503 Full", {}).replace(b"\r\n", b"\r\nRetry-After: 3\r\n", 1)
--- a/winchfork/cluster/wire.py
+++ b/winchfork/cluster/wire.py
@@ -14,6 +14,7 @@
 
 from winchfork.constants import MAX_DATAGRAM_BYTES
 from winchfork.core.peer_message import PeerMessage
+from winchfork.decoding import DECODE_ERRORS
 from winchfork.errors import Failure, FailureKind
 
 _TAG_BYTES = 16
@@ -52,7 +53,7 @@
         try:
             decoder = self._decoders[datagram[_TAG_BYTES]]
             message: PeerMessage = decoder.decode(memoryview(datagram)[_BODY_START:])
-        except (msgspec.DecodeError, IndexError) as error:
+        except (*DECODE_ERRORS, IndexError) as error:
             return FailureKind.BAD_DATAGRAM.because(
                 f"the body cannot be decoded: {type(error).__name__}"
             )
--- a/winchfork/platform/documents.py
+++ b/winchfork/platform/documents.py
@@ -25,14 +25,13 @@
 )
 from winchfork.core.software_state import RolloutOutcome, SoftwareOrder
 from winchfork.core.tenant_quota import QuotaUnit, TenantLimit
+from winchfork.decoding import Count, Number, Quantity, decode_json, read_count
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
 from winchfork.router.documents import Document, ReplicaRemoved, UnreadableReplica, WeightsTarget
 from winchfork.stores.async_key_value import PutItem, StoreItem
 
 _Shape = TypeVar("_Shape")
-#: Non-negative integers that a double holds exactly.
-_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _MAX_PORT = 65_535
 
@@ -48,7 +47,7 @@
 
 class _Split(_PascalStruct):
     service: str
-    weight: float
+    weight: Quantity
 
 
 class _Route(_PascalStruct):
@@ -56,16 +55,16 @@
     host: str
     path_prefix: str
     kind: RouteKind
-    timeout_ms: float
-    max_attempts: int = 1
-    target_latency_ms: float = 0.0
-    priority: int = 5
+    timeout_ms: Quantity
+    max_attempts: Number = 1
+    target_latency_ms: Quantity = 0.0
+    priority: Number = 5
     service: str = ""
     traffic_split: list[_Split] = msgspec.field(default_factory=list)
     allow_anonymous: bool = False
     sticky_sessions: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: Quantity = 0.0
 
 
 class _NamedModel(_PascalStruct):
@@ -73,46 +72,46 @@
 
 
 class _Engine(_PascalStruct):
-    slots: int = 0
-    kv_capacity_tokens: int = 0
-    kv_token_bytes: float = 0.0
-    link_mbps: float = 0.0
-    max_in_flight: int = 0
+    slots: Number = 0
+    kv_capacity_tokens: Number = 0
+    kv_token_bytes: Quantity = 0.0
+    link_mbps: Quantity = 0.0
+    max_in_flight: Number = 0
     models: list[_NamedModel] = msgspec.field(default_factory=list)
 
 
 class _Service(_PascalStruct):
     name: str
-    max_connections: int = 64
+    max_connections: Number = 64
     engine: _Engine | None = None
     kv_store_address: str = ""
     zone: str = ""
-    kv_capacity_tokens: int = 0
-    link_mbps: float = 0.0
+    kv_capacity_tokens: Number = 0
+    link_mbps: Quantity = 0.0
 
 
 class _Limits(_PascalStruct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 5_000.0
-    idle_timeout_ms: float = 30_000.0
+    max_header_bytes: Number = 16_384
+    max_body_bytes: Number = 4_194_304
+    header_timeout_ms: Quantity = 5_000.0
+    idle_timeout_ms: Quantity = 30_000.0
 
 
 class _Tenant(_PascalStruct):
     name: str
     api_keys: list[str] = msgspec.field(default_factory=list)
-    priority: int | None = None
+    priority: Number | None = None
     isolated: bool = False
     #: Unit of ``rate_per_s`` and ``burst``.
     unit: QuotaUnit = QuotaUnit.REQUESTS
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rate_per_s: Quantity = 0.0
+    burst: Quantity = 0.0
     #: Tokens charged for a request whose headers do not give its token usage.
-    uncached_tokens: float = 0.0
+    uncached_tokens: Quantity = 0.0
 
 
 class _Configuration(_PascalStruct):
-    version: int
+    version: Number
     routes: list[_Route] = msgspec.field(default_factory=list)
     services: list[_Service] = msgspec.field(default_factory=list)
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -121,30 +120,30 @@
 
 class _ModelVersion(_PascalStruct):
     name: str
-    version: _Count
+    version: Count
 
 
 class _ReplicaEntry(_PascalStruct):
     service: _Name
     address: str
     zone: _Name
-    slots: _Count
+    slots: Count
     state: _ReplicaState
     version: str = ""
     models: list[_ModelVersion] = msgspec.field(default_factory=list)
-    sequence: _Count = 0
-    born: _Count = msgspec.field(name="born", default=0)
+    sequence: Count = 0
+    born: Count = msgspec.field(name="born", default=0)
 
 
 class _NamedVersion(_PascalStruct):
     model: str
-    version: _Count
+    version: Count
 
 
 class _RolloutOrder(_PascalStruct):
     service: str
     target_version: str
-    duration_s: float
+    duration_s: Quantity
 
 
 class _RolloutStatus(_PascalStruct):
@@ -230,7 +229,7 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT
+    return 0 < (read_count(port) or 0) <= _MAX_PORT
 
 
 def _table(value: bytes) -> RoutingTable | Failure:
@@ -302,9 +301,4 @@
 
 
 def _decode(item: StoreItem, shape: type[_Shape]) -> _Shape | Failure:
-    try:
-        return msgspec.json.decode(item.value or b"", type=shape)
-    except (msgspec.DecodeError, RecursionError) as error:
-        return FailureKind.BAD_DOCUMENT.because(
-            f"{item.key}: {error}", remedy="correct the document to match the expected schema"
-        )
+    return decode_json(item.value or b"", shape, item.key)
--- a/winchfork/platform/replicas.py
+++ b/winchfork/platform/replicas.py
@@ -13,6 +13,7 @@
     WeightsOrder,
     ignore_notice,
 )
+from winchfork.decoding import Count, decode_json
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
 from winchfork.platform.notices import read_notice
@@ -31,16 +32,16 @@
 
 class _Model(msgspec.Struct, rename="pascal"):
     name: str
-    version: int
+    version: Count
 
 
 class _Report(msgspec.Struct, rename="pascal"):
-    sequence: int = 0
+    sequence: Count = 0
     busy: bool = False
-    waiting: int = 0
-    running: int = 0
+    waiting: Count = 0
+    running: Count = 0
     models: list[_Model] = msgspec.field(default_factory=list)
-    born: int = msgspec.field(name="born", default=0)
+    born: Count = msgspec.field(name="born", default=0)
 
 
 class PlatformReplicaControl:
@@ -68,10 +69,9 @@
             return FailureKind.BACKEND_REFUSED.because(
                 f"the report call was answered with status {reply.status}"
             )
-        try:
-            report = msgspec.json.decode(reply.body, type=_Report)
-        except msgspec.DecodeError as error:
-            return FailureKind.BACKEND_FAILED.because(f"the report cannot be decoded: {error}")
+        report = decode_json(reply.body, _Report, "the report", FailureKind.BACKEND_FAILED)
+        if isinstance(report, Failure):
+            return report
         versions = {model.name: model.version for model in report.models}
         return ReplicaReport(
             report.sequence, report.busy, report.running, report.waiting, versions, report.born
--- a/winchfork/platform/store.py
+++ b/winchfork/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from winchfork.core.store_position import StorePosition
+from winchfork.decoding import decode_json
 from winchfork.errors import Failure, FailureKind, RunState
 from winchfork.platform.store_headers import read_store_answer
 from winchfork.router.http_types import AnswerHead
@@ -217,12 +218,9 @@
 ) -> _AnswerWithEra[_Shape] | Failure:
     if isinstance(answer, Failure):
         return answer
-    try:
-        return _AnswerWithEra(msgspec.json.decode(answer.body, type=shape), answer.era)
-    except msgspec.DecodeError as error:
-        return FailureKind.STORE_UNAVAILABLE.because(
-            f"the store's answer cannot be decoded: {error}"
-        )
+    kind = FailureKind.STORE_UNAVAILABLE
+    body = decode_json(answer.body, shape, "the store's answer", kind)
+    return body if isinstance(body, Failure) else _AnswerWithEra(body, answer.era)
 
 
 def _item(entry: _Item) -> StoreItem:
--- a/winchfork/platform/store_headers.py
+++ b/winchfork/platform/store_headers.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
+from winchfork.decoding import read_count
 from winchfork.router.http_types import AnswerHead
 from winchfork.stores.async_key_value import StoreAnswer
 
 _ERA = b"store-era"
 _STORE_PREFIX = b"store-"
-#: Keeps an era within 53 bits, as all numbers on the wire.
-_MAX_DIGITS = 15
 #: Unknown header names are cut to this length.
 _MAX_SHOWN_CHARS = 40
 
@@ -26,9 +25,5 @@
             eras.update(text.strip() for text in value.split(b","))
         elif lowered.startswith(_STORE_PREFIX):
             unknown.append(lowered[:_MAX_SHOWN_CHARS].decode("latin-1"))
-    era = _number(eras.pop()) if len(eras) == 1 else 0
-    return StoreAnswer(head.status, era, tuple(unknown))
-
-
-def _number(text: bytes) -> int:
-    return int(text) if text.isdigit() and len(text) <= _MAX_DIGITS else 0
+    era = read_count(eras.pop()) if len(eras) == 1 else None
+    return StoreAnswer(head.status, era or 0, tuple(unknown))
--- a/winchfork/router/document_parts.py
+++ b/winchfork/router/document_parts.py
@@ -13,6 +13,7 @@
 
 from winchfork.core.document_table import TableItem, TableUpdate
 from winchfork.core.store_position import StorePosition
+from winchfork.decoding import DECODE_ERRORS
 from winchfork.errors import Failure, FailureKind
 from winchfork.router.peer_messages import DocumentPart, EraDocumentPart
 
@@ -100,7 +101,7 @@
     try:
         unpacking = zlib.decompressobj()
         items = _ITEMS.decode(unpacking.decompress(collected.data, MAX_UNPACKED_BYTES))
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, *DECODE_ERRORS) as error:
         return FailureKind.BAD_DATAGRAM.because(
             f"document update cannot be decoded: {type(error).__name__}"
         )
--- a/winchfork/router/leader_entry.py
+++ b/winchfork/router/leader_entry.py
@@ -4,6 +4,7 @@
 
 from winchfork.core.fence_registry import FenceRegistry
 from winchfork.core.store_position import StorePosition
+from winchfork.decoding import read_count
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.stores.async_key_value import (
@@ -17,8 +18,6 @@
 LEADER_KEY = "winchfork/leader"
 #: Entry that records a fence, written in the same transaction as the leader's entry.
 FENCE_KEY = "winchfork/fence"
-#: Keeps fences below 2^53, the largest number that the wire format carries exactly.
-_MAX_FENCE_DIGITS = 15
 
 
 class LeaderEntry:
@@ -31,8 +30,9 @@
 
     def record_fence(self, position: StorePosition, value: bytes) -> None:
         """Record the fence written at a position; ignore a value that is no number or too long."""
-        if value.isdigit() and len(value) <= _MAX_FENCE_DIGITS:
-            self.fences.record_fence(position, int(value))
+        fence = read_count(value)
+        if fence is not None:
+            self.fences.record_fence(position, fence)
 
     async def write(
         self, lease: StoreLease, expected: int, newest_known: StorePosition
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -2,9 +2,10 @@
 
 A graceful shutdown first makes the process not ready, so that the load balancer in front stops
 sending requests. The process still accepts requests for ``LOAD_BALANCER_DRAIN_S``, but at most half
-of the time until it cuts those that are left, and closes each caller's connection after its answer. Then it refuses requests,
-and ends when none is active and all answers are sent, or the grace period is over. It listens until
-its end: a load balancer that finds too few daemons ready sends callers to all of them.
+of the time until it cuts those that are left, and closes each caller's connection after its answer.
+Then it refuses requests, and ends when none is active and all answers are sent, or the grace period
+is over. It listens until its end: a load balancer that finds too few daemons ready sends callers to
+all of them.
 """
 
 from __future__ import annotations
--- a/winchfork/router/refusal_records.py
+++ b/winchfork/router/refusal_records.py
@@ -14,6 +14,7 @@
 
 from winchfork.core.crash_history import REPEATED_REFUSAL_S, CrashHistory
 from winchfork.core.request_digest import DIGEST_BYTES
+from winchfork.decoding import Count, decode_json
 from winchfork.errors import Failure, FailureKind
 from winchfork.logs import log_event
 
@@ -30,8 +31,8 @@
     """
 
     digest: bytes
-    refused_ms: int
-    times: int
+    refused_ms: Count
+    times: Count
 
 
 def bucket_key(digest: bytes, prefix: str = REQUEST_PREFIX) -> str:
@@ -51,10 +52,9 @@
 
 def decode_refusal(value: bytes) -> RefusalRecord | Failure:
     """Decode a stored record."""
-    try:
-        record = msgspec.json.decode(value, type=RefusalRecord)
-    except (msgspec.DecodeError, RecursionError) as error:
-        return FailureKind.BAD_DOCUMENT.because(f"refusal record cannot be decoded: {error}")
+    record = decode_json(value, RefusalRecord, "refusal record")
+    if isinstance(record, Failure):
+        return record
     if len(record.digest) != DIGEST_BYTES:
         return FailureKind.BAD_DOCUMENT.because("refusal record has a digest of wrong length")
     return record
--- a/winchfork/router/software_records.py
+++ b/winchfork/router/software_records.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from winchfork.core.software_state import SoftwareState
-from winchfork.errors import Failure, FailureKind
+from winchfork.decoding import decode_json
+from winchfork.errors import Failure
 
 _PREFIX = "winchfork/software/"
 
@@ -32,9 +33,4 @@
 
 def decode_record(value: bytes) -> SoftwareState | Failure:
     """Decode a stored record."""
-    try:
-        return msgspec.json.decode(value, type=SoftwareState)
-    except (msgspec.DecodeError, RecursionError) as error:
-        return FailureKind.BAD_DOCUMENT.because(
-            f"software rollout record cannot be decoded: {error}"
-        )
+    return decode_json(value, SoftwareState, "software rollout record")
--- a/winchfork/router/stream_records.py
+++ b/winchfork/router/stream_records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from winchfork.core.stream_batch import StreamBatch
+from winchfork.decoding import DECODE_ERRORS
 from winchfork.errors import Failure, FailureKind
 
 STREAMS_PREFIX = "winchfork/streams/"
@@ -32,7 +33,7 @@
     """Decode a stored batch."""
     try:
         batch = _DECODER.decode(value)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return FailureKind.BAD_DOCUMENT.because(f"stream records cannot be decoded: {error}")
     if not batch.is_consistent:
         return FailureKind.BAD_DOCUMENT.because("stream records have keys of a wrong length")
--- a/winchfork/router/version_records.py
+++ b/winchfork/router/version_records.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from winchfork.core.version_register import VersionRecord
-from winchfork.errors import Failure, FailureKind
+from winchfork.decoding import decode_json
+from winchfork.errors import Failure
 
 VERSION_RECORD_KEY = "winchfork/software-versions"
 
@@ -17,9 +18,4 @@
 
 def decode_version_record(value: bytes) -> VersionRecord | Failure:
     """Decode a stored record."""
-    try:
-        return msgspec.json.decode(value, type=VersionRecord)
-    except (msgspec.DecodeError, RecursionError) as error:
-        return FailureKind.BAD_DOCUMENT.because(
-            f"record of software versions cannot be decoded: {error}"
-        )
+    return decode_json(value, VersionRecord, "record of software versions")
