Skip an item of the store's answer that cannot be read

One item of a list or of a watch that is not of the expected form (no object, no key, a revision out of range) made the whole answer fail. A daemon that lists could not start, one that watches read the same answer again and again.

Cause: the answer was decoded as one document, its items with it.

Why it works: items are decoded one by one, those that fail are logged together and left out. A page with none that can be read, before the last one, fails the list, since a list that ends early would take the entries after it for removed.

--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -68,6 +68,24 @@
         )
         self.assertIn("after=a", server.received[1].line)
 
+    async def test_an_item_that_cannot_be_read_hides_no_other(self) -> None:
+        odd_items: tuple[object, ...] = (None, [], {}, {"PrivateKey": 1}, item("b", b"", -(10**30)))
+        for odd in odd_items:
+            items = [item("a", b"1", 3), odd, item("c", b"2", 4)]
+            seen = (StoreItem("a", b"1", 3), StoreItem("c", b"2", 4))
+            store, _ = await self.store(
+                plain("200 OK", {"items": items, "more": False, "at": 10}),
+                plain("200 OK", {"Events": items, "at": 12}),
+            )
+            self.assertEqual(await store.list(""), StoreSnapshot(seen, StorePosition(0, 10)))
+            batch = await store.watch("", 10, 0.1)
+            self.assertEqual(batch, WatchBatch(seen, StorePosition(0, 12)))
+
+    async def test_a_page_without_a_readable_item_does_not_end_a_list(self) -> None:
+        """Guards against a list that seems complete, so that the entries after it seem removed."""
+        store, _ = await self.store(plain("200 OK", {"items": [None], "more": True, "at": 10}))
+        self.assertIsInstance(await store.list(""), Failure)
+
     async def test_a_watch_returns_changes_and_removals(self) -> None:
         body = {
             "Events": [item("a", b"x", 412), {"PrivateKey": "b", "Revision": 413, "gone": True}],
--- a/winchfork/platform/store.py
+++ b/winchfork/platform/store.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from winchfork.core.store_position import StorePosition
-from winchfork.decoding import decode_json
+from winchfork.decoding import Count, decode_json
 from winchfork.errors import Failure, FailureKind, RunState
+from winchfork.logs import log_event
 from winchfork.platform.store_headers import read_store_answer
 from winchfork.router.http_types import AnswerHead
 from winchfork.router.pooled_http_client import CallReply, PooledHttpClient
@@ -38,20 +39,20 @@
 
 class _Item(msgspec.Struct):
     key: str = msgspec.field(name="PrivateKey")
-    revision: int = msgspec.field(name="Revision")
+    revision: Count = msgspec.field(name="Revision")
     value: str | None = msgspec.field(name="Value", default=None)
     gone: bool = False
 
 
 class _Page(msgspec.Struct):
-    items: list[_Item]
+    items: list[msgspec.Raw]
     at: int
     more: bool = False
 
 
 class _Events(msgspec.Struct):
     at: int
-    events: list[_Item] = msgspec.field(name="Events", default_factory=list)
+    events: list[msgspec.Raw] = msgspec.field(name="Events", default_factory=list)
 
 
 class _Revision(msgspec.Struct):
@@ -96,10 +97,13 @@
                 return FailureKind.HISTORY_LOST.because(
                     "the store's era changed between two pages of a list"
                 )
-            items += [_item(entry) for entry in page.items]
+            found = _items(page.items)
+            items += found
             if not page.more or not page.items:
                 return StoreSnapshot(tuple(items), position)
-            after = page.items[-1].key
+            if not found:
+                return FailureKind.STORE_UNAVAILABLE.because("a page has no item that can be read")
+            after = found[-1].key
         return FailureKind.STORE_UNAVAILABLE.because("the list exceeds the maximum number of pages")
 
     async def watch(self, prefix: str, after_revision: int, wait_s: float) -> WatchBatch | Failure:
@@ -116,7 +120,7 @@
             return FailureKind.HISTORY_LOST.because(answer.reason) if too_large else answer
         batch = answer.body
         position = StorePosition(answer.era, batch.at)
-        return WatchBatch(tuple(_item(entry) for entry in batch.events), position)
+        return WatchBatch(tuple(_items(batch.events)), position)
 
     async def transact(
         self, expected: Sequence[ExpectedRevision], puts: Sequence[PutItem]
@@ -223,6 +227,15 @@
     return body if isinstance(body, Failure) else _AnswerWithEra(body, answer.era)
 
 
+def _items(entries: Sequence[msgspec.Raw]) -> list[StoreItem]:
+    """Return the entries of an answer; one that cannot be read must not hide the others."""
+    decoded = [decode_json(bytes(entry), _Item, "an item of the store") for entry in entries]
+    refused = [entry for entry in decoded if isinstance(entry, Failure)]
+    if refused:
+        log_event("store_items_refused", "WARNING", count=len(refused), reason=refused[0].reason)
+    return [_item(entry) for entry in decoded if isinstance(entry, _Item)]
+
+
 def _item(entry: _Item) -> StoreItem:
     value = None if entry.gone or entry.value is None else _decode_value(entry.value)
     return StoreItem(entry.key, value, entry.revision)
