Answer requests whose headers hold numbers that cannot be read

What callers saw: a request with a number of more than 4,300 digits, or with a superscript digit, in X-Token-Usage, X-Prefix-Hash or Last-Event-Id was never answered; its connection stayed open until the idle timeout. In a replica's X-Weight-Versions, Keep-Alive or event ids such a number broke a whole answer off.

Cause: the texts were checked by str.isdigit and read by int. The first is true of digits that the second does not read, and the second has a limit. The error left a callback of the parser, where it was taken for a refusal that had been sent.

Evidence: test_relay_path.AdmissionTest: nine of eleven cases failed before (no answer within 1 s), each is answered now, 400 where the number is needed.

Why it works: the headers' numbers are read by decoding.read_count. And whatever starting a request raises, the caller gets an answer and the connection closes.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from tests.relay_case import PROMPT_HEADERS, RelayTestCase
 from tests.relay_support import (
@@ -241,6 +242,36 @@
         self.assertFalse(relay.state.ready)
         self.assert_not_run(await relay.ask(extra="X-Key: other\r\n"))
 
+    async def test_numbers_in_callers_headers_that_cannot_be_read_get_an_answer(self) -> None:
+        """Guards against a request that is never answered, because reading it has failed."""
+        relay = await self.relay(ScriptedReplica(answering(lambda r: signed(r, b"ok"))))
+        digits = b"1" * 5_000
+        for number in (digits, b"\xb2"):
+            for header, status in (
+                (b"X-Token-Usage: %b,20" % number, 400),
+                (b"X-Token-Usage: 100,%b" % number, 200),
+                (b"X-Prefix-Hash: aa:%b" % number, 400),
+                (b"X-Deadline-Ms: %b" % number, 200 if number is digits else 400),
+                (b"Last-Event-Id: %b" % number, 200),
+            ):
+                with self.subTest(header=header[:30]):
+                    reader, writer = await relay.connect()
+                    request = caller_request().replace(b"X-Deadline-Ms: 4000\r\n", b"")
+                    end = b"X-Model: m\r\n%b\r\n\r\n" % header
+                    writer.write(request.removesuffix(b"\r\n") + end)
+                    async with asyncio.timeout(1.0):
+                        answer = await read_answer(reader)
+                    self.assertEqual(answer.status, status)
+                    writer.close()
+
+    async def test_an_error_in_reading_a_request_is_answered(self) -> None:
+        relay = await self.relay(ScriptedReplica(answering(lambda r: signed(r, b"ok"))))
+        with mock.patch.object(relay.service.header_codec, "read_request", side_effect=ValueError):
+            async with asyncio.timeout(1.0):
+                answer = await relay.ask()
+        self.assertEqual(answer.status, 502)
+        self.assertEqual((await relay.ask()).status, 200)
+
     async def test_limits_on_callers_input(self) -> None:
         relay = await self.relay(ScriptedReplica(answering(lambda r: signed(r, b"ok"))))
         long = f"X-Long: {'x' * 20_000}\r\n"
--- a/winchfork/platform/headers.py
+++ b/winchfork/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from winchfork.core.prompt_parts import Prompt, PromptPart
+from winchfork.decoding import read_count
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
 from winchfork.platform.forwarded_headers import forwarded_headers
@@ -29,13 +30,12 @@
         prompt = _prompt(found)
         if isinstance(prompt, Failure):
             return prompt
-        resume_after = found.get(names.LAST_EVENT_ID.lower())
         return RequestFields(
             request_id=request_id,
             deadline_s=deadline_s,
             api_key=found.get(names.API_KEY.lower()),
             prompt=prompt,
-            resume_after=int(resume_after) if resume_after and resume_after.isdigit() else None,
+            resume_after=read_count(found.get(names.LAST_EVENT_ID.lower(), "")),
             origin_id=found.get(names.RESUMES.lower()) or None,
             declared_tokens=_declared_tokens(found.get(names.TOKEN_USAGE.lower(), "")),
         )
@@ -62,13 +62,12 @@
     def read_answer(self, head: AnswerHead) -> AnswerFields:
         """Read the headers of a replica's answer."""
         found = _by_name(head.headers)
-        version = found.get(names.WEIGHT_VERSIONS.lower(), "")
         return AnswerFields(
             request_id=found.get(names.REQUEST_ID.lower()),
             authentic=names.SIGNATURE.lower() in found,
             not_run=names.NOT_EXECUTED.lower() in found,
             misdirected=head.status == names.STATUS_MISDIRECTED,
-            weights_version=int(version) if version.isdigit() else None,
+            weights_version=read_count(found.get(names.WEIGHT_VERSIONS.lower(), "")),
             replica_id=found.get(names.INSTANCE_ID.lower()),
             notice=read_notice(head),
             status_means_not_run=head.status in names.STATUSES_NOT_RUN,
@@ -82,10 +81,10 @@
 def _declared_tokens(usage: str) -> int | None:
     """Return the sum of the prompt and output tokens; None if the prompt tokens are not given."""
     prompt_text, _, output_text = usage.partition(",")
-    counts = [text.strip() for text in (prompt_text, output_text)]
-    if not counts[0].isdigit():
+    prompt_tokens = read_count(prompt_text.strip())
+    if prompt_tokens is None:
         return None
-    return sum(int(count) for count in counts if count.isdigit())
+    return prompt_tokens + (read_count(output_text.strip()) or 0)
 
 
 def _milliseconds(text: str) -> float | None:
@@ -101,25 +100,27 @@
         return None
     parts: list[PromptPart] = []
     for entry in filter(None, found.get(names.PREFIX_HASH.lower(), "").split(",")):
-        part_id, _, tokens = entry.strip().partition(":")
-        if not tokens.isdigit():
+        part_id, _, text = entry.strip().partition(":")
+        tokens = read_count(text)
+        if tokens is None:
             return _invalid_header(
                 names.PREFIX_HASH,
                 f"holds {entry[:40]!r}",
                 "send ID:TOKENS pairs separated by commas",
             )
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, tokens))
     usage = found.get(names.TOKEN_USAGE.lower(), "")
     prompt_text, _, output_text = usage.partition(",")
-    if usage and not prompt_text.strip().isdigit():
+    prompt_tokens = read_count(prompt_text.strip())
+    if usage and prompt_tokens is None:
         return _invalid_header(
             names.TOKEN_USAGE,
             f"holds {usage[:40]!r}",
             "send PROMPT_TOKENS,OUTPUT_TOKENS as whole numbers",
         )
-    prompt_tokens = int(prompt_text) if usage else sum(part.tokens for part in parts)
-    output_tokens = int(output_text) if output_text.strip().isdigit() else 0
-    return Prompt(model, tuple(parts), prompt_tokens, output_tokens)
+    if prompt_tokens is None:
+        prompt_tokens = sum(part.tokens for part in parts)
+    return Prompt(model, tuple(parts), prompt_tokens, read_count(output_text.strip()) or 0)
 
 
 def _invalid_header(name: bytes, problem: str, remedy: str) -> Failure:
--- a/winchfork/router/caller_connection.py
+++ b/winchfork/router/caller_connection.py
@@ -16,6 +16,7 @@
 from winchfork.core.memory_budget import SMALL_BYTES, BufferKind, MemoryBudget
 from winchfork.core.routing import CallerLimits
 from winchfork.errors import Failure, FailureKind
+from winchfork.logs import log_event
 from winchfork.router.http_types import (
     REASONS,
     Headers,
@@ -424,7 +425,12 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._request = self._pipelined.popleft()
-        active = self._handler.start_request(self, self._request)
+        try:
+            active: ActiveRequest | None = self._handler.start_request(self, self._request)
+        except Exception as error:  # noqa: BLE001 - a request whose start fails gets an answer too
+            log_event("request_error", "ERROR", error=repr(error))
+            active = None
+            self._refuse(FailureKind.INTERNAL.because(repr(error)))
         if self._request is not None:
             self._active = active
 
--- a/winchfork/router/event_stream.py
+++ b/winchfork/router/event_stream.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from winchfork.decoding import read_count
+
 #: Limit on one event.
 MAX_EVENT_BYTES = 256 * 1024
 _EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
@@ -65,6 +67,5 @@
     for line in raw.splitlines():
         name, _, value = line.partition(b":")
         if name == b"id":
-            text = value.strip()
-            return int(text) if text.isdigit() else None
+            return read_count(value.strip())
     return None
--- a/winchfork/router/relay_messages.py
+++ b/winchfork/router/relay_messages.py
@@ -10,6 +10,7 @@
 
 import enum
 
+from winchfork.decoding import read_count
 from winchfork.router.http_types import AnswerHead, Headers, find_header
 
 #: Request header: the address of the replica.
@@ -53,7 +54,7 @@
 def read_relay_incarnation(headers: Headers) -> int:
     """Return the start time of the only incarnation that may run a request; 0 if any may."""
     value = find_header(headers, RELAY_INCARNATION) or b""
-    return int(value) if value.isdigit() else 0
+    return read_count(value) or 0
 
 
 def read_relay_failure(head: AnswerHead) -> RelayFailure | None:
--- a/winchfork/router/replica_connection.py
+++ b/winchfork/router/replica_connection.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from winchfork.core.memory_budget import BufferKind, MemoryBudget
+from winchfork.decoding import read_count
 from winchfork.router.answer_head import AnswerHeadReader, AnswerRejectedError
 from winchfork.router.http_types import (
     AnswerData,
@@ -298,8 +299,9 @@
     def _update_keep_alive(self, announced: bytes) -> None:
         for pair in announced.split(b","):
             name, _, value = pair.strip().partition(b"=")
-            if name.strip().lower() == b"timeout" and value.strip().isdigit():
-                usable_s = max(0.0, int(value) - KEEPALIVE_MARGIN_S)
+            timeout_s = read_count(value.strip())
+            if name.strip().lower() == b"timeout" and timeout_s is not None:
+                usable_s = max(0.0, timeout_s - KEEPALIVE_MARGIN_S)
                 self.reusable_until_s = self._loop.time() + usable_s
 
     def _write_body(self) -> None:
