--- a/standins/faulty_service.py
+++ b/standins/faulty_service.py
@@ -16,6 +16,7 @@
 from standins.deployment import API_KEY, MODEL, ZONES, PlatformStandins
 from standins.http_server import HttpServer, Request, write_answer
 from standins.measured_router import MeasuredRouter
+from standins.store_server import StoreServer
 from winchfork.boot_clock import boot_seconds
 
 SOUND_CALLERS = 10
@@ -127,6 +128,11 @@
             raise
         return await asyncio.open_connection(sock=raw)
 
+    @property
+    def store(self) -> StoreServer:
+        """The platform's store; entries that are to be there at first are put before the start."""
+        return self._standins.store
+
     def _configuration(self) -> dict[str, Any]:
         configuration = copy.deepcopy(self._standins.configuration)
         engine = configuration["Services"][0]["Engine"]
--- a/standins/store_server.py
+++ b/standins/store_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import dataclasses
+import itertools
 import json
 from typing import Any
 
@@ -12,6 +13,7 @@
 
 #: Interval at which a watch checks for changes.
 _POLL_INTERVAL_S = 0.01
+_PAGE_BYTES = 1024 * 1024
 _PAGE_ITEMS = 500
 #: Time after which a restored entry lapses unless it is written again.
 RESTORED_ENTRY_LAPSE_S = 3.6
@@ -174,8 +176,10 @@
             for key, item in sorted(self._items.items())
             if key.startswith(prefix) and key > after
         ]
-        more = len(found) > _PAGE_ITEMS
-        return {"items": found[:_PAGE_ITEMS], "more": more, "at": self.revision}
+        sizes = itertools.accumulate(len(item["Value"]) for item in found[:_PAGE_ITEMS])
+        page = [item for item, size in zip(found, sizes, strict=False) if size <= _PAGE_BYTES]
+        page = page or found[:1]
+        return {"items": page, "more": len(page) < len(found), "at": self.revision}
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         loop = asyncio.get_running_loop()
--- a/tests/run.py
+++ b/tests/run.py
@@ -35,6 +35,7 @@
     "test_version_record",
     "test_restored_entries",
     "test_brittle_fleet",
+    "test_odd_entries",
 )
 #: Modules that take long in real time, the longest first. Their sockets have ports of their own.
 LONG_MODULES = (
@@ -54,6 +55,7 @@
     "test_endless_answers",
     "test_planned_stops",
     "test_memory_limit",
+    "test_odd_values_whole",
 )
 #: Modules that run in separate processes, and the number of these beside the main one.
 SEPARATE_MODULES = (*LONG_MODULES, *CPU_BOUND_MODULES)
