--- a/tests/test_odd_values_whole.py
+++ b/tests/test_odd_values_whole.py
@@ -12,7 +12,8 @@
 from standins.http_server import Request, write_answer
 from tests.test_odd_entries import DOCUMENTS, OTHER_VALUES, odd_entries
 
-DEEP = b"[" * 20_000 + b"]" * 20_000
+#: A report with a field that the router does not know.
+DEEP = b'{"Sequence":1,"Unknown":' + b"[" * 20_000 + b"]" * 20_000 + b"}"
 #: Seconds for which a router serves; the leader reads reports each second or so.
 SERVED_S = 4.0
 
