Begin the fences of each era of the store above those of earlier ones

Cause: a fence is the revision of the leader's entry, or the next one above what this process has seen. After a start it has seen nothing, and the copy's revisions have gone back.

Why it works: the era is in each answer of the store and rises with each drill, so the first fence of an era, (era - 1) x 2^32, is above every fence of earlier ones without anybody's memory. In the first era, and where the store names none, fences are as before.

--- a/tests/test_leadership_after_restore.py
+++ b/tests/test_leadership_after_restore.py
@@ -258,5 +258,48 @@
         fleet.network.drop = lambda sender, receiver: False
 
 
+class KilledFleetTest(unittest.TestCase):
+    """The store is restored while all daemons are killed, so that nobody knows of earlier eras."""
+
+    def test_a_fleet_that_knows_nothing_of_before_neither_takes_turns_nor_lowers_the_fence(
+        self,
+    ) -> None:
+        """Guards against a lease and a fence that are judged by the restored store alone."""
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                run_in_store_restore_fleet(DAEMONS, functools.partial(self._play, seed))
+
+    async def _play(self, seed: int, fleet: StoreRestoreFleet) -> None:
+        draw = random.Random(seed)
+        monitor = LeaderMonitor(fleet)
+        for _ in range(draw.choice((1, 1, 2))):
+            backup = fleet.store.backup()
+            fleet.change(draw.choice((0, 3, 40)))
+            if draw.random() < 0.8:
+                await self._lose_leader(fleet)
+            await asyncio.sleep(draw.uniform(0.0, 1.0))
+            fleet.store.down = True
+            await asyncio.sleep(draw.uniform(0.0, 0.5))
+            fleet.kill_all()
+            await asyncio.sleep(draw.uniform(0.0, 0.5))
+            fleet.store.restore(backup)
+            fleet.store.down = False
+            fleet.start_all()
+            await asyncio.sleep(draw.choice((4.0, 8.0)))
+        await asyncio.sleep(6.0)
+        self.assertEqual(monitor.violations[:3], [])
+        self.assertIsNotNone(leader_of_or_none(fleet))
+
+    async def _lose_leader(self, fleet: StoreRestoreFleet) -> None:
+        """Kill the leader, and wait until another daemon acts."""
+        while leader_of_or_none(fleet) is None:
+            await asyncio.sleep(0.05)
+        leader = leader_of(fleet)
+        leader.kill(fleet.network)
+        fleet.daemons.remove(leader)
+        while leader_of_or_none(fleet) is None:
+            await asyncio.sleep(0.05)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/winchfork/core/fence_registry.py
+++ b/winchfork/core/fence_registry.py
@@ -2,7 +2,8 @@
 
 A leader's fence is the revision of its leader entry. A store restored from a backup begins a new
 era with lower revisions than the fences that replicas have seen. A leader then uses the next number
-above every fence it knows, and records it beside its entry in the same transaction.
+above every fence it knows, and records it beside its entry in the same transaction. The fences of
+an era begin above all that earlier ones can have had, since nobody who has seen these may be left.
 """
 
 from __future__ import annotations
@@ -11,10 +12,12 @@
 
 import msgspec
 
-from winchfork.core.store_position import StorePosition
+from winchfork.core.store_position import FIRST_ERA, StorePosition
 
 #: Leader entries that are remembered, to distinguish a restored entry from a new one.
 MAX_ENTRIES = 16
+#: Fences of one era, from its first on; more than the revisions that a store gives out in an era.
+FENCES_PER_ERA = 2**32
 #: Added to a refused fence, since a replica does not report the higher fence that it has seen.
 REFUSED_FENCE_INCREMENT = 1_000
 
@@ -61,10 +64,16 @@
 
         None where the entry's own revision is high enough.
         """
-        return self.highest + 1 if self.highest > known.revision else None
+        fence = max(self.highest + 1, _first_fence(known.era))
+        return fence if fence > known.revision + 1 else None
 
     def is_restored(self, entry: StorePosition) -> bool:
         """Whether an entry was restored: it is known from an era before ``entry.era``."""
         return any(
             known.revision == entry.revision and known.era < entry.era for known in self._entries
         )
+
+
+def _first_fence(era: int) -> int:
+    """Return the first fence of an era; 0 in the first one, and where the store names none."""
+    return max(0, era - FIRST_ERA) * FENCES_PER_ERA
--- a/winchfork/core/store_position.py
+++ b/winchfork/core/store_position.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+#: Era of a store that has never been restored from a backup.
+FIRST_ERA = 1
+
 
 class StorePosition(msgspec.Struct, frozen=True, order=True):
     """A revision within an era; a later era is later, whatever the revisions.
