Wait the whole lease bound after a start, once the store was ever restored

Cause: a daemon that starts and finds no leader's entry took it that the lease had run out, and counted the 1.1 s that this takes at least. In a drill leases are gone at once. Only a daemon that knew an earlier era waited the whole bound.

Evidence: test_leadership_after_restore...a_successor_that_has_just_started failed before (n4 acts 2.34 s after another daemon) and passes now.

Why it works: a store in its first era was never restored, so there a missing entry means a lease that ran out. In a later one a daemon that has just started cannot tell, and waits.

--- a/tests/test_leadership_after_restore.py
+++ b/tests/test_leadership_after_restore.py
@@ -162,6 +162,23 @@
 
         self._play(scenario, acts_within_s=LEASE_BOUND_S + 2.0)
 
+    def test_a_successor_that_has_just_started_waits_the_full_bound(self) -> None:
+        """Guards against a lease that is taken to have run out, though a restore ended it."""
+
+        async def scenario(fleet: StoreRestoreFleet) -> None:
+            backup = backup_without_leader(fleet)
+            former = leader_of(fleet).state.settings.node_id
+            # The leader has to be seen acting.
+            await asyncio.sleep(2 * STEP_S)
+            fleet.kill_all()
+            fleet.store.restore(backup)
+            fleet.start_all()
+            (same,) = (item for item in fleet.daemons if item.state.settings.node_id == former)
+            same.kill(fleet.network)
+            fleet.daemons.remove(same)
+
+        self._play(scenario, acts_within_s=LEASE_BOUND_S + 2.0)
+
     def test_a_successor_that_sees_its_entry_before_the_answer_waits_the_full_bound(self) -> None:
         """Guards against a shorter wait because the own entry resets the restored flag."""
 
--- a/winchfork/router/leadership.py
+++ b/winchfork/router/leadership.py
@@ -9,7 +9,8 @@
 
 A restore of the store from a backup voids all earlier leases. The last leader reclaims the
 leadership by a conditional write over the entry that the backup contained, if any. Any other daemon
-waits the full ``lease_bound_s``, since it does not know the age of the last leader's orders.
+waits the full ``lease_bound_s``, since it does not know the age of the last leader's orders; so
+does one that has just started, if the store was ever restored.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 import random
 from collections.abc import Callable
 
-from winchfork.core.store_position import StorePosition
+from winchfork.core.store_position import FIRST_ERA, StorePosition
 from winchfork.errors import Failure
 from winchfork.logs import log_event
 from winchfork.router.leader_entry import LeaderEntry
@@ -130,8 +131,13 @@
             self._campaign_needed.clear()
 
     def _is_first_of_era(self, position: StorePosition) -> bool:
-        """Whether the position begins a new era: an earlier one is known, this one is not."""
-        return self._newest_position != StorePosition() and position.era > self._newest_position.era
+        """Whether the position begins a new era, or may, as far as this daemon knows.
+
+        One that has just started cannot tell whether a restore, or time, has ended the lease of the
+        last leader, unless the store was never restored.
+        """
+        known = self._newest_position
+        return position.era > (FIRST_ERA if known == StorePosition() else known.era)
 
     def record_refused_fence(self, fence: int) -> None:
         """Record that a replica refused an order because it has seen a higher fence.
