--- a/winchfork/router/stream_archive.py
+++ b/winchfork/router/stream_archive.py
@@ -30,7 +30,7 @@
 
 #: Mean seconds between two batches, varied at random by up to half, so that archivers do not act in
 #: step. It is longer if all would write more often than ``MAX_FLEET_WRITES_PER_S``.
-WRITE_INTERVAL_S = 0.5
+WRITE_INTERVAL_S = 0.2
 MAX_FLEET_WRITES_PER_S = 20.0
 #: Seconds in which further records are gathered after a quiet time.
 GATHER_S = 0.1
