--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -7,6 +7,7 @@
 from winchfork.core.prompt_parts import PromptPart
 from winchfork.errors import Failure
 from winchfork.platform.headers import PlatformHeaderCodec
+from winchfork.router.event_stream import EventSplitter
 from winchfork.router.header_codec import DispatchFields
 from winchfork.router.http_types import AnswerHead, Headers
 
@@ -50,6 +51,17 @@
             self.assertIn(name.decode(), problem.reason)
             self.assertTrue(problem.remedy)
 
+    def test_event_ids_of_64_bits_are_read(self) -> None:
+        """Guards against a stream that begins anew, since the caller's last id was not read."""
+        for event_id in (0, 10**15, 10**18 + 7):
+            headers = [pair for pair in REQUEST if pair[0] != b"Last-Event-Id"]
+            headers.append((b"Last-Event-Id", str(event_id).encode()))
+            fields = self.codec.read_request(headers)
+            assert not isinstance(fields, Failure)
+            self.assertEqual(fields.resume_after, event_id)
+            events = EventSplitter().feed(b"id: %d\ndata: x\n\n" % event_id)
+            self.assertEqual(events[0].event_id, event_id)
+
     def test_headers_that_a_caller_may_not_set_are_not_forwarded(self) -> None:
         forged = [
             (name, b"forged")
--- a/winchfork/decoding.py
+++ b/winchfork/decoding.py
@@ -16,8 +16,9 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 Quantity = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
-#: Digits of the largest whole numbers in texts; fewer than those of the numbers above.
-_MAX_DIGITS = 15
+#: Digits of the longest whole numbers in texts: within the numbers above, and within 64 bits.
+MAX_COUNT_DIGITS = 15
+MAX_ID_DIGITS = 19
 
 _Shape = TypeVar("_Shape")
 
@@ -34,8 +35,8 @@
         )
 
 
-def read_count(text: str | bytes) -> int | None:
+def read_count(text: str | bytes, max_digits: int = MAX_COUNT_DIGITS) -> int | None:
     """Return the whole number that ASCII digits give; None for any other text, or a longer one."""
-    if len(text) > _MAX_DIGITS or not (text.isascii() and text.isdigit()):
+    if len(text) > max_digits or not (text.isascii() and text.isdigit()):
         return None
     return int(text)
--- a/winchfork/platform/headers.py
+++ b/winchfork/platform/headers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from winchfork.core.prompt_parts import Prompt, PromptPart
-from winchfork.decoding import read_count
+from winchfork.decoding import MAX_ID_DIGITS, read_count
 from winchfork.errors import Failure, FailureKind
 from winchfork.platform import names
 from winchfork.platform.forwarded_headers import forwarded_headers
@@ -35,7 +35,7 @@
             deadline_s=deadline_s,
             api_key=found.get(names.API_KEY.lower()),
             prompt=prompt,
-            resume_after=read_count(found.get(names.LAST_EVENT_ID.lower(), "")),
+            resume_after=read_count(found.get(names.LAST_EVENT_ID.lower(), ""), MAX_ID_DIGITS),
             origin_id=found.get(names.RESUMES.lower()) or None,
             declared_tokens=_declared_tokens(found.get(names.TOKEN_USAGE.lower(), "")),
         )
--- a/winchfork/router/caller_connection.py
+++ b/winchfork/router/caller_connection.py
@@ -430,7 +430,8 @@
         except Exception as error:  # noqa: BLE001 - a request whose start fails gets an answer too
             log_event("request_error", "ERROR", error=repr(error))
             active = None
-            self._refuse(FailureKind.INTERNAL.because(repr(error)))
+            if self._request is not None:
+                self._refuse(FailureKind.INTERNAL.because(repr(error)))
         if self._request is not None:
             self._active = active
 
--- a/winchfork/router/event_stream.py
+++ b/winchfork/router/event_stream.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from winchfork.decoding import read_count
+from winchfork.decoding import MAX_ID_DIGITS, read_count
 
 #: Limit on one event.
 MAX_EVENT_BYTES = 256 * 1024
@@ -67,5 +67,5 @@
     for line in raw.splitlines():
         name, _, value = line.partition(b":")
         if name == b"id":
-            return read_count(value.strip())
+            return read_count(value.strip(), MAX_ID_DIGITS)
     return None
--- a/winchfork/router/process.py
+++ b/winchfork/router/process.py
@@ -59,7 +59,7 @@
 #: longer if too few other daemons are ready.
 LOAD_BALANCER_DRAIN_S = 2.3
 #: Time at the end of the grace period that is reserved for closing connections and exiting, and the
-#: largest share of a short period. A request that is cut earlier counts as lost.
+#: largest share of the period that this may be.
 STOP_MARGIN_S = 0.5
 MAX_STOP_MARGIN_SHARE = 1 / 6
 _BACKLOG = 1024
