--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -199,7 +199,7 @@
         self.assertIsInstance(await control.report(server.address), Failure)
 
     async def test_a_report_with_an_odd_value_is_no_report(self) -> None:
-        """Guards against an error of the caller, a request or the leader's duty, in its place."""
+        """Guards against an exception in place of a failure."""
         deep = "[" * 20_000 + "]" * 20_000
         for field in ("Busy", "Sequence", "Waiting", "Models", "born", "Unknown"):
             for odd in (deep, "9" * 400, "9" * 5_000, "-1", "1e999", '"\\ud800"'):
